Frame: contract types, links, process settings, platform clients

Cause: an empty repository; all parts need agreed types before they can be built side by side.

Ruled out: protobuf in place of CBOR, since it needs a generator; QUIC datagrams for heartbeats, since a lost datagram then looks like a silent peer.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# mimosastand: build, checks, demo and benchmarks.
+
+GO := go
+KNOWN_RED := KNOWN-RED.txt
+
+.PHONY: all build test check demo bench fuzz tidy
+
+all: build
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+# check runs the formatter, go vet and staticcheck.
+check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	  if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: build check
+	bash scripts/test.sh
+
+demo: build
+	bin/demo
+
+bench: build
+	bash scripts/bench.sh
+
+# fuzz runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	bash scripts/fuzz.sh $(FUZZTIME)
+
+tidy:
+	$(GO) mod tidy -e
--- /dev/null
+++ b/cmd/mimosastand/main.go
@@ -0,0 +1,4 @@
+// Command mimosastand runs the processes of the system and its operators' tools.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/field.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// kind is the type of a field's value.
+type kind uint8
+
+const (
+	kindText kind = iota
+	kindName
+	kindAddress
+	kindURL
+	kindFile
+	kindDuration
+	kindInt
+	kindChoice
+)
+
+// field describes one key of a section.
+type field struct {
+	section, key string
+	kind         kind
+	// required fields have no default.
+	required bool
+	def      string
+	// min and max bound kindInt, and kindDuration in nanoseconds.
+	min, max int64
+	choices  []string
+	set      func(c *Process, v value)
+}
+
+// value is a checked value in the form of its kind.
+type value struct {
+	text     string
+	number   int64
+	duration time.Duration
+}
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File, Section, Key string
+	// Value is what the file holds; empty if the key is missing.
+	Value string
+	// Allowed tells what the file may hold.
+	Allowed string
+}
+
+// String returns one line: file: [section] key = "value": allowed.
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s: [%s]: %s", f.File, f.Section, f.Allowed)
+	}
+	return fmt.Sprintf("%s: [%s] %s = %q: %s", f.File, f.Section, f.Key, f.Value, f.Allowed)
+}
+
+// allowed describes the values that f takes.
+func (f field) allowed() string {
+	switch f.kind {
+	case kindName:
+		return "must be a name of letters, digits, '.', '_' and '-'"
+	case kindAddress:
+		return "must be an IP address and port, such as 10.0.0.1:7000"
+	case kindURL:
+		return "must be an http or https address, such as http://10.0.0.1:7000"
+	case kindFile:
+		return "must name a file"
+	case kindDuration:
+		return fmt.Sprintf("must be a duration from %s to %s", time.Duration(f.min), time.Duration(f.max))
+	case kindInt:
+		return fmt.Sprintf("must be a whole number from %d to %d", f.min, f.max)
+	case kindChoice:
+		return "must be one of " + strings.Join(f.choices, ", ")
+	default:
+		return "must not be empty"
+	}
+}
+
+// parse checks text against the field.
+func (f field) parse(text string) (value, bool) {
+	v := value{text: text}
+	switch f.kind {
+	case kindName:
+		return v, isName(text)
+	case kindAddress:
+		return v, isAddress(text)
+	case kindURL:
+		return v, isURL(text)
+	case kindDuration:
+		d, err := time.ParseDuration(text)
+		v.duration = d
+		return v, err == nil && int64(d) >= f.min && int64(d) <= f.max
+	case kindInt:
+		n, err := strconv.ParseInt(text, 10, 64)
+		v.number = n
+		return v, err == nil && n >= f.min && n <= f.max
+	case kindChoice:
+		return v, contains(f.choices, text)
+	default:
+		return v, text != ""
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
+
+func isName(s string) bool {
+	const maxName = 64
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, r := range s {
+		plain := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !plain && !strings.ContainsRune("._-", r) {
+			return false
+		}
+	}
+	return true
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n <= 65535
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- /dev/null
+++ b/config/load_test.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+)
+
+// TestCheck runs the files in testdata/check.txt through Load and compares
+// every fault that it reports.
+func TestCheck(t *testing.T) {
+	datadriven.RunTest(t, "testdata/check.txt", func(t *testing.T, d *datadriven.TestData) string {
+		file := filepath.Join(t.TempDir(), "process.ini")
+		if err := os.WriteFile(file, []byte(d.Input), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(file)
+		if err == nil {
+			return "ok\n"
+		}
+		if errors.Is(err, ErrUnreadable) {
+			return "unreadable\n"
+		}
+		return strings.ReplaceAll(err.Error(), file, "FILE") + "\n"
+	})
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte("[process]\nrole = entry\n"))
+	f.Add([]byte("[process\nrole"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file := filepath.Join(t.TempDir(), "process.ini")
+		if err := os.WriteFile(file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = Load(file)
+	})
+}
--- /dev/null
+++ b/config/process.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+)
+
+// Roles of a process.
+const (
+	RoleEntry  = "entry"
+	RoleTarget = "target"
+)
+
+// Kinds of back end.
+const (
+	BackendModel = "model"
+	BackendPlain = "plain"
+)
+
+// Fencing tells whether a back end refuses orders with an old fencing number.
+const (
+	FencingChecked   = "checked"
+	FencingUnchecked = "unchecked"
+	// FencingUnknown counts as unchecked until the back end says otherwise.
+	FencingUnknown = "unknown"
+)
+
+// Process holds the checked settings of one process.
+type Process struct {
+	Role    string
+	Machine contract.MachineID
+	Zone    contract.ZoneName
+	Region  contract.RegionName
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// ShutdownGrace is how long a planned stop waits for work in flight.
+	ShutdownGrace time.Duration
+
+	// LinkAddress is the UDP address for other processes; HTTPAddress the TCP
+	// address for callers (entry) or for health and metrics (target).
+	LinkAddress, HTTPAddress string
+	// AdminAddress is the TCP address of the administration API (entry).
+	AdminAddress string
+
+	// LogURL, StoreURL, OriginURL and HostsURL locate the platform's services.
+	LogURL, StoreURL, OriginURL, HostsURL string
+
+	TLS  link.Files
+	Link link.Config
+
+	Entry  Entry
+	Target Target
+}
+
+// Entry holds what only an entry process needs.
+type Entry struct {
+	MaxBodyBytes int64
+	// DefaultTimeout is the deadline of a request that names none.
+	DefaultTimeout time.Duration
+	// TokensFile holds the administration API's bearer tokens and their scopes.
+	TokensFile string
+}
+
+// Target holds what only a target process needs.
+type Target struct {
+	Service    contract.ServiceName
+	Kind       string
+	BackendURL string
+	Fencing    string
+	// MaxRunning bounds the units of work in a warm back end.
+	MaxRunning int
+}
+
+const (
+	second = int64(time.Second)
+	ms     = int64(time.Millisecond)
+)
+
+// common lists the fields of every process.
+var common = []field{
+	{section: "process", key: "role", kind: kindChoice, required: true, choices: []string{RoleEntry, RoleTarget},
+		set: func(c *Process, v value) { c.Role = v.text }},
+	{section: "process", key: "machine", kind: kindName, required: true,
+		set: func(c *Process, v value) { c.Machine = contract.MachineID(v.text) }},
+	{section: "process", key: "zone", kind: kindName, required: true,
+		set: func(c *Process, v value) { c.Zone = contract.ZoneName(v.text) }},
+	{section: "process", key: "region", kind: kindName, required: true,
+		set: func(c *Process, v value) { c.Region = contract.RegionName(v.text) }},
+	{section: "process", key: "log_level", kind: kindChoice, def: "info", choices: []string{"debug", "info", "warn", "error"},
+		set: func(c *Process, v value) { c.LogLevel = v.text }},
+	{section: "process", key: "shutdown_grace", kind: kindDuration, def: "30s", min: second, max: 3600 * second,
+		set: func(c *Process, v value) { c.ShutdownGrace = v.duration }},
+	{section: "listen", key: "link", kind: kindAddress, required: true,
+		set: func(c *Process, v value) { c.LinkAddress = v.text }},
+	{section: "listen", key: "http", kind: kindAddress, required: true,
+		set: func(c *Process, v value) { c.HTTPAddress = v.text }},
+	{section: "platform", key: "log", kind: kindURL, required: true,
+		set: func(c *Process, v value) { c.LogURL = v.text }},
+	{section: "platform", key: "store", kind: kindURL, required: true,
+		set: func(c *Process, v value) { c.StoreURL = v.text }},
+	{section: "platform", key: "origin", kind: kindURL, required: true,
+		set: func(c *Process, v value) { c.OriginURL = v.text }},
+	{section: "platform", key: "hosts", kind: kindURL, required: true,
+		set: func(c *Process, v value) { c.HostsURL = v.text }},
+	{section: "tls", key: "ca", kind: kindFile, required: true,
+		set: func(c *Process, v value) { c.TLS.CA = v.text }},
+	{section: "tls", key: "cert", kind: kindFile, required: true,
+		set: func(c *Process, v value) { c.TLS.Cert = v.text }},
+	{section: "tls", key: "key", kind: kindFile, required: true,
+		set: func(c *Process, v value) { c.TLS.Key = v.text }},
+	{section: "link", key: "heartbeat", kind: kindDuration, def: "1s", min: 50 * ms, max: 10 * second,
+		set: func(c *Process, v value) { c.Link.Heartbeat = v.duration }},
+	{section: "link", key: "silent_after", kind: kindDuration, def: "3s", min: 200 * ms, max: 60 * second,
+		set: func(c *Process, v value) { c.Link.SilentAfter = v.duration }},
+}
+
+// entryFields lists the further fields of an entry process.
+var entryFields = []field{
+	{section: "listen", key: "admin", kind: kindAddress, required: true,
+		set: func(c *Process, v value) { c.AdminAddress = v.text }},
+	{section: "entry", key: "max_body_bytes", kind: kindInt, def: "1048576", min: 1024, max: 1 << 20,
+		set: func(c *Process, v value) { c.Entry.MaxBodyBytes = v.number }},
+	{section: "entry", key: "default_timeout", kind: kindDuration, def: "60s", min: 10 * ms, max: 3600 * second,
+		set: func(c *Process, v value) { c.Entry.DefaultTimeout = v.duration }},
+	{section: "entry", key: "tokens_file", kind: kindFile, required: true,
+		set: func(c *Process, v value) { c.Entry.TokensFile = v.text }},
+}
+
+// targetFields lists the further fields of a target process.
+var targetFields = []field{
+	{section: "target", key: "service", kind: kindName, required: true,
+		set: func(c *Process, v value) { c.Target.Service = contract.ServiceName(v.text) }},
+	{section: "target", key: "kind", kind: kindChoice, required: true, choices: []string{BackendModel, BackendPlain},
+		set: func(c *Process, v value) { c.Target.Kind = v.text }},
+	{section: "target", key: "backend", kind: kindURL, required: true,
+		set: func(c *Process, v value) { c.Target.BackendURL = v.text }},
+	{section: "target", key: "fencing", kind: kindChoice, def: FencingUnknown,
+		choices: []string{FencingChecked, FencingUnchecked, FencingUnknown},
+		set:     func(c *Process, v value) { c.Target.Fencing = v.text }},
+	{section: "target", key: "max_running", kind: kindInt, def: "16", min: 1, max: 4096,
+		set: func(c *Process, v value) { c.Target.MaxRunning = int(v.number) }},
+}
--- /dev/null
+++ b/contract/consistent.go
@@ -0,0 +1,48 @@
+package contract
+
+// Consistent reports whether the field that Kind names is set.
+func (m *Message) Consistent() bool {
+	switch m.Kind {
+	case KindStart:
+		return m.Start != nil
+	case KindAccept:
+		return m.Accept != nil
+	case KindRefuse:
+		return m.Refuse != nil
+	case KindChunk:
+		return m.Chunk != nil
+	case KindEnd:
+		return m.End != nil
+	case KindQuery:
+		return m.Query != nil
+	case KindStatus:
+		return m.Status != nil
+	case KindCancel:
+		return m.Cancel != nil
+	case KindHeartbeat:
+		return m.Heartbeat != nil
+	default:
+		return m.consistentPeer()
+	}
+}
+
+func (m *Message) consistentPeer() bool {
+	switch m.Kind {
+	case KindSettingsPull:
+		return m.SettingsPull != nil
+	case KindSettingsRecords:
+		return m.SettingsRecords != nil
+	case KindHave:
+		return m.Have != nil
+	case KindChunkRequest:
+		return m.ChunkRequest != nil
+	case KindChunkReply:
+		return m.ChunkReply != nil
+	case KindClaim:
+		return m.Claim != nil
+	case KindClaimReply:
+		return m.ClaimReply != nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/contract/message.go
@@ -0,0 +1,239 @@
+package contract
+
+import "time"
+
+// Kind tells which field of a Message is set.
+type Kind uint8
+
+// The kinds of message. On an attempt stream the entry opens with Start, Query
+// or Cancel; the target answers Start with Accept or Refuse, then Chunk frames
+// and one End. On a peer stream the opener sends one request and reads one reply.
+const (
+	KindInvalid Kind = iota
+	KindStart
+	KindAccept
+	KindRefuse
+	KindChunk
+	KindEnd
+	KindQuery
+	KindStatus
+	KindCancel
+	KindHeartbeat
+	KindSettingsPull
+	KindSettingsRecords
+	KindHave
+	KindChunkRequest
+	KindChunkReply
+	KindClaim
+	KindClaimReply
+)
+
+// Message is the union of all that the system's processes send each other.
+// Exactly the field that Kind names is set.
+type Message struct {
+	Kind            Kind             `cbor:"1,keyasint"`
+	Start           *Start           `cbor:"2,keyasint,omitempty"`
+	Accept          *Accept          `cbor:"3,keyasint,omitempty"`
+	Refuse          *Refuse          `cbor:"4,keyasint,omitempty"`
+	Chunk           *Chunk           `cbor:"5,keyasint,omitempty"`
+	End             *End             `cbor:"6,keyasint,omitempty"`
+	Query           *Query           `cbor:"7,keyasint,omitempty"`
+	Status          *Status          `cbor:"8,keyasint,omitempty"`
+	Cancel          *Cancel          `cbor:"9,keyasint,omitempty"`
+	Heartbeat       *Heartbeat       `cbor:"10,keyasint,omitempty"`
+	SettingsPull    *SettingsPull    `cbor:"11,keyasint,omitempty"`
+	SettingsRecords *SettingsRecords `cbor:"12,keyasint,omitempty"`
+	Have            *Have            `cbor:"13,keyasint,omitempty"`
+	ChunkRequest    *ChunkRequest    `cbor:"14,keyasint,omitempty"`
+	ChunkReply      *ChunkReply      `cbor:"15,keyasint,omitempty"`
+	Claim           *Claim           `cbor:"16,keyasint,omitempty"`
+	ClaimReply      *ClaimReply      `cbor:"17,keyasint,omitempty"`
+}
+
+// Start asks a target to run one attempt.
+type Start struct {
+	Attempt AttemptID   `cbor:"1,keyasint"`
+	Service ServiceName `cbor:"2,keyasint"`
+	Team    TeamName    `cbor:"3,keyasint"`
+	// Priority orders the requests of one team; a greater value goes first.
+	Priority int8 `cbor:"4,keyasint,omitempty"`
+	// Remaining is the time left until the caller's deadline.
+	Remaining time.Duration `cbor:"5,keyasint"`
+	// Weights is the digest that the request is pinned to; empty for a plain service.
+	Weights Digest `cbor:"6,keyasint,omitempty"`
+	// Settings is the highest settings offset that the sender has applied.
+	Settings Offset `cbor:"7,keyasint"`
+	// Idempotent allows the back end to run the request more than once.
+	Idempotent bool `cbor:"8,keyasint,omitempty"`
+	// Method, Path and Body are the call of a plain service. A model call has
+	// its JSON parameters in Body.
+	Method      string `cbor:"9,keyasint,omitempty"`
+	Path        string `cbor:"10,keyasint,omitempty"`
+	ContentType string `cbor:"11,keyasint,omitempty"`
+	Body        []byte `cbor:"12,keyasint,omitempty"`
+	// Key is the caller's Idempotency-Key, passed on to the back end.
+	Key string `cbor:"13,keyasint,omitempty"`
+	// ResumeAt is the number of answer tokens that the caller already has.
+	ResumeAt uint64 `cbor:"14,keyasint,omitempty"`
+	// PrefixHash identifies the prompt prefix, for the engine's cache.
+	PrefixHash uint64 `cbor:"15,keyasint,omitempty"`
+	// Tokens is the estimated cost of the request in tokens.
+	Tokens uint32 `cbor:"16,keyasint,omitempty"`
+}
+
+// Accept tells that an attempt passed the gate and is about to start.
+type Accept struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+	Load    Load      `cbor:"2,keyasint"`
+}
+
+// Refuse tells that an attempt did not start and never will: the target holds
+// a tombstone for it.
+type Refuse struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+	Reason  Reason    `cbor:"2,keyasint"`
+	// RetryAfter is when this target expects to have room; 0 means not known.
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+	Load       Load          `cbor:"4,keyasint"`
+	// Settings is the target's own settings offset.
+	Settings Offset `cbor:"5,keyasint,omitempty"`
+}
+
+// Chunk carries a part of an answer.
+type Chunk struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+	// Seq counts the frames of the attempt, from 0, without gaps.
+	Seq uint64 `cbor:"2,keyasint"`
+	// At is the number of tokens (model) or bytes (plain service) before this part.
+	At   uint64 `cbor:"3,keyasint"`
+	Data []byte `cbor:"4,keyasint"`
+}
+
+// End closes an answer. Without it an answer is not whole.
+type End struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+	Outcome Outcome   `cbor:"2,keyasint"`
+	// Reason tells why an outcome is not done.
+	Reason Reason `cbor:"3,keyasint,omitempty"`
+	// Frames and Length are the totals of the Chunk frames and of their data in bytes.
+	Frames      uint64 `cbor:"4,keyasint"`
+	Length      uint64 `cbor:"5,keyasint"`
+	Status      int    `cbor:"6,keyasint,omitempty"`
+	ContentType string `cbor:"7,keyasint,omitempty"`
+	// Weights is the digest that the engine reported when the work ended.
+	Weights Digest `cbor:"8,keyasint,omitempty"`
+	Load    Load   `cbor:"9,keyasint"`
+}
+
+// Query asks a target what became of an attempt, or of every attempt of a
+// request when N is 0.
+type Query struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+	// Tombstone asks the target to refuse the attempt for good if it has not started.
+	Tombstone bool `cbor:"2,keyasint,omitempty"`
+	// Resend asks for the kept answer, as Chunk frames and End after Status.
+	Resend bool `cbor:"3,keyasint,omitempty"`
+	// ResendAt is the first frame wanted.
+	ResendAt uint64 `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the sender first sent the attempt.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Status answers a Query.
+type Status struct {
+	Attempt     AttemptID    `cbor:"1,keyasint"`
+	State       AttemptState `cbor:"2,keyasint"`
+	Incarnation Incarnation  `cbor:"3,keyasint"`
+	Reason      Reason       `cbor:"4,keyasint,omitempty"`
+}
+
+// Cancel tells a target that nobody waits for the attempt any more.
+type Cancel struct {
+	Attempt AttemptID `cbor:"1,keyasint"`
+}
+
+// Load is what a target tells of itself on every reply and heartbeat.
+type Load struct {
+	// Running and Queued count units of work in the back end and at the gate.
+	Running uint32 `cbor:"1,keyasint,omitempty"`
+	Queued  uint32 `cbor:"2,keyasint,omitempty"`
+	// Limit is how many units the target bears at present.
+	Limit uint32 `cbor:"3,keyasint,omitempty"`
+	// Warm tells that the back end is past cold start.
+	Warm bool `cbor:"4,keyasint,omitempty"`
+	// Leaving tells that the target accepts no new work.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Weights is the digest that the engine confirmed; empty for a plain service.
+	Weights Digest `cbor:"6,keyasint,omitempty"`
+	// Credits is how many attempts this sender may have at the target at once.
+	Credits uint32 `cbor:"7,keyasint,omitempty"`
+	// Seq orders the loads of one incarnation; a lower one is out of date.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Heartbeat is sent both ways on every link at a fixed interval.
+type Heartbeat struct {
+	Machine     MachineID   `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	Settings    Offset      `cbor:"3,keyasint"`
+	// Load is set by targets.
+	Load    *Load       `cbor:"4,keyasint,omitempty"`
+	Zone    ZoneName    `cbor:"5,keyasint,omitempty"`
+	Service ServiceName `cbor:"6,keyasint,omitempty"`
+}
+
+// SettingsPull asks a peer for the settings records after an offset.
+type SettingsPull struct {
+	After Offset `cbor:"1,keyasint"`
+}
+
+// SettingsRecords carries consecutive settings records.
+type SettingsRecords struct {
+	// Checkpoint, if set, stands for all records up to First-1.
+	Checkpoint []byte `cbor:"1,keyasint,omitempty"`
+	// First is the offset of Records[0].
+	First   Offset   `cbor:"2,keyasint"`
+	Records [][]byte `cbor:"3,keyasint,omitempty"`
+	// Newest is the highest offset that the sender has applied.
+	Newest Offset `cbor:"4,keyasint"`
+}
+
+// Have tells a peer which chunks of a version the sender holds.
+type Have struct {
+	Weights Digest `cbor:"1,keyasint"`
+	// Bitmap has bit i (least significant first) set if chunk i is held and verified.
+	Bitmap []byte `cbor:"2,keyasint,omitempty"`
+	// Seq orders the bitmaps of one sender.
+	Seq uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// ChunkRequest asks a peer for one chunk.
+type ChunkRequest struct {
+	Weights Digest `cbor:"1,keyasint"`
+	Index   uint32 `cbor:"2,keyasint"`
+}
+
+// ChunkReply carries one chunk, or the reason why it is not sent.
+type ChunkReply struct {
+	Weights Digest `cbor:"1,keyasint"`
+	Index   uint32 `cbor:"2,keyasint"`
+	Data    []byte `cbor:"3,keyasint,omitempty"`
+	Refused Reason `cbor:"4,keyasint,omitempty"`
+}
+
+// Claim asks the home of an idempotency key to decide who runs a request.
+type Claim struct {
+	Service ServiceName `cbor:"1,keyasint"`
+	Team    TeamName    `cbor:"2,keyasint"`
+	Key     string      `cbor:"3,keyasint"`
+	Request RequestID   `cbor:"4,keyasint"`
+	// BodyHash tells two different requests with the same key apart.
+	BodyHash Digest `cbor:"5,keyasint"`
+}
+
+// ClaimReply answers a Claim.
+type ClaimReply struct {
+	// Winner is the request that holds the key.
+	Winner RequestID `cbor:"1,keyasint,omitempty"`
+	Reason Reason    `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,59 @@
+// Package logs makes the loggers of a process: one for each part, with the
+// part's name as a fixed prefix of every line.
+package logs
+
+import (
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Setup directs all loggers to w at the given level: debug, info, warn or error.
+func Setup(w io.Writer, level string) error {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return errors.Wrap(err, "logs")
+	}
+	log.SetLevel(parsed)
+	log.SetHandler(logfmt.New(w))
+	return nil
+}
+
+// For returns the logger of one part of a machine's process.
+func For(part string, machine contract.MachineID) log.Interface {
+	return prefixed{Interface: log.WithField("machine", string(machine)), prefix: part + ": "}
+}
+
+// prefixed puts a fixed prefix before every message.
+type prefixed struct {
+	log.Interface
+	prefix string
+}
+
+// Debug implements log.Interface.
+func (p prefixed) Debug(msg string) { p.Interface.Debug(p.prefix + msg) }
+
+// Info implements log.Interface.
+func (p prefixed) Info(msg string) { p.Interface.Info(p.prefix + msg) }
+
+// Warn implements log.Interface.
+func (p prefixed) Warn(msg string) { p.Interface.Warn(p.prefix + msg) }
+
+// Error implements log.Interface.
+func (p prefixed) Error(msg string) { p.Interface.Error(p.prefix + msg) }
+
+// Debugf implements log.Interface.
+func (p prefixed) Debugf(msg string, v ...interface{}) { p.Interface.Debugf(p.prefix+msg, v...) }
+
+// Infof implements log.Interface.
+func (p prefixed) Infof(msg string, v ...interface{}) { p.Interface.Infof(p.prefix+msg, v...) }
+
+// Warnf implements log.Interface.
+func (p prefixed) Warnf(msg string, v ...interface{}) { p.Interface.Warnf(p.prefix+msg, v...) }
+
+// Errorf implements log.Interface.
+func (p prefixed) Errorf(msg string, v ...interface{}) { p.Interface.Errorf(p.prefix+msg, v...) }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,63 @@
+// Package metrics gives each process its tally scope and the page that shows it.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+const reportInterval = time.Second
+
+// Registry holds the counters of one process.
+type Registry struct {
+	scope    tally.Scope
+	reporter promreporter.Reporter
+	closer   io.Closer
+}
+
+// New returns a registry whose names begin with "mimosastand_".
+func New() *Registry {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "mimosastand",
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{scope: scope, reporter: reporter, closer: closer}
+}
+
+// Scope returns the root scope.
+func (r *Registry) Scope() tally.Scope {
+	return r.scope
+}
+
+// Handler serves the metrics page in the Prometheus text format.
+func (r *Registry) Handler() http.Handler {
+	return r.reporter.HTTPHandler()
+}
+
+// Close flushes and stops the reporter.
+func (r *Registry) Close() error {
+	return r.closer.Close()
+}
+
+// Refused counts a refusal by its reason.
+func Refused(scope tally.Scope, reason contract.Reason) {
+	scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refusals").Inc(1)
+}
+
+// Retried counts a retry by its reason.
+func Retried(scope tally.Scope, reason contract.Reason) {
+	scope.Tagged(map[string]string{"reason": string(reason)}).Counter("retries").Inc(1)
+}
+
+// Ignored counts input that was dropped, by its reason.
+func Ignored(scope tally.Scope, reason contract.Reason) {
+	scope.Tagged(map[string]string{"reason": string(reason)}).Counter("ignored").Inc(1)
+}
--- /dev/null
+++ b/link/endpoint.go
@@ -0,0 +1,156 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Handler is what an Endpoint calls. All methods may be called concurrently.
+type Handler interface {
+	// Heartbeat returns what to tell the peer now.
+	Heartbeat(peer Peer) contract.Heartbeat
+	// HeartbeatReceived is called for each heartbeat of the peer.
+	HeartbeatReceived(c *Conn, hb contract.Heartbeat)
+	// ServeStream handles a stream that the peer opened. The stream is closed
+	// when it returns.
+	ServeStream(ctx context.Context, c *Conn, s *Stream)
+	// RejectedPeer is called for each connection refused for its identity and
+	// for each frame that could not be decoded.
+	RejectedPeer(err error)
+}
+
+// Endpoint accepts and makes connections on one UDP socket.
+type Endpoint struct {
+	cfg     Config
+	creds   *Credentials
+	handler Handler
+	socket  *net.UDPConn
+	trans   *quic.Transport
+	lis     *quic.Listener
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// Listen opens address ("ip:port", UDP) and serves connections until Close.
+func Listen(address string, creds *Credentials, handler Handler, cfg Config) (*Endpoint, error) {
+	cfg = cfg.withDefaults()
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: listen")
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: listen")
+	}
+	trans := &quic.Transport{Conn: socket}
+	lis, err := trans.Listen(creds.serverConfig(), cfg.quicConfig())
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "link: listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Endpoint{cfg: cfg, creds: creds, handler: handler, socket: socket, trans: trans, lis: lis, cancel: cancel}
+	e.wg.Add(1)
+	go e.acceptLoop(ctx)
+	return e, nil
+}
+
+func (c Config) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           c.DialTimeout,
+		MaxIdleTimeout:                 c.SilentAfter,
+		MaxIncomingStreams:             c.MaxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     c.StreamWindowBytes / 2,
+		MaxStreamReceiveWindow:         c.StreamWindowBytes,
+		InitialConnectionReceiveWindow: c.ConnWindowBytes / 2,
+		MaxConnectionReceiveWindow:     c.ConnWindowBytes,
+	}
+}
+
+// Address returns the local UDP address.
+func (e *Endpoint) Address() string {
+	return e.socket.LocalAddr().String()
+}
+
+// Close ends all connections and waits until the handlers have returned.
+func (e *Endpoint) Close() {
+	e.cancel()
+	_ = e.lis.Close()
+	_ = e.trans.Close()
+	_ = e.socket.Close()
+	e.wg.Wait()
+}
+
+// Dial makes a connection to address. It fails with ErrDial or ErrPeer.
+func (e *Endpoint) Dial(ctx context.Context, address string) (*Conn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Mark(err, ErrDial)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, e.cfg.DialTimeout)
+	defer cancel()
+	qc, err := e.trans.Dial(dialCtx, udp, e.creds.clientConfig(), e.cfg.quicConfig())
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
+	}
+	c, err := e.newConn(qc)
+	if err != nil {
+		return nil, err
+	}
+	beats, err := qc.OpenStreamSync(dialCtx)
+	if err != nil {
+		c.Close()
+		return nil, errors.Mark(err, ErrDial)
+	}
+	c.start(newStream(beats, e.cfg.MaxFrameBytes))
+	return c, nil
+}
+
+func (e *Endpoint) acceptLoop(ctx context.Context) {
+	defer e.wg.Done()
+	for {
+		qc, err := e.lis.Accept(ctx)
+		if err != nil {
+			return
+		}
+		e.wg.Add(1)
+		go e.accept(ctx, qc)
+	}
+}
+
+func (e *Endpoint) accept(ctx context.Context, qc *quic.Conn) {
+	defer e.wg.Done()
+	c, err := e.newConn(qc)
+	if err != nil {
+		return
+	}
+	beatCtx, cancel := context.WithTimeout(ctx, e.cfg.SilentAfter)
+	defer cancel()
+	beats, err := qc.AcceptStream(beatCtx)
+	if err != nil {
+		c.Close()
+		return
+	}
+	c.start(newStream(beats, e.cfg.MaxFrameBytes))
+}
+
+func (e *Endpoint) newConn(qc *quic.Conn) (*Conn, error) {
+	certs := qc.ConnectionState().TLS.PeerCertificates
+	peer, err := Peer{}, error(ErrPeer)
+	if len(certs) > 0 {
+		peer, err = peerOf(certs[0])
+	}
+	if err != nil {
+		e.handler.RejectedPeer(err)
+		_ = qc.CloseWithError(codePeer, "identity")
+		return nil, err
+	}
+	return &Conn{endpoint: e, qc: qc, peer: peer}, nil
+}
