Add the target process: gate, cold start, kept answers and back-end clients

Cause: nothing stood between entry hosts and back ends. Change: pure state machines gate, coldstart and answers; HTTP clients of the engine and of the plain service; a daemon that serves attempt streams, runs work, sends heartbeats and stops gracefully.

--- /dev/null
+++ b/machine/target/answers/record.go
@@ -0,0 +1,101 @@
+package answers
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Frame is one part of an answer.
+type Frame struct {
+	// At is the position of the part in tokens (model) or bytes (plain service).
+	At   uint64
+	Data []byte
+}
+
+// Record is what the store holds of one attempt. Only the store changes it.
+type Record struct {
+	id      contract.AttemptID
+	state   contract.AttemptState
+	reason  contract.Reason
+	expires time.Time
+	index   int
+
+	// frames holds the parts from number first on; earlier ones were dropped.
+	frames []Frame
+	first  uint64
+	bytes  int
+	length uint64
+	end    contract.End
+	ended  time.Time
+	// incomplete is set when the answer can no longer be sent from its start.
+	incomplete bool
+}
+
+// ID returns the attempt's identifier.
+func (r *Record) ID() contract.AttemptID { return r.id }
+
+// State returns what is known about the attempt.
+func (r *Record) State() contract.AttemptState { return r.state }
+
+// Reason returns why the attempt never ran or broke, or "".
+func (r *Record) Reason() contract.Reason { return r.reason }
+
+// Started reports whether the attempt may have reached the back end.
+func (r *Record) Started() bool {
+	return r.state != contract.AttemptNeverRan
+}
+
+// Frames returns the number of frames of the answer so far.
+func (r *Record) Frames() uint64 { return r.first + uint64(len(r.frames)) }
+
+// Length returns the number of bytes of the answer so far.
+func (r *Record) Length() uint64 { return r.length }
+
+// Frame returns frame number seq; ok is false if it is not there (yet or any more).
+func (r *Record) Frame(seq uint64) (f Frame, ok bool) {
+	if seq < r.first || seq >= r.Frames() {
+		return Frame{}, false
+	}
+	return r.frames[seq-r.first], true
+}
+
+// Kept reports whether the answer from frame seq on can be sent.
+func (r *Record) Kept(seq uint64) bool {
+	if r.state == contract.AttemptForgotten || r.state == contract.AttemptNeverRan {
+		return false
+	}
+	return seq >= r.first
+}
+
+// End returns the end of the answer; ok is false while the attempt runs.
+func (r *Record) End() (end contract.End, ok bool) {
+	return r.end, !r.ended.IsZero()
+}
+
+// expiryHeap orders records by the time at which they may be forgotten.
+type expiryHeap []*Record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	r := x.(*Record)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return r
+}
--- /dev/null
+++ b/machine/target/backend/engine.go
@@ -0,0 +1,255 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Engine is the client of one model engine. It is safe for concurrent use.
+type Engine struct {
+	base   string
+	client *http.Client
+}
+
+// NewEngine returns a client of the engine at base, such as "http://10.0.0.1:8000".
+func NewEngine(base string) *Engine {
+	return &Engine{base: base, client: newClient(true)}
+}
+
+// Generate is one request for tokens.
+type Generate struct {
+	// ID is the name under which the work can be cancelled.
+	ID        string          `json:"id"`
+	Prompt    string          `json:"prompt"`
+	MaxTokens int             `json:"max_tokens"`
+	Priority  int             `json:"priority"`
+	ResumeAt  uint64          `json:"resume_at"`
+	Digest    contract.Digest `json:"digest"`
+}
+
+// Token is one part of an answer.
+type Token struct {
+	// At counts the tokens before this one, from the start of the whole answer.
+	At   uint64 `json:"at"`
+	Text string `json:"text"`
+}
+
+// GenerateEnd closes a whole answer.
+type GenerateEnd struct {
+	// Tokens is the length of the whole answer, skipped tokens included.
+	Tokens uint64          `json:"tokens"`
+	Digest contract.Digest `json:"digest"`
+}
+
+// Report is what an engine tells of itself, with a lag.
+type Report struct {
+	// Boot changes when the engine restarts; Seq orders the reports of one boot.
+	Boot    string          `json:"boot"`
+	Seq     uint64          `json:"seq"`
+	Digest  contract.Digest `json:"digest"`
+	Role    string          `json:"role"`
+	Warm    bool            `json:"warm"`
+	Running int             `json:"running"`
+	// Limit is how many units the engine bears.
+	Limit int `json:"limit"`
+	// AgeMS is how old the report was when it was sent, in milliseconds.
+	AgeMS   int64 `json:"age_ms"`
+	Fencing bool  `json:"fencing"`
+}
+
+// Order tells an engine to change what it serves.
+type Order struct {
+	Fence    contract.Fence  `json:"fence"`
+	Order    string          `json:"order"`
+	Digest   contract.Digest `json:"digest"`
+	Adapters []string        `json:"adapters,omitempty"`
+	Role     string          `json:"role,omitempty"`
+}
+
+// The kinds of order.
+const (
+	OrderActivate = "activate"
+	OrderDrop     = "drop"
+	OrderRole     = "role"
+)
+
+// Generate runs one request and calls onToken for each token in turn. It
+// returns the end of a whole answer, or an error: ErrNotSent and ErrRefused if
+// the work did not start, ErrLost and ErrCut if it may have, or onToken's own.
+func (e *Engine) Generate(ctx context.Context, g Generate, onToken func(Token) error) (GenerateEnd, error) {
+	resp, err := e.post(ctx, "/v1/generate", g)
+	if err != nil {
+		return GenerateEnd{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return GenerateEnd{}, generateError(resp)
+	}
+	return readAnswer(resp.Body, g.ResumeAt, onToken)
+}
+
+func generateError(resp *http.Response) error {
+	drain(resp.Body)
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		return errors.Mark(ErrDigest, ErrRefused)
+	case http.StatusServiceUnavailable:
+		return errors.Mark(ErrOverloaded, ErrRefused)
+	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusNotFound:
+		return errors.Mark(ErrBadCall, ErrRefused)
+	default:
+		return errors.Wrapf(ErrLost, "status %d", resp.StatusCode)
+	}
+}
+
+// readAnswer reads tokens from position next on, which may have no gap.
+func readAnswer(body io.Reader, next uint64, onToken func(Token) error) (GenerateEnd, error) {
+	events := newEventReader(body)
+	for {
+		ev, err := events.next()
+		if err != nil {
+			return GenerateEnd{}, err
+		}
+		switch ev.name {
+		case "token":
+			var t Token
+			if err := json.Unmarshal(ev.data, &t); err != nil || t.At != next {
+				return GenerateEnd{}, errors.Wrapf(ErrCut, "token at %d, want %d", t.At, next)
+			}
+			if err := onToken(t); err != nil {
+				return GenerateEnd{}, err
+			}
+			next++
+		case "end":
+			return readEnd(ev.data, next)
+		}
+	}
+}
+
+func readEnd(data []byte, next uint64) (GenerateEnd, error) {
+	var end GenerateEnd
+	if err := json.Unmarshal(data, &end); err != nil || end.Tokens != next {
+		return GenerateEnd{}, errors.Wrapf(ErrCut, "end at %d, have %d", end.Tokens, next)
+	}
+	return end, nil
+}
+
+// Cancel stops the work that runs under id. After a nil error it has stopped.
+func (e *Engine) Cancel(ctx context.Context, id string) error {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	resp, err := e.post(ctx, "/v1/cancel", struct {
+		ID string `json:"id"`
+	}{id})
+	if err != nil {
+		return err
+	}
+	return expectOK(resp)
+}
+
+// Report returns the engine's newest report.
+func (e *Engine) Report(ctx context.Context) (Report, error) {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	resp, err := e.send(ctx, http.MethodGet, "/v1/report", nil)
+	if err != nil {
+		return Report{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Report{}, expectOK(resp)
+	}
+	return decodeReport(resp.Body)
+}
+
+func decodeReport(body io.ReadCloser) (Report, error) {
+	defer drain(body)
+	var r Report
+	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&r); err != nil {
+		return Report{}, errors.Mark(errors.Wrap(err, "backend: report"), ErrCut)
+	}
+	return r, nil
+}
+
+// PutManifest begins staging a version.
+func (e *Engine) PutManifest(ctx context.Context, digest contract.Digest, manifest []byte) error {
+	return e.put(ctx, fmt.Sprintf("/v1/weights/%s/manifest", digest), manifest)
+}
+
+// PutChunk stages chunk i of a version. It fails with ErrNotWhole if the
+// engine finds another hash.
+func (e *Engine) PutChunk(ctx context.Context, digest contract.Digest, i uint32, chunk []byte) error {
+	return e.put(ctx, fmt.Sprintf("/v1/weights/%s/chunks/%d", digest, i), chunk)
+}
+
+func (e *Engine) put(ctx context.Context, path string, body []byte) error {
+	resp, err := e.send(ctx, http.MethodPut, path, body)
+	if err != nil {
+		return err
+	}
+	return expectOK(resp)
+}
+
+// Order gives the engine an order and waits until it is done. It fails with a
+// *FencedError if the fencing number is out of date and with ErrNotWhole if
+// the version is not completely staged.
+func (e *Engine) Order(ctx context.Context, o Order) error {
+	resp, err := e.post(ctx, "/v1/orders", o)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusConflict {
+		return expectOK(resp)
+	}
+	defer drain(resp.Body)
+	var reply struct {
+		Fence contract.Fence `json:"fence"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&reply); err != nil {
+		return errors.Mark(err, ErrRefused)
+	}
+	return &FencedError{Highest: reply.Fence}
+}
+
+func expectOK(resp *http.Response) error {
+	drain(resp.Body)
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return nil
+	case http.StatusUnprocessableEntity:
+		return errors.Mark(ErrNotWhole, ErrRefused)
+	case http.StatusServiceUnavailable:
+		return errors.Mark(ErrOverloaded, ErrRefused)
+	default:
+		return errors.Wrapf(ErrLost, "status %d", resp.StatusCode)
+	}
+}
+
+func (e *Engine) post(ctx context.Context, path string, v any) (*http.Response, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	return e.send(ctx, http.MethodPost, path, body)
+}
+
+func (e *Engine) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	return do(e.client, req)
+}
+
+// Age returns how old the report was when it was sent.
+func (r Report) Age() time.Duration {
+	return time.Duration(r.AgeMS) * time.Millisecond
+}
--- /dev/null
+++ b/machine/target/gate/config.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/target/answers"
+	"mimosastand.example/mimosastand/machine/target/coldstart"
+)
+
+// Config holds what does not change while a target runs.
+type Config struct {
+	Service     contract.ServiceName
+	Incarnation contract.Incarnation
+	// Model tells that the back end is a model engine.
+	Model bool
+	// MaxQueue and MaxQueueBytes bound the queue.
+	MaxQueue      int
+	MaxQueueBytes int
+	// ResumeGrace is how long idempotent work runs on after its stream broke.
+	ResumeGrace time.Duration
+	// MaxTransit bounds the time that a message is under way on a link.
+	MaxTransit time.Duration
+	// SenderSilence is how long a sender counts after it was last heard.
+	SenderSilence time.Duration
+	Answers       answers.Limits
+}
+
+// DefaultConfig holds the defaults of a target process.
+var DefaultConfig = Config{
+	MaxQueue:      64,
+	MaxQueueBytes: 4 << 20,
+	ResumeGrace:   5 * time.Second,
+	MaxTransit:    5 * time.Second,
+	SenderSilence: 5 * time.Second,
+	Answers:       answers.DefaultLimits,
+}
+
+// Settings are what the gate takes from the operators' settings.
+type Settings struct {
+	// Ready tells that settings are known; before, nothing is accepted.
+	Ready bool
+	// Offset is the highest record applied, Relevant the highest one that
+	// concerns the target's zone or its service's deployment.
+	Offset, Relevant contract.Offset
+	// ZoneOut tells that operators have taken the target's zone out.
+	ZoneOut bool
+	Limits  coldstart.Settings
+}
--- /dev/null
+++ b/machine/target/gate/gate.go
@@ -0,0 +1,295 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/target/answers"
+	"mimosastand.example/mimosastand/machine/target/coldstart"
+)
+
+// mechanism names a part of the policy that the package's tests can switch off.
+type mechanism uint32
+
+const (
+	offRecords mechanism = 1 << iota
+	offTombstones
+	offOneAttempt
+	offDeadline
+	offPinned
+	offEndDigest
+	offStale
+	offZoneOut
+	offLeaving
+	offReturnQueue
+	offVouch
+	offLinger
+	offLimit
+	offDetach
+)
+
+// Gate is the way to the back end of one target.
+type Gate struct {
+	cfg      Config
+	rng      *rand.Rand
+	started  time.Time
+	now      time.Time
+	settings Settings
+	limiter  *coldstart.Limiter
+	store    *answers.Store
+
+	attempts   map[contract.AttemptID]*attempt
+	queue      []*attempt
+	queueBytes int
+	weights    contract.Digest
+	// activated is when the target last ordered a version into service: an
+	// older report does not know of it.
+	activated time.Time
+	leaving   bool
+	// meanRun is the mean time that units ran, 0 before the first one.
+	meanRun time.Duration
+	senders senders
+	loadSeq uint64
+	effects []Effect
+	off     mechanism
+}
+
+// attempt is one that is queued, runs or lingers.
+type attempt struct {
+	start    contract.Start
+	deadline time.Time
+	// record is nil while the attempt is queued.
+	record  *answers.Record
+	started time.Time
+	// detached is when the attempt's stream broke, 0 while one is there.
+	detached time.Time
+	stopping bool
+	// ended tells that the answer is closed and that the unit lingers.
+	ended       bool
+	lingerUntil time.Time
+}
+
+func (a *attempt) id() contract.AttemptID { return a.start.Attempt }
+
+// New returns the gate of a process that starts now. Nothing is accepted before
+// the first Configured event.
+func New(now time.Time, cfg Config, limits coldstart.Settings, rng *rand.Rand) *Gate {
+	return &Gate{
+		cfg: cfg, rng: rng, started: now, now: now,
+		limiter:  coldstart.New(now, limits),
+		store:    answers.New(cfg.Answers),
+		attempts: map[contract.AttemptID]*attempt{},
+		senders:  senders{},
+	}
+}
+
+// Step takes one event. The effects are valid until the next Step. A time
+// before that of an earlier event counts as the earlier time.
+func (g *Gate) Step(now time.Time, e Event) []Effect {
+	g.effects = g.effects[:0]
+	if now.Before(g.now) {
+		g.emit(Ignored{Cause: string(coldstart.CauseClock)})
+	} else {
+		g.now = now
+	}
+	g.step(e)
+	g.admit()
+	return g.effects
+}
+
+func (g *Gate) step(e Event) {
+	switch e := e.(type) {
+	case Arrived:
+		g.arrived(e)
+	case Gone:
+		g.gone(e.Attempt)
+	case Resumed:
+		g.resumed(e.Attempt)
+	case Cancelled:
+		g.cancelled(e.Attempt)
+	case Queried:
+		g.queried(e.Query)
+	case FirstToken:
+		g.limit(coldstart.FirstToken(e))
+	case Ended:
+		g.ended(e)
+	case Released:
+		g.released(e.Attempt)
+	case Reported:
+		g.reported(e.Report)
+	default:
+		g.stepState(e)
+	}
+}
+
+func (g *Gate) stepState(e Event) {
+	switch e := e.(type) {
+	case Activated:
+		g.activated = g.now
+		g.limit(coldstart.Activated{})
+		g.setWeights(e.Weights)
+	case Configured:
+		g.configured(e.Settings)
+	case HeardFrom:
+		g.senders.heard(e.Machine, g.now)
+	case Leave:
+		g.leave()
+	case HandOver:
+		g.handOver()
+	case Tick:
+		g.tick()
+	}
+}
+
+func (g *Gate) emit(e Effect) {
+	g.effects = append(g.effects, e)
+}
+
+// limit passes an event to the limiter. When the limit falls, what is queued
+// goes back.
+func (g *Gate) limit(e coldstart.Event) {
+	result := g.limiter.Step(g.now, e)
+	if result.Ignored != "" {
+		g.emit(Ignored{Cause: string(result.Ignored)})
+	}
+	if result.Fell == "" {
+		return
+	}
+	g.emit(Fell{Cause: result.Fell})
+	g.returnQueue(contract.ReasonColdStart)
+}
+
+// reported takes a report of the engine. A digest that the target did not
+// order is a change under running work.
+func (g *Gate) reported(r coldstart.Report) {
+	before := g.limiter.Boot()
+	result := len(g.effects)
+	g.limit(r)
+	if g.rejected(result) {
+		return
+	}
+	if before != "" && g.limiter.Boot() != before {
+		g.releaseLingering()
+	}
+	if g.now.Add(-r.Age).After(g.activated) {
+		g.setWeights(r.Digest)
+	}
+}
+
+// rejected reports whether an effect from index from on says that the event
+// was not believed.
+func (g *Gate) rejected(from int) bool {
+	for _, e := range g.effects[from:] {
+		if _, ok := e.(Ignored); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// setWeights makes digest the active version: queued attempts pinned to
+// another go back, running ones are ended.
+func (g *Gate) setWeights(digest contract.Digest) {
+	if digest == g.weights {
+		return
+	}
+	g.weights = digest
+	if g.off&offPinned != 0 {
+		return
+	}
+	g.returnIf(contract.ReasonWeightsMismatch, func(a *attempt) bool { return !g.pinned(a.start.Weights) })
+	for _, a := range g.running() {
+		if !g.pinned(a.start.Weights) {
+			g.stop(a, contract.ReasonWeightsChanged)
+		}
+	}
+}
+
+// pinned reports whether an attempt pinned to digest may run now.
+func (g *Gate) pinned(digest contract.Digest) bool {
+	return !g.cfg.Model || digest == g.weights
+}
+
+func (g *Gate) configured(s Settings) {
+	if s.Offset < g.settings.Offset {
+		g.emit(Ignored{Cause: causeOldSettings})
+		return
+	}
+	g.settings = s
+	g.limit(coldstart.Configured{Settings: s.Limits})
+	if s.ZoneOut && g.off&offZoneOut == 0 {
+		g.returnQueue(contract.ReasonZoneOut)
+	}
+}
+
+func (g *Gate) leave() {
+	g.leaving = true
+	if g.off&offLeaving == 0 {
+		g.returnQueue(contract.ReasonTargetLeaving)
+	}
+}
+
+// handOver ends the streams that another target can resume.
+func (g *Gate) handOver() {
+	if !g.leaving || !g.cfg.Model {
+		return
+	}
+	for _, a := range g.running() {
+		if a.start.Idempotent {
+			g.stop(a, contract.ReasonTargetLeaving)
+		}
+	}
+}
+
+func (g *Gate) tick() {
+	g.limit(coldstart.Tick{})
+	g.store.Expire(g.now)
+	g.senders.expire(g.now, g.cfg.SenderSilence)
+	g.returnIf(contract.ReasonDeadline, g.late)
+	for _, a := range g.running() {
+		g.tickRunning(a)
+	}
+}
+
+func (g *Gate) tickRunning(a *attempt) {
+	if a.ended {
+		if !a.lingerUntil.IsZero() && !a.lingerUntil.After(g.now) {
+			g.forget(a)
+		}
+		return
+	}
+	if !a.detached.IsZero() && g.now.Sub(a.detached) >= g.cfg.ResumeGrace {
+		g.stop(a, contract.ReasonCallerGone)
+	}
+}
+
+func (g *Gate) late(a *attempt) bool {
+	return !a.deadline.After(g.now) && g.off&offDeadline == 0
+}
+
+// Leaving reports whether the target accepts no new work.
+func (g *Gate) Leaving() bool { return g.leaving }
+
+// Idle reports whether nothing is queued and nothing runs towards a caller.
+func (g *Gate) Idle() bool {
+	if len(g.queue) > 0 {
+		return false
+	}
+	for _, a := range g.attempts {
+		if !a.ended {
+			return false
+		}
+	}
+	return true
+}
+
+// Answers returns the store of answers. Its frames may be appended and read
+// between steps.
+func (g *Gate) Answers() *answers.Store { return g.store }
+
+// Ready reports whether the gate would accept work if it had room.
+func (g *Gate) Ready() bool {
+	return g.settings.Ready && !g.leaving && !g.settings.ZoneOut && g.limiter.Limit() > 0 &&
+		(!g.cfg.Model || g.weights != "")
+}
--- /dev/null
+++ b/machine/target/gate/query.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/target/answers"
+)
+
+// everyAttempt is the attempt number that stands for all of a request.
+const everyAttempt = 0
+
+// queried answers a query. A tombstone is put before the state is told.
+func (g *Gate) queried(q contract.Query) {
+	if q.Attempt.Request == "" || len(q.Attempt.Request) > maxRequestIDBytes {
+		g.emit(Ignored{Cause: string(contract.ReasonBadRequest)})
+		g.emit(Known{Status: contract.Status{Attempt: q.Attempt, Incarnation: g.cfg.Incarnation}})
+		return
+	}
+	if q.Tombstone {
+		g.bury(q.Attempt)
+	}
+	status := g.status(q.Attempt, "")
+	if status.State == contract.AttemptNeverRan && !g.vouches(q) {
+		status.State = contract.AttemptUnheard
+	}
+	g.emit(Known{Status: status})
+}
+
+// bury refuses for good what has not started.
+func (g *Gate) bury(id contract.AttemptID) {
+	g.returnIf(contract.ReasonTombstone, func(a *attempt) bool { return covers(id, a.id()) })
+	if id.N == everyAttempt || !g.heard(id) {
+		g.store.Bury(g.now, id, contract.ReasonTombstone, g.now)
+	}
+}
+
+func covers(asked, id contract.AttemptID) bool {
+	return asked.Request == id.Request && (asked.N == everyAttempt || asked.N == id.N)
+}
+
+// vouches reports whether the process would know if the attempt had run here:
+// it was first sent after the process could hear it, and within the time for
+// which records are kept. An attempt that this process refused itself needs no
+// such bound.
+func (g *Gate) vouches(q contract.Query) bool {
+	if g.off&offVouch != 0 {
+		return true
+	}
+	if r := g.store.Get(q.Attempt); r != nil && r.Reason() != contract.ReasonTombstone {
+		return true
+	}
+	heardAll := g.now.Sub(g.started) - g.cfg.MaxTransit
+	return q.Age > 0 && q.Age < heardAll && q.Age < g.cfg.Answers.KeepRecord
+}
+
+// status returns what is known of an attempt, or of the newest one of a request.
+func (g *Gate) status(id contract.AttemptID, reason contract.Reason) contract.Status {
+	s := contract.Status{Attempt: id, Incarnation: g.cfg.Incarnation, Reason: reason}
+	if r := g.recordOf(id); r != nil {
+		s.Attempt, s.State = r.ID(), r.State()
+		if reason == "" {
+			s.Reason = r.Reason()
+		}
+		return s
+	}
+	for _, a := range g.queue {
+		if covers(id, a.id()) {
+			s.Attempt, s.State = a.id(), contract.AttemptQueued
+			return s
+		}
+	}
+	if cause, buried := g.store.Buried(g.now, id); buried {
+		s.State = contract.AttemptNeverRan
+		if reason == "" {
+			s.Reason = cause
+		}
+	}
+	return s
+}
+
+// recordOf returns the record of a started attempt, or nil.
+func (g *Gate) recordOf(id contract.AttemptID) *answers.Record {
+	if id.N == everyAttempt {
+		return g.store.StartedAttempt(id.Request)
+	}
+	if r := g.store.Get(id); r != nil && r.Started() {
+		return r
+	}
+	return nil
+}
+
+// Load returns what to tell a sender of the target's load.
+func (g *Gate) Load(sender contract.MachineID) contract.Load {
+	g.loadSeq++
+	limit := g.limiter.Limit()
+	return contract.Load{
+		Running: uint32(g.limiter.Running()),
+		Queued:  uint32(len(g.queue)),
+		Limit:   uint32(limit),
+		Warm:    g.limiter.Warm(),
+		Leaving: g.leaving || g.settings.ZoneOut,
+		Weights: g.weights,
+		Credits: uint32(g.senders.credits(sender, limit, limit+g.queueBound()/2)),
+		Seq:     g.loadSeq,
+	}
+}
+
+// Offset returns the highest settings record applied.
+func (g *Gate) Offset() contract.Offset { return g.settings.Offset }
+
+// Started returns when the process began.
+func (g *Gate) Started() time.Time { return g.started }
+
+// Lingers reports whether the attempt's answer is closed while the back end may
+// still work on it.
+func (g *Gate) Lingers(id contract.AttemptID) bool {
+	a, ok := g.attempts[id]
+	return ok && a.ended
+}
--- /dev/null
+++ b/machine/target/report.go
@@ -0,0 +1,68 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/machine/target/backend"
+	"mimosastand.example/mimosastand/machine/target/coldstart"
+	"mimosastand.example/mimosastand/machine/target/gate"
+)
+
+// plainBoot stands for the boot identity of a plain service, which names none.
+const plainBoot = "plain"
+
+// reportLoop reads the back end's reports.
+func (p *Process) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	seq := uint64(0)
+	for {
+		seq++
+		if p.engine != nil {
+			p.reportEngine(ctx)
+		} else if !p.reportPlain(ctx, seq) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Process) reportEngine(ctx context.Context) {
+	r, err := p.engine.Report(ctx)
+	if err != nil {
+		p.scope.Counter("report_failures").Inc(1)
+		return
+	}
+	p.step(gate.Reported{Report: coldstart.Report{
+		Boot: r.Boot, Seq: r.Seq, Digest: r.Digest, Warm: r.Warm,
+		Running: r.Running, Limit: r.Limit, Age: r.Age(),
+	}})
+}
+
+// reportPlain reads the load of a plain service. It returns false once the
+// service has shown that it reports none.
+func (p *Process) reportPlain(ctx context.Context, seq uint64) bool {
+	load, err := p.plain.Report(ctx)
+	if errors.Is(err, backend.ErrRefused) {
+		p.mu.Lock()
+		p.settings.Limits.Reports = false
+		p.stepLocked(gate.Configured{Settings: p.settings})
+		p.mu.Unlock()
+		return false
+	}
+	if err != nil {
+		p.scope.Counter("report_failures").Inc(1)
+		return true
+	}
+	p.step(gate.Reported{Report: coldstart.Report{
+		Boot: plainBoot, Seq: seq, Warm: true, Running: load.Running, Limit: load.Limit,
+	}})
+	return true
+}
--- /dev/null
+++ b/machine/target/serve.go
@@ -0,0 +1,235 @@
+package target
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/target/gate"
+)
+
+// openTimeout bounds the time until a stream's first message.
+const openTimeout = 5 * time.Second
+
+// handler is the process as its link endpoint sees it.
+type handler struct{ p *Process }
+
+var _ link.Handler = handler{}
+
+// Heartbeat implements link.Handler.
+func (h handler) Heartbeat(peer link.Peer) contract.Heartbeat {
+	p := h.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := p.gate.Load(peer.Machine)
+	return contract.Heartbeat{
+		Machine: p.cfg.Machine, Incarnation: p.incarnation, Settings: p.gate.Offset(),
+		Load: &load, Zone: p.cfg.Zone, Service: p.cfg.Target.Service,
+	}
+}
+
+// HeartbeatReceived implements link.Handler.
+func (h handler) HeartbeatReceived(c *link.Conn, _ contract.Heartbeat) {
+	if c.Peer().Role == link.RoleEntry {
+		h.p.step(gate.HeardFrom{Machine: c.Peer().Machine})
+	}
+}
+
+// RejectedPeer implements link.Handler.
+func (h handler) RejectedPeer(err error) {
+	reason := contract.ReasonUnauthorized
+	if errors.Is(err, link.ErrFrame) {
+		reason = contract.ReasonBadFrame
+	}
+	metrics.Refused(h.p.scope, reason)
+}
+
+// ServeStream implements link.Handler.
+func (h handler) ServeStream(ctx context.Context, c *link.Conn, s *link.Stream) {
+	p := h.p
+	_ = s.SetReadDeadline(time.Now().Add(openTimeout))
+	m, err := s.Recv()
+	if err != nil {
+		p.badStream(s, err)
+		return
+	}
+	_ = s.SetReadDeadline(time.Time{})
+	if c.Peer().Role != link.RoleEntry {
+		metrics.Refused(p.scope, contract.ReasonUnauthorized)
+		s.Reset()
+		return
+	}
+	switch m.Kind {
+	case contract.KindStart:
+		p.serveStart(ctx, c.Peer().Machine, s, *m.Start)
+	case contract.KindQuery:
+		p.serveQuery(ctx, s, *m.Query)
+	case contract.KindCancel:
+		p.step(gate.Cancelled{Attempt: m.Cancel.Attempt})
+	default:
+		p.badStream(s, link.ErrFrame)
+	}
+}
+
+// badStream counts and ends a stream that opened with no usable message.
+func (p *Process) badStream(s *link.Stream, err error) {
+	reason := contract.ReasonCutAnswer
+	if errors.Is(err, link.ErrFrame) {
+		reason = contract.ReasonBadFrame
+	}
+	metrics.Ignored(p.scope, reason)
+	s.Reset()
+}
+
+func (p *Process) serveStart(ctx context.Context, from contract.MachineID, s *link.Stream, start contract.Start) {
+	f, r, status := p.arrive(from, start)
+	if status != nil {
+		_ = s.Send(contract.Message{Kind: contract.KindStatus, Status: status})
+		return
+	}
+	if f != nil {
+		p.follow(ctx, s, f, r)
+	}
+}
+
+// arrive hands an attempt to the gate and attaches a reader to its feed. It
+// returns a status instead for an attempt that is already known.
+func (p *Process) arrive(from contract.MachineID, start contract.Start) (*feed, *reader, *contract.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := start.Attempt
+	former := p.feeds[id]
+	f := former
+	if f == nil {
+		f = newFeed(id)
+		p.feeds[id] = f
+	}
+	if former == nil {
+		r := f.attach(0, true)
+		status := p.stepLocked(gate.Arrived{From: from, Start: start})
+		if status != nil {
+			delete(p.feeds, id)
+		}
+		return f, r, status
+	}
+	return nil, nil, p.stepLocked(gate.Arrived{From: from, Start: start})
+}
+
+func (p *Process) serveQuery(ctx context.Context, s *link.Stream, q contract.Query) {
+	status, f, r := p.query(q)
+	if status == nil {
+		return
+	}
+	err := s.Send(contract.Message{Kind: contract.KindStatus, Status: status})
+	if f == nil {
+		return
+	}
+	if err != nil {
+		p.leaveFeed(f, r, false)
+		return
+	}
+	p.follow(ctx, s, f, r)
+}
+
+// query asks the gate and attaches a reader if the answer can be sent.
+func (p *Process) query(q contract.Query) (*contract.Status, *feed, *reader) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	status := p.stepLocked(gate.Queried{Query: q})
+	if status == nil || !q.Resend {
+		return status, nil, nil
+	}
+	if f := p.feeds[status.Attempt]; f != nil && f.record != nil && f.record.Kept(q.ResendAt) {
+		p.stepLocked(gate.Resumed{Attempt: status.Attempt})
+		return status, f, f.attach(q.ResendAt, false)
+	}
+	record := p.gate.Answers().Get(status.Attempt)
+	if record == nil || !record.Started() {
+		return status, nil, nil
+	}
+	end, ended := record.End()
+	if !ended || !record.Kept(q.ResendAt) {
+		if status.State == contract.AttemptDone {
+			status.State = contract.AttemptForgotten
+		}
+		return status, nil, nil
+	}
+	f := newFeed(status.Attempt)
+	f.record, f.end = record, &end
+	return status, f, f.attach(q.ResendAt, false)
+}
+
+// follow sends a feed to a stream until the feed ends or the stream breaks.
+func (p *Process) follow(ctx context.Context, s *link.Stream, f *feed, r *reader) {
+	ctx, broken := context.WithCancel(ctx)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		if !p.readCancel(s, f.id) {
+			broken()
+		}
+	}()
+	whole := p.pump(ctx, s, f, r)
+	p.leaveFeed(f, r, whole)
+	if !whole {
+		s.Reset()
+	}
+	s.Close()
+	<-read
+	broken()
+}
+
+// pump sends what the feed has for r. It reports whether the stream was given
+// the feed's last message.
+func (p *Process) pump(ctx context.Context, s *link.Stream, f *feed, r *reader) (whole bool) {
+	batch := make([]contract.Message, 0, batchFrames+2)
+	for {
+		select {
+		case <-r.ready:
+		case <-ctx.Done():
+			return false
+		}
+		p.mu.Lock()
+		out, last, lost := f.take(r, batch[:0])
+		p.mu.Unlock()
+		for _, m := range out {
+			if s.Send(m) != nil {
+				return false
+			}
+		}
+		if last || lost {
+			return last && !lost
+		}
+	}
+}
+
+// readCancel reads what the sender says after it opened the stream. It reports
+// whether the sender ended its side in order, which breaks nothing.
+func (p *Process) readCancel(s *link.Stream, id contract.AttemptID) (inOrder bool) {
+	for {
+		m, err := s.Recv()
+		switch {
+		case err != nil:
+			return errors.Is(err, io.EOF)
+		case m.Kind == contract.KindCancel && m.Cancel.Attempt == id:
+			p.step(gate.Cancelled{Attempt: id})
+		default:
+			metrics.Ignored(p.scope, contract.ReasonBadFrame)
+		}
+	}
+}
+
+// leaveFeed detaches a reader and tells the gate if nobody is left to read.
+func (p *Process) leaveFeed(f *feed, r *reader, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f.detach(r)
+	if !whole && len(f.readers) == 0 && p.feeds[f.id] == f {
+		p.stepLocked(gate.Gone{Attempt: f.id})
+	}
+}
