--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -1,5 +1,54 @@
-// Command standins runs small stand-ins of the platform and of back ends, for
-// tests and for the demo.
+// Command standins runs small stand-ins of the platform and of back ends in one
+// process, for tests and for the demo. It prints "ready" when all of them
+// listen and ends on SIGTERM or SIGINT.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+const example = `
+Example: standins --config standins.ini
+
+  [log]
+  listen = 127.0.0.1:7001
+  append_rate = 400
+  [engine alpha]
+  listen = 127.0.0.1:7101
+  warm_limit = 8`
+
+func main() {
+	var file string
+	flaggy.SetName("standins")
+	flaggy.SetDescription("Runs stand-ins of the platform's services and of back ends.")
+	flaggy.DefaultParser.AdditionalHelpAppend = example
+	flaggy.String(&file, "c", "config", "INI file with a section for each stand-in")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, file, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// run serves the stand-ins of a file until ctx ends.
+func run(ctx context.Context, file string, ready io.Writer) error {
+	list, err := load(file)
+	if err != nil {
+		return err
+	}
+	g, err := listen(list)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(ready, "ready")
+	return g.serve(ctx)
+}
--- /dev/null
+++ b/standin/hostlist/hostlist.go
@@ -0,0 +1,129 @@
+// Package hostlist is a stand-in of the platform's lagging host list.
+//
+// Besides the platform's GET /hosts it takes PUT /hosts with a whole list and
+// POST /hosts/{machine} with {"state":"live|leaving|gone"}.
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fault"
+)
+
+// stateGone removes a host from the list.
+const stateGone platform.HostState = "gone"
+
+// Config holds the settings of a host list.
+type Config struct {
+	// Lag is how old the list is that callers see.
+	Lag time.Duration
+}
+
+// Stats is what GET /stats shows.
+type Stats struct {
+	Gets    uint64 `json:"gets"`
+	Version uint64 `json:"version"`
+	Hosts   int    `json:"hosts"`
+}
+
+type version struct {
+	at   time.Time
+	list platform.HostList
+}
+
+// List is the stand-in.
+type List struct {
+	config Config
+
+	mu sync.Mutex
+	// versions holds the list that callers see and all later ones.
+	versions []version
+	gets     uint64
+}
+
+// New returns an empty list with switchable faults.
+func New(config Config) *fault.Switch {
+	l := &List{config: config, versions: []version{{list: platform.HostList{Hosts: []platform.Host{}}}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", l.serveGet)
+	mux.HandleFunc("PUT /hosts", l.servePut)
+	mux.HandleFunc("POST /hosts/{machine}", l.servePost)
+	return fault.Wrap(mux, l.snapshot, nil)
+}
+
+func (l *List) snapshot() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := l.newest()
+	return Stats{Gets: l.gets, Version: newest.Version, Hosts: len(newest.Hosts)}
+}
+
+func (l *List) newest() platform.HostList {
+	return l.versions[len(l.versions)-1].list
+}
+
+// change adds a version with the given hosts.
+func (l *List) change(hosts []platform.Host) {
+	list := platform.HostList{Version: l.newest().Version + 1, Hosts: hosts}
+	l.versions = append(l.versions, version{at: time.Now(), list: list})
+}
+
+func (l *List) serveGet(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gets++
+	shown := time.Now().Add(-l.config.Lag)
+	for len(l.versions) > 1 && !l.versions[1].at.After(shown) {
+		l.versions = l.versions[1:]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.versions[0].list)
+}
+
+func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
+	var list platform.HostList
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.change(list.Hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) servePost(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		State platform.HostState `json:"state"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	machine := contract.MachineID(r.PathValue("machine"))
+	hosts := slices.Clone(l.newest().Hosts)
+	i := slices.IndexFunc(hosts, func(h platform.Host) bool { return h.Machine == machine })
+	if i < 0 {
+		http.Error(w, "no such machine", http.StatusNotFound)
+		return
+	}
+	switch body.State {
+	case stateGone:
+		hosts = slices.Delete(hosts, i, i+1)
+	case platform.HostLive, platform.HostLeaving:
+		hosts[i].State = body.State
+	default:
+		http.Error(w, "unknown state", http.StatusBadRequest)
+		return
+	}
+	l.change(hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/logservice/logservice.go
@@ -0,0 +1,185 @@
+// Package logservice is a stand-in of the platform's append-only log.
+package logservice
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fault"
+)
+
+const (
+	maxRecordBytes = 1 << 20
+	maxBatch       = 512
+	maxBatchBytes  = 4 << 20
+	maxWait        = time.Minute
+)
+
+// Config holds the settings of a log service.
+type Config struct {
+	// AppendRate bounds appends a second over all streams; 0 sets no bound.
+	AppendRate float64
+	// Retention is how many records of a stream are kept; 0 keeps all.
+	Retention int
+	// Delay is the time that each append takes.
+	Delay time.Duration
+}
+
+// Stats is what GET /stats shows.
+type Stats struct {
+	Appends       uint64 `json:"appends"`
+	AppendedBytes uint64 `json:"appended_bytes"`
+	Throttled     uint64 `json:"throttled"`
+	Reads         uint64 `json:"reads"`
+	ServedBytes   uint64 `json:"served_bytes"`
+}
+
+// stream holds the kept records of one stream.
+type stream struct {
+	trimmed contract.Offset
+	records []platform.Record
+	changed chan struct{}
+}
+
+func (s *stream) newest() contract.Offset {
+	return s.trimmed + contract.Offset(len(s.records))
+}
+
+// Service is the stand-in.
+type Service struct {
+	config Config
+	pace   fault.Pace
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	stats   Stats
+}
+
+// New returns an empty log service with switchable faults.
+func New(config Config) *fault.Switch {
+	const burstTime = 0.1
+	s := &Service{config: config, streams: map[string]*stream{}}
+	s.pace.PerSecond = config.AppendRate
+	s.pace.Burst = config.AppendRate * burstTime
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log/{stream}", s.serveAppend)
+	mux.HandleFunc("GET /log/{stream}", s.serveRead)
+	return fault.Wrap(mux, s.snapshot, nil)
+}
+
+func (s *Service) snapshot() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Service) stream(name string) *stream {
+	found := s.streams[name]
+	if found == nil {
+		found = &stream{changed: make(chan struct{})}
+		s.streams[name] = found
+	}
+	return found
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, "record too long or cut", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if !s.pace.Allow(1) {
+		s.mu.Lock()
+		s.stats.Throttled++
+		s.mu.Unlock()
+		http.Error(w, "append rate", http.StatusTooManyRequests)
+		return
+	}
+	time.Sleep(s.config.Delay)
+	offset := s.append(r.PathValue("stream"), data)
+	writeJSON(w, map[string]contract.Offset{"offset": offset})
+}
+
+func (s *Service) append(name string, data []byte) contract.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	offset := st.newest() + 1
+	st.records = append(st.records, platform.Record{Offset: offset, Time: time.Now().UTC(), Data: data})
+	if drop := len(st.records) - s.config.Retention; s.config.Retention > 0 && drop > 0 {
+		st.records = append([]platform.Record(nil), st.records[drop:]...)
+		st.trimmed += contract.Offset(drop)
+	}
+	close(st.changed)
+	st.changed = make(chan struct{})
+	s.stats.Appends++
+	s.stats.AppendedBytes += uint64(len(data))
+	return offset
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	waitMS, waitErr := strconv.ParseInt("0"+r.FormValue("wait_ms"), 10, 64)
+	if err != nil || waitErr != nil {
+		http.Error(w, "after and wait_ms must be whole numbers", http.StatusBadRequest)
+		return
+	}
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxWait)
+	batch, ok := s.read(r, contract.Offset(after), wait)
+	if !ok {
+		http.Error(w, "past retention", http.StatusGone)
+		return
+	}
+	writeJSON(w, batch)
+}
+
+// read returns records after an offset, and false if some are past retention.
+func (s *Service) read(r *http.Request, after contract.Offset, wait time.Duration) (platform.Batch, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, kept, changed := s.batch(r.PathValue("stream"), after)
+		if !kept || len(batch.Records) > 0 {
+			return batch, kept
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, true
+		case <-r.Context().Done():
+			return batch, true
+		}
+	}
+}
+
+func (s *Service) batch(name string, after contract.Offset) (platform.Batch, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	batch := platform.Batch{Oldest: st.trimmed + 1, Newest: st.newest(), Records: []platform.Record{}}
+	if after < st.trimmed {
+		return batch, false, nil
+	}
+	s.stats.Reads++
+	size := 0
+	for i := int(after - st.trimmed); i < len(st.records) && len(batch.Records) < maxBatch; i++ {
+		size += len(st.records[i].Data)
+		if size > maxBatchBytes && len(batch.Records) > 0 {
+			break
+		}
+		batch.Records = append(batch.Records, st.records[i])
+		s.stats.ServedBytes += uint64(len(st.records[i].Data))
+	}
+	return batch, true, st.changed
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/logservice/logservice_test.go
@@ -0,0 +1,58 @@
+package logservice_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fault"
+	"mimosastand.example/mimosastand/standin/logservice"
+)
+
+// TestClientAgainstStandIn checks each kind of failure that the client tells apart.
+func TestClientAgainstStandIn(t *testing.T) {
+	handler := logservice.New(logservice.Config{Retention: 2})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	client := platform.NewClient(server.URL)
+	ctx := context.Background()
+	steps := []struct {
+		fault  fault.Kind
+		method string
+		want   error
+	}{
+		{fault.None, "POST", nil},
+		{fault.Down, "POST", platform.ErrUnavailable},
+		{fault.LostReply, "POST", platform.ErrUncertain},
+		{fault.None, "POST", nil},
+		{fault.Corrupt, "POST", platform.ErrUncertain},
+		{fault.Corrupt, "GET", platform.ErrProtocol},
+		{fault.Down, "GET", platform.ErrUnavailable},
+		{fault.LostReply, "GET", platform.ErrUnavailable},
+	}
+	for _, s := range steps {
+		handler.Set(fault.Request{Fault: fault.None})
+		handler.Set(fault.Request{Fault: s.fault})
+		var err error
+		if s.method == "POST" {
+			_, err = client.Append(ctx, "s", []byte("record"))
+		} else {
+			_, err = client.Read(ctx, "s", 3, 0)
+		}
+		if !errors.Is(err, s.want) {
+			t.Fatalf("%s under %s: %v, want %v", s.method, s.fault, err, s.want)
+		}
+	}
+	handler.Set(fault.Request{Fault: fault.None})
+	if _, err := client.Read(ctx, "s", 1, 0); !errors.Is(err, platform.ErrTrimmed) {
+		t.Fatalf("read past retention: %v", err)
+	}
+	batch, err := client.Read(ctx, "s", 2, time.Second)
+	if err != nil || len(batch.Records) != 2 || batch.Newest != 4 {
+		t.Fatalf("%+v, %v", batch, err)
+	}
+}
