--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
@@ -23,11 +24,15 @@
 
 // New returns a registry whose names begin with "mimosastand_".
 func New() *Registry {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prom.NewRegistry()
+	registry.MustRegister(prom.NewGoCollector(), prom.NewProcessCollector(prom.ProcessCollectorOpts{}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "mimosastand",
-		CachedReporter: reporter,
-		Separator:      promreporter.DefaultSeparator,
+		Prefix:                 "mimosastand",
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{scope: scope, reporter: reporter, closer: closer}
 }
