Prove the gate, cold start, kept answers and the hop to the back end

Cause: the decisions had no proofs. Ruled out: the HTTP library's own repeats. It sends a POST again when a reused connection breaks and the call has an idempotency key; calls that may not be repeated therefore have a connection of their own. The test shows both. Found and mended: an engine's refusal for overload now also bounds the limit below the number that was too many, until a newer report.

--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -9,7 +9,8 @@
 
 // Limits bound a Store.
 type Limits struct {
-	// MaxBytes bounds the data of all answers, MaxAnswerBytes that of one.
+	// MaxBytes bounds the data of all answers, MaxAnswerBytes that of one. A
+	// running answer may hold one frame beyond them, so that it can go on.
 	MaxBytes       int
 	MaxAnswerBytes int
 	// MaxStarted bounds the records of started attempts, MaxTombstones the
--- /dev/null
+++ b/machine/target/answers/store_test.go
@@ -0,0 +1,142 @@
+package answers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+var testLimits = Limits{
+	MaxBytes: 100, MaxAnswerBytes: 40, MaxStarted: 5, MaxTombstones: 3,
+	KeepAnswer: 10 * time.Second, KeepRecord: 20 * time.Second, KeepTombstone: 60 * time.Second,
+}
+
+const maxFrame = 45
+
+func id(n int) contract.AttemptID {
+	return contract.AttemptID{Request: contract.RequestID(fmt.Sprint(n)), N: 1}
+}
+
+func done() contract.End { return contract.End{Outcome: contract.OutcomeDone} }
+
+func TestEvictedAnswerIsForgottenNotUnheard(t *testing.T) {
+	s := New(testLimits)
+	for i := range 3 {
+		r := s.Begin(epoch, id(i), epoch)
+		if !s.Append(r, Frame{Data: make([]byte, 40)}, 0) {
+			t.Fatalf("answer %d does not fit", i)
+		}
+		s.Finish(epoch, r, done())
+	}
+	if got := s.Get(id(0)).State(); got != contract.AttemptForgotten {
+		t.Errorf("evicted for bytes: %s", got)
+	}
+	s.Expire(epoch.Add(testLimits.KeepAnswer))
+	if got := s.Get(id(2)).State(); got != contract.AttemptForgotten || s.Bytes() != 0 {
+		t.Errorf("evicted for time: %s, %d bytes", got, s.Bytes())
+	}
+	s.Expire(epoch.Add(testLimits.KeepRecord))
+	if s.Get(id(2)) != nil || s.Started() != 0 {
+		t.Error("record outlives its time")
+	}
+}
+
+func TestLongAnswerWaitsForItsReader(t *testing.T) {
+	s := New(testLimits)
+	r := s.Begin(epoch, id(1), epoch)
+	for range 4 {
+		s.Append(r, Frame{Data: make([]byte, 10)}, 0)
+	}
+	if s.Append(r, Frame{Data: make([]byte, 10)}, 0) {
+		t.Error("answer grew beyond its limit without a reader")
+	}
+	if !s.Append(r, Frame{Data: make([]byte, 10)}, 2) || r.Kept(1) || !r.Kept(2) || r.Frames() != 5 {
+		t.Errorf("first kept %d, frames %d", r.first, r.Frames())
+	}
+}
+
+// TestTombstoneOutlivesTheBound checks that no tombstone is lost within its
+// time, however many there are.
+func TestTombstoneOutlivesTheBound(t *testing.T) {
+	const many = 20_000
+	s := New(testLimits)
+	for i := range many {
+		s.Bury(epoch.Add(time.Duration(i)*time.Millisecond), id(i), contract.ReasonTombstone, epoch)
+	}
+	end := epoch.Add(testLimits.KeepTombstone - 1)
+	s.Expire(end)
+	for i := range many {
+		if _, buried := s.Buried(end, id(i)); !buried {
+			t.Fatalf("tombstone %d of %d is lost", i, many)
+		}
+	}
+	wrong := 0
+	for i := many; i < 2*many; i++ {
+		if _, buried := s.Buried(end, id(i)); buried {
+			wrong++
+		}
+	}
+	if wrong > many/100 {
+		t.Errorf("%d of %d attempts without a tombstone are refused", wrong, many)
+	}
+}
+
+// TestBounds checks the counts and bytes of a store under random use.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := New(testLimits), epoch
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			use(t, s, now, id(rapid.IntRange(0, 12).Draw(t, "id")))
+			s.Expire(now)
+			checkBounds(t, s)
+		}
+	})
+}
+
+func use(t *rapid.T, s *Store, now time.Time, id contract.AttemptID) {
+	r := s.Get(id)
+	running := r != nil && r.State() == contract.AttemptRunning
+	switch op := rapid.IntRange(0, 4).Draw(t, "op"); {
+	case op == 0 && r == nil:
+		s.Bury(now, id, contract.ReasonTombstone, now)
+	case op == 1 && running:
+		s.Finish(now, r, contract.End{Outcome: contract.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))})
+	case op == 2 && running:
+		s.Unbegin(now, r, contract.ReasonBackendDown)
+	case running:
+		size := rapid.IntRange(0, maxFrame).Draw(t, "size")
+		s.Append(r, Frame{Data: make([]byte, size)}, uint64(rapid.IntRange(0, 9).Draw(t, "consumed")))
+	case r == nil && s.Room():
+		s.Begin(now, id, now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "s"))*time.Second))
+	}
+}
+
+func checkBounds(t *rapid.T, s *Store) {
+	bytes, started, tombstones, running := 0, 0, 0, 0
+	for _, list := range s.requests {
+		for _, r := range list {
+			bytes += r.bytes
+			if r.State() == contract.AttemptRunning {
+				running++
+			}
+			if r.Started() {
+				started++
+			} else {
+				tombstones++
+			}
+		}
+	}
+	if bytes != s.Bytes() || started != s.Started() || tombstones != s.Tombstones() || len(s.expiry) != started+tombstones {
+		t.Fatalf("counts %d %d %d, want %d %d %d", s.Bytes(), s.Started(), s.Tombstones(), bytes, started, tombstones)
+	}
+	if bound := testLimits.MaxBytes + running*maxFrame; bytes > bound || started > testLimits.MaxStarted {
+		t.Fatalf("%d bytes, %d started", bytes, started)
+	}
+}
--- /dev/null
+++ b/machine/target/backend/backend_test.go
@@ -0,0 +1,146 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dropping is a service that answers one call of a connection and drops the
+// connection when it has read a second one, as a restarting service does.
+func dropping(t *testing.T) (url string, effects *atomic.Int32) {
+	t.Helper()
+	effects = &atomic.Int32{}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		effects.Add(1)
+		if seen[r.RemoteAddr] {
+			panic(http.ErrAbortHandler)
+		}
+		seen[r.RemoteAddr] = true
+	})}
+	go func() { _ = server.Serve(lis) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return "http://" + lis.Addr().String(), effects
+}
+
+func filing(body string) Call {
+	return Call{Method: http.MethodPost, Path: "/filings", Body: []byte(body), Key: "k", Request: "r"}
+}
+
+// TestLibraryDoesNotRepeatCalls checks that a call whose connection breaks is
+// sent once. The HTTP library repeats calls on connections that it reuses, also
+// a POST if it has an idempotency key; the second part shows that it does.
+func TestLibraryDoesNotRepeatCalls(t *testing.T) {
+	for _, body := range []string{"", "filing"} {
+		url, effects := dropping(t)
+		p := NewPlain(url)
+		for i := range int32(3) {
+			reply, err := p.Call(context.Background(), filing(body))
+			if err == nil {
+				drain(reply.Body)
+			}
+			if got := effects.Load(); got != i+1 {
+				t.Fatalf("%d effects after %d calls", got, i+1)
+			}
+		}
+	}
+	url, effects := dropping(t)
+	p := NewPlain(url)
+	p.fresh = newClient(true)
+	for range 3 {
+		if reply, err := p.Call(context.Background(), filing("")); err == nil {
+			drain(reply.Body)
+		}
+	}
+	if effects.Load() <= 3 {
+		t.Fatalf("%d effects: the library does not repeat calls any more", effects.Load())
+	}
+}
+
+func TestNotSentOnlyWithoutConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := "http://" + lis.Addr().String()
+	_ = lis.Close()
+	if _, err := NewPlain(closed).Call(context.Background(), filing("x")); !errors.Is(err, ErrNotSent) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	if _, err := NewPlain(cut.URL).Call(context.Background(), filing("x")); !errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent) {
+		t.Errorf("cut after reading: %v", err)
+	}
+}
+
+func TestGenerateTellsRefusalsFromLosses(t *testing.T) {
+	for status, want := range map[int]error{
+		http.StatusConflict: ErrDigest, http.StatusServiceUnavailable: ErrOverloaded,
+		http.StatusBadRequest: ErrBadCall, http.StatusInternalServerError: ErrLost,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		_, err := NewEngine(server.URL).Generate(context.Background(), Generate{}, nil)
+		server.Close()
+		if !errors.Is(err, want) || errors.Is(err, ErrRefused) != (want != ErrLost) {
+			t.Errorf("status %d: %v", status, err)
+		}
+	}
+}
+
+const (
+	token0 = "event: token\ndata: {\"at\":0,\"text\":\"a\"}\n\n"
+	token1 = "event: token\ndata: {\"at\":1,\"text\":\"b\"}\n\n"
+	end2   = "event: end\ndata: {\"tokens\":2,\"digest\":\"d\"}\n\n"
+)
+
+func TestAnswerWithoutGapsOnly(t *testing.T) {
+	for text, whole := range map[string]bool{
+		token0 + token1 + end2: true, token0 + end2: false, token1 + end2: false,
+		token0 + token0 + end2: false, token0 + token1: false, token0 + token1 + end2[:20]: false,
+	} {
+		_, err := readAnswer(strings.NewReader(text), 0, func(Token) error { return nil })
+		if (err == nil) != whole || (err != nil && !errors.Is(err, ErrCut)) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add([]byte(token0 + token1 + end2))
+	f.Add([]byte(": comment\r\ndata:x\ndata\n\nevent\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		next := uint64(0)
+		end, err := readAnswer(bytes.NewReader(data), 0, func(tok Token) error {
+			if tok.At != next {
+				t.Fatalf("token at %d, want %d", tok.At, next)
+			}
+			next++
+			return nil
+		})
+		if err == nil && end.Tokens != next {
+			t.Fatalf("end at %d after %d", end.Tokens, next)
+		}
+	})
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"boot":"b","seq":1,"warm":true}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeReport(io.NopCloser(bytes.NewReader(data)))
+	})
+}
--- a/machine/target/coldstart/limiter.go
+++ b/machine/target/coldstart/limiter.go
@@ -66,6 +66,7 @@
 		l.clock = now
 	}
 	before := l.Limit()
+	l.endRise()
 	fell, ignored := l.step(e)
 	result.Fell = fell
 	if ignored != "" {
@@ -89,7 +90,7 @@
 	case Ended:
 		return "", l.ended(e.Attempt)
 	case Overloaded:
-		return l.fallUnless(offOverloaded, CauseOverloaded), ""
+		return l.overloaded(), ""
 	case Broke:
 		return l.fallUnless(offBroke, CauseBroke), ""
 	case Activated:
@@ -163,11 +164,25 @@
 	return "", ""
 }
 
-// tick ends a finished slow start and looks for first tokens that are overdue.
-func (l *Limiter) tick() Cause {
+// overloaded falls, and holds the limit below the number of units that were too
+// many until a newer report.
+func (l *Limiter) overloaded() Cause {
+	if l.off&offOverloaded != 0 {
+		return ""
+	}
+	l.reports.limit = min(l.reports.limit, max(0, l.Running()-1))
+	return l.fall(CauseOverloaded)
+}
+
+// endRise ends a slow start whose time is over.
+func (l *Limiter) endRise() {
 	if l.phase == PhaseRising && l.clock.Sub(l.riseAt) >= l.settings.SlowStart {
 		l.phase = PhaseWarm
 	}
+}
+
+// tick looks for first tokens that are overdue.
+func (l *Limiter) tick() Cause {
 	if l.delays.overdue(l.clock) {
 		return l.fallUnless(offFirstToken, CauseFirstToken)
 	}
--- /dev/null
+++ b/machine/target/coldstart/limiter_test.go
@@ -0,0 +1,225 @@
+package coldstart
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/target/internal/script"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+var testSettings = Settings{Max: 8, Cold: 2, SlowStart: 6 * time.Second, Reports: true, StaleAfter: 3 * time.Second}
+
+// session plays scenario lines to a limiter.
+type session struct {
+	l  *Limiter
+	at time.Duration
+}
+
+func (s *session) play(text string, off mechanism) string {
+	lines, err := script.Parse(text, s.at)
+	if err != nil {
+		return err.Error()
+	}
+	var out strings.Builder
+	for _, line := range lines {
+		s.at = line.At
+		s.playLine(&out, line, off)
+	}
+	return out.String()
+}
+
+func (s *session) playLine(out *strings.Builder, line script.Line, off mechanism) {
+	now := epoch.Add(line.At)
+	if line.Cmd == "new" {
+		settings := testSettings
+		settings.Reports = !line.Has("unreported")
+		s.l = New(now, settings)
+		s.l.off = off
+	}
+	for _, e := range events(line) {
+		result := s.l.Step(now, e)
+		if result.Fell != "" {
+			fmt.Fprintf(out, "  fell: %s\n", result.Fell)
+		}
+		if result.Ignored != "" {
+			fmt.Fprintf(out, "  ignored: %s\n", result.Ignored)
+		}
+	}
+	fmt.Fprintf(out, "%s -> %s limit=%d running=%d\n", line.Text, s.l.Phase(), s.l.Limit(), s.l.Running())
+}
+
+func events(line script.Line) []Event {
+	switch line.Cmd {
+	case "report":
+		return []Event{Report{
+			Boot: line.String("boot", "b1"), Seq: uint64(line.Int("seq", 0)), Digest: contract.Digest(line.String("digest", "d1")),
+			Warm: !line.Has("cold"), Running: line.Int("running", 0), Limit: line.Int("limit", 8), Age: line.Duration("age", 0),
+		}}
+	case "overloaded":
+		return []Event{Overloaded{}}
+	case "broke":
+		return []Event{Broke{}}
+	case "activated":
+		return []Event{Activated{}}
+	case "tick":
+		return []Event{Tick{}}
+	case "configured":
+		c := testSettings
+		c.Max, c.Reports = line.Int("max", c.Max), !line.Has("unreported")
+		return []Event{Configured{Settings: c}}
+	}
+	return unitEvents(line)
+}
+
+func unitEvents(line script.Line) []Event {
+	var list []Event
+	for _, name := range line.Names {
+		id := contract.AttemptID{Request: contract.RequestID(name), N: 1}
+		switch line.Cmd {
+		case "sent":
+			list = append(list, Sent{id})
+		case "first":
+			list = append(list, FirstToken{id})
+		case "ended":
+			list = append(list, Ended{id})
+		}
+	}
+	return list
+}
+
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &session{}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			return s.play(d.Input, 0)
+		})
+	})
+}
+
+const warm = "new\n@1s report seq=1\n@7s report seq=2\n"
+
+// baseline gives the limiter a first-token delay of 10 ms.
+func baseline() string {
+	var b strings.Builder
+	for i := range minSamples {
+		at := 7000 + 20*i
+		fmt.Fprintf(&b, "@%dms sent u%d\n@%dms first u%d\nended u%d\n", at, i, at+10, i, i)
+	}
+	return b.String()
+}
+
+// TestMechanisms checks that each scenario ends as it should and that it does
+// not once its mechanism is off.
+func TestMechanisms(t *testing.T) {
+	for name, c := range map[string]struct {
+		off    mechanism
+		script string
+		want   string
+	}{
+		"restart":     {offRestart, "@1s new\n@1100ms report seq=1 age=500ms", "limit=0"},
+		"foreign":     {offForeign, "new\n@1s report seq=1 running=6 cold limit=2", "limit=2 running=6"},
+		"boot":        {offBoot, warm + "report boot=b2 seq=1", "cold limit=2"},
+		"digest":      {offDigest, warm + "report digest=d2 seq=3", "cold limit=2"},
+		"overloaded":  {offOverloaded, warm + "sent a b c\noverloaded", "cold limit=2"},
+		"broke":       {offBroke, warm + "broke", "cold limit=2"},
+		"first token": {offFirstToken, warm + baseline() + "@8s report seq=3\nsent a b\n@8300ms tick", "cold limit=2"},
+		"slow start":  {offSlowStart, "new\n@1s report seq=1", "limit=2"},
+		"order":       {offOrder, warm + "report seq=2 limit=1", "limit=8"},
+		"stale":       {offStale, warm + "@11s tick", "limit=2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := (&session{}).play(c.script, 0); !endsWith(got, c.want) {
+				t.Errorf("on: want %q in the last line of\n%s", c.want, got)
+			}
+			if got := (&session{}).play(c.script, c.off); endsWith(got, c.want) {
+				t.Errorf("off: still %q in the last line of\n%s", c.want, got)
+			}
+		})
+	}
+}
+
+func endsWith(out, want string) bool {
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	return strings.Contains(lines[len(lines)-1], want)
+}
+
+// TestLimitUnderRandomEvents checks for all orders of events, also with times
+// that go back, that the limit stays within its bounds: nothing before a report
+// newer than the process, never above what the newest believed report bears,
+// and at most Cold until a warm report that was taken after the last fall.
+func TestLimitUnderRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(epoch, testSettings)
+		now := epoch
+		var warmSince, fell time.Time
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(-200, 1500).Draw(t, "ms")) * time.Millisecond)
+			e := drawEvent(t)
+			clock := later(l.clock, now)
+			result := l.Step(now, e)
+			if r, ok := e.(Report); ok && result.Ignored != CauseOld && r.Warm {
+				warmSince = later(warmSince, clock.Add(-r.Age))
+			}
+			if result.Fell != "" && result.Fell != CauseLowerLimit && result.Fell != CauseStale {
+				fell = clock
+			}
+			checkLimit(t, l, warmSince.After(fell) && warmSince.After(epoch))
+		}
+	})
+}
+
+func checkLimit(t *rapid.T, l *Limiter, mayRise bool) {
+	limit := l.Limit()
+	if limit < 0 || limit > testSettings.Max || (l.reports.started && limit > l.reports.limit) {
+		t.Fatalf("limit %d, report %d", limit, l.reports.limit)
+	}
+	if l.Phase() == PhaseUnknown && limit != 0 {
+		t.Fatalf("limit %d before a report", limit)
+	}
+	if !mayRise && limit > testSettings.Cold {
+		t.Fatalf("limit %d in phase %s without a warm report after the fall", limit, l.Phase())
+	}
+	if l.Room() < 0 || l.Room()+l.Running() > max(limit, l.Running()) {
+		t.Fatalf("room %d beside %d running at limit %d", l.Room(), l.Running(), limit)
+	}
+}
+
+func drawEvent(t *rapid.T) Event {
+	id := contract.AttemptID{Request: "u", N: uint32(rapid.IntRange(1, 6).Draw(t, "unit"))}
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	case 0:
+		return Sent{id}
+	case 1:
+		return FirstToken{id}
+	case 2:
+		return Ended{id}
+	case 3:
+		return Overloaded{}
+	case 4:
+		return Broke{}
+	case 5:
+		return Tick{}
+	default:
+		return Report{
+			Boot: rapid.SampledFrom([]string{"", "b1", "b2", "b3"}).Draw(t, "boot"), Seq: uint64(rapid.IntRange(1, 30).Draw(t, "seq")),
+			Digest: rapid.SampledFrom([]contract.Digest{"d1", "d2"}).Draw(t, "digest"), Warm: rapid.Bool().Draw(t, "warm"),
+			Running: rapid.IntRange(-1, 9).Draw(t, "running"), Limit: rapid.IntRange(-1, 12).Draw(t, "limit"),
+			Age: time.Duration(rapid.IntRange(-100, 3000).Draw(t, "age")) * time.Millisecond,
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/machine/target/coldstart/report.go
+++ b/machine/target/coldstart/report.go
@@ -91,9 +91,13 @@
 			l.reports.former = l.reports.former[1:]
 		}
 	}
+	limit := r.Limit
+	if l.reports.started && !taken.After(l.fellAt) {
+		limit = min(limit, l.reports.limit)
+	}
 	l.reports.started = true
 	l.reports.boot, l.reports.seq = r.Boot, r.Seq
-	l.reports.digest, l.reports.limit = r.Digest, r.Limit
+	l.reports.digest, l.reports.limit = r.Digest, limit
 	if taken.After(l.reports.taken) {
 		l.reports.taken = taken
 	}
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -84,6 +84,7 @@
 	g.learn(a, e)
 	g.close(a, e)
 	a.ended = true
+	g.limitFault(e.Fault)
 	if e.Lingers && g.off&offLinger == 0 {
 		if e.LingerFor > 0 {
 			a.lingerUntil = g.now.Add(e.LingerFor)
@@ -91,7 +92,6 @@
 	} else {
 		g.forget(a)
 	}
-	g.limitFault(e.Fault)
 }
 
 // close fixes the outcome of an attempt and emits its end. The digest that the
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -22,7 +22,7 @@
 	}
 	status := g.status(q.Attempt, "")
 	if status.State == contract.AttemptNeverRan && !g.vouches(q) {
-		status.State = contract.AttemptUnheard
+		status.State, status.Reason = contract.AttemptUnheard, ""
 	}
 	g.emit(Known{Status: status})
 }
