entry: fair queue, retry budget, choice of target, dispatch and the daemon

Cause: callers had no way to targets. Change: packages fairshare, retry, ejection, balancer and dispatch decide without I/O; package entry turns HTTP, links, settings and host lists into their events. Not yet exercised by tests.

--- /dev/null
+++ b/machine/entry/dispatch/admit.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/fairshare"
+)
+
+// arrive checks a request and queues it, or has its key claimed first.
+func (m *Machine) arrive(in Request) {
+	if _, exists := m.requests[in.ID]; exists {
+		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
+		return
+	}
+	r := &request{Request: in, arrived: m.now, deadline: m.now.Add(in.Timeout)}
+	if reason := m.check(r); reason != "" {
+		m.refuse(r, reason)
+		return
+	}
+	m.requests[r.ID] = r
+	m.timers.add(r)
+	if r.Claim {
+		r.phase = phaseClaiming
+		m.emit(ClaimKey{Claim: r.claim()})
+		return
+	}
+	m.enqueue(r)
+}
+
+// check returns why a request cannot be taken, and fills in what depends on
+// the settings.
+func (m *Machine) check(r *request) contract.Reason {
+	switch {
+	case m.stopping:
+		return contract.ReasonShuttingDown
+	case m.view == nil || m.hosts.Version == 0:
+		return contract.ReasonSettingsNotReady
+	case r.Timeout <= 0 && m.off&offDeadline == 0:
+		return contract.ReasonDeadline
+	}
+	s, ok := m.services[r.Service]
+	if !ok || !s.exists || s.settings.Kind != r.Kind {
+		return contract.ReasonUnknownService
+	}
+	if r.isModel() && s.settings.Weights == "" {
+		return contract.ReasonNoWeights
+	}
+	home := m.cfg.Home
+	team, ok := m.view.Team(home.Region, home.Zone, r.Service, r.Team)
+	if !ok {
+		return contract.ReasonUnknownTeam
+	}
+	r.service = s
+	r.Priority = int8(min(int(r.Priority), team.MaxPriority))
+	r.item = fairshare.Item{
+		Request:  r.ID,
+		Team:     r.Team,
+		Weight:   team.Share,
+		Priority: r.Priority,
+		Tokens:   r.Tokens,
+	}
+	return ""
+}
+
+// refuse answers a request that was never taken in.
+func (m *Machine) refuse(r *request, reason contract.Reason) {
+	m.count(CountRefusal, reason)
+	m.emit(Finish{
+		Request:    r.ID,
+		Outcome:    contract.OutcomeNotRun,
+		Reason:     reason,
+		RetryAfter: m.retryAfter(r, reason, 0),
+	})
+}
+
+// enqueue lets a request wait, unless it can be told at once that waiting is
+// in vain.
+func (m *Machine) enqueue(r *request) {
+	s := r.service
+	r.phase = phaseQueued
+	m.timers.update(r)
+	if s.queue.Len() > 0 {
+		wait := s.queue.Wait(m.now, r.Team, r.item.Weight)
+		if wait > r.deadline.Sub(m.now) {
+			m.finish(r, contract.ReasonQueueFull, wait)
+			return
+		}
+	}
+	displaced, full := s.queue.Push(r.item)
+	if full {
+		m.displace(s, displaced, r)
+	}
+	m.pump(s)
+}
+
+// displace ends the request that had to leave a full queue.
+func (m *Machine) displace(s *service, displaced fairshare.Item, arrived *request) {
+	reason := contract.ReasonTeamShare
+	if displaced.Request == arrived.ID {
+		reason = contract.ReasonQueueFull
+	}
+	if victim, ok := m.requests[displaced.Request]; ok {
+		wait := s.queue.Wait(m.now, victim.Team, victim.item.Weight)
+		m.finish(victim, reason, wait)
+	}
+}
+
+// requeue puts a request that was sent before back at its place.
+func (m *Machine) requeue(r *request) {
+	r.phase = phaseQueued
+	r.current = nil
+	m.timers.update(r)
+	r.service.queue.Return(r.item)
+	if r.pinned != "" {
+		r.service.pinned++
+	}
+	m.pump(r.service)
+}
+
+// pump sends waiting requests while targets have room.
+func (m *Machine) pump(s *service) {
+	for s.queue.Len() > 0 {
+		if !m.sendNext(s) {
+			m.giveUp(s)
+			return
+		}
+	}
+}
+
+func (m *Machine) pumpAll() {
+	for _, s := range m.order {
+		m.pump(s)
+	}
+}
+
+// giveUp ends the waiting requests that no target can take even with room.
+func (m *Machine) giveUp(s *service) {
+	if s.pinned == 0 && s.pool.Blocked(m.now, "") == contract.ReasonTargetFull {
+		return
+	}
+	for _, r := range m.waiting(s) {
+		reason := s.pool.Blocked(m.now, r.pinned)
+		if reason == contract.ReasonTargetFull {
+			continue
+		}
+		if r.pinned != "" && reason == contract.ReasonNoWeights {
+			reason = contract.ReasonWeightsChanged
+		}
+		m.finish(r, reason, m.untilProbe(s))
+	}
+}
+
+// waiting lists the queued requests of a service in order of arrival.
+func (m *Machine) waiting(s *service) []*request {
+	items := s.queue.Items()
+	list := make([]*request, 0, len(items))
+	for _, item := range items {
+		list = append(list, m.requests[item.Request])
+	}
+	return list
+}
+
+// untilProbe is the time until an ejected target may be tried again.
+func (m *Machine) untilProbe(s *service) time.Duration {
+	at, ok := s.pool.NextProbe()
+	if !ok {
+		return 0
+	}
+	return max(0, at.Sub(m.now))
+}
+
+// decided goes on with a keyed request.
+func (m *Machine) decided(ev Claimed) {
+	r, ok := m.requests[ev.Request]
+	if !ok || r.phase != phaseClaiming {
+		m.lateDecision(ev)
+		return
+	}
+	switch {
+	case ev.Run:
+		r.claimed = true
+		if ev.StartWithin > 0 {
+			r.startBy = m.now.Add(ev.StartWithin)
+		}
+		m.enqueue(r)
+	case ev.Replay != nil:
+		m.drop(r)
+		m.emit(Finish{Request: r.ID, Outcome: contract.OutcomeDone, Answer: ev.Replay})
+	default:
+		m.drop(r)
+		m.count(CountRefusal, ev.Reason)
+		m.emit(Finish{
+			Request:    r.ID,
+			Outcome:    ev.Outcome,
+			Reason:     ev.Reason,
+			RetryAfter: m.retryAfter(r, ev.Reason, ev.RetryAfter),
+		})
+	}
+}
+
+// lateDecision gives back a key that was won by a request already ended.
+func (m *Machine) lateDecision(ev Claimed) {
+	claim, ok := m.orphans[ev.Request]
+	if !ok {
+		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
+		return
+	}
+	delete(m.orphans, ev.Request)
+	if ev.Run {
+		m.emit(ResolveKey{Claim: claim, Outcome: contract.OutcomeNotRun, Reason: contract.ReasonCallerGone})
+	}
+}
+
+// callerSlow stops the clock of an attempt whose frames are not read.
+func (m *Machine) callerSlow(ev CallerSlow) {
+	r, ok := m.requests[ev.Request]
+	if !ok || r.phase != phaseActive {
+		return
+	}
+	r.slow = ev.Slow
+	m.expectPart(r.current)
+}
+
+// callerGone ends a request; one that holds a key runs on for its answer.
+func (m *Machine) callerGone(id contract.RequestID) {
+	r, ok := m.requests[id]
+	if !ok || r.detached {
+		return
+	}
+	if r.claimed && r.phase == phaseActive {
+		r.detached = true
+		return
+	}
+	m.finish(r, contract.ReasonCallerGone, 0)
+}
--- /dev/null
+++ b/machine/entry/dispatch/ask.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/ejection"
+)
+
+// broken goes on after an exchange that ended early.
+func (m *Machine) broken(ev Broken) {
+	a, ok := m.exchanges[ev.Exchange]
+	if !ok {
+		return
+	}
+	if ev.Unsent && a.state == attemptSent {
+		m.faultOf(a, ev.Reason)
+		m.notRun(a, ev.Reason, 0)
+		return
+	}
+	if ev.Reason == contract.ReasonLinkSilent {
+		m.blame(a, ejection.Silent)
+	}
+	if a.state == attemptAsking {
+		m.askLater(a, ev.Reason)
+		return
+	}
+	m.ask(a)
+}
+
+// ask sends a question about an attempt, by which the target also refuses the
+// attempt for good if it has not started.
+func (m *Machine) ask(a *attempt) {
+	if m.off&offQuestions != 0 {
+		m.failed(a, contract.ReasonLinkDown)
+		return
+	}
+	if _, listed := m.addresses[a.target]; !listed && a.state == attemptAsking {
+		m.failed(a, contract.ReasonLinkDown)
+		return
+	}
+	a.state = attemptAsking
+	a.questions++
+	m.attach(a)
+	a.due = m.now.Add(QuestionTimeout)
+	m.timers.update(a.request)
+	m.count(CountQuery, contract.ReasonLinkSilent)
+	m.emit(SendQuery{
+		Exchange: a.exchange,
+		Target:   a.target,
+		Query:    m.query(a),
+		Fresh:    a.questions > 1,
+	})
+}
+
+func (m *Machine) query(a *attempt) contract.Query {
+	return contract.Query{
+		Attempt:   a.id,
+		Tombstone: true,
+		Resend:    true,
+		ResendAt:  a.next,
+		Age:       m.now.Sub(a.sentAt),
+	}
+}
+
+// askLater waits before the next question; work that may run twice is sent
+// elsewhere instead, and after MaxQuestions the machine gives up.
+func (m *Machine) askLater(a *attempt, reason contract.Reason) {
+	if a.request.Idempotent || a.questions >= MaxQuestions {
+		m.giveUpAttempt(a, reason)
+		return
+	}
+	m.detach(a)
+	a.due = m.now.Add(m.jitter(questionPause << (a.questions - 1)))
+	m.timers.update(a.request)
+}
+
+// giveUpAttempt leaves an attempt whose end cannot be learned. The target is
+// still told not to start it.
+func (m *Machine) giveUpAttempt(a *attempt, reason contract.Reason) {
+	m.detach(a)
+	m.emit(SendQuery{
+		Target: a.target,
+		Query:  contract.Query{Attempt: a.id, Tombstone: true, Age: m.now.Sub(a.sentAt)},
+		Forget: true,
+	})
+	m.failed(a, reason)
+}
+
+// jitter spreads d over 0.5 to 1.5 times its length.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + m.rng.Float64()))
+}
+
+// status goes on with what the target knows of an attempt.
+func (m *Machine) status(a *attempt, s contract.Status) {
+	if a.state != attemptAsking {
+		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
+		return
+	}
+	a.questions = 0
+	if !a.heard {
+		a.heard = true
+		a.request.service.pool.Acked(a.target)
+	}
+	switch s.State {
+	case contract.AttemptNeverRan:
+		m.neverRan(a, s)
+	case contract.AttemptQueued:
+		a.state = attemptSent
+		a.due = m.now.Add(AcceptTimeout)
+		m.timers.update(a.request)
+	case contract.AttemptRunning:
+		m.stillRunning(a)
+	case contract.AttemptDone:
+		a.state = attemptRunning
+		a.due = m.now.Add(PartTimeout)
+		m.timers.update(a.request)
+	case contract.AttemptForgotten:
+		m.failed(a, contract.ReasonCutAnswer)
+	default:
+		m.failed(a, orElse(s.Reason, contract.ReasonBackendDown))
+	}
+}
+
+// neverRan trusts a tombstone unless the target itself said that it started
+// the attempt.
+func (m *Machine) neverRan(a *attempt, s contract.Status) {
+	if a.started {
+		m.count(CountIgnored, contract.ReasonBadFrame)
+		m.failed(a, contract.ReasonBackendDown)
+		return
+	}
+	m.notRun(a, orElse(s.Reason, contract.ReasonTombstone), 0)
+}
+
+// stillRunning waits on; a model engine that makes no progress is left.
+func (m *Machine) stillRunning(a *attempt) {
+	a.state = attemptRunning
+	a.started = true
+	a.stalls++
+	if a.request.isModel() && a.stalls > MaxStalls && a.request.Idempotent {
+		m.blame(a, ejection.Silent)
+		m.cancel(a)
+		m.failed(a, contract.ReasonBackendDown)
+		return
+	}
+	m.expectPart(a)
+}
+
+func orElse(reason, other contract.Reason) contract.Reason {
+	if reason == "" {
+		return other
+	}
+	return reason
+}
--- /dev/null
+++ b/machine/entry/dispatch/machine.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/fairshare"
+	"mimosastand.example/mimosastand/machine/entry/retry"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/balancer"
+)
+
+// Limits of the machine.
+const (
+	// AcceptTimeout is how long a target may take to answer a Start.
+	AcceptTimeout = 2 * time.Second
+	// FirstPartTimeout and PartTimeout bound the silence of a running attempt
+	// before the machine asks about it.
+	FirstPartTimeout = 8 * time.Second
+	PartTimeout      = 3 * time.Second
+	// QuestionTimeout is how long a target may take to answer a Query.
+	QuestionTimeout = time.Second
+	// MaxQuestions bounds the questions in a row without a reply.
+	MaxQuestions = 6
+	// MaxStalls is how often an engine may be asked about without progress.
+	MaxStalls = 2
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts = 8
+	// MaxAnswerBytes bounds the answer of a plain service.
+	MaxAnswerBytes = 8 << 20
+
+	questionPause = 100 * time.Millisecond
+	// leaveOut is how long a request avoids a target that refused it.
+	leaveOutTime = 100 * time.Millisecond
+	// pumpInterval is how often queues are looked at while requests wait.
+	pumpInterval = 50 * time.Millisecond
+	// defaultQueue is the queue length of a service whose settings name none.
+	defaultQueue = 64
+)
+
+// Config tells where the entry runs.
+type Config struct {
+	Machine contract.MachineID
+	Home    balancer.Place
+}
+
+// service holds what concerns one service.
+type service struct {
+	name     contract.ServiceName
+	settings settings.ServiceSettings
+	// exists tells that the settings name the service.
+	exists bool
+	pool   *balancer.Pool
+	queue  *fairshare.Queue
+	// pinned counts the waiting requests that need a certain digest.
+	pinned int
+}
+
+// Machine is the state machine of an entry.
+type Machine struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Time
+	view     settings.View
+	hosts    platform.HostList
+	stopping bool
+
+	services map[contract.ServiceName]*service
+	// order lists the services by name.
+	order []*service
+	// serviceOf and addresses hold the listed targets.
+	serviceOf map[contract.MachineID]*service
+	addresses map[contract.MachineID]string
+	up        map[contract.MachineID]bool
+	// seen holds targets that had a link before.
+	seen map[contract.MachineID]bool
+	// holding counts the attempts at each target, listed or not.
+	holding map[contract.MachineID]int
+	// kept holds the addresses of targets that were listed when work was sent.
+	kept map[contract.MachineID]string
+
+	requests map[contract.RequestID]*request
+	// orphans holds the claims of ended requests that are not yet decided.
+	orphans   map[contract.RequestID]contract.Claim
+	exchanges map[uint64]*attempt
+	exchange  uint64
+	timers    timers
+	budget    *retry.Budget
+	effects   []Effect
+	off       mechanism
+}
+
+// mechanism names a part of the machine that tests switch off.
+type mechanism uint16
+
+const (
+	offQuestions mechanism = 1 << iota
+	offFrameOrder
+	offTotals
+	offIdempotence
+	offPin
+	offBudget
+	offDeadline
+	offOutcome
+	offCrossing
+)
+
+// New returns a machine that knows neither settings nor hosts.
+func New(cfg Config, rng *rand.Rand) *Machine {
+	return &Machine{
+		cfg:       cfg,
+		rng:       rng,
+		services:  map[contract.ServiceName]*service{},
+		serviceOf: map[contract.MachineID]*service{},
+		addresses: map[contract.MachineID]string{},
+		up:        map[contract.MachineID]bool{},
+		seen:      map[contract.MachineID]bool{},
+		holding:   map[contract.MachineID]int{},
+		kept:      map[contract.MachineID]string{},
+		requests:  map[contract.RequestID]*request{},
+		orphans:   map[contract.RequestID]contract.Claim{},
+		exchanges: map[uint64]*attempt{},
+		budget:    retry.NewBudget(),
+	}
+}
+
+// Step takes in an event and appends its effects to effects.
+func (m *Machine) Step(now time.Time, ev Event, effects []Effect) []Effect {
+	if now.After(m.now) {
+		m.now = now
+	}
+	m.effects = effects
+	m.handle(ev)
+	m.expire()
+	out := m.effects
+	m.effects = nil
+	return out
+}
+
+func (m *Machine) handle(ev Event) {
+	switch ev := ev.(type) {
+	case Arrive:
+		m.arrive(ev.Request)
+	case Received:
+		m.received(ev.Exchange, ev.Message)
+	case Broken:
+		m.broken(ev)
+	case CallerGone:
+		m.callerGone(ev.Request)
+	case CallerSlow:
+		m.callerSlow(ev)
+	case Claimed:
+		m.decided(ev)
+	case Stop:
+		m.stopping = true
+	case Tick:
+		m.pumpAll()
+	default:
+		m.handleWorld(ev)
+	}
+}
+
+func (m *Machine) handleWorld(ev Event) {
+	switch ev := ev.(type) {
+	case LinkUp:
+		m.linkUp(ev.Machine)
+	case LinkDown:
+		m.linkDown(ev)
+	case Heartbeat:
+		m.heartbeat(ev.Heartbeat)
+	case SettingsChanged:
+		m.settingsChanged(ev.View)
+	case HostsChanged:
+		m.hostsChanged(ev.List)
+	}
+}
+
+// Wake is when Step must be called with Tick if nothing else happens; ok is
+// false if there is nothing to wait for.
+func (m *Machine) Wake() (at time.Time, ok bool) {
+	if len(m.timers) > 0 {
+		at, ok = m.timers[0].wake, true
+	}
+	if m.Queued() > 0 {
+		if next := m.now.Add(pumpInterval); !ok || next.Before(at) {
+			at, ok = next, true
+		}
+	}
+	return at, ok
+}
+
+// Ready reports whether the machine knows settings and hosts and is not stopping.
+func (m *Machine) Ready() bool {
+	return m.view != nil && m.hosts.Version > 0 && !m.stopping
+}
+
+// Open is the number of requests that are not finished.
+func (m *Machine) Open() int {
+	return len(m.requests)
+}
+
+// Queued is the number of requests that wait for room.
+func (m *Machine) Queued() int {
+	n := 0
+	for _, s := range m.order {
+		n += s.queue.Len()
+	}
+	return n
+}
+
+func (m *Machine) emit(e Effect) {
+	m.effects = append(m.effects, e)
+}
+
+func (m *Machine) count(c Counter, reason contract.Reason) {
+	m.emit(Count{Counter: c, Reason: reason})
+}
--- /dev/null
+++ b/machine/entry/dispatch/world.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/fairshare"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/ejection"
+)
+
+func (m *Machine) settingsChanged(view settings.View) {
+	if m.view != nil && view.Offset() < m.view.Offset() {
+		m.count(CountIgnored, contract.ReasonStaleSettings)
+		return
+	}
+	m.view = view
+	m.rebuild()
+	m.pumpAll()
+}
+
+func (m *Machine) hostsChanged(list platform.HostList) {
+	if list.Version < m.hosts.Version {
+		m.count(CountIgnored, contract.ReasonStaleSettings)
+		return
+	}
+	m.hosts = list
+	m.rebuild()
+	m.setPeers()
+	m.pumpAll()
+}
+
+// rebuild brings services, members and rules in line with settings and hosts.
+func (m *Machine) rebuild() {
+	if m.view == nil || m.hosts.Version == 0 {
+		return
+	}
+	entries, targets := m.split()
+	for _, name := range m.view.Services() {
+		m.serviceNamed(name)
+	}
+	for name := range targets {
+		m.serviceNamed(name)
+	}
+	m.serviceOf = map[contract.MachineID]*service{}
+	m.addresses = map[contract.MachineID]string{}
+	for _, s := range m.order {
+		m.rebuildService(s, entries, targets[s.name])
+	}
+}
+
+// split sorts the host list into entries and the targets of each service.
+func (m *Machine) split() (entries []balancer.Entry, targets map[contract.ServiceName][]platform.Host) {
+	targets = map[contract.ServiceName][]platform.Host{}
+	for _, h := range m.hosts.Hosts {
+		place := balancer.Place{Region: h.Region, Zone: h.Zone}
+		switch h.Role {
+		case platform.HostEntry:
+			entries = append(entries, balancer.Entry{Machine: h.Machine, Place: place})
+		case platform.HostTarget:
+			targets[h.Service] = append(targets[h.Service], h)
+		}
+	}
+	return entries, targets
+}
+
+func (m *Machine) serviceNamed(name contract.ServiceName) *service {
+	if s, ok := m.services[name]; ok {
+		return s
+	}
+	rng := rand.New(rand.NewPCG(m.rng.Uint64(), m.rng.Uint64()))
+	s := &service{
+		name:  name,
+		pool:  balancer.NewPool(m.cfg.Home, rng),
+		queue: fairshare.NewQueue(defaultQueue),
+	}
+	m.services[name] = s
+	m.order = append(m.order, s)
+	sort.Slice(m.order, func(i, j int) bool { return m.order[i].name < m.order[j].name })
+	return s
+}
+
+func (m *Machine) rebuildService(s *service, entries []balancer.Entry, hosts []platform.Host) {
+	home := m.cfg.Home
+	s.settings, s.exists = m.view.Service(home.Region, home.Zone, s.name)
+	if s.settings.QueueLength > 0 {
+		s.queue.SetLimit(s.settings.QueueLength)
+	}
+	members := m.members(hosts)
+	self := balancer.Entry{Machine: m.cfg.Machine, Place: home}
+	members = balancer.Subset(self, entries, members)
+	s.pool.SetMembers(m.now, members)
+	s.pool.SetEntries(entriesIn(entries, home.Region))
+	s.pool.SetRules(m.now, m.rules(s, members), s.settings.Spill)
+	for _, member := range members {
+		m.serviceOf[member.Machine] = s
+		if m.up[member.Machine] {
+			s.pool.Up(m.now, member.Machine, false)
+		}
+	}
+	for _, h := range hosts {
+		if m.serviceOf[h.Machine] == s {
+			m.addresses[h.Machine] = h.Address
+		}
+	}
+}
+
+func entriesIn(entries []balancer.Entry, region contract.RegionName) int {
+	n := 0
+	for _, e := range entries {
+		if e.Place.Region == region {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) members(hosts []platform.Host) []balancer.Member {
+	list := make([]balancer.Member, 0, len(hosts))
+	for _, h := range hosts {
+		list = append(list, balancer.Member{
+			Machine: h.Machine,
+			Place:   balancer.Place{Region: h.Region, Zone: h.Zone},
+			Leaving: h.State == platform.HostLeaving,
+		})
+	}
+	return list
+}
+
+// rules collects the settings of a service in each place with members.
+func (m *Machine) rules(s *service, members []balancer.Member) map[balancer.Place]balancer.Rules {
+	rules := map[balancer.Place]balancer.Rules{}
+	for _, member := range members {
+		place := member.Place
+		if _, ok := rules[place]; ok {
+			continue
+		}
+		local, _ := m.view.Service(place.Region, place.Zone, s.name)
+		rules[place] = balancer.Rules{
+			Out:       m.view.Zone(place.Region, place.Zone).Out,
+			Cold:      local.ColdRunning,
+			SlowStart: local.SlowStart,
+			Weights:   local.Weights,
+			Former:    local.Former,
+		}
+	}
+	return rules
+}
+
+// setPeers asks for links to all listed targets and to those that hold work.
+func (m *Machine) setPeers() {
+	all := map[contract.MachineID]string{}
+	for id, address := range m.kept {
+		all[id] = address
+	}
+	for id, address := range m.addresses {
+		all[id] = address
+	}
+	peers := make([]Peer, 0, len(all))
+	for id, address := range all {
+		peers = append(peers, Peer{Machine: id, Address: address})
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Machine < peers[j].Machine })
+	m.emit(SetPeers{Peers: peers})
+}
+
+func (m *Machine) linkUp(id contract.MachineID) {
+	m.up[id] = true
+	returning := m.seen[id]
+	m.seen[id] = true
+	if s, ok := m.serviceOf[id]; ok {
+		s.pool.Up(m.now, id, returning)
+		m.pump(s)
+	}
+}
+
+func (m *Machine) linkDown(ev LinkDown) {
+	delete(m.up, ev.Machine)
+	s, ok := m.serviceOf[ev.Machine]
+	if !ok {
+		return
+	}
+	s.pool.Down(ev.Machine)
+	if ev.Reason == contract.ReasonLinkSilent && s.pool.Failed(m.now, ev.Machine, ejection.Silent) {
+		m.count(CountEjection, ev.Reason)
+	}
+	m.pump(s)
+}
+
+// heartbeat takes in a target's load.
+func (m *Machine) heartbeat(hb contract.Heartbeat) {
+	s, ok := m.serviceOf[hb.Machine]
+	if !ok {
+		m.count(CountIgnored, contract.ReasonNoTarget)
+		return
+	}
+	if hb.Load == nil {
+		return
+	}
+	m.report(s.pool, hb.Machine, hb.Incarnation, *hb.Load)
+	m.pump(s)
+}
--- /dev/null
+++ b/machine/entry/entry.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/dispatch"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/zone/balancer"
+)
+
+const (
+	// settingsPoll is how often the daemon looks for a newer view.
+	settingsPoll = 50 * time.Millisecond
+	// maxNotice is how long a stopping entry still takes requests after it has
+	// told the platform's balancer that it is not ready.
+	maxNotice         = time.Second
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+// Entry is the process of an entry host.
+type Entry struct {
+	process  *config.Process
+	opts     Options
+	log      log.Interface
+	metrics  *metrics.Registry
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	loop      *loop
+	callers   *callers
+	exchanges *exchanges
+	links     *links
+	effects   *effects
+	handler   *handler
+	state     *readiness
+}
+
+// New opens the process's addresses. It fails with ErrCredentials or ErrListen.
+func New(process *config.Process, opts Options) (*Entry, error) {
+	now := time.Now()
+	creds, err := link.LoadCredentials(process.TLS, link.RoleEntry, now)
+	if err != nil {
+		return nil, errors.Mark(err, ErrCredentials)
+	}
+	e := &Entry{process: process, opts: opts, metrics: metrics.New()}
+	e.log = logs.For("entry", process.Machine)
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.fillOptions()
+	e.build(contract.Incarnation(now.UnixNano()))
+	if err := e.links.open(process.LinkAddress, creds, process.Link); err != nil {
+		return nil, errors.Mark(err, ErrListen)
+	}
+	e.listener, err = net.Listen("tcp", process.HTTPAddress)
+	if err != nil {
+		e.links.close()
+		return nil, errors.Mark(err, ErrListen)
+	}
+	return e, nil
+}
+
+func (e *Entry) fillOptions() {
+	if e.opts.Hosts == nil {
+		e.opts.Hosts = platform.NewClient(e.process.HostsURL)
+	}
+	if e.opts.Keys == nil {
+		e.opts.Keys = noKeys{}
+	}
+}
+
+// build joins the parts.
+func (e *Entry) build(incarnation contract.Incarnation) {
+	p := e.process
+	scope := e.metrics.Scope().SubScope("entry")
+	home := balancer.Place{Region: p.Region, Zone: p.Zone}
+	e.callers = newCallers()
+	e.exchanges = newExchanges(e.ctx, e.callers)
+	e.links = &links{
+		self:     contract.Heartbeat{Machine: p.Machine, Incarnation: incarnation, Zone: p.Zone},
+		settings: e.opts.Settings,
+		scope:    scope,
+		since:    map[contract.MachineID]time.Time{},
+	}
+	e.effects = &effects{
+		ctx:       e.ctx,
+		callers:   e.callers,
+		exchanges: e.exchanges,
+		links:     e.links,
+		settings:  e.opts.Settings,
+		keys:      e.opts.Keys,
+		scope:     scope,
+	}
+	e.loop = newLoop(dispatch.Config{Machine: p.Machine, Home: home}, e.effects)
+	e.effects.loop, e.exchanges.loop, e.links.loop = e.loop, e.loop, e.loop
+	e.handler = &handler{
+		parser:  parser{maxBody: p.Entry.MaxBodyBytes, defaultTimeout: p.Entry.DefaultTimeout},
+		loop:    e.loop,
+		callers: e.callers,
+		scope:   scope,
+		name:    string(p.Machine) + "-" + strconv.FormatUint(uint64(incarnation), 36),
+	}
+	e.state = &readiness{loop: e.loop}
+}
+
+// HTTPAddress is the TCP address at which callers are served.
+func (e *Entry) HTTPAddress() string {
+	return e.listener.Addr().String()
+}
+
+// Run serves until ctx ends, then stops gracefully: it finishes what is in
+// flight within the process's shutdown grace.
+func (e *Entry) Run(ctx context.Context) error {
+	watcher := hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
+		e.loop.step(dispatch.HostsChanged{List: list})
+	})
+	go watcher.Run(e.ctx)
+	go e.opts.Settings.Run(e.ctx)
+	go e.followSettings()
+	server := e.server()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(e.listener) }()
+	e.log.Info("Serving.")
+	var err error
+	select {
+	case <-ctx.Done():
+		e.drain(server)
+	case err = <-served:
+		err = errors.Mark(err, ErrListen)
+	}
+	e.close()
+	return err
+}
+
+func (e *Entry) server() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", e.handler)
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", e.state.serve)
+	mux.Handle("/metrics", e.metrics.Handler())
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           mux,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// followSettings passes newer views to the state machine.
+func (e *Entry) followSettings() {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	var seen contract.Offset
+	for first := true; ; {
+		if view := e.opts.Settings.Current(); view != nil && (first || view.Offset() > seen) {
+			first = false
+			seen = view.Offset()
+			e.loop.step(dispatch.SettingsChanged{View: view})
+		}
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) close() {
+	e.cancel()
+	e.loop.stop()
+	e.links.close()
+	e.exchanges.wg.Wait()
+	e.effects.wg.Wait()
+	_ = e.metrics.Close()
+}
--- /dev/null
+++ b/machine/entry/options.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings"
+)
+
+var (
+	// ErrCredentials marks a certificate or key that cannot be used.
+	ErrCredentials = errors.New("entry: unusable credentials")
+	// ErrListen marks an address that cannot be opened.
+	ErrListen = errors.New("entry: cannot listen")
+)
+
+// Settings follows the tree of settings. It is safe for concurrent use.
+type Settings interface {
+	// Current returns the newest view, or nil before the first is caught up.
+	Current() settings.View
+	// Observe tells that a peer has applied records up to offset.
+	Observe(peer contract.MachineID, offset contract.Offset)
+	// Run follows the records until ctx ends.
+	Run(ctx context.Context)
+}
+
+// Options replaces parts of an entry; nil fields take what the process's
+// settings name.
+type Options struct {
+	// Settings follows the tree of settings.
+	Settings Settings
+	// Hosts reads the host list.
+	Hosts platform.Hosts
+	// Keys decides about idempotency keys; without it keyed calls are refused.
+	Keys Keys
+	// HostsInterval is the time between two polls of the host list.
+	HostsInterval time.Duration
+}
--- /dev/null
+++ b/machine/entry/retry/budget.go
@@ -0,0 +1,62 @@
+package retry
+
+import "mimosastand.example/mimosastand/contract"
+
+// Burst is how many retries an account holds at first and at most.
+const Burst = 10.0
+
+// Budget bounds retries as a share of first attempts.
+type Budget struct {
+	services map[contract.ServiceName]float64
+	teams    map[teamAccount]float64
+}
+
+type teamAccount struct {
+	service contract.ServiceName
+	team    contract.TeamName
+}
+
+// NewBudget returns a budget whose accounts are full.
+func NewBudget() *Budget {
+	return &Budget{
+		services: map[contract.ServiceName]float64{},
+		teams:    map[teamAccount]float64{},
+	}
+}
+
+// First records a first attempt. The shares are retries per first attempt.
+func (b *Budget) First(service contract.ServiceName, team contract.TeamName, serviceShare, teamShare float64) {
+	key := teamAccount{service: service, team: team}
+	b.services[service] = deposit(b.service(service), serviceShare)
+	b.teams[key] = deposit(b.team(key), teamShare)
+}
+
+// Take draws one retry and reports whether both accounts could pay for it.
+func (b *Budget) Take(service contract.ServiceName, team contract.TeamName) bool {
+	key := teamAccount{service: service, team: team}
+	ofService, ofTeam := b.service(service), b.team(key)
+	if ofService < 1 || ofTeam < 1 {
+		return false
+	}
+	b.services[service] = ofService - 1
+	b.teams[key] = ofTeam - 1
+	return true
+}
+
+func (b *Budget) service(name contract.ServiceName) float64 {
+	if v, ok := b.services[name]; ok {
+		return v
+	}
+	return Burst
+}
+
+func (b *Budget) team(key teamAccount) float64 {
+	if v, ok := b.teams[key]; ok {
+		return v
+	}
+	return Burst
+}
+
+func deposit(balance, share float64) float64 {
+	return min(Burst, balance+max(0, share))
+}
