--- /dev/null
+++ b/settings/follow/follower_test.go
@@ -0,0 +1,113 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/settings/follow/spread/sim"
+	"mimosastand.example/mimosastand/settings/record"
+	"mimosastand.example/mimosastand/settings/schema"
+)
+
+func run(t *testing.T, opts follow.Options) *follow.Follower {
+	t.Helper()
+	f := follow.New(opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// await waits until cond holds, checking at each change.
+func await(t *testing.T, f *follow.Follower, cond func() bool) {
+	t.Helper()
+	for {
+		changed := f.Changed()
+		if cond() {
+			return
+		}
+		<-changed
+	}
+}
+
+func change(id string, base contract.Offset, value string) record.Change {
+	scope := settings.Scope{Zone: "a"}
+	return record.Change{ID: id, Author: "op", Base: base, Changes: []settings.Change{{Scope: scope, Key: schema.Out, Value: value}}}
+}
+
+func TestSubmitSpreadsAndSurvivesLostReplies(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	first := run(t, follow.Options{Log: log, Machine: "one"})
+	await(t, first, first.Ready)
+	log.LoseReplies(2)
+	result, err := first.Submit(context.Background(), change("c1", 0, "true"))
+	if err != nil || !first.Current().Zone("r", "a").Out {
+		t.Fatalf("result %+v, %v", result, err)
+	}
+	again, err := first.Submit(context.Background(), change("c1", 0, "true"))
+	if err != nil || !again.Duplicate || again.Offset != result.Offset {
+		t.Fatalf("resend: %+v, %v", again, err)
+	}
+	second := run(t, follow.Options{Log: log, Machine: "two"})
+	await(t, second, func() bool { return second.Ready() && second.Current().Zone("r", "a").Out })
+}
+
+func TestSubmitConflictNamesTheOther(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	f := run(t, follow.Options{Log: log})
+	await(t, f, f.Ready)
+	if _, err := f.Submit(context.Background(), change("c1", 0, "true")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := f.Submit(context.Background(), change("c2", 0, "false"))
+	var conflict *follow.ConflictError
+	if !errors.As(err, &conflict) || conflict.With != 1 || conflict.ID != "c1" || conflict.Key != schema.Out {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestSubmitWhileLogIsDown(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	f := run(t, follow.Options{Log: log})
+	await(t, f, f.Ready)
+	log.SetDown(true)
+	if _, err := f.Submit(context.Background(), change("c1", 0, "true")); !errors.Is(err, follow.ErrNotAccepted) {
+		t.Fatalf("error %v", err)
+	}
+	log.SetDown(false)
+	if log.Newest() != 0 {
+		t.Fatal("appended")
+	}
+}
+
+// TestFreshProcessInOutage checks that a process that cannot read the log
+// learns all it needs from its peers.
+func TestFreshProcessInOutage(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	old := run(t, follow.Options{Log: log})
+	await(t, old, old.Ready)
+	if _, err := old.Submit(context.Background(), change("c1", 0, "true")); err != nil {
+		t.Fatal(err)
+	}
+	log.SetDown(true)
+	fresh := run(t, follow.Options{Log: log, Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+		return old.Serve(contract.SettingsPull{After: after}), nil
+	}})
+	await(t, fresh, fresh.Ready)
+	if !fresh.Current().Zone("r", "a").Out {
+		t.Fatal("not learnt")
+	}
+}
