claims: ledger, batcher and machine, first slice

Cause: keyed calls need one winner over all entry hosts. Change: pure state machines; the scenarios and the service follow.

--- a/machine/entry/claims/api.go
+++ b/machine/entry/claims/api.go
@@ -1,10 +1,3 @@
-// Package claims decides which request runs a caller's Idempotency-Key, so that
-// the call runs at most once over all entry hosts and over their deaths.
-//
-// Claims, takeovers and outcomes are records of one stream of the platform's
-// log; the first claim by offset holds the key. The package ledger replays the
-// stream, the package batcher packs many records into one append, and Service
-// joins them to the log.
 package claims
 
 import (
@@ -12,6 +5,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
 )
 
 // Verdict is what a caller of Claim must do.
@@ -65,16 +59,7 @@
 }
 
 // Result is how a request ended.
-type Result struct {
-	Status      int
-	ContentType string
-	Body        []byte
-	// Omitted tells that the answer's body was too long to keep: the call is
-	// done, but its body can not be given again.
-	Omitted bool
-	Outcome contract.Outcome
-	Reason  contract.Reason
-}
+type Result = ledger.Result
 
 // Decision answers a Claim.
 type Decision struct {
@@ -87,6 +72,7 @@
 	RetryAfter time.Duration
 	// StartWithin is set for Run: no attempt may be sent later than this after
 	// Claim returned, because others may then ask the targets to refuse it.
+	// The holder checks it before each attempt, with Lease.
 	StartWithin time.Duration
 }
 
@@ -110,8 +96,10 @@
 const (
 	// ProbeUnknown means that at least one target could not vouch. It is the zero value.
 	ProbeUnknown ProbeState = iota
-	// ProbeNeverRan means that every target, also each one that is leaving, holds
-	// a tombstone for the request.
+	// ProbeNeverRan means that every target which may have been sent the request
+	// holds a tombstone for it: each one that the prober has seen in the service
+	// since before the request's age, also those that are leaving or gone. A
+	// prober that has not watched the service for that long cannot tell.
 	ProbeNeverRan
 	// ProbeRunning means that a target still works on the request.
 	ProbeRunning
--- /dev/null
+++ b/machine/entry/claims/keytime.go
@@ -0,0 +1,25 @@
+package claims
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+)
+
+// keyTime returns when a key was made, for keys in the form of a UUID version 7
+// (RFC 9562), whose first 48 bits are a Unix time in milliseconds.
+func keyTime(key string) (time.Time, bool) {
+	const digits, versionAt, version = 32, 12, '7'
+	plain := strings.ReplaceAll(key, "-", "")
+	if len(plain) != digits || plain[versionAt] != version {
+		return time.Time{}, false
+	}
+	raw, err := hex.DecodeString(plain)
+	if err != nil {
+		return time.Time{}, false
+	}
+	const unused = 16
+	millis := binary.BigEndian.Uint64(raw[:8]) >> unused
+	return time.UnixMilli(int64(millis)), true
+}
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -168,7 +168,7 @@
 	}
 	s.stats.Reads++
 	size := 0
-	for i := int(after - st.trimmed); i < len(st.records) && len(batch.Records) < maxBatch; i++ {
+	for i := int(min(after, st.newest()) - st.trimmed); i < len(st.records) && len(batch.Records) < maxBatch; i++ {
 		size += len(st.records[i].Data)
 		if size > maxBatchBytes && len(batch.Records) > 0 {
 			break
