--- a/machine/entry/claims/batcher/batcher.go
+++ b/machine/entry/claims/batcher/batcher.go
@@ -70,12 +70,12 @@
 	sealed   *ledger.Batch
 	inFlight bool
 	// unsure tells that a reply to the sealed batch was lost.
-	unsure bool
-	seq       uint64
-	interval  time.Duration
-	due       time.Time
-	stats     Stats
-	off       mechanism
+	unsure   bool
+	seq      uint64
+	interval time.Duration
+	due      time.Time
+	stats    Stats
+	off      mechanism
 }
 
 // mechanism names parts that tests switch off to show that they are needed.
