Add the harness of separate processes, the load and the demo's script

Cause: the whole path must be seen working as separate processes, and tests of failures between processes need the same harness.

Ruled out: a shell script for the demo, since it cannot check answers.

Not run to its end yet: the operators' commands are missing.

--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,71 @@
+// Command demo starts a whole system of separate processes on this machine, puts
+// it under load while zones leave and return, weights roll out and processes
+// stop, and prints what callers got. It exits with 0 only if every promise held.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"mimosastand.example/mimosastand/internal/harness"
+)
+
+// demoLimit bounds the whole run.
+const demoLimit = 100 * time.Second
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	bin, keep := "bin", false
+	flaggy.SetName("demo")
+	flaggy.SetDescription("run a whole system on this machine under load and print what callers got")
+	flaggy.String(&bin, "b", "bin", "directory of the programs")
+	flaggy.Bool(&keep, "k", "keep", "keep the processes' logs and files")
+	flaggy.Parse()
+
+	dir, err := os.MkdirTemp("", "mimosastand-demo-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if keep {
+		fmt.Println("logs and files:", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	return play(dir, bin)
+}
+
+// play runs the demo in dir and returns the exit code.
+func play(dir, bin string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
+	absolute, err := filepath.Abs(bin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	cluster, err := harness.New(dir, absolute, spec())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer cluster.KillAll()
+	d := &demo{cluster: cluster, started: time.Now()}
+	if err := d.play(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		return 1
+	}
+	return d.report(os.Stdout)
+}
--- /dev/null
+++ b/internal/harness/cluster.go
@@ -0,0 +1,222 @@
+package harness
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/internal/devkeys"
+	"mimosastand.example/mimosastand/link"
+)
+
+// Cluster is a started system: stand-ins, entry hosts and target hosts.
+type Cluster struct {
+	Dir        string
+	BinDir     string
+	Spec       Spec
+	Entries    []*Entry
+	Targets    []*Target
+	StandIns   *Process
+	TokensFile string
+	// AdminToken is a bearer token with every right.
+	AdminToken string
+
+	LogAddress, StoreAddress, OriginAddress, HostsAddress string
+
+	spawner   *spawner
+	ports     ports
+	authority *devkeys.Authority
+}
+
+// stopGrace is how long a planned stop of one process may take.
+const stopGrace = 15 * time.Second
+
+// New prepares a system in dir with the programs in binDir; nothing runs yet.
+func New(dir, binDir string, spec Spec) (*Cluster, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "harness")
+	}
+	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: ports{given: map[string]bool{}}}
+	authority, err := devkeys.NewAuthority(dir)
+	if err != nil {
+		return nil, err
+	}
+	c.authority = authority
+	if err := c.assignPlatform(); err != nil {
+		return nil, err
+	}
+	if err := c.writeTokens(); err != nil {
+		return nil, err
+	}
+	return c, c.assignHosts()
+}
+
+func (c *Cluster) assignPlatform() error {
+	for _, address := range []*string{&c.LogAddress, &c.StoreAddress, &c.OriginAddress, &c.HostsAddress} {
+		next, err := c.ports.next()
+		if err != nil {
+			return err
+		}
+		*address = next
+	}
+	return nil
+}
+
+func (c *Cluster) assignHosts() error {
+	for _, zone := range c.Spec.Zones {
+		for n := range c.Spec.EntriesPerZone {
+			if err := c.addEntry(zone, n+1); err != nil {
+				return err
+			}
+		}
+		for _, service := range c.Spec.Services {
+			for n := range service.PerZone {
+				if err := c.addTarget(zone, service, n+1); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) addEntry(zone Zone, n int) error {
+	e := &Entry{Machine: machineName(zone.Name, "entry", n), Zone: zone}
+	for _, address := range []*string{&e.Link, &e.HTTP, &e.Admin} {
+		next, err := c.ports.next()
+		if err != nil {
+			return err
+		}
+		*address = next
+	}
+	files, err := c.authority.Issue(string(e.Machine), link.RoleEntry, devkeys.DefaultValidity)
+	if err != nil {
+		return err
+	}
+	e.iniFile, err = writeINI(c.Dir, string(e.Machine)+".ini", c.entrySections(e, files))
+	c.Entries = append(c.Entries, e)
+	return err
+}
+
+func (c *Cluster) addTarget(zone Zone, service Service, n int) error {
+	t := &Target{Machine: machineName(zone.Name, string(service.Name), n), Zone: zone, Service: service}
+	for _, address := range []*string{&t.Link, &t.HTTP, &t.Backend} {
+		next, err := c.ports.next()
+		if err != nil {
+			return err
+		}
+		*address = next
+	}
+	files, err := c.authority.Issue(string(t.Machine), link.RoleTarget, devkeys.DefaultValidity)
+	if err != nil {
+		return err
+	}
+	t.iniFile, err = writeINI(c.Dir, string(t.Machine)+".ini", c.targetSections(t, files))
+	c.Targets = append(c.Targets, t)
+	return err
+}
+
+// StartStandIns starts the platform and all back ends and waits until they listen.
+func (c *Cluster) StartStandIns(wait time.Duration) error {
+	file, err := writeINI(c.Dir, "standins.ini", c.standInSections())
+	if err != nil {
+		return err
+	}
+	c.StandIns, err = c.spawner.spawn(c.Dir, "standins", filepath.Join(c.BinDir, "standins"), "--config", file)
+	if err != nil {
+		return err
+	}
+	if err := waitLine(c.StandIns, "ready", wait); err != nil {
+		return err
+	}
+	return c.PutHosts()
+}
+
+func (c *Cluster) standInSections() []section {
+	sections := []section{
+		{name: "log", keys: with(c.Spec.LogOptions, "listen", c.LogAddress)},
+		{name: "store", keys: with(c.Spec.StoreOptions, "listen", c.StoreAddress)},
+		{name: "origin", keys: with(c.Spec.OriginOptions, "listen", c.OriginAddress)},
+		{name: "hosts", keys: map[string]string{"listen": c.HostsAddress}},
+	}
+	for _, t := range c.Targets {
+		if t.Service.Model {
+			sections = append(sections, section{name: "engine " + string(t.Machine), keys: with(c.Spec.EngineOptions, "listen", t.Backend)})
+			continue
+		}
+		sections = append(sections, section{name: "service " + string(t.Machine), keys: map[string]string{"listen": t.Backend}})
+	}
+	return sections
+}
+
+// StartEntry starts the process of an entry host, also after it was stopped.
+func (c *Cluster) StartEntry(e *Entry) error {
+	p, err := c.spawner.spawn(c.Dir, string(e.Machine), filepath.Join(c.BinDir, "mimosastand"), "entry", "--config", e.iniFile)
+	e.Process = p
+	return err
+}
+
+// StartTarget starts the process of a target host, also after it was stopped.
+func (c *Cluster) StartTarget(t *Target) error {
+	p, err := c.spawner.spawn(c.Dir, string(t.Machine), filepath.Join(c.BinDir, "mimosastand"), "target", "--config", t.iniFile)
+	t.Process = p
+	return err
+}
+
+// StartAll starts every entry and target process.
+func (c *Cluster) StartAll() error {
+	for _, t := range c.Targets {
+		if err := c.StartTarget(t); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := c.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Processes lists all processes that were started last, entries first and the
+// stand-ins last.
+func (c *Cluster) Processes() []*Process {
+	var all []*Process
+	for _, e := range c.Entries {
+		all = append(all, e.Process)
+	}
+	for _, t := range c.Targets {
+		all = append(all, t.Process)
+	}
+	all = append(all, c.StandIns)
+	var started []*Process
+	for _, p := range all {
+		if p != nil {
+			started = append(started, p)
+		}
+	}
+	return started
+}
+
+// StopAll asks every process for a planned stop, entries first, and returns the
+// names of those that did not end well.
+func (c *Cluster) StopAll() []string {
+	var failed []string
+	for _, p := range c.Processes() {
+		if p.Running() && !p.Stop(stopGrace) {
+			failed = append(failed, p.Name)
+		}
+	}
+	return failed
+}
+
+// KillAll ends every process at once.
+func (c *Cluster) KillAll() {
+	for _, p := range c.Processes() {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/internal/harness/control.go
@@ -0,0 +1,155 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/platform"
+)
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 50 * time.Millisecond
+
+// WaitFor polls check until it returns nil; after wait it returns check's error.
+func WaitFor(ctx context.Context, wait time.Duration, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func waitLine(p *Process, line string, wait time.Duration) error {
+	return WaitFor(context.Background(), wait, func() error {
+		if !p.Running() {
+			return errors.Newf("harness: %s ended early, see %s", p.Name, p.LogFile)
+		}
+		data, err := os.ReadFile(p.LogFile)
+		if err != nil {
+			return errors.Wrap(err, "harness")
+		}
+		if !bytes.Contains(data, []byte(line)) {
+			return errors.Newf("harness: %s did not print %q", p.Name, line)
+		}
+		return nil
+	})
+}
+
+// WaitReady waits until the process behind an HTTP address answers /readyz with 200.
+func WaitReady(ctx context.Context, address string, wait time.Duration) error {
+	return WaitFor(ctx, wait, func() error {
+		resp, err := http.Get("http://" + address + "/readyz")
+		if err != nil {
+			return errors.Wrap(err, "harness")
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			body, _ := io.ReadAll(resp.Body)
+			return errors.Newf("harness: %s not ready: %s", address, body)
+		}
+		return nil
+	})
+}
+
+// PutHosts sends the full host list to its stand-in.
+func (c *Cluster) PutHosts() error {
+	list := platform.HostList{Version: 1}
+	for _, e := range c.Entries {
+		list.Hosts = append(list.Hosts, platform.Host{
+			Machine: e.Machine, Role: platform.HostEntry, Zone: e.Zone.Name, Region: e.Zone.Region,
+			Address: e.Link, State: platform.HostLive,
+		})
+	}
+	for _, t := range c.Targets {
+		list.Hosts = append(list.Hosts, platform.Host{
+			Machine: t.Machine, Role: platform.HostTarget, Zone: t.Zone.Name, Region: t.Zone.Region,
+			Service: t.Service.Name, Address: t.Link, State: platform.HostLive,
+		})
+	}
+	return send(http.MethodPut, "http://"+c.HostsAddress+"/hosts", list)
+}
+
+// Fault switches a fault of the stand-in at address on, or off with "none".
+func (c *Cluster) Fault(address, fault string, options map[string]any) error {
+	body := map[string]any{"fault": fault}
+	for k, v := range options {
+		body[k] = v
+	}
+	return send(http.MethodPost, "http://"+address+"/fault", body)
+}
+
+func send(method, url string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "harness")
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "harness")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "harness")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		body, _ := io.ReadAll(resp.Body)
+		return errors.Newf("harness: %s %s: %d %s", method, url, resp.StatusCode, body)
+	}
+	return nil
+}
+
+// Stats reads the counters of the stand-in at address.
+func (c *Cluster) Stats(address string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + address + "/stats")
+	if err != nil {
+		return nil, errors.Wrap(err, "harness")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var raw map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&raw); err != nil {
+		return nil, errors.Wrap(err, "harness")
+	}
+	stats := map[string]float64{}
+	for k, v := range raw {
+		if n, ok := v.(float64); ok {
+			stats[k] = n
+		}
+	}
+	return stats, nil
+}
+
+// Operator runs an operators' command against all entry hosts and returns what
+// it printed.
+func (c *Cluster) Operator(ctx context.Context, args ...string) (string, error) {
+	servers := make([]string, len(c.Entries))
+	for i, e := range c.Entries {
+		servers[i] = "http://" + e.Admin
+	}
+	args = append(args, "--server", strings.Join(servers, ","), "--token-file", c.adminTokenFile())
+	cmd := exec.CommandContext(ctx, filepath.Join(c.BinDir, "mimosastand"), args...)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "harness: mimosastand %s: %s", strings.Join(args[:min(3, len(args))], " "), out)
+}
+
+func (c *Cluster) adminTokenFile() string {
+	return filepath.Join(c.Dir, "admin.token")
+}
--- /dev/null
+++ b/internal/harness/ini.go
@@ -0,0 +1,112 @@
+package harness
+
+import (
+	"os"
+	"path/filepath"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+
+	"mimosastand.example/mimosastand/link"
+)
+
+// section is one section of an INI file.
+type section struct {
+	name string
+	keys map[string]string
+}
+
+// writeINI writes sections to dir/name and returns the file.
+func writeINI(dir, name string, sections []section) (string, error) {
+	file := ini.Empty()
+	for _, s := range sections {
+		added, err := file.NewSection(s.name)
+		if err != nil {
+			return "", errors.Wrap(err, "harness")
+		}
+		for _, key := range sortedKeys(s.keys) {
+			if _, err := added.NewKey(key, s.keys[key]); err != nil {
+				return "", errors.Wrap(err, "harness")
+			}
+		}
+	}
+	path := filepath.Join(dir, name)
+	out, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return "", errors.Wrap(err, "harness")
+	}
+	defer func() { _ = out.Close() }()
+	_, err = file.WriteTo(out)
+	return path, errors.Wrap(err, "harness")
+}
+
+func sortedKeys(m map[string]string) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func with(m map[string]string, key, value string) map[string]string {
+	out := map[string]string{key: value}
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// platformSection locates the stand-ins for a process.
+func (c *Cluster) platformSection() section {
+	return section{name: "platform", keys: map[string]string{
+		"log":    "http://" + c.LogAddress,
+		"store":  "http://" + c.StoreAddress,
+		"origin": "http://" + c.OriginAddress,
+		"hosts":  "http://" + c.HostsAddress,
+	}}
+}
+
+func tlsSection(files link.Files) section {
+	return section{name: "tls", keys: map[string]string{"ca": files.CA, "cert": files.Cert, "key": files.Key}}
+}
+
+// entrySections is the file of an entry process.
+func (c *Cluster) entrySections(e *Entry, files link.Files) []section {
+	return []section{
+		{name: "process", keys: map[string]string{
+			"role": "entry", "machine": string(e.Machine),
+			"zone": string(e.Zone.Name), "region": string(e.Zone.Region),
+		}},
+		{name: "listen", keys: map[string]string{"link": e.Link, "http": e.HTTP, "admin": e.Admin}},
+		c.platformSection(),
+		tlsSection(files),
+		{name: "link", keys: linkKeys},
+		{name: "entry", keys: map[string]string{"tokens_file": c.TokensFile}},
+	}
+}
+
+// targetSections is the file of a target process.
+func (c *Cluster) targetSections(t *Target, files link.Files) []section {
+	kind := "plain"
+	if t.Service.Model {
+		kind = "model"
+	}
+	return []section{
+		{name: "process", keys: map[string]string{
+			"role": "target", "machine": string(t.Machine),
+			"zone": string(t.Zone.Name), "region": string(t.Zone.Region),
+		}},
+		{name: "listen", keys: map[string]string{"link": t.Link, "http": t.HTTP}},
+		c.platformSection(),
+		tlsSection(files),
+		{name: "link", keys: linkKeys},
+		{name: "target", keys: map[string]string{
+			"service": string(t.Service.Name), "kind": kind, "backend": "http://" + t.Backend,
+		}},
+	}
+}
+
+// linkKeys make silence show soon, to keep demo and tests short.
+var linkKeys = map[string]string{"heartbeat": "300ms", "silent_after": "1500ms"}
--- /dev/null
+++ b/internal/harness/process.go
@@ -0,0 +1,119 @@
+package harness
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process is one started program, its output in a file.
+type Process struct {
+	Name    string
+	LogFile string
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// spawner starts programs on one locked thread, because the kernel ends a child
+// with the thread that started it.
+type spawner struct {
+	requests chan func()
+}
+
+func newSpawner() *spawner {
+	s := &spawner{requests: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for f := range s.requests {
+			f()
+		}
+	}()
+	return s
+}
+
+func (s *spawner) start(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	s.requests <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// spawn starts program with args; its output goes to dir/name.log.
+func (s *spawner) spawn(dir, name, program string, args ...string) (*Process, error) {
+	logFile := filepath.Join(dir, name+".log")
+	out, err := os.OpenFile(logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "harness")
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout = out
+	cmd.Stderr = out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := s.start(cmd); err != nil {
+		return nil, errors.Wrapf(err, "harness: start %s", name)
+	}
+	p := &Process{Name: name, LogFile: logFile, cmd: cmd, done: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+// PID returns the process id.
+func (p *Process) PID() int {
+	return p.cmd.Process.Pid
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} {
+	return p.done
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal, such as SIGTERM for a planned stop, SIGKILL for a
+// death, SIGSTOP and SIGCONT for a pause.
+func (p *Process) Signal(sig os.Signal) error {
+	if !p.Running() {
+		return nil
+	}
+	return errors.Wrapf(p.cmd.Process.Signal(sig), "harness: signal %s", p.Name)
+}
+
+// Stop asks for a planned stop and waits. It reports whether the process ended
+// with status 0 within grace; otherwise it is killed.
+func (p *Process) Stop(grace time.Duration) bool {
+	_ = p.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return p.err == nil
+	case <-timer.C:
+		p.Kill()
+		return false
+	}
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
--- /dev/null
+++ b/internal/harness/spec.go
@@ -0,0 +1,104 @@
+package harness
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Spec describes a system to start.
+type Spec struct {
+	Zones    []Zone
+	Services []Service
+	// EntriesPerZone is how many entry hosts each zone has.
+	EntriesPerZone int
+	// EngineOptions are the keys of every model engine's section in the
+	// stand-ins' file, such as "cold_start" = "2s".
+	EngineOptions map[string]string
+	// LogOptions, StoreOptions and OriginOptions are those of the platform's.
+	LogOptions, StoreOptions, OriginOptions map[string]string
+}
+
+// Zone is one availability zone.
+type Zone struct {
+	Name   contract.ZoneName
+	Region contract.RegionName
+}
+
+// Service is one service and its targets.
+type Service struct {
+	Name contract.ServiceName
+	// Model is set for a model deployment, not for a plain service.
+	Model bool
+	// PerZone is how many targets each zone has.
+	PerZone int
+}
+
+// Entry is one entry host of a started system.
+type Entry struct {
+	Machine  contract.MachineID
+	Zone     Zone
+	Link     string
+	HTTP     string
+	Admin    string
+	Process  *Process
+	iniFile  string
+}
+
+// Target is one target host of a started system.
+type Target struct {
+	Machine contract.MachineID
+	Zone    Zone
+	Service Service
+	Link    string
+	HTTP    string
+	Backend string
+	Process *Process
+	iniFile string
+}
+
+// ports hands out free loopback addresses.
+type ports struct {
+	given map[string]bool
+}
+
+// next returns an address that is free for TCP and UDP.
+func (p *ports) next() (string, error) {
+	const tries = 100
+	for range tries {
+		address, err := freeAddress()
+		if err != nil {
+			return "", err
+		}
+		if address != "" && !p.given[address] {
+			p.given[address] = true
+			return address, nil
+		}
+	}
+	return "", errors.New("harness: no free port")
+}
+
+// freeAddress returns an address that is free for TCP, or "" if it is not free
+// for UDP too.
+func freeAddress() (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "harness")
+	}
+	defer func() { _ = lis.Close() }()
+	address := lis.Addr().String()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return "", nil
+	}
+	_ = udp.Close()
+	return address, nil
+}
+
+// machineName returns names such as "khomas-a-entry-1".
+func machineName(zone contract.ZoneName, what string, n int) contract.MachineID {
+	return contract.MachineID(fmt.Sprintf("%s-%s-%d", zone, what, n))
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// Class is what a caller got.
+type Class string
+
+// The classes of a call's end.
+const (
+	// Whole is a complete answer, checked to the last token or byte.
+	Whole Class = "whole"
+	// Refused is a refusal with problem details.
+	Refused Class = "refused"
+	// Cut is an answer that broke off without an end or an error event.
+	Cut Class = "cut"
+	// Ended is a stream that the system ended by an error event.
+	Ended Class = "ended by error"
+	// Wrong is an answer that is not the one to this request.
+	Wrong Class = "wrong"
+	// Unreachable means that no entry host took the connection.
+	Unreachable Class = "unreachable"
+)
+
+// Result is the end of one call.
+type Result struct {
+	Class   Class
+	Status  int
+	Outcome string
+	Reason  contract.Reason
+	// RetryAfter is 0 if the answer names none.
+	RetryAfter time.Duration
+	// FirstToken is the time to the first token or, for a service, to the answer.
+	FirstToken time.Duration
+	// MaxGap is the longest time between two tokens.
+	MaxGap time.Duration
+	Digest contract.Digest
+	// Detail says what was wrong.
+	Detail string
+}
+
+const (
+	histogramMin     = int64(10 * time.Microsecond)
+	histogramMax     = int64(2 * time.Minute)
+	histogramFigures = 3
+)
+
+// Tally adds up results. It is safe for concurrent use.
+type Tally struct {
+	mu         sync.Mutex
+	classes    map[Class]int
+	reasons    map[string]int
+	details    []string
+	digests    map[contract.Digest]int
+	firstToken *hdrhistogram.Histogram
+	gaps       *hdrhistogram.Histogram
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{
+		classes:    map[Class]int{},
+		reasons:    map[string]int{},
+		digests:    map[contract.Digest]int{},
+		firstToken: hdrhistogram.New(histogramMin, histogramMax, histogramFigures),
+		gaps:       hdrhistogram.New(histogramMin, histogramMax, histogramFigures),
+	}
+}
+
+// Add counts r.
+func (t *Tally) Add(r Result) {
+	const keptDetails = 20
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.classes[r.Class]++
+	switch r.Class {
+	case Whole:
+		_ = t.firstToken.RecordValue(int64(r.FirstToken))
+		_ = t.gaps.RecordValue(int64(r.MaxGap))
+		t.digests[r.Digest]++
+	default:
+		t.reasons[string(r.Reason)+" ("+r.Outcome+")"]++
+		if len(t.details) < keptDetails && r.Detail != "" {
+			t.details = append(t.details, string(r.Class)+": "+r.Detail)
+		}
+	}
+}
+
+// Count returns how many results had a class.
+func (t *Tally) Count(c Class) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.classes[c]
+}
+
+// Total returns how many results were added.
+func (t *Tally) Total() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, n := range t.classes {
+		total += n
+	}
+	return total
+}
+
+// Reasons returns how often each reason and outcome came.
+func (t *Tally) Reasons() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return copyCounts(t.reasons)
+}
+
+// Digests returns how many whole answers came from each version.
+func (t *Tally) Digests() map[contract.Digest]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return copyCounts(t.digests)
+}
+
+func copyCounts[K comparable](from map[K]int) map[K]int {
+	to := make(map[K]int, len(from))
+	for k, n := range from {
+		to[k] = n
+	}
+	return to
+}
+
+// Details returns what went wrong, for the first few calls that were not whole.
+func (t *Tally) Details() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string(nil), t.details...)
+}
+
+// FirstToken returns a percentile of the time to the first token.
+func (t *Tally) FirstToken(percent float64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.firstToken.ValueAtPercentile(percent))
+}
+
+// Gap returns a percentile of each answer's longest gap between tokens.
+func (t *Tally) Gap(percent float64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.gaps.ValueAtPercentile(percent))
+}
