--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -39,13 +39,13 @@
 
 // Entry is one entry host of a started system.
 type Entry struct {
-	Machine  contract.MachineID
-	Zone     Zone
-	Link     string
-	HTTP     string
-	Admin    string
-	Process  *Process
-	iniFile  string
+	Machine contract.MachineID
+	Zone    Zone
+	Link    string
+	HTTP    string
+	Admin   string
+	Process *Process
+	iniFile string
 }
 
 // Target is one target host of a started system.
--- a/link/conn.go
+++ b/link/conn.go
@@ -54,6 +54,7 @@
 // start runs the heartbeats and the accept loop until the connection ends.
 func (c *Conn) start(beats *Stream) {
 	e := c.endpoint
+	e.meter.begin(c.qc)
 	e.wg.Add(3)
 	go c.sendHeartbeats(beats)
 	go c.receiveHeartbeats(beats)
@@ -105,6 +106,7 @@
 
 func (c *Conn) acceptStreams() {
 	defer c.endpoint.wg.Done()
+	defer c.endpoint.meter.end(c.qc)
 	for {
 		qs, err := c.qc.AcceptStream(c.qc.Context())
 		if err != nil {
--- a/link/endpoint.go
+++ b/link/endpoint.go
@@ -35,6 +35,7 @@
 	lis     *quic.Listener
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
+	meter   meter
 }
 
 // Listen opens address ("ip:port", UDP) and serves connections until Close.
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -42,7 +43,9 @@
 	config Config
 
 	mu sync.Mutex
-	// versions holds the list that callers see and all later ones.
+	// past holds the lists that callers saw before, oldest first; versions the
+	// list that they see and all later ones.
+	past     []platform.HostList
 	versions []version
 	gets     uint64
 }
@@ -74,16 +77,37 @@
 	l.versions = append(l.versions, version{at: time.Now(), list: list})
 }
 
-func (l *List) serveGet(w http.ResponseWriter, _ *http.Request) {
+// maxPast is how many former lists a change can start from.
+const maxPast = 64
+
+func (l *List) serveGet(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gets++
 	shown := time.Now().Add(-l.config.Lag)
 	for len(l.versions) > 1 && !l.versions[1].at.After(shown) {
+		l.past = append(l.past, l.versions[0].list)
+		l.past = l.past[max(0, len(l.past)-maxPast):]
 		l.versions = l.versions[1:]
 	}
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l.versions[0].list)
+	_ = json.NewEncoder(w).Encode(l.since(after))
+}
+
+// since returns the change from a version that a caller has seen, or the whole
+// list if that version is not known.
+func (l *List) since(after uint64) platform.HostChange {
+	shown := l.versions[0].list
+	if after == shown.Version && after != 0 {
+		return platform.HostChange{Version: after, After: after, Hosts: []platform.Host{}}
+	}
+	for _, older := range l.past {
+		if older.Version == after && after != 0 {
+			return shown.Since(older)
+		}
+	}
+	return platform.HostChange{Version: shown.Version, Hosts: shown.Hosts}
 }
 
 func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
