--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -25,11 +25,12 @@
 }
 
 func run() int {
-	bin, keep := "bin", false
+	bin, keep, hold := "bin", false, false
 	flaggy.SetName("demo")
 	flaggy.SetDescription("run a whole system on this machine under load and print what callers got")
 	flaggy.String(&bin, "b", "bin", "directory of the programs")
 	flaggy.Bool(&keep, "k", "keep", "keep the processes' logs and files")
+	flaggy.Bool(&hold, "o", "hold", "start the system, print its addresses and keep it until interrupted")
 	flaggy.Parse()
 
 	dir, err := os.MkdirTemp("", "mimosastand-demo-")
@@ -42,15 +43,13 @@
 	} else {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	return play(dir, bin)
+	return play(dir, bin, hold)
 }
 
 // play runs the demo in dir and returns the exit code.
-func play(dir, bin string) int {
+func play(dir, bin string, hold bool) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, demoLimit)
-	defer cancel()
 	absolute, err := filepath.Abs(bin)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -63,6 +62,11 @@
 	}
 	defer cluster.KillAll()
 	d := &demo{cluster: cluster, started: time.Now()}
+	if hold {
+		return d.hold(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
 	if err := d.play(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		return 1
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -45,12 +45,14 @@
 	rows    []row
 }
 
-// play runs all phases in order.
-func (d *demo) play(ctx context.Context) error {
-	phases := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+// phase is one step of the demo.
+type phase struct {
+	name string
+	run  func(context.Context) error
+}
+
+func (d *demo) phases() []phase {
+	return []phase{
 		{"start the stand-ins and the processes", d.start},
 		{"publish and deploy the first version", d.firstVersion},
 		{"send calls, take a zone out and back", d.zoneOutAndBack},
@@ -58,6 +60,14 @@
 		{"stop a target and an entry under load", d.stopUnderLoad},
 		{"stop everything", d.stopAll},
 	}
+}
+
+// play runs all phases in order.
+func (d *demo) play(ctx context.Context) error {
+	return d.run(ctx, d.phases())
+}
+
+func (d *demo) run(ctx context.Context, phases []phase) error {
 	for _, p := range phases {
 		fmt.Printf("%5.1fs  %s\n", time.Since(d.started).Seconds(), p.name)
 		if err := p.run(ctx); err != nil {
@@ -68,6 +78,22 @@
 	return nil
 }
 
+// hold starts the system with its first version and keeps it until ctx ends.
+func (d *demo) hold(ctx context.Context) int {
+	const startPhases = 2
+	if err := d.run(ctx, d.phases()[:startPhases]); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		return 1
+	}
+	for _, e := range d.cluster.Entries {
+		fmt.Printf("%s: callers http://%s, operators http://%s\n", e.Machine, e.HTTP, e.Admin)
+	}
+	fmt.Println("operators' token:", filepath.Join(d.cluster.Dir, "admin.token"))
+	<-ctx.Done()
+	d.cluster.StopAll()
+	return 0
+}
+
 func (d *demo) start(ctx context.Context) error {
 	if err := d.cluster.StartStandIns(startWait); err != nil {
 		return err
