Follow the settings and activate weights through the gate

Cause: limits, zone state and versions came from the process's file alone. Change: settings records are followed, served and pulled from peers; the offset that makes a sender stale is the newest one that changed the zone's state or the service's deployment; the agent's orders drain the gate first and begin a cold start. Connections to other targets are made when needed. Loads on replies now carry the credits of the sender that reads them.

--- /dev/null
+++ b/machine/target/activate.go
@@ -0,0 +1,97 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/target/backend"
+	"mimosastand.example/mimosastand/machine/target/gate"
+	"mimosastand.example/mimosastand/weights/agent"
+)
+
+// drainGrace is how long running work may go on before a change of the version
+// hands over what another target can resume.
+const drainGrace = 5 * time.Second
+
+// drain holds back new work and waits until none runs, for the agent.
+func (p *Process) drain(ctx context.Context) error {
+	p.step(gate.Drain{})
+	handOver := time.Now().Add(drainGrace)
+	handed := false
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for !p.idle() {
+		if !handed && time.Now().After(handOver) {
+			handed = true
+			p.step(gate.HandOver{})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (p *Process) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate.Idle()
+}
+
+// engineOrders is the engine as the agent sees it.
+type engineOrders struct{ engine *backend.Engine }
+
+var _ agent.Engine = engineOrders{}
+
+// Report implements agent.Engine.
+func (e engineOrders) Report(ctx context.Context) (agent.Report, error) {
+	r, err := e.engine.Report(ctx)
+	if err != nil {
+		return agent.Report{}, engineError(err, agent.ErrEngineDown)
+	}
+	return agent.Report{
+		Boot: r.Boot, Seq: r.Seq, Digest: r.Digest, Role: r.Role, Warm: r.Warm,
+		Fencing: r.Fencing, Age: r.Age(),
+	}, nil
+}
+
+// PutManifest implements agent.Engine.
+func (e engineOrders) PutManifest(ctx context.Context, version contract.Digest, encoded []byte) error {
+	return engineError(e.engine.PutManifest(ctx, version, encoded), agent.ErrEngineNotWhole)
+}
+
+// PutChunk implements agent.Engine.
+func (e engineOrders) PutChunk(ctx context.Context, version contract.Digest, index int, data []byte) error {
+	return engineError(e.engine.PutChunk(ctx, version, uint32(index), data), agent.ErrEngineChunk)
+}
+
+// Order implements agent.Engine.
+func (e engineOrders) Order(ctx context.Context, o agent.Order) error {
+	err := e.engine.Order(ctx, backend.Order{
+		Fence: o.Fence, Order: string(o.Kind), Digest: o.Digest, Adapters: o.Adapters, Role: o.Role,
+	})
+	return engineError(err, agent.ErrEngineNotWhole)
+}
+
+// engineError turns an error of the back end's client into the agent's;
+// notWhole is what a failed verification means for the call.
+func engineError(err, notWhole error) error {
+	var fenced *backend.FencedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &fenced):
+		return errors.Mark(err, agent.ErrEngineFence)
+	case errors.Is(err, backend.ErrNotWhole):
+		return errors.Mark(err, notWhole)
+	case errors.Is(err, backend.ErrNotSent), errors.Is(err, backend.ErrRefused):
+		return errors.Mark(err, agent.ErrEngineDown)
+	default:
+		return errors.Mark(err, agent.ErrEngineUncertain)
+	}
+}
--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -13,21 +13,18 @@
 	s := &e.Start
 	g.senders.worked(e.From, g.now)
 	if !valid(s) {
-		g.refuseUnburied(s.Attempt, contract.ReasonBadRequest)
+		g.refuseUnburied(e.From, s.Attempt, contract.ReasonBadRequest)
 		return
 	}
-	if g.known(s) {
+	if g.known(e.From, s) {
 		return
 	}
+	a := &attempt{from: e.From, start: *s, deadline: g.now.Add(s.Remaining)}
 	if reason := g.objection(s); reason != "" {
-		g.refuse(s.Attempt, g.deadline(s), reason)
+		g.refuse(a, reason)
 		return
 	}
-	g.enqueue(&attempt{start: *s, deadline: g.deadline(s)})
-}
-
-func (g *Gate) deadline(s *contract.Start) time.Time {
-	return g.now.Add(s.Remaining)
+	g.enqueue(a)
 }
 
 func valid(s *contract.Start) bool {
@@ -36,10 +33,10 @@
 
 // known answers an attempt that was heard before. A tombstone refuses it;
 // otherwise it may run, so that its state is told instead.
-func (g *Gate) known(s *contract.Start) bool {
+func (g *Gate) known(from contract.MachineID, s *contract.Start) bool {
 	if g.off&offTombstones == 0 {
 		if _, buried := g.store.Buried(g.now, s.Attempt); buried && !g.heard(s.Attempt) {
-			g.refuseUnburied(s.Attempt, contract.ReasonTombstone)
+			g.refuseUnburied(from, s.Attempt, contract.ReasonTombstone)
 			return true
 		}
 	}
@@ -87,7 +84,7 @@
 	if !g.cfg.Model {
 		return ""
 	}
-	if g.weights == "" {
+	if g.weights == "" || g.draining() {
 		return contract.ReasonNoWeights
 	}
 	if s.Weights != g.weights {
@@ -115,12 +112,12 @@
 func (g *Gate) enqueue(a *attempt) {
 	g.supersede(a)
 	if !g.store.Room() {
-		g.refuse(a.id(), a.deadline, contract.ReasonTargetFull)
+		g.refuse(a, contract.ReasonTargetFull)
 		return
 	}
 	direct := len(g.queue) == 0 && g.room() > 0
 	if !direct && !g.queueTakes(a) {
-		g.refuse(a.id(), a.deadline, g.fullReason())
+		g.refuse(a, g.fullReason())
 		return
 	}
 	at := sort.Search(len(g.queue), func(i int) bool {
@@ -212,7 +209,7 @@
 	a.record = g.store.Begin(g.now, a.id(), a.deadline)
 	a.started = g.now
 	g.limit(coldstart.Sent{Attempt: a.id()})
-	g.emit(Run{Start: a.start, Deadline: a.deadline})
+	g.emit(Run{From: a.from, Start: a.start, Deadline: a.deadline})
 }
 
 // Sendable tells whether a running attempt may still be given to the back end
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -111,7 +111,7 @@
 		g.store.Finish(g.now, a.record, end)
 		end, _ = a.record.End()
 	}
-	g.emit(Close{End: end})
+	g.emit(Close{From: a.from, End: end})
 }
 
 func (g *Gate) limitFault(f Fault) {
--- a/machine/target/gate/config.go
+++ b/machine/target/gate/config.go
@@ -23,7 +23,9 @@
 	MaxTransit time.Duration
 	// SenderSilence is how long a sender counts after it was last heard.
 	SenderSilence time.Duration
-	Answers       answers.Limits
+	// MaxDrain bounds the time for which a Drain holds back new work.
+	MaxDrain time.Duration
+	Answers  answers.Limits
 }
 
 // DefaultConfig holds the defaults of a target process.
@@ -33,6 +35,7 @@
 	ResumeGrace:   5 * time.Second,
 	MaxTransit:    5 * time.Second,
 	SenderSilence: 5 * time.Second,
+	MaxDrain:      30 * time.Second,
 	Answers:       answers.DefaultLimits,
 }
 
--- a/machine/target/gate/event.go
+++ b/machine/target/gate/event.go
@@ -79,6 +79,10 @@
 // Leave tells that the target begins to leave: it accepts nothing new.
 type Leave struct{}
 
+// Drain tells that the engine is about to serve another version: nothing new is
+// accepted until Activated, or for Config.MaxDrain.
+type Drain struct{}
+
 // HandOver asks to end what can be resumed elsewhere.
 type HandOver struct{}
 
@@ -98,6 +102,7 @@
 func (Configured) event() {}
 func (HeardFrom) event()  {}
 func (Leave) event()      {}
+func (Drain) event()      {}
 func (HandOver) event()   {}
 func (Tick) event()       {}
 
@@ -107,6 +112,7 @@
 // Run asks to accept an attempt towards its sender and to give it to the back
 // end.
 type Run struct {
+	From     contract.MachineID
 	Start    contract.Start
 	Deadline time.Time
 }
@@ -124,7 +130,10 @@
 }
 
 // Close asks to send the end of an answer.
-type Close struct{ End contract.End }
+type Close struct {
+	From contract.MachineID
+	End  contract.End
+}
 
 // Ignored tells that an event was dropped, for the counters.
 type Ignored struct{ Cause string }
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -46,7 +46,9 @@
 	// activated is when the target last ordered a version into service: an
 	// older report does not know of it.
 	activated time.Time
-	leaving   bool
+	// drainUntil holds back new work while the version is about to change.
+	drainUntil time.Time
+	leaving    bool
 	// meanRun is the mean time that units ran, 0 before the first one.
 	meanRun time.Duration
 	senders senders
@@ -57,6 +59,7 @@
 
 // attempt is one that is queued, runs or lingers.
 type attempt struct {
+	from     contract.MachineID
 	start    contract.Start
 	deadline time.Time
 	// record is nil while the attempt is queued.
@@ -126,15 +129,16 @@
 func (g *Gate) stepState(e Event) {
 	switch e := e.(type) {
 	case Activated:
-		g.activated = g.now
-		g.limit(coldstart.Activated{})
-		g.setWeights(e.Weights)
+		g.activate(e.Weights)
 	case Configured:
 		g.configured(e.Settings)
 	case HeardFrom:
 		g.senders.heard(e.Machine, g.now)
 	case Leave:
 		g.leave()
+	case Drain:
+		g.drainUntil = g.now.Add(g.cfg.MaxDrain)
+		g.returnQueue(contract.ReasonNoWeights)
 	case HandOver:
 		g.handOver()
 	case Tick:
@@ -188,6 +192,21 @@
 	return false
 }
 
+// activate ends a drain. An engine that serves another version than before is
+// cold.
+func (g *Gate) activate(digest contract.Digest) {
+	g.drainUntil = zeroTime
+	if digest == g.weights {
+		return
+	}
+	g.activated = g.now
+	g.limit(coldstart.Activated{})
+	g.setWeights(digest)
+}
+
+// draining reports whether a change of the version holds back new work.
+func (g *Gate) draining() bool { return g.now.Before(g.drainUntil) }
+
 // setWeights makes digest the active version: queued attempts pinned to
 // another go back, running ones are ended.
 func (g *Gate) setWeights(digest contract.Digest) {
@@ -232,12 +251,16 @@
 
 // handOver ends the streams that another target can resume.
 func (g *Gate) handOver() {
-	if !g.leaving || !g.cfg.Model {
+	reason := contract.ReasonTargetLeaving
+	if !g.leaving {
+		reason = contract.ReasonWeightsChanged
+	}
+	if !g.cfg.Model || !g.leaving && !g.draining() {
 		return
 	}
 	for _, a := range g.running() {
 		if a.start.Idempotent {
-			g.stop(a, contract.ReasonTargetLeaving)
+			g.stop(a, reason)
 		}
 	}
 }
@@ -290,6 +313,6 @@
 
 // Ready reports whether the gate would accept work if it had room.
 func (g *Gate) Ready() bool {
-	return g.settings.Ready && !g.leaving && !g.settings.ZoneOut && g.limiter.Limit() > 0 &&
+	return g.settings.Ready && !g.leaving && !g.settings.ZoneOut && !g.draining() && g.limiter.Limit() > 0 &&
 		(!g.cfg.Model || g.weights != "")
 }
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -113,6 +113,8 @@
 		return []Event{Activated{contract.Digest(line.Name())}}
 	case "leave":
 		return []Event{Leave{}}
+	case "drain":
+		return []Event{Drain{}}
 	case "handover":
 		return []Event{HandOver{}}
 	default:
@@ -207,6 +209,7 @@
 		"leaving":                      {offLeaving, warmUp + "leave\narrive a/1", "refuse a/1: target_leaving"},
 		"queue goes back at a fall":    {offReturnQueue, "new\n@1s warm\n@2100ms arrive a/1\narrive b/1\narrive c/1\nend a/1 as=unknown fault=broke", "refuse c/1: cold_start"},
 		"only for the own process":     {offVouch, warmUp + "query a/1 tombstone age=10s", "known a/1: unheard"},
+		"draining":                     {offPinned, warmUp + "drain\narrive a/1", "refuse a/1: no_weights"},
 		"unit lingers":                 {offLinger, warmUp + "arrive a/1\nend a/1 as=unknown lingers=5s", "= running=1"},
 		"limit":                        {offLimit, "new\n@1s warm\narrive a/1\narrive b/1", "= running=1 queued=1"},
 		"work outlives its connection": {offDetach, warmUp + "arrive a/1\ngone a/1\n@30s tick", "@30s tick\n  = running=1"},
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -5,6 +5,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/target/answers"
+	"mimosastand.example/mimosastand/machine/target/coldstart"
 )
 
 // everyAttempt is the attempt number that stands for all of a request.
@@ -94,6 +95,10 @@
 func (g *Gate) Load(sender contract.MachineID) contract.Load {
 	g.loadSeq++
 	limit := g.limiter.Limit()
+	credits := 0
+	if !g.leaving && !g.settings.ZoneOut && !g.draining() {
+		credits = g.senders.credits(sender, limit, limit+g.queueBound()/2)
+	}
 	return contract.Load{
 		Running: uint32(g.limiter.Running()),
 		Queued:  uint32(len(g.queue)),
@@ -101,7 +106,7 @@
 		Warm:    g.limiter.Warm(),
 		Leaving: g.leaving || g.settings.ZoneOut,
 		Weights: g.weights,
-		Credits: uint32(g.senders.credits(sender, limit, limit+g.queueBound()/2)),
+		Credits: uint32(credits),
 		Seq:     g.loadSeq,
 	}
 }
@@ -118,3 +123,6 @@
 	a, ok := g.attempts[id]
 	return ok && a.ended
 }
+
+// Phase returns the phase of the cold start.
+func (g *Gate) Phase() coldstart.Phase { return g.limiter.Phase() }
--- a/machine/target/gate/queue.go
+++ b/machine/target/gate/queue.go
@@ -35,7 +35,7 @@
 func (g *Gate) dropQueued(a *attempt, reason contract.Reason) {
 	g.unqueue(a)
 	delete(g.attempts, a.id())
-	g.refuse(a.id(), a.deadline, reason)
+	g.refuse(a, reason)
 }
 
 // returnQueue refuses everything that is queued.
@@ -59,16 +59,16 @@
 }
 
 // refuse puts a tombstone on an attempt and tells its sender.
-func (g *Gate) refuse(id contract.AttemptID, deadline time.Time, reason contract.Reason) {
-	g.store.Bury(g.now, id, reason, deadline)
-	g.refuseUnburied(id, reason)
+func (g *Gate) refuse(a *attempt, reason contract.Reason) {
+	g.store.Bury(g.now, a.id(), reason, a.deadline)
+	g.refuseUnburied(a.from, a.id(), reason)
 }
 
 // refuseUnburied refuses an attempt that every later copy is refused for too.
-func (g *Gate) refuseUnburied(id contract.AttemptID, reason contract.Reason) {
+func (g *Gate) refuseUnburied(from contract.MachineID, id contract.AttemptID, reason contract.Reason) {
 	g.emit(Refuse{Refusal: contract.Refuse{
 		Attempt: id, Reason: reason, RetryAfter: g.retryAfter(reason),
-		Load: g.Load(""), Settings: g.settings.Offset,
+		Load: g.Load(from), Settings: g.settings.Offset,
 	}})
 }
 
--- a/machine/target/gate/senders.go
+++ b/machine/target/gate/senders.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// credits returns how many attempts a sender may have here at once. The senders
-// that work share total; an idle one may try with one attempt while the limit
-// allows work at all.
+// credits returns how many attempts a sender may have here at once, at most
+// limit. The senders that work share total; an idle one gets its part of limit
+// among all senders. While the limit allows work at all nobody gets less than 1.
 func (s senders) credits(m contract.MachineID, limit, total int) int {
 	if limit == 0 {
 		return 0
@@ -55,8 +55,9 @@
 			working++
 		}
 	}
-	if s[m].worked.IsZero() {
-		return 1
+	share := limit / max(1, len(s))
+	if !s[m].worked.IsZero() {
+		share = total / working
 	}
-	return max(1, (total+working-1)/max(1, working))
+	return min(limit, max(1, share))
 }
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -17,8 +17,11 @@
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/target/backend"
-	"mimosastand.example/mimosastand/machine/target/coldstart"
 	"mimosastand.example/mimosastand/machine/target/gate"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/weights/agent"
 )
 
 // ErrStart marks a failure to start the process.
@@ -35,6 +38,12 @@
 	engine      *backend.Engine
 	plain       *backend.Plain
 
+	peers    *peers
+	follower *follow.Follower
+	hosts    *hostwatch.Watcher
+	// agent is nil beside a plain service.
+	agent *agent.Agent
+
 	endpoint *link.Endpoint
 	server   *http.Server
 	httpAddr string
@@ -49,6 +58,8 @@
 	// ctx is the context of workers; it outlives that of Run by the grace.
 	ctx      context.Context
 	settings gate.Settings
+	// concern is what the settings said last of what concerns senders.
+	concern concern
 }
 
 // New prepares a process. It fails with ErrStart if its keys cannot be used.
@@ -72,11 +83,39 @@
 	} else {
 		p.plain = backend.NewPlain(cfg.Target.BackendURL)
 	}
-	p.settings = staticSettings(cfg)
+	p.settings = fileSettings(cfg)
 	p.gate = gate.New(now, p.gateConfig(), p.settings.Limits, newRand(uint64(p.incarnation)))
+	p.peers = newPeers(cfg.Machine, cfg.Zone)
+	if cfg.LogURL != "" {
+		p.joinPlatform()
+	}
 	return p, nil
 }
 
+// joinPlatform makes the parts that speak to the platform.
+func (p *Process) joinPlatform() {
+	cfg, log := p.cfg, platform.NewClient(p.cfg.LogURL)
+	p.hosts = hostwatch.New(platform.NewClient(cfg.HostsURL), hostsInterval, p.peers.setHosts)
+	p.follower = follow.New(follow.Options{
+		Log: log, Scope: p.scope, Logger: logs.For("settings", cfg.Machine),
+		Pull: p.peers.pullSettings, Machine: cfg.Machine, Zone: cfg.Zone, Hosts: p.peers.hostList,
+	})
+	if p.engine == nil {
+		return
+	}
+	p.agent = agent.New(agent.Options{
+		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Incarnation: p.incarnation,
+		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
+		Engine: engineOrders{p.engine}, Peers: p.peers,
+		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
+		Drain:    p.drain,
+		OnActive: func(d contract.Digest) { p.step(gate.Activated{Weights: d}) },
+	})
+}
+
+// hostsInterval is the time between two polls of the host list.
+const hostsInterval = 2 * time.Second
+
 func newRand(seed uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, seed>>1))
 }
@@ -89,27 +128,6 @@
 	return c
 }
 
-// staticSettings are in force until the operators' settings are known.
-func staticSettings(cfg *config.Process) gate.Settings {
-	return gate.Settings{
-		Ready: true,
-		Limits: coldstart.Settings{
-			Max:        cfg.Target.MaxRunning,
-			Cold:       min(defaultCold, cfg.Target.MaxRunning),
-			SlowStart:  defaultSlowStart,
-			Reports:    true,
-			StaleAfter: reportStaleAfter,
-		},
-	}
-}
-
-const (
-	defaultCold      = 2
-	defaultSlowStart = 10 * time.Second
-	reportInterval   = 250 * time.Millisecond
-	reportStaleAfter = 3 * time.Second
-)
-
 // Run serves until ctx ends and then stops gracefully. It fails with ErrStart
 // if an address cannot be opened.
 func (p *Process) Run(ctx context.Context) error {
@@ -118,9 +136,12 @@
 	}
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){p.timerLoop, p.reportLoop} {
+	for _, loop := range p.loops() {
 		wg.Go(func() { loop(loops) })
 	}
+	if p.agent != nil {
+		wg.Go(func() { p.agent.Run(ctx) })
+	}
 	<-ctx.Done()
 	p.leave()
 	stopLoops()
@@ -129,6 +150,17 @@
 	return nil
 }
 
+// loops returns what runs beside the endpoint until the process has left. The
+// agent is not among them: a leaving process gives no more orders.
+func (p *Process) loops() []func(context.Context) {
+	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop}
+	if p.follower == nil {
+		return loops
+	}
+	run := func(ctx context.Context) { _ = p.follower.Run(ctx) }
+	return append(loops, run, p.settingsLoop, p.hosts.Run)
+}
+
 // Start opens the addresses. Run calls it if it was not called before.
 func (p *Process) Start() error {
 	if p.endpoint != nil {
@@ -147,6 +179,7 @@
 		return errors.Mark(err, ErrStart)
 	}
 	p.endpoint = endpoint
+	p.peers.dial = endpoint.Dial
 	p.log.WithField("link", endpoint.Address()).WithField("http", p.httpAddr).Info("serving")
 	return nil
 }
@@ -221,10 +254,7 @@
 func (p *Process) waitIdle(limit time.Duration) bool {
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
-		p.mu.Lock()
-		idle := p.gate.Idle() && len(p.feeds) == 0
-		p.mu.Unlock()
-		if idle {
+		if p.idle() {
 			return true
 		}
 		time.Sleep(idlePoll)
--- a/machine/target/serve.go
+++ b/machine/target/serve.go
@@ -34,9 +34,23 @@
 }
 
 // HeartbeatReceived implements link.Handler.
-func (h handler) HeartbeatReceived(c *link.Conn, _ contract.Heartbeat) {
+func (h handler) HeartbeatReceived(c *link.Conn, hb contract.Heartbeat) {
+	p := h.p
+	if c.Peer().Machine != hb.Machine {
+		metrics.Ignored(p.scope, contract.ReasonUnauthorized)
+		return
+	}
+	p.peers.heard(c)
 	if c.Peer().Role == link.RoleEntry {
-		h.p.step(gate.HeardFrom{Machine: c.Peer().Machine})
+		p.step(gate.HeardFrom{Machine: hb.Machine})
+	}
+	p.observe(hb.Settings)
+}
+
+// observe notes the settings offset of a peer.
+func (p *Process) observe(offset contract.Offset) {
+	if p.follower != nil {
+		p.follower.Observe(offset)
 	}
 }
 
@@ -59,16 +73,40 @@
 		return
 	}
 	_ = s.SetReadDeadline(time.Time{})
+	if p.servePeer(ctx, c.Peer(), s, m) {
+		return
+	}
 	if c.Peer().Role != link.RoleEntry {
 		metrics.Refused(p.scope, contract.ReasonUnauthorized)
 		s.Reset()
 		return
 	}
+	p.serveAttempt(ctx, c, s, m)
+}
+
+// servePeer answers what other processes ask of each other. It reports whether
+// the message was of that kind.
+func (p *Process) servePeer(ctx context.Context, from link.Peer, s *link.Stream, m contract.Message) bool {
+	switch {
+	case m.Kind == contract.KindSettingsPull && p.follower != nil:
+		records := p.follower.Serve(*m.SettingsPull)
+		_ = s.Send(contract.Message{Kind: contract.KindSettingsRecords, SettingsRecords: &records})
+	case m.Kind == contract.KindHave && p.agent != nil && from.Role == link.RoleTarget:
+		_ = s.Send(p.agent.ServeHave(ctx, from.Machine, *m.Have))
+	case m.Kind == contract.KindChunkRequest && p.agent != nil && from.Role == link.RoleTarget:
+		_ = s.Send(p.agent.ServeChunkRequest(ctx, from.Machine, *m.ChunkRequest))
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *Process) serveAttempt(ctx context.Context, c *link.Conn, s *link.Stream, m contract.Message) {
 	switch m.Kind {
 	case contract.KindStart:
 		p.serveStart(ctx, c.Peer().Machine, s, *m.Start)
 	case contract.KindQuery:
-		p.serveQuery(ctx, s, *m.Query)
+		p.serveQuery(ctx, c.Peer().Machine, s, *m.Query)
 	case contract.KindCancel:
 		p.step(gate.Cancelled{Attempt: m.Cancel.Attempt})
 	default:
@@ -87,6 +125,7 @@
 }
 
 func (p *Process) serveStart(ctx context.Context, from contract.MachineID, s *link.Stream, start contract.Start) {
+	p.observe(start.Settings)
 	f, r, status := p.arrive(from, start)
 	if status != nil {
 		_ = s.Send(contract.Message{Kind: contract.KindStatus, Status: status})
@@ -120,8 +159,8 @@
 	return nil, nil, p.stepLocked(gate.Arrived{From: from, Start: start})
 }
 
-func (p *Process) serveQuery(ctx context.Context, s *link.Stream, q contract.Query) {
-	status, f, r := p.query(q)
+func (p *Process) serveQuery(ctx context.Context, from contract.MachineID, s *link.Stream, q contract.Query) {
+	status, f, r := p.query(from, q)
 	if status == nil {
 		return
 	}
@@ -137,7 +176,7 @@
 }
 
 // query asks the gate and attaches a reader if the answer can be sent.
-func (p *Process) query(q contract.Query) (*contract.Status, *feed, *reader) {
+func (p *Process) query(from contract.MachineID, q contract.Query) (*contract.Status, *feed, *reader) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	status := p.stepLocked(gate.Queried{Query: q})
@@ -159,6 +198,7 @@
 		}
 		return status, nil, nil
 	}
+	end.Load = p.gate.Load(from)
 	f := newFeed(status.Attempt)
 	f.record, f.end = record, &end
 	return status, f, f.attach(q.ResendAt, false)
--- a/machine/target/step.go
+++ b/machine/target/step.go
@@ -46,7 +46,7 @@
 	case gate.Close:
 		p.countEnd(e.End)
 		end := e.End
-		end.Load = p.gate.Load("")
+		end.Load = p.gate.Load(e.From)
 		p.closeFeed(end.Attempt, func(f *feed) { f.end = &end })
 	case gate.Ignored:
 		metrics.Ignored(p.scope, contract.Reason(e.Cause))
--- a/machine/target/work.go
+++ b/machine/target/work.go
@@ -51,7 +51,7 @@
 	ctx, release := context.WithDeadlineCause(ctx, deadline, stopError{reason: contract.ReasonDeadline})
 	f.record = p.gate.Answers().Get(id)
 	f.stop = stop
-	f.accepted = &contract.Accept{Attempt: id, Load: p.gate.Load("")}
+	f.accepted = &contract.Accept{Attempt: id, Load: p.gate.Load(e.From)}
 	f.signal()
 	w := &worker{p: p, feed: f, start: e.Start}
 	p.workers.Go(func() {
