--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -43,14 +43,18 @@
 
 func modelRig(t *testing.T, c engine.Config) *rig {
 	c.Digest = digest
-	return newRig(t, config.BackendModel, engine.New(c))
+	r := newRig(t, config.BackendModel, engine.New(c), nil)
+	r.awaitReady()
+	return r
 }
 
 func plainRig(t *testing.T, c service.Config) *rig {
-	return newRig(t, config.BackendPlain, service.New(c))
+	r := newRig(t, config.BackendPlain, service.New(c), nil)
+	r.awaitReady()
+	return r
 }
 
-func newRig(t *testing.T, kind string, back *fault.Switch) *rig {
+func newRig(t *testing.T, kind string, back *fault.Switch, change func(*config.Process)) *rig {
 	t.Helper()
 	server := httptest.NewServer(back)
 	t.Cleanup(server.Close)
@@ -65,6 +69,9 @@
 		Link:   link.Config{Heartbeat: 100 * time.Millisecond, SilentAfter: 2 * time.Second},
 		Target: config.Target{Service: "s", Kind: kind, BackendURL: server.URL, MaxRunning: 8},
 	}
+	if change != nil {
+		change(cfg)
+	}
 	process, err := target.New(cfg)
 	fatal(t, err)
 	fatal(t, process.Start())
@@ -79,7 +86,6 @@
 		stop()
 		<-r.stopped
 	})
-	r.awaitReady()
 	return r
 }
 
