--- /dev/null
+++ b/weights/swarm/have.go
@@ -0,0 +1,184 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// haveOverheadBytes is the size of a Have message on the wire besides the bitmap.
+	haveOverheadBytes = 120
+	// maxNeighbours bounds the peers that are kept besides those of the topology.
+	maxNeighbours = 48
+)
+
+func (s *Swarm) haveReceived(e HaveReceived) {
+	v := s.version(e.Version)
+	p := s.byName[e.From]
+	if v == nil || p == nil {
+		return
+	}
+	r := s.remoteFor(v, p)
+	if r == nil || e.Epoch < r.epoch {
+		s.note(NoteBadHave, e.From)
+		return
+	}
+	if e.Epoch > r.epoch && s.on(mechEpoch) {
+		s.restarted(v, r)
+	}
+	r.epoch = e.Epoch
+	abroad := p.Region != s.cfg.Self.Region
+	if len(e.Bitmap) == 0 && v.heldCount > 0 {
+		copy(r.told, r.have)
+		s.sendHave(v, r)
+	}
+	ok := r.have.addBytes(e.First, v.chunks, e.Bitmap, func(i int) {
+		r.told.set(i)
+		if !abroad {
+			s.seenAt(v, i)
+		}
+	})
+	if !ok {
+		s.note(NoteBadHave, e.From)
+		s.distrust(p)
+	}
+}
+
+// seenAt counts one more neighbour with chunk i.
+func (s *Swarm) seenAt(v *version, i int) {
+	v.avail[i]++
+	if !v.seen.has(i) {
+		v.see(i)
+		s.news(v, i)
+	}
+}
+
+// restarted forgets what a peer's former process held.
+func (s *Swarm) restarted(v *version, r *remote) {
+	clear(r.have)
+	clear(r.told)
+	r.peer.strikes = 0
+	v.recount(s.now)
+	s.flushSoon(0)
+}
+
+// remoteFor returns the record of a peer, and makes one within the bounds.
+func (s *Swarm) remoteFor(v *version, p *peer) *remote {
+	list := &v.neighbours
+	if p.Region != s.cfg.Self.Region {
+		list = &v.abroad
+	}
+	if r := v.find(*list, p); r != nil {
+		return r
+	}
+	if len(*list) >= maxNeighbours {
+		return nil
+	}
+	r := newRemote(v, p, false)
+	*list = append(*list, r)
+	return r
+}
+
+// announce schedules news of chunk i: at once if no neighbour holds it, and to
+// the slot's holders in the other regions.
+func (s *Swarm) announce(v *version, i int, drawn bool) {
+	wait := s.cfg.HaveInterval
+	if v.avail[i] == 0 {
+		wait = 0
+	}
+	s.flushSoon(wait)
+	sl := &v.slots[v.slotOf(i)]
+	if drawn || sl.rank == 0 {
+		s.announceAbroad(v, sl)
+	}
+}
+
+func (s *Swarm) flushSoon(wait time.Duration) {
+	s.flushAt = min(s.flushAt, s.now+wait)
+}
+
+// announceAbroad tells the holders of a slot in the other regions what is held.
+func (s *Swarm) announceAbroad(v *version, sl *slot) {
+	for _, m := range sl.abroad {
+		p := s.byName[m]
+		if p == nil {
+			continue
+		}
+		if r := s.remoteFor(v, p); r != nil && v.held.missingFrom(r.told) {
+			s.sendHave(v, r)
+		}
+	}
+}
+
+// haveFailed makes sure that a peer which was not reached is told again.
+func (s *Swarm) haveFailed(e HaveFailed) {
+	v := s.version(e.Version)
+	p := s.byName[e.To]
+	if v == nil || p == nil {
+		return
+	}
+	s.suspect(p)
+	v.recount(s.now)
+	for _, list := range [][]*remote{v.neighbours, v.abroad} {
+		if r := v.find(list, p); r != nil {
+			copy(r.told, r.have)
+			r.greeted = false
+		}
+	}
+}
+
+// flush tells the neighbours what they do not know yet, within the control bound.
+func (s *Swarm) flush() {
+	if s.now < s.flushAt {
+		return
+	}
+	s.flushAt = never
+	for _, v := range s.versions {
+		s.flushVersion(v)
+	}
+}
+
+func (s *Swarm) flushVersion(v *version) {
+	start := 0
+	if len(v.neighbours) > 0 {
+		start = s.rng.IntN(len(v.neighbours))
+	}
+	for k := range v.neighbours {
+		r := v.neighbours[(start+k)%len(v.neighbours)]
+		if !r.ring || !s.owes(v, r) {
+			continue
+		}
+		if s.on(mechControlBound) && !s.controlRoom() {
+			s.flushAt = s.control.readyAt(s.now)
+			return
+		}
+		s.sendHave(v, r)
+	}
+}
+
+// owes reports whether a peer should be told something: what it lacks, or, at
+// first, that the own target is there and wants to be told.
+func (s *Swarm) owes(v *version, r *remote) bool {
+	if !r.peer.alive(s.now) {
+		return false
+	}
+	return v.held.missingFrom(r.told) || (!r.greeted && !v.whole())
+}
+
+func (s *Swarm) controlRoom() bool {
+	s.control.refill(s.now)
+	return s.control.level > 0
+}
+
+// sendHave tells one peer all that it was not told yet.
+func (s *Swarm) sendHave(v *version, r *remote) {
+	fresh := slices.Clone(v.held)
+	for w := range fresh {
+		fresh[w] &^= r.told[w]
+	}
+	first, data := fresh.span()
+	r.told.or(fresh)
+	r.greeted = true
+	s.control.take(s.now, haveOverheadBytes+len(data))
+	s.emit(SendHave{To: r.peer.Machine, Version: v.digest, Epoch: s.cfg.Epoch, First: first, Bitmap: data})
+}
--- /dev/null
+++ b/weights/swarm/slot.go
@@ -0,0 +1,214 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// slot is a share of a version's chunks that one target of a region draws.
+type slot struct {
+	holder contract.MachineID
+	// rank is the own place in the take-over order; 0 for the holder.
+	rank int
+	// upstream is the region to draw from; empty for the origin.
+	upstream contract.RegionName
+	// abroad names the slot's holders in the other regions.
+	abroad []contract.MachineID
+	// lastNews is when a chunk of the slot was last seen for the first time.
+	lastNews time.Duration
+	// unseen counts the chunks that the region lacks, as far as is known.
+	unseen int
+	// gap is the smoothed time between news.
+	gap time.Duration
+	// patience is the jittered time without news after which rank 1 takes over.
+	patience time.Duration
+}
+
+// takeOverGaps is how many usual gaps between news a slot may miss.
+const takeOverGaps = 4
+
+func (s *Swarm) rebuildSlots(v *version, region []contract.MachineID) {
+	holders := SlotHolders(v.digest, s.cfg.Slots, region)
+	abroad := s.holdersAbroad(v)
+	for i := range v.slots {
+		sl := &v.slots[i]
+		sl.holder = holders[i]
+		sl.rank = slotRank(v.digest, i, s.cfg.Self.Machine, sl.holder, region)
+		sl.upstream = s.upstream(v, i)
+		sl.abroad = abroad[i]
+		s.renew(sl)
+	}
+}
+
+// holdersAbroad names for each slot its holders in the other regions.
+func (s *Swarm) holdersAbroad(v *version) [][]contract.MachineID {
+	out := make([][]contract.MachineID, s.cfg.Slots)
+	for _, region := range s.regions {
+		if region == s.cfg.Self.Region {
+			continue
+		}
+		var targets []contract.MachineID
+		for _, p := range s.peers {
+			if p.Region == region {
+				targets = append(targets, p.Machine)
+			}
+		}
+		for i, m := range SlotHolders(v.digest, s.cfg.Slots, targets) {
+			out[i] = append(out[i], m)
+		}
+	}
+	return out
+}
+
+func (s *Swarm) upstream(v *version, slot int) contract.RegionName {
+	order := regionOrder(v.digest, slot, s.cfg.OriginRegion, s.regions)
+	at := slices.Index(order, s.cfg.Self.Region)
+	if at <= 0 {
+		return ""
+	}
+	return order[at-1]
+}
+
+// renew draws a new patience for a slot.
+func (s *Swarm) renew(sl *slot) {
+	sl.patience = s.jitter(max(s.cfg.TakeOver, takeOverGaps*sl.gap))
+}
+
+// news tells that chunk i was seen in the region for the first time.
+func (s *Swarm) news(v *version, i int) {
+	sl := &v.slots[v.slotOf(i)]
+	gap := s.now - sl.lastNews
+	if sl.gap == 0 {
+		sl.gap = gap
+	}
+	const smoothing = 4
+	sl.gap += (gap - sl.gap) / smoothing
+	sl.lastNews = s.now
+	s.renew(sl)
+}
+
+// mayDraw reports whether the own target may draw a slot's chunks into the region.
+func (s *Swarm) mayDraw(sl *slot) bool {
+	if !s.on(mechSlots) || sl.rank == 0 {
+		return true
+	}
+	return s.on(mechTakeOver) && s.now >= sl.takeOverAt()
+}
+
+func (sl *slot) takeOverAt() time.Duration {
+	return sl.lastNews + time.Duration(sl.rank)*sl.patience
+}
+
+// nextTakeOver is when the own target may take a slot over or fall back.
+func (v *version) nextTakeOver(now time.Duration) time.Duration {
+	next := never
+	for i := range v.slots {
+		sl := &v.slots[i]
+		t := sl.lastNews + max(time.Duration(sl.rank), 1)*sl.patience
+		if sl.unseen > 0 && t > now {
+			next = min(next, t)
+		}
+	}
+	return next
+}
+
+// fillSlots requests chunks that the own target is to draw into the region.
+func (s *Swarm) fillSlots(v *version) {
+	for k := range v.slots {
+		sl := &v.slots[k]
+		if sl.unseen == 0 || !s.mayDraw(sl) {
+			continue
+		}
+		for i := k; i < v.chunks && s.slotRoom(v, sl); i += len(v.slots) {
+			if v.seen.has(i) || v.asked.has(i) {
+				continue
+			}
+			if s.drawInto(v, sl, i) && sl.rank > 0 {
+				s.note(NoteTakeOver, sl.holder)
+				sl.lastNews = s.now
+				s.renew(sl)
+				break
+			}
+		}
+	}
+}
+
+// slotRoom reports whether one more chunk may be drawn into the region.
+func (s *Swarm) slotRoom(v *version, sl *slot) bool {
+	n := 0
+	for _, f := range v.flights {
+		if f.class != classLocal {
+			n++
+		}
+	}
+	if sl.rank > 0 {
+		return n < 1
+	}
+	return n < s.cfg.SlotDraws
+}
+
+// drawInto requests chunk i from the upstream region or the origin.
+func (s *Swarm) drawInto(v *version, sl *slot, i int) bool {
+	if sl.upstream == "" || len(s.regions) == 1 {
+		return s.request(v, i, nil, classOrigin)
+	}
+	patient := s.on(mechTakeOver) && s.now < sl.lastNews+sl.patience
+	if r := s.holderAbroad(v, i, sl.upstream, patient); r != nil {
+		return s.request(v, i, r.peer, classRegion)
+	}
+	if patient || !s.on(mechTakeOver) || s.anyAbroad(v, i) || s.askAbroad(v, sl) {
+		return false
+	}
+	if s.request(v, i, nil, classOrigin) {
+		s.note(NoteOriginAfter, "")
+		return true
+	}
+	return false
+}
+
+// holderAbroad returns a usable peer of another region that holds chunk i, of
+// the upstream region only while strict.
+func (s *Swarm) holderAbroad(v *version, i int, upstream contract.RegionName, strict bool) *remote {
+	var best *remote
+	for _, r := range v.abroad {
+		if !r.have.has(i) || !r.peer.usable(s.now, s.cfg.SlotDraws) {
+			continue
+		}
+		if r.peer.Region != upstream && (strict || best != nil) {
+			continue
+		}
+		if best == nil || best.peer.Region != upstream || r.peer.flights < best.peer.flights {
+			best = r
+		}
+	}
+	return best
+}
+
+// askAbroad greets the slot's holders in the other regions, which then tell
+// what they hold. It reports whether there was one to greet.
+func (s *Swarm) askAbroad(v *version, sl *slot) bool {
+	asked := false
+	for _, m := range sl.abroad {
+		p := s.byName[m]
+		if p == nil || !p.alive(s.now) {
+			continue
+		}
+		if r := s.remoteFor(v, p); r != nil && !r.greeted {
+			s.sendHave(v, r)
+			asked = true
+		}
+	}
+	if asked {
+		sl.lastNews = s.now - time.Duration(max(sl.rank, 1)-1)*sl.patience
+	}
+	return asked
+}
+
+// anyAbroad reports whether a peer that is alive in another region holds chunk i.
+func (s *Swarm) anyAbroad(v *version, i int) bool {
+	return slices.ContainsFunc(v.abroad, func(r *remote) bool {
+		return r.have.has(i) && r.peer.alive(s.now)
+	})
+}
--- /dev/null
+++ b/weights/swarm/topology.go
@@ -0,0 +1,127 @@
+package swarm
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// score is the rendezvous score of a name for a version and number.
+func score(version contract.Digest, kind byte, n int, name string) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	var num [9]byte
+	num[0] = kind
+	binary.BigEndian.PutUint64(num[1:], uint64(n))
+	_, _ = h.WriteString(string(version))
+	_, _ = h.Write(num[:])
+	_, _ = h.WriteString(name)
+	return h.Sum64()
+}
+
+// Kinds of score, so that the orders are independent.
+const (
+	scoreSlot byte = iota
+	scoreRing
+	scoreOffset
+	scoreRegion
+)
+
+// SlotHolders names for each slot of a version the target of one region that
+// draws its chunks. A target holds two slots only if there are fewer targets
+// than slots.
+func SlotHolders(version contract.Digest, slots int, targets []contract.MachineID) []contract.MachineID {
+	if len(targets) == 0 {
+		return nil
+	}
+	holders := make([]contract.MachineID, slots)
+	taken := make(map[contract.MachineID]int, slots)
+	for s := range slots {
+		rounds := s / len(targets)
+		var best contract.MachineID
+		var bestScore uint64
+		for _, m := range targets {
+			if taken[m] > rounds {
+				continue
+			}
+			if v := score(version, scoreSlot, s, string(m)); best == "" || v > bestScore {
+				best, bestScore = m, v
+			}
+		}
+		taken[best]++
+		holders[s] = best
+	}
+	return holders
+}
+
+// slotRank is how many targets come before self in a slot's take-over order:
+// 0 for the holder.
+func slotRank(version contract.Digest, slot int, self, holder contract.MachineID, targets []contract.MachineID) int {
+	if self == holder {
+		return 0
+	}
+	own := score(version, scoreSlot, slot, string(self))
+	rank := 1
+	for _, m := range targets {
+		if m != holder && m != self && score(version, scoreSlot, slot, string(m)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// regionOrder lists the regions in the order in which a slot's chunks reach them.
+func regionOrder(version contract.Digest, slot int, origin contract.RegionName, regions []contract.RegionName) []contract.RegionName {
+	order := slices.Clone(regions)
+	slices.SortFunc(order, func(a, b contract.RegionName) int {
+		if (a == origin) != (b == origin) {
+			if a == origin {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(score(version, scoreRegion, slot, string(a)), score(version, scoreRegion, slot, string(b)))
+	})
+	return order
+}
+
+// ringNeighbours returns the neighbours of self in a circulant graph over
+// targets, which include self: the graph is the same for all who know the same
+// targets, and symmetric.
+func ringNeighbours(version contract.Digest, offsets int, self contract.MachineID, targets []contract.MachineID) []contract.MachineID {
+	n := len(targets)
+	if n <= 2*offsets+1 {
+		return slices.DeleteFunc(slices.Clone(targets), func(m contract.MachineID) bool { return m == self })
+	}
+	ring := slices.Clone(targets)
+	slices.SortFunc(ring, func(a, b contract.MachineID) int {
+		return cmp.Compare(score(version, scoreRing, 0, string(a)), score(version, scoreRing, 0, string(b)))
+	})
+	at := slices.Index(ring, self)
+	var out []contract.MachineID
+	for _, o := range ringOffsets(version, offsets, n) {
+		for _, k := range []int{at + o, at - o + n} {
+			if m := ring[k%n]; m != self && !slices.Contains(out, m) {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// ringOffsets returns distinct distances on a ring of n; the first is 1, so
+// that the graph is connected.
+func ringOffsets(version contract.Digest, count, n int) []int {
+	out := []int{1}
+	for k := 0; len(out) < count; k++ {
+		o := 1 + int(score(version, scoreOffset, k, "")%uint64(n/2))
+		if !slices.Contains(out, o) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
