Draw slots in turn, wait longer before the first news, halve control bytes

Cause: a holder of several slots drew one slot after the other, so the later ones looked stalled and were drawn twice (30 fallbacks at N=8 in 3 regions); a busy answer was retried after half a chunk time (136,070 refusals at N=350).

--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -51,7 +51,7 @@
 	defaultSlotDraws    = 1
 	defaultUploads      = 6
 	defaultUploadQueue  = 2
-	defaultControlBytes = 2 << 10
+	defaultControlBytes = 1 << 10
 	defaultHaveInterval = 500 * time.Millisecond
 	defaultTakeOver     = 4 * time.Second
 	defaultStall        = 3 * time.Second
--- a/weights/swarm/result.go
+++ b/weights/swarm/result.go
@@ -130,7 +130,7 @@
 	p := f.peer
 	switch cause {
 	case FailureBusy:
-		p.busyTill = s.now + s.jitter(s.usual(v, f.class)/2)
+		p.busyTill = s.now + s.jitter(s.usual(v, f.class))
 	case FailureMissing:
 		s.note(NoteMissing, p.Machine)
 		s.disown(v, f)
--- a/weights/swarm/slot.go
+++ b/weights/swarm/slot.go
@@ -26,16 +26,27 @@
 	patience time.Duration
 }
 
-// takeOverGaps is how many usual gaps between news a slot may miss.
-const takeOverGaps = 4
+const (
+	// takeOverGaps is how many usual gaps between news a slot may miss.
+	takeOverGaps = 4
+	// firstNewsFactor lengthens the patience before the first news of a slot,
+	// when no gap is known yet.
+	firstNewsFactor = 2
+	// maxSlotsAtOnce bounds the own slots that are drawn for at the same time.
+	maxSlotsAtOnce = 4
+)
 
 func (s *Swarm) rebuildSlots(v *version, region []contract.MachineID) {
 	holders := SlotHolders(v.digest, s.cfg.Slots, region)
 	abroad := s.holdersAbroad(v)
+	v.ownSlots = 0
 	for i := range v.slots {
 		sl := &v.slots[i]
 		sl.holder = holders[i]
 		sl.rank = slotRank(v.digest, i, s.cfg.Self.Machine, sl.holder, region)
+		if sl.rank == 0 {
+			v.ownSlots++
+		}
 		sl.upstream = s.upstream(v, i)
 		sl.abroad = abroad[i]
 		s.renew(sl)
@@ -73,6 +84,10 @@
 
 // renew draws a new patience for a slot.
 func (s *Swarm) renew(sl *slot) {
+	if sl.gap == 0 {
+		sl.patience = s.jitter(firstNewsFactor * s.cfg.TakeOver)
+		return
+	}
 	sl.patience = s.jitter(max(s.cfg.TakeOver, takeOverGaps*sl.gap))
 }
 
@@ -114,25 +129,35 @@
 	return next
 }
 
-// fillSlots requests chunks that the own target is to draw into the region.
+// fillSlots requests chunks that the own target is to draw into the region, one
+// of each slot in turn, so that all slots keep pace.
 func (s *Swarm) fillSlots(v *version) {
-	for k := range v.slots {
-		sl := &v.slots[k]
-		if sl.unseen == 0 || !s.mayDraw(sl) {
+	for idle := 0; idle < len(v.slots); {
+		sl := &v.slots[v.turn]
+		drawn := sl.unseen > 0 && s.mayDraw(sl) && s.slotRoom(v, sl) && s.drawNext(v, v.turn)
+		v.turn = (v.turn + 1) % len(v.slots)
+		idle++
+		if drawn {
+			idle = 0
+		}
+	}
+}
+
+// drawNext requests the first chunk of a slot that the region lacks.
+func (s *Swarm) drawNext(v *version, k int) bool {
+	sl := &v.slots[k]
+	for i := k; i < v.chunks; i += len(v.slots) {
+		if v.seen.has(i) || v.asked.has(i) || !s.drawInto(v, sl, i) {
 			continue
 		}
-		for i := k; i < v.chunks && s.slotRoom(v, sl); i += len(v.slots) {
-			if v.seen.has(i) || v.asked.has(i) {
-				continue
-			}
-			if s.drawInto(v, sl, i) && sl.rank > 0 {
-				s.note(NoteTakeOver, sl.holder)
-				sl.lastNews = s.now
-				s.renew(sl)
-				break
-			}
+		if sl.rank > 0 {
+			s.note(NoteTakeOver, sl.holder)
+			sl.lastNews = s.now
+			s.renew(sl)
 		}
+		return true
 	}
+	return false
 }
 
 // slotRoom reports whether one more chunk may be drawn into the region.
@@ -146,7 +171,7 @@
 	if sl.rank > 0 {
 		return n < 1
 	}
-	return n < s.cfg.SlotDraws
+	return n < s.cfg.SlotDraws*min(v.ownSlots, maxSlotsAtOnce)
 }
 
 // drawInto requests chunk i from the upstream region or the origin.
--- a/weights/swarm/version.go
+++ b/weights/swarm/version.go
@@ -30,7 +30,11 @@
 	// abroad holds what targets of other regions told.
 	abroad []*remote
 	slots  []slot
-	pace   pace
+	// ownSlots is how many slots the own target holds.
+	ownSlots int
+	// turn is the slot that is next to be drawn for.
+	turn int
+	pace pace
 }
 
 // remote is what one peer holds of one version.
