Add the administration API and the operators' commands

Cause: operators need to read and change the tree on any entry host, with scopes for teams, and to learn truthfully what became of a change. Ruled out: taking a team's token for its share, since that would take capacity from the other teams; polling the log from the command line. Change: JSON API by iris with hashed bearer tokens, problem details, history, status, zone, deploy and rollback; commands over it with failover, exit codes and progress. A deploy or rollback that is sent again is known by its intent. Conclusion: go test -race ./cli ./machine/entry/admin ./settings/... passes.

--- /dev/null
+++ b/cli/change.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/admin/wire"
+	"mimosastand.example/mimosastand/settings"
+)
+
+const idBytes = 8
+
+// action returns the request's head, with an identifier of its own if the
+// operator gave none.
+func (m *mutation) action() wire.ActionRequest {
+	req := wire.ActionRequest{ID: m.id, Note: m.note}
+	if req.ID == "" {
+		var raw [idBytes]byte
+		_, _ = rand.Read(raw[:]) // never fails
+		req.ID = "cli-" + hex.EncodeToString(raw[:])
+	}
+	if m.base != noBase {
+		base := contract.Offset(m.base)
+		req.Base = &base
+	}
+	return req
+}
+
+func (s *Set) registerChange(p *flaggy.Parser) {
+	s.registerSet(p)
+	s.registerZone(p)
+}
+
+// setFlags holds the arguments of the command set.
+type setFlags struct {
+	mutation
+	scope, assignment, file string
+	also                    []string
+	replace                 bool
+}
+
+func (s *Set) registerSet(p *flaggy.Parser) {
+	var f setFlags
+	sub := s.newCommand("set", "change one or more settings, whole or not at all",
+		`mimosastand set "service drafting-models" max_running=24 --also "zone khomas-a: spill=false"`)
+	sub.AddPositionalValue(&f.scope, "scope", 1, false, `such as "zone khomas-a service drafting-models", or defaults`)
+	sub.AddPositionalValue(&f.assignment, "key=value", 2, false, "a setting; key= removes it, so that it is inherited again")
+	sub.StringSlice(&f.also, "", "also", `a further setting in the same change, "key=value" or "scope: key=value"`)
+	sub.String(&f.file, "f", "file", "take all settings of an INI file")
+	sub.Bool(&f.replace, "r", "replace", "with --file: also remove what the file does not hold")
+	f.flags(sub)
+	s.add(sub, func(ctx context.Context, e *environment) error { return e.set(ctx, &f) })
+	p.AttachSubcommand(sub, 1)
+}
+
+func (e *environment) set(ctx context.Context, f *setFlags) error {
+	req := wire.ChangeRequest{}
+	head := f.action()
+	if f.file != "" {
+		if err := e.fromFile(ctx, f, &req); err != nil {
+			return err
+		}
+	}
+	if err := f.assignments(&req); err != nil {
+		return err
+	}
+	if len(req.Changes) == 0 {
+		if f.file == "" {
+			return errors.Mark(errors.New("nothing to set; see --help"), ErrUsage)
+		}
+		_, _ = fmt.Fprintln(e.err, "nothing to change")
+		return nil
+	}
+	req.ID, req.Note = head.ID, head.Note
+	if head.Base != nil {
+		req.Base = head.Base
+	}
+	return e.send(ctx, wire.PathChanges, req.ID, req)
+}
+
+// fromFile adds what differs between the file and the tree, based on that tree.
+func (e *environment) fromFile(ctx context.Context, f *setFlags, req *wire.ChangeRequest) error {
+	wanted, err := readTreeFile(f.file)
+	if err != nil {
+		return err
+	}
+	diff, present, err := e.diff(ctx, wanted)
+	if err != nil {
+		return err
+	}
+	for _, a := range diff {
+		if !a.Unset || f.replace {
+			req.Changes = append(req.Changes, a)
+		}
+	}
+	req.Base = &present.Offset
+	return nil
+}
+
+func (f *setFlags) assignments(req *wire.ChangeRequest) error {
+	if f.scope != "" && f.assignment == "" {
+		return errors.Mark(errors.New("key=value is missing"), ErrUsage)
+	}
+	if f.assignment != "" {
+		a, err := parseAssignment(f.scope, f.assignment)
+		if err != nil {
+			return err
+		}
+		req.Changes = append(req.Changes, a)
+	}
+	for _, text := range f.also {
+		scope := f.scope
+		if head, rest, ok := strings.Cut(text, ":"); ok && !strings.Contains(head, "=") {
+			scope, text = head, strings.TrimSpace(rest)
+		}
+		a, err := parseAssignment(scope, text)
+		if err != nil {
+			return err
+		}
+		req.Changes = append(req.Changes, a)
+	}
+	return nil
+}
+
+func parseAssignment(scope, text string) (wire.Assignment, error) {
+	key, value, ok := strings.Cut(text, "=")
+	if !ok || key == "" {
+		return wire.Assignment{}, errors.Mark(errors.Newf("%q must be key=value", text), ErrUsage)
+	}
+	if _, err := settings.ParseScope(scope); err != nil {
+		return wire.Assignment{}, errors.Mark(err, ErrUsage)
+	}
+	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	return wire.Assignment{Scope: scope, Key: settings.Key(key), Value: value, Unset: value == ""}, nil
+}
+
+// send posts a change and prints the result.
+func (e *environment) send(ctx context.Context, path, id string, body any) error {
+	var reply wire.ChangeReply
+	if err := e.client.post(ctx, path, body, &reply); err != nil {
+		return errors.Wrapf(err, "change %s", id)
+	}
+	if e.output == outputJSON {
+		return e.printJSON(reply)
+	}
+	again := ""
+	if reply.Duplicate {
+		again = ", sent before"
+	}
+	_, _ = fmt.Fprintf(e.out, "accepted at offset %d (%s%s)\n", reply.Offset, id, again)
+	for _, a := range reply.Changes {
+		_, _ = fmt.Fprintf(e.out, "    %s\n", assignmentText(a))
+	}
+	return nil
+}
+
+func (s *Set) registerZone(p *flaggy.Parser) {
+	zone := flaggy.NewSubcommand("zone")
+	zone.Description = "take an availability zone out, or bring it back in"
+	zone.AdditionalHelpAppend = "\n  Example: mimosastand zone out khomas-a"
+	for _, direction := range []string{"out", "in"} {
+		s.registerZoneAction(zone, direction)
+	}
+	p.AttachSubcommand(zone, 1)
+}
+
+func (s *Set) registerZoneAction(zone *flaggy.Subcommand, direction string) {
+	var name string
+	var m mutation
+	sub := s.newCommand(direction, "take the zone "+direction, "mimosastand zone "+direction+" khomas-a --note \"power work\"")
+	sub.AddPositionalValue(&name, "zone", 1, true, "name of the zone")
+	m.flags(sub)
+	s.add(sub, func(ctx context.Context, e *environment) error {
+		if !settings.IsName(name) {
+			return errors.Mark(errors.Newf("%q is no name of a zone", name), ErrUsage)
+		}
+		req := m.action()
+		return e.send(ctx, wire.PathZones+"/"+name+"/"+direction, req.ID, req)
+	})
+	zone.AttachSubcommand(sub, 1)
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,121 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/integrii/flaggy"
+
+	"mimosastand.example/mimosastand/cli"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/admin"
+	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/settings/follow/spread/sim"
+)
+
+const version = contract.Digest("blake3:0000000000000000000000000000000000000000000000000000000000000001")
+
+// deployed sees one target that already serves version.
+type deployed struct{}
+
+func (deployed) Machines() []admin.MachineStatus {
+	return []admin.MachineStatus{{Machine: "t1", Zone: "khomas-a", Service: "drafting-models", Weights: version, Warm: true}}
+}
+
+// system is an administration API over a log in memory.
+type system struct {
+	log *sim.Log
+	url string
+	dir string
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{dir: t.TempDir()}
+	s.log = sim.NewLog(func() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) })
+	follower := follow.New(follow.Options{Log: s.log, Machine: "e1"})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = follower.Run(ctx)
+	}()
+	sum := sha256.Sum256([]byte("hunter2"))
+	s.write(t, "tokens.ini", "[root]\nhash = sha256:"+hex.EncodeToString(sum[:])+"\nscope = admin\n")
+	s.write(t, "token", "hunter2\n")
+	s.write(t, "wrong", "hunter3\n")
+	s.write(t, "bad.ini", "[defaults]\nmax_running = 0\n[planet x]\n")
+	tokens, err := admin.LoadTokens(filepath.Join(s.dir, "tokens.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(admin.New(admin.Options{Machine: "e1", Follower: follower, Tokens: tokens, Status: deployed{}}).Handler())
+	s.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+	})
+	return s
+}
+
+func (s *system) write(t *testing.T, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run executes one command line. SERVER, DIR and DEAD stand for the address, the
+// directory and an address where nothing listens.
+func (s *system) run(line string) string {
+	line = strings.NewReplacer("SERVER", s.url, "DIR", s.dir, "DEAD", "http://127.0.0.1:1", "EXAMPLES", filepath.Join("..", "examples")).Replace(line)
+	parser := flaggy.NewParser("mimosastand")
+	set := cli.Register(parser)
+	var out, errOut bytes.Buffer
+	if err := parser.ParseArgs(split(line)); err != nil {
+		return fmt.Sprintf("parse: %v\n", err)
+	}
+	code := set.Run(context.Background(), &out, &errOut)
+	text := fmt.Sprintf("%s%sexit %d\n", out.String(), errOut.String(), code)
+	return strings.NewReplacer(s.dir, "DIR", s.url, "SERVER").Replace(text)
+}
+
+// split cuts a command line at spaces outside double quotes.
+func split(line string) []string {
+	var args []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			args = append(args, part)
+			continue
+		}
+		args = append(args, strings.Fields(part)...)
+	}
+	return args
+}
+
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newSystem(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "run":
+				return s.run(strings.ReplaceAll(d.Input, "\n", " "))
+			case "log":
+				s.log.SetDown(d.HasArg("down"))
+				return ""
+			}
+			return "unknown command"
+		})
+	})
+}
--- /dev/null
+++ b/machine/entry/admin/admin_test.go
@@ -0,0 +1,175 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/cockroachdb/datadriven"
+
+	"mimosastand.example/mimosastand/machine/entry/admin"
+	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/settings/follow/spread/sim"
+)
+
+// fixture is an administration API over a log in memory.
+type fixture struct {
+	log     *sim.Log
+	server  *admin.Server
+	written bytes.Buffer
+}
+
+// machines is what the entry host of the fixture sees.
+type machines struct{}
+
+func (machines) Machines() []admin.MachineStatus {
+	return []admin.MachineStatus{
+		{Machine: "t1", Zone: "a", Region: "north", Service: "drafts", Warm: true, Running: 3, Settings: 1,
+			Weights: "blake3:0000000000000000000000000000000000000000000000000000000000000001"},
+		{Machine: "t2", Zone: "a", Region: "north", Service: "drafts", Silent: true, Settings: 1},
+		{Machine: "e2", Zone: "a", Region: "north", Settings: 2},
+	}
+}
+
+func tokens(t *testing.T, scopes map[string]string) *admin.Tokens {
+	t.Helper()
+	var text strings.Builder
+	for name, scope := range scopes {
+		sum := sha256.Sum256([]byte("secret-of-" + name))
+		text.WriteString("[" + name + "]\nhash = sha256:" + hex.EncodeToString(sum[:]) + "\nscope = " + scope + "\n")
+	}
+	file := filepath.Join(t.TempDir(), "tokens.ini")
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := admin.LoadTokens(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loaded
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{}
+	f.log = sim.NewLog(func() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) })
+	logger := &log.Logger{Handler: logfmt.New(&f.written), Level: log.DebugLevel}
+	follower := follow.New(follow.Options{Log: f.log, Machine: "e1"})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for {
+		changed := follower.Changed()
+		if follower.Ready() {
+			break
+		}
+		<-changed
+	}
+	f.server = admin.New(admin.Options{
+		Machine: "e1", Follower: follower, Status: machines{}, Logger: logger,
+		Tokens: tokens(t, map[string]string{"root": "admin", "viewer": "read", "lead": "team trusts"}),
+	})
+	return f
+}
+
+var requestID = regexp.MustCompile(`admin-[0-9a-f]{16}`)
+
+// call sends one request; "as" is the token's name.
+func (f *fixture) call(method, path, as, body string) string {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	if as != "" {
+		req.Header.Set("Authorization", "Bearer secret-of-"+as)
+	}
+	rec := httptest.NewRecorder()
+	f.server.Handler().ServeHTTP(rec, req)
+	var pretty bytes.Buffer
+	text := rec.Body.Bytes()
+	if json.Indent(&pretty, text, "", " ") == nil {
+		text = pretty.Bytes()
+	}
+	out := strings.TrimSpace(rec.Result().Status + " " + rec.Header().Get("Content-Type") + "\n" + string(text))
+	return requestID.ReplaceAllString(out, "REQUEST") + "\n"
+}
+
+// TestSessions runs whole sessions of operators: each call names the method, the
+// path and the token.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		f := newFixture(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var as, target string
+			d.MaybeScanArgs(t, "as", &as)
+			switch d.Cmd {
+			case "GET", "POST":
+				d.ScanArgs(t, "path", &target)
+				return f.call(d.Cmd, strings.ReplaceAll(target, "+", "%20"), as, d.Input)
+			case "log":
+				f.log.SetDown(d.HasArg("down"))
+				if d.HasArg("lose-reply") {
+					f.log.LoseReplies(1)
+				}
+				return ""
+			case "secrets":
+				return secrets(f)
+			}
+			return "unknown command"
+		})
+	})
+}
+
+// secrets looks for tokens in the logs and in the records.
+func secrets(f *fixture) string {
+	batch, err := f.log.Read(context.Background(), "settings", 0, 0)
+	if err != nil {
+		return err.Error()
+	}
+	text := f.written.String()
+	for _, r := range batch.Records {
+		text += string(r.Data)
+	}
+	if strings.Contains(text, "secret-of-") {
+		return "found\n"
+	}
+	return "none\n"
+}
+
+func FuzzTokensFile(f *testing.F) {
+	f.Add([]byte("[root]\nhash = sha256:00\nscope = admin\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file := filepath.Join(t.TempDir(), "tokens.ini")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = admin.LoadTokens(file)
+	})
+}
+
+// TestTokensFileFaults checks that a fault in the hash does not show the value.
+func TestTokensFileFaults(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "tokens.ini")
+	if err := os.WriteFile(file, []byte("[root]\nhash = hunter2\nscope = team\ncolour = red\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := admin.LoadTokens(file)
+	if err == nil || strings.Contains(err.Error(), "hunter2") || strings.Count(err.Error(), "\n") != 2 {
+		t.Fatalf("error %v", err)
+	}
+}
--- /dev/null
+++ b/machine/entry/admin/read.go
@@ -0,0 +1,162 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/admin/wire"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/settings/follow/spread"
+	"mimosastand.example/mimosastand/settings/record"
+	"mimosastand.example/mimosastand/settings/schema"
+)
+
+const (
+	originSchema   = "schema"
+	defaultHistory = 100
+	maxHistory     = 2048
+)
+
+func (s *Server) answer(ctx iris.Context, body any) {
+	_ = ctx.JSON(body)
+}
+
+func (s *Server) getTree(ctx iris.Context) {
+	view := s.opts.Follower.Tree()
+	reply := wire.Tree{Offset: view.Offset(), Values: []wire.Value{}}
+	for _, c := range view.Tree().Changes() {
+		reply.Values = append(reply.Values, wire.Value{Scope: c.Scope.String(), Key: c.Key, Value: c.Value})
+	}
+	s.answer(ctx, reply)
+}
+
+func (s *Server) getEffective(ctx iris.Context) {
+	scope, err := settings.ParseScope(ctx.URLParamDefault("scope", "defaults"))
+	if err != nil {
+		s.badRequest(ctx, "scope: "+err.Error())
+		return
+	}
+	only := settings.Key(ctx.URLParam("key"))
+	if _, known := schema.Lookup(only); only != "" && !known {
+		s.badRequest(ctx, "key: unknown key "+string(only))
+		return
+	}
+	view := s.opts.Follower.Tree()
+	reply := wire.Effective{Offset: view.Offset(), Scope: scope.String(), Values: []wire.EffectiveValue{}}
+	for _, f := range schema.Fields() {
+		if only == "" || only == f.Key {
+			e := view.Tree().Effective(scope, f.Key)
+			reply.Values = append(reply.Values, effective(f, e.Value, e.Origin, e.BuiltIn, e.Offset))
+		}
+	}
+	s.answer(ctx, reply)
+}
+
+func effective(f schema.Field, value string, origin settings.Scope, builtIn bool, offset contract.Offset) wire.EffectiveValue {
+	v := wire.EffectiveValue{Key: f.Key, Value: value, Origin: originSchema, Unit: f.Unit, Allowed: f.Allowed()}
+	if !builtIn {
+		v.Origin, v.Offset = origin.String(), offset
+	}
+	return v
+}
+
+func (s *Server) getSchema(ctx iris.Context) {
+	fields := []wire.Field{}
+	for _, f := range schema.Fields() {
+		fields = append(fields, wire.Field{
+			Key: f.Key, Unit: f.Unit, Allowed: f.Allowed(), Default: f.Default, Place: f.Place.String(), Doc: f.Doc,
+		})
+	}
+	s.answer(ctx, fields)
+}
+
+// getHistory answers from memory, and from the log what memory no longer holds.
+func (s *Server) getHistory(ctx iris.Context) {
+	after, err := strconv.ParseUint(ctx.URLParamDefault("after", "0"), 10, 63)
+	if err != nil {
+		s.badRequest(ctx, "after: must be an offset")
+		return
+	}
+	limit, err := strconv.Atoi(ctx.URLParamDefault("limit", strconv.Itoa(defaultHistory)))
+	if err != nil || limit < 1 || limit > maxHistory {
+		s.badRequest(ctx, "limit: must be a whole number from 1 to 2048")
+		return
+	}
+	s.answer(ctx, s.history(ctx.Request().Context(), contract.Offset(after), limit))
+}
+
+// history returns the newest entries after an offset, or the oldest if after is
+// given.
+func (s *Server) history(ctx context.Context, after contract.Offset, limit int) wire.History {
+	kept := s.opts.Follower.History(after)
+	reply := wire.History{Entries: []wire.HistoryEntry{}, Oldest: s.opts.Follower.Tree().Offset() + 1}
+	if len(kept) > 0 {
+		reply.Oldest = kept[0].Record.Offset
+	}
+	if after+1 < reply.Oldest {
+		older := s.readLog(ctx, after, reply.Oldest)
+		kept = append(older, kept...)
+		if len(older) > 0 {
+			reply.Oldest = older[0].Record.Offset
+		}
+	}
+	for _, e := range kept {
+		if entry, ok := historyEntry(e); ok {
+			reply.Entries = append(reply.Entries, entry)
+		}
+	}
+	if n := len(reply.Entries) - limit; n > 0 && after == 0 {
+		reply.Entries = reply.Entries[n:]
+	} else if n > 0 {
+		reply.Entries = reply.Entries[:limit]
+	}
+	return reply
+}
+
+// readLog reads records between two offsets; what the log does not give is left
+// out.
+func (s *Server) readLog(ctx context.Context, after, before contract.Offset) []spread.Entry {
+	var list []spread.Entry
+	for after+1 < before && len(list) < maxHistory {
+		batch, err := s.opts.Follower.Log().Read(ctx, record.Stream, after, 0)
+		if err != nil || len(batch.Records) == 0 {
+			return list
+		}
+		for _, r := range batch.Records {
+			if r.Offset < before {
+				list = append(list, spread.Entry{Record: platform.Record{Offset: r.Offset, Time: r.Time, Data: r.Data}})
+			}
+			after = r.Offset
+		}
+	}
+	return list
+}
+
+func historyEntry(e spread.Entry) (wire.HistoryEntry, bool) {
+	r, err := record.Decode(e.Record.Data)
+	if err != nil || r.Change == nil {
+		return wire.HistoryEntry{}, false
+	}
+	c := r.Change
+	return wire.HistoryEntry{
+		Offset: e.Record.Offset, Time: e.Record.Time, Author: c.Author, ID: c.ID, Base: c.Base, Note: c.Note,
+		Changes: assignments(c.Changes), Outcome: e.Decision.Outcome.String(), With: e.Decision.With,
+	}, true
+}
+
+func assignments(changes []settings.Change) []wire.Assignment {
+	list := make([]wire.Assignment, len(changes))
+	for i, c := range changes {
+		list[i] = wire.Assignment{Scope: c.Scope.String(), Key: c.Key, Value: c.Value, Unset: c.Unset}
+	}
+	return list
+}
+
+func (s *Server) badRequest(ctx iris.Context, detail string) {
+	s.refuse(ctx, wire.Problem{Status: http.StatusBadRequest, Reason: string(contract.ReasonBadRequest), Detail: detail})
+}
--- /dev/null
+++ b/machine/entry/admin/tokens.go
@@ -0,0 +1,199 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+	"lukechampine.com/blake3"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/settings/schema"
+)
+
+// Role is what a token allows.
+type Role uint8
+
+// The roles of tokens.
+const (
+	// RoleRead may read everything.
+	RoleRead Role = iota + 1
+	// RoleTeam may also change its team's own keys.
+	RoleTeam
+	// RoleAdmin may change everything.
+	RoleAdmin
+)
+
+// Token is one line of authority. The secret itself is never held.
+type Token struct {
+	Name string
+	Role Role
+	Team contract.TeamName
+	// Expires is when the token stops being valid; zero means never.
+	Expires time.Time
+	algo    string
+	sum     [32]byte
+}
+
+// mayChange reports whether the token allows a change. A team may change only
+// what concerns no other team: never its own share.
+func (t Token) mayChange(c settings.Change) bool {
+	if t.Role == RoleAdmin {
+		return true
+	}
+	f, known := schema.Lookup(c.Key)
+	return t.Role == RoleTeam && c.Scope.Team == t.Team && known && f.TeamOwned
+}
+
+// ErrTokens marks a tokens file that cannot be used.
+var ErrTokens = errors.New("admin: unusable tokens file")
+
+// Tokens holds the bearer tokens of a file. Reload replaces them; it is safe
+// for concurrent use.
+type Tokens struct {
+	file string
+	list atomic.Pointer[[]Token]
+}
+
+// LoadTokens reads a tokens file. It fails with ErrTokens and lists all faults.
+func LoadTokens(file string) (*Tokens, error) {
+	t := &Tokens{file: file}
+	return t, t.Reload()
+}
+
+// Reload reads the file again. On failure the former tokens stay valid.
+func (t *Tokens) Reload() error {
+	text, err := os.ReadFile(t.file)
+	if err != nil {
+		return errors.Mark(err, ErrTokens)
+	}
+	list, err := parseTokens(t.file, text)
+	if err != nil {
+		return errors.Mark(err, ErrTokens)
+	}
+	t.list.Store(&list)
+	return nil
+}
+
+// find returns the valid token whose secret is given. All tokens are compared,
+// so that the time taken tells nothing.
+func (t *Tokens) find(secret string, now time.Time) (Token, bool) {
+	list := t.list.Load()
+	if list == nil || secret == "" {
+		return Token{}, false
+	}
+	sums := map[string][32]byte{
+		"sha256": sha256.Sum256([]byte(secret)),
+		"blake3": blake3.Sum256([]byte(secret)),
+	}
+	var found Token
+	ok := false
+	for _, token := range *list {
+		sum := sums[token.algo]
+		if subtle.ConstantTimeCompare(sum[:], token.sum[:]) == 1 {
+			found, ok = token, true
+		}
+	}
+	if ok && !found.Expires.IsZero() && !now.Before(found.Expires) {
+		return Token{}, false
+	}
+	return found, ok
+}
+
+// parseTokens reads the INI form. Faults never show a value of the hash key, in
+// case somebody put the secret itself there.
+func parseTokens(file string, text []byte) ([]Token, error) {
+	source, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		return nil, errors.New("not INI")
+	}
+	p := &tokenParser{file: file}
+	for _, section := range source.Sections() {
+		if section.Name() != ini.DefaultSection || len(section.Keys()) > 0 {
+			p.section(section)
+		}
+	}
+	if len(p.list) == 0 && len(p.faults) == 0 {
+		p.fault("", "", "", "must hold at least one token")
+	}
+	if len(p.faults) > 0 {
+		return nil, &config.FaultsError{Faults: p.faults}
+	}
+	return p.list, nil
+}
+
+type tokenParser struct {
+	file   string
+	list   []Token
+	faults []config.Fault
+}
+
+func (p *tokenParser) fault(section, key, value, allowed string) {
+	p.faults = append(p.faults, config.Fault{File: p.file, Section: section, Key: key, Value: value, Allowed: allowed})
+}
+
+func (p *tokenParser) section(section *ini.Section) {
+	token := Token{Name: section.Name()}
+	if !settings.IsName(token.Name) {
+		p.fault(token.Name, "", "", "must be a name of letters, digits, '.', '_' and '-'")
+	}
+	for _, key := range section.Keys() {
+		switch key.Name() {
+		case "hash", "scope", "expires":
+		default:
+			p.fault(token.Name, key.Name(), "", "unknown key")
+		}
+	}
+	if !token.setHash(section.Key("hash").String()) {
+		p.fault(token.Name, "hash", "(not shown)", "must be sha256: or blake3: and the 64 hexadecimal digits of the token's hash")
+	}
+	if scope := section.Key("scope").String(); !token.setScope(scope) {
+		p.fault(token.Name, "scope", scope, "must be admin, read or team NAME")
+	}
+	if expires := section.Key("expires").String(); !token.setExpires(expires) {
+		p.fault(token.Name, "expires", expires, "must be a time such as 2030-01-31T00:00:00Z")
+	}
+	p.list = append(p.list, token)
+}
+
+func (t *Token) setHash(text string) bool {
+	algo, digits, _ := strings.Cut(text, ":")
+	sum, err := hex.DecodeString(digits)
+	if err != nil || len(sum) != len(t.sum) || algo != "sha256" && algo != "blake3" {
+		return false
+	}
+	t.algo, t.sum = algo, [32]byte(sum)
+	return true
+}
+
+func (t *Token) setScope(text string) bool {
+	words := strings.Fields(text)
+	switch {
+	case len(words) == 1 && words[0] == "admin":
+		t.Role = RoleAdmin
+	case len(words) == 1 && words[0] == "read":
+		t.Role = RoleRead
+	case len(words) == 2 && words[0] == "team" && settings.IsName(words[1]):
+		t.Role, t.Team = RoleTeam, contract.TeamName(words[1])
+	default:
+		return false
+	}
+	return true
+}
+
+func (t *Token) setExpires(text string) bool {
+	if text == "" {
+		return true
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	t.Expires = at
+	return err == nil
+}
--- a/settings/record/record.go
+++ b/settings/record/record.go
@@ -40,6 +40,9 @@
 	// UnixMilli is the submitter's clock, for the history only.
 	UnixMilli int64  `cbor:"5,keyasint"`
 	Note      string `cbor:"6,keyasint,omitempty"`
+	// Intent names the operator's command if the changes follow from it and from
+	// the tree, so that a resend is known again although the tree has moved on.
+	Intent string `cbor:"7,keyasint,omitempty"`
 }
 
 // Time returns the submitter's clock when the change was made.
@@ -47,11 +50,15 @@
 	return time.UnixMilli(c.UnixMilli).UTC()
 }
 
-// Sum identifies what a change does, so that two changes with one identifier
-// can be told apart.
+// Sum identifies what a change is meant to do, so that a resend and another
+// change with the same identifier can be told apart. Base and time are left
+// out: they may differ in a resend.
 func (c Change) Sum() [8]byte {
-	c.UnixMilli = 0
-	data, err := encMode.Marshal(c)
+	meant := Change{Author: c.Author, Intent: c.Intent}
+	if c.Intent == "" {
+		meant.Changes = c.Changes
+	}
+	data, err := encMode.Marshal(meant)
 	if err != nil {
 		return [8]byte{}
 	}
@@ -145,5 +152,5 @@
 
 func (c *Change) valid() bool {
 	return c.ID != "" && len(c.ID) <= MaxIDBytes && len(c.Author) <= MaxIDBytes &&
-		len(c.Note) <= MaxNoteBytes && len(c.Changes) > 0 && len(c.Changes) <= MaxChanges
+		len(c.Note) <= MaxNoteBytes && len(c.Intent) <= MaxNoteBytes && len(c.Changes) > 0 && len(c.Changes) <= MaxChanges
 }
--- a/settings/schema/schema.go
+++ b/settings/schema/schema.go
@@ -54,7 +54,10 @@
 	Default string
 	Choices []string
 	Place   Place
-	Doc     string
+	// TeamOwned keys concern no other team, so that a team's own token may change
+	// them.
+	TeamOwned bool
+	Doc       string
 }
 
 // The keys of the tree.
@@ -110,8 +113,8 @@
 	{Key: MaxFailures, Kind: Int, Unit: "targets", Max: maxHosts, Default: "2", Place: AboveTeam, Doc: "targets that may fail a roll-out before it stops"},
 	{Key: Spill, Kind: Bool, Default: "true", Place: AboveTeam, Doc: "requests may go to other zones"},
 	{Key: Share, Kind: Float, Unit: "weight", Min: 0.001, Max: 1000, Default: "1", Place: Anywhere, Doc: "weight of a team among those that compete"},
-	{Key: TeamRetries, Kind: Float, Unit: "retries per first attempt", Max: 1, Default: "0.1", Place: Anywhere, Doc: "bound on the retries of a team"},
-	{Key: MaxPriority, Kind: Int, Max: maxPriority, Default: "10", Place: Anywhere, Doc: "highest priority that a team's requests may ask for"},
+	{Key: TeamRetries, Kind: Float, Unit: "retries per first attempt", Max: 1, Default: "0.1", Place: Anywhere, TeamOwned: true, Doc: "bound on the retries of a team"},
+	{Key: MaxPriority, Kind: Int, Max: maxPriority, Default: "10", Place: Anywhere, TeamOwned: true, Doc: "highest priority that a team's requests may ask for"},
 }
 
 var byKey = index()
