--- /dev/null
+++ b/standin/hostlist/hostlist.go
@@ -0,0 +1,153 @@
+// Package hostlist is a stand-in of the platform's lagging host list.
+//
+// Besides the platform's GET /hosts it takes PUT /hosts with a whole list and
+// POST /hosts/{machine} with {"state":"live|leaving|gone"}.
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fault"
+)
+
+// stateGone removes a host from the list.
+const stateGone platform.HostState = "gone"
+
+// Config holds the settings of a host list.
+type Config struct {
+	// Lag is how old the list is that callers see.
+	Lag time.Duration
+}
+
+// Stats is what GET /stats shows.
+type Stats struct {
+	Gets    uint64 `json:"gets"`
+	Version uint64 `json:"version"`
+	Hosts   int    `json:"hosts"`
+}
+
+type version struct {
+	at   time.Time
+	list platform.HostList
+}
+
+// List is the stand-in.
+type List struct {
+	config Config
+
+	mu sync.Mutex
+	// past holds the lists that callers saw before, oldest first; versions the
+	// list that they see and all later ones.
+	past     []platform.HostList
+	versions []version
+	gets     uint64
+}
+
+// New returns an empty list with switchable faults.
+func New(config Config) *fault.Switch {
+	l := &List{config: config, versions: []version{{list: platform.HostList{Hosts: []platform.Host{}}}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", l.serveGet)
+	mux.HandleFunc("PUT /hosts", l.servePut)
+	mux.HandleFunc("POST /hosts/{machine}", l.servePost)
+	return fault.Wrap(mux, l.snapshot, nil)
+}
+
+func (l *List) snapshot() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := l.newest()
+	return Stats{Gets: l.gets, Version: newest.Version, Hosts: len(newest.Hosts)}
+}
+
+func (l *List) newest() platform.HostList {
+	return l.versions[len(l.versions)-1].list
+}
+
+// change adds a version with the given hosts.
+func (l *List) change(hosts []platform.Host) {
+	list := platform.HostList{Version: l.newest().Version + 1, Hosts: hosts}
+	l.versions = append(l.versions, version{at: time.Now(), list: list})
+}
+
+// maxPast is how many former lists a change can start from.
+const maxPast = 64
+
+func (l *List) serveGet(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gets++
+	shown := time.Now().Add(-l.config.Lag)
+	for len(l.versions) > 1 && !l.versions[1].at.After(shown) {
+		l.past = append(l.past, l.versions[0].list)
+		l.past = l.past[max(0, len(l.past)-maxPast):]
+		l.versions = l.versions[1:]
+	}
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.since(after))
+}
+
+// since returns the change from a version that a caller has seen, or the whole
+// list if that version is not known.
+func (l *List) since(after uint64) platform.HostChange {
+	shown := l.versions[0].list
+	if after == shown.Version && after != 0 {
+		return platform.HostChange{Version: after, After: after, Hosts: []platform.Host{}}
+	}
+	for _, older := range l.past {
+		if older.Version == after && after != 0 {
+			return shown.Since(older)
+		}
+	}
+	return platform.HostChange{Version: shown.Version, Hosts: shown.Hosts}
+}
+
+func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
+	var list platform.HostList
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.change(list.Hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) servePost(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		State platform.HostState `json:"state"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	machine := contract.MachineID(r.PathValue("machine"))
+	hosts := slices.Clone(l.newest().Hosts)
+	i := slices.IndexFunc(hosts, func(h platform.Host) bool { return h.Machine == machine })
+	if i < 0 {
+		http.Error(w, "no such machine", http.StatusNotFound)
+		return
+	}
+	switch body.State {
+	case stateGone:
+		hosts = slices.Delete(hosts, i, i+1)
+	case platform.HostLive, platform.HostLeaving:
+		hosts[i].State = body.State
+	default:
+		http.Error(w, "unknown state", http.StatusBadRequest)
+		return
+	}
+	l.change(hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
