Prove replay and spread by sessions, mechanisms and properties

Cause: the promises on settings had code but few proofs. Found on the way: an offset that a faulty peer makes up held a tailing process not ready until its long poll ended (up to 10 s); it now asks the log at once beside the poll, and the session in testdata/checkpoints.txt shows it ready throughout. Change: a world in virtual time over the real machines, scripted sessions, a table of mechanisms that each fail when switched off, random faults over six processes, replay over checkpoints at any place; weights publish. Conclusion: go test -race ./cli ./settings/... ./machine/entry/admin passes.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -34,9 +36,10 @@
 
 // system is an administration API over a log in memory.
 type system struct {
-	log *sim.Log
-	url string
-	dir string
+	log   *sim.Log
+	url   string
+	store string
+	dir   string
 }
 
 func newSystem(t *testing.T) *system {
@@ -53,6 +56,13 @@
 	sum := sha256.Sum256([]byte("hunter2"))
 	s.write(t, "tokens.ini", "[root]\nhash = sha256:"+hex.EncodeToString(sum[:])+"\nscope = admin\n")
 	s.write(t, "token", "hunter2\n")
+	s.write(t, "model", strings.Repeat("weights ", 1024))
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusCreated)
+	}))
+	t.Cleanup(store.Close)
+	s.store = store.URL
 	s.write(t, "wrong", "hunter3\n")
 	s.write(t, "bad.ini", "[defaults]\nmax_running = 0\n[planet x]\n")
 	tokens, err := admin.LoadTokens(filepath.Join(s.dir, "tokens.ini"))
@@ -79,7 +89,7 @@
 // run executes one command line. SERVER, DIR and DEAD stand for the address, the
 // directory and an address where nothing listens.
 func (s *system) run(line string) string {
-	line = strings.NewReplacer("SERVER", s.url, "DIR", s.dir, "DEAD", "http://127.0.0.1:1", "EXAMPLES", filepath.Join("..", "examples")).Replace(line)
+	line = strings.NewReplacer("SERVER", s.url, "STORE", s.store, "DIR", s.dir, "DEAD", "http://127.0.0.1:1", "EXAMPLES", filepath.Join("..", "examples")).Replace(line)
 	parser := flaggy.NewParser("mimosastand")
 	set := cli.Register(parser)
 	var out, errOut bytes.Buffer
--- a/settings/follow/follower.go
+++ b/settings/follow/follower.go
@@ -156,6 +156,8 @@
 	switch e := e.(type) {
 	case spread.ReadLog:
 		f.spawn(func(ctx context.Context) spread.Event { return f.read(ctx, e) })
+	case spread.ProbeLog:
+		f.spawn(func(ctx context.Context) spread.Event { return f.probe(ctx, e) })
 	case spread.PullPeer:
 		f.spawn(func(ctx context.Context) spread.Event { return f.pull(ctx, e) })
 	case spread.AppendCheckpoint:
@@ -213,6 +215,16 @@
 	return spread.LogRead{After: e.After, Batch: batch}
 }
 
+func (f *Follower) probe(ctx context.Context, e spread.ProbeLog) spread.Event {
+	batch, err := f.opts.Log.Read(ctx, record.Stream, e.After, 0)
+	if err != nil {
+		f.count("log_probes", "failed")
+		return spread.ProbeFailed{}
+	}
+	f.count("log_probes", "ok")
+	return spread.ExtraRead{Batch: batch, Probe: true}
+}
+
 func readResult(trimmed bool) string {
 	if trimmed {
 		return "trimmed"
--- a/settings/follow/spread/events.go
+++ b/settings/follow/spread/events.go
@@ -44,23 +44,29 @@
 // Appended tells that the append of a checkpoint ended, well or not.
 type Appended struct{}
 
-// ExtraRead is a read of the log that the machine did not ask for.
+// ExtraRead is a read of the log beside the machine's own long poll.
 type ExtraRead struct {
 	Batch platform.Batch
+	// Probe tells that it answers a ProbeLog.
+	Probe bool
 }
 
+// ProbeFailed is a ProbeLog that the log did not answer.
+type ProbeFailed struct{}
+
 // Tick carries only the time.
 type Tick struct{}
 
-func (LogRead) isEvent()    {}
-func (LogFailed) isEvent()  {}
-func (PeerAnswer) isEvent() {}
-func (PullFailed) isEvent() {}
-func (PeerOffset) isEvent() {}
-func (Tailing) isEvent()    {}
-func (Appended) isEvent()   {}
-func (ExtraRead) isEvent()  {}
-func (Tick) isEvent()       {}
+func (LogRead) isEvent()     {}
+func (LogFailed) isEvent()   {}
+func (PeerAnswer) isEvent()  {}
+func (PullFailed) isEvent()  {}
+func (PeerOffset) isEvent()  {}
+func (Tailing) isEvent()     {}
+func (Appended) isEvent()    {}
+func (ExtraRead) isEvent()   {}
+func (ProbeFailed) isEvent() {}
+func (Tick) isEvent()        {}
 
 // Effect is what the daemon is to do.
 type Effect interface{ isEffect() }
@@ -71,6 +77,12 @@
 	Wait  time.Duration
 }
 
+// ProbeLog asks for a read of the log at once, beside a long poll that may still
+// wait, because a peer told an offset that no peer can give.
+type ProbeLog struct {
+	After contract.Offset
+}
+
 // PullPeer asks for the records after an offset from one peer.
 type PullPeer struct {
 	After contract.Offset
@@ -102,6 +114,7 @@
 }
 
 func (ReadLog) isEffect()          {}
+func (ProbeLog) isEffect()         {}
 func (PullPeer) isEffect()         {}
 func (AppendCheckpoint) isEffect() {}
 func (Publish) isEffect()          {}
--- a/settings/follow/spread/machine.go
+++ b/settings/follow/spread/machine.go
@@ -58,7 +58,9 @@
 	staleRead bool
 	stalePull bool
 	// readSoon asks for a read of the log also where nothing else does.
-	readSoon    bool
+	readSoon bool
+	// probing tells that a ProbeLog is under way.
+	probing     bool
 	nextRead    time.Time
 	lastLog     time.Time
 	lastHeard   time.Time
@@ -106,7 +108,10 @@
 	case Appended:
 		m.checkpoints.appended(now, m.jitter(checkpointSpread))
 	case ExtraRead:
+		m.probing = m.probing && !ev.Probe
 		m.takeBatch(now, ev.Batch)
+	case ProbeFailed:
+		m.probing = false
 	}
 	m.updateReady(now)
 	m.schedule(now)
@@ -192,6 +197,10 @@
 		m.reading, m.readSoon = true, false
 		m.emit(m.nextLogRead())
 	}
+	if m.wantsProbe(now) {
+		m.probing = true
+		m.emit(ProbeLog{After: m.state.Offset()})
+	}
 	if m.wantsPull(now) {
 		m.pulling = true
 		m.emit(PullPeer{After: m.state.Offset()})
@@ -215,6 +224,15 @@
 	return quiet || stuck || now.Sub(m.lastLog) > m.timing.AuditEvery
 }
 
+// wantsProbe reports whether to ask the log beside a waiting long poll whether
+// an offset that no peer can give exists at all.
+func (m *Machine) wantsProbe(now time.Time) bool {
+	if m.probing || !m.reading || m.behindSince.IsZero() || !m.pullFailing || m.logDown {
+		return false
+	}
+	return now.Sub(m.behindSince) > m.timing.BehindLimit/2
+}
+
 func (m *Machine) nextLogRead() ReadLog {
 	if m.recovery.active() {
 		return ReadLog{After: m.recovery.nextAfter()}
--- /dev/null
+++ b/settings/follow/spread/sim/world.go
@@ -0,0 +1,407 @@
+package sim
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings/follow/spread"
+	"mimosastand.example/mimosastand/settings/record"
+)
+
+// Delays of the world, one way.
+const (
+	linkDelay      = time.Millisecond
+	logDelay       = 5 * time.Millisecond
+	pullTimeout    = 2 * time.Second
+	tickInterval   = 250 * time.Millisecond
+	heartbeatEvery = time.Second
+	callTimeout    = 5 * time.Second
+)
+
+// World runs nodes in virtual time. It is not safe for concurrent use.
+type World struct {
+	Log *Log
+	// Trace is called for each effect of a node, if set.
+	Trace func(n *Node, e spread.Effect)
+	// Prepare is called for each new machine, if set.
+	Prepare func(m *spread.Machine)
+	// LogDelay is added to each call of the log.
+	LogDelay time.Duration
+
+	timing  spread.Timing
+	start   time.Time
+	now     time.Time
+	rng     *rand.Rand
+	queue   queue
+	seq     uint64
+	nodes   []*Node
+	byName  map[string]*Node
+	waiting map[*Node]waiter
+	// cutZones cannot reach other zones, cutLog cannot reach the log.
+	cutZones map[contract.ZoneName]bool
+	cutLog   map[contract.ZoneName]bool
+	cost     Cost
+}
+
+// Cost counts what the spread used.
+type Cost struct {
+	Steps, Pulls, PullBytes, Heartbeats int
+}
+
+// waiter is a long poll of the log.
+type waiter struct {
+	after contract.Offset
+	id    uint64
+}
+
+// NewWorld returns an empty world whose random choices follow from seed.
+func NewWorld(seed uint64, timing spread.Timing) *World {
+	start := time.Unix(0, 0).UTC()
+	w := &World{
+		timing: timing, start: start, now: start, rng: rand.New(rand.NewPCG(seed, seed)),
+		byName: map[string]*Node{}, waiting: map[*Node]waiter{},
+		cutZones: map[contract.ZoneName]bool{}, cutLog: map[contract.ZoneName]bool{},
+	}
+	w.Log = NewLog(func() time.Time { return w.now })
+	return w
+}
+
+// Node is one process.
+type Node struct {
+	Name    string
+	Zone    contract.ZoneName
+	Machine *spread.Machine
+	// Applied is when the node's offset last changed.
+	Applied time.Time
+
+	world  *World
+	peers  []*Node
+	heard  map[*Node]contract.Offset
+	paused bool
+	dead   bool
+	inbox  []spread.Event
+	asked  int
+}
+
+// Start adds a running node.
+func (w *World) Start(name string, zone contract.ZoneName, tails bool) *Node {
+	rng := rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64()))
+	n := &Node{Name: name, Zone: zone, world: w, heard: map[*Node]contract.Offset{}}
+	n.Machine = spread.New(w.timing, rng, w.now)
+	if w.Prepare != nil {
+		w.Prepare(n.Machine)
+	}
+	w.nodes = append(w.nodes, n)
+	w.byName[name] = n
+	n.deliver(spread.Tailing{On: tails})
+	w.after(w.upTo(tickInterval), n.tick)
+	w.after(w.upTo(heartbeatEvery), n.heartbeat)
+	return n
+}
+
+// Link joins two nodes, which then send each other heartbeats.
+func (w *World) Link(a, b *Node) {
+	a.peers = append(a.peers, b)
+	b.peers = append(b.peers, a)
+}
+
+// Nodes lists the nodes in the order of their start, dead ones left out.
+func (w *World) Nodes() []*Node {
+	var list []*Node
+	for _, n := range w.nodes {
+		if !n.dead {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Node returns the node with a name, or nil.
+func (w *World) Node(name string) *Node {
+	return w.byName[name]
+}
+
+// Now returns the virtual time since the world's start.
+func (w *World) Now() time.Duration {
+	return w.now.Sub(w.start)
+}
+
+// Cost returns the counts so far.
+func (w *World) Cost() Cost {
+	return w.cost
+}
+
+// CutZone cuts a zone off from the other zones, or heals it.
+func (w *World) CutZone(zone contract.ZoneName, cut bool) {
+	w.cutZones[zone] = cut
+}
+
+// CutLog cuts a zone off from the log, or heals it.
+func (w *World) CutLog(zone contract.ZoneName, cut bool) {
+	w.cutLog[zone] = cut
+}
+
+// Pause freezes or wakes a node. What arrives meanwhile is delivered at the end.
+func (n *Node) Pause(paused bool) {
+	n.paused = paused
+	if paused {
+		return
+	}
+	inbox := n.inbox
+	n.inbox = nil
+	for _, ev := range inbox {
+		n.deliver(ev)
+	}
+}
+
+// Kill removes a node for good.
+func (n *Node) Kill() {
+	n.dead = true
+}
+
+// Append adds a record to the log, as an operator's entry host would.
+func (w *World) Append(data []byte) (contract.Offset, error) {
+	offset, err := w.Log.Append(context.Background(), record.Stream, data)
+	w.wakeWaiters()
+	return offset, err
+}
+
+// Run lets virtual time pass.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		item := heap.Pop(&w.queue).(queued)
+		w.now = item.at
+		item.run()
+	}
+	w.now = end
+}
+
+func (w *World) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, queued{at: w.now.Add(d), seq: w.seq, run: run})
+}
+
+func (w *World) upTo(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(d)))
+}
+
+func (w *World) reach(a, b *Node) bool {
+	if a.dead || b.dead {
+		return false
+	}
+	return a.Zone == b.Zone || !w.cutZones[a.Zone] && !w.cutZones[b.Zone]
+}
+
+func (n *Node) tick() {
+	if n.dead {
+		return
+	}
+	if !n.paused {
+		n.deliver(spread.Tick{})
+	}
+	n.world.after(tickInterval, n.tick)
+}
+
+// heartbeat tells all peers the node's offset.
+func (n *Node) heartbeat() {
+	if n.dead {
+		return
+	}
+	if !n.paused {
+		for _, peer := range n.peers {
+			n.beat(peer)
+		}
+	}
+	n.world.after(heartbeatEvery, n.heartbeat)
+}
+
+func (n *Node) beat(peer *Node) {
+	if !n.world.reach(n, peer) {
+		return
+	}
+	offset := n.Machine.State().Offset()
+	n.world.cost.Heartbeats++
+	n.world.after(linkDelay, func() {
+		peer.heard[n] = offset
+		peer.deliver(spread.PeerOffset{Offset: offset})
+	})
+}
+
+// Deliver hands the node's machine an event from outside the world.
+func (n *Node) Deliver(ev spread.Event) {
+	n.deliver(ev)
+}
+
+func (n *Node) deliver(ev spread.Event) {
+	switch {
+	case n.dead:
+		return
+	case n.paused:
+		n.inbox = append(n.inbox, ev)
+		return
+	}
+	w := n.world
+	w.cost.Steps++
+	before := n.Machine.State().Offset()
+	effects := n.Machine.Step(w.now, ev)
+	if n.Machine.State().Offset() != before {
+		n.Applied = w.now
+	}
+	for _, e := range effects {
+		if w.Trace != nil {
+			w.Trace(n, e)
+		}
+		n.run(e)
+	}
+}
+
+func (n *Node) run(e spread.Effect) {
+	w := n.world
+	switch e := e.(type) {
+	case spread.ReadLog:
+		w.after(logDelay+w.LogDelay, func() { n.readLog(e) })
+	case spread.ProbeLog:
+		w.after(logDelay+w.LogDelay, func() { n.probe(e.After) })
+	case spread.PullPeer:
+		w.after(linkDelay, func() { n.pull(e.After) })
+	case spread.AppendCheckpoint:
+		w.after(logDelay+w.LogDelay, func() { n.append(e.Data) })
+	}
+}
+
+func (n *Node) append(data []byte) {
+	if !n.world.cutLog[n.Zone] {
+		_, _ = n.world.Append(data)
+	}
+	n.deliver(spread.Appended{})
+}
+
+func (n *Node) probe(after contract.Offset) {
+	batch, err := n.world.poll(after)
+	if err != nil || n.world.cutLog[n.Zone] {
+		n.deliver(spread.ProbeFailed{})
+		return
+	}
+	n.deliver(spread.ExtraRead{Batch: batch, Probe: true})
+}
+
+// readLog runs a long poll.
+func (n *Node) readLog(e spread.ReadLog) {
+	w := n.world
+	if w.cutLog[n.Zone] {
+		w.after(callTimeout, func() { n.deliver(spread.LogFailed{}) })
+		return
+	}
+	batch, err := w.poll(e.After)
+	if err != nil {
+		n.deliver(spread.LogFailed{Trimmed: err == platform.ErrTrimmed})
+		return
+	}
+	if len(batch.Records) > 0 || e.Wait == 0 {
+		n.deliver(spread.LogRead{After: e.After, Batch: batch})
+		return
+	}
+	w.seq++
+	id := w.seq
+	w.waiting[n] = waiter{after: e.After, id: id}
+	w.after(e.Wait, func() {
+		if w.waiting[n].id == id {
+			w.finish(n)
+		}
+	})
+}
+
+func (w *World) poll(after contract.Offset) (platform.Batch, error) {
+	batch, _, err := w.Log.read(after)
+	return batch, err
+}
+
+// finish answers a waiting long poll.
+func (w *World) finish(n *Node) {
+	after := w.waiting[n].after
+	delete(w.waiting, n)
+	batch, err := w.poll(after)
+	if err != nil || w.cutLog[n.Zone] {
+		n.deliver(spread.LogFailed{Trimmed: err == platform.ErrTrimmed})
+		return
+	}
+	n.deliver(spread.LogRead{After: after, Batch: batch})
+}
+
+// wakeWaiters answers all long polls, in the order of the nodes' start.
+func (w *World) wakeWaiters() {
+	for _, n := range w.nodes {
+		if _, ok := w.waiting[n]; ok {
+			w.after(logDelay+w.LogDelay, func() {
+				if _, still := w.waiting[n]; still {
+					w.finish(n)
+				}
+			})
+		}
+	}
+}
+
+// pull asks the reachable peer that told the highest offset; peers that told the
+// same are asked in turn.
+func (n *Node) pull(after contract.Offset) {
+	w := n.world
+	peer := n.choosePeer()
+	if peer == nil || peer.paused {
+		w.after(pullTimeout, func() { n.deliver(spread.PullFailed{}) })
+		return
+	}
+	w.cost.Pulls++
+	reply := peer.Machine.Serve(contract.SettingsPull{After: after})
+	w.cost.PullBytes += replyBytes(reply)
+	w.after(2*linkDelay, func() { n.deliver(spread.PeerAnswer{Records: reply}) })
+}
+
+func (n *Node) choosePeer() *Node {
+	n.asked++
+	var best *Node
+	for i := range n.peers {
+		p := n.peers[(i+n.asked)%len(n.peers)]
+		if n.world.reach(n, p) && (best == nil || n.heard[p] > n.heard[best]) {
+			best = p
+		}
+	}
+	return best
+}
+
+func replyBytes(r contract.SettingsRecords) int {
+	const frame = 24
+	size := frame + len(r.Checkpoint)
+	for _, data := range r.Records {
+		size += len(data) + 3
+	}
+	return size
+}
+
+type queued struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type queue []queued
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(queued)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
