--- /dev/null
+++ b/machine/entry/claims/run.go
@@ -0,0 +1,200 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims/batcher"
+	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
+	"mimosastand.example/mimosastand/platform"
+)
+
+// Run reads the stream, appends to it and keeps the timers until ctx ends. It
+// must be called once.
+func (s *Service) Run(ctx context.Context) {
+	defer close(s.ended)
+	s.mu.Lock()
+	s.ctx = ctx
+	s.start(s.tail)
+	s.mu.Unlock()
+	s.keepTime(ctx)
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.tasks.Wait()
+}
+
+// start runs a task under Run's context. Before Run and after its end the task
+// is not run; a batch that is then in flight is as good as lost.
+func (s *Service) start(task func(context.Context)) {
+	ctx := s.ctx
+	if ctx == nil || s.stopped {
+		return
+	}
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		task(ctx)
+	}()
+}
+
+// keepTime calls Tick when the machine wants it.
+func (s *Service) keepTime(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-report.C:
+			s.report()
+		case <-s.poke:
+		case <-timer.C:
+			_ = s.step(func(now time.Time) error {
+				s.machine.Tick(now)
+				return nil
+			})
+		}
+		s.resetTimer(timer)
+	}
+}
+
+func (s *Service) resetTimer(timer *time.Timer) {
+	s.mu.Lock()
+	at, ok := s.machine.Wake()
+	s.mu.Unlock()
+	if ok {
+		timer.Reset(time.Until(at))
+	}
+}
+
+// tail reads the stream.
+func (s *Service) tail(ctx context.Context) {
+	for ctx.Err() == nil {
+		after, wait := s.position()
+		batch, err := s.log.Read(ctx, s.opts.Stream, after, wait)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed):
+			err = s.restart(ctx)
+		case err == nil:
+			err = s.take(batch)
+		}
+		if err != nil && ctx.Err() == nil {
+			s.opts.Logger.WithError(err).Warn("cannot read the stream")
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+// position returns where to read on. Until the end of the stream was seen once,
+// a read does not wait for further records.
+func (s *Service) position() (contract.Offset, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.machine.IsReady() {
+		return s.machine.Applied(), 0
+	}
+	return s.machine.Applied(), pollWait
+}
+
+func (s *Service) take(batch platform.Batch) error {
+	records := make([]LogRecord, len(batch.Records))
+	for i, r := range batch.Records {
+		records[i] = LogRecord{Offset: r.Offset, Time: r.Time, Data: r.Data}
+	}
+	return s.step(func(now time.Time) error { return s.machine.Records(now, records, batch.Newest) })
+}
+
+// restart begins at the oldest record that is kept.
+func (s *Service) restart(ctx context.Context) error {
+	batch, err := s.log.Read(ctx, s.opts.Stream, beyond, 0)
+	if err != nil {
+		return err
+	}
+	s.opts.Logger.WithField("oldest", uint64(batch.Oldest)).Warn("records are past retention, reading from the oldest")
+	return s.step(func(time.Time) error {
+		s.machine.Restart(max(batch.Oldest, 1) - 1)
+		return nil
+	})
+}
+
+// append sends one batch and tells the machine how that ended.
+func (s *Service) append(ctx context.Context, batch *ledger.Batch) {
+	data, err := batch.Encode()
+	if err == nil {
+		_, err = s.log.Append(ctx, s.opts.Stream, data)
+	}
+	if err != nil {
+		s.opts.Logger.WithError(err).Warn("append failed")
+	}
+	_ = s.step(func(now time.Time) error {
+		s.machine.Appended(now, batch.Seq, statusOf(err))
+		return nil
+	})
+}
+
+func statusOf(err error) batcher.Status {
+	switch {
+	case err == nil:
+		return batcher.Appended
+	case errors.Is(err, platform.ErrThrottled):
+		return batcher.Throttled
+	case errors.Is(err, platform.ErrUnavailable):
+		return batcher.Unavailable
+	default:
+		return batcher.Uncertain
+	}
+}
+
+// probe asks the targets and tells the machine their answer. An error counts
+// as an answer that cannot vouch.
+func (s *Service) probe(ctx context.Context, ask Ask) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answer, err := s.prober.Probe(ctx, ask.Service, ask.Winner, ask.Age)
+	if err != nil {
+		s.opts.Logger.WithError(err).WithField("request", string(ask.Winner)).Warn("probe failed")
+		answer = ProbeResult{}
+	}
+	_ = s.step(func(now time.Time) error {
+		s.machine.Probed(now, ask.Key, ask.Winner, answer)
+		return nil
+	})
+}
+
+// report sets the gauges of the metrics page.
+func (s *Service) report() {
+	s.mu.Lock()
+	m, l, b := s.machine.Stats()
+	keys := s.machine.ledger.Len()
+	interval := s.machine.batcher.Interval()
+	s.mu.Unlock()
+	gauges := map[string]float64{
+		"claims_keys": float64(keys), "claims_append_interval_seconds": interval.Seconds(),
+		"claims_probes": float64(m.Probes), "claims_takeovers": float64(m.Takeovers),
+		"claims_released": float64(m.Released), "claims_too_late": float64(m.TooLate),
+		"claims_superseded": float64(m.Superseded), "claims_contradictions": float64(l.Contradictions),
+		"claims_malformed": float64(l.Malformed), "claims_repeated": float64(l.Repeated),
+		"claims_expired": float64(l.Expired), "claims_bodies_dropped": float64(l.BodiesDropped),
+		"claims_appends": float64(b.Appended), "claims_items": float64(b.Items),
+		"claims_resent": float64(b.Resent), "claims_throttled": float64(b.Throttled),
+		"claims_append_unavailable": float64(b.Unavailable), "claims_append_uncertain": float64(b.Uncertain),
+	}
+	for name, value := range gauges {
+		s.opts.Scope.Gauge(name).Update(value)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/machine/entry/claims/service.go
@@ -0,0 +1,213 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims/batcher"
+	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
+	"mimosastand.example/mimosastand/platform"
+)
+
+// ErrHeld means that an outcome is not in the log yet; it is appended later.
+var ErrHeld = errors.New("claims: outcome is held until the log takes it")
+
+const (
+	// Stream is the stream of claims at the size of one ledger for all entries.
+	Stream = "claims"
+
+	pollWait     = 10 * time.Second
+	readRetry    = 200 * time.Millisecond
+	probeTimeout = 3 * time.Second
+	reportEvery  = time.Second
+	// beyond is an offset after every record; a read there tells the oldest one.
+	beyond = contract.Offset(1) << 62
+)
+
+// DefaultConfig returns the times and bounds of an entry process. The writer
+// names one run of the process, such as its machine and incarnation.
+func DefaultConfig(writer string) Config {
+	return Config{
+		StartWithin:  10 * time.Second,
+		ProbeAfter:   12 * time.Second,
+		ProbeEvery:   2 * time.Second,
+		AgeMargin:    2 * time.Second,
+		DecideWithin: 3 * time.Second,
+		WaitFor:      5 * time.Second,
+		MaxKeys:      50_000,
+		MaxBodyBytes: 16 << 10,
+		Ledger:       ledger.Config{Window: time.Hour, MaxResultBytes: 16 << 20},
+		Batcher: batcher.Config{
+			Writer:      writer,
+			Budget:      200,
+			MaxInterval: time.Second,
+			MaxBytes:    256 << 10,
+			MaxPending:  4096,
+		},
+	}
+}
+
+// Options holds what a Service needs beside its log and prober.
+type Options struct {
+	Config Config
+	Stream string
+	Logger log.Interface
+	Scope  tally.Scope
+	// Seed seeds the jitter.
+	Seed uint64
+}
+
+// Service joins a Machine to the log. It implements Claimer and is safe for
+// concurrent use. Run must be running for calls to be decided.
+type Service struct {
+	log    platform.Log
+	prober Prober
+	opts   Options
+	poke   chan struct{}
+	// ended is closed when Run returns.
+	ended chan struct{}
+
+	mu       sync.Mutex
+	machine  *Machine
+	decided  map[contract.RequestID]chan Decision
+	recorded map[contract.RequestID]chan struct{}
+	// ctx is Run's; tasks are started under it.
+	ctx     context.Context
+	stopped bool
+	tasks   sync.WaitGroup
+}
+
+var _ Claimer = (*Service)(nil)
+
+// NewService returns a service that has not read the stream yet.
+func NewService(log platform.Log, prober Prober, opts Options) *Service {
+	rng := rand.New(rand.NewPCG(opts.Seed, 0))
+	return &Service{
+		log:      log,
+		prober:   prober,
+		opts:     opts,
+		poke:     make(chan struct{}, 1),
+		ended:    make(chan struct{}),
+		machine:  NewMachine(opts.Config, rng, 0),
+		decided:  map[contract.RequestID]chan Decision{},
+		recorded: map[contract.RequestID]chan struct{}{},
+	}
+}
+
+// Ready reports whether the stream was read up to its end once.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.IsReady()
+}
+
+// Idle reports whether nothing waits for the log, so that the process may stop.
+func (s *Service) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Idle()
+}
+
+// SetWriters tells how many entry processes share the log's append rate.
+func (s *Service) SetWriters(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.SetWriters(n)
+}
+
+// Claim implements Claimer.
+func (s *Service) Claim(ctx context.Context, claim contract.Claim) (Decision, error) {
+	decided := make(chan Decision, 1)
+	err := s.step(func(now time.Time) error {
+		err := s.machine.Claim(now, claim)
+		if err == nil {
+			s.decided[claim.Request] = decided
+		}
+		return err
+	})
+	if err != nil {
+		return Decision{}, err
+	}
+	var d Decision
+	select {
+	case d = <-decided:
+	case <-ctx.Done():
+		d = s.giveUp(claim.Request, decided)
+	case <-s.ended:
+		d = s.giveUp(claim.Request, decided)
+	}
+	s.opts.Scope.Tagged(map[string]string{"verdict": d.Verdict.String()}).Counter("claims").Inc(1)
+	return d, nil
+}
+
+func (s *Service) giveUp(request contract.RequestID, decided <-chan Decision) Decision {
+	_ = s.step(func(now time.Time) error {
+		s.machine.GiveUp(now, request)
+		return nil
+	})
+	return <-decided
+}
+
+// Resolve implements Claimer. It fails with ErrNotHolder, and with ErrHeld if
+// ctx ends before the outcome is in the log.
+func (s *Service) Resolve(ctx context.Context, claim contract.Claim, result Result) error {
+	recorded := make(chan struct{})
+	err := s.step(func(now time.Time) error {
+		err := s.machine.Resolve(now, claim.Request, result)
+		if err == nil {
+			s.recorded[claim.Request] = recorded
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-recorded:
+		return nil
+	case <-ctx.Done():
+		return ErrHeld
+	case <-s.ended:
+		return ErrHeld
+	}
+}
+
+// step runs one input of the machine and carries out its effects.
+func (s *Service) step(input func(now time.Time) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	err := input(now)
+	for _, eff := range s.machine.Ready(now) {
+		s.carryOut(eff)
+	}
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+func (s *Service) carryOut(eff Effect) {
+	switch eff := eff.(type) {
+	case Decided:
+		s.decided[eff.Request] <- eff.Decision
+		delete(s.decided, eff.Request)
+	case Recorded:
+		if ch := s.recorded[eff.Request]; ch != nil {
+			close(ch)
+			delete(s.recorded, eff.Request)
+		}
+	case Append:
+		s.start(func(ctx context.Context) { s.append(ctx, eff.Batch) })
+	case Ask:
+		s.start(func(ctx context.Context) { s.probe(ctx, eff) })
+	}
+}
