--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -136,7 +136,7 @@
 // engine of a running target has it; it returns how long that took.
 func (d *demo) deploy(ctx context.Context, digest contract.Digest) (time.Duration, error) {
 	began := time.Now()
-	if _, err := d.cluster.Operator(ctx, "deploy", string(modelService), string(digest)); err != nil {
+	if _, err := d.cluster.Operator(ctx, "deploy", string(modelService), "--weights", string(digest)); err != nil {
 		return 0, err
 	}
 	err := harness.WaitFor(ctx, deployWait, func() error { return d.allServe(digest) })
--- a/cmd/mimosastand/main.go
+++ b/cmd/mimosastand/main.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+
+	"mimosastand.example/mimosastand/cli"
 )
 
 // Exit codes of the commands that this file runs; the operators' commands
@@ -37,8 +39,12 @@
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
+	operators := cli.Register(flaggy.DefaultParser)
 	flaggy.Parse()
 
+	if operators.Used() {
+		return operators.Run(ctx, os.Stdout, os.Stderr)
+	}
 	for _, c := range commands {
 		if c.sub.Used {
 			return c.run(ctx)
