--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -140,11 +140,10 @@
 // Operator runs an operators' command against all entry hosts and returns what
 // it printed.
 func (c *Cluster) Operator(ctx context.Context, args ...string) (string, error) {
-	servers := make([]string, len(c.Entries))
-	for i, e := range c.Entries {
-		servers[i] = "http://" + e.Admin
+	for _, e := range c.Entries {
+		args = append(args, "--server", "http://"+e.Admin)
 	}
-	args = append(args, "--server", strings.Join(servers, ","), "--token-file", c.adminTokenFile())
+	args = append(args, "--token-file", c.adminTokenFile())
 	cmd := exec.CommandContext(ctx, filepath.Join(c.BinDir, "mimosastand"), args...)
 	out, err := cmd.CombinedOutput()
 	return string(out), errors.Wrapf(err, "harness: mimosastand %s: %s", strings.Join(args[:min(3, len(args))], " "), out)
