--- a/bench/weights/fleet.go
+++ b/bench/weights/fleet.go
@@ -64,7 +64,7 @@
 		Machine: hostCopies * defaultCopyBytes / window.Seconds(),
 		Origin:  originCopies * defaultCopyBytes / window.Seconds(),
 		Region:  regionRate,
-		Limit:   time.Hour,
+		Limit:   24 * time.Hour,
 	}
 }
 
@@ -85,6 +85,11 @@
 	between [][]*line
 	hosts   []*host
 	index   map[contract.MachineID]*host
+
+	// clocked asks to measure the real time that the state machines take.
+	clocked  bool
+	stepTime time.Duration
+	steps    int
 }
 
 // host is one target: its links and its state machine.
@@ -103,7 +108,7 @@
 	flights  map[swarm.Draw]*transfer
 	serving  map[swarm.Upload]*transfer
 	pace     pacer
-	regional pacer
+	regional []pacer
 	notes    map[swarm.NoteKind]int
 }
 
@@ -134,7 +139,7 @@
 	h := &host{
 		wire: w, region: region,
 		up: w.line(w.p.Machine, latencyInRegion/2), down: w.line(w.p.Machine, latencyInRegion/2),
-		flights: map[swarm.Draw]*transfer{}, serving: map[swarm.Upload]*transfer{}, notes: map[swarm.NoteKind]int{},
+		regional: make([]pacer, w.p.Regions), flights: map[swarm.Draw]*transfer{}, serving: map[swarm.Upload]*transfer{}, notes: map[swarm.NoteKind]int{},
 		peer: swarm.Peer{
 			Machine: contract.MachineID(fmt.Sprintf("t%04d", i)),
 			Zone:    contract.ZoneName(fmt.Sprintf("z%d", region)),
--- a/bench/weights/hostsim.go
+++ b/bench/weights/hostsim.go
@@ -41,17 +41,29 @@
 	if h.dead {
 		return
 	}
-	effects := h.swarm.Step(h.wire.clock.now, ev)
+	effects, next := h.decide(ev)
 	for _, e := range effects {
 		h.carryOut(e)
 	}
-	next := h.swarm.Next()
 	if next != h.tick {
 		h.tick = next
 		h.scheduleTick(next)
 	}
 }
 
+// decide runs the state machine, and takes the time if asked to.
+func (h *host) decide(ev swarm.Event) ([]swarm.Effect, time.Duration) {
+	w := h.wire
+	if !w.clocked {
+		return h.swarm.Step(w.clock.now, ev), h.swarm.Next()
+	}
+	start := time.Now()
+	effects, next := h.swarm.Step(w.clock.now, ev), h.swarm.Next()
+	w.stepTime += time.Since(start)
+	w.steps++
+	return effects, next
+}
+
 func (h *host) scheduleTick(at time.Duration) {
 	const horizon = 1 << 60
 	if at > horizon {
@@ -78,7 +90,10 @@
 	case swarm.SendHave:
 		h.sendHave(e)
 	case swarm.SetRates:
-		h.pace.rate, h.regional.rate = e.Upload, e.Region
+		h.pace.rate = e.Upload
+		for i := range h.regional {
+			h.regional[i].rate = e.Region
+		}
 	case swarm.Whole:
 		h.finished = h.wire.clock.now
 	case swarm.Note:
@@ -135,7 +150,7 @@
 	d := swarm.Draw{Version: e.Version, Index: e.Index, From: h.peer.Machine}
 	pace := &h.pace
 	if e.Remote {
-		pace = &h.regional
+		pace = &h.regional[to.region]
 	}
 	tr := w.transfer(h, to, w.chunkSize(e.Index), pace, func(ok bool) {
 		delete(h.serving, e.Upload)
--- a/bench/weights/measure.go
+++ b/bench/weights/measure.go
@@ -84,9 +84,6 @@
 		w.clock.after(time.Duration(w.rng.Float64()*float64(startSpread)), h.want)
 	}
 	w.scheduleDeaths()
-	if Trace != nil {
-		w.trace()
-	}
 	w.clock.run(p.Limit, w.allDone)
 	return w.result()
 }
@@ -103,27 +100,3 @@
 		w.clock.after(at, w.hosts[i].kill)
 	}
 }
-
-var Trace func(at time.Duration, mean, least, most float64, up float64, seen int)
-
-func (w *wire) trace() {
-	var last int64
-	var f func()
-	f = func() {
-		sum, least, most := 0, 1<<30, 0
-		var up int64
-		union := 0
-		for _, h := range w.hosts {
-			n := h.swarm.Held(Version)
-			sum += n
-			least = min(least, n)
-			most = max(most, n)
-			up += h.up.carried
-		}
-		c := float64(w.p.chunks())
-		Trace(w.clock.now, float64(sum)/c/float64(len(w.hosts)), float64(least)/c, float64(most)/c, float64(up-last)/(5*w.p.Machine*float64(len(w.hosts))), union)
-		last = up
-		w.clock.after(5*time.Second, f)
-	}
-	w.clock.after(5*time.Second, f)
-}
--- a/bench/weights/network.go
+++ b/bench/weights/network.go
@@ -56,11 +56,11 @@
 	done    func(ok bool)
 }
 
-// windowSegments is how many segments of a transfer may be under way.
-const windowSegments = 2
+// windowBytes is how much of a transfer may be under way.
+const windowBytes = 128 << 10
 
 func (t *transfer) start() {
-	for range windowSegments {
+	for range windowBytes / t.segment {
 		t.sendNext()
 	}
 }
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -43,8 +43,10 @@
 	Stall time.Duration
 }
 
+// DefaultSlots is the number of slots if Config names none.
+const DefaultSlots = 16
+
 const (
-	defaultSlots        = 16
 	defaultOffsets      = 8
 	defaultDownloads    = 8
 	defaultPerPeer      = 1
@@ -58,7 +60,7 @@
 )
 
 func (c Config) withDefaults() Config {
-	setInt(&c.Slots, defaultSlots)
+	setInt(&c.Slots, DefaultSlots)
 	setInt(&c.Offsets, defaultOffsets)
 	setInt(&c.Downloads, defaultDownloads)
 	setInt(&c.PerPeer, defaultPerPeer)
--- a/weights/swarm/events.go
+++ b/weights/swarm/events.go
@@ -64,7 +64,7 @@
 type Budget struct {
 	// Upload and Download concern the machine's own link.
 	Upload, Download int
-	// Region concerns all links to other regions together, for this machine.
+	// Region concerns each link to another region, for this machine.
 	Region int
 }
 
@@ -142,8 +142,9 @@
 	Bitmap  []byte
 }
 
-// SetRates bounds what all served chunks send together, in bytes a second; 0
-// means no bound.
+// SetRates bounds in bytes a second what all chunks served inside the region
+// send together, and what the chunks served to each other region do; 0 means no
+// bound.
 type SetRates struct {
 	Upload, Region int
 }
--- a/weights/swarm/pace.go
+++ b/weights/swarm/pace.go
@@ -11,21 +11,33 @@
 	controlBurstSeconds = 4
 )
 
-// pace holds the smoothed time of a request by class.
-type pace [classes]time.Duration
+// pace holds by class the smoothed time of a request, and how often in a row
+// requests stalled.
+type pace struct {
+	usual  [classes]time.Duration
+	stalls [classes]int
+}
 
 func (p *pace) observe(c class, took time.Duration) {
 	const smoothing = 4
-	if p[c] == 0 {
-		p[c] = took
+	if p.usual[c] == 0 {
+		p.usual[c] = took
 	}
-	p[c] += (took - p[c]) / smoothing
+	p.usual[c] += (took - p.usual[c]) / smoothing
+	p.stalls[c] = 0
+}
+
+// stalled doubles the patience, up to a bound: a link may be slower than any
+// chunk that arrived so far.
+func (p *pace) stalled(c class) {
+	const most = 5
+	p.stalls[c] = min(p.stalls[c]+1, most)
 }
 
 // usual returns how long a request of a class takes, at least a small time.
 func (s *Swarm) usual(v *version, c class) time.Duration {
 	const least = 20 * time.Millisecond
-	return max(v.pace[c], least)
+	return max(v.pace.usual[c], least)
 }
 
 // patience is how long a request may be outstanding.
@@ -33,7 +45,7 @@
 	if !s.on(mechStall) {
 		return never / 2
 	}
-	return max(s.cfg.Stall, stallFactor*s.usual(v, c))
+	return max(s.cfg.Stall, stallFactor*s.usual(v, c)) << v.pace.stalls[c]
 }
 
 // bucket is a token bucket over bytes. A rate of 0 means no bound. The level may
--- a/weights/swarm/peer.go
+++ b/weights/swarm/peer.go
@@ -11,10 +11,10 @@
 // Trust in a source falls by 1 with each corrupt chunk and grows slowly with
 // each good one; a source without trust is not used for banTime.
 const (
-	trustStart = 2.0
-	trustMost  = 4.0
-	trustGood  = 0.05
-	banTime    = 60 * time.Second
+	trustStart = 3.0
+	trustMost  = 5.0
+	trustGood  = 0.1
+	banTime    = 30 * time.Second
 	// suspectTime is how long a peer that could not be reached, or that
 	// stalled, is not used; it doubles with each failure in a row.
 	suspectTime    = 2 * time.Second
--- a/weights/swarm/result.go
+++ b/weights/swarm/result.go
@@ -167,6 +167,7 @@
 			s.emit(CancelRequest{f.Draw})
 			s.release(v, f)
 			s.note(NoteStalled, f.From)
+			v.pace.stalled(f.class)
 			if f.peer != nil {
 				s.suspect(f.peer)
 				v.recount(s.now)
--- a/weights/swarm/topology.go
+++ b/weights/swarm/topology.go
@@ -74,19 +74,29 @@
 	return rank
 }
 
-// regionOrder lists the regions in the order in which a slot's chunks reach them.
+// regionOrder lists the regions in the order in which a slot's chunks reach them:
+// the origin's region, then the others in rotations of one order by hash, half
+// of them reversed, so that the slots spread evenly over the links.
 func regionOrder(version contract.Digest, slot int, origin contract.RegionName, regions []contract.RegionName) []contract.RegionName {
-	order := slices.Clone(regions)
-	slices.SortFunc(order, func(a, b contract.RegionName) int {
-		if (a == origin) != (b == origin) {
-			if a == origin {
-				return -1
-			}
-			return 1
+	var first, rest []contract.RegionName
+	for _, r := range regions {
+		if r == origin {
+			first = append(first, r)
+		} else {
+			rest = append(rest, r)
 		}
-		return cmp.Compare(score(version, scoreRegion, slot, string(a)), score(version, scoreRegion, slot, string(b)))
+	}
+	slices.SortFunc(rest, func(a, b contract.RegionName) int {
+		return cmp.Compare(score(version, scoreRegion, 0, string(a)), score(version, scoreRegion, 0, string(b)))
 	})
-	return order
+	if n := len(rest); n > 0 {
+		k := slot % n
+		rest = slices.Concat(rest[k:], rest[:k])
+		if slot/n%2 == 1 {
+			slices.Reverse(rest)
+		}
+	}
+	return append(first, rest...)
 }
 
 // ringNeighbours returns the neighbours of self in a circulant graph over
