--- /dev/null
+++ b/machine/target/process.go
@@ -0,0 +1,270 @@
+package target
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/target/backend"
+	"mimosastand.example/mimosastand/machine/target/gate"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/weights/agent"
+)
+
+// ErrStart marks a failure to start the process.
+var ErrStart = errors.New("target: cannot start")
+
+// Process is one target process.
+type Process struct {
+	cfg         *config.Process
+	log         log.Interface
+	registry    *metrics.Registry
+	scope       tally.Scope
+	creds       *link.Credentials
+	incarnation contract.Incarnation
+	engine      *backend.Engine
+	plain       *backend.Plain
+
+	peers    *peers
+	follower *follow.Follower
+	hosts    *hostwatch.Watcher
+	// agent is nil beside a plain service.
+	agent *agent.Agent
+
+	endpoint *link.Endpoint
+	server   *http.Server
+	httpAddr string
+	workers  sync.WaitGroup
+	// wake tells the timer loop that the gate has stepped.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	gate  *gate.Gate
+	feeds map[contract.AttemptID]*feed
+	// ctx is the context of workers; it outlives that of Run by the grace.
+	ctx      context.Context
+	settings gate.Settings
+	// concern is what the settings said last of what concerns senders.
+	concern concern
+}
+
+// New prepares a process. It fails with ErrStart if its keys cannot be used.
+func New(cfg *config.Process) (*Process, error) {
+	now := time.Now()
+	creds, err := link.LoadCredentials(cfg.TLS, link.RoleTarget, now)
+	if err != nil {
+		return nil, errors.Mark(err, ErrStart)
+	}
+	registry := metrics.New()
+	p := &Process{
+		cfg: cfg, creds: creds, registry: registry,
+		log:         logs.For("target", cfg.Machine),
+		scope:       registry.Scope().SubScope("target"),
+		incarnation: contract.Incarnation(now.UnixNano()),
+		wake:        make(chan struct{}, 1),
+		feeds:       map[contract.AttemptID]*feed{},
+	}
+	if cfg.Target.Kind == config.BackendModel {
+		p.engine = backend.NewEngine(cfg.Target.BackendURL)
+	} else {
+		p.plain = backend.NewPlain(cfg.Target.BackendURL)
+	}
+	p.settings = fileSettings(cfg)
+	p.gate = gate.New(now, p.gateConfig(), p.settings.Limits, newRand(uint64(p.incarnation)))
+	p.peers = newPeers(cfg.Machine, cfg.Zone)
+	if cfg.LogURL != "" {
+		p.joinPlatform()
+	}
+	return p, nil
+}
+
+// joinPlatform makes the parts that speak to the platform.
+func (p *Process) joinPlatform() {
+	cfg, log := p.cfg, platform.NewClient(p.cfg.LogURL)
+	p.hosts = hostwatch.New(platform.NewClient(cfg.HostsURL), hostsInterval, p.peers.setHosts)
+	p.follower = follow.New(follow.Options{
+		Log: log, Scope: p.scope, Logger: logs.For("settings", cfg.Machine),
+		Pull: p.peers.pullSettings, Machine: cfg.Machine, Zone: cfg.Zone, Hosts: p.peers.hostList,
+	})
+	if p.engine == nil {
+		return
+	}
+	p.agent = agent.New(agent.Options{
+		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Incarnation: p.incarnation,
+		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
+		Engine: engineOrders{p.engine}, Peers: p.peers,
+		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
+		Drain:    p.drain,
+		OnActive: func(d contract.Digest) { p.step(gate.Activated{Weights: d}) },
+	})
+}
+
+// hostsInterval is the time between two polls of the host list.
+const hostsInterval = 2 * time.Second
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed>>1))
+}
+
+func (p *Process) gateConfig() gate.Config {
+	c := gate.DefaultConfig
+	c.Service = p.cfg.Target.Service
+	c.Incarnation = p.incarnation
+	c.Model = p.engine != nil
+	return c
+}
+
+// Run serves until ctx ends and then stops gracefully. It fails with ErrStart
+// if an address cannot be opened.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.Start(); err != nil {
+		return err
+	}
+	loops, stopLoops := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, loop := range p.loops() {
+		wg.Go(func() { loop(loops) })
+	}
+	if p.agent != nil {
+		wg.Go(func() { p.agent.Run(ctx) })
+	}
+	<-ctx.Done()
+	p.leave()
+	stopLoops()
+	wg.Wait()
+	p.close()
+	return nil
+}
+
+// loops returns what runs beside the endpoint until the process has left. The
+// agent is not among them: a leaving process gives no more orders.
+func (p *Process) loops() []func(context.Context) {
+	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop}
+	if p.follower == nil {
+		return loops
+	}
+	run := func(ctx context.Context) { _ = p.follower.Run(ctx) }
+	return append(loops, run, p.settingsLoop, p.hosts.Run)
+}
+
+// Start opens the addresses. Run calls it if it was not called before.
+func (p *Process) Start() error {
+	if p.endpoint != nil {
+		return nil
+	}
+	p.mu.Lock()
+	p.ctx = context.Background()
+	p.mu.Unlock()
+	p.step(gate.Configured{Settings: p.settings})
+	if err := p.listenHTTP(); err != nil {
+		return errors.Mark(err, ErrStart)
+	}
+	endpoint, err := link.Listen(p.cfg.LinkAddress, p.creds, handler{p}, p.cfg.Link)
+	if err != nil {
+		_ = p.server.Close()
+		return errors.Mark(err, ErrStart)
+	}
+	p.endpoint = endpoint
+	p.peers.dial = endpoint.Dial
+	p.log.WithField("link", endpoint.Address()).WithField("http", p.httpAddr).Info("serving")
+	return nil
+}
+
+// LinkAddress returns the address of the link endpoint after Start.
+func (p *Process) LinkAddress() string { return p.endpoint.Address() }
+
+// HTTPAddress returns the address of the health and metrics pages after Start.
+func (p *Process) HTTPAddress() string { return p.httpAddr }
+
+// timerLoop gives the gate its ticks.
+func (p *Process) timerLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
+			p.step(gate.Tick{})
+		}
+		timer.Reset(p.untilWake())
+	}
+}
+
+// maxSleep bounds the time between two ticks.
+const (
+	maxSleep = time.Second
+	minSleep = time.Millisecond
+)
+
+func (p *Process) untilWake() time.Duration {
+	p.mu.Lock()
+	at, ok := p.gate.NextWake()
+	p.mu.Unlock()
+	if !ok {
+		return maxSleep
+	}
+	return min(maxSleep, max(minSleep, time.Until(at)))
+}
+
+// handOverShare is the inverse share of the grace after which streams that
+// another target can resume are ended.
+const handOverShare = 2
+
+// leave stops accepting and waits until nothing runs or the grace is over.
+func (p *Process) leave() {
+	p.log.Info("leaving")
+	p.step(gate.Leave{})
+	grace := p.cfg.ShutdownGrace
+	if !p.waitIdle(grace / handOverShare) {
+		p.step(gate.HandOver{})
+		if !p.waitIdle(grace - grace/handOverShare) {
+			p.log.Warn("grace is over with work in flight")
+		}
+	}
+	time.Sleep(min(p.heartbeat(), grace))
+}
+
+func (p *Process) heartbeat() time.Duration {
+	const fallback = time.Second
+	if p.cfg.Link.Heartbeat > 0 {
+		return p.cfg.Link.Heartbeat
+	}
+	return fallback
+}
+
+// idlePoll is how often a leaving process looks whether work has ended.
+const idlePoll = 20 * time.Millisecond
+
+func (p *Process) waitIdle(limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		if p.idle() {
+			return true
+		}
+		time.Sleep(idlePoll)
+	}
+	return false
+}
+
+func (p *Process) close() {
+	p.endpoint.Close()
+	_ = p.server.Close()
+	_ = p.registry.Close()
+	p.log.Info("stopped")
+}
