--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,84 @@
+// Command bench prints the project's measurements: each part compares its
+// policies with baselines in one run.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"mimosastand.example/mimosastand/bench/weights"
+)
+
+// part is one group of measurements.
+type part struct {
+	name string
+	run  func(w io.Writer, seed uint64) error
+}
+
+var parts = []part{
+	{name: "weights", run: weights.Run},
+}
+
+const defaultSeed = 1
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var only []string
+	seed := uint64(defaultSeed)
+	flaggy.SetName("bench")
+	flaggy.SetDescription("print the measurements of all parts; example: bench --part weights --seed 7")
+	flaggy.StringSlice(&only, "p", "part", "one part, such as weights; several may be given")
+	flaggy.UInt64(&seed, "s", "seed", "seed of the random source")
+	flaggy.Parse()
+
+	if name, ok := unknownPart(only); ok {
+		fmt.Fprintf(os.Stderr, "bench: no part %q, want one of %s\n", name, strings.Join(names(), ", "))
+		return 2
+	}
+	for _, p := range parts {
+		if len(only) > 0 && !slices.Contains(only, p.name) {
+			continue
+		}
+		if err := runPart(p, seed); err != nil {
+			fmt.Fprintf(os.Stderr, "bench: %s: %v\n", p.name, err)
+			return 1
+		}
+	}
+	return 0
+}
+
+func runPart(p part, seed uint64) error {
+	fmt.Printf("\n== %s, seed %d\n", p.name, seed)
+	began := time.Now()
+	if err := p.run(os.Stdout, seed); err != nil {
+		return err
+	}
+	fmt.Printf("== %s took %.1f s\n", p.name, time.Since(began).Seconds())
+	return nil
+}
+
+func names() []string {
+	list := make([]string, len(parts))
+	for i, p := range parts {
+		list[i] = p.name
+	}
+	return list
+}
+
+func unknownPart(only []string) (string, bool) {
+	for _, name := range only {
+		if !slices.Contains(names(), name) {
+			return name, true
+		}
+	}
+	return "", false
+}
