entry: serve callers over real links and follow the settings

Cause: the first slice asked for no links when the host list came before the settings, and took a reported limit of 0 for no report. Change: links follow settings and hosts alike; a limit of 0 is 0; the follower is joined; calls of every kind run in a golden session against real target processes; the request parser is fuzzed.

--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -59,10 +59,15 @@
 		Tombstone: true,
 		Resend:    true,
 		ResendAt:  a.next,
-		Age:       m.now.Sub(a.sentAt),
+		Age:       m.age(a),
 	}
 }
 
+// age is how long ago an attempt was sent, never 0, which would mean not known.
+func (m *Machine) age(a *attempt) time.Duration {
+	return max(m.now.Sub(a.sentAt), time.Millisecond)
+}
+
 // askLater waits before the next question; work that may run twice is sent
 // elsewhere instead, and after MaxQuestions the machine gives up.
 func (m *Machine) askLater(a *attempt, reason contract.Reason) {
@@ -81,7 +86,7 @@
 	m.detach(a)
 	m.emit(SendQuery{
 		Target: a.target,
-		Query:  contract.Query{Attempt: a.id, Tombstone: true, Age: m.now.Sub(a.sentAt)},
+		Query:  contract.Query{Attempt: a.id, Tombstone: true, Age: m.age(a)},
 		Forget: true,
 	})
 	m.failed(a, reason)
@@ -94,7 +99,7 @@
 
 // status goes on with what the target knows of an attempt.
 func (m *Machine) status(a *attempt, s contract.Status) {
-	if a.state != attemptAsking {
+	if a.state == attemptRunning {
 		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
 		return
 	}
--- a/machine/entry/dispatch/frames.go
+++ b/machine/entry/dispatch/frames.go
@@ -59,11 +59,12 @@
 		a.heard = true
 		pool.Acked(a.target)
 	}
-	m.report(pool, a.target, a.incarnation, load)
+	m.countFate(pool.Reply(m.now, a.target, a.incarnation, load))
 }
 
-func (m *Machine) report(pool *balancer.Pool, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) {
-	switch pool.Report(m.now, id, incarnation, load) {
+// countFate counts a report that was dropped.
+func (m *Machine) countFate(fate balancer.Fate) {
+	switch fate {
 	case balancer.Outdated:
 		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
 	case balancer.Unlisted:
@@ -103,7 +104,7 @@
 
 func (m *Machine) refused(a *attempt, refuse contract.Refuse) {
 	m.hear(a, refuse.Load)
-	if a.started || refuse.Reason == contract.ReasonDuplicateAttempt {
+	if a.started {
 		m.count(CountIgnored, contract.ReasonDuplicateAttempt)
 		m.ask(a)
 		return
--- a/machine/entry/dispatch/world.go
+++ b/machine/entry/dispatch/world.go
@@ -29,7 +29,6 @@
 	}
 	m.hosts = list
 	m.rebuild()
-	m.setPeers()
 	m.pumpAll()
 }
 
@@ -50,6 +49,7 @@
 	for _, s := range m.order {
 		m.rebuildService(s, entries, targets[s.name])
 	}
+	m.setPeers()
 }
 
 // split sorts the host list into entries and the targets of each service.
@@ -200,6 +200,6 @@
 	if hb.Load == nil {
 		return
 	}
-	m.report(s.pool, hb.Machine, hb.Incarnation, *hb.Load)
+	m.countFate(s.pool.Report(m.now, hb.Machine, hb.Incarnation, *hb.Load))
 	m.pump(s)
 }
--- a/machine/entry/effects.go
+++ b/machine/entry/effects.go
@@ -46,7 +46,7 @@
 	case dispatch.SetPeers:
 		x.links.setPeers(e.Peers)
 	case dispatch.PullSettings:
-		x.settings.Observe(e.Target, e.AtLeast)
+		x.settings.Observe(e.AtLeast)
 	case dispatch.Count:
 		x.count(e)
 	default:
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -18,12 +18,11 @@
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/zone/balancer"
 )
 
 const (
-	// settingsPoll is how often the daemon looks for a newer view.
-	settingsPoll = 50 * time.Millisecond
 	// maxNotice is how long a stopping entry still takes requests after it has
 	// told the platform's balancer that it is not ready.
 	maxNotice         = time.Second
@@ -35,6 +34,7 @@
 type Entry struct {
 	process  *config.Process
 	opts     Options
+	watcher  *hostwatch.Watcher
 	log      log.Interface
 	metrics  *metrics.Registry
 	listener net.Listener
@@ -80,6 +80,30 @@
 	if e.opts.Keys == nil {
 		e.opts.Keys = noKeys{}
 	}
+	e.watcher = hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
+		e.loop.step(dispatch.HostsChanged{List: list})
+	})
+	if e.opts.Settings == nil {
+		e.opts.Settings = e.follower()
+	}
+}
+
+// follower makes the follower of the operators' settings.
+func (e *Entry) follower() Settings {
+	return follow.New(follow.Options{
+		Log:     platform.NewClient(e.process.LogURL),
+		Scope:   e.metrics.Scope(),
+		Logger:  logs.For("settings", e.process.Machine),
+		Machine: e.process.Machine,
+		Zone:    e.process.Zone,
+		Pull: func(ctx context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+			return e.links.pull(ctx, after)
+		},
+		Hosts: func() []platform.Host {
+			list, _ := e.watcher.Last()
+			return list.Hosts
+		},
+	})
 }
 
 // build joins the parts.
@@ -105,6 +129,7 @@
 		scope:     scope,
 	}
 	e.loop = newLoop(dispatch.Config{Machine: p.Machine, Home: home}, e.effects)
+	e.exchanges.links = e.links
 	e.effects.loop, e.exchanges.loop, e.links.loop = e.loop, e.loop, e.loop
 	e.handler = &handler{
 		parser:  parser{maxBody: p.Entry.MaxBodyBytes, defaultTimeout: p.Entry.DefaultTimeout},
@@ -124,11 +149,8 @@
 // Run serves until ctx ends, then stops gracefully: it finishes what is in
 // flight within the process's shutdown grace.
 func (e *Entry) Run(ctx context.Context) error {
-	watcher := hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
-		e.loop.step(dispatch.HostsChanged{List: list})
-	})
-	go watcher.Run(e.ctx)
-	go e.opts.Settings.Run(e.ctx)
+	go e.watcher.Run(e.ctx)
+	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
 	server := e.server()
 	served := make(chan error, 1)
@@ -164,19 +186,15 @@
 
 // followSettings passes newer views to the state machine.
 func (e *Entry) followSettings() {
-	ticker := time.NewTicker(settingsPoll)
-	defer ticker.Stop()
-	var seen contract.Offset
-	for first := true; ; {
-		if view := e.opts.Settings.Current(); view != nil && (first || view.Offset() > seen) {
-			first = false
-			seen = view.Offset()
-			e.loop.step(dispatch.SettingsChanged{View: view})
+	for {
+		changed := e.opts.Settings.Changed()
+		if e.opts.Settings.Ready() {
+			e.loop.step(dispatch.SettingsChanged{View: e.opts.Settings.Current()})
 		}
 		select {
 		case <-e.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-changed:
 		}
 	}
 }
--- /dev/null
+++ b/machine/entry/entry_test.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/devkeys"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/target"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/settings/fixed"
+	"mimosastand.example/mimosastand/standin/engine"
+	"mimosastand.example/mimosastand/standin/fault"
+	"mimosastand.example/mimosastand/standin/service"
+)
+
+var digest = contract.NewDigest([32]byte{1})
+
+// fixedSettings is a Settings that never changes.
+type fixedSettings struct{ *fixed.View }
+
+func (s fixedSettings) Current() settings.View    { return s.View }
+func (s fixedSettings) Ready() bool               { return true }
+func (s fixedSettings) Changed() <-chan struct{}  { return nil }
+func (s fixedSettings) Observe(contract.Offset)   {}
+func (s fixedSettings) Run(context.Context) error { return nil }
+func (s fixedSettings) Serve(contract.SettingsPull) contract.SettingsRecords {
+	return contract.SettingsRecords{}
+}
+
+// fixedHosts is a host list that never changes.
+type fixedHosts platform.HostList
+
+func (h fixedHosts) List(context.Context) (platform.HostList, error) {
+	return platform.HostList(h), nil
+}
+
+func view() *fixed.View {
+	model := settings.ServiceSettings{Kind: settings.KindModel, Weights: digest, ColdRunning: 2, QueueLength: 8, RetryShare: 0.1}
+	plain := settings.ServiceSettings{Kind: settings.KindPlain, ColdRunning: 2, QueueLength: 8, RetryShare: 0.1}
+	return &fixed.View{
+		At:       1,
+		Deployed: map[contract.ServiceName]settings.ServiceSettings{"drafts": model, "registry": plain, "absent": plain},
+		Teams:    map[contract.TeamName]settings.TeamSettings{"north": {Share: 1, RetryShare: 0.1, MaxPriority: 5}},
+	}
+}
+
+// rig is one entry and two target processes on loopback.
+type rig struct {
+	t     *testing.T
+	keys  *devkeys.Authority
+	entry *Entry
+	list  platform.HostList
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	authority, err := devkeys.NewAuthority(t.TempDir())
+	fatal(t, err)
+	r := &rig{t: t, keys: authority, list: platform.HostList{Version: 1}, done: make(chan error, 1)}
+	r.target("target-1", "drafts", config.BackendModel, engine.New(engine.Config{WarmLimit: 8, ColdLimit: 2, Digest: digest}))
+	r.target("target-2", "registry", config.BackendPlain, service.New(service.Config{Limit: 8}))
+	process := r.process("entry-1", link.RoleEntry)
+	process.Entry = config.Entry{MaxBodyBytes: 2048, DefaultTimeout: 20 * time.Second}
+	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list)})
+	fatal(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- r.entry.Run(ctx) }()
+	r.awaitTargets()
+	return r
+}
+
+func (r *rig) process(machine string, role link.Role) *config.Process {
+	files, err := r.keys.Issue(machine, role, time.Hour)
+	fatal(r.t, err)
+	return &config.Process{
+		Machine: contract.MachineID(machine), Zone: "khomas-a", Region: "khomas",
+		ShutdownGrace: 5 * time.Second, LinkAddress: "127.0.0.1:0", HTTPAddress: "127.0.0.1:0", TLS: files,
+		Link: link.Config{Heartbeat: 50 * time.Millisecond, SilentAfter: 5 * time.Second},
+	}
+}
+
+func (r *rig) target(machine, name, kind string, back *fault.Switch) {
+	server := httptest.NewServer(back)
+	r.t.Cleanup(server.Close)
+	process := r.process(machine, link.RoleTarget)
+	process.Target = config.Target{Service: contract.ServiceName(name), Kind: kind, BackendURL: server.URL, MaxRunning: 8}
+	p, err := target.New(process)
+	fatal(r.t, err)
+	fatal(r.t, p.Start())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = p.Run(ctx)
+	}()
+	r.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	r.list.Hosts = append(r.list.Hosts, platform.Host{
+		Machine: process.Machine, Role: platform.HostTarget, Zone: "khomas-a", Region: "khomas",
+		Service: contract.ServiceName(name), Address: p.LinkAddress(), State: platform.HostLive,
+	})
+}
+
+// awaitTargets waits until a call of each service is answered.
+func (r *rig) awaitTargets() {
+	for _, c := range []string{"POST /v1/models/drafts/generate\nX-Team: north\n\n{\"prompt\":\"p\",\"max_tokens\":1}",
+		"GET /v1/services/registry/x\nX-Team: north"} {
+		for range 1000 {
+			if status, _ := r.call(c); status == http.StatusOK {
+				break
+			}
+			<-time.After(5 * time.Millisecond)
+		}
+	}
+}
+
+// call sends a request written as "METHOD path", headers, a blank line and the
+// body, and returns the answer with request identifiers replaced.
+func (r *rig) call(text string) (int, string) {
+	head, body, _ := strings.Cut(text, "\n\n")
+	lines := strings.Split(strings.TrimSpace(head), "\n")
+	method, path, _ := strings.Cut(lines[0], " ")
+	if size, ok := strings.CutPrefix(body, "bytes "); ok {
+		var n int
+		_, _ = fmt.Sscan(size, &n)
+		body = strings.Repeat("x", n)
+	}
+	req, err := http.NewRequest(method, "http://"+r.entry.HTTPAddress()+path, bytes.NewBufferString(body))
+	fatal(r.t, err)
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, ": ")
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	fatal(r.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	fatal(r.t, err)
+	return resp.StatusCode, show(resp, string(data))
+}
+
+var requestPattern = regexp.MustCompile(`entry-1-[0-9a-z]+-[0-9a-z]+`)
+
+func show(resp *http.Response, body string) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%d\n", resp.StatusCode)
+	for _, name := range []string{"Content-Type", headerRequest} {
+		fmt.Fprintf(&out, "%s: %s\n", name, resp.Header.Get(name))
+	}
+	if resp.Header.Get(headerRetryAfter) != "" {
+		out.WriteString("Retry-After: set\n")
+	}
+	text := requestPattern.ReplaceAllString(out.String()+body, "REQUEST")
+	return regexp.MustCompile(`"retry_after":\d+`).ReplaceAllString(text, `"retry_after":N`) + "\n"
+}
+
+func fatal(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCalls runs the calls in testdata/calls.txt against real processes.
+func TestCalls(t *testing.T) {
+	r := newRig(t)
+	datadriven.RunTest(t, "testdata/calls.txt", func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "call":
+			_, text := r.call(d.Input)
+			return text
+		case "stop":
+			r.stop()
+			fatal(t, <-r.done)
+			return "stopped\n"
+		default:
+			return "unknown command\n"
+		}
+	})
+}
+
+// FuzzParse checks that no request stops the parser, and that what it takes is
+// within bounds.
+func FuzzParse(f *testing.F) {
+	f.Add("POST", "/v1/models/drafts/generate", "north", "1s", "", `{"prompt":"p","max_tokens":1}`)
+	f.Add("PUT", "/v1/services/registry/x?y", "north", "-1s", "k", "x")
+	p := parser{maxBody: 1 << 10, defaultTimeout: time.Second}
+	f.Fuzz(func(t *testing.T, method, path, team, timeout, key, body string) {
+		r := httptest.NewRequest(http.MethodGet, "/", strings.NewReader(body))
+		r.Method, r.URL.Path = method, path
+		r.Header.Set(headerTeam, team)
+		r.Header.Set(headerTimeout, timeout)
+		r.Header.Set(headerKey, key)
+		req, err := p.parse("r", httptest.NewRecorder(), r)
+		if err != nil {
+			return
+		}
+		if req.Timeout <= 0 || req.Timeout > maxTimeout || req.Tokens == 0 || len(req.Body) > 1<<10 {
+			t.Fatalf("accepted %+v", req)
+		}
+	})
+}
+
+// TestMetricsNameReasons checks that refusals are counted by their reason.
+func TestMetricsNameReasons(t *testing.T) {
+	r := newRig(t)
+	r.call("GET /v1/services/nowhere/x\nX-Team: north")
+	for range 1000 {
+		resp, err := http.Get("http://" + r.entry.HTTPAddress() + "/metrics")
+		fatal(t, err)
+		data, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if strings.Contains(string(data), `entry_refusals{reason="unknown_service"} 1`) {
+			return
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	t.Fatal("no counter")
+}
--- a/machine/entry/links.go
+++ b/machine/entry/links.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
@@ -15,8 +16,15 @@
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 )
 
-// minConnAge is how old a connection must be to be replaced on suspicion.
-const minConnAge = time.Second
+const (
+	// minConnAge is how old a connection must be to be replaced on suspicion.
+	minConnAge = time.Second
+	// pullTimeout bounds one pull of settings.
+	pullTimeout = 2 * time.Second
+)
+
+// ErrPull marks a pull of settings that no peer answered.
+var ErrPull = errors.New("entry: no settings from peers")
 
 // links holds the connections to targets. It implements link.Handler.
 type links struct {
@@ -29,6 +37,9 @@
 
 	mu    sync.Mutex
 	since map[contract.MachineID]time.Time
+	// peers are the wanted targets, turn counts the pulls.
+	peers []dispatch.Peer
+	turn  int
 }
 
 func (l *links) open(address string, creds *link.Credentials, cfg link.Config) error {
@@ -72,13 +83,16 @@
 	for _, p := range peers {
 		wanted[p.Machine] = p.Address
 	}
+	l.mu.Lock()
+	l.peers = peers
+	l.mu.Unlock()
 	l.pool.Set(wanted)
 }
 
 // Heartbeat implements link.Handler.
 func (l *links) Heartbeat(link.Peer) contract.Heartbeat {
 	hb := l.self
-	hb.Settings = offsetOf(l.settings)
+	hb.Settings = l.settings.Current().Offset()
 	return hb
 }
 
@@ -89,14 +103,60 @@
 		metrics.Ignored(l.scope, contract.ReasonUnauthorized)
 		return
 	}
-	l.settings.Observe(hb.Machine, hb.Settings)
+	l.settings.Observe(hb.Settings)
 	l.loop.step(dispatch.Heartbeat{Heartbeat: hb})
 }
 
-// ServeStream implements link.Handler.
+// ServeStream implements link.Handler. Peers open streams to pull settings.
 func (l *links) ServeStream(_ context.Context, _ *link.Conn, s *link.Stream) {
-	metrics.Ignored(l.scope, contract.ReasonBadFrame)
-	s.Reset()
+	_ = s.SetReadDeadline(time.Now().Add(pullTimeout))
+	_ = s.SetWriteDeadline(time.Now().Add(pullTimeout))
+	m, err := s.Recv()
+	if err != nil || m.Kind != contract.KindSettingsPull {
+		metrics.Ignored(l.scope, contract.ReasonBadFrame)
+		s.Reset()
+		return
+	}
+	records := l.settings.Serve(*m.SettingsPull)
+	_ = s.Send(contract.Message{Kind: contract.KindSettingsRecords, SettingsRecords: &records})
+}
+
+// pull asks a target for settings records; successive calls ask different ones.
+func (l *links) pull(ctx context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+	conn, ok := l.next()
+	if !ok {
+		return contract.SettingsRecords{}, errors.Mark(errors.New("no target is connected"), ErrPull)
+	}
+	s, err := conn.Open(ctx)
+	if err != nil {
+		return contract.SettingsRecords{}, errors.Mark(err, ErrPull)
+	}
+	defer s.Close()
+	_ = s.SetReadDeadline(time.Now().Add(pullTimeout))
+	pull := contract.Message{Kind: contract.KindSettingsPull, SettingsPull: &contract.SettingsPull{After: after}}
+	if err := s.Send(pull); err != nil {
+		return contract.SettingsRecords{}, errors.Mark(err, ErrPull)
+	}
+	m, err := s.Recv()
+	if err != nil || m.Kind != contract.KindSettingsRecords {
+		return contract.SettingsRecords{}, errors.Mark(errors.Newf("no records from %s", conn.Peer().Machine), ErrPull)
+	}
+	return *m.SettingsRecords, nil
+}
+
+// next returns the connections in turn.
+func (l *links) next() (*link.Conn, bool) {
+	l.mu.Lock()
+	peers := l.peers
+	l.turn++
+	turn := l.turn
+	l.mu.Unlock()
+	for i := range peers {
+		if conn, ok := l.pool.Get(peers[(turn+i)%len(peers)].Machine); ok {
+			return conn, true
+		}
+	}
+	return nil, false
 }
 
 // RejectedPeer implements link.Handler.
--- a/machine/entry/loop.go
+++ b/machine/entry/loop.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 )
 
@@ -80,11 +79,3 @@
 func (l *loop) stop() {
 	l.timer.Stop()
 }
-
-// offsetOf returns the offset of a view that may be nil.
-func offsetOf(s Settings) contract.Offset {
-	if view := s.Current(); view != nil {
-		return view.Offset()
-	}
-	return 0
-}
--- a/machine/entry/options.go
+++ b/machine/entry/options.go
@@ -20,12 +20,19 @@
 
 // Settings follows the tree of settings. It is safe for concurrent use.
 type Settings interface {
-	// Current returns the newest view, or nil before the first is caught up.
+	// Current returns the newest view.
 	Current() settings.View
+	// Ready reports whether the view has caught up.
+	Ready() bool
+	// Changed returns a channel that is closed at the next change of Current
+	// or Ready.
+	Changed() <-chan struct{}
 	// Observe tells that a peer has applied records up to offset.
-	Observe(peer contract.MachineID, offset contract.Offset)
-	// Run follows the records until ctx ends.
-	Run(ctx context.Context)
+	Observe(peer contract.Offset)
+	// Serve answers a peer's pull.
+	Serve(pull contract.SettingsPull) contract.SettingsRecords
+	// Run follows the records until ctx ends, and returns its error.
+	Run(ctx context.Context) error
 }
 
 // Options replaces parts of an entry; nil fields take what the process's
--- a/zone/balancer/member.go
+++ b/zone/balancer/member.go
@@ -76,7 +76,7 @@
 
 // limit is how many units the target bears as far as the entry knows.
 func (m *member) limit(rules Rules) uint32 {
-	if m.known && m.load.Limit > 0 {
+	if m.known {
 		return m.load.Limit
 	}
 	return uint32(max(rules.Cold, 1))
@@ -84,7 +84,7 @@
 
 // credits is how many attempts the entry may have at the target.
 func (m *member) credits(rules Rules) uint32 {
-	if !m.known || m.load.Limit == 0 && m.load.Credits == 0 {
+	if !m.known {
 		return uint32(max(rules.Cold, 1))
 	}
 	return m.load.Credits
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -138,13 +138,23 @@
 // maxUnits bounds the counts of a credible report.
 const maxUnits = 1 << 20
 
+// Reply takes in the load of a reply to an attempt, which does not lower the
+// credits: the reply may come from before the target knew of the entry's work.
+func (p *Pool) Reply(now time.Time, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) Fate {
+	m, ok := p.members[id]
+	if ok && m.known && load.Limit > 0 {
+		load.Credits = max(load.Credits, min(m.load.Credits, load.Limit))
+	}
+	return p.Report(now, id, incarnation, load)
+}
+
 // Report takes in a target's load. Incarnation 0 means the present one.
 func (p *Pool) Report(now time.Time, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) Fate {
 	m, ok := p.members[id]
 	if !ok {
 		return Unlisted
 	}
-	if load.Credits > load.Limit || load.Limit > maxUnits || load.Running > maxUnits || load.Queued > maxUnits {
+	if load.Credits > 0 && load.Limit == 0 || max(load.Credits, load.Limit) > maxUnits || load.Running > maxUnits || load.Queued > maxUnits {
 		return Contradictory
 	}
 	if p.off&offReportOrder == 0 && !m.newer(incarnation, load.Seq) {
