--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -84,6 +84,7 @@
 	g.learn(a, e)
 	g.close(a, e)
 	a.ended = true
+	g.limitFault(e.Fault)
 	if e.Lingers && g.off&offLinger == 0 {
 		if e.LingerFor > 0 {
 			a.lingerUntil = g.now.Add(e.LingerFor)
@@ -91,7 +92,6 @@
 	} else {
 		g.forget(a)
 	}
-	g.limitFault(e.Fault)
 }
 
 // close fixes the outcome of an attempt and emits its end. The digest that the
@@ -111,7 +111,7 @@
 		g.store.Finish(g.now, a.record, end)
 		end, _ = a.record.End()
 	}
-	g.emit(Close{End: end})
+	g.emit(Close{From: a.from, End: end})
 }
 
 func (g *Gate) limitFault(f Fault) {
