--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -22,7 +22,7 @@
 	m.timers.add(r)
 	if r.Claim {
 		r.phase = phaseClaiming
-		m.emit(ClaimKey{Claim: r.claim()})
+		m.emit(ClaimKey{Claim: r.claim(), Within: r.Timeout})
 		return
 	}
 	m.enqueue(r)
--- a/machine/entry/dispatch/effect.go
+++ b/machine/entry/dispatch/effect.go
@@ -63,7 +63,11 @@
 }
 
 // ClaimKey asks to decide about a key; Claimed answers it.
-type ClaimKey struct{ Claim contract.Claim }
+type ClaimKey struct {
+	Claim contract.Claim
+	// Within is the time until the caller's deadline.
+	Within time.Duration
+}
 
 // ResolveKey records how a claimed request ended.
 type ResolveKey struct {
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -132,6 +132,7 @@
 		m.now = now
 	}
 	m.effects = effects
+	m.expire()
 	m.handle(ev)
 	m.expire()
 	out := m.effects
--- a/machine/entry/effects.go
+++ b/machine/entry/effects.go
@@ -19,7 +19,7 @@
 	exchanges *exchanges
 	links     *links
 	settings  Settings
-	keys      Keys
+	keys      *keys
 	scope     tally.Scope
 	wg        sync.WaitGroup
 }
@@ -57,9 +57,9 @@
 func (x *effects) executeKey(e dispatch.Effect) {
 	switch e := e.(type) {
 	case dispatch.ClaimKey:
-		x.background(func() { x.loop.step(x.keys.Claim(x.ctx, e.Claim)) })
+		x.background(func() { x.loop.step(x.keys.claim(x.ctx, e)) })
 	case dispatch.ResolveKey:
-		x.background(func() { x.keys.Resolve(x.ctx, e) })
+		x.background(func() { x.keys.resolve(x.ctx, e) })
 	}
 }
 
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/platform/hostwatch"
@@ -46,6 +48,9 @@
 	exchanges *exchanges
 	links     *links
 	effects   *effects
+	keys      *keys
+	prober    *prober
+	claims    *claims.Service
 	handler   *handler
 	state     *readiness
 }
@@ -77,10 +82,9 @@
 	if e.opts.Hosts == nil {
 		e.opts.Hosts = platform.NewClient(e.process.HostsURL)
 	}
-	if e.opts.Keys == nil {
-		e.opts.Keys = noKeys{}
-	}
 	e.watcher = hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
+		e.prober.observe(time.Now(), list)
+		e.setWriters(list)
 		e.loop.step(dispatch.HostsChanged{List: list})
 	})
 	if e.opts.Settings == nil {
@@ -125,10 +129,12 @@
 		exchanges: e.exchanges,
 		links:     e.links,
 		settings:  e.opts.Settings,
-		keys:      e.opts.Keys,
 		scope:     scope,
 	}
 	e.loop = newLoop(dispatch.Config{Machine: p.Machine, Home: home}, e.effects)
+	e.prober = newProber(e.links)
+	e.keys = newKeys(e.claimer(incarnation), e.log)
+	e.effects.keys, e.exchanges.keys = e.keys, e.keys
 	e.exchanges.links = e.links
 	e.effects.loop, e.exchanges.loop, e.links.loop = e.loop, e.loop, e.loop
 	e.handler = &handler{
@@ -141,6 +147,36 @@
 	e.state = &readiness{loop: e.loop}
 }
 
+// claimer makes the claimer of idempotency keys.
+func (e *Entry) claimer(incarnation contract.Incarnation) claims.Claimer {
+	if e.opts.Claims != nil {
+		return e.opts.Claims
+	}
+	writer := fmt.Sprintf("%s/%d", e.process.Machine, incarnation)
+	e.claims = claims.NewService(platform.NewClient(e.process.LogURL), e.prober, claims.Options{
+		Config: claims.DefaultConfig(writer),
+		Stream: claims.Stream,
+		Logger: logs.For("claims", e.process.Machine),
+		Scope:  e.metrics.Scope().SubScope("claims"),
+		Seed:   uint64(incarnation),
+	})
+	return e.claims
+}
+
+// setWriters tells the claimer how many entries share the log's append rate.
+func (e *Entry) setWriters(list platform.HostList) {
+	if e.claims == nil {
+		return
+	}
+	entries := 0
+	for _, h := range list.Hosts {
+		if h.Role == platform.HostEntry {
+			entries++
+		}
+	}
+	e.claims.SetWriters(max(1, entries))
+}
+
 // HTTPAddress is the TCP address at which callers are served.
 func (e *Entry) HTTPAddress() string {
 	return e.listener.Addr().String()
@@ -152,6 +188,9 @@
 	go e.watcher.Run(e.ctx)
 	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
+	if e.claims != nil {
+		go e.claims.Run(e.ctx)
+	}
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/devkeys"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/target"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
@@ -58,6 +59,19 @@
 	}
 }
 
+// noClaims refuses every keyed call.
+type noClaims struct{}
+
+// Claim implements claims.Claimer.
+func (noClaims) Claim(context.Context, contract.Claim) (claims.Decision, error) {
+	return claims.Decision{}, nil
+}
+
+// Resolve implements claims.Claimer.
+func (noClaims) Resolve(context.Context, contract.Claim, claims.Result) error {
+	return nil
+}
+
 // rig is one entry and two target processes on loopback.
 type rig struct {
 	t     *testing.T
@@ -77,7 +91,7 @@
 	r.target("target-2", "registry", config.BackendPlain, service.New(service.Config{Limit: 8}))
 	process := r.process("entry-1", link.RoleEntry)
 	process.Entry = config.Entry{MaxBodyBytes: 2048, DefaultTimeout: 20 * time.Second}
-	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list)})
+	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list), Claims: noClaims{}})
 	fatal(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
--- a/machine/entry/exchange.go
+++ b/machine/entry/exchange.go
@@ -38,6 +38,7 @@
 // exchanges runs the streams of attempts.
 type exchanges struct {
 	links   *links
+	keys    *keys
 	loop    *loop
 	callers *callers
 	ctx     context.Context
@@ -134,6 +135,10 @@
 		s.Reset()
 		return
 	}
+	if e.first.Kind == contract.KindStart && !x.keys.mayStart(e.request) {
+		x.loop.step(dispatch.Broken{Exchange: e.id, Reason: contract.ReasonKeyUnresolved, Unsent: true})
+		return
+	}
 	_ = s.SetWriteDeadline(time.Now().Add(sendTimeout))
 	if err := s.Send(e.first); err != nil {
 		x.broken(e, err)
--- a/machine/entry/options.go
+++ b/machine/entry/options.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 )
@@ -42,8 +43,8 @@
 	Settings Settings
 	// Hosts reads the host list.
 	Hosts platform.Hosts
-	// Keys decides about idempotency keys; without it keyed calls are refused.
-	Keys Keys
+	// Claims decides about idempotency keys.
+	Claims claims.Claimer
 	// HostsInterval is the time between two polls of the host list.
 	HostsInterval time.Duration
 }
--- a/machine/entry/stop.go
+++ b/machine/entry/stop.go
@@ -23,6 +23,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// settleClaims waits until the outcomes of keyed requests are in the log.
+func (e *Entry) settleClaims(ctx context.Context) {
+	const interval = 20 * time.Millisecond
+	for e.claims != nil && (e.keys.held() > 0 || !e.claims.Idle()) && ctx.Err() == nil {
+		pause(ctx, interval)
+	}
+}
+
 // drain is the planned stop: it first tells the balancer, then refuses new
 // requests, and waits for those in flight.
 func (e *Entry) drain(server *http.Server) {
@@ -34,6 +42,7 @@
 	pause(ctx, min(maxNotice, grace/10))
 	e.loop.step(dispatch.Stop{})
 	e.waitIdle(ctx)
+	e.settleClaims(ctx)
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("Requests were still open at the end of the grace.")
 		_ = server.Close()
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -148,12 +148,16 @@
 	return p.Report(now, id, incarnation, load)
 }
 
-// Report takes in a target's load. Incarnation 0 means the present one.
+// Report takes in a target's load. Incarnation 0 means the present one; a load
+// with Seq 0 is none.
 func (p *Pool) Report(now time.Time, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) Fate {
 	m, ok := p.members[id]
 	if !ok {
 		return Unlisted
 	}
+	if load.Seq == 0 {
+		return Taken
+	}
 	if load.Credits > 0 && load.Limit == 0 || max(load.Credits, load.Limit) > maxUnits || load.Running > maxUnits || load.Queued > maxUnits {
 		return Contradictory
 	}
@@ -175,7 +179,7 @@
 	if incarnation != 0 && incarnation != m.incarnation {
 		return incarnation > m.incarnation
 	}
-	return !m.known || seq == 0 || seq > m.load.Seq
+	return !m.known || seq > m.load.Seq
 }
 
 // Incarnation is the run of the target that the entry last heard of.
