--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,15 +16,15 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/zone/balancer"
 )
 
 const (
-	// settingsPoll is how often the daemon looks for a newer view.
-	settingsPoll = 50 * time.Millisecond
 	// maxNotice is how long a stopping entry still takes requests after it has
 	// told the platform's balancer that it is not ready.
 	maxNotice         = time.Second
@@ -35,6 +36,7 @@
 type Entry struct {
 	process  *config.Process
 	opts     Options
+	watcher  *hostwatch.Watcher
 	log      log.Interface
 	metrics  *metrics.Registry
 	listener net.Listener
@@ -46,6 +48,9 @@
 	exchanges *exchanges
 	links     *links
 	effects   *effects
+	keys      *keys
+	prober    *prober
+	claims    *claims.Service
 	handler   *handler
 	state     *readiness
 }
@@ -77,11 +82,34 @@
 	if e.opts.Hosts == nil {
 		e.opts.Hosts = platform.NewClient(e.process.HostsURL)
 	}
-	if e.opts.Keys == nil {
-		e.opts.Keys = noKeys{}
+	e.watcher = hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
+		e.prober.observe(time.Now(), list)
+		e.setWriters(list)
+		e.loop.step(dispatch.HostsChanged{List: list})
+	})
+	if e.opts.Settings == nil {
+		e.opts.Settings = e.follower()
 	}
 }
 
+// follower makes the follower of the operators' settings.
+func (e *Entry) follower() Settings {
+	return follow.New(follow.Options{
+		Log:     platform.NewClient(e.process.LogURL),
+		Scope:   e.metrics.Scope(),
+		Logger:  logs.For("settings", e.process.Machine),
+		Machine: e.process.Machine,
+		Zone:    e.process.Zone,
+		Pull: func(ctx context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+			return e.links.pull(ctx, after)
+		},
+		Hosts: func() []platform.Host {
+			list, _ := e.watcher.Last()
+			return list.Hosts
+		},
+	})
+}
+
 // build joins the parts.
 func (e *Entry) build(incarnation contract.Incarnation) {
 	p := e.process
@@ -101,10 +129,13 @@
 		exchanges: e.exchanges,
 		links:     e.links,
 		settings:  e.opts.Settings,
-		keys:      e.opts.Keys,
 		scope:     scope,
 	}
 	e.loop = newLoop(dispatch.Config{Machine: p.Machine, Home: home}, e.effects)
+	e.prober = newProber(e.links)
+	e.keys = newKeys(e.claimer(incarnation), e.log)
+	e.effects.keys, e.exchanges.keys = e.keys, e.keys
+	e.exchanges.links = e.links
 	e.effects.loop, e.exchanges.loop, e.links.loop = e.loop, e.loop, e.loop
 	e.handler = &handler{
 		parser:  parser{maxBody: p.Entry.MaxBodyBytes, defaultTimeout: p.Entry.DefaultTimeout},
@@ -116,6 +147,36 @@
 	e.state = &readiness{loop: e.loop}
 }
 
+// claimer makes the claimer of idempotency keys.
+func (e *Entry) claimer(incarnation contract.Incarnation) claims.Claimer {
+	if e.opts.Claims != nil {
+		return e.opts.Claims
+	}
+	writer := fmt.Sprintf("%s/%d", e.process.Machine, incarnation)
+	e.claims = claims.NewService(platform.NewClient(e.process.LogURL), e.prober, claims.Options{
+		Config: claims.DefaultConfig(writer),
+		Stream: claims.Stream,
+		Logger: logs.For("claims", e.process.Machine),
+		Scope:  e.metrics.Scope().SubScope("claims"),
+		Seed:   uint64(incarnation),
+	})
+	return e.claims
+}
+
+// setWriters tells the claimer how many entries share the log's append rate.
+func (e *Entry) setWriters(list platform.HostList) {
+	if e.claims == nil {
+		return
+	}
+	entries := 0
+	for _, h := range list.Hosts {
+		if h.Role == platform.HostEntry {
+			entries++
+		}
+	}
+	e.claims.SetWriters(max(1, entries))
+}
+
 // HTTPAddress is the TCP address at which callers are served.
 func (e *Entry) HTTPAddress() string {
 	return e.listener.Addr().String()
@@ -124,12 +185,12 @@
 // Run serves until ctx ends, then stops gracefully: it finishes what is in
 // flight within the process's shutdown grace.
 func (e *Entry) Run(ctx context.Context) error {
-	watcher := hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
-		e.loop.step(dispatch.HostsChanged{List: list})
-	})
-	go watcher.Run(e.ctx)
-	go e.opts.Settings.Run(e.ctx)
+	go e.watcher.Run(e.ctx)
+	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
+	if e.claims != nil {
+		go e.claims.Run(e.ctx)
+	}
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
@@ -164,19 +225,15 @@
 
 // followSettings passes newer views to the state machine.
 func (e *Entry) followSettings() {
-	ticker := time.NewTicker(settingsPoll)
-	defer ticker.Stop()
-	var seen contract.Offset
-	for first := true; ; {
-		if view := e.opts.Settings.Current(); view != nil && (first || view.Offset() > seen) {
-			first = false
-			seen = view.Offset()
-			e.loop.step(dispatch.SettingsChanged{View: view})
+	for {
+		changed := e.opts.Settings.Changed()
+		if e.opts.Settings.Ready() {
+			e.loop.step(dispatch.SettingsChanged{View: e.opts.Settings.Current()})
 		}
 		select {
 		case <-e.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-changed:
 		}
 	}
 }
