Remember started attempts in a few bytes; wait for answers that nobody has read

Cause: 8192 records bounded a target to some 45 attempts a second, because each record stayed two minutes beyond its deadline; a planned stop could end before a sender with a broken stream had asked for its finished answer. Change: a record whose answer is given up becomes a hash, a number and a time; answers count the memory of their frames; a leaving process keeps answers that no stream was given whole for up to 5 s; malformed calls of a plain service are refused and no longer count as a fault of the back end. Found by the property test: a finished answer could stay beyond the byte bound.

--- a/machine/target/activate.go
+++ b/machine/target/activate.go
@@ -37,12 +37,6 @@
 	return nil
 }
 
-func (p *Process) idle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.gate.Idle()
-}
-
 // engineOrders is the engine as the agent sees it.
 type engineOrders struct{ engine *backend.Engine }
 
--- a/machine/target/answers/doc.go
+++ b/machine/target/answers/doc.go
@@ -4,10 +4,10 @@
 // The store is bounded in time and bytes, and stays truthful at its bounds:
 //
 //   - An answer over its time or over the byte limit is dropped and its attempt
-//     becomes contract.AttemptForgotten; the record itself stays, so that a late
-//     copy of the attempt still cannot start.
-//   - A started attempt without room for a record is not admitted: Room reports
-//     false and the gate refuses the work.
+//     becomes contract.AttemptForgotten. That it started is remembered in a few
+//     bytes, so that a late copy of the attempt still cannot start.
+//   - A started attempt without room to be remembered is not admitted: Room
+//     reports false and the gate refuses the work.
 //   - A tombstone without room goes into a filter of fixed size. The filter never
 //     loses a tombstone within its time; what it may do is refuse an attempt that
 //     has no tombstone, which is a true refusal.
--- a/machine/target/answers/record.go
+++ b/machine/target/answers/record.go
@@ -28,8 +28,6 @@
 	length uint64
 	end    contract.End
 	ended  time.Time
-	// incomplete is set when the answer can no longer be sent from its start.
-	incomplete bool
 }
 
 // ID returns the attempt's identifier.
--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -9,13 +9,16 @@
 
 // Limits bound a Store.
 type Limits struct {
-	// MaxBytes bounds the data of all answers, MaxAnswerBytes that of one. A
-	// running answer may hold one frame beyond them, so that it can go on.
+	// MaxBytes bounds the memory of all answers, MaxAnswerBytes that of one. Each
+	// running answer and the newest finished one may hold one frame beyond them,
+	// so that work can go on.
 	MaxBytes       int
 	MaxAnswerBytes int
-	// MaxStarted bounds the records of started attempts, MaxTombstones the
-	// tombstones outside the filter.
-	MaxStarted    int
+	// MaxStarted bounds the records of attempts that run or whose answer is
+	// kept, MaxPast those of which only the number is remembered.
+	MaxStarted int
+	MaxPast    int
+	// MaxTombstones bounds the tombstones outside the filter.
 	MaxTombstones int
 	// KeepAnswer is how long a finished answer is kept, KeepRecord how long a
 	// record is kept after its attempt's deadline.
@@ -30,12 +33,19 @@
 	MaxBytes:       16 << 20,
 	MaxAnswerBytes: 1 << 20,
 	MaxStarted:     8192,
+	MaxPast:        1 << 18,
 	MaxTombstones:  8192,
 	KeepAnswer:     2 * time.Minute,
 	KeepRecord:     2 * time.Minute,
 	KeepTombstone:  10 * time.Minute,
 }
 
+// frameOverheadBytes is the memory of a frame beside its data.
+const frameOverheadBytes = 48
+
+// size returns the memory that a frame takes.
+func (f Frame) size() int { return len(f.Data) + frameOverheadBytes }
+
 // wholeRequest is the attempt number that stands for every attempt of a request.
 const wholeRequest = 0
 
@@ -47,6 +57,7 @@
 	// finished holds ended records with answers, oldest first.
 	finished   []*Record
 	overflow   filter
+	past       past
 	bytes      int
 	started    int
 	tombstones int
@@ -58,20 +69,28 @@
 		limits:   limits,
 		requests: map[contract.RequestID][]*Record{},
 		overflow: filter{period: limits.KeepTombstone},
+		past:     newPast(),
 	}
 }
 
-// Bytes returns the size of all kept answers.
+// Bytes returns the memory of all answers.
 func (s *Store) Bytes() int { return s.bytes }
 
-// Started and Tombstones return the numbers of records of each kind.
+// Started returns the number of records of started attempts.
 func (s *Store) Started() int { return s.started }
 
+// PastRequests returns the number of requests of which only the number of the
+// attempt is remembered.
+func (s *Store) PastRequests() int { return len(s.past.entries) }
+
 // Tombstones returns the number of tombstones outside the filter.
 func (s *Store) Tombstones() int { return s.tombstones }
 
-// Room reports whether one more attempt may start.
-func (s *Store) Room() bool { return s.started < s.limits.MaxStarted }
+// Room reports whether one more attempt may start beside waiting others.
+func (s *Store) Room(waiting int) bool {
+	fits := s.started+waiting < s.limits.MaxStarted+len(s.finished)
+	return fits && s.started+waiting+len(s.past.entries) < s.limits.MaxPast
+}
 
 // Get returns the record of an attempt, or nil.
 func (s *Store) Get(id contract.AttemptID) *Record {
@@ -94,6 +113,28 @@
 	return newest
 }
 
+// Past returns what is known of an attempt that started and whose record was
+// given up; ok is false if it is not one.
+func (s *Store) Past(id contract.AttemptID) (state contract.AttemptState, ok bool) {
+	e, there := s.past.get(id.Request)
+	if !there || e.n != id.N && id.N != wholeRequest {
+		return contract.AttemptUnheard, false
+	}
+	if e.broken {
+		return contract.AttemptBroken, true
+	}
+	return contract.AttemptForgotten, true
+}
+
+// OtherStarted reports whether another attempt of the request may have run.
+func (s *Store) OtherStarted(id contract.AttemptID) bool {
+	if e, ok := s.past.get(id.Request); ok && e.n != id.N {
+		return true
+	}
+	r := s.StartedAttempt(id.Request)
+	return r != nil && r.id.N != id.N
+}
+
 // Buried reports whether the attempt has a tombstone, and why.
 func (s *Store) Buried(now time.Time, id contract.AttemptID) (contract.Reason, bool) {
 	for _, r := range s.requests[id.Request] {
@@ -131,6 +172,9 @@
 // Begin records that an attempt is about to start. The caller has checked that
 // it has neither a record nor a tombstone, and that there is Room.
 func (s *Store) Begin(now time.Time, id contract.AttemptID, deadline time.Time) *Record {
+	if s.started >= s.limits.MaxStarted && len(s.finished) > 0 {
+		s.forgetOldest()
+	}
 	r := &Record{
 		id: id, state: contract.AttemptRunning,
 		expires: later(now, deadline).Add(s.limits.KeepRecord),
@@ -159,36 +203,36 @@
 // frames before number consumed are dropped; Append reports false if that does
 // not make room, and the caller tries again after more has been consumed.
 func (s *Store) Append(r *Record, f Frame, consumed uint64) bool {
-	if r.bytes+len(f.Data) > s.limits.MaxAnswerBytes {
+	size := f.size()
+	if r.bytes+size > s.limits.MaxAnswerBytes {
 		s.trim(r, consumed)
 	}
-	if r.bytes > 0 && r.bytes+len(f.Data) > s.limits.MaxAnswerBytes {
+	if r.bytes > 0 && r.bytes+size > s.limits.MaxAnswerBytes {
 		return false
 	}
-	s.evict(len(f.Data))
-	if s.bytes+len(f.Data) > s.limits.MaxBytes {
+	s.evict(size)
+	if s.bytes+size > s.limits.MaxBytes {
 		s.trim(r, consumed)
 	}
-	if r.bytes > 0 && s.bytes+len(f.Data) > s.limits.MaxBytes {
+	if r.bytes > 0 && s.bytes+size > s.limits.MaxBytes {
 		return false
 	}
 	r.frames = append(r.frames, f)
-	r.bytes += len(f.Data)
+	r.bytes += size
 	r.length += uint64(len(f.Data))
-	s.bytes += len(f.Data)
+	s.bytes += size
 	return true
 }
 
 // trim drops frames before number consumed.
 func (s *Store) trim(r *Record, consumed uint64) {
 	for len(r.frames) > 0 && r.first < consumed {
-		size := len(r.frames[0].Data)
+		size := r.frames[0].size()
 		r.frames[0] = Frame{}
 		r.frames = r.frames[1:]
 		r.first++
 		r.bytes -= size
 		s.bytes -= size
-		r.incomplete = true
 	}
 }
 
@@ -199,21 +243,19 @@
 	}
 }
 
+// forgetOldest gives up the oldest finished answer and its record. What stays
+// is that the attempt started.
 func (s *Store) forgetOldest() {
 	r := s.finished[0]
 	s.finished[0] = nil
 	s.finished = s.finished[1:]
-	s.forget(r)
-}
-
-func (s *Store) forget(r *Record) {
-	if r.state == contract.AttemptNeverRan {
-		return
-	}
 	s.release(r)
+	s.past.add(r.id, r.expires, r.state == contract.AttemptBroken)
 	if r.state == contract.AttemptDone {
 		r.state = contract.AttemptForgotten
 	}
+	heap.Remove(&s.expiry, r.index)
+	s.remove(r)
 }
 
 // release gives up the frames of a record.
@@ -234,6 +276,7 @@
 	if end.Outcome == contract.OutcomeDone {
 		r.state = contract.AttemptDone
 	}
+	s.evict(0)
 	s.finished = append(s.finished, r)
 }
 
@@ -244,7 +287,7 @@
 	}
 	for len(s.expiry) > 0 && !s.expiry[0].expires.After(now) {
 		r := s.expiry[0]
-		if r.state == contract.AttemptRunning {
+		if r.Started() {
 			r.expires = now.Add(s.limits.KeepRecord)
 			heap.Fix(&s.expiry, r.index)
 			continue
@@ -252,6 +295,7 @@
 		heap.Pop(&s.expiry)
 		s.remove(r)
 	}
+	s.past.expire(now)
 }
 
 // NextExpiry returns when Expire has work next; ok is false if never.
@@ -265,6 +309,9 @@
 			at, ok = answer, true
 		}
 	}
+	if over, some := s.past.next(); some && (!ok || over.Before(at)) {
+		at, ok = over, true
+	}
 	return at, ok
 }
 
@@ -274,7 +321,6 @@
 }
 
 func (s *Store) remove(r *Record) {
-	s.forget(r)
 	if r.Started() {
 		s.started--
 	} else {
--- a/machine/target/backend/backend_test.go
+++ b/machine/target/backend/backend_test.go
@@ -81,6 +81,11 @@
 	if _, err := NewPlain(closed).Call(context.Background(), filing("x")); !errors.Is(err, ErrNotSent) {
 		t.Errorf("nobody listens: %v", err)
 	}
+	for _, c := range []Call{{Method: "GET", Path: "@other/"}, {Method: "GET", Path: "http://other/"}, {Method: "G T", Path: "/"}} {
+		if _, err := NewPlain(closed).Call(context.Background(), c); !errors.Is(err, ErrBadCall) {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
 	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer cut.Close()
 	if _, err := NewPlain(cut.URL).Call(context.Background(), filing("x")); !errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent) {
--- a/machine/target/backend/plain.go
+++ b/machine/target/backend/plain.go
@@ -54,12 +54,12 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
-// Call sends one call. It fails with ErrNotSent if the service cannot have
-// seen it, else with ErrLost.
+// Call sends one call. It fails with ErrBadCall if the call is malformed, with
+// ErrNotSent if the service cannot have seen it, else with ErrLost.
 func (p *Plain) Call(ctx context.Context, c Call) (Reply, error) {
 	req, err := p.request(ctx, c)
 	if err != nil {
-		return Reply{}, errors.Mark(err, ErrNotSent)
+		return Reply{}, errors.Mark(errors.Mark(err, ErrBadCall), ErrNotSent)
 	}
 	client := p.fresh
 	if c.Idempotent {
@@ -75,6 +75,9 @@
 // request builds the HTTP request. Its body cannot be rewound, so that the
 // HTTP library cannot send it a second time.
 func (p *Plain) request(ctx context.Context, c Call) (*http.Request, error) {
+	if !validPath(c.Path) {
+		return nil, errors.Newf("path %q", c.Path)
+	}
 	var body io.Reader
 	if len(c.Body) > 0 {
 		body = io.NopCloser(bytes.NewReader(c.Body))
@@ -96,8 +99,8 @@
 	return req, nil
 }
 
-// ValidPath reports whether path stays below the service's address.
-func ValidPath(path string) bool {
+// validPath reports whether path stays below the service's address.
+func validPath(path string) bool {
 	u, err := url.ParseRequestURI(path)
 	return err == nil && strings.HasPrefix(path, "/") && u.Host == "" && u.Scheme == ""
 }
--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -19,6 +19,7 @@
 	if g.known(e.From, s) {
 		return
 	}
+	s.Remaining = min(s.Remaining, maxRemaining)
 	a := &attempt{from: e.From, start: *s, deadline: g.now.Add(s.Remaining)}
 	if reason := g.objection(s); reason != "" {
 		g.refuse(a, reason)
@@ -53,8 +54,11 @@
 	if _, ok := g.attempts[id]; ok {
 		return true
 	}
-	r := g.store.Get(id)
-	return r != nil && r.Started()
+	if r := g.store.Get(id); r != nil && r.Started() {
+		return true
+	}
+	_, past := g.store.Past(id)
+	return past
 }
 
 // objection returns why the target takes no attempt like s now, or "".
@@ -96,7 +100,7 @@
 // other reports whether another attempt of the request is queued or may have
 // run here.
 func (g *Gate) other(id contract.AttemptID) bool {
-	if r := g.store.StartedAttempt(id.Request); r != nil && r.ID().N != id.N {
+	if g.store.OtherStarted(id) {
 		return true
 	}
 	for _, a := range g.queue {
@@ -111,7 +115,7 @@
 // takes it out again at once if the back end has room.
 func (g *Gate) enqueue(a *attempt) {
 	g.supersede(a)
-	if !g.store.Room() {
+	if !g.store.Room(len(g.queue)) {
 		g.refuse(a, contract.ReasonTargetFull)
 		return
 	}
@@ -130,14 +134,14 @@
 	g.attempts[a.id()] = a
 }
 
-// supersede stops an earlier attempt of an idempotent request whose stream
-// broke: its sender has moved on to this one.
+// supersede stops an earlier attempt of an idempotent request: its sender has
+// moved on to this one.
 func (g *Gate) supersede(a *attempt) {
 	if !a.start.Idempotent || a.id().N == 1 {
 		return
 	}
 	for _, other := range g.running() {
-		if other.id().Request == a.id().Request && !other.detached.IsZero() {
+		if other.id().Request == a.id().Request && other.id().N < a.id().N {
 			g.stop(other, contract.ReasonDuplicateAttempt)
 		}
 	}
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/target/coldstart"
@@ -10,7 +11,9 @@
 
 const (
 	maxRequestIDBytes = 128
-	causeOldSettings  = "settings_old"
+	// maxRemaining bounds the time that a sender may give an attempt.
+	maxRemaining     = 24 * time.Hour
+	causeOldSettings = "settings_old"
 	// meanShare is the inverse weight of one unit in the mean running time.
 	meanShare = 16
 )
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -69,6 +69,7 @@
 	c := testConfig()
 	c.Model = !line.Has("plain")
 	c.Answers.MaxStarted = line.Int("started", c.Answers.MaxStarted)
+	c.Answers.MaxPast = line.Int("past", c.Answers.MaxPast)
 	c.Answers.MaxTombstones = line.Int("tombstones", c.Answers.MaxTombstones)
 	return c
 }
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -65,6 +65,10 @@
 		}
 		return s
 	}
+	if state, past := g.store.Past(id); past {
+		s.State = state
+		return s
+	}
 	for _, a := range g.queue {
 		if covers(id, a.id()) {
 			s.Attempt, s.State = a.id(), contract.AttemptQueued
--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -117,6 +117,7 @@
 		cfg := testConfig()
 		cfg.Answers.MaxTombstones = rapid.IntRange(0, 4).Draw(t, "tombstones")
 		cfg.Answers.MaxStarted = rapid.IntRange(1, 6).Draw(t, "started")
+		cfg.Answers.MaxPast = rapid.IntRange(4, 20).Draw(t, "past")
 		o := &observer{
 			t: t, g: newGate(cfg, 0), ran: map[contract.AttemptID]bool{}, never: map[contract.AttemptID]bool{},
 			started: map[contract.RequestID]contract.AttemptID{}, units: map[contract.AttemptID]bool{},
--- a/machine/target/gauges.go
+++ b/machine/target/gauges.go
@@ -23,6 +23,8 @@
 
 func (p *Process) showGauges() {
 	p.mu.Lock()
+	p.pruneUndelivered()
+	undelivered := len(p.undelivered)
 	load, phase, store := p.gate.Load(""), p.gate.Phase(), p.gate.Answers()
 	bytes, started, tombstones := store.Bytes(), store.Started(), store.Tombstones()
 	p.mu.Unlock()
@@ -33,6 +35,7 @@
 		"limit":               float64(load.Limit),
 		"phase":               float64(phase),
 		"answer_bytes":        float64(bytes),
+		"undelivered":         float64(undelivered),
 		"records":             float64(started),
 		"tombstones":          float64(tombstones),
 		"link_sent_bytes":     float64(traffic.SentBytes),
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -47,7 +48,12 @@
 	endpoint *link.Endpoint
 	server   *http.Server
 	httpAddr string
+	// ctx is the context of workers; it outlives that of Run by the grace.
+	ctx      context.Context
+	stopWork context.CancelFunc
 	workers  sync.WaitGroup
+	// streams counts the streams that follow a feed.
+	streams atomic.Int64
 	// wake tells the timer loop that the gate has stepped.
 	wake chan struct{}
 
@@ -55,9 +61,9 @@
 	// The fields below are guarded by mu.
 	gate  *gate.Gate
 	feeds map[contract.AttemptID]*feed
-	// ctx is the context of workers; it outlives that of Run by the grace.
-	ctx      context.Context
-	settings gate.Settings
+	// undelivered holds finished answers that no stream was given whole.
+	undelivered map[contract.AttemptID]struct{}
+	settings    gate.Settings
 	// concern is what the settings said last of what concerns senders.
 	concern concern
 }
@@ -77,7 +83,9 @@
 		incarnation: contract.Incarnation(now.UnixNano()),
 		wake:        make(chan struct{}, 1),
 		feeds:       map[contract.AttemptID]*feed{},
+		undelivered: map[contract.AttemptID]struct{}{},
 	}
+	p.ctx, p.stopWork = context.WithCancel(context.Background())
 	if cfg.Target.Kind == config.BackendModel {
 		p.engine = backend.NewEngine(cfg.Target.BackendURL)
 	} else {
@@ -166,9 +174,6 @@
 	if p.endpoint != nil {
 		return nil
 	}
-	p.mu.Lock()
-	p.ctx = context.Background()
-	p.mu.Unlock()
 	p.step(gate.Configured{Settings: p.settings})
 	if err := p.listenHTTP(); err != nil {
 		return errors.Mark(err, ErrStart)
@@ -226,20 +231,52 @@
 // another target can resume are ended.
 const handOverShare = 2
 
-// leave stops accepting and waits until nothing runs or the grace is over.
+// leave stops accepting and waits until nothing runs or the grace is over. It
+// then leaves time for the last frames to arrive, and for senders whose stream
+// broke to ask for their answer.
 func (p *Process) leave() {
 	p.log.Info("leaving")
 	p.step(gate.Leave{})
 	grace := p.cfg.ShutdownGrace
-	if !p.waitIdle(grace / handOverShare) {
+	end := time.Now().Add(grace)
+	if !wait(p.idle, grace/handOverShare) {
 		p.step(gate.HandOver{})
-		if !p.waitIdle(grace - grace/handOverShare) {
+		if !wait(p.idle, time.Until(end)) {
 			p.log.Warn("grace is over with work in flight")
 		}
 	}
+	wait(p.delivered, min(resendGrace, time.Until(end)))
 	time.Sleep(min(p.heartbeat(), grace))
 }
 
+// resendGrace is how long a leaving process keeps answers for senders whose
+// stream broke.
+const resendGrace = 5 * time.Second
+
+// idle reports whether nothing is queued and nothing runs.
+func (p *Process) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate.Idle()
+}
+
+// delivered reports whether every kept answer was given to a stream.
+func (p *Process) delivered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pruneUndelivered()
+	return len(p.undelivered) == 0 && p.streams.Load() == 0
+}
+
+// pruneUndelivered drops the answers that are no longer kept.
+func (p *Process) pruneUndelivered() {
+	for id := range p.undelivered {
+		if p.gate.Answers().Get(id) == nil {
+			delete(p.undelivered, id)
+		}
+	}
+}
+
 func (p *Process) heartbeat() time.Duration {
 	const fallback = time.Second
 	if p.cfg.Link.Heartbeat > 0 {
@@ -251,19 +288,22 @@
 // idlePoll is how often a leaving process looks whether work has ended.
 const idlePoll = 20 * time.Millisecond
 
-func (p *Process) waitIdle(limit time.Duration) bool {
+// wait polls until done or until limit is over, and reports which.
+func wait(done func() bool, limit time.Duration) bool {
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
-		if p.idle() {
+		if done() {
 			return true
 		}
 		time.Sleep(idlePoll)
 	}
-	return false
+	return done()
 }
 
 func (p *Process) close() {
 	p.endpoint.Close()
+	p.stopWork()
+	p.workers.Wait()
 	_ = p.server.Close()
 	_ = p.registry.Close()
 	p.log.Info("stopped")
--- a/machine/target/serve.go
+++ b/machine/target/serve.go
@@ -206,6 +206,8 @@
 
 // follow sends a feed to a stream until the feed ends or the stream breaks.
 func (p *Process) follow(ctx context.Context, s *link.Stream, f *feed, r *reader) {
+	p.streams.Add(1)
+	defer p.streams.Add(-1)
 	ctx, broken := context.WithCancel(ctx)
 	read := make(chan struct{})
 	go func() {
@@ -269,6 +271,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f.detach(r)
+	if whole {
+		delete(p.undelivered, f.id)
+	}
 	if !whole && len(f.readers) == 0 && p.feeds[f.id] == f {
 		p.stepLocked(gate.Gone{Attempt: f.id})
 	}
--- a/machine/target/step.go
+++ b/machine/target/step.go
@@ -47,6 +47,9 @@
 		p.countEnd(e.End)
 		end := e.End
 		end.Load = p.gate.Load(e.From)
+		if end.Outcome == contract.OutcomeDone {
+			p.undelivered[end.Attempt] = struct{}{}
+		}
 		p.closeFeed(end.Attempt, func(f *feed) { f.end = &end })
 	case gate.Ignored:
 		metrics.Ignored(p.scope, contract.Reason(e.Cause))
--- a/machine/target/work.go
+++ b/machine/target/work.go
@@ -203,6 +203,8 @@
 func (w *worker) call(ctx context.Context) {
 	reply, err := w.callRetried(ctx)
 	switch {
+	case errors.Is(err, backend.ErrBadCall):
+		w.end(notRun(contract.ReasonBadRequest, gate.FaultNone))
 	case errors.Is(err, backend.ErrNotSent):
 		w.end(notRun(stopReason(ctx, contract.ReasonBackendDown), gate.FaultBroke))
 	case err != nil:
@@ -230,7 +232,7 @@
 	}
 	for try := 1; ; try++ {
 		reply, err := w.p.plain.Call(ctx, call)
-		if !errors.Is(err, backend.ErrNotSent) || try == plainTries {
+		if !errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrBadCall) || try == plainTries {
 			return reply, err
 		}
 		metrics.Retried(w.p.scope, contract.ReasonBackendDown)
