--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -140,10 +140,9 @@
 	if !a.start.Idempotent || a.id().N == 1 {
 		return
 	}
-	for _, other := range g.running() {
-		if other.id().Request == a.id().Request && other.id().N < a.id().N {
-			g.stop(other, contract.ReasonDuplicateAttempt)
-		}
+	former := func(b *attempt) bool { return b.id().Request == a.id().Request && b.id().N < a.id().N }
+	for _, b := range g.matching(former) {
+		g.stop(b, contract.ReasonDuplicateAttempt)
 	}
 }
 
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -18,11 +18,11 @@
 	meanShare = 16
 )
 
-// running returns the attempts that run or linger, in a fixed order.
-func (g *Gate) running() []*attempt {
-	list := make([]*attempt, 0, len(g.attempts))
+// matching returns the attempts that run or linger and match, in a fixed order.
+func (g *Gate) matching(match func(*attempt) bool) []*attempt {
+	var list []*attempt
 	for _, a := range g.attempts {
-		if a.record != nil {
+		if a.record != nil && match(a) {
 			list = append(list, a)
 		}
 	}
@@ -146,10 +146,8 @@
 
 // releaseLingering forgets the units that a restarted engine cannot run.
 func (g *Gate) releaseLingering() {
-	for _, a := range g.running() {
-		if a.ended {
-			g.forget(a)
-		}
+	for _, a := range g.matching(func(a *attempt) bool { return a.ended }) {
+		g.forget(a)
 	}
 }
 
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -218,10 +218,8 @@
 		return
 	}
 	g.returnIf(contract.ReasonWeightsMismatch, func(a *attempt) bool { return !g.pinned(a.start.Weights) })
-	for _, a := range g.running() {
-		if !g.pinned(a.start.Weights) {
-			g.stop(a, contract.ReasonWeightsChanged)
-		}
+	for _, a := range g.matching(func(a *attempt) bool { return !g.pinned(a.start.Weights) }) {
+		g.stop(a, contract.ReasonWeightsChanged)
 	}
 }
 
@@ -258,10 +256,8 @@
 	if !g.cfg.Model || !g.leaving && !g.draining() {
 		return
 	}
-	for _, a := range g.running() {
-		if a.start.Idempotent {
-			g.stop(a, reason)
-		}
+	for _, a := range g.matching(func(a *attempt) bool { return a.start.Idempotent }) {
+		g.stop(a, reason)
 	}
 }
 
@@ -270,21 +266,21 @@
 	g.store.Expire(g.now)
 	g.senders.expire(g.now, g.cfg.SenderSilence)
 	g.returnIf(contract.ReasonDeadline, g.late)
-	for _, a := range g.running() {
-		g.tickRunning(a)
+	for _, a := range g.matching(g.due) {
+		if a.ended {
+			g.forget(a)
+			continue
+		}
+		g.stop(a, contract.ReasonCallerGone)
 	}
 }
 
-func (g *Gate) tickRunning(a *attempt) {
+// due reports whether the linger time or the resume grace of a unit is over.
+func (g *Gate) due(a *attempt) bool {
 	if a.ended {
-		if !a.lingerUntil.IsZero() && !a.lingerUntil.After(g.now) {
-			g.forget(a)
-		}
-		return
-	}
-	if !a.detached.IsZero() && g.now.Sub(a.detached) >= g.cfg.ResumeGrace {
-		g.stop(a, contract.ReasonCallerGone)
+		return !a.lingerUntil.IsZero() && !a.lingerUntil.After(g.now)
 	}
+	return !a.stopping && !a.detached.IsZero() && g.now.Sub(a.detached) >= g.cfg.ResumeGrace
 }
 
 func (g *Gate) late(a *attempt) bool {
