--- a/settings/follow/follower.go
+++ b/settings/follow/follower.go
@@ -113,14 +113,19 @@
 	f.mu.Unlock()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		f.handle(spread.Tailing{On: f.tails()})
+	f.handle(f.duty())
+	for ticks := 1; ; ticks++ {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			f.stop()
 			return ctx.Err()
 		}
+		if ticks%ticksPerDuty == 0 {
+			f.handle(f.duty())
+		} else {
+			f.handle(spread.Tick{})
+		}
 	}
 }
 
@@ -131,11 +136,12 @@
 	f.wg.Wait()
 }
 
-func (f *Follower) tails() bool {
+// duty works out from the host list how closely to follow the log.
+func (f *Follower) duty() spread.Tailing {
 	if f.opts.Hosts == nil {
-		return true
+		return spread.Tailing{On: true}
 	}
-	return Tails(f.opts.Hosts(), f.opts.Machine, f.opts.Zone, f.opts.Timing.WithDefaults().TailersPerZone)
+	return Duty(f.opts.Hosts(), f.opts.Machine, f.opts.Zone, f.opts.Timing.WithDefaults().TailersPerZone)
 }
 
 // handle steps the machine and runs the spread.Effects. Before Run and after its end
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
@@ -111,3 +113,32 @@
 		t.Fatal("not learnt")
 	}
 }
+
+// TestDuty checks that a few entry hosts of each zone tail the log, that the
+// others audit it in turns, and that targets do neither.
+func TestDuty(t *testing.T) {
+	var hosts []platform.Host
+	for i := range 40 {
+		role, zone := platform.HostEntry, contract.ZoneName([]string{"a", "b"}[i%2])
+		if i >= 20 {
+			role = platform.HostTarget
+		}
+		hosts = append(hosts, platform.Host{Machine: contract.MachineID(fmt.Sprint("m", i)), Role: role, Zone: zone, State: platform.HostLive})
+	}
+	tails, audits := map[contract.ZoneName]int{}, 0
+	for _, h := range hosts {
+		duty := follow.Duty(hosts, h.Machine, h.Zone, 3)
+		if duty.On {
+			tails[h.Zone]++
+		}
+		if duty.Audit == 5*time.Second {
+			audits++
+		}
+	}
+	if tails["a"] != 3 || tails["b"] != 3 || audits != 20 {
+		t.Fatalf("tails %v, audits %d", tails, audits)
+	}
+	if !follow.Duty(hosts, "unlisted", "a", 3).On {
+		t.Fatal("a machine that the list does not name must tail")
+	}
+}
--- a/settings/follow/options.go
+++ b/settings/follow/options.go
@@ -34,4 +34,8 @@
 	Timing spread.Timing
 }
 
-const tickInterval = 250 * time.Millisecond
+const (
+	tickInterval = 250 * time.Millisecond
+	// ticksPerDuty is how many ticks pass between two looks at the host list.
+	ticksPerDuty = 8
+)
--- a/settings/follow/spread/doc.go
+++ b/settings/follow/spread/doc.go
@@ -14,6 +14,9 @@
 //     list, tail the log by long poll. The others hear of new offsets on
 //     heartbeats and requests and pull the records from a peer. A process that
 //     hears no peer, or that gets no answer to its pulls, reads the log itself.
+//   - The entry hosts of a zone that do not tail take turns at auditing the log,
+//     so that the zone learns within seconds also when all that tail it have lost
+//     it without knowing.
 //   - Ready is false until the process has caught up after its start, and again
 //     after it was paused: with the log, or, while the log does not answer, with
 //     EnoughPeers answers of ready peers that know nothing newer. Answers of
--- a/settings/follow/spread/events.go
+++ b/settings/follow/spread/events.go
@@ -36,9 +36,12 @@
 	Offset contract.Offset
 }
 
-// Tailing tells whether this process is to tail the log.
+// Tailing tells how closely this process is to follow the log itself.
 type Tailing struct {
+	// On makes it tail the log by long polls.
 	On bool
+	// Audit is the interval of its other reads; 0 means Timing.AuditEvery.
+	Audit time.Duration
 }
 
 // Appended tells that the append of a checkpoint ended, well or not.
--- a/settings/follow/spread/export_test.go
+++ b/settings/follow/spread/export_test.go
@@ -16,6 +16,7 @@
 	LogAuthority       = logAuthority
 	PeerCheckpoint     = peerCheckpoint
 	MajorityCheckpoint = majorityCheckpoint
+	AuditReads         = auditReads
 )
 
 // Disable switches mechanisms off.
--- a/settings/follow/spread/machine.go
+++ b/settings/follow/spread/machine.go
@@ -25,6 +25,7 @@
 	logAuthority
 	peerCheckpoint
 	majorityCheckpoint
+	auditReads
 )
 
 // endOfLog is beyond every offset; a read there tells the bounds of the log.
@@ -62,7 +63,8 @@
 	// probing tells that a ProbeLog is under way.
 	probing     bool
 	nextRead    time.Time
-	lastLog     time.Time
+	audit       time.Duration
+	nextAudit   time.Time
 	lastHeard   time.Time
 	pulling     bool
 	nextPull    time.Time
@@ -80,9 +82,10 @@
 		state:     replay.New(),
 		recent:    newRecent(),
 		lastEvent: now,
-		lastLog:   now,
 		lastHeard: now,
 	}
+	m.audit = m.timing.AuditEvery
+	m.nextAudit = now.Add(m.phase(m.audit))
 	m.checkpoints.reset(now, m.jitter(m.timing.CheckpointEvery))
 	return m
 }
@@ -104,7 +107,7 @@
 		m.lastHeard = now
 		m.hear(now, ev.Offset)
 	case Tailing:
-		m.setTailing(now, ev.On)
+		m.setTailing(now, ev)
 	case Appended:
 		m.checkpoints.appended(now, m.jitter(checkpointSpread))
 	case ExtraRead:
@@ -127,6 +130,12 @@
 	return d/2 + time.Duration(m.rng.Int64N(int64(d/2)+1))
 }
 
+// phase returns a duration up to d: the first of a series, so that the series of
+// many processes are spread evenly from the start.
+func (m *Machine) phase(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d) + 1))
+}
+
 // notePause notices that the process did not run for a while: what it knows may
 // be out of date, and a read or pull from before may never end.
 func (m *Machine) notePause(now time.Time) {
@@ -161,11 +170,19 @@
 	}
 }
 
-func (m *Machine) setTailing(now time.Time, on bool) {
-	if on && !m.tails {
+func (m *Machine) setTailing(now time.Time, ev Tailing) {
+	if ev.On && !m.tails {
 		m.nextRead = now
 	}
-	m.tails = on
+	m.tails = ev.On
+	audit := ev.Audit
+	if audit <= 0 {
+		audit = m.timing.AuditEvery
+	}
+	if audit != m.audit {
+		m.audit = audit
+		m.nextAudit = now.Add(m.phase(audit))
+	}
 }
 
 // updateReady decides whether the process may serve.
@@ -221,7 +238,7 @@
 	}
 	quiet := now.Sub(m.lastHeard) > m.timing.QuietLimit
 	stuck := !m.behindSince.IsZero() && m.pullFailing
-	return quiet || stuck || now.Sub(m.lastLog) > m.timing.AuditEvery
+	return quiet || stuck || !now.Before(m.nextAudit) && m.off&auditReads == 0
 }
 
 // wantsProbe reports whether to ask the log beside a waiting long poll whether
--- a/settings/follow/spread/mechanism_test.go
+++ b/settings/follow/spread/mechanism_test.go
@@ -21,6 +21,7 @@
 var promises = []promise{
 	{"a process cut from the log learns from peers", spread.PullFromPeers | spread.LogFallback, cutFromLog},
 	{"a process that hears no peer reads the log", spread.LogFallback, hearsNobody},
+	{"a zone whose tailing processes lost the log learns", spread.AuditReads, tailersCut},
 	{"the offset never falls", spread.MonotonicOffset, olderCheckpoint},
 	{"a fresh process does not serve before it has caught up", spread.ReadyGate, freshInOutage},
 	{"a paused process does not serve what it knew before", spread.PauseGate, wakesLate},
@@ -78,6 +79,20 @@
 	return s.wantOut("b1")
 }
 
+func tailersCut(s *session) error {
+	s.start("a1*", "a2*", "a3", "a4")
+	s.world.Run(time.Second)
+	for _, name := range []string{"a1", "a2"} {
+		s.world.Node(name).CutLog(true)
+	}
+	for _, name := range []string{"a3", "a4"} {
+		s.world.Node(name).Deliver(spread.Tailing{Audit: 4 * time.Second})
+	}
+	s.change("c", 0, "out=true")
+	s.world.Run(8 * time.Second)
+	return s.wantOut("a2")
+}
+
 func olderCheckpoint(s *session) error {
 	s.start("a1*")
 	s.world.Run(time.Second)
--- a/settings/follow/spread/sim/world.go
+++ b/settings/follow/spread/sim/world.go
@@ -83,6 +83,7 @@
 	heard  map[*Node]contract.Offset
 	paused bool
 	dead   bool
+	cutLog bool
 	inbox  []spread.Event
 	asked  int
 }
@@ -145,6 +146,16 @@
 	w.cutLog[zone] = cut
 }
 
+// CutLog cuts this node off from the log, or heals it.
+func (n *Node) CutLog(cut bool) {
+	n.cutLog = cut
+}
+
+// logCut reports whether the node cannot reach the log.
+func (n *Node) logCut() bool {
+	return n.cutLog || n.world.cutLog[n.Zone]
+}
+
 // Pause freezes or wakes a node. What arrives meanwhile is delivered at the end.
 func (n *Node) Pause(paused bool) {
 	n.paused = paused
@@ -275,7 +286,7 @@
 }
 
 func (n *Node) append(data []byte) {
-	if !n.world.cutLog[n.Zone] {
+	if !n.logCut() {
 		_, _ = n.world.Append(data)
 	}
 	n.deliver(spread.Appended{})
@@ -283,7 +294,7 @@
 
 func (n *Node) probe(after contract.Offset) {
 	batch, err := n.world.poll(after)
-	if err != nil || n.world.cutLog[n.Zone] {
+	if err != nil || n.logCut() {
 		n.deliver(spread.ProbeFailed{})
 		return
 	}
@@ -293,7 +304,7 @@
 // readLog runs a long poll.
 func (n *Node) readLog(e spread.ReadLog) {
 	w := n.world
-	if w.cutLog[n.Zone] {
+	if n.logCut() {
 		w.after(callTimeout, func() { n.deliver(spread.LogFailed{}) })
 		return
 	}
@@ -326,7 +337,7 @@
 	after := w.waiting[n].after
 	delete(w.waiting, n)
 	batch, err := w.poll(after)
-	if err != nil || w.cutLog[n.Zone] {
+	if err != nil || n.logCut() {
 		n.deliver(spread.LogFailed{Trimmed: err == platform.ErrTrimmed})
 		return
 	}
--- a/settings/follow/spread/sources.go
+++ b/settings/follow/spread/sources.go
@@ -13,7 +13,7 @@
 func (m *Machine) onLogRead(now time.Time, ev LogRead) {
 	m.reading = false
 	m.logDown = false
-	m.lastLog = now
+	m.noteAudit(now)
 	if m.recovery.active() {
 		m.onRecoveryRead(now, ev)
 		return
@@ -26,6 +26,14 @@
 	m.afterRead(now, ev.Batch.Newest, m.state.Offset() > before)
 }
 
+// noteAudit ends an audit that was due. Other reads leave the phase as it is,
+// because many processes make them at the same time.
+func (m *Machine) noteAudit(now time.Time) {
+	if !now.Before(m.nextAudit) {
+		m.nextAudit = now.Add(m.audit)
+	}
+}
+
 // afterRead decides when to read next.
 func (m *Machine) afterRead(now time.Time, newest contract.Offset, progress bool) {
 	switch {
@@ -76,7 +84,6 @@
 		return
 	}
 	m.logDown = false
-	m.lastLog = now
 	m.startRecovery(now)
 }
 
