--- a/machine/entry/claims/batcher/batcher.go
+++ b/machine/entry/claims/batcher/batcher.go
@@ -2,10 +2,12 @@
 //
 // # Contract
 //
-// A Batcher has at most one append in flight. Its interval between appends is
-// this writer's share of the log's append budget, stretched after refusals for
-// the rate and shortened again by successes; after a pause the first item is
-// sent at once. A batch whose reply was lost is sent again unchanged, with the
+// A Batcher has at most one append in flight. Its interval between appends
+// follows the rate at which all writers append, which each of them sees when it
+// reads the stream: short while the rate is under half of the log's budget, and
+// this writer's fair share of the budget when the rate has reached it. Refusals
+// stretch the interval, successes shorten it again. After a pause the first item
+// is sent at once. A batch whose reply was lost is sent again unchanged, with the
 // same sequence number, until it is known to be in the log: readers drop the
 // copies. A batch that the log surely did not take is dissolved, and its items
 // may be withdrawn.
@@ -54,7 +56,7 @@
 	Appended, Resent, Throttled, Unavailable, Uncertain, Items uint64
 }
 
-// minInterval keeps one writer alone from using the whole budget.
+// minInterval is the least time between two appends of one writer.
 const minInterval = 2 * time.Millisecond
 
 // Batcher is not safe for concurrent use.
@@ -70,12 +72,14 @@
 	sealed   *ledger.Batch
 	inFlight bool
 	// unsure tells that a reply to the sealed batch was lost.
-	unsure   bool
-	seq      uint64
-	interval time.Duration
-	due      time.Time
-	stats    Stats
-	off      mechanism
+	unsure bool
+	seq    uint64
+	due    time.Time
+	rate   rate
+	// backoff is the least interval after refusals; 0 without any.
+	backoff time.Duration
+	stats   Stats
+	off     mechanism
 }
 
 // mechanism names parts that tests switch off to show that they are needed.
@@ -88,21 +92,32 @@
 
 // New returns an empty batcher. The random source spreads retries.
 func New(config Config, rng *rand.Rand) *Batcher {
-	b := &Batcher{config: config, rng: rng, writers: 1}
-	b.interval = b.share()
-	return b
+	return &Batcher{config: config, rng: rng, writers: 1}
 }
 
 // SetWriters tells how many writers share the log's budget.
 func (b *Batcher) SetWriters(n int) {
 	b.writers = max(n, 1)
-	b.interval = max(b.interval, b.share())
 }
 
+// Observe takes an append of any writer that was read from the stream.
+func (b *Batcher) Observe(now time.Time) { b.rate.add(now) }
+
 // share is the interval at which all writers together stay in the budget.
 func (b *Batcher) share() time.Duration {
-	fair := time.Duration(float64(b.writers) / b.config.Budget * float64(time.Second))
-	return max(fair, minInterval)
+	return time.Duration(float64(b.writers) / b.config.Budget * float64(time.Second))
+}
+
+// interval returns the time from one append to the next.
+func (b *Batcher) interval(now time.Time) time.Duration {
+	const free = 0.5
+	used := b.rate.at(now) / b.config.Budget
+	pressure := min(max((used-free)/(1-free), 0), 1)
+	if b.off&adaptInterval != 0 {
+		pressure = 0
+	}
+	paced := time.Duration(pressure * float64(b.share()))
+	return max(paced, b.backoff, minInterval)
 }
 
 // Add queues an item. It returns false for a claim or takeover when too many
@@ -159,7 +174,7 @@
 		return nil
 	}
 	b.inFlight = true
-	b.due = now.Add(b.interval)
+	b.due = now.Add(b.interval(now))
 	return b.sealed
 }
 
@@ -190,7 +205,7 @@
 func (b *Batcher) Stats() Stats { return b.stats }
 
 // Interval returns the present interval between appends.
-func (b *Batcher) Interval() time.Duration { return b.interval }
+func (b *Batcher) Interval(now time.Time) time.Duration { return b.interval(now) }
 
 // Idle reports whether nothing waits for the log.
 func (b *Batcher) Idle() bool { return b.sealed == nil && len(b.pending) == 0 }
--- a/machine/entry/claims/batcher/reply.go
+++ b/machine/entry/claims/batcher/reply.go
@@ -6,6 +6,9 @@
 	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
 )
 
+// firstBackoff is half of the interval after a first refusal.
+const firstBackoff = 10 * time.Millisecond
+
 // Done takes the end of the append in flight.
 func (b *Batcher) Done(now time.Time, seq uint64, status Status) {
 	if b.sealed == nil || b.sealed.Seq != seq {
@@ -41,7 +44,7 @@
 	b.stats.Items += uint64(len(b.sealed.Items))
 	b.sealed = nil
 	b.inFlight = false
-	b.interval = max(time.Duration(float64(b.interval)*shrink), b.share())
+	b.backoff = time.Duration(float64(b.backoff) * shrink)
 }
 
 // dissolve returns the items of the sealed batch to those that wait, unless a
@@ -63,8 +66,8 @@
 // backOff doubles the interval and spreads the next try over half of it.
 func (b *Batcher) backOff(now time.Time) {
 	if b.off&adaptInterval == 0 {
-		b.interval = min(2*b.interval, max(b.config.MaxInterval, b.share()))
+		b.backoff = min(2*max(b.backoff, firstBackoff), b.config.MaxInterval)
 	}
-	half := b.interval / 2
+	half := b.interval(now) / 2
 	b.due = now.Add(half + time.Duration(b.rng.Int64N(int64(half)+1)))
 }
--- a/machine/entry/claims/evaluate.go
+++ b/machine/entry/claims/evaluate.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if m.ledger.Len() >= m.config.MaxKeys {
-		m.unavailable(c)
+		m.unavailable(now, c)
 		return
 	}
 	m.queue(now, c, ledger.Item{Kind: ledger.KindClaim, Key: c.key, Request: c.claim.Request, Body: c.body})
@@ -68,7 +68,7 @@
 func (m *Machine) awaitLog(now time.Time, c *call) bool {
 	end := c.began.Add(m.config.DecideWithin)
 	if !now.Before(end) {
-		m.unavailable(c)
+		m.unavailable(now, c)
 		return false
 	}
 	m.sleep(c, end)
@@ -78,7 +78,7 @@
 // queue hands an item of the call to the batcher.
 func (m *Machine) queue(now time.Time, c *call, it ledger.Item) {
 	if !m.batcher.Add(it) {
-		m.unavailable(c)
+		m.unavailable(now, c)
 		return
 	}
 	c.queued = true
@@ -111,7 +111,7 @@
 	rest := m.config.StartWithin - now.Sub(c.claimedAt)
 	if rest <= 0 && m.off&startBound == 0 {
 		m.stats.TooLate++
-		m.unavailable(c)
+		m.unavailable(now, c)
 		m.release(request, c.key)
 		return
 	}
@@ -129,8 +129,8 @@
 	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: key, Request: request, Result: result})
 }
 
-func (m *Machine) unavailable(c *call) {
-	m.decide(c, Decision{Verdict: Unavailable, RetryAfter: m.jitter(minRetryAfter + m.batcher.Interval())})
+func (m *Machine) unavailable(now time.Time, c *call) {
+	m.decide(c, Decision{Verdict: Unavailable, RetryAfter: m.jitter(minRetryAfter + m.batcher.Interval(now))})
 }
 
 // jitter spreads a time over itself and half of it more.
@@ -172,7 +172,7 @@
 	h, held := m.ledger.Lookup(c.key)
 	switch {
 	case !held || h.Request == c.claim.Request:
-		m.unavailable(c)
+		m.unavailable(now, c)
 	case m.resultOf(h) != nil:
 		m.decide(c, Decision{Verdict: Replay, Winner: h.Request, Result: m.resultOf(h)})
 	case m.isUnresolved(now, c, h):
--- a/machine/entry/claims/ledger/record.go
+++ b/machine/entry/claims/ledger/record.go
@@ -29,19 +29,15 @@
 
 // KeyOf returns the identity of a claim's key.
 func KeyOf(c contract.Claim) Key {
-	h := blake3.New(hashBytes, nil)
-	for _, part := range []string{string(c.Service), string(c.Team), c.Key} {
-		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
-	}
-	return Key(h.Sum(nil))
+	text := string(c.Service) + "\x00" + string(c.Team) + "\x00" + c.Key
+	sum := blake3.Sum256([]byte(text))
+	return Key(sum[:hashBytes])
 }
 
 // BodyOf returns the identity of a claim's body.
 func BodyOf(c contract.Claim) Body {
-	h := blake3.New(hashBytes, nil)
-	_, _ = h.Write([]byte(c.BodyHash))
-	return Body(h.Sum(nil))
+	sum := blake3.Sum256([]byte(c.BodyHash))
+	return Body(sum[:hashBytes])
 }
 
 // Kind tells what an item does.
--- a/machine/entry/claims/replay.go
+++ b/machine/entry/claims/replay.go
@@ -37,6 +37,7 @@
 	if m.trimmed && m.horizon.IsZero() {
 		m.horizon = r.Time
 	}
+	m.batcher.Observe(now)
 	changes, err := m.ledger.Apply(r.Offset, r.Time, r.Data, now)
 	if isGap(err) {
 		return err
--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -172,7 +172,7 @@
 	s.mu.Lock()
 	m, l, b := s.machine.Stats()
 	keys := s.machine.ledger.Len()
-	interval := s.machine.batcher.Interval()
+	interval := s.machine.batcher.Interval(time.Now())
 	s.mu.Unlock()
 	gauges := map[string]float64{
 		"claims_keys": float64(keys), "claims_append_interval_seconds": interval.Seconds(),
--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -115,6 +115,14 @@
 	return s.machine.Idle()
 }
 
+// Items returns how many claims, takeovers and outcomes were appended.
+func (s *Service) Items() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _, b := s.machine.Stats()
+	return b.Items
+}
+
 // SetWriters tells how many entry processes share the log's append rate.
 func (s *Service) SetWriters(n int) {
 	s.mu.Lock()
