--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"mimosastand.example/mimosastand/bench/claims"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -22,6 +23,7 @@
 }
 
 var parts = []part{
+	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
 }
 
