Serve the operators' API on entry hosts; check whole answers of filings

Cause: no operator could change settings in the running system; the demo took every answer of a filing for a wrong one, because it looked for the body unescaped.

Change: machine/entry opens the administration API beside the callers' address and tells operators what heartbeats told; internal/load compares key and body.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -93,12 +93,22 @@
 	if err != nil {
 		return Result{Class: Cut, Detail: err.Error()}
 	}
-	if !bytes.Contains(data, []byte(e.Body)) {
-		return Result{Class: Wrong, Detail: fmt.Sprintf("body %q for %q", data, e.Body)}
+	if !e.answeredBy(data) {
+		return Result{Class: Wrong, Detail: fmt.Sprintf("body %q for %+v", data, e)}
 	}
 	return Result{Class: Whole, Status: resp.StatusCode, FirstToken: time.Since(start)}
 }
 
+// answeredBy reports whether data is the plain service's answer to the call.
+func (e Effect) answeredBy(data []byte) bool {
+	var answer struct {
+		Key  string `json:"key"`
+		Body string `json:"body"`
+	}
+	err := json.Unmarshal(data, &answer)
+	return err == nil && answer.Key == e.Key && answer.Body == e.Body
+}
+
 func (c *Caller) request(ctx context.Context, method, url string, team contract.TeamName, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -53,6 +53,8 @@
 	claims    *claims.Service
 	handler   *handler
 	state     *readiness
+	follower  *follow.Follower
+	admin     *administration
 }
 
 // New opens the process's addresses. It fails with ErrCredentials or ErrListen.
@@ -75,6 +77,11 @@
 		e.links.close()
 		return nil, errors.Mark(err, ErrListen)
 	}
+	if err := e.openAdministration(); err != nil {
+		e.links.close()
+		_ = e.listener.Close()
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -88,12 +95,13 @@
 		e.loop.step(dispatch.HostsChanged{List: list})
 	})
 	if e.opts.Settings == nil {
-		e.opts.Settings = e.follower()
+		e.follower = e.newFollower()
+		e.opts.Settings = e.follower
 	}
 }
 
-// follower makes the follower of the operators' settings.
-func (e *Entry) follower() Settings {
+// newFollower makes the follower of the operators' settings.
+func (e *Entry) newFollower() *follow.Follower {
 	return follow.New(follow.Options{
 		Log:     platform.NewClient(e.process.LogURL),
 		Scope:   e.metrics.Scope(),
@@ -103,13 +111,16 @@
 		Pull: func(ctx context.Context, after contract.Offset) (contract.SettingsRecords, error) {
 			return e.links.pull(ctx, after)
 		},
-		Hosts: func() []platform.Host {
-			list, _ := e.watcher.Last()
-			return list.Hosts
-		},
+		Hosts: e.hosts,
 	})
 }
 
+// hosts is the newest host list.
+func (e *Entry) hosts() []platform.Host {
+	list, _ := e.watcher.Last()
+	return list.Hosts
+}
+
 // build joins the parts.
 func (e *Entry) build(incarnation contract.Incarnation) {
 	p := e.process
@@ -122,6 +133,7 @@
 		settings: e.opts.Settings,
 		scope:    scope,
 		since:    map[contract.MachineID]time.Time{},
+		fleet:    newFleet(e.hosts),
 	}
 	e.effects = &effects{
 		ctx:       e.ctx,
@@ -191,6 +203,9 @@
 	if e.claims != nil {
 		go e.claims.Run(e.ctx)
 	}
+	if e.admin != nil {
+		go e.admin.run(e.ctx)
+	}
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
--- a/machine/entry/links.go
+++ b/machine/entry/links.go
@@ -34,6 +34,7 @@
 	loop     *loop
 	endpoint *link.Endpoint
 	pool     *pool.Pool
+	fleet    *fleet
 
 	mu    sync.Mutex
 	since map[contract.MachineID]time.Time
@@ -104,6 +105,7 @@
 		return
 	}
 	l.settings.Observe(hb.Settings)
+	l.fleet.observe(hb, time.Now())
 	l.loop.step(dispatch.Heartbeat{Heartbeat: hb})
 }
 
