dispatch: a refusal for room does not draw on the retry budget

Cause: in the demo's roll-out 3 of 406 model calls ended with retry_budget (not run) after 1 to 7 attempts, although capacity was there: engines in cold start refused with cold_start, each refusal drew on the budget, and an empty budget ended the request.

Ruled out: a larger budget, since the bound on extra work must stay small; such refusals cause none.

Change: cold_start, target_full and no_weights go back to the queue without drawing on the budget; the refusal's own load keeps the request from that target.

--- a/machine/entry/dispatch/retry.go
+++ b/machine/entry/dispatch/retry.go
@@ -76,11 +76,14 @@
 }
 
 // mayRetry draws on the retry budget. Refusals that follow a change of zone,
-// host, settings or weights are bounded by the change and need no budget.
+// host, settings or weights are bounded by the change and need no budget. So are
+// refusals for room: nothing ran, the target's load comes with the refusal, and
+// the request waits in its queue until a target shows room again.
 func (m *Machine) mayRetry(r *request, reason contract.Reason) bool {
 	switch reason {
 	case contract.ReasonZoneOut, contract.ReasonTargetLeaving, contract.ReasonShuttingDown,
-		contract.ReasonStaleSettings, contract.ReasonWeightsMismatch:
+		contract.ReasonStaleSettings, contract.ReasonWeightsMismatch, contract.ReasonNoWeights,
+		contract.ReasonColdStart, contract.ReasonTargetFull:
 		return true
 	}
 	return m.off&offBudget != 0 || m.budget.Take(r.Service, r.Team)
