gate: give no credits before the engine's version is known

Change: the load gives no credits while the version is unknown. The test failed first (1 credit without weights).

Ruled out: raising the bound on attempts, which only lengthens the bouncing.

--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -88,7 +88,7 @@
 	if !g.cfg.Model {
 		return ""
 	}
-	if g.weights == "" || g.draining() {
+	if !g.hasWeights() || g.draining() {
 		return contract.ReasonNoWeights
 	}
 	if s.Weights != g.weights {
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -237,3 +237,17 @@
 	}
 	return strings.Join(lines[last:], "")
 }
+
+// TestNoCreditsWithoutWeights checks that a target that does not know its
+// engine's version gives no credits: it would refuse every attempt.
+func TestNoCreditsWithoutWeights(t *testing.T) {
+	s := &session{}
+	s.play("new\n@1s report digest=\n", 0)
+	if load := s.g.Load("e1"); load.Credits != 0 {
+		t.Fatalf("%d credits without weights", load.Credits)
+	}
+	s.play("@4s warm\n@8s report\n", 0)
+	if load := s.g.Load("e1"); load.Credits == 0 {
+		t.Fatal("no credits with weights")
+	}
+}
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -100,7 +100,7 @@
 	g.loadSeq++
 	limit := g.limiter.Limit()
 	credits := 0
-	if !g.leaving && !g.settings.ZoneOut && !g.draining() {
+	if !g.leaving && !g.settings.ZoneOut && !g.draining() && g.hasWeights() {
 		credits = g.senders.credits(sender, limit, limit+g.queueBound()/2)
 	}
 	return contract.Load{
@@ -115,6 +115,9 @@
 	}
 }
 
+// hasWeights reports whether the gate knows the version that it may serve.
+func (g *Gate) hasWeights() bool { return !g.cfg.Model || g.weights != "" }
+
 // Offset returns the highest settings record applied.
 func (g *Gate) Offset() contract.Offset { return g.settings.Offset }
 
