--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -24,6 +24,7 @@
 type rig struct {
 	t       *testing.T
 	back    *fault.Switch
+	server  *httptest.Server
 	process *target.Process
 	entry   *link.Endpoint
 	stop    context.CancelFunc
@@ -76,7 +77,7 @@
 	fatal(t, err)
 	fatal(t, process.Start())
 	ctx, stop := context.WithCancel(context.Background())
-	r := &rig{t: t, back: back, process: process, stop: stop, stopped: make(chan struct{})}
+	r := &rig{t: t, back: back, server: server, process: process, stop: stop, stopped: make(chan struct{})}
 	go func() {
 		defer close(r.stopped)
 		_ = process.Run(ctx)
