--- a/machine/entry/options.go
+++ b/machine/entry/options.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 )
@@ -20,12 +21,19 @@
 
 // Settings follows the tree of settings. It is safe for concurrent use.
 type Settings interface {
-	// Current returns the newest view, or nil before the first is caught up.
+	// Current returns the newest view.
 	Current() settings.View
+	// Ready reports whether the view has caught up.
+	Ready() bool
+	// Changed returns a channel that is closed at the next change of Current
+	// or Ready.
+	Changed() <-chan struct{}
 	// Observe tells that a peer has applied records up to offset.
-	Observe(peer contract.MachineID, offset contract.Offset)
-	// Run follows the records until ctx ends.
-	Run(ctx context.Context)
+	Observe(peer contract.Offset)
+	// Serve answers a peer's pull.
+	Serve(pull contract.SettingsPull) contract.SettingsRecords
+	// Run follows the records until ctx ends, and returns its error.
+	Run(ctx context.Context) error
 }
 
 // Options replaces parts of an entry; nil fields take what the process's
@@ -35,8 +43,8 @@
 	Settings Settings
 	// Hosts reads the host list.
 	Hosts platform.Hosts
-	// Keys decides about idempotency keys; without it keyed calls are refused.
-	Keys Keys
+	// Claims decides about idempotency keys.
+	Claims claims.Claimer
 	// HostsInterval is the time between two polls of the host list.
 	HostsInterval time.Duration
 }
