--- /dev/null
+++ b/weights/rollout/machine_test.go
@@ -0,0 +1,99 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// session drives the machine of the member "me" among the members a to d.
+type session struct {
+	m   *Machine
+	now time.Duration
+	out strings.Builder
+}
+
+func (s *session) step(ev Event) {
+	for _, e := range s.m.Step(s.now, ev) {
+		if _, ok := e.(Ask); !ok {
+			name := strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", e), "rollout."))
+			fmt.Fprintf(&s.out, "%v %s%v\n", s.now, name, e)
+		}
+	}
+}
+
+// status reads words such as active=v1, failed=v2, running=3 and out.
+func status(t *testing.T, words []string) Status {
+	t.Helper()
+	st := Status{Serving: true, Limit: 10}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		switch k {
+		case "active":
+			st.Active = contract.Digest(v)
+		case "failed":
+			st.Failed = contract.Digest(v)
+		case "running":
+			if _, err := fmt.Sscan(v, &st.Running); err != nil {
+				t.Fatal(err)
+			}
+		case "out":
+			st.Serving = false
+		}
+	}
+	return st
+}
+
+func (s *session) line(t *testing.T, line string) {
+	t.Helper()
+	f := strings.Fields(line)
+	switch f[0] {
+	case "plan":
+		p := Plan{Version: contract.Digest(f[1]), Members: []contract.MachineID{"me", "a", "b", "c", "d"}}
+		if _, err := fmt.Sscan(f[2]+" "+f[3], &p.MinReady, &p.MaxFailures); err != nil {
+			t.Fatal(err)
+		}
+		s.step(p)
+	case "self":
+		s.step(Self{status(t, f[1:])})
+	case "asked":
+		s.step(Asked{Version: contract.Digest(f[1])})
+	case "answer":
+		for _, name := range strings.Split(f[1], ",") {
+			s.step(Answer{From: contract.MachineID(name), Status: status(t, f[2:])})
+		}
+	case "wait":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for until := s.now + d; s.now < until; {
+			s.now = min(s.m.Next(), until)
+			s.step(Tick{})
+		}
+	default:
+		t.Fatalf("unknown line %q", line)
+	}
+}
+
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		var s *session
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "new" {
+				s = &session{m: New(Config{Self: "me"})}
+				return ""
+			}
+			s.out.Reset()
+			for _, line := range strings.Split(d.Input, "\n") {
+				s.line(t, line)
+			}
+			return s.out.String()
+		})
+	})
+}
--- /dev/null
+++ b/weights/rollout/world_test.go
@@ -0,0 +1,265 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// world rolls a version out over the members of one zone, with answers that lag,
+// members that fail to change and members that turn cold.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	events  []happening
+	targets []*target
+	plan    Plan
+	load    int
+	// calm tells that no member is out of service but for the roll-out.
+	calm    bool
+	allowed int
+	broken  error
+	// failed counts the members that served, left for the roll-out and failed.
+	failed int
+}
+
+type happening struct {
+	at time.Duration
+	f  func()
+}
+
+type target struct {
+	w    *world
+	name contract.MachineID
+	m    *Machine
+	Status
+	changing bool
+	// faulty makes the target fail to change.
+	faulty bool
+}
+
+const unitsPerTarget = 10
+
+func (w *world) after(d time.Duration, f func()) {
+	at := w.now + d
+	i := sort.Search(len(w.events), func(i int) bool { return w.events[i].at > at })
+	w.events = slices.Insert(w.events, i, happening{at: at, f: f})
+}
+
+func (w *world) some(most time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(most)))
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.broken == nil {
+		w.broken = fmt.Errorf(format, args...)
+	}
+}
+
+// check counts the members that are out of service for the roll-out.
+func (w *world) check() {
+	out, serving := 0, 0
+	for _, t := range w.targets {
+		if t.changing {
+			out++
+		}
+		if t.Serving {
+			serving++
+		}
+	}
+	if out > w.allowed {
+		w.fail("%d of %d out at once, %d allowed", out, len(w.targets), w.allowed)
+	}
+	if out > 0 && w.calm && serving*unitsPerTarget < w.load {
+		w.fail("%d serve, too few for the load of %d", serving, w.load)
+	}
+	if w.failed > w.plan.MaxFailures+w.allowed {
+		w.fail("%d failed, %d allowed before it stops, %d at once", w.failed, w.plan.MaxFailures, w.allowed)
+	}
+}
+
+func (t *target) step(ev Event) {
+	for _, e := range append([]Effect(nil), t.m.Step(t.w.now, ev)...) {
+		switch e := e.(type) {
+		case Ask:
+			t.ask(e.To)
+		case Grant:
+			t.change(e.Version)
+		}
+	}
+	if next := t.m.Next(); next < never {
+		t.w.after(next-t.w.now, func() {
+			if t.m.Next() <= t.w.now {
+				t.step(Tick{})
+			}
+		})
+	}
+}
+
+// ask lets the question and the answer travel for a while; some are lost.
+func (t *target) ask(to contract.MachineID) {
+	w := t.w
+	for _, o := range w.targets {
+		if o.name != to || w.rng.Float64() < 0.1 {
+			continue
+		}
+		w.after(w.some(2*time.Second), func() {
+			told := o.Status
+			told.Running = w.share()
+			w.after(w.some(2*time.Second), func() {
+				t.Running = w.share()
+				t.step(Self{t.Status})
+				t.step(Answer{From: o.name, Status: told})
+			})
+		})
+	}
+}
+
+// share is the load of each member that serves.
+func (w *world) share() int {
+	serving := 0
+	for _, t := range w.targets {
+		if t.Serving {
+			serving++
+		}
+	}
+	return (w.load + serving - 1) / max(serving, 1)
+}
+
+func (t *target) change(v contract.Digest) {
+	w := t.w
+	served := t.Serving
+	t.changing = served
+	t.Serving = false
+	w.check()
+	t.step(Self{t.Status})
+	w.after(time.Second+w.some(20*time.Second), func() {
+		if t.faulty {
+			if served {
+				w.failed++
+			}
+			t.Failed = v
+		} else {
+			t.Active = v
+		}
+		t.Serving, t.changing = true, false
+		t.step(Self{t.Status})
+		t.step(Asked{Version: v})
+		w.check()
+	})
+}
+
+// simulate runs one roll-out and returns the first promise that it broke.
+func simulate(seed uint64, off mechanism) error {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 3))}
+	n := 2 + w.rng.IntN(12)
+	w.plan = Plan{Version: "v2", MinReady: w.rng.Float64() * 0.95, MaxFailures: w.rng.IntN(3)}
+	w.load = w.rng.IntN(n * unitsPerTarget * 6 / 10)
+	for i := range n {
+		w.plan.Members = append(w.plan.Members, contract.MachineID(fmt.Sprintf("t%d", i)))
+	}
+	w.allowed = allowedOut(n, w.plan.MinReady)
+	broken := w.rng.Float64() < 0.3
+	w.calm = w.rng.Float64() < 0.5
+	for _, name := range w.plan.Members {
+		t := &target{w: w, name: name, m: New(Config{Self: name}), faulty: broken}
+		t.m.off = off
+		t.Status = Status{Active: "v1", Serving: w.calm || w.rng.Float64() < 0.9, Limit: unitsPerTarget, Running: (w.load + n - 1) / n}
+		w.targets = append(w.targets, t)
+		w.after(w.some(10*time.Second), func() { t.begin() })
+	}
+	return w.run()
+}
+
+func allowedOut(n int, minReady float64) int {
+	k := 1
+	for k < n && float64(n-k-1) >= minReady*float64(n) {
+		k++
+	}
+	return k
+}
+
+func (t *target) begin() {
+	t.step(Plan(t.w.plan))
+	t.step(Self{t.Status})
+	t.step(Asked{Version: t.w.plan.Version})
+	if !t.w.calm && t.w.rng.Float64() < 0.1 {
+		t.w.after(t.w.some(30*time.Second), t.turnCold)
+	}
+}
+
+// turnCold takes a target out without the roll-out's doing.
+func (t *target) turnCold() {
+	if t.changing {
+		return
+	}
+	t.Serving = false
+	t.step(Self{t.Status})
+	t.w.after(5*time.Second, func() {
+		t.Serving = t.Serving || !t.changing
+		t.step(Self{t.Status})
+	})
+}
+
+func (w *world) run() error {
+	const end = 10 * time.Minute
+	for len(w.events) > 0 && w.broken == nil && w.now < end {
+		e := w.events[0]
+		w.events = w.events[1:]
+		w.now = e.at
+		e.f()
+	}
+	if w.broken == nil && w.failed == 0 && w.load == 0 {
+		w.checkComplete()
+	}
+	return w.broken
+}
+
+// checkComplete tells whether a roll-out without failures came to its end.
+func (w *world) checkComplete() {
+	for _, t := range w.targets {
+		if t.Active != w.plan.Version {
+			w.fail("%s still runs %s", t.name, t.Active)
+		}
+	}
+}
+
+func TestCapacityUnderLag(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := simulate(rapid.Uint64().Draw(t, "seed"), 0); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestMechanismsMatter shows that each mechanism carries a promise: without it
+// some roll-out breaks one.
+func TestMechanismsMatter(t *testing.T) {
+	const runs = 300
+	for name, off := range map[string]mechanism{
+		"members take turns":           mechOrder,
+		"MinReady bounds who is out":   mechMinReady,
+		"the live load bounds as well": mechLoad,
+		"stop after failures":          mechFailures,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var broken error
+			for seed := uint64(0); seed < runs && broken == nil; seed++ {
+				if err := simulate(seed, 0); err != nil {
+					t.Fatalf("seed %d, mechanism on: %v", seed, err)
+				}
+				broken = simulate(seed, off)
+			}
+			if broken == nil {
+				t.Fatal("no roll-out broke a promise without it")
+			}
+		})
+	}
+}
