--- a/machine/entry/admin/change.go
+++ b/machine/entry/admin/change.go
@@ -206,6 +206,8 @@
 		return wire.Problem{Status: http.StatusConflict, Reason: wire.ReasonReusedID, Detail: err.Error()}
 	case errors.Is(err, record.ErrMalformed):
 		return wire.Problem{Status: http.StatusBadRequest, Reason: string(contract.ReasonBadRequest), Detail: err.Error()}
+	case errors.Is(err, follow.ErrNotReady):
+		return wire.Problem{Status: http.StatusServiceUnavailable, Reason: wire.ReasonNotAccepted, Detail: "this entry host has not caught up with the settings: nothing changed"}
 	case errors.Is(err, follow.ErrNotAccepted):
 		return wire.Problem{Status: http.StatusServiceUnavailable, Reason: wire.ReasonNotAccepted, Detail: notAcceptedDetail}
 	default:
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -142,3 +143,46 @@
 		t.Fatal("a machine that the list does not name must tail")
 	}
 }
+
+// TestRacingOperators lets four entry hosts submit different values of one key
+// at once, with lost replies: one wins, the others are told of it.
+func TestRacingOperators(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	var all []*follow.Follower
+	for range 4 {
+		f := run(t, follow.Options{Log: log})
+		await(t, f, f.Ready)
+		all = append(all, f)
+	}
+	log.LoseReplies(3)
+	results := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, f := range all {
+		wg.Go(func() {
+			scope := settings.Scope{Zone: "a"}
+			_, results[i] = f.Submit(context.Background(), record.Change{ID: fmt.Sprint("c", i), Author: "op",
+				Changes: []settings.Change{{Scope: scope, Key: schema.Entries, Value: fmt.Sprint(i)}}})
+		})
+	}
+	wg.Wait()
+	winners := 0
+	for i, err := range results {
+		var conflict *follow.ConflictError
+		switch {
+		case err == nil:
+			winners++
+		case !errors.As(err, &conflict):
+			t.Errorf("operator %d: %v", i, err)
+		}
+	}
+	if winners != 1 {
+		t.Fatalf("%d winners", winners)
+	}
+}
+
+func TestSubmitBeforeReady(t *testing.T) {
+	f := follow.New(follow.Options{Log: sim.NewLog(time.Now)})
+	if _, err := f.Submit(context.Background(), change("c", 0, "true")); !errors.Is(err, follow.ErrNotReady) {
+		t.Fatalf("error %v", err)
+	}
+}
--- a/settings/follow/spread/export_test.go
+++ b/settings/follow/spread/export_test.go
@@ -17,6 +17,7 @@
 	PeerCheckpoint     = peerCheckpoint
 	MajorityCheckpoint = majorityCheckpoint
 	AuditReads         = auditReads
+	OutageBackOff      = outageBackOff
 )
 
 // Disable switches mechanisms off.
--- a/settings/follow/spread/machine.go
+++ b/settings/follow/spread/machine.go
@@ -26,8 +26,12 @@
 	peerCheckpoint
 	majorityCheckpoint
 	auditReads
+	outageBackOff
 )
 
+// maxBackOff is how often the pause after a failed read doubles.
+const maxBackOff = 2
+
 // endOfLog is beyond every offset; a read there tells the bounds of the log.
 const endOfLog = contract.Offset(math.MaxInt64)
 
@@ -53,7 +57,9 @@
 
 	tails   bool
 	logDown bool
-	reading bool
+	// failures counts the reads of the log that failed since the last answer.
+	failures int
+	reading  bool
 	// staleRead and stalePull mark a read and a pull that began before a pause:
 	// what they bring may be old.
 	staleRead bool
--- a/settings/follow/spread/mechanism_test.go
+++ b/settings/follow/spread/mechanism_test.go
@@ -22,6 +22,7 @@
 	{"a process cut from the log learns from peers", spread.PullFromPeers | spread.LogFallback, cutFromLog},
 	{"a process that hears no peer reads the log", spread.LogFallback, hearsNobody},
 	{"a zone whose tailing processes lost the log learns", spread.AuditReads, tailersCut},
+	{"an outage of the log is not met by reads of all", spread.OutageBackOff, outageReads},
 	{"the offset never falls", spread.MonotonicOffset, olderCheckpoint},
 	{"a fresh process does not serve before it has caught up", spread.ReadyGate, freshInOutage},
 	{"a paused process does not serve what it knew before", spread.PauseGate, wakesLate},
@@ -93,6 +94,26 @@
 	return s.wantOut("a2")
 }
 
+// outageReads counts the reads that a log which is down gets from 22 processes.
+func outageReads(s *session) error {
+	s.start("a1*", "a2*")
+	for i := range 20 {
+		name := fmt.Sprint("a", i+3)
+		s.start(name)
+		s.world.Node(name).Deliver(spread.Tailing{Audit: 10 * time.Second})
+	}
+	s.world.Run(30 * time.Second)
+	s.world.Log.SetDown(true)
+	before, _ := s.world.Log.Served()
+	s.world.Run(time.Minute)
+	after, _ := s.world.Log.Served()
+	const limit = 250
+	if after-before > limit {
+		return errors.Newf("%d reads in a minute", after-before)
+	}
+	return nil
+}
+
 func olderCheckpoint(s *session) error {
 	s.start("a1*")
 	s.world.Run(time.Second)
--- a/settings/follow/spread/sources.go
+++ b/settings/follow/spread/sources.go
@@ -13,6 +13,7 @@
 func (m *Machine) onLogRead(now time.Time, ev LogRead) {
 	m.reading = false
 	m.logDown = false
+	m.failures = 0
 	m.noteAudit(now)
 	if m.recovery.active() {
 		m.onRecoveryRead(now, ev)
@@ -78,15 +79,26 @@
 // onLogFailed takes a failed read.
 func (m *Machine) onLogFailed(now time.Time, ev LogFailed) {
 	m.reading, m.staleRead = false, false
-	m.nextRead = now.Add(m.jitter(m.timing.ReadRetry))
+	m.backOff(now)
 	if !ev.Trimmed {
 		m.logDown = true
 		return
 	}
 	m.logDown = false
+	m.failures = 0
 	m.startRecovery(now)
 }
 
+// backOff puts the next read off, longer with each failure, and ends an audit
+// that was due, so that an outage is not met by reads of all processes at once.
+func (m *Machine) backOff(now time.Time) {
+	m.nextRead = now.Add(m.jitter(m.timing.ReadRetry << min(m.failures, maxBackOff)))
+	if m.off&outageBackOff == 0 {
+		m.failures++
+		m.noteAudit(now)
+	}
+}
+
 // startRecovery asks peers for what the log no longer holds, and after
 // PeerPatience the log's own checkpoints.
 func (m *Machine) startRecovery(now time.Time) {
--- a/settings/follow/submit.go
+++ b/settings/follow/submit.go
@@ -20,6 +20,8 @@
 var (
 	// ErrNotAccepted means that the log did not take the change: nothing changed.
 	ErrNotAccepted = errors.New("settings: not accepted, nothing changed")
+	// ErrNotReady means that this process has not caught up: nothing changed.
+	ErrNotReady = errors.New("settings: not caught up, nothing changed")
 	// ErrUnknown means that the change may or may not be accepted; the same
 	// change with the same identifier may be sent again.
 	ErrUnknown = errors.New("settings: not known whether the change was accepted")
@@ -66,13 +68,16 @@
 
 // Submit appends a change and returns once it is read back at its offset and
 // decided. It fails with *InvalidError, *ConflictError, ErrIdentifierReused or
-// ErrBaseTooOld, with ErrNotAccepted while the log takes no appends, and with
-// ErrUnknown if ctx ends while a lost reply is unresolved.
+// ErrBaseTooOld, with ErrNotReady before the process has caught up, with
+// ErrNotAccepted while the log takes no appends, and with ErrUnknown if ctx ends while a lost reply is unresolved.
 func (f *Follower) Submit(ctx context.Context, c record.Change) (Result, error) {
 	data, err := record.Encode(record.Record{Change: &c})
 	if err != nil {
 		return Result{}, err
 	}
+	if !f.Ready() {
+		return Result{}, ErrNotReady
+	}
 	if result, err, done := f.precheck(ctx, c); done {
 		return result, err
 	}
