--- a/machine/entry/admin/admin_test.go
+++ b/machine/entry/admin/admin_test.go
@@ -25,9 +25,10 @@
 
 // fixture is an administration API over a log in memory.
 type fixture struct {
-	log     *sim.Log
-	server  *admin.Server
-	written bytes.Buffer
+	log      *sim.Log
+	follower *follow.Follower
+	server   *admin.Server
+	written  bytes.Buffer
 }
 
 // machines is what the entry host of the fixture sees.
@@ -83,6 +84,7 @@
 		}
 		<-changed
 	}
+	f.follower = follower
 	f.server = admin.New(admin.Options{
 		Machine: "e1", Follower: follower, Status: machines{}, Logger: logger,
 		Tokens: tokens(t, map[string]string{"root": "admin", "viewer": "read", "lead": "team trusts"}),
@@ -173,3 +175,40 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// TestTokensEndAndChange checks that an expired token is refused, that a changed
+// file takes effect, and that a faulty one leaves the former tokens in force.
+func TestTokensEndAndChange(t *testing.T) {
+	f := newFixture(t)
+	file := filepath.Join(t.TempDir(), "tokens.ini")
+	sum := sha256.Sum256([]byte("secret-of-root"))
+	line := "[root]\nhash = sha256:" + hex.EncodeToString(sum[:]) + "\nscope = admin\n"
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(line)
+	loaded, err := admin.LoadTokens(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server = admin.New(admin.Options{Follower: f.follower, Tokens: loaded})
+	check := func(want string) {
+		t.Helper()
+		if got := f.call("GET", "/v1/settings", "root", ""); !strings.HasPrefix(got, want) {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	}
+	check("200")
+	write("[root]\nscope = admin\n")
+	if loaded.Reload() == nil {
+		t.Fatal("a token without a hash was taken")
+	}
+	check("200")
+	write(line + "expires = 2001-01-01T00:00:00Z\n")
+	if err := loaded.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	check("401")
+}
--- a/settings/follow/follower.go
+++ b/settings/follow/follower.go
@@ -24,9 +24,10 @@
 // Follower runs the machine against the log and the peers. It is safe for
 // concurrent use.
 type Follower struct {
-	opts  Options
-	view  atomic.Pointer[tree.View]
-	ready atomic.Bool
+	opts   Options
+	timing spread.Timing
+	view   atomic.Pointer[tree.View]
+	ready  atomic.Bool
 
 	mu      sync.Mutex
 	machine *spread.Machine
@@ -48,7 +49,7 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	f := &Follower{opts: opts, changed: make(chan struct{})}
+	f := &Follower{opts: opts, timing: opts.Timing.WithDefaults(), changed: make(chan struct{})}
 	f.machine = spread.New(opts.Timing, rand.New(rand.NewPCG(seed, seed)), time.Now())
 	f.view.Store(f.machine.State().View())
 	return f
@@ -141,7 +142,7 @@
 	if f.opts.Hosts == nil {
 		return spread.Tailing{On: true}
 	}
-	return Duty(f.opts.Hosts(), f.opts.Machine, f.opts.Zone, f.opts.Timing.WithDefaults().TailersPerZone)
+	return Duty(f.opts.Hosts(), f.opts.Machine, f.opts.Zone, f.timing.TailersPerZone)
 }
 
 // handle steps the machine and runs the spread.Effects. Before Run and after its end
--- a/settings/follow/spread/timing.go
+++ b/settings/follow/spread/timing.go
@@ -26,6 +26,8 @@
 	// CheckpointEvery and CheckpointRecords make a checkpoint due.
 	CheckpointEvery   time.Duration
 	CheckpointRecords int
+	// SubmitRetry is the pause between two tries of a submitted change.
+	SubmitRetry time.Duration
 	// EnoughPeers is how many answers make up for the log while it is down.
 	EnoughPeers int
 	// TailersPerZone is how many processes of a zone tail the log.
@@ -42,6 +44,7 @@
 	defaultPauseLimit        = 5 * time.Second
 	defaultPeerPatience      = 3 * time.Second
 	defaultCheckpointEvery   = 10 * time.Minute
+	defaultSubmitRetry       = 100 * time.Millisecond
 	defaultCheckpointRecords = 1024
 	defaultEnoughPeers       = 2
 	defaultTailersPerZone    = 3
@@ -67,6 +70,7 @@
 	duration(&t.BehindLimit, defaultBehindLimit)
 	duration(&t.PauseLimit, defaultPauseLimit)
 	duration(&t.PeerPatience, defaultPeerPatience)
+	duration(&t.SubmitRetry, defaultSubmitRetry)
 	duration(&t.CheckpointEvery, defaultCheckpointEvery)
 	count(&t.CheckpointRecords, defaultCheckpointRecords)
 	count(&t.EnoughPeers, defaultEnoughPeers)
--- a/settings/follow/submit.go
+++ b/settings/follow/submit.go
@@ -64,8 +64,6 @@
 	Duplicate bool
 }
 
-const submitRetry = 100 * time.Millisecond
-
 // Submit appends a change and returns once it is read back at its offset and
 // decided. It fails with *InvalidError, *ConflictError, ErrIdentifierReused or
 // ErrBaseTooOld, with ErrNotReady before the process has caught up, with
@@ -103,7 +101,7 @@
 				return result, err
 			}
 		}
-		if !pause(ctx, submitRetry) {
+		if !pause(ctx, f.timing.SubmitRetry) {
 			return Result{}, unresolved(uncertain)
 		}
 	}
@@ -205,7 +203,7 @@
 		if f.Offset() >= offset {
 			break
 		}
-		if !pause(ctx, submitRetry) {
+		if !pause(ctx, f.timing.SubmitRetry) {
 			return Result{}, errors.Wrapf(ErrUnknown, "appended at offset %d, not read back", offset)
 		}
 	}
