claims: a process that lacks records within the window does not guess

Cause: a fresh process that starts where records are lost could see a claim win that had lost, take its key over and run it a second time within the window. Ruled out: a window by record count, and markers for lost claims: both leave replicas that disagree when an entry dies at the wrong moment. Change: every claim, won or lost, counts for a key's window, so that all replicas free a key at the same record; holders seen before the records span the window are doubtful and are neither taken over nor answered for, until an outcome done names the true holder; until then only keys that tell a later time are granted.

--- a/machine/entry/claims/evaluate.go
+++ b/machine/entry/claims/evaluate.go
@@ -32,6 +32,8 @@
 	}
 	h, held := m.ledger.Lookup(c.key)
 	switch {
+	case held && m.isDoubtful(c, h):
+		m.await(now, c)
 	case held && h.Request == c.claim.Request:
 		m.win(now, c)
 	case held && h.Body != c.body && m.off&bodyCheck == 0:
@@ -56,6 +58,11 @@
 		m.decide(c, Decision{Verdict: Expired})
 		return
 	}
+	if m.isHistoryShort(c) {
+		m.stats.ShortHistory++
+		m.unavailable(now, c)
+		return
+	}
 	if m.ledger.Len() >= m.config.MaxKeys {
 		m.unavailable(now, c)
 		return
@@ -102,7 +109,26 @@
 		return false
 	}
 	oldest := m.ledger.Clock().Add(-m.config.Ledger.Window)
-	return made.Before(oldest) || made.Before(m.horizon)
+	return made.Before(oldest) || made.Before(m.ledger.Horizon())
+}
+
+// isHistoryShort reports whether the key may be held in records that are lost.
+// A key that tells its time cannot, if it was made after them.
+func (m *Machine) isHistoryShort(c *call) bool {
+	if !m.ledger.IsShort() || m.off&distrustShort != 0 {
+		return false
+	}
+	made, ok := keyTime(c.claim.Key)
+	return !ok || !made.After(m.ledger.Horizon())
+}
+
+// isDoubtful reports whether another request may hold the key in truth.
+func (m *Machine) isDoubtful(c *call, h ledger.Holder) bool {
+	if !h.Doubtful || m.off&distrustShort != 0 {
+		return false
+	}
+	made, ok := keyTime(c.claim.Key)
+	return !ok || !made.After(m.ledger.Horizon())
 }
 
 // win lets the holder of the key run, if there is time left to start.
@@ -112,21 +138,21 @@
 	if rest <= 0 && m.off&startBound == 0 {
 		m.stats.TooLate++
 		m.unavailable(now, c)
-		m.release(request, c.key)
+		m.release(request, c.key, c.body)
 		return
 	}
-	m.runs[request] = &run{key: c.key}
+	m.runs[request] = &run{key: c.key, body: c.body}
 	m.decide(c, Decision{Verdict: Run, Winner: request, StartWithin: rest})
 }
 
 // release gives up a key whose holder does not run.
-func (m *Machine) release(request contract.RequestID, key ledger.Key) {
+func (m *Machine) release(request contract.RequestID, key ledger.Key, body ledger.Body) {
 	if m.off&releaseAbandoned != 0 {
 		return
 	}
 	m.stats.Released++
 	result := &Result{Outcome: contract.OutcomeNotRun, Reason: contract.ReasonCallerGone}
-	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: key, Request: request, Result: result})
+	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: key, Request: request, Body: body, Result: result})
 }
 
 func (m *Machine) unavailable(now time.Time, c *call) {
@@ -144,15 +170,24 @@
 		m.decide(c, Decision{Verdict: Replay, Winner: h.Request, Result: result})
 		return
 	}
+	if m.await(now, c) {
+		m.investigate(now, c, h)
+	}
+}
+
+// await ends a call that has waited too long for another request, else it sets
+// the timer for that. It reports whether the call is still open.
+func (m *Machine) await(now time.Time, c *call) bool {
 	if c.contended.IsZero() {
 		c.contended = now
 	}
-	if !now.Before(c.contended.Add(m.config.WaitFor)) {
+	end := c.contended.Add(m.config.WaitFor)
+	if !now.Before(end) {
 		m.decideByKnowledge(now, c)
-		return
+		return false
 	}
-	m.sleep(c, c.contended.Add(m.config.WaitFor))
-	m.investigate(now, c, h)
+	m.sleep(c, end)
+	return true
 }
 
 // resultOf returns the answer of a holder that is done.
@@ -171,6 +206,8 @@
 func (m *Machine) decideByKnowledge(now time.Time, c *call) {
 	h, held := m.ledger.Lookup(c.key)
 	switch {
+	case held && m.isDoubtful(c, h):
+		m.decide(c, Decision{Verdict: Unresolved, RetryAfter: m.jitter(unresolvedRetry)})
 	case !held || h.Request == c.claim.Request:
 		m.unavailable(now, c)
 	case m.resultOf(h) != nil:
--- a/machine/entry/claims/ledger/expiry.go
+++ b/machine/entry/claims/ledger/expiry.go
@@ -18,10 +18,10 @@
 	l.expireWriters()
 }
 
-// expireKey moves a key to the expired ones, unless it was claimed again since.
+// expireKey moves a key to the expired ones, unless someone claimed it since.
 func (l *Ledger) expireKey(c claimed) {
 	h := l.keys[c.key]
-	if h == nil || h.Offset != c.offset {
+	if h == nil || h.last != c.offset {
 		return
 	}
 	l.dropBody(h)
--- a/machine/entry/claims/ledger/ledger.go
+++ b/machine/entry/claims/ledger/ledger.go
@@ -38,9 +38,14 @@
 	Body    Body
 	State   State
 	Result  *Result
+	// Doubtful tells that records are missing in which another request may have
+	// taken the key before.
+	Doubtful bool
 	// Offset and At are the position and the log's time of the claim or takeover.
 	Offset contract.Offset
 	At     time.Time
+	// last is the offset of the newest claim or takeover of the key by anyone.
+	last contract.Offset
 	// Seen is the local time at which this process read it.
 	Seen time.Time
 }
@@ -74,7 +79,11 @@
 	config  Config
 	applied contract.Offset
 	// clock is the highest time that the log has shown.
-	clock   time.Time
+	clock time.Time
+	// trimmed tells that records before the first one applied are lost, horizon
+	// is the time of that first one.
+	trimmed bool
+	horizon time.Time
 	keys    map[Key]*Holder
 	byAge   []claimed
 	writers map[string]*writer
@@ -102,6 +111,8 @@
 	sequence
 	supersedesCheck
 	holderOnly
+	refresh
+	doubt
 )
 
 // New returns a ledger that expects the record after the given offset next.
@@ -109,6 +120,7 @@
 	return &Ledger{
 		config:  config,
 		applied: after,
+		trimmed: after > 0,
 		keys:    map[Key]*Holder{},
 		writers: map[string]*writer{},
 		expired: map[Key]time.Time{},
@@ -121,6 +133,16 @@
 // Clock returns the highest time that the log has shown.
 func (l *Ledger) Clock() time.Time { return l.clock }
 
+// Horizon returns the log's time of the first record read if records before it
+// are lost; else it is zero.
+func (l *Ledger) Horizon() time.Time { return l.horizon }
+
+// IsShort reports whether records are missing that lie within the window: a key
+// that looks free may then be held.
+func (l *Ledger) IsShort() bool {
+	return l.trimmed && l.clock.Sub(l.horizon) <= l.config.Window
+}
+
 // Len returns the number of keys held.
 func (l *Ledger) Len() int { return len(l.keys) }
 
@@ -153,6 +175,9 @@
 	if at.After(l.clock) {
 		l.clock = at
 	}
+	if l.trimmed && l.horizon.IsZero() {
+		l.horizon = l.clock
+	}
 	l.expire()
 	batch, err := Decode(data)
 	if err != nil {
@@ -185,76 +210,3 @@
 	w.seq = max(w.seq, b.Seq)
 	return true
 }
-
-func (l *Ledger) applyItem(c *Change, now time.Time) {
-	switch c.Item.Kind {
-	case KindClaim:
-		c.Applied = l.claim(c.Item, now)
-	case KindTakeover:
-		c.Applied = l.takeover(c.Item, now)
-	case KindOutcome:
-		l.outcome(c)
-	}
-}
-
-func (l *Ledger) claim(it *Item, now time.Time) bool {
-	h := l.keys[it.Key]
-	if h != nil && l.off&firstWins == 0 {
-		return h.Request == it.Request
-	}
-	l.hold(it, now)
-	return true
-}
-
-func (l *Ledger) takeover(it *Item, now time.Time) bool {
-	h := l.keys[it.Key]
-	if h != nil {
-		if h.Request == it.Request {
-			return true
-		}
-		superseded := h.Request == it.Supersedes && h.State != Done
-		if !superseded && l.off&supersedesCheck == 0 {
-			return false
-		}
-	}
-	l.hold(it, now)
-	return true
-}
-
-// hold makes the item's request the holder of its key.
-func (l *Ledger) hold(it *Item, now time.Time) {
-	l.keys[it.Key] = &Holder{Request: it.Request, Body: it.Body, Offset: l.applied, At: l.clock, Seen: now}
-	l.byAge = append(l.byAge, claimed{key: it.Key, offset: l.applied, at: l.clock})
-	delete(l.expired, it.Key)
-}
-
-func (l *Ledger) outcome(c *Change) {
-	it := c.Item
-	h := l.keys[it.Key]
-	if h == nil || h.Request != it.Request && l.off&holderOnly == 0 {
-		c.Contradiction = it.Result.Outcome == contract.OutcomeDone && h != nil
-	} else {
-		c.Contradiction = !l.end(h, it)
-		c.Applied = !c.Contradiction
-	}
-	if c.Contradiction {
-		l.stats.Contradictions++
-	}
-}
-
-// end records the holder's outcome. It returns false if "not run" follows "done".
-func (l *Ledger) end(h *Holder, it *Item) bool {
-	switch {
-	case h.State == Done:
-		return it.Result.Outcome != contract.OutcomeNotRun
-	case it.Result.Outcome == contract.OutcomeNotRun:
-		delete(l.keys, it.Key)
-	case it.Result.Outcome == contract.OutcomeDone:
-		h.State = Done
-		h.Result = it.Result
-		l.keepBody(it.Key, h)
-	default:
-		h.State = Uncertain
-	}
-	return true
-}
--- a/machine/entry/claims/ledger/record.go
+++ b/machine/entry/claims/ledger/record.go
@@ -70,7 +70,7 @@
 	Kind    Kind               `cbor:"1,keyasint"`
 	Key     Key                `cbor:"2,keyasint"`
 	Request contract.RequestID `cbor:"3,keyasint"`
-	// Body is set for claims and takeovers.
+	// Body is that of the request.
 	Body Body `cbor:"4,keyasint,omitempty"`
 	// Supersedes is the holder that a takeover replaces.
 	Supersedes contract.RequestID `cbor:"5,keyasint,omitempty"`
--- a/machine/entry/claims/machine.go
+++ b/machine/entry/claims/machine.go
@@ -68,12 +68,13 @@
 // run is a request that was decided Run and whose outcome is not in the log.
 type run struct {
 	key    ledger.Key
+	body   ledger.Body
 	result *Result
 }
 
 // Stats counts what the machine did beside the verdicts.
 type Stats struct {
-	Probes, Takeovers, Released, Superseded, TooLate uint64
+	Probes, Takeovers, Released, Superseded, TooLate, ShortHistory uint64
 }
 
 // Machine is not safe for concurrent use.
@@ -84,9 +85,6 @@
 	batcher *batcher.Batcher
 	// ready tells that the stream was read up to its end once.
 	ready bool
-	// horizon is the log's time before which records were lost; zero if none were.
-	horizon time.Time
-	trimmed bool
 
 	calls  map[contract.RequestID]*call
 	byKey  map[ledger.Key][]contract.RequestID
@@ -118,7 +116,7 @@
 }
 
 // mechanism names parts that tests switch off to show that they are needed.
-type mechanism uint8
+type mechanism uint16
 
 const (
 	waitForRecord mechanism = 1 << iota
@@ -129,6 +127,7 @@
 	startBound
 	ageBound
 	keyAge
+	distrustShort
 )
 
 // NewMachine returns a machine that expects the stream's record after the given
@@ -152,8 +151,6 @@
 func (m *Machine) Restart(after contract.Offset) {
 	m.ledger = ledger.New(m.config.Ledger, after)
 	m.ready = false
-	m.trimmed = after > 0
-	m.horizon = time.Time{}
 }
 
 // Applied returns the offset of the last record read.
@@ -207,7 +204,7 @@
 		result.Omitted = true
 	}
 	r.result = &result
-	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: r.key, Request: request, Result: &result})
+	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: r.key, Request: request, Body: r.body, Result: &result})
 	m.evaluateKey(now, r.key)
 	return nil
 }
--- a/machine/entry/claims/probing.go
+++ b/machine/entry/claims/probing.go
@@ -93,7 +93,7 @@
 		kept.Body = nil
 		kept.Omitted = true
 	}
-	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: key, Request: winner, Result: &kept})
+	m.batcher.Add(ledger.Item{Kind: ledger.KindOutcome, Key: key, Request: winner, Body: m.holderBody(key), Result: &kept})
 	for _, request := range append([]contract.RequestID(nil), m.byKey[key]...) {
 		c := m.calls[request]
 		if c.body != m.holderBody(key) {
--- a/machine/entry/claims/replay.go
+++ b/machine/entry/claims/replay.go
@@ -34,9 +34,6 @@
 
 // apply takes one record; one that is malformed has no effect.
 func (m *Machine) apply(now time.Time, r LogRecord) error {
-	if m.trimmed && m.horizon.IsZero() {
-		m.horizon = r.Time
-	}
 	m.batcher.Observe(now)
 	changes, err := m.ledger.Apply(r.Offset, r.Time, r.Data, now)
 	if isGap(err) {
@@ -94,7 +91,7 @@
 		return
 	}
 	if ch.Applied && m.runs[request] == nil {
-		m.release(request, ch.Item.Key)
+		m.release(request, ch.Item.Key, ch.Item.Body)
 	}
 }
 
--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -172,11 +172,16 @@
 	s.mu.Lock()
 	m, l, b := s.machine.Stats()
 	keys := s.machine.ledger.Len()
+	short := 0.0
+	if s.machine.ledger.IsShort() {
+		short = 1
+	}
 	interval := s.machine.batcher.Interval(time.Now())
 	s.mu.Unlock()
 	gauges := map[string]float64{
-		"claims_keys": float64(keys), "claims_append_interval_seconds": interval.Seconds(),
-		"claims_probes": float64(m.Probes), "claims_takeovers": float64(m.Takeovers),
+		"claims_keys": float64(keys), "claims_history_short": short, "claims_short_refusals": float64(m.ShortHistory),
+		"claims_append_interval_seconds": interval.Seconds(),
+		"claims_probes":                  float64(m.Probes), "claims_takeovers": float64(m.Takeovers),
 		"claims_released": float64(m.Released), "claims_too_late": float64(m.TooLate),
 		"claims_superseded": float64(m.Superseded), "claims_contradictions": float64(l.Contradictions),
 		"claims_malformed": float64(l.Malformed), "claims_repeated": float64(l.Repeated),
--- a/machine/entry/claims/vouch/vouch.go
+++ b/machine/entry/claims/vouch/vouch.go
@@ -44,7 +44,7 @@
 	// gone holds each target with the time of the first list without it; zero
 	// while it is listed.
 	gone map[Target]time.Time
-	off             mechanism
+	off  mechanism
 }
 
 // mechanism names parts that tests switch off to show that they are needed.
