dispatch: bound refused attempts apart from those that may have run

Cause: when all engines of a service activate at about the same time, a request met 8 refusals with no_weights in under a second and was given up, although room was seconds away and its deadline far.

Change: MaxAttempts bounds attempts that may have run, MaxRefusals those refused; each refusal still leaves the target out for the time it names.

--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -26,8 +26,10 @@
 	MaxQuestions = 6
 	// MaxStalls is how often an engine may be asked about without progress.
 	MaxStalls = 2
-	// MaxAttempts bounds the attempts of one request.
+	// MaxAttempts bounds the attempts of one request that may have run, and
+	// MaxRefusals those that targets refused.
 	MaxAttempts = 8
+	MaxRefusals = 64
 	// MaxAnswerBytes bounds the answer of a plain service.
 	MaxAnswerBytes = 8 << 20
 
--- a/machine/entry/dispatch/request.go
+++ b/machine/entry/dispatch/request.go
@@ -135,3 +135,14 @@
 	}
 	return wake
 }
+
+// isExhausted reports whether the request has had all the attempts it may have.
+func (r *request) isExhausted() bool {
+	refused := 0
+	for _, a := range r.attempts {
+		if a.result == contract.OutcomeNotRun {
+			refused++
+		}
+	}
+	return refused >= MaxRefusals || len(r.attempts)-refused >= MaxAttempts
+}
--- a/machine/entry/dispatch/retry.go
+++ b/machine/entry/dispatch/retry.go
@@ -63,7 +63,7 @@
 	switch {
 	case !r.deadline.After(m.now):
 		reason = contract.ReasonDeadline
-	case reason.CallerFault() || len(r.attempts) >= MaxAttempts:
+	case reason.CallerFault() || r.isExhausted():
 	case r.detached && last == contract.OutcomeUnknown:
 	case !m.mayRetry(r, reason):
 		reason = contract.ReasonRetryBudget
