backend: free a unit of work only when the engine has closed its answer

The target freed the unit at the end event, while the engine counts it until its handler has returned; the next request came between.

Ruled out: a lower limit at the gate, which would cost capacity always.

Change: the client reads to the end of the body, for at most 500 ms. The test failed first: 4 connections for 20 calls, now 1.

--- a/machine/target/backend/backend_test.go
+++ b/machine/target/backend/backend_test.go
@@ -149,3 +149,31 @@
 		_, _ = decodeReport(io.NopCloser(bytes.NewReader(data)))
 	})
 }
+
+// TestGenerateReturnsWhenTheEngineIsDone checks that an answer is returned only
+// after the engine has closed its side: until then the engine still counts the
+// work, and the next one would be above its limit. A connection is used again
+// only if its answer was read to the end.
+func TestGenerateReturnsWhenTheEngineIsDone(t *testing.T) {
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "event: end\ndata: {\"tokens\":0}\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	e := NewEngine(server.URL)
+	for range 20 {
+		if _, err := e.Generate(context.Background(), Generate{}, func(Token) error { return nil }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := connections.Load(); n != 1 {
+		t.Fatalf("%d connections for 20 calls", n)
+	}
+}
--- a/machine/target/backend/client.go
+++ b/machine/target/backend/client.go
@@ -15,6 +15,7 @@
 const (
 	dialTimeout       = time.Second
 	callTimeout       = 5 * time.Second
+	closeTimeout      = 500 * time.Millisecond
 	maxIdleConns      = 64
 	idleTimeout       = 30 * time.Second
 	maxErrorBodyBytes = 512
--- a/machine/target/backend/engine.go
+++ b/machine/target/backend/engine.go
@@ -94,7 +94,19 @@
 	if resp.StatusCode != http.StatusOK {
 		return GenerateEnd{}, generateError(resp)
 	}
-	return readAnswer(resp.Body, g.ResumeAt, onToken)
+	end, err := readAnswer(resp.Body, g.ResumeAt, onToken)
+	if err == nil {
+		awaitClose(resp.Body)
+	}
+	return end, err
+}
+
+// awaitClose waits until the engine has closed a whole answer, and so counts the
+// work no longer, for a bounded time.
+func awaitClose(body io.ReadCloser) {
+	timer := time.AfterFunc(closeTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	drain(body)
 }
 
 func generateError(resp *http.Response) error {
