--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -118,13 +118,11 @@
 	m.pump(r.service)
 }
 
-// pump sends waiting requests while targets have room.
+// pump has the queue of a service looked at before the step ends.
 func (m *Machine) pump(s *service) {
-	for s.queue.Len() > 0 {
-		if !m.sendNext(s) {
-			m.giveUp(s)
-			return
-		}
+	if !s.dirty {
+		s.dirty = true
+		m.dirty = append(m.dirty, s)
 	}
 }
 
@@ -134,6 +132,26 @@
 	}
 }
 
+// drainQueues looks at the queues of all services that something changed for.
+func (m *Machine) drainQueues() {
+	for len(m.dirty) > 0 {
+		s := m.dirty[0]
+		m.dirty = append(m.dirty[:0], m.dirty[1:]...)
+		s.dirty = false
+		m.drainQueue(s)
+	}
+}
+
+// drainQueue sends waiting requests while targets have room.
+func (m *Machine) drainQueue(s *service) {
+	for s.queue.Len() > 0 {
+		if !m.sendNext(s) {
+			m.giveUp(s)
+			return
+		}
+	}
+}
+
 // giveUp ends the waiting requests that no target can take even with room.
 func (m *Machine) giveUp(s *service) {
 	if s.pinned == 0 && s.pool.Blocked(m.now, "") == contract.ReasonTargetFull {
--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -129,9 +129,12 @@
 }
 
 // neverRan trusts a tombstone unless the target itself said that it started
-// the attempt.
+// the attempt, or another run of the target answers than the one that the
+// attempt was sent to: a question that was long under way may reach a run that
+// believes to be older than the attempt.
 func (m *Machine) neverRan(a *attempt, s contract.Status) {
-	if a.started {
+	other := a.incarnation != 0 && s.Incarnation != a.incarnation && m.off&offIncarnation == 0
+	if a.started || other {
 		m.count(CountIgnored, contract.ReasonBadFrame)
 		m.failed(a, contract.ReasonBackendDown)
 		return
--- a/machine/entry/dispatch/harness_test.go
+++ b/machine/entry/dispatch/harness_test.go
@@ -291,7 +291,9 @@
 	case "status":
 		for s := contract.AttemptUnheard; s <= contract.AttemptBroken; s++ {
 			if strings.ReplaceAll(s.String(), " ", "") == a.text("state") {
-				return contract.Message{Kind: contract.KindStatus, Status: &contract.Status{Attempt: id, State: s, Reason: reason}}
+				return contract.Message{Kind: contract.KindStatus, Status: &contract.Status{
+					Attempt: id, State: s, Reason: reason, Incarnation: contract.Incarnation(max(1, a.number("inc"))),
+				}}
 			}
 		}
 	}
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -56,6 +56,8 @@
 	queue  *fairshare.Queue
 	// pinned counts the waiting requests that need a certain digest.
 	pinned int
+	// dirty tells that the queue must be looked at.
+	dirty bool
 }
 
 // Machine is the state machine of an entry.
@@ -88,8 +90,10 @@
 	exchange  uint64
 	timers    timers
 	budget    *retry.Budget
-	effects   []Effect
-	off       mechanism
+	// dirty lists the services whose queue must be looked at.
+	dirty   []*service
+	effects []Effect
+	off     mechanism
 }
 
 // mechanism names a part of the machine that tests switch off.
@@ -105,6 +109,7 @@
 	offDeadline
 	offOutcome
 	offCrossing
+	offIncarnation
 )
 
 // New returns a machine that knows neither settings nor hosts.
@@ -134,7 +139,7 @@
 	m.effects = effects
 	m.expire()
 	m.handle(ev)
-	m.expire()
+	m.drainQueues()
 	out := m.effects
 	m.effects = nil
 	return out
