--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -69,6 +69,7 @@
 	c := testConfig()
 	c.Model = !line.Has("plain")
 	c.Answers.MaxStarted = line.Int("started", c.Answers.MaxStarted)
+	c.Answers.MaxPast = line.Int("past", c.Answers.MaxPast)
 	c.Answers.MaxTombstones = line.Int("tombstones", c.Answers.MaxTombstones)
 	return c
 }
@@ -236,3 +237,17 @@
 	}
 	return strings.Join(lines[last:], "")
 }
+
+// TestNoCreditsWithoutWeights checks that a target that does not know its
+// engine's version gives no credits: it would refuse every attempt.
+func TestNoCreditsWithoutWeights(t *testing.T) {
+	s := &session{}
+	s.play("new\n@1s report digest=\n", 0)
+	if load := s.g.Load("e1"); load.Credits != 0 {
+		t.Fatalf("%d credits without weights", load.Credits)
+	}
+	s.play("@4s warm\n@8s report\n", 0)
+	if load := s.g.Load("e1"); load.Credits == 0 {
+		t.Fatal("no credits with weights")
+	}
+}
