dispatch: tell refusals that move a request from failures

Change: a refusal for room costs nothing if the target's own load shows no room, and keeps the request from it until its next report; one that contradicts the load draws on the budget. Moves have a counter of their own and a bound of their own (64), so that eight of them no longer end a request. Conclusion: go test ./machine/entry/dispatch passes, the storm included.

--- a/machine/entry/dispatch/effect.go
+++ b/machine/entry/dispatch/effect.go
@@ -98,7 +98,7 @@
 const (
 	// CountRefusal counts requests that ended without an answer.
 	CountRefusal Counter = iota
-	// CountRetry counts attempts after the first.
+	// CountRetry counts attempts after one that failed.
 	CountRetry
 	// CountIgnored counts input that was dropped.
 	CountIgnored
@@ -108,6 +108,9 @@
 	CountQuery
 	// CountSpill counts attempts in another region.
 	CountSpill
+	// CountMove counts attempts after one that was refused for room or because
+	// zones, hosts, settings or weights changed.
+	CountMove
 )
 
 // Count adds one to a counter.
--- a/machine/entry/dispatch/harness_test.go
+++ b/machine/entry/dispatch/harness_test.go
@@ -102,7 +102,7 @@
 	case ClaimKey:
 		return at + fmt.Sprintf("claim %s key=%s", e.Claim.Request, e.Claim.Key)
 	case Count:
-		names := [...]string{"refusal", "retry", "ignored", "ejection", "query", "spill"}
+		names := [...]string{"refusal", "retry", "ignored", "ejection", "query", "spill", "move"}
 		return at + fmt.Sprintf("count %s %s", names[e.Counter], e.Reason)
 	case SetPeers:
 		return at + fmt.Sprintf("peers %d", len(e.Peers))
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -26,14 +26,18 @@
 	MaxQuestions = 6
 	// MaxStalls is how often an engine may be asked about without progress.
 	MaxStalls = 2
-	// MaxAttempts bounds the attempts of one request.
+	// MaxAttempts bounds the attempts of one request that failed, MaxMoves all
+	// of its attempts, also those that were refused for room or for a change.
 	MaxAttempts = 8
+	MaxMoves    = 64
 	// MaxAnswerBytes bounds the answer of a plain service.
 	MaxAnswerBytes = 8 << 20
 
 	questionPause = 100 * time.Millisecond
-	// leaveOut is how long a request avoids a target that refused it.
-	leaveOutTime = 100 * time.Millisecond
+	// leaveOutTime is how long a request avoids a target that failed it, and
+	// leaveOutUntilReport one that refused it for room and reports no more.
+	leaveOutTime        = 100 * time.Millisecond
+	leaveOutUntilReport = 2 * time.Second
 	// pumpInterval is how often queues are looked at while requests wait.
 	pumpInterval = 50 * time.Millisecond
 	// defaultQueue is the queue length of a service whose settings name none.
--- a/machine/entry/dispatch/request.go
+++ b/machine/entry/dispatch/request.go
@@ -42,8 +42,10 @@
 
 	attempts []*attempt
 	current  *attempt
-	// tried holds until when a target that refused is left out.
-	tried map[contract.MachineID]time.Time
+	// tried holds the targets that are left out.
+	tried map[contract.MachineID]exclusion
+	// counted counts the attempts towards MaxAttempts.
+	counted int
 
 	wake  time.Time
 	index int
@@ -111,17 +113,27 @@
 	}
 }
 
+// exclusion leaves a target out for a while.
+type exclusion struct {
+	since, until time.Time
+	// report tells that the target's next report ends the exclusion.
+	report bool
+}
+
 // isTried reports whether a target is left out at present.
 func (r *request) isTried(now time.Time, id contract.MachineID) bool {
-	until, ok := r.tried[id]
-	return ok && now.Before(until)
+	e, ok := r.tried[id]
+	if !ok || !now.Before(e.until) {
+		return false
+	}
+	return !e.report || !r.service.pool.ReportedAfter(id, e.since)
 }
 
-func (r *request) leaveOut(id contract.MachineID, until time.Time) {
+func (r *request) leaveOut(id contract.MachineID, e exclusion) {
 	if r.tried == nil {
-		r.tried = map[contract.MachineID]time.Time{}
+		r.tried = map[contract.MachineID]exclusion{}
 	}
-	r.tried[id] = until
+	r.tried[id] = e
 }
 
 // nextWake is when the request needs attention if nothing happens.
--- a/machine/entry/dispatch/retry.go
+++ b/machine/entry/dispatch/retry.go
@@ -9,11 +9,10 @@
 
 // notRun goes on after an attempt that surely never runs.
 func (m *Machine) notRun(a *attempt, reason contract.Reason, retryAfter time.Duration) {
-	r := a.request
 	a.result = contract.OutcomeNotRun
 	m.closeAttempt(a)
-	r.leaveOut(a.target, m.now.Add(max(leaveOutTime, min(retryAfter, time.Second))))
-	m.retryOr(r, reason, retryAfter, contract.OutcomeNotRun)
+	m.leaveOut(a, reason)
+	m.retryOr(a, reason, retryAfter, contract.OutcomeNotRun)
 }
 
 // failed goes on after an attempt that started and whose answer is lost, wholly
@@ -31,8 +30,20 @@
 		m.finish(r, reason, 0)
 		return
 	}
-	r.leaveOut(a.target, m.now.Add(leaveOutTime))
-	m.retryOr(r, reason, 0, contract.OutcomeUnknown)
+	m.leaveOut(a, reason)
+	m.retryOr(a, reason, 0, contract.OutcomeUnknown)
+}
+
+// leaveOut keeps a request from a target that refused or failed it: after a
+// refusal for room until the target reports again.
+func (m *Machine) leaveOut(a *attempt, reason contract.Reason) {
+	e := exclusion{since: m.now, until: m.now.Add(leaveOutTime)}
+	switch reason {
+	case contract.ReasonTargetFull, contract.ReasonColdStart, contract.ReasonNoWeights, contract.ReasonWeightsMismatch:
+		e.report = true
+		e.until = m.now.Add(leaveOutUntilReport)
+	}
+	a.request.leaveOut(a.target, e)
 }
 
 // faultOf records a reason that tells against the target's health.
@@ -59,13 +70,18 @@
 }
 
 // retryOr sends a request again if that is allowed, else ends it.
-func (m *Machine) retryOr(r *request, reason contract.Reason, retryAfter time.Duration, last contract.Outcome) {
+func (m *Machine) retryOr(a *attempt, reason contract.Reason, retryAfter time.Duration, last contract.Outcome) {
+	r := a.request
 	switch {
 	case !r.deadline.After(m.now):
 		reason = contract.ReasonDeadline
-	case reason.CallerFault() || len(r.attempts) >= MaxAttempts:
+	case reason.CallerFault() || r.counted >= MaxAttempts || len(r.attempts) >= MaxMoves:
 	case r.detached && last == contract.OutcomeUnknown:
-	case !m.mayRetry(r, reason):
+	case m.isMoved(a, reason):
+		m.count(CountMove, reason)
+		m.requeue(r)
+		return
+	case !m.mayRetry(r):
 		reason = contract.ReasonRetryBudget
 	default:
 		m.count(CountRetry, reason)
@@ -75,16 +91,25 @@
 	m.finish(r, reason, retryAfter)
 }
 
-// mayRetry draws on the retry budget. Refusals that follow a change of zone,
-// host, settings or weights are bounded by the change and need no budget. So are
-// refusals for room: nothing ran, the target's load comes with the refusal, and
-// the request waits in its queue until a target shows room again.
-func (m *Machine) mayRetry(r *request, reason contract.Reason) bool {
+// isMoved reports whether an attempt was refused in a way that costs no retry.
+// Refusals that follow a change of zone, host, settings or weights are bounded
+// by the change. After a refusal for room nothing ran, and the request waits
+// until a target shows room again; but a target that refuses for room while its
+// own load shows room is not believed, and its refusals count as failures.
+func (m *Machine) isMoved(a *attempt, reason contract.Reason) bool {
 	switch reason {
 	case contract.ReasonZoneOut, contract.ReasonTargetLeaving, contract.ReasonShuttingDown,
-		contract.ReasonStaleSettings, contract.ReasonWeightsMismatch, contract.ReasonNoWeights,
-		contract.ReasonColdStart, contract.ReasonTargetFull:
+		contract.ReasonStaleSettings, contract.ReasonWeightsMismatch, contract.ReasonNoWeights:
 		return true
+	case contract.ReasonColdStart, contract.ReasonTargetFull:
+		return !a.request.service.pool.HasRoom(m.now, a.target)
+	default:
+		return false
 	}
+}
+
+// mayRetry draws on the retry budget.
+func (m *Machine) mayRetry(r *request) bool {
+	r.counted++
 	return m.off&offBudget != 0 || m.budget.Take(r.Service, r.Team)
 }
--- a/machine/entry/dispatch/world_test.go
+++ b/machine/entry/dispatch/world_test.go
@@ -117,7 +117,7 @@
 	case Finish:
 		w.finish(e)
 	case Count:
-		if e.Counter == CountRetry && e.Reason != contract.ReasonWeightsMismatch {
+		if e.Counter == CountRetry {
 			w.budgeted++
 		}
 	}
--- a/machine/entry/effects.go
+++ b/machine/entry/effects.go
@@ -103,6 +103,8 @@
 		metrics.Refused(x.scope, e.Reason)
 	case dispatch.CountRetry:
 		metrics.Retried(x.scope, e.Reason)
+	case dispatch.CountMove:
+		x.scope.Tagged(map[string]string{"reason": string(e.Reason)}).Counter("moves").Inc(1)
 	case dispatch.CountIgnored:
 		metrics.Ignored(x.scope, e.Reason)
 	default:
--- a/zone/balancer/member.go
+++ b/zone/balancer/member.go
@@ -38,6 +38,8 @@
 	tier  tier
 	up    bool
 	known bool
+	// reported is when the load in force was taken in.
+	reported time.Time
 	// incarnation and seq order the reports.
 	incarnation contract.Incarnation
 	load        contract.Load
@@ -109,7 +111,7 @@
 func (m *member) serves(rules Rules, pinned contract.Digest) bool {
 	has := m.load.Weights
 	if has == "" {
-		return pinned == "" || pinned == rules.Weights
+		return rules.Weights == "" || !m.known && (pinned == "" || pinned == rules.Weights)
 	}
 	if pinned != "" {
 		return has == pinned
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -172,6 +172,7 @@
 	}
 	m.load = load
 	m.known = true
+	m.reported = now
 	return Taken
 }
 
@@ -190,6 +191,18 @@
 	return 0
 }
 
+// ReportedAfter reports whether the target told its load after a time.
+func (p *Pool) ReportedAfter(id contract.MachineID, after time.Time) bool {
+	m, ok := p.members[id]
+	return ok && m.reported.After(after)
+}
+
+// HasRoom reports whether the target's own load says that it takes more.
+func (p *Pool) HasRoom(now time.Time, id contract.MachineID) bool {
+	m, ok := p.members[id]
+	return ok && p.hasRoom(now, m, false)
+}
+
 // Listed reports whether the pool holds the target.
 func (p *Pool) Listed(id contract.MachineID) bool {
 	_, ok := p.members[id]
