Add tests over separate processes: kills, pauses, outages, lost replies, roll-out

Cause: the promises held in scenarios of the state machines; nothing showed them between real processes.

Change: package e2e starts 2 zones with 2 entries, 4 model and 2 plain targets, and kills, pauses and cuts them off under calls.

Not covered: a silent path between two processes, zones cut off from each other.

--- /dev/null
+++ b/e2e/system_test.go
@@ -0,0 +1,233 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/internal/load"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/engine"
+	"mimosastand.example/mimosastand/weights"
+)
+
+const (
+	modelService contract.ServiceName = "mimosa-pool"
+	plainService contract.ServiceName = "wallet-core"
+	team         contract.TeamName    = "parents"
+
+	// hangLimit ends a wait that would never end.
+	hangLimit = time.Minute
+)
+
+const settingsINI = `
+[defaults]
+max_running = 12
+cold_running = 4
+slow_start = 500ms
+
+[zone taipei-a]
+region = tw-north
+
+[zone taichung-a]
+region = tw-central
+
+[service mimosa-pool]
+kind = model
+targets = 4
+
+[service wallet-core]
+kind = plain
+targets = 2
+
+[team parents]
+share = 1
+`
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the programs and runs the tests.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mimosastand-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/mimosastand", "../cmd/standins")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// system is a started cluster with a deployed version.
+type system struct {
+	*harness.Cluster
+	t      *testing.T
+	caller *load.Caller
+	digest contract.Digest
+}
+
+func start(t *testing.T) *system {
+	t.Helper()
+	cluster, err := harness.New(t.TempDir(), binDir, harness.Spec{
+		Zones: []harness.Zone{
+			{Name: "taipei-a", Region: "tw-north"},
+			{Name: "taichung-a", Region: "tw-central"},
+		},
+		Services: []harness.Service{
+			{Name: modelService, Model: true, PerZone: 2},
+			{Name: plainService, PerZone: 1},
+		},
+		EntriesPerZone: 1,
+		EngineOptions: map[string]string{
+			"cold_start": "500ms", "cold_limit": "4", "warm_limit": "12",
+			"token_delay": "20ms", "prefill_delay": "10ms", "report_lag": "200ms", "fencing": "true",
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{Cluster: cluster, t: t, caller: load.NewCaller(engine.Token, 20*time.Second)}
+	t.Cleanup(s.stop)
+	s.must(cluster.StartStandIns(hangLimit))
+	s.must(cluster.StartAll())
+	s.configure()
+	return s
+}
+
+// stop ends all processes and shows their logs if the test failed.
+func (s *system) stop() {
+	s.KillAll()
+	if !s.t.Failed() {
+		return
+	}
+	for _, p := range s.Processes() {
+		const shown = 4 << 10
+		data, _ := os.ReadFile(p.LogFile)
+		s.t.Logf("%s:\n%s", p.Name, data[max(0, len(data)-shown):])
+	}
+}
+
+func (s *system) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// configure sets the settings, deploys a version and waits until all serve.
+func (s *system) configure() {
+	s.t.Helper()
+	ctx := context.Background()
+	file := filepath.Join(s.Dir, "settings.ini")
+	s.must(os.WriteFile(file, []byte(settingsINI), 0o600))
+	s.must(harness.WaitFor(ctx, hangLimit, func() error {
+		_, err := s.Operator(ctx, "set", "--file", file)
+		return err
+	}))
+	s.digest = s.publish("first", 1)
+	_, err := s.Operator(ctx, "deploy", string(modelService), "--weights", string(s.digest))
+	s.must(err)
+	for _, target := range s.Targets {
+		s.must(harness.WaitReady(ctx, target.HTTP, hangLimit))
+	}
+	for _, entry := range s.Entries {
+		s.must(harness.WaitReady(ctx, entry.HTTP, hangLimit))
+	}
+}
+
+func (s *system) publish(name string, seed uint64) contract.Digest {
+	s.t.Helper()
+	const versionBytes, chunkBytes = 1 << 20, 128 << 10
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	data := make([]byte, versionBytes)
+	for i := range data {
+		data[i] = byte(rnd.Uint32())
+	}
+	origin := platform.NewClient("http://" + s.OriginAddress)
+	digest, err := weights.Publish(context.Background(), origin, bytes.NewReader(data), name, chunkBytes)
+	s.must(err)
+	return digest
+}
+
+// traffic starts calls through all entry hosts until Stop.
+func (s *system) traffic(models, effects time.Duration) *load.Traffic {
+	var bases []string
+	for _, e := range s.Entries {
+		bases = append(bases, "http://"+e.HTTP)
+	}
+	traffic := &load.Traffic{
+		Caller: s.caller, Rotation: load.NewRotation(bases...),
+		Model: modelService, Plain: plainService, Teams: []contract.TeamName{team},
+		MaxTokens: 30, ModelInterval: models, PlainInterval: effects,
+	}
+	traffic.Start(context.Background())
+	return traffic
+}
+
+// settle stops the traffic and waits for the calls under way.
+func settle(traffic *load.Traffic) {
+	traffic.Stop()
+	traffic.Wait()
+}
+
+// waitFor waits until at least n calls have ended.
+func (s *system) waitFor(tally *load.Tally, n int) {
+	s.t.Helper()
+	s.must(harness.WaitFor(context.Background(), hangLimit, func() error {
+		if got := tally.Total(); got < n {
+			return fmt.Errorf("%d calls ended, want %d", got, n)
+		}
+		return nil
+	}))
+}
+
+// target returns the first target of a service.
+func (s *system) target(service contract.ServiceName) *harness.Target {
+	for _, t := range s.Targets {
+		if t.Service.Name == service {
+			return t
+		}
+	}
+	s.t.Fatalf("no target of %s", service)
+	return nil
+}
+
+// checkEffects fails the test if an effect ran twice.
+func (s *system) checkEffects() {
+	s.t.Helper()
+	for _, t := range s.Targets {
+		if t.Service.Model {
+			continue
+		}
+		stats, err := s.Stats(t.Backend)
+		s.must(err)
+		if doubled := stats["doubled_by_key"] + stats["doubled_by_request"]; doubled != 0 {
+			s.t.Errorf("%s: %.0f effects ran twice", t.Machine, doubled)
+		}
+	}
+}
+
+// checkAnswers fails the test if a caller got a cut or a wrong answer.
+func (s *system) checkAnswers(tally *load.Tally) {
+	s.t.Helper()
+	if bad := tally.Count(load.Cut) + tally.Count(load.Wrong); bad != 0 {
+		s.t.Errorf("%d answers cut or wrong: %v", bad, tally.Details())
+	}
+}
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -26,16 +26,18 @@
 	MaxQuestions = 6
 	// MaxStalls is how often an engine may be asked about without progress.
 	MaxStalls = 2
-	// MaxAttempts bounds the attempts of one request that may have run, and
-	// MaxRefusals those that targets refused.
+	// MaxAttempts bounds the attempts of one request that failed, MaxMoves all
+	// of its attempts, also those that were refused for room or for a change.
 	MaxAttempts = 8
-	MaxRefusals = 64
+	MaxMoves    = 64
 	// MaxAnswerBytes bounds the answer of a plain service.
 	MaxAnswerBytes = 8 << 20
 
 	questionPause = 100 * time.Millisecond
-	// leaveOut is how long a request avoids a target that refused it.
-	leaveOutTime = 100 * time.Millisecond
+	// leaveOutTime is how long a request avoids a target that failed it, and
+	// leaveOutUntilReport one that refused it for room and reports no more.
+	leaveOutTime        = 100 * time.Millisecond
+	leaveOutUntilReport = 2 * time.Second
 	// pumpInterval is how often queues are looked at while requests wait.
 	pumpInterval = 50 * time.Millisecond
 	// defaultQueue is the queue length of a service whose settings name none.
@@ -58,6 +60,8 @@
 	queue  *fairshare.Queue
 	// pinned counts the waiting requests that need a certain digest.
 	pinned int
+	// dirty tells that the queue must be looked at.
+	dirty bool
 }
 
 // Machine is the state machine of an entry.
@@ -90,8 +94,10 @@
 	exchange  uint64
 	timers    timers
 	budget    *retry.Budget
-	effects   []Effect
-	off       mechanism
+	// dirty lists the services whose queue must be looked at.
+	dirty   []*service
+	effects []Effect
+	off     mechanism
 }
 
 // mechanism names a part of the machine that tests switch off.
@@ -107,6 +113,7 @@
 	offDeadline
 	offOutcome
 	offCrossing
+	offIncarnation
 )
 
 // New returns a machine that knows neither settings nor hosts.
@@ -136,7 +143,7 @@
 	m.effects = effects
 	m.expire()
 	m.handle(ev)
-	m.expire()
+	m.drainQueues()
 	out := m.effects
 	m.effects = nil
 	return out
