answers: lay answers out whole, bound them by their memory, split tombstones

One filter held all overflowing tombstones for as long as the longest. Change: an answer is one buffer with a part of 16 bytes for each frame; bounds 4 MiB, 4096 records, 65536 remembered attempts; refusals are kept 90 s, tombstones that a sender asked for an hour, each with a filter. Ruled out: fewer seconds for asked tombstones. A sender that was paused may start the attempt when it wakes.

--- a/machine/target/answers/doc.go
+++ b/machine/target/answers/doc.go
@@ -10,7 +10,9 @@
 //     reports false and the gate refuses the work.
 //   - A tombstone without room goes into a filter of fixed size. The filter never
 //     loses a tombstone within its time; what it may do is refuse an attempt that
-//     has no tombstone, which is a true refusal.
+//     has no tombstone, which is a true refusal. Refusals and the tombstones that
+//     senders ask for have a filter each, so that a burst of refusals does not
+//     fill the one whose tombstones last long.
 //
 // The store has no clock, goroutine or lock. Its user passes the time and
 // serializes the calls.
--- a/machine/target/answers/record.go
+++ b/machine/target/answers/record.go
@@ -1,6 +1,7 @@
 package answers
 
 import (
+	"slices"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
@@ -20,14 +21,59 @@
 	reason  contract.Reason
 	expires time.Time
 	index   int
+	// asked tells a tombstone that a sender asked for from a refusal.
+	asked bool
+
+	// frames holds the parts from number first on, and data their bytes;
+	// earlier ones were dropped.
+	frames  []part
+	data    []byte
+	first   uint64
+	dropped uint64
+	length  uint64
+	end     contract.End
+	ended   time.Time
+}
+
+// part is where a frame lies in its answer.
+type part struct {
+	at uint64
+	// end is the number of the answer's bytes up to the frame's end.
+	end uint64
+}
+
+// partBytes is the memory of a frame beside its data.
+const partBytes = 16
+
+// memory returns the bytes that the answer takes.
+func (r *Record) memory() int {
+	return len(r.data) + partBytes*len(r.frames)
+}
 
-	// frames holds the parts from number first on; earlier ones were dropped.
-	frames []Frame
-	first  uint64
-	bytes  int
-	length uint64
-	end    contract.End
-	ended  time.Time
+// add appends a frame.
+func (r *Record) add(f Frame) {
+	r.data = append(r.data, f.Data...)
+	r.length += uint64(len(f.Data))
+	r.frames = append(r.frames, part{at: f.At, end: r.length})
+}
+
+// drop drops the frames before number seq.
+func (r *Record) drop(seq uint64) {
+	n := min(seq, r.Frames()) - r.first
+	if seq <= r.first || n == 0 {
+		return
+	}
+	gone := r.frames[n-1].end - r.dropped
+	r.frames = r.frames[n:]
+	r.data = r.data[gone:]
+	r.first += n
+	r.dropped += gone
+}
+
+// clip gives up the spare room of a finished answer.
+func (r *Record) clip() {
+	r.data = slices.Clone(r.data)
+	r.frames = slices.Clone(r.frames)
 }
 
 // ID returns the attempt's identifier.
@@ -50,12 +96,18 @@
 // Length returns the number of bytes of the answer so far.
 func (r *Record) Length() uint64 { return r.length }
 
-// Frame returns frame number seq; ok is false if it is not there (yet or any more).
+// Frame returns frame number seq, whose data is not to be changed; ok is false if it is not there (yet or any more).
 func (r *Record) Frame(seq uint64) (f Frame, ok bool) {
 	if seq < r.first || seq >= r.Frames() {
 		return Frame{}, false
 	}
-	return r.frames[seq-r.first], true
+	i := seq - r.first
+	begin := r.dropped
+	if i > 0 {
+		begin = r.frames[i-1].end
+	}
+	p := r.frames[i]
+	return Frame{At: p.at, Data: r.data[begin-r.dropped : p.end-r.dropped : p.end-r.dropped]}, true
 }
 
 // Kept reports whether the answer from frame seq on can be sent.
--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -18,34 +18,34 @@
 	// kept, MaxPast those of which only the number is remembered.
 	MaxStarted int
 	MaxPast    int
-	// MaxTombstones bounds the tombstones outside the filter.
+	// MaxTombstones bounds the tombstones outside the filters, for refusals and
+	// for those that senders asked for alike.
 	MaxTombstones int
 	// KeepAnswer is how long a finished answer is kept, KeepRecord how long a
 	// record is kept after its attempt's deadline.
 	KeepAnswer time.Duration
 	KeepRecord time.Duration
-	// KeepTombstone is how long a tombstone is kept at least.
+	// KeepRefusal is how long the tombstone of a refusal is kept at least: as
+	// long as copies of the attempt may be under way.
+	KeepRefusal time.Duration
+	// KeepTombstone is how long a tombstone that a sender asked for is kept at
+	// least: as long as another sender may still want to start the attempt.
 	KeepTombstone time.Duration
 }
 
 // DefaultLimits are the bounds of a target process.
 var DefaultLimits = Limits{
-	MaxBytes:       16 << 20,
+	MaxBytes:       4 << 20,
 	MaxAnswerBytes: 1 << 20,
-	MaxStarted:     8192,
-	MaxPast:        1 << 18,
-	MaxTombstones:  8192,
-	KeepAnswer:     2 * time.Minute,
-	KeepRecord:     2 * time.Minute,
-	KeepTombstone:  10 * time.Minute,
+	MaxStarted:     4096,
+	MaxPast:        1 << 16,
+	MaxTombstones:  4096,
+	KeepAnswer:     time.Minute,
+	KeepRecord:     time.Minute,
+	KeepRefusal:    90 * time.Second,
+	KeepTombstone:  time.Hour,
 }
 
-// frameOverheadBytes is the memory of a frame beside its data.
-const frameOverheadBytes = 48
-
-// size returns the memory that a frame takes.
-func (f Frame) size() int { return len(f.Data) + frameOverheadBytes }
-
 // wholeRequest is the attempt number that stands for every attempt of a request.
 const wholeRequest = 0
 
@@ -55,21 +55,24 @@
 	requests map[contract.RequestID][]*Record
 	expiry   expiryHeap
 	// finished holds ended records with answers, oldest first.
-	finished   []*Record
-	overflow   filter
-	past       past
-	bytes      int
-	started    int
-	tombstones int
+	finished []*Record
+	past     past
+	bytes    int
+	started  int
+	// refused and asked count the tombstones of each kind; the filters hold
+	// those beyond the bound.
+	refused, asked                 int
+	refusedOverflow, askedOverflow filter
 }
 
 // New returns an empty store.
 func New(limits Limits) *Store {
 	return &Store{
-		limits:   limits,
-		requests: map[contract.RequestID][]*Record{},
-		overflow: filter{period: limits.KeepTombstone},
-		past:     newPast(),
+		limits:          limits,
+		requests:        map[contract.RequestID][]*Record{},
+		past:            newPast(),
+		refusedOverflow: filter{period: limits.KeepRefusal},
+		askedOverflow:   filter{period: limits.KeepTombstone},
 	}
 }
 
@@ -83,8 +86,8 @@
 // attempt is remembered.
 func (s *Store) PastRequests() int { return len(s.past.entries) }
 
-// Tombstones returns the number of tombstones outside the filter.
-func (s *Store) Tombstones() int { return s.tombstones }
+// Tombstones returns the number of tombstones outside the filters.
+func (s *Store) Tombstones() int { return s.refused + s.asked }
 
 // Room reports whether one more attempt may start beside waiting others.
 func (s *Store) Room(waiting int) bool {
@@ -146,26 +149,47 @@
 		}
 	}
 	whole := contract.AttemptID{Request: id.Request, N: wholeRequest}
-	if s.overflow.has(now, id) || s.overflow.has(now, whole) {
+	hidden := s.refusedOverflow.has(now, id) || s.askedOverflow.has(now, id) || s.askedOverflow.has(now, whole)
+	if hidden {
 		return contract.ReasonTombstone, true
 	}
 	return "", false
 }
 
-// Bury puts a tombstone on an attempt that has not started; attempt number 0
-// stands for every attempt of the request that has not started yet.
-func (s *Store) Bury(now time.Time, id contract.AttemptID, reason contract.Reason, deadline time.Time) {
+// Refuse puts a tombstone on an attempt that the gate refuses.
+func (s *Store) Refuse(now time.Time, id contract.AttemptID, reason contract.Reason) {
 	if s.Get(id) != nil {
 		return
 	}
-	if s.tombstones >= s.limits.MaxTombstones {
-		s.overflow.add(now, id)
+	if s.refused >= s.limits.MaxTombstones {
+		s.refusedOverflow.add(now, id)
+		return
+	}
+	s.refused++
+	s.add(&Record{id: id, state: contract.AttemptNeverRan, reason: reason, expires: now.Add(s.limits.KeepRefusal)})
+}
+
+// Bury puts a tombstone on an attempt, as a sender asks; attempt number 0
+// stands for every attempt of the request that has not started yet.
+func (s *Store) Bury(now time.Time, id contract.AttemptID) {
+	if r := s.Get(id); r != nil && (r.Started() || r.asked) {
+		return
+	}
+	if s.asked >= s.limits.MaxTombstones {
+		s.askedOverflow.add(now, id)
+		return
+	}
+	s.asked++
+	if r := s.Get(id); r != nil {
+		s.refused--
+		r.asked = true
+		r.expires = later(r.expires, now.Add(s.limits.KeepTombstone))
+		heap.Fix(&s.expiry, r.index)
 		return
 	}
-	s.tombstones++
 	s.add(&Record{
-		id: id, state: contract.AttemptNeverRan, reason: reason,
-		expires: later(now.Add(s.limits.KeepTombstone), deadline.Add(s.limits.KeepRecord)),
+		id: id, state: contract.AttemptNeverRan, reason: contract.ReasonTombstone,
+		asked: true, expires: now.Add(s.limits.KeepTombstone),
 	})
 }
 
@@ -193,47 +217,40 @@
 	s.release(r)
 	r.state = contract.AttemptNeverRan
 	r.reason = reason
-	r.expires = later(r.expires, now.Add(s.limits.KeepTombstone))
+	r.expires = later(r.expires, now.Add(s.limits.KeepRefusal))
 	heap.Fix(&s.expiry, r.index)
 	s.started--
-	s.tombstones++
+	s.refused++
 }
 
 // Append adds a frame to a running answer. When the answer is over its limit,
 // frames before number consumed are dropped; Append reports false if that does
 // not make room, and the caller tries again after more has been consumed.
 func (s *Store) Append(r *Record, f Frame, consumed uint64) bool {
-	size := f.size()
-	if r.bytes+size > s.limits.MaxAnswerBytes {
+	size := len(f.Data) + partBytes
+	if r.memory()+size > s.limits.MaxAnswerBytes {
 		s.trim(r, consumed)
 	}
-	if r.bytes > 0 && r.bytes+size > s.limits.MaxAnswerBytes {
+	if len(r.frames) > 0 && r.memory()+size > s.limits.MaxAnswerBytes {
 		return false
 	}
 	s.evict(size)
 	if s.bytes+size > s.limits.MaxBytes {
 		s.trim(r, consumed)
 	}
-	if r.bytes > 0 && s.bytes+size > s.limits.MaxBytes {
+	if len(r.frames) > 0 && s.bytes+size > s.limits.MaxBytes {
 		return false
 	}
-	r.frames = append(r.frames, f)
-	r.bytes += size
-	r.length += uint64(len(f.Data))
+	r.add(f)
 	s.bytes += size
 	return true
 }
 
 // trim drops frames before number consumed.
 func (s *Store) trim(r *Record, consumed uint64) {
-	for len(r.frames) > 0 && r.first < consumed {
-		size := r.frames[0].size()
-		r.frames[0] = Frame{}
-		r.frames = r.frames[1:]
-		r.first++
-		r.bytes -= size
-		s.bytes -= size
-	}
+	s.bytes -= r.memory()
+	r.drop(consumed)
+	s.bytes += r.memory()
 }
 
 // evict drops the oldest finished answers until size more bytes fit.
@@ -260,9 +277,9 @@
 
 // release gives up the frames of a record.
 func (s *Store) release(r *Record) {
-	s.bytes -= r.bytes
-	r.first = r.Frames()
-	r.frames, r.bytes = nil, 0
+	s.bytes -= r.memory()
+	r.drop(r.Frames())
+	r.frames, r.data = nil, nil
 }
 
 // Finish closes an answer. An outcome other than done makes the attempt broken.
@@ -271,6 +288,7 @@
 	end.Frames = r.Frames()
 	end.Length = r.length
 	r.end, r.ended = end, now
+	r.clip()
 	r.state = contract.AttemptBroken
 	r.reason = end.Reason
 	if end.Outcome == contract.OutcomeDone {
@@ -321,10 +339,13 @@
 }
 
 func (s *Store) remove(r *Record) {
-	if r.Started() {
+	switch {
+	case r.Started():
 		s.started--
-	} else {
-		s.tombstones--
+	case r.asked:
+		s.asked--
+	default:
+		s.refused--
 	}
 	list := s.requests[r.id.Request]
 	kept := list[:0]
--- a/machine/target/answers/store_test.go
+++ b/machine/target/answers/store_test.go
@@ -13,8 +13,8 @@
 var epoch = time.Unix(1_000_000, 0)
 
 var testLimits = Limits{
-	MaxBytes: 2*frameOverheadBytes + 100, MaxAnswerBytes: frameOverheadBytes + 40, MaxStarted: 5, MaxPast: 9, MaxTombstones: 3,
-	KeepAnswer: 10 * time.Second, KeepRecord: 20 * time.Second, KeepTombstone: 60 * time.Second,
+	MaxBytes: 2*partBytes + 100, MaxAnswerBytes: partBytes + 40, MaxStarted: 5, MaxPast: 9, MaxTombstones: 3,
+	KeepAnswer: 10 * time.Second, KeepRecord: 20 * time.Second, KeepRefusal: 30 * time.Second, KeepTombstone: 60 * time.Second,
 }
 
 const maxFrame = 45
@@ -68,7 +68,7 @@
 	const many = 20_000
 	s := New(testLimits)
 	for i := range many {
-		s.Bury(epoch.Add(time.Duration(i)*time.Millisecond), id(i), contract.ReasonTombstone, epoch)
+		s.Bury(epoch.Add(time.Duration(i)*time.Millisecond), id(i))
 	}
 	end := epoch.Add(testLimits.KeepTombstone - 1)
 	s.Expire(end)
@@ -107,7 +107,9 @@
 	running := r != nil && r.State() == contract.AttemptRunning
 	switch op := rapid.IntRange(0, 4).Draw(t, "op"); {
 	case op == 0 && r == nil:
-		s.Bury(now, id, contract.ReasonTombstone, now)
+		s.Refuse(now, id, contract.ReasonTargetFull)
+	case op == 1 && !running:
+		s.Bury(now, id)
 	case op == 1 && running:
 		s.Finish(now, r, contract.End{Outcome: contract.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))})
 	case op == 2 && running:
@@ -124,7 +126,7 @@
 	bytes, started, tombstones, running := 0, 0, 0, 0
 	for _, list := range s.requests {
 		for _, r := range list {
-			bytes += r.bytes
+			bytes += r.memory()
 			if r.State() == contract.AttemptRunning {
 				running++
 			}
@@ -141,7 +143,7 @@
 	if s.Started()+s.PastRequests() > testLimits.MaxPast {
 		t.Fatalf("%d past requests", s.PastRequests())
 	}
-	if bound := testLimits.MaxBytes + (running+1)*(maxFrame+frameOverheadBytes); bytes > bound || started > testLimits.MaxStarted {
+	if bound := testLimits.MaxBytes + (running+1)*(maxFrame+partBytes); bytes > bound || started > testLimits.MaxStarted {
 		t.Fatalf("%d bytes, %d started", bytes, started)
 	}
 }
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -32,7 +32,7 @@
 func (g *Gate) bury(id contract.AttemptID) {
 	g.returnIf(contract.ReasonTombstone, func(a *attempt) bool { return covers(id, a.id()) })
 	if id.N == everyAttempt || !g.heard(id) {
-		g.store.Bury(g.now, id, contract.ReasonTombstone, g.now)
+		g.store.Bury(g.now, id)
 	}
 }
 
--- a/machine/target/gate/queue.go
+++ b/machine/target/gate/queue.go
@@ -60,7 +60,7 @@
 
 // refuse puts a tombstone on an attempt and tells its sender.
 func (g *Gate) refuse(a *attempt, reason contract.Reason) {
-	g.store.Bury(g.now, a.id(), reason, a.deadline)
+	g.store.Refuse(g.now, a.id(), reason)
 	g.refuseUnburied(a.from, a.id(), reason)
 }
 
