Run the swarm, activation and roll-out in the agent

The agent's loop owns the three state machines; calls run beside it and post their results. Chunks travel in parts of 16 KiB, which the pacing spaces, so a contract.ChunkReply may say that more follows. Targets of a zone tell each other their state in a roll-out by contract.Have.Rollout. Peers of other services are left alone, a chunk request is bounded by its own context.

go test -race ./weights/agent passes: a fleet of five draws less than 1.5 copies from the origin, a replacement refills from peers while the origin is down, a zone changes its version by turns, and lies of peers are neither held nor run.

--- a/contract/message.go
+++ b/contract/message.go
@@ -201,10 +201,30 @@
 // Have tells a peer which chunks of a version the sender holds.
 type Have struct {
 	Weights Digest `cbor:"1,keyasint"`
-	// Bitmap has bit i (least significant first) set if chunk i is held and verified.
+	// Bitmap has bit i (least significant first) set if chunk First+i is held and
+	// verified. It adds to the bitmaps of the same Seq; an empty one asks the
+	// receiver to tell what it holds.
 	Bitmap []byte `cbor:"2,keyasint,omitempty"`
-	// Seq orders the bitmaps of one sender.
+	// Seq is the sender's incarnation; a greater one voids former bitmaps.
 	Seq uint64 `cbor:"3,keyasint,omitempty"`
+	// First is the chunk of the bitmap's first bit.
+	First uint32 `cbor:"4,keyasint,omitempty"`
+	// Rollout, if set, tells the sender's state in a roll-out instead of chunks,
+	// and asks for the receiver's.
+	Rollout *RolloutStatus `cbor:"5,keyasint,omitempty"`
+}
+
+// RolloutStatus is what targets tell each other while a version is rolled out.
+type RolloutStatus struct {
+	// Active is the digest that the engine confirmed.
+	Active Digest `cbor:"1,keyasint,omitempty"`
+	// Failed is the version that the target could not change to.
+	Failed Digest `cbor:"2,keyasint,omitempty"`
+	// Serving tells that the gate is open and the engine past cold start.
+	Serving bool `cbor:"3,keyasint,omitempty"`
+	// Running and Limit count units of work.
+	Running uint32 `cbor:"4,keyasint,omitempty"`
+	Limit   uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // ChunkRequest asks a peer for one chunk.
@@ -219,6 +239,8 @@
 	Index   uint32 `cbor:"2,keyasint"`
 	Data    []byte `cbor:"3,keyasint,omitempty"`
 	Refused Reason `cbor:"4,keyasint,omitempty"`
+	// More tells that another reply with the next part of the data follows.
+	More bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Claim asks the home of an idempotency key to decide who runs a request.
--- a/machine/target/peers.go
+++ b/machine/target/peers.go
@@ -195,7 +195,7 @@
 	var list []agent.Peer
 	for _, h := range p.hostList() {
 		if h.Role == platform.HostTarget && h.State == platform.HostLive && h.Machine != p.self {
-			list = append(list, agent.Peer{Machine: h.Machine, Zone: h.Zone, Region: h.Region})
+			list = append(list, agent.Peer{Machine: h.Machine, Zone: h.Zone, Region: h.Region, Service: h.Service})
 		}
 	}
 	return list
@@ -223,14 +223,40 @@
 	if err != nil {
 		return contract.ChunkReply{}, err
 	}
-	reply, err := call(ctx, c, contract.Message{Kind: contract.KindChunkRequest, ChunkRequest: &req})
+	s, err := c.Open(ctx)
 	if err != nil {
-		return contract.ChunkReply{}, err
+		return contract.ChunkReply{}, errors.Mark(err, errPeer)
 	}
-	if reply.Kind != contract.KindChunkReply {
-		return contract.ChunkReply{}, errors.Wrapf(errPeer, "kind %d", reply.Kind)
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	if err := s.Send(contract.Message{Kind: contract.KindChunkRequest, ChunkRequest: &req}); err != nil {
+		return contract.ChunkReply{}, errors.Mark(err, errPeer)
+	}
+	return joinParts(s, agent.MaxReplyBytes(req))
+}
+
+// joinParts reads the parts of a chunk, at most maxBytes in all.
+func joinParts(s *link.Stream, maxBytes int) (contract.ChunkReply, error) {
+	var whole contract.ChunkReply
+	for first := true; ; first = false {
+		m, err := s.Recv()
+		if err != nil {
+			return contract.ChunkReply{}, errors.Mark(err, errPeer)
+		}
+		part := m.ChunkReply
+		if m.Kind != contract.KindChunkReply || len(whole.Data)+len(part.Data) > maxBytes {
+			return contract.ChunkReply{}, errors.Wrapf(errPeer, "kind %d, or too long", m.Kind)
+		}
+		if first {
+			whole = *part
+		} else {
+			whole.Data = append(whole.Data, part.Data...)
+		}
+		if !part.More {
+			return whole, nil
+		}
 	}
-	return *reply.ChunkReply, nil
 }
 
 // pullSettings asks one peer for settings records: a connected entry host, or
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -112,7 +112,7 @@
 		return
 	}
 	p.agent = agent.New(agent.Options{
-		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Incarnation: p.incarnation,
+		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Service: cfg.Target.Service, Incarnation: p.incarnation,
 		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
 		Engine: engineOrders{p.engine}, Peers: p.peers,
 		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
--- a/machine/target/serve.go
+++ b/machine/target/serve.go
@@ -94,7 +94,7 @@
 	case m.Kind == contract.KindHave && p.agent != nil && from.Role == link.RoleTarget:
 		_ = s.Send(p.agent.ServeHave(ctx, from.Machine, *m.Have))
 	case m.Kind == contract.KindChunkRequest && p.agent != nil && from.Role == link.RoleTarget:
-		_ = s.Send(p.agent.ServeChunkRequest(ctx, from.Machine, *m.ChunkRequest))
+		_ = p.agent.ServeChunk(ctx, from.Machine, *m.ChunkRequest, s.Send)
 	default:
 		return false
 	}
--- a/weights/activation/machine.go
+++ b/weights/activation/machine.go
@@ -22,8 +22,10 @@
 	MaxTries int
 }
 
+// DefaultLease is the length of a lease if Config names none.
+const DefaultLease = 15 * time.Second
+
 const (
-	defaultLease          = 15 * time.Second
 	defaultOrderLife      = 5 * time.Second
 	defaultRetry          = 250 * time.Millisecond
 	defaultMaxRetry       = 10 * time.Second
@@ -41,7 +43,7 @@
 		field *time.Duration
 		def   time.Duration
 	}{
-		{&c.Lease, defaultLease}, {&c.OrderLife, defaultOrderLife}, {&c.Retry, defaultRetry},
+		{&c.Lease, DefaultLease}, {&c.OrderLife, defaultOrderLife}, {&c.Retry, defaultRetry},
 		{&c.MaxRetry, defaultMaxRetry}, {&c.ReportInterval, defaultReportInterval},
 	} {
 		if *f.field <= 0 {
--- a/weights/activation/machine_test.go
+++ b/weights/activation/machine_test.go
@@ -131,7 +131,7 @@
 		}
 		e.Records = append(e.Records, FenceRecord{
 			Offset: contract.Offset(offset), Incarnation: contract.Incarnation(incarnation),
-			Lease: defaultLease, Time: time.Unix(0, 0).Add(d),
+			Lease: DefaultLease, Time: time.Unix(0, 0).Add(d),
 		})
 	}
 	return e
--- a/weights/activation/world_test.go
+++ b/weights/activation/world_test.go
@@ -151,7 +151,7 @@
 	}
 	r := FenceRecord{
 		Offset: contract.Offset(len(w.log) + 1), Incarnation: contract.Incarnation(h.incarnation),
-		Lease: defaultLease, Time: time.Unix(0, 0).Add(w.now),
+		Lease: DefaultLease, Time: time.Unix(0, 0).Add(w.now),
 	}
 	w.log = append(w.log, r)
 	if w.chance(0.1) {
--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -2,220 +2,158 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights"
+	"mimosastand.example/mimosastand/weights/activation"
+	"mimosastand.example/mimosastand/weights/rollout"
+	"mimosastand.example/mimosastand/weights/swarm"
 )
 
 const (
-	retryInterval   = 500 * time.Millisecond
-	confirmInterval = 100 * time.Millisecond
-	orderTimeout    = 5 * time.Second
-	leaseDuration   = 10 * time.Second
+	peersInterval = time.Second
 	// fenceStreamPrefix precedes the machine in the name of its fence stream.
 	fenceStreamPrefix = "fences/"
 )
 
-// Agent draws, stages and activates weights for one target.
+// Agent draws, stages and activates weights for one target. The state machines
+// belong to the goroutine of Run; all else reaches them through post.
 type Agent struct {
-	opts   Options
-	store  *weights.ChunkStore
-	wakeup chan struct{}
+	opts  Options
+	store *weights.ChunkStore
+	posts chan func()
+	done  chan struct{}
+	start time.Time
+	ctx   context.Context
+	wg    sync.WaitGroup
+
+	swarm   *swarm.Swarm
+	orders  *activation.Machine
+	rollout *rollout.Machine
+
+	wanted   []Wanted
+	peers    []Peer
+	peersAt  time.Duration
+	versions map[contract.Digest]*versionTask
+	flights  map[swarm.Draw]context.CancelFunc
+	serving  map[swarm.Upload]chan bool
+	drain    context.CancelFunc
+	draining bool
+	warm     bool
+	asking   bool
+
+	// status is what ServeHave tells of the own target.
+	status atomic.Pointer[contract.RolloutStatus]
+	local  pacer
+	remote pacers
+}
 
-	mu     sync.Mutex
-	wanted []Wanted
-	active contract.Digest
+// versionTask is the work on one version outside the state machines.
+type versionTask struct {
+	cancel context.CancelFunc
 }
 
 // New returns an agent; Run starts it.
 func New(opts Options) *Agent {
-	return &Agent{opts: opts, store: weights.NewChunkStore(), wakeup: make(chan struct{}, 1)}
-}
-
-// Want replaces the wanted versions.
-func (a *Agent) Want(wanted []Wanted) {
-	a.mu.Lock()
-	a.wanted = slices.Clone(wanted)
-	a.mu.Unlock()
-	a.wake()
-}
-
-func (a *Agent) wake() {
-	select {
-	case a.wakeup <- struct{}{}:
-	default:
-	}
+	seed := rand.New(rand.NewPCG(uint64(opts.Incarnation), uint64(len(opts.Machine))))
+	sub := func() *rand.Rand { return rand.New(rand.NewPCG(seed.Uint64(), seed.Uint64())) }
+	a := &Agent{
+		opts: opts, store: weights.NewChunkStore(), start: time.Now(),
+		posts: make(chan func(), 64), done: make(chan struct{}), ctx: context.Background(),
+		versions: map[contract.Digest]*versionTask{},
+		flights:  map[swarm.Draw]context.CancelFunc{},
+		serving:  map[swarm.Upload]chan bool{},
+		swarm: swarm.New(swarm.Config{
+			Self:  swarm.Peer{Machine: opts.Machine, Zone: opts.Zone, Region: opts.Region},
+			Epoch: uint64(opts.Incarnation), OriginRegion: opts.OriginRegion,
+		}, sub()),
+		orders:  activation.New(activation.Config{Incarnation: opts.Incarnation}, sub()),
+		rollout: rollout.New(rollout.Config{Self: opts.Machine}),
+	}
+	a.status.Store(&contract.RolloutStatus{})
+	return a
 }
 
-// Run works until ctx ends.
+// Run works until ctx ends, and waits for the calls under way. It may be called
+// once.
 func (a *Agent) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := a.step(ctx); err != nil && ctx.Err() == nil {
-			a.opts.Logger.WithError(err).Warn("step failed")
-			a.count("step_failed")
-		}
+	a.ctx = ctx
+	defer a.wg.Wait()
+	defer close(a.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-a.wakeup:
-		case <-time.After(retryInterval):
+			return
+		case f := <-a.posts:
+			f()
+		case <-timer.C:
+			a.tick()
 		}
+		timer.Reset(a.next())
 	}
 }
 
-func (a *Agent) count(name string) {
-	a.opts.Scope.SubScope("weights").Counter(name).Inc(1)
-}
-
-func (a *Agent) step(ctx context.Context) error {
-	a.mu.Lock()
-	wanted := slices.Clone(a.wanted)
-	a.mu.Unlock()
-	slices.SortStableFunc(wanted, func(x, y Wanted) int { return y.Priority - x.Priority })
-	for _, w := range wanted {
-		if !w.Weights.Valid() {
-			continue
-		}
-		if err := a.draw(ctx, w.Weights); err != nil {
-			return err
-		}
-		if w.HoldOnly {
-			continue
-		}
-		if err := a.activate(ctx, w); err != nil {
-			return err
-		}
+// post hands f to the goroutine of Run; it is dropped once Run has ended.
+func (a *Agent) post(f func()) {
+	select {
+	case a.posts <- f:
+	case <-a.done:
 	}
-	return nil
 }
 
-func (a *Agent) draw(ctx context.Context, version contract.Digest) error {
-	if a.store.Whole(version) {
-		return nil
-	}
-	m, _ := a.store.Manifest(version)
-	if m == nil {
-		encoded, err := a.get(ctx, platform.ManifestPrefix+string(version))
-		if err != nil {
-			return err
-		}
-		if m, err = a.store.AddVersion(version, encoded); err != nil {
-			return err
-		}
-	}
-	for i := range m.Chunks() {
-		if a.store.Get(version, i) != nil {
-			continue
-		}
-		data, err := a.get(ctx, platform.ChunkPrefix+string(m.Chunk(i)))
-		if err != nil {
-			return err
-		}
-		if err := a.store.Put(version, i, data); err != nil {
-			a.count("chunk_refused")
-			return err
-		}
-	}
-	return nil
+// spawn runs f beside Run, which waits for it at its end.
+func (a *Agent) spawn(f func()) {
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		f()
+	}()
 }
 
-// get reads an object from the origin, and from the store if the origin fails.
-func (a *Agent) get(ctx context.Context, name string) ([]byte, error) {
-	data, err := a.opts.Origin.Get(ctx, name)
-	if err == nil || a.opts.Store == nil {
-		return data, err
-	}
-	return a.opts.Store.Get(ctx, name)
-}
+func (a *Agent) now() time.Duration { return time.Since(a.start) }
 
-func (a *Agent) activate(ctx context.Context, w Wanted) error {
-	report, err := a.opts.Engine.Report(ctx)
-	if err != nil {
-		return err
-	}
-	if report.Digest == w.Weights {
-		a.confirm(w.Weights)
-		return nil
-	}
-	if err := a.stage(ctx, w.Weights); err != nil {
-		return err
-	}
-	if a.opts.Drain != nil {
-		if err := a.opts.Drain(ctx); err != nil {
-			return err
-		}
-	}
-	fence, err := a.fence(ctx)
-	if err != nil {
-		return err
-	}
-	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err = a.opts.Engine.Order(orderCtx, Order{
-		Fence: fence, Kind: OrderActivate, Digest: w.Weights, Adapters: w.Adapters, Role: w.Role,
-	})
-	if err != nil && !errors.Is(err, ErrEngineUncertain) {
-		return err
-	}
-	return a.awaitActive(orderCtx, w.Weights)
+// next is how long the loop may sleep.
+func (a *Agent) next() time.Duration {
+	at := min(a.swarm.Next(), a.orders.Next(), a.rollout.Next(), a.peersAt)
+	return max(at-a.now(), 0)
 }
 
-func (a *Agent) stage(ctx context.Context, version contract.Digest) error {
-	m, encoded := a.store.Manifest(version)
-	if err := a.opts.Engine.PutManifest(ctx, version, encoded); err != nil {
-		return err
+// tick gives every state machine its tick.
+func (a *Agent) tick() {
+	if a.now() >= a.peersAt {
+		a.refreshPeers()
 	}
-	for i := range m.Chunks() {
-		if err := a.opts.Engine.PutChunk(ctx, version, i, a.store.Get(version, i)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// fenceRecord is what an orderer appends to its machine's fence stream.
-type fenceRecord struct {
-	Machine     contract.MachineID   `json:"machine"`
-	Incarnation contract.Incarnation `json:"incarnation"`
-	Lease       time.Duration        `json:"lease_ns"`
+	a.stepSwarm(swarm.Tick{})
+	a.stepOrders(activation.Tick{})
+	a.stepRollout(rollout.Tick{})
 }
 
-func (a *Agent) fence(ctx context.Context) (contract.Fence, error) {
-	data, err := json.Marshal(fenceRecord{Machine: a.opts.Machine, Incarnation: a.opts.Incarnation, Lease: leaseDuration})
-	if err != nil {
-		return 0, err
-	}
-	offset, err := a.opts.Log.Append(ctx, fenceStreamPrefix+string(a.opts.Machine), data)
-	return contract.Fence(offset), err
+func (a *Agent) count(name string) {
+	a.opts.Scope.SubScope("weights").Counter(name).Inc(1)
 }
 
-func (a *Agent) awaitActive(ctx context.Context, version contract.Digest) error {
-	for {
-		report, err := a.opts.Engine.Report(ctx)
-		if err == nil && report.Digest == version {
-			a.confirm(version)
-			return nil
+// Bytes returns the size of the chunks in hand.
+func (a *Agent) Bytes() int64 { return a.store.Bytes() }
+
+// SetLive tells the capacities of the links and what live traffic uses, so that
+// weight traffic gives way.
+func (a *Agent) SetLive(links swarm.Links, live swarm.Live) {
+	a.post(func() {
+		regions := map[contract.RegionName]bool{a.opts.Region: true}
+		targets := 1
+		for _, p := range a.peers {
+			regions[p.Region] = true
+			if p.Region == a.opts.Region {
+				targets++
+			}
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "agent: activation not confirmed")
-		case <-time.After(confirmInterval):
-		}
-	}
-}
-
-func (a *Agent) confirm(version contract.Digest) {
-	a.mu.Lock()
-	changed := a.active != version
-	a.active = version
-	a.mu.Unlock()
-	if changed && a.opts.OnActive != nil {
-		a.opts.OnActive(version)
-	}
+		senders := swarm.Senders(swarm.DefaultSlots, targets, len(regions))
+		a.stepSwarm(swarm.BudgetFor(links, live, senders))
+	})
 }
--- a/weights/agent/agent_test.go
+++ b/weights/agent/agent_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights"
 )
 
@@ -22,44 +26,157 @@
 	return d
 }
 
-func start(t *testing.T, store *fakeStore, engine *fakeEngine) (*Agent, chan contract.Digest) {
+func content(bytes int, seed uint64) []byte {
+	out := make([]byte, bytes)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for i := range out {
+		out[i] = byte(rng.Uint32())
+	}
+	return out
+}
+
+// running is one agent in a fleet.
+type running struct {
+	*Agent
+	engine *fakeEngine
+	active chan contract.Digest
+	stop   func()
+}
+
+// start runs an agent; net may be nil.
+func start(t *testing.T, name string, store *fakeStore, net *fakeNet) *running {
 	t.Helper()
-	active := make(chan contract.Digest, 16)
-	a := New(Options{
-		Machine: "t1", Zone: "z1", Region: "r1", Incarnation: 1, Log: store, Origin: store, Store: store, Engine: engine,
-		Scope: tally.NoopScope, Logger: logs.For("weights", "t1"),
-		OnActive: func(d contract.Digest) { active <- d },
-	})
+	r := &running{engine: newFakeEngine(), active: make(chan contract.Digest, 64)}
+	opts := Options{
+		Machine: contract.MachineID(name), Zone: "z1", Region: "r1", Service: "s", Incarnation: 1,
+		Log: newFakeStore(), Origin: store, Store: store, Engine: r.engine, Scope: tally.NoopScope,
+		Logger:   logs.For("weights", contract.MachineID(name)),
+		OnActive: func(d contract.Digest) { r.active <- d },
+	}
+	if net != nil {
+		opts.Peers = net.of(opts.Machine)
+	}
+	r.Agent = New(opts)
+	if net != nil {
+		net.add(opts.Machine, r.Agent)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); a.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return a, active
+	go func() { defer close(done); r.Run(ctx) }()
+	r.stop = func() {
+		if net != nil {
+			net.remove(opts.Machine)
+		}
+		cancel()
+		<-done
+	}
+	t.Cleanup(r.stop)
+	return r
 }
 
-func await(t *testing.T, active chan contract.Digest, want contract.Digest) {
+// await waits until the gate was told that a version is active.
+func (r *running) await(t *testing.T, want contract.Digest) {
 	t.Helper()
-	const patience = 30 * time.Second
-	select {
-	case got := <-active:
-		if got != want {
-			t.Fatalf("active %s, want %s", got.Short(), want.Short())
+	const patience = 60 * time.Second
+	deadline := time.After(patience)
+	for {
+		select {
+		case got := <-r.active:
+			if got == want {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("%s: %s not active", r.opts.Machine, want.Short())
 		}
-	case <-time.After(patience):
-		t.Fatal("not activated")
 	}
 }
 
 func TestAgentActivatesAndChanges(t *testing.T) {
-	store, engine := newFakeStore(), newFakeEngine()
-	v1 := publish(t, store, make([]byte, 5000))
-	v2 := publish(t, store, bytes.Repeat([]byte{7}, 9000))
-	a, active := start(t, store, engine)
+	store := newFakeStore()
+	v1 := publish(t, store, content(5000, 1))
+	v2 := publish(t, store, content(9000, 2))
+	a := start(t, "t1", store, nil)
 	a.Want([]Wanted{{Weights: v1}})
-	await(t, active, v1)
-	engine.mu.Lock()
-	engine.loseReply = true
-	engine.mu.Unlock()
+	a.await(t, v1)
+	a.engine.set(func(e *fakeEngine) { e.loseReply = true })
 	a.Want([]Wanted{{Weights: v2, Former: v1}})
-	await(t, active, v2)
+	a.await(t, v2)
+	a.engine.set(func(e *fakeEngine) { e.active, e.boot, e.store = "", "b2", weights.NewChunkStore() })
+	a.await(t, v2)
+}
+
+func TestFleetDrawsOneCopyAndGoesOnWithoutTheOrigin(t *testing.T) {
+	store, net := newFakeStore(), newFakeNet()
+	v1 := publish(t, store, content(200_000, 3))
+	var fleet []*running
+	for i := range 5 {
+		fleet = append(fleet, start(t, fmt.Sprintf("t%d", i), store, net))
+	}
+	for _, r := range fleet {
+		r.Want([]Wanted{{Weights: v1, MinReady: 0.5}})
+	}
+	for _, r := range fleet {
+		r.await(t, v1)
+	}
+	if n, chunks := store.count(platform.ChunkPrefix), 196; n > chunks*3/2 {
+		t.Errorf("%d chunks drawn from the origin, %d exist", n, chunks)
+	}
+	store.setDown(true)
+	fleet[0].stop()
+	newcomer := start(t, "t9", store, net)
+	newcomer.Want([]Wanted{{Weights: v1, MinReady: 0.5}})
+	newcomer.await(t, v1)
+}
+
+func TestRollOutKeepsTheZoneServing(t *testing.T) {
+	store, net := newFakeStore(), newFakeNet()
+	v1, v2 := publish(t, store, content(20_000, 4)), publish(t, store, content(20_000, 5))
+	var fleet []*running
+	for i := range 3 {
+		fleet = append(fleet, start(t, fmt.Sprintf("t%d", i), store, net))
+	}
+	for _, r := range fleet {
+		r.Want([]Wanted{{Weights: v1, MinReady: 0.6}})
+	}
+	for _, r := range fleet {
+		r.await(t, v1)
+	}
+	for _, r := range fleet {
+		r.Want([]Wanted{{Weights: v2, Former: v1, MinReady: 0.6}})
+	}
+	for _, r := range fleet {
+		r.await(t, v2)
+	}
+}
+
+// TestBadPeers shows that what a peer sends is neither held nor served on if it
+// is not the chunk that was asked for.
+func TestBadPeers(t *testing.T) {
+	store, net := newFakeStore(), newFakeNet()
+	v1 := publish(t, store, content(20_000, 6))
+	net.lies = []string{"corrupt", "short", "long", "other"}
+	a, b := start(t, "t1", store, net), start(t, "t2", store, net)
+	for _, r := range []*running{a, b} {
+		r.Want([]Wanted{{Weights: v1}})
+	}
+	a.await(t, v1)
+	b.await(t, v1)
+	m, _ := b.store.Manifest(v1)
+	for i := range m.Chunks() {
+		if err := m.Verify(i, b.store.Get(v1, i)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func (s *fakeStore) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name, gets := range s.gets {
+		if strings.HasPrefix(name, prefix) {
+			n += gets
+		}
+	}
+	return n
 }
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -17,21 +17,27 @@
 	mu      sync.Mutex
 	objects map[string][]byte
 	gets    map[string]int
-	appends int
+	log     map[string][]platform.Record
 	down    bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}}
+	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}, log: map[string][]platform.Record{}}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
 }
 
 func (s *fakeStore) Get(_ context.Context, name string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gets[name]++
 	if s.down {
 		return nil, platform.ErrUnavailable
 	}
+	s.gets[name]++
 	data, ok := s.objects[name]
 	if !ok {
 		return nil, platform.ErrNotFound
@@ -46,46 +52,65 @@
 	return nil
 }
 
-func (s *fakeStore) Append(context.Context, string, []byte) (contract.Offset, error) {
+func (s *fakeStore) Append(_ context.Context, stream string, data []byte) (contract.Offset, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.appends++
-	return contract.Offset(s.appends), nil
+	if s.down {
+		return 0, platform.ErrUnavailable
+	}
+	offset := contract.Offset(len(s.log[stream]) + 1)
+	s.log[stream] = append(s.log[stream], platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	return offset, nil
 }
 
-func (s *fakeStore) Read(context.Context, string, contract.Offset, time.Duration) (platform.Batch, error) {
-	return platform.Batch{}, platform.ErrUnavailable
+func (s *fakeStore) Read(_ context.Context, stream string, after contract.Offset, _ time.Duration) (platform.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.Batch{Records: s.log[stream][after:]}, nil
 }
 
 // fakeEngine verifies what it is given, as the real ones do.
 type fakeEngine struct {
-	mu     sync.Mutex
-	store  *weights.ChunkStore
-	active contract.Digest
-	orders []Order
-	// loseReply makes the next order take effect without a reply.
+	mu        sync.Mutex
+	store     *weights.ChunkStore
+	active    contract.Digest
+	boot      string
 	loseReply bool
 	fencing   bool
 	fence     contract.Fence
+	seq       uint64
 }
 
 func newFakeEngine() *fakeEngine {
-	return &fakeEngine{store: weights.NewChunkStore(), fencing: true}
+	return &fakeEngine{store: weights.NewChunkStore(), fencing: true, boot: "b1"}
+}
+
+func (e *fakeEngine) set(f func(e *fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e)
 }
 
 func (e *fakeEngine) Report(context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Boot: "b1", Digest: e.active, Fencing: e.fencing}, nil
+	e.seq++
+	return Report{Boot: e.boot, Seq: e.seq, Digest: e.active, Fencing: e.fencing, Warm: true}, nil
+}
+
+func (e *fakeEngine) chunks() *weights.ChunkStore {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.store
 }
 
 func (e *fakeEngine) PutManifest(_ context.Context, d contract.Digest, encoded []byte) error {
-	_, err := e.store.AddVersion(d, encoded)
+	_, err := e.chunks().AddVersion(d, encoded)
 	return err
 }
 
 func (e *fakeEngine) PutChunk(_ context.Context, d contract.Digest, i int, data []byte) error {
-	if err := e.store.Put(d, i, data); err != nil {
+	if err := e.chunks().Put(d, i, data); err != nil {
 		return errors.Mark(err, ErrEngineChunk)
 	}
 	return nil
@@ -94,7 +119,6 @@
 func (e *fakeEngine) Order(_ context.Context, o Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, o)
 	if o.Fence < e.fence {
 		return ErrEngineFence
 	}
@@ -108,3 +132,99 @@
 	}
 	return nil
 }
+
+// fakeNet connects agents by direct calls. Each entry of lies spoils one chunk.
+type fakeNet struct {
+	mu     sync.Mutex
+	agents map[contract.MachineID]*Agent
+	lies   []string
+}
+
+func newFakeNet() *fakeNet { return &fakeNet{agents: map[contract.MachineID]*Agent{}} }
+
+func (n *fakeNet) add(m contract.MachineID, a *Agent) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.agents[m] = a
+}
+
+func (n *fakeNet) remove(m contract.MachineID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.agents, m)
+}
+
+func (n *fakeNet) get(m contract.MachineID) *Agent {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.agents[m]
+}
+
+func (n *fakeNet) of(self contract.MachineID) Peers { return &fakePeers{net: n, self: self} }
+
+type fakePeers struct {
+	net  *fakeNet
+	self contract.MachineID
+}
+
+var errGone = errors.New("no such peer")
+
+func (p *fakePeers) List() []Peer {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	var out []Peer
+	for m := range p.net.agents {
+		if m != p.self {
+			out = append(out, Peer{Machine: m, Zone: "z1", Region: "r1", Service: "s"})
+		}
+	}
+	return out
+}
+
+func (p *fakePeers) SendHave(ctx context.Context, to contract.MachineID, have contract.Have) (contract.Have, error) {
+	a := p.net.get(to)
+	if a == nil {
+		return contract.Have{}, errGone
+	}
+	return *a.ServeHave(ctx, p.self, have).Have, nil
+}
+
+func (p *fakePeers) RequestChunk(ctx context.Context, to contract.MachineID, req contract.ChunkRequest) (contract.ChunkReply, error) {
+	a := p.net.get(to)
+	if a == nil {
+		return contract.ChunkReply{}, errGone
+	}
+	var whole contract.ChunkReply
+	err := a.ServeChunk(ctx, p.self, req, func(m contract.Message) error {
+		data := append(whole.Data, m.ChunkReply.Data...)
+		whole = *m.ChunkReply
+		whole.Data = data
+		return ctx.Err()
+	})
+	if err == nil && whole.Refused == "" && req.Index != ManifestIndex {
+		p.net.spoil(&whole)
+	}
+	return whole, err
+}
+
+// spoil changes a reply as the next lie says.
+func (n *fakeNet) spoil(r *contract.ChunkReply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.lies) == 0 {
+		return
+	}
+	lie := n.lies[0]
+	n.lies = n.lies[1:]
+	r.Data = append([]byte(nil), r.Data...)
+	switch lie {
+	case "corrupt":
+		r.Data[0] ^= 1
+	case "short":
+		r.Data = r.Data[1:]
+	case "long":
+		r.Data = append(r.Data, 0)
+	case "other":
+		r.Index++
+	}
+}
--- a/weights/agent/serve.go
+++ b/weights/agent/serve.go
@@ -5,45 +5,126 @@
 	"math"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/weights"
+	"mimosastand.example/mimosastand/weights/rollout"
+	"mimosastand.example/mimosastand/weights/swarm"
 )
 
 // ManifestIndex is the index of a ChunkRequest that asks for the manifest.
 const ManifestIndex = math.MaxUint32
 
-// ServeHave answers a peer's Have with the own one.
-func (a *Agent) ServeHave(_ context.Context, _ contract.MachineID, have contract.Have) contract.Message {
-	own := contract.Have{Weights: have.Weights, Bitmap: a.bitmap(have.Weights)}
+// MaxReplyBytes is how long the joined parts of an honest reply may be.
+func MaxReplyBytes(req contract.ChunkRequest) int {
+	if req.Index == ManifestIndex {
+		return weights.MaxManifestBytes
+	}
+	return weights.MaxChunkBytes
+}
+
+// partBytes is the largest part of a chunk in one reply. Parts are what the
+// pacing spaces.
+const partBytes = 16 << 10
+
+// ServeHave takes a peer's Have and answers it: a question about the roll-out
+// with the own status, anything else with an empty Have.
+func (a *Agent) ServeHave(_ context.Context, from contract.MachineID, have contract.Have) contract.Message {
+	own := contract.Have{Weights: have.Weights, Seq: uint64(a.opts.Incarnation)}
+	if have.Rollout != nil {
+		own.Rollout = a.status.Load()
+		told := *have.Rollout
+		a.post(func() { a.stepRollout(rollout.Answer{From: from, Status: statusOf(told)}) })
+		return contract.Message{Kind: contract.KindHave, Have: &own}
+	}
+	a.post(func() {
+		a.stepSwarm(swarm.HaveReceived{
+			From: from, Version: have.Weights, Epoch: have.Seq, First: int(have.First), Bitmap: have.Bitmap,
+		})
+	})
 	return contract.Message{Kind: contract.KindHave, Have: &own}
 }
 
-func (a *Agent) bitmap(version contract.Digest) []byte {
-	m, _ := a.store.Manifest(version)
-	if m == nil {
-		return nil
+// ServeChunk answers a peer's request through send, in paced parts. It returns
+// when the answer is sent, or with the first error of send.
+func (a *Agent) ServeChunk(ctx context.Context, peer contract.MachineID, req contract.ChunkRequest, send func(contract.Message) error) error {
+	if req.Index == ManifestIndex {
+		_, encoded := a.store.Manifest(req.Weights)
+		return a.sendParts(ctx, req, encoded, nil, send)
 	}
-	bits := make([]byte, (m.Chunks()+7)/8)
-	for i := range m.Chunks() {
-		if a.store.Get(version, i) != nil {
-			bits[i/8] |= 1 << (i % 8)
+	up := swarm.Upload{Version: req.Weights, Index: int(req.Index), To: peer}
+	turn := make(chan bool, 1)
+	a.post(func() { a.requested(up, turn) })
+	select {
+	case ok := <-turn:
+		if !ok {
+			return send(refusal(req, contract.ReasonTargetFull))
 		}
+	case <-ctx.Done():
+	case <-a.done:
+		return send(refusal(req, contract.ReasonShuttingDown))
+	}
+	defer a.post(func() {
+		delete(a.serving, up)
+		a.stepSwarm(swarm.UploadEnded{Upload: up})
+	})
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return a.sendParts(ctx, req, a.store.Get(up.Version, up.Index), a.pacerFor(peer), send)
+}
+
+// requested hands a peer's request to the swarm. A second one for the same
+// chunk is refused while the first is served.
+func (a *Agent) requested(up swarm.Upload, turn chan bool) {
+	if a.serving[up] != nil {
+		a.count(string(swarm.NoteBadRequest))
+		turn <- false
+		return
 	}
-	return bits
+	a.serving[up] = turn
+	a.stepSwarm(swarm.RequestReceived{Upload: up})
 }
 
-// ServeChunkRequest answers a peer's request with the chunk or a refusal.
-func (a *Agent) ServeChunkRequest(_ context.Context, _ contract.MachineID, req contract.ChunkRequest) contract.Message {
-	reply := contract.ChunkReply{Weights: req.Weights, Index: req.Index}
-	reply.Data = a.object(req)
-	if reply.Data == nil {
-		reply.Refused = contract.ReasonNoWeights
+// answer tells the handler of a request whether to send.
+func (a *Agent) answer(up swarm.Upload, ok bool) {
+	if turn := a.serving[up]; turn != nil {
+		turn <- ok
+		if !ok {
+			delete(a.serving, up)
+		}
 	}
+}
+
+func refusal(req contract.ChunkRequest, reason contract.Reason) contract.Message {
+	reply := contract.ChunkReply{Weights: req.Weights, Index: req.Index, Refused: reason}
 	return contract.Message{Kind: contract.KindChunkReply, ChunkReply: &reply}
 }
 
-func (a *Agent) object(req contract.ChunkRequest) []byte {
-	if req.Index == ManifestIndex {
-		_, encoded := a.store.Manifest(req.Weights)
-		return encoded
+func (a *Agent) sendParts(ctx context.Context, req contract.ChunkRequest, data []byte, pace *pacer, send func(contract.Message) error) error {
+	if len(data) == 0 {
+		return send(refusal(req, contract.ReasonNoWeights))
+	}
+	for len(data) > 0 {
+		n := min(partBytes, len(data))
+		if err := pace.wait(ctx, n); err != nil {
+			return err
+		}
+		part := contract.ChunkReply{Weights: req.Weights, Index: req.Index, Data: data[:n], More: n < len(data)}
+		if err := send(contract.Message{Kind: contract.KindChunkReply, ChunkReply: &part}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// pacerFor returns the pacer of the link to a peer.
+func (a *Agent) pacerFor(peer contract.MachineID) *pacer {
+	if a.opts.Peers != nil {
+		for _, p := range a.opts.Peers.List() {
+			if p.Machine == peer && p.Region != a.opts.Region {
+				return a.remote.of(p.Region)
+			}
+		}
 	}
-	return a.store.Get(req.Weights, int(req.Index))
+	return &a.local
 }
--- /dev/null
+++ b/weights/agent/turns.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/weights/activation"
+	"mimosastand.example/mimosastand/weights/rollout"
+)
+
+const askTimeout = 3 * time.Second
+
+// stepRollout hands one event to the roll-out and carries out the effects.
+func (a *Agent) stepRollout(ev rollout.Event) {
+	effects := append([]rollout.Effect(nil), a.rollout.Step(a.now(), ev)...)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case rollout.Ask:
+			a.askMember(e.To)
+		case rollout.Grant:
+			a.stepOrders(activation.Turn{Version: e.Version, Granted: true})
+		case rollout.Revoke:
+			a.stepOrders(activation.Turn{Version: e.Version})
+		case rollout.Waiting:
+			a.count(string(e.Reason))
+			a.opts.Logger.WithField("reason", string(e.Reason)).Info("waiting to change the version")
+		}
+	}
+}
+
+// askMember exchanges the status with another target of the zone.
+func (a *Agent) askMember(to contract.MachineID) {
+	own := a.status.Load()
+	a.spawn(func() {
+		ctx, cancel := context.WithTimeout(a.ctx, askTimeout)
+		defer cancel()
+		reply, err := a.opts.Peers.SendHave(ctx, to, contract.Have{Rollout: own})
+		a.post(func() {
+			if err != nil || reply.Rollout == nil {
+				a.stepRollout(rollout.NoAnswer{From: to})
+				return
+			}
+			a.stepRollout(rollout.Answer{From: to, Status: statusOf(*reply.Rollout)})
+		})
+	})
+}
+
+func statusOf(s contract.RolloutStatus) rollout.Status {
+	return rollout.Status{
+		Active: s.Active, Failed: s.Failed, Serving: s.Serving, Running: int(s.Running), Limit: int(s.Limit),
+	}
+}
+
+// tellStatus makes the own status known to the roll-out and to peers that ask.
+func (a *Agent) tellStatus() {
+	s := *a.status.Load()
+	s.Serving = s.Active != "" && a.warm && !a.draining
+	if a.opts.Load != nil {
+		running, limit := a.opts.Load()
+		s.Running, s.Limit = uint32(max(running, 0)), uint32(max(limit, 0))
+	}
+	a.status.Store(&s)
+	a.stepRollout(rollout.Self{Status: statusOf(s)})
+}
+
+// active tells the gate and the roll-out what the engine confirmed.
+func (a *Agent) active(version contract.Digest) {
+	a.stopDrain()
+	s := *a.status.Load()
+	s.Active = version
+	if s.Failed == version {
+		s.Failed = ""
+	}
+	a.status.Store(&s)
+	a.opts.Logger.WithField("version", version.Short()).Info("active")
+	if a.opts.OnActive != nil {
+		a.opts.OnActive(version)
+	}
+	a.tellStatus()
+}
+
+func (a *Agent) failed(e activation.Failed) {
+	a.count("activation_failed")
+	a.opts.Logger.WithField("version", e.Version.Short()).WithField("reason", string(e.Reason)).Error("cannot change to the version")
+	s := *a.status.Load()
+	s.Failed = e.Version
+	a.status.Store(&s)
+	a.tellStatus()
+}
+
+// startDrain closes the gate and waits until no work runs.
+func (a *Agent) startDrain() {
+	a.draining = true
+	a.tellStatus()
+	if a.opts.Drain == nil {
+		a.spawn(func() { a.post(func() { a.stepOrders(activation.Drained{}) }) })
+		return
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	a.drain = cancel
+	a.spawn(func() {
+		defer cancel()
+		if err := a.opts.Drain(ctx); err != nil {
+			return
+		}
+		a.post(func() { a.stepOrders(activation.Drained{}) })
+	})
+}
+
+func (a *Agent) stopDrain() {
+	a.draining = false
+	if a.drain != nil {
+		a.drain()
+		a.drain = nil
+	}
+}
--- a/weights/agent/types.go
+++ b/weights/agent/types.go
@@ -71,22 +71,26 @@
 	Order(ctx context.Context, o Order) error
 }
 
-// Peer is another target that draws weights.
+// Peer is another target.
 type Peer struct {
 	Machine contract.MachineID
 	Zone    contract.ZoneName
 	Region  contract.RegionName
+	// Service is what its back end serves.
+	Service contract.ServiceName
 }
 
 // Peers reaches the other targets of all zones. Each call opens a stream, sends
-// one message and reads one reply.
+// one message and reads the reply; the context bounds it.
 type Peers interface {
 	// List returns the peers that the host list names as live, without the own
 	// machine.
 	List() []Peer
 	// SendHave tells a peer which chunks are held and returns the peer's own Have.
 	SendHave(ctx context.Context, to contract.MachineID, have contract.Have) (contract.Have, error)
-	// RequestChunk asks a peer for one chunk.
+	// RequestChunk asks a peer for one chunk and joins the parts of the reply. It
+	// gives up when they are longer than weights.MaxChunkBytes, or, for the
+	// manifest, than weights.MaxManifestBytes.
 	RequestChunk(ctx context.Context, to contract.MachineID, req contract.ChunkRequest) (contract.ChunkReply, error)
 }
 
@@ -107,11 +111,15 @@
 	HoldOnly bool
 }
 
-// Options configure an Agent. Drain, OnActive and Peers may be nil.
+// Options configure an Agent. Drain, OnActive, Load and Peers may be nil.
 type Options struct {
 	Machine contract.MachineID
 	Zone    contract.ZoneName
 	Region  contract.RegionName
+	// Service names what the engine serves; peers of other services are left alone.
+	Service contract.ServiceName
+	// OriginRegion is the region that holds the origin; empty if not known.
+	OriginRegion contract.RegionName
 	// Incarnation tells this run of the process from former ones.
 	Incarnation contract.Incarnation
 	Log         platform.Log
@@ -122,6 +130,9 @@
 	Peers         Peers
 	Scope         tally.Scope
 	Logger        log.Interface
+	// Load returns the units of work that run and how many the target bears; it
+	// may be nil.
+	Load func() (running, limit int)
 	// Drain stops new work at the gate and waits until none runs. It is called
 	// before the active version changes; the gate reopens with OnActive.
 	Drain func(ctx context.Context) error
