--- a/machine/target/peers.go
+++ b/machine/target/peers.go
@@ -190,6 +190,9 @@
 	return reply, nil
 }
 
+// Known implements agent.Peers.
+func (p *peers) Known() bool { return len(p.hostList()) > 0 }
+
 // List implements agent.Peers.
 func (p *peers) List() []agent.Peer {
 	var list []agent.Peer
--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -16,6 +16,10 @@
 
 const (
 	peersInterval = time.Second
+	// firstPeersInterval is the interval until the first host list.
+	firstPeersInterval = 100 * time.Millisecond
+	// peersGrace is how long the first host list is awaited.
+	peersGrace = 5 * time.Second
 	// fenceStreamPrefix precedes the machine in the name of its fence stream.
 	fenceStreamPrefix = "fences/"
 )
@@ -35,9 +39,11 @@
 	orders  *activation.Machine
 	rollout *rollout.Machine
 
-	wanted   []Wanted
-	peers    []Peer
-	peersAt  time.Duration
+	wanted  []Wanted
+	peers   []Peer
+	peersAt time.Duration
+	// placed tells that the other targets are known, or were awaited in vain.
+	placed   bool
 	versions map[contract.Digest]*versionTask
 	flights  map[swarm.Draw]context.CancelFunc
 	serving  map[swarm.Upload]chan bool
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -169,6 +169,8 @@
 
 var errGone = errors.New("no such peer")
 
+func (p *fakePeers) Known() bool { return true }
+
 func (p *fakePeers) List() []Peer {
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
--- a/weights/agent/types.go
+++ b/weights/agent/types.go
@@ -83,6 +83,8 @@
 // Peers reaches the other targets of all zones. Each call opens a stream, sends
 // one message and reads the reply; the context bounds it.
 type Peers interface {
+	// Known reports whether a host list was read.
+	Known() bool
 	// List returns the peers that the host list names as live, without the own
 	// machine.
 	List() []Peer
--- a/weights/agent/want.go
+++ b/weights/agent/want.go
@@ -80,7 +80,7 @@
 // draw tells the swarm of a version whose manifest is here.
 func (a *Agent) draw(d contract.Digest, priority int) {
 	m, _ := a.store.Manifest(d)
-	if m == nil || a.versions[d] == nil {
+	if m == nil || a.versions[d] == nil || !a.placed {
 		return
 	}
 	a.stepSwarm(swarm.Want{Version: d, Chunks: m.Chunks(), ChunkBytes: int(m.ChunkBytes), Priority: priority})
@@ -108,9 +108,18 @@
 // refreshPeers takes the newest list of targets of the own service.
 func (a *Agent) refreshPeers() {
 	a.peersAt = a.now() + peersInterval
+	if !a.placed {
+		a.peersAt = a.now() + firstPeersInterval
+	}
 	if a.opts.Peers == nil {
+		a.place()
 		return
 	}
+	defer func() {
+		if a.opts.Peers.Known() || a.now() > peersGrace {
+			a.place()
+		}
+	}()
 	list := slices.DeleteFunc(a.opts.Peers.List(), func(p Peer) bool { return p.Service != a.opts.Service })
 	slices.SortFunc(list, func(x, y Peer) int { return cmp.Compare(x.Machine, y.Machine) })
 	if slices.Equal(list, a.peers) {
@@ -125,6 +134,19 @@
 	a.plan()
 }
 
+// place lets the drawing begin, once the other targets are known: without them
+// every target would take itself for the holder of every slot, and draw the
+// whole version from the origin.
+func (a *Agent) place() {
+	if a.placed {
+		return
+	}
+	a.placed = true
+	for _, w := range a.wanted {
+		a.draw(w.Weights, w.Priority)
+	}
+}
+
 // fetchManifest gets a version's manifest from peers or the origin, however
 // long that takes.
 func (a *Agent) fetchManifest(ctx context.Context, d contract.Digest, priority int) {
