--- a/bench/weights/fleet.go
+++ b/bench/weights/fleet.go
@@ -25,6 +25,8 @@
 	Killed, Corrupt float64
 	// Swarm holds parameters of the policy; its identity fields are filled in.
 	Swarm swarm.Config
+	// Prepare, if set, is called with each new state machine.
+	Prepare func(*swarm.Swarm)
 	// Limit ends a run that does not finish.
 	Limit time.Duration
 }
@@ -72,8 +74,12 @@
 	return (p.CopyBytes + p.ChunkBytes - 1) / p.ChunkBytes
 }
 
-// Version is the digest of the version that a run distributes.
-const Version contract.Digest = "blake3:0000000000000000000000000000000000000000000000000000000000000001"
+// Version is the digest of the version that a run distributes, NextVersion of
+// the one that may replace it.
+const (
+	Version     contract.Digest = "blake3:0000000000000000000000000000000000000000000000000000000000000001"
+	NextVersion contract.Digest = "blake3:0000000000000000000000000000000000000000000000000000000000000002"
+)
 
 // wire holds the links of a run and the hosts' places.
 type wire struct {
@@ -81,6 +87,11 @@
 	clock  *clock
 	rng    *rand.Rand
 	origin *line
+	// version is what the hosts want at present.
+	version    contract.Digest
+	originDown bool
+	// cut tells for each region that it reaches no other one.
+	cut []bool
 	// between holds the line from one region to another.
 	between [][]*line
 	hosts   []*host
@@ -99,6 +110,13 @@
 	region   int
 	up, down *line
 	dead     bool
+	// silent hosts are dead, but nobody is told.
+	silent bool
+	// liar makes every chunk that the host serves arrive corrupt.
+	liar  bool
+	epoch uint64
+	// mostServed is the most chunks that it served at once.
+	mostServed int
 	// finished is when it held the whole version, 0 if it does not.
 	finished time.Duration
 	control  int64
@@ -114,6 +132,8 @@
 
 func newWire(p Params) *wire {
 	w := &wire{p: p, clock: &clock{}, rng: rand.New(rand.NewPCG(p.Seed, uint64(p.Hosts*10+p.Regions))), index: map[contract.MachineID]*host{}}
+	w.version = Version
+	w.cut = make([]bool, p.Regions)
 	w.origin = w.line(p.Origin, latencyInRegion)
 	w.between = make([][]*line, p.Regions)
 	for a := range w.between {
@@ -155,6 +175,15 @@
 	return contract.RegionName(fmt.Sprintf("r%d", i))
 }
 
+// reaches reports whether a host, or the origin if from is nil, can reach a host.
+func (w *wire) reaches(from, to *host) bool {
+	region := 0
+	if from != nil {
+		region = from.region
+	}
+	return region == to.region || !w.cut[region] && !w.cut[to.region]
+}
+
 // path returns the lines from a host, or the origin if from is nil, to a host.
 func (w *wire) path(from, to *host) []*line {
 	first, region := w.origin, 0
--- a/bench/weights/hostsim.go
+++ b/bench/weights/hostsim.go
@@ -16,13 +16,17 @@
 	cfg.Self = h.peer
 	cfg.Epoch = epoch
 	cfg.OriginRegion = regionName(0)
+	h.epoch = epoch
 	h.swarm = swarm.New(cfg, rand.New(rand.NewPCG(h.wire.rng.Uint64(), epoch)))
+	if h.wire.p.Prepare != nil {
+		h.wire.p.Prepare(h.swarm)
+	}
 	h.step(swarm.PeersChanged{Peers: h.wire.live()})
 }
 
 // want asks a host's state machine for the version.
 func (h *host) want() {
-	h.step(swarm.Want{Version: Version, Chunks: h.wire.p.chunks(), ChunkBytes: h.wire.p.ChunkBytes})
+	h.step(swarm.Want{Version: h.wire.version, Chunks: h.wire.p.chunks(), ChunkBytes: h.wire.p.ChunkBytes})
 }
 
 // live lists the hosts that are alive.
@@ -95,7 +99,9 @@
 			h.regional[i].rate = e.Region
 		}
 	case swarm.Whole:
-		h.finished = h.wire.clock.now
+		if e.Version == h.wire.version {
+			h.finished = h.wire.clock.now
+		}
 	case swarm.Note:
 		h.notes[e.Kind]++
 	}
@@ -104,6 +110,11 @@
 func (h *host) request(d swarm.Draw) {
 	w := h.wire
 	if d.From == "" {
+		if w.originDown || !w.reaches(nil, h) {
+			h.flights[d] = nil
+			w.clock.after(dialFailure, func() { h.failed(d, swarm.FailureLink) })
+			return
+		}
 		tr := w.transfer(nil, h, w.chunkSize(d.Index), nil, func(ok bool) { h.received(d, ok) })
 		h.flights[d] = tr
 		w.clock.after(w.delay(nil, h), tr.start)
@@ -113,7 +124,10 @@
 	h.flights[d] = nil
 	h.control += requestBytes
 	w.clock.after(w.delay(h, from), func() {
-		if from.dead {
+		if from.silent {
+			return
+		}
+		if from.dead || !w.reaches(from, h) {
 			w.clock.after(dialFailure, func() { h.failed(d, swarm.FailureLink) })
 			return
 		}
@@ -158,6 +172,7 @@
 		h.step(swarm.UploadEnded{Upload: e.Upload})
 	})
 	h.serving[e.Upload] = tr
+	h.mostServed = max(h.mostServed, len(h.serving))
 	tr.start()
 }
 
@@ -170,7 +185,7 @@
 	switch {
 	case !ok:
 		h.step(swarm.ChunkFailed{Draw: d, Cause: swarm.FailureLink})
-	case h.wire.rng.Float64() < h.wire.p.Corrupt:
+	case h.wire.rng.Float64() < h.wire.p.Corrupt, d.From != "" && h.wire.index[d.From].liar:
 		h.step(swarm.ChunkFailed{Draw: d, Cause: swarm.FailureCorrupt})
 	default:
 		h.step(swarm.ChunkVerified{Draw: d})
@@ -197,7 +212,10 @@
 	h.control += int64(haveBytes + len(e.Bitmap))
 	ev := swarm.HaveReceived{From: h.peer.Machine, Version: e.Version, Epoch: e.Epoch, First: e.First, Bitmap: e.Bitmap}
 	w.clock.after(w.delay(h, to), func() {
-		if to.dead {
+		if to.silent {
+			return
+		}
+		if to.dead || !w.reaches(h, to) {
 			w.clock.after(dialFailure, func() { h.step(swarm.HaveFailed{To: e.To, Version: e.Version}) })
 			return
 		}
--- a/weights/swarm/have.go
+++ b/weights/swarm/have.go
@@ -32,15 +32,19 @@
 		copy(r.told, r.have)
 		s.sendHave(v, r)
 	}
+	sound := !p.doubtful(s.now)
 	ok := r.have.addBytes(e.First, v.chunks, e.Bitmap, func(i int) {
 		r.told.set(i)
-		if !abroad {
+		switch sl := &v.slots[v.slotOf(i)]; {
+		case abroad:
+			sl.detour = sl.detour && p.Region != sl.upstream
+		case sound:
 			s.seenAt(v, i)
 		}
 	})
 	if !ok {
 		s.note(NoteBadHave, e.From)
-		s.distrust(p)
+		s.distrust(p, trustCorrupt)
 	}
 }
 
@@ -49,7 +53,7 @@
 	v.avail[i]++
 	if !v.seen.has(i) {
 		v.see(i)
-		s.news(v, i)
+		s.news(v, i, false)
 	}
 }
 
@@ -118,13 +122,14 @@
 		return
 	}
 	s.suspect(p)
-	v.recount(s.now)
 	for _, list := range [][]*remote{v.neighbours, v.abroad} {
 		if r := v.find(list, p); r != nil {
 			copy(r.told, r.have)
 			r.greeted = false
+			r.owed = true
 		}
 	}
+	s.flushAt = min(s.flushAt, p.avoidTill)
 }
 
 // flush tells the neighbours what they do not know yet, within the control bound.
@@ -139,6 +144,11 @@
 }
 
 func (s *Swarm) flushVersion(v *version) {
+	for _, r := range v.abroad {
+		if r.owed && r.peer.alive(s.now) {
+			s.sendHave(v, r)
+		}
+	}
 	start := 0
 	if len(v.neighbours) > 0 {
 		start = s.rng.IntN(len(v.neighbours))
@@ -178,7 +188,7 @@
 	}
 	first, data := fresh.span()
 	r.told.or(fresh)
-	r.greeted = true
+	r.greeted, r.owed = true, false
 	s.control.take(s.now, haveOverheadBytes+len(data))
 	s.emit(SendHave{To: r.peer.Machine, Version: v.digest, Epoch: s.cfg.Epoch, First: first, Bitmap: data})
 }
--- a/weights/swarm/pick.go
+++ b/weights/swarm/pick.go
@@ -164,7 +164,7 @@
 	}
 	for _, list := range [][]*remote{v.neighbours, v.abroad} {
 		for _, r := range list {
-			if t := max(r.peer.busyTill, r.peer.avoidTill); t > s.now && r.have.missingFrom(v.held) {
+			if t := max(r.peer.busyTill, r.peer.avoidTill, r.peer.bannedTill); t > s.now && r.have.missingFrom(v.held) {
 				next = min(next, t)
 			}
 		}
--- a/weights/swarm/result.go
+++ b/weights/swarm/result.go
@@ -64,7 +64,7 @@
 	}
 	v.pace.observe(f.class, s.now-f.start)
 	if f.peer != nil {
-		f.peer.succeeded()
+		s.succeeded(f.peer)
 	} else {
 		s.originStrikes = 0
 	}
@@ -82,7 +82,7 @@
 	v.heldCount++
 	if !v.seen.has(i) {
 		v.see(i)
-		s.news(v, i)
+		s.news(v, i, true)
 	}
 	s.announce(v, i, drawn)
 	if v.whole() {
@@ -135,15 +135,15 @@
 		s.note(NoteMissing, p.Machine)
 		s.disown(v, f)
 		p.busyTill = s.now + s.jitter(s.usual(v, f.class))
+		s.distrust(p, trustMissing)
 	case FailureCorrupt:
 		s.note(NoteCorrupt, p.Machine)
-		s.distrust(p)
+		s.distrust(p, trustCorrupt)
 	case FailureSize:
 		s.note(NoteSize, p.Machine)
-		s.distrust(p)
+		s.distrust(p, trustCorrupt)
 	case FailureLink:
 		s.suspect(p)
-		v.recount(s.now)
 	}
 }
 
@@ -170,7 +170,6 @@
 			v.pace.stalled(f.class)
 			if f.peer != nil {
 				s.suspect(f.peer)
-				v.recount(s.now)
 			} else {
 				s.originRetry()
 			}
--- a/weights/swarm/slot.go
+++ b/weights/swarm/slot.go
@@ -18,6 +18,12 @@
 	abroad []contract.MachineID
 	// lastNews is when a chunk of the slot was last seen for the first time.
 	lastNews time.Duration
+	// acting tells that the own target took the slot over and heard nothing of
+	// the holder since.
+	acting bool
+	// detour tells that the upstream region was silent for longer than the
+	// patience, and has told nothing since.
+	detour bool
 	// unseen counts the chunks that the region lacks, as far as is known.
 	unseen int
 	// gap is the smoothed time between news.
@@ -43,6 +49,7 @@
 	for i := range v.slots {
 		sl := &v.slots[i]
 		sl.holder = holders[i]
+		sl.acting = false
 		sl.rank = slotRank(v.digest, i, s.cfg.Self.Machine, sl.holder, region)
 		if sl.rank == 0 {
 			v.ownSlots++
@@ -91,9 +98,11 @@
 	sl.patience = s.jitter(max(s.cfg.TakeOver, takeOverGaps*sl.gap))
 }
 
-// news tells that chunk i was seen in the region for the first time.
-func (s *Swarm) news(v *version, i int) {
+// news tells that chunk i was seen in the region for the first time, at another
+// target or, if own, because it was drawn here.
+func (s *Swarm) news(v *version, i int, own bool) {
 	sl := &v.slots[v.slotOf(i)]
+	sl.acting = sl.acting && own
 	gap := s.now - sl.lastNews
 	if sl.gap == 0 {
 		sl.gap = gap
@@ -106,7 +115,7 @@
 
 // mayDraw reports whether the own target may draw a slot's chunks into the region.
 func (s *Swarm) mayDraw(sl *slot) bool {
-	if !s.on(mechSlots) || sl.rank == 0 {
+	if !s.on(mechSlots) || sl.rank == 0 || sl.acting {
 		return true
 	}
 	return s.on(mechTakeOver) && s.now >= sl.takeOverAt()
@@ -151,15 +160,23 @@
 			continue
 		}
 		if sl.rank > 0 {
-			s.note(NoteTakeOver, sl.holder)
-			sl.lastNews = s.now
-			s.renew(sl)
+			s.takeOver(sl)
 		}
 		return true
 	}
 	return false
 }
 
+// takeOver notes that the own target draws for a slot that it does not hold.
+func (s *Swarm) takeOver(sl *slot) {
+	if !sl.acting {
+		s.note(NoteTakeOver, sl.holder)
+	}
+	sl.acting = true
+	sl.lastNews = s.now
+	s.renew(sl)
+}
+
 // slotRoom reports whether one more chunk may be drawn into the region.
 func (s *Swarm) slotRoom(v *version, sl *slot) bool {
 	n := 0
@@ -180,7 +197,8 @@
 		return s.request(v, i, nil, classOrigin)
 	}
 	patient := s.on(mechTakeOver) && s.now < sl.lastNews+sl.patience
-	if r := s.holderAbroad(v, i, sl.upstream, patient); r != nil {
+	sl.detour = sl.detour || !patient
+	if r := s.holderAbroad(v, i, sl.upstream, !sl.detour); r != nil {
 		return s.request(v, i, r.peer, classRegion)
 	}
 	if patient || !s.on(mechTakeOver) || s.anyAbroad(v, i) || s.askAbroad(v, sl) {
@@ -234,6 +252,6 @@
 // anyAbroad reports whether a peer that is alive in another region holds chunk i.
 func (s *Swarm) anyAbroad(v *version, i int) bool {
 	return slices.ContainsFunc(v.abroad, func(r *remote) bool {
-		return r.have.has(i) && r.peer.alive(s.now)
+		return r.have.has(i) && r.peer.alive(s.now) && s.now >= r.peer.bannedTill
 	})
 }
--- a/weights/swarm/swarm.go
+++ b/weights/swarm/swarm.go
@@ -26,6 +26,8 @@
 	allowance     bucket
 	control       bucket
 	flushAt       time.Duration
+	// recountAt is when a peer that is avoided may be used again.
+	recountAt     time.Duration
 	originTill    time.Duration
 	originStrikes int
 	effects       []Effect
@@ -33,7 +35,7 @@
 
 // New returns a Swarm that draws its random numbers from rng.
 func New(cfg Config, rng *rand.Rand) *Swarm {
-	s := &Swarm{cfg: cfg.withDefaults(), rng: rng, byName: make(map[contract.MachineID]*peer), flushAt: never}
+	s := &Swarm{cfg: cfg.withDefaults(), rng: rng, byName: make(map[contract.MachineID]*peer), flushAt: never, recountAt: never}
 	s.control = bucket{rate: s.cfg.ControlBytes, burst: controlBurstSeconds * s.cfg.ControlBytes, level: float64(s.cfg.ControlBytes)}
 	s.regions = []contract.RegionName{s.cfg.Self.Region}
 	return s
@@ -44,8 +46,10 @@
 func (s *Swarm) Step(now time.Duration, ev Event) []Effect {
 	s.now = max(s.now, now)
 	s.effects = s.effects[:0]
+	s.recountDue()
 	s.apply(ev)
 	s.dropStalled()
+	s.recountDue()
 	s.fill()
 	s.flush()
 	return s.effects
@@ -135,11 +139,7 @@
 	if v == nil {
 		return
 	}
-	for _, f := range v.flights {
-		s.emit(CancelRequest{f.Draw})
-		s.release(v, f)
-	}
-	v.flights = nil
+	s.cancelWhere(v, func(*flight) bool { return true })
 	s.versions = slices.DeleteFunc(s.versions, func(o *version) bool { return o == v })
 	for _, u := range []*uploads{&s.local, &s.remote} {
 		for _, up := range u.drop(d) {
--- a/weights/swarm/version.go
+++ b/weights/swarm/version.go
@@ -46,6 +46,8 @@
 	told bitmap
 	// greeted tells that the peer was sent a Have since it was last unreachable.
 	greeted bool
+	// owed tells that a Have to the peer failed and is to be sent again.
+	owed bool
 	// ring tells that the peer was chosen by the topology; others announced themselves.
 	ring bool
 }
@@ -157,13 +159,14 @@
 	return &remote{peer: p, have: newBitmap(v.chunks), told: newBitmap(v.chunks), ring: ring}
 }
 
-// recount computes from the neighbours that are alive what the region holds.
+// recount computes from the neighbours that are not doubtful what the region
+// holds.
 func (v *version) recount(now time.Duration) {
 	clear(v.avail)
 	clear(v.seen)
 	v.seen.or(v.held)
 	for _, r := range v.neighbours {
-		if !r.peer.alive(now) {
+		if r.peer.doubtful(now) {
 			continue
 		}
 		r.have.each(func(i int) { v.avail[i]++ })
