Reload keys in the daemons; never make a request wait for a checkpoint

Ruled out: encoding outside the lock, since the state moves on meanwhile. Change: entry and target run link/reload (the only lines changed there); Observe keeps the highest offset and wakes the follower's own loop. Conclusion: go test -race ./settings/... and go test ./machine/entry ./machine/target pass.

--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -16,6 +16,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/platform"
@@ -55,6 +56,7 @@
 	state     *readiness
 	follower  *follow.Follower
 	admin     *administration
+	reloads   *reload.Watcher
 }
 
 // New opens the process's addresses. It fails with ErrCredentials or ErrListen.
@@ -67,6 +69,7 @@
 	e := &Entry{process: process, opts: opts, metrics: metrics.New()}
 	e.log = logs.For("entry", process.Machine)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.reloads = reload.New(creds, process.TLS, e.metrics.Scope(), logs.For("credentials", process.Machine))
 	e.fillOptions()
 	e.build(contract.Incarnation(now.UnixNano()))
 	if err := e.links.open(process.LinkAddress, creds, process.Link); err != nil {
@@ -200,6 +203,7 @@
 	go e.watcher.Run(e.ctx)
 	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
+	go func() { _ = e.reloads.Run(e.ctx, reload.DefaultInterval) }()
 	if e.claims != nil {
 		go e.claims.Run(e.ctx)
 	}
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -17,6 +17,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/target/backend"
 	"mimosastand.example/mimosastand/machine/target/gate"
 	"mimosastand.example/mimosastand/platform"
@@ -35,6 +36,7 @@
 	registry    *metrics.Registry
 	scope       tally.Scope
 	creds       *link.Credentials
+	reloads     *reload.Watcher
 	incarnation contract.Incarnation
 	engine      *backend.Engine
 	plain       *backend.Plain
@@ -91,6 +93,7 @@
 	} else {
 		p.plain = backend.NewPlain(cfg.Target.BackendURL)
 	}
+	p.reloads = reload.New(creds, cfg.TLS, p.scope, logs.For("credentials", cfg.Machine))
 	p.settings = fileSettings(cfg)
 	p.gate = gate.New(now, p.gateConfig(), p.settings.Limits, newRand(uint64(p.incarnation)))
 	p.peers = newPeers(cfg.Machine, cfg.Zone)
@@ -161,7 +164,8 @@
 // loops returns what runs beside the endpoint until the process has left. The
 // agent is not among them: a leaving process gives no more orders.
 func (p *Process) loops() []func(context.Context) {
-	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop}
+	reloads := func(ctx context.Context) { _ = p.reloads.Run(ctx, reload.DefaultInterval) }
+	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop, reloads}
 	if p.follower == nil {
 		return loops
 	}
--- a/settings/follow/follower.go
+++ b/settings/follow/follower.go
@@ -29,6 +29,12 @@
 	view   atomic.Pointer[tree.View]
 	ready  atomic.Bool
 
+	// heard is the highest offset that peers told since the last tick, spoken
+	// whether one told any; news wakes Run for a higher one.
+	heard  atomic.Uint64
+	spoken atomic.Bool
+	news   chan struct{}
+
 	mu      sync.Mutex
 	machine *spread.Machine
 	ctx     context.Context
@@ -49,7 +55,7 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	f := &Follower{opts: opts, timing: opts.Timing.WithDefaults(), changed: make(chan struct{})}
+	f := &Follower{opts: opts, timing: opts.Timing.WithDefaults(), changed: make(chan struct{}), news: make(chan struct{}, 1)}
 	f.machine = spread.New(opts.Timing, rand.New(rand.NewPCG(seed, seed)), time.Now())
 	f.view.Store(f.machine.State().View())
 	return f
@@ -83,9 +89,37 @@
 	return f.changed
 }
 
-// Observe notes the offset that a peer told on a heartbeat or a request.
+// Observe notes the offset that a peer told on a heartbeat or a request. It never
+// waits for the machine, which may be busy with a checkpoint.
 func (f *Follower) Observe(peer contract.Offset) {
-	f.handle(spread.PeerOffset{Offset: peer})
+	f.spoken.Store(true)
+	for known := f.heard.Load(); uint64(peer) > known; known = f.heard.Load() {
+		if f.heard.CompareAndSwap(known, uint64(peer)) {
+			f.wake(peer)
+			return
+		}
+	}
+}
+
+// wake lets Run look at once at an offset that this process has not applied.
+func (f *Follower) wake(peer contract.Offset) {
+	if peer <= f.Offset() {
+		return
+	}
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// listen hands the machine what peers told since the last time, and forgets it:
+// an offset that the log then refutes must not come back.
+func (f *Follower) listen() {
+	if f.spoken.Swap(false) {
+		f.handle(spread.PeerOffset{Offset: contract.Offset(f.heard.Swap(0))})
+		return
+	}
+	f.handle(spread.Tick{})
 }
 
 // Serve answers a peer's pull.
@@ -115,18 +149,19 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	f.handle(f.duty())
-	for ticks := 1; ; ticks++ {
+	for ticks := 1; ; {
 		select {
 		case <-ticker.C:
+			ticks++
+		case <-f.news:
 		case <-ctx.Done():
 			f.stop()
 			return ctx.Err()
 		}
 		if ticks%ticksPerDuty == 0 {
 			f.handle(f.duty())
-		} else {
-			f.handle(spread.Tick{})
 		}
+		f.listen()
 	}
 }
 
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -13,6 +13,7 @@
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/schema"
@@ -186,3 +187,29 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// TestObserve checks that a process that does not tail the log pulls what a peer
+// tells it of.
+func TestObserve(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	first := run(t, follow.Options{Log: log})
+	await(t, first, first.Ready)
+	hosts := []platform.Host{
+		{Machine: "one", Role: platform.HostEntry, Zone: "a", State: platform.HostLive},
+		{Machine: "two", Role: platform.HostTarget, Zone: "a", State: platform.HostLive},
+	}
+	second := run(t, follow.Options{
+		Log: log, Machine: "two", Zone: "a", Hosts: func() []platform.Host { return hosts },
+		Timing: spread.Timing{QuietLimit: time.Hour},
+		Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+			return first.Serve(contract.SettingsPull{After: after}), nil
+		},
+	})
+	await(t, second, second.Ready)
+	result, err := first.Submit(context.Background(), change("c", 0, "true"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Observe(result.Offset)
+	await(t, second, func() bool { return second.Current().Zone("", "a").Out })
+}
