--- a/machine/entry/claims/ledger/expiry.go
+++ b/machine/entry/claims/ledger/expiry.go
@@ -1,5 +1,8 @@
 package ledger
 
+// maxExpired bounds the keys that are remembered as expired.
+const maxExpired = 10_000
+
 // expire forgets what the window has passed.
 func (l *Ledger) expire() {
 	limit := l.clock.Add(-l.config.Window)
@@ -8,7 +11,7 @@
 		l.byAge = l.byAge[1:]
 	}
 	limit = limit.Add(-l.config.Window)
-	for len(l.expiredByAge) > 0 && l.expiredByAge[0].at.Before(limit) {
+	for len(l.expiredByAge) > 0 && (l.expiredByAge[0].at.Before(limit) || len(l.expiredByAge) > maxExpired) {
 		old := l.expiredByAge[0]
 		if at, ok := l.expired[old.key]; ok && at.Equal(old.at) {
 			delete(l.expired, old.key)
--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -43,7 +43,7 @@
 		WaitFor:      5 * time.Second,
 		MaxKeys:      50_000,
 		MaxBodyBytes: 16 << 10,
-		Ledger:       ledger.Config{Window: time.Hour, MaxResultBytes: 16 << 20},
+		Ledger:       ledger.Config{Window: time.Hour, MaxResultBytes: 8 << 20},
 		Batcher: batcher.Config{
 			Writer:      writer,
 			Budget:      200,
