--- a/settings/follow/submit.go
+++ b/settings/follow/submit.go
@@ -20,6 +20,8 @@
 var (
 	// ErrNotAccepted means that the log did not take the change: nothing changed.
 	ErrNotAccepted = errors.New("settings: not accepted, nothing changed")
+	// ErrNotReady means that this process has not caught up: nothing changed.
+	ErrNotReady = errors.New("settings: not caught up, nothing changed")
 	// ErrUnknown means that the change may or may not be accepted; the same
 	// change with the same identifier may be sent again.
 	ErrUnknown = errors.New("settings: not known whether the change was accepted")
@@ -62,17 +64,18 @@
 	Duplicate bool
 }
 
-const submitRetry = 100 * time.Millisecond
-
 // Submit appends a change and returns once it is read back at its offset and
 // decided. It fails with *InvalidError, *ConflictError, ErrIdentifierReused or
-// ErrBaseTooOld, with ErrNotAccepted while the log takes no appends, and with
-// ErrUnknown if ctx ends while a lost reply is unresolved.
+// ErrBaseTooOld, with ErrNotReady before the process has caught up, with
+// ErrNotAccepted while the log takes no appends, and with ErrUnknown if ctx ends while a lost reply is unresolved.
 func (f *Follower) Submit(ctx context.Context, c record.Change) (Result, error) {
 	data, err := record.Encode(record.Record{Change: &c})
 	if err != nil {
 		return Result{}, err
 	}
+	if !f.Ready() {
+		return Result{}, ErrNotReady
+	}
 	if result, err, done := f.precheck(ctx, c); done {
 		return result, err
 	}
@@ -98,7 +101,7 @@
 				return result, err
 			}
 		}
-		if !pause(ctx, submitRetry) {
+		if !pause(ctx, f.timing.SubmitRetry) {
 			return Result{}, unresolved(uncertain)
 		}
 	}
@@ -200,7 +203,7 @@
 		if f.Offset() >= offset {
 			break
 		}
-		if !pause(ctx, submitRetry) {
+		if !pause(ctx, f.timing.SubmitRetry) {
 			return Result{}, errors.Wrapf(ErrUnknown, "appended at offset %d, not read back", offset)
 		}
 	}
