entry: the prober asks the targets that vouch names

Cause: the prober went by the newest host list that had changed. With a list that could not be read for a while it did not know a newer target, and the others alone vouched; and any target that had left made all answers unknown, also an answer that another target kept. Change: prober.go uses vouch.Watch, shown every list that is read, and asks gone targets at their last address; gauges of claims lose a doubled prefix. Checked: go test -race ./machine/entry/... passes.

--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -179,16 +179,16 @@
 	interval := s.machine.batcher.Interval(time.Now())
 	s.mu.Unlock()
 	gauges := map[string]float64{
-		"claims_keys": float64(keys), "claims_history_short": short, "claims_short_refusals": float64(m.ShortHistory),
-		"claims_append_interval_seconds": interval.Seconds(),
-		"claims_probes":                  float64(m.Probes), "claims_takeovers": float64(m.Takeovers),
-		"claims_released": float64(m.Released), "claims_too_late": float64(m.TooLate),
-		"claims_superseded": float64(m.Superseded), "claims_contradictions": float64(l.Contradictions),
-		"claims_malformed": float64(l.Malformed), "claims_repeated": float64(l.Repeated),
-		"claims_expired": float64(l.Expired), "claims_bodies_dropped": float64(l.BodiesDropped),
-		"claims_appends": float64(b.Appended), "claims_items": float64(b.Items),
-		"claims_resent": float64(b.Resent), "claims_throttled": float64(b.Throttled),
-		"claims_append_unavailable": float64(b.Unavailable), "claims_append_uncertain": float64(b.Uncertain),
+		"keys": float64(keys), "history_short": short, "short_refusals": float64(m.ShortHistory),
+		"append_interval_seconds": interval.Seconds(),
+		"probes":                  float64(m.Probes), "takeovers": float64(m.Takeovers),
+		"released": float64(m.Released), "too_late": float64(m.TooLate),
+		"superseded": float64(m.Superseded), "contradictions": float64(l.Contradictions),
+		"malformed": float64(l.Malformed), "repeated": float64(l.Repeated),
+		"expired": float64(l.Expired), "bodies_dropped": float64(l.BodiesDropped),
+		"appends": float64(b.Appended), "items": float64(b.Items),
+		"resent": float64(b.Resent), "throttled": float64(b.Throttled),
+		"append_unavailable": float64(b.Unavailable), "append_uncertain": float64(b.Uncertain),
 	}
 	for name, value := range gauges {
 		s.opts.Scope.Gauge(name).Update(value)
--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -151,7 +151,7 @@
 	case <-s.ended:
 		d = s.giveUp(claim.Request, decided)
 	}
-	s.opts.Scope.Tagged(map[string]string{"verdict": d.Verdict.String()}).Counter("claims").Inc(1)
+	s.opts.Scope.Tagged(map[string]string{"verdict": d.Verdict.String()}).Counter("verdicts").Inc(1)
 	return d, nil
 }
 
--- a/machine/entry/claims/vouch/vouch.go
+++ b/machine/entry/claims/vouch/vouch.go
@@ -16,6 +16,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
@@ -34,6 +35,22 @@
 type Target struct {
 	Service contract.ServiceName
 	Machine contract.MachineID
+	// Address is that of the target's link endpoint.
+	Address string
+}
+
+// identity names a target over changes of its address.
+type identity struct {
+	service contract.ServiceName
+	machine contract.MachineID
+}
+
+// listing is what a Watch remembers of a target.
+type listing struct {
+	address string
+	// gone is the time of the first list without the target; zero while it is
+	// listed.
+	gone time.Time
 }
 
 // Watch is not safe for concurrent use.
@@ -41,10 +58,8 @@
 	config Config
 	// began and observed are the times of the first and the last list.
 	began, observed time.Time
-	// gone holds each target with the time of the first list without it; zero
-	// while it is listed.
-	gone map[Target]time.Time
-	off  mechanism
+	targets         map[identity]listing
+	off             mechanism
 }
 
 // mechanism names parts that tests switch off to show that they are needed.
@@ -58,7 +73,7 @@
 
 // NewWatch returns a watch that has seen no list.
 func NewWatch(config Config) *Watch {
-	return &Watch{config: config, gone: map[Target]time.Time{}}
+	return &Watch{config: config, targets: map[identity]listing{}}
 }
 
 // Observe takes the targets of a whole list.
@@ -67,37 +82,44 @@
 		w.began = now
 	}
 	w.observed = now
-	listed := map[Target]bool{}
+	listed := map[identity]bool{}
 	for _, t := range targets {
-		listed[t] = true
-		w.gone[t] = time.Time{}
+		id := identity{service: t.Service, machine: t.Machine}
+		listed[id] = true
+		w.targets[id] = listing{address: t.Address}
 	}
-	for t, gone := range w.gone {
-		switch {
-		case listed[t]:
-		case w.off&rememberGone != 0:
-			delete(w.gone, t)
-		case gone.IsZero():
-			w.gone[t] = now
-		case now.Sub(gone) > w.config.Keep+w.config.Lag:
-			delete(w.gone, t)
+	for id, l := range w.targets {
+		if !listed[id] {
+			w.leave(now, id, l)
 		}
 	}
 }
 
+// leave keeps a target that is not in the list any more for its time.
+func (w *Watch) leave(now time.Time, id identity, l listing) {
+	switch {
+	case w.off&rememberGone != 0:
+		delete(w.targets, id)
+	case l.gone.IsZero():
+		w.targets[id] = listing{address: l.address, gone: now}
+	case now.Sub(l.gone) > w.config.Keep+w.config.Lag:
+		delete(w.targets, id)
+	}
+}
+
 // Ask returns the targets to ask about a request of the given age, in order of
 // their names. Complete is false if there may have been others.
-func (w *Watch) Ask(now time.Time, service contract.ServiceName, age time.Duration) (machines []contract.MachineID, complete bool) {
+func (w *Watch) Ask(now time.Time, service contract.ServiceName, age time.Duration) (targets []Target, complete bool) {
 	claimed := now.Add(-age)
-	for t, gone := range w.gone {
-		if t.Service == service && (gone.IsZero() || gone.Add(w.config.Lag).After(claimed)) {
-			machines = append(machines, t.Machine)
+	for id, l := range w.targets {
+		if id.service == service && (l.gone.IsZero() || l.gone.Add(w.config.Lag).After(claimed)) {
+			targets = append(targets, Target{Service: service, Machine: id.machine, Address: l.address})
 		}
 	}
-	slices.Sort(machines)
+	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(string(a.Machine), string(b.Machine)) })
 	whole := !w.began.IsZero() && !w.began.After(claimed) && age <= w.config.Keep || w.off&sinceClaim != 0
 	fresh := w.observed.After(claimed.Add(w.config.Lag)) || w.off&freshList != 0
-	return machines, whole && fresh
+	return targets, whole && fresh
 }
 
 // Answer is what one target told, or that it did not.
--- a/machine/entry/claims/vouch/vouch_test.go
+++ b/machine/entry/claims/vouch/vouch_test.go
@@ -57,12 +57,12 @@
 // ask combines the answers of the targets, of which those named are alive and
 // refuse the request.
 func ask(w *Watch, now time.Time, age time.Duration, alive ...contract.MachineID) claims.ProbeResult {
-	machines, complete := w.Ask(now, "s", age)
+	asked, complete := w.Ask(now, "s", age)
 	var answers []Answer
-	for _, m := range machines {
+	for _, t := range asked {
 		a := Answer{}
 		for _, name := range alive {
-			if m == name {
+			if t.Machine == name {
 				a = Answer{Heard: true, State: contract.AttemptNeverRan}
 			}
 		}
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -89,8 +89,9 @@
 	if e.opts.Hosts == nil {
 		e.opts.Hosts = platform.NewClient(e.process.HostsURL)
 	}
-	e.watcher = hostwatch.New(e.opts.Hosts, e.opts.HostsInterval, func(list platform.HostList) {
-		e.prober.observe(time.Now(), list)
+	observe := func(asked time.Time, list platform.HostList) { e.prober.observe(asked, list) }
+	hosts := observedHosts{Hosts: e.opts.Hosts, observe: observe}
+	e.watcher = hostwatch.New(hosts, e.opts.HostsInterval, func(list platform.HostList) {
 		e.setWriters(list)
 		e.loop.step(dispatch.HostsChanged{List: list})
 	})
--- a/machine/entry/prober.go
+++ b/machine/entry/prober.go
@@ -10,119 +10,95 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/entry/claims"
+	"mimosastand.example/mimosastand/machine/entry/claims/vouch"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/platform"
 )
 
 const (
 	probeTimeout = 2 * time.Second
-	// historyMargin covers the lag of the host list.
-	historyMargin = 10 * time.Second
+	// hostsLag bounds the age of what the host list shows.
+	hostsLag = 10 * time.Second
+	// goneTargetsKept is how long targets that left the list are remembered; it
+	// is longer than a key is held.
+	goneTargetsKept = 2 * time.Hour
 )
 
 // ErrProbe marks a target that did not answer a probe.
 var ErrProbe = errors.New("entry: probe without an answer")
 
-// prober asks all targets of a service about a request. It implements
-// claims.Prober. Targets that have left the host list since the request claimed
-// its key can vouch for nothing, so that the answer is then unknown; so it is
-// for requests older than what this process has seen of the list.
+// prober asks all targets of a service about a request, also those that have
+// left the host list since the request claimed its key. It implements
+// claims.Prober.
 type prober struct {
 	links *links
 
-	mu    sync.Mutex
-	since time.Time
-	hosts map[contract.ServiceName]map[contract.MachineID]string
-	gone  map[contract.ServiceName]time.Time
+	mu      sync.Mutex
+	watch   *vouch.Watch
+	version uint64
 }
 
 func newProber(l *links) *prober {
-	return &prober{links: l, gone: map[contract.ServiceName]time.Time{}}
+	return &prober{links: l, watch: vouch.NewWatch(vouch.Config{Keep: goneTargetsKept, Lag: hostsLag})}
 }
 
-// observe notes a newer host list.
-func (p *prober) observe(now time.Time, list platform.HostList) {
-	hosts := map[contract.ServiceName]map[contract.MachineID]string{}
+// observe notes a host list that was asked for at the given time. Lists older
+// than one already seen are left out.
+func (p *prober) observe(asked time.Time, list platform.HostList) {
+	var targets []vouch.Target
 	for _, h := range list.Hosts {
-		if h.Role != platform.HostTarget {
-			continue
+		if h.Role == platform.HostTarget {
+			targets = append(targets, vouch.Target{Service: h.Service, Machine: h.Machine, Address: h.Address})
 		}
-		if hosts[h.Service] == nil {
-			hosts[h.Service] = map[contract.MachineID]string{}
-		}
-		hosts[h.Service][h.Machine] = h.Address
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.since.IsZero() {
-		p.since = now
-	}
-	for name, former := range p.hosts {
-		for machine := range former {
-			if _, ok := hosts[name][machine]; !ok {
-				p.gone[name] = now
-			}
-		}
+	if list.Version < p.version {
+		return
 	}
-	p.hosts = hosts
+	p.version = list.Version
+	p.watch.Observe(asked, targets)
 }
 
-// vouching returns the targets of a service, and whether they were all that
-// there was for the given time.
-func (p *prober) vouching(now time.Time, service contract.ServiceName, age time.Duration) (map[contract.MachineID]string, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	from := now.Add(-age - historyMargin)
-	known := !p.since.IsZero() && !p.since.After(from)
-	return p.hosts[service], known && !p.gone[service].After(from)
+// observedHosts shows a prober each list that is read, also one without changes.
+type observedHosts struct {
+	platform.Hosts
+	observe func(asked time.Time, list platform.HostList)
 }
 
-// Probe implements claims.Prober.
-func (p *prober) Probe(ctx context.Context, service contract.ServiceName, request contract.RequestID, age time.Duration) (claims.ProbeResult, error) {
-	targets, complete := p.vouching(time.Now(), service, age)
-	answers := make(chan claims.ProbeResult, len(targets))
-	for machine, address := range targets {
-		go func() { answers <- p.ask(ctx, machine, address, request, age) }()
-	}
-	together := claims.ProbeResult{State: claims.ProbeNeverRan}
-	if !complete || len(targets) == 0 {
-		together.State = claims.ProbeUnknown
+// List implements platform.Hosts.
+func (h observedHosts) List(ctx context.Context) (platform.HostList, error) {
+	asked := time.Now()
+	list, err := h.Hosts.List(ctx)
+	if err == nil {
+		h.observe(asked, list)
 	}
-	for range targets {
-		together = join(together, <-answers)
-	}
-	return together, nil
+	return list, err
 }
 
-// join combines what two targets know: an answer wins over work that runs, and
-// that over not knowing.
-func join(a, b claims.ProbeResult) claims.ProbeResult {
-	if rankOf(b.State) > rankOf(a.State) {
-		return b
+// Probe implements claims.Prober.
+func (p *prober) Probe(ctx context.Context, service contract.ServiceName, request contract.RequestID, age time.Duration) (claims.ProbeResult, error) {
+	p.mu.Lock()
+	targets, complete := p.watch.Ask(time.Now(), service, age)
+	p.mu.Unlock()
+	heard := make(chan vouch.Answer, len(targets))
+	for _, t := range targets {
+		go func() { heard <- p.ask(ctx, t.Machine, t.Address, request, age) }()
 	}
-	return a
-}
-
-func rankOf(s claims.ProbeState) int {
-	switch s {
-	case claims.ProbeDone:
-		return 3
-	case claims.ProbeRunning:
-		return 2
-	case claims.ProbeUnknown:
-		return 1
-	default:
-		return 0
+	answers := make([]vouch.Answer, len(targets))
+	for i := range answers {
+		answers[i] = <-heard
 	}
+	return vouch.Combine(complete, answers), nil
 }
 
-// ask asks one target; without an answer the state is unknown.
-func (p *prober) ask(ctx context.Context, machine contract.MachineID, address string, request contract.RequestID, age time.Duration) claims.ProbeResult {
+// ask asks one target.
+func (p *prober) ask(ctx context.Context, machine contract.MachineID, address string, request contract.RequestID, age time.Duration) vouch.Answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, done, err := p.open(ctx, machine, address)
 	if err != nil {
-		return claims.ProbeResult{}
+		return vouch.Answer{}
 	}
 	defer done()
 	deadline, _ := ctx.Deadline()
@@ -135,7 +111,7 @@
 		Age:       max(age, time.Millisecond),
 	}
 	if err := s.Send(contract.Message{Kind: contract.KindQuery, Query: &query}); err != nil {
-		return claims.ProbeResult{}
+		return vouch.Answer{}
 	}
 	return readProbe(s, request)
 }
@@ -173,52 +149,48 @@
 }
 
 // readProbe reads a Status and, for a finished attempt, its answer.
-func readProbe(s receiver, request contract.RequestID) claims.ProbeResult {
+func readProbe(s receiver, request contract.RequestID) vouch.Answer {
 	m, err := s.Recv()
 	if err != nil || m.Kind != contract.KindStatus || m.Status.Attempt.Request != request {
-		return claims.ProbeResult{}
+		return vouch.Answer{}
 	}
-	switch m.Status.State {
-	case contract.AttemptNeverRan:
-		return claims.ProbeResult{State: claims.ProbeNeverRan}
-	case contract.AttemptQueued, contract.AttemptRunning:
-		return claims.ProbeResult{State: claims.ProbeRunning}
-	case contract.AttemptDone:
-		return readAnswer(s, m.Status.Attempt)
-	default:
-		return claims.ProbeResult{}
+	answer := vouch.Answer{Heard: true, State: m.Status.State}
+	if m.Status.State == contract.AttemptDone {
+		answer.Result = readAnswer(s, m.Status.Attempt)
+		answer.Heard = answer.Result != nil
 	}
+	return answer
 }
 
-// readAnswer collects a whole answer; anything less is unknown.
-func readAnswer(s receiver, id contract.AttemptID) claims.ProbeResult {
+// readAnswer collects a whole answer; it returns nil for anything less.
+func readAnswer(s receiver, id contract.AttemptID) *claims.Result {
 	var body []byte
 	for seq := uint64(0); ; seq++ {
 		m, err := s.Recv()
 		if err != nil {
-			return claims.ProbeResult{}
+			return nil
 		}
 		if m.Kind == contract.KindEnd && m.End.Attempt == id {
 			return wholeAnswer(*m.End, seq, body)
 		}
 		if m.Kind != contract.KindChunk || m.Chunk.Attempt != id || m.Chunk.Seq != seq {
-			return claims.ProbeResult{}
+			return nil
 		}
 		if len(body)+len(m.Chunk.Data) > dispatch.MaxAnswerBytes {
-			return claims.ProbeResult{}
+			return nil
 		}
 		body = append(body, m.Chunk.Data...)
 	}
 }
 
-func wholeAnswer(end contract.End, frames uint64, body []byte) claims.ProbeResult {
+func wholeAnswer(end contract.End, frames uint64, body []byte) *claims.Result {
 	if end.Outcome != contract.OutcomeDone || end.Frames != frames || end.Length != uint64(len(body)) {
-		return claims.ProbeResult{}
+		return nil
 	}
-	return claims.ProbeResult{State: claims.ProbeDone, Result: &claims.Result{
+	return &claims.Result{
 		Status:      end.Status,
 		ContentType: end.ContentType,
 		Body:        body,
 		Outcome:     contract.OutcomeDone,
-	}}
+	}
 }
