--- a/cmd/standins/config.go
+++ b/cmd/standins/config.go
@@ -81,14 +81,25 @@
 	Delay    time.Duration `ini:"delay"`
 	Limit    int           `ini:"limit"`
 	NoReport bool          `ini:"no_report"`
+	// Books names the books that the section shares with others of that name.
+	Books string `ini:"books"`
+
+	shared map[string]*service.Books
 }
 
 func (s *serviceSection) build() http.Handler {
-	return service.New(service.Config{Delay: s.Delay, Limit: s.Limit, NoReport: s.NoReport})
+	config := service.Config{Delay: s.Delay, Limit: s.Limit, NoReport: s.NoReport}
+	if s.Books != "" {
+		if s.shared[s.Books] == nil {
+			s.shared[s.Books] = service.NewBooks()
+		}
+		config.Books = s.shared[s.Books]
+	}
+	return service.New(config)
 }
 
 // newSection returns the defaults of a section by the first word of its name.
-func newSection(name string) builder {
+func newSection(name string, shared map[string]*service.Books) builder {
 	kind, _, _ := strings.Cut(name, " ")
 	switch kind {
 	case "log":
@@ -100,7 +111,7 @@
 	case "engine":
 		return &engineSection{WarmLimit: 8, ColdLimit: 2, ColdStart: 2 * time.Second, TokenDelay: 20 * time.Millisecond, PrefillDelay: 50 * time.Millisecond, ReportLag: 500 * time.Millisecond}
 	case "service":
-		return &serviceSection{Limit: 16}
+		return &serviceSection{Limit: 16, shared: shared}
 	default:
 		return nil
 	}
@@ -113,11 +124,12 @@
 		return nil, errors.Wrap(err, "standins")
 	}
 	var list []standIn
+	shared := map[string]*service.Books{}
 	for _, section := range source.Sections() {
 		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
 			continue
 		}
-		s, err := loadSection(section)
+		s, err := loadSection(section, shared)
 		if err != nil {
 			return nil, errors.Wrapf(err, "%s: [%s]", file, section.Name())
 		}
@@ -126,8 +138,8 @@
 	return list, nil
 }
 
-func loadSection(section *ini.Section) (standIn, error) {
-	b := newSection(section.Name())
+func loadSection(section *ini.Section, shared map[string]*service.Books) (standIn, error) {
+	b := newSection(section.Name(), shared)
 	if b == nil {
 		return standIn{}, errors.New("unknown section")
 	}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -146,7 +146,9 @@
 			sections = append(sections, section{name: "engine " + string(t.Machine), keys: with(c.Spec.EngineOptions, "listen", t.Backend)})
 			continue
 		}
-		sections = append(sections, section{name: "service " + string(t.Machine), keys: map[string]string{"listen": t.Backend}})
+		sections = append(sections, section{name: "service " + string(t.Machine), keys: map[string]string{
+			"listen": t.Backend, "books": string(t.Service.Name),
+		}})
 	}
 	return sections
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -22,10 +22,36 @@
 	Delay time.Duration
 	// Limit is how many calls the service reports that it bears.
 	Limit int
+	// Books, if set, are shared with other back ends of the same service, so that
+	// an effect is seen to double over all of them.
+	Books *Books
 	// NoReport leaves GET /report unanswered with 404.
 	NoReport bool
 }
 
+// Books hold the identities of all effects made so far.
+type Books struct {
+	mu       sync.Mutex
+	keys     map[string]bool
+	requests map[string]bool
+}
+
+// NewBooks returns empty books.
+func NewBooks() *Books {
+	return &Books{keys: map[string]bool{}, requests: map[string]bool{}}
+}
+
+// enter notes an effect and reports whether its key and its request came before.
+func (b *Books) enter(key, request string) (keyDoubled, requestDoubled bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	keyDoubled = key != "" && b.keys[key]
+	requestDoubled = request != "" && b.requests[request]
+	b.keys[key] = true
+	b.requests[request] = true
+	return keyDoubled, requestDoubled
+}
+
 // Stats is what GET /stats shows.
 type Stats struct {
 	Calls   uint64 `json:"calls"`
@@ -55,15 +81,16 @@
 type Service struct {
 	config Config
 
-	mu       sync.Mutex
-	keys     map[string]bool
-	requests map[string]bool
-	stats    Stats
+	mu    sync.Mutex
+	stats Stats
 }
 
 // New returns a plain service with switchable faults.
 func New(config Config) *fault.Switch {
-	s := &Service{config: config, keys: map[string]bool{}, requests: map[string]bool{}}
+	if config.Books == nil {
+		config.Books = NewBooks()
+	}
+	s := &Service{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", s.serveReport)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
@@ -130,20 +157,15 @@
 }
 
 func (s *Service) effect(r *http.Request) {
+	keyDoubled, requestDoubled := s.config.Books.enter(r.Header.Get("Idempotency-Key"), r.Header.Get("X-Request-Id"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Effects++
-	if key := r.Header.Get("Idempotency-Key"); key != "" {
-		if s.keys[key] {
-			s.stats.DoubledByKey++
-		}
-		s.keys[key] = true
+	if keyDoubled {
+		s.stats.DoubledByKey++
 	}
-	if id := r.Header.Get("X-Request-Id"); id != "" {
-		if s.requests[id] {
-			s.stats.DoubledByRequest++
-		}
-		s.requests[id] = true
+	if requestDoubled {
+		s.stats.DoubledByRequest++
 	}
 }
 
