--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -42,8 +42,8 @@
 		DecideWithin: 3 * time.Second,
 		WaitFor:      5 * time.Second,
 		MaxKeys:      50_000,
-		MaxBodyBytes: 16 << 10,
-		Ledger:       ledger.Config{Window: time.Hour, MaxResultBytes: 16 << 20},
+		MaxBodyBytes: 1 << 10,
+		Ledger:       ledger.Config{Window: time.Hour, MaxResultBytes: 8 << 20},
 		Batcher: batcher.Config{
 			Writer:      writer,
 			Budget:      200,
@@ -151,7 +151,7 @@
 	case <-s.ended:
 		d = s.giveUp(claim.Request, decided)
 	}
-	s.opts.Scope.Tagged(map[string]string{"verdict": d.Verdict.String()}).Counter("claims").Inc(1)
+	s.opts.Scope.Tagged(map[string]string{"verdict": d.Verdict.String()}).Counter("verdicts").Inc(1)
 	return d, nil
 }
 
