--- a/bench/serving/fake/target.go
+++ b/bench/serving/fake/target.go
@@ -47,6 +47,7 @@
 
 type attempt struct {
 	start contract.Start
+	from  contract.MachineID
 	state contract.AttemptState
 	// frames is how many frames were made, of total.
 	frames, total uint64
@@ -69,12 +70,15 @@
 	seq         uint64
 	born        time.Time
 	coldUntil   time.Time
-	outSince    time.Time
-	leaving     bool
-	down        bool
-	attempts    map[contract.AttemptID]*attempt
-	running     []*attempt
-	senders     map[contract.MachineID]time.Time
+	// out tells that the gate knows that the zone is out, ordered when the
+	// operators took it out.
+	out      bool
+	ordered  time.Time
+	leaving  bool
+	down     bool
+	attempts map[contract.AttemptID]*attempt
+	running  []*attempt
+	senders  map[contract.MachineID]time.Time
 }
 
 // Output is a message about an attempt; the world passes it to the exchange
@@ -122,13 +126,12 @@
 	t.coldUntil = now.Add(t.ColdFor)
 }
 
+// Order notes that operators took the zone out at a time, or back in if that is
+// zero; SetOut tells the target.
+func (t *Target) Order(out time.Time) { t.ordered = out }
+
 // SetOut tells the target that its zone is out or in.
-func (t *Target) SetOut(now time.Time, out bool) {
-	t.outSince = time.Time{}
-	if out {
-		t.outSince = now
-	}
-}
+func (t *Target) SetOut(out bool) { t.out = out }
 
 // Leave makes the target refuse new work.
 func (t *Target) Leave() { t.leaving = true }
@@ -164,7 +167,7 @@
 		Running: uint32(len(t.running)),
 		Limit:   uint32(limit),
 		Warm:    !now.Before(t.coldUntil),
-		Leaving: t.leaving || !t.outSince.IsZero(),
+		Leaving: t.leaving || t.out,
 		Credits: uint32(t.credits(now, entry, limit)),
 		Seq:     t.seq,
 	}
@@ -201,7 +204,7 @@
 		t.attempts[s.Attempt] = &attempt{start: s, state: contract.AttemptNeverRan}
 		return t.refusal(now, entry, s, reason)
 	}
-	t.begin(now, s)
+	t.begin(now, entry, s)
 	return contract.Message{Kind: contract.KindAccept, Accept: &contract.Accept{Attempt: s.Attempt, Load: t.Load(now, entry)}}
 }
 
@@ -209,7 +212,7 @@
 	switch {
 	case t.leaving:
 		return contract.ReasonTargetLeaving
-	case !t.outSince.IsZero():
+	case t.out:
 		return contract.ReasonZoneOut
 	case s.Remaining <= 0:
 		return contract.ReasonDeadline
@@ -230,8 +233,8 @@
 	}}
 }
 
-func (t *Target) begin(now time.Time, s contract.Start) {
-	a := &attempt{start: s, state: contract.AttemptRunning, total: 1}
+func (t *Target) begin(now time.Time, entry contract.MachineID, s contract.Start) {
+	a := &attempt{start: s, from: entry, state: contract.AttemptRunning, total: 1}
 	if t.Model {
 		a.total = uint64(s.Tokens) - min(s.ResumeAt, uint64(s.Tokens))
 	}
@@ -242,7 +245,7 @@
 	if len(t.running) > t.bears(now) {
 		t.OverBorne++
 	}
-	if !t.outSince.IsZero() && now.Sub(t.outSince) > OutGrace {
+	if !t.ordered.IsZero() && now.Sub(t.ordered) > OutGrace {
 		t.Out++
 	}
 	a.next = now.Add(time.Duration(float64(t.First) * t.slowdown(now)))
--- a/bench/serving/fake/work.go
+++ b/bench/serving/fake/work.go
@@ -85,8 +85,7 @@
 
 func (t *Target) endMessage(now time.Time, a *attempt) contract.Message {
 	end := *a.end
-	end.Load = t.Load(now, "")
-	end.Load.Credits = uint32(t.limit(now))
+	end.Load = t.Load(now, a.from)
 	return contract.Message{Kind: contract.KindEnd, End: &end}
 }
 
--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -80,6 +80,7 @@
 	s := r.service
 	r.phase = phaseQueued
 	m.timers.update(r)
+	s.usage.Seen(m.now, r.Team, r.item.Weight)
 	if s.queue.Len() > 0 {
 		wait := s.queue.Wait(m.now, r.Team, r.item.Weight)
 		if wait > r.deadline.Sub(m.now) {
--- a/machine/entry/dispatch/frames.go
+++ b/machine/entry/dispatch/frames.go
@@ -59,7 +59,7 @@
 		a.heard = true
 		pool.Acked(a.target)
 	}
-	m.countFate(pool.Reply(m.now, a.target, a.incarnation, load))
+	m.countFate(pool.Report(m.now, a.target, a.incarnation, load))
 }
 
 // countFate counts a report that was dropped.
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -58,6 +58,7 @@
 	exists bool
 	pool   *balancer.Pool
 	queue  *fairshare.Queue
+	usage  *fairshare.Usage
 	// pinned counts the waiting requests that need a certain digest.
 	pinned int
 	// dirty tells that the queue must be looked at.
--- a/machine/entry/dispatch/place.go
+++ b/machine/entry/dispatch/place.go
@@ -38,6 +38,7 @@
 	return balancer.Want{
 		Prefix: r.PrefixHash,
 		Pinned: r.pinned,
+		Yield:  r.service.usage.Over(m.now, r.Team),
 		Bytes:  len(r.Body) + requestLinkBytes + tokenLinkBytes*int(r.Tokens),
 		Tried:  func(id contract.MachineID) bool { return r.isTried(m.now, id) },
 	}
@@ -101,6 +102,7 @@
 // hold counts an attempt at its target.
 func (m *Machine) hold(a *attempt) {
 	a.request.service.pool.Sent(m.now, a.target)
+	a.request.service.usage.Sent(m.now, a.request.Team, a.request.Tokens)
 	m.holding[a.target]++
 	if address, ok := m.addresses[a.target]; ok {
 		m.kept[a.target] = address
--- a/machine/entry/dispatch/world.go
+++ b/machine/entry/dispatch/world.go
@@ -76,6 +76,7 @@
 		name:  name,
 		pool:  balancer.NewPool(m.cfg.Home, rng),
 		queue: fairshare.NewQueue(defaultQueue),
+		usage: fairshare.NewUsage(),
 	}
 	m.services[name] = s
 	m.order = append(m.order, s)
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -12,6 +12,14 @@
 // LoadBound is how far above the mean use the home of a prefix may be.
 const LoadBound = 1.25
 
+const (
+	// headroomShare is the part, one in so many, of limits and credits that is
+	// kept free for teams below their share.
+	headroomShare = 4
+	// minHeadroomUnits is the size from which anything is kept free.
+	minHeadroomUnits = 6
+)
+
 // Want describes an attempt to be placed.
 type Want struct {
 	// Prefix is the hash of the prompt prefix; 0 if there is none.
@@ -20,6 +28,9 @@
 	Pinned contract.Digest
 	// Bytes estimates what the attempt puts on a link between regions.
 	Bytes int
+	// Yield tells that the request must leave headroom for others, because its
+	// team has more than its share.
+	Yield bool
 	// Tried lists targets that refused the request and have not reported since.
 	Tried func(id contract.MachineID) bool
 }
@@ -39,6 +50,9 @@
 // ReasonZoneOut, ReasonTargetLeaving, ReasonBackendDown or ReasonNoWeights.
 func (p *Pool) Pick(now time.Time, want Want) (choice Choice, reason contract.Reason, ok bool) {
 	var buffer [64]*member
+	if want.Yield && p.off&offHeadroom == 0 && !p.hasHeadroom() {
+		return Choice{}, contract.ReasonTargetFull, false
+	}
 	for _, ramp := range [...]bool{true, false} {
 		for t := tierZone; t < tiers; t++ {
 			if t == tierRemote && !p.maySpill(now) {
@@ -53,6 +67,27 @@
 	return Choice{}, p.Blocked(now, want.Pinned), false
 }
 
+// withHeadroom is the part of n units that work which must yield may take.
+func withHeadroom(n uint32) uint32 {
+	if n < minHeadroomUnits {
+		return n
+	}
+	return n - max(1, n/headroomShare)
+}
+
+// hasHeadroom reports whether enough of the entry's own credits are free for
+// work that must yield.
+func (p *Pool) hasHeadroom() bool {
+	credits, inflight := uint32(0), uint32(0)
+	for _, m := range p.order {
+		if m.up {
+			credits += m.credits(p.rules[m.Place])
+			inflight += m.inflight
+		}
+	}
+	return inflight < withHeadroom(credits)
+}
+
 func (p *Pool) maySpill(now time.Time) bool {
 	if !p.spill {
 		return false
@@ -63,10 +98,14 @@
 // candidates appends the members of a tier that may take the attempt. A target
 // due for a probe is the only candidate.
 func (p *Pool) candidates(now time.Time, want Want, t tier, ramp bool, found []*member) []*member {
+	yield := want.Yield && p.off&offHeadroom == 0
 	for _, m := range p.order {
 		if m.tier != t || p.blocked(now, m, want.Pinned) != "" {
 			continue
 		}
+		if yield && p.used(m) >= withHeadroom(m.limit(p.rules[m.Place])) {
+			continue
+		}
 		if !p.hasRoom(now, m, ramp) || want.Tried != nil && want.Tried(m.Machine) {
 			continue
 		}
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -26,7 +26,7 @@
 }
 
 // mechanism names a part of the pool that tests switch off.
-type mechanism uint8
+type mechanism uint16
 
 const (
 	offZoneGate mechanism = 1 << iota
@@ -37,6 +37,7 @@
 	offSpillBudget
 	offReportOrder
 	offPrefixBound
+	offHeadroom
 )
 
 // NewPool returns an empty pool as seen from home.
@@ -138,16 +139,6 @@
 // maxUnits bounds the counts of a credible report.
 const maxUnits = 1 << 20
 
-// Reply takes in the load of a reply to an attempt, which does not lower the
-// credits: the reply may come from before the target knew of the entry's work.
-func (p *Pool) Reply(now time.Time, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) Fate {
-	m, ok := p.members[id]
-	if ok && m.known && load.Limit > 0 {
-		load.Credits = max(load.Credits, min(m.load.Credits, load.Limit))
-	}
-	return p.Report(now, id, incarnation, load)
-}
-
 // Report takes in a target's load. Incarnation 0 means the present one; a load
 // with Seq 0 is none.
 func (p *Pool) Report(now time.Time, id contract.MachineID, incarnation contract.Incarnation, load contract.Load) Fate {
--- a/zone/balancer/subset.go
+++ b/zone/balancer/subset.go
@@ -16,10 +16,10 @@
 	// LinksPerEntry is how many targets of its own zone an entry knows beyond
 	// that, on average.
 	LinksPerEntry = 16
-	// EntriesPerTarget is how many entries of a target's zone know it at least,
-	// and RemoteEntriesPerTarget how many of each other zone.
-	EntriesPerTarget       = 3
-	RemoteEntriesPerTarget = 1
+	// EntriesPerTarget is how many entries of a target's zone know it at least.
+	EntriesPerTarget = 2
+	// RemotePerZone is how many targets of each other zone an entry knows.
+	RemotePerZone = 2
 )
 
 // Entry is an entry as the host list describes it.
@@ -28,29 +28,43 @@
 	Place   Place
 }
 
-// Subset returns the targets of a service that self keeps links to. Each target
-// is known by the entries of each zone that rendezvous hashing ranks first for
-// it, so that no target is forgotten and a change of the list moves few links.
+// Subset returns the targets of a service that self keeps links to. In its own
+// zone each target is known by the entries that rendezvous hashing ranks first
+// for it, so that no target is forgotten and a change of the list moves few
+// links. Of each other zone an entry knows the few that rank first for itself.
 func Subset(self Entry, entries []Entry, targets []Member) []Member {
 	if len(targets) <= FullMesh {
 		return targets
 	}
 	peers := hashesIn(entries, self.Place)
 	own := xxhash.Sum64String(string(self.Machine))
-	inZone := countIn(targets, self.Place)
+	want := entriesFor(len(peers), countIn(targets, self.Place))
 	kept := make([]Member, 0, 2*LinksPerEntry)
+	remote := map[Place][]Member{}
 	for _, t := range targets {
-		want := RemoteEntriesPerTarget
-		if t.Place == self.Place {
-			want = entriesFor(len(peers), inZone)
+		if t.Place != self.Place {
+			remote[t.Place] = nearest(own, remote[t.Place], t)
+			continue
 		}
 		if rank(peers, own, t.Machine) < want {
 			kept = append(kept, t)
 		}
 	}
+	for _, list := range remote {
+		kept = append(kept, list...)
+	}
+	sort.Slice(kept, func(i, j int) bool { return kept[i].Machine < kept[j].Machine })
 	return kept
 }
 
+// nearest adds a target to the RemotePerZone that rank first for an entry.
+func nearest(own uint64, list []Member, t Member) []Member {
+	weight := func(m Member) uint64 { return rendezvous(xxhash.Sum64String(string(m.Machine)), own) }
+	list = append(list, t)
+	sort.SliceStable(list, func(i, j int) bool { return weight(list[i]) > weight(list[j]) })
+	return list[:min(len(list), RemotePerZone)]
+}
+
 // entriesFor is how many of a zone's entries know each of its targets.
 func entriesFor(entries, targets int) int {
 	if targets == 0 {
