entry: golden session of keyed calls, cut link test

Cause: keys and broken connections were proved only without sockets. Change: keyed calls run against the log stand-in (replay, conflict, log down); a connection is closed under calls that may not be repeated.

--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +28,7 @@
 	"mimosastand.example/mimosastand/settings/fixed"
 	"mimosastand.example/mimosastand/standin/engine"
 	"mimosastand.example/mimosastand/standin/fault"
+	"mimosastand.example/mimosastand/standin/logservice"
 	"mimosastand.example/mimosastand/standin/service"
 )
 
@@ -78,24 +82,36 @@
 	keys  *devkeys.Authority
 	entry *Entry
 	list  platform.HostList
-	stop  context.CancelFunc
-	done  chan error
+	log   *fault.Switch
+	plain *fault.Switch
+	// stop stops the entry and returns what Run gave.
+	stop func() error
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T, claimer claims.Claimer) *rig {
 	t.Helper()
 	authority, err := devkeys.NewAuthority(t.TempDir())
 	fatal(t, err)
-	r := &rig{t: t, keys: authority, list: platform.HostList{Version: 1}, done: make(chan error, 1)}
+	r := &rig{t: t, keys: authority, list: platform.HostList{Version: 1}}
 	r.target("target-1", "drafts", config.BackendModel, engine.New(engine.Config{WarmLimit: 8, ColdLimit: 2, Digest: digest}))
-	r.target("target-2", "registry", config.BackendPlain, service.New(service.Config{Limit: 8}))
+	r.plain = service.New(service.Config{Limit: 8, Delay: 20 * time.Millisecond})
+	r.target("target-2", "registry", config.BackendPlain, r.plain)
+	r.log = logservice.New(logservice.Config{})
+	platformLog := httptest.NewServer(r.log)
+	t.Cleanup(platformLog.Close)
 	process := r.process("entry-1", link.RoleEntry)
+	process.LogURL = platformLog.URL
 	process.Entry = config.Entry{MaxBodyBytes: 2048, DefaultTimeout: 20 * time.Second}
-	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list), Claims: noClaims{}})
+	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list), Claims: claimer})
 	fatal(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	go func() { r.done <- r.entry.Run(ctx) }()
+	done := make(chan error, 1)
+	go func() { done <- r.entry.Run(ctx) }()
+	r.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	})
+	t.Cleanup(func() { _ = r.stop() })
 	r.awaitTargets()
 	return r
 }
@@ -194,17 +210,26 @@
 	}
 }
 
-// TestCalls runs the calls in testdata/calls.txt against real processes.
+// TestCalls runs the calls in testdata against real processes, without and with
+// a claimer of keys.
 func TestCalls(t *testing.T) {
-	r := newRig(t)
-	datadriven.RunTest(t, "testdata/calls.txt", func(t *testing.T, d *datadriven.TestData) string {
+	t.Run("calls", func(t *testing.T) { newRig(t, noClaims{}).session(t, "testdata/calls.txt") })
+	t.Run("keyed", func(t *testing.T) { newRig(t, nil).session(t, "testdata/keyed.txt") })
+}
+
+func (r *rig) session(t *testing.T, path string) {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "call":
 			_, text := r.call(d.Input)
 			return text
+		case "log":
+			r.log.Set(fault.Request{Fault: fault.Kind(d.CmdArgs[0].Key)})
+			return "ok\n"
+		case "effects":
+			return fmt.Sprintln(r.stats().Effects, "effects,", r.stats().DoubledByKey, "doubled")
 		case "stop":
-			r.stop()
-			fatal(t, <-r.done)
+			fatal(t, r.stop())
 			return "stopped\n"
 		default:
 			return "unknown command\n"
@@ -234,9 +259,48 @@
 	})
 }
 
+// stats reads the counts of the plain service.
+func (r *rig) stats() service.Stats {
+	w := httptest.NewRecorder()
+	r.plain.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/stats", nil))
+	var s service.Stats
+	fatal(r.t, json.Unmarshal(w.Body.Bytes(), &s))
+	return s
+}
+
+// TestCutLinkLosesNoAnswer cuts the connection under calls that may not be
+// repeated: each is answered whole over a new one, and has one effect.
+func TestCutLinkLosesNoAnswer(t *testing.T) {
+	r := newRig(t, noClaims{})
+	before := r.stats().Effects
+	const calls = 8
+	statuses := make(chan int, calls)
+	for i := range calls {
+		go func() {
+			status, _ := r.call(fmt.Sprintf("POST /v1/services/registry/filings\nX-Team: north\nX-Unkeyed: allow\n\nfiling %d", i))
+			statuses <- status
+		}()
+	}
+	for r.stats().Running == 0 {
+		runtime.Gosched()
+	}
+	if conn, ok := r.entry.links.pool.Get("target-2"); ok {
+		conn.Close()
+	}
+	done := uint64(0)
+	for range calls {
+		if <-statuses == http.StatusOK {
+			done++
+		}
+	}
+	if effects := r.stats().Effects - before; effects != done || done == 0 {
+		t.Fatalf("%d calls done, %d effects", done, effects)
+	}
+}
+
 // TestMetricsNameReasons checks that refusals are counted by their reason.
 func TestMetricsNameReasons(t *testing.T) {
-	r := newRig(t)
+	r := newRig(t, noClaims{})
 	r.call("GET /v1/services/nowhere/x\nX-Team: north")
 	for range 1000 {
 		resp, err := http.Get("http://" + r.entry.HTTPAddress() + "/metrics")
--- a/machine/entry/keys.go
+++ b/machine/entry/keys.go
@@ -16,6 +16,10 @@
 // claimer goes on with it after that.
 const resolveTimeout = 5 * time.Second
 
+// claimShare is the part of the time until the caller's deadline, in percent,
+// that a claim may take, so that the caller hears why it was refused.
+const claimShare = 90
+
 // keys joins the state machine to the claimer of idempotency keys.
 type keys struct {
 	claimer claims.Claimer
@@ -31,7 +35,7 @@
 
 // claim decides for one request.
 func (k *keys) claim(ctx context.Context, ask dispatch.ClaimKey) dispatch.Claimed {
-	ctx, cancel := context.WithTimeout(ctx, ask.Within)
+	ctx, cancel := context.WithTimeout(ctx, ask.Within*claimShare/100)
 	defer cancel()
 	d, err := k.claimer.Claim(ctx, ask.Claim)
 	if err != nil {
