--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -34,7 +34,7 @@
 	switch {
 	case m.stopping:
 		return contract.ReasonShuttingDown
-	case m.view == nil || m.hosts.Version == 0:
+	case m.view == nil || !m.listed:
 		return contract.ReasonSettingsNotReady
 	case r.Timeout <= 0 && m.off&offDeadline == 0:
 		return contract.ReasonDeadline
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -67,11 +67,13 @@
 
 // Machine is the state machine of an entry.
 type Machine struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      time.Time
-	view     settings.View
-	hosts    platform.HostList
+	cfg   Config
+	rng   *rand.Rand
+	now   time.Time
+	view  settings.View
+	hosts platform.HostList
+	// listed tells that a host list has come.
+	listed   bool
 	stopping bool
 
 	services map[contract.ServiceName]*service
@@ -204,7 +206,7 @@
 
 // Ready reports whether the machine knows settings and hosts and is not stopping.
 func (m *Machine) Ready() bool {
-	return m.view != nil && m.hosts.Version > 0 && !m.stopping
+	return m.view != nil && m.listed && !m.stopping
 }
 
 // Open is the number of requests that are not finished.
--- a/machine/entry/dispatch/world.go
+++ b/machine/entry/dispatch/world.go
@@ -23,18 +23,19 @@
 }
 
 func (m *Machine) hostsChanged(list platform.HostList) {
-	if list.Version < m.hosts.Version {
+	if m.listed && list.Version < m.hosts.Version {
 		m.count(CountIgnored, contract.ReasonStaleSettings)
 		return
 	}
 	m.hosts = list
+	m.listed = true
 	m.rebuild()
 	m.pumpAll()
 }
 
 // rebuild brings services, members and rules in line with settings and hosts.
 func (m *Machine) rebuild() {
-	if m.view == nil || m.hosts.Version == 0 {
+	if m.view == nil || !m.listed {
 		return
 	}
 	entries, targets := m.split()
--- a/machine/entry/parse.go
+++ b/machine/entry/parse.go
@@ -23,6 +23,7 @@
 	generateSuffix = "/generate"
 
 	maxTimeout   = time.Hour
+	bodyTimeout  = 10 * time.Second
 	maxKeyBytes  = 256
 	maxNameBytes = 64
 	maxTokens    = 1 << 20
@@ -161,6 +162,9 @@
 }
 
 func (p parser) body(req *dispatch.Request, w http.ResponseWriter, r *http.Request) error {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/zone/balancer/member.go
+++ b/zone/balancer/member.go
@@ -106,9 +106,11 @@
 	return max(1, uint32(float64(credits)*share))
 }
 
-// serves reports whether the target's confirmed digest is allowed. A target
-// that has not reported may serve.
-func (m *member) serves(rules Rules, pinned contract.Digest) bool {
+// serves reports whether the target's confirmed digest will do. A target that
+// has not reported may serve. With older set, any whole version will do for a
+// request that is not pinned: while two roll-outs overlap, targets that still
+// have the version before both would be missed.
+func (m *member) serves(rules Rules, pinned contract.Digest, older bool) bool {
 	has := m.load.Weights
 	if has == "" {
 		return rules.Weights == "" || !m.known && (pinned == "" || pinned == rules.Weights)
@@ -116,7 +118,7 @@
 	if pinned != "" {
 		return has == pinned
 	}
-	return has == rules.Weights || has == rules.Former || rules.Weights == ""
+	return has == rules.Weights || has == rules.Former || older || rules.Weights == ""
 }
 
 // digest is what a request sent to the target is pinned to.
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -53,12 +53,12 @@
 	if want.Yield && p.off&offHeadroom == 0 && !p.hasHeadroom() {
 		return Choice{}, contract.ReasonTargetFull, false
 	}
-	for _, ramp := range [...]bool{true, false} {
+	for _, e := range efforts {
 		for t := tierZone; t < tiers; t++ {
 			if t == tierRemote && !p.maySpill(now) {
 				continue
 			}
-			found := p.candidates(now, want, t, ramp, buffer[:0])
+			found := p.candidates(now, want, t, e, buffer[:0])
 			if len(found) > 0 {
 				return p.choose(now, want, found), "", true
 			}
@@ -67,6 +67,15 @@
 	return Choice{}, p.Blocked(now, want.Pinned), false
 }
 
+// effort tells which rules give way when nothing else is found.
+type effort struct {
+	// ramp holds returning targets to their slow start, older takes versions
+	// from before the roll-out.
+	ramp, older bool
+}
+
+var efforts = [...]effort{{ramp: true}, {}, {older: true}}
+
 // withHeadroom is the part of n units that work which must yield may take.
 func withHeadroom(n uint32) uint32 {
 	if n < minHeadroomUnits {
@@ -97,16 +106,16 @@
 
 // candidates appends the members of a tier that may take the attempt. A target
 // due for a probe is the only candidate.
-func (p *Pool) candidates(now time.Time, want Want, t tier, ramp bool, found []*member) []*member {
+func (p *Pool) candidates(now time.Time, want Want, t tier, e effort, found []*member) []*member {
 	yield := want.Yield && p.off&offHeadroom == 0
 	for _, m := range p.order {
-		if m.tier != t || p.blocked(now, m, want.Pinned) != "" {
+		if m.tier != t || p.blocked(now, m, want.Pinned, e.older) != "" {
 			continue
 		}
 		if yield && p.used(m) >= withHeadroom(m.limit(p.rules[m.Place])) {
 			continue
 		}
-		if !p.hasRoom(now, m, ramp) || want.Tried != nil && want.Tried(m.Machine) {
+		if !p.hasRoom(now, m, e.ramp) || want.Tried != nil && want.Tried(m.Machine) {
 			continue
 		}
 		if p.ejection.Verdict(now, m.Machine) == ejection.Probe {
@@ -138,7 +147,7 @@
 
 // blocked tells why a target may not get the attempt however little it has to
 // do; empty if it may.
-func (p *Pool) blocked(now time.Time, m *member, pinned contract.Digest) contract.Reason {
+func (p *Pool) blocked(now time.Time, m *member, pinned contract.Digest, older bool) contract.Reason {
 	rules := p.rules[m.Place]
 	switch {
 	case rules.Out && p.off&offZoneGate == 0:
@@ -149,7 +158,7 @@
 		return contract.ReasonNoTarget
 	case p.ejection.Verdict(now, m.Machine) == ejection.Ejected:
 		return contract.ReasonBackendDown
-	case !m.serves(rules, pinned):
+	case !m.serves(rules, pinned, older) && p.off&offVersions == 0:
 		return contract.ReasonNoWeights
 	default:
 		return ""
@@ -164,7 +173,7 @@
 		if m.tier == tierRemote && !p.spill {
 			continue
 		}
-		reason := p.blocked(now, m, pinned)
+		reason := p.blocked(now, m, pinned, true)
 		if reason == "" {
 			return contract.ReasonTargetFull
 		}
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -38,6 +38,7 @@
 	offReportOrder
 	offPrefixBound
 	offHeadroom
+	offVersions
 )
 
 // NewPool returns an empty pool as seen from home.
--- a/zone/balancer/scenario_test.go
+++ b/zone/balancer/scenario_test.go
@@ -85,6 +85,12 @@
 	return n
 }
 
+func text(t *testing.T, d *datadriven.TestData, key string) string {
+	v := ""
+	d.MaybeScanArgs(t, key, &v)
+	return v
+}
+
 func (s *session) members(text string) {
 	var list []Member
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
@@ -97,13 +103,19 @@
 	}
 }
 
-// setRules takes "out=(zone zone)" and "nospill" for all zones.
+// setRules takes "out=(zone,zone)", "nospill", "weights" and "former" for all zones.
 func (s *session) setRules(d *datadriven.TestData) {
 	rules := map[Place]Rules{}
 	for _, zone := range []string{"khomas-a", "khomas-b", "erongo-a"} {
-		rules[place(zone)] = Rules{Cold: 2, SlowStart: 10 * time.Second}
+		rules[place(zone)] = Rules{
+			Cold: 2, SlowStart: 10 * time.Second,
+			Weights: contract.Digest(text(s.t, d, "weights")), Former: contract.Digest(text(s.t, d, "former")),
+		}
 	}
 	for _, arg := range d.CmdArgs {
+		if arg.Key != "out" {
+			continue
+		}
 		for _, zone := range arg.Vals {
 			r := rules[place(zone)]
 			r.Out = true
@@ -117,6 +129,7 @@
 	load := contract.Load{
 		Running: uint32(number(s.t, d, "running")), Limit: uint32(number(s.t, d, "limit")),
 		Credits: uint32(number(s.t, d, "credits")), Seq: number(s.t, d, "seq"), Leaving: d.HasArg("leaving"),
+		Weights: contract.Digest(text(s.t, d, "has")),
 	}
 	fates := [...]string{"taken", "outdated", "unlisted", "contradictory"}
 	return fates[s.pool.Report(s.now, id, contract.Incarnation(max(1, number(s.t, d, "inc"))), load)] + "\n"
@@ -126,7 +139,7 @@
 func (s *session) pick(d *datadriven.TestData) string {
 	counts := map[string]int{}
 	for range max(1, number(s.t, d, "n")) {
-		want := Want{Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Yield: d.HasArg("yield")}
+		want := Want{Pinned: contract.Digest(text(s.t, d, "pinned")), Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Yield: d.HasArg("yield")}
 		choice, reason, ok := s.pool.Pick(s.now, want)
 		if !ok {
 			counts["none: "+string(reason)]++
@@ -162,7 +175,7 @@
 	cases := map[string]mechanism{
 		"zone_gate": offZoneGate, "leaving": offLeaving, "credits": offCredits, "ramp": offRamp,
 		"lag": offLagCorrection, "spill_budget": offSpillBudget, "report_order": offReportOrder,
-		"prefix": offPrefixBound, "headroom": offHeadroom,
+		"prefix": offPrefixBound, "headroom": offHeadroom, "versions": offVersions,
 	}
 	for name, off := range cases {
 		t.Run(name, func(t *testing.T) {
