link: make each connection from a socket of its own

Cause: found by a test that loses the path of one connection, as a device between two hosts does that forgets its table. All connections of an endpoint shared one UDP socket, so a new connection had the same addresses as the silent one and was lost too; the redial after silence could never work.

Ruled out: QUIC connection migration, since a path that drops the old addresses gives no sign to migrate on; a second shared socket, since it fails the same way the second time.

Change: Dial opens a socket for each connection and closes it with it.

Before: dial deadline exceeded after 2 s. After: connected at once; the silent connection ends with ErrSilent while the new one lives.

--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 
 // Tally adds up results. It is safe for concurrent use.
 type Tally struct {
+	began      time.Time
 	mu         sync.Mutex
 	classes    map[Class]int
 	reasons    map[string]int
@@ -65,6 +67,7 @@
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
+		began:      time.Now(),
 		classes:    map[Class]int{},
 		reasons:    map[string]int{},
 		digests:    map[contract.Digest]int{},
@@ -87,7 +90,8 @@
 	default:
 		t.reasons[string(r.Reason)+" ("+r.Outcome+")"]++
 		if len(t.details) < keptDetails && r.Detail != "" {
-			t.details = append(t.details, string(r.Class)+": "+r.Detail)
+			at := time.Since(t.began).Round(time.Millisecond)
+			t.details = append(t.details, fmt.Sprintf("after %v %s: %s", at, r.Class, r.Detail))
 		}
 	}
 }
--- a/link/endpoint.go
+++ b/link/endpoint.go
@@ -25,7 +25,9 @@
 	RejectedPeer(err error)
 }
 
-// Endpoint accepts and makes connections on one UDP socket.
+// Endpoint accepts connections on one UDP socket and makes each connection from
+// a socket of its own: a path that has lost track of one connection goes by its
+// addresses, so a new connection needs a new port.
 type Endpoint struct {
 	cfg     Config
 	creds   *Credentials
@@ -33,6 +35,7 @@
 	socket  *net.UDPConn
 	trans   *quic.Transport
 	lis     *quic.Listener
+	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	meter   meter
@@ -56,9 +59,9 @@
 		return nil, errors.Wrap(err, "link: listen")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Endpoint{cfg: cfg, creds: creds, handler: handler, socket: socket, trans: trans, lis: lis, cancel: cancel}
+	e := &Endpoint{cfg: cfg, creds: creds, handler: handler, socket: socket, trans: trans, lis: lis, ctx: ctx, cancel: cancel}
 	e.wg.Add(1)
-	go e.acceptLoop(ctx)
+	go e.acceptLoop()
 	return e, nil
 }
 
@@ -97,7 +100,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, e.cfg.DialTimeout)
 	defer cancel()
-	qc, err := e.trans.Dial(dialCtx, udp, e.creds.clientConfig(), e.cfg.quicConfig())
+	qc, err := e.dialFromNewSocket(dialCtx, udp)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
 	}
@@ -114,25 +117,56 @@
 	return c, nil
 }
 
-func (e *Endpoint) acceptLoop(ctx context.Context) {
+// dialFromNewSocket makes a connection whose socket lives as long as it.
+func (e *Endpoint) dialFromNewSocket(ctx context.Context, to *net.UDPAddr) (*quic.Conn, error) {
+	local := &net.UDPAddr{IP: e.socket.LocalAddr().(*net.UDPAddr).IP}
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, err
+	}
+	trans := &quic.Transport{Conn: socket}
+	qc, err := trans.Dial(ctx, to, e.creds.clientConfig(), e.cfg.quicConfig())
+	if err != nil {
+		_ = trans.Close()
+		_ = socket.Close()
+		return nil, err
+	}
+	e.wg.Add(1)
+	go e.closeWith(qc, trans, socket)
+	return qc, nil
+}
+
+// closeWith releases a dialed connection's socket when either has ended.
+func (e *Endpoint) closeWith(qc *quic.Conn, trans *quic.Transport, socket *net.UDPConn) {
+	defer e.wg.Done()
+	select {
+	case <-qc.Context().Done():
+	case <-e.ctx.Done():
+		_ = qc.CloseWithError(codeClosed, "closed")
+	}
+	_ = trans.Close()
+	_ = socket.Close()
+}
+
+func (e *Endpoint) acceptLoop() {
 	defer e.wg.Done()
 	for {
-		qc, err := e.lis.Accept(ctx)
+		qc, err := e.lis.Accept(e.ctx)
 		if err != nil {
 			return
 		}
 		e.wg.Add(1)
-		go e.accept(ctx, qc)
+		go e.accept(qc)
 	}
 }
 
-func (e *Endpoint) accept(ctx context.Context, qc *quic.Conn) {
+func (e *Endpoint) accept(qc *quic.Conn) {
 	defer e.wg.Done()
 	c, err := e.newConn(qc)
 	if err != nil {
 		return
 	}
-	beatCtx, cancel := context.WithTimeout(ctx, e.cfg.SilentAfter)
+	beatCtx, cancel := context.WithTimeout(e.ctx, e.cfg.SilentAfter)
 	defer cancel()
 	beats, err := qc.AcceptStream(beatCtx)
 	if err != nil {
