gate: give back only what is too much when the limit falls a little; release proven units

Cause: an engine whose limit moves by one emptied the whole queue; a unit whose cancelling the engine never confirmed counted until the engine restarted. Change: only a back end that turned cold empties the queue; a report without work that was taken after a unit's end releases it; an engine that does not know the work counts as having ended it. Keys are watched and reloaded.

--- a/machine/target/backend/engine.go
+++ b/machine/target/backend/engine.go
@@ -155,7 +155,8 @@
 	return end, nil
 }
 
-// Cancel stops the work that runs under id. After a nil error it has stopped.
+// Cancel stops the work that runs under id. After a nil error it has stopped, or
+// the engine knows no such work.
 func (e *Engine) Cancel(ctx context.Context, id string) error {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
@@ -165,6 +166,10 @@
 	if err != nil {
 		return err
 	}
+	if resp.StatusCode == http.StatusNotFound {
+		drain(resp.Body)
+		return nil
+	}
 	return expectOK(resp)
 }
 
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -86,7 +86,7 @@
 	}
 	g.learn(a, e)
 	g.close(a, e)
-	a.ended = true
+	a.ended, a.endedAt = true, g.now
 	g.limitFault(e.Fault)
 	if e.Lingers && g.off&offLinger == 0 {
 		if e.LingerFor > 0 {
@@ -144,9 +144,11 @@
 	}
 }
 
-// releaseLingering forgets the units that a restarted engine cannot run.
-func (g *Gate) releaseLingering() {
-	for _, a := range g.matching(func(a *attempt) bool { return a.ended }) {
+// releaseLingering forgets the units that a restarted engine cannot run, or that
+// had ended before an engine without work was seen.
+func (g *Gate) releaseLingering(taken time.Time, restarted bool) {
+	gone := func(a *attempt) bool { return a.ended && (restarted || a.endedAt.Before(taken)) }
+	for _, a := range g.matching(gone) {
 		g.forget(a)
 	}
 }
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -68,8 +68,9 @@
 	// detached is when the attempt's stream broke, 0 while one is there.
 	detached time.Time
 	stopping bool
-	// ended tells that the answer is closed and that the unit lingers.
+	// ended tells that the answer is closed and, since endedAt, the unit lingers.
 	ended       bool
+	endedAt     time.Time
 	lingerUntil time.Time
 }
 
@@ -150,8 +151,8 @@
 	g.effects = append(g.effects, e)
 }
 
-// limit passes an event to the limiter. When the limit falls, what is queued
-// goes back.
+// limit passes an event to the limiter. When the back end turns cold, what is
+// queued goes back; when it only bears less, what is too much for the queue does.
 func (g *Gate) limit(e coldstart.Event) {
 	result := g.limiter.Step(g.now, e)
 	if result.Ignored != "" {
@@ -161,7 +162,13 @@
 		return
 	}
 	g.emit(Fell{Cause: result.Fell})
-	g.returnQueue(contract.ReasonColdStart)
+	if result.Fell != coldstart.CauseLowerLimit {
+		g.returnQueue(contract.ReasonColdStart)
+		return
+	}
+	for len(g.queue) > g.queueBound() {
+		g.dropQueued(g.queue[len(g.queue)-1], g.fullReason())
+	}
 }
 
 // reported takes a report of the engine. A digest that the target did not
@@ -173,10 +180,12 @@
 	if g.rejected(result) {
 		return
 	}
-	if before != "" && g.limiter.Boot() != before {
-		g.releaseLingering()
+	taken := g.now.Add(-r.Age)
+	restarted := before != "" && g.limiter.Boot() != before
+	if restarted || r.Running == 0 {
+		g.releaseLingering(taken, restarted)
 	}
-	if g.now.Add(-r.Age).After(g.activated) {
+	if taken.After(g.activated) {
 		g.setWeights(r.Digest)
 	}
 }
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -178,7 +178,7 @@
 }
 
 func TestSessions(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &session{}
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
 			return s.play(d.Input, 0)
--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -166,7 +166,7 @@
 	default:
 		o.step(now, Reported{coldstart.Report{
 			Boot: "b", Seq: seq, Digest: drawDigest(o.t), Warm: rapid.IntRange(0, 5).Draw(o.t, "warm") > 0,
-			Limit: rapid.IntRange(0, 4).Draw(o.t, "limit"),
+			Limit: rapid.IntRange(0, 4).Draw(o.t, "limit"), Running: len(o.units),
 		}})
 	}
 }
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -17,6 +17,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/target/backend"
 	"mimosastand.example/mimosastand/machine/target/gate"
 	"mimosastand.example/mimosastand/platform"
@@ -161,7 +162,7 @@
 // loops returns what runs beside the endpoint until the process has left. The
 // agent is not among them: a leaving process gives no more orders.
 func (p *Process) loops() []func(context.Context) {
-	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop}
+	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.watchCredentials, p.peers.sweepLoop}
 	if p.follower == nil {
 		return loops
 	}
@@ -169,6 +170,11 @@
 	return append(loops, run, p.settingsLoop, p.hosts.Run)
 }
 
+// watchCredentials takes replaced keys into use.
+func (p *Process) watchCredentials(ctx context.Context) {
+	_ = reload.New(p.creds, p.cfg.TLS, p.scope, p.log).Run(ctx, reload.DefaultInterval)
+}
+
 // Start opens the addresses. Run calls it if it was not called before.
 func (p *Process) Start() error {
 	if p.endpoint != nil {
