--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -36,6 +36,7 @@
 	registry    *metrics.Registry
 	scope       tally.Scope
 	creds       *link.Credentials
+	reloads     *reload.Watcher
 	incarnation contract.Incarnation
 	engine      *backend.Engine
 	plain       *backend.Plain
@@ -92,6 +93,7 @@
 	} else {
 		p.plain = backend.NewPlain(cfg.Target.BackendURL)
 	}
+	p.reloads = reload.New(creds, cfg.TLS, p.scope, logs.For("credentials", cfg.Machine))
 	p.settings = fileSettings(cfg)
 	p.gate = gate.New(now, p.gateConfig(), p.settings.Limits, newRand(uint64(p.incarnation)))
 	p.peers = newPeers(cfg.Machine, cfg.Zone)
@@ -113,7 +115,7 @@
 		return
 	}
 	p.agent = agent.New(agent.Options{
-		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Incarnation: p.incarnation,
+		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Service: cfg.Target.Service, Incarnation: p.incarnation,
 		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
 		Engine: engineOrders{p.engine}, Peers: p.peers,
 		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
@@ -162,7 +164,8 @@
 // loops returns what runs beside the endpoint until the process has left. The
 // agent is not among them: a leaving process gives no more orders.
 func (p *Process) loops() []func(context.Context) {
-	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.watchCredentials, p.peers.sweepLoop}
+	reloads := func(ctx context.Context) { _ = p.reloads.Run(ctx, reload.DefaultInterval) }
+	loops := []func(context.Context){p.timerLoop, p.reportLoop, p.gaugeLoop, p.peers.sweepLoop, reloads}
 	if p.follower == nil {
 		return loops
 	}
@@ -170,11 +173,6 @@
 	return append(loops, run, p.settingsLoop, p.hosts.Run)
 }
 
-// watchCredentials takes replaced keys into use.
-func (p *Process) watchCredentials(ctx context.Context) {
-	_ = reload.New(p.creds, p.cfg.TLS, p.scope, p.log).Run(ctx, reload.DefaultInterval)
-}
-
 // Start opens the addresses. Run calls it if it was not called before.
 func (p *Process) Start() error {
 	if p.endpoint != nil {
