--- a/bench/gate/hop.go
+++ b/bench/gate/hop.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -36,7 +37,9 @@
 // measured is what callers saw in one run.
 type measured struct {
 	calls, failed int
-	first, whole  *hdrhistogram.Histogram
+	// cpu is the processor time of caller, target and stand-in together.
+	cpu          time.Duration
+	first, whole *hdrhistogram.Histogram
 }
 
 // measure lets several callers call one after the other for hopTime.
@@ -45,6 +48,7 @@
 	var next atomic.Int64
 	m := measured{first: hdrhistogram.New(1, maxMicros, digits), whole: hdrhistogram.New(1, maxMicros, digits)}
 	var wg sync.WaitGroup
+	before := cpuTime()
 	end := time.Now().Add(hopTime)
 	for range callers {
 		wg.Go(func() {
@@ -59,9 +63,19 @@
 		})
 	}
 	wg.Wait()
+	m.cpu = cpuTime() - before
 	return m
 }
 
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (m *measured) note(first, whole time.Duration, err error) {
 	if err != nil {
 		m.failed++
@@ -156,8 +170,8 @@
 func reportHop(w io.Writer) error {
 	fmt.Fprintf(w, "\nthe way through the target beside a direct call, loopback, %s each; model answers have %d tokens, %s apart\n",
 		hopTime, answerTokens, tokenDelay)
-	fmt.Fprintf(w, "%-8s %-8s %7s %9s %7s %12s %12s %12s %12s\n",
-		"back end", "way", "callers", "calls/s", "failed", "first p50 us", "first p99 us", "whole p50 us", "whole p99 us")
+	fmt.Fprintf(w, "%-8s %-8s %7s %9s %7s %12s %12s %12s %12s %11s\n",
+		"back end", "way", "callers", "calls/s", "failed", "first p50 us", "first p99 us", "whole p50 us", "whole p99 us", "cpu us/call")
 	rigs, err := newRigs()
 	defer rigs.close()
 	if err != nil {
@@ -173,8 +187,8 @@
 }
 
 func printHop(w io.Writer, kind, way string, callers int, m measured) {
-	fmt.Fprintf(w, "%-8s %-8s %7d %9.0f %7d %12d %12d %12d %12d\n", kind, way, callers,
+	fmt.Fprintf(w, "%-8s %-8s %7d %9.0f %7d %12d %12d %12d %12d %11d\n", kind, way, callers,
 		float64(m.calls)/hopTime.Seconds(), m.failed,
 		m.first.ValueAtQuantile(50), m.first.ValueAtQuantile(99),
-		m.whole.ValueAtQuantile(50), m.whole.ValueAtQuantile(99))
+		m.whole.ValueAtQuantile(50), m.whole.ValueAtQuantile(99), m.cpu.Microseconds()/int64(max(1, m.calls)))
 }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"mimosastand.example/mimosastand/bench/claims"
+	"mimosastand.example/mimosastand/bench/gate"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -24,6 +25,7 @@
 
 var parts = []part{
 	{name: "claims", run: claims.Run},
+	{name: "gate", run: gate.Run},
 	{name: "weights", run: weights.Run},
 }
 
--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -223,7 +223,7 @@
 	s.refused++
 }
 
-// Append adds a frame to a running answer. When the answer is over its limit,
+// Append adds a copy of a frame to a running answer. When the answer is over its limit,
 // frames before number consumed are dropped; Append reports false if that does
 // not make room, and the caller tries again after more has been consumed.
 func (s *Store) Append(r *Record, f Frame, consumed uint64) bool {
--- a/machine/target/work.go
+++ b/machine/target/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"sync"
 	"syscall"
 	"time"
 
@@ -244,14 +245,19 @@
 	}
 }
 
+// readBuffers holds the buffers that answers of plain services are read into.
+var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
 func (w *worker) reply(ctx context.Context, reply backend.Reply) {
 	defer func() { _ = reply.Body.Close() }()
+	buffer := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buffer)
+	data := buffer[:]
 	at := uint64(0)
 	for {
-		data := make([]byte, readBytes)
 		n, err := reply.Body.Read(data)
 		if n > 0 {
-			if failed := w.append(ctx, answers.Frame{At: at, Data: data[:n:n]}); failed != nil {
+			if failed := w.append(ctx, answers.Frame{At: at, Data: data[:n]}); failed != nil {
 				w.end(lostReply(ctx, contract.ReasonCutAnswer))
 				return
 			}
