target: let new work in again when a drain is given up; bound the daemon's memory

Cause: a drain longer than 30 s let new work in and then never ended; one that was given up held work back for up to 30 s; the collector lets the heap grow to twice what lives, chunks in hand included. Change: the drain is renewed while it waits and ended when it is given up; the daemon sets the runtime's memory limit to 52 MiB and the chunks in hand; the agent learns load and, where the file names the links' capacities, live traffic. New keys [target] machine_link and region_link, in bytes a second.

--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -61,5 +61,6 @@
 	if err != nil {
 		return err
 	}
+	t.BoundMemory()
 	return t.Run(ctx)
 }
--- a/config/process.go
+++ b/config/process.go
@@ -71,11 +71,16 @@
 	Fencing    string
 	// MaxRunning bounds the units of work in a warm back end.
 	MaxRunning int
+	// MachineLink and RegionLink are the capacities of the machine's own link and
+	// of a link between regions, in bytes a second each way; 0 means not known.
+	MachineLink, RegionLink int
 }
 
 const (
 	second = int64(time.Second)
 	ms     = int64(time.Millisecond)
+	// maxLinkBytes bounds the capacity of a link, in bytes a second.
+	maxLinkBytes = 1 << 36
 )
 
 // common lists the fields of every process.
@@ -141,4 +146,8 @@
 		set:     func(c *Process, v value) { c.Target.Fencing = v.text }},
 	{section: "target", key: "max_running", kind: kindInt, def: "16", min: 1, max: 4096,
 		set: func(c *Process, v value) { c.Target.MaxRunning = int(v.number) }},
+	{section: "target", key: "machine_link", kind: kindInt, def: "0", min: 0, max: maxLinkBytes,
+		set: func(c *Process, v value) { c.Target.MachineLink = int(v.number) }},
+	{section: "target", key: "region_link", kind: kindInt, def: "0", min: 0, max: maxLinkBytes,
+		set: func(c *Process, v value) { c.Target.RegionLink = int(v.number) }},
 }
--- a/machine/target/activate.go
+++ b/machine/target/activate.go
@@ -16,27 +16,35 @@
 // hands over what another target can resume.
 const drainGrace = 5 * time.Second
 
-// drain holds back new work and waits until none runs, for the agent.
+// drain holds back new work and waits until none runs, for the agent. If ctx
+// ends first, new work is let in again.
 func (p *Process) drain(ctx context.Context) error {
 	p.step(gate.Drain{})
-	handOver := time.Now().Add(drainGrace)
-	handed := false
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
+	again := time.NewTicker(drainGrace)
+	defer again.Stop()
 	for !p.idle() {
-		if !handed && time.Now().After(handOver) {
-			handed = true
-			p.step(gate.HandOver{})
-		}
 		select {
 		case <-ctx.Done():
+			p.step(gate.Reopen{})
 			return ctx.Err()
+		case <-again.C:
+			p.step(gate.Drain{})
+			p.step(gate.HandOver{})
 		case <-ticker.C:
 		}
 	}
 	return nil
 }
 
+// runningAndLimit tells the agent what the roll-out counts as capacity.
+func (p *Process) runningAndLimit() (running, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate.Units()
+}
+
 // engineOrders is the engine as the agent sees it.
 type engineOrders struct{ engine *backend.Engine }
 
--- a/machine/target/gate/event.go
+++ b/machine/target/gate/event.go
@@ -83,6 +83,9 @@
 // accepted until Activated, or for Config.MaxDrain.
 type Drain struct{}
 
+// Reopen ends a Drain that leads to no change of the version.
+type Reopen struct{}
+
 // HandOver asks to end what can be resumed elsewhere.
 type HandOver struct{}
 
@@ -103,6 +106,7 @@
 func (HeardFrom) event()  {}
 func (Leave) event()      {}
 func (Drain) event()      {}
+func (Reopen) event()     {}
 func (HandOver) event()   {}
 func (Tick) event()       {}
 
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -140,6 +140,8 @@
 	case Drain:
 		g.drainUntil = g.now.Add(g.cfg.MaxDrain)
 		g.returnQueue(contract.ReasonNoWeights)
+	case Reopen:
+		g.drainUntil = zeroTime
 	case HandOver:
 		g.handOver()
 	case Tick:
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -116,6 +116,8 @@
 		return []Event{Leave{}}
 	case "drain":
 		return []Event{Drain{}}
+	case "reopen":
+		return []Event{Reopen{}}
 	case "handover":
 		return []Event{HandOver{}}
 	default:
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -131,5 +131,10 @@
 	return ok && a.ended
 }
 
+// Units returns how many units run and how many the back end bears.
+func (g *Gate) Units() (running, limit int) {
+	return g.limiter.Running(), g.limiter.Limit()
+}
+
 // Phase returns the phase of the cold start.
 func (g *Gate) Phase() coldstart.Phase { return g.limiter.Phase() }
--- a/machine/target/gauges.go
+++ b/machine/target/gauges.go
@@ -2,25 +2,66 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
+
+	"mimosastand.example/mimosastand/weights/swarm"
 )
 
+// gaugeInterval is also the second over which live traffic is counted.
 const gaugeInterval = time.Second
 
-// gaugeLoop shows the state of the gate on the metrics page.
+// gaugeLoop shows the state of the gate on the metrics page, and tells the
+// runtime and the agent what has changed.
 func (p *Process) gaugeLoop(ctx context.Context) {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	live := liveRate{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			p.showGauges()
+			p.limitMemory()
+			p.tellLive(&live)
 		}
 	}
 }
 
+// memoryBytes is what the process may take beside the chunks in hand: the bound
+// less what the runtime does not count.
+const memoryBytes = 52 << 20
+
+// limitMemory sets the runtime's memory limit to what the chunks in hand allow.
+func (p *Process) limitMemory() {
+	if !p.boundMemory {
+		return
+	}
+	limit := int64(memoryBytes)
+	if p.agent != nil {
+		limit += p.agent.Bytes()
+	}
+	debug.SetMemoryLimit(limit)
+}
+
+// liveRate holds the counts of the last look at the traffic of attempts.
+type liveRate struct {
+	sent, received int64
+}
+
+// tellLive tells the agent what live traffic leaves of the links, if their
+// capacities are known.
+func (p *Process) tellLive(last *liveRate) {
+	links := swarm.Links{Machine: p.cfg.Target.MachineLink, Region: p.cfg.Target.RegionLink}
+	if p.agent == nil || links == (swarm.Links{}) {
+		return
+	}
+	now := liveRate{sent: p.sent.Load(), received: p.received.Load()}
+	p.agent.SetLive(links, swarm.Live{Up: int(now.sent - last.sent), Down: int(now.received - last.received)})
+	*last = now
+}
+
 func (p *Process) showGauges() {
 	p.mu.Lock()
 	p.pruneUndelivered()
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -56,6 +56,10 @@
 	workers  sync.WaitGroup
 	// streams counts the streams that follow a feed.
 	streams atomic.Int64
+	// sent and received count the bytes of attempts on links.
+	sent, received atomic.Int64
+	// boundMemory is set by BoundMemory.
+	boundMemory bool
 	// wake tells the timer loop that the gate has stepped.
 	wake chan struct{}
 
@@ -119,6 +123,7 @@
 		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
 		Engine: engineOrders{p.engine}, Peers: p.peers,
 		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
+		Load:     p.runningAndLimit,
 		Drain:    p.drain,
 		OnActive: func(d contract.Digest) { p.step(gate.Activated{Weights: d}) },
 	})
@@ -139,6 +144,11 @@
 	return c
 }
 
+// BoundMemory lets the process keep its memory near the bound by collecting more
+// often as it comes close. It concerns the whole program, so that only a daemon
+// with one process calls it, before Run.
+func (p *Process) BoundMemory() { p.boundMemory = true }
+
 // Run serves until ctx ends and then stops gracefully. It fails with ErrStart
 // if an address cannot be opened.
 func (p *Process) Run(ctx context.Context) error {
--- a/machine/target/serve.go
+++ b/machine/target/serve.go
@@ -126,6 +126,7 @@
 
 func (p *Process) serveStart(ctx context.Context, from contract.MachineID, s *link.Stream, start contract.Start) {
 	p.observe(start.Settings)
+	p.received.Add(int64(len(start.Body)))
 	f, r, status := p.arrive(from, start)
 	if status != nil {
 		_ = s.Send(contract.Message{Kind: contract.KindStatus, Status: status})
@@ -243,6 +244,9 @@
 			if s.Send(m) != nil {
 				return false
 			}
+			if m.Chunk != nil {
+				p.sent.Add(int64(len(m.Chunk.Data)))
+			}
 		}
 		if last || lost {
 			return last && !lost
