Tell a slot's successors at once; ask more sources for late chunks

The holder now tells its two successors and the holders abroad each chunk at once, and the neighbours that were told longest ago first. A chunk asked of two slow sources had no third one; now one more each time.

--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -115,7 +115,8 @@
 			faults: []string{"3s change"},
 			holds:  func(f *bench.Fleet, r bench.Result) bool { return r.Done && f.Sent() < 24*(32<<20)*3/2 }},
 		{name: "late chunks get a second source", off: swarm.MechEndgame, hosts: 24, regions: 1,
-			faults: []string{"0s slow 3 40", "0s slow 4 40", "0s slow 5 40"}, holds: within(4)},
+			faults: []string{"6.5s slow 3 100", "6.5s slow 4 100", "6.5s slow 5 100"},
+			change: func(p *bench.Params) { p.Swarm.Stall = time.Hour }, holds: within(3)},
 		{name: "weights keep to the budget", off: swarm.MechBudget, hosts: 24, regions: 1, budget: 1 << 20,
 			holds: func(f *bench.Fleet, r bench.Result) bool {
 				return r.Done && float64(f.Sent()) <= 24*(1<<20)*r.Time.Seconds()
--- a/weights/swarm/have.go
+++ b/weights/swarm/have.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -93,7 +94,7 @@
 	s.flushSoon(wait)
 	sl := &v.slots[v.slotOf(i)]
 	if drawn || sl.rank == 0 {
-		s.announceAbroad(v, sl)
+		s.announceSlot(v, sl)
 	}
 }
 
@@ -101,9 +102,10 @@
 	s.flushAt = min(s.flushAt, s.now+wait)
 }
 
-// announceAbroad tells the holders of a slot in the other regions what is held.
-func (s *Swarm) announceAbroad(v *version, sl *slot) {
-	for _, m := range sl.abroad {
+// announceSlot tells the holders of a slot in the other regions, and those who
+// would take the slot over, what is held.
+func (s *Swarm) announceSlot(v *version, sl *slot) {
+	for _, m := range slices.Concat(sl.abroad, sl.successors) {
 		p := s.byName[m]
 		if p == nil {
 			continue
@@ -149,15 +151,10 @@
 			s.sendHave(v, r)
 		}
 	}
-	start := 0
-	if len(v.neighbours) > 0 {
-		start = s.rng.IntN(len(v.neighbours))
-	}
-	for k := range v.neighbours {
-		r := v.neighbours[(start+k)%len(v.neighbours)]
-		if !r.ring || !s.owes(v, r) {
-			continue
-		}
+	due := slices.Clone(v.neighbours)
+	due = slices.DeleteFunc(due, func(r *remote) bool { return !r.ring || !s.owes(v, r) })
+	slices.SortStableFunc(due, func(a, b *remote) int { return cmp.Compare(a.toldAt, b.toldAt) })
+	for _, r := range due {
 		if s.on(mechControlBound) && !s.controlRoom() {
 			s.flushAt = s.control.readyAt(s.now)
 			return
@@ -189,6 +186,7 @@
 	first, data := fresh.span()
 	r.told.or(fresh)
 	r.greeted, r.owed = true, false
+	r.toldAt = s.now
 	s.control.take(s.now, haveOverheadBytes+len(data))
 	s.emit(SendHave{To: r.peer.Machine, Version: v.digest, Epoch: s.cfg.Epoch, First: first, Bitmap: data})
 }
--- a/weights/swarm/pace.go
+++ b/weights/swarm/pace.go
@@ -5,6 +5,8 @@
 const (
 	// endgameFactor is how many usual chunk times make a chunk late at the end.
 	endgameFactor = 2
+	// endgameSources bounds the sources that are asked for one chunk at once.
+	endgameSources = 4
 	// stallFactor is how many usual chunk times make a request stalled.
 	stallFactor = 6
 	// controlBurstSeconds is how many seconds of the control bound may be sent at once.
--- a/weights/swarm/pick.go
+++ b/weights/swarm/pick.go
@@ -98,12 +98,14 @@
 	return best
 }
 
-// source returns the least used source of chunk i; ties go to one at random.
-func (s *Swarm) source(sources []*remote, i int, not *peer) *remote {
+// source returns the least used source of chunk i that none of the flights asks
+// for it; ties go to one at random.
+func (s *Swarm) source(sources []*remote, i int, flights []*flight) *remote {
 	var best *remote
 	ties := 0
 	for _, r := range sources {
-		if !r.have.has(i) || r.peer == not {
+		asks := func(f *flight) bool { return f.Index == i && f.peer == r.peer }
+		if !r.have.has(i) || slices.ContainsFunc(flights, asks) {
 			continue
 		}
 		switch {
@@ -119,23 +121,29 @@
 	return best
 }
 
-// endgame asks a second source for chunks that are late.
+// endgame asks further sources for chunks that are late, one more for each time
+// that a chunk usually takes twice over.
 func (s *Swarm) endgame(v *version, sources []*remote) {
 	if !s.on(mechEndgame) || v.heldCount+len(v.flights) < v.chunks {
 		return
 	}
-	late := endgameFactor * s.usual(v, classLocal)
 	for _, f := range slices.Clone(v.flights) {
-		if s.now-f.start < late || v.flightsOf(f.Index) > 1 {
+		if s.now < s.lateAt(v, f) || v.flightsOf(f.Index) >= endgameSources {
 			continue
 		}
-		if r := s.source(sources, f.Index, f.peer); r != nil && r.peer.usable(s.now, s.cfg.PerPeer) {
+		r := s.source(sources, f.Index, v.flights)
+		if r != nil && r.peer.usable(s.now, s.cfg.PerPeer) {
 			s.note(NoteEndgame, f.From)
 			s.request(v, f.Index, r.peer, classLocal)
 		}
 	}
 }
 
+// lateAt is when a request's chunk may be asked of one more source.
+func (s *Swarm) lateAt(v *version, f *flight) time.Duration {
+	return f.start + time.Duration(v.flightsOf(f.Index))*endgameFactor*s.usual(v, classLocal)
+}
+
 // request starts one request if the download budget allows it.
 func (s *Swarm) request(v *version, i int, p *peer, c class) bool {
 	if p == nil && s.now < s.originTill {
@@ -171,9 +179,7 @@
 	}
 	if s.on(mechEndgame) && v.heldCount+len(v.flights) >= v.chunks {
 		for _, f := range v.flights {
-			if t := f.start + endgameFactor*s.usual(v, classLocal); t > s.now {
-				next = min(next, t)
-			}
+			next = min(next, later(s.lateAt(v, f), s.now))
 		}
 	}
 	return next
--- a/weights/swarm/slot.go
+++ b/weights/swarm/slot.go
@@ -16,6 +16,9 @@
 	upstream contract.RegionName
 	// abroad names the slot's holders in the other regions.
 	abroad []contract.MachineID
+	// successors names the next ones in the take-over order, if the own target
+	// is the holder.
+	successors []contract.MachineID
 	// lastNews is when a chunk of the slot was last seen for the first time.
 	lastNews time.Duration
 	// acting tells that the own target took the slot over and heard nothing of
@@ -51,8 +54,10 @@
 		sl.holder = holders[i]
 		sl.acting = false
 		sl.rank = slotRank(v.digest, i, s.cfg.Self.Machine, sl.holder, region)
+		sl.successors = nil
 		if sl.rank == 0 {
 			v.ownSlots++
+			sl.successors = successors(v.digest, i, sl.holder, region)
 		}
 		sl.upstream = s.upstream(v, i)
 		sl.abroad = abroad[i]
--- a/weights/swarm/topology.go
+++ b/weights/swarm/topology.go
@@ -74,6 +74,33 @@
 	return rank
 }
 
+// slotSuccessors is how many targets hear a slot's holder directly, so that
+// they know whether to take the slot over.
+const slotSuccessors = 2
+
+// successors returns the first targets of a slot's take-over order after the
+// holder.
+func successors(version contract.Digest, slot int, holder contract.MachineID, targets []contract.MachineID) []contract.MachineID {
+	var out []contract.MachineID
+	for range slotSuccessors {
+		var best contract.MachineID
+		var bestScore uint64
+		for _, m := range targets {
+			if m == holder || slices.Contains(out, m) {
+				continue
+			}
+			if v := score(version, scoreSlot, slot, string(m)); best == "" || v > bestScore {
+				best, bestScore = m, v
+			}
+		}
+		if best == "" {
+			return out
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
 // regionOrder lists the regions in the order in which a slot's chunks reach them:
 // the origin's region, then the others in rotations of one order by hash, half
 // of them reversed, so that the slots spread evenly over the links.
--- a/weights/swarm/version.go
+++ b/weights/swarm/version.go
@@ -46,6 +46,8 @@
 	told bitmap
 	// greeted tells that the peer was sent a Have since it was last unreachable.
 	greeted bool
+	// toldAt is when the peer was sent a Have last.
+	toldAt time.Duration
 	// owed tells that a Have to the peer failed and is to be sent again.
 	owed bool
 	// ring tells that the peer was chosen by the topology; others announced themselves.
@@ -101,7 +103,7 @@
 		names = append(names, ringNeighbours(v.digest, acrossZones, s.cfg.Self.Machine, region)...)
 	}
 	s.rebuildSlots(v, region)
-	if slices.ContainsFunc(v.slots, func(sl slot) bool { return sl.rank == 0 }) {
+	if v.ownSlots > 0 {
 		for _, sl := range v.slots {
 			names = append(names, sl.holder)
 		}
@@ -110,7 +112,7 @@
 	v.abroad = slices.DeleteFunc(v.abroad, func(r *remote) bool { return !r.peer.listed })
 	for i := range v.slots {
 		if v.heldCount > 0 && v.slots[i].rank == 0 {
-			s.announceAbroad(v, &v.slots[i])
+			s.announceSlot(v, &v.slots[i])
 		}
 	}
 }
