Send chunks to other regions in parts of 8 KiB

Cause: eight senders pace themselves apart, and their parts of 16 KiB queue behind each other on the link between regions.

--- a/bench/weights/fleet.go
+++ b/bench/weights/fleet.go
@@ -19,7 +19,9 @@
 	Machine, Origin, Region float64
 	// Segment is the unit in which links carry chunks, in bytes.
 	Segment int
-	Seed    uint64
+	// RemoteSegment is the same for chunks that a target sends to another region.
+	RemoteSegment int
+	Seed          uint64
 	// Killed and Corrupt are the shares of hosts that die and of chunks that
 	// arrive corrupt.
 	Killed, Corrupt float64
@@ -62,7 +64,7 @@
 func DefaultParams(hosts, regions int, seed uint64) Params {
 	return Params{
 		Hosts: hosts, Regions: regions, Seed: seed,
-		CopyBytes: defaultCopyBytes, ChunkBytes: defaultChunkBytes, Segment: defaultSegment,
+		CopyBytes: defaultCopyBytes, ChunkBytes: defaultChunkBytes, Segment: defaultSegment, RemoteSegment: defaultSegment,
 		Machine: hostCopies * defaultCopyBytes / window.Seconds(),
 		Origin:  originCopies * defaultCopyBytes / window.Seconds(),
 		Region:  regionRate,
--- a/bench/weights/hostsim.go
+++ b/bench/weights/hostsim.go
@@ -171,6 +171,9 @@
 		to.received(d, ok)
 		h.step(swarm.UploadEnded{Upload: e.Upload})
 	})
+	if e.Remote {
+		tr.segment = min(tr.segment, w.p.RemoteSegment)
+	}
 	h.serving[e.Upload] = tr
 	h.mostServed = max(h.mostServed, len(h.serving))
 	tr.start()
--- a/bench/weights/tokens.go
+++ b/bench/weights/tokens.go
@@ -20,7 +20,9 @@
 	watchedHosts = 3
 	tokenHosts   = 48
 	tokenRegions = 3
-	tokenSegment = 16 << 10
+	// The parts in which the agent sends chunks.
+	tokenSegment       = 16 << 10
+	tokenRemoteSegment = 8 << 10
 	// tokenRun is how long tokens are watched without a roll-out, and the longest
 	// time with one.
 	tokenRun      = 30 * time.Second
@@ -71,7 +73,7 @@
 // tokenGaps streams tokens for a while, with or without a roll-out.
 func tokenGaps(seed uint64, rollout, giveWay bool) gapResult {
 	p := DefaultParams(tokenHosts, tokenRegions, seed)
-	p.Segment = tokenSegment
+	p.Segment, p.RemoteSegment = tokenSegment, tokenRemoteSegment
 	w := newWire(p)
 	local := hdrhistogram.New(1, maxGap, 3)
 	spill := hdrhistogram.New(1, maxGap, 3)
--- a/weights/agent/serve.go
+++ b/weights/agent/serve.go
@@ -21,9 +21,12 @@
 	return weights.MaxChunkBytes
 }
 
-// partBytes is the largest part of a chunk in one reply. Parts are what the
-// pacing spaces.
-const partBytes = 16 << 10
+// The largest parts of a chunk in one reply, to peers of the own region and of
+// others. Parts are what the pacing spaces: smaller ones delay live traffic less.
+const (
+	partBytes       = 16 << 10
+	remotePartBytes = 8 << 10
+)
 
 // ServeHave takes a peer's Have and answers it: a question about the roll-out
 // with the own status, anything else with an empty Have.
@@ -48,7 +51,7 @@
 func (a *Agent) ServeChunk(ctx context.Context, peer contract.MachineID, req contract.ChunkRequest, send func(contract.Message) error) error {
 	if req.Index == ManifestIndex {
 		_, encoded := a.store.Manifest(req.Weights)
-		return a.sendParts(ctx, req, encoded, nil, send)
+		return a.sendParts(ctx, req, encoded, parts{bytes: partBytes}, send)
 	}
 	up := swarm.Upload{Version: req.Weights, Index: int(req.Index), To: peer}
 	turn := make(chan bool, 1)
@@ -69,7 +72,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return a.sendParts(ctx, req, a.store.Get(up.Version, up.Index), a.pacerFor(peer), send)
+	return a.sendParts(ctx, req, a.store.Get(up.Version, up.Index), a.partsFor(peer), send)
 }
 
 // requested hands a peer's request to the swarm. A second one for the same
@@ -99,13 +102,13 @@
 	return contract.Message{Kind: contract.KindChunkReply, ChunkReply: &reply}
 }
 
-func (a *Agent) sendParts(ctx context.Context, req contract.ChunkRequest, data []byte, pace *pacer, send func(contract.Message) error) error {
+func (a *Agent) sendParts(ctx context.Context, req contract.ChunkRequest, data []byte, p parts, send func(contract.Message) error) error {
 	if len(data) == 0 {
 		return send(refusal(req, contract.ReasonNoWeights))
 	}
 	for len(data) > 0 {
-		n := min(partBytes, len(data))
-		if err := pace.wait(ctx, n); err != nil {
+		n := min(p.bytes, len(data))
+		if err := p.pace.wait(ctx, n); err != nil {
 			return err
 		}
 		part := contract.ChunkReply{Weights: req.Weights, Index: req.Index, Data: data[:n], More: n < len(data)}
@@ -117,14 +120,20 @@
 	return nil
 }
 
-// pacerFor returns the pacer of the link to a peer.
-func (a *Agent) pacerFor(peer contract.MachineID) *pacer {
+// parts tells how a chunk is divided and paced; a nil pacer does not bound.
+type parts struct {
+	bytes int
+	pace  *pacer
+}
+
+// partsFor returns how chunks travel to a peer.
+func (a *Agent) partsFor(peer contract.MachineID) parts {
 	if a.opts.Peers != nil {
 		for _, p := range a.opts.Peers.List() {
 			if p.Machine == peer && p.Region != a.opts.Region {
-				return a.remote.of(p.Region)
+				return parts{bytes: remotePartBytes, pace: a.remote.of(p.Region)}
 			}
 		}
 	}
-	return &a.local
+	return parts{bytes: partBytes, pace: &a.local}
 }
