--- a/machine/entry/dispatch/harness_test.go
+++ b/machine/entry/dispatch/harness_test.go
@@ -102,7 +102,7 @@
 	case ClaimKey:
 		return at + fmt.Sprintf("claim %s key=%s", e.Claim.Request, e.Claim.Key)
 	case Count:
-		names := [...]string{"refusal", "retry", "ignored", "ejection", "query", "spill"}
+		names := [...]string{"refusal", "retry", "ignored", "ejection", "query", "spill", "move"}
 		return at + fmt.Sprintf("count %s %s", names[e.Counter], e.Reason)
 	case SetPeers:
 		return at + fmt.Sprintf("peers %d", len(e.Peers))
@@ -291,7 +291,9 @@
 	case "status":
 		for s := contract.AttemptUnheard; s <= contract.AttemptBroken; s++ {
 			if strings.ReplaceAll(s.String(), " ", "") == a.text("state") {
-				return contract.Message{Kind: contract.KindStatus, Status: &contract.Status{Attempt: id, State: s, Reason: reason}}
+				return contract.Message{Kind: contract.KindStatus, Status: &contract.Status{
+					Attempt: id, State: s, Reason: reason, Incarnation: contract.Incarnation(max(1, a.number("inc"))),
+				}}
 			}
 		}
 	}
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
+	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/schema"
@@ -142,3 +144,72 @@
 		t.Fatal("a machine that the list does not name must tail")
 	}
 }
+
+// TestRacingOperators lets four entry hosts submit different values of one key
+// at once, with lost replies: one wins, the others are told of it.
+func TestRacingOperators(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	var all []*follow.Follower
+	for range 4 {
+		f := run(t, follow.Options{Log: log})
+		await(t, f, f.Ready)
+		all = append(all, f)
+	}
+	log.LoseReplies(3)
+	results := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, f := range all {
+		wg.Go(func() {
+			scope := settings.Scope{Zone: "a"}
+			_, results[i] = f.Submit(context.Background(), record.Change{ID: fmt.Sprint("c", i), Author: "op",
+				Changes: []settings.Change{{Scope: scope, Key: schema.Entries, Value: fmt.Sprint(i)}}})
+		})
+	}
+	wg.Wait()
+	winners := 0
+	for i, err := range results {
+		var conflict *follow.ConflictError
+		switch {
+		case err == nil:
+			winners++
+		case !errors.As(err, &conflict):
+			t.Errorf("operator %d: %v", i, err)
+		}
+	}
+	if winners != 1 {
+		t.Fatalf("%d winners", winners)
+	}
+}
+
+func TestSubmitBeforeReady(t *testing.T) {
+	f := follow.New(follow.Options{Log: sim.NewLog(time.Now)})
+	if _, err := f.Submit(context.Background(), change("c", 0, "true")); !errors.Is(err, follow.ErrNotReady) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// TestObserve checks that a process that does not tail the log pulls what a peer
+// tells it of.
+func TestObserve(t *testing.T) {
+	log := sim.NewLog(time.Now)
+	first := run(t, follow.Options{Log: log})
+	await(t, first, first.Ready)
+	hosts := []platform.Host{
+		{Machine: "one", Role: platform.HostEntry, Zone: "a", State: platform.HostLive},
+		{Machine: "two", Role: platform.HostTarget, Zone: "a", State: platform.HostLive},
+	}
+	second := run(t, follow.Options{
+		Log: log, Machine: "two", Zone: "a", Hosts: func() []platform.Host { return hosts },
+		Timing: spread.Timing{QuietLimit: time.Hour},
+		Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+			return first.Serve(contract.SettingsPull{After: after}), nil
+		},
+	})
+	await(t, second, second.Ready)
+	result, err := first.Submit(context.Background(), change("c", 0, "true"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Observe(result.Offset)
+	await(t, second, func() bool { return second.Current().Zone("", "a").Out })
+}
