--- a/machine/entry/claims/processes_test.go
+++ b/machine/entry/claims/processes_test.go
@@ -129,7 +129,7 @@
 }
 
 // TestProcesses files with keys while entry processes are killed and paused,
-// and while the log loses replies and is down.
+// while the log loses replies and is down, and while a target is killed.
 func TestProcesses(t *testing.T) {
 	f := startFilings(t)
 	var calls []func()
@@ -154,6 +154,54 @@
 
 	f.killAndPause()
 	f.expectEffects(8)
+
+	f.killTarget()
+	f.expectEffects(9)
+}
+
+// killTarget ends the target that has just had a filing's effect. Nobody can
+// tell then whether it ran, also after the target has started again.
+func (f *filings) killTarget() {
+	for _, target := range f.cluster.Targets {
+		f.must(f.cluster.Fault(target.Backend, "stall", map[string]any{"path": "/effect"}))
+	}
+	first := make(chan load.Result, 1)
+	go func() { first <- f.file(2, "dead") }()
+	var ran *harness.Target
+	f.must(harness.WaitFor(context.Background(), patience, func() error {
+		for _, target := range f.cluster.Targets {
+			if stats, err := f.cluster.Stats(target.Backend); err == nil && stats["running"] > 0 {
+				ran = target
+				return nil
+			}
+		}
+		return fmt.Errorf("the filing does not run")
+	}))
+	ran.Process.Kill()
+	for _, target := range f.cluster.Targets {
+		f.must(f.cluster.Fault(target.Backend, "none", nil))
+	}
+	if r := <-first; r.Class != load.Refused || r.Outcome != contract.OutcomeUnknown.String() {
+		f.t.Errorf("filing at a target that died: %+v", r)
+	}
+	f.expectUnresolved("dead")
+	f.must(f.cluster.StartTarget(ran))
+	f.must(harness.WaitReady(context.Background(), ran.HTTP, patience))
+	f.expectUnresolved("dead")
+}
+
+// expectUnresolved files again until the entry has asked the targets.
+func (f *filings) expectUnresolved(key string) {
+	f.must(harness.WaitFor(context.Background(), patience, func() error {
+		r := f.file(1, key)
+		if r.Class == load.Whole || r.Outcome != contract.OutcomeUnknown.String() {
+			f.t.Fatalf("%s: %+v", key, r)
+		}
+		if r.Reason != contract.ReasonKeyUnresolved {
+			return fmt.Errorf("%s: %s", key, r.Detail)
+		}
+		return nil
+	}))
 }
 
 // killAndPause ends one entry and pauses another with a filing in each, and
