claims: read the stream less often while no call waits

Cause: each entry read the log once for nearly every append of any entry, 190 reads a second at 50 calls/s. Change: without a waiting call at most ten reads a second; expired keys are bounded while they expire, not afterwards; the benchmark shows reads.

--- a/bench/claims/claims.go
+++ b/bench/claims/claims.go
@@ -50,7 +50,7 @@
 
 func printLoads(w io.Writer, seed uint64) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "entries\tmode\tcalls/s\tcalls\trun\trefused\tp50 ms\tp99 ms\tmax ms\tappends/s\titems/append\tthrottled\tlog bytes/call\tread bytes/s/entry\t")
+	fmt.Fprintln(t, "entries\tmode\tcalls/s\tcalls\trun\trefused\tp50 ms\tp99 ms\tmax ms\tappends/s\titems/append\tthrottled\tlog bytes/call\tread bytes/s/entry\treads/s/entry\t")
 	for _, p := range points {
 		r, err := measure(p, seed)
 		if err != nil {
@@ -60,12 +60,13 @@
 		if !p.batched {
 			mode = "one each"
 		}
-		fmt.Fprintf(t, "%d\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.0f\t%.1f\t%d\t%.0f\t%.0f\t\n",
+		fmt.Fprintf(t, "%d\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.0f\t%.1f\t%d\t%.0f\t%.0f\t%.0f\t\n",
 			p.entries, mode, p.perSecond, r.calls, r.run, r.refused,
 			millis(r.latency, 50), millis(r.latency, 99), millis(r.latency, 100),
 			float64(r.appends)/r.elapsed.Seconds(), float64(r.items)/float64(max(r.appends, 1)), r.throttled,
 			float64(r.logBytes)/float64(max(r.run, 1)),
-			float64(r.readBytes)/r.elapsed.Seconds()/float64(p.entries))
+			float64(r.readBytes)/r.elapsed.Seconds()/float64(p.entries),
+			float64(r.reads)/r.elapsed.Seconds()/float64(p.entries))
 	}
 	return t.Flush()
 }
--- a/bench/claims/load.go
+++ b/bench/claims/load.go
@@ -29,6 +29,7 @@
 	appends, throttled  uint64
 	items               uint64
 	logBytes, readBytes uint64
+	reads               uint64
 	elapsed             time.Duration
 }
 
@@ -168,6 +169,7 @@
 	}
 	c.result.appends, c.result.throttled = stats.Appends, stats.Throttled
 	c.result.logBytes, c.result.readBytes = stats.AppendedBytes, stats.ServedBytes
+	c.result.reads = stats.Reads
 	for _, s := range c.services {
 		c.result.items += s.Items()
 	}
--- a/machine/entry/claims/ledger/expiry.go
+++ b/machine/entry/claims/ledger/expiry.go
@@ -11,16 +11,21 @@
 		l.byAge = l.byAge[1:]
 	}
 	limit = limit.Add(-l.config.Window)
-	for len(l.expiredByAge) > 0 && (l.expiredByAge[0].at.Before(limit) || len(l.expiredByAge) > maxExpired) {
-		old := l.expiredByAge[0]
-		if at, ok := l.expired[old.key]; ok && at.Equal(old.at) {
-			delete(l.expired, old.key)
-		}
-		l.expiredByAge = l.expiredByAge[1:]
+	for len(l.expiredByAge) > 0 && l.expiredByAge[0].at.Before(limit) {
+		l.forgetOldest()
 	}
 	l.expireWriters()
 }
 
+// forgetOldest drops the oldest of the expired keys.
+func (l *Ledger) forgetOldest() {
+	old := l.expiredByAge[0]
+	if at, ok := l.expired[old.key]; ok && at.Equal(old.at) {
+		delete(l.expired, old.key)
+	}
+	l.expiredByAge = l.expiredByAge[1:]
+}
+
 // expireKey moves a key to the expired ones, unless someone claimed it since.
 func (l *Ledger) expireKey(c claimed) {
 	h := l.keys[c.key]
@@ -31,6 +36,9 @@
 	delete(l.keys, c.key)
 	l.expired[c.key] = c.at
 	l.expiredByAge = append(l.expiredByAge, c)
+	if len(l.expiredByAge) > maxExpired {
+		l.forgetOldest()
+	}
 	l.stats.Expired++
 }
 
--- a/machine/entry/claims/machine.go
+++ b/machine/entry/claims/machine.go
@@ -165,6 +165,9 @@
 // Idle reports whether nothing waits for the log.
 func (m *Machine) Idle() bool { return m.batcher.Idle() }
 
+// IsWaiting reports whether a call waits for what the stream will show.
+func (m *Machine) IsWaiting() bool { return len(m.calls) > 0 || !m.batcher.Idle() }
+
 // Stats returns the counts so far, of the machine and of its parts.
 func (m *Machine) Stats() (Stats, ledger.Stats, batcher.Stats) {
 	return m.stats, m.ledger.Stats(), m.batcher.Stats()
--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -88,6 +88,24 @@
 			s.opts.Logger.WithError(err).Warn("cannot read the stream")
 			sleep(ctx, readRetry)
 		}
+		s.pace(ctx)
+	}
+}
+
+// pace lets records gather while no call waits for them.
+func (s *Service) pace(ctx context.Context) {
+	s.mu.Lock()
+	waiting := s.machine.IsWaiting() || !s.machine.IsReady()
+	s.mu.Unlock()
+	if waiting {
+		return
+	}
+	timer := time.NewTimer(idleRead)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.hurry:
+	case <-ctx.Done():
 	}
 }
 
--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -23,8 +23,10 @@
 	// Stream is the stream of claims at the size of one ledger for all entries.
 	Stream = "claims"
 
-	pollWait     = 10 * time.Second
-	readRetry    = 200 * time.Millisecond
+	pollWait  = 10 * time.Second
+	readRetry = 200 * time.Millisecond
+	// idleRead is the least time between two reads while no call waits.
+	idleRead     = 100 * time.Millisecond
 	probeTimeout = 3 * time.Second
 	reportEvery  = time.Second
 	// beyond is an offset after every record; a read there tells the oldest one.
@@ -71,6 +73,8 @@
 	prober Prober
 	opts   Options
 	poke   chan struct{}
+	// hurry tells the reader that a call waits.
+	hurry chan struct{}
 	// ended is closed when Run returns.
 	ended chan struct{}
 
@@ -94,6 +98,7 @@
 		prober:   prober,
 		opts:     opts,
 		poke:     make(chan struct{}, 1),
+		hurry:    make(chan struct{}, 1),
 		ended:    make(chan struct{}),
 		machine:  NewMachine(opts.Config, rng, 0),
 		decided:  map[contract.RequestID]chan Decision{},
@@ -196,11 +201,19 @@
 	for _, eff := range s.machine.Ready(now) {
 		s.carryOut(eff)
 	}
+	signal(s.poke)
+	if s.machine.IsWaiting() {
+		signal(s.hurry)
+	}
+	return err
+}
+
+// signal wakes the receiver of a channel of capacity 1.
+func signal(ch chan<- struct{}) {
 	select {
-	case s.poke <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
-	return err
 }
 
 func (s *Service) carryOut(eff Effect) {
