claims: keys that tell their time are trusted within 30 s

Cause: a caller whose clock is ahead could claim to have made its key after the records that are lost; one whose clock is late looked older than it was. Change: a margin of 30 s both ways; a key from the future tells nothing. Checked: go test -race ./machine/entry/claims (without the process test) passes.

--- a/machine/entry/claims/evaluate.go
+++ b/machine/entry/claims/evaluate.go
@@ -32,7 +32,7 @@
 	}
 	h, held := m.ledger.Lookup(c.key)
 	switch {
-	case held && m.isDoubtful(c, h):
+	case held && m.isDoubtful(now, c, h):
 		m.await(now, c)
 	case held && h.Request == c.claim.Request:
 		m.win(now, c)
@@ -54,11 +54,11 @@
 	if !m.awaitLog(now, c) || c.queued {
 		return
 	}
-	if m.isExpired(c) {
+	if m.isExpired(now, c) {
 		m.decide(c, Decision{Verdict: Expired})
 		return
 	}
-	if m.isHistoryShort(c) {
+	if m.isHistoryShort(now, c) {
 		m.stats.ShortHistory++
 		m.unavailable(now, c)
 		return
@@ -97,38 +97,37 @@
 
 // isExpired reports whether the key may have been used before the records that
 // are still known.
-func (m *Machine) isExpired(c *call) bool {
+func (m *Machine) isExpired(now time.Time, c *call) bool {
 	if m.off&keyAge != 0 {
 		return false
 	}
 	if m.ledger.Expired(c.key) {
 		return true
 	}
-	made, ok := keyTime(c.claim.Key)
+	made, ok := keyTime(c.claim.Key, now)
 	if !ok || m.ledger.Clock().IsZero() {
 		return false
 	}
 	oldest := m.ledger.Clock().Add(-m.config.Ledger.Window)
-	return made.Before(oldest) || made.Before(m.ledger.Horizon())
+	return made.Before(oldest.Add(clockSkew))
 }
 
 // isHistoryShort reports whether the key may be held in records that are lost.
 // A key that tells its time cannot, if it was made after them.
-func (m *Machine) isHistoryShort(c *call) bool {
-	if !m.ledger.IsShort() || m.off&distrustShort != 0 {
-		return false
-	}
-	made, ok := keyTime(c.claim.Key)
-	return !ok || !made.After(m.ledger.Horizon())
+func (m *Machine) isHistoryShort(now time.Time, c *call) bool {
+	return m.ledger.IsShort() && m.off&distrustShort == 0 && !m.isMadeLater(now, c)
+}
+
+// isMadeLater reports whether the key was surely made after the records that
+// are lost.
+func (m *Machine) isMadeLater(now time.Time, c *call) bool {
+	made, ok := keyTime(c.claim.Key, now)
+	return ok && made.After(m.ledger.Horizon().Add(clockSkew))
 }
 
 // isDoubtful reports whether another request may hold the key in truth.
-func (m *Machine) isDoubtful(c *call, h ledger.Holder) bool {
-	if !h.Doubtful || m.off&distrustShort != 0 {
-		return false
-	}
-	made, ok := keyTime(c.claim.Key)
-	return !ok || !made.After(m.ledger.Horizon())
+func (m *Machine) isDoubtful(now time.Time, c *call, h ledger.Holder) bool {
+	return h.Doubtful && m.off&distrustShort == 0 && !m.isMadeLater(now, c)
 }
 
 // win lets the holder of the key run, if there is time left to start.
@@ -212,7 +211,7 @@
 func (m *Machine) decideByKnowledge(now time.Time, c *call) {
 	h, held := m.ledger.Lookup(c.key)
 	switch {
-	case held && m.isDoubtful(c, h):
+	case held && m.isDoubtful(now, c, h):
 		m.decide(c, Decision{Verdict: Unresolved, RetryAfter: m.jitter(unresolvedRetry)})
 	case !held || h.Request == c.claim.Request:
 		m.unavailable(now, c)
--- a/machine/entry/claims/keytime.go
+++ b/machine/entry/claims/keytime.go
@@ -7,9 +7,13 @@
 	"time"
 )
 
+// clockSkew bounds how far the clocks of callers, entry hosts and the log are
+// apart.
+const clockSkew = 30 * time.Second
+
 // keyTime returns when a key was made, for keys in the form of a UUID version 7
-// (RFC 9562), whose first 48 bits are a Unix time in milliseconds.
-func keyTime(key string) (time.Time, bool) {
+// (RFC 9562), whose first 48 bits are a Unix time in milliseconds. A key from the future tells nothing.
+func keyTime(key string, now time.Time) (time.Time, bool) {
 	const digits, versionAt, version = 32, 12, '7'
 	plain := strings.ReplaceAll(key, "-", "")
 	if len(plain) != digits || plain[versionAt] != version {
@@ -21,5 +25,6 @@
 	}
 	const unused = 16
 	millis := binary.BigEndian.Uint64(raw[:8]) >> unused
-	return time.UnixMilli(int64(millis)), true
+	made := time.UnixMilli(int64(millis))
+	return made, made.Before(now.Add(clockSkew))
 }
