demo: start from the example tree and probe each entry before the calls

Change: the demo loads examples/kalahari.ini and sizes it down; it sends one call to each entry until it is whole, as a balancer does before it sends callers.

--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -11,6 +11,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	"mimosastand.example/mimosastand/internal/load"
+	"mimosastand.example/mimosastand/standin/engine"
 )
 
 // answers checks that a process answers its health page.
@@ -22,6 +23,17 @@
 	return resp.Body.Close()
 }
 
+// serves checks that an entry host answers a model call, as the platform's
+// balancer does before it sends callers there.
+func serves(ctx context.Context, address string) error {
+	probe := load.Model{Service: modelService, Team: teams[0], Prompt: "probe", MaxTokens: 1}
+	r := load.NewCaller(engine.Token, callTimeout).Generate(ctx, "http://"+address, probe)
+	if r.Class != load.Whole {
+		return errors.Newf("demo: %s: %s", address, r.Detail)
+	}
+	return nil
+}
+
 // activeDigest asks an engine for its version.
 func activeDigest(address string) (contract.Digest, error) {
 	resp, err := http.Get("http://" + address + "/stats")
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -106,11 +106,10 @@
 			return err
 		}
 	}
-	file := filepath.Join(d.cluster.Dir, "settings.ini")
-	if err := os.WriteFile(file, []byte(settingsINI(d.cluster.Spec.Zones)), 0o600); err != nil {
-		return errors.Wrap(err, "demo")
+	if _, err := d.cluster.Operator(ctx, "set", "--file", settingsFile); err != nil {
+		return err
 	}
-	if _, err := d.cluster.Operator(ctx, "set", "--file", file); err != nil {
+	if _, err := d.cluster.Operator(ctx, sizing(d.cluster.Spec.Zones)...); err != nil {
 		return err
 	}
 	for _, e := range d.cluster.Entries {
@@ -174,6 +173,11 @@
 		}
 	}
 	d.fact("time to 6 replicas, first version", "%.2f s", took.Seconds())
+	for _, e := range d.cluster.Entries {
+		if err := harness.WaitFor(ctx, startWait, func() error { return serves(ctx, e.HTTP) }); err != nil {
+			return err
+		}
+	}
 	return d.originRow("first version", 1)
 }
 
--- a/cmd/demo/spec.go
+++ b/cmd/demo/spec.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
@@ -15,7 +14,7 @@
 	zoneOut contract.ZoneName = "erongo-a"
 )
 
-var teams = []contract.TeamName{"windhoek-trust", "coast-funds", "oshana-church"}
+var teams = []contract.TeamName{"church-trusts", "charities-coast", "volunteers"}
 
 func spec() harness.Spec {
 	return harness.Spec{
@@ -40,17 +39,18 @@
 // originBytesPerSecond paces the origin's link.
 const originBytesPerSecond = 32 << 20
 
-// settingsINI is the tree that the demo starts with.
-func settingsINI(zones []harness.Zone) string {
-	var b strings.Builder
-	b.WriteString("[defaults]\nmax_running = 12\ncold_running = 2\nslow_start = 2s\nmin_ready = 0.5\n\n")
+// settingsFile is the tree that the demo starts with, and sizing fits it to the
+// demo's fewer targets and shorter times.
+const settingsFile = "examples/kalahari.ini"
+
+func sizing(zones []harness.Zone) []string {
+	args := []string{"set", "service " + string(modelService), "targets=6"}
+	changes := []string{"max_running=12", "slow_start=2s", "min_ready=0.5"}
 	for _, z := range zones {
-		fmt.Fprintf(&b, "[zone %s]\nregion = %s\nentries = 1\n\n", z.Name, z.Region)
+		changes = append(changes, fmt.Sprintf("zone %s service %s: targets=2", z.Name, modelService))
 	}
-	fmt.Fprintf(&b, "[service %s]\nkind = model\ntargets = 6\n\n", modelService)
-	fmt.Fprintf(&b, "[service %s]\nkind = plain\ntargets = 3\n\n", plainService)
-	for _, t := range teams {
-		fmt.Fprintf(&b, "[team %s]\nshare = 1\n\n", t)
+	for _, c := range changes {
+		args = append(args, "--also", c)
 	}
-	return b.String()
+	return args
 }
