--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -93,7 +93,9 @@
 	authority, err := devkeys.NewAuthority(t.TempDir())
 	fatal(t, err)
 	r := &rig{t: t, keys: authority, list: platform.HostList{Version: 1}}
-	r.target("target-1", "drafts", config.BackendModel, engine.New(engine.Config{WarmLimit: 8, ColdLimit: 2, Digest: digest}))
+	r.target("target-1", "drafts", config.BackendModel, engine.New(engine.Config{
+		WarmLimit: 8, ColdLimit: 2, Digest: digest, TokenDelay: 10 * time.Millisecond,
+	}))
 	r.plain = service.New(service.Config{Limit: 8, Delay: 20 * time.Millisecond})
 	r.target("target-2", "registry", config.BackendPlain, r.plain)
 	r.log = logservice.New(logservice.Config{})
@@ -298,6 +300,29 @@
 	}
 }
 
+// TestStopCutsNothing stops the entry under streams that outlast its notice to
+// the balancer.
+func TestStopCutsNothing(t *testing.T) {
+	r := newRig(t, noClaims{})
+	const calls, tokens = 4, 120
+	answers := make(chan string, calls)
+	for range calls {
+		go func() {
+			_, text := r.call(fmt.Sprintf("POST /v1/models/drafts/generate\nX-Team: north\n\n{\"prompt\":\"p\",\"max_tokens\":%d}", tokens))
+			answers <- text
+		}()
+	}
+	for r.entry.loop.open() < calls {
+		runtime.Gosched()
+	}
+	fatal(t, r.stop())
+	for range calls {
+		if text := <-answers; strings.Count(text, "event: token") != tokens || !strings.Contains(text, "event: end") {
+			t.Errorf("cut: %.400s", text)
+		}
+	}
+}
+
 // TestMetricsNameReasons checks that refusals are counted by their reason.
 func TestMetricsNameReasons(t *testing.T) {
 	r := newRig(t, noClaims{})
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -156,7 +156,7 @@
 		return contract.ReasonTargetLeaving
 	case !m.up:
 		return contract.ReasonNoTarget
-	case p.ejection.Verdict(now, m.Machine) == ejection.Ejected:
+	case p.ejection.Verdict(now, m.Machine) == ejection.Ejected && p.off&offEjection == 0:
 		return contract.ReasonBackendDown
 	case !m.serves(rules, pinned, older) && p.off&offVersions == 0:
 		return contract.ReasonNoWeights
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -39,6 +39,7 @@
 	offPrefixBound
 	offHeadroom
 	offVersions
+	offEjection
 )
 
 // NewPool returns an empty pool as seen from home.
--- a/zone/balancer/scenario_test.go
+++ b/zone/balancer/scenario_test.go
@@ -176,6 +176,7 @@
 		"zone_gate": offZoneGate, "leaving": offLeaving, "credits": offCredits, "ramp": offRamp,
 		"lag": offLagCorrection, "spill_budget": offSpillBudget, "report_order": offReportOrder,
 		"prefix": offPrefixBound, "headroom": offHeadroom, "versions": offVersions,
+		"ejection": offEjection, "slow": offEjection,
 	}
 	for name, off := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/zone/balancer/subset.go
+++ b/zone/balancer/subset.go
@@ -15,11 +15,11 @@
 	FullMesh = 32
 	// LinksPerEntry is how many targets of its own zone an entry knows beyond
 	// that, on average.
-	LinksPerEntry = 16
+	LinksPerEntry = 12
 	// EntriesPerTarget is how many entries of a target's zone know it at least.
 	EntriesPerTarget = 2
 	// RemotePerZone is how many targets of each other zone an entry knows.
-	RemotePerZone = 2
+	RemotePerZone = 1
 )
 
 // Entry is an entry as the host list describes it.
--- a/zone/ejection/tracker.go
+++ b/zone/ejection/tracker.go
@@ -63,7 +63,6 @@
 type Tracker struct {
 	rng     *rand.Rand
 	records map[contract.MachineID]*record
-	off     bool
 }
 
 // NewTracker returns a tracker that spreads its times by rng.
@@ -80,7 +79,7 @@
 func (t *Tracker) Verdict(now time.Time, id contract.MachineID) Verdict {
 	r, ok := t.records[id]
 	switch {
-	case !ok || !r.ejected || t.off:
+	case !ok || !r.ejected:
 		return Open
 	case r.probing || now.Before(r.until):
 		return Ejected
