--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -204,6 +204,7 @@
 	go e.watcher.Run(e.ctx)
 	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
+	go e.gaugeLoop(e.ctx)
 	go func() { _ = e.reloads.Run(e.ctx, reload.DefaultInterval) }()
 	if e.claims != nil {
 		go e.claims.Run(e.ctx)
--- a/machine/entry/loop.go
+++ b/machine/entry/loop.go
@@ -70,6 +70,13 @@
 	return l.machine.Open()
 }
 
+// load is the number of unfinished requests, and of those that wait for room.
+func (l *loop) load() (open, queued int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Open(), l.machine.Queued()
+}
+
 func (l *loop) ready() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
