--- /dev/null
+++ b/bench/through/run.go
@@ -0,0 +1,222 @@
+package through
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/claims"
+)
+
+const (
+	runTime      = 1500 * time.Millisecond
+	answerTokens = 32
+	maxMicros    = 10_000_000
+	digits       = 3
+	readyTimeout = 30 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// errAnswer marks an answer that is not whole.
+var errAnswer = errors.New("bench: answer is not whole")
+
+// noClaims refuses keyed calls; none are made.
+type noClaims struct{}
+
+// Claim implements claims.Claimer.
+func (noClaims) Claim(context.Context, contract.Claim) (claims.Decision, error) {
+	return claims.Decision{}, nil
+}
+
+// Resolve implements claims.Claimer.
+func (noClaims) Resolve(context.Context, contract.Claim, claims.Result) error { return nil }
+
+// measured is what callers saw in one run.
+type measured struct {
+	calls, failed int
+	cpu           time.Duration
+	first, whole  *hdrhistogram.Histogram
+}
+
+// caller makes one call and returns the time to the first part of its answer.
+type caller func(n int) (first time.Duration, err error)
+
+// Run prints calls through the system beside direct ones. Times vary from run
+// to run; the seed is not used.
+func Run(out io.Writer, _ uint64) error {
+	r, err := newRig()
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return errors.Wrap(err, "bench")
+	}
+	if err := r.awaitReady(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "calls through entry and target beside direct ones, loopback, %s each, all in one process; %d tokens, %s apart\n",
+		runTime, answerTokens, tokenDelay)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "service\tway\tcallers\tcalls/s\tfailed\tfirst p50\tfirst p99\twhole p50\twhole p99\tcpu a call")
+	for _, name := range []string{plain, model} {
+		for _, callers := range []int{1, 8, 48} {
+			for _, way := range []string{"direct", "system"} {
+				m := measure(callers, r.caller(name, way))
+				fmt.Fprintf(table, "%s\t%s\t%d\t%.0f\t%d\t%d us\t%d us\t%d us\t%d us\t%d us\n", name, way, callers,
+					float64(m.calls)/runTime.Seconds(), m.failed, m.first.ValueAtQuantile(50), m.first.ValueAtQuantile(99),
+					m.whole.ValueAtQuantile(50), m.whole.ValueAtQuantile(99), m.cpu.Microseconds()/int64(max(1, m.calls)))
+			}
+		}
+	}
+	return table.Flush()
+}
+
+// awaitReady calls each service until it answers with all its limit.
+func (r *rig) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, name := range []string{plain, model} {
+		call := r.caller(name, "system")
+		for {
+			if _, err := call(0); err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Newf("bench: %s is not ready", name)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func (r *rig) caller(name, way string) caller {
+	base := r.direct[name]
+	path := "/balance"
+	if way == "system" {
+		base = "http://" + r.entry.HTTPAddress()
+		path = "/v1/services/" + name + path
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: running}}
+	if name == plain {
+		return func(int) (time.Duration, error) { return get(client, base+path) }
+	}
+	path = "/v1/generate"
+	if way == "system" {
+		path = "/v1/models/" + name + "/generate"
+	}
+	run := runs.Add(1)
+	return func(n int) (time.Duration, error) {
+		body := fmt.Sprintf(`{"id":"%d-%d","prompt":"p%d","max_tokens":%d,"digest":%q}`, run, n, n, answerTokens, digest)
+		return generate(client, base+path, body)
+	}
+}
+
+// runs tells the requests of one run from those of the former ones.
+var runs atomic.Int64
+
+func get(client *http.Client, url string) (time.Duration, error) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("X-Team", teamName)
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	first := time.Since(began)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return 0, errAnswer
+	}
+	return first, nil
+}
+
+func generate(client *http.Client, url, body string) (first time.Duration, err error) {
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("X-Team", teamName)
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	tokens, ended := 0, false
+	for lines.Scan() {
+		switch {
+		case strings.HasPrefix(lines.Text(), "event: token"):
+			tokens++
+			if first == 0 {
+				first = time.Since(began)
+			}
+		case strings.HasPrefix(lines.Text(), "event: end"):
+			ended = true
+		}
+	}
+	if tokens != answerTokens || !ended {
+		return 0, errAnswer
+	}
+	return first, nil
+}
+
+// measure lets several callers call one after the other for runTime.
+func measure(callers int, call caller) measured {
+	var mu sync.Mutex
+	var next atomic.Int64
+	m := measured{first: hdrhistogram.New(1, maxMicros, digits), whole: hdrhistogram.New(1, maxMicros, digits)}
+	var wg sync.WaitGroup
+	before := cpuTime()
+	end := time.Now().Add(runTime)
+	for range callers {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				first, err := call(int(next.Add(1)))
+				whole := time.Since(began)
+				mu.Lock()
+				m.note(first, whole, err)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	m.cpu = cpuTime() - before
+	return m
+}
+
+func (m *measured) note(first, whole time.Duration, err error) {
+	if err != nil {
+		m.failed++
+		return
+	}
+	m.calls++
+	_ = m.first.RecordValue(max(1, first.Microseconds()))
+	_ = m.whole.RecordValue(max(1, whole.Microseconds()))
+}
+
+// cpuTime is the processor time of callers, system and stand-ins together.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,6 +16,7 @@
 	"mimosastand.example/mimosastand/bench/gate"
 	"mimosastand.example/mimosastand/bench/serving"
 	"mimosastand.example/mimosastand/bench/settings"
+	"mimosastand.example/mimosastand/bench/through"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -27,6 +28,7 @@
 
 var parts = []part{
 	{name: "serving", run: serving.Run},
+	{name: "through", run: through.Run},
 	{name: "gate", run: gate.Run},
 	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -34,18 +34,6 @@
 
 var digest = contract.NewDigest([32]byte{1})
 
-// fixedSettings is a Settings that never changes.
-type fixedSettings struct{ *fixed.View }
-
-func (s fixedSettings) Current() settings.View    { return s.View }
-func (s fixedSettings) Ready() bool               { return true }
-func (s fixedSettings) Changed() <-chan struct{}  { return nil }
-func (s fixedSettings) Observe(contract.Offset)   {}
-func (s fixedSettings) Run(context.Context) error { return nil }
-func (s fixedSettings) Serve(contract.SettingsPull) contract.SettingsRecords {
-	return contract.SettingsRecords{}
-}
-
 // fixedHosts is a host list that never changes.
 type fixedHosts platform.HostList
 
@@ -104,7 +92,7 @@
 	process := r.process("entry-1", link.RoleEntry)
 	process.LogURL = platformLog.URL
 	process.Entry = config.Entry{MaxBodyBytes: 2048, DefaultTimeout: 20 * time.Second}
-	r.entry, err = New(process, Options{Settings: fixedSettings{view()}, Hosts: fixedHosts(r.list), Claims: claimer})
+	r.entry, err = New(process, Options{Settings: fixed.Follower{View: view()}, Hosts: fixedHosts(r.list), Claims: claimer})
 	fatal(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
