harness: a loopback network for each cluster; warn of a certificate once an hour

Two could not bind: a port that was free when it was chosen had become the local port of another process's connection, likelier since each connection has its own socket. One called an entry before the deploy was in force there.

Ruled out: choosing the port again on failure, since the processes read it from files written before.

Change: each cluster holds a 127.x.y.0 network of its own and takes ports below the kernel's range for outgoing connections; the tests wait until each entry answers a call whole; warnings about one certificate come once an hour.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -60,7 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer cluster.KillAll()
+	defer cluster.Close()
 	d := &demo{cluster: cluster, started: time.Now()}
 	if hold {
 		return d.hold(ctx)
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -113,7 +113,7 @@
 
 // stop ends all processes and shows their logs if the test failed.
 func (s *system) stop() {
-	s.KillAll()
+	s.Close()
 	if !s.t.Failed() {
 		return
 	}
@@ -148,10 +148,19 @@
 		s.must(harness.WaitReady(ctx, target.HTTP, hangLimit))
 	}
 	for _, entry := range s.Entries {
-		s.must(harness.WaitReady(ctx, entry.HTTP, hangLimit))
+		s.must(harness.WaitFor(ctx, hangLimit, func() error { return s.serves(entry) }))
 	}
 }
 
+// serves checks that an entry host has the deployed version in force.
+func (s *system) serves(entry *harness.Entry) error {
+	probe := load.Model{Service: modelService, Team: team, Prompt: "probe", MaxTokens: 1}
+	if r := s.caller.Generate(context.Background(), "http://"+entry.HTTP, probe); r.Class != load.Whole {
+		return fmt.Errorf("%s: %s", entry.Machine, r.Detail)
+	}
+	return nil
+}
+
 func (s *system) publish(name string, seed uint64) contract.Digest {
 	s.t.Helper()
 	const versionBytes, chunkBytes = 1 << 20, 128 << 10
--- a/internal/devkeys/devkeys.go
+++ b/internal/devkeys/devkeys.go
@@ -20,7 +20,7 @@
 )
 
 // DefaultValidity is how long a certificate is valid.
-const DefaultValidity = 24 * time.Hour
+const DefaultValidity = 30 * 24 * time.Hour
 
 const clockSkew = time.Hour
 
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -26,7 +26,7 @@
 	LogAddress, StoreAddress, OriginAddress, HostsAddress string
 
 	spawner   *spawner
-	ports     ports
+	network   *network
 	authority *devkeys.Authority
 }
 
@@ -38,30 +38,26 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "harness")
 	}
-	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: ports{given: map[string]bool{}}}
-	authority, err := devkeys.NewAuthority(dir)
+	network, err := newNetwork()
 	if err != nil {
 		return nil, err
 	}
-	c.authority = authority
-	if err := c.assignPlatform(); err != nil {
+	authority, err := devkeys.NewAuthority(dir)
+	if err != nil {
 		return nil, err
 	}
+	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), network: network, authority: authority}
+	c.assignPlatform()
 	if err := c.writeTokens(); err != nil {
 		return nil, err
 	}
 	return c, c.assignHosts()
 }
 
-func (c *Cluster) assignPlatform() error {
+func (c *Cluster) assignPlatform() {
 	for _, address := range []*string{&c.LogAddress, &c.StoreAddress, &c.OriginAddress, &c.HostsAddress} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.network.next()
 	}
-	return nil
 }
 
 func (c *Cluster) assignHosts() error {
@@ -85,11 +81,7 @@
 func (c *Cluster) addEntry(zone Zone, n int) error {
 	e := &Entry{Machine: machineName(zone.Name, "entry", n), Zone: zone}
 	for _, address := range []*string{&e.Link, &e.HTTP, &e.Admin} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.network.next()
 	}
 	files, err := c.authority.Issue(string(e.Machine), link.RoleEntry, devkeys.DefaultValidity)
 	if err != nil {
@@ -103,11 +95,7 @@
 func (c *Cluster) addTarget(zone Zone, service Service, n int) error {
 	t := &Target{Machine: machineName(zone.Name, string(service.Name), n), Zone: zone, Service: service}
 	for _, address := range []*string{&t.Link, &t.HTTP, &t.Backend} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.network.next()
 	}
 	files, err := c.authority.Issue(string(t.Machine), link.RoleTarget, devkeys.DefaultValidity)
 	if err != nil {
@@ -214,11 +202,12 @@
 	return failed
 }
 
-// KillAll ends every process at once.
-func (c *Cluster) KillAll() {
+// Close ends every process at once and gives the cluster's addresses back.
+func (c *Cluster) Close() {
 	for _, p := range c.Processes() {
 		if p.Running() {
 			p.Kill()
 		}
 	}
+	c.network.release()
 }
--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-
-	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
 )
@@ -60,44 +57,6 @@
 	iniFile string
 }
 
-// ports hands out free loopback addresses.
-type ports struct {
-	given map[string]bool
-}
-
-// next returns an address that is free for TCP and UDP.
-func (p *ports) next() (string, error) {
-	const tries = 100
-	for range tries {
-		address, err := freeAddress()
-		if err != nil {
-			return "", err
-		}
-		if address != "" && !p.given[address] {
-			p.given[address] = true
-			return address, nil
-		}
-	}
-	return "", errors.New("harness: no free port")
-}
-
-// freeAddress returns an address that is free for TCP, or "" if it is not free
-// for UDP too.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "harness")
-	}
-	defer func() { _ = lis.Close() }()
-	address := lis.Addr().String()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return "", nil
-	}
-	_ = udp.Close()
-	return address, nil
-}
-
 // machineName returns names such as "khomas-a-entry-1".
 func machineName(zone contract.ZoneName, what string, n int) contract.MachineID {
 	return contract.MachineID(fmt.Sprintf("%s-%s-%d", zone, what, n))
--- a/link/reload/reload.go
+++ b/link/reload/reload.go
@@ -27,6 +27,8 @@
 	DefaultInterval = 10 * time.Second
 	// warnBefore is how long before the end of a certificate warnings begin.
 	warnBefore = 24 * time.Hour
+	// warnEvery spaces the warnings about one certificate.
+	warnEvery = time.Hour
 )
 
 // Credentials are what a Watcher keeps up to date.
@@ -47,6 +49,8 @@
 	seen [sha256.Size]byte
 	// ends is when the certificate in use expires.
 	ends time.Time
+	// nextWarning is when the log may tell again how long the certificate is valid.
+	nextWarning time.Time
 }
 
 // New returns a watcher of credentials that were loaded from files just now.
@@ -106,7 +110,8 @@
 	}
 	left := w.ends.Sub(now)
 	w.scope.Gauge("valid_seconds").Update(left.Seconds())
-	if left < warnBefore {
+	if left < warnBefore && !now.Before(w.nextWarning) {
+		w.nextWarning = now.Add(warnEvery)
 		w.logger.Warnf("the certificate is valid for %s more", left.Round(time.Second))
 	}
 }
--- a/machine/entry/claims/processes_test.go
+++ b/machine/entry/claims/processes_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(c.KillAll)
+	t.Cleanup(c.Close)
 	f := &filings{t: t, cluster: c, caller: load.NewCaller(nil, 20*time.Second), log: platform.NewClient("http://" + c.LogAddress)}
 	f.must(c.StartStandIns(patience))
 	f.must(c.StartAll())
