gate: credits follow what each sender has and the free places

Cause: equal parts of the limit held calls back at 70% load although the target had room. Ruled out: no credits at all, which refuses more as senders grow.

--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -132,6 +132,7 @@
 	g.queue[at] = a
 	g.queueBytes += len(a.start.Body)
 	g.attempts[a.id()] = a
+	g.senders.hold(a.from, 1)
 }
 
 // supersede stops an earlier attempt of an idempotent request: its sender has
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -85,8 +85,9 @@
 		return
 	}
 	g.learn(a, e)
-	g.close(a, e)
 	a.ended, a.endedAt = true, g.now
+	g.senders.hold(a.from, -1)
+	g.close(a, e)
 	g.limitFault(e.Fault)
 	if e.Lingers && g.off&offLinger == 0 {
 		if e.LingerFor > 0 {
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -101,7 +101,8 @@
 	limit := g.limiter.Limit()
 	credits := 0
 	if !g.leaving && !g.settings.ZoneOut && !g.draining() && g.hasWeights() {
-		credits = g.senders.credits(sender, limit, limit+g.queueBound()/2)
+		free := limit + g.queueBound() - g.limiter.Running() - len(g.queue)
+		credits = g.senders.credits(sender, limit, free)
 	}
 	return contract.Load{
 		Running: uint32(g.limiter.Running()),
--- a/machine/target/gate/queue.go
+++ b/machine/target/gate/queue.go
@@ -35,6 +35,7 @@
 func (g *Gate) dropQueued(a *attempt, reason contract.Reason) {
 	g.unqueue(a)
 	delete(g.attempts, a.id())
+	g.senders.hold(a.from, -1)
 	g.refuse(a, reason)
 }
 
--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -42,6 +42,16 @@
 			o.closed(effect.End)
 		}
 	}
+	held := 0
+	for _, a := range o.g.attempts {
+		if !a.ended {
+			held++
+		}
+	}
+	load := o.g.Load("e")
+	if o.g.senders["e"].held != held || load.Credits > load.Limit || load.Limit == 0 && load.Credits > 0 {
+		o.t.Fatalf("sender holds %d of %d, credits %d, limit %d", o.g.senders["e"].held, held, load.Credits, load.Limit)
+	}
 	if running := o.g.limiter.Running(); running != len(o.units) {
 		o.t.Fatalf("the gate counts %d units, the back end has %d", running, len(o.units))
 	}
--- a/machine/target/gate/senders.go
+++ b/machine/target/gate/senders.go
@@ -6,12 +6,15 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
-// senders holds the entry hosts that are connected, with the times at which
-// each was last heard and last sent an attempt.
+// senders holds the entry hosts that are connected, with what each has here.
 type senders map[contract.MachineID]sender
 
 type sender struct {
+	// heard is when the sender was last heard, worked when it last sent an
+	// attempt; worked is zero for one that has been idle.
 	heard, worked time.Time
+	// held counts its attempts that are queued or run towards it.
+	held int
 }
 
 func (s senders) heard(m contract.MachineID, now time.Time) {
@@ -24,18 +27,31 @@
 }
 
 func (s senders) worked(m contract.MachineID, now time.Time) {
-	if m != "" {
-		s[m] = sender{heard: now, worked: now}
+	if m == "" {
+		return
 	}
+	v := s[m]
+	v.heard, v.worked = now, now
+	s[m] = v
+}
+
+// hold counts an attempt of a sender that was taken (1) or is closed (-1).
+func (s senders) hold(m contract.MachineID, change int) {
+	v, ok := s[m]
+	if !ok {
+		return
+	}
+	v.held += change
+	s[m] = v
 }
 
 func (s senders) expire(now time.Time, silence time.Duration) {
 	for m, v := range s {
-		if now.Sub(v.heard) > silence {
+		if now.Sub(v.heard) > silence && v.held == 0 {
 			delete(s, m)
 			continue
 		}
-		if now.Sub(v.worked) > silence {
+		if now.Sub(v.worked) > silence && v.held == 0 {
 			v.worked = time.Time{}
 			s[m] = v
 		}
@@ -43,9 +59,9 @@
 }
 
 // credits returns how many attempts a sender may have here at once, at most
-// limit. The senders that work share total; an idle one gets its part of limit
-// among all senders. While the limit allows work at all nobody gets less than 1.
-func (s senders) credits(m contract.MachineID, limit, total int) int {
+// limit: what it has, and its part of the free places among the senders that
+// work. While the limit allows work at all nobody gets less than 1.
+func (s senders) credits(m contract.MachineID, limit, free int) int {
 	if limit == 0 {
 		return 0
 	}
@@ -55,9 +71,9 @@
 			working++
 		}
 	}
-	share := limit / max(1, len(s))
-	if !s[m].worked.IsZero() {
-		share = total / working
+	part := max(0, free) / max(1, working)
+	if free > 0 {
+		part = max(1, part)
 	}
-	return min(limit, max(1, share))
+	return min(limit, max(1, s[m].held+part))
 }
