target: an answer counts as delivered when its sender ends the stream

Cause: bytes given to a silent link counted as delivered, so that a planned stop could end before the sender asked again. Change: the target closes its side and waits up to 3 s for the sender's.

--- a/machine/target/fault_test.go
+++ b/machine/target/fault_test.go
@@ -94,6 +94,30 @@
 	return r.read(r.open(c, m), never).refusal.Load.Running
 }
 
+// TestLeavingKeepsUnreadAnswers checks that a process which was asked to stop
+// stays until the sender of a broken stream has asked for its answer.
+func TestLeavingKeepsUnreadAnswers(t *testing.T) {
+	r := newRig(t, config.BackendPlain, service.New(service.Config{NoReport: true, Delay: 50 * time.Millisecond}),
+		func(cfg *config.Process) { cfg.ShutdownGrace = time.Minute })
+	r.awaitReady()
+	first := r.dial()
+	s := r.open(first, plainStart("a", 1))
+	if m, err := s.Recv(); err != nil || m.Kind != contract.KindAccept {
+		t.Fatalf("got %+v, %v", m, err)
+	}
+	first.Close()
+	r.stop()
+	select {
+	case <-r.stopped:
+		t.Fatal("stopped with an answer that nobody has read")
+	case <-time.After(500 * time.Millisecond):
+	}
+	a := r.read(r.open(r.dial(), query(plainStart("a", 1).Start.Attempt, 0)), never)
+	if !isDone(a) {
+		t.Fatalf("status %+v, end %+v", a.status, a.end)
+	}
+}
+
 // TestCancelReachesTheEngine checks that work which nobody waits for ends.
 func TestCancelReachesTheEngine(t *testing.T) {
 	r := modelRig(t, fastEngine)
--- a/machine/target/serve.go
+++ b/machine/target/serve.go
@@ -13,8 +13,13 @@
 	"mimosastand.example/mimosastand/machine/target/gate"
 )
 
-// openTimeout bounds the time until a stream's first message.
-const openTimeout = 5 * time.Second
+const (
+	// openTimeout bounds the time until a stream's first message.
+	openTimeout = 5 * time.Second
+	// closeTimeout bounds the time until a sender that was given a whole answer
+	// ends its side of the stream, by which it shows that the answer arrived.
+	closeTimeout = 3 * time.Second
+)
 
 // handler is the process as its link endpoint sees it.
 type handler struct{ p *Process }
@@ -170,7 +175,7 @@
 		return
 	}
 	if err != nil {
-		p.leaveFeed(f, r, false)
+		p.leaveFeed(f, r, false, false)
 		return
 	}
 	p.follow(ctx, s, f, r)
@@ -210,20 +215,23 @@
 	p.streams.Add(1)
 	defer p.streams.Add(-1)
 	ctx, broken := context.WithCancel(ctx)
-	read := make(chan struct{})
+	read := make(chan bool, 1)
 	go func() {
-		defer close(read)
-		if !p.readCancel(s, f.id) {
+		inOrder := p.readCancel(s, f.id)
+		if !inOrder {
 			broken()
 		}
+		read <- inOrder
 	}()
 	whole := p.pump(ctx, s, f, r)
-	p.leaveFeed(f, r, whole)
-	if !whole {
+	if whole {
+		_ = s.SetReadDeadline(time.Now().Add(closeTimeout))
+		_ = s.CloseSend()
+	} else {
 		s.Reset()
 	}
-	s.Close()
-	<-read
+	delivered := <-read && whole
+	p.leaveFeed(f, r, whole, delivered)
 	broken()
 }
 
@@ -271,11 +279,12 @@
 }
 
 // leaveFeed detaches a reader and tells the gate if nobody is left to read.
-func (p *Process) leaveFeed(f *feed, r *reader, whole bool) {
+// whole tells that the reader was given all, delivered that its sender has it.
+func (p *Process) leaveFeed(f *feed, r *reader, whole, delivered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f.detach(r)
-	if whole {
+	if delivered {
 		delete(p.undelivered, f.id)
 	}
 	if !whole && len(f.readers) == 0 && p.feeds[f.id] == f {
--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -182,8 +182,10 @@
 			a.status = m.Status
 		case contract.KindRefuse:
 			a.refusal = m.Refuse
+			s.Close()
 		case contract.KindEnd:
 			a.end = m.End
+			s.Close()
 		case contract.KindChunk:
 			a.text.Write(m.Chunk.Data)
 			a.frames++
