Give way to live traffic in the target

The target's file may name the capacities of its links ([weights] machine_link, region_link, in bytes a second) and the origin's region. Without capacities nothing is bounded, as before. The other members of a roll-out learn the target's load.

--- a/config/process.go
+++ b/config/process.go
@@ -71,8 +71,19 @@
 	Fencing    string
 	// MaxRunning bounds the units of work in a warm back end.
 	MaxRunning int
+	// MachineLink and RegionLink are the capacities of the machine's own link and
+	// of a link to another region in bytes a second; 0 means not known, and that
+	// weights are not held back for live traffic.
+	MachineLink, RegionLink int
+	// OriginRegion is the region that holds the origin; empty if not known.
+	OriginRegion contract.RegionName
 }
 
+// regionUnknown stands for a region that is not known.
+const regionUnknown = "unknown"
+
+const maxLinkRate = 1 << 40
+
 const (
 	second = int64(time.Second)
 	ms     = int64(time.Millisecond)
@@ -141,4 +152,14 @@
 		set:     func(c *Process, v value) { c.Target.Fencing = v.text }},
 	{section: "target", key: "max_running", kind: kindInt, def: "16", min: 1, max: 4096,
 		set: func(c *Process, v value) { c.Target.MaxRunning = int(v.number) }},
+	{section: "weights", key: "machine_link", kind: kindInt, def: "0", min: 0, max: maxLinkRate,
+		set: func(c *Process, v value) { c.Target.MachineLink = int(v.number) }},
+	{section: "weights", key: "region_link", kind: kindInt, def: "0", min: 0, max: maxLinkRate,
+		set: func(c *Process, v value) { c.Target.RegionLink = int(v.number) }},
+	{section: "weights", key: "origin_region", kind: kindName, def: regionUnknown,
+		set: func(c *Process, v value) {
+			if v.text != regionUnknown {
+				c.Target.OriginRegion = contract.RegionName(v.text)
+			}
+		}},
 }
--- a/machine/target/activate.go
+++ b/machine/target/activate.go
@@ -37,6 +37,23 @@
 	return nil
 }
 
+// load tells the agent the units of work that run and how many the target bears.
+func (p *Process) load() (running, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.gate.Load("")
+	return int(l.Running + l.Queued), int(l.Limit)
+}
+
+// traffic tells the agent the bytes on the links to other processes.
+func (p *Process) traffic() (sent, received uint64) {
+	if p.endpoint == nil {
+		return 0, 0
+	}
+	t := p.endpoint.Traffic()
+	return t.SentBytes, t.ReceivedBytes
+}
+
 // engineOrders is the engine as the agent sees it.
 type engineOrders struct{ engine *backend.Engine }
 
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -24,6 +24,7 @@
 	"mimosastand.example/mimosastand/platform/hostwatch"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/weights/agent"
+	"mimosastand.example/mimosastand/weights/swarm"
 )
 
 // ErrStart marks a failure to start the process.
@@ -118,6 +119,9 @@
 		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Service: cfg.Target.Service, Incarnation: p.incarnation,
 		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
 		Engine: engineOrders{p.engine}, Peers: p.peers,
+		OriginRegion: cfg.Target.OriginRegion,
+		Links:        swarm.Links{Machine: cfg.Target.MachineLink, Region: cfg.Target.RegionLink},
+		Traffic:      p.traffic, Load: p.load,
 		Scope: p.scope, Logger: logs.For("weights", cfg.Machine),
 		Drain:    p.drain,
 		OnActive: func(d contract.Digest) { p.step(gate.Activated{Weights: d}) },
--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -56,6 +56,7 @@
 	status atomic.Pointer[contract.RolloutStatus]
 	local  pacer
 	remote pacers
+	meter  meter
 }
 
 // versionTask is the work on one version outside the state machines.
@@ -134,6 +135,7 @@
 func (a *Agent) tick() {
 	if a.now() >= a.peersAt {
 		a.refreshPeers()
+		a.giveWay()
 	}
 	a.stepSwarm(swarm.Tick{})
 	a.stepOrders(activation.Tick{})
@@ -146,20 +148,3 @@
 
 // Bytes returns the size of the chunks in hand.
 func (a *Agent) Bytes() int64 { return a.store.Bytes() }
-
-// SetLive tells the capacities of the links and what live traffic uses, so that
-// weight traffic gives way.
-func (a *Agent) SetLive(links swarm.Links, live swarm.Live) {
-	a.post(func() {
-		regions := map[contract.RegionName]bool{a.opts.Region: true}
-		targets := 1
-		for _, p := range a.peers {
-			regions[p.Region] = true
-			if p.Region == a.opts.Region {
-				targets++
-			}
-		}
-		senders := swarm.Senders(swarm.DefaultSlots, targets, len(regions))
-		a.stepSwarm(swarm.BudgetFor(links, live, senders))
-	})
-}
--- a/weights/agent/draw.go
+++ b/weights/agent/draw.go
@@ -84,6 +84,7 @@
 	}
 	req := contract.ChunkRequest{Weights: d.Version, Index: uint32(d.Index)}
 	reply, err := a.opts.Peers.RequestChunk(ctx, d.From, req)
+	a.meter.received.Add(uint64(len(reply.Data)))
 	switch {
 	case err != nil:
 		return err
--- a/weights/agent/serve.go
+++ b/weights/agent/serve.go
@@ -115,6 +115,7 @@
 		if err := send(contract.Message{Kind: contract.KindChunkReply, ChunkReply: &part}); err != nil {
 			return err
 		}
+		a.meter.sent.Add(uint64(n))
 		data = data[n:]
 	}
 	return nil
--- a/weights/agent/types.go
+++ b/weights/agent/types.go
@@ -10,6 +10,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/swarm"
 )
 
 var (
@@ -113,7 +114,7 @@
 	HoldOnly bool
 }
 
-// Options configure an Agent. Drain, OnActive, Load and Peers may be nil.
+// Options configure an Agent. Drain, OnActive, Load, Traffic and Peers may be nil.
 type Options struct {
 	Machine contract.MachineID
 	Zone    contract.ZoneName
@@ -132,6 +133,12 @@
 	Peers         Peers
 	Scope         tally.Scope
 	Logger        log.Interface
+	// Links holds the capacities of the links; where they are not known, weights
+	// are not held back for live traffic.
+	Links swarm.Links
+	// Traffic returns the bytes sent and received so far on the links to other
+	// processes, weights included; it may be nil.
+	Traffic func() (sent, received uint64)
 	// Load returns the units of work that run and how many the target bears; it
 	// may be nil.
 	Load func() (running, limit int)
