--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,9 @@
 	"github.com/integrii/flaggy"
 
 	"mimosastand.example/mimosastand/bench/claims"
+	"mimosastand.example/mimosastand/bench/gate"
+	"mimosastand.example/mimosastand/bench/serving"
+	"mimosastand.example/mimosastand/bench/settings"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -23,8 +26,11 @@
 }
 
 var parts = []part{
+	{name: "serving", run: serving.Run},
+	{name: "gate", run: gate.Run},
 	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
+	{name: "settings", run: settings.Run},
 }
 
 const defaultSeed = 1
--- a/config/process.go
+++ b/config/process.go
@@ -72,8 +72,7 @@
 	// MaxRunning bounds the units of work in a warm back end.
 	MaxRunning int
 	// MachineLink and RegionLink are the capacities of the machine's own link and
-	// of a link to another region in bytes a second; 0 means not known, and that
-	// weights are not held back for live traffic.
+	// of a link between regions, in bytes a second each way; 0 means not known.
 	MachineLink, RegionLink int
 	// OriginRegion is the region that holds the origin; empty if not known.
 	OriginRegion contract.RegionName
@@ -82,11 +81,11 @@
 // regionUnknown stands for a region that is not known.
 const regionUnknown = "unknown"
 
-const maxLinkRate = 1 << 40
-
 const (
 	second = int64(time.Second)
 	ms     = int64(time.Millisecond)
+	// maxLinkBytes bounds the capacity of a link, in bytes a second.
+	maxLinkBytes = 1 << 36
 )
 
 // common lists the fields of every process.
@@ -152,11 +151,11 @@
 		set:     func(c *Process, v value) { c.Target.Fencing = v.text }},
 	{section: "target", key: "max_running", kind: kindInt, def: "16", min: 1, max: 4096,
 		set: func(c *Process, v value) { c.Target.MaxRunning = int(v.number) }},
-	{section: "weights", key: "machine_link", kind: kindInt, def: "0", min: 0, max: maxLinkRate,
+	{section: "target", key: "machine_link", kind: kindInt, def: "0", min: 0, max: maxLinkBytes,
 		set: func(c *Process, v value) { c.Target.MachineLink = int(v.number) }},
-	{section: "weights", key: "region_link", kind: kindInt, def: "0", min: 0, max: maxLinkRate,
+	{section: "target", key: "region_link", kind: kindInt, def: "0", min: 0, max: maxLinkBytes,
 		set: func(c *Process, v value) { c.Target.RegionLink = int(v.number) }},
-	{section: "weights", key: "origin_region", kind: kindName, def: regionUnknown,
+	{section: "target", key: "origin_region", kind: kindName, def: regionUnknown,
 		set: func(c *Process, v value) {
 			if v.text != regionUnknown {
 				c.Target.OriginRegion = contract.RegionName(v.text)
--- a/machine/target/activate.go
+++ b/machine/target/activate.go
@@ -16,42 +16,33 @@
 // hands over what another target can resume.
 const drainGrace = 5 * time.Second
 
-// drain holds back new work and waits until none runs, for the agent.
+// drain holds back new work and waits until none runs, for the agent. If ctx
+// ends first, new work is let in again.
 func (p *Process) drain(ctx context.Context) error {
 	p.step(gate.Drain{})
-	handOver := time.Now().Add(drainGrace)
-	handed := false
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
+	again := time.NewTicker(drainGrace)
+	defer again.Stop()
 	for !p.idle() {
-		if !handed && time.Now().After(handOver) {
-			handed = true
-			p.step(gate.HandOver{})
-		}
 		select {
 		case <-ctx.Done():
+			p.step(gate.Reopen{})
 			return ctx.Err()
+		case <-again.C:
+			p.step(gate.Drain{})
+			p.step(gate.HandOver{})
 		case <-ticker.C:
 		}
 	}
 	return nil
 }
 
-// load tells the agent the units of work that run and how many the target bears.
-func (p *Process) load() (running, limit int) {
+// runningAndLimit tells the agent what the roll-out counts as capacity.
+func (p *Process) runningAndLimit() (running, limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.gate.Load("")
-	return int(l.Running + l.Queued), int(l.Limit)
-}
-
-// traffic tells the agent the bytes on the links to other processes.
-func (p *Process) traffic() (sent, received uint64) {
-	if p.endpoint == nil {
-		return 0, 0
-	}
-	t := p.endpoint.Traffic()
-	return t.SentBytes, t.ReceivedBytes
+	return p.gate.Units()
 }
 
 // engineOrders is the engine as the agent sees it.
