--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -54,6 +54,7 @@
 
 	// status is what ServeHave tells of the own target.
 	status atomic.Pointer[contract.RolloutStatus]
+	budget swarm.Budget
 	local  pacer
 	remote pacers
 }
@@ -147,19 +148,26 @@
 // Bytes returns the size of the chunks in hand.
 func (a *Agent) Bytes() int64 { return a.store.Bytes() }
 
-// SetLive tells the capacities of the links and what live traffic uses, so that
-// weight traffic gives way.
+// SetLive tells the capacities of the links and what live traffic uses of them,
+// in bytes a second, so that weights give way.
 func (a *Agent) SetLive(links swarm.Links, live swarm.Live) {
 	a.post(func() {
-		regions := map[contract.RegionName]bool{a.opts.Region: true}
-		targets := 1
-		for _, p := range a.peers {
-			regions[p.Region] = true
-			if p.Region == a.opts.Region {
-				targets++
-			}
+		if budget := swarm.BudgetFor(links, live, a.senders()); budget != a.budget {
+			a.budget = budget
+			a.stepSwarm(budget)
 		}
-		senders := swarm.Senders(swarm.DefaultSlots, targets, len(regions))
-		a.stepSwarm(swarm.BudgetFor(links, live, senders))
 	})
 }
+
+// senders is how many targets of the region send over one link to another one.
+func (a *Agent) senders() int {
+	regions := map[contract.RegionName]bool{a.opts.Region: true}
+	targets := 1
+	for _, p := range a.peers {
+		regions[p.Region] = true
+		if p.Region == a.opts.Region {
+			targets++
+		}
+	}
+	return swarm.Senders(swarm.DefaultSlots, targets, len(regions))
+}
