--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -116,6 +116,8 @@
 		return []Event{Leave{}}
 	case "drain":
 		return []Event{Drain{}}
+	case "reopen":
+		return []Event{Reopen{}}
 	case "handover":
 		return []Event{HandOver{}}
 	default:
@@ -178,7 +180,7 @@
 }
 
 func TestSessions(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &session{}
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
 			return s.play(d.Input, 0)
