--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -141,6 +141,9 @@
 
 // read returns records after an offset, and false if some are past retention.
 func (s *Service) read(r *http.Request, after contract.Offset, wait time.Duration) (platform.Batch, bool) {
+	s.mu.Lock()
+	s.stats.Reads++
+	s.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -166,7 +169,6 @@
 	if after < st.trimmed {
 		return batch, false, nil
 	}
-	s.stats.Reads++
 	size := 0
 	for i := int(min(after, st.newest()) - st.trimmed); i < len(st.records) && len(batch.Records) < maxBatch; i++ {
 		size += len(st.records[i].Data)
