--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 
 	"mimosastand.example/mimosastand/bench/claims"
 	"mimosastand.example/mimosastand/bench/gate"
+	"mimosastand.example/mimosastand/bench/processes"
 	"mimosastand.example/mimosastand/bench/serving"
 	"mimosastand.example/mimosastand/bench/settings"
 	"mimosastand.example/mimosastand/bench/weights"
@@ -31,6 +32,7 @@
 	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
 	{name: "settings", run: settings.Run},
+	{name: "processes", run: processes.Run},
 }
 
 const defaultSeed = 1
--- a/internal/harness/ini.go
+++ b/internal/harness/ini.go
@@ -82,7 +82,7 @@
 		{name: "listen", keys: map[string]string{"link": e.Link, "http": e.HTTP, "admin": e.Admin}},
 		c.platformSection(),
 		tlsSection(files),
-		{name: "link", keys: linkKeys},
+		c.linkSection(),
 		{name: "entry", keys: map[string]string{"tokens_file": c.TokensFile}},
 	}
 }
@@ -101,12 +101,19 @@
 		{name: "listen", keys: map[string]string{"link": t.Link, "http": t.HTTP}},
 		c.platformSection(),
 		tlsSection(files),
-		{name: "link", keys: linkKeys},
+		c.linkSection(),
 		{name: "target", keys: map[string]string{
 			"service": string(t.Service.Name), "kind": kind, "backend": "http://" + t.Backend,
 		}},
 	}
 }
 
-// linkKeys make silence show soon, to keep demo and tests short.
-var linkKeys = map[string]string{"heartbeat": "300ms", "silent_after": "1500ms"}
+// linkSection holds the heartbeat times. Those of no spec keep demo and tests
+// short.
+func (c *Cluster) linkSection() section {
+	times := c.Spec.Link
+	if times == (LinkTimes{}) {
+		times = LinkTimes{Heartbeat: "300ms", SilentAfter: "1500ms"}
+	}
+	return section{name: "link", keys: map[string]string{"heartbeat": times.Heartbeat, "silent_after": times.SilentAfter}}
+}
--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -15,10 +15,17 @@
 	// EngineOptions are the keys of every model engine's section in the
 	// stand-ins' file, such as "cold_start" = "2s".
 	EngineOptions map[string]string
+	// Link holds the heartbeat times; empty fields make silence show soon.
+	Link LinkTimes
 	// LogOptions, StoreOptions and OriginOptions are those of the platform's.
 	LogOptions, StoreOptions, OriginOptions map[string]string
 }
 
+// LinkTimes are durations in the form of an INI file.
+type LinkTimes struct {
+	Heartbeat, SilentAfter string
+}
+
 // Zone is one availability zone.
 type Zone struct {
 	Name   contract.ZoneName
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,8 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/platform"
 )
 
 const reportInterval = time.Second
@@ -67,3 +69,12 @@
 func Ignored(scope tally.Scope, reason contract.Reason) {
 	scope.Tagged(map[string]string{"reason": string(reason)}).Counter("ignored").Inc(1)
 }
+
+// Traffic shows the bytes of a process's links and of its calls to the platform.
+func Traffic(scope tally.Scope, links link.Traffic, calls *platform.Meter) {
+	sent, received := calls.Traffic()
+	scope.Gauge("link_sent_bytes").Update(float64(links.SentBytes))
+	scope.Gauge("link_received_bytes").Update(float64(links.ReceivedBytes))
+	scope.Gauge("platform_sent_bytes").Update(float64(sent))
+	scope.Gauge("platform_received_bytes").Update(float64(received))
+}
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -56,7 +56,9 @@
 	state     *readiness
 	follower  *follow.Follower
 	admin     *administration
-	reloads   *reload.Watcher
+	// platform counts the bytes to and from the platform's services.
+	platform platform.Meter
+	reloads  *reload.Watcher
 }
 
 // New opens the process's addresses. It fails with ErrCredentials or ErrListen.
@@ -90,7 +92,7 @@
 
 func (e *Entry) fillOptions() {
 	if e.opts.Hosts == nil {
-		e.opts.Hosts = platform.NewClient(e.process.HostsURL)
+		e.opts.Hosts = platform.NewMeteredClient(e.process.HostsURL, &e.platform)
 	}
 	observe := func(asked time.Time, list platform.HostList) { e.prober.observe(asked, list) }
 	hosts := observedHosts{Hosts: e.opts.Hosts, observe: observe}
@@ -107,7 +109,7 @@
 // newFollower makes the follower of the operators' settings.
 func (e *Entry) newFollower() *follow.Follower {
 	return follow.New(follow.Options{
-		Log:     platform.NewClient(e.process.LogURL),
+		Log:     platform.NewMeteredClient(e.process.LogURL, &e.platform),
 		Scope:   e.metrics.Scope(),
 		Logger:  logs.For("settings", e.process.Machine),
 		Machine: e.process.Machine,
@@ -169,7 +171,7 @@
 		return e.opts.Claims
 	}
 	writer := fmt.Sprintf("%s/%d", e.process.Machine, incarnation)
-	e.claims = claims.NewService(platform.NewClient(e.process.LogURL), e.prober, claims.Options{
+	e.claims = claims.NewService(platform.NewMeteredClient(e.process.LogURL, &e.platform), e.prober, claims.Options{
 		Config: claims.DefaultConfig(writer),
 		Stream: claims.Stream,
 		Logger: logs.For("claims", e.process.Machine),
@@ -211,6 +213,7 @@
 	if e.admin != nil {
 		go e.admin.run(e.ctx)
 	}
+	go e.gaugeLoop()
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
--- a/machine/target/gauges.go
+++ b/machine/target/gauges.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/weights/swarm"
 )
 
@@ -69,18 +70,16 @@
 	load, phase, store := p.gate.Load(""), p.gate.Phase(), p.gate.Answers()
 	bytes, started, tombstones := store.Bytes(), store.Started(), store.Tombstones()
 	p.mu.Unlock()
-	traffic := p.endpoint.Traffic()
+	metrics.Traffic(p.scope, p.endpoint.Traffic(), &p.platform)
 	for name, value := range map[string]float64{
-		"running":             float64(load.Running),
-		"queued":              float64(load.Queued),
-		"limit":               float64(load.Limit),
-		"phase":               float64(phase),
-		"answer_bytes":        float64(bytes),
-		"undelivered":         float64(undelivered),
-		"records":             float64(started),
-		"tombstones":          float64(tombstones),
-		"link_sent_bytes":     float64(traffic.SentBytes),
-		"link_received_bytes": float64(traffic.ReceivedBytes),
+		"running":      float64(load.Running),
+		"queued":       float64(load.Queued),
+		"limit":        float64(load.Limit),
+		"phase":        float64(phase),
+		"answer_bytes": float64(bytes),
+		"undelivered":  float64(undelivered),
+		"records":      float64(started),
+		"tombstones":   float64(tombstones),
 	} {
 		p.scope.Gauge(name).Update(value)
 	}
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -70,6 +70,8 @@
 	// undelivered holds finished answers that no stream was given whole.
 	undelivered map[contract.AttemptID]struct{}
 	settings    gate.Settings
+	// platform counts the bytes to and from the log and the host list.
+	platform platform.Meter
 	// concern is what the settings said last of what concerns senders.
 	concern concern
 }
@@ -109,8 +111,8 @@
 
 // joinPlatform makes the parts that speak to the platform.
 func (p *Process) joinPlatform() {
-	cfg, log := p.cfg, platform.NewClient(p.cfg.LogURL)
-	p.hosts = hostwatch.New(platform.NewClient(cfg.HostsURL), hostsInterval, p.peers.setHosts)
+	cfg, log := p.cfg, platform.NewMeteredClient(p.cfg.LogURL, &p.platform)
+	p.hosts = hostwatch.New(platform.NewMeteredClient(cfg.HostsURL, &p.platform), hostsInterval, p.peers.setHosts)
 	p.follower = follow.New(follow.Options{
 		Log: log, Scope: p.scope, Logger: logs.For("settings", cfg.Machine),
 		Pull: p.peers.pullSettings, Machine: cfg.Machine, Zone: cfg.Zone, Hosts: p.peers.hostList,
