link: halve the bytes of heartbeats; long-poll the host list

Each heartbeat named its sender and the digest of the weights again, both sides beat at their own interval and so each beat cost an acknowledgement of its own, and the host list was asked each second.

Ruled out: a longer interval, which slows detection and the spread of settings; datagrams, which lose what later beats leave out.

--- a/bench/processes/run.go
+++ b/bench/processes/run.go
@@ -32,8 +32,8 @@
 	if _, err := os.Stat(filepath.Join(binDir, "mimosastand")); err != nil {
 		return errors.Wrap(err, "processes: build the programs first")
 	}
-	_, _ = fmt.Fprintf(w, "at rest, mean and (highest) of each role over %v; control: QUIC and platform HTTP bytes, sent and received\n", window)
-	_, _ = fmt.Fprintln(w, "entries targets  role      RSS MB         control B/s      CPU % of a core")
+	_, _ = fmt.Fprintf(w, "at rest, mean and (highest) of each role over %v; bytes are sent and received\n", window)
+	_, _ = fmt.Fprintln(w, "entries targets  role      RSS MB         links B/s         platform B/s      CPU % of a core")
 	for _, s := range sizes {
 		if err := measure(w, s.entries, s.targets); err != nil {
 			return err
--- a/bench/processes/sample.go
+++ b/bench/processes/sample.go
@@ -19,8 +19,9 @@
 type sample struct {
 	rssBytes float64
 	// cpuSeconds is user and system time.
-	cpuSeconds   float64
-	controlBytes float64
+	cpuSeconds float64
+	// linkBytes and callBytes are those of links and of calls to the platform.
+	linkBytes, callBytes float64
 }
 
 // begin starts the processes and loads the example tree.
@@ -75,8 +76,7 @@
 	if s.cpuSeconds, err = cpuSeconds(pid); err != nil {
 		return s, err
 	}
-	s.controlBytes, err = controlBytes(address)
-	return s, err
+	return s, s.readTraffic(address)
 }
 
 // residentBytes reads the resident set from the second field of statm, in pages.
@@ -113,52 +113,58 @@
 	return (user + system) / ticksPerSecond, errors.Wrap(err, "processes")
 }
 
-// controlBytes adds up the traffic gauges of a metrics page.
-func controlBytes(address string) (float64, error) {
+// readTraffic adds up the traffic gauges of a metrics page.
+func (s *sample) readTraffic(address string) error {
 	resp, err := http.Get("http://" + address + "/metrics")
 	if err != nil {
-		return 0, errors.Wrap(err, "processes")
+		return errors.Wrap(err, "processes")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	total, found := 0.0, 0
+	found := 0
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
 		name, value, _ := strings.Cut(scanner.Text(), " ")
-		if !isTraffic(name) {
+		total := s.counter(name)
+		if total == nil {
 			continue
 		}
 		n, err := strconv.ParseFloat(value, 64)
 		if err != nil {
-			return 0, errors.Wrap(err, "processes")
+			return errors.Wrap(err, "processes")
 		}
-		total += n
+		*total += n
 		found++
 	}
 	const gauges = 4
 	if found != gauges {
-		return 0, errors.Newf("processes: %d traffic gauges at %s, want %d", found, address, gauges)
+		return errors.Newf("processes: %d traffic gauges at %s, want %d", found, address, gauges)
 	}
-	return total, errors.Wrap(scanner.Err(), "processes")
+	return errors.Wrap(scanner.Err(), "processes")
 }
 
-func isTraffic(name string) bool {
-	for _, suffix := range []string{"link_sent_bytes", "link_received_bytes", "platform_sent_bytes", "platform_received_bytes"} {
-		if strings.HasSuffix(name, "_"+suffix) {
-			return true
-		}
+// counter returns the total that a gauge belongs to, or nil.
+func (s *sample) counter(name string) *float64 {
+	switch {
+	case strings.HasSuffix(name, "_link_sent_bytes"), strings.HasSuffix(name, "_link_received_bytes"):
+		return &s.linkBytes
+	case strings.HasSuffix(name, "_platform_sent_bytes"), strings.HasSuffix(name, "_platform_received_bytes"):
+		return &s.callBytes
+	default:
+		return nil
 	}
-	return false
 }
 
 // summarize prints mean and highest of a role's processes.
 func summarize(before, after []sample) string {
-	var rss, control, cpu column
+	var rss, links, calls, cpu column
 	for i := range after {
 		rss.add(after[i].rssBytes / (1 << 20))
-		control.add((after[i].controlBytes - before[i].controlBytes) / window.Seconds())
+		links.add((after[i].linkBytes - before[i].linkBytes) / window.Seconds())
+		calls.add((after[i].callBytes - before[i].callBytes) / window.Seconds())
 		cpu.add(100 * (after[i].cpuSeconds - before[i].cpuSeconds) / window.Seconds())
 	}
-	return fmt.Sprintf("%6.1f (%5.1f) %8.0f (%6.0f) %8.2f (%5.2f)", rss.mean(), rss.highest, control.mean(), control.highest, cpu.mean(), cpu.highest)
+	return fmt.Sprintf("%6.1f (%5.1f) %8.0f (%6.0f) %8.0f (%6.0f) %8.2f (%5.2f)", rss.mean(), rss.highest,
+		links.mean(), links.highest, calls.mean(), calls.highest, cpu.mean(), cpu.highest)
 }
 
 // column adds up one figure of all processes.
--- a/contract/message.go
+++ b/contract/message.go
@@ -171,15 +171,20 @@
 	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
-// Heartbeat is sent both ways on every link at a fixed interval.
+// Heartbeat is sent both ways on every link at a fixed interval. On the wire, all
+// heartbeats after the first of a connection leave out who the sender is, and the
+// load's weights while they stay the same; package link fills them in again.
 type Heartbeat struct {
-	Machine     MachineID   `cbor:"1,keyasint"`
-	Incarnation Incarnation `cbor:"2,keyasint"`
+	Machine     MachineID   `cbor:"1,keyasint,omitempty"`
+	Incarnation Incarnation `cbor:"2,keyasint,omitempty"`
 	Settings    Offset      `cbor:"3,keyasint"`
 	// Load is set by targets.
 	Load    *Load       `cbor:"4,keyasint,omitempty"`
 	Zone    ZoneName    `cbor:"5,keyasint,omitempty"`
 	Service ServiceName `cbor:"6,keyasint,omitempty"`
+	// SameWeights tells that Load.Weights is left out because it is the same as
+	// in the heartbeat before.
+	SameWeights bool `cbor:"7,keyasint,omitempty"`
 }
 
 // SettingsPull asks a peer for the settings records after an offset.
--- a/link/conn.go
+++ b/link/conn.go
@@ -16,6 +16,11 @@
 	endpoint *Endpoint
 	qc       *quic.Conn
 	peer     Peer
+	// dialed tells the side that sends heartbeats at the interval; the other
+	// side answers each, so that its acknowledgement travels along.
+	dialed bool
+	// beat asks for a heartbeat now.
+	beat chan struct{}
 }
 
 // Peer returns the identity that the peer's certificate proves.
@@ -54,24 +59,38 @@
 // start runs the heartbeats and the accept loop until the connection ends.
 func (c *Conn) start(beats *Stream) {
 	e := c.endpoint
-	e.meter.begin(c.qc)
+	e.meter.begin(c)
 	e.wg.Add(3)
 	go c.sendHeartbeats(beats)
 	go c.receiveHeartbeats(beats)
 	go c.acceptStreams()
 }
 
+// Beat sends a heartbeat now instead of at the next interval.
+func (c *Conn) Beat() {
+	select {
+	case c.beat <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Conn) sendHeartbeats(beats *Stream) {
 	defer c.endpoint.wg.Done()
-	ticker := time.NewTicker(c.endpoint.cfg.Heartbeat)
-	defer ticker.Stop()
+	var interval <-chan time.Time
+	if c.dialed {
+		ticker := time.NewTicker(c.endpoint.cfg.Heartbeat)
+		defer ticker.Stop()
+		interval = ticker.C
+	}
+	var encoder beatEncoder
 	for {
-		hb := c.endpoint.handler.Heartbeat(c.peer)
+		hb := encoder.encode(c.endpoint.handler.Heartbeat(c.peer))
 		if err := beats.Send(contract.Message{Kind: contract.KindHeartbeat, Heartbeat: &hb}); err != nil {
 			return
 		}
 		select {
-		case <-ticker.C:
+		case <-interval:
+		case <-c.beat:
 		case <-c.Done():
 			return
 		}
@@ -80,6 +99,7 @@
 
 func (c *Conn) receiveHeartbeats(beats *Stream) {
 	defer c.endpoint.wg.Done()
+	var decoder beatDecoder
 	for {
 		_ = beats.SetReadDeadline(time.Now().Add(c.endpoint.cfg.SilentAfter))
 		m, err := beats.Recv()
@@ -87,8 +107,12 @@
 			c.heartbeatsEnded(err)
 			return
 		}
-		if m.Kind == contract.KindHeartbeat {
-			c.endpoint.handler.HeartbeatReceived(c, *m.Heartbeat)
+		if m.Kind != contract.KindHeartbeat {
+			continue
+		}
+		c.endpoint.handler.HeartbeatReceived(c, decoder.decode(*m.Heartbeat))
+		if !c.dialed {
+			c.Beat()
 		}
 	}
 }
@@ -106,7 +130,7 @@
 
 func (c *Conn) acceptStreams() {
 	defer c.endpoint.wg.Done()
-	defer c.endpoint.meter.end(c.qc)
+	defer c.endpoint.meter.end(c)
 	for {
 		qs, err := c.qc.AcceptStream(c.qc.Context())
 		if err != nil {
--- a/link/endpoint.go
+++ b/link/endpoint.go
@@ -113,6 +113,7 @@
 		c.Close()
 		return nil, errors.Mark(err, ErrDial)
 	}
+	c.dialed = true
 	c.start(newStream(beats, e.cfg.MaxFrameBytes))
 	return c, nil
 }
@@ -187,5 +188,5 @@
 		_ = qc.CloseWithError(codePeer, "identity")
 		return nil, err
 	}
-	return &Conn{endpoint: e, qc: qc, peer: peer}, nil
+	return &Conn{endpoint: e, qc: qc, peer: peer, beat: make(chan struct{}, 1)}, nil
 }
--- a/link/traffic.go
+++ b/link/traffic.go
@@ -23,34 +23,44 @@
 // meter adds up open and ended connections.
 type meter struct {
 	mu    sync.Mutex
-	open  map[*quic.Conn]bool
+	open  map[*Conn]bool
 	ended Traffic
 }
 
-func (m *meter) begin(qc *quic.Conn) {
+func (m *meter) begin(c *Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open == nil {
-		m.open = map[*quic.Conn]bool{}
+		m.open = map[*Conn]bool{}
 	}
-	m.open[qc] = true
+	m.open[c] = true
 }
 
-func (m *meter) end(qc *quic.Conn) {
+func (m *meter) end(c *Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.open[qc] {
-		delete(m.open, qc)
-		m.ended.add(qc.ConnectionStats())
+	if m.open[c] {
+		delete(m.open, c)
+		m.ended.add(c.qc.ConnectionStats())
 	}
 }
 
+func (m *meter) connections() []*Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	open := make([]*Conn, 0, len(m.open))
+	for c := range m.open {
+		open = append(open, c)
+	}
+	return open
+}
+
 func (m *meter) total() Traffic {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	total := m.ended
-	for qc := range m.open {
-		total.add(qc.ConnectionStats())
+	for c := range m.open {
+		total.add(c.qc.ConnectionStats())
 	}
 	return total
 }
@@ -59,3 +69,11 @@
 func (e *Endpoint) Traffic() Traffic {
 	return e.meter.total()
 }
+
+// BeatAll sends a heartbeat on every connection now, so that peers learn of a
+// change, such as a stop, at once.
+func (e *Endpoint) BeatAll() {
+	for _, c := range e.meter.connections() {
+		c.Beat()
+	}
+}
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -254,6 +254,7 @@
 func (p *Process) leave() {
 	p.log.Info("leaving")
 	p.step(gate.Leave{})
+	p.endpoint.BeatAll()
 	grace := p.cfg.ShutdownGrace
 	end := time.Now().Add(grace)
 	if !wait(p.idle, grace/handOverShare) {
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -80,19 +80,41 @@
 // maxPast is how many former lists a change can start from.
 const maxPast = 64
 
+// look is how often a waiting call looks for a change.
+const look = 20 * time.Millisecond
+
+// serveGet answers with what changed, and waits for a change if the caller asks.
 func (l *List) serveGet(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	l.countGet()
+	change := l.visible(after)
+	for change.Version == after && after != 0 && time.Now().Before(end) && r.Context().Err() == nil {
+		time.Sleep(look)
+		change = l.visible(after)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(change)
+}
+
+func (l *List) countGet() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gets++
+}
+
+// visible returns the change from a version to what callers see now.
+func (l *List) visible(after uint64) platform.HostChange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	shown := time.Now().Add(-l.config.Lag)
 	for len(l.versions) > 1 && !l.versions[1].at.After(shown) {
 		l.past = append(l.past, l.versions[0].list)
 		l.past = l.past[max(0, len(l.past)-maxPast):]
 		l.versions = l.versions[1:]
 	}
-	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l.since(after))
+	return l.since(after)
 }
 
 // since returns the change from a version that a caller has seen, or the whole
