--- a/machine/entry/gauges.go
+++ b/machine/entry/gauges.go
@@ -1,32 +1,25 @@
 package entry
 
 import (
-	"context"
 	"time"
+
+	"mimosastand.example/mimosastand/internal/metrics"
 )
 
 const gaugeInterval = time.Second
 
-// gaugeLoop shows on the metrics page what the counters do not tell.
-func (e *Entry) gaugeLoop(ctx context.Context) {
+// gaugeLoop shows the state of the process on the metrics page.
+func (e *Entry) gaugeLoop() {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	scope := e.metrics.Scope().SubScope("entry")
 	for {
 		select {
-		case <-ctx.Done():
+		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
-			e.showGauges()
+			scope.Gauge("open_requests").Update(float64(e.loop.open()))
+			metrics.Traffic(scope, e.links.endpoint.Traffic(), &e.platform)
 		}
 	}
 }
-
-func (e *Entry) showGauges() {
-	scope := e.metrics.Scope().SubScope("entry")
-	open, queued := e.loop.load()
-	scope.Gauge("requests_open").Update(float64(open))
-	scope.Gauge("requests_queued").Update(float64(queued))
-	traffic := e.links.endpoint.Traffic()
-	scope.Gauge("link_sent_bytes").Update(float64(traffic.SentBytes))
-	scope.Gauge("link_received_bytes").Update(float64(traffic.ReceivedBytes))
-}
