--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -214,7 +214,6 @@
 	if e.admin != nil {
 		go e.admin.run(e.ctx)
 	}
-	go e.gaugeLoop()
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
--- a/machine/entry/gauges.go
+++ b/machine/entry/gauges.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"mimosastand.example/mimosastand/internal/metrics"
@@ -8,18 +9,24 @@
 
 const gaugeInterval = time.Second
 
-// gaugeLoop shows the state of the process on the metrics page.
-func (e *Entry) gaugeLoop() {
+// gaugeLoop shows on the metrics page what the counters do not tell.
+func (e *Entry) gaugeLoop(ctx context.Context) {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
-	scope := e.metrics.Scope().SubScope("entry")
 	for {
 		select {
-		case <-e.ctx.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			scope.Gauge("open_requests").Update(float64(e.loop.open()))
-			metrics.Traffic(scope, e.links.endpoint.Traffic(), &e.platform)
+			e.showGauges()
 		}
 	}
 }
+
+func (e *Entry) showGauges() {
+	scope := e.metrics.Scope().SubScope("entry")
+	open, queued := e.loop.load()
+	scope.Gauge("requests_open").Update(float64(open))
+	scope.Gauge("requests_queued").Update(float64(queued))
+	metrics.Traffic(scope, e.links.endpoint.Traffic(), &e.platform)
+}
