--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -49,6 +49,16 @@
 // wholeRequest is the attempt number that stands for every attempt of a request.
 const wholeRequest = 0
 
+// mechanism names a part of the store that the package's tests can switch off.
+type mechanism uint8
+
+const (
+	offOverflow mechanism = 1 << iota
+	offPast
+	offEvict
+	offBackPressure
+)
+
 // Store holds the records of one process.
 type Store struct {
 	limits   Limits
@@ -63,6 +73,7 @@
 	// those beyond the bound.
 	refused, asked                 int
 	refusedOverflow, askedOverflow filter
+	off                            mechanism
 }
 
 // New returns an empty store.
@@ -86,9 +97,6 @@
 // attempt is remembered.
 func (s *Store) PastRequests() int { return len(s.past.entries) }
 
-// Tombstones returns the number of tombstones outside the filters.
-func (s *Store) Tombstones() int { return s.refused + s.asked }
-
 // Room reports whether one more attempt may start beside waiting others.
 func (s *Store) Room(waiting int) bool {
 	fits := s.started+waiting < s.limits.MaxStarted+len(s.finished)
@@ -138,61 +146,6 @@
 	return r != nil && r.id.N != id.N
 }
 
-// Buried reports whether the attempt has a tombstone, and why.
-func (s *Store) Buried(now time.Time, id contract.AttemptID) (contract.Reason, bool) {
-	for _, r := range s.requests[id.Request] {
-		if r.Started() {
-			continue
-		}
-		if r.id.N == id.N || r.id.N == wholeRequest {
-			return r.reason, true
-		}
-	}
-	whole := contract.AttemptID{Request: id.Request, N: wholeRequest}
-	hidden := s.refusedOverflow.has(now, id) || s.askedOverflow.has(now, id) || s.askedOverflow.has(now, whole)
-	if hidden {
-		return contract.ReasonTombstone, true
-	}
-	return "", false
-}
-
-// Refuse puts a tombstone on an attempt that the gate refuses.
-func (s *Store) Refuse(now time.Time, id contract.AttemptID, reason contract.Reason) {
-	if s.Get(id) != nil {
-		return
-	}
-	if s.refused >= s.limits.MaxTombstones {
-		s.refusedOverflow.add(now, id)
-		return
-	}
-	s.refused++
-	s.add(&Record{id: id, state: contract.AttemptNeverRan, reason: reason, expires: now.Add(s.limits.KeepRefusal)})
-}
-
-// Bury puts a tombstone on an attempt, as a sender asks; attempt number 0
-// stands for every attempt of the request that has not started yet.
-func (s *Store) Bury(now time.Time, id contract.AttemptID) {
-	if r := s.Get(id); r != nil && (r.Started() || r.asked) {
-		return
-	}
-	if s.asked >= s.limits.MaxTombstones {
-		s.askedOverflow.add(now, id)
-		return
-	}
-	s.asked++
-	if r := s.Get(id); r != nil {
-		s.refused--
-		r.asked = true
-		r.expires = later(r.expires, now.Add(s.limits.KeepTombstone))
-		heap.Fix(&s.expiry, r.index)
-		return
-	}
-	s.add(&Record{
-		id: id, state: contract.AttemptNeverRan, reason: contract.ReasonTombstone,
-		asked: true, expires: now.Add(s.limits.KeepTombstone),
-	})
-}
-
 // Begin records that an attempt is about to start. The caller has checked that
 // it has neither a record nor a tombstone, and that there is Room.
 func (s *Store) Begin(now time.Time, id contract.AttemptID, deadline time.Time) *Record {
@@ -223,81 +176,6 @@
 	s.refused++
 }
 
-// Append adds a copy of a frame to a running answer. When the answer is over its limit,
-// frames before number consumed are dropped; Append reports false if that does
-// not make room, and the caller tries again after more has been consumed.
-func (s *Store) Append(r *Record, f Frame, consumed uint64) bool {
-	size := len(f.Data) + partBytes
-	if r.memory()+size > s.limits.MaxAnswerBytes {
-		s.trim(r, consumed)
-	}
-	if len(r.frames) > 0 && r.memory()+size > s.limits.MaxAnswerBytes {
-		return false
-	}
-	s.evict(size)
-	if s.bytes+size > s.limits.MaxBytes {
-		s.trim(r, consumed)
-	}
-	if len(r.frames) > 0 && s.bytes+size > s.limits.MaxBytes {
-		return false
-	}
-	r.add(f)
-	s.bytes += size
-	return true
-}
-
-// trim drops frames before number consumed.
-func (s *Store) trim(r *Record, consumed uint64) {
-	s.bytes -= r.memory()
-	r.drop(consumed)
-	s.bytes += r.memory()
-}
-
-// evict drops the oldest finished answers until size more bytes fit.
-func (s *Store) evict(size int) {
-	for len(s.finished) > 0 && s.bytes+size > s.limits.MaxBytes {
-		s.forgetOldest()
-	}
-}
-
-// forgetOldest gives up the oldest finished answer and its record. What stays
-// is that the attempt started.
-func (s *Store) forgetOldest() {
-	r := s.finished[0]
-	s.finished[0] = nil
-	s.finished = s.finished[1:]
-	s.release(r)
-	s.past.add(r.id, r.expires, r.state == contract.AttemptBroken)
-	if r.state == contract.AttemptDone {
-		r.state = contract.AttemptForgotten
-	}
-	heap.Remove(&s.expiry, r.index)
-	s.remove(r)
-}
-
-// release gives up the frames of a record.
-func (s *Store) release(r *Record) {
-	s.bytes -= r.memory()
-	r.drop(r.Frames())
-	r.frames, r.data = nil, nil
-}
-
-// Finish closes an answer. An outcome other than done makes the attempt broken.
-func (s *Store) Finish(now time.Time, r *Record, end contract.End) {
-	end.Attempt = r.id
-	end.Frames = r.Frames()
-	end.Length = r.length
-	r.end, r.ended = end, now
-	r.clip()
-	r.state = contract.AttemptBroken
-	r.reason = end.Reason
-	if end.Outcome == contract.OutcomeDone {
-		r.state = contract.AttemptDone
-	}
-	s.evict(0)
-	s.finished = append(s.finished, r)
-}
-
 // Expire drops answers and records whose time is over.
 func (s *Store) Expire(now time.Time) {
 	for len(s.finished) > 0 && now.Sub(s.finished[0].ended) >= s.limits.KeepAnswer {
--- a/machine/target/answers/store_test.go
+++ b/machine/target/answers/store_test.go
@@ -88,6 +88,54 @@
 	}
 }
 
+// TestMechanisms checks that each promise holds with its mechanism and not
+// without it.
+func TestMechanisms(t *testing.T) {
+	for name, c := range map[string]struct {
+		off   mechanism
+		holds func(s *Store) bool
+	}{
+		"tombstones beyond the bound": {offOverflow, func(s *Store) bool {
+			for i := range 10 {
+				s.Refuse(epoch, id(i), contract.ReasonTargetFull)
+				s.Bury(epoch, id(100+i))
+			}
+			_, refused := s.Buried(epoch, id(9))
+			_, asked := s.Buried(epoch, id(109))
+			return refused && asked
+		}},
+		"late copy after its answer is gone": {offPast, func(s *Store) bool {
+			s.Finish(epoch, s.Begin(epoch, id(1), epoch), done())
+			s.Expire(epoch.Add(testLimits.KeepAnswer))
+			_, past := s.Past(id(1))
+			return past
+		}},
+		"memory of finished answers": {offEvict, func(s *Store) bool {
+			for i := range 5 {
+				r := s.Begin(epoch, id(i), epoch)
+				s.Append(r, Frame{Data: make([]byte, 40)}, 0)
+				s.Finish(epoch, r, done())
+			}
+			return s.Bytes() <= testLimits.MaxBytes
+		}},
+		"memory of a running answer": {offBackPressure, func(s *Store) bool {
+			r := s.Begin(epoch, id(1), epoch)
+			for range 3 {
+				s.Append(r, Frame{Data: make([]byte, 40)}, 0)
+			}
+			return s.Bytes() <= testLimits.MaxAnswerBytes
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			on, off := New(testLimits), New(testLimits)
+			off.off = c.off
+			if !c.holds(on) || c.holds(off) {
+				t.Error("the promise does not follow its mechanism")
+			}
+		})
+	}
+}
+
 // TestBounds checks the counts and bytes of a store under random use.
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
