--- a/machine/target/answers/record.go
+++ b/machine/target/answers/record.go
@@ -21,8 +21,9 @@
 	reason  contract.Reason
 	expires time.Time
 	index   int
-	// asked tells a tombstone that a sender asked for from a refusal.
-	asked bool
+	// heard tells that the attempt itself came, asked that a sender asked for its
+	// tombstone.
+	heard, asked bool
 
 	// frames holds the parts from number first on, and data their bytes;
 	// earlier ones were dropped.
@@ -85,6 +86,9 @@
 // Reason returns why the attempt never ran or broke, or "".
 func (r *Record) Reason() contract.Reason { return r.reason }
 
+// Heard reports whether the attempt itself came to this process.
+func (r *Record) Heard() bool { return r.heard }
+
 // Started reports whether the attempt may have reached the back end.
 func (r *Record) Started() bool {
 	return r.state != contract.AttemptNeverRan
--- a/machine/target/answers/store.go
+++ b/machine/target/answers/store.go
@@ -153,7 +153,7 @@
 		s.forgetOldest()
 	}
 	r := &Record{
-		id: id, state: contract.AttemptRunning,
+		id: id, state: contract.AttemptRunning, heard: true,
 		expires: later(now, deadline).Add(s.limits.KeepRecord),
 	}
 	s.started++
--- a/machine/target/answers/tombstones.go
+++ b/machine/target/answers/tombstones.go
@@ -41,7 +41,7 @@
 		return
 	}
 	s.refused++
-	s.add(&Record{id: id, state: contract.AttemptNeverRan, reason: reason, expires: now.Add(s.limits.KeepRefusal)})
+	s.add(&Record{id: id, state: contract.AttemptNeverRan, reason: reason, heard: true, expires: now.Add(s.limits.KeepRefusal)})
 }
 
 // Bury puts a tombstone on an attempt, as a sender asks; attempt number 0
--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -223,12 +223,12 @@
 	switch {
 	case !ok || a.ended:
 		return contract.ReasonTombstone
-	case a.stopping:
-		return contract.ReasonCallerGone
-	case !a.deadline.After(now):
+	case !a.deadline.After(now) && g.off&offDeadline == 0:
 		return contract.ReasonDeadline
-	case !g.pinned(a.start.Weights):
+	case !g.pinned(a.start.Weights) && g.off&offPinned == 0:
 		return contract.ReasonWeightsMismatch
+	case a.stopping:
+		return contract.ReasonCallerGone
 	}
 	return ""
 }
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -59,6 +59,9 @@
 				fmt.Fprintf(&out, "  %s\n", describe(effect))
 			}
 		}
+		if line.Cmd == "sendable" {
+			fmt.Fprintf(&out, "  %q\n", s.g.Sendable(epoch.Add(line.At), attemptOf(line.Name())))
+		}
 		load := s.g.Load("e1")
 		fmt.Fprintf(&out, "  = running=%d queued=%d limit=%d\n", load.Running, load.Queued, load.Limit)
 	}
@@ -213,6 +216,8 @@
 		"queue goes back at a fall":    {offReturnQueue, "new\n@1s warm\n@2100ms arrive a/1\narrive b/1\narrive c/1\nend a/1 as=unknown fault=broke", "refuse c/1: cold_start"},
 		"only for the own process":     {offVouch, warmUp + "query a/1 tombstone age=10s", "known a/1: unheard"},
 		"draining":                     {offPinned, warmUp + "drain\narrive a/1", "refuse a/1: no_weights"},
+		"deadline before sending":      {offDeadline, warmUp + "arrive a/1 remaining=1s\n@6s sendable a/1", `"deadline_expired"`},
+		"weights before sending":       {offPinned, warmUp + "arrive a/1\nreport digest=d2\nsendable a/1", `"weights_mismatch"`},
 		"unit lingers":                 {offLinger, warmUp + "arrive a/1\nend a/1 as=unknown lingers=5s", "= running=1"},
 		"limit":                        {offLimit, "new\n@1s warm\narrive a/1\narrive b/1", "= running=1 queued=1"},
 		"work outlives its connection": {offDetach, warmUp + "arrive a/1\ngone a/1\n@30s tick", "@30s tick\n  = running=1"},
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -42,13 +42,13 @@
 
 // vouches reports whether the process would know if the attempt had run here:
 // it was first sent after the process could hear it, and within the time for
-// which records are kept. An attempt that this process refused itself needs no
-// such bound.
+// which records are kept. An attempt that came to this process and was refused
+// needs no such bound.
 func (g *Gate) vouches(q contract.Query) bool {
 	if g.off&offVouch != 0 {
 		return true
 	}
-	if r := g.store.Get(q.Attempt); r != nil && r.Reason() != contract.ReasonTombstone {
+	if r := g.store.Get(q.Attempt); r != nil && r.Heard() {
 		return true
 	}
 	heardAll := g.now.Sub(g.started) - g.cfg.MaxTransit
--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -31,6 +31,9 @@
 	for _, effect := range o.g.Step(now, e) {
 		switch effect := effect.(type) {
 		case Run:
+			if !effect.Deadline.After(o.g.now) {
+				o.t.Fatalf("%s ran after its deadline", effect.Start.Attempt)
+			}
 			o.run(effect.Start)
 		case Refuse:
 			o.neverRuns(effect.Refusal.Attempt)
