gate: a paused process refuses what waited through the pause

Cause: attempts in the sockets or the queue of a paused process started minutes late, and before its settings had caught up. Change: a gap of 3 s between two steps returns the queue and refuses what arrives within a second. Ruled out: leaving it to the settings' readiness, which is told some steps later.

--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -68,7 +68,7 @@
 		return contract.ReasonUnknownService
 	case g.leaving && g.off&offLeaving == 0:
 		return contract.ReasonTargetLeaving
-	case !g.settings.Ready:
+	case !g.settings.Ready, g.now.Before(g.pausedUntil):
 		return contract.ReasonSettingsNotReady
 	case g.settings.ZoneOut && g.off&offZoneOut == 0:
 		return contract.ReasonZoneOut
--- a/machine/target/gate/attempt.go
+++ b/machine/target/gate/attempt.go
@@ -14,6 +14,7 @@
 	// maxRemaining bounds the time that a sender may give an attempt.
 	maxRemaining     = 24 * time.Hour
 	causeOldSettings = "settings_old"
+	causePaused      = "process_paused"
 	// meanShare is the inverse weight of one unit in the mean running time.
 	meanShare = 16
 )
--- a/machine/target/gate/config.go
+++ b/machine/target/gate/config.go
@@ -23,6 +23,12 @@
 	MaxTransit time.Duration
 	// SenderSilence is how long a sender counts after it was last heard.
 	SenderSilence time.Duration
+	// MaxGap is the time between two steps that counts as a pause of the process;
+	// its user ticks much more often. 0 means that no gap does.
+	MaxGap time.Duration
+	// PauseGrace is how long after a pause arriving attempts are refused: they may
+	// have waited through it, and the settings may be those of before it.
+	PauseGrace time.Duration
 	// MaxDrain bounds the time for which a Drain holds back new work.
 	MaxDrain time.Duration
 	Answers  answers.Limits
@@ -35,6 +41,8 @@
 	ResumeGrace:   5 * time.Second,
 	MaxTransit:    5 * time.Second,
 	SenderSilence: 5 * time.Second,
+	MaxGap:        3 * time.Second,
+	PauseGrace:    time.Second,
 	MaxDrain:      30 * time.Second,
 	Answers:       answers.DefaultLimits,
 }
--- a/machine/target/gate/doc.go
+++ b/machine/target/gate/doc.go
@@ -20,6 +20,13 @@
 // tombstones are kept. Only the answer to a query that asks for a tombstone says
 // contract.AttemptNeverRan.
 //
+// # Pauses
+//
+// A process that was paused cannot know how long an attempt waited in its
+// sockets, nor whether its settings still hold. A gap of Config.MaxGap between
+// two steps counts as a pause; attempts that arrive within Config.PauseGrace
+// after it are refused.
+//
 // # Order of checks
 //
 // An arriving attempt is checked for its form, for records and tombstones, for
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -27,6 +27,7 @@
 	offLinger
 	offLimit
 	offDetach
+	offPause
 )
 
 // Gate is the way to the back end of one target.
@@ -48,7 +49,9 @@
 	activated time.Time
 	// drainUntil holds back new work while the version is about to change.
 	drainUntil time.Time
-	leaving    bool
+	// pausedUntil holds back new work after a pause of the process.
+	pausedUntil time.Time
+	leaving     bool
 	// meanRun is the mean time that units ran, 0 before the first one.
 	meanRun time.Duration
 	senders senders
@@ -92,16 +95,27 @@
 // before that of an earlier event counts as the earlier time.
 func (g *Gate) Step(now time.Time, e Event) []Effect {
 	g.effects = g.effects[:0]
-	if now.Before(g.now) {
-		g.emit(Ignored{Cause: string(coldstart.CauseClock)})
-	} else {
-		g.now = now
-	}
+	g.advance(now)
 	g.step(e)
 	g.admit()
 	return g.effects
 }
 
+// advance takes the time of a step and notes a pause of the process.
+func (g *Gate) advance(now time.Time) {
+	if now.Before(g.now) {
+		g.emit(Ignored{Cause: string(coldstart.CauseClock)})
+		return
+	}
+	paused := g.cfg.MaxGap > 0 && now.Sub(g.now) > g.cfg.MaxGap && g.off&offPause == 0
+	g.now = now
+	if paused {
+		g.emit(Ignored{Cause: causePaused})
+		g.pausedUntil = now.Add(g.cfg.PauseGrace)
+		g.returnQueue(contract.ReasonSettingsNotReady)
+	}
+}
+
 func (g *Gate) step(e Event) {
 	switch e := e.(type) {
 	case Arrived:
@@ -254,6 +268,6 @@
 
 // Ready reports whether the gate would accept work if it had room.
 func (g *Gate) Ready() bool {
-	return g.settings.Ready && !g.leaving && !g.settings.ZoneOut && !g.draining() && g.limiter.Limit() > 0 &&
+	return g.settings.Ready && !g.now.Before(g.pausedUntil) && !g.leaving && !g.settings.ZoneOut && !g.draining() && g.limiter.Limit() > 0 &&
 		(!g.cfg.Model || g.weights != "")
 }
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -21,7 +21,7 @@
 
 func testConfig() Config {
 	c := DefaultConfig
-	c.Service, c.Incarnation, c.Model = "s", 7, true
+	c.Service, c.Incarnation, c.Model, c.MaxGap = "s", 7, true, 0
 	return c
 }
 
@@ -73,6 +73,7 @@
 	c.Model = !line.Has("plain")
 	c.Answers.MaxStarted = line.Int("started", c.Answers.MaxStarted)
 	c.Answers.MaxPast = line.Int("past", c.Answers.MaxPast)
+	c.MaxGap = line.Duration("gap", 0)
 	c.Answers.MaxTombstones = line.Int("tombstones", c.Answers.MaxTombstones)
 	return c
 }
@@ -216,6 +217,7 @@
 		"queue goes back at a fall":    {offReturnQueue, "new\n@1s warm\n@2100ms arrive a/1\narrive b/1\narrive c/1\nend a/1 as=unknown fault=broke", "refuse c/1: cold_start"},
 		"only for the own process":     {offVouch, warmUp + "query a/1 tombstone age=10s", "known a/1: unheard"},
 		"draining":                     {offPinned, warmUp + "drain\narrive a/1", "refuse a/1: no_weights"},
+		"after a pause":                {offPause, "new gap=3s\n@1s warm\n@3s tick\n@63s arrive a/1", "refuse a/1: settings_not_ready"},
 		"deadline before sending":      {offDeadline, warmUp + "arrive a/1 remaining=1s\n@6s sendable a/1", `"deadline_expired"`},
 		"weights before sending":       {offPinned, warmUp + "arrive a/1\nreport digest=d2\nsendable a/1", `"weights_mismatch"`},
 		"unit lingers":                 {offLinger, warmUp + "arrive a/1\nend a/1 as=unknown lingers=5s", "= running=1"},
