--- a/bench/weights/cost.go
+++ b/bench/weights/cost.go
@@ -1,11 +1,14 @@
 package weights
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"runtime"
 	"time"
 
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/weights"
 	"mimosastand.example/mimosastand/weights/swarm"
 )
 
@@ -29,6 +32,27 @@
 		p.ChunkBytes = c.chunkBytes
 		printCost(w, p)
 	}
+	return printVerify(w)
+}
+
+// printVerify prints how fast one core checks chunks.
+func printVerify(w io.Writer) error {
+	const chunks = 128
+	m, err := weights.Split(bytes.NewReader(make([]byte, defaultChunkBytes)), "bench", defaultChunkBytes,
+		func(contract.Digest, []byte) error { return nil })
+	if err != nil {
+		return err
+	}
+	data := make([]byte, defaultChunkBytes)
+	start := time.Now()
+	for range chunks {
+		if err := m.Verify(0, data); err != nil {
+			return err
+		}
+	}
+	took := time.Since(start)
+	fmt.Fprintf(w, "verification: %.2f ms a chunk of %d KiB, %.0f MB/s on one core\n",
+		took.Seconds()*1e3/chunks, defaultChunkBytes>>10, chunks*float64(defaultChunkBytes)/took.Seconds()/1e6)
 	return nil
 }
 
