--- a/weights/rollout/capacity.go
+++ b/weights/rollout/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"time"
 )
 
 // before reports whether a member comes before the own target in the order.
@@ -22,7 +23,7 @@
 
 // fresh reports whether an answer is new enough to count on.
 func (m *Machine) fresh(mem *member) bool {
-	return mem.known && m.now-mem.heard <= m.cfg.Fresh
+	return mem.known && m.now-mem.heard <= m.freshFor()
 }
 
 // reason tells why the own target may not change now; empty if it may.
@@ -133,3 +134,8 @@
 	perMember := float64(limit) / float64(heard) * fillShare
 	return int(math.Ceil(total / perMember))
 }
+
+// freshFor is how long an answer counts: long enough to ask every member twice.
+func (m *Machine) freshFor() time.Duration {
+	return max(m.cfg.Fresh, 2*time.Duration(len(m.members))*m.cfg.AskInterval)
+}
--- a/weights/rollout/machine.go
+++ b/weights/rollout/machine.go
@@ -15,7 +15,7 @@
 	Self contract.MachineID
 	// AskInterval is the time between two questions to members.
 	AskInterval time.Duration
-	// Fresh is how long an answer counts as knowledge of who serves.
+	// Fresh is how long an answer counts as knowledge of who serves, at least.
 	Fresh time.Duration
 }
 
