Run the former version on new hosts while a roll-out is stopped

Cause: a host replaced after the roll-out stopped for failures stayed without weights. Its agent now deploys the former version until the settings change. Chunks that were joined from parts are kept without their spare capacity.

--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -39,7 +39,9 @@
 	orders  *activation.Machine
 	rollout *rollout.Machine
 
-	wanted  []Wanted
+	wanted []Wanted
+	// stopped tells that the roll-out of what is wanted has stopped.
+	stopped bool
 	peers   []Peer
 	peersAt time.Duration
 	// placed tells that the other targets are known, or were awaited in vain.
--- a/weights/agent/agent_test.go
+++ b/weights/agent/agent_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// TestStoppedRollOutGivesANewHostTheFormerVersion has engines that cannot load
+// the new version; a host that comes meanwhile must not stay without weights.
+func TestStoppedRollOutGivesANewHostTheFormerVersion(t *testing.T) {
+	store, net := newFakeStore(), newFakeNet()
+	v1, v2 := publish(t, store, content(20_000, 7)), publish(t, store, content(20_000, 8))
+	old := start(t, "t1", store, net)
+	old.engine.set(func(e *fakeEngine) { e.broken = v2 })
+	old.Want([]Wanted{{Weights: v1}})
+	old.await(t, v1)
+	old.Want([]Wanted{{Weights: v2, Former: v1}})
+	old.awaitFailed(t, v1, v2)
+	newcomer := start(t, "t2", store, net)
+	newcomer.engine.set(func(e *fakeEngine) { e.broken = v2 })
+	newcomer.Want([]Wanted{{Weights: v2, Former: v1}})
+	newcomer.await(t, v1)
+}
+
+// awaitFailed waits until an agent told that it cannot change to a version; each
+// try that fails opens the gate for the former one.
+func (r *running) awaitFailed(t *testing.T, former, d contract.Digest) {
+	t.Helper()
+	for r.status.Load().Failed != d {
+		r.await(t, former)
+	}
+}
+
 // TestBadPeers shows that what a peer sends is neither held nor served on if it
 // is not the chunk that was asked for.
 func TestBadPeers(t *testing.T) {
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -79,6 +79,8 @@
 	fencing   bool
 	fence     contract.Fence
 	seq       uint64
+	// broken is a version that the engine cannot load.
+	broken contract.Digest
 }
 
 func newFakeEngine() *fakeEngine {
@@ -122,7 +124,7 @@
 	if o.Fence < e.fence {
 		return ErrEngineFence
 	}
-	if !e.store.Whole(o.Digest) {
+	if !e.store.Whole(o.Digest) || o.Digest == e.broken {
 		return ErrEngineNotWhole
 	}
 	e.fence, e.active = o.Fence, o.Digest
--- a/weights/agent/turns.go
+++ b/weights/agent/turns.go
@@ -25,6 +25,10 @@
 		case rollout.Waiting:
 			a.count(string(e.Reason))
 			a.opts.Logger.WithField("reason", string(e.Reason)).Info("waiting to change the version")
+			if e.Reason == rollout.ReasonFailures && !a.stopped {
+				a.stopped = true
+				a.plan()
+			}
 		}
 	}
 }
--- a/weights/agent/want.go
+++ b/weights/agent/want.go
@@ -31,7 +31,7 @@
 }
 
 func (a *Agent) setWanted(wanted []Wanted) {
-	a.wanted = wanted
+	a.wanted, a.stopped = wanted, false
 	keep := map[contract.Digest]bool{}
 	for _, w := range wanted {
 		keep[w.Weights], keep[w.Former] = true, true
@@ -93,6 +93,10 @@
 		return
 	}
 	w := a.wanted[i]
+	if a.useFormer(w) {
+		w.Weights, w.Former = w.Former, ""
+		a.begin(w.Weights, w.Priority)
+	}
 	members := []contract.MachineID{a.opts.Machine}
 	for _, p := range a.peers {
 		if p.Zone == a.opts.Zone {
@@ -105,6 +109,13 @@
 	}})
 }
 
+// useFormer reports whether the former version is to run: the roll-out has
+// stopped for failures and the engine has nothing to serve meanwhile.
+func (a *Agent) useFormer(w Wanted) bool {
+	active := a.status.Load().Active
+	return a.stopped && w.Former.Valid() && (active == "" || active == w.Former)
+}
+
 // refreshPeers takes the newest list of targets of the own service.
 func (a *Agent) refreshPeers() {
 	a.peersAt = a.now() + peersInterval
--- a/weights/chunkstore.go
+++ b/weights/chunkstore.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"bytes"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -8,6 +9,10 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
+// slackShare bounds the unused capacity of a chunk that is kept, as a part of
+// its length.
+const slackShare = 16
+
 // ChunkStore keeps the verified chunks of versions in memory. It is safe for
 // concurrent use. A chunk that is in the store has been verified.
 type ChunkStore struct {
@@ -65,6 +70,9 @@
 	if err := m.Verify(i, data); err != nil {
 		return err
 	}
+	if cap(data) > len(data)+len(data)/slackShare {
+		data = bytes.Clone(data)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.versions[d]
