--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,8 +14,10 @@
 
 	"mimosastand.example/mimosastand/bench/claims"
 	"mimosastand.example/mimosastand/bench/gate"
+	"mimosastand.example/mimosastand/bench/processes"
 	"mimosastand.example/mimosastand/bench/serving"
 	"mimosastand.example/mimosastand/bench/settings"
+	"mimosastand.example/mimosastand/bench/through"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -27,10 +29,12 @@
 
 var parts = []part{
 	{name: "serving", run: serving.Run},
+	{name: "through", run: through.Run},
 	{name: "gate", run: gate.Run},
 	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
 	{name: "settings", run: settings.Run},
+	{name: "processes", run: processes.Run},
 }
 
 const defaultSeed = 1
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -70,6 +70,8 @@
 	// undelivered holds finished answers that no stream was given whole.
 	undelivered map[contract.AttemptID]struct{}
 	settings    gate.Settings
+	// platform counts the bytes to and from the log and the host list.
+	platform platform.Meter
 	// concern is what the settings said last of what concerns senders.
 	concern concern
 }
@@ -109,8 +111,8 @@
 
 // joinPlatform makes the parts that speak to the platform.
 func (p *Process) joinPlatform() {
-	cfg, log := p.cfg, platform.NewClient(p.cfg.LogURL)
-	p.hosts = hostwatch.New(platform.NewClient(cfg.HostsURL), hostsInterval, p.peers.setHosts)
+	cfg, log := p.cfg, platform.NewMeteredClient(p.cfg.LogURL, &p.platform)
+	p.hosts = hostwatch.New(platform.NewMeteredClient(cfg.HostsURL, &p.platform), hostsInterval, p.peers.setHosts)
 	p.follower = follow.New(follow.Options{
 		Log: log, Scope: p.scope, Logger: logs.For("settings", cfg.Machine),
 		Pull: p.peers.pullSettings, Machine: cfg.Machine, Zone: cfg.Zone, Hosts: p.peers.hostList,
@@ -252,6 +254,7 @@
 func (p *Process) leave() {
 	p.log.Info("leaving")
 	p.step(gate.Leave{})
+	p.endpoint.BeatAll()
 	grace := p.cfg.ShutdownGrace
 	end := time.Now().Add(grace)
 	if !wait(p.idle, grace/handOverShare) {
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -38,6 +38,8 @@
 	offReportOrder
 	offPrefixBound
 	offHeadroom
+	offVersions
+	offEjection
 )
 
 // NewPool returns an empty pool as seen from home.
