harness: take ports below those of outgoing connections

Cause: ports were picked by binding port 0 and letting go; until the started process bound one, any connection or test server on the machine could take it. Change: ports from 20000 to 32000, each process beginning at its own block.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -38,7 +38,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "harness")
 	}
-	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: ports{given: map[string]bool{}}}
+	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: newPorts()}
 	authority, err := devkeys.NewAuthority(dir)
 	if err != nil {
 		return nil, err
--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 
 	"github.com/cockroachdb/errors"
 
@@ -60,42 +61,52 @@
 	iniFile string
 }
 
+const (
+	// firstPort to lastPort lie below the ports that the kernel gives to
+	// outgoing connections, which would take a port before its process binds it.
+	firstPort, lastPort = 20000, 32000
+	// blockPorts is the distance of the ports at which two processes begin.
+	blockPorts = 200
+)
+
 // ports hands out free loopback addresses.
 type ports struct {
-	given map[string]bool
+	last int
+}
+
+// newPorts begins at a block that other processes are unlikely to use.
+func newPorts() ports {
+	const blocks = (lastPort - firstPort) / blockPorts
+	return ports{last: firstPort + os.Getpid()%blocks*blockPorts}
 }
 
 // next returns an address that is free for TCP and UDP.
 func (p *ports) next() (string, error) {
-	const tries = 100
-	for range tries {
-		address, err := freeAddress()
-		if err != nil {
-			return "", err
+	for range lastPort - firstPort {
+		p.last++
+		if p.last >= lastPort {
+			p.last = firstPort
 		}
-		if address != "" && !p.given[address] {
-			p.given[address] = true
+		address := fmt.Sprintf("127.0.0.1:%d", p.last)
+		if isFree(address) {
 			return address, nil
 		}
 	}
 	return "", errors.New("harness: no free port")
 }
 
-// freeAddress returns an address that is free for TCP, or "" if it is not free
-// for UDP too.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+// isFree reports whether an address can be bound for TCP and UDP.
+func isFree(address string) bool {
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", errors.Wrap(err, "harness")
+		return false
 	}
 	defer func() { _ = lis.Close() }()
-	address := lis.Addr().String()
 	udp, err := net.ListenPacket("udp", address)
 	if err != nil {
-		return "", nil
+		return false
 	}
-	_ = udp.Close()
-	return address, nil
+	return udp.Close() == nil
 }
 
 // machineName returns names such as "khomas-a-entry-1".
