--- a/config/process.go
+++ b/config/process.go
@@ -74,8 +74,13 @@
 	// MachineLink and RegionLink are the capacities of the machine's own link and
 	// of a link between regions, in bytes a second each way; 0 means not known.
 	MachineLink, RegionLink int
+	// OriginRegion is the region that holds the origin; empty if not known.
+	OriginRegion contract.RegionName
 }
 
+// regionUnknown stands for a region that is not known.
+const regionUnknown = "unknown"
+
 const (
 	second = int64(time.Second)
 	ms     = int64(time.Millisecond)
@@ -150,4 +155,10 @@
 		set: func(c *Process, v value) { c.Target.MachineLink = int(v.number) }},
 	{section: "target", key: "region_link", kind: kindInt, def: "0", min: 0, max: maxLinkBytes,
 		set: func(c *Process, v value) { c.Target.RegionLink = int(v.number) }},
+	{section: "target", key: "origin_region", kind: kindName, def: regionUnknown,
+		set: func(c *Process, v value) {
+			if v.text != regionUnknown {
+				c.Target.OriginRegion = contract.RegionName(v.text)
+			}
+		}},
 }
