harness, e2e: relays that lose connections and cut zones off

Cause: no test cut a path between processes that live on, and a parallel run failed on ports that another system's process had taken between choice and use.

--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -85,7 +85,19 @@
 
 func start(t *testing.T) *system {
 	t.Helper()
-	cluster, err := harness.New(t.TempDir(), binDir, harness.Spec{
+	return startSpec(t, spec())
+}
+
+// startWithRelays starts a system whose paths can be cut.
+func startWithRelays(t *testing.T) *system {
+	t.Helper()
+	cuttable := spec()
+	cuttable.Relays = true
+	return startSpec(t, cuttable)
+}
+
+func spec() harness.Spec {
+	return harness.Spec{
 		Zones: []harness.Zone{
 			{Name: "taipei-a", Region: "tw-north"},
 			{Name: "taichung-a", Region: "tw-central"},
@@ -99,7 +111,12 @@
 			"cold_start": "500ms", "cold_limit": "4", "warm_limit": "12",
 			"token_delay": "20ms", "prefill_delay": "10ms", "report_lag": "200ms", "fencing": "true",
 		},
-	})
+	}
+}
+
+func startSpec(t *testing.T, spec harness.Spec) *system {
+	t.Helper()
+	cluster, err := harness.New(t.TempDir(), binDir, spec)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -25,6 +25,7 @@
 
 	LogAddress, StoreAddress, OriginAddress, HostsAddress string
 
+	paths     paths
 	spawner   *spawner
 	ports     ports
 	authority *devkeys.Authority
@@ -38,42 +39,39 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "harness")
 	}
-	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: ports{given: map[string]bool{}}}
+	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: newPorts()}
 	authority, err := devkeys.NewAuthority(dir)
 	if err != nil {
 		return nil, err
 	}
 	c.authority = authority
-	if err := c.assignPlatform(); err != nil {
-		return nil, err
-	}
+	c.assignPlatform()
 	if err := c.writeTokens(); err != nil {
 		return nil, err
 	}
 	return c, c.assignHosts()
 }
 
-func (c *Cluster) assignPlatform() error {
+func (c *Cluster) assignPlatform() {
 	for _, address := range []*string{&c.LogAddress, &c.StoreAddress, &c.OriginAddress, &c.HostsAddress} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.ports.next(0)
 	}
-	return nil
 }
 
 func (c *Cluster) assignHosts() error {
-	for _, zone := range c.Spec.Zones {
+	for i, zone := range c.Spec.Zones {
+		platform, err := c.openPlatform(i+1, zone)
+		if err != nil {
+			return err
+		}
 		for n := range c.Spec.EntriesPerZone {
-			if err := c.addEntry(zone, n+1); err != nil {
+			if err := c.addEntry(i+1, n+1, platform); err != nil {
 				return err
 			}
 		}
 		for _, service := range c.Spec.Services {
 			for n := range service.PerZone {
-				if err := c.addTarget(zone, service, n+1); err != nil {
+				if err := c.addTarget(i+1, service, n+1, platform); err != nil {
 					return err
 				}
 			}
@@ -82,38 +80,42 @@
 	return nil
 }
 
-func (c *Cluster) addEntry(zone Zone, n int) error {
+// addEntry adds an entry host to a zone, counted from 1.
+func (c *Cluster) addEntry(at, n int, platform section) error {
+	zone := c.Spec.Zones[at-1]
 	e := &Entry{Machine: machineName(zone.Name, "entry", n), Zone: zone}
 	for _, address := range []*string{&e.Link, &e.HTTP, &e.Admin} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.ports.next(at)
+	}
+	var err error
+	if e.Front, err = c.openLink(at, e.Link); err != nil {
+		return err
 	}
 	files, err := c.authority.Issue(string(e.Machine), link.RoleEntry, devkeys.DefaultValidity)
 	if err != nil {
 		return err
 	}
-	e.iniFile, err = writeINI(c.Dir, string(e.Machine)+".ini", c.entrySections(e, files))
+	e.iniFile, err = writeINI(c.Dir, string(e.Machine)+".ini", c.entrySections(e, files, platform))
 	c.Entries = append(c.Entries, e)
 	return err
 }
 
-func (c *Cluster) addTarget(zone Zone, service Service, n int) error {
+// addTarget adds a target host to a zone, counted from 1.
+func (c *Cluster) addTarget(at int, service Service, n int, platform section) error {
+	zone := c.Spec.Zones[at-1]
 	t := &Target{Machine: machineName(zone.Name, string(service.Name), n), Zone: zone, Service: service}
 	for _, address := range []*string{&t.Link, &t.HTTP, &t.Backend} {
-		next, err := c.ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
+		*address = c.ports.next(at)
+	}
+	var err error
+	if t.Front, err = c.openLink(at, t.Link); err != nil {
+		return err
 	}
 	files, err := c.authority.Issue(string(t.Machine), link.RoleTarget, devkeys.DefaultValidity)
 	if err != nil {
 		return err
 	}
-	t.iniFile, err = writeINI(c.Dir, string(t.Machine)+".ini", c.targetSections(t, files))
+	t.iniFile, err = writeINI(c.Dir, string(t.Machine)+".ini", c.targetSections(t, files, platform))
 	c.Targets = append(c.Targets, t)
 	return err
 }
@@ -214,8 +216,9 @@
 	return failed
 }
 
-// KillAll ends every process at once.
+// KillAll ends every process and every relay at once.
 func (c *Cluster) KillAll() {
+	defer c.paths.close()
 	for _, p := range c.Processes() {
 		if p.Running() {
 			p.Kill()
--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -75,13 +75,13 @@
 	for _, e := range c.Entries {
 		list.Hosts = append(list.Hosts, platform.Host{
 			Machine: e.Machine, Role: platform.HostEntry, Zone: e.Zone.Name, Region: e.Zone.Region,
-			Address: e.Link, State: platform.HostLive,
+			Address: e.Front, State: platform.HostLive,
 		})
 	}
 	for _, t := range c.Targets {
 		list.Hosts = append(list.Hosts, platform.Host{
 			Machine: t.Machine, Role: platform.HostTarget, Zone: t.Zone.Name, Region: t.Zone.Region,
-			Service: t.Service.Name, Address: t.Link, State: platform.HostLive,
+			Service: t.Service.Name, Address: t.Front, State: platform.HostLive,
 		})
 	}
 	return send(http.MethodPut, "http://"+c.HostsAddress+"/hosts", list)
@@ -140,7 +140,12 @@
 // Operator runs an operators' command against all entry hosts and returns what
 // it printed.
 func (c *Cluster) Operator(ctx context.Context, args ...string) (string, error) {
-	for _, e := range c.Entries {
+	return c.OperatorAt(ctx, c.Entries, args...)
+}
+
+// OperatorAt runs an operators' command against some entry hosts.
+func (c *Cluster) OperatorAt(ctx context.Context, entries []*Entry, args ...string) (string, error) {
+	for _, e := range entries {
 		args = append(args, "--server", "http://"+e.Admin)
 	}
 	args = append(args, "--token-file", c.adminTokenFile())
--- a/internal/harness/ini.go
+++ b/internal/harness/ini.go
@@ -58,14 +58,13 @@
 	return out
 }
 
-// platformSection locates the stand-ins for a process.
-func (c *Cluster) platformSection() section {
-	return section{name: "platform", keys: map[string]string{
-		"log":    "http://" + c.LogAddress,
-		"store":  "http://" + c.StoreAddress,
-		"origin": "http://" + c.OriginAddress,
-		"hosts":  "http://" + c.HostsAddress,
-	}}
+// platformSection locates the platform's services for the processes of a zone.
+func platformSection(addresses map[string]string) section {
+	keys := map[string]string{}
+	for name, address := range addresses {
+		keys[name] = "http://" + address
+	}
+	return section{name: "platform", keys: keys}
 }
 
 func tlsSection(files link.Files) section {
@@ -73,14 +72,14 @@
 }
 
 // entrySections is the file of an entry process.
-func (c *Cluster) entrySections(e *Entry, files link.Files) []section {
+func (c *Cluster) entrySections(e *Entry, files link.Files, platform section) []section {
 	return []section{
 		{name: "process", keys: map[string]string{
 			"role": "entry", "machine": string(e.Machine),
 			"zone": string(e.Zone.Name), "region": string(e.Zone.Region),
 		}},
 		{name: "listen", keys: map[string]string{"link": e.Link, "http": e.HTTP, "admin": e.Admin}},
-		c.platformSection(),
+		platform,
 		tlsSection(files),
 		{name: "link", keys: linkKeys},
 		{name: "entry", keys: map[string]string{"tokens_file": c.TokensFile}},
@@ -88,7 +87,7 @@
 }
 
 // targetSections is the file of a target process.
-func (c *Cluster) targetSections(t *Target, files link.Files) []section {
+func (*Cluster) targetSections(t *Target, files link.Files, platform section) []section {
 	kind := "plain"
 	if t.Service.Model {
 		kind = "model"
@@ -99,7 +98,7 @@
 			"zone": string(t.Zone.Name), "region": string(t.Zone.Region),
 		}},
 		{name: "listen", keys: map[string]string{"link": t.Link, "http": t.HTTP}},
-		c.platformSection(),
+		platform,
 		tlsSection(files),
 		{name: "link", keys: linkKeys},
 		{name: "target", keys: map[string]string{
--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
-
-	"github.com/cockroachdb/errors"
+	"strconv"
+	"sync/atomic"
 
 	"mimosastand.example/mimosastand/contract"
 )
@@ -20,6 +21,9 @@
 	EngineOptions map[string]string
 	// LogOptions, StoreOptions and OriginOptions are those of the platform's.
 	LogOptions, StoreOptions, OriginOptions map[string]string
+	// Relays puts a relay before each host's link and, for each zone, before each
+	// service of the platform, so that they can be cut.
+	Relays bool
 }
 
 // Zone is one availability zone.
@@ -41,7 +45,9 @@
 type Entry struct {
 	Machine contract.MachineID
 	Zone    Zone
+	// Link is where the process listens, Front where others reach it.
 	Link    string
+	Front   string
 	HTTP    string
 	Admin   string
 	Process *Process
@@ -53,49 +59,47 @@
 	Machine contract.MachineID
 	Zone    Zone
 	Service Service
+	// Link is where the process listens, Front where others reach it.
 	Link    string
+	Front   string
 	HTTP    string
 	Backend string
 	Process *Process
 	iniFile string
 }
 
-// ports hands out free loopback addresses.
+// ports hands out loopback addresses. Each system has a network of its own, with
+// one address for the platform and one for each zone, and ports below those that
+// the kernel gives to outgoing connections.
 type ports struct {
-	given map[string]bool
+	network string
+	last    int
+}
+
+const (
+	firstPort = 20000
+	// octets is how many values of one part of an address are used.
+	octets       = 250
+	networkCount = octets * octets
+)
+
+// networks numbers the networks that this process has given out.
+var networks atomic.Uint32
+
+func init() {
+	networks.Store(rand.Uint32N(networkCount))
 }
 
-// next returns an address that is free for TCP and UDP.
-func (p *ports) next() (string, error) {
-	const tries = 100
-	for range tries {
-		address, err := freeAddress()
-		if err != nil {
-			return "", err
-		}
-		if address != "" && !p.given[address] {
-			p.given[address] = true
-			return address, nil
-		}
-	}
-	return "", errors.New("harness: no free port")
+// newPorts returns the addresses of a network that this process has not used.
+func newPorts() ports {
+	n := networks.Add(1) % networkCount
+	return ports{network: fmt.Sprintf("127.%d.%d", 1+n/octets, 1+n%octets), last: firstPort}
 }
 
-// freeAddress returns an address that is free for TCP, or "" if it is not free
-// for UDP too.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "harness")
-	}
-	defer func() { _ = lis.Close() }()
-	address := lis.Addr().String()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return "", nil
-	}
-	_ = udp.Close()
-	return address, nil
+// next returns an address of a zone, counted from 1, or of the platform with 0.
+func (p *ports) next(zone int) string {
+	p.last++
+	return net.JoinHostPort(fmt.Sprintf("%s.%d", p.network, zone+1), strconv.Itoa(p.last))
 }
 
 // machineName returns names such as "khomas-a-entry-1".
