--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -27,7 +27,7 @@
 
 	paths     paths
 	spawner   *spawner
-	ports     ports
+	network   *network
 	authority *devkeys.Authority
 }
 
@@ -39,12 +39,15 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "harness")
 	}
-	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), ports: newPorts()}
+	network, err := newNetwork()
+	if err != nil {
+		return nil, err
+	}
 	authority, err := devkeys.NewAuthority(dir)
 	if err != nil {
 		return nil, err
 	}
-	c.authority = authority
+	c := &Cluster{Dir: dir, BinDir: binDir, Spec: spec, spawner: newSpawner(), network: network, authority: authority}
 	c.assignPlatform()
 	if err := c.writeTokens(); err != nil {
 		return nil, err
@@ -54,7 +57,7 @@
 
 func (c *Cluster) assignPlatform() {
 	for _, address := range []*string{&c.LogAddress, &c.StoreAddress, &c.OriginAddress, &c.HostsAddress} {
-		*address = c.ports.next(0)
+		*address = c.network.next(0)
 	}
 }
 
@@ -85,7 +88,7 @@
 	zone := c.Spec.Zones[at-1]
 	e := &Entry{Machine: machineName(zone.Name, "entry", n), Zone: zone}
 	for _, address := range []*string{&e.Link, &e.HTTP, &e.Admin} {
-		*address = c.ports.next(at)
+		*address = c.network.next(at)
 	}
 	var err error
 	if e.Front, err = c.openLink(at, e.Link); err != nil {
@@ -105,7 +108,7 @@
 	zone := c.Spec.Zones[at-1]
 	t := &Target{Machine: machineName(zone.Name, string(service.Name), n), Zone: zone, Service: service}
 	for _, address := range []*string{&t.Link, &t.HTTP, &t.Backend} {
-		*address = c.ports.next(at)
+		*address = c.network.next(at)
 	}
 	var err error
 	if t.Front, err = c.openLink(at, t.Link); err != nil {
@@ -216,12 +219,13 @@
 	return failed
 }
 
-// KillAll ends every process and every relay at once.
-func (c *Cluster) KillAll() {
-	defer c.paths.close()
+// Close ends every process and relay at once and gives the cluster's addresses back.
+func (c *Cluster) Close() {
 	for _, p := range c.Processes() {
 		if p.Running() {
 			p.Kill()
 		}
 	}
+	c.paths.close()
+	c.network.release()
 }
--- a/internal/harness/paths.go
+++ b/internal/harness/paths.go
@@ -39,7 +39,7 @@
 	if !c.Spec.Relays {
 		return address, nil
 	}
-	r, err := relay.NewUDP(c.ports.next(at), address)
+	r, err := relay.NewUDP(c.network.next(at), address)
 	if err != nil {
 		return "", err
 	}
@@ -57,7 +57,7 @@
 		return platformSection(addresses), nil
 	}
 	for name, address := range addresses {
-		r, err := relay.NewTCP(c.ports.next(at), address)
+		r, err := relay.NewTCP(c.network.next(at), address)
 		if err != nil {
 			return section{}, err
 		}
--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"strconv"
-	"sync/atomic"
 
 	"mimosastand.example/mimosastand/contract"
 )
@@ -68,40 +64,6 @@
 	iniFile string
 }
 
-// ports hands out loopback addresses. Each system has a network of its own, with
-// one address for the platform and one for each zone, and ports below those that
-// the kernel gives to outgoing connections.
-type ports struct {
-	network string
-	last    int
-}
-
-const (
-	firstPort = 20000
-	// octets is how many values of one part of an address are used.
-	octets       = 250
-	networkCount = octets * octets
-)
-
-// networks numbers the networks that this process has given out.
-var networks atomic.Uint32
-
-func init() {
-	networks.Store(rand.Uint32N(networkCount))
-}
-
-// newPorts returns the addresses of a network that this process has not used.
-func newPorts() ports {
-	n := networks.Add(1) % networkCount
-	return ports{network: fmt.Sprintf("127.%d.%d", 1+n/octets, 1+n%octets), last: firstPort}
-}
-
-// next returns an address of a zone, counted from 1, or of the platform with 0.
-func (p *ports) next(zone int) string {
-	p.last++
-	return net.JoinHostPort(fmt.Sprintf("%s.%d", p.network, zone+1), strconv.Itoa(p.last))
-}
-
 // machineName returns names such as "khomas-a-entry-1".
 func machineName(zone contract.ZoneName, what string, n int) contract.MachineID {
 	return contract.MachineID(fmt.Sprintf("%s-%s-%d", zone, what, n))
--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -75,7 +75,9 @@
 
 // tail reads the stream.
 func (s *Service) tail(ctx context.Context) {
+	var rate readRate
 	for ctx.Err() == nil {
+		sleep(ctx, rate.delay(time.Now()))
 		after, wait := s.position()
 		batch, err := s.log.Read(ctx, s.opts.Stream, after, wait)
 		switch {
@@ -88,6 +90,24 @@
 			s.opts.Logger.WithError(err).Warn("cannot read the stream")
 			sleep(ctx, readRetry)
 		}
+		s.pace(ctx)
+	}
+}
+
+// pace lets records gather while no call waits for them.
+func (s *Service) pace(ctx context.Context) {
+	s.mu.Lock()
+	waiting := s.machine.IsWaiting() || !s.machine.IsReady()
+	s.mu.Unlock()
+	if waiting {
+		return
+	}
+	timer := time.NewTimer(idleRead)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.hurry:
+	case <-ctx.Done():
 	}
 }
 
--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -34,7 +34,7 @@
 	switch {
 	case m.stopping:
 		return contract.ReasonShuttingDown
-	case m.view == nil || m.hosts.Version == 0:
+	case m.view == nil || !m.listed:
 		return contract.ReasonSettingsNotReady
 	case r.Timeout <= 0 && m.off&offDeadline == 0:
 		return contract.ReasonDeadline
@@ -80,6 +80,7 @@
 	s := r.service
 	r.phase = phaseQueued
 	m.timers.update(r)
+	s.usage.Seen(m.now, r.Team, r.item.Weight)
 	if s.queue.Len() > 0 {
 		wait := s.queue.Wait(m.now, r.Team, r.item.Weight)
 		if wait > r.deadline.Sub(m.now) {
--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -42,6 +42,16 @@
 			o.closed(effect.End)
 		}
 	}
+	held := 0
+	for _, a := range o.g.attempts {
+		if !a.ended {
+			held++
+		}
+	}
+	load := o.g.Load("e")
+	if o.g.senders["e"].held != held || load.Credits > load.Limit || load.Limit == 0 && load.Credits > 0 {
+		o.t.Fatalf("sender holds %d of %d, credits %d, limit %d", o.g.senders["e"].held, held, load.Credits, load.Limit)
+	}
 	if running := o.g.limiter.Running(); running != len(o.units) {
 		o.t.Fatalf("the gate counts %d units, the back end has %d", running, len(o.units))
 	}
@@ -166,7 +176,7 @@
 	default:
 		o.step(now, Reported{coldstart.Report{
 			Boot: "b", Seq: seq, Digest: drawDigest(o.t), Warm: rapid.IntRange(0, 5).Draw(o.t, "warm") > 0,
-			Limit: rapid.IntRange(0, 4).Draw(o.t, "limit"),
+			Limit: rapid.IntRange(0, 4).Draw(o.t, "limit"), Running: len(o.units),
 		}})
 	}
 }
