--- a/internal/harness/ini.go
+++ b/internal/harness/ini.go
@@ -87,7 +87,7 @@
 }
 
 // targetSections is the file of a target process.
-func (*Cluster) targetSections(t *Target, files link.Files, platform section) []section {
+func (c *Cluster) targetSections(t *Target, files link.Files, platform section) []section {
 	kind := "plain"
 	if t.Service.Model {
 		kind = "model"
