--- a/internal/harness/spec.go
+++ b/internal/harness/spec.go
@@ -19,6 +19,9 @@
 	Link LinkTimes
 	// LogOptions, StoreOptions and OriginOptions are those of the platform's.
 	LogOptions, StoreOptions, OriginOptions map[string]string
+	// Relays puts a relay before each host's link and, for each zone, before each
+	// service of the platform, so that they can be cut.
+	Relays bool
 }
 
 // LinkTimes are durations in the form of an INI file.
@@ -45,7 +48,9 @@
 type Entry struct {
 	Machine contract.MachineID
 	Zone    Zone
+	// Link is where the process listens, Front where others reach it.
 	Link    string
+	Front   string
 	HTTP    string
 	Admin   string
 	Process *Process
@@ -57,7 +62,9 @@
 	Machine contract.MachineID
 	Zone    Zone
 	Service Service
+	// Link is where the process listens, Front where others reach it.
 	Link    string
+	Front   string
 	HTTP    string
 	Backend string
 	Process *Process
