entry: requests wait for a link that is being replaced; silent flows tested

Cause: a new test puts a relay between entry and target that forgets the flows it has. Calls in flight were answered over the new connection, but 2 of 4 that waited for room were refused with no_target at the moment the link was given up, and the target was ejected for the silence of the link. Ruled out: refusing at once, since the link is there again within milliseconds; waiting without bound, since a target may be gone. Change: requests wait 2 s for a target whose link was lost; silence of a link ejects nobody by itself; a link replaced within that time begins no slow start.

--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -18,9 +18,6 @@
 		m.notRun(a, ev.Reason, 0)
 		return
 	}
-	if ev.Reason == contract.ReasonLinkSilent {
-		m.blame(a, ejection.Silent)
-	}
 	if a.state == attemptAsking {
 		m.askLater(a, ev.Reason)
 		return
--- a/machine/entry/dispatch/world.go
+++ b/machine/entry/dispatch/world.go
@@ -9,7 +9,6 @@
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/zone/balancer"
-	"mimosastand.example/mimosastand/zone/ejection"
 )
 
 func (m *Machine) settingsChanged(view settings.View) {
@@ -185,10 +184,7 @@
 	if !ok {
 		return
 	}
-	s.pool.Down(ev.Machine)
-	if ev.Reason == contract.ReasonLinkSilent && s.pool.Failed(m.now, ev.Machine, ejection.Silent) {
-		m.count(CountEjection, ev.Reason)
-	}
+	s.pool.Down(m.now, ev.Machine)
 	m.pump(s)
 }
 
--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -72,6 +72,8 @@
 	list  platform.HostList
 	log   *fault.Switch
 	plain *fault.Switch
+	// relay stands between the entry and the plain target.
+	relay *relay
 	// stop stops the entry and returns what Run gave.
 	stop func() error
 }
@@ -89,6 +91,9 @@
 	r.log = logservice.New(logservice.Config{})
 	platformLog := httptest.NewServer(r.log)
 	t.Cleanup(platformLog.Close)
+	plainHost := &r.list.Hosts[1]
+	r.relay = newRelay(t, plainHost.Address)
+	plainHost.Address = r.relay.address()
 	process := r.process("entry-1", link.RoleEntry)
 	process.LogURL = platformLog.URL
 	process.Entry = config.Entry{MaxBodyBytes: 2048, DefaultTimeout: 20 * time.Second}
--- a/zone/balancer/member.go
+++ b/zone/balancer/member.go
@@ -38,6 +38,8 @@
 	tier  tier
 	up    bool
 	known bool
+	// downAt is when the link was lost; zero if it never worked.
+	downAt time.Time
 	// reported is when the load in force was taken in.
 	reported time.Time
 	// incarnation and seq order the reports.
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -9,6 +9,9 @@
 	"mimosastand.example/mimosastand/zone/ejection"
 )
 
+// RedialGrace is how long requests wait for a target whose link was lost.
+const RedialGrace = 2 * time.Second
+
 // LoadBound is how far above the mean use the home of a prefix may be.
 const LoadBound = 1.25
 
@@ -166,7 +169,7 @@
 }
 
 // Blocked tells why no target can take a request: ReasonTargetFull if one could
-// once it has room, else the reason of the target that is nearest to serving.
+// once it has room or a new link, else the reason of the target that is nearest to serving.
 func (p *Pool) Blocked(now time.Time, pinned contract.Digest) contract.Reason {
 	found := contract.ReasonNoTarget
 	for _, m := range p.order {
@@ -174,7 +177,7 @@
 			continue
 		}
 		reason := p.blocked(now, m, pinned, true)
-		if reason == "" {
+		if reason == "" || reason == contract.ReasonNoTarget && p.isRedialed(now, m) {
 			return contract.ReasonTargetFull
 		}
 		if severity(reason) > severity(found) {
@@ -184,6 +187,12 @@
 	return found
 }
 
+// isRedialed reports whether a link was lost so lately that a new one may be
+// there in a moment.
+func (p *Pool) isRedialed(now time.Time, m *member) bool {
+	return !m.downAt.IsZero() && now.Sub(m.downAt) < RedialGrace && p.off&offRedialGrace == 0
+}
+
 func severity(reason contract.Reason) int {
 	switch reason {
 	case contract.ReasonBackendDown:
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -40,6 +40,7 @@
 	offHeadroom
 	offVersions
 	offEjection
+	offRedialGrace
 )
 
 // NewPool returns an empty pool as seen from home.
@@ -103,25 +104,30 @@
 	p.spill = spill
 }
 
-// Up records that the link to a target works; the target begins its slow start
-// if the entry has been running without it.
+// Up records that the link to a target works. The target begins its slow start
+// if it is returning, unless the link was only replaced.
 func (p *Pool) Up(now time.Time, id contract.MachineID, returning bool) {
 	m, ok := p.members[id]
 	if !ok || m.up {
 		return
 	}
 	m.up = true
-	if returning {
+	if returning && !p.isRedialed(now, m) {
 		m.ramp = now
 	}
 }
 
 // Down records that the link to a target is lost.
-func (p *Pool) Down(id contract.MachineID) {
-	if m, ok := p.members[id]; ok {
-		m.up = false
-		m.known = false
+func (p *Pool) Down(now time.Time, id contract.MachineID) {
+	m, ok := p.members[id]
+	if !ok {
+		return
+	}
+	if m.up {
+		m.downAt = now
 	}
+	m.up = false
+	m.known = false
 }
 
 // Fate tells what became of a report.
--- a/zone/balancer/scenario_test.go
+++ b/zone/balancer/scenario_test.go
@@ -51,7 +51,7 @@
 	case "up":
 		s.pool.Up(s.now, id, d.HasArg("returning"))
 	case "down":
-		s.pool.Down(id)
+		s.pool.Down(s.now, id)
 	case "load":
 		return s.load(id, d)
 	case "sent":
@@ -175,7 +175,7 @@
 	cases := map[string]mechanism{
 		"zone_gate": offZoneGate, "leaving": offLeaving, "credits": offCredits, "ramp": offRamp,
 		"lag": offLagCorrection, "spill_budget": offSpillBudget, "report_order": offReportOrder,
-		"prefix": offPrefixBound, "headroom": offHeadroom, "versions": offVersions,
+		"prefix": offPrefixBound, "headroom": offHeadroom, "versions": offVersions, "redial": offRedialGrace,
 		"ejection": offEjection, "slow": offEjection,
 	}
 	for name, off := range cases {
