backend: a plain service that is down for a while still counts as one that reports

Cause: one answer other than 200 at /report turned the reports off for good. Change: only answers of a service without reports count, three in a row; a report without a limit is none.

--- a/machine/target/backend/backend_test.go
+++ b/machine/target/backend/backend_test.go
@@ -107,6 +107,33 @@
 	}
 }
 
+// TestReportOfPlainService checks which answers show that a service gives no
+// report: not those of one that is down for a while.
+func TestReportOfPlainService(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		want   error
+	}{
+		{http.StatusOK, `{"running":2,"limit":8}`, nil},
+		{http.StatusOK, `<html>`, ErrNoReport},
+		{http.StatusOK, `{}`, ErrNoReport},
+		{http.StatusNotFound, "", ErrNoReport},
+		{http.StatusServiceUnavailable, "", ErrLost},
+		{http.StatusInternalServerError, "", ErrLost},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, c.body)
+		}))
+		load, err := NewPlain(server.URL).Report(context.Background())
+		server.Close()
+		if !errors.Is(err, c.want) || (c.want == nil && load != Load{Running: 2, Limit: 8}) {
+			t.Errorf("%d %q: %+v, %v", c.status, c.body, load, err)
+		}
+	}
+}
+
 const (
 	token0 = "event: token\ndata: {\"at\":0,\"text\":\"a\"}\n\n"
 	token1 = "event: token\ndata: {\"at\":1,\"text\":\"b\"}\n\n"
@@ -177,3 +204,12 @@
 		t.Fatalf("%d connections for 20 calls", n)
 	}
 }
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(`{"running":2,"limit":8}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if load, err := decodeLoad(bytes.NewReader(data)); err == nil && (load.Limit <= 0 || load.Running < 0) {
+			t.Fatalf("%+v", load)
+		}
+	})
+}
--- a/machine/target/backend/errors.go
+++ b/machine/target/backend/errors.go
@@ -19,6 +19,8 @@
 	ErrBadCall = errors.New("backend: bad call")
 	// ErrNotWhole is the refusal of a chunk or version that fails verification.
 	ErrNotWhole = errors.New("backend: version or chunk is not whole")
+	// ErrNoReport is the answer of a service that reports no load.
+	ErrNoReport = errors.New("backend: no report")
 	// ErrLost means that the call may have reached the back end and that no
 	// usable reply came back.
 	ErrLost = errors.New("backend: reply lost")
--- a/machine/target/backend/plain.go
+++ b/machine/target/backend/plain.go
@@ -111,8 +111,8 @@
 	Limit   int `json:"limit"`
 }
 
-// Report returns the service's load. It fails with ErrRefused if the service
-// does not report any.
+// Report returns the service's load. It fails with ErrNoReport if the answer is
+// that of a service which reports none.
 func (p *Plain) Report(ctx context.Context) (Load, error) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
@@ -125,12 +125,25 @@
 		return Load{}, err
 	}
 	defer drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return Load{}, errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return decodeLoad(resp.Body)
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return Load{}, errors.Wrapf(ErrNoReport, "status %d", resp.StatusCode)
+	default:
+		return Load{}, errors.Wrapf(ErrLost, "status %d", resp.StatusCode)
 	}
+}
+
+// decodeLoad reads a report. A service that answers every path with something
+// of its own gives none.
+func decodeLoad(body io.Reader) (Load, error) {
 	var load Load
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&load); err != nil {
-		return Load{}, errors.Mark(errors.Wrap(err, "backend: report"), ErrRefused)
+	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&load); err != nil {
+		return Load{}, errors.Mark(errors.Wrap(err, "backend: report"), ErrNoReport)
+	}
+	if load.Limit <= 0 || load.Running < 0 {
+		return Load{}, errors.Wrapf(ErrNoReport, "running %d, limit %d", load.Running, load.Limit)
 	}
 	return load, nil
 }
--- a/machine/target/report.go
+++ b/machine/target/report.go
@@ -18,13 +18,16 @@
 func (p *Process) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	seq := uint64(0)
-	for {
+	seq, missing := uint64(0), 0
+	for missing < missingReports {
 		seq++
-		if p.engine != nil {
+		switch {
+		case p.engine != nil:
 			p.reportEngine(ctx)
-		} else if !p.reportPlain(ctx, seq) {
-			return
+		case p.reportPlain(ctx, seq):
+			missing = 0
+		default:
+			missing++
 		}
 		select {
 		case <-ctx.Done():
@@ -32,6 +35,19 @@
 		case <-ticker.C:
 		}
 	}
+	p.withoutReports()
+}
+
+// missingReports is how many answers without a report in a row show that a
+// plain service gives none.
+const missingReports = 3
+
+// withoutReports lets the limit go by the settings and by what is in flight.
+func (p *Process) withoutReports() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings.Limits.Reports = false
+	p.stepLocked(gate.Configured{Settings: p.settings})
 }
 
 func (p *Process) reportEngine(ctx context.Context) {
@@ -46,15 +62,11 @@
 	}})
 }
 
-// reportPlain reads the load of a plain service. It returns false once the
-// service has shown that it reports none.
+// reportPlain reads the load of a plain service. It returns false if the service
+// answered without a report.
 func (p *Process) reportPlain(ctx context.Context, seq uint64) bool {
 	load, err := p.plain.Report(ctx)
-	if errors.Is(err, backend.ErrRefused) {
-		p.mu.Lock()
-		p.settings.Limits.Reports = false
-		p.stepLocked(gate.Configured{Settings: p.settings})
-		p.mu.Unlock()
+	if errors.Is(err, backend.ErrNoReport) {
 		return false
 	}
 	if err != nil {
