--- a/machine/target/gate/random_test.go
+++ b/machine/target/gate/random_test.go
@@ -184,15 +184,21 @@
 	}
 }
 
-// drawAttempt prefers attempts that are in the back end and such that have not
-// been heard.
+// drawAttempt draws an attempt that is in the back end, another one of its
+// request, or any.
 func (o *observer) drawAttempt() contract.AttemptID {
 	units := slices.SortedFunc(maps.Keys(o.units), func(a, b contract.AttemptID) int {
 		return strings.Compare(a.String(), b.String())
 	})
-	if len(units) > 0 && rapid.Bool().Draw(o.t, "unit") {
+	choice := rapid.IntRange(0, 3).Draw(o.t, "choice")
+	if len(units) > 0 && choice < 2 {
 		return rapid.SampledFrom(units).Draw(o.t, "attempt")
 	}
+	if len(units) > 0 && choice == 2 {
+		id := rapid.SampledFrom(units).Draw(o.t, "sibling")
+		id.N = uint32(rapid.IntRange(1, 3).Draw(o.t, "n"))
+		return id
+	}
 	return contract.AttemptID{
 		Request: contract.RequestID(fmt.Sprint(rapid.IntRange(1, 30).Draw(o.t, "request"))),
 		N:       uint32(rapid.IntRange(1, 3).Draw(o.t, "n")),
