--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	"mimosastand.example/mimosastand/bench/processes"
 	"mimosastand.example/mimosastand/bench/serving"
 	"mimosastand.example/mimosastand/bench/settings"
+	"mimosastand.example/mimosastand/bench/through"
 	"mimosastand.example/mimosastand/bench/weights"
 )
 
@@ -28,6 +29,7 @@
 
 var parts = []part{
 	{name: "serving", run: serving.Run},
+	{name: "through", run: through.Run},
 	{name: "gate", run: gate.Run},
 	{name: "claims", run: claims.Run},
 	{name: "weights", run: weights.Run},
--- a/internal/harness/address.go
+++ b/internal/harness/address.go
@@ -37,10 +37,11 @@
 	return nil, errors.New("harness: no free loopback network")
 }
 
-// next returns an address that no other part of the cluster has.
-func (n *network) next() string {
+// next returns an address that no other part of the cluster has, on the IP
+// address of a zone, counted from 1, or of the platform with 0.
+func (n *network) next(zone int) string {
 	n.port++
-	return fmt.Sprintf("%s1:%d", n.prefix, n.port)
+	return fmt.Sprintf("%s%d:%d", n.prefix, zone+1, n.port)
 }
 
 // release gives the network back.
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -206,6 +206,7 @@
 	go e.watcher.Run(e.ctx)
 	go func() { _ = e.opts.Settings.Run(e.ctx) }()
 	go e.followSettings()
+	go e.gaugeLoop(e.ctx)
 	go func() { _ = e.reloads.Run(e.ctx, reload.DefaultInterval) }()
 	if e.claims != nil {
 		go e.claims.Run(e.ctx)
@@ -213,7 +214,6 @@
 	if e.admin != nil {
 		go e.admin.run(e.ctx)
 	}
-	go e.gaugeLoop()
 	server := e.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(e.listener) }()
