--- a/weights/swarm/result.go
+++ b/weights/swarm/result.go
@@ -130,11 +130,11 @@
 	p := f.peer
 	switch cause {
 	case FailureBusy:
-		p.busyTill = s.now + s.jitter(s.usual(v, f.class))
+		p.busyTill = s.now + s.jitter(2*s.usual(v, f.class))
 	case FailureMissing:
 		s.note(NoteMissing, p.Machine)
 		s.disown(v, f)
-		p.busyTill = s.now + s.jitter(s.usual(v, f.class))
+		p.busyTill = s.now + s.jitter(2*s.usual(v, f.class))
 		s.distrust(p, trustMissing)
 	case FailureCorrupt:
 		s.note(NoteCorrupt, p.Machine)
