--- a/machine/target/gate/admit.go
+++ b/machine/target/gate/admit.go
@@ -68,7 +68,7 @@
 		return contract.ReasonUnknownService
 	case g.leaving && g.off&offLeaving == 0:
 		return contract.ReasonTargetLeaving
-	case !g.settings.Ready:
+	case !g.settings.Ready, g.now.Before(g.pausedUntil):
 		return contract.ReasonSettingsNotReady
 	case g.settings.ZoneOut && g.off&offZoneOut == 0:
 		return contract.ReasonZoneOut
@@ -223,12 +223,12 @@
 	switch {
 	case !ok || a.ended:
 		return contract.ReasonTombstone
-	case a.stopping:
-		return contract.ReasonCallerGone
-	case !a.deadline.After(now):
+	case !a.deadline.After(now) && g.off&offDeadline == 0:
 		return contract.ReasonDeadline
-	case !g.pinned(a.start.Weights):
+	case !g.pinned(a.start.Weights) && g.off&offPinned == 0:
 		return contract.ReasonWeightsMismatch
+	case a.stopping:
+		return contract.ReasonCallerGone
 	}
 	return ""
 }
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -27,6 +27,7 @@
 	offLinger
 	offLimit
 	offDetach
+	offPause
 )
 
 // Gate is the way to the back end of one target.
@@ -48,7 +49,9 @@
 	activated time.Time
 	// drainUntil holds back new work while the version is about to change.
 	drainUntil time.Time
-	leaving    bool
+	// pausedUntil holds back new work after a pause of the process.
+	pausedUntil time.Time
+	leaving     bool
 	// meanRun is the mean time that units ran, 0 before the first one.
 	meanRun time.Duration
 	senders senders
@@ -92,16 +95,27 @@
 // before that of an earlier event counts as the earlier time.
 func (g *Gate) Step(now time.Time, e Event) []Effect {
 	g.effects = g.effects[:0]
-	if now.Before(g.now) {
-		g.emit(Ignored{Cause: string(coldstart.CauseClock)})
-	} else {
-		g.now = now
-	}
+	g.advance(now)
 	g.step(e)
 	g.admit()
 	return g.effects
 }
 
+// advance takes the time of a step and notes a pause of the process.
+func (g *Gate) advance(now time.Time) {
+	if now.Before(g.now) {
+		g.emit(Ignored{Cause: string(coldstart.CauseClock)})
+		return
+	}
+	paused := g.cfg.MaxGap > 0 && now.Sub(g.now) > g.cfg.MaxGap && g.off&offPause == 0
+	g.now = now
+	if paused {
+		g.emit(Ignored{Cause: causePaused})
+		g.pausedUntil = now.Add(g.cfg.PauseGrace)
+		g.returnQueue(contract.ReasonSettingsNotReady)
+	}
+}
+
 func (g *Gate) step(e Event) {
 	switch e := e.(type) {
 	case Arrived:
@@ -173,72 +187,6 @@
 	}
 }
 
-// reported takes a report of the engine. A digest that the target did not
-// order is a change under running work.
-func (g *Gate) reported(r coldstart.Report) {
-	before := g.limiter.Boot()
-	result := len(g.effects)
-	g.limit(r)
-	if g.rejected(result) {
-		return
-	}
-	taken := g.now.Add(-r.Age)
-	restarted := before != "" && g.limiter.Boot() != before
-	if restarted || r.Running == 0 {
-		g.releaseLingering(taken, restarted)
-	}
-	if taken.After(g.activated) {
-		g.setWeights(r.Digest)
-	}
-}
-
-// rejected reports whether an effect from index from on says that the event
-// was not believed.
-func (g *Gate) rejected(from int) bool {
-	for _, e := range g.effects[from:] {
-		if _, ok := e.(Ignored); ok {
-			return true
-		}
-	}
-	return false
-}
-
-// activate ends a drain. An engine that serves another version than before is
-// cold.
-func (g *Gate) activate(digest contract.Digest) {
-	g.drainUntil = zeroTime
-	if digest == g.weights {
-		return
-	}
-	g.activated = g.now
-	g.limit(coldstart.Activated{})
-	g.setWeights(digest)
-}
-
-// draining reports whether a change of the version holds back new work.
-func (g *Gate) draining() bool { return g.now.Before(g.drainUntil) }
-
-// setWeights makes digest the active version: queued attempts pinned to
-// another go back, running ones are ended.
-func (g *Gate) setWeights(digest contract.Digest) {
-	if digest == g.weights {
-		return
-	}
-	g.weights = digest
-	if g.off&offPinned != 0 {
-		return
-	}
-	g.returnIf(contract.ReasonWeightsMismatch, func(a *attempt) bool { return !g.pinned(a.start.Weights) })
-	for _, a := range g.matching(func(a *attempt) bool { return !g.pinned(a.start.Weights) }) {
-		g.stop(a, contract.ReasonWeightsChanged)
-	}
-}
-
-// pinned reports whether an attempt pinned to digest may run now.
-func (g *Gate) pinned(digest contract.Digest) bool {
-	return !g.cfg.Model || digest == g.weights
-}
-
 func (g *Gate) configured(s Settings) {
 	if s.Offset < g.settings.Offset {
 		g.emit(Ignored{Cause: causeOldSettings})
@@ -320,6 +268,6 @@
 
 // Ready reports whether the gate would accept work if it had room.
 func (g *Gate) Ready() bool {
-	return g.settings.Ready && !g.leaving && !g.settings.ZoneOut && !g.draining() && g.limiter.Limit() > 0 &&
+	return g.settings.Ready && !g.now.Before(g.pausedUntil) && !g.leaving && !g.settings.ZoneOut && !g.draining() && g.limiter.Limit() > 0 &&
 		(!g.cfg.Model || g.weights != "")
 }
