--- a/machine/entry/dispatch/world_test.go
+++ b/machine/entry/dispatch/world_test.go
@@ -270,7 +270,8 @@
 	w.step(Broken{Exchange: broken, Reason: contract.ReasonLinkDown})
 }
 
-// spoil loses, repeats or misdirects one packet without a sign of it.
+// spoil loses, repeats or misdirects one packet without a sign of it, or brings
+// a message that nobody sent.
 func (w *world) spoil(kind int) {
 	if len(w.packets) == 0 {
 		return
@@ -287,6 +288,24 @@
 			p.exchange = w.packets[w.choose(len(w.packets))].exchange
 			w.receive(p)
 		}
+	case 3:
+		w.step(Received{Exchange: p.exchange, Message: w.garbage()})
+	}
+}
+
+// garbage is a message that no target sends: about no attempt, out of sequence,
+// or without the field that its kind names.
+func (w *world) garbage() contract.Message {
+	id := contract.AttemptID{Request: contract.RequestID(fmt.Sprintf("r%d", w.choose(20))), N: uint32(w.choose(3))}
+	switch w.choose(4) {
+	case 0:
+		return contract.Message{Kind: contract.Kind(w.choose(40))}
+	case 1:
+		return contract.Message{Kind: contract.KindChunk, Chunk: &contract.Chunk{Attempt: id, Seq: 1 << 60, At: ^uint64(0)}}
+	case 2:
+		return contract.Message{Kind: contract.KindQuery, Query: &contract.Query{Attempt: id}}
+	default:
+		return contract.Message{Kind: contract.KindAccept, Accept: &contract.Accept{Attempt: id, Load: contract.Load{Seq: 1 << 40, Credits: 9}}}
 	}
 }
 
@@ -317,7 +336,7 @@
 		case 2:
 			w.cut()
 		case 3:
-			w.spoil(w.choose(3))
+			w.spoil(w.choose(4))
 		case 4:
 			if deaths {
 				w.kill()
