--- a/machine/entry/dispatch/place.go
+++ b/machine/entry/dispatch/place.go
@@ -36,11 +36,11 @@
 
 func (m *Machine) want(r *request) balancer.Want {
 	return balancer.Want{
-		Prefix: r.PrefixHash,
-		Pinned: r.pinned,
-		Yield:  r.service.usage.Over(m.now, r.Team),
-		Bytes:  len(r.Body) + requestLinkBytes + tokenLinkBytes*int(r.Tokens),
-		Tried:  func(id contract.MachineID) bool { return r.isTried(m.now, id) },
+		Prefix:   r.PrefixHash,
+		Pinned:   r.pinned,
+		Headroom: r.service.usage.Headroom(m.now, r.Team),
+		Bytes:    len(r.Body) + requestLinkBytes + tokenLinkBytes*int(r.Tokens),
+		Tried:    func(id contract.MachineID) bool { return r.isTried(m.now, id) },
 	}
 }
 
--- a/machine/entry/fairshare/doc.go
+++ b/machine/entry/fairshare/doc.go
@@ -16,6 +16,13 @@
 // the arrival's own team and nothing of lower priority waits there, the arrival
 // itself is refused. A large team therefore fills the queue only at its own cost.
 //
+// # Headroom
+//
+// Fair order alone does not help a small team while every place at the targets
+// is taken by work that lasts. Usage therefore tells which teams must leave
+// places free: those that were given more than their share lately, and to a
+// small part those that are alone.
+//
 // The package has no clock and no goroutines. A Queue is not safe for
 // concurrent use.
 package fairshare
--- a/machine/entry/fairshare/scenario_test.go
+++ b/machine/entry/fairshare/scenario_test.go
@@ -58,8 +58,8 @@
 	case "sent":
 		s.usage.Seen(s.now, name, float64(number(t, d, "weight", 1)))
 		s.usage.Sent(s.now, name, uint32(number(t, d, "tokens", 0)))
-	case "over":
-		return fmt.Sprintf("%t\n", s.usage.Over(s.now, name))
+	case "headroom":
+		return fmt.Sprintf("%d\n", s.usage.Headroom(s.now, name))
 	case "advance":
 		dur, _ := time.ParseDuration(string(name))
 		s.now = s.now.Add(dur)
--- a/machine/entry/fairshare/usage.go
+++ b/machine/entry/fairshare/usage.go
@@ -8,6 +8,12 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
+// Parts of what targets bear, one in so many, that are left free for others.
+const (
+	OverHeadroom  = 4
+	AloneHeadroom = 16
+)
+
 const (
 	// usageWindow is how long a team counts after its last request.
 	usageWindow = 5 * time.Minute
@@ -76,12 +82,14 @@
 	u.last = now
 }
 
-// Over reports whether a team was given more than its share among the teams
-// seen lately. A team that is alone is never over.
-func (u *Usage) Over(now time.Time, name contract.TeamName) bool {
+// Headroom is the part, one in so many, of what targets bear that work of a
+// team must leave free for others; 0 means none. A team that was given more than
+// its share among the teams seen lately leaves OverHeadroom, a team that is alone
+// leaves AloneHeadroom for the first request of another.
+func (u *Usage) Headroom(now time.Time, name contract.TeamName) uint32 {
 	own, ok := u.teams[name]
 	if !ok {
-		return false
+		return 0
 	}
 	weights, tokens := 0.0, 0.0
 	for _, t := range u.order {
@@ -90,9 +98,12 @@
 			weights += t.weight
 		}
 	}
-	if weights <= own.weight || tokens <= 0 {
-		return false
+	if weights <= own.weight {
+		return AloneHeadroom
 	}
 	fair := own.weight / weights
-	return own.tokens/tokens > min(overFactor*fair, fair+overMargin)
+	if own.tokens > tokens*min(overFactor*fair, fair+overMargin) {
+		return OverHeadroom
+	}
+	return 0
 }
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -15,13 +15,8 @@
 // LoadBound is how far above the mean use the home of a prefix may be.
 const LoadBound = 1.25
 
-const (
-	// headroomShare is the part, one in so many, of limits and credits that is
-	// kept free for teams below their share.
-	headroomShare = 4
-	// minHeadroomUnits is the size from which anything is kept free.
-	minHeadroomUnits = 6
-)
+// minHeadroomUnits is the size from which anything is kept free.
+const minHeadroomUnits = 6
 
 // Want describes an attempt to be placed.
 type Want struct {
@@ -31,9 +26,9 @@
 	Pinned contract.Digest
 	// Bytes estimates what the attempt puts on a link between regions.
 	Bytes int
-	// Yield tells that the request must leave headroom for others, because its
-	// team has more than its share.
-	Yield bool
+	// Headroom is the part, one in so many, of limits and credits that the
+	// request must leave free for other teams; 0 means none.
+	Headroom uint32
 	// Tried lists targets that refused the request and have not reported since.
 	Tried func(id contract.MachineID) bool
 }
@@ -53,7 +48,7 @@
 // ReasonZoneOut, ReasonTargetLeaving, ReasonBackendDown or ReasonNoWeights.
 func (p *Pool) Pick(now time.Time, want Want) (choice Choice, reason contract.Reason, ok bool) {
 	var buffer [64]*member
-	if want.Yield && p.off&offHeadroom == 0 && !p.hasHeadroom() {
+	if want.Headroom > 0 && p.off&offHeadroom == 0 && !p.hasHeadroom(want.Headroom) {
 		return Choice{}, contract.ReasonTargetFull, false
 	}
 	for _, e := range efforts {
@@ -79,17 +74,18 @@
 
 var efforts = [...]effort{{ramp: true}, {}, {older: true}}
 
-// withHeadroom is the part of n units that work which must yield may take.
-func withHeadroom(n uint32) uint32 {
+// withHeadroom is the part of n units that work may take which leaves one in
+// headroom free.
+func withHeadroom(n, headroom uint32) uint32 {
 	if n < minHeadroomUnits {
 		return n
 	}
-	return n - max(1, n/headroomShare)
+	return n - max(1, n/headroom)
 }
 
 // hasHeadroom reports whether enough of the entry's own credits are free for
 // work that must yield.
-func (p *Pool) hasHeadroom() bool {
+func (p *Pool) hasHeadroom(headroom uint32) bool {
 	credits, inflight := uint32(0), uint32(0)
 	for _, m := range p.order {
 		if m.up {
@@ -97,7 +93,7 @@
 			inflight += m.inflight
 		}
 	}
-	return inflight < withHeadroom(credits)
+	return inflight < withHeadroom(credits, headroom)
 }
 
 func (p *Pool) maySpill(now time.Time) bool {
@@ -110,12 +106,12 @@
 // candidates appends the members of a tier that may take the attempt. A target
 // due for a probe is the only candidate.
 func (p *Pool) candidates(now time.Time, want Want, t tier, e effort, found []*member) []*member {
-	yield := want.Yield && p.off&offHeadroom == 0
+	yield := want.Headroom > 0 && p.off&offHeadroom == 0
 	for _, m := range p.order {
 		if m.tier != t || p.blocked(now, m, want.Pinned, e.older) != "" {
 			continue
 		}
-		if yield && p.used(m) >= withHeadroom(m.limit(p.rules[m.Place])) {
+		if yield && p.used(m) >= withHeadroom(m.limit(p.rules[m.Place]), want.Headroom) {
 			continue
 		}
 		if !p.hasRoom(now, m, e.ramp) || want.Tried != nil && want.Tried(m.Machine) {
--- a/zone/balancer/scenario_test.go
+++ b/zone/balancer/scenario_test.go
@@ -139,7 +139,7 @@
 func (s *session) pick(d *datadriven.TestData) string {
 	counts := map[string]int{}
 	for range max(1, number(s.t, d, "n")) {
-		want := Want{Pinned: contract.Digest(text(s.t, d, "pinned")), Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Yield: d.HasArg("yield")}
+		want := Want{Pinned: contract.Digest(text(s.t, d, "pinned")), Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Headroom: uint32(number(s.t, d, "headroom"))}
 		choice, reason, ok := s.pool.Pick(s.now, want)
 		if !ok {
 			counts["none: "+string(reason)]++
