--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -57,6 +57,8 @@
 	// status is what ServeHave tells of the own target.
 	status atomic.Pointer[contract.RolloutStatus]
 	budget swarm.Budget
+	// abroad holds the peers of other regions, for the goroutines that serve.
+	abroad atomic.Pointer[map[contract.MachineID]contract.RegionName]
 	local  pacer
 	remote pacers
 }
--- a/weights/agent/serve.go
+++ b/weights/agent/serve.go
@@ -128,11 +128,9 @@
 
 // partsFor returns how chunks travel to a peer.
 func (a *Agent) partsFor(peer contract.MachineID) parts {
-	if a.opts.Peers != nil {
-		for _, p := range a.opts.Peers.List() {
-			if p.Machine == peer && p.Region != a.opts.Region {
-				return parts{bytes: remotePartBytes, pace: a.remote.of(p.Region)}
-			}
+	if abroad := a.abroad.Load(); abroad != nil {
+		if region, ok := (*abroad)[peer]; ok {
+			return parts{bytes: remotePartBytes, pace: a.remote.of(region)}
 		}
 	}
 	return parts{bytes: partBytes, pace: &a.local}
--- a/weights/agent/want.go
+++ b/weights/agent/want.go
@@ -138,9 +138,14 @@
 	}
 	a.peers = list
 	var peers []swarm.Peer
+	abroad := map[contract.MachineID]contract.RegionName{}
 	for _, p := range list {
+		if p.Region != a.opts.Region {
+			abroad[p.Machine] = p.Region
+		}
 		peers = append(peers, swarm.Peer{Machine: p.Machine, Zone: p.Zone, Region: p.Region})
 	}
+	a.abroad.Store(&abroad)
 	a.stepSwarm(swarm.PeersChanged{Peers: peers})
 	a.plan()
 }
@@ -175,30 +180,13 @@
 	}
 }
 
-// tryManifest asks one source: targets without a slot ask peers first, so that
-// the origin gives the manifest to few.
+// tryManifest asks one source for a manifest and keeps it if it is the right one.
 func (a *Agent) tryManifest(ctx context.Context, d contract.Digest, try int) bool {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
-	holders := a.holders(d)
-	own := slices.Contains(holders, a.opts.Machine)
-	others := slices.DeleteFunc(holders, func(m contract.MachineID) bool { return m == a.opts.Machine })
-	var encoded []byte
-	if len(others) > 0 && (!own && try%(peerTries+1) != peerTries || own && try%2 == 1) {
-		reply, err := a.opts.Peers.RequestChunk(ctx, others[rand.IntN(len(others))],
-			contract.ChunkRequest{Weights: d, Index: ManifestIndex})
-		if err != nil {
-			return false
-		}
-		encoded = reply.Data
-	} else {
-		var err error
-		if encoded, err = a.get(ctx, platform.ManifestPrefix+string(d)); err != nil {
-			a.count("manifest_unavailable")
-			return false
-		}
-	}
-	if len(encoded) == 0 {
+	encoded, err := a.getManifest(ctx, d, try)
+	if err != nil || len(encoded) == 0 {
+		a.count("manifest_unavailable")
 		return false
 	}
 	if _, err := a.store.AddVersion(d, encoded); err != nil {
@@ -209,6 +197,23 @@
 	return true
 }
 
+// getManifest asks a peer or the origin: targets without a slot ask peers more
+// often, so that the origin gives the manifest to few.
+func (a *Agent) getManifest(ctx context.Context, d contract.Digest, try int) ([]byte, error) {
+	holders := a.holders(d)
+	fromPeer := try%(peerTries+1) != peerTries
+	if slices.Contains(holders, a.opts.Machine) {
+		fromPeer = try%2 == 1
+	}
+	others := slices.DeleteFunc(holders, func(m contract.MachineID) bool { return m == a.opts.Machine })
+	if !fromPeer || len(others) == 0 {
+		return a.get(ctx, platform.ManifestPrefix+string(d))
+	}
+	peer := others[rand.IntN(len(others))]
+	reply, err := a.opts.Peers.RequestChunk(ctx, peer, contract.ChunkRequest{Weights: d, Index: ManifestIndex})
+	return reply.Data, err
+}
+
 // holders names the targets of the own region that draw a version's slots.
 func (a *Agent) holders(d contract.Digest) []contract.MachineID {
 	targets := []contract.MachineID{a.opts.Machine}
