dispatch, pool: callers wait out the loss of all connections

(2) Pool.Get gave a connection that had already ended, so a question about an attempt failed at once and an idempotent request drew on the retry budget. Change: requests wait up to LossGrace (5 s) after the last usable moment if a target is out of use only by its link or by ejection; Pool.Get skips ended connections.

--- a/link/pool/pool.go
+++ b/link/pool/pool.go
@@ -93,12 +93,12 @@
 	go p.keep(ctx, added)
 }
 
-// Get returns the connection to a peer, if there is one.
+// Get returns the connection to a peer, if there is one that has not ended.
 func (p *Pool) Get(machine contract.MachineID) (*link.Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known, ok := p.peers[machine]
-	if !ok || known.conn == nil {
+	if !ok || known.conn == nil || known.conn.Err() != nil {
 		return nil, false
 	}
 	return known.conn, true
--- a/link/pool/pool_test.go
+++ b/link/pool/pool_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// TestEndedConnectionIsNotGiven checks that a connection is not given once it has
+// ended, also while its end is still being told.
+func TestEndedConnectionIsNotGiven(t *testing.T) {
+	entry, target := endpoints(t)
+	up, told := make(chan *link.Conn, 1), make(chan struct{})
+	p := pool.New(entry, pool.Options{OnUp: func(_ contract.MachineID, c *link.Conn) {
+		up <- c
+		<-told
+	}})
+	t.Cleanup(p.Close)
+	t.Cleanup(func() { close(told) })
+	p.Set(map[contract.MachineID]string{"target-1": target.Address()})
+	conn := <-up
+	conn.Close()
+	<-conn.Done()
+	if got, ok := p.Get("target-1"); ok {
+		t.Fatalf("Get gave a connection that ended with %v", got.Err())
+	}
+}
+
 // TestWrongPeer checks that another machine at a peer's address is not taken
 // for it.
 func TestWrongPeer(t *testing.T) {
--- a/machine/entry/dispatch/admit.go
+++ b/machine/entry/dispatch/admit.go
@@ -145,6 +145,9 @@
 
 // drainQueue sends waiting requests while targets have room.
 func (m *Machine) drainQueue(s *service) {
+	if s.pool.Blocked(m.now, "") == contract.ReasonTargetFull {
+		s.usable = m.now
+	}
 	for s.queue.Len() > 0 {
 		if !m.sendNext(s) {
 			m.giveUp(s)
@@ -160,7 +163,7 @@
 	}
 	for _, r := range m.waiting(s) {
 		reason := s.pool.Blocked(m.now, r.pinned)
-		if reason == contract.ReasonTargetFull {
+		if reason == contract.ReasonTargetFull || m.justLost(s, r) {
 			continue
 		}
 		if r.pinned != "" && reason == contract.ReasonNoWeights {
@@ -170,6 +173,13 @@
 	}
 }
 
+// justLost reports whether the service lost its last target so shortly ago that
+// a new connection or a probe may still bring one back.
+func (m *Machine) justLost(s *service, r *request) bool {
+	recent := !s.usable.IsZero() && m.now.Sub(s.usable) < LossGrace
+	return recent && m.off&offLossGrace == 0 && s.pool.MayReturn(m.now, r.pinned)
+}
+
 // waiting lists the queued requests of a service in order of arrival.
 func (m *Machine) waiting(s *service) []*request {
 	items := s.queue.Items()
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -38,6 +38,10 @@
 	// leaveOutUntilReport one that refused it for room and reports no more.
 	leaveOutTime        = 100 * time.Millisecond
 	leaveOutUntilReport = 2 * time.Second
+	// LossGrace is how long requests wait for a service that has just lost its
+	// last target, because a new connection or a probe may bring one back.
+	LossGrace = 5 * time.Second
+
 	// pumpInterval is how often queues are looked at while requests wait.
 	pumpInterval = 50 * time.Millisecond
 	// defaultQueue is the queue length of a service whose settings name none.
@@ -59,6 +63,8 @@
 	pool   *balancer.Pool
 	queue  *fairshare.Queue
 	usage  *fairshare.Usage
+	// usable is when a target could last take requests, had it room.
+	usable time.Time
 	// pinned counts the waiting requests that need a certain digest.
 	pinned int
 	// dirty tells that the queue must be looked at.
@@ -117,6 +123,7 @@
 	offOutcome
 	offCrossing
 	offIncarnation
+	offLossGrace
 )
 
 // New returns a machine that knows neither settings nor hosts.
--- a/machine/entry/dispatch/retry.go
+++ b/machine/entry/dispatch/retry.go
@@ -94,9 +94,10 @@
 // isMoved reports whether an attempt was refused in a way that costs no retry.
 // Refusals that follow a change of zone, host, settings or weights are bounded
 // by the change. A tombstone that the machine itself asked for means that the
-// attempt was long on its way or in the target's queue. After a refusal for room nothing ran, and the request waits
-// until a target shows room again; but a target that refuses for room while its
-// own load shows room is not believed, and its refusals count as failures.
+// attempt was long on its way or in the target's queue. After a refusal for room
+// nothing ran, and the request waits until a target shows room again; but a
+// target that refuses for room while its own load shows room is not believed,
+// and its refusals count as failures.
 func (m *Machine) isMoved(a *attempt, reason contract.Reason) bool {
 	switch reason {
 	case contract.ReasonZoneOut, contract.ReasonTargetLeaving, contract.ReasonShuttingDown,
--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -184,6 +184,21 @@
 	return found
 }
 
+// MayReturn reports whether a target is out of use only because its link is
+// down or because it was ejected.
+func (p *Pool) MayReturn(now time.Time, pinned contract.Digest) bool {
+	for _, m := range p.order {
+		if m.tier == tierRemote && !p.spill {
+			continue
+		}
+		switch p.blocked(now, m, pinned, true) {
+		case contract.ReasonNoTarget, contract.ReasonBackendDown:
+			return true
+		}
+	}
+	return false
+}
+
 func severity(reason contract.Reason) int {
 	switch reason {
 	case contract.ReasonBackendDown:
