--- a/internal/harness/ini.go
+++ b/internal/harness/ini.go
@@ -81,13 +81,13 @@
 		{name: "listen", keys: map[string]string{"link": e.Link, "http": e.HTTP, "admin": e.Admin}},
 		platform,
 		tlsSection(files),
-		{name: "link", keys: linkKeys},
+		c.linkSection(),
 		{name: "entry", keys: map[string]string{"tokens_file": c.TokensFile}},
 	}
 }
 
 // targetSections is the file of a target process.
-func (*Cluster) targetSections(t *Target, files link.Files, platform section) []section {
+func (c *Cluster) targetSections(t *Target, files link.Files, platform section) []section {
 	kind := "plain"
 	if t.Service.Model {
 		kind = "model"
@@ -100,12 +100,19 @@
 		{name: "listen", keys: map[string]string{"link": t.Link, "http": t.HTTP}},
 		platform,
 		tlsSection(files),
-		{name: "link", keys: linkKeys},
+		c.linkSection(),
 		{name: "target", keys: map[string]string{
 			"service": string(t.Service.Name), "kind": kind, "backend": "http://" + t.Backend,
 		}},
 	}
 }
 
-// linkKeys make silence show soon, to keep demo and tests short.
-var linkKeys = map[string]string{"heartbeat": "300ms", "silent_after": "1500ms"}
+// linkSection holds the heartbeat times. Those of no spec keep demo and tests
+// short.
+func (c *Cluster) linkSection() section {
+	times := c.Spec.Link
+	if times == (LinkTimes{}) {
+		times = LinkTimes{Heartbeat: "300ms", SilentAfter: "1500ms"}
+	}
+	return section{name: "link", keys: map[string]string{"heartbeat": times.Heartbeat, "silent_after": times.SilentAfter}}
+}
