balancer, dispatch: one grace for lost targets

Cause: two changes made at the same time let requests wait for lost links, one by target (2 s) and one by service (5 s); the same logic stood twice. Conclusion: go test ./machine/entry/dispatch ./zone/... passes.

--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -9,9 +9,6 @@
 	"mimosastand.example/mimosastand/zone/ejection"
 )
 
-// RedialGrace is how long requests wait for a target whose link was lost.
-const RedialGrace = 2 * time.Second
-
 // LoadBound is how far above the mean use the home of a prefix may be.
 const LoadBound = 1.25
 
@@ -165,7 +162,7 @@
 }
 
 // Blocked tells why no target can take a request: ReasonTargetFull if one could
-// once it has room or a new link, else the reason of the target that is nearest to serving.
+// once it has room, else the reason of the target that is nearest to serving.
 func (p *Pool) Blocked(now time.Time, pinned contract.Digest) contract.Reason {
 	found := contract.ReasonNoTarget
 	for _, m := range p.order {
@@ -173,7 +170,7 @@
 			continue
 		}
 		reason := p.blocked(now, m, pinned, true)
-		if reason == "" || reason == contract.ReasonNoTarget && p.isRedialed(now, m) {
+		if reason == "" {
 			return contract.ReasonTargetFull
 		}
 		if severity(reason) > severity(found) {
@@ -183,12 +180,6 @@
 	return found
 }
 
-// isRedialed reports whether a link was lost so lately that a new one may be
-// there in a moment.
-func (p *Pool) isRedialed(now time.Time, m *member) bool {
-	return !m.downAt.IsZero() && now.Sub(m.downAt) < RedialGrace && p.off&offRedialGrace == 0
-}
-
 // MayReturn reports whether a target is out of use only because its link is
 // down or because it was ejected.
 func (p *Pool) MayReturn(now time.Time, pinned contract.Digest) bool {
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -40,7 +40,6 @@
 	offHeadroom
 	offVersions
 	offEjection
-	offRedialGrace
 )
 
 // NewPool returns an empty pool as seen from home.
@@ -104,6 +103,9 @@
 	p.spill = spill
 }
 
+// redialTime is the time within which a link that is back counts as replaced.
+const redialTime = 2 * time.Second
+
 // Up records that the link to a target works. The target begins its slow start
 // if it is returning, unless the link was only replaced.
 func (p *Pool) Up(now time.Time, id contract.MachineID, returning bool) {
@@ -112,7 +114,8 @@
 		return
 	}
 	m.up = true
-	if returning && !p.isRedialed(now, m) {
+	replaced := !m.downAt.IsZero() && now.Sub(m.downAt) < redialTime
+	if returning && !replaced {
 		m.ramp = now
 	}
 }
