dispatch: go on asking when the retry budget is empty

Cause: e2e TestConnectionsGoSilent: 570 of 572 model answers whole in one run, 2 ended with retry_budget after one attempt. Idempotent work whose question failed was given up although the budget could not pay for a second run; asking costs nothing. Change: it moves on only if the budget allows, and asks on like other work if not.

--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -66,9 +66,12 @@
 }
 
 // askLater waits before the next question; work that may run twice is sent
-// elsewhere instead, and after MaxQuestions the machine gives up.
+// elsewhere instead if the retry budget allows, and after MaxQuestions the
+// machine gives up.
 func (m *Machine) askLater(a *attempt, reason contract.Reason) {
-	if a.request.Idempotent || a.questions >= MaxQuestions {
+	r := a.request
+	elsewhere := r.Idempotent && m.budget.Allows(r.Service, r.Team)
+	if elsewhere || a.questions >= MaxQuestions {
 		m.giveUpAttempt(a, reason)
 		return
 	}
--- a/machine/entry/retry/budget.go
+++ b/machine/entry/retry/budget.go
@@ -31,15 +31,19 @@
 	b.teams[key] = deposit(b.team(key), teamShare)
 }
 
+// Allows reports whether both accounts could pay for a retry.
+func (b *Budget) Allows(service contract.ServiceName, team contract.TeamName) bool {
+	return b.service(service) >= 1 && b.team(teamAccount{service: service, team: team}) >= 1
+}
+
 // Take draws one retry and reports whether both accounts could pay for it.
 func (b *Budget) Take(service contract.ServiceName, team contract.TeamName) bool {
 	key := teamAccount{service: service, team: team}
-	ofService, ofTeam := b.service(service), b.team(key)
-	if ofService < 1 || ofTeam < 1 {
+	if !b.Allows(service, team) {
 		return false
 	}
-	b.services[service] = ofService - 1
-	b.teams[key] = ofTeam - 1
+	b.services[service] = b.service(service) - 1
+	b.teams[key] = b.team(key) - 1
 	return true
 }
 
