dispatch, balancer: one grace for the loss of targets instead of two

Cause: two changes for the same fault met: requests waited 2 s for each lost link (balancer) and 5 s after the last usable target (dispatch). Together the second began when the first ended, so a request waited 7 s, and loss.txt showed it.

Ruled out: keeping only the balancer's grace, since it does not cover targets that are ejected; the dispatch scenario needs both cases.

Checked: dispatch, balancer and entry tests pass.

--- a/zone/balancer/pick.go
+++ b/zone/balancer/pick.go
@@ -9,7 +9,8 @@
 	"mimosastand.example/mimosastand/zone/ejection"
 )
 
-// RedialGrace is how long requests wait for a target whose link was lost.
+// RedialGrace is how soon after its loss a link counts as replaced, so that its
+// target begins no slow start.
 const RedialGrace = 2 * time.Second
 
 // LoadBound is how far above the mean use the home of a prefix may be.
@@ -169,7 +170,7 @@
 }
 
 // Blocked tells why no target can take a request: ReasonTargetFull if one could
-// once it has room or a new link, else the reason of the target that is nearest to serving.
+// once it has room, else the reason of the target that is nearest to serving.
 func (p *Pool) Blocked(now time.Time, pinned contract.Digest) contract.Reason {
 	found := contract.ReasonNoTarget
 	for _, m := range p.order {
@@ -177,7 +178,7 @@
 			continue
 		}
 		reason := p.blocked(now, m, pinned, true)
-		if reason == "" || reason == contract.ReasonNoTarget && p.isRedialed(now, m) {
+		if reason == "" {
 			return contract.ReasonTargetFull
 		}
 		if severity(reason) > severity(found) {
@@ -187,8 +188,8 @@
 	return found
 }
 
-// isRedialed reports whether a link was lost so lately that a new one may be
-// there in a moment.
+// isRedialed reports whether a link was lost so lately that a new one only
+// replaces it.
 func (p *Pool) isRedialed(now time.Time, m *member) bool {
 	return !m.downAt.IsZero() && now.Sub(m.downAt) < RedialGrace && p.off&offRedialGrace == 0
 }
