dispatch: the end of a target uses up no retry budget

Cause: TestModelTargetKilled failed once: 2 of 129 answers were refused with retry_budget, because one target held more streams of an entry than the budget's burst of 10. Change: an attempt that is lost with the link to its target is moved and counted towards MaxAttempts, but draws on no budget: credits bound what a target holds and nothing new is sent there while its link is down. Test: testdata/target_dies.txt; TestLossMechanisms fails with it switched off.

--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -124,6 +124,7 @@
 	offCrossing
 	offIncarnation
 	offLossGrace
+	offLostMoves
 )
 
 // New returns a machine that knows neither settings nor hosts.
--- a/machine/entry/dispatch/retry.go
+++ b/machine/entry/dispatch/retry.go
@@ -81,6 +81,11 @@
 		m.count(CountMove, reason)
 		m.requeue(r)
 		return
+	case m.isLost(a, reason):
+		r.counted++
+		m.count(CountMove, reason)
+		m.requeue(r)
+		return
 	case !m.mayRetry(r):
 		reason = contract.ReasonRetryBudget
 	default:
@@ -111,6 +116,16 @@
 	}
 }
 
+// isLost reports whether an attempt was lost with the link to its target. The
+// end of a target moves what it held, which its credits bound, and must not use
+// up the budget; no new work goes there while the link is down.
+func (m *Machine) isLost(a *attempt, reason contract.Reason) bool {
+	if m.up[a.target] || m.off&offLostMoves != 0 {
+		return false
+	}
+	return reason == contract.ReasonLinkDown || reason == contract.ReasonLinkSilent
+}
+
 // mayRetry draws on the retry budget.
 func (m *Machine) mayRetry(r *request) bool {
 	r.counted++
