link, entry: count peers whose certificates are refused

Cause: a certificate of an unknown authority or an expired one was refused inside the handshake and counted nowhere; an entry counted bad frames as unauthorized. Change: the chain is checked by the link itself, as strictly as before, and each refusal is told to RejectedPeer.

--- a/link/credentials.go
+++ b/link/credentials.go
@@ -114,18 +114,20 @@
 
 const alpn = "mimosastand/1"
 
-func (c *Credentials) serverConfig() *tls.Config {
+// serverConfig checks clients' chains itself, so that each refusal is told to
+// rejected.
+func (c *Credentials) serverConfig(rejected func(error)) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{alpn},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			m := c.current.Load()
 			return &tls.Config{
-				MinVersion:   tls.VersionTLS13,
-				NextProtos:   []string{alpn},
-				Certificates: []tls.Certificate{*m.cert},
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				ClientCAs:    m.pool,
+				MinVersion:       tls.VersionTLS13,
+				NextProtos:       []string{alpn},
+				Certificates:     []tls.Certificate{*m.cert},
+				ClientAuth:       tls.RequireAnyClientCert,
+				VerifyConnection: m.verifier(x509.ExtKeyUsageClientAuth, rejected),
 			}, nil
 		},
 	}
@@ -133,23 +135,36 @@
 
 // clientConfig verifies the server's chain itself, because servers are named
 // by machine and not by host name.
-func (c *Credentials) clientConfig() *tls.Config {
+func (c *Credentials) clientConfig(rejected func(error)) *tls.Config {
 	m := c.current.Load()
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		NextProtos:         []string{alpn},
 		Certificates:       []tls.Certificate{*m.cert},
 		InsecureSkipVerify: true,
-		VerifyConnection: func(state tls.ConnectionState) error {
-			return verifyServer(state, m.pool)
-		},
+		VerifyConnection:   m.verifier(x509.ExtKeyUsageServerAuth, rejected),
+	}
+}
+
+// verifier checks that a peer's certificate chains to the authority, is valid
+// now and is meant for usage. Its errors are ErrPeer.
+func (m *material) verifier(usage x509.ExtKeyUsage, rejected func(error)) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		err := m.verify(state, usage)
+		if err != nil {
+			rejected(err)
+		}
+		return err
 	}
 }
 
-func verifyServer(state tls.ConnectionState, pool *x509.CertPool) error {
+func (m *material) verify(state tls.ConnectionState, usage x509.ExtKeyUsage) error {
 	if len(state.PeerCertificates) == 0 {
 		return ErrPeer
 	}
-	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool})
-	return err
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: m.pool, KeyUsages: []x509.ExtKeyUsage{usage}})
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "link: certificate"), ErrPeer)
+	}
+	return nil
 }
--- a/link/endpoint.go
+++ b/link/endpoint.go
@@ -53,7 +53,7 @@
 		return nil, errors.Wrap(err, "link: listen")
 	}
 	trans := &quic.Transport{Conn: socket}
-	lis, err := trans.Listen(creds.serverConfig(), cfg.quicConfig())
+	lis, err := trans.Listen(creds.serverConfig(handler.RejectedPeer), cfg.quicConfig())
 	if err != nil {
 		_ = socket.Close()
 		return nil, errors.Wrap(err, "link: listen")
@@ -126,7 +126,7 @@
 		return nil, err
 	}
 	trans := &quic.Transport{Conn: socket}
-	qc, err := trans.Dial(ctx, to, e.creds.clientConfig(), e.cfg.quicConfig())
+	qc, err := trans.Dial(ctx, to, e.creds.clientConfig(e.handler.RejectedPeer), e.cfg.quicConfig())
 	if err != nil {
 		_ = trans.Close()
 		_ = socket.Close()
--- a/machine/entry/links.go
+++ b/machine/entry/links.go
@@ -162,6 +162,10 @@
 }
 
 // RejectedPeer implements link.Handler.
-func (l *links) RejectedPeer(error) {
-	metrics.Refused(l.scope, contract.ReasonUnauthorized)
+func (l *links) RejectedPeer(err error) {
+	reason := contract.ReasonUnauthorized
+	if errors.Is(err, link.ErrFrame) {
+		reason = contract.ReasonBadFrame
+	}
+	metrics.Refused(l.scope, reason)
 }
--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -27,8 +27,10 @@
 	server  *httptest.Server
 	process *target.Process
 	entry   *link.Endpoint
-	stop    context.CancelFunc
-	stopped chan struct{}
+	// authority signs the certificates of all.
+	authority *devkeys.Authority
+	stop      context.CancelFunc
+	stopped   chan struct{}
 }
 
 type silentEntry struct{}
@@ -77,7 +79,7 @@
 	fatal(t, err)
 	fatal(t, process.Start())
 	ctx, stop := context.WithCancel(context.Background())
-	r := &rig{t: t, back: back, server: server, process: process, stop: stop, stopped: make(chan struct{})}
+	r := &rig{t: t, back: back, server: server, process: process, stop: stop, stopped: make(chan struct{}), authority: authority}
 	go func() {
 		defer close(r.stopped)
 		_ = process.Run(ctx)
