entry: end the context of an exchange that nobody waits for

Cause: a question by which an attempt is given up left its context registered with the process's own when the target could not be reached: memory for each such request until the end of the process. Test: TestForgottenExchangeLeavesNothing (failed before).

--- a/machine/entry/exchange.go
+++ b/machine/entry/exchange.go
@@ -126,6 +126,9 @@
 }
 
 func (x *exchanges) run(e *exchange) {
+	if e.id == 0 {
+		defer e.close()
+	}
 	s, err := x.open(e)
 	if err != nil {
 		x.loop.step(dispatch.Broken{Exchange: e.id, Reason: reasonOf(err), Unsent: true})
@@ -145,7 +148,7 @@
 		return
 	}
 	if e.id == 0 {
-		x.forgotten(e, s)
+		forgotten(s)
 		return
 	}
 	x.read(e, s)
@@ -222,10 +225,9 @@
 
 // forgotten waits for the reply to a message that nobody waits for, so that it
 // surely arrives before the stream is closed.
-func (x *exchanges) forgotten(e *exchange, s *link.Stream) {
+func forgotten(s *link.Stream) {
 	_ = s.SetReadDeadline(time.Now().Add(sendTimeout))
 	_, _ = s.Recv()
-	e.close()
 }
 
 // reasonOf turns an error of the link into a reason.
