--- a/machine/entry/admin/admin_test.go
+++ b/machine/entry/admin/admin_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-func tokens(t *testing.T, scopes map[string]string) *admin.Tokens {
+func tokens(t testing.TB, scopes map[string]string) *admin.Tokens {
 	t.Helper()
 	var text strings.Builder
 	for name, scope := range scopes {
@@ -61,7 +61,7 @@
 	return loaded
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{}
 	f.log = sim.NewLog(func() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) })
