Stage chunks as they are verified

The engine took the whole version after the last chunk arrived; now little is left by then. Each chunk is put once in a boot of the engine. Ruled out for now: orders to drop old versions, which could arrive late and take a version away that was ordered again.

The fleet test drew 1.75 copies in one run: its host list was not complete when drawing began, which the agent now reads in the right order (known first, then the list) and the test tells.

--- a/weights/agent/agent.go
+++ b/weights/agent/agent.go
@@ -57,6 +57,9 @@
 	// status is what ServeHave tells of the own target.
 	status atomic.Pointer[contract.RolloutStatus]
 	budget swarm.Budget
+	stager *stager
+	// target is the version that the engine shall run.
+	target atomic.Pointer[contract.Digest]
 	// abroad holds the peers of other regions, for the goroutines that serve.
 	abroad atomic.Pointer[map[contract.MachineID]contract.RegionName]
 	local  pacer
@@ -86,6 +89,7 @@
 		rollout: rollout.New(rollout.Config{Self: opts.Machine}),
 	}
 	a.status.Store(&contract.RolloutStatus{})
+	a.stager = &stager{engine: opts.Engine, store: a.store}
 	return a
 }
 
--- a/weights/agent/agent_test.go
+++ b/weights/agent/agent_test.go
@@ -92,13 +92,19 @@
 }
 
 func TestAgentActivatesAndChanges(t *testing.T) {
+	const chunksOfV1 = 5
 	store := newFakeStore()
 	v1 := publish(t, store, content(5000, 1))
 	v2 := publish(t, store, content(9000, 2))
 	a := start(t, "t1", store, nil)
 	a.Want([]Wanted{{Weights: v1}})
 	a.await(t, v1)
-	a.engine.set(func(e *fakeEngine) { e.loseReply = true })
+	a.engine.set(func(e *fakeEngine) {
+		if e.puts != chunksOfV1 {
+			t.Errorf("%d chunks staged, want each of %d once", e.puts, chunksOfV1)
+		}
+		e.loseReply = true
+	})
 	a.Want([]Wanted{{Weights: v2, Former: v1}})
 	a.await(t, v2)
 	a.engine.set(func(e *fakeEngine) { e.active, e.boot, e.store = "", "b2", weights.NewChunkStore() })
@@ -109,7 +115,8 @@
 	store, net := newFakeStore(), newFakeNet()
 	v1 := publish(t, store, content(200_000, 3))
 	var fleet []*running
-	for i := range 5 {
+	net.expected = 5
+	for i := range net.expected {
 		fleet = append(fleet, start(t, fmt.Sprintf("t%d", i), store, net))
 	}
 	for _, r := range fleet {
--- a/weights/agent/draw.go
+++ b/weights/agent/draw.go
@@ -60,6 +60,9 @@
 			return
 		}
 		a.post(func() { a.fetched(d, err) })
+		if err == nil {
+			a.stageAhead(a.ctx, d.Version, d.Index)
+		}
 	})
 }
 
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -79,6 +79,8 @@
 	fencing   bool
 	fence     contract.Fence
 	seq       uint64
+	// puts counts the chunks that it took.
+	puts int
 	// broken is a version that the engine cannot load.
 	broken contract.Digest
 }
@@ -115,6 +117,7 @@
 	if err := e.chunks().Put(d, i, data); err != nil {
 		return errors.Mark(err, ErrEngineChunk)
 	}
+	e.set(func(e *fakeEngine) { e.puts++ })
 	return nil
 }
 
@@ -140,6 +143,8 @@
 	mu     sync.Mutex
 	agents map[contract.MachineID]*Agent
 	lies   []string
+	// expected is how many agents make the host list complete.
+	expected int
 }
 
 func newFakeNet() *fakeNet { return &fakeNet{agents: map[contract.MachineID]*Agent{}} }
@@ -171,7 +176,12 @@
 
 var errGone = errors.New("no such peer")
 
-func (p *fakePeers) Known() bool { return true }
+// Known reports whether all agents of the test have started.
+func (p *fakePeers) Known() bool {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	return len(p.net.agents) >= p.net.expected
+}
 
 func (p *fakePeers) List() []Peer {
 	p.net.mu.Lock()
--- a/weights/agent/orders.go
+++ b/weights/agent/orders.go
@@ -15,7 +15,6 @@
 
 const (
 	reportTimeout = 2 * time.Second
-	stageTimeout  = 10 * time.Minute
 	logTimeout    = 5 * time.Second
 	// fenceWindow is how many records before the own one are read.
 	fenceWindow = 32
@@ -51,37 +50,10 @@
 		a.failed(e)
 	case activation.Note:
 		a.count(string(e.Kind))
-	}
-}
-
-// stage puts a whole version to the engine.
-func (a *Agent) stage(version contract.Digest) {
-	ctx, cancel := context.WithTimeout(a.ctx, stageTimeout)
-	defer cancel()
-	err := a.putAll(ctx, version)
-	if a.ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		a.opts.Logger.WithError(err).Warn("staging failed")
-	}
-	a.post(func() { a.stepOrders(activation.StageEnded{Version: version, Result: resultOf(err)}) })
-}
-
-func (a *Agent) putAll(ctx context.Context, version contract.Digest) error {
-	m, encoded := a.store.Manifest(version)
-	if m == nil || !a.store.Whole(version) {
-		return ErrEngineNotWhole
-	}
-	if err := a.opts.Engine.PutManifest(ctx, version, encoded); err != nil {
-		return err
-	}
-	for i := range m.Chunks() {
-		if err := a.opts.Engine.PutChunk(ctx, version, i, a.store.Get(version, i)); err != nil {
-			return err
+		if e.Kind == activation.NoteBoot || e.Kind == activation.NoteNotWhole {
+			a.stager.reset()
 		}
 	}
-	return nil
 }
 
 func resultOf(err error) activation.Result {
--- a/weights/agent/want.go
+++ b/weights/agent/want.go
@@ -103,6 +103,7 @@
 			members = append(members, p.Machine)
 		}
 	}
+	a.target.Store(&w.Weights)
 	a.stepRollout(rollout.Plan{Version: w.Weights, MinReady: w.MinReady, MaxFailures: w.MaxFailures, Members: members})
 	a.stepOrders(activation.Want{Deployment: activation.Deployment{
 		Version: w.Weights, Former: w.Former, Adapters: w.Adapters, Role: w.Role,
@@ -126,8 +127,9 @@
 		a.place()
 		return
 	}
+	known := a.opts.Peers.Known() || a.now() > peersGrace
 	defer func() {
-		if a.opts.Peers.Known() || a.now() > peersGrace {
+		if known {
 			a.place()
 		}
 	}()
