--- a/zone/balancer/scenario_test.go
+++ b/zone/balancer/scenario_test.go
@@ -51,7 +51,7 @@
 	case "up":
 		s.pool.Up(s.now, id, d.HasArg("returning"))
 	case "down":
-		s.pool.Down(id)
+		s.pool.Down(s.now, id)
 	case "load":
 		return s.load(id, d)
 	case "sent":
@@ -139,7 +139,7 @@
 func (s *session) pick(d *datadriven.TestData) string {
 	counts := map[string]int{}
 	for range max(1, number(s.t, d, "n")) {
-		want := Want{Pinned: contract.Digest(text(s.t, d, "pinned")), Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Yield: d.HasArg("yield")}
+		want := Want{Pinned: contract.Digest(text(s.t, d, "pinned")), Prefix: number(s.t, d, "prefix"), Bytes: int(number(s.t, d, "bytes")), Headroom: uint32(number(s.t, d, "headroom"))}
 		choice, reason, ok := s.pool.Pick(s.now, want)
 		if !ok {
 			counts["none: "+string(reason)]++
