dispatch: ask twice about work whose question went unanswered

Change: such work is asked about once more over a new connection while the target's link counts as up; a target out of reach is left at once, as before. Test: testdata/silent_twice.txt; TestLossMechanisms fails with it switched off.

--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -65,10 +65,10 @@
 	return max(m.now.Sub(a.sentAt), time.Millisecond)
 }
 
-// askLater waits before the next question; work that may run twice is sent
-// elsewhere instead, and after MaxQuestions the machine gives up.
+// askLater waits before the next question. After MaxQuestions the machine gives
+// up; work that may run twice is sent elsewhere sooner.
 func (m *Machine) askLater(a *attempt, reason contract.Reason) {
-	if a.request.Idempotent || a.questions >= MaxQuestions {
+	if a.questions >= MaxQuestions || a.request.Idempotent && !m.asksAgain(a, reason) {
 		m.giveUpAttempt(a, reason)
 		return
 	}
@@ -77,6 +77,13 @@
 	m.timers.update(a.request)
 }
 
+// asksAgain reports whether work that may run twice is asked about once more,
+// over a new connection: one that stayed silent tells nothing of the target.
+func (m *Machine) asksAgain(a *attempt, reason contract.Reason) bool {
+	silent := reason == contract.ReasonLinkSilent && m.up[a.target]
+	return silent && a.questions < maxQuestionsIdempotent && m.off&offSecondQuestion == 0
+}
+
 // giveUpAttempt leaves an attempt whose end cannot be learned. The target is
 // still told not to start it.
 func (m *Machine) giveUpAttempt(a *attempt, reason contract.Reason) {
--- a/machine/entry/dispatch/loss_test.go
+++ b/machine/entry/dispatch/loss_test.go
@@ -9,7 +9,7 @@
 // TestLossMechanisms runs a scenario for each mechanism that carries requests
 // over the loss of targets: without it, requests are refused.
 func TestLossMechanisms(t *testing.T) {
-	cases := map[string]mechanism{"loss": offLossGrace, "target_dies": offLostMoves}
+	cases := map[string]mechanism{"loss": offLossGrace, "target_dies": offLostMoves, "silent_twice": offSecondQuestion}
 	for name, off := range cases {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness()
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -33,6 +33,9 @@
 	// MaxAnswerBytes bounds the answer of a plain service.
 	MaxAnswerBytes = 8 << 20
 
+	// maxQuestionsIdempotent is MaxQuestions for work that may run twice.
+	maxQuestionsIdempotent = 2
+
 	questionPause = 100 * time.Millisecond
 	// leaveOutTime is how long a request avoids a target that failed it, and
 	// leaveOutUntilReport one that refused it for room and reports no more.
@@ -125,6 +128,7 @@
 	offIncarnation
 	offLossGrace
 	offLostMoves
+	offSecondQuestion
 )
 
 // New returns a machine that knows neither settings nor hosts.
--- a/machine/target/backend/backend_test.go
+++ b/machine/target/backend/backend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -23,10 +24,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var mu sync.Mutex
 	seen := map[string]bool{}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		effects.Add(1)
+		mu.Lock()
+		defer mu.Unlock()
 		if seen[r.RemoteAddr] {
 			panic(http.ErrAbortHandler)
 		}
