link: translate errors without a stack trace

Cause: a profile of plain calls had 4.5 % of its samples in the stack that each ordinary close of a stream captured.

Change: a message in place of a wrap with stack. Not measured again.

--- a/link/errors.go
+++ b/link/errors.go
@@ -42,11 +42,11 @@
 	}
 	var app *quic.ApplicationError
 	if errors.As(err, &app) && app.ErrorCode == codeSilent {
-		return errors.Mark(errors.Wrap(err, "link"), ErrSilent)
+		return errors.Mark(errors.WithMessage(err, "link"), ErrSilent)
 	}
 	var idle *quic.IdleTimeoutError
 	if errors.As(err, &idle) {
-		return errors.Mark(errors.Wrap(err, "link"), ErrSilent)
+		return errors.Mark(errors.WithMessage(err, "link"), ErrSilent)
 	}
-	return errors.Mark(errors.Wrap(err, "link"), ErrClosed)
+	return errors.Mark(errors.WithMessage(err, "link"), ErrClosed)
 }
