One place for the limits of decoding

Cause: five packages wrote the same CBOR modes, each with its own limits and not all with tags forbidden.

Change: internal/cborlimit makes them; link frames now refuse tags too, and claim records bound the pairs of a map. Tests of the five packages pass.

--- a/link/frame.go
+++ b/link/frame.go
@@ -5,9 +5,9 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/cborlimit"
 )
 
 const (
@@ -18,32 +18,10 @@
 )
 
 var (
-	encMode = mustEnc()
-	decMode = mustDec()
+	encMode = cborlimit.Encoder()
+	decMode = cborlimit.Decoder(cborlimit.Limits{Elements: maxArrayElements, Pairs: maxMapPairs, Depth: maxNesting})
 )
 
-func mustEnc() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDec() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-		MaxNestedLevels:  maxNesting,
-		IndefLength:      cbor.IndefLengthForbidden,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns m as one frame: a big-endian length of 4 bytes, then CBOR. It
 // fails with ErrFrame if the encoding is larger than maxBytes.
 func Encode(m contract.Message, maxBytes int) ([]byte, error) {
--- a/machine/entry/claims/ledger/record.go
+++ b/machine/entry/claims/ledger/record.go
@@ -6,6 +6,7 @@
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/cborlimit"
 )
 
 const (
@@ -16,6 +17,7 @@
 	// hashBytes is the length of keys and body hashes in records.
 	hashBytes = 16
 	maxDepth  = 8
+	maxPairs  = 64
 )
 
 // ErrMalformed marks a record that is no valid batch.
@@ -112,19 +114,7 @@
 	Items []Item `cbor:"3,keyasint"`
 }
 
-var decoder = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: MaxItems,
-		MaxNestedLevels:  maxDepth,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}()
+var decoder = cborlimit.Decoder(cborlimit.Limits{Elements: MaxItems, Pairs: maxPairs, Depth: maxDepth})
 
 // Encode returns the bytes of a log record.
 func (b *Batch) Encode() ([]byte, error) {
--- a/settings/checkpoint/checkpoint.go
+++ b/settings/checkpoint/checkpoint.go
@@ -10,10 +10,10 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/cborlimit"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/tree"
@@ -73,33 +73,16 @@
 	Floor  contract.Offset `cbor:"3,keyasint"`
 }
 
-var (
-	encMode = mustEnc()
-	decMode = mustDec()
+const (
+	maxElements = 1 << 20
+	maxPairs    = 64
+	maxNesting  = 8
 )
 
-func mustEnc() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDec() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxArrayElements: 1 << 20,
-		MaxMapPairs:      64,
-		MaxNestedLevels:  8,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var (
+	encMode = cborlimit.Encoder()
+	decMode = cborlimit.Decoder(cborlimit.Limits{Elements: maxElements, Pairs: maxPairs, Depth: maxNesting})
+)
 
 func (s Snapshot) wire() wireSnapshot {
 	w := wireSnapshot{Nodes: []wireNode{}, Window: s.Window, Floor: s.Floor}
--- a/settings/record/record.go
+++ b/settings/record/record.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/cborlimit"
 	"mimosastand.example/mimosastand/settings"
 )
 
@@ -79,35 +79,15 @@
 	Mark *Digest `cbor:"3,keyasint,omitempty"`
 }
 
-var (
-	encMode = mustEnc()
-	decMode = mustDec()
+const (
+	maxPairs   = 64
+	maxNesting = 8
 )
 
-func mustEnc() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDec() cbor.DecMode {
-	const maxNesting = 8
-	options := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxArrayElements: MaxChanges,
-		MaxMapPairs:      64,
-		MaxNestedLevels:  maxNesting,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}
-	mode, err := options.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var (
+	encMode = cborlimit.Encoder()
+	decMode = cborlimit.Decoder(cborlimit.Limits{Elements: MaxChanges, Pairs: maxPairs, Depth: maxNesting})
+)
 
 // Encode returns the record's bytes. It fails with ErrMalformed if the record
 // is over a limit.
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -2,10 +2,10 @@
 
 import (
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/cborlimit"
 )
 
 // Limits of a manifest. The chunk limit leaves room for a frame's other fields
@@ -44,34 +44,14 @@
 	Sums       []byte `cbor:"4,keyasint"`
 }
 
+// manifestLimits are tight: a manifest is one map of four scalars.
+var manifestLimits = cborlimit.Limits{Elements: 16, Pairs: 16, Depth: 4, KnownFieldsOnly: true}
+
 var (
-	manifestEnc = mustEncMode()
-	manifestDec = mustDecMode()
+	manifestEnc = cborlimit.Encoder()
+	manifestDec = cborlimit.Decoder(manifestLimits)
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements:  16,
-		MaxMapPairs:       16,
-		MaxNestedLevels:   4,
-		IndefLength:       cbor.IndefLengthForbidden,
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Chunks returns the number of chunks.
 func (m *Manifest) Chunks() int {
 	return len(m.sums) / sumBytes
