--- a/bench/gate/hop.go
+++ b/bench/gate/hop.go
@@ -7,14 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/bench/closedloop"
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/target/backend"
@@ -24,73 +22,16 @@
 	hopTime      = 1500 * time.Millisecond
 	hopDeadline  = 10 * time.Second
 	answerTokens = 32
-	maxMicros    = 10_000_000
-	digits       = 3
 )
 
 // errAnswer marks an answer that is not whole.
 var errAnswer = errors.New("bench: answer is not whole")
 
-// caller makes one call and returns the time to the first part of its answer.
-type caller func(n int) (first time.Duration, err error)
-
-// measured is what callers saw in one run.
-type measured struct {
-	calls, failed int
-	// cpu is the processor time of caller, target and stand-in together.
-	cpu          time.Duration
-	first, whole *hdrhistogram.Histogram
-}
-
-// measure lets several callers call one after the other for hopTime.
-func measure(callers int, call caller) measured {
-	var mu sync.Mutex
-	var next atomic.Int64
-	m := measured{first: hdrhistogram.New(1, maxMicros, digits), whole: hdrhistogram.New(1, maxMicros, digits)}
-	var wg sync.WaitGroup
-	before := cpuTime()
-	end := time.Now().Add(hopTime)
-	for range callers {
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				began := time.Now()
-				first, err := call(int(next.Add(1)))
-				whole := time.Since(began)
-				mu.Lock()
-				m.note(first, whole, err)
-				mu.Unlock()
-			}
-		})
-	}
-	wg.Wait()
-	m.cpu = cpuTime() - before
-	return m
-}
-
-// cpuTime returns the processor time of this process.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func (m *measured) note(first, whole time.Duration, err error) {
-	if err != nil {
-		m.failed++
-		return
-	}
-	m.calls++
-	_ = m.first.RecordValue(max(1, first.Microseconds()))
-	_ = m.whole.RecordValue(max(1, whole.Microseconds()))
-}
-
 // runs tells the requests of one run from those of the former ones.
 var runs atomic.Int64
 
 // throughLink calls by an attempt over the link.
-func (r *rig) throughLink(kind string) caller {
+func (r *rig) throughLink(kind string) closedloop.Caller {
 	run := runs.Add(1)
 	return func(n int) (time.Duration, error) {
 		start := contract.Start{
@@ -132,7 +73,7 @@
 }
 
 // direct calls the stand-in without the system.
-func (r *rig) direct(kind string) caller {
+func (r *rig) direct(kind string) closedloop.Caller {
 	if kind == config.BackendModel {
 		client := backend.NewEngine(r.backURL)
 		run := runs.Add(1)
@@ -179,16 +120,16 @@
 	}
 	for _, r := range rigs {
 		for _, callers := range []int{1, 8, 48} {
-			printHop(w, r.kind, "direct", callers, measure(callers, r.direct(r.kind)))
-			printHop(w, r.kind, "target", callers, measure(callers, r.throughLink(r.kind)))
+			printHop(w, r.kind, "direct", callers, closedloop.Measure(callers, hopTime, r.direct(r.kind)))
+			printHop(w, r.kind, "target", callers, closedloop.Measure(callers, hopTime, r.throughLink(r.kind)))
 		}
 	}
 	return nil
 }
 
-func printHop(w io.Writer, kind, way string, callers int, m measured) {
+func printHop(w io.Writer, kind, way string, callers int, m closedloop.Measured) {
 	fmt.Fprintf(w, "%-8s %-8s %7d %9.0f %7d %12d %12d %12d %12d %11d\n", kind, way, callers,
-		float64(m.calls)/hopTime.Seconds(), m.failed,
-		m.first.ValueAtQuantile(50), m.first.ValueAtQuantile(99),
-		m.whole.ValueAtQuantile(50), m.whole.ValueAtQuantile(99), m.cpu.Microseconds()/int64(max(1, m.calls)))
+		float64(m.Calls)/hopTime.Seconds(), m.Failed,
+		m.First.ValueAtQuantile(50), m.First.ValueAtQuantile(99),
+		m.Whole.ValueAtQuantile(50), m.Whole.ValueAtQuantile(99), m.CPU.Microseconds()/int64(max(1, m.Calls)))
 }
--- a/bench/through/run.go
+++ b/bench/through/run.go
@@ -8,15 +8,13 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/bench/closedloop"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/claims"
 )
@@ -24,8 +22,6 @@
 const (
 	runTime      = 1500 * time.Millisecond
 	answerTokens = 32
-	maxMicros    = 10_000_000
-	digits       = 3
 	readyTimeout = 30 * time.Second
 	readyPoll    = 20 * time.Millisecond
 )
@@ -44,16 +40,6 @@
 // Resolve implements claims.Claimer.
 func (noClaims) Resolve(context.Context, contract.Claim, claims.Result) error { return nil }
 
-// measured is what callers saw in one run.
-type measured struct {
-	calls, failed int
-	cpu           time.Duration
-	first, whole  *hdrhistogram.Histogram
-}
-
-// caller makes one call and returns the time to the first part of its answer.
-type caller func(n int) (first time.Duration, err error)
-
 // Run prints calls through the system beside direct ones. Times vary from run
 // to run; the seed is not used.
 func Run(out io.Writer, _ uint64) error {
@@ -74,10 +60,10 @@
 	for _, name := range []string{plain, model} {
 		for _, callers := range []int{1, 8, 48} {
 			for _, way := range []string{"direct", "system"} {
-				m := measure(callers, r.caller(name, way))
+				m := closedloop.Measure(callers, runTime, r.caller(name, way))
 				fmt.Fprintf(table, "%s\t%s\t%d\t%.0f\t%d\t%d us\t%d us\t%d us\t%d us\t%d us\n", name, way, callers,
-					float64(m.calls)/runTime.Seconds(), m.failed, m.first.ValueAtQuantile(50), m.first.ValueAtQuantile(99),
-					m.whole.ValueAtQuantile(50), m.whole.ValueAtQuantile(99), m.cpu.Microseconds()/int64(max(1, m.calls)))
+					float64(m.Calls)/runTime.Seconds(), m.Failed, m.First.ValueAtQuantile(50), m.First.ValueAtQuantile(99),
+					m.Whole.ValueAtQuantile(50), m.Whole.ValueAtQuantile(99), m.CPU.Microseconds()/int64(max(1, m.Calls)))
 			}
 		}
 	}
@@ -102,7 +88,7 @@
 	return nil
 }
 
-func (r *rig) caller(name, way string) caller {
+func (r *rig) caller(name, way string) closedloop.Caller {
 	base := r.direct[name]
 	path := "/balance"
 	if way == "system" {
@@ -176,47 +162,3 @@
 	}
 	return first, nil
 }
-
-// measure lets several callers call one after the other for runTime.
-func measure(callers int, call caller) measured {
-	var mu sync.Mutex
-	var next atomic.Int64
-	m := measured{first: hdrhistogram.New(1, maxMicros, digits), whole: hdrhistogram.New(1, maxMicros, digits)}
-	var wg sync.WaitGroup
-	before := cpuTime()
-	end := time.Now().Add(runTime)
-	for range callers {
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				began := time.Now()
-				first, err := call(int(next.Add(1)))
-				whole := time.Since(began)
-				mu.Lock()
-				m.note(first, whole, err)
-				mu.Unlock()
-			}
-		})
-	}
-	wg.Wait()
-	m.cpu = cpuTime() - before
-	return m
-}
-
-func (m *measured) note(first, whole time.Duration, err error) {
-	if err != nil {
-		m.failed++
-		return
-	}
-	m.calls++
-	_ = m.first.RecordValue(max(1, first.Microseconds()))
-	_ = m.whole.RecordValue(max(1, whole.Microseconds()))
-}
-
-// cpuTime is the processor time of callers, system and stand-ins together.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
