target: forget peers that cannot be reached

Cause: a peer whose connection was never made stayed in the table until the end of the process, one entry for each machine that came and went. Ruled out: answers that nobody fetched (pruned with the gauges), feeds of refused or repeated attempts (closed with their last message), a Cancel that overtakes its Start (the target reads one first message of a stream, so the Start never runs).

--- a/machine/target/peers.go
+++ b/machine/target/peers.go
@@ -126,6 +126,7 @@
 	}
 	p.mu.Lock()
 	v.conn, v.own, v.role = c, true, c.Peer().Role
+	p.known[machine] = v // it may have been swept meanwhile
 	p.mu.Unlock()
 	return c, nil
 }
@@ -157,13 +158,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for machine, v := range p.known {
-		if v.conn == nil || now.Sub(v.used) < peerIdle {
+		if now.Sub(v.used) < peerIdle {
 			continue
 		}
 		if v.own {
 			v.conn.Close()
 		}
-		if v.own || v.conn.Err() != nil {
+		if v.own || v.conn == nil || v.conn.Err() != nil {
 			delete(p.known, machine)
 		}
 	}
