link: slow heartbeats down beyond 20 links, so that their bytes stay bounded

Cause: at the plan's size the rendezvous subset gives an entry 20.3 links in the mean and 33 at most; at 125 B/s a link that is 4.1 KB/s, over the 3 KB/s for control.

Ruled out: a hard bound on links, which would leave targets without an entry.

Change: beyond 20 dialed links the interval grows in proportion, to at most half of the time after which a peer counts as silent.

--- a/link/config.go
+++ b/link/config.go
@@ -8,6 +8,10 @@
 	Heartbeat time.Duration
 	// SilentAfter is how long a connection may go without a heartbeat.
 	SilentAfter time.Duration
+	// FullRateLinks is how many dialed connections beat at the Heartbeat
+	// interval. With more the interval grows in proportion, up to half of
+	// SilentAfter, so that the bytes of all heartbeats together stay the same.
+	FullRateLinks int
 	// DialTimeout bounds the time to make a connection.
 	DialTimeout time.Duration
 	// MaxFrameBytes bounds one encoded message.
@@ -22,6 +26,7 @@
 const (
 	defaultHeartbeat         = time.Second
 	defaultSilentAfter       = 3 * time.Second
+	defaultFullRateLinks     = 20
 	defaultDialTimeout       = 2 * time.Second
 	defaultMaxFrameBytes     = 2 << 20
 	defaultMaxStreams        = 4096
@@ -36,6 +41,9 @@
 	if c.SilentAfter <= 0 {
 		c.SilentAfter = defaultSilentAfter
 	}
+	if c.FullRateLinks <= 0 {
+		c.FullRateLinks = defaultFullRateLinks
+	}
 	if c.DialTimeout <= 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
@@ -53,3 +61,13 @@
 	}
 	return c
 }
+
+// beatInterval is the time between heartbeats on each of a number of dialed
+// connections.
+func (c Config) beatInterval(dialed int) time.Duration {
+	if dialed <= c.FullRateLinks {
+		return c.Heartbeat
+	}
+	scaled := c.Heartbeat * time.Duration(dialed) / time.Duration(c.FullRateLinks)
+	return max(c.Heartbeat, min(scaled, c.SilentAfter/2))
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,20 +77,17 @@
 
 func (c *Conn) sendHeartbeats(beats *Stream) {
 	defer c.endpoint.wg.Done()
-	var interval <-chan time.Time
-	if c.dialed {
-		ticker := time.NewTicker(c.endpoint.cfg.Heartbeat)
-		defer ticker.Stop()
-		interval = ticker.C
-	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var encoder beatEncoder
 	for {
 		hb := encoder.encode(c.endpoint.handler.Heartbeat(c.peer))
 		if err := beats.Send(contract.Message{Kind: contract.KindHeartbeat, Heartbeat: &hb}); err != nil {
 			return
 		}
+		timer.Reset(c.nextBeat())
 		select {
-		case <-interval:
+		case <-timer.C:
 		case <-c.beat:
 		case <-c.Done():
 			return
@@ -97,6 +95,15 @@
 	}
 }
 
+// nextBeat is the time until the next heartbeat that nobody asks for. The side
+// that did not dial sends none by itself.
+func (c *Conn) nextBeat() time.Duration {
+	if !c.dialed {
+		return math.MaxInt64
+	}
+	return c.endpoint.cfg.beatInterval(c.endpoint.meter.dialed())
+}
+
 func (c *Conn) receiveHeartbeats(beats *Stream) {
 	defer c.endpoint.wg.Done()
 	var decoder beatDecoder
--- a/link/traffic.go
+++ b/link/traffic.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// dialed counts the open connections that this side has made.
+func (m *meter) dialed() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for c := range m.open {
+		if c.dialed {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *meter) connections() []*Conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
