entry: forget the age of connections to targets that are no longer wanted

Cause: one entry a machine name stayed in the map for as long as the process lived. Change: it goes with the peer.

--- a/machine/entry/links.go
+++ b/machine/entry/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -86,6 +87,10 @@
 	}
 	l.mu.Lock()
 	l.peers = peers
+	maps.DeleteFunc(l.since, func(id contract.MachineID, _ time.Time) bool {
+		_, ok := wanted[id]
+		return !ok
+	})
 	l.mu.Unlock()
 	l.pool.Set(wanted)
 }
