--- a/internal/devkeys/devkeys.go
+++ b/internal/devkeys/devkeys.go
@@ -105,3 +105,12 @@
 	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
 	return errors.Wrap(os.WriteFile(file, data, ownerOnly), "devkeys")
 }
+
+// Credentials issues a certificate of the default validity and loads it.
+func (a *Authority) Credentials(machine string, role link.Role) (*link.Credentials, error) {
+	files, err := a.Issue(machine, role, DefaultValidity)
+	if err != nil {
+		return nil, err
+	}
+	return link.LoadCredentials(files, role, time.Now())
+}
--- a/link/pool/pool_test.go
+++ b/link/pool/pool_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,11 +24,7 @@
 
 func listen(t *testing.T, a *devkeys.Authority, name string, role link.Role) *link.Endpoint {
 	t.Helper()
-	files, err := a.Issue(name, role, time.Hour)
-	if err != nil {
-		t.Fatal(err)
-	}
-	creds, err := link.LoadCredentials(files, role, time.Now())
+	creds, err := a.Credentials(name, role)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -94,9 +94,7 @@
 
 func entryEndpoint(t *testing.T, authority *devkeys.Authority) *link.Endpoint {
 	t.Helper()
-	files, err := authority.Issue("entry-1", link.RoleEntry, time.Hour)
-	fatal(t, err)
-	creds, err := link.LoadCredentials(files, link.RoleEntry, time.Now())
+	creds, err := authority.Credentials("entry-1", link.RoleEntry)
 	fatal(t, err)
 	e, err := link.Listen("127.0.0.1:0", creds, silentEntry{}, link.Config{Heartbeat: 100 * time.Millisecond})
 	fatal(t, err)
