--- a/machine/entry/handler.go
+++ b/machine/entry/handler.go
@@ -141,7 +141,7 @@
 		request:    a.request.ID,
 		outcome:    f.Outcome,
 		reason:     f.Reason,
-		detail:     fmt.Sprintf("after %d attempts", f.Attempts),
+		detail:     detailOf(f),
 		retryAfter: f.RetryAfter,
 	}
 	if !a.begun {
@@ -152,6 +152,14 @@
 	_ = a.control.Flush()
 }
 
+// detailOf tells a person why a request ended and how often it was sent.
+func detailOf(f dispatch.Finish) string {
+	if f.Attempts == 0 {
+		return f.Reason.Explain()
+	}
+	return fmt.Sprintf("%s; attempts sent: %d", f.Reason.Explain(), f.Attempts)
+}
+
 func (a *answer) endStream(f dispatch.Finish) {
 	a.begin()
 	_ = a.event("end", struct {
