--- a/config/load_test.go
+++ b/config/load_test.go
@@ -29,6 +29,19 @@
 	})
 }
 
+// TestExamples checks that the example files of processes have no faults.
+func TestExamples(t *testing.T) {
+	for role, file := range map[string]string{RoleEntry: "entry.ini", RoleTarget: "target.ini"} {
+		process, err := Load(filepath.Join("..", "examples", file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if process.Role != role {
+			t.Errorf("%s has role %q", file, process.Role)
+		}
+	}
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte("[process]\nrole = entry\n"))
 	f.Add([]byte("[process\nrole"))
