--- a/cli/deploy.go
+++ b/cli/deploy.go
@@ -89,16 +89,16 @@
 	if !r.wait {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	return e.watch(ctx, contract.ServiceName(r.service), r.live)
+	return e.watch(ctx, contract.ServiceName(r.service), r.live, r.timeout)
 }
 
 // watch polls the status until every target, or every live one, serves the
-// deployed version.
-func (e *environment) watch(ctx context.Context, service contract.ServiceName, live bool) error {
+// deployed version. It looks at least once, however short the limit is.
+func (e *environment) watch(ctx context.Context, service contract.ServiceName, live bool, limit time.Duration) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	end := time.NewTimer(limit)
+	defer end.Stop()
 	last := ""
 	for {
 		var st wire.Status
@@ -115,9 +115,11 @@
 		}
 		select {
 		case <-ticker.C:
+			continue
+		case <-end.C:
 		case <-ctx.Done():
-			return errors.Mark(errors.Newf("%s is not on its version on all targets: %s", service, last), ErrFailed)
 		}
+		return errors.Mark(errors.Newf("%s is not on its version on all targets: %s", service, last), ErrFailed)
 	}
 }
 
