--- a/bench/weights/scenario.go
+++ b/bench/weights/scenario.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// Slow divides the rate of a host's uplink.
-func (f *Fleet) Slow(i int, by float64) { f.wire.hosts[i].up.rate /= by }
+// Slow gives a host an uplink of its first rate divided by by, however often it
+// was slowed before.
+func (f *Fleet) Slow(i int, by float64) { f.wire.hosts[i].up.rate = f.wire.p.Machine / by }
 
 // Origin switches the origin on or off.
 func (f *Fleet) Origin(up bool) { f.wire.originDown = !up }
