Clients of the imagined services move to package services

Cause: platform/ is to hold only the adapter to the users' platform, whose store, list and origin speak another protocol.

Change: the package that spoke the imagined log, host list and weight store is package services until the stand-ins speak the platform's protocol. No behaviour changes.

--- a/bench/claims/load.go
+++ b/bench/claims/load.go
@@ -17,7 +17,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/claims"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/logservice"
 )
 
@@ -64,7 +64,7 @@
 		if !p.batched {
 			config.Batcher.MaxBytes = 1
 		}
-		s := claims.NewService(platform.NewClient(c.log.URL), unreachable{}, claims.Options{
+		s := claims.NewService(services.NewClient(c.log.URL), unreachable{}, claims.Options{
 			Config: config, Stream: claims.Stream, Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 			Scope: tally.NoopScope, Seed: seed + uint64(i),
 		})
--- a/bench/claims/reads.go
+++ b/bench/claims/reads.go
@@ -12,7 +12,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/claims"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/logservice"
 )
 
@@ -22,7 +22,7 @@
 	const reads = 4000
 	server := httptest.NewServer(logservice.New(logservice.Config{}))
 	defer server.Close()
-	client := platform.NewClient(server.URL)
+	client := services.NewClient(server.URL)
 	ctx := context.Background()
 	records, _, err := stream(reads, 200, 2)
 	if err != nil {
--- a/bench/serving/baseline.go
+++ b/bench/serving/baseline.go
@@ -6,7 +6,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 )
 
@@ -72,10 +72,10 @@
 	return out
 }
 
-func (b *baseline) hosts(list platform.HostList) {
+func (b *baseline) hosts(list services.HostList) {
 	b.targets = map[contract.ServiceName][]contract.MachineID{}
 	for _, h := range list.Hosts {
-		if h.Role == platform.HostTarget {
+		if h.Role == services.HostTarget {
 			b.targets[h.Service] = append(b.targets[h.Service], h.Machine)
 		}
 	}
--- a/bench/serving/world.go
+++ b/bench/serving/world.go
@@ -9,7 +9,7 @@
 	"mimosastand.example/mimosastand/bench/serving/fake"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/zone/balancer"
 )
 
@@ -164,18 +164,18 @@
 
 func (w *world) publishHosts() {
 	w.version++
-	list := platform.HostList{Version: w.version}
+	list := services.HostList{Version: w.version}
 	for _, h := range w.hosts {
-		list.Hosts = append(list.Hosts, platform.Host{
-			Machine: contract.MachineID(fmt.Sprintf("entry-%d", h.index)), Role: platform.HostEntry,
-			Zone: h.place.Zone, Region: h.place.Region, State: platform.HostLive,
+		list.Hosts = append(list.Hosts, services.Host{
+			Machine: contract.MachineID(fmt.Sprintf("entry-%d", h.index)), Role: services.HostEntry,
+			Zone: h.place.Zone, Region: h.place.Region, State: services.HostLive,
 		})
 	}
 	for _, t := range w.order {
 		if !t.gone {
-			list.Hosts = append(list.Hosts, platform.Host{
-				Machine: t.Machine, Role: platform.HostTarget, Zone: t.place.Zone, Region: t.place.Region,
-				Service: t.service, Address: string(t.Machine), State: platform.HostLive,
+			list.Hosts = append(list.Hosts, services.Host{
+				Machine: t.Machine, Role: services.HostTarget, Zone: t.place.Zone, Region: t.place.Region,
+				Service: t.service, Address: string(t.Machine), State: services.HostLive,
 			})
 		}
 	}
--- a/bench/through/rig.go
+++ b/bench/through/rig.go
@@ -16,7 +16,7 @@
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/entry"
 	"mimosastand.example/mimosastand/machine/target"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/fixed"
 	"mimosastand.example/mimosastand/standin/engine"
@@ -38,7 +38,7 @@
 type rig struct {
 	keys  *devkeys.Authority
 	dir   string
-	hosts platform.HostList
+	hosts services.HostList
 	entry *entry.Entry
 	// direct holds the addresses of the stand-ins by service.
 	direct  map[string]string
@@ -46,11 +46,11 @@
 	stopped sync.WaitGroup
 }
 
-type hosts platform.HostList
+type hosts services.HostList
 
-// List implements platform.Hosts.
-func (h hosts) List(context.Context) (platform.HostList, error) {
-	return platform.HostList(h), nil
+// List implements services.Hosts.
+func (h hosts) List(context.Context) (services.HostList, error) {
+	return services.HostList(h), nil
 }
 
 func newRig() (*rig, error) {
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{dir: dir, direct: map[string]string{}, hosts: platform.HostList{Version: 1}}
+	r := &rig{dir: dir, direct: map[string]string{}, hosts: services.HostList{Version: 1}}
 	if r.keys, err = devkeys.NewAuthority(dir); err != nil {
 		return r, err
 	}
@@ -102,9 +102,9 @@
 		return err
 	}
 	r.run(process.Run)
-	r.hosts.Hosts = append(r.hosts.Hosts, platform.Host{
-		Machine: p.Machine, Role: platform.HostTarget, Zone: p.Zone, Region: p.Region,
-		Service: p.Target.Service, Address: process.LinkAddress(), State: platform.HostLive,
+	r.hosts.Hosts = append(r.hosts.Hosts, services.Host{
+		Machine: p.Machine, Role: services.HostTarget, Zone: p.Zone, Region: p.Region,
+		Service: p.Target.Service, Address: process.LinkAddress(), State: services.HostLive,
 	})
 	return nil
 }
--- a/cli/weights.go
+++ b/cli/weights.go
@@ -11,7 +11,7 @@
 	"github.com/integrii/flaggy"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights"
 )
 
@@ -64,7 +64,7 @@
 		f.name = filepath.Base(f.file)
 	}
 	reader := &meter{from: file, total: info.Size(), to: e.err, quiet: f.output == outputJSON}
-	digest, err := weights.Publish(ctx, platform.NewClient(f.store), reader, f.name, f.chunkBytes)
+	digest, err := weights.Publish(ctx, services.NewClient(f.store), reader, f.name, f.chunkBytes)
 	if err != nil {
 		return err
 	}
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -14,7 +14,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	"mimosastand.example/mimosastand/internal/load"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/engine"
 	"mimosastand.example/mimosastand/weights"
 )
@@ -127,7 +127,7 @@
 	for i := range data {
 		data[i] = byte(rnd.Uint32())
 	}
-	origin := platform.NewClient("http://" + d.cluster.OriginAddress)
+	origin := services.NewClient("http://" + d.cluster.OriginAddress)
 	return weights.Publish(ctx, origin, bytes.NewReader(data), name, chunkBytes)
 }
 
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -14,7 +14,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	"mimosastand.example/mimosastand/internal/load"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/engine"
 	"mimosastand.example/mimosastand/weights"
 )
@@ -186,7 +186,7 @@
 	for i := range data {
 		data[i] = byte(rnd.Uint32())
 	}
-	origin := platform.NewClient("http://" + s.OriginAddress)
+	origin := services.NewClient("http://" + s.OriginAddress)
 	digest, err := weights.Publish(context.Background(), origin, bytes.NewReader(data), name, chunkBytes)
 	s.must(err)
 	return digest
--- a/e2e/weights_test.go
+++ b/e2e/weights_test.go
@@ -12,7 +12,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights"
 )
 
@@ -55,7 +55,7 @@
 	for i := range data {
 		data[i] = byte(rnd.Uint32())
 	}
-	origin := platform.NewClient("http://" + s.OriginAddress)
+	origin := services.NewClient("http://" + s.OriginAddress)
 	digest, err := weights.Publish(context.Background(), origin, bytes.NewReader(data), "big", bigChunkBytes)
 	s.must(err)
 	return digest
--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 )
 
 // pollInterval is the time between two looks at a condition.
@@ -71,17 +71,17 @@
 
 // PutHosts sends the full host list to its stand-in.
 func (c *Cluster) PutHosts() error {
-	list := platform.HostList{Version: 1}
+	list := services.HostList{Version: 1}
 	for _, e := range c.Entries {
-		list.Hosts = append(list.Hosts, platform.Host{
-			Machine: e.Machine, Role: platform.HostEntry, Zone: e.Zone.Name, Region: e.Zone.Region,
-			Address: e.Front, State: platform.HostLive,
+		list.Hosts = append(list.Hosts, services.Host{
+			Machine: e.Machine, Role: services.HostEntry, Zone: e.Zone.Name, Region: e.Zone.Region,
+			Address: e.Front, State: services.HostLive,
 		})
 	}
 	for _, t := range c.Targets {
-		list.Hosts = append(list.Hosts, platform.Host{
-			Machine: t.Machine, Role: platform.HostTarget, Zone: t.Zone.Name, Region: t.Zone.Region,
-			Service: t.Service.Name, Address: t.Front, State: platform.HostLive,
+		list.Hosts = append(list.Hosts, services.Host{
+			Machine: t.Machine, Role: services.HostTarget, Zone: t.Zone.Name, Region: t.Zone.Region,
+			Service: t.Service.Name, Address: t.Front, State: services.HostLive,
 		})
 	}
 	return send(http.MethodPut, "http://"+c.HostsAddress+"/hosts", list)
--- a/machine/entry/claims/processes_test.go
+++ b/machine/entry/claims/processes_test.go
@@ -14,7 +14,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	"mimosastand.example/mimosastand/internal/load"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 )
 
 const (
@@ -27,7 +27,7 @@
 	t       *testing.T
 	cluster *harness.Cluster
 	caller  *load.Caller
-	log     *platform.Client
+	log     *services.Client
 }
 
 func startFilings(t *testing.T) *filings {
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	f := &filings{t: t, cluster: c, caller: load.NewCaller(nil, 20*time.Second), log: platform.NewClient("http://" + c.LogAddress)}
+	f := &filings{t: t, cluster: c, caller: load.NewCaller(nil, 20*time.Second), log: services.NewClient("http://" + c.LogAddress)}
 	f.must(c.StartStandIns(patience))
 	f.must(c.StartAll())
 	file := filepath.Join(dir, "settings.ini")
--- a/machine/entry/claims/service_test.go
+++ b/machine/entry/claims/service_test.go
@@ -13,7 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/fault"
 	"mimosastand.example/mimosastand/standin/logservice"
 )
@@ -30,7 +30,7 @@
 	config.DecideWithin = time.Minute
 	config.WaitFor = time.Minute
 	config.ProbeAfter = time.Hour
-	s := NewService(platform.NewClient(url), noTargets{}, Options{
+	s := NewService(services.NewClient(url), noTargets{}, Options{
 		Config: config, Stream: Stream, Logger: &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil })}, Scope: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/machine/entry/dispatch/event.go
+++ b/machine/entry/dispatch/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 )
 
@@ -102,7 +102,7 @@
 type SettingsChanged struct{ View settings.View }
 
 // HostsChanged brings a newer host list.
-type HostsChanged struct{ List platform.HostList }
+type HostsChanged struct{ List services.HostList }
 
 // Stop begins the planned stop: new requests are refused.
 type Stop struct{}
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -7,7 +7,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/fairshare"
 	"mimosastand.example/mimosastand/machine/entry/retry"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/zone/balancer"
 )
@@ -77,7 +77,7 @@
 	rng   *rand.Rand
 	now   time.Time
 	view  settings.View
-	hosts platform.HostList
+	hosts services.HostList
 	// listed tells that a host list has come.
 	listed   bool
 	stopping bool
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -19,8 +19,8 @@
 	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/platform"
-	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/services/hostwatch"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/zone/balancer"
 )
@@ -57,7 +57,7 @@
 	follower  *follow.Follower
 	admin     *administration
 	// platform counts the bytes to and from the platform's services.
-	platform platform.Meter
+	platform services.Meter
 	reloads  *reload.Watcher
 }
 
@@ -92,11 +92,11 @@
 
 func (e *Entry) fillOptions() {
 	if e.opts.Hosts == nil {
-		e.opts.Hosts = platform.NewMeteredClient(e.process.HostsURL, &e.platform)
+		e.opts.Hosts = services.NewMeteredClient(e.process.HostsURL, &e.platform)
 	}
-	observe := func(asked time.Time, list platform.HostList) { e.prober.observe(asked, list) }
+	observe := func(asked time.Time, list services.HostList) { e.prober.observe(asked, list) }
 	hosts := observedHosts{Hosts: e.opts.Hosts, observe: observe}
-	e.watcher = hostwatch.New(hosts, e.opts.HostsInterval, func(list platform.HostList) {
+	e.watcher = hostwatch.New(hosts, e.opts.HostsInterval, func(list services.HostList) {
 		e.setWriters(list)
 		e.loop.step(dispatch.HostsChanged{List: list})
 	})
@@ -109,7 +109,7 @@
 // newFollower makes the follower of the operators' settings.
 func (e *Entry) newFollower() *follow.Follower {
 	return follow.New(follow.Options{
-		Log:     platform.NewMeteredClient(e.process.LogURL, &e.platform),
+		Log:     services.NewMeteredClient(e.process.LogURL, &e.platform),
 		Scope:   e.metrics.Scope(),
 		Logger:  logs.For("settings", e.process.Machine),
 		Machine: e.process.Machine,
@@ -122,7 +122,7 @@
 }
 
 // hosts is the newest host list.
-func (e *Entry) hosts() []platform.Host {
+func (e *Entry) hosts() []services.Host {
 	list, _ := e.watcher.Last()
 	return list.Hosts
 }
@@ -171,7 +171,7 @@
 		return e.opts.Claims
 	}
 	writer := fmt.Sprintf("%s/%d", e.process.Machine, incarnation)
-	e.claims = claims.NewService(platform.NewMeteredClient(e.process.LogURL, &e.platform), e.prober, claims.Options{
+	e.claims = claims.NewService(services.NewMeteredClient(e.process.LogURL, &e.platform), e.prober, claims.Options{
 		Config: claims.DefaultConfig(writer),
 		Stream: claims.Stream,
 		Logger: logs.For("claims", e.process.Machine),
@@ -182,13 +182,13 @@
 }
 
 // setWriters tells the claimer how many entries share the log's append rate.
-func (e *Entry) setWriters(list platform.HostList) {
+func (e *Entry) setWriters(list services.HostList) {
 	if e.claims == nil {
 		return
 	}
 	entries := 0
 	for _, h := range list.Hosts {
-		if h.Role == platform.HostEntry {
+		if h.Role == services.HostEntry {
 			entries++
 		}
 	}
--- a/machine/entry/prober.go
+++ b/machine/entry/prober.go
@@ -12,7 +12,7 @@
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/claims/vouch"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 )
 
 const (
@@ -44,10 +44,10 @@
 
 // observe notes a host list that was asked for at the given time. Lists older
 // than one already seen are left out.
-func (p *prober) observe(asked time.Time, list platform.HostList) {
+func (p *prober) observe(asked time.Time, list services.HostList) {
 	var targets []vouch.Target
 	for _, h := range list.Hosts {
-		if h.Role == platform.HostTarget {
+		if h.Role == services.HostTarget {
 			targets = append(targets, vouch.Target{Service: h.Service, Machine: h.Machine, Address: h.Address})
 		}
 	}
@@ -62,12 +62,12 @@
 
 // observedHosts shows a prober each list that is read, also one without changes.
 type observedHosts struct {
-	platform.Hosts
-	observe func(asked time.Time, list platform.HostList)
+	services.Hosts
+	observe func(asked time.Time, list services.HostList)
 }
 
-// List implements platform.Hosts.
-func (h observedHosts) List(ctx context.Context) (platform.HostList, error) {
+// List implements services.Hosts.
+func (h observedHosts) List(ctx context.Context) (services.HostList, error) {
 	asked := time.Now()
 	list, err := h.Hosts.List(ctx)
 	if err == nil {
--- a/machine/target/peers.go
+++ b/machine/target/peers.go
@@ -9,7 +9,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights/agent"
 )
 
@@ -35,7 +35,7 @@
 	dial func(ctx context.Context, address string) (*link.Conn, error)
 
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []services.Host
 	known map[contract.MachineID]*peer
 	// turn rotates the peers that are asked for settings.
 	turn int
@@ -58,14 +58,14 @@
 }
 
 // setHosts takes the newest host list.
-func (p *peers) setHosts(list platform.HostList) {
+func (p *peers) setHosts(list services.HostList) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = list.Hosts
 }
 
 // hostList returns the newest host list, which is not to be changed.
-func (p *peers) hostList() []platform.Host {
+func (p *peers) hostList() []services.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.hosts
@@ -198,7 +198,7 @@
 func (p *peers) List() []agent.Peer {
 	var list []agent.Peer
 	for _, h := range p.hostList() {
-		if h.Role == platform.HostTarget && h.State == platform.HostLive && h.Machine != p.self {
+		if h.Role == services.HostTarget && h.State == services.HostLive && h.Machine != p.self {
 			list = append(list, agent.Peer{Machine: h.Machine, Zone: h.Zone, Region: h.Region, Service: h.Service})
 		}
 	}
--- a/machine/target/platform_test.go
+++ b/machine/target/platform_test.go
@@ -10,7 +10,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/record"
@@ -26,7 +26,7 @@
 type operators struct {
 	t        *testing.T
 	follower *follow.Follower
-	origin   *platform.Client
+	origin   *services.Client
 	log      string
 	seq      int
 }
@@ -45,8 +45,8 @@
 	cfg.OriginURL = serve(t, store.New(store.Config{}))
 	cfg.StoreURL = serve(t, store.New(store.Config{}))
 	cfg.HostsURL = serve(t, hostlist.New(hostlist.Config{}))
-	o := &operators{t: t, origin: platform.NewClient(cfg.OriginURL), log: cfg.LogURL}
-	o.follower = follow.New(follow.Options{Log: platform.NewClient(cfg.LogURL)})
+	o := &operators{t: t, origin: services.NewClient(cfg.OriginURL), log: cfg.LogURL}
+	o.follower = follow.New(follow.Options{Log: services.NewClient(cfg.LogURL)})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -20,8 +20,8 @@
 	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/target/backend"
 	"mimosastand.example/mimosastand/machine/target/gate"
-	"mimosastand.example/mimosastand/platform"
-	"mimosastand.example/mimosastand/platform/hostwatch"
+	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/services/hostwatch"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/weights/agent"
 )
@@ -71,7 +71,7 @@
 	undelivered map[contract.AttemptID]struct{}
 	settings    gate.Settings
 	// platform counts the bytes to and from the log and the host list.
-	platform platform.Meter
+	platform services.Meter
 	// concern is what the settings said last of what concerns senders.
 	concern concern
 }
@@ -111,8 +111,8 @@
 
 // joinPlatform makes the parts that speak to the platform.
 func (p *Process) joinPlatform() {
-	cfg, log := p.cfg, platform.NewMeteredClient(p.cfg.LogURL, &p.platform)
-	p.hosts = hostwatch.New(platform.NewMeteredClient(cfg.HostsURL, &p.platform), hostsInterval, p.peers.setHosts)
+	cfg, log := p.cfg, services.NewMeteredClient(p.cfg.LogURL, &p.platform)
+	p.hosts = hostwatch.New(services.NewMeteredClient(cfg.HostsURL, &p.platform), hostsInterval, p.peers.setHosts)
 	p.follower = follow.New(follow.Options{
 		Log: log, Scope: p.scope, Logger: logs.For("settings", cfg.Machine),
 		Pull: p.peers.pullSettings, Machine: cfg.Machine, Zone: cfg.Zone, Hosts: p.peers.hostList,
@@ -122,7 +122,7 @@
 	}
 	p.agent = agent.New(agent.Options{
 		Machine: cfg.Machine, Zone: cfg.Zone, Region: cfg.Region, Service: cfg.Target.Service, Incarnation: p.incarnation,
-		Log: log, Origin: platform.NewClient(cfg.OriginURL), Store: platform.NewClient(cfg.StoreURL),
+		Log: log, Origin: services.NewClient(cfg.OriginURL), Store: services.NewClient(cfg.StoreURL),
 		Engine: engineOrders{p.engine}, Peers: p.peers,
 		OriginRegion: cfg.Target.OriginRegion,
 		Scope:        p.scope, Logger: logs.For("weights", cfg.Machine),
--- a/platform/hostchange.go
+++ b/services/hostchange.go
@@ -1,4 +1,4 @@
-package platform
+package services
 
 import (
 	"slices"
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread"
@@ -119,13 +119,13 @@
 // TestDuty checks that a few entry hosts of each zone tail the log, that the
 // others audit it in turns, and that targets do neither.
 func TestDuty(t *testing.T) {
-	var hosts []platform.Host
+	var hosts []services.Host
 	for i := range 40 {
-		role, zone := platform.HostEntry, contract.ZoneName([]string{"a", "b"}[i%2])
+		role, zone := services.HostEntry, contract.ZoneName([]string{"a", "b"}[i%2])
 		if i >= 20 {
-			role = platform.HostTarget
+			role = services.HostTarget
 		}
-		hosts = append(hosts, platform.Host{Machine: contract.MachineID(fmt.Sprint("m", i)), Role: role, Zone: zone, State: platform.HostLive})
+		hosts = append(hosts, services.Host{Machine: contract.MachineID(fmt.Sprint("m", i)), Role: role, Zone: zone, State: services.HostLive})
 	}
 	tails, audits := map[contract.ZoneName]int{}, 0
 	for _, h := range hosts {
@@ -194,12 +194,12 @@
 	log := sim.NewLog(time.Now)
 	first := run(t, follow.Options{Log: log})
 	await(t, first, first.Ready)
-	hosts := []platform.Host{
-		{Machine: "one", Role: platform.HostEntry, Zone: "a", State: platform.HostLive},
-		{Machine: "two", Role: platform.HostTarget, Zone: "a", State: platform.HostLive},
+	hosts := []services.Host{
+		{Machine: "one", Role: services.HostEntry, Zone: "a", State: services.HostLive},
+		{Machine: "two", Role: services.HostTarget, Zone: "a", State: services.HostLive},
 	}
 	second := run(t, follow.Options{
-		Log: log, Machine: "two", Zone: "a", Hosts: func() []platform.Host { return hosts },
+		Log: log, Machine: "two", Zone: "a", Hosts: func() []services.Host { return hosts },
 		Timing: spread.Timing{QuietLimit: time.Hour},
 		Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
 			return first.Serve(contract.SettingsPull{After: after}), nil
--- a/settings/follow/options.go
+++ b/settings/follow/options.go
@@ -8,14 +8,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 )
 
 // Options configures a Follower.
 type Options struct {
 	// Log is the platform's log.
-	Log platform.Log
+	Log services.Log
 	// Scope and Logger may be nil.
 	Scope  tally.Scope
 	Logger log.Interface
@@ -27,7 +27,7 @@
 	// Hosts the process tails the log.
 	Machine contract.MachineID
 	Zone    contract.ZoneName
-	Hosts   func() []platform.Host
+	Hosts   func() []services.Host
 	// Seed seeds the jitter.
 	Seed uint64
 	// Timing holds the intervals; zero fields take their defaults.
--- a/settings/follow/standin_test.go
+++ b/settings/follow/standin_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread"
@@ -27,7 +27,7 @@
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
 	timing := spread.Timing{TailWait: time.Second, CheckpointEvery: 300 * time.Millisecond, CheckpointRecords: 2, PeerPatience: 300 * time.Millisecond}
-	first := run(t, follow.Options{Log: platform.NewClient(server.URL), Timing: timing})
+	first := run(t, follow.Options{Log: services.NewClient(server.URL), Timing: timing})
 	await(t, first, first.Ready)
 	if !service.Set(fault.Request{Fault: fault.LostReply, Count: 1, Method: http.MethodPost}) {
 		t.Fatal("the stand-in does not know lost replies")
@@ -37,10 +37,10 @@
 	}
 	await(t, first, func() bool { return newest(first) == "checkpoint confirmed" })
 	want := first.Tree().Tree().Effective(settings.Scope{Zone: "a"}, schema.Entries).Value
-	peer := run(t, follow.Options{Log: platform.NewClient(server.URL), Timing: timing, Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
+	peer := run(t, follow.Options{Log: services.NewClient(server.URL), Timing: timing, Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
 		return first.Serve(contract.SettingsPull{After: after}), nil
 	}})
-	alone := run(t, follow.Options{Log: platform.NewClient(server.URL), Timing: timing})
+	alone := run(t, follow.Options{Log: services.NewClient(server.URL), Timing: timing})
 	for _, f := range []*follow.Follower{peer, alone} {
 		await(t, f, f.Ready)
 		if got := f.Tree().Tree().Effective(settings.Scope{Zone: "a"}, schema.Entries).Value; got != want {
--- a/settings/follow/submit_test.go
+++ b/settings/follow/submit_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
@@ -38,22 +38,22 @@
 	l.share = 0
 }
 
-// Append implements platform.Log.
+// Append implements services.Log.
 func (l *flakyLog) Append(ctx context.Context, stream string, data []byte) (contract.Offset, error) {
 	if l.fails() {
-		return 0, platform.ErrUnavailable
+		return 0, services.ErrUnavailable
 	}
 	offset, err := l.Log.Append(ctx, stream, data)
 	if l.fails() {
-		return 0, platform.ErrUncertain
+		return 0, services.ErrUncertain
 	}
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *flakyLog) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (platform.Batch, error) {
+// Read implements services.Log.
+func (l *flakyLog) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (services.Batch, error) {
 	if l.fails() {
-		return platform.Batch{}, platform.ErrUnavailable
+		return services.Batch{}, services.ErrUnavailable
 	}
 	return l.Log.Read(ctx, stream, after, wait)
 }
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/fault"
 	"mimosastand.example/mimosastand/standin/logservice"
 )
@@ -18,7 +18,7 @@
 	handler := logservice.New(logservice.Config{Retention: 2})
 	server := httptest.NewServer(handler)
 	defer server.Close()
-	client := platform.NewClient(server.URL)
+	client := services.NewClient(server.URL)
 	ctx := context.Background()
 	steps := []struct {
 		fault  fault.Kind
@@ -26,13 +26,13 @@
 		want   error
 	}{
 		{fault.None, "POST", nil},
-		{fault.Down, "POST", platform.ErrUnavailable},
-		{fault.LostReply, "POST", platform.ErrUncertain},
+		{fault.Down, "POST", services.ErrUnavailable},
+		{fault.LostReply, "POST", services.ErrUncertain},
 		{fault.None, "POST", nil},
-		{fault.Corrupt, "POST", platform.ErrUncertain},
-		{fault.Corrupt, "GET", platform.ErrProtocol},
-		{fault.Down, "GET", platform.ErrUnavailable},
-		{fault.LostReply, "GET", platform.ErrUnavailable},
+		{fault.Corrupt, "POST", services.ErrUncertain},
+		{fault.Corrupt, "GET", services.ErrProtocol},
+		{fault.Down, "GET", services.ErrUnavailable},
+		{fault.LostReply, "GET", services.ErrUnavailable},
 	}
 	for _, s := range steps {
 		handler.Set(fault.Request{Fault: fault.None})
@@ -48,7 +48,7 @@
 		}
 	}
 	handler.Set(fault.Request{Fault: fault.None})
-	if _, err := client.Read(ctx, "s", 1, 0); !errors.Is(err, platform.ErrTrimmed) {
+	if _, err := client.Read(ctx, "s", 1, 0); !errors.Is(err, services.ErrTrimmed) {
 		t.Fatalf("read past retention: %v", err)
 	}
 	batch, err := client.Read(ctx, "s", 2, time.Second)
--- a/weights/agent/agent_test.go
+++ b/weights/agent/agent_test.go
@@ -13,7 +13,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/logs"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights"
 )
 
@@ -125,7 +125,7 @@
 	for _, r := range fleet {
 		r.await(t, v1)
 	}
-	if n, chunks := store.count(platform.ChunkPrefix), 196; n > chunks*3/2 {
+	if n, chunks := store.count(services.ChunkPrefix), 196; n > chunks*3/2 {
 		t.Errorf("%d chunks drawn from the origin, %d exist", n, chunks)
 	}
 	store.setDown(true)
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -8,21 +8,21 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights"
 )
 
-// fakeStore is a platform.Store and platform.Log in memory.
+// fakeStore is a services.Store and services.Log in memory.
 type fakeStore struct {
 	mu      sync.Mutex
 	objects map[string][]byte
 	gets    map[string]int
-	log     map[string][]platform.Record
+	log     map[string][]services.Record
 	down    bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}, log: map[string][]platform.Record{}}
+	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}, log: map[string][]services.Record{}}
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -35,12 +35,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, platform.ErrUnavailable
+		return nil, services.ErrUnavailable
 	}
 	s.gets[name]++
 	data, ok := s.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, services.ErrNotFound
 	}
 	return data, nil
 }
@@ -56,17 +56,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, platform.ErrUnavailable
+		return 0, services.ErrUnavailable
 	}
 	offset := contract.Offset(len(s.log[stream]) + 1)
-	s.log[stream] = append(s.log[stream], platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	s.log[stream] = append(s.log[stream], services.Record{Offset: offset, Time: time.Now(), Data: data})
 	return offset, nil
 }
 
-func (s *fakeStore) Read(_ context.Context, stream string, after contract.Offset, _ time.Duration) (platform.Batch, error) {
+func (s *fakeStore) Read(_ context.Context, stream string, after contract.Offset, _ time.Duration) (services.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.Batch{Records: s.log[stream][after:]}, nil
+	return services.Batch{Records: s.log[stream][after:]}, nil
 }
 
 // fakeEngine verifies what it is given, as the real ones do.
