--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -9,12 +9,14 @@
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/machine/entry"
+	entrydirect "mimosastand.example/mimosastand/machine/entry/direct"
 	"mimosastand.example/mimosastand/machine/target"
+	targetdirect "mimosastand.example/mimosastand/machine/target/direct"
 )
 
 func newEntryCommand() command {
 	sub := newSubcommand("entry", "run the process of an entry host", "mimosastand entry --config entry.ini")
-	file := "entry.ini"
+	file := defaultFile("entry.ini")
 	sub.String(&file, "c", "config", "INI file of the process")
 	return command{sub: sub, run: func(ctx context.Context) int {
 		return runDaemon(ctx, file, config.RoleEntry, runEntry)
@@ -23,7 +25,7 @@
 
 func newTargetCommand() command {
 	sub := newSubcommand("target", "run the process of a target host", "mimosastand target --config target.ini")
-	file := "target.ini"
+	file := defaultFile("target.ini")
 	sub.String(&file, "c", "config", "INI file of the process")
 	return command{sub: sub, run: func(ctx context.Context) int {
 		return runDaemon(ctx, file, config.RoleTarget, runTarget)
@@ -39,7 +41,11 @@
 	if process.Role != role {
 		return fail(errors.Newf("%s: [process] role = %q: must be %s", file, process.Role, role))
 	}
-	if err := logs.Setup(os.Stderr, process.LogLevel); err != nil {
+	out := os.Stderr
+	if process.Fleet != nil {
+		out = os.Stdout
+	}
+	if err := logs.Setup(out, process.LogLevel); err != nil {
 		return fail(err)
 	}
 	if err := serve(ctx, process); err != nil {
@@ -48,7 +54,22 @@
 	return exitOK
 }
 
+// defaultFile is the file of a process when the command line names none.
+func defaultFile(name string) string {
+	if file := os.Getenv(config.FileVariable); file != "" {
+		return file
+	}
+	return name
+}
+
 func runEntry(ctx context.Context, process *config.Process) error {
+	if process.Fleet != nil {
+		e, err := entrydirect.New(ctx, process)
+		if err != nil {
+			return err
+		}
+		return e.Run(ctx)
+	}
 	e, err := entry.New(process, entry.Options{})
 	if err != nil {
 		return err
@@ -57,6 +78,13 @@
 }
 
 func runTarget(ctx context.Context, process *config.Process) error {
+	if process.Fleet != nil {
+		t, err := targetdirect.New(process)
+		if err != nil {
+			return err
+		}
+		return t.Run(ctx)
+	}
 	t, err := target.New(process)
 	if err != nil {
 		return err
--- a/config/field.go
+++ b/config/field.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 // kind is the type of a field's value.
@@ -21,6 +23,8 @@
 	kindDuration
 	kindInt
 	kindChoice
+	kindFloat
+	kindZones
 )
 
 // field describes one key of a section.
@@ -40,7 +44,9 @@
 type value struct {
 	text     string
 	number   int64
+	float    float64
 	duration time.Duration
+	zones    map[contract.ZoneName]contract.RegionName
 }
 
 // Fault is one thing wrong with a file.
@@ -77,6 +83,10 @@
 		return fmt.Sprintf("must be a whole number from %d to %d", f.min, f.max)
 	case kindChoice:
 		return "must be one of " + strings.Join(f.choices, ", ")
+	case kindFloat:
+		return fmt.Sprintf("must be a number from %d to %d", f.min, f.max)
+	case kindZones:
+		return "must list zones with their regions, such as khomas-a:khomas,erongo-a:erongo"
 	default:
 		return "must not be empty"
 	}
@@ -102,6 +112,14 @@
 		return v, err == nil && n >= f.min && n <= f.max
 	case kindChoice:
 		return v, contains(f.choices, text)
+	case kindFloat:
+		x, err := strconv.ParseFloat(text, 64)
+		v.float = x
+		return v, err == nil && x >= float64(f.min) && x <= float64(f.max)
+	case kindZones:
+		zones, ok := parseZones(text)
+		v.zones = zones
+		return v, ok
 	default:
 		return v, text != ""
 	}
@@ -143,3 +161,16 @@
 	u, err := url.Parse(s)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
 }
+
+// parseZones reads "zone:region" pairs with commas between them.
+func parseZones(text string) (map[contract.ZoneName]contract.RegionName, bool) {
+	zones := map[contract.ZoneName]contract.RegionName{}
+	for _, pair := range strings.Split(text, ",") {
+		zone, region, ok := strings.Cut(strings.TrimSpace(pair), ":")
+		if !ok || !isName(zone) || !isName(region) {
+			return nil, false
+		}
+		zones[contract.ZoneName(zone)] = contract.RegionName(region)
+	}
+	return zones, true
+}
--- a/config/load.go
+++ b/config/load.go
@@ -49,7 +49,12 @@
 }
 
 func (l *loader) readAll() {
-	fields := fieldsFor(l.source.Section("process").Key("role").String())
+	role := l.source.Section("process").Key("role").String()
+	fields := fieldsFor(role)
+	if l.source.HasSection(fleetSection) {
+		fields = fleetFieldsFor(role)
+		l.process.Fleet = &Fleet{}
+	}
 	for _, f := range fields {
 		l.readField(f)
 	}
--- a/config/process.go
+++ b/config/process.go
@@ -52,6 +52,9 @@
 
 	Entry  Entry
 	Target Target
+	// Fleet is set, with Role, Machine, Zone, Region and LogLevel only beside it,
+	// for a process that finds its peers through the platform's store.
+	Fleet *Fleet
 }
 
 // Entry holds what only an entry process needs.
--- a/contract/consistent.go
+++ b/contract/consistent.go
@@ -38,10 +38,14 @@
 		return m.ChunkRequest != nil
 	case KindChunkReply:
 		return m.ChunkReply != nil
-	case KindClaim:
-		return m.Claim != nil
-	case KindClaimReply:
-		return m.ClaimReply != nil
+	case KindRecordsPull:
+		return m.RecordsPull != nil
+	case KindRecords:
+		return m.Records != nil
+	case KindPiecesRequest:
+		return m.PiecesRequest != nil
+	case KindPieces:
+		return m.Pieces != nil
 	default:
 		return false
 	}
--- a/contract/message.go
+++ b/contract/message.go
@@ -24,8 +24,10 @@
 	KindHave
 	KindChunkRequest
 	KindChunkReply
-	KindClaim
-	KindClaimReply
+	KindRecordsPull
+	KindRecords
+	KindPiecesRequest
+	KindPieces
 )
 
 // Message is the union of all that the system's processes send each other.
@@ -46,8 +48,10 @@
 	Have            *Have            `cbor:"13,keyasint,omitempty"`
 	ChunkRequest    *ChunkRequest    `cbor:"14,keyasint,omitempty"`
 	ChunkReply      *ChunkReply      `cbor:"15,keyasint,omitempty"`
-	Claim           *Claim           `cbor:"16,keyasint,omitempty"`
-	ClaimReply      *ClaimReply      `cbor:"17,keyasint,omitempty"`
+	RecordsPull     *RecordsPull     `cbor:"16,keyasint,omitempty"`
+	Records         *Records         `cbor:"17,keyasint,omitempty"`
+	PiecesRequest   *PiecesRequest   `cbor:"18,keyasint,omitempty"`
+	Pieces          *Pieces          `cbor:"19,keyasint,omitempty"`
 }
 
 // Start asks a target to run one attempt.
@@ -185,6 +189,32 @@
 	// SameWeights tells that Load.Weights is left out because it is the same as
 	// in the heartbeat before.
 	SameWeights bool `cbor:"7,keyasint,omitempty"`
+	// Engine is set by the process beside a model engine, Flights by an entry.
+	Engine  *EngineStatus `cbor:"8,keyasint,omitempty"`
+	Flights []Flight      `cbor:"9,keyasint,omitempty"`
+}
+
+// EngineStatus is what the process beside a model engine tells entries of it.
+type EngineStatus struct {
+	// Address is where the engine takes requests; Born when it started, in Unix
+	// milliseconds, 0 if not known.
+	Address string `cbor:"1,keyasint"`
+	Born    int64  `cbor:"2,keyasint,omitempty"`
+	// Up tells that the engine answers.
+	Up bool `cbor:"3,keyasint,omitempty"`
+	// Version is that of the loaded weights; 0 if the model is not whole.
+	Version int64 `cbor:"4,keyasint,omitempty"`
+	// Changing tells that the engine loads, or is about to.
+	Changing bool `cbor:"5,keyasint,omitempty"`
+	// Running and Queued count the requests at the engine.
+	Running uint32 `cbor:"6,keyasint,omitempty"`
+	Queued  uint32 `cbor:"7,keyasint,omitempty"`
+}
+
+// Flight is how many attempts an entry has at a target.
+type Flight struct {
+	Target string `cbor:"1,keyasint"`
+	Count  uint32 `cbor:"2,keyasint"`
 }
 
 // SettingsPull asks a peer for the settings records after an offset.
@@ -258,9 +288,47 @@
 	BodyHash Digest `cbor:"5,keyasint"`
 }
 
-// ClaimReply answers a Claim.
-type ClaimReply struct {
-	// Winner is the request that holds the key.
-	Winner RequestID `cbor:"1,keyasint,omitempty"`
-	Reason Reason    `cbor:"2,keyasint,omitempty"`
+// Record is the newest record of a key in one of the platform store's topics.
+type Record struct {
+	// Offset is the record's place in the topic; a greater one is newer.
+	Offset int64  `cbor:"1,keyasint"`
+	Key    string `cbor:"2,keyasint"`
+	// Value is empty for a key that was dropped.
+	Value []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// RecordsPull asks a peer for what it knows of a topic of the platform's store.
+type RecordsPull struct {
+	Topic string `cbor:"1,keyasint"`
+	// After leaves out records up to this offset.
+	After int64 `cbor:"2,keyasint"`
+}
+
+// Records answers a RecordsPull.
+type Records struct {
+	Topic   string   `cbor:"1,keyasint"`
+	Records []Record `cbor:"2,keyasint,omitempty"`
+	// Known tells that the sender has read the topic in this run.
+	Known bool `cbor:"3,keyasint,omitempty"`
+}
+
+// PiecesRequest asks a peer for the pieces of one version of a model's weights,
+// which it then sends as it gets them.
+type PiecesRequest struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	// Have lists the pieces that the sender does not need.
+	Have []uint32 `cbor:"3,keyasint,omitempty"`
+	// Kept asks only for what the peer already holds.
+	Kept bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Pieces answers a PiecesRequest, one message for each piece; the first has the
+// digests of all pieces.
+type Pieces struct {
+	Digests [][]byte `cbor:"1,keyasint,omitempty"`
+	Index   uint32   `cbor:"2,keyasint,omitempty"`
+	Data    []byte   `cbor:"3,keyasint,omitempty"`
+	// End tells that no more will come.
+	End bool `cbor:"4,keyasint,omitempty"`
 }
--- a/link/credentials.go
+++ b/link/credentials.go
@@ -36,9 +36,11 @@
 	CA, Cert, Key string
 }
 
+// material is a certificate and the check of a peer's one, whose errors are
+// ErrPeer.
 type material struct {
-	cert *tls.Certificate
-	pool *x509.CertPool
+	cert  *tls.Certificate
+	check func(leaf *x509.Certificate, usage x509.ExtKeyUsage) error
 }
 
 // Credentials holds a certificate and the authorities to check peers against.
@@ -98,7 +100,7 @@
 	if peer.Role != c.role {
 		return nil, errors.Newf("certificate %s has role %q, want %q", c.files.Cert, peer.Role, c.role)
 	}
-	return &material{cert: &cert, pool: pool}, nil
+	return &material{cert: &cert, check: chained(pool)}, nil
 }
 
 func peerOf(leaf *x509.Certificate) (Peer, error) {
@@ -146,8 +148,8 @@
 	}
 }
 
-// verifier checks that a peer's certificate chains to the authority, is valid
-// now and is meant for usage. Its errors are ErrPeer.
+// verifier checks a peer's certificate for a usage and tells rejected of a
+// refusal. Its errors are ErrPeer.
 func (m *material) verifier(usage x509.ExtKeyUsage, rejected func(error)) func(tls.ConnectionState) error {
 	return func(state tls.ConnectionState) error {
 		err := m.verify(state, usage)
@@ -162,9 +164,16 @@
 	if len(state.PeerCertificates) == 0 {
 		return ErrPeer
 	}
-	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: m.pool, KeyUsages: []x509.ExtKeyUsage{usage}})
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "link: certificate"), ErrPeer)
+	return m.check(state.PeerCertificates[0], usage)
+}
+
+// chained checks that a certificate chains to an authority of pool.
+func chained(pool *x509.CertPool) func(*x509.Certificate, x509.ExtKeyUsage) error {
+	return func(leaf *x509.Certificate, usage x509.ExtKeyUsage) error {
+		_, err := leaf.Verify(x509.VerifyOptions{Roots: pool, KeyUsages: []x509.ExtKeyUsage{usage}})
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "link: certificate"), ErrPeer)
+		}
+		return nil
 	}
-	return nil
 }
--- /dev/null
+++ b/link/pinned.go
@@ -0,0 +1,81 @@
+package link
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Fingerprint is the hash of a certificate, in hexadecimal.
+type Fingerprint string
+
+// FingerprintOf returns the fingerprint of a certificate in DER form.
+func FingerprintOf(der []byte) Fingerprint {
+	sum := sha256.Sum256(der)
+	return Fingerprint(hex.EncodeToString(sum[:]))
+}
+
+// Validity of a self-signed certificate around the local clock, which may jump;
+// a process makes a new one at each start.
+const certificateLife = 10 * 365 * 24 * time.Hour
+
+// NewPinnedCredentials makes a key and a self-signed certificate for self, and
+// trusts exactly the peers whose fingerprint trusted accepts. It fails with
+// ErrCredentials.
+func NewPinnedCredentials(self Peer, trusted func(Peer, Fingerprint) bool) (*Credentials, Fingerprint, error) {
+	cert, err := selfSigned(self)
+	if err != nil {
+		return nil, "", errors.Mark(err, ErrCredentials)
+	}
+	c := &Credentials{role: self.Role}
+	c.current.Store(&material{cert: cert, check: pinned(trusted)})
+	return c, FingerprintOf(cert.Certificate[0]), nil
+}
+
+func selfSigned(self Peer) (*tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: string(self.Machine), OrganizationalUnit: []string{string(self.Role)}},
+		NotBefore:    now.Add(-certificateLife),
+		NotAfter:     now.Add(certificateLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, nil
+}
+
+// pinned checks a peer's certificate against the fingerprints that are trusted.
+func pinned(trusted func(Peer, Fingerprint) bool) func(*x509.Certificate, x509.ExtKeyUsage) error {
+	return func(leaf *x509.Certificate, _ x509.ExtKeyUsage) error {
+		peer, err := peerOf(leaf)
+		if err != nil {
+			return err
+		}
+		if !trusted(peer, FingerprintOf(leaf.Raw)) {
+			return errors.Wrapf(ErrPeer, "fingerprint of %s is not known", peer.Machine)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/machine/depot/depot.go
@@ -0,0 +1,181 @@
+// Package depot brings the weights of a model into a zone once: it draws them
+// from the origin or reads them from the platform's store, and hands them to the
+// targets that ask.
+//
+// For each version one entry, near the origin, draws the pieces and appends them
+// to the store as they come; one entry of each zone reads them there. An entry
+// that sees no progress asks the entries that may hold the pieces, and then draws
+// the missing ones itself. Every piece is verified before it is passed on.
+package depot
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+const (
+	// maxVersions is how many versions of a model stay in memory: the one in
+	// force, the one before and one that is under way.
+	maxVersions = 3
+	// sendTimeout bounds the sending of one piece.
+	sendTimeout = 5 * time.Second
+)
+
+// Version names one version of a model's weights.
+type Version struct {
+	Model  string
+	Number int64
+}
+
+// String returns "model.number".
+func (v Version) String() string { return fmt.Sprintf("%s.%d", v.Model, v.Number) }
+
+// Options joins a depot to its process.
+type Options struct {
+	Self  contract.MachineID
+	Store *platform.Store
+	Peers *peers.Peers
+	Log   log.Interface
+}
+
+// Depot is safe for concurrent use.
+type Depot struct {
+	opts Options
+	ctx  context.Context
+
+	mu     sync.Mutex
+	origin catalog.Origin
+	held   map[Version]*holding
+}
+
+// New returns a depot whose work ends with ctx.
+func New(ctx context.Context, opts Options) *Depot {
+	return &Depot{opts: opts, ctx: ctx, held: map[Version]*holding{}}
+}
+
+// SetOrigin tells where weights come from.
+func (d *Depot) SetOrigin(origin catalog.Origin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.origin = origin
+}
+
+func (d *Depot) currentOrigin() catalog.Origin {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.origin
+}
+
+// Named tells that a version is in force. The entry that is first in rank draws it.
+func (d *Depot) Named(v Version) {
+	if d.rank(v) == 0 {
+		d.holding(v)
+	}
+}
+
+// rank is this entry's place in the order for a version.
+func (d *Depot) rank(v Version) int {
+	for i, m := range Rank(v, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+		if m.Machine == d.opts.Self {
+			return i
+		}
+	}
+	return 0
+}
+
+// holding returns a version's pieces and starts to get them.
+func (d *Depot) holding(v Version) *holding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h, ok := d.held[v]; ok {
+		return h
+	}
+	d.forgetOld(v)
+	ctx, cancel := context.WithCancel(d.ctx)
+	h := &holding{depot: d, version: v, ready: make(chan struct{}), cancel: cancel}
+	d.held[v] = h
+	go h.fill(ctx)
+	return h
+}
+
+// forgetOld drops the versions that are too old beside a new one.
+func (d *Depot) forgetOld(added Version) {
+	for v, h := range d.held {
+		if v.Model == added.Model && v.Number <= added.Number-maxVersions {
+			h.cancel()
+			delete(d.held, v)
+		}
+	}
+}
+
+// Serve sends the pieces that a peer asks for, as they come.
+func (d *Depot) Serve(ctx context.Context, request contract.PiecesRequest, s *link.Stream) {
+	v := Version{Model: request.Model, Number: request.Version}
+	set := d.setFor(ctx, v, request.Kept)
+	if set == nil {
+		_ = send(s, contract.Pieces{End: true})
+		return
+	}
+	if err := send(s, contract.Pieces{Digests: set.Digests()}); err != nil {
+		return
+	}
+	sent := make([]bool, set.Len())
+	for _, i := range request.Have {
+		if int(i) < len(sent) {
+			sent[i] = true
+		}
+	}
+	if request.Kept {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		cancel()
+	}
+	for {
+		i, data, ok := set.Next(ctx, sent)
+		if !ok {
+			_ = send(s, contract.Pieces{End: true})
+			return
+		}
+		if err := send(s, contract.Pieces{Index: uint32(i), Data: data}); err != nil {
+			return
+		}
+		sent[i] = true
+	}
+}
+
+// setFor returns the pieces of a version, waiting for its digests; with kept set
+// only if they are there already.
+func (d *Depot) setFor(ctx context.Context, v Version, kept bool) *pieces.Set {
+	if kept {
+		d.mu.Lock()
+		h := d.held[v]
+		d.mu.Unlock()
+		if h == nil {
+			return nil
+		}
+		return h.current()
+	}
+	h := d.holding(v)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-h.ready:
+		return h.current()
+	}
+}
+
+func send(s *link.Stream, p contract.Pieces) error {
+	_ = s.SetWriteDeadline(time.Now().Add(sendTimeout))
+	return s.Send(contract.Message{Kind: contract.KindPieces, Pieces: &p})
+}
--- /dev/null
+++ b/machine/depot/fetch.go
@@ -0,0 +1,75 @@
+package depot
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/weights/pieces"
+)
+
+// stall is how long a peer may take for the next piece.
+const stall = 2 * time.Second
+
+// Fetch asks a machine for the missing pieces of a version and returns how many
+// came. current returns the set of pieces or nil, begin makes it from the
+// digests. With kept set the machine sends only what it holds already.
+func Fetch(ctx context.Context, p *peers.Peers, id contract.MachineID, v Version, kept bool,
+	current func() *pieces.Set, begin func([][]byte) *pieces.Set) (int, error) {
+	request := contract.PiecesRequest{Model: v.Model, Version: v.Number, Kept: kept, Have: have(current())}
+	s, err := p.Open(ctx, id, contract.Message{Kind: contract.KindPiecesRequest, PiecesRequest: &request})
+	if err != nil {
+		return 0, err
+	}
+	defer s.Reset()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	return receive(s, begin)
+}
+
+func have(set *pieces.Set) []uint32 {
+	if set == nil {
+		return nil
+	}
+	var list []uint32
+	for i := range set.Len() {
+		if set.Get(i) != nil {
+			list = append(list, uint32(i))
+		}
+	}
+	return list
+}
+
+func receive(s *link.Stream, begin func([][]byte) *pieces.Set) (int, error) {
+	var set *pieces.Set
+	got := 0
+	for {
+		_ = s.SetReadDeadline(time.Now().Add(stall))
+		m, err := s.Recv()
+		if err != nil {
+			return got, err
+		}
+		switch {
+		case m.Kind != contract.KindPieces:
+			return got, errors.Wrapf(link.ErrFrame, "reply of kind %d", m.Kind)
+		case m.Pieces.End:
+			return got, nil
+		case m.Pieces.Digests != nil:
+			set = begin(m.Pieces.Digests)
+		case set == nil:
+			return got, errors.Wrap(link.ErrFrame, "piece before digests")
+		default:
+			news, err := set.Add(int(m.Pieces.Index), m.Pieces.Data)
+			if err != nil {
+				return got, err
+			}
+			if news {
+				got++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/machine/depot/holding.go
@@ -0,0 +1,310 @@
+package depot
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/pieces"
+)
+
+const (
+	// topicPrefix begins the names of the topics that carry weights.
+	topicPrefix = "keyed.weights."
+	// digestsKey is the key of the digests; the keys of pieces are their indexes.
+	digestsKey = "digests"
+	// readWait is how long one read of the topic waits, readPause the time between
+	// two reads, so that one read brings several pieces.
+	readWait  = time.Second
+	readPause = 120 * time.Millisecond
+	// patience is how long an entry waits for progress before it helps itself.
+	patience = 1300 * time.Millisecond
+	// drawers is how many pieces are drawn from the origin at once.
+	drawers = 3
+	// retryPause is the time between tries after a failure.
+	retryPause = 150 * time.Millisecond
+	// MaxStoredBytes is the largest version that the store carries.
+	MaxStoredBytes = 32 << 20
+	digestBytes    = 32
+)
+
+// holding is one version in the course of arriving.
+type holding struct {
+	depot   *Depot
+	version Version
+	cancel  context.CancelFunc
+
+	mu  sync.Mutex
+	set *pieces.Set
+	// ready is closed when the digests are known.
+	ready chan struct{}
+	// stored marks the pieces that stand in the store.
+	stored []bool
+}
+
+func (h *holding) current() *pieces.Set {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.set
+}
+
+// begin makes the set of pieces once the digests are known.
+func (h *holding) begin(digests [][]byte) *pieces.Set {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.set == nil {
+		h.set = pieces.NewSet(digests)
+		h.stored = make([]bool, len(digests))
+		close(h.ready)
+	}
+	return h.set
+}
+
+func (h *holding) log() log.Interface {
+	return h.depot.opts.Log.WithField("version", h.version.String())
+}
+
+// fill gets the pieces until the version is whole.
+func (h *holding) fill(ctx context.Context) {
+	start := time.Now()
+	rank := h.depot.rank(h.version)
+	h.log().WithField("rank", rank).Info("weights wanted")
+	reading, stop := context.WithCancel(ctx)
+	defer stop()
+	first := make(chan struct{})
+	go h.read(reading, first)
+	if rank == 0 {
+		// What an earlier run has stored need not be drawn again.
+		select {
+		case <-first:
+		case <-time.After(patience):
+		case <-ctx.Done():
+		}
+	} else {
+		h.await(ctx)
+	}
+	for ctx.Err() == nil && !h.whole() {
+		h.askEntries(ctx)
+		h.draw(ctx)
+	}
+	h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
+}
+
+func (h *holding) whole() bool {
+	set := h.current()
+	return set != nil && set.Whole()
+}
+
+func (h *holding) count() int {
+	if set := h.current(); set != nil {
+		return set.Held()
+	}
+	return -1
+}
+
+// await waits until the version is whole or has made no progress for patience.
+func (h *holding) await(ctx context.Context) {
+	const look = 50 * time.Millisecond
+	last, at := h.count(), time.Now()
+	for ctx.Err() == nil && !h.whole() && time.Since(at) < patience {
+		pause(ctx, look)
+		if n := h.count(); n != last {
+			last, at = n, time.Now()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (h *holding) topic() string { return topicPrefix + h.version.String() }
+
+// read takes in what stands in the store until the version is whole; first is
+// closed after the first reply.
+func (h *holding) read(ctx context.Context, first chan struct{}) {
+	var once sync.Once
+	from := int64(0)
+	for ctx.Err() == nil && !h.whole() {
+		wait := readWait
+		if from == 0 {
+			wait = 0
+		}
+		batch, err := h.depot.opts.Store.Read(ctx, h.topic(), from, wait)
+		if errors.Is(err, platform.ErrTrimmed) {
+			batch, err = h.depot.opts.Store.Newest(ctx, h.topic())
+		}
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
+				h.log().WithError(err).Warn("weights not read from the store")
+			}
+			pause(ctx, retryPause)
+			continue
+		}
+		h.take(batch.Records)
+		if n := len(batch.Records); n > 0 {
+			from = batch.Records[n-1].Offset + 1
+		}
+		from = max(from, batch.First)
+		once.Do(func() { close(first) })
+		pause(ctx, readPause)
+	}
+}
+
+// take verifies records of the topic.
+func (h *holding) take(records []contract.Record) {
+	for _, r := range records {
+		if r.Key == digestsKey && len(r.Value)%digestBytes == 0 && len(r.Value) > 0 {
+			h.begin(split(r.Value))
+		}
+	}
+	set := h.current()
+	if set == nil {
+		return
+	}
+	for _, r := range records {
+		i, err := strconv.Atoi(r.Key)
+		if err != nil {
+			continue
+		}
+		if _, err := set.Add(i, r.Value); err != nil {
+			h.log().WithError(err).Warn("stored piece refused")
+			continue
+		}
+		h.markStored(i)
+	}
+}
+
+func (h *holding) markStored(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stored[i] = true
+}
+
+func (h *holding) isStored(i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stored[i]
+}
+
+func split(data []byte) [][]byte {
+	var digests [][]byte
+	for len(data) >= digestBytes {
+		digests = append(digests, data[:digestBytes])
+		data = data[digestBytes:]
+	}
+	return digests
+}
+
+// askEntries asks the entries that come before this one for what they hold.
+func (h *holding) askEntries(ctx context.Context) {
+	d := h.depot
+	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+		if h.whole() || ctx.Err() != nil {
+			return
+		}
+		if m.Machine == d.opts.Self || !d.opts.Peers.Linked(m.Machine) {
+			continue
+		}
+		got, err := Fetch(ctx, d.opts.Peers, m.Machine, h.version, true, h.current, h.begin)
+		if err == nil && got > 0 {
+			h.log().WithField("peer", string(m.Machine)).WithField("pieces", got).Info("pieces from a peer")
+		}
+		if got > 0 {
+			return
+		}
+	}
+}
+
+// draw gets the missing pieces from the origin and stores them.
+func (h *holding) draw(ctx context.Context) {
+	origin := h.depot.currentOrigin()
+	if origin.Address == "" {
+		pause(ctx, retryPause)
+		return
+	}
+	client := platform.NewOriginClient(origin.Address)
+	set := h.current()
+	if set == nil {
+		if set = h.drawDigests(ctx, client); set == nil {
+			return
+		}
+	}
+	missing := make(chan int)
+	var wg sync.WaitGroup
+	for range drawers {
+		wg.Go(func() {
+			for i := range missing {
+				h.drawPiece(ctx, client, set, i)
+			}
+		})
+	}
+	for _, i := range set.Missing() {
+		if set.Get(i) == nil {
+			missing <- i
+		}
+	}
+	close(missing)
+	wg.Wait()
+}
+
+// drawDigests draws the digests until two replies in a row agree, since a reply
+// may be corrupt, and stores them.
+func (h *holding) drawDigests(ctx context.Context, client *platform.OriginClient) *pieces.Set {
+	var former [][]byte
+	for ctx.Err() == nil && h.current() == nil {
+		digests, err := client.Digests(ctx, h.version.Model, h.version.Number)
+		if err != nil {
+			h.log().WithError(err).Warn("digests not drawn")
+			pause(ctx, retryPause)
+			continue
+		}
+		if equal(former, digests) {
+			set := h.begin(digests)
+			h.store(ctx, digestsKey, bytes.Join(digests, nil))
+			return set
+		}
+		former = digests
+	}
+	return h.current()
+}
+
+func equal(a, b [][]byte) bool {
+	return len(a) == len(b) && bytes.Equal(bytes.Join(a, nil), bytes.Join(b, nil))
+}
+
+func (h *holding) drawPiece(ctx context.Context, client *platform.OriginClient, set *pieces.Set, i int) {
+	for ctx.Err() == nil && set.Get(i) == nil {
+		data, err := client.Piece(ctx, h.version.Model, h.version.Number, i)
+		if err == nil {
+			_, err = set.Add(i, data)
+		}
+		if err != nil {
+			h.log().WithError(err).WithField("piece", i).Warn("piece not drawn")
+			pause(ctx, retryPause)
+			continue
+		}
+		if set.Len()*len(data) <= MaxStoredBytes && !h.isStored(i) {
+			h.store(ctx, strconv.Itoa(i), data)
+		}
+	}
+}
+
+// store appends a record to the version's topic. A failure costs only that other
+// zones get the piece another way.
+func (h *holding) store(ctx context.Context, key string, value []byte) {
+	if _, err := h.depot.opts.Store.Put(ctx, h.topic(), key, value); err != nil && ctx.Err() == nil {
+		h.log().WithError(err).WithField("key", key).Warn("piece not stored")
+	}
+}
--- /dev/null
+++ b/machine/depot/rank.go
@@ -0,0 +1,25 @@
+package depot
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/peers"
+)
+
+// Rank orders entries for a version: those of the preferred zone first, then by
+// rendezvous hash, so that every process that knows the same members agrees.
+func Rank(version Version, members []peers.Member, preferred contract.ZoneName) []peers.Member {
+	ranked := append([]peers.Member(nil), members...)
+	weight := func(m peers.Member) uint64 { return xxhash.Sum64String(version.String() + "/" + string(m.Machine)) }
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := ranked[i], ranked[j]
+		if near := a.Zone == preferred; near != (b.Zone == preferred) {
+			return near
+		}
+		return weight(a) > weight(b)
+	})
+	return ranked
+}
--- /dev/null
+++ b/machine/entry/direct/choice.go
@@ -0,0 +1,120 @@
+package direct
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/roster"
+)
+
+// Bounds of when a refused caller is told to come back.
+const (
+	minComeBack  = 150 * time.Millisecond
+	maxComeBack  = 2 * time.Second
+	noneComeBack = 600 * time.Millisecond
+)
+
+// chance is a random number in [0, 1).
+func (w *world) chance() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64()
+}
+
+// pick chooses a target.
+func (w *world) pick(service contract.ServiceName, want placement.Want, limit time.Duration) (placement.Choice, placement.Refusal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if want.Pinned == 0 {
+		want.MinVersion = w.minVersion(service)
+	}
+	return w.pool(service).Pick(time.Now(), want, limit)
+}
+
+// comeBack is when a caller that could not be served should come back, spread so
+// that callers refused together do not return together.
+func (w *world) comeBack(service contract.ServiceName, want placement.Want, limit time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wait, ok := w.pool(service).Soonest(time.Now(), want, limit)
+	if !ok {
+		wait = noneComeBack
+	}
+	wait = min(max(wait, minComeBack), maxComeBack)
+	return time.Duration(float64(wait) * (0.75 + w.rng.Float64()/2))
+}
+
+// expected is the version of weights that an attempt insists on; 0 for any.
+func (w *world) expected(service contract.ServiceName, pinned int64) int64 {
+	if pinned != 0 {
+		return pinned
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.minVersion(service)
+}
+
+// first records a request to a service.
+func (w *world) first(service contract.ServiceName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.budget(service).First(time.Now())
+}
+
+// mayRetry draws on the service's retry budget.
+func (w *world) mayRetry(service contract.ServiceName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.budget(service).Take(time.Now())
+}
+
+// with calls f with the service's pool.
+func (w *world) with(service contract.ServiceName, f func(now time.Time, p *placement.Pool)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(time.Now(), w.pool(service))
+}
+
+func (w *world) sent(service contract.ServiceName, id roster.TargetID) {
+	w.with(service, func(now time.Time, p *placement.Pool) { p.Sent(now, id) })
+}
+
+func (w *world) ended(service contract.ServiceName, id roster.TargetID) {
+	w.with(service, func(_ time.Time, p *placement.Pool) { p.Ended(id) })
+}
+
+func (w *world) heard(service contract.ServiceName, id roster.TargetID) {
+	w.with(service, func(now time.Time, p *placement.Pool) { p.Heard(now, id) })
+}
+
+func (w *world) lastHeard(service contract.ServiceName, id roster.TargetID) (at time.Time) {
+	w.with(service, func(_ time.Time, p *placement.Pool) { at = p.LastHeard(id) })
+	return at
+}
+
+func (w *world) reported(service contract.ServiceName, id roster.TargetID, requests int) {
+	w.with(service, func(now time.Time, p *placement.Pool) { p.Reported(now, id, requests) })
+}
+
+func (w *world) answered(service contract.ServiceName, id roster.TargetID, delay time.Duration) {
+	w.with(service, func(now time.Time, p *placement.Pool) { p.Answered(now, id, delay) })
+}
+
+func (w *world) refused(service contract.ServiceName, id roster.TargetID, misdirected bool) {
+	w.with(service, func(now time.Time, p *placement.Pool) {
+		if misdirected {
+			p.Withdrawn(id)
+			return
+		}
+		p.Refused(now, id)
+	})
+}
+
+func (w *world) failed(service contract.ServiceName, id roster.TargetID, silent bool) {
+	w.with(service, func(now time.Time, p *placement.Pool) {
+		if p.Failed(now, id, silent) {
+			w.log.WithField("target", string(id)).WithField("silent", silent).Warn("target taken out")
+		}
+	})
+}
--- /dev/null
+++ b/machine/entry/direct/entry.go
@@ -0,0 +1,259 @@
+// Package direct is the process of an entry that reaches targets directly: it
+// serves callers over HTTP, chooses a target for each attempt and passes the
+// answer on.
+//
+// What it decides stands in packages without I/O: routes in zone/catalog, targets
+// in zone/roster, their choice in zone/placement, what follows an attempt in
+// machine/entry/attempts, the retry budget in machine/entry/retry. This package
+// turns sockets and timers into their calls.
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/depot"
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/platform"
+)
+
+const (
+	// operatorsWait is how long one read of what operators write waits for news.
+	operatorsWait = 1500 * time.Millisecond
+	// targetsPause is the time between two reads of the list of targets.
+	targetsPause = 550 * time.Millisecond
+	// tickInterval is the time between two looks at what has lapsed.
+	tickInterval = 250 * time.Millisecond
+	// headerTimeout and idleTimeout bound a caller's connection; both are at least
+	// what manifests allow callers.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// ErrListen marks an address that cannot be opened.
+var ErrListen = errors.New("entry: cannot listen")
+
+// Entry is the process of an entry host.
+type Entry struct {
+	process  *config.Process
+	log      log.Interface
+	metrics  *metrics.Registry
+	store    *platform.Store
+	world    *world
+	upstream *upstream
+	peers    *peers.Peers
+	depot    *depot.Depot
+	// operators follows what operators write, targets the list of targets.
+	operators, targets *feed.Feed
+	callers, probes    net.Listener
+	stopping           atomic.Bool
+	open               atomic.Int64
+}
+
+// New opens the process's addresses. It fails with ErrListen.
+func New(ctx context.Context, process *config.Process) (*Entry, error) {
+	e := &Entry{
+		process:  process,
+		log:      logs.For("entry", process.Machine),
+		metrics:  metrics.New(),
+		store:    platform.NewStore(process.Fleet.Store),
+		upstream: newUpstream(),
+	}
+	e.world = newWorld(process, logs.For("world", process.Machine))
+	if err := e.listen(); err != nil {
+		return nil, errors.Mark(err, ErrListen)
+	}
+	e.depot = depot.New(ctx, depot.Options{
+		Self:  process.Machine,
+		Store: e.store,
+		Peers: e.peers,
+		Log:   logs.For("depot", process.Machine),
+	})
+	e.operators = feed.New(e.store, feed.Options{
+		Topic:    platform.TopicOperators,
+		Wait:     operatorsWait,
+		OnChange: e.operatorsChanged,
+		Log:      logs.For("operators", process.Machine),
+	})
+	e.targets = feed.New(e.store, feed.Options{
+		Topic:    platform.TopicTargets,
+		Pause:    targetsPause,
+		OnChange: e.world.targetsChanged,
+		OnStore:  e.world.storeChanged,
+		Log:      logs.For("targets", process.Machine),
+	})
+	return e, nil
+}
+
+func (e *Entry) listen() (err error) {
+	p := e.process
+	if e.callers, err = net.Listen("tcp", p.Fleet.CallerAddress); err != nil {
+		return err
+	}
+	if e.probes, err = net.Listen("tcp", p.Fleet.ReadyAddress); err != nil {
+		return err
+	}
+	e.peers, err = peers.Open(peers.Options{
+		Self: peers.Member{
+			Machine: p.Machine,
+			Role:    link.RoleEntry,
+			Zone:    p.Zone,
+			Region:  p.Region,
+			Address: p.Fleet.LinkAddress,
+		},
+		Store:  e.store,
+		Log:    logs.For("peers", p.Machine),
+		Beat:   func(hb *contract.Heartbeat) { hb.Flights = e.world.ownFlights() },
+		OnBeat: e.world.beat,
+		OnDown: e.world.peerDown,
+		Serve:  e.serveStream,
+	})
+	return err
+}
+
+// serveStream answers a peer.
+func (e *Entry) serveStream(ctx context.Context, m contract.Message, s *link.Stream) {
+	switch m.Kind {
+	case contract.KindRecordsPull:
+		var records contract.Records
+		switch m.RecordsPull.Topic {
+		case platform.TopicOperators:
+			records = e.operators.Serve(m.RecordsPull.After)
+		case platform.TopicTargets:
+			records = e.targets.Serve(m.RecordsPull.After)
+		default:
+			e.log.WithField("topic", m.RecordsPull.Topic).Warn("peer asked for an unknown topic")
+			return
+		}
+		_ = s.Send(contract.Message{Kind: contract.KindRecords, Records: &records})
+	case contract.KindPiecesRequest:
+		e.depot.Serve(ctx, *m.PiecesRequest, s)
+	}
+}
+
+// operatorsChanged takes in what operators have written.
+func (e *Entry) operatorsChanged(records []contract.Record) {
+	e.world.operatorsChanged(records)
+	if m := e.world.current(); m != nil {
+		e.depot.SetOrigin(m.Origin())
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	e.log.Info("started")
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, loop := range []func(context.Context){e.peers.Run, e.operators.Run, e.targets.Run, e.pullLoop, e.tickLoop} {
+		go loop(work)
+	}
+	server := &http.Server{
+		Handler:           front{e},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	go e.serve(server, e.callers)
+	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.probes)
+	go e.serveMetrics()
+	<-ctx.Done()
+	e.drain(server)
+	e.log.Info("stopped")
+	return e.metrics.Close()
+}
+
+func (e *Entry) serve(server *http.Server, lis net.Listener) {
+	if err := server.Serve(lis); err != nil && !e.stopping.Load() {
+		e.log.WithError(err).Error("listener ended")
+	}
+}
+
+func (e *Entry) serveMetrics() {
+	if err := http.ListenAndServe(e.process.Fleet.MetricsAddress, e.metrics.Handler()); err != nil {
+		e.log.WithError(err).Warn("no metrics page")
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.stopping.Load() || !e.world.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// tickLoop does what time alone brings about.
+func (e *Entry) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.world.tick()
+		e.world.setEntries(len(e.peers.Members(link.RoleEntry)))
+		e.upstream.sweep()
+		for model, number := range e.world.versionsInForce() {
+			e.depot.Named(depot.Version{Model: model, Number: number})
+		}
+	}
+}
+
+// pullLoop learns from peers what the store does not tell.
+func (e *Entry) pullLoop(ctx context.Context) {
+	const interval = 400 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.pull(ctx, platform.TopicOperators, e.operators)
+		e.pull(ctx, platform.TopicTargets, e.targets)
+	}
+}
+
+func (e *Entry) pull(ctx context.Context, topic string, f *feed.Feed) {
+	if f.Up() {
+		return
+	}
+	records, err := e.peers.Pull(ctx, topic, f.Newest())
+	if err != nil {
+		return
+	}
+	f.Merge(records)
+}
+
+// logRetry logs that a request is sent again.
+func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
+	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
+		WithField("outcome", int(outcome)).WithField("sent", c.sent).Info("sent again")
+}
+
+// logEnd logs how a request ended, unless all went well.
+func (e *Entry) logEnd(c *call, status int, reason contract.Reason, after time.Duration) {
+	if reason == "" && status < http.StatusInternalServerError {
+		return
+	}
+	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
+		WithField("status", status).WithField("reason", string(reason)).WithField("sent", c.sent).
+		WithField("ms", time.Since(c.arrived).Milliseconds()).WithField("after_ms", after.Milliseconds()).Info("request ended")
+}
--- /dev/null
+++ b/machine/entry/retry/window.go
@@ -0,0 +1,44 @@
+package retry
+
+import "time"
+
+// Window bounds one entry's part of the retries that all entries together may
+// send to a service: a ratio of its own requests, and its share of a burst, in
+// any span of the window's length.
+type Window struct {
+	length time.Duration
+	ratio  float64
+	burst  float64
+
+	firsts, retries []time.Time
+}
+
+// NewWindow returns an empty window; burst is this entry's share.
+func NewWindow(length time.Duration, ratio, burst float64) *Window {
+	return &Window{length: length, ratio: ratio, burst: burst}
+}
+
+// SetBurst replaces the entry's share of the burst.
+func (w *Window) SetBurst(burst float64) { w.burst = burst }
+
+// First records a request.
+func (w *Window) First(now time.Time) { w.firsts = append(w.firsts, now) }
+
+// Take draws one retry and reports whether the window allowed it.
+func (w *Window) Take(now time.Time) bool {
+	w.firsts = since(w.firsts, now.Add(-w.length))
+	w.retries = since(w.retries, now.Add(-w.length))
+	if float64(len(w.retries)+1) > w.ratio*float64(len(w.firsts))+w.burst {
+		return false
+	}
+	w.retries = append(w.retries, now)
+	return true
+}
+
+func since(times []time.Time, start time.Time) []time.Time {
+	n := 0
+	for n < len(times) && times[n].Before(start) {
+		n++
+	}
+	return times[n:]
+}
--- /dev/null
+++ b/machine/feed/feed.go
@@ -0,0 +1,203 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+)
+
+// Backoff after a failed call, doubled at each further failure.
+const (
+	minBackoff = 60 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+)
+
+// Options tells how a topic is followed.
+type Options struct {
+	Topic string
+	// Wait is how long one read waits for a record, Pause the time between reads.
+	Wait, Pause time.Duration
+	// OnChange is called with the records that were news.
+	OnChange func([]contract.Record)
+	// OnStore is called when the store is lost and when it answers again.
+	OnStore func(up bool)
+	Log     log.Interface
+}
+
+// Feed follows one topic. It is safe for concurrent use.
+type Feed struct {
+	store *platform.Store
+	opts  Options
+
+	mu      sync.Mutex
+	replica *Replica
+	// known tells that the whole topic has been read, or got from a peer, in this run.
+	known bool
+	up    bool
+	upAt  time.Time
+
+	// from is the offset to read on from; synced tells that it is in force. They
+	// belong to Run.
+	from   int64
+	synced bool
+}
+
+// New returns a feed that Run starts.
+func New(store *platform.Store, opts Options) *Feed {
+	return &Feed{store: store, opts: opts, replica: NewReplica()}
+}
+
+// Run follows the topic until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		wait := f.opts.Pause
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			failures++
+			f.failed(err)
+			wait = backoff(failures)
+		} else {
+			failures = 0
+			f.succeeded()
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func backoff(failures int) time.Duration {
+	const maxDoublings = 4
+	base := min(minBackoff<<min(failures-1, maxDoublings), maxBackoff)
+	return base/2 + time.Duration(rand.Int64N(int64(base)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// step reads once.
+func (f *Feed) step(ctx context.Context) error {
+	if !f.synced {
+		return f.sync(ctx)
+	}
+	batch, err := f.store.Read(ctx, f.opts.Topic, f.from, f.opts.Wait)
+	if errors.Is(err, platform.ErrTrimmed) {
+		f.synced = false
+		return f.sync(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if batch.End < f.from {
+		f.synced = false
+	}
+	if n := len(batch.Records); n > 0 {
+		f.from = batch.Records[n-1].Offset + 1
+	}
+	f.take(func() []contract.Record { return f.replica.Apply(batch.Records) }, false)
+	return nil
+}
+
+// sync reads the newest record of each key.
+func (f *Feed) sync(ctx context.Context) error {
+	batch, err := f.store.Newest(ctx, f.opts.Topic)
+	if errors.Is(err, platform.ErrNotFound) {
+		batch, err = platform.Batch{}, nil
+	}
+	if err != nil {
+		return err
+	}
+	f.from, f.synced = batch.End, true
+	f.take(func() []contract.Record { return f.replica.Reset(batch.Records, batch.End) }, true)
+	return nil
+}
+
+// take changes the replica and tells of the news.
+func (f *Feed) take(change func() []contract.Record, whole bool) {
+	f.mu.Lock()
+	news := change()
+	first := whole && !f.known
+	f.known = f.known || whole
+	f.mu.Unlock()
+	if len(news) > 0 || first {
+		f.opts.OnChange(news)
+	}
+}
+
+func (f *Feed) failed(err error) {
+	f.mu.Lock()
+	was := f.up || f.upAt.IsZero()
+	f.up = false
+	if f.upAt.IsZero() {
+		f.upAt = time.Now()
+	}
+	f.mu.Unlock()
+	if !was {
+		return
+	}
+	f.opts.Log.WithError(err).WithField("topic", f.opts.Topic).Warn("store lost")
+	if f.opts.OnStore != nil {
+		f.opts.OnStore(false)
+	}
+}
+
+func (f *Feed) succeeded() {
+	f.mu.Lock()
+	was := f.up
+	f.up, f.upAt = true, time.Now()
+	f.mu.Unlock()
+	if was {
+		return
+	}
+	f.opts.Log.WithField("topic", f.opts.Topic).Info("store answers")
+	if f.opts.OnStore != nil {
+		f.opts.OnStore(true)
+	}
+}
+
+// Up reports whether the last call to the store succeeded.
+func (f *Feed) Up() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.up
+}
+
+// Known reports whether the whole topic has been read or got from a peer.
+func (f *Feed) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// Newest is the highest offset taken in, -1 if there is none.
+func (f *Feed) Newest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Newest()
+}
+
+// Serve answers a peer's pull.
+func (f *Feed) Serve(after int64) contract.Records {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return contract.Records{Topic: f.opts.Topic, Records: f.replica.After(after), Known: f.known}
+}
+
+// Merge takes in what a peer knows.
+func (f *Feed) Merge(records contract.Records) {
+	f.take(func() []contract.Record { return f.replica.Apply(records.Records) }, records.Known)
+}
--- /dev/null
+++ b/machine/peers/peers.go
@@ -0,0 +1,306 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/link/backoff"
+	"mimosastand.example/mimosastand/link/pool"
+	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/platform"
+)
+
+const (
+	// heartbeat is the interval between heartbeats on a link, silentAfter how
+	// long a link may go without one.
+	heartbeat   = 250 * time.Millisecond
+	silentAfter = 1500 * time.Millisecond
+	// memberWait is how long one read of the members waits for news.
+	memberWait = 5 * time.Second
+	// publishPause is the time between two tries to publish this process.
+	publishPause = 400 * time.Millisecond
+	pullTimeout  = 700 * time.Millisecond
+	// redialMin and redialMax space the tries to reach a peer.
+	redialMin = 150 * time.Millisecond
+	redialMax = time.Second
+)
+
+// ErrNoPeer means that no peer could be asked.
+var ErrNoPeer = errors.New("peers: none is linked")
+
+// Options joins a process to its peers.
+type Options struct {
+	Self  Member
+	Store *platform.Store
+	Log   log.Interface
+	// Beat fills in what heartbeats tell of this process.
+	Beat func(*contract.Heartbeat)
+	// OnBeat is called for each heartbeat of a peer, OnDown when a link has ended.
+	OnBeat func(contract.Heartbeat)
+	OnDown func(contract.MachineID)
+	// Serve answers a stream that a peer opened with m.
+	Serve func(ctx context.Context, m contract.Message, s *link.Stream)
+}
+
+// Peers is safe for concurrent use.
+type Peers struct {
+	opts     Options
+	members  *feed.Feed
+	endpoint *link.Endpoint
+	pool     *pool.Pool
+
+	mu    sync.Mutex
+	known map[contract.MachineID]Member
+	// conns holds the newest link to each peer, whoever dialed.
+	conns map[contract.MachineID]*link.Conn
+	asked int
+}
+
+// Open opens the link address; Run does the rest.
+func Open(opts Options) (*Peers, error) {
+	p := &Peers{opts: opts, known: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}}
+	creds, fingerprint, err := link.NewPinnedCredentials(
+		link.Peer{Machine: opts.Self.Machine, Role: opts.Self.Role}, p.trusts)
+	if err != nil {
+		return nil, err
+	}
+	p.opts.Self.Fingerprint = fingerprint
+	cfg := link.Config{Heartbeat: heartbeat, SilentAfter: silentAfter}
+	if p.endpoint, err = link.Listen(opts.Self.Address, creds, p, cfg); err != nil {
+		return nil, err
+	}
+	p.pool = pool.New(p.endpoint, pool.Options{
+		OnUp:    func(id contract.MachineID, c *link.Conn) { p.linked(id, c) },
+		Backoff: backoff.Policy{Base: redialMin, Max: redialMax},
+	})
+	p.members = feed.New(opts.Store, feed.Options{
+		Topic:    platform.TopicMembers,
+		Wait:     memberWait,
+		Pause:    publishPause,
+		OnChange: p.membersChanged,
+		Log:      opts.Log,
+	})
+	return p, nil
+}
+
+// Run follows the members and publishes this process until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.members.Run(ctx) })
+	wg.Go(func() { p.publish(ctx) })
+	wg.Wait()
+	p.pool.Close()
+	p.endpoint.Close()
+}
+
+// publish writes this process's record until it stands in the store.
+func (p *Peers) publish(ctx context.Context) {
+	data, err := p.opts.Self.encode()
+	if err != nil {
+		p.opts.Log.WithError(err).Error("member not published")
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := p.opts.Store.Put(ctx, platform.TopicMembers, string(p.opts.Self.Machine), data)
+		if err == nil {
+			p.opts.Log.Info("member published")
+			return
+		}
+		p.opts.Log.WithError(err).Warn("member not published")
+		pause := publishPause + time.Duration(rand.Int64N(int64(publishPause)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (p *Peers) trusts(peer link.Peer, fingerprint link.Fingerprint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.known[peer.Machine]
+	return ok && m.Role == peer.Role && m.Fingerprint == fingerprint
+}
+
+func (p *Peers) membersChanged(records []contract.Record) {
+	p.mu.Lock()
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(p.known, contract.MachineID(r.Key))
+			continue
+		}
+		m, err := decodeMember(r.Key, r.Value)
+		if err != nil {
+			p.opts.Log.WithError(err).Warn("member ignored")
+			continue
+		}
+		p.known[m.Machine] = m
+	}
+	wanted := map[contract.MachineID]string{}
+	for id, m := range p.known {
+		if dials(p.opts.Self, m) {
+			wanted[id] = m.Address
+		}
+	}
+	p.mu.Unlock()
+	p.pool.Set(wanted)
+}
+
+func (p *Peers) linked(id contract.MachineID, c *link.Conn) {
+	p.mu.Lock()
+	old := p.conns[id]
+	p.conns[id] = c
+	p.mu.Unlock()
+	if old == c {
+		return
+	}
+	go func() {
+		<-c.Done()
+		p.mu.Lock()
+		current := p.conns[id] == c
+		if current {
+			delete(p.conns, id)
+		}
+		p.mu.Unlock()
+		if current && p.opts.OnDown != nil {
+			p.opts.OnDown(id)
+		}
+	}()
+}
+
+// Members lists the members of a role by machine.
+func (p *Peers) Members(role link.Role) []Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Member
+	for _, m := range p.known {
+		if m.Role == role {
+			list = append(list, m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Machine < list[j].Machine })
+	return list
+}
+
+// Linked reports whether there is a link to a machine.
+func (p *Peers) Linked(id contract.MachineID) bool {
+	_, ok := p.conn(id)
+	return ok
+}
+
+func (p *Peers) conn(id contract.MachineID) (*link.Conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[id]
+	return c, ok && c.Err() == nil
+}
+
+// BeatNow sends a heartbeat on every link at once.
+func (p *Peers) BeatNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Beat()
+	}
+}
+
+// Open opens a stream to a machine and sends its first message.
+func (p *Peers) Open(ctx context.Context, id contract.MachineID, m contract.Message) (*link.Stream, error) {
+	c, ok := p.conn(id)
+	if !ok {
+		return nil, ErrNoPeer
+	}
+	s, err := c.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	_ = s.SetWriteDeadline(time.Now().Add(pullTimeout))
+	if err := s.Send(m); err != nil {
+		s.Reset()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Pull asks one linked entry for a topic's records above an offset; successive
+// calls ask different ones.
+func (p *Peers) Pull(ctx context.Context, topic string, after int64) (contract.Records, error) {
+	id, ok := p.next()
+	if !ok {
+		return contract.Records{}, ErrNoPeer
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	pull := contract.Message{Kind: contract.KindRecordsPull, RecordsPull: &contract.RecordsPull{Topic: topic, After: after}}
+	s, err := p.Open(ctx, id, pull)
+	if err != nil {
+		return contract.Records{}, err
+	}
+	defer s.Close()
+	_ = s.SetReadDeadline(time.Now().Add(pullTimeout))
+	m, err := s.Recv()
+	if err != nil {
+		return contract.Records{}, err
+	}
+	if m.Kind != contract.KindRecords {
+		return contract.Records{}, errors.Wrapf(link.ErrFrame, "reply of kind %d", m.Kind)
+	}
+	return *m.Records, nil
+}
+
+// next returns the linked entries in turn.
+func (p *Peers) next() (contract.MachineID, bool) {
+	entries := p.Members(link.RoleEntry)
+	p.mu.Lock()
+	p.asked++
+	asked := p.asked
+	p.mu.Unlock()
+	for i := range entries {
+		id := entries[(asked+i)%len(entries)].Machine
+		if p.Linked(id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// Heartbeat implements link.Handler.
+func (p *Peers) Heartbeat(link.Peer) contract.Heartbeat {
+	hb := contract.Heartbeat{Machine: p.opts.Self.Machine, Zone: p.opts.Self.Zone}
+	p.opts.Beat(&hb)
+	return hb
+}
+
+// HeartbeatReceived implements link.Handler.
+func (p *Peers) HeartbeatReceived(c *link.Conn, hb contract.Heartbeat) {
+	if c.Peer().Machine != hb.Machine {
+		return
+	}
+	if _, ok := p.conn(hb.Machine); !ok {
+		p.linked(hb.Machine, c)
+	}
+	p.opts.OnBeat(hb)
+}
+
+// ServeStream implements link.Handler.
+func (p *Peers) ServeStream(ctx context.Context, _ *link.Conn, s *link.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(pullTimeout))
+	m, err := s.Recv()
+	if err != nil {
+		return
+	}
+	p.opts.Serve(ctx, m, s)
+}
+
+// RejectedPeer implements link.Handler.
+func (p *Peers) RejectedPeer(err error) {
+	p.opts.Log.WithError(err).Warn("peer rejected")
+}
--- /dev/null
+++ b/machine/target/direct/target.go
@@ -0,0 +1,187 @@
+// Package direct is the process beside a model engine that entries reach
+// directly: it keeps the engine's weights up to date and tells entries of its
+// state, fresher than the platform's list.
+package direct
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+// operatorsWait is how long one read of what operators write waits for news.
+const operatorsWait = 2 * time.Second
+
+// Target is the process beside one model engine.
+type Target struct {
+	process *config.Process
+	log     log.Interface
+	metrics *metrics.Registry
+	store   *platform.Store
+	peers   *peers.Peers
+	feed    *feed.Feed
+	keeper  *keeper
+
+	mu       sync.Mutex
+	manifest *catalog.Manifest
+	named    map[string]named
+}
+
+// named is a version that operators have named.
+type named struct {
+	version int64
+	at      time.Time
+}
+
+// New opens the process's link address.
+func New(process *config.Process) (*Target, error) {
+	t := &Target{
+		process: process,
+		log:     logs.For("target", process.Machine),
+		metrics: metrics.New(),
+		store:   platform.NewStore(process.Fleet.Store),
+		named:   map[string]named{},
+	}
+	t.keeper = newKeeper(t)
+	opened, err := peers.Open(peers.Options{
+		Self: peers.Member{
+			Machine: process.Machine,
+			Role:    link.RoleTarget,
+			Zone:    process.Zone,
+			Region:  process.Region,
+			Address: process.Fleet.LinkAddress,
+		},
+		Store:  t.store,
+		Log:    logs.For("peers", process.Machine),
+		Beat:   func(hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
+		OnBeat: func(contract.Heartbeat) {},
+		Serve:  func(context.Context, contract.Message, *link.Stream) {},
+	})
+	if err != nil {
+		return nil, err
+	}
+	t.peers = opened
+	t.feed = feed.New(t.store, feed.Options{
+		Topic:    platform.TopicOperators,
+		Wait:     operatorsWait,
+		OnChange: t.operatorsChanged,
+		Log:      logs.For("operators", process.Machine),
+	})
+	return t, nil
+}
+
+// Run serves until ctx ends.
+func (t *Target) Run(ctx context.Context) error {
+	t.log.Info("started")
+	server := &http.Server{Addr: t.process.Fleet.MetricsAddress, Handler: t.metrics.Handler()}
+	go func() {
+		if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+			t.log.WithError(err).Warn("no metrics page")
+		}
+	}()
+	var wg sync.WaitGroup
+	wg.Go(func() { t.peers.Run(ctx) })
+	wg.Go(func() { t.feed.Run(ctx) })
+	wg.Go(func() { t.keeper.run(ctx) })
+	wg.Go(func() { t.pullLoop(ctx) })
+	<-ctx.Done()
+	_ = server.Close()
+	wg.Wait()
+	t.log.Info("stopped")
+	return t.metrics.Close()
+}
+
+// operatorsChanged takes in what operators have written.
+func (t *Target) operatorsChanged(records []contract.Record) {
+	for _, r := range records {
+		if r.Key == platform.KeyManifest {
+			t.manifestChanged(r.Value)
+			continue
+		}
+		if model, ok := platform.NamedModel(r.Key); ok && len(r.Value) > 0 {
+			t.versionNamed(model, r.Value)
+		}
+	}
+}
+
+func (t *Target) manifestChanged(data []byte) {
+	m, err := platform.DecodeManifest(data)
+	if err != nil {
+		t.log.WithError(err).Warn("manifest ignored")
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.manifest == nil || m.Version > t.manifest.Version {
+		t.manifest = m
+	}
+}
+
+func (t *Target) versionNamed(model string, data []byte) {
+	version, err := platform.DecodeVersion(data)
+	if err != nil {
+		t.log.WithError(err).Warn("named version ignored")
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version <= t.named[model].version {
+		return
+	}
+	t.named[model] = named{version: version, at: time.Now()}
+	t.log.WithField("model", model).WithField("version", version).Info("version named")
+}
+
+// wanted is the model of the engine, its newest named version and the origin; ok
+// is false while no manifest is known.
+func (t *Target) wanted() (model string, version named, origin catalog.Origin, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.manifest == nil {
+		return "", named{}, catalog.Origin{}, false
+	}
+	service := t.manifest.Service(t.process.Fleet.EngineService)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return "", named{}, catalog.Origin{}, false
+	}
+	model = service.Engine.Models[0]
+	version, known := t.named[model]
+	if !known {
+		version = named{version: 1}
+	}
+	return model, version, t.manifest.Origin(), true
+}
+
+// pullLoop learns from peers what the store does not tell.
+func (t *Target) pullLoop(ctx context.Context) {
+	const interval = 400 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if t.feed.Up() {
+			continue
+		}
+		records, err := t.peers.Pull(ctx, platform.TopicOperators, t.feed.Newest())
+		if err == nil {
+			t.feed.Merge(records)
+		}
+	}
+}
--- /dev/null
+++ b/weights/pieces/pieces.go
@@ -0,0 +1,136 @@
+// Package pieces holds the verified pieces of one version of a model's weights.
+//
+// The package has no I/O. A Set is safe for concurrent use.
+package pieces
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrDigest marks a piece whose bytes are not those of its digest.
+	ErrDigest = errors.New("pieces: digest differs")
+	// ErrIndex marks a piece that the version does not have.
+	ErrIndex = errors.New("pieces: no such piece")
+)
+
+// Set holds the pieces that have been verified so far.
+type Set struct {
+	digests [][]byte
+
+	mu   sync.Mutex
+	data [][]byte
+	held int
+	// grown is closed and replaced when a piece is added.
+	grown chan struct{}
+}
+
+// NewSet returns an empty set of pieces with the given SHA-256 digests.
+func NewSet(digests [][]byte) *Set {
+	return &Set{digests: digests, data: make([][]byte, len(digests)), grown: make(chan struct{})}
+}
+
+// Len is the number of pieces of the version.
+func (s *Set) Len() int { return len(s.digests) }
+
+// Digests lists the digests of all pieces; the caller must not change them.
+func (s *Set) Digests() [][]byte { return s.digests }
+
+// Verify checks that data is piece i. It fails with ErrIndex or ErrDigest.
+func (s *Set) Verify(i int, data []byte) error {
+	if i < 0 || i >= len(s.digests) {
+		return errors.Wrapf(ErrIndex, "piece %d of %d", i, len(s.digests))
+	}
+	if sum := sha256.Sum256(data); !bytes.Equal(sum[:], s.digests[i]) {
+		return errors.Wrapf(ErrDigest, "piece %d", i)
+	}
+	return nil
+}
+
+// Add verifies and takes in piece i. It reports whether the piece was news.
+func (s *Set) Add(i int, data []byte) (bool, error) {
+	if err := s.Verify(i, data); err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.data[i] != nil {
+		return false, nil
+	}
+	s.data[i] = data
+	s.held++
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return true, nil
+}
+
+// Get returns piece i, or nil if it is not held.
+func (s *Set) Get(i int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.data[i]
+}
+
+// Held is the number of pieces held.
+func (s *Set) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Whole reports whether all pieces are held.
+func (s *Set) Whole() bool { return s.Held() == s.Len() }
+
+// Missing lists the pieces that are not held.
+func (s *Set) Missing() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []int
+	for i, d := range s.data {
+		if d == nil {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Next returns a held piece that is not in sent, waiting for one if need be; ok
+// is false when none is left or ctx has ended.
+func (s *Set) Next(ctx context.Context, sent []bool) (i int, data []byte, ok bool) {
+	for {
+		s.mu.Lock()
+		grown := s.grown
+		left := false
+		for i, d := range s.data {
+			if sent[i] {
+				continue
+			}
+			left = true
+			if d != nil {
+				s.mu.Unlock()
+				return i, d, true
+			}
+		}
+		s.mu.Unlock()
+		if !left {
+			return 0, nil, false
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, false
+		case <-grown:
+		}
+	}
+}
+
+// Grown returns a channel that is closed when the next piece is added.
+func (s *Set) Grown() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grown
+}
--- /dev/null
+++ b/weights/upkeep/upkeep.go
@@ -0,0 +1,86 @@
+// Package upkeep decides when the process beside a model engine has it load
+// another version of the weights.
+//
+// All targets of a zone take turns by themselves: each knows its rank among them
+// and when the version was named, and loads in its wave, so that most of a zone
+// serves meanwhile. An engine that holds nothing loads at once, and none waits
+// past the time by which it must be done.
+//
+// The package has no I/O and no clock.
+package upkeep
+
+import "time"
+
+const (
+	// waves is the number of groups of a zone that load one after the other.
+	waves = 3
+	// waveGap is the time between two waves: that of letting work end and loading.
+	waveGap = 1100 * time.Millisecond
+	// loadTime is kept free before the bound for letting work end and loading.
+	loadTime = 3200 * time.Millisecond
+	// notice is how long before the order entries are told to send no more.
+	notice = 200 * time.Millisecond
+)
+
+// View is what is known of an engine and of the version wanted.
+type View struct {
+	Now time.Time
+	// Up tells that the engine answers, Busy that an order is under way.
+	Up, Busy bool
+	// Loaded is the version that the engine holds whole; 0 if none.
+	Loaded int64
+	// Wanted is the newest named version, WantedAt when it was learned.
+	Wanted   int64
+	WantedAt time.Time
+	// StagedAt is when the wanted version lay whole beside the engine; zero if it
+	// does not.
+	StagedAt time.Time
+	// Rank is the target's place among the Of targets of its zone.
+	Rank, Of int
+	// Bound is how long after a version was named requests may begin on an older one.
+	Bound time.Duration
+}
+
+// Step is what to do now.
+type Step uint8
+
+const (
+	// Wait means that there is nothing to do.
+	Wait Step = iota
+	// Announce means that the order is near: entries are to send no more.
+	Announce
+	// Load means that the engine is to be ordered to load.
+	Load
+)
+
+// Decide tells what to do.
+func Decide(v View) Step {
+	if !v.Up || v.Busy || v.Wanted == 0 || v.Loaded >= v.Wanted || v.StagedAt.IsZero() {
+		return Wait
+	}
+	if v.Loaded == 0 {
+		return Load
+	}
+	due := v.Due()
+	switch {
+	case !v.Now.Before(due.Add(notice)):
+		return Load
+	case !v.Now.Before(due):
+		return Announce
+	default:
+		return Wait
+	}
+}
+
+// Due is when the engine's turn begins.
+func (v View) Due() time.Time {
+	wave := 0
+	if v.Of > 0 {
+		wave = v.Rank * waves / v.Of
+	}
+	due := v.StagedAt.Add(time.Duration(wave) * waveGap)
+	if latest := v.WantedAt.Add(v.Bound - loadTime); latest.Before(due) {
+		due = latest
+	}
+	return due
+}
--- /dev/null
+++ b/zone/placement/pace.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"time"
+
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+// Pace predicts the times of a target from what its service declares.
+type Pace struct {
+	slots int
+	// pass is the time of one pass at full slots without any reading, read that
+	// of reading a usual prompt.
+	pass, read time.Duration
+	// between is the time between two ends of requests at full load.
+	between time.Duration
+}
+
+// Figures of services that declare no step times.
+const (
+	plainSlots = 6
+	plainWork  = 20 * time.Millisecond
+	// meanContext is the part of prompt and answer that is context on average.
+	meanContext = 0.5
+)
+
+// PaceOf returns the pace of a service whose targets run slots requests at once.
+func PaceOf(s *catalog.Service, slots int) Pace {
+	if s == nil || s.Engine == nil || s.Engine.ReadRate <= 0 {
+		slots = max(slots, 1)
+		return Pace{slots: slots, pass: plainWork, between: plainWork / time.Duration(slots)}
+	}
+	e := s.Engine
+	slots = max(e.Slots, 1)
+	context := (e.PromptTokens + e.AnswerTokens*meanContext) / 1000
+	step := float64(e.Step) + float64(slots)*(float64(e.PerRequest)+float64(e.PerContext)*context)
+	read := e.PromptTokens / e.ReadRate * float64(time.Second)
+	return Pace{
+		slots:   slots,
+		pass:    time.Duration(step * float64(e.Stride)),
+		read:    time.Duration(read),
+		between: time.Duration(read + step*e.AnswerTokens/float64(slots)),
+	}
+}
+
+// Between is the time between two ends of requests at a full target.
+func (p Pace) Between() time.Duration { return p.between }
+
+// First predicts the time to the first event of an attempt that finds load
+// requests at the target, running or waiting.
+func (p Pace) First(load float64) time.Duration {
+	busy := min(load/float64(p.slots), 1)
+	// A new request waits for the end of the pass under way, then its prompt is
+	// read in the next one, along with those of others.
+	first := p.pass + p.read + time.Duration(busy*float64(p.pass+p.read)/2)
+	if over := load - float64(p.slots) + 1; over > 0 {
+		first += time.Duration(over * float64(p.between))
+	}
+	return first
+}
--- /dev/null
+++ b/zone/placement/pool.go
@@ -0,0 +1,279 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/ejection"
+	"mimosastand.example/mimosastand/zone/roster"
+)
+
+const (
+	// coldWindow is the span over which a cold target's requests are counted.
+	coldWindow = time.Second
+	// settleTime is how long a target's refusal for room is believed.
+	settleTime = 120 * time.Millisecond
+	// reportedLife is how long a load that a target told of itself is believed.
+	reportedLife = 300 * time.Millisecond
+	// otherZone and otherRegion are what a target elsewhere costs, as a delay.
+	otherZone   = 2 * time.Millisecond
+	otherRegion = 15 * time.Millisecond
+	// spread is the random part of a target's cost, so that entries which know
+	// the same do not all choose the same.
+	spread = 8 * time.Millisecond
+	// roomBeyondSlots is how many requests may wait at a target.
+	roomBeyondSlots = 3
+)
+
+// Place is where a process runs.
+type Place struct {
+	Region contract.RegionName
+	Zone   contract.ZoneName
+}
+
+// Want describes an attempt to be placed.
+type Want struct {
+	// Allowed reports whether a region may serve the request.
+	Allowed func(contract.RegionName) bool
+	// MinVersion is the oldest version of weights that may begin; 0 for any.
+	MinVersion int64
+	// Pinned is the only version that may go on with a begun stream; 0 for any.
+	Pinned int64
+	// Tried lists the targets that the request has been sent to.
+	Tried []roster.TargetID
+}
+
+// Choice is where an attempt goes.
+type Choice struct {
+	ID      roster.TargetID
+	Address string
+	// Version is that of the target's weights as far as known.
+	Version int64
+	// First predicts the time to the first event.
+	First time.Duration
+}
+
+// Refusal tells why there is no choice.
+type Refusal uint8
+
+const (
+	// Placed means that there is a choice.
+	Placed Refusal = iota
+	// Full means that all targets have as much as they bear.
+	Full
+	// Cold means that the entry's share of cold targets is used up.
+	Cold
+	// None means that no target may serve the request at present.
+	None
+)
+
+// load is what the pool knows of a target beyond the roster.
+type load struct {
+	own    int
+	others float64
+	// reported is what the target said at reportedAt, sent counts what this entry
+	// has sent since.
+	reported   int
+	reportedAt time.Time
+	sent       int
+	fullUntil  time.Time
+	// heard is when the target last sent anything.
+	heard time.Time
+	// sends are the times of the attempts within coldWindow.
+	sends []time.Time
+}
+
+// Pool holds the targets of one service.
+type Pool struct {
+	home     Place
+	rng      *rand.Rand
+	regions  map[contract.ZoneName]contract.RegionName
+	service  *catalog.Service
+	members  []*roster.Member
+	loads    map[roster.TargetID]*load
+	ejection *ejection.Tracker
+	out      map[contract.ZoneName]bool
+	// coldShare is how many requests this entry may send to one target in
+	// coldWindow; 0 if there is no bound.
+	coldShare int
+}
+
+// NewPool returns an empty pool as seen from home. regions maps each zone.
+func NewPool(home Place, regions map[contract.ZoneName]contract.RegionName, rng *rand.Rand) *Pool {
+	return &Pool{
+		home:     home,
+		rng:      rng,
+		regions:  regions,
+		loads:    map[roster.TargetID]*load{},
+		ejection: ejection.NewTracker(rng),
+	}
+}
+
+// SetService replaces what operators declare of the service.
+func (p *Pool) SetService(s *catalog.Service) { p.service = s }
+
+// SetMembers replaces the targets.
+func (p *Pool) SetMembers(members []*roster.Member) {
+	p.members = members
+	listed := map[roster.TargetID]bool{}
+	for _, m := range members {
+		listed[m.ID] = true
+	}
+	for id, l := range p.loads {
+		if !listed[id] && l.own == 0 {
+			delete(p.loads, id)
+			p.ejection.Forget(contract.MachineID(id))
+		}
+	}
+}
+
+// SetEvacuated replaces the zones whose targets get nothing new.
+func (p *Pool) SetEvacuated(zones map[contract.ZoneName]bool) { p.out = zones }
+
+// SetColdShare bounds what one target gets from this entry in a second.
+func (p *Pool) SetColdShare(n int) { p.coldShare = n }
+
+// SetOthers replaces what the other entries have in flight at a target.
+func (p *Pool) SetOthers(id roster.TargetID, n float64) { p.load(id).others = n }
+
+func (p *Pool) load(id roster.TargetID) *load {
+	l, ok := p.loads[id]
+	if !ok {
+		l = &load{}
+		p.loads[id] = l
+	}
+	return l
+}
+
+// estimate is the number of requests at a target now.
+func (p *Pool) estimate(now time.Time, m *roster.Member) float64 {
+	l := p.load(m.ID)
+	n := float64(l.own) + l.others
+	if now.Sub(l.reportedAt) < reportedLife {
+		n = max(n, float64(l.reported+l.sent))
+	}
+	return n
+}
+
+// usable reports whether a target may get the attempt however little it has to do.
+func (p *Pool) usable(now time.Time, m *roster.Member, want Want) bool {
+	switch {
+	case m.Leaving, p.out[m.Zone], want.Allowed != nil && !want.Allowed(p.regions[m.Zone]):
+		return false
+	case p.service != nil && p.service.Engine != nil && !p.holds(now, m, want):
+		return false
+	}
+	for _, id := range want.Tried {
+		if id == m.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// holds reports whether a model engine holds weights that the attempt may run on.
+func (p *Pool) holds(now time.Time, m *roster.Member, want Want) bool {
+	version := m.Version(now)
+	if s, ok := m.Status(now); ok && s.Changing {
+		return false
+	}
+	if want.Pinned != 0 && version != want.Pinned {
+		return false
+	}
+	return version > 0 && version >= want.MinVersion
+}
+
+// Pick chooses a target for an attempt whose first event is due within limit.
+func (p *Pool) Pick(now time.Time, want Want, limit time.Duration) (Choice, Refusal) {
+	refusal := None
+	var best *roster.Member
+	var bestCost time.Duration
+	var choice Choice
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for _, m := range p.members {
+			if !p.usable(now, m, want) {
+				continue
+			}
+			why, first := p.room(now, m, limit, pass > 0)
+			if why != Placed {
+				if refusal == None || why == Full {
+					refusal = why
+				}
+				continue
+			}
+			cost := first + p.distance(m) + time.Duration(p.rng.Int64N(int64(spread)))
+			if best == nil || cost < bestCost {
+				best, bestCost = m, cost
+				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), First: first}
+			}
+		}
+		if refusal == Full {
+			break
+		}
+	}
+	if best == nil {
+		return Choice{}, refusal
+	}
+	return choice, Placed
+}
+
+// room reports whether a target has room for an attempt and predicts its first
+// event. With ejected set, targets that were taken out are asked as well.
+func (p *Pool) room(now time.Time, m *roster.Member, limit time.Duration, ejected bool) (Refusal, time.Duration) {
+	if !ejected && p.ejection.Verdict(now, contract.MachineID(m.ID)) == ejection.Ejected {
+		return None, 0
+	}
+	l := p.load(m.ID)
+	if !p.bearsCold(now, l) {
+		return Cold, 0
+	}
+	pace := PaceOf(p.service, m.Slots)
+	n := p.estimate(now, m)
+	first := pace.First(n)
+	if now.Before(l.fullUntil) || n >= float64(pace.slots+roomBeyondSlots) || first > limit {
+		return Full, first
+	}
+	return Placed, first
+}
+
+func (p *Pool) bearsCold(now time.Time, l *load) bool {
+	if p.coldShare <= 0 {
+		return true
+	}
+	l.trim(now)
+	return len(l.sends) < p.coldShare
+}
+
+func (l *load) trim(now time.Time) {
+	for len(l.sends) > 0 && now.Sub(l.sends[0]) > coldWindow {
+		l.sends = l.sends[1:]
+	}
+}
+
+func (p *Pool) distance(m *roster.Member) time.Duration {
+	switch {
+	case m.Zone == p.home.Zone:
+		return 0
+	case p.regions[m.Zone] == p.home.Region:
+		return otherZone
+	default:
+		return otherRegion
+	}
+}
+
+// Soonest predicts when a target will have room for one more request; ok is
+// false if no target may serve it.
+func (p *Pool) Soonest(now time.Time, want Want, limit time.Duration) (wait time.Duration, ok bool) {
+	for _, m := range p.members {
+		if !p.usable(now, m, want) {
+			continue
+		}
+		over := PaceOf(p.service, m.Slots).First(p.estimate(now, m)) - limit
+		if !ok || over < wait {
+			wait, ok = over, true
+		}
+	}
+	return max(wait, 0), ok
+}
