--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -64,7 +64,7 @@
 
 func runEntry(ctx context.Context, process *config.Process) error {
 	if process.Fleet != nil {
-		e, err := entrydirect.New(ctx, process)
+		e, err := entrydirect.New(process)
 		if err != nil {
 			return err
 		}
--- a/contract/message.go
+++ b/contract/message.go
@@ -329,6 +329,7 @@
 	Digests [][]byte `cbor:"1,keyasint,omitempty"`
 	Index   uint32   `cbor:"2,keyasint,omitempty"`
 	Data    []byte   `cbor:"3,keyasint,omitempty"`
-	// End tells that no more will come.
-	End bool `cbor:"4,keyasint,omitempty"`
+	// End tells that no more will come, Wait that more will.
+	End  bool `cbor:"4,keyasint,omitempty"`
+	Wait bool `cbor:"5,keyasint,omitempty"`
 }
--- a/link/pool/pool.go
+++ b/link/pool/pool.go
@@ -18,6 +18,10 @@
 	"mimosastand.example/mimosastand/link/backoff"
 )
 
+// settled is how long a connection must last to count as made: a peer that does
+// not accept the identity ends it right after the handshake.
+const settled = 500 * time.Millisecond
+
 // ErrWrongPeer marks an address at which another machine than the wanted one
 // answered.
 var ErrWrongPeer = errors.New("pool: another machine answered")
@@ -139,8 +143,14 @@
 			p.pause(ctx, known, p.opts.Backoff.Wait(failures, rnd))
 			continue
 		}
-		failures = 0
+		start := time.Now()
 		p.hold(ctx, known, conn)
+		if time.Since(start) < settled {
+			failures++
+			p.pause(ctx, known, p.opts.Backoff.Wait(failures, rnd))
+			continue
+		}
+		failures = 0
 	}
 }
 
--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -30,6 +30,8 @@
 	maxVersions = 3
 	// sendTimeout bounds the sending of one piece.
 	sendTimeout = 5 * time.Second
+	// waitNotice is how often a peer that waits for a piece is told to go on waiting.
+	waitNotice = 600 * time.Millisecond
 )
 
 // Version names one version of a model's weights.
@@ -122,57 +124,95 @@
 // Serve sends the pieces that a peer asks for, as they come.
 func (d *Depot) Serve(ctx context.Context, request contract.PiecesRequest, s *link.Stream) {
 	v := Version{Model: request.Model, Number: request.Version}
-	set := d.setFor(ctx, v, request.Kept)
-	if set == nil {
-		_ = send(s, contract.Pieces{End: true})
+	if request.Kept {
+		d.serveKept(v, request, s)
+		return
+	}
+	h := d.holding(v)
+	if !waiting(ctx, s, h.ready) {
 		return
 	}
+	set := h.current()
 	if err := send(s, contract.Pieces{Digests: set.Digests()}); err != nil {
 		return
 	}
-	sent := make([]bool, set.Len())
-	for _, i := range request.Have {
-		if int(i) < len(sent) {
-			sent[i] = true
+	sent := marked(request.Have, set.Len())
+	for {
+		grown := set.Grown()
+		if left, err := sendHeld(s, set, sent); err != nil || left == 0 {
+			break
+		}
+		if !waiting(ctx, s, grown) {
+			return
 		}
 	}
-	if request.Kept {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		cancel()
-	}
-	for {
-		i, data, ok := set.Next(ctx, sent)
-		if !ok {
-			_ = send(s, contract.Pieces{End: true})
+	_ = send(s, contract.Pieces{End: true})
+}
+
+// serveKept sends what is held now.
+func (d *Depot) serveKept(v Version, request contract.PiecesRequest, s *link.Stream) {
+	d.mu.Lock()
+	h := d.held[v]
+	d.mu.Unlock()
+	if h != nil && h.current() != nil {
+		set := h.current()
+		if err := send(s, contract.Pieces{Digests: set.Digests()}); err != nil {
 			return
 		}
-		if err := send(s, contract.Pieces{Index: uint32(i), Data: data}); err != nil {
+		if _, err := sendHeld(s, set, marked(request.Have, set.Len())); err != nil {
 			return
 		}
-		sent[i] = true
 	}
+	_ = send(s, contract.Pieces{End: true})
 }
 
-// setFor returns the pieces of a version, waiting for its digests; with kept set
-// only if they are there already.
-func (d *Depot) setFor(ctx context.Context, v Version, kept bool) *pieces.Set {
-	if kept {
-		d.mu.Lock()
-		h := d.held[v]
-		d.mu.Unlock()
-		if h == nil {
-			return nil
+// waiting waits for done and tells the peer meanwhile to go on waiting; false if
+// the peer is gone.
+func waiting(ctx context.Context, s *link.Stream, done <-chan struct{}) bool {
+	ticker := time.NewTicker(waitNotice)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+			if err := send(s, contract.Pieces{Wait: true}); err != nil {
+				return false
+			}
 		}
-		return h.current()
 	}
-	h := d.holding(v)
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-h.ready:
-		return h.current()
+}
+
+func marked(have []uint32, n int) []bool {
+	sent := make([]bool, n)
+	for _, i := range have {
+		if int(i) < n {
+			sent[i] = true
+		}
+	}
+	return sent
+}
+
+// sendHeld sends the pieces that are held and not yet sent, and returns how many
+// are left.
+func sendHeld(s *link.Stream, set *pieces.Set, sent []bool) (left int, err error) {
+	for i := range sent {
+		if sent[i] {
+			continue
+		}
+		data := set.Get(i)
+		if data == nil {
+			left++
+			continue
+		}
+		if err := send(s, contract.Pieces{Index: uint32(i), Data: data}); err != nil {
+			return left, err
+		}
+		sent[i] = true
 	}
+	return left, nil
 }
 
 func send(s *link.Stream, p contract.Pieces) error {
--- a/machine/depot/fetch.go
+++ b/machine/depot/fetch.go
@@ -58,6 +58,7 @@
 			return got, errors.Wrapf(link.ErrFrame, "reply of kind %d", m.Kind)
 		case m.Pieces.End:
 			return got, nil
+		case m.Pieces.Wait:
 		case m.Pieces.Digests != nil:
 			set = begin(m.Pieces.Digests)
 		case set == nil:
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -26,7 +26,10 @@
 	readWait  = time.Second
 	readPause = 120 * time.Millisecond
 	// patience is how long an entry waits for progress before it helps itself.
-	patience = 1300 * time.Millisecond
+	// Those behind in rank wait a little longer, so that not all help themselves at
+	// once.
+	patience     = 1200 * time.Millisecond
+	rankPatience = 100 * time.Millisecond
 	// drawers is how many pieces are drawn from the origin at once.
 	drawers = 3
 	// retryPause is the time between tries after a failure.
@@ -89,13 +92,15 @@
 		case <-ctx.Done():
 		}
 	} else {
-		h.await(ctx)
+		h.await(ctx, patience+time.Duration(rank)*rankPatience)
 	}
 	for ctx.Err() == nil && !h.whole() {
 		h.askEntries(ctx)
-		h.draw(ctx)
+		h.draw(ctx, rank)
+	}
+	if h.whole() {
+		h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
 	}
-	h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
 }
 
 func (h *holding) whole() bool {
@@ -110,8 +115,8 @@
 	return -1
 }
 
-// await waits until the version is whole or has made no progress for patience.
-func (h *holding) await(ctx context.Context) {
+// await waits until the version is whole or has made no progress for a time.
+func (h *holding) await(ctx context.Context, patience time.Duration) {
 	const look = 50 * time.Millisecond
 	last, at := h.count(), time.Now()
 	for ctx.Err() == nil && !h.whole() && time.Since(at) < patience {
@@ -227,8 +232,10 @@
 	}
 }
 
-// draw gets the missing pieces from the origin and stores them.
-func (h *holding) draw(ctx context.Context) {
+// draw gets the missing pieces from the origin and stores them. Entries that draw
+// at the same time begin at different pieces and read from the store what the
+// others have drawn.
+func (h *holding) draw(ctx context.Context, rank int) {
 	origin := h.depot.currentOrigin()
 	if origin.Address == "" {
 		pause(ctx, retryPause)
@@ -250,8 +257,9 @@
 			}
 		})
 	}
-	for _, i := range set.Missing() {
-		if set.Get(i) == nil {
+	first := rank * set.Len() / len(h.depot.opts.Peers.Members(link.RoleEntry))
+	for i := range set.Len() {
+		if i = (first + i) % set.Len(); set.Get(i) == nil {
 			missing <- i
 		}
 	}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -32,9 +32,9 @@
 
 const (
 	// operatorsWait is how long one read of what operators write waits for news.
-	operatorsWait = 1500 * time.Millisecond
+	operatorsWait = 4 * time.Second
 	// targetsPause is the time between two reads of the list of targets.
-	targetsPause = 550 * time.Millisecond
+	targetsPause = 650 * time.Millisecond
 	// tickInterval is the time between two looks at what has lapsed.
 	tickInterval = 250 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's connection; both are at least
@@ -60,12 +60,15 @@
 	// operators follows what operators write, targets the list of targets.
 	operators, targets *feed.Feed
 	callers, probes    net.Listener
-	stopping           atomic.Bool
-	open               atomic.Int64
+	// work lasts until the entry has stopped, longer than the signal to stop.
+	work     context.Context
+	endWork  context.CancelFunc
+	stopping atomic.Bool
+	open     atomic.Int64
 }
 
 // New opens the process's addresses. It fails with ErrListen.
-func New(ctx context.Context, process *config.Process) (*Entry, error) {
+func New(process *config.Process) (*Entry, error) {
 	e := &Entry{
 		process:  process,
 		log:      logs.For("entry", process.Machine),
@@ -77,7 +80,8 @@
 	if err := e.listen(); err != nil {
 		return nil, errors.Mark(err, ErrListen)
 	}
-	e.depot = depot.New(ctx, depot.Options{
+	e.work, e.endWork = context.WithCancel(context.Background())
+	e.depot = depot.New(e.work, depot.Options{
 		Self:  process.Machine,
 		Store: e.store,
 		Peers: e.peers,
@@ -156,10 +160,9 @@
 // Run serves until ctx ends, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("started")
-	work, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	defer e.endWork()
 	for _, loop := range []func(context.Context){e.peers.Run, e.operators.Run, e.targets.Run, e.pullLoop, e.tickLoop} {
-		go loop(work)
+		go loop(e.work)
 	}
 	server := &http.Server{
 		Handler:           front{e},
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -20,9 +20,9 @@
 	// budgetMargin is the part of the fleet's retry budget that entries share; the
 	// rest covers entries that have just joined.
 	budgetMargin = 0.85
-	// versionMargin is how long before the bound an entry begins nothing more on an
-	// older version.
-	versionMargin = 900 * time.Millisecond
+	// versionMargin is how long before the bound an entry sends nothing more to an
+	// older version: a request may wait at the target before it begins.
+	versionMargin = 1800 * time.Millisecond
 	// unknownEntries stands for the number of entries while it is not known.
 	unknownEntries = 16
 )
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -24,7 +24,7 @@
 	heartbeat   = 250 * time.Millisecond
 	silentAfter = 1500 * time.Millisecond
 	// memberWait is how long one read of the members waits for news.
-	memberWait = 5 * time.Second
+	memberWait = 10 * time.Second
 	// publishPause is the time between two tries to publish this process.
 	publishPause = 400 * time.Millisecond
 	pullTimeout  = 700 * time.Millisecond
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -39,13 +39,8 @@
 	announced bool
 	orderedAt time.Time
 
-	// The rest belongs to run and to the fetch of one version at a time.
-	version  depot.Version
-	set      *pieces.Set
-	fetching bool
-	stagedAt time.Time
-	// stagedFor is the engine's life that the pieces were staged for.
-	stagedFor int64
+	// goals lists the versions wanted, oldest first.
+	goals []*goal
 }
 
 func newKeeper(t *Target) *keeper {
@@ -96,9 +91,11 @@
 		if !ok {
 			continue
 		}
-		k.want(ctx, depot.Version{Model: model, Number: version.version}, origin)
-		k.stage(ctx)
-		k.decide(ctx, version)
+		k.want(ctx, depot.Version{Model: model, Number: version.version}, version.at, origin)
+		if g := k.next(); g != nil {
+			k.stage(ctx, g)
+			k.decide(ctx, g)
+		}
 	}
 }
 
@@ -128,62 +125,65 @@
 	k.target.peers.BeatNow()
 }
 
-// want starts to fetch a version that is not there yet.
-func (k *keeper) want(ctx context.Context, v depot.Version, origin catalog.Origin) {
+// want adds the newest version to the goals and starts to fetch what is missing.
+func (k *keeper) want(ctx context.Context, v depot.Version, at time.Time, origin catalog.Origin) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if v != k.version {
-		k.version, k.set, k.stagedAt, k.fetching = v, nil, time.Time{}, false
-	}
-	if k.fetching || k.set != nil && k.set.Whole() {
-		return
+	k.goals = addGoal(k.goals, v, at)
+	for _, g := range k.goals {
+		if g.fetching || g.whole() || k.up && k.whole() >= g.version.Number {
+			continue
+		}
+		g.fetching = true
+		go k.fetch(ctx, g, origin)
 	}
-	if k.up && k.whole() >= v.Number {
-		return
+}
+
+// next is the goal to work towards, or nil.
+func (k *keeper) next() *goal {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.up {
+		return nil
 	}
-	k.fetching = true
-	go k.fetch(ctx, v, origin)
+	return next(k.goals, k.whole())
 }
 
-func (k *keeper) current(v depot.Version) func() *pieces.Set {
+// current returns the pieces of a goal that are there.
+func (k *keeper) current(g *goal) func() *pieces.Set {
 	return func() *pieces.Set {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		if k.version != v {
-			return nil
-		}
-		return k.set
+		return g.set
 	}
 }
 
-// begin makes the set of pieces of a version, unless another is wanted by now.
-func (k *keeper) begin(v depot.Version) func([][]byte) *pieces.Set {
+// begin makes the set of pieces of a goal.
+func (k *keeper) begin(g *goal) func([][]byte) *pieces.Set {
 	return func(digests [][]byte) *pieces.Set {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		if k.version != v {
-			return pieces.NewSet(digests)
-		}
-		if k.set == nil {
-			k.set = pieces.NewSet(digests)
+		if g.set == nil {
+			g.set = pieces.NewSet(digests)
 		}
-		return k.set
+		return g.set
 	}
 }
 
-// fetch gets the pieces of a version from the entries of the zone, then from any
+// fetch gets the pieces of a goal from the entries of the zone, then from any
 // entry, until it is whole or no longer wanted.
-func (k *keeper) fetch(ctx context.Context, v depot.Version, origin catalog.Origin) {
+func (k *keeper) fetch(ctx context.Context, g *goal, origin catalog.Origin) {
 	const retryPause = 200 * time.Millisecond
 	start := time.Now()
-	for ctx.Err() == nil && k.isWanted(v) {
-		for _, id := range k.sources(v, origin) {
-			_, err := depot.Fetch(ctx, k.target.peers, id, v, false, k.current(v), k.begin(v))
+	entry := k.log.WithField("version", g.version.String())
+	for ctx.Err() == nil && k.isWanted(g) {
+		for _, id := range k.sources(g.version, origin) {
+			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, false, k.current(g), k.begin(g))
 			if err != nil {
-				k.log.WithError(err).WithField("entry", string(id)).WithField("version", v.String()).Warn("pieces not received")
+				entry.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
 			}
-			if set := k.current(v)(); set != nil && set.Whole() {
-				k.log.WithField("version", v.String()).WithField("ms", time.Since(start).Milliseconds()).Info("pieces received")
+			if set := k.current(g)(); set != nil && set.Whole() {
+				entry.WithField("ms", time.Since(start).Milliseconds()).Info("pieces received")
 				return
 			}
 		}
@@ -194,10 +194,15 @@
 	}
 }
 
-func (k *keeper) isWanted(v depot.Version) bool {
+func (k *keeper) isWanted(g *goal) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.version == v
+	for _, wanted := range k.goals {
+		if wanted == g {
+			return true
+		}
+	}
+	return false
 }
 
 // sources lists the linked entries to ask, those of the own zone first.
@@ -217,29 +222,31 @@
 	return list
 }
 
-// stage puts the pieces beside the engine.
-func (k *keeper) stage(ctx context.Context) {
+// stage puts the pieces of a goal beside the engine, over those of any other.
+func (k *keeper) stage(ctx context.Context, g *goal) {
 	k.mu.Lock()
-	set, up, born, v := k.set, k.up, k.report.Born, k.version
-	loaded := k.whole()
-	done := !k.stagedAt.IsZero() && k.stagedFor == born
+	born := k.report.Born
+	done := g.isStaged(born)
 	k.mu.Unlock()
-	if set == nil || !set.Whole() || !up || done || loaded >= v.Number {
+	if done {
 		return
 	}
-	for i := range set.Len() {
-		if err := k.engine.Stage(ctx, v.Model, i, set.Get(i)); err != nil {
+	for i := range g.set.Len() {
+		if err := k.engine.Stage(ctx, g.version.Model, i, g.set.Get(i)); err != nil {
 			k.log.WithError(err).WithField("piece", i).Warn("piece not staged")
 			return
 		}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.stagedAt, k.stagedFor = time.Now(), born
+	for _, other := range k.goals {
+		other.stagedAt = time.Time{}
+	}
+	g.stagedAt, g.stagedFor = time.Now(), born
 }
 
-// decide gives the order to load when its time has come.
-func (k *keeper) decide(ctx context.Context, wanted named) {
+// decide gives the order to load a goal when its time has come.
+func (k *keeper) decide(ctx context.Context, g *goal) {
 	rank, of := k.rank()
 	k.mu.Lock()
 	view := upkeep.View{
@@ -247,13 +254,15 @@
 		Up:       k.up,
 		Busy:     k.report.Busy || !k.orderedAt.IsZero() && time.Since(k.orderedAt) < orderGrace,
 		Loaded:   k.whole(),
-		Wanted:   wanted.version,
-		WantedAt: wanted.at,
-		StagedAt: k.stagedAt,
+		Wanted:   g.version.Number,
+		WantedAt: g.namedAt,
 		Rank:     rank,
 		Of:       of,
 		Bound:    k.target.process.Fleet.Bounds.Version,
 	}
+	if g.isStaged(k.report.Born) {
+		view.StagedAt = g.stagedAt
+	}
 	step := upkeep.Decide(view)
 	announce := step != upkeep.Wait && !k.announced
 	if announce {
@@ -264,7 +273,7 @@
 		k.target.peers.BeatNow()
 	}
 	if step == upkeep.Load {
-		k.order(ctx, wanted.version)
+		k.order(ctx, g)
 	}
 }
 
@@ -284,22 +293,15 @@
 }
 
 // order checks what lies beside the engine and has it loaded.
-func (k *keeper) order(ctx context.Context, version int64) {
-	k.mu.Lock()
-	set, v := k.set, k.version
-	k.mu.Unlock()
-	if set == nil || v.Number != version {
-		return
-	}
-	for i := range set.Len() {
-		if err := k.check(ctx, set, v.Model, i); err != nil {
-			k.log.WithError(err).WithField("piece", i).Warn("staged piece not checked")
+func (k *keeper) order(ctx context.Context, g *goal) {
+	entry := k.log.WithField("version", g.version.String())
+	for i := range g.set.Len() {
+		if err := k.check(ctx, g.set, g.version.Model, i); err != nil {
+			entry.WithError(err).WithField("piece", i).Warn("staged piece not checked")
 			return
 		}
 	}
-	err := k.engine.Load(ctx, v.Model, version)
-	entry := k.log.WithField("version", v.String())
-	if err != nil {
+	if err := k.engine.Load(ctx, g.version.Model, g.version.Number); err != nil {
 		entry.WithError(err).Warn("order refused")
 		return
 	}
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -23,7 +23,7 @@
 )
 
 // operatorsWait is how long one read of what operators write waits for news.
-const operatorsWait = 2 * time.Second
+const operatorsWait = 6 * time.Second
 
 // Target is the process beside one model engine.
 type Target struct {
--- a/weights/pieces/pieces.go
+++ b/weights/pieces/pieces.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"sync"
 
@@ -99,35 +98,6 @@
 	return list
 }
 
-// Next returns a held piece that is not in sent, waiting for one if need be; ok
-// is false when none is left or ctx has ended.
-func (s *Set) Next(ctx context.Context, sent []bool) (i int, data []byte, ok bool) {
-	for {
-		s.mu.Lock()
-		grown := s.grown
-		left := false
-		for i, d := range s.data {
-			if sent[i] {
-				continue
-			}
-			left = true
-			if d != nil {
-				s.mu.Unlock()
-				return i, d, true
-			}
-		}
-		s.mu.Unlock()
-		if !left {
-			return 0, nil, false
-		}
-		select {
-		case <-ctx.Done():
-			return 0, nil, false
-		case <-grown:
-		}
-	}
-}
-
 // Grown returns a channel that is closed when the next piece is added.
 func (s *Set) Grown() <-chan struct{} {
 	s.mu.Lock()
--- a/weights/upkeep/upkeep.go
+++ b/weights/upkeep/upkeep.go
@@ -2,8 +2,8 @@
 // another version of the weights.
 //
 // All targets of a zone take turns by themselves: each knows its rank among them
-// and when the version was named, and loads in its wave, so that most of a zone
-// serves meanwhile. An engine that holds nothing loads at once, and none waits
+// and when the version was named, and the turns are spread over the time left, so
+// that most of a zone serves meanwhile. An engine that holds nothing loads at once, and none waits
 // past the time by which it must be done.
 //
 // The package has no I/O and no clock.
@@ -12,12 +12,8 @@
 import "time"
 
 const (
-	// waves is the number of groups of a zone that load one after the other.
-	waves = 3
-	// waveGap is the time between two waves: that of letting work end and loading.
-	waveGap = 1100 * time.Millisecond
 	// loadTime is kept free before the bound for letting work end and loading.
-	loadTime = 3200 * time.Millisecond
+	loadTime = 2600 * time.Millisecond
 	// notice is how long before the order entries are told to send no more.
 	notice = 200 * time.Millisecond
 )
@@ -72,15 +68,13 @@
 	}
 }
 
-// Due is when the engine's turn begins.
+// Due is when the engine's turn begins: the turns of a zone are spread evenly
+// over the time that is left before the bound.
 func (v View) Due() time.Time {
-	wave := 0
-	if v.Of > 0 {
-		wave = v.Rank * waves / v.Of
+	latest := v.WantedAt.Add(v.Bound - loadTime)
+	left := latest.Sub(v.StagedAt)
+	if left <= 0 || v.Of <= 1 {
+		return v.StagedAt
 	}
-	due := v.StagedAt.Add(time.Duration(wave) * waveGap)
-	if latest := v.WantedAt.Add(v.Bound - loadTime); latest.Before(due) {
-		due = latest
-	}
-	return due
+	return v.StagedAt.Add(left * time.Duration(v.Rank) / time.Duration(v.Of))
 }
