--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// topicPrefix begins the names of the topics that carry weights.
-	topicPrefix = "keyed.weights."
 	// digestsKey is the key of the digests; the keys of pieces are their indexes.
 	digestsKey = "digests"
 	// readWait is how long one read of the topic waits, readPause the time between
@@ -134,7 +132,7 @@
 	}
 }
 
-func (h *holding) topic() string { return topicPrefix + h.version.String() }
+func (h *holding) topic() string { return platform.TopicOfWeights(h.version.Model, h.version.Number) }
 
 // read takes in what stands in the store until the version is whole; first is
 // closed after the first reply.
@@ -257,7 +255,7 @@
 			}
 		})
 	}
-	first := rank * set.Len() / len(h.depot.opts.Peers.Members(link.RoleEntry))
+	first := rank * set.Len() / max(len(h.depot.opts.Peers.Members(link.RoleEntry)), 1)
 	for i := range set.Len() {
 		if i = (first + i) % set.Len(); set.Get(i) == nil {
 			missing <- i
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -8,12 +8,9 @@
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
-// Bounds of when a refused caller is told to come back.
-const (
-	minComeBack  = 150 * time.Millisecond
-	maxComeBack  = 2 * time.Second
-	noneComeBack = 600 * time.Millisecond
-)
+// noneRoom is when a target may be there again where none is: one that starts
+// with nothing has its weights in about this time.
+const noneRoom = 2 * time.Second
 
 // chance is a random number in [0, 1).
 func (w *world) chance() float64 {
@@ -37,12 +34,14 @@
 func (w *world) comeBack(service contract.ServiceName, want placement.Want, limit time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	wait, ok := w.pool(service).Soonest(time.Now(), want, limit)
+	now := time.Now()
+	room, ok := w.pool(service).Soonest(now, want, limit)
 	if !ok {
-		wait = noneComeBack
+		room = noneRoom
 	}
-	wait = min(max(wait, minComeBack), maxComeBack)
-	return time.Duration(float64(wait) * (0.75 + w.rng.Float64()/2))
+	c := w.comeback(service)
+	c.Refused(now)
+	return c.After(now, room, w.rng.Float64())
 }
 
 // expected is the version of weights that an attempt insists on; 0 for any.
@@ -98,7 +97,10 @@
 }
 
 func (w *world) answered(service contract.ServiceName, id roster.TargetID, delay time.Duration) {
-	w.with(service, func(now time.Time, p *placement.Pool) { p.Answered(now, id, delay) })
+	w.with(service, func(now time.Time, p *placement.Pool) {
+		p.Answered(now, id, delay)
+		w.comeback(service).Served(now)
+	})
 }
 
 func (w *world) refused(service contract.ServiceName, id roster.TargetID, misdirected bool) {
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -129,6 +129,12 @@
 	return err
 }
 
+// CallerAddress is the TCP address at which callers are served.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
+// ReadyAddress is the TCP address at which readiness is told.
+func (e *Entry) ReadyAddress() string { return e.probes.Addr().String() }
+
 // serveStream answers a peer.
 func (e *Entry) serveStream(ctx context.Context, m contract.Message, s *link.Stream) {
 	switch m.Kind {
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -41,6 +41,7 @@
 	named     map[string]named
 	pools     map[contract.ServiceName]*placement.Pool
 	budgets   map[contract.ServiceName]*retry.Window
+	comebacks map[contract.ServiceName]*retry.Comeback
 	flights   map[contract.MachineID]map[roster.TargetID]int
 	entries   int
 	rng       *rand.Rand
@@ -61,6 +62,7 @@
 		named:     map[string]named{},
 		pools:     map[contract.ServiceName]*placement.Pool{},
 		budgets:   map[contract.ServiceName]*retry.Window{},
+		comebacks: map[contract.ServiceName]*retry.Comeback{},
 		flights:   map[contract.MachineID]map[roster.TargetID]int{},
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -145,6 +147,7 @@
 		rng := rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64()))
 		p = placement.NewPool(home, w.process.Fleet.Zones, rng)
 		p.SetEvacuated(w.evacuated)
+		p.SetMembers(w.roster.Members(name))
 		w.pools[name] = p
 	}
 	return p
@@ -182,12 +185,8 @@
 }
 
 func (w *world) membersChanged() {
-	services := map[contract.ServiceName]bool{}
-	for name := range w.pools {
-		services[name] = true
-	}
-	for name := range services {
-		w.pools[name].SetMembers(w.roster.Members(name))
+	for name, p := range w.pools {
+		p.SetMembers(w.roster.Members(name))
 	}
 }
 
@@ -257,6 +256,15 @@
 	return b
 }
 
+func (w *world) comeback(name contract.ServiceName) *retry.Comeback {
+	c, ok := w.comebacks[name]
+	if !ok {
+		c = &retry.Comeback{}
+		w.comebacks[name] = c
+	}
+	return c
+}
+
 // beat takes in a peer's heartbeat.
 func (w *world) beat(hb contract.Heartbeat) {
 	w.mu.Lock()
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -77,6 +77,7 @@
 	if p.endpoint, err = link.Listen(opts.Self.Address, creds, p, cfg); err != nil {
 		return nil, err
 	}
+	p.opts.Self.Address = p.endpoint.Address()
 	p.pool = pool.New(p.endpoint, pool.Options{
 		OnUp:    func(id contract.MachineID, c *link.Conn) { p.linked(id, c) },
 		Backoff: backoff.Policy{Base: redialMin, Max: redialMax},
--- /dev/null
+++ b/weights/upkeep/upkeep_test.go
@@ -0,0 +1,79 @@
+package upkeep
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func view() View {
+	return View{
+		Now: start, Up: true, Loaded: 1, Wanted: 2, WantedAt: start.Add(-2 * time.Second), StagedAt: start,
+		Rank: 0, Of: 4, Bound: 8 * time.Second,
+	}
+}
+
+func TestFirstInRankIsAnnouncedThenLoads(t *testing.T) {
+	v := view()
+	if got := Decide(v); got != Announce {
+		t.Errorf("at its turn: %d", got)
+	}
+	v.Now = v.Now.Add(notice)
+	if got := Decide(v); got != Load {
+		t.Errorf("after the notice: %d", got)
+	}
+}
+
+// The turns of a zone are apart, and the last one leaves time to load.
+func TestTurnsAreSpreadWithinTheBound(t *testing.T) {
+	var last time.Time
+	for rank := range 4 {
+		v := view()
+		v.Rank = rank
+		due := v.Due()
+		if rank > 0 && due.Sub(last) < 500*time.Millisecond {
+			t.Errorf("rank %d is due %v after the one before", rank, due.Sub(last))
+		}
+		if left := v.WantedAt.Add(v.Bound).Sub(due); left < loadTime {
+			t.Errorf("rank %d has %v left", rank, left)
+		}
+		last = due
+	}
+}
+
+func TestLateStagingLoadsAtOnce(t *testing.T) {
+	v := view()
+	v.Rank = 3
+	v.WantedAt = start.Add(-7 * time.Second)
+	v.Now = start.Add(notice)
+	if got := Decide(v); got != Load {
+		t.Errorf("late: %d", got)
+	}
+}
+
+func TestEmptyEngineLoadsAtOnce(t *testing.T) {
+	v := view()
+	v.Loaded, v.Rank = 0, 3
+	if got := Decide(v); got != Load {
+		t.Errorf("empty: %d", got)
+	}
+}
+
+func TestNothingToDo(t *testing.T) {
+	for name, change := range map[string]func(*View){
+		"down":       func(v *View) { v.Up = false },
+		"busy":       func(v *View) { v.Busy = true },
+		"loaded":     func(v *View) { v.Loaded = 2 },
+		"newer":      func(v *View) { v.Loaded = 3 },
+		"unstaged":   func(v *View) { v.StagedAt = time.Time{} },
+		"not wanted": func(v *View) { v.Wanted = 0 },
+		"not yet":    func(v *View) { v.Rank = 3 },
+	} {
+		v := view()
+		change(&v)
+		if got := Decide(v); got != Wait {
+			t.Errorf("%s: %d", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/zone/catalog/catalog_test.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"testing"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+func manifest() *Manifest {
+	return New(Manifest{
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Shares: []Share{{Service: "s", Weight: 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Shares: []Share{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}},
+			{Name: "mid", Host: "a.example", Prefix: "/x/"},
+		},
+		Services: []Service{{Name: "s"}, {Name: "w", Origin: &Origin{Address: "10.0.0.1:1", Zone: "z"}}},
+		Teams:    []Team{{Name: "team", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+func TestRouteHasTheLongestPrefix(t *testing.T) {
+	m := manifest()
+	for path, want := range map[string]string{"/x/y/z": "deep", "/x/z": "mid", "/q": "all", "/x": "all"} {
+		if r := m.Route("a.example", path); r == nil || r.Name != want {
+			t.Errorf("%s goes to %v, want %s", path, r, want)
+		}
+	}
+	if r := m.Route("b.example", "/x/"); r != nil {
+		t.Errorf("another host has route %s", r.Name)
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := manifest().Route("a.example", "/x/y/")
+	for point, want := range map[float64]contract.ServiceName{0: "s", 0.89: "s", 0.91: "t", 0.999: "t"} {
+		if got := r.Pick(point); got != want {
+			t.Errorf("point %v goes to %s, want %s", point, got, want)
+		}
+	}
+}
+
+func TestTeamOfKey(t *testing.T) {
+	m := manifest()
+	if team := m.Team("k2"); team == nil || team.Name != "team" {
+		t.Errorf("key k2 is of %v", team)
+	}
+	if m.Team("other") != nil || m.Team("") != nil {
+		t.Error("an unknown key has a team")
+	}
+}
+
+func TestAllowedBindsRouteAndTeam(t *testing.T) {
+	a, b := []contract.RegionName{"a"}, []contract.RegionName{"a", "b"}
+	for _, c := range []struct {
+		region      contract.RegionName
+		route, team []contract.RegionName
+		want        bool
+	}{
+		{"a", nil, nil, true},
+		{"a", a, b, true},
+		{"b", a, b, false},
+		{"b", nil, b, true},
+		{"c", nil, b, false},
+	} {
+		if got := Allowed(c.region, c.route, c.team); got != c.want {
+			t.Errorf("region %s, route %v, team %v: %v", c.region, c.route, c.team, got)
+		}
+	}
+}
+
+func TestOnlyRepeatableKindsRepeat(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Idempotent}, true},
+		{Route{Kind: NonIdempotent}, false},
+		{Route{Kind: Streaming}, false},
+		{Route{Kind: Streaming, Resumable: true}, true},
+		{Route{Kind: NonIdempotent, Resumable: true}, false},
+	} {
+		if got := c.route.Repeatable(); got != c.want {
+			t.Errorf("%+v: %v", c.route, got)
+		}
+	}
+}
+
+func TestOrigin(t *testing.T) {
+	if got := manifest().Origin(); got.Address != "10.0.0.1:1" || got.Zone != "z" {
+		t.Errorf("origin %+v", got)
+	}
+}
--- /dev/null
+++ b/zone/placement/placement_test.go
@@ -0,0 +1,197 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/roster"
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	regions = map[contract.ZoneName]contract.RegionName{"a": "ra", "b": "rb"}
+)
+
+// models is a service of engines that run 4 requests at once, a pass of 48 ms and
+// 32 ms for reading a usual prompt.
+func models() *catalog.Service {
+	return &catalog.Service{Name: "m", Engine: &catalog.Engine{
+		Slots: 4, Step: 8 * time.Millisecond, ReadRate: 31250, Stride: 6, PromptTokens: 1000, AnswerTokens: 96,
+	}}
+}
+
+func engine(id string, zone contract.ZoneName) *roster.Member {
+	return &roster.Member{Target: roster.Target{
+		ID: roster.TargetID(id), Address: id + ":1", Zone: zone, Slots: 4, Model: &roster.Model{Version: 1, Layers: 16},
+	}}
+}
+
+func newPool(members ...*roster.Member) *Pool {
+	p := NewPool(Place{Region: "ra", Zone: "a"}, regions, rand.New(rand.NewPCG(1, 2)))
+	p.SetService(models())
+	p.SetMembers(members)
+	return p
+}
+
+func TestFullTargetsAreToldWhenTheRequestArrives(t *testing.T) {
+	p := newPool(engine("x", "a"))
+	const limit = 300 * time.Millisecond
+	sent := 0
+	for {
+		_, refusal := p.Pick(start, Want{}, limit)
+		if refusal == Full {
+			break
+		}
+		if refusal != Placed || sent > 20 {
+			t.Fatalf("refusal %d after %d", refusal, sent)
+		}
+		p.Sent(start, "x")
+		sent++
+	}
+	if sent < 4 || sent > 4+roomBeyondSlots {
+		t.Errorf("%d requests went to 4 slots", sent)
+	}
+	if wait, ok := p.Soonest(start, Want{}, limit); !ok || wait < 0 {
+		t.Errorf("soonest %v %v", wait, ok)
+	}
+}
+
+func TestWorkOfOtherEntriesCounts(t *testing.T) {
+	p := newPool(engine("x", "a"), engine("y", "a"))
+	p.SetOthers("x", 3)
+	for range 10 {
+		if c, _ := p.Pick(start, Want{}, time.Second); c.ID != "y" {
+			t.Fatalf("went to %s beside an idle target", c.ID)
+		}
+	}
+}
+
+// A burst of many entries that know the same must not meet at one target.
+func TestEntriesSpreadOverEqualTargets(t *testing.T) {
+	p := newPool(engine("x", "a"), engine("y", "a"))
+	got := map[roster.TargetID]int{}
+	for range 200 {
+		c, _ := p.Pick(start, Want{}, time.Second)
+		got[c.ID]++
+	}
+	if got["x"] < 50 || got["y"] < 50 {
+		t.Errorf("spread %v", got)
+	}
+}
+
+func TestOtherRegionsHelpOnlyUnderLoad(t *testing.T) {
+	p := newPool(engine("near", "a"), engine("far", "b"))
+	if c, _ := p.Pick(start, Want{}, time.Second); c.ID != "near" {
+		t.Errorf("idle: %s", c.ID)
+	}
+	for range 5 {
+		p.Sent(start, "near")
+	}
+	if c, _ := p.Pick(start, Want{}, time.Second); c.ID != "far" {
+		t.Errorf("loaded: %s", c.ID)
+	}
+}
+
+func TestRegionsBind(t *testing.T) {
+	p := newPool(engine("far", "b"))
+	home := Want{Allowed: func(r contract.RegionName) bool { return r == "ra" }}
+	if c, refusal := p.Pick(start, home, time.Second); refusal != None {
+		t.Errorf("went to %s", c.ID)
+	}
+}
+
+func TestEvacuatedAndLeavingTargetsGetNothing(t *testing.T) {
+	leaving := engine("x", "a")
+	leaving.Leaving = true
+	p := newPool(leaving, engine("y", "b"))
+	p.SetEvacuated(map[contract.ZoneName]bool{"b": true})
+	if c, refusal := p.Pick(start, Want{}, time.Second); refusal != None {
+		t.Errorf("went to %s", c.ID)
+	}
+}
+
+func TestOldWeightsBeginNothing(t *testing.T) {
+	p := newPool(engine("x", "a"))
+	if _, refusal := p.Pick(start, Want{MinVersion: 2}, time.Second); refusal != None {
+		t.Error("an older version may begin")
+	}
+	if _, refusal := p.Pick(start, Want{Pinned: 2}, time.Second); refusal != None {
+		t.Error("a stream goes on with other weights")
+	}
+	if _, refusal := p.Pick(start, Want{Pinned: 1}, time.Second); refusal != Placed {
+		t.Error("a stream does not go on with its own weights")
+	}
+}
+
+func TestEnginesWithoutLayersGetNothing(t *testing.T) {
+	empty := engine("x", "a")
+	empty.Model = &roster.Model{}
+	p := newPool(empty)
+	if _, refusal := p.Pick(start, Want{}, time.Second); refusal != None {
+		t.Error("an empty engine got a request")
+	}
+}
+
+// No span of a second may bring a target more than the entry's share.
+func TestColdShareHoldsInAnySecond(t *testing.T) {
+	p := newPool(engine("x", "a"))
+	p.SetColdShare(3)
+	var sends []time.Time
+	now := start
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		if c, refusal := p.Pick(now, Want{}, time.Second); refusal == Placed {
+			p.Sent(now, c.ID)
+			p.Ended(c.ID)
+			sends = append(sends, now)
+		}
+	}
+	for i := 3; i < len(sends); i++ {
+		if sends[i].Sub(sends[i-3]) <= time.Second {
+			t.Fatalf("4 requests within %v", sends[i].Sub(sends[i-3]))
+		}
+	}
+	if len(sends) < 9 {
+		t.Errorf("only %d requests in 4 s", len(sends))
+	}
+}
+
+func TestSilentTargetIsLeftAndTriedAgain(t *testing.T) {
+	p := newPool(engine("x", "a"), engine("y", "b"))
+	p.Sent(start, "x")
+	p.Failed(start, "x", true)
+	p.Ended("x")
+	if c, _ := p.Pick(start, Want{}, time.Second); c.ID != "y" {
+		t.Errorf("went to %s", c.ID)
+	}
+	later := start.Add(2 * time.Second)
+	if c, _ := p.Pick(later, Want{}, time.Second); c.ID != "x" {
+		t.Errorf("later went to %s", c.ID)
+	}
+}
+
+func TestLastTargetIsTriedThoughTakenOut(t *testing.T) {
+	p := newPool(engine("x", "a"))
+	p.Failed(start, "x", true)
+	if c, refusal := p.Pick(start, Want{}, time.Second); refusal != Placed || c.ID != "x" {
+		t.Errorf("refusal %d", refusal)
+	}
+}
+
+func TestPaceGrowsWithLoad(t *testing.T) {
+	pace := PaceOf(models(), 0)
+	last := time.Duration(0)
+	for load := range 12 {
+		first := pace.First(float64(load))
+		if first < last {
+			t.Fatalf("load %d: %v after %v", load, first, last)
+		}
+		last = first
+	}
+	if idle := pace.First(0); idle < 60*time.Millisecond || idle > 120*time.Millisecond {
+		t.Errorf("idle engine: %v", idle)
+	}
+}
--- /dev/null
+++ b/zone/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestRoster runs scripts of what the list and target processes say. Each line is
+// a command; the output lists the members after the block.
+func TestRoster(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		r := New()
+		now := time.Unix(1000, 0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			for _, line := range strings.Split(d.Input, "\n") {
+				run(t, d, r, &now, strings.Fields(line))
+			}
+			return show(r, now)
+		})
+	})
+}
+
+func run(t *testing.T, d *datadriven.TestData, r *Roster, now *time.Time, words []string) {
+	if len(words) == 0 {
+		return
+	}
+	args := map[string]int64{}
+	for _, w := range words[1:] {
+		var n int64
+		if name, value, ok := strings.Cut(w, "="); ok {
+			if _, err := fmt.Sscan(value, &n); err != nil {
+				d.Fatalf(t, "%s: %v", w, err)
+			}
+			args[name] = n
+		}
+	}
+	switch words[0] {
+	case "list":
+		r.List(*now, Target{
+			ID: TargetID(words[1]), Service: "s", Address: "addr-" + words[1], Born: args["born"], Seq: args["seq"],
+			Leaving: args["leaving"] != 0, Model: &Model{Version: args["version"], Layers: int(args["layers"])},
+		})
+	case "remove":
+		r.Remove(*now, TargetID(words[1]))
+	case "report":
+		r.Report(*now, "addr-"+words[1], args["born"], Status{
+			Version: args["version"], Ready: args["version"] > 0 && args["down"] == 0, Changing: args["changing"] != 0})
+	case "store-lost":
+		r.StoreLost(*now)
+	case "store-back":
+		r.StoreBack(*now)
+	case "wait":
+		*now = now.Add(time.Duration(args["ms"]) * time.Millisecond)
+		r.Tick(*now)
+	default:
+		d.Fatalf(t, "unknown command %s", words[0])
+	}
+}
+
+func show(r *Roster, now time.Time) string {
+	var lines []string
+	for _, m := range r.Members("s") {
+		line := fmt.Sprintf("%s born=%d version=%d", m.ID, m.Born, m.Version(now))
+		if m.Leaving {
+			line += " leaving"
+		}
+		if s, ok := m.Status(now); ok && s.Changing {
+			line += " changing"
+		}
+		lines = append(lines, line)
+	}
+	sort.Strings(lines)
+	if len(lines) == 0 {
+		return "none\n"
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
