Bounded logs that never block; metrics of the entry

Cause: lines went straight to standard output, where a reader that stops would hold requests up; nothing counted requests, attempts and what the entry believes.

Change: a bounded queue with a quota per message and second, failures first, what is left out is counted; counters and histograms on the metrics address.

--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,6 +33,9 @@
 	}}
 }
 
+// flushTime bounds the wait for the last log lines to be read.
+const flushTime = 200 * time.Millisecond
+
 // runDaemon loads file, which must be for role, and runs the process until ctx ends.
 func runDaemon(ctx context.Context, file, role string, serve func(context.Context, *config.Process) error) int {
 	process, err := config.Load(file)
@@ -45,9 +49,11 @@
 	if process.Fleet != nil {
 		out = os.Stdout
 	}
-	if err := logs.Setup(out, process.LogLevel); err != nil {
+	lines, err := logs.Setup(out, process.LogLevel)
+	if err != nil {
 		return fail(err)
 	}
+	defer lines.Close(flushTime)
 	if err := serve(ctx, process); err != nil {
 		return fail(err)
 	}
--- /dev/null
+++ b/internal/logs/bounded_test.go
@@ -0,0 +1,98 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// collector keeps what is written.
+type collector struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (c *collector) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(p)
+}
+
+func logger(b *Bounded) *log.Logger { return &log.Logger{Handler: b, Level: log.DebugLevel} }
+
+func TestLinesArriveInOrder(t *testing.T) {
+	out := &collector{}
+	b := NewBounded(out)
+	for i := range 10 {
+		logger(b).WithField("n", i).Info("one")
+	}
+	b.Close(time.Minute)
+	lines := strings.Split(strings.TrimSpace(out.text.String()), "\n")
+	if len(lines) != 10 || !strings.Contains(lines[9], "n=9") {
+		t.Errorf("lines %q", lines)
+	}
+}
+
+// A pipe that nobody reads must not hold a request up.
+func TestNobodyReads(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := NewBounded(writer)
+	now := time.Unix(1000, 0)
+	b.now = func() time.Time { now = now.Add(time.Second); return now }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 5 * queueLines {
+			logger(b).WithField("pad", strings.Repeat("x", 100)).Warn(fmt.Sprintf("event %d", i%7))
+		}
+	}()
+	<-done
+	if b.LeftOut() == 0 {
+		t.Error("nothing was left out")
+	}
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	b.Close(time.Minute)
+	_ = writer.Close()
+}
+
+func TestQuotaIsPerMessageAndCountsWhatItLeavesOut(t *testing.T) {
+	out := &collector{}
+	b := NewBounded(out)
+	now := time.Unix(1000, 0)
+	b.now = func() time.Time { return now }
+	for range routineQuota + 5 {
+		logger(b).Info("routine")
+	}
+	logger(b).Warn("failure")
+	now = now.Add(quotaWindow)
+	logger(b).Info("routine")
+	b.Close(time.Minute)
+	text := out.text.String()
+	if got := strings.Count(text, "message=routine"); got != routineQuota+1 {
+		t.Errorf("%d routine lines", got)
+	}
+	if !strings.Contains(text, "message=failure") {
+		t.Error("a failure was left out")
+	}
+	if !strings.Contains(text, leftOutMessage) || !strings.Contains(text, "count=5") {
+		t.Errorf("not told what was left out: %s", text[len(text)-300:])
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	bounded := NewBounded(io.Discard)
+	l := logger(bounded)
+	for i := range b.N {
+		l.WithField("request", "9c41d07be2a35f68").WithField("status", 503).Info(fmt.Sprintf("event %d", i))
+	}
+	bounded.Close(time.Minute)
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -6,21 +6,22 @@
 	"io"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/logfmt"
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
 )
 
 // Setup directs all loggers to w at the given level: debug, info, warn or error.
-func Setup(w io.Writer, level string) error {
+// The handler that it returns never makes its callers wait; close it at the end.
+func Setup(w io.Writer, level string) (*Bounded, error) {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
-		return errors.Wrap(err, "logs")
+		return nil, errors.Wrap(err, "logs")
 	}
+	b := NewBounded(w)
 	log.SetLevel(parsed)
-	log.SetHandler(logfmt.New(w))
-	return nil
+	log.SetHandler(b)
+	return b, nil
 }
 
 // For returns the logger of one part of a machine's process.
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -177,7 +177,9 @@
 	w.sent(c.service, choice.ID)
 	defer w.ended(c.service, choice.ID)
 	x := &exchange{call: c, choice: choice, start: time.Now()}
+	c.entry.meters.placed.RecordDuration(x.start.Sub(c.arrived))
 	outcome, answer := x.run(ctx)
+	c.entry.meters.attempted(outcome)
 	switch outcome {
 	case attempts.NotSent:
 		c.unsent++
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -52,6 +52,7 @@
 	process  *config.Process
 	log      log.Interface
 	metrics  *metrics.Registry
+	meters   *meters
 	store    *platform.Store
 	world    *world
 	upstream *upstream
@@ -76,6 +77,7 @@
 		store:    platform.NewStore(process.Fleet.Store),
 		upstream: newUpstream(),
 	}
+	e.meters = newMeters(e.metrics.Scope())
 	e.world = newWorld(process, logs.For("world", process.Machine))
 	if err := e.listen(); err != nil {
 		return nil, errors.Mark(err, ErrListen)
@@ -218,6 +220,7 @@
 		e.world.tick()
 		e.world.setEntries(len(e.peers.Members(link.RoleEntry)))
 		e.upstream.sweep()
+		e.meters.world(e)
 		for model, number := range e.world.versionsInForce() {
 			e.depot.Named(depot.Version{Model: model, Number: number})
 		}
@@ -253,12 +256,14 @@
 
 // logRetry logs that a request is sent again.
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
+	e.meters.retried(outcome)
 	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
-		WithField("outcome", int(outcome)).WithField("sent", c.sent).Info("sent again")
+		WithField("outcome", outcomeNames[outcome]).WithField("sent", c.sent).Info("sent again")
 }
 
 // logEnd logs how a request ended, unless all went well.
 func (e *Entry) logEnd(c *call, status int, reason contract.Reason, after time.Duration) {
+	e.meters.ended(c, status, reason)
 	if reason == "" && status < http.StatusInternalServerError {
 		return
 	}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -81,9 +81,13 @@
 			x.silent = x.quiet.Load()
 			return attempts.Lost
 		}
+		if !first {
+			c.entry.meters.gap.RecordDuration(time.Since(x.start) - time.Duration(x.heard.Load()))
+		}
 		x.hear()
 		if first {
 			first = false
+			c.entry.meters.first.RecordDuration(time.Since(x.start))
 			c.entry.world.answered(c.service, x.choice.ID, time.Since(x.start))
 		}
 		if ev.hasID && ev.id <= c.last && (c.begun || c.info.HasLastEvent) {
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -33,18 +33,20 @@
 	process *config.Process
 	log     log.Interface
 
-	mu        sync.Mutex
-	manifest  *catalog.Manifest
-	roster    *roster.Roster
-	listed    bool
-	evacuated map[contract.ZoneName]bool
-	named     map[string]named
-	pools     map[contract.ServiceName]*placement.Pool
-	budgets   map[contract.ServiceName]*retry.Window
-	comebacks map[contract.ServiceName]*retry.Comeback
-	flights   map[contract.MachineID]map[roster.TargetID]int
-	entries   int
-	rng       *rand.Rand
+	mu       sync.Mutex
+	manifest *catalog.Manifest
+	// manifestAt is when the manifest came into force.
+	manifestAt time.Time
+	roster     *roster.Roster
+	listed     bool
+	evacuated  map[contract.ZoneName]bool
+	named      map[string]named
+	pools      map[contract.ServiceName]*placement.Pool
+	budgets    map[contract.ServiceName]*retry.Window
+	comebacks  map[contract.ServiceName]*retry.Comeback
+	flights    map[contract.MachineID]map[roster.TargetID]int
+	entries    int
+	rng        *rand.Rand
 }
 
 // named is a version of weights that operators have named.
@@ -117,7 +119,7 @@
 	if w.manifest != nil && m.Version <= w.manifest.Version {
 		return
 	}
-	w.manifest = m
+	w.manifest, w.manifestAt = m, time.Now()
 	w.log.WithField("manifest", m.Version).WithField("routes", len(m.Routes)).
 		WithField("offset", r.Offset).Info("manifest in force")
 	for i := range m.Services {
@@ -361,3 +363,28 @@
 	}
 	return list
 }
+
+// overview sums up what the entry believes, for its metrics.
+type overview struct {
+	targets, out int
+	manifest     int64
+	age          time.Duration
+	budgets      map[contract.ServiceName]float64
+}
+
+func (w *world) overview() overview {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := overview{targets: w.roster.Len(), budgets: map[contract.ServiceName]float64{}}
+	now := time.Now()
+	for _, p := range w.pools {
+		v.out += p.Out(now)
+	}
+	for name, b := range w.budgets {
+		v.budgets[name] = b.Left(now)
+	}
+	if w.manifest != nil {
+		v.manifest, v.age = w.manifest.Version, now.Sub(w.manifestAt)
+	}
+	return v
+}
--- a/machine/entry/retry/window.go
+++ b/machine/entry/retry/window.go
@@ -24,11 +24,16 @@
 // First records a request.
 func (w *Window) First(now time.Time) { w.firsts = append(w.firsts, now) }
 
-// Take draws one retry and reports whether the window allowed it.
-func (w *Window) Take(now time.Time) bool {
+// Left is how many retries the window allows now.
+func (w *Window) Left(now time.Time) float64 {
 	w.firsts = since(w.firsts, now.Add(-w.length))
 	w.retries = since(w.retries, now.Add(-w.length))
-	if float64(len(w.retries)+1) > w.ratio*float64(len(w.firsts))+w.burst {
+	return w.ratio*float64(len(w.firsts)) + w.burst - float64(len(w.retries))
+}
+
+// Take draws one retry and reports whether the window allowed it.
+func (w *Window) Take(now time.Time) bool {
+	if w.Left(now) < 1 {
 		return false
 	}
 	w.retries = append(w.retries, now)
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -277,3 +277,14 @@
 	}
 	return max(wait, 0), ok
 }
+
+// Out is the number of targets that are taken out for failures or silence.
+func (p *Pool) Out(now time.Time) int {
+	n := 0
+	for _, m := range p.members {
+		if p.ejection.Verdict(now, contract.MachineID(m.ID)) == ejection.Ejected {
+			n++
+		}
+	}
+	return n
+}
