--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -30,6 +30,8 @@
 	maxVersions = 3
 	// sendTimeout bounds the sending of one piece.
 	sendTimeout = 5 * time.Second
+	// linkTime is how long after the start links to other entries may still be made.
+	linkTime = 3 * time.Second
 	// waitNotice is how often a peer that waits for a piece is told to go on waiting.
 	waitNotice = 600 * time.Millisecond
 )
@@ -53,8 +55,9 @@
 
 // Depot is safe for concurrent use.
 type Depot struct {
-	opts Options
-	ctx  context.Context
+	opts    Options
+	ctx     context.Context
+	started time.Time
 
 	mu     sync.Mutex
 	origin catalog.Origin
@@ -63,7 +66,7 @@
 
 // New returns a depot whose work ends with ctx.
 func New(ctx context.Context, opts Options) *Depot {
-	return &Depot{opts: opts, ctx: ctx, held: map[Version]*holding{}}
+	return &Depot{opts: opts, ctx: ctx, started: time.Now(), held: map[Version]*holding{}}
 }
 
 // SetOrigin tells where weights come from.
@@ -86,14 +89,19 @@
 	}
 }
 
-// rank is this entry's place in the order for a version.
+// rank is this entry's place in the order for a version, among the entries that it
+// has a link to: one that is cut off or dead is not waited for.
 func (d *Depot) rank(v Version) int {
-	for i, m := range Rank(v, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+	rank := 0
+	for _, m := range Rank(v, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
 		if m.Machine == d.opts.Self {
-			return i
+			break
+		}
+		if d.opts.Peers.Linked(m.Machine) || time.Since(d.started) < linkTime {
+			rank++
 		}
 	}
-	return 0
+	return rank
 }
 
 // holding returns a version's pieces and starts to get them.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -60,7 +60,9 @@
 	depot    *depot.Depot
 	// operators follows what operators write, targets the list of targets.
 	operators, targets *feed.Feed
-	callers, probes    net.Listener
+	// catchup and targetsCatchup bring what the store does not tell.
+	catchup, targetsCatchup *peers.Catchup
+	callers, probes         net.Listener
 	// work lasts until the entry has stopped, longer than the signal to stop.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -79,16 +81,7 @@
 	}
 	e.meters = newMeters(e.metrics.Scope())
 	e.world = newWorld(process, logs.For("world", process.Machine))
-	if err := e.listen(); err != nil {
-		return nil, errors.Mark(err, ErrListen)
-	}
 	e.work, e.endWork = context.WithCancel(context.Background())
-	e.depot = depot.New(e.work, depot.Options{
-		Self:  process.Machine,
-		Store: e.store,
-		Peers: e.peers,
-		Log:   logs.For("depot", process.Machine),
-	})
 	e.operators = feed.New(e.store, feed.Options{
 		Topic:    platform.TopicOperators,
 		Wait:     operatorsWait,
@@ -102,6 +95,17 @@
 		OnStore:  e.world.storeChanged,
 		Log:      logs.For("targets", process.Machine),
 	})
+	if err := e.listen(); err != nil {
+		return nil, errors.Mark(err, ErrListen)
+	}
+	e.depot = depot.New(e.work, depot.Options{
+		Self:  process.Machine,
+		Store: e.store,
+		Peers: e.peers,
+		Log:   logs.For("depot", process.Machine),
+	})
+	e.catchup = peers.NewCatchup(e.peers, e.operators, platform.TopicOperators)
+	e.targetsCatchup = peers.NewCatchup(e.peers, e.targets, platform.TopicTargets)
 	return e, nil
 }
 
@@ -123,14 +127,26 @@
 		},
 		Store:  e.store,
 		Log:    logs.For("peers", p.Machine),
-		Beat:   func(hb *contract.Heartbeat) { hb.Flights = e.world.ownFlights() },
-		OnBeat: e.world.beat,
+		Beat:   e.beat,
+		OnBeat: e.beatReceived,
 		OnDown: e.world.peerDown,
 		Serve:  e.serveStream,
 	})
 	return err
 }
 
+// beat fills in what heartbeats tell of the entry.
+func (e *Entry) beat(hb *contract.Heartbeat) {
+	hb.Flights = e.world.ownFlights()
+	hb.Settings = contract.Offset(e.operators.Newest() + 1)
+}
+
+// beatReceived takes in a peer's heartbeat.
+func (e *Entry) beatReceived(hb contract.Heartbeat) {
+	e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+	e.world.beat(hb)
+}
+
 // CallerAddress is the TCP address at which callers are served.
 func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
 
@@ -169,7 +185,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("started")
 	defer e.endWork()
-	for _, loop := range []func(context.Context){e.peers.Run, e.operators.Run, e.targets.Run, e.pullLoop, e.tickLoop} {
+	for _, loop := range []func(context.Context){e.peers.Run, e.operators.Run, e.targets.Run, e.catchup.Run, e.targetsCatchup.Run, e.tickLoop} {
 		go loop(e.work)
 	}
 	server := &http.Server{
@@ -227,33 +243,6 @@
 	}
 }
 
-// pullLoop learns from peers what the store does not tell.
-func (e *Entry) pullLoop(ctx context.Context) {
-	const interval = 400 * time.Millisecond
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		e.pull(ctx, platform.TopicOperators, e.operators)
-		e.pull(ctx, platform.TopicTargets, e.targets)
-	}
-}
-
-func (e *Entry) pull(ctx context.Context, topic string, f *feed.Feed) {
-	if f.Up() {
-		return
-	}
-	records, err := e.peers.Pull(ctx, topic, f.Newest())
-	if err != nil {
-		return
-	}
-	f.Merge(records)
-}
-
 // logRetry logs that a request is sent again.
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
 	e.meters.retried(outcome)
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -238,6 +238,11 @@
 	if !ok {
 		return contract.Records{}, ErrNoPeer
 	}
+	return p.PullFrom(ctx, id, topic, after)
+}
+
+// PullFrom asks a machine for a topic's records above an offset.
+func (p *Peers) PullFrom(ctx context.Context, id contract.MachineID, topic string, after int64) (contract.Records, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	pull := contract.Message{Kind: contract.KindRecordsPull, RecordsPull: &contract.RecordsPull{Topic: topic, After: after}}
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -33,6 +33,7 @@
 	store   *platform.Store
 	peers   *peers.Peers
 	feed    *feed.Feed
+	catchup *peers.Catchup
 	keeper  *keeper
 
 	mu       sync.Mutex
@@ -56,6 +57,12 @@
 		named:   map[string]named{},
 	}
 	t.keeper = newKeeper(t)
+	t.feed = feed.New(t.store, feed.Options{
+		Topic:    platform.TopicOperators,
+		Wait:     operatorsWait,
+		OnChange: t.operatorsChanged,
+		Log:      logs.For("operators", process.Machine),
+	})
 	opened, err := peers.Open(peers.Options{
 		Self: peers.Member{
 			Machine: process.Machine,
@@ -67,19 +74,14 @@
 		Store:  t.store,
 		Log:    logs.For("peers", process.Machine),
 		Beat:   func(hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
-		OnBeat: func(contract.Heartbeat) {},
+		OnBeat: func(hb contract.Heartbeat) { t.catchup.Told(hb.Machine, int64(hb.Settings)-1) },
 		Serve:  func(context.Context, contract.Message, *link.Stream) {},
 	})
 	if err != nil {
 		return nil, err
 	}
 	t.peers = opened
-	t.feed = feed.New(t.store, feed.Options{
-		Topic:    platform.TopicOperators,
-		Wait:     operatorsWait,
-		OnChange: t.operatorsChanged,
-		Log:      logs.For("operators", process.Machine),
-	})
+	t.catchup = peers.NewCatchup(opened, t.feed, platform.TopicOperators)
 	return t, nil
 }
 
@@ -96,7 +98,7 @@
 	wg.Go(func() { t.peers.Run(ctx) })
 	wg.Go(func() { t.feed.Run(ctx) })
 	wg.Go(func() { t.keeper.run(ctx) })
-	wg.Go(func() { t.pullLoop(ctx) })
+	wg.Go(func() { t.catchup.Run(ctx) })
 	<-ctx.Done()
 	_ = server.Close()
 	wg.Wait()
@@ -164,24 +166,3 @@
 	}
 	return model, version, t.manifest.Origin(), true
 }
-
-// pullLoop learns from peers what the store does not tell.
-func (t *Target) pullLoop(ctx context.Context) {
-	const interval = 400 * time.Millisecond
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if t.feed.Up() {
-			continue
-		}
-		records, err := t.peers.Pull(ctx, platform.TopicOperators, t.feed.Newest())
-		if err == nil {
-			t.feed.Merge(records)
-		}
-	}
-}
