Entries exchange drawn pieces while the store does not carry them

Change: a failed first read is an answer; a round of drawing ends when the origin does not answer, and every round begins with asking all linked entries.

--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -94,7 +94,9 @@
 	}
 	for ctx.Err() == nil && !h.whole() {
 		h.askEntries(ctx)
-		h.draw(ctx, rank)
+		if !h.draw(ctx, rank) {
+			pause(ctx, retryPause)
+		}
 	}
 	if h.whole() {
 		h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
@@ -148,6 +150,7 @@
 		if errors.Is(err, platform.ErrTrimmed) {
 			batch, err = h.depot.opts.Store.Newest(ctx, h.topic())
 		}
+		once.Do(func() { close(first) })
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
 				h.log().WithError(err).Warn("weights not read from the store")
@@ -160,7 +163,6 @@
 			from = batch.Records[n-1].Offset + 1
 		}
 		from = max(from, batch.First)
-		once.Do(func() { close(first) })
 		pause(ctx, readPause)
 	}
 }
@@ -210,7 +212,8 @@
 	return digests
 }
 
-// askEntries asks the entries that come before this one for what they hold.
+// askEntries asks the other entries for what they hold: while the store does not
+// carry the pieces, each may have drawn others.
 func (h *holding) askEntries(ctx context.Context) {
 	d := h.depot
 	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
@@ -221,37 +224,41 @@
 			continue
 		}
 		got, err := Fetch(ctx, d.opts.Peers, m.Machine, h.version, true, h.current, h.begin)
-		if err == nil && got > 0 {
-			h.log().WithField("peer", string(m.Machine)).WithField("pieces", got).Info("pieces from a peer")
-		}
-		if got > 0 {
-			return
+		entry := h.log().WithField("peer", string(m.Machine)).WithField("pieces", got)
+		switch {
+		case err != nil:
+			entry.WithError(err).Warn("pieces not received")
+		case got > 0:
+			entry.Info("pieces from a peer")
 		}
 	}
 }
 
 // draw gets the missing pieces from the origin and stores them. Entries that draw
 // at the same time begin at different pieces and read from the store what the
-// others have drawn.
-func (h *holding) draw(ctx context.Context, rank int) {
+// others have drawn. It reports whether the origin answered throughout.
+func (h *holding) draw(ctx context.Context, rank int) bool {
 	origin := h.depot.currentOrigin()
 	if origin.Address == "" {
-		pause(ctx, retryPause)
-		return
+		return false
 	}
 	client := platform.NewOriginClient(origin.Address)
 	set := h.current()
 	if set == nil {
 		if set = h.drawDigests(ctx, client); set == nil {
-			return
+			return false
 		}
 	}
+	round, stop := context.WithCancel(ctx)
+	defer stop()
 	missing := make(chan int)
 	var wg sync.WaitGroup
 	for range drawers {
 		wg.Go(func() {
 			for i := range missing {
-				h.drawPiece(ctx, client, set, i)
+				if err := h.drawPiece(round, client, set, i); err != nil {
+					stop()
+				}
 			}
 		})
 	}
@@ -263,18 +270,18 @@
 	}
 	close(missing)
 	wg.Wait()
+	return round.Err() == nil
 }
 
 // drawDigests draws the digests until two replies in a row agree, since a reply
-// may be corrupt, and stores them.
+// may be corrupt, and stores them. It returns nil if the origin does not answer.
 func (h *holding) drawDigests(ctx context.Context, client *platform.OriginClient) *pieces.Set {
 	var former [][]byte
 	for ctx.Err() == nil && h.current() == nil {
 		digests, err := client.Digests(ctx, h.version.Model, h.version.Number)
 		if err != nil {
 			h.log().WithError(err).Warn("digests not drawn")
-			pause(ctx, retryPause)
-			continue
+			return nil
 		}
 		if equal(former, digests) {
 			set := h.begin(digests)
@@ -290,21 +297,25 @@
 	return len(a) == len(b) && bytes.Equal(bytes.Join(a, nil), bytes.Join(b, nil))
 }
 
-func (h *holding) drawPiece(ctx context.Context, client *platform.OriginClient, set *pieces.Set, i int) {
+// drawPiece draws a piece until it is right. It fails if the origin does not answer.
+func (h *holding) drawPiece(ctx context.Context, client *platform.OriginClient, set *pieces.Set, i int) error {
 	for ctx.Err() == nil && set.Get(i) == nil {
 		data, err := client.Piece(ctx, h.version.Model, h.version.Number, i)
-		if err == nil {
-			_, err = set.Add(i, data)
-		}
 		if err != nil {
-			h.log().WithError(err).WithField("piece", i).Warn("piece not drawn")
-			pause(ctx, retryPause)
+			if ctx.Err() == nil {
+				h.log().WithError(err).WithField("piece", i).Warn("piece not drawn")
+			}
+			return err
+		}
+		if _, err := set.Add(i, data); err != nil {
+			h.log().WithError(err).WithField("piece", i).Warn("drawn piece refused")
 			continue
 		}
 		if set.Len()*len(data) <= MaxStoredBytes && !h.isStored(i) {
 			h.store(ctx, strconv.Itoa(i), data)
 		}
 	}
+	return nil
 }
 
 // store appends a record to the version's topic. A failure costs only that other
