One entry of a zone reads the weights, its neighbours get them from it

Cause: bytes between regions were among the highest prices; the targets of a zone ask different entries while links come up, and each of these read all pieces from the store.

--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -31,7 +31,7 @@
 	// sendTimeout bounds the sending of one piece.
 	sendTimeout = 5 * time.Second
 	// linkTime is how long after the start links to other entries may still be made.
-	linkTime = 3 * time.Second
+	linkTime = 1500 * time.Millisecond
 	// waitNotice is how often a peer that waits for a piece is told to go on waiting.
 	waitNotice = 600 * time.Millisecond
 )
@@ -48,6 +48,7 @@
 // Options joins a depot to its process.
 type Options struct {
 	Self  contract.MachineID
+	Zone  contract.ZoneName
 	Store *platform.Store
 	Peers *peers.Peers
 	Log   log.Interface
@@ -97,13 +98,28 @@
 		if m.Machine == d.opts.Self {
 			break
 		}
-		if d.opts.Peers.Linked(m.Machine) || time.Since(d.started) < linkTime {
+		if d.mayBeThere(m.Machine) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// reader is the entry that reads a version for this entry's zone.
+func (d *Depot) reader(v Version) (contract.MachineID, bool) {
+	for _, m := range Rank(v, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+		if m.Zone == d.opts.Zone && (m.Machine == d.opts.Self || d.mayBeThere(m.Machine)) {
+			return m.Machine, true
+		}
+	}
+	return "", false
+}
+
+// mayBeThere reports whether an entry is linked, or may be soon.
+func (d *Depot) mayBeThere(id contract.MachineID) bool {
+	return d.opts.Peers.Linked(id) || time.Since(d.started) < linkTime
+}
+
 // holding returns a version's pieces and starts to get them.
 func (d *Depot) holding(v Version) *holding {
 	d.mu.Lock()
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -28,6 +28,8 @@
 	// once.
 	patience     = 1200 * time.Millisecond
 	rankPatience = 100 * time.Millisecond
+	// neighbourTime is how long an entry relies on the one that reads for its zone.
+	neighbourTime = 3500 * time.Millisecond
 	// drawers is how many pieces are drawn from the origin at once.
 	drawers = 3
 	// retryPause is the time between tries after a failure.
@@ -78,6 +80,7 @@
 	start := time.Now()
 	rank := h.depot.rank(h.version)
 	h.log().WithField("rank", rank).Info("weights wanted")
+	h.askNeighbour(ctx)
 	reading, stop := context.WithCancel(ctx)
 	defer stop()
 	first := make(chan struct{})
@@ -103,6 +106,25 @@
 	}
 }
 
+// askNeighbour gets the pieces from the entry that reads them for the zone, if that
+// is another one: they cross the links between regions once.
+func (h *holding) askNeighbour(ctx context.Context) {
+	const look = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, neighbourTime)
+	defer cancel()
+	for ctx.Err() == nil && !h.whole() {
+		leader, ok := h.depot.reader(h.version)
+		if !ok || leader == h.depot.opts.Self {
+			return
+		}
+		if h.depot.opts.Peers.Linked(leader) {
+			got, err := Fetch(ctx, h.depot.opts.Peers, leader, h.version, false, h.current, h.begin)
+			h.log().WithField("peer", string(leader)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from the zone's reader")
+		}
+		pause(ctx, look)
+	}
+}
+
 func (h *holding) whole() bool {
 	set := h.current()
 	return set != nil && set.Whole()
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -100,6 +100,7 @@
 	}
 	e.depot = depot.New(e.work, depot.Options{
 		Self:  process.Machine,
+		Zone:  process.Zone,
 		Store: e.store,
 		Peers: e.peers,
 		Log:   logs.For("depot", process.Machine),
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -19,7 +19,7 @@
 	reportedLife = 300 * time.Millisecond
 	// otherZone and otherRegion are what a target elsewhere costs, as a delay.
 	otherZone   = 2 * time.Millisecond
-	otherRegion = 25 * time.Millisecond
+	otherRegion = 20 * time.Millisecond
 	// spread is the random part of a target's cost, so that entries which know
 	// the same do not all choose the same.
 	spread = 8 * time.Millisecond
