Entries do not meet at an engine that comes back empty

Change: a target's load as an entry estimates it includes what the other entries may have sent within a heartbeat, as much as the entry has itself. The test failed first: 27 requests of nine entries at an engine of 4 slots.

--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -244,6 +244,7 @@
 			share = max(int((s.ColdRate*bounds.ColdFactor+bounds.ColdSlack)/w.sharers()), 1)
 		}
 		w.pool(s.Name).SetColdShare(share)
+		w.pool(s.Name).SetEntries(w.entries)
 		w.budget(s.Name).SetBurst(bounds.RetryBurst * budgetMargin / w.sharers())
 	}
 }
--- a/zone/placement/placement_test.go
+++ b/zone/placement/placement_test.go
@@ -195,3 +195,35 @@
 		t.Errorf("idle engine: %v", idle)
 	}
 }
+
+// An engine comes back empty beside busy ones. All entries know the same, and what
+// each sends is known to the others only with their next heartbeats: together they
+// must not overfill it meanwhile.
+func TestEntriesDoNotMeetAtAnEmptyEngine(t *testing.T) {
+	const entries, busy = 9, 3
+	total := 0
+	for i := range entries {
+		p := NewPool(Place{Region: "ra", Zone: "a"}, regions, rand.New(rand.NewPCG(uint64(i), 2)))
+		p.SetService(models())
+		p.SetMembers([]*roster.Member{engine("empty", "a"), engine("x", "a"), engine("y", "a"), engine("z", "a")})
+		p.SetEntries(entries)
+		for _, id := range []roster.TargetID{"x", "y", "z"} {
+			p.SetOthers(id, busy)
+		}
+		for n := range 3 {
+			now := start.Add(time.Duration(n) * 50 * time.Millisecond)
+			if c, refusal := p.Pick(now, Want{}, time.Second); refusal == Placed {
+				p.Sent(now, c.ID)
+				if c.ID == "empty" {
+					total++
+				}
+			}
+		}
+	}
+	if total > entries {
+		t.Errorf("%d requests went to the empty engine", total)
+	}
+	if total < entries/2 {
+		t.Errorf("only %d requests went to the empty engine", total)
+	}
+}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -23,6 +23,9 @@
 	// spread is the random part of a target's cost, so that entries which know
 	// the same do not all choose the same.
 	spread = 8 * time.Millisecond
+	// herdWindow is the time within which an entry does not know what the others have
+	// sent: about the interval of their heartbeats.
+	herdWindow = 250 * time.Millisecond
 	// roomBeyondSlots is how many requests may wait at a target.
 	roomBeyondSlots = 3
 )
@@ -98,6 +101,8 @@
 	// coldShare is how many requests this entry may send to one target in
 	// coldWindow; 0 if there is no bound.
 	coldShare int
+	// entries is the number of entries that send to the targets.
+	entries int
 }
 
 // NewPool returns an empty pool as seen from home. regions maps each zone.
@@ -132,6 +137,9 @@
 // SetEvacuated replaces the zones whose targets get nothing new.
 func (p *Pool) SetEvacuated(zones map[contract.ZoneName]bool) { p.out = zones }
 
+// SetEntries tells how many entries send to the targets, this one included.
+func (p *Pool) SetEntries(n int) { p.entries = n }
+
 // SetColdShare bounds what one target gets from this entry in a second.
 func (p *Pool) SetColdShare(n int) { p.coldShare = n }
 
@@ -147,13 +155,24 @@
 	return l
 }
 
-// estimate is the number of requests at a target now.
+// estimate is the number of requests at a target now. What this entry has just
+// sent there the others may have sent as well, since they know the same: an engine
+// that comes back empty would else get the next requests of all entries.
 func (p *Pool) estimate(now time.Time, m *roster.Member) float64 {
 	l := p.load(m.ID)
 	n := float64(l.own) + l.others
 	if now.Sub(l.reportedAt) < reportedLife {
 		n = max(n, float64(l.reported+l.sent))
 	}
+	return n + float64(l.since(now.Add(-herdWindow))*max(p.entries-1, 0))
+}
+
+// since counts the attempts sent after a time.
+func (l *load) since(start time.Time) int {
+	n := 0
+	for i := len(l.sends) - 1; i >= 0 && l.sends[i].After(start); i-- {
+		n++
+	}
 	return n
 }
 
