--- a/link/config.go
+++ b/link/config.go
@@ -6,6 +6,9 @@
 type Config struct {
 	// Heartbeat is the interval between heartbeats on each connection.
 	Heartbeat time.Duration
+	// TargetHeartbeat is the interval towards targets, which tell changes at once; 0
+	// means Heartbeat.
+	TargetHeartbeat time.Duration
 	// SilentAfter is how long a connection may go without a heartbeat.
 	SilentAfter time.Duration
 	// FullRateLinks is how many dialed connections beat at the Heartbeat
@@ -38,6 +41,9 @@
 	if c.Heartbeat <= 0 {
 		c.Heartbeat = defaultHeartbeat
 	}
+	if c.TargetHeartbeat <= 0 {
+		c.TargetHeartbeat = c.Heartbeat
+	}
 	if c.SilentAfter <= 0 {
 		c.SilentAfter = defaultSilentAfter
 	}
@@ -62,12 +68,16 @@
 	return c
 }
 
-// beatInterval is the time between heartbeats on each of a number of dialed
-// connections.
-func (c Config) beatInterval(dialed int) time.Duration {
+// beatInterval is the time between heartbeats to a peer of a role, on each of a
+// number of dialed connections.
+func (c Config) beatInterval(role Role, dialed int) time.Duration {
+	interval := c.Heartbeat
+	if role == RoleTarget {
+		interval = c.TargetHeartbeat
+	}
 	if dialed <= c.FullRateLinks {
-		return c.Heartbeat
+		return interval
 	}
-	scaled := c.Heartbeat * time.Duration(dialed) / time.Duration(c.FullRateLinks)
-	return max(c.Heartbeat, min(scaled, c.SilentAfter/2))
+	scaled := interval * time.Duration(dialed) / time.Duration(c.FullRateLinks)
+	return max(interval, min(scaled, c.SilentAfter/2))
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -101,7 +101,7 @@
 	if !c.dialed {
 		return math.MaxInt64
 	}
-	return c.endpoint.cfg.beatInterval(c.endpoint.meter.dialed())
+	return c.endpoint.cfg.beatInterval(c.peer.Role, c.endpoint.meter.dialed())
 }
 
 func (c *Conn) receiveHeartbeats(beats *Stream) {
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -19,10 +19,13 @@
 )
 
 const (
-	// heartbeat is the interval between heartbeats on a link, silentAfter how
-	// long a link may go without one.
-	heartbeat   = 250 * time.Millisecond
-	silentAfter = 1500 * time.Millisecond
+	// heartbeat is the interval between heartbeats of entries, targetHeartbeat that
+	// towards targets, silentAfter how long a link may go without one.
+	heartbeat       = 250 * time.Millisecond
+	targetHeartbeat = 600 * time.Millisecond
+	silentAfter     = 1500 * time.Millisecond
+	// fullRateLinks is the number of links beyond which heartbeats become rarer.
+	fullRateLinks = 40
 	// memberWait is how long one read of the members waits for news.
 	memberWait = 10 * time.Second
 	// publishPause is the time between two tries to publish this process.
@@ -73,7 +76,12 @@
 		return nil, err
 	}
 	p.opts.Self.Fingerprint = fingerprint
-	cfg := link.Config{Heartbeat: heartbeat, SilentAfter: silentAfter}
+	cfg := link.Config{
+		Heartbeat:       heartbeat,
+		TargetHeartbeat: targetHeartbeat,
+		SilentAfter:     silentAfter,
+		FullRateLinks:   fullRateLinks,
+	}
 	if p.endpoint, err = link.Listen(opts.Self.Address, creds, p, cfg); err != nil {
 		return nil, err
 	}
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -22,6 +21,8 @@
 const (
 	// lookInterval is the time between two looks at the engine.
 	lookInterval = 100 * time.Millisecond
+	// neighbourTime is how long a target relies on the entries of its own zone.
+	neighbourTime = 1500 * time.Millisecond
 	// orderGrace is how long after an order the engine's report may not show it yet.
 	orderGrace = 600 * time.Millisecond
 )
@@ -173,11 +174,11 @@
 // fetch gets the pieces of a goal from the entries of the zone, then from any
 // entry, until it is whole or no longer wanted.
 func (k *keeper) fetch(ctx context.Context, g *goal, origin catalog.Origin) {
-	const retryPause = 200 * time.Millisecond
+	const retryPause = 100 * time.Millisecond
 	start := time.Now()
 	entry := k.log.WithField("version", g.version.String())
 	for ctx.Err() == nil && k.isWanted(g) {
-		for _, id := range k.sources(g.version, origin) {
+		for _, id := range k.sources(g.version, origin, time.Since(start)) {
 			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, false, k.current(g), k.begin(g))
 			if err != nil {
 				entry.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
@@ -205,21 +206,25 @@
 	return false
 }
 
-// sources lists the linked entries to ask, those of the own zone first.
-func (k *keeper) sources(v depot.Version, origin catalog.Origin) []contract.MachineID {
-	members := k.target.peers.Members(link.RoleEntry)
-	ranked := depot.Rank(v, members, origin.Zone)
-	sort.SliceStable(ranked, func(i, j int) bool {
-		own := k.target.process.Zone
-		return ranked[i].Zone == own && ranked[j].Zone != own
-	})
-	var list []contract.MachineID
+// sources lists the linked entries to ask: those of the own zone, and after patience
+// those of others, whose pieces come over the links between regions.
+func (k *keeper) sources(v depot.Version, origin catalog.Origin, waited time.Duration) []contract.MachineID {
+	own := k.target.process.Zone
+	ranked := depot.Rank(v, k.target.peers.Members(link.RoleEntry), origin.Zone)
+	var near, far []contract.MachineID
 	for _, m := range ranked {
-		if k.target.peers.Linked(m.Machine) {
-			list = append(list, m.Machine)
+		switch {
+		case !k.target.peers.Linked(m.Machine):
+		case m.Zone == own:
+			near = append(near, m.Machine)
+		default:
+			far = append(far, m.Machine)
 		}
 	}
-	return list
+	if waited < neighbourTime {
+		return near
+	}
+	return append(near, far...)
 }
 
 // stage puts the pieces of a goal beside the engine, over those of any other.
