Faster return after a loss of power; silent machines are not tried with requests

Cause: after a loss of power the pieces came from the store's newest records, 4 pages of 1 MB that were passed on together; members were read with a pause of 400 ms.

Change: pages are passed on as they come, a pause of 120 ms between reads of members; a target that was taken out is tried only when its process is heard, and a silent one costs 150 ms more.

--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -170,7 +170,7 @@
 		}
 		batch, err := h.depot.opts.Store.Read(ctx, h.topic(), from, wait)
 		if errors.Is(err, platform.ErrTrimmed) {
-			batch, err = h.depot.opts.Store.Newest(ctx, h.topic())
+			from, err = h.depot.opts.Store.EachNewest(ctx, h.topic(), h.take)
 		}
 		once.Do(func() { close(first) })
 		if err != nil {
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -28,6 +28,8 @@
 	fullRateLinks = 40
 	// memberWait is how long one read of the members waits for news.
 	memberWait = 10 * time.Second
+	// memberPause is the time between two such reads, so that one brings several.
+	memberPause = 120 * time.Millisecond
 	// publishPause is the time between two tries to publish this process.
 	publishPause = 400 * time.Millisecond
 	pullTimeout  = 700 * time.Millisecond
@@ -93,7 +95,7 @@
 	p.members = feed.New(opts.Store, feed.Options{
 		Topic:    platform.TopicMembers,
 		Wait:     memberWait,
-		Pause:    publishPause,
+		Pause:    memberPause,
 		OnChange: p.membersChanged,
 		Log:      opts.Log,
 	})
--- a/zone/placement/placement_test.go
+++ b/zone/placement/placement_test.go
@@ -227,3 +227,38 @@
 		t.Errorf("only %d requests went to the empty engine", total)
 	}
 }
+
+// A zone is cut off: its engines and the processes beside them fall silent. Once a
+// target has been taken out, no request is spent on trying it until its process is
+// heard again.
+func TestSilentMachinesAreNotTriedWithRequests(t *testing.T) {
+	r := roster.New()
+	for _, id := range []string{"cut", "near"} {
+		r.List(start, roster.Target{ID: roster.TargetID(id), Service: "m", Address: id, Zone: "a", Slots: 4,
+			Model: &roster.Model{Version: 1, Layers: 16}})
+		r.Report(start, id, 0, roster.Status{Version: 1, Ready: true})
+	}
+	p := newPool(r.Members("m")...)
+	p.Sent(start, "cut")
+	p.Failed(start, "cut", true)
+	p.Ended("cut")
+	for at := start; at.Before(start.Add(6 * time.Second)); at = at.Add(200 * time.Millisecond) {
+		r.Report(at, "near", 0, roster.Status{Version: 1, Ready: true})
+		c, refusal := p.Pick(at, Want{}, time.Second)
+		silent := at.Sub(start) > 2*time.Second
+		if silent && (refusal != Placed || c.ID != "near") {
+			t.Fatalf("after %v: %s, refusal %d", at.Sub(start), c.ID, refusal)
+		}
+	}
+	later := start.Add(7 * time.Second)
+	r.Report(later, "cut", 0, roster.Status{Version: 1, Ready: true})
+	r.Report(later, "near", 0, roster.Status{Version: 1, Ready: true})
+	got := map[roster.TargetID]bool{}
+	for range 20 {
+		c, _ := p.Pick(later, Want{}, time.Second)
+		got[c.ID] = true
+	}
+	if !got["cut"] {
+		t.Error("a target whose process is back is not tried")
+	}
+}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -20,6 +20,8 @@
 	// otherZone and otherRegion are what a target elsewhere costs, as a delay.
 	otherZone   = 2 * time.Millisecond
 	otherRegion = 20 * time.Millisecond
+	// silentMachine is what a target costs whose process has fallen silent.
+	silentMachine = 150 * time.Millisecond
 	// spread is the random part of a target's cost, so that entries which know
 	// the same do not all choose the same.
 	spread = 8 * time.Millisecond
@@ -222,7 +224,7 @@
 				}
 				continue
 			}
-			cost := first + p.distance(m) + time.Duration(p.rng.Int64N(int64(spread)))
+			cost := first + p.distance(now, m) + time.Duration(p.rng.Int64N(int64(spread)))
 			if best == nil || cost < bestCost {
 				best, bestCost = m, cost
 				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), First: first}
@@ -241,7 +243,10 @@
 // room reports whether a target has room for an attempt and predicts its first
 // event. With ejected set, targets that were taken out are asked as well.
 func (p *Pool) room(now time.Time, m *roster.Member, limit time.Duration, ejected bool) (Refusal, time.Duration) {
-	if !ejected && p.ejection.Verdict(now, contract.MachineID(m.ID)) == ejection.Ejected {
+	verdict := p.ejection.Verdict(now, contract.MachineID(m.ID))
+	// A target that was taken out is not tried with a request while its machine is
+	// silent as well.
+	if !ejected && (verdict == ejection.Ejected || verdict == ejection.Probe && m.IsSilent(now)) {
 		return None, 0
 	}
 	l := p.load(m.ID)
@@ -271,15 +276,20 @@
 	}
 }
 
-func (p *Pool) distance(m *roster.Member) time.Duration {
+// distance is what a target costs beside its load, as a delay.
+func (p *Pool) distance(now time.Time, m *roster.Member) time.Duration {
+	d := time.Duration(0)
 	switch {
 	case m.Zone == p.home.Zone:
-		return 0
 	case p.regions[m.Zone] == p.home.Region:
-		return otherZone
+		d = otherZone
 	default:
-		return otherRegion
+		d = otherRegion
 	}
+	if m.IsSilent(now) {
+		d += silentMachine
+	}
+	return d
 }
 
 // Soonest predicts when a target will have room for one more request; ok is
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -11,6 +11,8 @@
 	// lapseHold is how long after the store's return an entry that lapsed
 	// meanwhile is still believed.
 	lapseHold = 2 * time.Second
+	// silentAfter is how long a target process that told of its engine may be silent.
+	silentAfter = 1700 * time.Millisecond
 	// statusLife is how long a target process's word goes before the list's.
 	statusLife = 3 * time.Second
 )
@@ -36,6 +38,12 @@
 	return m.status, true
 }
 
+// IsSilent reports whether the target's process told of it and no longer does: its
+// machine may be cut off or dead.
+func (m *Member) IsSilent(now time.Time) bool {
+	return !m.statusAt.IsZero() && now.Sub(m.statusAt) > silentAfter
+}
+
 // Version is the version of the weights that the target holds; 0 if it cannot
 // serve a model.
 func (m *Member) Version(now time.Time) int64 {
