--- /dev/null
+++ b/cmd/mimosastand/explain.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/internal/explain"
+)
+
+// maxLogFiles is how many files one command reads.
+const maxLogFiles = 8
+
+func newExplainCommand() command {
+	sub := newSubcommand("explain", "say from logs what happened to a request and why",
+		"mimosastand explain entry-1.log entry-2.log --request 9c41d07be2a35f68")
+	request := ""
+	sub.String(&request, "r", "request", "the request's identifier")
+	files := make([]string, maxLogFiles)
+	for i := range files {
+		sub.AddPositionalValue(&files[i], "LOG", i+1, i == 0, "log file, - for standard input")
+	}
+	return command{sub: sub, run: func(context.Context) int { return explainRequest(files, request) }}
+}
+
+func explainRequest(files []string, request string) int {
+	if request == "" {
+		return fail(errors.New("explain: give --request"))
+	}
+	var lines []explain.Line
+	for _, file := range files {
+		if file == "" {
+			continue
+		}
+		read, err := readLog(file)
+		if err != nil {
+			return fail(err)
+		}
+		lines = append(lines, read...)
+	}
+	if err := explain.Request(os.Stdout, lines, request); err != nil {
+		return fail(err)
+	}
+	return exitOK
+}
+
+func readLog(file string) ([]explain.Line, error) {
+	var r io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "explain")
+		}
+		defer func() { _ = f.Close() }()
+		r = f
+	}
+	return explain.Read(r)
+}
--- a/cmd/mimosastand/main.go
+++ b/cmd/mimosastand/main.go
@@ -35,7 +35,7 @@
 	flaggy.SetName("mimosastand")
 	flaggy.SetDescription("weight distribution and routing for bursts")
 	flaggy.SetVersion(version)
-	commands := []command{newEntryCommand(), newTargetCommand(), newCheckCommand()}
+	commands := []command{newEntryCommand(), newTargetCommand(), newCheckCommand(), newExplainCommand()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -23,6 +23,8 @@
 	info    platform.Call
 	arrived time.Time
 
+	// manifest is the version that the request was admitted by.
+	manifest int64
 	route    *catalog.Route
 	team     *catalog.Team
 	service  contract.ServiceName
@@ -174,6 +176,7 @@
 	w := c.entry.world
 	c.tried = append(c.tried, choice.ID)
 	c.targetID = choice.ID
+	c.entry.logPlaced(c, choice)
 	w.sent(c.service, choice.ID)
 	defer w.ended(c.service, choice.ID)
 	x := &exchange{call: c, choice: choice, start: time.Now()}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -28,6 +28,7 @@
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/zone/placement"
 )
 
 const (
@@ -251,13 +252,22 @@
 		WithField("outcome", outcomeNames[outcome]).WithField("sent", c.sent).Info("sent again")
 }
 
-// logEnd logs how a request ended, unless all went well.
+// logPlaced logs where an attempt goes and what the choice rests on.
+func (e *Entry) logPlaced(c *call, choice placement.Choice) {
+	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
+		WithField("load", choice.Load).WithField("first_ms", choice.First.Milliseconds()).WithField("version", choice.Version).
+		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("manifest", c.manifest).
+		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("attempt placed")
+}
+
+// logEnd logs how a request ended.
 func (e *Entry) logEnd(c *call, status int, reason contract.Reason, after time.Duration) {
 	e.meters.ended(c, status, reason)
+	entry := e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
+		WithField("status", status).WithField("sent", c.sent).WithField("ms", time.Since(c.arrived).Milliseconds())
 	if reason == "" && status < http.StatusInternalServerError {
+		entry.Info("request served")
 		return
 	}
-	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
-		WithField("status", status).WithField("reason", string(reason)).WithField("sent", c.sent).
-		WithField("ms", time.Since(c.arrived).Milliseconds()).WithField("after_ms", after.Milliseconds()).Info("request ended")
+	entry.WithField("reason", string(reason)).WithField("after_ms", after.Milliseconds()).Warn("request ended")
 }
--- a/machine/entry/direct/front.go
+++ b/machine/entry/direct/front.go
@@ -54,6 +54,7 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	c.manifest = m.Version
 	c.route = m.Route(strings.ToLower(host), c.r.URL.Path)
 	if c.route == nil {
 		c.deny(http.StatusNotFound, contract.ReasonUnknownService)
--- a/zone/placement/pace.go
+++ b/zone/placement/pace.go
@@ -20,6 +20,8 @@
 const (
 	plainSlots = 6
 	plainWork  = 20 * time.Millisecond
+	// maxReading bounds the part of a pass that reading takes.
+	maxReading = 0.8
 	// meanContext is the part of prompt and answer that is context on average.
 	meanContext = 0.5
 )
@@ -47,14 +49,20 @@
 func (p Pace) Between() time.Duration { return p.between }
 
 // First predicts the time to the first event of an attempt that finds load
-// requests at the target, running or waiting.
+// requests at the target, running or waiting: the rest of the pass under way, a
+// pass, and the reading of the prompt.
 func (p Pace) First(load float64) time.Duration {
-	busy := min(load/float64(p.slots), 1)
-	// A new request waits for the end of the pass under way, then its prompt is
-	// read in the next one, along with those of others.
-	first := p.pass + p.read + time.Duration(busy*float64(p.pass+p.read)/2)
+	first := p.passAt(load)*3/2 + p.read
 	if over := load - float64(p.slots) + 1; over > 0 {
 		first += time.Duration(over * float64(p.between))
 	}
 	return first
 }
+
+// passAt is the time of a pass at a load: prompts of new requests are read between
+// the steps, the more of them the more requests end.
+func (p Pace) passAt(load float64) time.Duration {
+	busy := min(load/float64(p.slots), 1)
+	reading := busy * float64(p.read) / float64(p.between)
+	return time.Duration(float64(p.pass) / (1 - min(reading, maxReading)))
+}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -29,7 +29,7 @@
 	// sent: about the interval of their heartbeats.
 	herdWindow = 250 * time.Millisecond
 	// roomBeyondSlots is how many requests may wait at a target.
-	roomBeyondSlots = 3
+	roomBeyondSlots = 1
 )
 
 // Place is where a process runs.
@@ -56,8 +56,11 @@
 	Address string
 	// Version is that of the target's weights as far as known.
 	Version int64
-	// First predicts the time to the first event.
+	// First predicts the time to the first event, from a load of Load requests.
 	First time.Duration
+	Load  int
+	// ListedAge is how old the target's entry in the list is.
+	ListedAge time.Duration
 }
 
 // Refusal tells why there is no choice.
@@ -227,7 +230,8 @@
 			cost := first + p.distance(now, m) + time.Duration(p.rng.Int64N(int64(spread)))
 			if best == nil || cost < bestCost {
 				best, bestCost = m, cost
-				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), First: first}
+				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), First: first,
+					Load: int(p.estimate(now, m)), ListedAge: now.Sub(m.ListedAt)}
 			}
 		}
 		if refusal == Full {
