--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,7 +39,7 @@
 const flushTime = 200 * time.Millisecond
 
 // runDaemon loads file, which must be for role, and runs the process until ctx ends.
-func runDaemon(ctx context.Context, file, role string, serve func(context.Context, *config.Process) error) int {
+func runDaemon(ctx context.Context, file, role string, serve func(context.Context, string, *config.Process) error) int {
 	process, err := config.Load(file)
 	if err != nil {
 		return fail(err)
@@ -54,12 +56,23 @@
 		return fail(err)
 	}
 	defer lines.Close(flushTime)
-	if err := serve(ctx, process); err != nil {
+	if err := serve(ctx, file, process); err != nil {
 		return fail(err)
 	}
 	return exitOK
 }
 
+// reloader takes in settings that have changed while the process runs.
+type reloader interface{ Reload(*config.Process, error) }
+
+// watch passes changes of a process's file on until ctx ends. SIGHUP asks to look
+// at once.
+func watch(ctx context.Context, file string, to reloader) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go config.Watch(ctx, file, hup, to.Reload)
+}
+
 // defaultFile is the file of a process when the command line names none.
 func defaultFile(name string) string {
 	if file := os.Getenv(config.FileVariable); file != "" {
@@ -68,12 +81,13 @@
 	return name
 }
 
-func runEntry(ctx context.Context, process *config.Process) error {
+func runEntry(ctx context.Context, file string, process *config.Process) error {
 	if process.Fleet != nil {
 		e, err := entrydirect.New(process)
 		if err != nil {
 			return err
 		}
+		watch(ctx, file, e)
 		return e.Run(ctx)
 	}
 	e, err := entry.New(process, entry.Options{})
@@ -83,12 +97,13 @@
 	return e.Run(ctx)
 }
 
-func runTarget(ctx context.Context, process *config.Process) error {
+func runTarget(ctx context.Context, file string, process *config.Process) error {
 	if process.Fleet != nil {
 		t, err := targetdirect.New(process)
 		if err != nil {
 			return err
 		}
+		watch(ctx, file, t)
 		return t.Run(ctx)
 	}
 	t, err := target.New(process)
--- /dev/null
+++ b/internal/logs/events_test.go
@@ -0,0 +1,66 @@
+package logs
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// documented is the page that lists the messages of the processes of a fleet.
+const documented = "../../docs/operations/platform.md"
+
+var message = regexp.MustCompile(`\.(?:Info|Warn|Error)\("([^"]*)"\)`)
+
+// TestEventsAreDocumented compares the messages in the code with the page.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile(documented)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := tableOf(string(page), "## Events")
+	used := map[string]bool{leftOutMessage: true}
+	for _, dir := range []string{"feed", "peers", "depot", "entry/direct", "target/direct"} {
+		files, err := filepath.Glob("../../machine/" + dir + "/*.go")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, found := range message.FindAllStringSubmatch(string(text), -1) {
+				used[found[1]] = true
+				if !listed[found[1]] {
+					t.Errorf("%s: %q is not listed", file, found[1])
+				}
+			}
+		}
+	}
+	for name := range listed {
+		if !used[name] {
+			t.Errorf("%q is listed but not used", name)
+		}
+	}
+}
+
+// tableOf returns the names in the first column of the table under a heading.
+func tableOf(page, heading string) map[string]bool {
+	names := map[string]bool{}
+	_, section, _ := strings.Cut(page, heading)
+	for _, line := range strings.Split(section, "\n") {
+		if strings.HasPrefix(line, "## ") {
+			break
+		}
+		cells := strings.Split(line, "|")
+		if len(cells) < 3 || strings.HasPrefix(cells[1], "---") || strings.TrimSpace(cells[1]) == "message" {
+			continue
+		}
+		for _, name := range strings.Split(cells[1], ",") {
+			names[strings.TrimSpace(name)] = true
+		}
+	}
+	return names
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -24,6 +24,13 @@
 	return b, nil
 }
 
+// SetLevel changes the level of all loggers; an unknown one changes nothing.
+func SetLevel(level string) {
+	if parsed, err := log.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+}
+
 // For returns the logger of one part of a machine's process.
 func For(part string, machine contract.MachineID) log.Interface {
 	return prefixed{Interface: log.WithField("machine", string(machine)), prefix: part + ": "}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -183,6 +183,19 @@
 	}
 }
 
+// Reload takes in settings that have changed: the bounds and the level of logs.
+// Addresses and names stay until the process starts again. With an error the
+// former settings stay.
+func (e *Entry) Reload(process *config.Process, err error) {
+	if err != nil || process.Fleet == nil {
+		e.log.WithError(err).Warn("settings kept: the file is unusable")
+		return
+	}
+	e.world.setBounds(process.Fleet.Bounds)
+	logs.SetLevel(process.LogLevel)
+	e.log.Info("settings reloaded")
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("started")
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -33,7 +33,9 @@
 	process *config.Process
 	log     log.Interface
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// bounds are those of the fleet, which may change while the process runs.
+	bounds   config.Bounds
 	manifest *catalog.Manifest
 	// manifestAt is when the manifest came into force.
 	manifestAt time.Time
@@ -58,6 +60,7 @@
 func newWorld(process *config.Process, logger log.Interface) *world {
 	return &world{
 		process:   process,
+		bounds:    process.Fleet.Bounds,
 		log:       logger,
 		roster:    roster.New(),
 		evacuated: map[contract.ZoneName]bool{},
@@ -222,6 +225,14 @@
 	w.shareChanged()
 }
 
+// setBounds replaces the fleet's bounds.
+func (w *world) setBounds(b config.Bounds) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bounds = b
+	w.shareChanged()
+}
+
 // sharers is the number by which the fleet's bounds are divided: the entries
 // known and one that may have just joined.
 func (w *world) sharers() float64 {
@@ -233,7 +244,7 @@
 
 // shareChanged computes this entry's part of the fleet's bounds.
 func (w *world) shareChanged() {
-	bounds := w.process.Fleet.Bounds
+	bounds := w.bounds
 	if w.manifest == nil {
 		return
 	}
@@ -252,7 +263,7 @@
 func (w *world) budget(name contract.ServiceName) *retry.Window {
 	b, ok := w.budgets[name]
 	if !ok {
-		bounds := w.process.Fleet.Bounds
+		bounds := w.bounds
 		b = retry.NewWindow(bounds.RetryWindow, bounds.RetryRatio*budgetMargin, bounds.RetryBurst*budgetMargin/w.sharers())
 		w.budgets[name] = b
 	}
@@ -339,7 +350,7 @@
 	oldest := int64(0)
 	for _, model := range s.Engine.Models {
 		n := w.named[model]
-		if n.version > 0 && time.Since(n.at) > w.process.Fleet.Bounds.Version-versionMargin {
+		if n.version > 0 && time.Since(n.at) > w.bounds.Version-versionMargin {
 			oldest = max(oldest, n.version)
 		}
 	}
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -253,6 +253,7 @@
 // decide gives the order to load a goal when its time has come.
 func (k *keeper) decide(ctx context.Context, g *goal) {
 	rank, of := k.rank()
+	bound := k.target.versionBound()
 	k.mu.Lock()
 	view := upkeep.View{
 		Now:      time.Now(),
@@ -263,7 +264,7 @@
 		WantedAt: g.namedAt,
 		Rank:     rank,
 		Of:       of,
-		Bound:    k.target.process.Fleet.Bounds.Version,
+		Bound:    bound,
 	}
 	if g.isStaged(k.report.Born) {
 		view.StagedAt = g.stagedAt
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -36,7 +36,9 @@
 	catchup *peers.Catchup
 	keeper  *keeper
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// bound is how long after a version was named requests may begin on an older one.
+	bound    time.Duration
 	manifest *catalog.Manifest
 	named    map[string]named
 }
@@ -55,6 +57,7 @@
 		metrics: metrics.New(),
 		store:   platform.NewStore(process.Fleet.Store),
 		named:   map[string]named{},
+		bound:   process.Fleet.Bounds.Version,
 	}
 	t.keeper = newKeeper(t)
 	t.feed = feed.New(t.store, feed.Options{
@@ -85,6 +88,29 @@
 	return t, nil
 }
 
+// Reload takes in settings that have changed: the bounds and the level of logs.
+// Addresses and names stay until the process starts again. With an error the
+// former settings stay.
+func (t *Target) Reload(process *config.Process, err error) {
+	if err != nil || process.Fleet == nil {
+		t.log.WithError(err).Warn("settings kept: the file is unusable")
+		return
+	}
+	t.mu.Lock()
+	t.bound = process.Fleet.Bounds.Version
+	t.mu.Unlock()
+	logs.SetLevel(process.LogLevel)
+	t.log.Info("settings reloaded")
+}
+
+// versionBound is how long after a version was named requests may begin on an
+// older one.
+func (t *Target) versionBound() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bound
+}
+
 // Run serves until ctx ends.
 func (t *Target) Run(ctx context.Context) error {
 	t.log.Info("started")
