Short calls are not counted after they have ended

Cause: calls of plain services were refused as if all targets were full while these were idle: what an entry had sent within the last 250 ms counted again for each other entry, and a load told 300 ms ago still counted, although a call takes 20 ms.

Change: both hold for as long as a request lasts at most. The test failed first: the second of two calls 40 ms apart was refused.

--- a/zone/placement/overload_test.go
+++ b/zone/placement/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -96,3 +97,23 @@
 		t.Errorf("only %d refused", refused)
 	}
 }
+
+// Calls that take a few milliseconds come in a small burst. What the other entries may
+// have sent a heartbeat ago has ended long since, and must not fill the targets.
+func TestShortCallsAreNotRefusedForWhatHasEnded(t *testing.T) {
+	p := NewPool(Place{Region: "ra", Zone: "a"}, regions, rand.New(rand.NewPCG(1, 2)))
+	plain := &roster.Member{Target: roster.Target{ID: "p", Address: "p:1", Zone: "a", Slots: 6}}
+	p.SetMembers([]*roster.Member{plain})
+	p.SetEntries(9)
+	now := start
+	for i := range 20 {
+		c, refusal := p.Pick(now, Want{}, 100*time.Millisecond)
+		if refusal != Placed {
+			t.Fatalf("call %d refused: %d", i, refusal)
+		}
+		p.Sent(now, c.ID)
+		p.Reported(now, c.ID, 5)
+		now = now.Add(40 * time.Millisecond)
+		p.Ended(c.ID)
+	}
+}
--- a/zone/placement/pace.go
+++ b/zone/placement/pace.go
@@ -48,6 +48,9 @@
 // Between is the time between two ends of requests at a full target.
 func (p Pace) Between() time.Duration { return p.between }
 
+// Duration is how long a request takes at a full target.
+func (p Pace) Duration() time.Duration { return p.between * time.Duration(p.slots) }
+
 // First predicts the time to the first event of an attempt that finds load
 // requests at the target, running or waiting: the rest of the pass under way, a
 // pass, and the reading of the prompt.
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -165,11 +165,13 @@
 // that comes back empty would else get the next requests of all entries.
 func (p *Pool) estimate(now time.Time, m *roster.Member) float64 {
 	l := p.load(m.ID)
+	lasts := PaceOf(p.service, m.Slots).Duration()
 	n := float64(l.own) + l.others
-	if now.Sub(l.reportedAt) < reportedLife {
+	if now.Sub(l.reportedAt) < min(reportedLife, lasts) {
 		n = max(n, float64(l.reported+l.sent))
 	}
-	return n + float64(l.since(now.Add(-herdWindow))*max(p.entries-1, 0))
+	unknown := l.since(now.Add(-min(herdWindow, lasts)))
+	return n + float64(unknown*max(p.entries-1, 0))
 }
 
 // since counts the attempts sent after a time.
