Fewer calls of the store: one entry of a zone reads the list, targets learn from entries

Change: the first linked entry of a zone reads the list every 450 ms and its neighbours learn from its heartbeats (their own read every 1.5 s is for its death); targets learn what operators write from entries, which tell of news at once; members are read when a peer is not known, by targets, and once a second by entries.

--- a/contract/message.go
+++ b/contract/message.go
@@ -192,6 +192,9 @@
 	// Engine is set by the process beside a model engine, Flights by an entry.
 	Engine  *EngineStatus `cbor:"8,keyasint,omitempty"`
 	Flights []Flight      `cbor:"9,keyasint,omitempty"`
+	// Targets is the highest offset of the list of targets that an entry knows, plus
+	// one; 0 if it knows none.
+	Targets Offset `cbor:"10,keyasint,omitempty"`
 }
 
 // EngineStatus is what the process beside a model engine tells entries of it.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -35,8 +35,13 @@
 const (
 	// operatorsWait is how long one read of what operators write waits for news.
 	operatorsWait = 4 * time.Second
-	// targetsPause is the time between two reads of the list of targets.
-	targetsPause = 650 * time.Millisecond
+	// readerPause is the time between two reads of the list of targets by the entry
+	// that reads for its zone, targetsPause that of its neighbours, which learn from it.
+	readerPause  = 450 * time.Millisecond
+	targetsPause = 1500 * time.Millisecond
+	// storeHead is how long the store is given to tell what a peer knows already: it
+	// wakes reads of what operators write; the list is read by one entry of a zone.
+	storeHead = 250 * time.Millisecond
 	// tickInterval is the time between two looks at what has lapsed.
 	tickInterval = 250 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's connection; both are at least
@@ -92,7 +97,7 @@
 	})
 	e.targets = feed.New(e.store, feed.Options{
 		Topic:    platform.TopicTargets,
-		Pause:    targetsPause,
+		Pause:    e.targetsPause,
 		OnChange: e.world.targetsChanged,
 		OnStore:  e.world.storeChanged,
 		Log:      logs.For("targets", process.Machine),
@@ -107,8 +112,8 @@
 		Peers: e.peers,
 		Log:   logs.For("depot", process.Machine),
 	})
-	e.catchup = peers.NewCatchup(e.peers, e.operators, platform.TopicOperators)
-	e.targetsCatchup = peers.NewCatchup(e.peers, e.targets, platform.TopicTargets)
+	e.catchup = peers.NewCatchup(e.peers, e.operators, platform.TopicOperators, storeHead)
+	e.targetsCatchup = peers.NewCatchup(e.peers, e.targets, platform.TopicTargets, 0)
 	return e, nil
 }
 
@@ -142,11 +147,23 @@
 func (e *Entry) beat(hb *contract.Heartbeat) {
 	hb.Flights = e.world.ownFlights()
 	hb.Settings = contract.Offset(e.operators.Newest() + 1)
+	hb.Targets = contract.Offset(e.targets.Newest() + 1)
+}
+
+// targetsPause is the time until the list of targets is read again.
+func (e *Entry) targetsPause() time.Duration {
+	if reader, ok := e.peers.First(e.process.Zone); ok && reader != e.process.Machine {
+		return targetsPause
+	}
+	return readerPause
 }
 
 // beatReceived takes in a peer's heartbeat.
 func (e *Entry) beatReceived(hb contract.Heartbeat) {
 	e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+	if hb.Zone == e.process.Zone {
+		e.targetsCatchup.Told(hb.Machine, int64(hb.Targets)-1)
+	}
 	e.world.beat(hb)
 }
 
@@ -182,6 +199,7 @@
 	if m := e.world.current(); m != nil {
 		e.depot.SetOrigin(m.Origin())
 	}
+	e.peers.BeatNow()
 }
 
 // Reload takes in settings that have changed: the bounds and the level of logs.
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -17,13 +17,17 @@
 const (
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// pokePause is the shortest pause between two reads however often Poke is called.
+	pokePause = 150 * time.Millisecond
 )
 
 // Options tells how a topic is followed.
 type Options struct {
 	Topic string
-	// Wait is how long one read waits for a record, Pause the time between reads.
-	Wait, Pause time.Duration
+	// Wait is how long one read waits for a record; Pause returns the time until the
+	// next read, which Poke cuts short.
+	Wait  time.Duration
+	Pause func() time.Duration
 	// OnChange is called with the records that were news.
 	OnChange func([]contract.Record)
 	// OnStore is called when the store is lost and when it answers again.
@@ -43,6 +47,8 @@
 	up    bool
 	upAt  time.Time
 
+	poke chan struct{}
+
 	// from is the offset to read on from; synced tells that it is in force. They
 	// belong to Run.
 	from   int64
@@ -51,14 +57,14 @@
 
 // New returns a feed that Run starts.
 func New(store *platform.Store, opts Options) *Feed {
-	return &Feed{store: store, opts: opts, replica: NewReplica()}
+	return &Feed{store: store, opts: opts, replica: NewReplica(), poke: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		wait := f.opts.Pause
+		wait := time.Duration(0)
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			failures++
 			f.failed(err)
@@ -66,8 +72,9 @@
 		} else {
 			failures = 0
 			f.succeeded()
+			wait = f.pause()
 		}
-		sleep(ctx, wait)
+		f.sleep(ctx, wait)
 	}
 }
 
@@ -77,15 +84,36 @@
 	return base/2 + time.Duration(rand.Int64N(int64(base)))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
+func (f *Feed) pause() time.Duration {
+	if f.opts.Pause == nil {
+		return 0
+	}
+	return f.opts.Pause()
+}
+
+// Poke has the topic read soon although the pause is not over.
+func (f *Feed) Poke() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for d, or for a poke but not less than the shortest pause.
+func (f *Feed) sleep(ctx context.Context, d time.Duration) {
+	shortest := time.NewTimer(min(d, pokePause))
+	defer shortest.Stop()
+	select {
+	case <-ctx.Done():
 		return
+	case <-shortest.C:
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+	rest := time.NewTimer(max(d-pokePause, 0))
+	defer rest.Stop()
 	select {
 	case <-ctx.Done():
-	case <-timer.C:
+	case <-f.poke:
+	case <-rest.C:
 	}
 }
 
--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/machine/feed"
 )
 
 const (
 	// catchupInterval is the time between two looks at whether the process lags.
 	catchupInterval = 300 * time.Millisecond
-	// storeHead is how long the store is given to tell what a peer knows already.
-	storeHead = 250 * time.Millisecond
 )
 
 // Catchup brings to a feed what peers know and the store does not tell: because
@@ -23,6 +20,9 @@
 	peers *Peers
 	feed  *feed.Feed
 	topic string
+	head  time.Duration
+	// told tells that a peer is ahead.
+	told chan struct{}
 
 	mu sync.Mutex
 	// ahead is the peer that told the highest offset, newest that offset, since when
@@ -32,9 +32,10 @@
 	since  time.Time
 }
 
-// NewCatchup returns a catch-up of a feed on a topic.
-func NewCatchup(p *Peers, f *feed.Feed, topic string) *Catchup {
-	return &Catchup{peers: p, feed: f, topic: topic, newest: -1}
+// NewCatchup returns a catch-up of a feed on a topic. The store is given head to
+// tell what a peer knows already.
+func NewCatchup(p *Peers, f *feed.Feed, topic string, head time.Duration) *Catchup {
+	return &Catchup{peers: p, feed: f, topic: topic, head: head, newest: -1, told: make(chan struct{}, 1)}
 }
 
 // Told takes in the newest offset that a peer knows, -1 if it knows none.
@@ -45,11 +46,25 @@
 		return
 	}
 	c.ahead, c.newest, c.since = peer, newest, time.Now()
+	select {
+	case c.told <- struct{}{}:
+	default:
+	}
 }
 
 // Run pulls from peers until ctx ends.
 func (c *Catchup) Run(ctx context.Context) {
-	periodic.Run(ctx, catchupInterval, func() { c.pull(ctx) })
+	ticker := time.NewTicker(catchupInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.told:
+		case <-ticker.C:
+		}
+		c.pull(ctx)
+	}
 }
 
 func (c *Catchup) pull(ctx context.Context) {
@@ -72,5 +87,5 @@
 func (c *Catchup) behind() (contract.MachineID, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ahead, c.newest > c.feed.Newest() && time.Since(c.since) > storeHead
+	return c.ahead, c.newest > c.feed.Newest() && time.Since(c.since) >= c.head
 }
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -28,8 +28,13 @@
 	fullRateLinks = 40
 	// memberWait is how long one read of the members waits for news.
 	memberWait = 10 * time.Second
-	// memberPause is the time between two such reads, so that one brings several.
-	memberPause = 120 * time.Millisecond
+	// joinTime is how long after the start many members join at once. Reads of an
+	// entry are joinPause apart meanwhile and memberPause later, so that one brings
+	// several members. A target reads when a peer comes that it does not know.
+	joinTime     = 3 * time.Second
+	joinPause    = 120 * time.Millisecond
+	memberPause  = time.Second
+	targetsPause = 15 * time.Second
 	// publishPause is the time between two tries to publish this process.
 	publishPause = 400 * time.Millisecond
 	pullTimeout  = 700 * time.Millisecond
@@ -62,6 +67,8 @@
 	endpoint *link.Endpoint
 	pool     *pool.Pool
 
+	started time.Time
+
 	mu    sync.Mutex
 	known map[contract.MachineID]Member
 	// conns holds the newest link to each peer, whoever dialed.
@@ -71,7 +78,14 @@
 
 // Open opens the link address; Run does the rest.
 func Open(opts Options) (*Peers, error) {
-	p := &Peers{opts: opts, known: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}}
+	p := &Peers{opts: opts, started: time.Now(), known: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}}
+	p.members = feed.New(opts.Store, feed.Options{
+		Topic:    platform.TopicMembers,
+		Wait:     p.memberWait(),
+		Pause:    p.memberPause,
+		OnChange: p.membersChanged,
+		Log:      opts.Log,
+	})
 	creds, fingerprint, err := link.NewPinnedCredentials(
 		link.Peer{Machine: opts.Self.Machine, Role: opts.Self.Role}, p.trusts)
 	if err != nil {
@@ -92,16 +106,28 @@
 		OnUp:    func(id contract.MachineID, c *link.Conn) { p.linked(id, c) },
 		Backoff: backoff.Policy{Base: redialMin, Max: redialMax},
 	})
-	p.members = feed.New(opts.Store, feed.Options{
-		Topic:    platform.TopicMembers,
-		Wait:     memberWait,
-		Pause:    memberPause,
-		OnChange: p.membersChanged,
-		Log:      opts.Log,
-	})
 	return p, nil
 }
 
+func (p *Peers) memberWait() time.Duration {
+	if p.opts.Self.Role == link.RoleTarget {
+		return 0
+	}
+	return memberWait
+}
+
+// memberPause is the time until the members are read again.
+func (p *Peers) memberPause() time.Duration {
+	switch {
+	case p.opts.Self.Role == link.RoleTarget:
+		return targetsPause
+	case time.Since(p.started) < joinTime:
+		return joinPause
+	default:
+		return memberPause
+	}
+}
+
 // Run follows the members and publishes this process until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -138,7 +164,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.known[peer.Machine]
-	return ok && m.Role == peer.Role && m.Fingerprint == fingerprint
+	if ok && m.Role == peer.Role && m.Fingerprint == fingerprint {
+		return true
+	}
+	p.members.Poke()
+	return false
 }
 
 func (p *Peers) membersChanged(records []contract.Record) {
@@ -214,6 +244,28 @@
 	return c, ok && c.Err() == nil
 }
 
+// First is the first entry of a zone, by machine, that is this process or linked.
+func (p *Peers) First(zone contract.ZoneName) (contract.MachineID, bool) {
+	for _, m := range p.Members(link.RoleEntry) {
+		if m.Zone == zone && (m.Machine == p.opts.Self.Machine || p.Linked(m.Machine)) {
+			return m.Machine, true
+		}
+	}
+	return "", false
+}
+
+// AnyLinked reports whether there is a link to an entry.
+func (p *Peers) AnyLinked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, c := range p.conns {
+		if p.known[id].Role == link.RoleEntry && c.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // BeatNow sends a heartbeat on every link at once.
 func (p *Peers) BeatNow() {
 	p.mu.Lock()
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -22,8 +22,12 @@
 	"mimosastand.example/mimosastand/zone/catalog"
 )
 
-// operatorsWait is how long one read of what operators write waits for news.
-const operatorsWait = 6 * time.Second
+// Entries tell targets of what operators write; a target asks the store itself at
+// these intervals, with a link to an entry and without one.
+const (
+	linkedPause   = 20 * time.Second
+	unlinkedPause = 700 * time.Millisecond
+)
 
 // Target is the process beside one model engine.
 type Target struct {
@@ -62,7 +66,7 @@
 	t.keeper = newKeeper(t)
 	t.feed = feed.New(t.store, feed.Options{
 		Topic:    platform.TopicOperators,
-		Wait:     operatorsWait,
+		Pause:    t.operatorsPause,
 		OnChange: t.operatorsChanged,
 		Log:      logs.For("operators", process.Machine),
 	})
@@ -78,13 +82,14 @@
 		Log:    logs.For("peers", process.Machine),
 		Beat:   func(hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
 		OnBeat: func(hb contract.Heartbeat) { t.catchup.Told(hb.Machine, int64(hb.Settings)-1) },
+		OnDown: func(contract.MachineID) { t.feed.Poke() },
 		Serve:  func(context.Context, contract.Message, *link.Stream) {},
 	})
 	if err != nil {
 		return nil, err
 	}
 	t.peers = opened
-	t.catchup = peers.NewCatchup(opened, t.feed, platform.TopicOperators)
+	t.catchup = peers.NewCatchup(opened, t.feed, platform.TopicOperators, 0)
 	return t, nil
 }
 
@@ -132,6 +137,14 @@
 	return t.metrics.Close()
 }
 
+// operatorsPause is the time until the store is asked again.
+func (t *Target) operatorsPause() time.Duration {
+	if t.peers.AnyLinked() {
+		return linkedPause
+	}
+	return unlinkedPause
+}
+
 // operatorsChanged takes in what operators have written.
 func (t *Target) operatorsChanged(records []contract.Record) {
 	for _, r := range records {
