--- a/contract/message.go
+++ b/contract/message.go
@@ -192,6 +192,8 @@
 	// Engine is set by the process beside a model engine, Flights by an entry.
 	Engine  *EngineStatus `cbor:"8,keyasint,omitempty"`
 	Flights []Flight      `cbor:"9,keyasint,omitempty"`
+	// SameFlights tells that the flights are left out and those told before hold.
+	SameFlights bool `cbor:"11,keyasint,omitempty"`
 	// Targets is the highest offset of the list of targets that an entry knows, plus
 	// one; 0 if it knows none.
 	Targets Offset `cbor:"10,keyasint,omitempty"`
@@ -216,8 +218,11 @@
 
 // Flight is how many attempts an entry has at a target.
 type Flight struct {
-	Target string `cbor:"1,keyasint"`
-	Count  uint32 `cbor:"2,keyasint"`
+	_ struct{} `cbor:",toarray"`
+	// Target is the 32-bit hash of the target's name: the list is in every heartbeat
+	// of every two entries.
+	Target uint32
+	Count  uint32
 }
 
 // SettingsPull asks a peer for the settings records after an offset.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -42,6 +42,9 @@
 	// storeHead is how long the store is given to tell what a peer knows already: it
 	// wakes reads of what operators write; the list is read by one entry of a zone.
 	storeHead = 250 * time.Millisecond
+	// farFlightsPause is the time between two times that an entry of another region is
+	// told of flights.
+	farFlightsPause = 500 * time.Millisecond
 	// tickInterval is the time between two looks at what has lapsed.
 	tickInterval = 250 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's connection; both are at least
@@ -70,6 +73,8 @@
 	// catchup and targetsCatchup bring what the store does not tell.
 	catchup, targetsCatchup *peers.Catchup
 	callers, probes         net.Listener
+	// farFlights tells when entries of other regions are told of flights.
+	farFlights *pacer
 	// work lasts until the entry has stopped, longer than the signal to stop.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -85,6 +90,8 @@
 		metrics:  metrics.New(),
 		store:    platform.NewStore(process.Fleet.Store),
 		upstream: newUpstream(),
+
+		farFlights: newPacer(farFlightsPause),
 	}
 	e.meters = newMeters(e.metrics.Scope())
 	e.world = newWorld(process, logs.For("world", process.Machine))
@@ -143,9 +150,17 @@
 	return err
 }
 
-// beat fills in what heartbeats tell of the entry.
-func (e *Entry) beat(hb *contract.Heartbeat) {
-	hb.Flights = e.world.ownFlights()
+// beat fills in what heartbeats tell a peer of the entry. Targets need no flights;
+// entries of other regions, which send here only when theirs are full, get them
+// rarely, since they come over the links between regions.
+func (e *Entry) beat(peer contract.MachineID, hb *contract.Heartbeat) {
+	member, _ := e.peers.Member(peer)
+	if member.Role == link.RoleEntry {
+		hb.SameFlights = member.Region != e.process.Region && !e.farFlights.due(peer, time.Now())
+		if !hb.SameFlights {
+			hb.Flights = e.world.ownFlights()
+		}
+	}
 	hb.Settings = contract.Offset(e.operators.Newest() + 1)
 	hb.Targets = contract.Offset(e.targets.Newest() + 1)
 }
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -22,13 +24,20 @@
 		})
 		return
 	}
-	flights := map[roster.TargetID]int{}
+	if hb.SameFlights {
+		return
+	}
+	flights := map[uint32]int{}
 	for _, f := range hb.Flights {
-		flights[roster.TargetID(f.Target)] = int(f.Count)
+		flights[f.Target] = int(f.Count)
 	}
 	w.setFlights(hb.Machine, flights)
 }
 
+// flightKey is what stands for a target in heartbeats. Two targets of one key, one
+// pair in some million, are each taken for as busy as both.
+func flightKey(id roster.TargetID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
 // peerDown forgets what a peer had in flight.
 func (w *world) peerDown(id contract.MachineID) {
 	w.mu.Lock()
@@ -36,26 +45,33 @@
 	w.setFlights(id, nil)
 }
 
-func (w *world) setFlights(id contract.MachineID, flights map[roster.TargetID]int) {
-	touched := map[roster.TargetID]bool{}
-	for target := range w.flights[id] {
-		touched[target] = true
+func (w *world) setFlights(id contract.MachineID, flights map[uint32]int) {
+	touched := map[uint32]bool{}
+	for key := range w.flights[id] {
+		touched[key] = true
 	}
-	for target := range flights {
-		touched[target] = true
+	for key := range flights {
+		touched[key] = true
 	}
 	w.flights[id] = flights
-	for target := range touched {
-		total := 0
-		for _, f := range w.flights {
-			total += f[target]
-		}
-		if m := w.roster.Member(target); m != nil {
-			w.pool(m.Service).SetOthers(target, float64(total))
+	for name, p := range w.pools {
+		for _, m := range w.roster.Members(name) {
+			if key := flightKey(m.ID); touched[key] {
+				p.SetOthers(m.ID, float64(w.othersAt(key)))
+			}
 		}
 	}
 }
 
+// othersAt is what all other entries have at a target.
+func (w *world) othersAt(key uint32) int {
+	total := 0
+	for _, f := range w.flights {
+		total += f[key]
+	}
+	return total
+}
+
 // ownFlights lists what this entry has in flight, for its heartbeats.
 func (w *world) ownFlights() []contract.Flight {
 	w.mu.Lock()
@@ -63,7 +79,7 @@
 	var list []contract.Flight
 	for _, p := range w.pools {
 		for id, n := range p.InFlight() {
-			list = append(list, contract.Flight{Target: string(id), Count: uint32(n)})
+			list = append(list, contract.Flight{Target: flightKey(id), Count: uint32(n)})
 		}
 	}
 	return list
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -45,7 +45,7 @@
 	pools      map[contract.ServiceName]*placement.Pool
 	budgets    map[contract.ServiceName]*retry.Window
 	comebacks  map[contract.ServiceName]*retry.Comeback
-	flights    map[contract.MachineID]map[roster.TargetID]int
+	flights    map[contract.MachineID]map[uint32]int
 	entries    int
 	rng        *rand.Rand
 }
@@ -67,7 +67,7 @@
 		pools:     map[contract.ServiceName]*placement.Pool{},
 		budgets:   map[contract.ServiceName]*retry.Window{},
 		comebacks: map[contract.ServiceName]*retry.Comeback{},
-		flights:   map[contract.MachineID]map[roster.TargetID]int{},
+		flights:   map[contract.MachineID]map[uint32]int{},
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -25,7 +25,7 @@
 	targetHeartbeat = 600 * time.Millisecond
 	silentAfter     = 1500 * time.Millisecond
 	// fullRateLinks is the number of links beyond which heartbeats become rarer.
-	fullRateLinks = 40
+	fullRateLinks = 30
 	// memberWait is how long one read of the members waits for news.
 	memberWait = 10 * time.Second
 	// joinTime is how long after the start many members join at once. Reads of an
@@ -51,8 +51,8 @@
 	Self  Member
 	Store *platform.Store
 	Log   log.Interface
-	// Beat fills in what heartbeats tell of this process.
-	Beat func(*contract.Heartbeat)
+	// Beat fills in what heartbeats tell a peer of this process.
+	Beat func(contract.MachineID, *contract.Heartbeat)
 	// OnBeat is called for each heartbeat of a peer, OnDown when a link has ended.
 	OnBeat func(contract.Heartbeat)
 	OnDown func(contract.MachineID)
@@ -231,6 +231,14 @@
 	return list
 }
 
+// Member is what is known of a machine.
+func (p *Peers) Member(id contract.MachineID) (Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.known[id]
+	return m, ok
+}
+
 // Linked reports whether there is a link to a machine.
 func (p *Peers) Linked(id contract.MachineID) bool {
 	_, ok := p.conn(id)
@@ -341,9 +349,9 @@
 }
 
 // Heartbeat implements link.Handler.
-func (p *Peers) Heartbeat(link.Peer) contract.Heartbeat {
+func (p *Peers) Heartbeat(peer link.Peer) contract.Heartbeat {
 	hb := contract.Heartbeat{Machine: p.opts.Self.Machine, Zone: p.opts.Self.Zone}
-	p.opts.Beat(&hb)
+	p.opts.Beat(peer.Machine, &hb)
 	return hb
 }
 
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -80,7 +80,7 @@
 		},
 		Store:  t.store,
 		Log:    logs.For("peers", process.Machine),
-		Beat:   func(hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
+		Beat:   func(_ contract.MachineID, hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
 		OnBeat: func(hb contract.Heartbeat) { t.catchup.Told(hb.Machine, int64(hb.Settings)-1) },
 		OnDown: func(contract.MachineID) { t.feed.Poke() },
 		Serve:  func(context.Context, contract.Message, *link.Stream) {},
