--- a/contract/message.go
+++ b/contract/message.go
@@ -211,9 +211,6 @@
 	Version int64 `cbor:"4,keyasint,omitempty"`
 	// Changing tells that the engine loads, or is about to.
 	Changing bool `cbor:"5,keyasint,omitempty"`
-	// Running and Queued count the requests at the engine.
-	Running uint32 `cbor:"6,keyasint,omitempty"`
-	Queued  uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Flight is how many attempts an entry has at a target.
--- a/machine/entry/attempts/attempts.go
+++ b/machine/entry/attempts/attempts.go
@@ -35,8 +35,6 @@
 	Sent, Unsent, MaxAttempts int
 	// Left is the time until the deadline.
 	Left time.Duration
-	// Stopping tells that the process ends soon.
-	Stopping bool
 }
 
 // Verdict is what follows.
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -86,7 +86,6 @@
 		Unsent:      c.unsent,
 		MaxAttempts: c.route.MaxAttempts,
 		Left:        time.Until(c.deadline),
-		Stopping:    c.entry.stopping.Load(),
 	}
 }
 
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -19,8 +19,6 @@
 			Version:  e.Version,
 			Ready:    e.Up && e.Version > 0,
 			Changing: e.Changing,
-			Running:  int(e.Running),
-			Queued:   int(e.Queued),
 		})
 		return
 	}
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -62,8 +62,6 @@
 		Born:     k.report.Born,
 		Up:       k.up,
 		Changing: k.announced || k.report.Busy,
-		Running:  uint32(max(k.report.Running, 0)),
-		Queued:   uint32(max(k.report.Queued, 0)),
 	}
 	if k.up {
 		s.Version = k.whole()
--- a/weights/pieces/pieces.go
+++ b/weights/pieces/pieces.go
@@ -85,19 +85,6 @@
 // Whole reports whether all pieces are held.
 func (s *Set) Whole() bool { return s.Held() == s.Len() }
 
-// Missing lists the pieces that are not held.
-func (s *Set) Missing() []int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []int
-	for i, d := range s.data {
-		if d == nil {
-			list = append(list, i)
-		}
-	}
-	return list
-}
-
 // Grown returns a channel that is closed when the next piece is added.
 func (s *Set) Grown() <-chan struct{} {
 	s.mu.Lock()
--- a/weights/pieces/pieces_test.go
+++ b/weights/pieces/pieces_test.go
@@ -50,7 +50,7 @@
 	if news, err := s.Add(0, []byte("zero")); news || err != nil {
 		t.Errorf("again: %v %v", news, err)
 	}
-	if !s.Whole() || len(s.Missing()) != 0 || string(s.Get(1)) != "one" {
-		t.Errorf("held %d, missing %v", s.Held(), s.Missing())
+	if !s.Whole() || string(s.Get(1)) != "one" {
+		t.Errorf("held %d of %d", s.Held(), s.Len())
 	}
 }
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -48,6 +48,4 @@
 	Ready bool
 	// Changing tells that the engine is about to load, or loads.
 	Changing bool
-	// Running and Queued count the requests at the engine.
-	Running, Queued int
 }
