A stream that cannot go on is given up soon; targets learn from entries of their zone

Cause: a last read: a request that had been sent before, and found no room or no engine with its weights, waited until its deadline, though callers leave a stream that pauses for some two seconds.

Change: it waits a second. Targets listen to entries of their own zone while one is linked.

--- a/e2e/fleet/fleet_test.go
+++ b/e2e/fleet/fleet_test.go
@@ -269,3 +269,20 @@
 		}
 	}
 }
+
+// A stream breaks off while no other engine holds its weights: the answer is cut
+// within the time that the caller would wait for the next event, not at its deadline.
+func TestCutStreamIsGivenUpSoon(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	e, _ := r.entry("entry-1", r.store.Address())
+	r.engines[0].CutAfter(2)
+	start := time.Now()
+	got := r.call(e, http.MethodPost, "/chat/x", "prompt", nil)
+	if got.err == nil {
+		t.Errorf("the cut answer looks whole: %+v", got)
+	}
+	if took := time.Since(start); took > patience {
+		t.Errorf("given up after %v of 60 s", took)
+	}
+}
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -119,7 +119,7 @@
 	text, err := json.Marshal(map[string]any{
 		"version": r.version,
 		"routes": []map[string]any{
-			{"name": "chat", "host": host, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 1000,
+			{"name": "chat", "host": host, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 60000, "target_latency_ms": 1000,
 				"service": "models", "max_attempts": 2, "can_resume": true, "gap_target_ms": 300},
 			{"name": "pay", "host": host, "path_prefix": "/pay/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500,
 				"service": "ledger", "max_attempts": 2},
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -134,11 +134,22 @@
 	}
 }
 
+const (
+	// placeInterval is the time between two looks for room.
+	placeInterval = 8 * time.Millisecond
+	// arrivalPart of its objective is how long a new request waits for room.
+	arrivalPart = 8
+	// retryPatience is how long a request that was sent before waits for room
+	// elsewhere: callers leave a stream that pauses for some two seconds.
+	retryPatience = time.Second
+)
+
 // place chooses a target, waiting for a short time if all are full.
 func (c *call) place(ctx context.Context) (placement.Choice, contract.Reason, time.Duration) {
-	const look = 8 * time.Millisecond
-	const patiencePart = 8
-	until := c.arrived.Add(c.route.Objective / patiencePart)
+	until := c.arrived.Add(c.route.Objective / arrivalPart)
+	if c.sent > 0 {
+		until = time.Now().Add(retryPatience)
+	}
 	for {
 		limit := time.Until(c.deadline)
 		if c.sent == 0 {
@@ -148,13 +159,13 @@
 		if refusal == placement.Placed {
 			return choice, "", 0
 		}
-		if c.sent == 0 && time.Now().After(until) || refusal == placement.None && !c.begun {
+		if time.Now().After(until) || refusal == placement.None && !c.begun {
 			return choice, reasonOf(refusal), c.entry.world.comeBack(c.service, c.want(), limit)
 		}
 		select {
 		case <-ctx.Done():
 			return choice, reasonOf(refusal), 0
-		case <-time.After(look):
+		case <-time.After(placeInterval):
 		}
 	}
 }
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -81,7 +81,7 @@
 		Store:  t.store,
 		Log:    logs.For("peers", process.Machine),
 		Beat:   func(_ contract.MachineID, hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
-		OnBeat: func(hb contract.Heartbeat) { t.catchup.Told(hb.Machine, int64(hb.Settings)-1) },
+		OnBeat: t.beatReceived,
 		OnDown: func(contract.MachineID) { t.feed.Poke() },
 		Serve:  func(context.Context, contract.Message, *link.Stream) {},
 	})
@@ -137,6 +137,15 @@
 	return t.metrics.Close()
 }
 
+// beatReceived takes in what an entry knows. Manifests are large: while an entry of
+// the own zone is linked, they do not come over the links between regions.
+func (t *Target) beatReceived(hb contract.Heartbeat) {
+	if _, near := t.peers.First(t.process.Zone); near && hb.Zone != t.process.Zone {
+		return
+	}
+	t.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+}
+
 // operatorsPause is the time until the store is asked again.
 func (t *Target) operatorsPause() time.Duration {
 	if t.peers.AnyLinked() {
