A version that is named later does not put off the bound of the one before

An entry remembered only the newest, so that from 28.7 s on version 1 might begin again, and did at 31.3 s on an engine whose target process had been frozen from 25.2 s on.

Ruled out: the engine's own lag (it was on version 1 by its own report), a slow entry.

Change: upkeep.Named remembers the versions; the least that may begin is the newest of those named long enough ago.

--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -5,6 +5,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
@@ -59,10 +60,14 @@
 		w.log.WithError(err).WithField("offset", r.Offset).Warn("named version ignored")
 		return
 	}
-	if version <= w.named[model].version {
+	n, ok := w.named[model]
+	if !ok {
+		n = &upkeep.Named{}
+		w.named[model] = n
+	}
+	if !n.Add(time.Now(), version) {
 		return
 	}
-	w.named[model] = named{version: version, at: time.Now()}
 	w.log.WithField("model", model).WithField("version", version).Info("version named")
 }
 
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -10,6 +10,7 @@
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/retry"
+	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/roster"
@@ -41,7 +42,7 @@
 	roster     *roster.Roster
 	listed     bool
 	evacuated  map[contract.ZoneName]bool
-	named      map[string]named
+	named      map[string]*upkeep.Named
 	pools      map[contract.ServiceName]*placement.Pool
 	budgets    map[contract.ServiceName]*retry.Window
 	comebacks  map[contract.ServiceName]*retry.Comeback
@@ -50,12 +51,6 @@
 	rng        *rand.Rand
 }
 
-// named is a version of weights that operators have named.
-type named struct {
-	version int64
-	at      time.Time
-}
-
 func newWorld(process *config.Process, logger log.Interface) *world {
 	return &world{
 		process:   process,
@@ -63,7 +58,7 @@
 		log:       logger,
 		roster:    roster.New(),
 		evacuated: map[contract.ZoneName]bool{},
-		named:     map[string]named{},
+		named:     map[string]*upkeep.Named{},
 		pools:     map[contract.ServiceName]*placement.Pool{},
 		budgets:   map[contract.ServiceName]*retry.Window{},
 		comebacks: map[contract.ServiceName]*retry.Comeback{},
@@ -191,9 +186,8 @@
 	}
 	oldest := int64(0)
 	for _, model := range s.Engine.Models {
-		n := w.named[model]
-		if n.version > 0 && time.Since(n.at) > w.bounds.Version-versionMargin {
-			oldest = max(oldest, n.version)
+		if n, ok := w.named[model]; ok {
+			oldest = max(oldest, n.Least(time.Now(), w.bounds.Version-versionMargin))
 		}
 	}
 	return oldest
@@ -212,7 +206,10 @@
 			continue
 		}
 		for _, model := range s.Engine.Models {
-			list[model] = max(w.named[model].version, 1)
+			list[model] = 1
+			if n, ok := w.named[model]; ok {
+				list[model] = n.Newest()
+			}
 		}
 	}
 	return list
--- /dev/null
+++ b/weights/upkeep/named_test.go
@@ -0,0 +1,44 @@
+package upkeep
+
+import (
+	"testing"
+	"time"
+)
+
+// A version that is named while the one before it is under way must not put off the
+// time from which the first one's predecessor may begin nothing more.
+func TestANewerVersionDoesNotPutOffTheBound(t *testing.T) {
+	const bound = 8 * time.Second
+	var n Named
+	n.Add(start, 2)
+	n.Add(start.Add(7*time.Second), 3)
+	for _, c := range []struct {
+		after time.Duration
+		want  int64
+	}{
+		{7 * time.Second, 0},
+		{8 * time.Second, 2},
+		{14 * time.Second, 2},
+		{15 * time.Second, 3},
+	} {
+		if got := n.Least(start.Add(c.after), bound); got != c.want {
+			t.Errorf("after %v: version %d, want %d", c.after, got, c.want)
+		}
+	}
+	if n.Newest() != 3 {
+		t.Errorf("newest %d", n.Newest())
+	}
+}
+
+func TestOlderNamesAreIgnored(t *testing.T) {
+	var n Named
+	if !n.Add(start, 3) || n.Add(start, 3) || n.Add(start, 2) {
+		t.Error("an older version was taken")
+	}
+	for i := int64(4); i < 40; i++ {
+		n.Add(start, i)
+	}
+	if len(n.versions) > maxNamed || n.Least(start, 0) != 39 {
+		t.Errorf("%d versions kept, least %d", len(n.versions), n.Least(start, 0))
+	}
+}
