One list of the process fields; the library's search in the catalog

Cause: the last read: config/fleet.go repeated the six fields of section [process], and zone/catalog a search that package slices has.

Ruled out as not the same logic: the ticker loops of the catch-up and the load tool, the shapes that error lists and settings have in common.

Change: processFields serves both kinds of file, with the default of shutdown_grace as its argument; slices.Contains. No behaviour changes; the tests are as they were.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -49,20 +49,11 @@
 	Version time.Duration
 }
 
-// fleetCommon lists the fields of every process of a fleet.
+// fleetGrace is the default grace of a planned stop, that of the platform.
+const fleetGrace = "8s"
+
+// fleetCommon lists what every process of a fleet has beside processFields.
 var fleetCommon = []field{
-	{section: "process", key: "role", kind: kindChoice, required: true, choices: []string{RoleEntry, RoleTarget},
-		set: func(c *Process, v value) { c.Role = v.text }},
-	{section: "process", key: "machine", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Machine = contract.MachineID(v.text) }},
-	{section: "process", key: "zone", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Zone = contract.ZoneName(v.text) }},
-	{section: "process", key: "region", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Region = contract.RegionName(v.text) }},
-	{section: "process", key: "log_level", kind: kindChoice, def: "info", choices: []string{"debug", "info", "warn", "error"},
-		set: func(c *Process, v value) { c.LogLevel = v.text }},
-	{section: "process", key: "shutdown_grace", kind: kindDuration, def: "8s", min: second, max: 3600 * second,
-		set: func(c *Process, v value) { c.ShutdownGrace = v.duration }},
 	{section: fleetSection, key: "zones", kind: kindZones, required: true,
 		set: func(c *Process, v value) { c.Fleet.Zones = v.zones }},
 	{section: fleetSection, key: "store", kind: kindAddress, required: true,
@@ -102,7 +93,7 @@
 }
 
 func fleetFieldsFor(role string) []field {
-	fields := append([]field(nil), fleetCommon...)
+	fields := append(processFields(fleetGrace), fleetCommon...)
 	switch role {
 	case RoleEntry:
 		return append(fields, fleetEntryFields...)
--- a/config/load.go
+++ b/config/load.go
@@ -64,7 +64,7 @@
 }
 
 func fieldsFor(role string) []field {
-	fields := append([]field(nil), common...)
+	fields := append(processFields(defaultGrace), common...)
 	switch role {
 	case RoleEntry:
 		return append(fields, entryFields...)
--- a/config/process.go
+++ b/config/process.go
@@ -91,20 +91,30 @@
 	maxLinkBytes = 1 << 36
 )
 
-// common lists the fields of every process.
+// defaultGrace is the default grace of a planned stop.
+const defaultGrace = "30s"
+
+// processFields lists the fields of section [process]; grace is the default of
+// shutdown_grace.
+func processFields(grace string) []field {
+	return []field{
+		{section: "process", key: "role", kind: kindChoice, required: true, choices: []string{RoleEntry, RoleTarget},
+			set: func(c *Process, v value) { c.Role = v.text }},
+		{section: "process", key: "machine", kind: kindName, required: true,
+			set: func(c *Process, v value) { c.Machine = contract.MachineID(v.text) }},
+		{section: "process", key: "zone", kind: kindName, required: true,
+			set: func(c *Process, v value) { c.Zone = contract.ZoneName(v.text) }},
+		{section: "process", key: "region", kind: kindName, required: true,
+			set: func(c *Process, v value) { c.Region = contract.RegionName(v.text) }},
+		{section: "process", key: "log_level", kind: kindChoice, def: "info", choices: []string{"debug", "info", "warn", "error"},
+			set: func(c *Process, v value) { c.LogLevel = v.text }},
+		{section: "process", key: "shutdown_grace", kind: kindDuration, def: grace, min: second, max: 3600 * second,
+			set: func(c *Process, v value) { c.ShutdownGrace = v.duration }},
+	}
+}
+
+// common lists what every process has beside processFields.
 var common = []field{
-	{section: "process", key: "role", kind: kindChoice, required: true, choices: []string{RoleEntry, RoleTarget},
-		set: func(c *Process, v value) { c.Role = v.text }},
-	{section: "process", key: "machine", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Machine = contract.MachineID(v.text) }},
-	{section: "process", key: "zone", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Zone = contract.ZoneName(v.text) }},
-	{section: "process", key: "region", kind: kindName, required: true,
-		set: func(c *Process, v value) { c.Region = contract.RegionName(v.text) }},
-	{section: "process", key: "log_level", kind: kindChoice, def: "info", choices: []string{"debug", "info", "warn", "error"},
-		set: func(c *Process, v value) { c.LogLevel = v.text }},
-	{section: "process", key: "shutdown_grace", kind: kindDuration, def: "30s", min: second, max: 3600 * second,
-		set: func(c *Process, v value) { c.ShutdownGrace = v.duration }},
 	{section: "listen", key: "link", kind: kindAddress, required: true,
 		set: func(c *Process, v value) { c.LinkAddress = v.text }},
 	{section: "listen", key: "http", kind: kindAddress, required: true,
--- a/zone/catalog/catalog.go
+++ b/zone/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -202,19 +203,11 @@
 // Allowed reports whether a region is in both lists, where an empty list holds
 // every region.
 func Allowed(region contract.RegionName, route, team []contract.RegionName) bool {
-	return contains(route, region) && contains(team, region)
+	return allows(route, region) && allows(team, region)
 }
 
-func contains(list []contract.RegionName, region contract.RegionName) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, r := range list {
-		if r == region {
-			return true
-		}
-	}
-	return false
+func allows(list []contract.RegionName, region contract.RegionName) bool {
+	return len(list) == 0 || slices.Contains(list, region)
 }
 
 // Origin returns the origin of weights; zero if the manifest names none.
