A young target vouches for attempts that were sent to its own run

The call never reached the target; asked about it, the target would not vouch, since the attempt's age plus the 5 s for a message under way came near its own life of 5.7 s. The entry had heard from that very run before it sent, so the target was there to hear it.

Ruled out: the redial of link/pool (connections are replaced only after 1 s, the pause is for those under 0.5 s), another run of the target, a cut back end.

Change: a query says which run of the target the sender had heard from when it sent the attempt; that run vouches whatever its age. The age rule stays for all others (claims of other entries).

The test now shows a refused call's answer.

--- a/contract/message.go
+++ b/contract/message.go
@@ -141,6 +141,9 @@
 	ResendAt uint64 `cbor:"4,keyasint,omitempty"`
 	// Age is how long ago the sender first sent the attempt.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// SentTo is the run of the target that the sender had heard from when it first
+	// sent the attempt; 0 if not known.
+	SentTo Incarnation `cbor:"6,keyasint,omitempty"`
 }
 
 // Status answers a Query.
--- a/machine/entry/dispatch/ask.go
+++ b/machine/entry/dispatch/ask.go
@@ -57,6 +57,7 @@
 		Resend:    true,
 		ResendAt:  a.next,
 		Age:       m.age(a),
+		SentTo:    a.incarnation,
 	}
 }
 
--- a/machine/entry/relay_test.go
+++ b/machine/entry/relay_test.go
@@ -112,11 +112,15 @@
 	r := newRig(t, noClaims{})
 	before := r.stats().Effects
 	const calls = 4
-	statuses := make(chan int, calls)
+	type answer struct {
+		status int
+		body   string
+	}
+	answers := make(chan answer, calls)
 	for i := range calls {
 		go func() {
-			status, _ := r.call(fmt.Sprintf("POST /v1/services/registry/filings\nX-Team: north\nX-Unkeyed: allow\n\nfiling %d", i))
-			statuses <- status
+			status, body := r.call(fmt.Sprintf("POST /v1/services/registry/filings\nX-Team: north\nX-Unkeyed: allow\n\nfiling %d", i))
+			answers <- answer{status: status, body: body}
 		}()
 	}
 	for r.stats().Running == 0 {
@@ -125,9 +129,12 @@
 	r.relay.lose()
 	done := uint64(0)
 	for range calls {
-		if <-statuses == http.StatusOK {
+		got := <-answers
+		if got.status == http.StatusOK {
 			done++
+			continue
 		}
+		t.Logf("status %d: %s", got.status, got.body)
 	}
 	if effects := r.stats().Effects - before; done != calls || effects != done {
 		t.Fatalf("%d of %d calls done, %d effects", done, calls, effects)
--- a/machine/target/gate/gate_test.go
+++ b/machine/target/gate/gate_test.go
@@ -98,7 +98,9 @@
 	case "cancel":
 		return []Event{Cancelled{id}}
 	case "query":
-		return []Event{Queried{contract.Query{Attempt: id, Tombstone: line.Has("tombstone"), Age: line.Duration("age", 0)}}}
+		return []Event{Queried{contract.Query{
+			Attempt: id, Tombstone: line.Has("tombstone"), Age: line.Duration("age", 0), SentTo: contract.Incarnation(line.Int("to", 0)),
+		}}}
 	case "end":
 		return []Event{endOf(line, id)}
 	case "released":
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -42,8 +42,9 @@
 
 // vouches reports whether the process would know if the attempt had run here:
 // it was first sent after the process could hear it, and within the time for
-// which records are kept. An attempt that came to this process and was refused
-// needs no such bound.
+// which records are kept. A sender that had heard from this very run before it sent
+// the attempt shows the first by that, any other by the attempt's age. An attempt
+// that came to this process and was refused needs no such bound.
 func (g *Gate) vouches(q contract.Query) bool {
 	if g.off&offVouch != 0 {
 		return true
@@ -51,8 +52,11 @@
 	if r := g.store.Get(q.Attempt); r != nil && r.Heard() {
 		return true
 	}
+	if q.Age <= 0 || q.Age >= g.cfg.Answers.KeepRecord {
+		return false
+	}
 	heardAll := g.now.Sub(g.started) - g.cfg.MaxTransit
-	return q.Age > 0 && q.Age < heardAll && q.Age < g.cfg.Answers.KeepRecord
+	return q.Age < heardAll || q.SentTo != 0 && q.SentTo == g.cfg.Incarnation
 }
 
 // status returns what is known of an attempt, or of the newest one of a request.
