A target's turn goes by the oldest version that its engine has missed

Cause: an engine still on version 1 that skips 2 for 3 took its turn by the time at which 3 was named, although from the bound of 2 on it may begin nothing.

Change: upkeep.Named tells since when an engine is behind; the target keeps one a model, and goals no longer carry a time of their own. The test failed first (the turn ended 10.8 s after version 2 was named).

--- a/machine/target/direct/goal.go
+++ b/machine/target/direct/goal.go
@@ -14,8 +14,6 @@
 // goal is a version that the engine is to have.
 type goal struct {
 	version depot.Version
-	// namedAt is when the version was learned of.
-	namedAt time.Time
 	set     *pieces.Set
 	// fetching tells that its pieces are being fetched.
 	fetching bool
@@ -31,13 +29,13 @@
 func (g *goal) isStaged(born int64) bool { return !g.stagedAt.IsZero() && g.stagedFor == born }
 
 // addGoal adds a version that was named to the goals, oldest first.
-func addGoal(goals []*goal, v depot.Version, at time.Time) []*goal {
+func addGoal(goals []*goal, v depot.Version) []*goal {
 	for _, g := range goals {
 		if g.version.Model != v.Model || g.version.Number >= v.Number {
 			return goals
 		}
 	}
-	goals = append(goals, &goal{version: v, namedAt: at})
+	goals = append(goals, &goal{version: v})
 	if len(goals) > maxGoals {
 		goals = goals[len(goals)-maxGoals:]
 	}
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -84,11 +84,11 @@
 // step looks at the engine and brings it nearer to the version wanted.
 func (k *keeper) step(ctx context.Context) {
 	k.look(ctx)
-	model, version, origin, ok := k.target.wanted()
+	version, origin, ok := k.target.wanted()
 	if !ok {
 		return
 	}
-	k.want(ctx, depot.Version{Model: model, Number: version.version}, version.at, origin)
+	k.want(ctx, version, origin)
 	if g := k.next(); g != nil {
 		k.stage(ctx, g)
 		k.decide(ctx, g)
@@ -134,10 +134,10 @@
 }
 
 // want adds the newest version to the goals and starts to fetch what is missing.
-func (k *keeper) want(ctx context.Context, v depot.Version, at time.Time, origin catalog.Origin) {
+func (k *keeper) want(ctx context.Context, v depot.Version, origin catalog.Origin) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.goals = addGoal(k.goals, v, at)
+	k.goals = addGoal(k.goals, v)
 	for _, g := range k.goals {
 		if g.fetching || g.whole() || k.up && k.whole() >= g.version.Number {
 			continue
@@ -268,7 +268,7 @@
 		Busy:     k.report.Busy || !k.orderedAt.IsZero() && time.Since(k.orderedAt) < orderGrace,
 		Loaded:   k.whole(),
 		Wanted:   g.version.Number,
-		WantedAt: g.namedAt,
+		WantedAt: k.target.behindSince(g.version.Model, k.whole()),
 		Rank:     rank,
 		Of:       of,
 		Bound:    bound,
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -16,9 +16,11 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/depot"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/catalog"
 )
 
@@ -29,6 +31,9 @@
 	unlinkedPause = 700 * time.Millisecond
 )
 
+// firstVersion is the version that a model begins with, before any is named.
+const firstVersion = 1
+
 // Target is the process beside one model engine.
 type Target struct {
 	process *config.Process
@@ -44,13 +49,7 @@
 	// bound is how long after a version was named requests may begin on an older one.
 	bound    time.Duration
 	manifest *catalog.Manifest
-	named    map[string]named
-}
-
-// named is a version that operators have named.
-type named struct {
-	version int64
-	at      time.Time
+	named    map[string]*upkeep.Named
 }
 
 // New opens the process's link address.
@@ -60,7 +59,7 @@
 		log:     logs.For("target", process.Machine),
 		metrics: metrics.New(),
 		store:   platform.NewStore(process.Fleet.Store),
-		named:   map[string]named{},
+		named:   map[string]*upkeep.Named{},
 		bound:   process.Fleet.Bounds.Version,
 	}
 	t.keeper = newKeeper(t)
@@ -188,29 +187,41 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version <= t.named[model].version {
+	if t.named[model] == nil {
+		t.named[model] = &upkeep.Named{}
+	}
+	if !t.named[model].Add(time.Now(), version) {
 		return
 	}
-	t.named[model] = named{version: version, at: time.Now()}
 	t.log.WithField("model", model).WithField("version", version).Info("version named")
 }
 
-// wanted is the model of the engine, its newest named version and the origin; ok
-// is false while no manifest is known.
-func (t *Target) wanted() (model string, version named, origin catalog.Origin, ok bool) {
+// wanted is the newest named version of the engine's model and its origin; ok is
+// false while no manifest is known.
+func (t *Target) wanted() (v depot.Version, origin catalog.Origin, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.manifest == nil {
-		return "", named{}, catalog.Origin{}, false
+		return depot.Version{}, catalog.Origin{}, false
 	}
 	service := t.manifest.Service(t.process.Fleet.EngineService)
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return "", named{}, catalog.Origin{}, false
+		return depot.Version{}, catalog.Origin{}, false
+	}
+	v = depot.Version{Model: service.Engine.Models[0], Number: firstVersion}
+	if named := t.named[v.Model]; named != nil {
+		v.Number = named.Newest()
 	}
-	model = service.Engine.Models[0]
-	version, known := t.named[model]
-	if !known {
-		version = named{version: 1}
+	return v, t.manifest.Origin(), true
+}
+
+// behindSince is when the oldest version of a model above loaded was learned of;
+// zero if none was.
+func (t *Target) behindSince(model string, loaded int64) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if named := t.named[model]; named != nil {
+		return named.Since(loaded)
 	}
-	return model, version, t.manifest.Origin(), true
+	return time.Time{}
 }
--- a/weights/upkeep/named.go
+++ b/weights/upkeep/named.go
@@ -47,3 +47,14 @@
 	}
 	return least
 }
+
+// Since is when the oldest version above loaded was named: an engine that holds
+// loaded is behind from then on, whatever was named after it. Zero if none was.
+func (n *Named) Since(loaded int64) time.Time {
+	for _, v := range n.versions {
+		if v.number > loaded {
+			return v.at
+		}
+	}
+	return time.Time{}
+}
--- a/weights/upkeep/named_test.go
+++ b/weights/upkeep/named_test.go
@@ -42,3 +42,23 @@
 		t.Errorf("%d versions kept, least %d", len(n.versions), n.Least(start, 0))
 	}
 }
+
+// An engine that goes from version 1 to 3 must be done by the bound of version 2:
+// from then on it may begin nothing.
+func TestATurnGoesByTheOldestVersionMissed(t *testing.T) {
+	var n Named
+	n.Add(start, 2)
+	n.Add(start.Add(4*time.Second), 3)
+	v := view()
+	v.Wanted, v.StagedAt, v.Rank = 3, start.Add(4500*time.Millisecond), v.Of-1
+	v.WantedAt = n.Since(v.Loaded)
+	if done := v.Due().Add(loadTime); done.After(start.Add(v.Bound)) {
+		t.Errorf("its turn ends %v after version 2 was named", done.Sub(start))
+	}
+	if got := n.Since(2); !got.Equal(start.Add(4 * time.Second)) {
+		t.Errorf("behind since %v", got)
+	}
+	if !n.Since(3).IsZero() {
+		t.Error("behind although it holds the newest")
+	}
+}
--- a/weights/upkeep/upkeep.go
+++ b/weights/upkeep/upkeep.go
@@ -25,7 +25,8 @@
 	Up, Busy bool
 	// Loaded is the version that the engine holds whole; 0 if none.
 	Loaded int64
-	// Wanted is the newest named version, WantedAt when it was learned.
+	// Wanted is the version to load, WantedAt when the oldest version above the
+	// loaded one was learned of: the engine may begin nothing more a bound after it.
 	Wanted   int64
 	WantedAt time.Time
 	// StagedAt is when the wanted version lay whole beside the engine; zero if it
