A reload of the bounds takes in the retry ratio and its window

Cause: a changed settings file gave a running entry the new burst of the retry budget only; ratio and window stayed those of the start until the next one.

Change: Window.SetBounds replaces all three; the test sets a lower ratio and a shorter window after retries were drawn.

--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -155,20 +155,24 @@
 		}
 		w.pool(s.Name).SetColdShare(share)
 		w.pool(s.Name).SetEntries(w.entries)
-		w.budget(s.Name).SetBurst(bounds.RetryBurst * budgetMargin / w.sharers())
+		w.budget(s.Name).SetBounds(w.budgetBounds())
 	}
 }
 
 func (w *world) budget(name contract.ServiceName) *retry.Window {
 	b, ok := w.budgets[name]
 	if !ok {
-		bounds := w.bounds
-		b = retry.NewWindow(bounds.RetryWindow, bounds.RetryRatio*budgetMargin, bounds.RetryBurst*budgetMargin/w.sharers())
+		b = retry.NewWindow(w.budgetBounds())
 		w.budgets[name] = b
 	}
 	return b
 }
 
+// budgetBounds are the bounds of this entry's part of a service's retry budget.
+func (w *world) budgetBounds() (length time.Duration, ratio, burst float64) {
+	return w.bounds.RetryWindow, w.bounds.RetryRatio * budgetMargin, w.bounds.RetryBurst * budgetMargin / w.sharers()
+}
+
 func (w *world) comeback(name contract.ServiceName) *retry.Comeback {
 	c, ok := w.comebacks[name]
 	if !ok {
--- a/machine/entry/retry/window.go
+++ b/machine/entry/retry/window.go
@@ -18,8 +18,11 @@
 	return &Window{length: length, ratio: ratio, burst: burst}
 }
 
-// SetBurst replaces the entry's share of the burst.
-func (w *Window) SetBurst(burst float64) { w.burst = burst }
+// SetBounds replaces the bounds; what is still counted stays counted. A longer
+// window does not bring back what the shorter one has let go.
+func (w *Window) SetBounds(length time.Duration, ratio, burst float64) {
+	w.length, w.ratio, w.burst = length, ratio, burst
+}
 
 // First records a request.
 func (w *Window) First(now time.Time) { w.firsts = append(w.firsts, now) }
--- a/machine/entry/retry/window_test.go
+++ b/machine/entry/retry/window_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// Bounds that change while the process runs hold for what was counted before.
+func TestNewBoundsHoldAtOnce(t *testing.T) {
+	w := NewWindow(10*time.Second, 0.2, 2)
+	now := time.Unix(1000, 0)
+	for range 20 {
+		w.First(now)
+	}
+	for range 4 {
+		if !w.Take(now) {
+			t.Fatal("a retry within the bounds was refused")
+		}
+	}
+	w.SetBounds(10*time.Second, 0.1, 2)
+	if w.Take(now) {
+		t.Error("the lower ratio does not hold")
+	}
+	w.SetBounds(time.Second, 0, 1)
+	if !w.Take(now.Add(2 * time.Second)) {
+		t.Error("the shorter window does not hold")
+	}
+}
+
 func TestComebackSpreadsACrowd(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var calm, crowd Comeback
