--- a/bench/serving/baseline.go
+++ b/bench/serving/baseline.go
@@ -6,8 +6,8 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 const (
@@ -72,10 +72,10 @@
 	return out
 }
 
-func (b *baseline) hosts(list services.HostList) {
+func (b *baseline) hosts(list hostlist.List) {
 	b.targets = map[contract.ServiceName][]contract.MachineID{}
 	for _, h := range list.Hosts {
-		if h.Role == services.HostTarget {
+		if h.Role == hostlist.Target {
 			b.targets[h.Service] = append(b.targets[h.Service], h.Machine)
 		}
 	}
--- a/bench/serving/cost.go
+++ b/bench/serving/cost.go
@@ -10,8 +10,8 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // costs prints what decisions cost in real time and memory; these figures vary
@@ -50,10 +50,10 @@
 	s := kalahari()
 	c := &costing{now: epoch, n: n, load: contract.Load{Limit: 1024, Credits: 1024, Weights: weights}}
 	c.machine = dispatch.New(dispatch.Config{Machine: "entry-0", Home: s.zones[0]}, rand.New(rand.NewPCG(1, 2)))
-	list := services.HostList{Version: 1}
+	list := hostlist.List{Version: 1}
 	for i := range n {
-		list.Hosts = append(list.Hosts, services.Host{
-			Machine: costTarget(i), Role: services.HostTarget, Zone: s.zones[0].Zone, Region: s.zones[0].Region, Service: s.model,
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Machine: costTarget(i), Role: hostlist.Target, Zone: s.zones[0].Zone, Region: s.zones[0].Region, Service: s.model,
 		})
 	}
 	c.step(dispatch.HostsChanged{List: list})
--- a/bench/serving/world.go
+++ b/bench/serving/world.go
@@ -9,8 +9,8 @@
 	"mimosastand.example/mimosastand/bench/serving/fake"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -164,18 +164,18 @@
 
 func (w *world) publishHosts() {
 	w.version++
-	list := services.HostList{Version: w.version}
+	list := hostlist.List{Version: w.version}
 	for _, h := range w.hosts {
-		list.Hosts = append(list.Hosts, services.Host{
-			Machine: contract.MachineID(fmt.Sprintf("entry-%d", h.index)), Role: services.HostEntry,
-			Zone: h.place.Zone, Region: h.place.Region, State: services.HostLive,
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Machine: contract.MachineID(fmt.Sprintf("entry-%d", h.index)), Role: hostlist.Entry,
+			Zone: h.place.Zone, Region: h.place.Region, State: hostlist.Live,
 		})
 	}
 	for _, t := range w.order {
 		if !t.gone {
-			list.Hosts = append(list.Hosts, services.Host{
-				Machine: t.Machine, Role: services.HostTarget, Zone: t.place.Zone, Region: t.place.Region,
-				Service: t.service, Address: string(t.Machine), State: services.HostLive,
+			list.Hosts = append(list.Hosts, hostlist.Host{
+				Machine: t.Machine, Role: hostlist.Target, Zone: t.place.Zone, Region: t.place.Region,
+				Service: t.service, Address: string(t.Machine), State: hostlist.Live,
 			})
 		}
 	}
--- a/bench/settings/replay.go
+++ b/bench/settings/replay.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/checkpoint"
 	"mimosastand.example/mimosastand/settings/follow/spread"
@@ -138,11 +138,11 @@
 	now := time.Unix(0, 0)
 	m := spread.New(spread.Timing{}, rand.New(rand.NewPCG(1, 1)), now)
 	for from := 0; from < len(records); from += batchRecords {
-		batch := services.Batch{Oldest: 1, Newest: contract.Offset(len(records))}
+		batch := durable.Batch{Oldest: 1, Newest: contract.Offset(len(records))}
 		for i := from; i < min(from+batchRecords, len(records)); i++ {
 			// A copy, as a read of the log gives one.
 			data := append([]byte(nil), records[i]...)
-			batch.Records = append(batch.Records, services.Record{Offset: contract.Offset(i + 1), Data: data})
+			batch.Records = append(batch.Records, durable.Record{Offset: contract.Offset(i + 1), Data: data})
 		}
 		m.Step(now, spread.LogRead{After: contract.Offset(from), Batch: batch})
 	}
--- a/bench/through/rig.go
+++ b/bench/through/rig.go
@@ -16,11 +16,11 @@
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/entry"
 	"mimosastand.example/mimosastand/machine/target"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/fixed"
 	"mimosastand.example/mimosastand/standin/engine"
 	"mimosastand.example/mimosastand/standin/service"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 const (
@@ -38,7 +38,7 @@
 type rig struct {
 	keys  *devkeys.Authority
 	dir   string
-	hosts services.HostList
+	hosts hostlist.List
 	entry *entry.Entry
 	// direct holds the addresses of the stand-ins by service.
 	direct  map[string]string
@@ -46,11 +46,11 @@
 	stopped sync.WaitGroup
 }
 
-type hosts services.HostList
+type hosts hostlist.List
 
-// List implements services.Hosts.
-func (h hosts) List(context.Context) (services.HostList, error) {
-	return services.HostList(h), nil
+// List implements hostlist.Reader.
+func (h hosts) List(context.Context) (hostlist.List, error) {
+	return hostlist.List(h), nil
 }
 
 func newRig() (*rig, error) {
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{dir: dir, direct: map[string]string{}, hosts: services.HostList{Version: 1}}
+	r := &rig{dir: dir, direct: map[string]string{}, hosts: hostlist.List{Version: 1}}
 	if r.keys, err = devkeys.NewAuthority(dir); err != nil {
 		return r, err
 	}
@@ -102,9 +102,9 @@
 		return err
 	}
 	r.run(process.Run)
-	r.hosts.Hosts = append(r.hosts.Hosts, services.Host{
-		Machine: p.Machine, Role: services.HostTarget, Zone: p.Zone, Region: p.Region,
-		Service: p.Target.Service, Address: process.LinkAddress(), State: services.HostLive,
+	r.hosts.Hosts = append(r.hosts.Hosts, hostlist.Host{
+		Machine: p.Machine, Role: hostlist.Target, Zone: p.Zone, Region: p.Region,
+		Service: p.Target.Service, Address: process.LinkAddress(), State: hostlist.Live,
 	})
 	return nil
 }
--- a/services/platform.go
+++ b/durable/durable.go
@@ -1,4 +1,9 @@
-package services
+// Package durable is the product's view of what lasts outside its processes: an
+// append-only log of named streams and stores of immutable objects.
+//
+// Modules that decide use its types and errors; who implements it, and over which
+// protocol, is known to the daemons alone. Tests put fakes in its place.
+package durable
 
 import (
 	"context"
@@ -11,17 +16,17 @@
 
 var (
 	// ErrUnavailable means that the service did not take the call; it had no effect.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("durable: unavailable")
 	// ErrUncertain means that no reply arrived; the call may have taken effect.
-	ErrUncertain = errors.New("platform: reply lost")
+	ErrUncertain = errors.New("durable: reply lost")
 	// ErrTrimmed means that records at the wanted offset are no longer kept.
-	ErrTrimmed = errors.New("platform: records are past retention")
+	ErrTrimmed = errors.New("durable: records are past retention")
 	// ErrNotFound means that the store has no object of that name.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("durable: not found")
 	// ErrThrottled means that the service refused the call for its rate.
-	ErrThrottled = errors.New("platform: rate limit")
+	ErrThrottled = errors.New("durable: rate limit")
 	// ErrProtocol means that the reply was not what the protocol allows.
-	ErrProtocol = errors.New("platform: malformed reply")
+	ErrProtocol = errors.New("durable: malformed reply")
 )
 
 // Record is one entry of a log stream.
@@ -40,7 +45,20 @@
 	Records []Record        `json:"records"`
 }
 
-// Log is the platform's append-only log of named streams.
+// Check fails with ErrProtocol unless the records follow the given offset without
+// gaps.
+func (b Batch) Check(after contract.Offset) error {
+	next := after + 1
+	for _, r := range b.Records {
+		if r.Offset != next {
+			return errors.Wrapf(ErrProtocol, "offset %d, want %d", r.Offset, next)
+		}
+		next++
+	}
+	return nil
+}
+
+// Log is an append-only log of named streams.
 type Log interface {
 	// Append adds a record and returns its offset. It fails with ErrUnavailable,
 	// ErrThrottled or ErrUncertain.
@@ -61,48 +79,6 @@
 	Put(ctx context.Context, name string, data []byte) error
 }
 
-// HostState is what the host list says of a host.
-type HostState string
-
-// The states of a host. A host that the list does not name is gone.
-const (
-	HostLive    HostState = "live"
-	HostLeaving HostState = "leaving"
-)
-
-// HostRole tells entry hosts and target hosts apart.
-type HostRole string
-
-// The roles of hosts.
-const (
-	HostEntry  HostRole = "entry"
-	HostTarget HostRole = "target"
-)
-
-// Host is one line of the host list.
-type Host struct {
-	Machine contract.MachineID   `json:"machine"`
-	Role    HostRole             `json:"role"`
-	Zone    contract.ZoneName    `json:"zone"`
-	Region  contract.RegionName  `json:"region"`
-	Service contract.ServiceName `json:"service,omitempty"`
-	// Address is the UDP address of the process's link endpoint.
-	Address string    `json:"address"`
-	State   HostState `json:"state"`
-}
-
-// HostList is the platform's lagging view of its hosts.
-type HostList struct {
-	Version uint64 `json:"version"`
-	Hosts   []Host `json:"hosts"`
-}
-
-// Hosts reads the host list.
-type Hosts interface {
-	// List returns the newest list. It fails with ErrUnavailable or ErrProtocol.
-	List(ctx context.Context) (HostList, error)
-}
-
 // Names of objects in a Store.
 const (
 	// ManifestPrefix precedes the digest of a version's manifest.
--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // pollInterval is the time between two looks at a condition.
@@ -71,17 +71,17 @@
 
 // PutHosts sends the full host list to its stand-in.
 func (c *Cluster) PutHosts() error {
-	list := services.HostList{Version: 1}
+	list := hostlist.List{Version: 1}
 	for _, e := range c.Entries {
-		list.Hosts = append(list.Hosts, services.Host{
-			Machine: e.Machine, Role: services.HostEntry, Zone: e.Zone.Name, Region: e.Zone.Region,
-			Address: e.Front, State: services.HostLive,
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Machine: e.Machine, Role: hostlist.Entry, Zone: e.Zone.Name, Region: e.Zone.Region,
+			Address: e.Front, State: hostlist.Live,
 		})
 	}
 	for _, t := range c.Targets {
-		list.Hosts = append(list.Hosts, services.Host{
-			Machine: t.Machine, Role: services.HostTarget, Zone: t.Zone.Name, Region: t.Zone.Region,
-			Service: t.Service.Name, Address: t.Front, State: services.HostLive,
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Machine: t.Machine, Role: hostlist.Target, Zone: t.Zone.Name, Region: t.Zone.Region,
+			Service: t.Service.Name, Address: t.Front, State: hostlist.Live,
 		})
 	}
 	return send(http.MethodPut, "http://"+c.HostsAddress+"/hosts", list)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,8 +12,8 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/traffic"
 	"mimosastand.example/mimosastand/link"
-	"mimosastand.example/mimosastand/services"
 )
 
 const reportInterval = time.Second
@@ -71,7 +71,7 @@
 }
 
 // Traffic shows the bytes of a process's links and of its calls to the platform.
-func Traffic(scope tally.Scope, links link.Traffic, calls *services.Meter) {
+func Traffic(scope tally.Scope, links link.Traffic, calls *traffic.Meter) {
 	sent, received := calls.Traffic()
 	scope.Gauge("link_sent_bytes").Update(float64(links.SentBytes))
 	scope.Gauge("link_received_bytes").Update(float64(links.ReceivedBytes))
--- a/machine/entry/admin/read.go
+++ b/machine/entry/admin/read.go
@@ -8,8 +8,8 @@
 	"github.com/kataras/iris/v12"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/machine/entry/admin/wire"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/record"
@@ -129,7 +129,7 @@
 		}
 		for _, r := range batch.Records {
 			if r.Offset < before {
-				list = append(list, spread.Entry{Record: services.Record{Offset: r.Offset, Time: r.Time, Data: r.Data}})
+				list = append(list, spread.Entry{Record: durable.Record{Offset: r.Offset, Time: r.Time, Data: r.Data}})
 			}
 			after = r.Offset
 		}
--- a/machine/entry/claims/run.go
+++ b/machine/entry/claims/run.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/machine/entry/claims/batcher"
 	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
-	"mimosastand.example/mimosastand/services"
 )
 
 // Run reads the stream, appends to it and keeps the timers until ctx ends. It
@@ -81,7 +81,7 @@
 		after, wait := s.position()
 		batch, err := s.log.Read(ctx, s.opts.Stream, after, wait)
 		switch {
-		case errors.Is(err, services.ErrTrimmed):
+		case errors.Is(err, durable.ErrTrimmed):
 			err = s.restart(ctx)
 		case err == nil:
 			err = s.take(batch)
@@ -122,7 +122,7 @@
 	return s.machine.Applied(), pollWait
 }
 
-func (s *Service) take(batch services.Batch) error {
+func (s *Service) take(batch durable.Batch) error {
 	records := make([]LogRecord, len(batch.Records))
 	for i, r := range batch.Records {
 		records[i] = LogRecord{Offset: r.Offset, Time: r.Time, Data: r.Data}
@@ -162,9 +162,9 @@
 	switch {
 	case err == nil:
 		return batcher.Appended
-	case errors.Is(err, services.ErrThrottled):
+	case errors.Is(err, durable.ErrThrottled):
 		return batcher.Throttled
-	case errors.Is(err, services.ErrUnavailable):
+	case errors.Is(err, durable.ErrUnavailable):
 		return batcher.Unavailable
 	default:
 		return batcher.Uncertain
--- a/machine/entry/claims/service.go
+++ b/machine/entry/claims/service.go
@@ -11,9 +11,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/machine/entry/claims/batcher"
 	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
-	"mimosastand.example/mimosastand/services"
 )
 
 // ErrHeld means that an outcome is not in the log yet; it is appended later.
@@ -69,7 +69,7 @@
 // Service joins a Machine to the log. It implements Claimer and is safe for
 // concurrent use. Run must be running for calls to be decided.
 type Service struct {
-	log    services.Log
+	log    durable.Log
 	prober Prober
 	opts   Options
 	poke   chan struct{}
@@ -91,7 +91,7 @@
 var _ Claimer = (*Service)(nil)
 
 // NewService returns a service that has not read the stream yet.
-func NewService(log services.Log, prober Prober, opts Options) *Service {
+func NewService(log durable.Log, prober Prober, opts Options) *Service {
 	rng := rand.New(rand.NewPCG(opts.Seed, 0))
 	return &Service{
 		log:      log,
--- a/machine/entry/dispatch/event.go
+++ b/machine/entry/dispatch/event.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // Event is an input of the machine.
@@ -102,7 +102,7 @@
 type SettingsChanged struct{ View settings.View }
 
 // HostsChanged brings a newer host list.
-type HostsChanged struct{ List services.HostList }
+type HostsChanged struct{ List hostlist.List }
 
 // Stop begins the planned stop: new requests are refused.
 type Stop struct{}
--- a/machine/entry/dispatch/harness_test.go
+++ b/machine/entry/dispatch/harness_test.go
@@ -10,10 +10,10 @@
 	"github.com/cockroachdb/datadriven"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/fixed"
 	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 var (
@@ -303,17 +303,17 @@
 
 // parseHosts reads lines "machine role zone service [leaving]"; a zone's region
 // is its name up to the dash.
-func parseHosts(version uint64, text string) services.HostList {
-	list := services.HostList{Version: version}
+func parseHosts(version uint64, text string) hostlist.List {
+	list := hostlist.List{Version: version}
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
 		f := append(strings.Fields(line), "", "")
 		region, _, _ := strings.Cut(f[2], "-")
-		h := services.Host{
-			Machine: contract.MachineID(f[0]), Role: services.HostRole(f[1]), Zone: contract.ZoneName(f[2]),
-			Region: contract.RegionName(region), Service: contract.ServiceName(f[3]), Address: f[0] + ":1", State: services.HostLive,
+		h := hostlist.Host{
+			Machine: contract.MachineID(f[0]), Role: hostlist.Role(f[1]), Zone: contract.ZoneName(f[2]),
+			Region: contract.RegionName(region), Service: contract.ServiceName(f[3]), Address: f[0] + ":1", State: hostlist.Live,
 		}
 		if f[4] == "leaving" {
-			h.State = services.HostLeaving
+			h.State = hostlist.Leaving
 		}
 		list.Hosts = append(list.Hosts, h)
 	}
--- a/machine/entry/dispatch/machine.go
+++ b/machine/entry/dispatch/machine.go
@@ -7,9 +7,9 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/fairshare"
 	"mimosastand.example/mimosastand/machine/entry/retry"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // Limits of the machine.
@@ -77,7 +77,7 @@
 	rng   *rand.Rand
 	now   time.Time
 	view  settings.View
-	hosts services.HostList
+	hosts hostlist.List
 	// listed tells that a host list has come.
 	listed   bool
 	stopping bool
--- a/machine/entry/dispatch/world.go
+++ b/machine/entry/dispatch/world.go
@@ -6,9 +6,9 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/fairshare"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 func (m *Machine) settingsChanged(view settings.View) {
@@ -21,7 +21,7 @@
 	m.pumpAll()
 }
 
-func (m *Machine) hostsChanged(list services.HostList) {
+func (m *Machine) hostsChanged(list hostlist.List) {
 	if m.listed && list.Version < m.hosts.Version {
 		m.count(CountIgnored, contract.ReasonStaleSettings)
 		return
@@ -53,14 +53,14 @@
 }
 
 // split sorts the host list into entries and the targets of each service.
-func (m *Machine) split() (entries []balancer.Entry, targets map[contract.ServiceName][]services.Host) {
-	targets = map[contract.ServiceName][]services.Host{}
+func (m *Machine) split() (entries []balancer.Entry, targets map[contract.ServiceName][]hostlist.Host) {
+	targets = map[contract.ServiceName][]hostlist.Host{}
 	for _, h := range m.hosts.Hosts {
 		place := balancer.Place{Region: h.Region, Zone: h.Zone}
 		switch h.Role {
-		case services.HostEntry:
+		case hostlist.Entry:
 			entries = append(entries, balancer.Entry{Machine: h.Machine, Place: place})
-		case services.HostTarget:
+		case hostlist.Target:
 			targets[h.Service] = append(targets[h.Service], h)
 		}
 	}
@@ -84,7 +84,7 @@
 	return s
 }
 
-func (m *Machine) rebuildService(s *service, entries []balancer.Entry, hosts []services.Host) {
+func (m *Machine) rebuildService(s *service, entries []balancer.Entry, hosts []hostlist.Host) {
 	home := m.cfg.Home
 	s.settings, s.exists = m.view.Service(home.Region, home.Zone, s.name)
 	if s.settings.QueueLength > 0 {
@@ -119,13 +119,13 @@
 	return n
 }
 
-func (m *Machine) members(hosts []services.Host) []balancer.Member {
+func (m *Machine) members(hosts []hostlist.Host) []balancer.Member {
 	list := make([]balancer.Member, 0, len(hosts))
 	for _, h := range hosts {
 		list = append(list, balancer.Member{
 			Machine: h.Machine,
 			Place:   balancer.Place{Region: h.Region, Zone: h.Zone},
-			Leaving: h.State == services.HostLeaving,
+			Leaving: h.State == hostlist.Leaving,
 		})
 	}
 	return list
--- a/machine/entry/entry.go
+++ b/machine/entry/entry.go
@@ -15,14 +15,16 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/internal/traffic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/services"
-	"mimosastand.example/mimosastand/services/hostwatch"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/zone/balancer"
+	"mimosastand.example/mimosastand/zone/hostlist"
+	"mimosastand.example/mimosastand/zone/hostwatch"
 )
 
 const (
@@ -57,7 +59,7 @@
 	follower  *follow.Follower
 	admin     *administration
 	// platform counts the bytes to and from the platform's services.
-	platform services.Meter
+	platform traffic.Meter
 	reloads  *reload.Watcher
 }
 
@@ -94,9 +96,9 @@
 	if e.opts.Hosts == nil {
 		e.opts.Hosts = services.NewMeteredClient(e.process.HostsURL, &e.platform)
 	}
-	observe := func(asked time.Time, list services.HostList) { e.prober.observe(asked, list) }
-	hosts := observedHosts{Hosts: e.opts.Hosts, observe: observe}
-	e.watcher = hostwatch.New(hosts, e.opts.HostsInterval, func(list services.HostList) {
+	observe := func(asked time.Time, list hostlist.List) { e.prober.observe(asked, list) }
+	hosts := observedHosts{Reader: e.opts.Hosts, observe: observe}
+	e.watcher = hostwatch.New(hosts, e.opts.HostsInterval, func(list hostlist.List) {
 		e.setWriters(list)
 		e.loop.step(dispatch.HostsChanged{List: list})
 	})
@@ -122,7 +124,7 @@
 }
 
 // hosts is the newest host list.
-func (e *Entry) hosts() []services.Host {
+func (e *Entry) hosts() []hostlist.Host {
 	list, _ := e.watcher.Last()
 	return list.Hosts
 }
@@ -182,13 +184,13 @@
 }
 
 // setWriters tells the claimer how many entries share the log's append rate.
-func (e *Entry) setWriters(list services.HostList) {
+func (e *Entry) setWriters(list hostlist.List) {
 	if e.claims == nil {
 		return
 	}
 	entries := 0
 	for _, h := range list.Hosts {
-		if h.Role == services.HostEntry {
+		if h.Role == hostlist.Entry {
 			entries++
 		}
 	}
--- a/machine/entry/entry_test.go
+++ b/machine/entry/entry_test.go
@@ -23,22 +23,22 @@
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/target"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/fixed"
 	"mimosastand.example/mimosastand/standin/engine"
 	"mimosastand.example/mimosastand/standin/fault"
 	"mimosastand.example/mimosastand/standin/logservice"
 	"mimosastand.example/mimosastand/standin/service"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 var digest = contract.NewDigest([32]byte{1})
 
 // fixedHosts is a host list that never changes.
-type fixedHosts services.HostList
+type fixedHosts hostlist.List
 
-func (h fixedHosts) List(context.Context) (services.HostList, error) {
-	return services.HostList(h), nil
+func (h fixedHosts) List(context.Context) (hostlist.List, error) {
+	return hostlist.List(h), nil
 }
 
 func view() *fixed.View {
@@ -69,7 +69,7 @@
 	t     *testing.T
 	keys  *devkeys.Authority
 	entry *Entry
-	list  services.HostList
+	list  hostlist.List
 	log   *fault.Switch
 	plain *fault.Switch
 	// relay stands between the entry and the plain target.
@@ -82,7 +82,7 @@
 	t.Helper()
 	authority, err := devkeys.NewAuthority(t.TempDir())
 	fatal(t, err)
-	r := &rig{t: t, keys: authority, list: services.HostList{Version: 1}}
+	r := &rig{t: t, keys: authority, list: hostlist.List{Version: 1}}
 	r.target("target-1", "drafts", config.BackendModel, engine.New(engine.Config{
 		WarmLimit: 8, ColdLimit: 2, Digest: digest, TokenDelay: 10 * time.Millisecond,
 	}))
@@ -139,9 +139,9 @@
 		cancel()
 		<-ended
 	})
-	r.list.Hosts = append(r.list.Hosts, services.Host{
-		Machine: process.Machine, Role: services.HostTarget, Zone: "khomas-a", Region: "khomas",
-		Service: contract.ServiceName(name), Address: p.LinkAddress(), State: services.HostLive,
+	r.list.Hosts = append(r.list.Hosts, hostlist.Host{
+		Machine: process.Machine, Role: hostlist.Target, Zone: "khomas-a", Region: "khomas",
+		Service: contract.ServiceName(name), Address: p.LinkAddress(), State: hostlist.Live,
 	})
 }
 
--- a/machine/entry/fleet.go
+++ b/machine/entry/fleet.go
@@ -8,7 +8,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/admin"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // silentAfter is how old a machine's last heartbeat may be before operators see
@@ -24,13 +24,13 @@
 // fleet is what this entry host knows of the machines that it has links to, for
 // the operators' status. It is safe for concurrent use.
 type fleet struct {
-	hosts func() []services.Host
+	hosts func() []hostlist.Host
 
 	mu   sync.Mutex
 	last map[contract.MachineID]seen
 }
 
-func newFleet(hosts func() []services.Host) *fleet {
+func newFleet(hosts func() []hostlist.Host) *fleet {
 	return &fleet{hosts: hosts, last: map[contract.MachineID]seen{}}
 }
 
@@ -52,7 +52,7 @@
 	var machines []admin.MachineStatus
 	for _, h := range hosts {
 		listed[h.Machine] = true
-		if h.Role == services.HostTarget {
+		if h.Role == hostlist.Target {
 			machines = append(machines, f.status(h, now))
 		}
 	}
@@ -67,10 +67,10 @@
 	return machines
 }
 
-func (f *fleet) status(h services.Host, now time.Time) admin.MachineStatus {
+func (f *fleet) status(h hostlist.Host, now time.Time) admin.MachineStatus {
 	s := admin.MachineStatus{
 		Machine: h.Machine, Zone: h.Zone, Region: h.Region, Service: h.Service,
-		Leaving: h.State == services.HostLeaving,
+		Leaving: h.State == hostlist.Leaving,
 	}
 	last, ok := f.last[h.Machine]
 	s.Silent = !ok || now.Sub(last.at) > silentAfter
--- a/machine/entry/options.go
+++ b/machine/entry/options.go
@@ -8,8 +8,8 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/claims"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 var (
@@ -42,7 +42,7 @@
 	// Settings follows the tree of settings.
 	Settings Settings
 	// Hosts reads the host list.
-	Hosts services.Hosts
+	Hosts hostlist.Reader
 	// Claims decides about idempotency keys.
 	Claims claims.Claimer
 	// HostsInterval is the time between two polls of the host list.
--- a/machine/entry/prober.go
+++ b/machine/entry/prober.go
@@ -12,7 +12,7 @@
 	"mimosastand.example/mimosastand/machine/entry/claims"
 	"mimosastand.example/mimosastand/machine/entry/claims/vouch"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 const (
@@ -44,10 +44,10 @@
 
 // observe notes a host list that was asked for at the given time. Lists older
 // than one already seen are left out.
-func (p *prober) observe(asked time.Time, list services.HostList) {
+func (p *prober) observe(asked time.Time, list hostlist.List) {
 	var targets []vouch.Target
 	for _, h := range list.Hosts {
-		if h.Role == services.HostTarget {
+		if h.Role == hostlist.Target {
 			targets = append(targets, vouch.Target{Service: h.Service, Machine: h.Machine, Address: h.Address})
 		}
 	}
@@ -62,14 +62,14 @@
 
 // observedHosts shows a prober each list that is read, also one without changes.
 type observedHosts struct {
-	services.Hosts
-	observe func(asked time.Time, list services.HostList)
+	hostlist.Reader
+	observe func(asked time.Time, list hostlist.List)
 }
 
-// List implements services.Hosts.
-func (h observedHosts) List(ctx context.Context) (services.HostList, error) {
+// List implements hostlist.Reader.
+func (h observedHosts) List(ctx context.Context) (hostlist.List, error) {
 	asked := time.Now()
-	list, err := h.Hosts.List(ctx)
+	list, err := h.Reader.List(ctx)
 	if err == nil {
 		h.observe(asked, list)
 	}
--- a/machine/target/peers.go
+++ b/machine/target/peers.go
@@ -10,8 +10,8 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights/agent"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 const (
@@ -36,7 +36,7 @@
 	dial func(ctx context.Context, address string) (*link.Conn, error)
 
 	mu    sync.Mutex
-	hosts []services.Host
+	hosts []hostlist.Host
 	known map[contract.MachineID]*peer
 	// turn rotates the peers that are asked for settings.
 	turn int
@@ -59,14 +59,14 @@
 }
 
 // setHosts takes the newest host list.
-func (p *peers) setHosts(list services.HostList) {
+func (p *peers) setHosts(list hostlist.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = list.Hosts
 }
 
 // hostList returns the newest host list, which is not to be changed.
-func (p *peers) hostList() []services.Host {
+func (p *peers) hostList() []hostlist.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.hosts
@@ -190,7 +190,7 @@
 func (p *peers) List() []agent.Peer {
 	var list []agent.Peer
 	for _, h := range p.hostList() {
-		if h.Role == services.HostTarget && h.State == services.HostLive && h.Machine != p.self {
+		if h.Role == hostlist.Target && h.State == hostlist.Live && h.Machine != p.self {
 			list = append(list, agent.Peer{Machine: h.Machine, Zone: h.Zone, Region: h.Region, Service: h.Service})
 		}
 	}
--- a/machine/target/process.go
+++ b/machine/target/process.go
@@ -16,14 +16,15 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/internal/traffic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/link/reload"
 	"mimosastand.example/mimosastand/machine/target/backend"
 	"mimosastand.example/mimosastand/machine/target/gate"
 	"mimosastand.example/mimosastand/services"
-	"mimosastand.example/mimosastand/services/hostwatch"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/weights/agent"
+	"mimosastand.example/mimosastand/zone/hostwatch"
 )
 
 // ErrStart marks a failure to start the process.
@@ -71,7 +72,7 @@
 	undelivered map[contract.AttemptID]struct{}
 	settings    gate.Settings
 	// platform counts the bytes to and from the log and the host list.
-	platform services.Meter
+	platform traffic.Meter
 	// concern is what the settings said last of what concerns senders.
 	concern concern
 }
--- a/machine/target/pull.go
+++ b/machine/target/pull.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // pullSettings asks one peer for settings records: a connected entry host, or
@@ -35,7 +35,7 @@
 		if h.Machine == p.self || h.Zone != p.zone {
 			continue
 		}
-		if h.Role == services.HostTarget || p.connected(h.Machine) {
+		if h.Role == hostlist.Target || p.connected(h.Machine) {
 			list = append(list, h.Machine)
 		}
 	}
--- a/services/client.go
+++ b/services/client.go
@@ -15,6 +15,9 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
+	"mimosastand.example/mimosastand/internal/traffic"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 const (
@@ -26,26 +29,26 @@
 	hostsWait = 10 * time.Second
 )
 
-// Client speaks the platform's HTTP protocols. It implements Log, Store or
-// Hosts, depending on the address it was made for.
+// Client speaks the older path's HTTP protocols. It implements durable.Log,
+// durable.Store or hostlist.Reader, depending on the address it was made for.
 type Client struct {
 	base  string
 	http  *http.Client
-	meter *Meter
+	meter *traffic.Meter
 
 	// hosts is the last host list; List asks for what changed since.
 	mu    sync.Mutex
-	hosts HostList
+	hosts hostlist.List
 }
 
 // NewClient returns a client of the service at base, such as "http://10.0.0.1:7000".
 func NewClient(base string) *Client {
-	return NewMeteredClient(base, new(Meter))
+	return NewMeteredClient(base, new(traffic.Meter))
 }
 
 // NewMeteredClient returns a client whose bytes are added to meter, which
 // several clients may share.
-func NewMeteredClient(base string, meter *Meter) *Client {
+func NewMeteredClient(base string, meter *traffic.Meter) *Client {
 	c := &Client{base: base, meter: meter}
 	transport := &http.Transport{
 		DialContext:         c.dial,
@@ -62,10 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &meteredConn{Conn: conn, meter: c.meter}, nil
+	return c.meter.Wrap(conn), nil
 }
 
-// Append implements Log.
+// Append implements durable.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (contract.Offset, error) {
 	body, err := c.call(ctx, http.MethodPost, "/log/"+url.PathEscape(stream), data, callTimeout)
 	if err != nil {
@@ -75,70 +78,59 @@
 		Offset contract.Offset `json:"offset"`
 	}
 	if err := json.Unmarshal(body, &reply); err != nil || reply.Offset == 0 {
-		return 0, errors.Mark(errors.New("platform: append reply without offset"), ErrUncertain)
+		return 0, errors.Mark(errors.New("platform: append reply without offset"), durable.ErrUncertain)
 	}
 	return reply.Offset, nil
 }
 
-// Read implements Log.
-func (c *Client) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (Batch, error) {
+// Read implements durable.Log.
+func (c *Client) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (durable.Batch, error) {
 	path := fmt.Sprintf("/log/%s?after=%d&wait_ms=%d", url.PathEscape(stream), after, wait.Milliseconds())
 	body, err := c.call(ctx, http.MethodGet, path, nil, wait+callTimeout)
 	if err != nil {
-		return Batch{}, readError(err)
+		return durable.Batch{}, readError(err)
 	}
-	var batch Batch
+	var batch durable.Batch
 	if err := json.Unmarshal(body, &batch); err != nil {
-		return Batch{}, errors.Mark(err, ErrProtocol)
+		return durable.Batch{}, errors.Mark(err, durable.ErrProtocol)
 	}
-	return batch, batch.check(after)
+	return batch, batch.Check(after)
 }
 
-func (b Batch) check(after contract.Offset) error {
-	next := after + 1
-	for _, r := range b.Records {
-		if r.Offset != next {
-			return errors.Wrapf(ErrProtocol, "offset %d, want %d", r.Offset, next)
-		}
-		next++
-	}
-	return nil
-}
-
-// Get implements Store.
+// Get implements durable.Store.
 func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
 	body, err := c.call(ctx, http.MethodGet, "/store/"+name, nil, 0)
 	return body, readError(err)
 }
 
-// Put implements Store.
+// Put implements durable.Store.
 func (c *Client) Put(ctx context.Context, name string, data []byte) error {
 	_, err := c.call(ctx, http.MethodPut, "/store/"+name, data, 0)
 	return err
 }
 
-// List implements Hosts. It transfers only what changed since the last call, and
+// List implements hostlist.Reader. It transfers only what changed since the last call, and
 // waits for a change for up to hostsWait.
-func (c *Client) List(ctx context.Context) (HostList, error) {
+func (c *Client) List(ctx context.Context) (hostlist.List, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	path := fmt.Sprintf("/hosts?after=%d&wait_ms=%d", c.hosts.Version, hostsWait.Milliseconds())
 	body, err := c.call(ctx, http.MethodGet, path, nil, hostsWait+callTimeout)
 	if err != nil {
-		return HostList{}, readError(err)
+		return hostlist.List{}, readError(err)
 	}
-	var change HostChange
+	var change hostlist.Change
 	if err := json.Unmarshal(body, &change); err != nil {
-		return HostList{}, errors.Mark(err, ErrProtocol)
+		return hostlist.List{}, errors.Mark(err, durable.ErrProtocol)
 	}
 	c.hosts, err = c.hosts.Apply(change)
 	return c.hosts, err
 }
 
-// readError turns a lost reply into ErrUnavailable: a read has no effect.
+// readError turns a lost reply into durable.ErrUnavailable: a read has no effect.
 func readError(err error) error {
-	if errors.Is(err, ErrUncertain) {
-		return errors.Mark(errors.Newf("%v", err), ErrUnavailable)
+	if errors.Is(err, durable.ErrUncertain) {
+		return errors.Mark(errors.Newf("%v", err), durable.ErrUnavailable)
 	}
 	return err
 }
@@ -152,7 +144,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Mark(err, ErrProtocol)
+		return nil, errors.Mark(err, durable.ErrProtocol)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -161,10 +153,10 @@
 	defer func() { _ = resp.Body.Close() }()
 	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "platform"), ErrUncertain)
+		return nil, errors.Mark(errors.Wrap(err, "platform"), durable.ErrUncertain)
 	}
 	if len(reply) > maxReplyBytes {
-		return nil, errors.Wrap(ErrProtocol, "reply too long")
+		return nil, errors.Wrap(durable.ErrProtocol, "reply too long")
 	}
 	return reply, statusError(resp.StatusCode, reply)
 }
@@ -174,9 +166,9 @@
 func sendError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(errors.Wrap(err, "platform"), ErrUnavailable)
+		return errors.Mark(errors.Wrap(err, "platform"), durable.ErrUnavailable)
 	}
-	return errors.Mark(errors.Wrap(err, "platform"), ErrUncertain)
+	return errors.Mark(errors.Wrap(err, "platform"), durable.ErrUncertain)
 }
 
 func statusError(status int, body []byte) error {
@@ -184,15 +176,15 @@
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return nil
 	case http.StatusNotFound:
-		return ErrNotFound
+		return durable.ErrNotFound
 	case http.StatusGone:
-		return ErrTrimmed
+		return durable.ErrTrimmed
 	case http.StatusTooManyRequests:
-		return ErrThrottled
+		return durable.ErrThrottled
 	case http.StatusServiceUnavailable:
-		return ErrUnavailable
+		return durable.ErrUnavailable
 	default:
 		const shown = 200
-		return errors.Wrapf(ErrUncertain, "status %d: %s", status, body[:min(shown, len(body))])
+		return errors.Wrapf(durable.ErrUncertain, "status %d: %s", status, body[:min(shown, len(body))])
 	}
 }
--- a/services/fuzz_test.go
+++ b/services/fuzz_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"testing"
+
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // reply is a transport that answers each request with the same bytes.
@@ -41,7 +43,7 @@
 			}
 		}
 		c.hosts.Version = 1
-		var change HostChange
+		var change hostlist.Change
 		_ = json.Unmarshal(body, &change)
 		if list, err := c.List(ctx); err == nil && change.After != 0 && list.Version < 1 {
 			t.Fatalf("a change took the host list back to %d", list.Version)
--- a/settings/follow/duty.go
+++ b/settings/follow/duty.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings/follow/spread"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // auditGap is the mean time between two audits of the log in one zone.
@@ -19,15 +19,15 @@
 // Both are drawn from the zone's live entry hosts, or from its targets if it has
 // no entry host. A machine that the list does not name tails, because its peers
 // may not know it either.
-func Duty(hosts []services.Host, machine contract.MachineID, zone contract.ZoneName, n int) spread.Tailing {
+func Duty(hosts []hostlist.Host, machine contract.MachineID, zone contract.ZoneName, n int) spread.Tailing {
 	var entries, targets []contract.MachineID
 	listed := false
 	for _, h := range hosts {
 		listed = listed || h.Machine == machine
-		if h.Zone != zone || h.State != services.HostLive {
+		if h.Zone != zone || h.State != hostlist.Live {
 			continue
 		}
-		if h.Role == services.HostEntry {
+		if h.Role == hostlist.Entry {
 			entries = append(entries, h.Machine)
 		} else {
 			targets = append(targets, h.Machine)
--- a/settings/follow/follower.go
+++ b/settings/follow/follower.go
@@ -13,8 +13,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/internal/metrics"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/record"
@@ -137,7 +137,7 @@
 }
 
 // Log returns the platform's log, for reading records older than History.
-func (f *Follower) Log() services.Log {
+func (f *Follower) Log() durable.Log {
 	return f.opts.Log
 }
 
@@ -249,7 +249,7 @@
 func (f *Follower) read(ctx context.Context, e spread.ReadLog) spread.Event {
 	batch, err := f.opts.Log.Read(ctx, record.Stream, e.After, e.Wait)
 	if err != nil {
-		trimmed := errors.Is(err, services.ErrTrimmed)
+		trimmed := errors.Is(err, durable.ErrTrimmed)
 		f.count("log_reads", readResult(trimmed))
 		return spread.LogFailed{Trimmed: trimmed}
 	}
--- a/settings/follow/follower_test.go
+++ b/settings/follow/follower_test.go
@@ -10,13 +10,13 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/schema"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 func run(t *testing.T, opts follow.Options) *follow.Follower {
@@ -119,13 +119,13 @@
 // TestDuty checks that a few entry hosts of each zone tail the log, that the
 // others audit it in turns, and that targets do neither.
 func TestDuty(t *testing.T) {
-	var hosts []services.Host
+	var hosts []hostlist.Host
 	for i := range 40 {
-		role, zone := services.HostEntry, contract.ZoneName([]string{"a", "b"}[i%2])
+		role, zone := hostlist.Entry, contract.ZoneName([]string{"a", "b"}[i%2])
 		if i >= 20 {
-			role = services.HostTarget
+			role = hostlist.Target
 		}
-		hosts = append(hosts, services.Host{Machine: contract.MachineID(fmt.Sprint("m", i)), Role: role, Zone: zone, State: services.HostLive})
+		hosts = append(hosts, hostlist.Host{Machine: contract.MachineID(fmt.Sprint("m", i)), Role: role, Zone: zone, State: hostlist.Live})
 	}
 	tails, audits := map[contract.ZoneName]int{}, 0
 	for _, h := range hosts {
@@ -194,12 +194,12 @@
 	log := sim.NewLog(time.Now)
 	first := run(t, follow.Options{Log: log})
 	await(t, first, first.Ready)
-	hosts := []services.Host{
-		{Machine: "one", Role: services.HostEntry, Zone: "a", State: services.HostLive},
-		{Machine: "two", Role: services.HostTarget, Zone: "a", State: services.HostLive},
+	hosts := []hostlist.Host{
+		{Machine: "one", Role: hostlist.Entry, Zone: "a", State: hostlist.Live},
+		{Machine: "two", Role: hostlist.Target, Zone: "a", State: hostlist.Live},
 	}
 	second := run(t, follow.Options{
-		Log: log, Machine: "two", Zone: "a", Hosts: func() []services.Host { return hosts },
+		Log: log, Machine: "two", Zone: "a", Hosts: func() []hostlist.Host { return hosts },
 		Timing: spread.Timing{QuietLimit: time.Hour},
 		Pull: func(_ context.Context, after contract.Offset) (contract.SettingsRecords, error) {
 			return first.Serve(contract.SettingsPull{After: after}), nil
--- a/settings/follow/options.go
+++ b/settings/follow/options.go
@@ -8,14 +8,15 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/follow/spread"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // Options configures a Follower.
 type Options struct {
 	// Log is the platform's log.
-	Log services.Log
+	Log durable.Log
 	// Scope and Logger may be nil.
 	Scope  tally.Scope
 	Logger log.Interface
@@ -27,7 +28,7 @@
 	// Hosts the process tails the log.
 	Machine contract.MachineID
 	Zone    contract.ZoneName
-	Hosts   func() []services.Host
+	Hosts   func() []hostlist.Host
 	// Seed seeds the jitter.
 	Seed uint64
 	// Timing holds the intervals; zero fields take their defaults.
--- a/settings/follow/spread/events.go
+++ b/settings/follow/spread/events.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/replay"
 )
 
@@ -14,7 +14,7 @@
 // LogRead is a successful read of the log.
 type LogRead struct {
 	After contract.Offset
-	Batch services.Batch
+	Batch durable.Batch
 }
 
 // LogFailed is a failed read of the log.
@@ -49,7 +49,7 @@
 
 // ExtraRead is a read of the log beside the machine's own long poll.
 type ExtraRead struct {
-	Batch services.Batch
+	Batch durable.Batch
 	// Probe tells that it answers a ProbeLog.
 	Probe bool
 }
--- a/settings/follow/spread/machine.go
+++ b/settings/follow/spread/machine.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/replay"
 )
 
@@ -242,7 +242,7 @@
 		m.emit(Ignored{Reason: contract.ReasonBadFrame, What: "record out of order"})
 		return
 	}
-	m.recent.add(services.Record{Offset: offset, Data: data, Time: at}, d)
+	m.recent.add(durable.Record{Offset: offset, Data: data, Time: at}, d)
 	m.confirmations = 0
 	m.noteCheckpoint(now, d.Outcome)
 	m.emit(Decided{Decision: d})
--- a/settings/follow/spread/recent.go
+++ b/settings/follow/spread/recent.go
@@ -2,7 +2,7 @@
 
 import (
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/checkpoint"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/replay"
@@ -19,7 +19,7 @@
 
 // Entry is a record with what became of it.
 type Entry struct {
-	Record   services.Record
+	Record   durable.Record
 	Decision replay.Decision
 }
 
@@ -35,7 +35,7 @@
 
 // add appends the next record. A checkpoint is kept by its digest alone, since
 // whoever asks for it has the state that it covers.
-func (r *recent) add(rec services.Record, d replay.Decision) {
+func (r *recent) add(rec durable.Record, d replay.Decision) {
 	rec.Data = compact(rec.Data, d)
 	r.entries = append(r.entries, Entry{Record: rec, Decision: d})
 	r.bytes += len(rec.Data) + recordOverhead
--- a/settings/follow/spread/recovery.go
+++ b/settings/follow/spread/recovery.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/checkpoint"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/replay"
@@ -20,7 +20,7 @@
 	// bounds is set once the oldest kept offset is known.
 	bounds  bool
 	after   contract.Offset
-	records []services.Record
+	records []durable.Record
 }
 
 func (r *recovery) active() bool {
@@ -56,7 +56,7 @@
 // rebuild replays the records from the first checkpoint that the later ones
 // confirm: one more refused than confirmed and the next candidate is tried. With
 // majority off the first checkpoint is taken as it is.
-func rebuild(records []services.Record, majority bool) (*replay.State, bool) {
+func rebuild(records []durable.Record, majority bool) (*replay.State, bool) {
 	for i, r := range records {
 		state, ok := restore(r)
 		if !ok {
@@ -89,7 +89,7 @@
 }
 
 // restore returns the state after a checkpoint record.
-func restore(r services.Record) (*replay.State, bool) {
+func restore(r durable.Record) (*replay.State, bool) {
 	decoded, err := record.Decode(r.Data)
 	if err != nil || len(decoded.Checkpoint) == 0 {
 		return nil, false
--- a/settings/follow/spread/sim/log.go
+++ b/settings/follow/spread/sim/log.go
@@ -9,17 +9,17 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 )
 
 const batchRecords = 512
 
 // Log is a log stream in memory with switchable faults. It implements
-// services.Log for one stream and is safe for concurrent use.
+// durable.Log for one stream and is safe for concurrent use.
 type Log struct {
 	mu      sync.Mutex
 	now     func() time.Time
-	records []services.Record
+	records []durable.Record
 	oldest  contract.Offset
 	arrived chan struct{}
 
@@ -30,7 +30,7 @@
 	readBytes   int
 }
 
-var _ services.Log = (*Log)(nil)
+var _ durable.Log = (*Log)(nil)
 
 // NewLog returns an empty log that stamps records with now.
 func NewLog(now func() time.Time) *Log {
@@ -76,26 +76,26 @@
 	return contract.Offset(len(l.records))
 }
 
-// Append implements services.Log.
+// Append implements durable.Log.
 func (l *Log) Append(_ context.Context, _ string, data []byte) (contract.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, services.ErrUnavailable
+		return 0, durable.ErrUnavailable
 	}
 	offset := l.newest() + 1
-	l.records = append(l.records, services.Record{Offset: offset, Time: l.now(), Data: data})
+	l.records = append(l.records, durable.Record{Offset: offset, Time: l.now(), Data: data})
 	close(l.arrived)
 	l.arrived = make(chan struct{})
 	if l.loseReplies > 0 {
 		l.loseReplies--
-		return 0, services.ErrUncertain
+		return 0, durable.ErrUncertain
 	}
 	return offset, nil
 }
 
-// Read implements services.Log.
-func (l *Log) Read(ctx context.Context, _ string, after contract.Offset, wait time.Duration) (services.Batch, error) {
+// Read implements durable.Log.
+func (l *Log) Read(ctx context.Context, _ string, after contract.Offset, wait time.Duration) (durable.Batch, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
@@ -108,25 +108,25 @@
 		case <-deadline.C:
 			return batch, nil
 		case <-ctx.Done():
-			return services.Batch{}, services.ErrUnavailable
+			return durable.Batch{}, durable.ErrUnavailable
 		}
 	}
 }
 
-func (l *Log) read(after contract.Offset) (services.Batch, <-chan struct{}, error) {
+func (l *Log) read(after contract.Offset) (durable.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	if l.down {
-		return services.Batch{}, nil, services.ErrUnavailable
+		return durable.Batch{}, nil, durable.ErrUnavailable
 	}
 	if after+1 < l.oldest {
-		return services.Batch{}, nil, services.ErrTrimmed
+		return durable.Batch{}, nil, durable.ErrTrimmed
 	}
-	batch := services.Batch{Oldest: l.oldest, Newest: l.newest()}
+	batch := durable.Batch{Oldest: l.oldest, Newest: l.newest()}
 	if after < l.newest() {
 		end := min(after+batchRecords, l.newest())
-		batch.Records = append([]services.Record(nil), l.records[after:end]...)
+		batch.Records = append([]durable.Record(nil), l.records[after:end]...)
 	}
 	for _, r := range batch.Records {
 		l.readBytes += len(r.Data)
--- a/settings/follow/spread/sim/world.go
+++ b/settings/follow/spread/sim/world.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/record"
 )
@@ -310,7 +310,7 @@
 	}
 	batch, err := w.poll(e.After)
 	if err != nil {
-		n.deliver(spread.LogFailed{Trimmed: err == services.ErrTrimmed})
+		n.deliver(spread.LogFailed{Trimmed: err == durable.ErrTrimmed})
 		return
 	}
 	if len(batch.Records) > 0 || e.Wait == 0 {
@@ -327,7 +327,7 @@
 	})
 }
 
-func (w *World) poll(after contract.Offset) (services.Batch, error) {
+func (w *World) poll(after contract.Offset) (durable.Batch, error) {
 	batch, _, err := w.Log.read(after)
 	return batch, err
 }
@@ -338,7 +338,7 @@
 	delete(w.waiting, n)
 	batch, err := w.poll(after)
 	if err != nil || n.logCut() {
-		n.deliver(spread.LogFailed{Trimmed: err == services.ErrTrimmed})
+		n.deliver(spread.LogFailed{Trimmed: err == durable.ErrTrimmed})
 		return
 	}
 	n.deliver(spread.LogRead{After: after, Batch: batch})
--- a/settings/follow/spread/sources.go
+++ b/settings/follow/spread/sources.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/checkpoint"
 	"mimosastand.example/mimosastand/settings/replay"
 )
@@ -52,7 +52,7 @@
 }
 
 // takeBatch applies the records of one read of the log.
-func (m *Machine) takeBatch(now time.Time, batch services.Batch) {
+func (m *Machine) takeBatch(now time.Time, batch durable.Batch) {
 	before := m.state.Offset()
 	for _, r := range batch.Records {
 		if r.Offset == m.state.Offset()+1 {
--- a/settings/follow/submit.go
+++ b/settings/follow/submit.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/checkpoint"
 	"mimosastand.example/mimosastand/settings/follow/spread"
@@ -85,9 +85,9 @@
 		switch {
 		case err == nil:
 			return f.readBack(ctx, c, offset)
-		case errors.Is(err, services.ErrThrottled):
+		case errors.Is(err, durable.ErrThrottled):
 			f.count("submits", "throttled")
-		case errors.Is(err, services.ErrUnavailable):
+		case errors.Is(err, durable.ErrUnavailable):
 			f.count("submits", "log down")
 			if !uncertain {
 				return Result{}, errors.Mark(err, ErrNotAccepted)
--- a/settings/follow/submit_test.go
+++ b/settings/follow/submit_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/settings/follow"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/follow/spread/sim"
@@ -38,22 +38,22 @@
 	l.share = 0
 }
 
-// Append implements services.Log.
+// Append implements durable.Log.
 func (l *flakyLog) Append(ctx context.Context, stream string, data []byte) (contract.Offset, error) {
 	if l.fails() {
-		return 0, services.ErrUnavailable
+		return 0, durable.ErrUnavailable
 	}
 	offset, err := l.Log.Append(ctx, stream, data)
 	if l.fails() {
-		return 0, services.ErrUncertain
+		return 0, durable.ErrUncertain
 	}
 	return offset, err
 }
 
-// Read implements services.Log.
-func (l *flakyLog) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (services.Batch, error) {
+// Read implements durable.Log.
+func (l *flakyLog) Read(ctx context.Context, stream string, after contract.Offset, wait time.Duration) (durable.Batch, error) {
 	if l.fails() {
-		return services.Batch{}, services.ErrUnavailable
+		return durable.Batch{}, durable.ErrUnavailable
 	}
 	return l.Log.Read(ctx, stream, after, wait)
 }
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -13,12 +13,12 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/fault"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // stateGone removes a host from the list.
-const stateGone services.HostState = "gone"
+const stateGone hostlist.State = "gone"
 
 // Config holds the settings of a host list.
 type Config struct {
@@ -35,7 +35,7 @@
 
 type version struct {
 	at   time.Time
-	list services.HostList
+	list hostlist.List
 }
 
 // List is the stand-in.
@@ -45,14 +45,14 @@
 	mu sync.Mutex
 	// past holds the lists that callers saw before, oldest first; versions the
 	// list that they see and all later ones.
-	past     []services.HostList
+	past     []hostlist.List
 	versions []version
 	gets     uint64
 }
 
 // New returns an empty list with switchable faults.
 func New(config Config) *fault.Switch {
-	l := &List{config: config, versions: []version{{list: services.HostList{Hosts: []services.Host{}}}}}
+	l := &List{config: config, versions: []version{{list: hostlist.List{Hosts: []hostlist.Host{}}}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /hosts", l.serveGet)
 	mux.HandleFunc("PUT /hosts", l.servePut)
@@ -67,13 +67,13 @@
 	return Stats{Gets: l.gets, Version: newest.Version, Hosts: len(newest.Hosts)}
 }
 
-func (l *List) newest() services.HostList {
+func (l *List) newest() hostlist.List {
 	return l.versions[len(l.versions)-1].list
 }
 
 // change adds a version with the given hosts.
-func (l *List) change(hosts []services.Host) {
-	list := services.HostList{Version: l.newest().Version + 1, Hosts: hosts}
+func (l *List) change(hosts []hostlist.Host) {
+	list := hostlist.List{Version: l.newest().Version + 1, Hosts: hosts}
 	l.versions = append(l.versions, version{at: time.Now(), list: list})
 }
 
@@ -105,7 +105,7 @@
 }
 
 // visible returns the change from a version to what callers see now.
-func (l *List) visible(after uint64) services.HostChange {
+func (l *List) visible(after uint64) hostlist.Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	shown := time.Now().Add(-l.config.Lag)
@@ -119,21 +119,21 @@
 
 // since returns the change from a version that a caller has seen, or the whole
 // list if that version is not known.
-func (l *List) since(after uint64) services.HostChange {
+func (l *List) since(after uint64) hostlist.Change {
 	shown := l.versions[0].list
 	if after == shown.Version && after != 0 {
-		return services.HostChange{Version: after, After: after, Hosts: []services.Host{}}
+		return hostlist.Change{Version: after, After: after, Hosts: []hostlist.Host{}}
 	}
 	for _, older := range l.past {
 		if older.Version == after && after != 0 {
 			return shown.Since(older)
 		}
 	}
-	return services.HostChange{Version: shown.Version, Hosts: shown.Hosts}
+	return hostlist.Change{Version: shown.Version, Hosts: shown.Hosts}
 }
 
 func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
-	var list services.HostList
+	var list hostlist.List
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -146,7 +146,7 @@
 
 func (l *List) servePost(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		State services.HostState `json:"state"`
+		State hostlist.State `json:"state"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -156,7 +156,7 @@
 	defer l.mu.Unlock()
 	machine := contract.MachineID(r.PathValue("machine"))
 	hosts := slices.Clone(l.newest().Hosts)
-	i := slices.IndexFunc(hosts, func(h services.Host) bool { return h.Machine == machine })
+	i := slices.IndexFunc(hosts, func(h hostlist.Host) bool { return h.Machine == machine })
 	if i < 0 {
 		http.Error(w, "no such machine", http.StatusNotFound)
 		return
@@ -164,7 +164,7 @@
 	switch body.State {
 	case stateGone:
 		hosts = slices.Delete(hosts, i, i+1)
-	case services.HostLive, services.HostLeaving:
+	case hostlist.Live, hostlist.Leaving:
 		hosts[i].State = body.State
 	default:
 		http.Error(w, "unknown state", http.StatusBadRequest)
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/standin/fault"
 )
 
@@ -43,7 +43,7 @@
 // stream holds the kept records of one stream.
 type stream struct {
 	trimmed contract.Offset
-	records []services.Record
+	records []durable.Record
 	changed chan struct{}
 }
 
@@ -111,9 +111,9 @@
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	offset := st.newest() + 1
-	st.records = append(st.records, services.Record{Offset: offset, Time: time.Now().UTC(), Data: data})
+	st.records = append(st.records, durable.Record{Offset: offset, Time: time.Now().UTC(), Data: data})
 	if drop := len(st.records) - s.config.Retention; s.config.Retention > 0 && drop > 0 {
-		st.records = append([]services.Record(nil), st.records[drop:]...)
+		st.records = append([]durable.Record(nil), st.records[drop:]...)
 		st.trimmed += contract.Offset(drop)
 	}
 	close(st.changed)
@@ -140,7 +140,7 @@
 }
 
 // read returns records after an offset, and false if some are past retention.
-func (s *Service) read(r *http.Request, after contract.Offset, wait time.Duration) (services.Batch, bool) {
+func (s *Service) read(r *http.Request, after contract.Offset, wait time.Duration) (durable.Batch, bool) {
 	s.mu.Lock()
 	s.stats.Reads++
 	s.mu.Unlock()
@@ -161,11 +161,11 @@
 	}
 }
 
-func (s *Service) batch(name string, after contract.Offset) (services.Batch, bool, <-chan struct{}) {
+func (s *Service) batch(name string, after contract.Offset) (durable.Batch, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
-	batch := services.Batch{Oldest: st.trimmed + 1, Newest: st.newest(), Records: []services.Record{}}
+	batch := durable.Batch{Oldest: st.trimmed + 1, Newest: st.newest(), Records: []durable.Record{}}
 	if after < st.trimmed {
 		return batch, false, nil
 	}
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/standin/fault"
 	"mimosastand.example/mimosastand/standin/logservice"
@@ -26,13 +27,13 @@
 		want   error
 	}{
 		{fault.None, "POST", nil},
-		{fault.Down, "POST", services.ErrUnavailable},
-		{fault.LostReply, "POST", services.ErrUncertain},
+		{fault.Down, "POST", durable.ErrUnavailable},
+		{fault.LostReply, "POST", durable.ErrUncertain},
 		{fault.None, "POST", nil},
-		{fault.Corrupt, "POST", services.ErrUncertain},
-		{fault.Corrupt, "GET", services.ErrProtocol},
-		{fault.Down, "GET", services.ErrUnavailable},
-		{fault.LostReply, "GET", services.ErrUnavailable},
+		{fault.Corrupt, "POST", durable.ErrUncertain},
+		{fault.Corrupt, "GET", durable.ErrProtocol},
+		{fault.Down, "GET", durable.ErrUnavailable},
+		{fault.LostReply, "GET", durable.ErrUnavailable},
 	}
 	for _, s := range steps {
 		handler.Set(fault.Request{Fault: fault.None})
@@ -48,7 +49,7 @@
 		}
 	}
 	handler.Set(fault.Request{Fault: fault.None})
-	if _, err := client.Read(ctx, "s", 1, 0); !errors.Is(err, services.ErrTrimmed) {
+	if _, err := client.Read(ctx, "s", 1, 0); !errors.Is(err, durable.ErrTrimmed) {
 		t.Fatalf("read past retention: %v", err)
 	}
 	batch, err := client.Read(ctx, "s", 2, time.Second)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/standin/fault"
 )
 
@@ -119,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.ServedBytes += uint64(n)
-	if strings.HasPrefix(name, services.ChunkPrefix) {
+	if strings.HasPrefix(name, durable.ChunkPrefix) {
 		s.stats.ChunkBytes += uint64(n)
 	}
 }
--- a/weights/agent/agent_test.go
+++ b/weights/agent/agent_test.go
@@ -12,8 +12,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/internal/logs"
-	"mimosastand.example/mimosastand/services"
 	"mimosastand.example/mimosastand/weights"
 )
 
@@ -125,7 +125,7 @@
 	for _, r := range fleet {
 		r.await(t, v1)
 	}
-	if n, chunks := store.count(services.ChunkPrefix), 196; n > chunks*3/2 {
+	if n, chunks := store.count(durable.ChunkPrefix), 196; n > chunks*3/2 {
 		t.Errorf("%d chunks drawn from the origin, %d exist", n, chunks)
 	}
 	store.setDown(true)
--- a/weights/agent/draw.go
+++ b/weights/agent/draw.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/weights"
 	"mimosastand.example/mimosastand/weights/activation"
 	"mimosastand.example/mimosastand/weights/swarm"
@@ -79,7 +79,7 @@
 		return weights.ErrUnknownVersion
 	}
 	if d.From == "" {
-		data, err := a.get(ctx, services.ChunkPrefix+string(m.Chunk(d.Index)))
+		data, err := a.get(ctx, durable.ChunkPrefix+string(m.Chunk(d.Index)))
 		if err != nil {
 			return err
 		}
--- a/weights/agent/fakes_test.go
+++ b/weights/agent/fakes_test.go
@@ -8,21 +8,21 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/weights"
 )
 
-// fakeStore is a services.Store and services.Log in memory.
+// fakeStore is a durable.Store and durable.Log in memory.
 type fakeStore struct {
 	mu      sync.Mutex
 	objects map[string][]byte
 	gets    map[string]int
-	log     map[string][]services.Record
+	log     map[string][]durable.Record
 	down    bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}, log: map[string][]services.Record{}}
+	return &fakeStore{objects: map[string][]byte{}, gets: map[string]int{}, log: map[string][]durable.Record{}}
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -35,12 +35,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, services.ErrUnavailable
+		return nil, durable.ErrUnavailable
 	}
 	s.gets[name]++
 	data, ok := s.objects[name]
 	if !ok {
-		return nil, services.ErrNotFound
+		return nil, durable.ErrNotFound
 	}
 	return data, nil
 }
@@ -56,17 +56,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, services.ErrUnavailable
+		return 0, durable.ErrUnavailable
 	}
 	offset := contract.Offset(len(s.log[stream]) + 1)
-	s.log[stream] = append(s.log[stream], services.Record{Offset: offset, Time: time.Now(), Data: data})
+	s.log[stream] = append(s.log[stream], durable.Record{Offset: offset, Time: time.Now(), Data: data})
 	return offset, nil
 }
 
-func (s *fakeStore) Read(_ context.Context, stream string, after contract.Offset, _ time.Duration) (services.Batch, error) {
+func (s *fakeStore) Read(_ context.Context, stream string, after contract.Offset, _ time.Duration) (durable.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return services.Batch{Records: s.log[stream][after:]}, nil
+	return durable.Batch{Records: s.log[stream][after:]}, nil
 }
 
 // fakeEngine verifies what it is given, as the real ones do.
--- a/weights/agent/orders.go
+++ b/weights/agent/orders.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/weights/activation"
 	"mimosastand.example/mimosastand/weights/rollout"
 )
@@ -103,7 +103,7 @@
 	after := own - min(own, fenceWindow+1)
 	batch, err := a.opts.Log.Read(ctx, a.fenceStream(), after, 0)
 	read := activation.FencesRead{}
-	if errors.Is(err, services.ErrTrimmed) {
+	if errors.Is(err, durable.ErrTrimmed) {
 		read.Trimmed = true
 		batch, err = a.opts.Log.Read(ctx, a.fenceStream(), own-1, 0)
 	}
@@ -118,7 +118,7 @@
 
 // fenceOf decodes a record. One that cannot be read counts as another orderer's
 // with the longest lease that this program gives.
-func fenceOf(r services.Record) activation.FenceRecord {
+func fenceOf(r durable.Record) activation.FenceRecord {
 	var f fenceRecord
 	if err := json.Unmarshal(r.Data, &f); err != nil {
 		return activation.FenceRecord{Offset: r.Offset, Lease: activation.DefaultLease, Time: r.Time}
--- a/weights/agent/types.go
+++ b/weights/agent/types.go
@@ -9,7 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 )
 
 var (
@@ -124,10 +124,10 @@
 	OriginRegion contract.RegionName
 	// Incarnation tells this run of the process from former ones.
 	Incarnation contract.Incarnation
-	Log         services.Log
+	Log         durable.Log
 	// Origin and Store hold the published objects; the store is asked only when
 	// the origin fails.
-	Origin, Store services.Store
+	Origin, Store durable.Store
 	Engine        Engine
 	Peers         Peers
 	Scope         tally.Scope
--- a/weights/agent/want.go
+++ b/weights/agent/want.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 	"mimosastand.example/mimosastand/weights/activation"
 	"mimosastand.example/mimosastand/weights/rollout"
 	"mimosastand.example/mimosastand/weights/swarm"
@@ -209,7 +209,7 @@
 	}
 	others := slices.DeleteFunc(holders, func(m contract.MachineID) bool { return m == a.opts.Machine })
 	if !fromPeer || len(others) == 0 {
-		return a.get(ctx, services.ManifestPrefix+string(d))
+		return a.get(ctx, durable.ManifestPrefix+string(d))
 	}
 	peer := others[rand.IntN(len(others))]
 	reply, err := a.opts.Peers.RequestChunk(ctx, peer, contract.ChunkRequest{Weights: d, Index: ManifestIndex})
--- a/weights/publish.go
+++ b/weights/publish.go
@@ -9,7 +9,7 @@
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/durable"
 )
 
 // Split reads r to its end, calls each for every chunk and returns the manifest.
@@ -53,9 +53,9 @@
 // the store means that all its chunks are there too. Publishing the same
 // content again is harmless. It returns the version's digest and fails with
 // ErrPublish or ErrManifest.
-func Publish(ctx context.Context, store services.Store, r io.Reader, name string, chunkBytes int) (contract.Digest, error) {
+func Publish(ctx context.Context, store durable.Store, r io.Reader, name string, chunkBytes int) (contract.Digest, error) {
 	m, err := Split(r, name, chunkBytes, func(d contract.Digest, data []byte) error {
-		return put(ctx, store, services.ChunkPrefix+string(d), data)
+		return put(ctx, store, durable.ChunkPrefix+string(d), data)
 	})
 	if err != nil {
 		return "", err
@@ -64,12 +64,12 @@
 	if err != nil {
 		return "", err
 	}
-	return digest, put(ctx, store, services.ManifestPrefix+string(digest), data)
+	return digest, put(ctx, store, durable.ManifestPrefix+string(digest), data)
 }
 
 // put stores one object and retries: objects are immutable, so a repeated put
 // has no further effect.
-func put(ctx context.Context, store services.Store, name string, data []byte) error {
+func put(ctx context.Context, store durable.Store, name string, data []byte) error {
 	gap := publishRetry
 	var err error
 	for range publishTries {
--- a/services/hostchange.go
+++ b/zone/hostlist/change.go
@@ -1,4 +1,4 @@
-package services
+package hostlist
 
 import (
 	"slices"
@@ -7,10 +7,11 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 )
 
-// HostChange is what changed in the host list from one version to another.
-type HostChange struct {
+// Change is what changed in the host list from one version to another.
+type Change struct {
 	Version uint64 `json:"version"`
 	// After is the version that the change starts from; 0 means that Hosts is
 	// the whole list.
@@ -20,14 +21,14 @@
 }
 
 // Apply returns the list after a change, sorted by machine. It fails with
-// ErrProtocol, and returns l, if the change starts from another version or goes
+// durable.ErrProtocol, and returns l, if the change starts from another version or goes
 // back.
-func (l HostList) Apply(change HostChange) (HostList, error) {
+func (l List) Apply(change Change) (List, error) {
 	if change.After != 0 && change.After != l.Version {
-		return l, errors.Wrapf(ErrProtocol, "change from version %d, have %d", change.After, l.Version)
+		return l, errors.Wrapf(durable.ErrProtocol, "change from version %d, have %d", change.After, l.Version)
 	}
 	if change.After != 0 && change.Version < l.Version {
-		return l, errors.Wrapf(ErrProtocol, "change to version %d, have %d", change.Version, l.Version)
+		return l, errors.Wrapf(durable.ErrProtocol, "change to version %d, have %d", change.Version, l.Version)
 	}
 	if change.After != 0 && change.Version == l.Version {
 		return l, nil
@@ -44,7 +45,7 @@
 	for _, machine := range change.Gone {
 		delete(merged, machine)
 	}
-	return HostList{Version: change.Version, Hosts: sortHosts(merged)}, nil
+	return List{Version: change.Version, Hosts: sortHosts(merged)}, nil
 }
 
 func sortHosts(set map[contract.MachineID]Host) []Host {
@@ -57,8 +58,8 @@
 }
 
 // Since returns the change from an older list to l.
-func (l HostList) Since(older HostList) HostChange {
-	change := HostChange{Version: l.Version, After: older.Version, Hosts: []Host{}}
+func (l List) Since(older List) Change {
+	change := Change{Version: l.Version, After: older.Version, Hosts: []Host{}}
 	former := make(map[contract.MachineID]Host, len(older.Hosts))
 	for _, h := range older.Hosts {
 		former[h.Machine] = h
--- a/services/hostchange_test.go
+++ b/zone/hostlist/change_test.go
@@ -1,4 +1,4 @@
-package services
+package hostlist
 
 import (
 	"slices"
@@ -8,15 +8,16 @@
 	"pgregory.net/rapid"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/durable"
 )
 
-func drawList(t *rapid.T, version uint64, label string) HostList {
+func drawList(t *rapid.T, version uint64, label string) List {
 	hosts := map[contract.MachineID]Host{}
 	for _, name := range rapid.SliceOfN(rapid.StringMatching(`m[0-9]`), 0, 8).Draw(t, label) {
-		state := rapid.SampledFrom([]HostState{HostLive, HostLeaving}).Draw(t, label+" state")
+		state := rapid.SampledFrom([]State{Live, Leaving}).Draw(t, label+" state")
 		hosts[contract.MachineID(name)] = Host{Machine: contract.MachineID(name), State: state}
 	}
-	return HostList{Version: version, Hosts: sortHosts(hosts)}
+	return List{Version: version, Hosts: sortHosts(hosts)}
 }
 
 // TestApplySince checks that the change from one list to another, applied to
@@ -29,7 +30,7 @@
 		if err != nil || got.Version != 2 || !slices.Equal(got.Hosts, newer.Hosts) {
 			t.Fatalf("got %+v, %v, want %+v", got, err, newer)
 		}
-		if _, err := newer.Apply(newer.Since(older)); !errors.Is(err, ErrProtocol) {
+		if _, err := newer.Apply(newer.Since(older)); !errors.Is(err, durable.ErrProtocol) {
 			t.Fatalf("a change from another version was taken: %v", err)
 		}
 	})
--- a/services/hostwatch/hostwatch.go
+++ b/zone/hostwatch/hostwatch.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"mimosastand.example/mimosastand/services"
+	"mimosastand.example/mimosastand/zone/hostlist"
 )
 
 // DefaultInterval is the time between two polls.
@@ -19,19 +19,19 @@
 
 // Watcher is safe for concurrent use.
 type Watcher struct {
-	hosts    services.Hosts
+	hosts    hostlist.Reader
 	interval time.Duration
-	onChange func(services.HostList)
+	onChange func(hostlist.List)
 
 	mu   sync.Mutex
-	last services.HostList
+	last hostlist.List
 	seen bool
 	err  error
 }
 
 // New returns a watcher that calls onChange, which may be nil, with the first
 // list and with every newer one. An interval of 0 means DefaultInterval.
-func New(hosts services.Hosts, interval time.Duration, onChange func(services.HostList)) *Watcher {
+func New(hosts hostlist.Reader, interval time.Duration, onChange func(hostlist.List)) *Watcher {
 	if interval <= 0 {
 		interval = DefaultInterval
 	}
@@ -62,7 +62,7 @@
 }
 
 // take reports whether list is newer than the last one.
-func (w *Watcher) take(list services.HostList, err error) bool {
+func (w *Watcher) take(list hostlist.List, err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.err = err
@@ -75,7 +75,7 @@
 }
 
 // Last returns the newest list; ok is false before the first one.
-func (w *Watcher) Last() (list services.HostList, ok bool) {
+func (w *Watcher) Last() (list hostlist.List, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.last, w.seen
