Targets fetch no weights for an engine that is still to start

Cause: a target process starts some seconds before its engine, which is delivered with the first version.

Change: upkeep.Need decides what is fetched: nothing for an engine that has never answered and is to hold the first version, unless the machine was there before this start (its former record stands in the store) and so comes back empty. A fetch ends when the engine shows the version. The first publication of a process waits up to 0.7 s for the members, to see its own former record.

--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -35,7 +35,9 @@
 	joinPause    = 120 * time.Millisecond
 	memberPause  = time.Second
 	targetsPause = 15 * time.Second
-	// publishPause is the time between two tries to publish this process.
+	// publishWait is how long the first publication waits for what the store holds of
+	// a former run; publishPause is the time between two tries.
+	publishWait  = 700 * time.Millisecond
 	publishPause = 400 * time.Millisecond
 	pullTimeout  = 700 * time.Millisecond
 	// redialMin and redialMax space the tries to reach a peer.
@@ -74,11 +76,16 @@
 	// conns holds the newest link to each peer, whoever dialed.
 	conns map[contract.MachineID]*link.Conn
 	asked int
+	// returned tells that a former run of this machine stood in the store.
+	returned bool
+	// read is closed when the members have been read for the first time.
+	read     chan struct{}
+	readOnce sync.Once
 }
 
 // Open opens the link address; Run does the rest.
 func Open(opts Options) (*Peers, error) {
-	p := &Peers{opts: opts, started: time.Now(), known: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}}
+	p := &Peers{opts: opts, started: time.Now(), known: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}, read: make(chan struct{})}
 	p.members = feed.New(opts.Store, feed.Options{
 		Topic:    platform.TopicMembers,
 		Wait:     p.memberWait(),
@@ -145,6 +152,11 @@
 		p.opts.Log.WithError(err).Error("member not published")
 		return
 	}
+	select {
+	case <-p.read:
+	case <-time.After(publishWait):
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
 		_, err := p.opts.Store.Put(ctx, platform.TopicMembers, string(p.opts.Self.Machine), data)
 		if err == nil {
@@ -184,6 +196,9 @@
 			continue
 		}
 		p.known[m.Machine] = m
+		if m.Machine == p.opts.Self.Machine && m.Fingerprint != p.opts.Self.Fingerprint {
+			p.returned = true
+		}
 	}
 	wanted := map[contract.MachineID]string{}
 	for id, m := range p.known {
@@ -193,6 +208,14 @@
 	}
 	p.mu.Unlock()
 	p.pool.Set(wanted)
+	p.readOnce.Do(func() { close(p.read) })
+}
+
+// Returned reports whether a former run of this machine had published itself.
+func (p *Peers) Returned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.returned
 }
 
 func (p *Peers) linked(id contract.MachineID, c *link.Conn) {
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,7 +140,7 @@
 	defer k.mu.Unlock()
 	k.goals = addGoal(k.goals, v)
 	for _, g := range k.goals {
-		if g.fetching || g.whole() || k.up && k.whole() >= g.version.Number {
+		if g.fetching || g.whole() || !k.need(g.version).Fetch() {
 			continue
 		}
 		g.fetching = true
@@ -147,6 +148,17 @@
 	}
 }
 
+// need is what is known of the engine's want of a version; mu must be held.
+func (k *keeper) need(v depot.Version) upkeep.Need {
+	return upkeep.Need{
+		Up:       k.up,
+		Loaded:   k.whole(),
+		Wanted:   v.Number,
+		SeenUp:   k.report.Born != 0,
+		Returned: k.target.peers.Returned(),
+	}
+}
+
 // next is the goal to work towards, or nil.
 func (k *keeper) next() *goal {
 	k.mu.Lock()
@@ -179,12 +191,13 @@
 }
 
 // fetch gets the pieces of a goal from the entries of the zone, then from any
-// entry, until it is whole or no longer wanted.
+// entry, until it is whole or the engine needs it no longer.
 func (k *keeper) fetch(ctx context.Context, g *goal, origin catalog.Origin) {
 	const retryPause = 100 * time.Millisecond
 	start := time.Now()
 	entry := k.log.WithField("version", g.version.String())
-	for ctx.Err() == nil && k.isWanted(g) {
+	defer k.fetched(g)
+	for ctx.Err() == nil && k.needs(g) {
 		for _, id := range k.sources(g.version, origin, time.Since(start)) {
 			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, false, k.current(g), k.begin(g))
 			if err != nil {
@@ -202,15 +215,18 @@
 	}
 }
 
-func (k *keeper) isWanted(g *goal) bool {
+// needs reports whether a goal still stands and its pieces are to be fetched.
+func (k *keeper) needs(g *goal) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, wanted := range k.goals {
-		if wanted == g {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(k.goals, g) && k.need(g.version).Fetch()
+}
+
+// fetched tells that the pieces of a goal are no longer being fetched.
+func (k *keeper) fetched(g *goal) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g.fetching = false
 }
 
 // sources lists the linked entries to ask: those of the own zone, and after patience
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -31,9 +31,6 @@
 	unlinkedPause = 700 * time.Millisecond
 )
 
-// firstVersion is the version that a model begins with, before any is named.
-const firstVersion = 1
-
 // Target is the process beside one model engine.
 type Target struct {
 	process *config.Process
@@ -208,7 +205,7 @@
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
 		return depot.Version{}, catalog.Origin{}, false
 	}
-	v = depot.Version{Model: service.Engine.Models[0], Number: firstVersion}
+	v = depot.Version{Model: service.Engine.Models[0], Number: upkeep.FirstVersion}
 	if named := t.named[v.Model]; named != nil {
 		v.Number = named.Newest()
 	}
