A soak: real processes under drawn faults, with the promises checked

Found by it: SIGHUP right after the start ends a process, since nobody listens yet. The program now listens from before main; a few milliseconds of the start of any Go program remain, and the soak reloads processes that serve.

--- a/cmd/mimosastand/daemon.go
+++ b/cmd/mimosastand/daemon.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,9 +66,7 @@
 // watch passes changes of a process's file on until ctx ends. SIGHUP asks to look
 // at once.
 func watch(ctx context.Context, file string, to reloader) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go config.Watch(ctx, file, hup, to.Reload)
+	go config.Watch(ctx, file, hangup, to.Reload)
 }
 
 // defaultFile is the file of a process when the command line names none.
--- a/cmd/mimosastand/main.go
+++ b/cmd/mimosastand/main.go
@@ -28,6 +28,16 @@
 	os.Exit(run())
 }
 
+// hangup gets SIGHUP from before main begins: until somebody listens the signal ends
+// the process.
+var hangup = listenForHangup()
+
+func listenForHangup() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -43,6 +53,7 @@
 	flaggy.Parse()
 
 	if operators.Used() {
+		signal.Reset(syscall.SIGHUP)
 		return operators.Run(ctx, os.Stdout, os.Stderr)
 	}
 	for _, c := range commands {
--- a/e2e/fleet/fleet_test.go
+++ b/e2e/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -147,26 +146,18 @@
 	r.target("target-1", r.engines[0])
 	r.target("target-2", r.engines[1])
 	r.eventually("the empty engine has version 1", func() bool { return r.engines[1].Version() == 1 })
-	r.store.Put("keyed.op", "version/daka", `{"model":"daka","version":2}`)
+	r.store.NameVersion(2)
 	r.eventually("both engines have version 2", func() bool {
 		return r.engines[0].Version() == 2 && r.engines[1].Version() == 2
 	})
 	r.engines[0].Spoil()
-	r.store.Put("keyed.op", "version/daka", `{"model":"daka","version":3}`)
+	r.store.NameVersion(3)
 	r.eventually("both engines have version 3", func() bool {
 		return r.engines[0].Version() == 3 && r.engines[1].Version() == 3
 	})
 	for _, engine := range r.engines {
-		for _, loaded := range engine.Loaded() {
-			var version int64
-			var index int
-			var sum string
-			if _, err := fmt.Sscanf(strings.ReplaceAll(loaded, ":", " "), "%d %d %s", &version, &index, &sum); err != nil {
-				t.Fatal(err)
-			}
-			if sum != standin.Digest(version, index) {
-				t.Errorf("%s loaded piece %d of version %d unverified", engine.ID, index, version)
-			}
+		if bad := engine.Unverified(); len(bad) > 0 {
+			t.Errorf("%s loaded unverified pieces: %v", engine.ID, bad)
 		}
 	}
 	if drawn, most := r.origin.Drawn(), 3*chunks*2; drawn > most {
@@ -190,11 +181,11 @@
 	if got := r.plain[0].AllRuns(); got != before {
 		t.Errorf("the leaving target ran %d requests", got-before)
 	}
-	r.store.Put("keyed.op", "evacuate/a", "{}")
+	r.store.Evacuate("a", true)
 	r.eventually("nothing goes to the zone", func() bool {
 		return r.call(e, http.MethodPost, "/pay/x", "amount", nil).status == http.StatusServiceUnavailable
 	})
-	r.store.Put("keyed.op", "evacuate/a", "")
+	r.store.Evacuate("a", false)
 	r.eventually("the zone is back", func() bool {
 		return r.call(e, http.MethodPost, "/pay/x", "amount", nil).status == http.StatusOK
 	})
@@ -235,8 +226,7 @@
 	r.keys = []string{"key-2"}
 	r.store.SetDown(true)
 	r.writeManifest()
-	r.store.Compact("keyed.op")
-	r.store.Compact("keyed.servers")
+	r.store.DropHistory()
 	r.store.SetDown(false)
 	r.eventually("the newest manifest is in force", func() bool {
 		return r.call(e, http.MethodGet, "/look/x", "", nil).status == http.StatusUnauthorized
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -4,7 +4,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,7 +23,6 @@
 const (
 	loopback = "127.0.0.1:0"
 	chunks   = 6
-	host     = "h.example"
 	key      = "key-1"
 	// patience bounds the wait for a state that must come about.
 	patience = 20 * time.Second
@@ -49,12 +47,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, ctx: ctx, store: standin.NewStore(), origin: standin.NewOrigin(chunks), keys: []string{key}}
 	for i := range 2 {
-		e := &standin.Engine{ID: fmt.Sprintf("i-m%d", i), Service: "models", Zone: "a", Model: "daka", Slots: 8, Events: 8, Gap: 10 * time.Millisecond}
+		e := &standin.Engine{ID: fmt.Sprintf("i-m%d", i), Service: standin.ModelService, Zone: "a", Model: standin.Model, Slots: 8, Events: 8, Gap: 10 * time.Millisecond}
 		e.Start(r.store, int64(1-i))
 		r.engines = append(r.engines, e)
 	}
 	for i := range 2 {
-		e := &standin.Engine{ID: fmt.Sprintf("i-p%d", i), Service: "ledger", Zone: "a", Slots: 8, Work: 5 * time.Millisecond}
+		e := &standin.Engine{ID: fmt.Sprintf("i-p%d", i), Service: standin.PlainService, Zone: "a", Slots: 8, Work: 5 * time.Millisecond}
 		e.Start(r.store, 0)
 		r.plain = append(r.plain, e)
 	}
@@ -106,7 +104,7 @@
 
 func (r *rig) target(name string, engine *standin.Engine) {
 	p := r.process(config.RoleTarget, name)
-	p.Fleet.EngineAddress, p.Fleet.EngineService = engine.Address(), "models"
+	p.Fleet.EngineAddress, p.Fleet.EngineService = engine.Address(), standin.ModelService
 	t, err := targetdirect.New(p)
 	if err != nil {
 		r.t.Fatal(err)
@@ -116,29 +114,10 @@
 
 func (r *rig) writeManifest() {
 	r.version++
-	text, err := json.Marshal(map[string]any{
-		"version": r.version,
-		"routes": []map[string]any{
-			{"name": "chat", "host": host, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 60000, "target_latency_ms": 1000,
-				"service": "models", "max_attempts": 2, "can_resume": true, "gap_target_ms": 300},
-			{"name": "pay", "host": host, "path_prefix": "/pay/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500,
-				"service": "ledger", "max_attempts": 2},
-			{"name": "look", "host": host, "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 100,
-				"service": "ledger", "max_attempts": 2},
-		},
-		"services": []map[string]any{
-			{"name": "models", "max_conns": 100, "engine": map[string]any{"slots": 8, "step_ms": 2, "read_per_s": 31900, "stride": 4,
-				"usual": map[string]any{"prompt": 100, "answer": 32}, "models": []map[string]any{{"name": "daka"}}, "layers": 16, "chunks": chunks}},
-			{"name": "ledger", "max_conns": 100},
-			{"name": "source", "origin": r.origin.Address(), "zone": "a"},
-		},
-		"limits":  map[string]any{"max_body_bytes": 1000},
-		"tenants": []map[string]any{{"name": "team-1", "api_keys": r.keys}},
-	})
-	if err != nil {
+	m := standin.Manifest{Version: r.version, Keys: r.keys, Origin: r.origin.Address(), Zone: "a", Pieces: chunks}
+	if err := r.store.WriteManifest(m); err != nil {
 		r.t.Fatal(err)
 	}
-	r.store.Put("keyed.op", "config", string(text))
 }
 
 func (r *rig) eventually(what string, done func() bool) {
@@ -168,7 +147,7 @@
 		r.t.Fatal(err)
 	}
 	res := result{id: fmt.Sprintf("attempt-%d", r.ids.Add(1))}
-	req.Host = host
+	req.Host = standin.Host
 	req.Header.Set("Attempt-Id", res.id)
 	req.Header.Set("Authorization", "Bearer "+key)
 	if change != nil {
--- /dev/null
+++ b/internal/soak/answer.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"mimosastand.example/mimosastand/internal/harness"
+)
+
+// Kind is a kind of request.
+type Kind uint8
+
+// The kinds of requests: a stream of a model, a call that may run once only, one
+// that may be repeated.
+const (
+	Chat Kind = iota
+	Pay
+	Look
+	kinds
+)
+
+// String returns the kind's name.
+func (k Kind) String() string { return [kinds]string{"chat", "pay", "look"}[k] }
+
+// Answer is what a caller got for one try.
+type Answer struct {
+	Kind    Kind
+	Attempt string
+	// Sent is what the back end is to have received: method, path and body.
+	Sent       string
+	Entry      *harness.Machine
+	Start, End time.Time
+	// Status is 0 and Err is set if no answer came; Err alone if it was cut.
+	Status int
+	Err    error
+	// RetryAfter is when the caller is to come back; 0 if not told.
+	RetryAfter time.Duration
+	// Stamp is the back end's own mark; Weights the versions that it served with.
+	Stamp, Weights string
+	Body           string
+}
+
+// Served reports whether the answer is a whole success.
+func (a Answer) Served() bool { return a.Status == http.StatusOK && a.Err == nil }
+
+// Refused reports whether the status promises that a call that may run once only has
+// not run and never will.
+func (a Answer) Refused() bool {
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// streamProblem tells what is wrong with the body of a whole stream of n events; ""
+// if nothing is.
+func streamProblem(body string, n int, weights string) string {
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	next := 1
+	version := ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			if id != fmt.Sprint(next) {
+				return fmt.Sprintf("event %s, want %d", id, next)
+			}
+			next++
+		}
+		if _, v, ok := strings.Cut(line, " of version "); ok {
+			if version != "" && v != version {
+				return fmt.Sprintf("events of versions %s and %s", version, v)
+			}
+			version = v
+		}
+	}
+	switch {
+	case next != n+1:
+		return fmt.Sprintf("%d events, want %d", next-1, n)
+	case weights != "" && version != weights:
+		return fmt.Sprintf("events of version %s, told %s", version, weights)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mimosastand.example/mimosastand/internal/harness"
+	standin "mimosastand.example/mimosastand/standin/fleet"
+)
+
+const (
+	// callTimeout is how long a caller waits for the whole answer.
+	callTimeout = 8 * time.Second
+	// chatPause, payPause and lookPause are the time between two requests of a kind.
+	chatPause = 40 * time.Millisecond
+	payPause  = 30 * time.Millisecond
+	lookPause = 50 * time.Millisecond
+	// maxAtOnce bounds the requests of a kind that run at once.
+	maxAtOnce = 100
+)
+
+// Traffic sends requests to the entries of a fleet until it is stopped.
+type Traffic struct {
+	fleet  *harness.Fleet
+	ledger *Ledger
+	client *http.Client
+	ids    atomic.Int64
+	wg     sync.WaitGroup
+}
+
+// NewTraffic returns traffic that enters what it gets into a ledger.
+func NewTraffic(fleet *harness.Fleet, ledger *Ledger) *Traffic {
+	return &Traffic{
+		fleet:  fleet,
+		ledger: ledger,
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxAtOnce}},
+	}
+}
+
+// Run sends requests of all kinds until ctx ends and waits for the last answers.
+func (t *Traffic) Run(ctx context.Context) {
+	pauses := [kinds]time.Duration{chatPause, payPause, lookPause}
+	for kind := range kinds {
+		t.wg.Go(func() { t.send(ctx, kind, pauses[kind]) })
+	}
+	t.wg.Wait()
+	t.client.CloseIdleConnections()
+}
+
+func (t *Traffic) send(ctx context.Context, kind Kind, pause time.Duration) {
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	room := make(chan struct{}, maxAtOnce)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		entry, ok := t.pick()
+		if !ok {
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			continue
+		}
+		t.wg.Go(func() {
+			defer func() { <-room }()
+			a := t.Call(kind, entry)
+			t.ledger.Take(a, entry.UndisturbedSince(a.Start))
+			if a.Status == 0 && entry.StoppedSince(a.Start) {
+				t.ledger.Break(PlannedStop, "%s cut %s: %v", entry.Name, a.Attempt, a.Err)
+			}
+		})
+	}
+}
+
+// pick draws an entry that serves, as a balancer does.
+func (t *Traffic) pick() (*harness.Machine, bool) {
+	var up []*harness.Machine
+	for _, e := range t.fleet.Entries {
+		if e.Serving() {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 {
+		return nil, false
+	}
+	return up[rand.IntN(len(up))], true
+}
+
+// Call sends one request to an entry.
+func (t *Traffic) Call(kind Kind, entry *harness.Machine) Answer {
+	a := Answer{Kind: kind, Attempt: fmt.Sprintf("%s-%d", kind, t.ids.Add(1)), Entry: entry, Start: time.Now()}
+	method, path, body := http.MethodPost, standin.ChatPath+"x", "prompt"
+	switch kind {
+	case Pay:
+		path, body = standin.PayPath+a.Attempt, "amount"
+	case Look:
+		method, path, body = http.MethodGet, standin.LookPath+a.Attempt, ""
+	}
+	a.Sent = strings.TrimSpace(fmt.Sprintf("%s %s %s", method, path, body))
+	t.exchange(&a, method, path, body)
+	a.End = time.Now()
+	return a
+}
+
+func (t *Traffic) exchange(a *Answer, method, path, body string) {
+	resp, err := t.do(a.Entry, a.Attempt, method, path, body)
+	if err != nil {
+		a.Err = err
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	a.Status, a.Body, a.Err = resp.StatusCode, string(data), err
+	a.Stamp, a.Weights = resp.Header.Get("Server-Stamp"), resp.Header.Get("Weight-Versions")
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		a.RetryAfter = time.Duration(s * float64(time.Second))
+	}
+}
+
+func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+entry.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = standin.Host
+	req.Header.Set("Attempt-Id", attempt)
+	req.Header.Set("Authorization", "Bearer "+harness.FleetKey)
+	return t.client.Do(req)
+}
+
+// status is the status of an entry's answer on a path; 0 if there was none.
+func (t *Traffic) status(entry *harness.Machine, path string) int {
+	resp, err := t.do(entry, fmt.Sprintf("probe-%d", t.ids.Add(1)), http.MethodGet, path, "")
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- /dev/null
+++ b/internal/soak/inflict.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/internal/harness"
+	standin "mimosastand.example/mimosastand/standin/fleet"
+)
+
+const (
+	// cutEvents is after how many events a stream is cut.
+	cutEvents = 2
+	// corruptEvery is which pieces of the origin are spoilt.
+	corruptEvery = 3
+)
+
+// inflictor brings faults about and ends them.
+type inflictor struct {
+	ctx    context.Context
+	fleet  *harness.Fleet
+	ledger *Ledger
+	named  *namings
+}
+
+// begin brings a fault about and returns how to end it; nil if it ends by itself.
+func (i *inflictor) begin(e Event) (end func()) {
+	switch e.Fault.class() {
+	case entries:
+		return i.onEntry(e.Fault, i.fleet.Entries[e.On])
+	case targets:
+		return i.onTarget(e.Fault, i.fleet.Targets[e.On])
+	case services:
+		return onService(e.Fault, i.fleet.Services[e.On])
+	case zones:
+		zone := string(i.fleet.Spec.Zones[e.On].Name)
+		i.fleet.Store.Evacuate(zone, true)
+		return func() { i.fleet.Store.Evacuate(zone, false) }
+	default:
+		return i.onPlatform(e.Fault)
+	}
+}
+
+// restart starts a process again. An entry gets callers once it is ready; what keeps
+// it from that is looked at when the faults are over.
+func (i *inflictor) restart(m *harness.Machine) {
+	i.check(m.Start())
+	if m.Role == config.RoleEntry {
+		_ = m.AwaitReady(i.ctx, recoverWait)
+	}
+}
+
+// check records that a fault could not be brought about or ended.
+func (i *inflictor) check(err error) {
+	if err != nil {
+		i.ledger.Break(StaysUp, "%v", err)
+	}
+}
+
+func (i *inflictor) onEntry(f Fault, m *harness.Machine) func() {
+	switch f {
+	case StopEntry:
+		if !m.Stop() {
+			i.ledger.Break(PlannedStop, "%s", m.Name)
+		}
+		return func() { i.restart(m) }
+	case ReloadEntry:
+		// Until a process listens for it, SIGHUP ends it.
+		if m.Serving() {
+			i.check(m.Reload())
+		}
+		return nil
+	default:
+		return i.onProcess(f, m)
+	}
+}
+
+// onProcess does what can befall any process.
+func (i *inflictor) onProcess(f Fault, m *harness.Machine) func() {
+	switch f {
+	case KillEntry, KillTarget:
+		m.Kill()
+		return func() { i.restart(m) }
+	case PauseEntry, PauseTarget:
+		i.check(m.Pause())
+		return func() { i.check(m.Resume()) }
+	default:
+		m.Door.SetClosed(true)
+		return func() { m.Door.SetClosed(false) }
+	}
+}
+
+func (i *inflictor) onTarget(f Fault, t *harness.TargetHost) func() {
+	engine := t.Engine()
+	switch f {
+	case LoseTarget:
+		t.Lose()
+		return func() { i.check(t.Return()) }
+	case HangEngine:
+		engine.Hang(true)
+		return func() { engine.Hang(false) }
+	case CutStream:
+		engine.CutAfter(cutEvents)
+		return nil
+	case SpoilStaged:
+		engine.Spoil()
+		return nil
+	case DrainEngine:
+		return i.drain(engine)
+	default:
+		return i.onProcess(f, t.Machine)
+	}
+}
+
+// drain has an engine say that it leaves, until it comes back.
+func (i *inflictor) drain(e *standin.Engine) func() {
+	start := time.Now()
+	e.List("draining")
+	return func() {
+		if last := e.Begun(); last.After(start.Add(drainBound + boundSlack)) {
+			i.ledger.Break(DrainBound, "%s began one %v after it said that it leaves", e.ID, last.Sub(start))
+		}
+		e.List("ready")
+	}
+}
+
+func onService(f Fault, e *standin.Engine) func() {
+	if f == LoseAnswers {
+		e.Mute(true)
+		return func() { e.Mute(false) }
+	}
+	e.Hang(true)
+	return func() { e.Hang(false) }
+}
+
+func (i *inflictor) onPlatform(f Fault) func() {
+	switch f {
+	case StoreDown:
+		i.fleet.Store.SetDown(true)
+		return func() { i.fleet.Store.SetDown(false) }
+	case CorruptOrigin:
+		i.fleet.Origin.CorruptEvery(corruptEvery)
+		return func() { i.fleet.Origin.CorruptEvery(0) }
+	case DropHistory:
+		i.fleet.Store.DropHistory()
+	case NameVersion:
+		i.named.add(i.fleet.NameNext(), time.Now())
+	case NextManifest:
+		_, err := i.fleet.NextManifest()
+		i.check(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Fault is a kind of trouble, or something that operators do.
+type Fault uint8
+
+// The kinds of faults.
+const (
+	KillEntry Fault = iota
+	PauseEntry
+	StopEntry
+	ReloadEntry
+	TurnEntryAway
+	LoseTarget
+	KillTarget
+	PauseTarget
+	TurnTargetAway
+	HangEngine
+	CutStream
+	SpoilStaged
+	DrainEngine
+	HangService
+	LoseAnswers
+	StoreDown
+	DropHistory
+	CorruptOrigin
+	NameVersion
+	NextManifest
+	EvacuateZone
+	faults
+)
+
+var faultNames = [faults]string{
+	"kill entry", "pause entry", "stop entry", "reload entry", "store turns entry away",
+	"lose target machine", "kill target", "pause target", "store turns target away",
+	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
+	"service hangs", "service loses answers", "store down", "store drops history",
+	"origin corrupts pieces", "name a version", "next manifest", "evacuate zone",
+}
+
+// String returns what happens.
+func (f Fault) String() string { return faultNames[f] }
+
+// class is what a fault falls on.
+type class uint8
+
+const (
+	entries class = iota
+	targets
+	services
+	zones
+	store
+	origin
+	operators
+	classes
+)
+
+func (f Fault) class() class {
+	switch {
+	case f <= TurnEntryAway:
+		return entries
+	case f <= DrainEngine:
+		return targets
+	case f <= LoseAnswers:
+		return services
+	case f <= DropHistory:
+		return store
+	case f == CorruptOrigin:
+		return origin
+	case f == EvacuateZone:
+		return zones
+	default:
+		return operators
+	}
+}
+
+// Shape is the number of objects of each class.
+type Shape struct {
+	Entries, Targets, Services, Zones int
+}
+
+func (s Shape) size(c class) int {
+	switch c {
+	case entries:
+		return s.Entries
+	case targets:
+		return s.Targets
+	case services:
+		return s.Services
+	case zones:
+		return s.Zones
+	default:
+		return 1
+	}
+}
+
+// mostAtOnce is how many objects of a class may be in trouble at the same time: one
+// of those that serve is left alone.
+func (s Shape) mostAtOnce(c class) int {
+	switch c {
+	case store, origin, operators:
+		return 1
+	case zones:
+		return min(s.Zones-1, 1)
+	default:
+		return s.size(c) - 1
+	}
+}
+
+// Event is one fault of a plan. At counts from the start.
+type Event struct {
+	At, For time.Duration
+	Fault   Fault
+	// On is the index of the object within its class.
+	On int
+}
+
+func (e Event) end() time.Duration { return e.At + e.For }
+
+const (
+	// calmStart is left free of faults, and healTime at the end, so that the last
+	// faults are over when the plan is.
+	calmStart = 2 * time.Second
+	healTime  = 3 * time.Second
+	// minGap and maxGap space the events.
+	minGap = 200 * time.Millisecond
+	maxGap = 1500 * time.Millisecond
+	// minFor and maxFor bound how long a fault lasts.
+	minFor = 500 * time.Millisecond
+	maxFor = 5 * time.Second
+)
+
+// Plan draws the events of a run, in their order.
+func Plan(seed uint64, length time.Duration, shape Shape) []Event {
+	rnd := rand.New(rand.NewPCG(seed, uint64(faults)))
+	var plan []Event
+	for at := calmStart; at < length-healTime; at += between(rnd, minGap, maxGap) {
+		e := Event{
+			At:    at,
+			For:   min(between(rnd, minFor, maxFor), length-healTime-at),
+			Fault: Fault(rnd.IntN(int(faults))),
+		}
+		c := e.Fault.class()
+		if shape.size(c) == 0 {
+			continue
+		}
+		e.On = rnd.IntN(shape.size(c))
+		if fits(plan, e, shape) {
+			plan = append(plan, e)
+		}
+	}
+	return plan
+}
+
+func between(rnd *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rnd.Int64N(int64(high-low)))
+}
+
+// fits reports whether an event leaves one object of its class alone and falls on
+// none that is in trouble.
+func fits(plan []Event, e Event, shape Shape) bool {
+	c := e.Fault.class()
+	troubled := 0
+	for _, other := range plan {
+		if other.Fault.class() != c || other.end() <= e.At {
+			continue
+		}
+		if other.On == e.On {
+			return false
+		}
+		troubled++
+	}
+	return troubled < shape.mostAtOnce(c)
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var shape = Shape{Entries: 3, Targets: 6, Services: 3, Zones: 3}
+
+func TestOneSeedGivesOnePlan(t *testing.T) {
+	first, again := Plan(7, time.Minute, shape), Plan(7, time.Minute, shape)
+	if !slices.Equal(first, again) {
+		t.Error("two plans of one seed differ")
+	}
+	if slices.Equal(first, Plan(8, time.Minute, shape)) {
+		t.Error("two seeds give one plan")
+	}
+}
+
+// Every kind comes up, none lasts to the end, and one object of each class that
+// serves is always left alone.
+func TestPlansLeaveOneAlone(t *testing.T) {
+	const length = 2 * time.Minute
+	var seen [faults]bool
+	for seed := range uint64(20) {
+		plan := Plan(seed, length, shape)
+		for i, e := range plan {
+			seen[e.Fault] = true
+			if e.end() > length-healTime {
+				t.Fatalf("seed %d: %v lasts until %v", seed, e.Fault, e.end())
+			}
+			troubled := map[int]bool{e.On: true}
+			for _, other := range plan[:i] {
+				if other.Fault.class() == e.Fault.class() && other.end() > e.At {
+					troubled[other.On] = true
+				}
+			}
+			if c := e.Fault.class(); c <= services && len(troubled) >= shape.size(c) {
+				t.Fatalf("seed %d at %v: all of a class are in trouble", seed, e.At)
+			}
+		}
+	}
+	for f, ok := range seen {
+		if !ok {
+			t.Errorf("never drawn: %v", Fault(f))
+		}
+	}
+}
+
+func TestPlansOfSmallFleets(t *testing.T) {
+	for _, e := range Plan(1, time.Minute, Shape{Entries: 1, Targets: 1, Services: 1, Zones: 1}) {
+		if c := e.Fault.class(); c <= zones {
+			t.Errorf("%v falls on the only one", e.Fault)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/internal/harness"
+)
+
+// recoverWait is how long after the last fault all must serve again.
+const recoverWait = 30 * time.Second
+
+// Options tells what to play.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	// Dir takes the files and logs of the processes, BinDir holds the program.
+	Dir, BinDir string
+	Spec        harness.FleetSpec
+	// Bounds has the promises checked that name a time: they need a machine that is
+	// not overloaded.
+	Bounds bool
+	// Log takes a line for each fault; nil for none.
+	Log io.Writer
+}
+
+// Report is what a run gave.
+type Report struct {
+	Seed   uint64
+	Events int
+	Counts [kinds]Count
+	Broken []Violation
+}
+
+// DefaultSpec is a fleet of three zones that a small machine can run.
+func DefaultSpec() harness.FleetSpec {
+	return harness.FleetSpec{
+		Zones: []harness.Zone{
+			{Name: "khomas-a", Region: "khomas"}, {Name: "erongo-a", Region: "erongo"}, {Name: "oshana-a", Region: "oshana"},
+		},
+		Entries: 1, Engines: 2, Services: 1, Events: 12, Gap: 20 * time.Millisecond, Pieces: 8,
+	}
+}
+
+func shapeOf(f *harness.Fleet) Shape {
+	return Shape{Entries: len(f.Entries), Targets: len(f.Targets), Services: len(f.Services), Zones: len(f.Spec.Zones)}
+}
+
+// Run plays one seed. It fails if the fleet could not be started; broken promises
+// are in the report.
+func Run(ctx context.Context, opts Options) (Report, error) {
+	fleet, err := harness.NewFleet(opts.Dir, opts.BinDir, opts.Spec)
+	if err != nil {
+		return Report{}, err
+	}
+	defer fleet.Close()
+	if err := fleet.Start(ctx); err != nil {
+		return Report{}, err
+	}
+	ledger := NewLedger(opts.Spec.Events, fleet.Runs)
+	s := &session{opts: opts, fleet: fleet, ledger: ledger, traffic: NewTraffic(fleet, ledger),
+		named: &namings{at: map[int64]time.Time{}}, start: time.Now()}
+	plan := Plan(opts.Seed, opts.Length, shapeOf(fleet))
+	s.play(ctx, plan)
+	return Report{Seed: opts.Seed, Events: len(plan), Counts: ledger.Counts(), Broken: ledger.Broken()}, ctx.Err()
+}
+
+// session is one run.
+type session struct {
+	opts    Options
+	fleet   *harness.Fleet
+	ledger  *Ledger
+	traffic *Traffic
+	named   *namings
+	start   time.Time
+}
+
+func (s *session) play(ctx context.Context, plan []Event) {
+	loaded, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.traffic.Run(loaded) })
+	for _, e := range s.fleet.Entries {
+		wg.Go(func() { watchManifests(loaded, s.traffic, e) })
+	}
+	s.inflict(ctx, plan)
+	s.recover(ctx)
+	stop()
+	wg.Wait()
+	s.finish()
+}
+
+// inflict brings the faults about at their times and waits until all are over.
+func (s *session) inflict(ctx context.Context, plan []Event) {
+	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, named: s.named}
+	var wg sync.WaitGroup
+	for _, e := range plan {
+		s.sleepUntil(ctx, e.At)
+		if ctx.Err() != nil {
+			break
+		}
+		s.log("%v for %v on %d", e.Fault, e.For.Round(time.Millisecond), e.On)
+		wg.Go(func() {
+			if end := i.begin(e); end != nil {
+				s.sleepUntil(ctx, e.end())
+				end()
+			}
+		})
+	}
+	wg.Wait()
+	s.sleepUntil(ctx, s.opts.Length)
+}
+
+func (s *session) sleepUntil(ctx context.Context, at time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(at - time.Since(s.start)):
+	}
+}
+
+func (s *session) log(format string, args ...any) {
+	if s.opts.Log != nil {
+		_, _ = fmt.Fprintf(s.opts.Log, "%7.2fs  "+format+"\n", append([]any{time.Since(s.start).Seconds()}, args...)...)
+	}
+}
+
+// recover waits until all serve again.
+func (s *session) recover(ctx context.Context) {
+	err := harness.WaitFor(ctx, recoverWait, func() error { return s.allServe() })
+	if err == nil {
+		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), recoverWait)
+	}
+	if err != nil && ctx.Err() == nil {
+		s.ledger.Break(Recovers, "%v", err)
+	}
+}
+
+func (s *session) allServe() error {
+	for _, e := range s.fleet.Entries {
+		for kind := range kinds {
+			if a := s.traffic.Call(kind, e); !a.Served() {
+				return errors.Newf("%s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
+			}
+		}
+	}
+	return nil
+}
+
+// finish checks what is known only at the end, and stops the fleet.
+func (s *session) finish() {
+	for _, m := range s.fleet.Machines() {
+		if m.EndedByItself() {
+			s.ledger.Break(StaysUp, "%s ended", m.Name)
+		}
+	}
+	for _, e := range s.fleet.BackEnds() {
+		if bad := e.Unverified(); len(bad) > 0 {
+			s.ledger.Break(VerifiedWeights, "%s loaded %v", e.ID, bad)
+		}
+	}
+	if s.opts.Bounds {
+		s.named.check(s.ledger, s.fleet.AllEngines())
+	}
+	for _, name := range s.fleet.StopAll() {
+		s.ledger.Break(PlannedStop, "%s at the end", name)
+	}
+	s.ledger.Close()
+}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -14,6 +15,11 @@
 	"time"
 )
 
+// layers is the number of layers of the model.
+const layers = 16
+
+const topicTargets = "keyed.servers"
+
 // Engine is a stand-in of a model engine, or of a plain service if Model is
 // empty. Its exported fields may be set before it serves.
 type Engine struct {
@@ -41,12 +47,14 @@
 	hang     bool
 	mute     bool
 	loaded   []string
+	// begun is when a request last began on each version.
+	begun map[int64]time.Time
 }
 
 // Start begins to serve and enters the engine in the list.
 func (e *Engine) Start(store *Store, version int64) {
 	e.store, e.version, e.born = store, version, time.Now().UnixMilli()
-	e.staged, e.runs, e.cutAfter = map[int][]byte{}, map[string]int{}, -1
+	e.staged, e.runs, e.begun, e.cutAfter = map[int][]byte{}, map[string]int{}, map[int64]time.Time{}, -1
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", e.report)
 	mux.HandleFunc("PUT /-/stage-put/{model}", e.stagePut)
@@ -79,11 +87,11 @@
 	}
 	e.mu.Unlock()
 	data, _ := json.Marshal(entry)
-	e.store.Put("keyed.servers", e.ID, string(data))
+	e.store.Put(topicTargets, e.ID, string(data))
 }
 
 // Unlist removes the engine's entry.
-func (e *Engine) Unlist() { e.store.Put("keyed.servers", e.ID, "") }
+func (e *Engine) Unlist() { e.store.Put(topicTargets, e.ID, "") }
 
 func (e *Engine) describe(entry map[string]any) {
 	entry["stage"] = "both"
@@ -91,7 +99,7 @@
 	entry["layers"] = []map[string]any{}
 	if e.version > 0 {
 		entry["models"] = []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}}
-		entry["layers"] = []map[string]any{{"from": 0, "to": 16, "version": e.version}}
+		entry["layers"] = []map[string]any{{"from": 0, "to": layers, "version": e.version}}
 	}
 }
 
@@ -135,6 +143,39 @@
 	return n
 }
 
+// BegunBefore is when a request last began on a version below the given one; zero if
+// none did.
+func (e *Engine) BegunBefore(version int64) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var last time.Time
+	for v, at := range e.begun {
+		if v < version && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// Begun is when a request last began.
+func (e *Engine) Begun() time.Time { return e.BegunBefore(math.MaxInt64) }
+
+// Unverified lists the pieces that were loaded although they are not those of their
+// version.
+func (e *Engine) Unverified() []string {
+	var bad []string
+	for _, loaded := range e.Loaded() {
+		var version int64
+		var index int
+		var sum string
+		_, err := fmt.Sscanf(strings.ReplaceAll(loaded, ":", " "), "%d %d %s", &version, &index, &sum)
+		if err != nil || sum != Digest(version, index) {
+			bad = append(bad, loaded)
+		}
+	}
+	return bad
+}
+
 // Spoil turns the staged pieces bad.
 func (e *Engine) Spoil() {
 	e.mu.Lock()
@@ -215,6 +256,7 @@
 	if !misdirected && !full && !hang {
 		e.running++
 		e.runs[attempt]++
+		e.begun[e.version] = time.Now()
 	}
 	e.mu.Unlock()
 	switch {
@@ -240,10 +282,11 @@
 		return
 	}
 	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
-	e.stream(w, r)
+	e.stream(w, r, version)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request) {
+// stream sends events that name the version they were made with.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, version int64) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.mu.Lock()
@@ -258,7 +301,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		cut--
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of version %d\n\n", i, i, version)
 		_ = control.Flush()
 		select {
 		case <-time.After(e.Gap):
