--- a/contract/message.go
+++ b/contract/message.go
@@ -327,8 +327,10 @@
 	Version int64  `cbor:"2,keyasint"`
 	// Have lists the pieces that the sender does not need.
 	Have []uint32 `cbor:"3,keyasint,omitempty"`
-	// Kept asks only for what the peer already holds.
+	// Kept asks only for what the peer already holds. Draw tells that the sender cannot
+	// reach the origin: the peer is to draw the pieces itself, at once.
 	Kept bool `cbor:"4,keyasint,omitempty"`
+	Draw bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Pieces answers a PiecesRequest, one message for each piece; the first has the
--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -129,9 +129,10 @@
 	}
 	d.forgetOld(v)
 	ctx, cancel := context.WithCancel(d.ctx)
-	h := &holding{depot: d, version: v, ready: make(chan struct{}), cancel: cancel}
+	patient, hurry := context.WithCancel(ctx)
+	h := &holding{depot: d, version: v, ready: make(chan struct{}), cancel: cancel, hurry: hurry}
 	d.held[v] = h
-	go h.fill(ctx)
+	go h.fill(ctx, patient)
 	return h
 }
 
@@ -153,6 +154,9 @@
 		return
 	}
 	h := d.holding(v)
+	if request.Draw {
+		h.hurry()
+	}
 	if !waiting(ctx, s, h.ready) {
 		return
 	}
--- /dev/null
+++ b/machine/depot/depot_test.go
@@ -0,0 +1,93 @@
+package depot
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fleet"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+const (
+	chunks = 6
+	// patienceOfTests bounds the wait for a state that must come about.
+	patienceOfTests = 20 * time.Second
+)
+
+// node is an entry's depot with its links.
+type node struct {
+	depot *Depot
+	peers *peers.Peers
+}
+
+func start(t *testing.T, store *fleet.Store, name contract.MachineID, origin string) *node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	quiet := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
+	n := &node{}
+	opened, err := peers.Open(peers.Options{
+		Self:   peers.Member{Machine: name, Role: link.RoleEntry, Zone: "a", Region: "ra", Address: "127.0.0.1:0"},
+		Store:  platform.NewStore(store.Address()),
+		Log:    quiet,
+		Beat:   func(contract.MachineID, *contract.Heartbeat) {},
+		OnBeat: func(contract.Heartbeat) {},
+		Serve: func(ctx context.Context, m contract.Message, s *link.Stream) {
+			if m.Kind == contract.KindPiecesRequest {
+				n.depot.Serve(ctx, *m.PiecesRequest, s)
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.peers = opened
+	n.depot = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store.Address()), Peers: opened, Log: quiet})
+	n.depot.SetOrigin(catalog.Origin{Address: origin, Zone: "a"})
+	var wg sync.WaitGroup
+	wg.Go(func() { opened.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return n
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patienceOfTests); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within %v: %s", patienceOfTests, what)
+		}
+	}
+}
+
+// The entry whose turn it is to draw a version cannot reach the origin, and nobody
+// else was asked for it: another entry draws it.
+func TestAnotherEntryDrawsWhenTheOriginIsOutOfReach(t *testing.T) {
+	t.Parallel()
+	store, origin := fleet.NewStore(), fleet.NewOrigin(chunks)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	const nobody = "127.0.0.1:1"
+	cut := start(t, store, "entry-1", nobody)
+	other := start(t, store, "entry-2", origin.Address())
+	eventually(t, "the entries are linked", func() bool {
+		return cut.peers.Linked("entry-2") && other.peers.Linked("entry-1")
+	})
+	v := Version{Model: fleet.Model, Number: 2}
+	cut.depot.Named(v)
+	h := cut.depot.holding(v)
+	eventually(t, "the version is whole", h.whole)
+	if drawn, most := origin.Drawn(), 2*chunks; drawn > most {
+		t.Errorf("the origin sent %d pieces of %d", drawn, chunks)
+	}
+}
--- a/machine/depot/fetch.go
+++ b/machine/depot/fetch.go
@@ -15,12 +15,25 @@
 // stall is how long a peer may take for the next piece.
 const stall = 2 * time.Second
 
+// Wanted is what a machine is asked for.
+type Wanted uint8
+
+const (
+	// AsTheyCome asks for the pieces as the machine gets them.
+	AsTheyCome Wanted = iota
+	// Kept asks only for what the machine holds already.
+	Kept
+	// Drawn asks the machine to draw the pieces from the origin, at once.
+	Drawn
+)
+
 // Fetch asks a machine for the missing pieces of a version and returns how many
-// came. current returns the set of pieces or nil, begin makes it from the
-// digests. With kept set the machine sends only what it holds already.
-func Fetch(ctx context.Context, p *peers.Peers, id contract.MachineID, v Version, kept bool,
+// came. current returns the set of pieces or nil, begin makes it from the digests.
+func Fetch(ctx context.Context, p *peers.Peers, id contract.MachineID, v Version, wanted Wanted,
 	current func() *pieces.Set, begin func([][]byte) *pieces.Set) (int, error) {
-	request := contract.PiecesRequest{Model: v.Model, Version: v.Number, Kept: kept, Have: have(current())}
+	request := contract.PiecesRequest{
+		Model: v.Model, Version: v.Number, Kept: wanted == Kept, Draw: wanted == Drawn, Have: have(current()),
+	}
 	s, err := p.Open(ctx, id, contract.Message{Kind: contract.KindPiecesRequest, PiecesRequest: &request})
 	if err != nil {
 		return 0, err
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -30,6 +30,8 @@
 	rankPatience = 100 * time.Millisecond
 	// neighbourTime is how long an entry relies on the one that reads for its zone.
 	neighbourTime = 3500 * time.Millisecond
+	// drawnTime is how long an entry that was asked to draw may take.
+	drawnTime = 2500 * time.Millisecond
 	// drawers is how many pieces are drawn from the origin at once.
 	drawers = 3
 	// retryPause is the time between tries after a failure.
@@ -43,7 +45,8 @@
 type holding struct {
 	depot   *Depot
 	version Version
-	cancel  context.CancelFunc
+	// cancel ends the work on the version; hurry ends the wait for what others draw.
+	cancel, hurry context.CancelFunc
 
 	mu  sync.Mutex
 	set *pieces.Set
@@ -75,12 +78,13 @@
 	return h.depot.opts.Log.WithField("version", h.version.String())
 }
 
-// fill gets the pieces until the version is whole.
-func (h *holding) fill(ctx context.Context) {
+// fill gets the pieces until the version is whole. It waits for others to draw them
+// until patient ends.
+func (h *holding) fill(ctx, patient context.Context) {
 	start := time.Now()
 	rank := h.depot.rank(h.version)
 	h.log().WithField("rank", rank).Info("weights wanted")
-	h.askNeighbour(ctx)
+	h.askNeighbour(patient)
 	reading, stop := context.WithCancel(ctx)
 	defer stop()
 	first := make(chan struct{})
@@ -93,11 +97,13 @@
 		case <-ctx.Done():
 		}
 	} else {
-		h.await(ctx, patience+time.Duration(rank)*rankPatience)
+		h.await(patient, patience+time.Duration(rank)*rankPatience)
 	}
-	for ctx.Err() == nil && !h.whole() {
+	for failures := 0; ctx.Err() == nil && !h.whole(); {
 		h.askEntries(ctx)
 		if !h.draw(ctx, rank) {
+			h.askToDraw(ctx, failures)
+			failures++
 			pause(ctx, retryPause)
 		}
 	}
@@ -118,7 +124,7 @@
 			return
 		}
 		if h.depot.opts.Peers.Linked(leader) {
-			got, err := Fetch(ctx, h.depot.opts.Peers, leader, h.version, false, h.current, h.begin)
+			got, err := Fetch(ctx, h.depot.opts.Peers, leader, h.version, AsTheyCome, h.current, h.begin)
 			h.log().WithField("peer", string(leader)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from the zone's reader")
 		}
 		pause(ctx, look)
@@ -245,7 +251,7 @@
 		if m.Machine == d.opts.Self || !d.opts.Peers.Linked(m.Machine) {
 			continue
 		}
-		got, err := Fetch(ctx, d.opts.Peers, m.Machine, h.version, true, h.current, h.begin)
+		got, err := Fetch(ctx, d.opts.Peers, m.Machine, h.version, Kept, h.current, h.begin)
 		entry := h.log().WithField("peer", string(m.Machine)).WithField("pieces", got)
 		switch {
 		case err != nil:
@@ -256,6 +262,26 @@
 	}
 }
 
+// askToDraw has another entry draw the pieces, another one after each failure: this
+// one cannot reach the origin.
+func (h *holding) askToDraw(ctx context.Context, failures int) {
+	d := h.depot
+	var linked []contract.MachineID
+	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+		if m.Machine != d.opts.Self && d.opts.Peers.Linked(m.Machine) {
+			linked = append(linked, m.Machine)
+		}
+	}
+	if len(linked) == 0 || h.whole() {
+		return
+	}
+	id := linked[failures%len(linked)]
+	ctx, cancel := context.WithTimeout(ctx, drawnTime)
+	defer cancel()
+	got, err := Fetch(ctx, d.opts.Peers, id, h.version, Drawn, h.current, h.begin)
+	h.log().WithField("peer", string(id)).WithField("pieces", got).WithField("failed", err != nil).Info("another entry asked to draw")
+}
+
 // draw gets the missing pieces from the origin and stores them. Entries that draw
 // at the same time begin at different pieces and read from the store what the
 // others have drawn. It reports whether the origin answered throughout.
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -199,7 +199,7 @@
 	defer k.fetched(g)
 	for ctx.Err() == nil && k.needs(g) {
 		for _, id := range k.sources(g.version, origin, time.Since(start)) {
-			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, false, k.current(g), k.begin(g))
+			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, depot.AsTheyCome, k.current(g), k.begin(g))
 			if err != nil {
 				entry.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
 			}
@@ -244,6 +244,8 @@
 			far = append(far, m.Machine)
 		}
 	}
+	rank, of := k.rank()
+	near = upkeep.Sources(near, rank, of)
 	if waited < neighbourTime {
 		return near
 	}
