--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO := go
 KNOWN_RED := KNOWN-RED.txt
 
-.PHONY: all build test check demo bench fuzz properties tidy
+.PHONY: all build test check demo soak bench fuzz properties tidy
 
 all: build
 
@@ -24,6 +24,13 @@
 demo: build
 	bin/demo
 
+# soak plays SEEDS seeds from SEED on, each for FOR, one after another.
+SEED ?= 1
+SEEDS ?= 1
+FOR ?= 1m
+soak: build
+	bin/soak --seed $(SEED) --seeds $(SEEDS) --for $(FOR)
+
 bench: build
 	bash scripts/bench.sh
 
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,6 +1,7 @@
-// Command demo starts a whole system of separate processes on this machine, puts
-// it under load while zones leave and return, weights roll out and processes
-// stop, and prints what callers got. It exits with 0 only if every promise held.
+// Command demo starts a whole fleet of separate processes on this machine, puts it
+// under load while a zone is evacuated, weights roll out, machines are lost and
+// processes stop, and prints what callers got. It exits with 0 only if every promise
+// held.
 package main
 
 import (
@@ -15,6 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/internal/soak"
 )
 
 // demoLimit bounds the whole run.
@@ -27,10 +29,10 @@
 func run() int {
 	bin, keep, hold := "bin", false, false
 	flaggy.SetName("demo")
-	flaggy.SetDescription("run a whole system on this machine under load and print what callers got")
+	flaggy.SetDescription("run a whole fleet on this machine under load and print what callers got")
 	flaggy.String(&bin, "b", "bin", "directory of the programs")
 	flaggy.Bool(&keep, "k", "keep", "keep the processes' logs and files")
-	flaggy.Bool(&hold, "o", "hold", "start the system, print its addresses and keep it until interrupted")
+	flaggy.Bool(&hold, "o", "hold", "start the fleet, print its addresses and keep it until interrupted")
 	flaggy.Parse()
 
 	dir, err := os.MkdirTemp("", "mimosastand-demo-")
@@ -55,13 +57,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	cluster, err := harness.New(dir, absolute, spec())
+	fleet, err := harness.NewFleet(dir, absolute, soak.DefaultSpec())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer cluster.Close()
-	d := &demo{cluster: cluster, started: time.Now()}
+	defer fleet.Close()
+	ledger := soak.NewLedger(fleet.Spec.Events, fleet.Runs)
+	d := &demo{fleet: fleet, ledger: ledger, traffic: soak.NewTraffic(fleet, ledger), started: time.Now()}
 	if hold {
 		return d.hold(ctx)
 	}
--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -2,50 +2,56 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
-	"mimosastand.example/mimosastand/internal/load"
-	"mimosastand.example/mimosastand/standin/engine"
+	"mimosastand.example/mimosastand/internal/soak"
 )
 
-// answers checks that a process answers its health page.
-func answers(address string) error {
-	resp, err := http.Get("http://" + address + "/healthz")
-	if err != nil {
-		return errors.Wrap(err, "demo")
-	}
-	return resp.Body.Close()
-}
+const (
+	// settleTime is how soon after an evacuation no new work may reach the zone, that
+	// of the platform.
+	settleTime = 5 * time.Second
+	// outTime is how long the zone stays out after settleTime.
+	outTime    = 2 * time.Second
+	returnTime = 3 * time.Second
+	// lostTime is how long a lost machine is away.
+	lostTime    = 2 * time.Second
+	serveWait   = 15 * time.Second
+	versionWait = 15 * time.Second
+	// allowedCopies is what the origin may send of one version.
+	allowedCopies = 1.5
+)
 
-// serves checks that an entry host answers a model call, as the platform's
-// balancer does before it sends callers there.
-func serves(ctx context.Context, address string) error {
-	probe := load.Model{Service: modelService, Team: teams[0], Prompt: "probe", MaxTokens: 1}
-	r := load.NewCaller(engine.Token, callTimeout).Generate(ctx, "http://"+address, probe)
-	if r.Class != load.Whole {
-		return errors.Newf("demo: %s: %s", address, r.Detail)
+// start starts the fleet and the calls that go on until stopAll.
+func (d *demo) start(ctx context.Context) error {
+	if err := d.fleet.Start(ctx); err != nil {
+		return err
+	}
+	if err := d.allServe(ctx); err != nil {
+		return err
 	}
+	loaded, stop := context.WithCancel(ctx)
+	d.stopTraffic = stop
+	d.wg.Go(func() { d.traffic.Run(loaded) })
 	return nil
 }
 
-// activeDigest asks an engine for its version.
-func activeDigest(address string) (contract.Digest, error) {
-	resp, err := http.Get("http://" + address + "/stats")
-	if err != nil {
-		return "", errors.Wrap(err, "demo")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var stats struct {
-		Digest contract.Digest `json:"digest"`
-	}
-	err = json.NewDecoder(resp.Body).Decode(&stats)
-	return stats.Digest, errors.Wrap(err, "demo")
+// allServe waits until every entry serves every kind of request.
+func (d *demo) allServe(ctx context.Context) error {
+	return harness.WaitFor(ctx, serveWait, func() error {
+		for _, e := range d.fleet.Entries {
+			for kind := range soak.Kinds {
+				if a := d.traffic.Call(kind, e); !a.Served() {
+					return errors.Newf("demo: %s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
+				}
+			}
+		}
+		return nil
+	})
 }
 
 func pause(ctx context.Context, d time.Duration) error {
@@ -57,131 +63,106 @@
 	}
 }
 
+// zoneOutAndBack evacuates a zone and takes it back in.
 func (d *demo) zoneOutAndBack(ctx context.Context) error {
-	d.startTraffic(ctx)
-	if err := pause(ctx, settleTime); err != nil {
-		return err
-	}
-	if _, err := d.cluster.Operator(ctx, "zone", "out", string(zoneOut)); err != nil {
+	zone := d.fleet.Spec.Zones[1].Name
+	if err := pause(ctx, returnTime); err != nil {
 		return err
 	}
+	d.fleet.Store.Evacuate(string(zone), true)
 	if err := pause(ctx, settleTime); err != nil {
 		return err
 	}
-	before, err := d.workIn(zoneOut)
-	if err != nil {
-		return err
-	}
+	before := d.workIn(zone)
 	if err := pause(ctx, outTime); err != nil {
 		return err
 	}
-	after, err := d.workIn(zoneOut)
-	if err != nil {
-		return err
-	}
-	d.promise(after == before, "new work in the zone that is out, after 3 s", "%.0f", after-before)
-	if _, err := d.cluster.Operator(ctx, "zone", "in", string(zoneOut)); err != nil {
-		return err
-	}
+	after := d.workIn(zone)
+	d.promise(after == before, "new work in the zone that is out, after 5 s", "%d", after-before)
+	d.fleet.Store.Evacuate(string(zone), false)
 	if err := pause(ctx, returnTime); err != nil {
 		return err
 	}
-	back, err := d.workIn(zoneOut)
-	if err != nil {
-		return err
-	}
-	d.promise(back > after, "new work in the zone after its return", "%.0f", back-after)
+	back := d.workIn(zone)
+	d.promise(back > after, "new work in the zone after its return", "%d", back-after)
 	return nil
 }
 
-// workIn counts the work that the back ends of a zone have received.
-func (d *demo) workIn(zone contract.ZoneName) (float64, error) {
-	total := 0.0
-	for _, t := range d.cluster.Targets {
-		if t.Zone.Name != zone {
-			continue
-		}
-		stats, err := d.cluster.Stats(t.Backend)
-		if err != nil {
-			return 0, err
+// workIn counts the runs at the back ends of a zone.
+func (d *demo) workIn(zone contract.ZoneName) int {
+	n := 0
+	for _, e := range d.fleet.BackEnds() {
+		if e.Zone == string(zone) {
+			n += e.AllRuns()
 		}
-		total += stats["generated"] + stats["calls"]
 	}
-	return total, nil
+	return n
 }
 
+// secondVersion names a version and waits until every engine holds it.
 func (d *demo) secondVersion(ctx context.Context) error {
-	digest, err := d.publish(ctx, "drafting-2", 2)
-	if err != nil {
+	drawn := d.fleet.Origin.Drawn()
+	began := time.Now()
+	version := d.fleet.NameNext()
+	if err := d.fleet.AwaitVersion(ctx, version, versionWait); err != nil {
 		return err
 	}
-	took, err := d.deploy(ctx, digest)
-	if err != nil {
-		return err
-	}
-	d.fact("time to 6 replicas, second version, under load", "%.2f s", took.Seconds())
-	return d.originRow("second version", 2)
+	d.fact("time until 6 engines hold version 2, under load", "%.2f s", time.Since(began).Seconds())
+	copies := float64(d.fleet.Origin.Drawn()-drawn) / float64(d.fleet.Spec.Pieces)
+	d.promise(copies <= allowedCopies, "copies of version 2 that the origin sent", "%.2f", copies)
+	return nil
 }
 
-// stopUnderLoad stops one target and one entry host as planned, with calls
-// going on, and starts the target again.
-func (d *demo) stopUnderLoad(ctx context.Context) error {
-	target, entry := d.cluster.Targets[0], d.cluster.Entries[2]
-	if !target.Process.Stop(startWait) {
-		return errors.Newf("demo: %s did not stop well, see %s", target.Machine, target.Process.LogFile)
-	}
-	d.traffic.Rotation.Remove("http://" + entry.HTTP)
-	if !entry.Process.Stop(startWait) {
-		return errors.Newf("demo: %s did not stop well, see %s", entry.Machine, entry.Process.LogFile)
-	}
-	if err := d.cluster.StartTarget(target); err != nil {
+// losses kills an entry, takes a machine with an engine away and stops an entry as
+// planned, with calls going on.
+func (d *demo) losses(ctx context.Context) error {
+	killed, stopped, lost := d.fleet.Entries[0], d.fleet.Entries[1], d.fleet.Targets[0]
+	killed.Kill()
+	lost.Lose()
+	if err := pause(ctx, lostTime); err != nil {
+		return err
+	}
+	if err := errors.CombineErrors(killed.Start(), lost.Return()); err != nil {
+		return err
+	}
+	if err := killed.AwaitReady(ctx, serveWait); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := d.fleet.AwaitVersion(ctx, d.fleet.Named(), versionWait); err != nil {
+		return err
+	}
+	d.fact("time until the engine that came back empty serves again", "%.2f s", time.Since(began).Seconds())
+	well := stopped.Stop()
+	d.promise(well, "a planned stop ended well", "%v", well)
+	if err := stopped.Start(); err != nil {
 		return err
 	}
-	return harness.WaitReady(ctx, target.HTTP, startWait)
+	return d.allServe(ctx)
 }
 
+// stopAll ends the calls and then the processes.
 func (d *demo) stopAll(ctx context.Context) error {
-	d.traffic.Stop()
-	d.traffic.Wait()
-	if err := d.resultRows(); err != nil {
-		return err
-	}
-	failed := d.cluster.StopAll()
+	d.stopTraffic()
+	d.wg.Wait()
+	failed := d.fleet.StopAll()
 	d.promise(len(failed) == 0, "processes that did not stop well", "%d %v", len(failed), failed)
+	d.ledger.Close()
+	d.results()
 	return ctx.Err()
 }
 
-func (d *demo) resultRows() error {
-	models, effects := d.traffic.Models, d.traffic.Effects
-	d.fact("model calls sent", "%d", models.Total())
-	d.promise(models.Count(load.Whole) == models.Total(), "model answers whole", "%d", models.Count(load.Whole))
-	d.fact("model calls not whole, by reason", "%s", reasonsText(models.Reasons()))
-	d.promise(models.Count(load.Cut)+models.Count(load.Wrong) == 0, "answers cut or wrong", "%d, %d", models.Count(load.Cut), models.Count(load.Wrong))
-	d.promise(models.Count(load.Unreachable)+effects.Count(load.Unreachable) == 0, "calls that no entry host took", "%d", models.Count(load.Unreachable)+effects.Count(load.Unreachable))
-	d.fact("first token p50, p99", "%v, %v", models.FirstToken(50).Round(time.Millisecond), models.FirstToken(99).Round(time.Millisecond))
-	d.fact("longest gap between tokens p50, p99", "%v, %v", models.Gap(50).Round(time.Millisecond), models.Gap(99).Round(time.Millisecond))
-	d.fact("filings sent, sent again with the same key", "%d, %d", effects.Total(), d.traffic.Retried.Load())
-	d.promise(effects.Count(load.Whole) == effects.Total(), "filings answered whole", "%d", effects.Count(load.Whole))
-	d.fact("filings not whole, by reason", "%s", reasonsText(effects.Reasons()))
-	return d.backEndRows()
-}
-
-// backEndRows reports what the back ends counted.
-func (d *demo) backEndRows() error {
-	var doubled, overruns, mixed, stagedBad float64
-	for _, t := range d.cluster.Targets {
-		stats, err := d.cluster.Stats(t.Backend)
-		if err != nil {
-			return err
-		}
-		doubled += stats["doubled_by_key"] + stats["doubled_by_request"]
-		overruns += stats["overruns"]
-		mixed += stats["mixed"]
-		stagedBad += stats["chunks_refused"]
-	}
-	d.promise(doubled == 0, "effects that ran twice", "%.0f", doubled)
-	d.promise(overruns == 0, "work given to cold engines above what they bear", "%.0f", overruns)
-	d.promise(mixed == 0, "streams under which the version changed", "%.0f", mixed)
-	d.promise(stagedBad == 0, "bad chunks that reached an engine", "%.0f", stagedBad)
-	return nil
+// results reports what callers got and which promises were broken.
+func (d *demo) results() {
+	for kind, c := range d.ledger.Counts() {
+		d.fact(soak.Kind(kind).String()+": sent, served, refused, failed, cut, unanswered", "%d, %d, %d, %d, %d, %d",
+			c.Sent, c.Served, c.Refused, c.Failed, c.Cut, c.Unanswered)
+	}
+	broken := map[soak.Promise]int{}
+	for _, v := range d.ledger.Broken() {
+		broken[v.Promise]++
+	}
+	for _, p := range soak.OfAnswers {
+		d.promise(broken[p] == 0, "broken: "+string(p), "%d", broken[p])
+	}
 }
--- a/cmd/demo/table.go
+++ b/cmd/demo/table.go
@@ -3,10 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"sort"
 	"text/tabwriter"
-
-	"mimosastand.example/mimosastand/internal/load"
 )
 
 // row is one line of the table; a promise that did not hold is marked.
@@ -36,12 +33,10 @@
 	return code
 }
 
-// explain prints the first calls that did not get a whole answer.
+// explain prints how promises were broken.
 func (d *demo) explain(out io.Writer) {
-	for _, t := range []*load.Tally{d.traffic.Models, d.traffic.Effects} {
-		for _, line := range t.Details() {
-			_, _ = fmt.Fprintln(out, "  ", line)
-		}
+	for _, v := range d.ledger.Broken() {
+		_, _ = fmt.Fprintf(out, "  %s: %s\n", v.Promise, v.Detail)
 	}
 }
 
@@ -54,22 +49,3 @@
 func (d *demo) promise(held bool, name, format string, args ...any) {
 	d.rows = append(d.rows, row{name: name, value: fmt.Sprintf(format, args...), held: held})
 }
-
-func reasonsText(counts map[string]int) string {
-	if len(counts) == 0 {
-		return "none"
-	}
-	names := make([]string, 0, len(counts))
-	for name := range counts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	text := ""
-	for i, name := range names {
-		if i > 0 {
-			text += ", "
-		}
-		text += fmt.Sprintf("%s: %d", name, counts[name])
-	}
-	return text
-}
--- a/internal/soak/answer.go
+++ b/internal/soak/answer.go
@@ -19,11 +19,12 @@
 	Chat Kind = iota
 	Pay
 	Look
-	kinds
+	// Kinds is the number of kinds.
+	Kinds
 )
 
 // String returns the kind's name.
-func (k Kind) String() string { return [kinds]string{"chat", "pay", "look"}[k] }
+func (k Kind) String() string { return [Kinds]string{"chat", "pay", "look"}[k] }
 
 // Answer is what a caller got for one try.
 type Answer struct {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -47,8 +47,8 @@
 
 // Run sends requests of all kinds until ctx ends and waits for the last answers.
 func (t *Traffic) Run(ctx context.Context) {
-	pauses := [kinds]time.Duration{chatPause, payPause, lookPause}
-	for kind := range kinds {
+	pauses := [Kinds]time.Duration{chatPause, payPause, lookPause}
+	for kind := range Kinds {
 		t.wg.Go(func() { t.send(ctx, kind, pauses[kind]) })
 	}
 	t.wg.Wait()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -40,6 +40,9 @@
 	Recovers Promise = "all serve again once the faults are over"
 )
 
+// OfAnswers are the promises that are checked on every answer and process.
+var OfAnswers = []Promise{WholeStream, TrueAnswer, OnceOnly, TrueRefusal, Answered, PlannedStop}
+
 // Violation is one break of a promise.
 type Violation struct {
 	Promise Promise
@@ -59,7 +62,7 @@
 	runs   func(attempt string) int
 
 	mu     sync.Mutex
-	counts [kinds]Count
+	counts [Kinds]Count
 	broken []Violation
 	// once are the attempts that may run once only, notRun those that were said not
 	// to have run.
@@ -160,7 +163,7 @@
 }
 
 // Counts tells how the requests of each kind ended.
-func (l *Ledger) Counts() [kinds]Count {
+func (l *Ledger) Counts() [Kinds]Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.counts
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,7 +33,7 @@
 type Report struct {
 	Seed   uint64
 	Events int
-	Counts [kinds]Count
+	Counts [Kinds]Count
 	Broken []Violation
 }
 
@@ -141,7 +141,7 @@
 
 func (s *session) allServe() error {
 	for _, e := range s.fleet.Entries {
-		for kind := range kinds {
+		for kind := range Kinds {
 			if a := s.traffic.Call(kind, e); !a.Served() {
 				return errors.Newf("%s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
 			}
