Large fleets link targets within the region; tries to connect thin out

Ruled out: heartbeats (5% of the links), reads of the store (6 to 25%), calls.

Change: with more than 60 members an entry links to the targets of its own region; if no entry of a zone is linked, one entry of each zone links to the targets there (linkView, pure, with tests). Waits between tries grow with the number of peers from 30 on, and a peer that publishes a new key is tried at once.

--- a/e2e/fleet/process_test.go
+++ b/e2e/fleet/process_test.go
@@ -28,14 +28,21 @@
 	return ports
 }
 
-// SIGHUP asks a real process to look at its file; it goes on serving.
-func TestHangupKeepsServing(t *testing.T) {
-	t.Parallel()
-	r := newRig(t)
+// build builds the program and returns its file.
+func build(t *testing.T) string {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "mimosastand")
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/mimosastand").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return bin
+}
+
+// SIGHUP asks a real process to look at its file; it goes on serving.
+func TestHangupKeepsServing(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	bin := build(t)
 	ports := freePorts(t, 4)
 	file := filepath.Join(t.TempDir(), "entry.ini")
 	text := fmt.Sprintf("[process]\nrole = entry\nmachine = e1\nzone = a\nregion = ra\n[fleet]\nzones = a:ra\nstore = %s\n"+
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -18,7 +18,7 @@
 
 const (
 	// callTimeout is how long a caller waits for the whole answer.
-	callTimeout = 8 * time.Second
+	callTimeout = 20 * time.Second
 	// chatPause, payPause and lookPause are the time between two requests of a kind.
 	chatPause = 40 * time.Millisecond
 	payPause  = 30 * time.Millisecond
--- a/link/pool/pool.go
+++ b/link/pool/pool.go
@@ -37,8 +37,11 @@
 	// ended or could not be made. Both may be nil and may be called concurrently.
 	OnUp   func(contract.MachineID, *link.Conn)
 	OnDown func(contract.MachineID, error)
-	// Backoff spaces the tries to one peer.
-	Backoff backoff.Policy
+	// Backoff spaces the tries to one peer. With more than FullRatePeers peers the
+	// waits grow in proportion: handshakes that fail together keep a full link full.
+	// 0 means that they do not.
+	Backoff       backoff.Policy
+	FullRatePeers int
 }
 
 // Pool is safe for concurrent use.
@@ -140,20 +143,32 @@
 		if err != nil {
 			failures++
 			p.down(known.machine, err)
-			p.pause(ctx, known, p.opts.Backoff.Wait(failures, rnd))
+			p.pause(ctx, known, p.wait(failures, rnd))
 			continue
 		}
 		start := time.Now()
 		p.hold(ctx, known, conn)
 		if time.Since(start) < settled {
 			failures++
-			p.pause(ctx, known, p.opts.Backoff.Wait(failures, rnd))
+			p.pause(ctx, known, p.wait(failures, rnd))
 			continue
 		}
 		failures = 0
 	}
 }
 
+// wait is the time to the next try after failures in a row.
+func (p *Pool) wait(failures int, rnd *rand.Rand) time.Duration {
+	wait := p.opts.Backoff.Wait(failures, rnd)
+	p.mu.Lock()
+	peers := len(p.peers)
+	p.mu.Unlock()
+	if full := p.opts.FullRatePeers; full > 0 && peers > full {
+		wait = wait * time.Duration(peers) / time.Duration(full)
+	}
+	return wait
+}
+
 func (p *Pool) dial(ctx context.Context, known *peer) (*link.Conn, error) {
 	conn, err := p.dialer.Dial(ctx, known.address)
 	if err != nil {
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/link/backoff"
 	"mimosastand.example/mimosastand/link/pool"
@@ -24,8 +25,15 @@
 	heartbeat       = 250 * time.Millisecond
 	targetHeartbeat = 600 * time.Millisecond
 	silentAfter     = 1500 * time.Millisecond
-	// fullRateLinks is the number of links beyond which heartbeats become rarer.
+	// fullRateLinks is the number of links beyond which heartbeats and the tries to
+	// reach a peer become rarer.
 	fullRateLinks = 30
+	// manyMembers is the number of members beyond which an entry links to the targets
+	// of its own region only: handshakes and heartbeats of all entries with all targets
+	// fill the links between regions.
+	manyMembers = 60
+	// wantedInterval is the time between two looks at which peers to link to.
+	wantedInterval = time.Second
 	// memberWait is how long one read of the members waits for news.
 	memberWait = 10 * time.Second
 	// joinTime is how long after the start many members join at once. Reads of an
@@ -110,8 +118,9 @@
 	}
 	p.opts.Self.Address = p.endpoint.Address()
 	p.pool = pool.New(p.endpoint, pool.Options{
-		OnUp:    func(id contract.MachineID, c *link.Conn) { p.linked(id, c) },
-		Backoff: backoff.Policy{Base: redialMin, Max: redialMax},
+		OnUp:          func(id contract.MachineID, c *link.Conn) { p.linked(id, c) },
+		Backoff:       backoff.Policy{Base: redialMin, Max: redialMax},
+		FullRatePeers: fullRateLinks,
 	})
 	return p, nil
 }
@@ -140,6 +149,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.members.Run(ctx) })
 	wg.Go(func() { p.publish(ctx) })
+	wg.Go(func() { periodic.Run(ctx, wantedInterval, func() { p.dialWanted(nil) }) })
 	wg.Wait()
 	p.pool.Close()
 	p.endpoint.Close()
@@ -184,6 +194,7 @@
 }
 
 func (p *Peers) membersChanged(records []contract.Record) {
+	var restarted []contract.MachineID
 	p.mu.Lock()
 	for _, r := range records {
 		if len(r.Value) == 0 {
@@ -195,22 +206,43 @@
 			p.opts.Log.WithError(err).Warn("member ignored")
 			continue
 		}
+		if old, ok := p.known[m.Machine]; ok && old.Fingerprint != m.Fingerprint {
+			restarted = append(restarted, m.Machine)
+		}
 		p.known[m.Machine] = m
 		if m.Machine == p.opts.Self.Machine && m.Fingerprint != p.opts.Self.Fingerprint {
 			p.returned = true
 		}
 	}
-	wanted := map[contract.MachineID]string{}
-	for id, m := range p.known {
-		if dials(p.opts.Self, m) {
-			wanted[id] = m.Address
-		}
-	}
 	p.mu.Unlock()
-	p.pool.Set(wanted)
+	p.dialWanted(restarted)
 	p.readOnce.Do(func() { close(p.read) })
 }
 
+// dialWanted links to the peers that are wanted now, at once to those that have
+// started again.
+func (p *Peers) dialWanted(restarted []contract.MachineID) {
+	p.mu.Lock()
+	view := linkView{self: p.opts.Self, known: p.known, young: time.Since(p.started) < joinTime, linked: p.linkedZones()}
+	wanted := view.wanted()
+	p.mu.Unlock()
+	p.pool.Set(wanted)
+	for _, id := range restarted {
+		p.pool.Redial(id)
+	}
+}
+
+// linkedZones are the zones of the entries that are linked; mu must be held.
+func (p *Peers) linkedZones() map[contract.ZoneName]bool {
+	zones := map[contract.ZoneName]bool{}
+	for id, c := range p.conns {
+		if m := p.known[id]; m.Role == link.RoleEntry && c.Err() == nil {
+			zones[m.Zone] = true
+		}
+	}
+	return zones
+}
+
 // Returned reports whether a former run of this machine had published itself.
 func (p *Peers) Returned() bool {
 	p.mu.Lock()
