A target that is no longer listened to is not taken for silent

Cause: with the links to far targets given up on purpose, what they had told stays, and after 3 s the roster takes them for silent and places nothing there before others.

Change: roster.Unwatched, called for processes that the entry keeps no link to; the roster's script shows silence now.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -279,6 +279,7 @@
 
 func (e *Entry) tick() {
 	e.world.tick()
+	e.world.unwatch(e.peers.Wants)
 	e.world.setEntries(len(e.peers.Members(link.RoleEntry)))
 	e.upstream.sweep()
 	e.meters.world(e)
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -20,6 +20,7 @@
 			Ready:    e.Up && e.Version > 0,
 			Changing: e.Changing,
 		})
+		w.watched[hb.Machine] = e.Address
 		return
 	}
 	if hb.SameFlights {
@@ -32,6 +33,18 @@
 	w.setFlights(hb.Machine, flights)
 }
 
+// unwatch forgets what the processes told that this entry no longer wants a link to.
+func (w *world) unwatch(wants func(contract.MachineID) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, address := range w.watched {
+		if !wants(id) {
+			w.roster.Unwatched(address)
+			delete(w.watched, id)
+		}
+	}
+}
+
 // flightKey is what stands for a target in heartbeats. Two targets of one key, one
 // pair in some million, are each taken for as busy as both.
 func flightKey(id roster.TargetID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -47,8 +47,10 @@
 	budgets    map[contract.ServiceName]*retry.Window
 	comebacks  map[contract.ServiceName]*retry.Comeback
 	flights    map[contract.MachineID]map[uint32]int
-	entries    int
-	rng        *rand.Rand
+	// watched holds the engine's address of each target process that has told of it.
+	watched map[contract.MachineID]string
+	entries int
+	rng     *rand.Rand
 }
 
 func newWorld(process *config.Process, logger log.Interface) *world {
@@ -63,6 +65,7 @@
 		budgets:   map[contract.ServiceName]*retry.Window{},
 		comebacks: map[contract.ServiceName]*retry.Comeback{},
 		flights:   map[contract.MachineID]map[uint32]int{},
+		watched:   map[contract.MachineID]string{},
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -83,7 +83,9 @@
 	known map[contract.MachineID]Member
 	// conns holds the newest link to each peer, whoever dialed.
 	conns map[contract.MachineID]*link.Conn
-	asked int
+	// wanted are the peers that this process links to, with their addresses.
+	wanted map[contract.MachineID]string
+	asked  int
 	// returned tells that a former run of this machine stood in the store.
 	returned bool
 	// read is closed when the members have been read for the first time.
@@ -225,6 +227,7 @@
 	p.mu.Lock()
 	view := linkView{self: p.opts.Self, known: p.known, young: time.Since(p.started) < joinTime, linked: p.linkedZones()}
 	wanted := view.wanted()
+	p.wanted = wanted
 	p.mu.Unlock()
 	p.pool.Set(wanted)
 	for _, id := range restarted {
@@ -232,6 +235,14 @@
 	}
 }
 
+// Wants reports whether this process keeps a link to a machine.
+func (p *Peers) Wants(id contract.MachineID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.wanted[id]
+	return ok
+}
+
 // linkedZones are the zones of the entries that are linked; mu must be held.
 func (p *Peers) linkedZones() map[contract.ZoneName]bool {
 	zones := map[contract.ZoneName]bool{}
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -158,6 +158,14 @@
 	m.statusAt = now
 }
 
+// Unwatched tells that the process beside the engine at address is no longer listened
+// to: that nothing comes from it means nothing.
+func (r *Roster) Unwatched(address string) {
+	if m, ok := r.byAddress[address]; ok {
+		m.status, m.statusAt = Status{}, time.Time{}
+	}
+}
+
 // Members lists the targets of a service by ID.
 func (r *Roster) Members(service contract.ServiceName) []*Member {
 	var list []*Member
--- a/zone/roster/roster_test.go
+++ b/zone/roster/roster_test.go
@@ -50,6 +50,8 @@
 	case "report":
 		r.Report(*now, "addr-"+words[1], args["born"], Status{
 			Version: args["version"], Ready: args["version"] > 0 && args["down"] == 0, Changing: args["changing"] != 0})
+	case "unwatched":
+		r.Unwatched("addr-" + words[1])
 	case "store-lost":
 		r.StoreLost(*now)
 	case "store-back":
@@ -72,6 +74,9 @@
 		if s, ok := m.Status(now); ok && s.Changing {
 			line += " changing"
 		}
+		if m.IsSilent(now) {
+			line += " silent"
+		}
 		lines = append(lines, line)
 	}
 	sort.Strings(lines)
