--- a/internal/logs/events_test.go
+++ b/internal/logs/events_test.go
@@ -21,8 +21,10 @@
 	}
 	listed := tableOf(string(page), "## Events")
 	used := map[string]bool{leftOutMessage: true}
-	for _, dir := range []string{"feed", "peers", "depot", "entry/direct", "target/direct"} {
-		files, err := filepath.Glob("../../machine/" + dir + "/*.go")
+	for _, dir := range []string{
+		"machine/feed", "machine/peers", "machine/depot", "machine/entry/direct", "machine/target/direct", "internal/metrics",
+	} {
+		files, err := filepath.Glob("../../" + dir + "/*.go")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -21,9 +22,21 @@
 	b := NewBounded(w)
 	log.SetLevel(parsed)
 	log.SetHandler(b)
+	current.Store(b)
 	return b, nil
 }
 
+// current is the handler of the process.
+var current atomic.Pointer[Bounded]
+
+// LeftOut is how many lines the process's handler has left out.
+func LeftOut() uint64 {
+	if b := current.Load(); b != nil {
+		return b.LeftOut()
+	}
+	return 0
+}
+
 // SetLevel changes the level of all loggers; an unknown one changes nothing.
 func SetLevel(level string) {
 	if parsed, err := log.ParseLevel(level); err == nil {
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -245,7 +245,7 @@
 	}
 	go e.serve(server, e.callers)
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.probes)
-	go e.serveMetrics()
+	go e.metrics.Serve(e.work, e.process.Fleet.MetricsAddress, e.log)
 	<-ctx.Done()
 	e.drain(server)
 	e.log.Info("stopped")
@@ -258,12 +258,6 @@
 	}
 }
 
-func (e *Entry) serveMetrics() {
-	if err := http.ListenAndServe(e.process.Fleet.MetricsAddress, e.metrics.Handler()); err != nil {
-		e.log.WithError(err).Warn("no metrics page")
-	}
-}
-
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if e.stopping.Load() || !e.world.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -7,8 +7,11 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
+	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/roster"
 )
 
 // latencyBuckets cover 5 ms to 10 s.
@@ -34,6 +37,8 @@
 	// placed is the time until a target was chosen, first that to the first part of
 	// an answer, gap that between two events, whole that of the whole request.
 	placed, first, gap, whole tally.Histogram
+	// shown are the targets that were shown last.
+	shown map[roster.TargetID]contract.ServiceName
 }
 
 func newMeters(scope tally.Scope) *meters {
@@ -75,19 +80,57 @@
 	m.scope.Gauge("targets_out").Update(float64(v.out))
 	m.scope.Gauge("manifest_version").Update(float64(v.manifest))
 	m.scope.Gauge("manifest_age_seconds").Update(v.age.Seconds())
-	m.scope.Gauge("store_calls").Update(float64(e.store.Calls()))
+	metrics.Store(m.scope, e.store.Results())
+	metrics.Links(m.scope, e.peers.Traffic())
+	m.scope.Gauge("linked_peers").Update(float64(e.peers.LinkedCount()))
+	m.scope.Gauge("log_lines_left_out").Update(float64(logs.LeftOut()))
 	m.scope.Gauge("open_requests").Update(float64(e.open.Load()))
+	m.targets(v.states)
 	for service, left := range v.budgets {
 		m.scope.Tagged(map[string]string{"service": string(service)}).Gauge("retry_budget_left").Update(left)
 	}
 }
 
+// targets shows what is believed of each target, and that some have left.
+func (m *meters) targets(states []targetState) {
+	left := m.shown
+	m.shown = make(map[roster.TargetID]contract.ServiceName, len(states))
+	for _, t := range states {
+		scope := m.scope.Tagged(map[string]string{"service": string(t.service), "target": string(t.id)})
+		scope.Gauge("target_version").Update(float64(t.version))
+		scope.Gauge("target_in_flight").Update(float64(t.inFlight))
+		scope.Gauge("target_listed_age_seconds").Update(t.age.Seconds())
+		m.shown[t.id] = t.service
+		delete(left, t.id)
+	}
+	for id, service := range left {
+		scope := m.scope.Tagged(map[string]string{"service": string(service), "target": string(id)})
+		scope.Gauge("target_version").Update(0)
+		scope.Gauge("target_in_flight").Update(0)
+		scope.Gauge("target_listed_age_seconds").Update(leftAge)
+	}
+}
+
+// leftAge stands for the age of the entry of a target that has left the list.
+const leftAge = -1
+
 // overview sums up what the entry believes, for its metrics.
 type overview struct {
 	targets, out int
 	manifest     int64
 	age          time.Duration
 	budgets      map[contract.ServiceName]float64
+	states       []targetState
+}
+
+// targetState is what the entry believes of a target: the version that it serves, what
+// this entry has there, and how old its entry in the list is.
+type targetState struct {
+	service  contract.ServiceName
+	id       roster.TargetID
+	version  int64
+	inFlight int
+	age      time.Duration
 }
 
 func (w *world) overview() overview {
@@ -95,8 +138,14 @@
 	defer w.mu.Unlock()
 	v := overview{targets: w.roster.Len(), budgets: map[contract.ServiceName]float64{}}
 	now := time.Now()
-	for _, p := range w.pools {
+	for name, p := range w.pools {
 		v.out += p.Out(now)
+		running := p.InFlight()
+		for _, t := range w.roster.Members(name) {
+			v.states = append(v.states, targetState{
+				service: name, id: t.ID, version: t.Version(now), inFlight: running[t.ID], age: now.Sub(t.ListedAt),
+			})
+		}
 	}
 	for name, b := range w.budgets {
 		v.budgets[name] = b.Left(now)
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -305,6 +305,22 @@
 	return m, ok
 }
 
+// LinkedCount is the number of peers that are linked.
+func (p *Peers) LinkedCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, c := range p.conns {
+		if c.Err() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Traffic returns what the links have sent and received.
+func (p *Peers) Traffic() link.Traffic { return p.endpoint.Traffic() }
+
 // Linked reports whether there is a link to a machine.
 func (p *Peers) Linked(id contract.MachineID) bool {
 	_, ok := p.conn(id)
--- a/machine/target/direct/keeper.go
+++ b/machine/target/direct/keeper.go
@@ -37,7 +37,9 @@
 
 	mu     sync.Mutex
 	report platform.Report
-	up     bool
+	// reportedAt is when the engine last answered.
+	reportedAt time.Time
+	up         bool
 	// announced tells that an order is near or was given.
 	announced bool
 	orderedAt time.Time
@@ -116,7 +118,7 @@
 	before, was = k.report, k.up
 	k.up = answers
 	if answers {
-		k.report = report
+		k.report, k.reportedAt = report, time.Now()
 		if report.Born != before.Born || k.orderShows() {
 			k.announced, k.orderedAt = false, time.Time{}
 		}
@@ -200,6 +202,7 @@
 	for ctx.Err() == nil && k.needs(g) {
 		for _, id := range k.sources(g.version, origin, time.Since(start)) {
 			_, err := depot.Fetch(ctx, k.target.peers, id, g.version, depot.AsTheyCome, k.current(g), k.begin(g))
+			k.target.meters.counted("fetches", err)
 			if err != nil {
 				entry.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
 			}
@@ -262,7 +265,9 @@
 		return
 	}
 	for i := range g.set.Len() {
-		if err := k.engine.Stage(ctx, g.version.Model, i, g.set.Get(i)); err != nil {
+		err := k.engine.Stage(ctx, g.version.Model, i, g.set.Get(i))
+		k.target.meters.counted("pieces_staged", err)
+		if err != nil {
 			k.log.WithError(err).WithField("piece", i).Warn("piece not staged")
 			return
 		}
@@ -332,7 +337,9 @@
 			return
 		}
 	}
-	if err := k.engine.Load(ctx, g.version.Model, g.version.Number); err != nil {
+	err := k.engine.Load(ctx, g.version.Model, g.version.Number)
+	k.target.meters.counted("orders", err)
+	if err != nil {
 		entry.WithError(err).Warn("order refused")
 		return
 	}
@@ -352,6 +359,7 @@
 				return nil
 			}
 		}
+		k.target.meters.spoilt()
 		k.log.WithError(err).WithField("piece", i).Warn("staged piece spoilt")
 		if err := k.engine.Stage(ctx, model, i, set.Get(i)); err != nil {
 			return err
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/depot"
 	"mimosastand.example/mimosastand/machine/feed"
@@ -36,6 +36,7 @@
 	process *config.Process
 	log     log.Interface
 	metrics *metrics.Registry
+	meters  *meters
 	store   *platform.Store
 	peers   *peers.Peers
 	feed    *feed.Feed
@@ -59,6 +60,7 @@
 		named:   map[string]*upkeep.Named{},
 		bound:   process.Fleet.Bounds.Version,
 	}
+	t.meters = newMeters(t.metrics.Scope())
 	t.keeper = newKeeper(t)
 	t.feed = feed.New(t.store, feed.Options{
 		Topic:    platform.TopicOperators,
@@ -115,19 +117,13 @@
 // Run serves until ctx ends.
 func (t *Target) Run(ctx context.Context) error {
 	t.log.Info("started")
-	server := &http.Server{Addr: t.process.Fleet.MetricsAddress, Handler: t.metrics.Handler()}
-	go func() {
-		if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
-			t.log.WithError(err).Warn("no metrics page")
-		}
-	}()
 	var wg sync.WaitGroup
 	wg.Go(func() { t.peers.Run(ctx) })
 	wg.Go(func() { t.feed.Run(ctx) })
 	wg.Go(func() { t.keeper.run(ctx) })
 	wg.Go(func() { t.catchup.Run(ctx) })
-	<-ctx.Done()
-	_ = server.Close()
+	wg.Go(func() { t.metrics.Serve(ctx, t.process.Fleet.MetricsAddress, t.log) })
+	wg.Go(func() { periodic.Run(ctx, meterInterval, func() { t.meters.show(t) }) })
 	wg.Wait()
 	t.log.Info("stopped")
 	return t.metrics.Close()
