--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -47,6 +47,9 @@
 	farFlightsPause = 500 * time.Millisecond
 	// tickInterval is the time between two looks at what has lapsed.
 	tickInterval = 250 * time.Millisecond
+	// meterInterval is the time between two updates of what the metrics tell that the
+	// entry believes.
+	meterInterval = time.Second
 	// headerTimeout and idleTimeout bound a caller's connection; both are at least
 	// what manifests allow callers.
 	headerTimeout  = 10 * time.Second
@@ -268,6 +271,7 @@
 
 // tickLoop does what time alone brings about.
 func (e *Entry) tickLoop(ctx context.Context) {
+	go periodic.Run(ctx, meterInterval, func() { e.meters.world(e) })
 	periodic.Run(ctx, tickInterval, e.tick)
 }
 
@@ -276,7 +280,6 @@
 	e.world.unwatch(e.peers.Wants)
 	e.world.setEntries(len(e.peers.Members(link.RoleEntry)))
 	e.upstream.sweep()
-	e.meters.world(e)
 	for model, number := range e.world.versionsInForce() {
 		e.depot.Named(depot.Version{Model: model, Number: number})
 	}
