Turns of a zone reach up to the time from which the older version is of no use

Cause: the last turn began 2.6 s before the bound, so that work could end and the engine load before it. But the bound is on what begins: an engine may load past it, and entries send nothing on the older version from 1.8 s before it.

Change: the last turn begins 1.9 s before the bound; the test says so and asks for turns that fill the time. It replaces the check that 2.6 s were left, which stood for no promise.

--- a/weights/upkeep/upkeep.go
+++ b/weights/upkeep/upkeep.go
@@ -3,8 +3,8 @@
 //
 // All targets of a zone take turns by themselves: each knows its rank among them
 // and when the version was named, and the turns are spread over the time left, so
-// that most of a zone serves meanwhile. An engine that holds nothing loads at once, and none waits
-// past the time by which it must be done.
+// that most of a zone serves meanwhile. An engine that holds nothing loads at once, and
+// none waits past the time from which it would be of no use.
 //
 // The package has no I/O and no clock.
 package upkeep
@@ -12,8 +12,10 @@
 import "time"
 
 const (
-	// loadTime is kept free before the bound for letting work end and loading.
-	loadTime = 2600 * time.Millisecond
+	// lastTurn is how long before the bound the last turn begins, which is when entries
+	// begin to send nothing more on the older version. An engine serves until its turn;
+	// ending work and loading may reach past the bound.
+	lastTurn = 1900 * time.Millisecond
 	// notice is how long before the order entries are told to send no more.
 	notice = 200 * time.Millisecond
 )
@@ -72,7 +74,7 @@
 // Due is when the engine's turn begins: the turns of a zone are spread evenly
 // over the time that is left before the bound.
 func (v View) Due() time.Time {
-	latest := v.WantedAt.Add(v.Bound - loadTime)
+	latest := v.WantedAt.Add(v.Bound - lastTurn)
 	left := latest.Sub(v.StagedAt)
 	if left <= 0 || v.Of <= 1 {
 		return v.StagedAt
