--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -30,6 +30,8 @@
 	rankPatience = 100 * time.Millisecond
 	// neighbourTime is how long an entry relies on the one that reads for its zone.
 	neighbourTime = 3500 * time.Millisecond
+	// unreachedTime is how long the origin is tried before another entry is asked.
+	unreachedTime = time.Second
 	// drawnTime is how long an entry that was asked to draw may take.
 	drawnTime = 2500 * time.Millisecond
 	// drawers is how many pieces are drawn from the origin at once.
@@ -99,19 +101,33 @@
 	} else {
 		h.await(patient, patience+time.Duration(rank)*rankPatience)
 	}
-	for failures := 0; ctx.Err() == nil && !h.whole(); {
-		h.askEntries(ctx)
-		if !h.draw(ctx, rank) {
-			h.askToDraw(ctx, failures)
-			failures++
-			pause(ctx, retryPause)
-		}
-	}
+	h.getDrawn(ctx, rank)
 	if h.whole() {
 		h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
 	}
 }
 
+// getDrawn gets what is missing from entries that hold it and from the origin, until
+// the version is whole. While the origin is out of reach for longer, others are asked
+// to draw.
+func (h *holding) getDrawn(ctx context.Context, rank int) {
+	var failedAt time.Time
+	for asked := 0; ctx.Err() == nil && !h.whole(); {
+		h.askEntries(ctx)
+		switch {
+		case h.draw(ctx, rank):
+			failedAt = time.Time{}
+			continue
+		case failedAt.IsZero():
+			failedAt = time.Now()
+		case time.Since(failedAt) >= unreachedTime:
+			h.askToDraw(ctx, asked)
+			asked++
+		}
+		pause(ctx, retryPause)
+	}
+}
+
 // askNeighbour gets the pieces from the entry that reads them for the zone, if that
 // is another one: they cross the links between regions once.
 func (h *holding) askNeighbour(ctx context.Context) {
@@ -262,9 +278,9 @@
 	}
 }
 
-// askToDraw has another entry draw the pieces, another one after each failure: this
-// one cannot reach the origin.
-func (h *holding) askToDraw(ctx context.Context, failures int) {
+// askToDraw has another entry draw the pieces, each time the next in rank: this one
+// cannot reach the origin.
+func (h *holding) askToDraw(ctx context.Context, asked int) {
 	d := h.depot
 	var linked []contract.MachineID
 	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
@@ -275,7 +291,7 @@
 	if len(linked) == 0 || h.whole() {
 		return
 	}
-	id := linked[failures%len(linked)]
+	id := linked[asked%len(linked)]
 	ctx, cancel := context.WithTimeout(ctx, drawnTime)
 	defer cancel()
 	got, err := Fetch(ctx, d.opts.Peers, id, h.version, Drawn, h.current, h.begin)
