Few entries draw at once; storing no longer holds the drawing up

The second in rank found its turn 1 s before, and then waited 1.3 s for progress first; once the origin was back, some 26 entries drew at once over its 15 Mbit/s, and each piece waited for its append to a store that was away.

Change: an entry draws at once when it becomes first in rank; only the first three draw unless asked; entries ask 6 others a round for what they hold instead of all; appends run beside the drawing and are tried again.

--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -130,7 +130,7 @@
 	d.forgetOld(v)
 	ctx, cancel := context.WithCancel(d.ctx)
 	patient, hurry := context.WithCancel(ctx)
-	h := &holding{depot: d, version: v, ready: make(chan struct{}), cancel: cancel, hurry: hurry}
+	h := &holding{depot: d, version: v, ctx: ctx, ready: make(chan struct{}), cancel: cancel, hurry: hurry}
 	d.held[v] = h
 	go h.fill(ctx, patient)
 	return h
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,8 +32,17 @@
 	rankPatience = 100 * time.Millisecond
 	// neighbourTime is how long an entry relies on the one that reads for its zone.
 	neighbourTime = 3500 * time.Millisecond
-	// unreachedTime is how long the origin is tried before another entry is asked.
-	unreachedTime = time.Second
+	// maxDrawers is how many entries may draw a version at once unless they are asked
+	// to: the origin's link is narrow.
+	maxDrawers = 3
+	// maxAsked is how many entries are asked in one round for what they hold.
+	maxAsked = 6
+	// unreachedTime is how long the origin must have been out of reach for another entry
+	// to be asked: a connection that is refused may be taken a moment later.
+	unreachedTime = 900 * time.Millisecond
+	// storeTries and storePause bound the tries to store a piece.
+	storeTries = 8
+	storePause = 400 * time.Millisecond
 	// drawnTime is how long an entry that was asked to draw may take.
 	drawnTime = 2500 * time.Millisecond
 	// drawers is how many pieces are drawn from the origin at once.
@@ -47,6 +58,8 @@
 type holding struct {
 	depot   *Depot
 	version Version
+	// ctx ends with the work on the version.
+	ctx context.Context
 	// cancel ends the work on the version; hurry ends the wait for what others draw.
 	cancel, hurry context.CancelFunc
 
@@ -56,6 +69,10 @@
 	ready chan struct{}
 	// stored marks the pieces that stand in the store.
 	stored []bool
+
+	storing sync.Mutex
+	// unstored are the records that are still to be appended, the first one under way.
+	unstored []contract.Record
 }
 
 func (h *holding) current() *pieces.Set {
@@ -84,43 +101,47 @@
 // until patient ends.
 func (h *holding) fill(ctx, patient context.Context) {
 	start := time.Now()
-	rank := h.depot.rank(h.version)
-	h.log().WithField("rank", rank).Info("weights wanted")
+	h.log().WithField("rank", h.depot.rank(h.version)).Info("weights wanted")
 	h.askNeighbour(patient)
 	reading, stop := context.WithCancel(ctx)
 	defer stop()
 	first := make(chan struct{})
 	go h.read(reading, first)
-	if rank == 0 {
-		// What an earlier run has stored need not be drawn again.
-		select {
-		case <-first:
-		case <-time.After(patience):
-		case <-ctx.Done():
-		}
-	} else {
-		h.await(patient, patience+time.Duration(rank)*rankPatience)
+	// What an earlier run has stored need not be drawn again.
+	select {
+	case <-first:
+	case <-time.After(patience):
+	case <-ctx.Done():
 	}
-	h.getDrawn(ctx, rank)
+	h.await(patient)
+	h.getDrawn(ctx, patient)
 	if h.whole() {
 		h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
 	}
 }
 
-// getDrawn gets what is missing from entries that hold it and from the origin, until
-// the version is whole. While the origin is out of reach for longer, others are asked
-// to draw.
-func (h *holding) getDrawn(ctx context.Context, rank int) {
-	var failedAt time.Time
-	for asked := 0; ctx.Err() == nil && !h.whole(); {
+// getDrawn gets what is missing from entries that hold it and, if this entry may
+// draw, from the origin, until the version is whole. While the origin is out of reach
+// others are asked to draw.
+func (h *holding) getDrawn(ctx, patient context.Context) {
+	asked := 0
+	var failing time.Time
+	for ctx.Err() == nil && !h.whole() {
 		h.askEntries(ctx)
-		switch {
-		case h.draw(ctx, rank):
-			failedAt = time.Time{}
+		rank := h.depot.rank(h.version)
+		if rank >= maxDrawers && patient.Err() == nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		start := time.Now()
+		if h.draw(ctx, rank) {
+			failing = time.Time{}
 			continue
-		case failedAt.IsZero():
-			failedAt = time.Now()
-		case time.Since(failedAt) >= unreachedTime:
+		}
+		if failing.IsZero() {
+			failing = start
+		}
+		if time.Since(failing) >= unreachedTime {
 			h.askToDraw(ctx, asked)
 			asked++
 		}
@@ -159,11 +180,16 @@
 	return -1
 }
 
-// await waits until the version is whole or has made no progress for a time.
-func (h *holding) await(ctx context.Context, patience time.Duration) {
+// await waits until the version is whole, has made no progress for a time, or it is
+// this entry's turn to draw.
+func (h *holding) await(ctx context.Context) {
 	const look = 50 * time.Millisecond
 	last, at := h.count(), time.Now()
-	for ctx.Err() == nil && !h.whole() && time.Since(at) < patience {
+	for ctx.Err() == nil && !h.whole() {
+		rank := h.depot.rank(h.version)
+		if rank == 0 || time.Since(at) >= patience+time.Duration(rank)*rankPatience {
+			return
+		}
 		pause(ctx, look)
 		if n := h.count(); n != last {
 			last, at = n, time.Now()
@@ -256,19 +282,45 @@
 	return digests
 }
 
-// askEntries asks the other entries for what they hold: while the store does not
+// linked lists the other entries that are linked, in rank.
+func (h *holding) linked() []contract.MachineID {
+	d := h.depot
+	var list []contract.MachineID
+	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+		if m.Machine != d.opts.Self && d.opts.Peers.Linked(m.Machine) {
+			list = append(list, m.Machine)
+		}
+	}
+	return list
+}
+
+// holders lists the entries to ask in one round: those that draw, the reader of the
+// zone, and some of the others, drawn anew each time.
+func (h *holding) holders() []contract.MachineID {
+	list := h.linked()
+	if len(list) <= maxAsked {
+		return list
+	}
+	rest := list[maxDrawers:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	if reader, ok := h.depot.reader(h.version); ok {
+		if i := slices.Index(rest, reader); i > 0 {
+			rest[0], rest[i] = rest[i], rest[0]
+		}
+	}
+	return list[:maxAsked]
+}
+
+// askEntries asks other entries for what they hold: while the store does not
 // carry the pieces, each may have drawn others.
 func (h *holding) askEntries(ctx context.Context) {
 	d := h.depot
-	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
+	for _, id := range h.holders() {
 		if h.whole() || ctx.Err() != nil {
 			return
 		}
-		if m.Machine == d.opts.Self || !d.opts.Peers.Linked(m.Machine) {
-			continue
-		}
-		got, err := Fetch(ctx, d.opts.Peers, m.Machine, h.version, Kept, h.current, h.begin)
-		entry := h.log().WithField("peer", string(m.Machine)).WithField("pieces", got)
+		got, err := Fetch(ctx, d.opts.Peers, id, h.version, Kept, h.current, h.begin)
+		entry := h.log().WithField("peer", string(id)).WithField("pieces", got)
 		switch {
 		case err != nil:
 			entry.WithError(err).Warn("pieces not received")
@@ -282,12 +334,7 @@
 // cannot reach the origin.
 func (h *holding) askToDraw(ctx context.Context, asked int) {
 	d := h.depot
-	var linked []contract.MachineID
-	for _, m := range Rank(h.version, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
-		if m.Machine != d.opts.Self && d.opts.Peers.Linked(m.Machine) {
-			linked = append(linked, m.Machine)
-		}
-	}
+	linked := h.linked()
 	if len(linked) == 0 || h.whole() {
 		return
 	}
@@ -349,7 +396,7 @@
 		}
 		if equal(former, digests) {
 			set := h.begin(digests)
-			h.store(ctx, digestsKey, bytes.Join(digests, nil))
+			h.storeLater(digestsKey, bytes.Join(digests, nil))
 			return set
 		}
 		former = digests
@@ -376,16 +423,53 @@
 			continue
 		}
 		if set.Len()*len(data) <= MaxStoredBytes && !h.isStored(i) {
-			h.store(ctx, strconv.Itoa(i), data)
+			h.storeLater(strconv.Itoa(i), data)
 		}
 	}
 	return nil
 }
 
-// store appends a record to the version's topic. A failure costs only that other
-// zones get the piece another way.
-func (h *holding) store(ctx context.Context, key string, value []byte) {
-	if _, err := h.depot.opts.Store.Put(ctx, h.topic(), key, value); err != nil && ctx.Err() == nil {
-		h.log().WithError(err).WithField("key", key).Warn("piece not stored")
+// storeLater appends a record to the version's topic, beside the drawing: a store that
+// is slow or away must not hold that up.
+func (h *holding) storeLater(key string, value []byte) {
+	h.storing.Lock()
+	h.unstored = append(h.unstored, contract.Record{Key: key, Value: value})
+	idle := len(h.unstored) == 1
+	h.storing.Unlock()
+	if idle {
+		go h.storeAll(h.ctx)
+	}
+}
+
+// storeAll appends what is to be stored, in order, until nothing is left.
+func (h *holding) storeAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.storing.Lock()
+		if len(h.unstored) == 0 {
+			h.storing.Unlock()
+			return
+		}
+		next := h.unstored[0]
+		h.storing.Unlock()
+		h.storeRecord(ctx, next)
+		h.storing.Lock()
+		h.unstored = h.unstored[1:]
+		h.storing.Unlock()
+	}
+}
+
+// storeRecord tries to append one record. A failure costs only that other zones get
+// the piece another way.
+func (h *holding) storeRecord(ctx context.Context, r contract.Record) {
+	for try := 1; ctx.Err() == nil; try++ {
+		_, err := h.depot.opts.Store.Put(ctx, h.topic(), r.Key, r.Value)
+		if err == nil {
+			return
+		}
+		if try == storeTries {
+			h.log().WithError(err).WithField("key", r.Key).Warn("piece not stored")
+			return
+		}
+		pause(ctx, storePause)
 	}
 }
