--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -42,16 +42,7 @@
 
 // allServe waits until every entry serves every kind of request.
 func (d *demo) allServe(ctx context.Context) error {
-	return harness.WaitFor(ctx, serveWait, func() error {
-		for _, e := range d.fleet.Entries {
-			for kind := range soak.Kinds {
-				if a := d.traffic.Call(kind, e); !a.Served() {
-					return errors.Newf("demo: %s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
-				}
-			}
-		}
-		return nil
-	})
+	return harness.WaitFor(ctx, serveWait, d.traffic.AllServe)
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mimosastand.example/mimosastand/internal/harness"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
@@ -115,6 +117,19 @@
 	return a
 }
 
+// AllServe fails with what is missing unless every entry serves every kind of request
+// now.
+func (t *Traffic) AllServe() error {
+	for _, e := range t.fleet.Entries {
+		for kind := range Kinds {
+			if a := t.Call(kind, e); !a.Served() {
+				return errors.Newf("soak: %s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
+			}
+		}
+	}
+	return nil
+}
+
 func (t *Traffic) exchange(a *Answer, method, path, body string) {
 	resp, err := t.do(a.Entry, a.Attempt, method, path, body)
 	if err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"mimosastand.example/mimosastand/internal/harness"
 )
 
@@ -130,7 +128,7 @@
 
 // recover waits until all serve again.
 func (s *session) recover(ctx context.Context) {
-	err := harness.WaitFor(ctx, recoverWait, func() error { return s.allServe() })
+	err := harness.WaitFor(ctx, recoverWait, s.traffic.AllServe)
 	if err == nil {
 		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), recoverWait)
 	}
@@ -139,17 +137,6 @@
 	}
 }
 
-func (s *session) allServe() error {
-	for _, e := range s.fleet.Entries {
-		for kind := range Kinds {
-			if a := s.traffic.Call(kind, e); !a.Served() {
-				return errors.Newf("%s answers a %s with %d, %v", e.Name, kind, a.Status, a.Err)
-			}
-		}
-	}
-	return nil
-}
-
 // finish checks what is known only at the end, and stops the fleet.
 func (s *session) finish() {
 	for _, m := range s.fleet.Machines() {
