--- a/e2e/fleet/fleet_test.go
+++ b/e2e/fleet/fleet_test.go
@@ -276,3 +276,25 @@
 		t.Errorf("given up after %v of 60 s", took)
 	}
 }
+
+// The store loses the answers to writes and applies them later: processes that start
+// meanwhile find each other, and a version that is named reaches the engines.
+func TestWritesThatAreAppliedLate(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.store.SetLate(time.Second)
+	r.entry("entry-1", r.store.Address())
+	r.entry("entry-2", r.store.Address())
+	r.target("target-1", r.engines[0])
+	r.target("target-2", r.engines[1])
+	r.store.NameVersion(2)
+	r.eventually("both engines have version 2", func() bool {
+		return r.engines[0].Version() == 2 && r.engines[1].Version() == 2
+	})
+	r.store.SetLate(0)
+	for _, engine := range r.engines {
+		if bad := engine.Unverified(); len(bad) > 0 {
+			t.Errorf("%s loaded unverified pieces: %v", engine.ID, bad)
+		}
+	}
+}
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -12,6 +12,8 @@
 const (
 	// cutEvents is after how many events a stream is cut.
 	cutEvents = 2
+	// lateBy is how long after their answers were lost writes are applied.
+	lateBy = 2 * time.Second
 	// corruptEvery is which pieces of the origin are spoilt.
 	corruptEvery = 3
 )
@@ -139,6 +141,9 @@
 	case StoreDown:
 		i.fleet.Store.SetDown(true)
 		return func() { i.fleet.Store.SetDown(false) }
+	case LateWrites:
+		i.fleet.Store.SetLate(lateBy)
+		return func() { i.fleet.Store.SetLate(0) }
 	case CorruptOrigin:
 		i.fleet.Origin.CorruptEvery(corruptEvery)
 		return func() { i.fleet.Origin.CorruptEvery(0) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -26,6 +26,7 @@
 	HangService
 	LoseAnswers
 	StoreDown
+	LateWrites
 	DropHistory
 	CorruptOrigin
 	NameVersion
@@ -38,7 +39,7 @@
 	"kill entry", "pause entry", "stop entry", "reload entry", "store turns entry away",
 	"lose target machine", "kill target", "pause target", "store turns target away",
 	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
-	"service hangs", "service loses answers", "store down", "store drops history",
+	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
 	"origin corrupts pieces", "name a version", "next manifest", "evacuate zone",
 }
 
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -26,6 +26,8 @@
 	// down refuses all calls.
 	down  bool
 	calls int
+	// late, if not 0, is how long after a write its records appear; its answer is lost.
+	late time.Duration
 }
 
 type topic struct {
@@ -64,6 +66,14 @@
 	s.wake()
 }
 
+// SetLate has the store lose the answers to writes and apply them so much later; 0 ends
+// that.
+func (s *Store) SetLate(late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
 // Calls is the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -175,10 +185,24 @@
 	if err != nil {
 		return
 	}
+	name := r.URL.Query().Get("topic")
+	s.mu.Lock()
+	late := s.late
+	s.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { s.addAll(name, body) })
+		panic(http.ErrAbortHandler)
+	}
+	first, end := s.addAll(name, body)
+	_ = json.NewEncoder(w).Encode(map[string]int64{"offset": first, "end_offset": end})
+}
+
+// addAll adds the records of a write and returns the offset of the first one and that
+// of the next to come.
+func (s *Store) addAll(name string, body []byte) (first, end int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	name := r.URL.Query().Get("topic")
-	first := int64(-1)
+	first = -1
 	for len(body) >= 4 {
 		n := binary.BigEndian.Uint32(body)
 		offset := s.add(name, append([]byte(nil), body[4:4+n]...))
@@ -188,7 +212,7 @@
 		body = body[4+n:]
 	}
 	t := s.topic(name)
-	_ = json.NewEncoder(w).Encode(map[string]int64{"offset": first, "end_offset": t.first + int64(len(t.records))})
+	return first, t.first + int64(len(t.records))
 }
 
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
