An entry that was asked draws for a time only; drawers begin apart

Cause: entries that had once been asked went on drawing for good, and the three drawers began at neighbouring pieces, since their starts were spread over all entries.

--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -155,7 +155,7 @@
 	}
 	h := d.holding(v)
 	if request.Draw {
-		h.hurry()
+		h.urge()
 	}
 	if !waiting(ctx, s, h.ready) {
 		return
--- a/machine/depot/draw.go
+++ b/machine/depot/draw.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/pieces"
 )
@@ -30,13 +29,13 @@
 // getDrawn gets what is missing from entries that hold it and, if this entry may
 // draw, from the origin, until the version is whole. While the origin is out of reach
 // others are asked to draw.
-func (h *holding) getDrawn(ctx, patient context.Context) {
+func (h *holding) getDrawn(ctx context.Context) {
 	asked := 0
 	var failing time.Time
 	for ctx.Err() == nil && !h.whole() {
 		h.askEntries(ctx)
 		rank := h.depot.rank(h.version)
-		if rank >= maxDrawers && patient.Err() == nil {
+		if !h.mayDraw(rank) {
 			pause(ctx, retryPause)
 			continue
 		}
@@ -56,6 +55,22 @@
 	}
 }
 
+// mayDraw reports whether this entry may draw now: it is among the first in rank, or
+// was asked to a moment ago.
+func (h *holding) mayDraw(rank int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return rank < maxDrawers || time.Since(h.askedAt) < drawnTime
+}
+
+// urge asks this entry to draw, at once.
+func (h *holding) urge() {
+	h.mu.Lock()
+	h.askedAt = time.Now()
+	h.mu.Unlock()
+	h.hurry()
+}
+
 // askToDraw has another entry draw the pieces, each time the next in rank: this one
 // cannot reach the origin.
 func (h *holding) askToDraw(ctx context.Context, asked int) {
@@ -99,7 +114,7 @@
 			}
 		})
 	}
-	first := rank * set.Len() / max(len(h.depot.opts.Peers.Members(link.RoleEntry)), 1)
+	first := rank % maxDrawers * set.Len() / maxDrawers
 	for i := range set.Len() {
 		if i = (first + i) % set.Len(); set.Get(i) == nil {
 			missing <- i
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -39,6 +39,8 @@
 
 	mu  sync.Mutex
 	set *pieces.Set
+	// askedAt is when another entry last asked this one to draw.
+	askedAt time.Time
 	// ready is closed when the digests are known.
 	ready chan struct{}
 	// stored marks the pieces that stand in the store.
@@ -88,7 +90,7 @@
 	case <-ctx.Done():
 	}
 	h.await(patient)
-	h.getDrawn(ctx, patient)
+	h.getDrawn(ctx)
 	if h.whole() {
 		h.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
 	}
