--- a/machine/depot/depot_test.go
+++ b/machine/depot/depot_test.go
@@ -91,3 +91,24 @@
 		t.Errorf("the origin sent %d pieces of %d", drawn, chunks)
 	}
 }
+
+// The origin's link is narrow: entries that are far behind in rank draw only when they
+// are asked, and for a time. Without this, all 38 entries of a fleet drew at once after
+// the origin had been away, and none had the version for 20 s.
+func TestOnlyTheFirstInRankDrawUnlessAsked(t *testing.T) {
+	_, hurry := context.WithCancel(context.Background())
+	h := &holding{hurry: hurry}
+	for rank, want := range []bool{true, true, true, false, false} {
+		if got := h.mayDraw(rank); got != want {
+			t.Errorf("rank %d: may draw %v", rank, got)
+		}
+	}
+	h.urge()
+	if !h.mayDraw(30) {
+		t.Error("asked to, and does not draw")
+	}
+	h.askedAt = time.Now().Add(-drawnTime)
+	if h.mayDraw(30) {
+		t.Error("goes on drawing long after it was asked")
+	}
+}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -90,9 +90,6 @@
 	e.store.Put(topicTargets, e.ID, string(data))
 }
 
-// Unlist removes the engine's entry.
-func (e *Engine) Unlist() { e.store.Put(topicTargets, e.ID, "") }
-
 func (e *Engine) describe(entry map[string]any) {
 	entry["stage"] = "both"
 	entry["models"] = []map[string]any{}
