--- a/internal/logs/events_test.go
+++ b/internal/logs/events_test.go
@@ -29,6 +29,9 @@
 			t.Fatal(err)
 		}
 		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
 			text, err := os.ReadFile(file)
 			if err != nil {
 				t.Fatal(err)
