The first read counts as over when there is nothing to read

An entry that had the pieces from its reader waited 1.2 s more before it called the version whole, and before it looked what the store lacks.

--- a/machine/depot/stored.go
+++ b/machine/depot/stored.go
@@ -35,6 +35,7 @@
 // closed after the first reply.
 func (h *holding) read(ctx context.Context, first chan struct{}) {
 	var once sync.Once
+	defer once.Do(func() { close(first) })
 	for ctx.Err() == nil && !h.whole() {
 		_, err := h.readOn(ctx)
 		once.Do(func() { close(first) })
