The store is asked anew when the peer that is ahead cannot be reached

Cause of one way it can happen: a process that was told of a newer record went on asking the peer that told, for as long as that was cut off, while its own read of the store waited.

Change: when the peer cannot be asked, the read that waits is ended and made anew (feed.Refresh).

--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -46,6 +46,8 @@
 	known bool
 	up    bool
 	upAt  time.Time
+	// endRead ends the read that is under way.
+	endRead context.CancelFunc
 
 	poke chan struct{}
 
@@ -91,6 +93,17 @@
 	return f.opts.Pause()
 }
 
+// Refresh has the topic read anew at once, also while a read waits for news: the store
+// may hold what that read was not woken for.
+func (f *Feed) Refresh() {
+	f.mu.Lock()
+	if f.endRead != nil {
+		f.endRead()
+	}
+	f.mu.Unlock()
+	f.Poke()
+}
+
 // Poke has the topic read soon although the pause is not over.
 func (f *Feed) Poke() {
 	select {
@@ -122,7 +135,7 @@
 	if !f.synced {
 		return f.sync(ctx)
 	}
-	batch, err := f.store.Read(ctx, f.opts.Topic, f.from, f.opts.Wait)
+	batch, err := f.read(ctx)
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.synced = false
 		return f.sync(ctx)
@@ -140,6 +153,20 @@
 	return nil
 }
 
+// read reads on, until Refresh ends it: then nothing is read.
+func (f *Feed) read(ctx context.Context) (platform.Batch, error) {
+	reading, end := context.WithCancel(ctx)
+	defer end()
+	f.mu.Lock()
+	f.endRead = end
+	f.mu.Unlock()
+	batch, err := f.store.Read(reading, f.opts.Topic, f.from, f.opts.Wait)
+	if err != nil && reading.Err() != nil && ctx.Err() == nil {
+		return platform.Batch{End: f.from}, nil
+	}
+	return batch, err
+}
+
 // sync reads the newest record of each key.
 func (f *Feed) sync(ctx context.Context) error {
 	batch, err := f.store.Newest(ctx, f.opts.Topic)
--- /dev/null
+++ b/machine/feed/feed_test.go
@@ -0,0 +1,57 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/standin/fleet"
+)
+
+// A read that waits is not woken by a write. Refresh ends it, and the next one brings
+// the record; the store does not count as lost.
+func TestRefreshReadsWhatAWaitingReadWasNotWokenFor(t *testing.T) {
+	store := fleet.NewStore()
+	t.Cleanup(store.Close)
+	store.Put(platform.TopicOperators, "a", "1")
+	news := make(chan contract.Record, 8)
+	f := New(platform.NewStore(store.Address()), Options{
+		Topic: platform.TopicOperators,
+		Wait:  time.Hour,
+		OnChange: func(records []contract.Record) {
+			for _, r := range records {
+				news <- r
+			}
+		},
+		OnStore: func(up bool) {
+			if !up {
+				t.Error("the store counts as lost")
+			}
+		},
+		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	if r := <-news; r.Key != "a" {
+		t.Fatalf("first record %+v", r)
+	}
+	store.SetAsleep(true)
+	// The newest records and the read that waits.
+	for store.Calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	store.Put(platform.TopicOperators, "b", "2")
+	f.Refresh()
+	if r := <-news; r.Key != "b" {
+		t.Errorf("second record %+v", r)
+	}
+	cancel()
+	wg.Wait()
+}
--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -77,9 +77,12 @@
 	} else {
 		return
 	}
-	if err == nil {
-		c.feed.Merge(records)
+	if err != nil {
+		// The peer that is ahead is out of reach; the store may tell what it knew.
+		c.feed.Refresh()
+		return
 	}
+	c.feed.Merge(records)
 }
 
 // behind returns the peer that knows more than the feed for longer than the store
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -28,6 +28,8 @@
 	calls int
 	// late, if not 0, is how long after a write its records appear; its answer is lost.
 	late time.Duration
+	// asleep keeps reads that wait from being woken.
+	asleep bool
 }
 
 type topic struct {
@@ -74,6 +76,13 @@
 	s.late = late
 }
 
+// SetAsleep keeps reads that wait from being woken by writes, or lets them be.
+func (s *Store) SetAsleep(asleep bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asleep = asleep
+}
+
 // Calls is the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -133,6 +142,9 @@
 
 // wake tells the reads that wait; mu must be held.
 func (s *Store) wake() {
+	if s.asleep {
+		return
+	}
 	close(s.grown)
 	s.grown = make(chan struct{})
 }
