--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -33,8 +33,10 @@
 )
 
 const (
-	// operatorsWait is how long one read of what operators write waits for news.
-	operatorsWait = 4 * time.Second
+	// operatorsWait is how long one read of what operators write waits for news. It is
+	// shorter than the bound on the age of manifests, 2 s: a read whose answer is lost, or
+	// that is not woken, must not hold one up for so long.
+	operatorsWait = 1500 * time.Millisecond
 	// readerPause is the time between two reads of the list of targets by the entry
 	// that reads for its zone, targetsPause that of its neighbours, which learn from it.
 	readerPause  = 450 * time.Millisecond
