One check that an address answers 200

The harness had it twice: for /readyz of the older path's processes and for the readiness address of a fleet's. WaitReady calls the one that is left, whose error keeps the body.

--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -55,18 +55,21 @@
 
 // WaitReady waits until the process behind an HTTP address answers /readyz with 200.
 func WaitReady(ctx context.Context, address string, wait time.Duration) error {
-	return WaitFor(ctx, wait, func() error {
-		resp, err := http.Get("http://" + address + "/readyz")
-		if err != nil {
-			return errors.Wrap(err, "harness")
-		}
-		defer func() { _ = resp.Body.Close() }()
-		if resp.StatusCode != http.StatusOK {
-			body, _ := io.ReadAll(resp.Body)
-			return errors.Newf("harness: %s not ready: %s", address, body)
-		}
-		return nil
-	})
+	return WaitFor(ctx, wait, func() error { return answersOK(address + "/readyz") })
+}
+
+// answersOK checks that an address ("ip:port", with or without a path) answers 200.
+func answersOK(address string) error {
+	resp, err := http.Get("http://" + address)
+	if err != nil {
+		return errors.Wrap(err, "harness")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body)
+		return errors.Newf("harness: %s answers %d: %s", address, resp.StatusCode, body)
+	}
+	return nil
 }
 
 // PutHosts sends the full host list to its stand-in.
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -261,15 +260,3 @@
 	}
 	return strings.Join(list, ",")
 }
-
-func answersOK(address string) error {
-	resp, err := http.Get("http://" + address)
-	if err != nil {
-		return errors.Wrap(err, "harness")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("harness: %s answers %d", address, resp.StatusCode)
-	}
-	return nil
-}
