--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -142,14 +142,13 @@
 }
 
 func (r *rig) call(e *entrydirect.Entry, method, path, body string, change func(http.Header)) result {
-	req, err := http.NewRequest(method, "http://"+e.CallerAddress()+path, strings.NewReader(body))
+	res := result{id: fmt.Sprintf("attempt-%d", r.ids.Add(1))}
+	req, err := standin.Request{
+		Attempt: res.id, Key: key, Entry: e.CallerAddress(), Method: method, Path: path, Body: body,
+	}.HTTP()
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	res := result{id: fmt.Sprintf("attempt-%d", r.ids.Add(1))}
-	req.Host = standin.Host
-	req.Header.Set("Attempt-Id", res.id)
-	req.Header.Set("Authorization", "Bearer "+key)
 	if change != nil {
 		change(req.Header)
 	}
@@ -160,7 +159,8 @@
 	}
 	data, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	res.status, res.stamp, res.after, res.body, res.err = resp.StatusCode, resp.Header.Get("Server-Stamp"), resp.Header.Get("Retry-After"), string(data), err
+	marks := standin.MarksOf(resp.Header)
+	res.status, res.stamp, res.after, res.body, res.err = resp.StatusCode, marks.Stamp, marks.After, string(data), err
 	return res
 }
 
--- a/internal/soak/answer.go
+++ b/internal/soak/answer.go
@@ -37,8 +37,6 @@
 	// Status is 0 and Err is set if no answer came; Err alone if it was cut.
 	Status int
 	Err    error
-	// RetryAfter is when the caller is to come back; 0 if not told.
-	RetryAfter time.Duration
 	// Stamp is the back end's own mark; Weights the versions that it served with.
 	Stamp, Weights string
 	Body           string
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -139,20 +138,17 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	a.Status, a.Body, a.Err = resp.StatusCode, string(data), err
-	a.Stamp, a.Weights = resp.Header.Get("Server-Stamp"), resp.Header.Get("Weight-Versions")
-	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		a.RetryAfter = time.Duration(s * float64(time.Second))
-	}
+	marks := standin.MarksOf(resp.Header)
+	a.Stamp, a.Weights = marks.Stamp, marks.Weights
 }
 
 func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string) (*http.Response, error) {
-	req, err := http.NewRequest(method, "http://"+entry.Callers+path, strings.NewReader(body))
+	req, err := standin.Request{
+		Attempt: attempt, Key: harness.FleetKey, Entry: entry.Callers, Method: method, Path: path, Body: body,
+	}.HTTP()
 	if err != nil {
 		return nil, err
 	}
-	req.Host = standin.Host
-	req.Header.Set("Attempt-Id", attempt)
-	req.Header.Set("Authorization", "Bearer "+harness.FleetKey)
 	return t.client.Do(req)
 }
 
--- /dev/null
+++ b/standin/fleet/caller.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Request is what a caller sends, with the host and the headers of the platform's
+// callers.
+type Request struct {
+	// Attempt names this try; every try has another.
+	Attempt string
+	Key     string
+	// Entry is the "ip:port" of the entry that the caller reaches.
+	Entry        string
+	Method, Path string
+	Body         string
+}
+
+// HTTP returns the request to send.
+func (r Request) HTTP() (*http.Request, error) {
+	req, err := http.NewRequest(r.Method, "http://"+r.Entry+r.Path, strings.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = Host
+	req.Header.Set("Attempt-Id", r.Attempt)
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	return req, nil
+}
+
+// Marks are what the headers of an answer say beside its status.
+type Marks struct {
+	// Stamp is the back end's own mark, Weights the versions that it served with; After
+	// is when the caller is to come back. Empty if not told.
+	Stamp, Weights, After string
+}
+
+// MarksOf reads the headers of an answer.
+func MarksOf(h http.Header) Marks {
+	return Marks{Stamp: h.Get("Server-Stamp"), Weights: h.Get("Weight-Versions"), After: h.Get("Retry-After")}
+}
