A topic that is read anew does not hide a lost store

Cause, found on reading the change: a read that Refresh ended counted as an answer of the store. A process that was told of news by a peer out of reach refreshes some times a second; a store that took reads and never answered would have counted as up for all that time, so that entries of the list that lapse were not held.

Change: an ended read is neither an answer nor a failure, and the read after it does not wait for news and cannot be ended by the next Refresh, so that it fails in its time. The test hangs without it.

--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -46,8 +46,10 @@
 	known bool
 	up    bool
 	upAt  time.Time
-	// endRead ends the read that is under way.
+	// endRead ends the read that waits, if one does. refresh tells that the next read is
+	// not to wait.
 	endRead context.CancelFunc
+	refresh bool
 
 	poke chan struct{}
 
@@ -67,7 +69,11 @@
 	failures := 0
 	for ctx.Err() == nil {
 		wait := time.Duration(0)
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		err := f.step(ctx)
+		if errors.Is(err, errEnded) {
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
 			failures++
 			f.failed(err)
 			wait = backoff(failures)
@@ -97,6 +103,7 @@
 // may hold what that read was not woken for.
 func (f *Feed) Refresh() {
 	f.mu.Lock()
+	f.refresh = true
 	if f.endRead != nil {
 		f.endRead()
 	}
@@ -153,16 +160,24 @@
 	return nil
 }
 
-// read reads on, until Refresh ends it: then nothing is read.
+// errEnded tells that Refresh has ended a read: the store neither answered nor failed.
+var errEnded = errors.New("feed: read ended for a fresh one")
+
+// read reads on. After a Refresh it does not wait for news, and is not ended by the
+// next Refresh: a store that does not answer must come to count as lost.
 func (f *Feed) read(ctx context.Context) (platform.Batch, error) {
 	reading, end := context.WithCancel(ctx)
 	defer end()
+	wait := f.opts.Wait
 	f.mu.Lock()
 	f.endRead = end
+	if f.refresh {
+		wait, f.endRead, f.refresh = 0, nil, false
+	}
 	f.mu.Unlock()
-	batch, err := f.store.Read(reading, f.opts.Topic, f.from, f.opts.Wait)
+	batch, err := f.store.Read(reading, f.opts.Topic, f.from, wait)
 	if err != nil && reading.Err() != nil && ctx.Err() == nil {
-		return platform.Batch{End: f.from}, nil
+		return platform.Batch{}, errEnded
 	}
 	return batch, err
 }
--- a/machine/feed/feed_test.go
+++ b/machine/feed/feed_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -55,3 +58,41 @@
 	cancel()
 	wg.Wait()
 }
+
+// A store that takes reads and never answers comes to count as lost, however often the
+// topic is to be read anew meanwhile.
+func TestRefreshDoesNotHideAStoreThatIsLost(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "newest") {
+			_, _ = w.Write([]byte(`{"items":[],"has_more":false,"end_offset":0}`))
+			return
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	lost := make(chan struct{}, 8)
+	f := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Options{
+		Topic:    platform.TopicOperators,
+		Wait:     time.Hour,
+		OnChange: func([]contract.Record) {},
+		OnStore: func(up bool) {
+			if !up {
+				lost <- struct{}{}
+			}
+		},
+		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	for told := false; !told; {
+		f.Refresh()
+		select {
+		case <-lost:
+			told = true
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	cancel()
+	wg.Wait()
+}
