machine/target: operators of the tests submit again until their follower is there

The test submits a change as its first act, and its follower of the log had not caught up yet. The error says that nothing has changed and that it may be tried again, which operators do.

--- a/machine/target/platform_test.go
+++ b/machine/target/platform_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/services"
@@ -60,15 +62,22 @@
 	return o
 }
 
-// set changes keys and returns once the change is in the log.
+// set changes keys and returns once the change is in the log. While the follower has
+// not caught up nothing changes, and the change is submitted again.
 func (o *operators) set(changes ...settings.Change) contract.Offset {
 	o.t.Helper()
 	o.seq++
-	result, err := o.follower.Submit(context.Background(), record.Change{
-		ID: string(rune('a' + o.seq)), Author: "op", Base: o.follower.Offset(), Changes: changes,
-	})
-	fatal(o.t, err)
-	return result.Offset
+	for {
+		result, err := o.follower.Submit(context.Background(), record.Change{
+			ID: string(rune('a' + o.seq)), Author: "op", Base: o.follower.Offset(), Changes: changes,
+		})
+		if errors.Is(err, follow.ErrNotReady) {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		fatal(o.t, err)
+		return result.Offset
+	}
 }
 
 func (o *operators) deploy(version contract.Digest) contract.Offset {
