Logs: which versions were found at the start, and the oldest version allowed

`version named` now says whether the record was found at the start of the process, with its offset, and `attempt placed` says the oldest version that the choice allowed. A feed tells what it found at the start apart from what came later. No decision changes.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -214,8 +214,8 @@
 }
 
 // operatorsChanged takes in what operators have written.
-func (e *Entry) operatorsChanged(records []contract.Record) {
-	e.world.operatorsChanged(records)
+func (e *Entry) operatorsChanged(news feed.News) {
+	e.world.operatorsChanged(news)
 	if m := e.world.current(); m != nil {
 		e.depot.SetOrigin(m.Origin())
 	}
@@ -298,6 +298,7 @@
 func (e *Entry) logPlaced(c *call, choice placement.Choice) {
 	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
 		WithField("load", choice.Load).WithField("first_ms", choice.First.Milliseconds()).WithField("version", choice.Version).
+		WithField("oldest", choice.Oldest).
 		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("manifest", c.manifest).
 		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("attempt placed")
 }
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -4,16 +4,17 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
 // operatorsChanged takes in what operators have written.
-func (w *world) operatorsChanged(records []contract.Record) {
+func (w *world) operatorsChanged(news feed.News) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, r := range records {
+	for _, r := range news.Records {
 		if r.Key == platform.KeyManifest {
 			w.manifestChanged(r)
 			continue
@@ -24,7 +25,7 @@
 				WithField("offset", r.Offset).Info("zone changed")
 		}
 		if model, ok := platform.NamedModel(r.Key); ok && len(r.Value) > 0 {
-			w.versionNamed(model, r)
+			w.versionNamed(model, r, news.First)
 		}
 	}
 	for _, p := range w.pools {
@@ -54,7 +55,9 @@
 	w.shareChanged()
 }
 
-func (w *world) versionNamed(model string, r contract.Record) {
+// versionNamed takes in the name of a version. One that was found at the start may have
+// been named long before.
+func (w *world) versionNamed(model string, r contract.Record, found bool) {
 	version, err := platform.DecodeVersion(r.Value)
 	if err != nil {
 		w.log.WithError(err).WithField("offset", r.Offset).Warn("named version ignored")
@@ -68,15 +71,16 @@
 	if !n.Add(time.Now(), version) {
 		return
 	}
-	w.log.WithField("model", model).WithField("version", version).Info("version named")
+	w.log.WithField("model", model).WithField("version", version).WithField("offset", r.Offset).
+		WithField("found", found).Info("version named")
 }
 
 // targetsChanged takes in the platform's list of targets.
-func (w *world) targetsChanged(records []contract.Record) {
+func (w *world) targetsChanged(news feed.News) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	for _, r := range records {
+	for _, r := range news.Records {
 		if len(r.Value) == 0 {
 			w.roster.Remove(now, roster.TargetID(r.Key))
 			w.log.WithField("target", r.Key).Info("target left the list")
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -28,13 +28,21 @@
 	// next read, which Poke cuts short.
 	Wait  time.Duration
 	Pause func() time.Duration
-	// OnChange is called with the records that were news.
-	OnChange func([]contract.Record)
+	// OnChange is called with what was news.
+	OnChange func(News)
 	// OnStore is called when the store is lost and when it answers again.
 	OnStore func(up bool)
 	Log     log.Interface
 }
 
+// News are records that a feed did not hold.
+type News struct {
+	Records []contract.Record
+	// First tells that the topic was not known before: the records may have been
+	// written at any time before now.
+	First bool
+}
+
 // Feed follows one topic. It is safe for concurrent use.
 type Feed struct {
 	store *platform.Store
@@ -199,11 +207,10 @@
 // take changes the replica and tells of the news.
 func (f *Feed) take(change func() []contract.Record, whole bool) {
 	f.mu.Lock()
-	news := change()
-	first := whole && !f.known
+	news := News{Records: change(), First: !f.known}
 	f.known = f.known || whole
 	f.mu.Unlock()
-	if len(news) > 0 || first {
+	if len(news.Records) > 0 || news.First && whole {
 		f.opts.OnChange(news)
 	}
 }
--- a/machine/feed/feed_test.go
+++ b/machine/feed/feed_test.go
@@ -27,8 +27,8 @@
 	f := New(platform.NewStore(store.Address()), Options{
 		Topic: platform.TopicOperators,
 		Wait:  time.Hour,
-		OnChange: func(records []contract.Record) {
-			for _, r := range records {
+		OnChange: func(n News) {
+			for _, r := range n.Records {
 				news <- r
 			}
 		},
@@ -74,7 +74,7 @@
 	f := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Options{
 		Topic:    platform.TopicOperators,
 		Wait:     time.Hour,
-		OnChange: func([]contract.Record) {},
+		OnChange: func(News) {},
 		OnStore: func(up bool) {
 			if !up {
 				lost <- struct{}{}
@@ -96,3 +96,30 @@
 	cancel()
 	wg.Wait()
 }
+
+// What stood in the store before the process started is told apart from what is written
+// while it follows the topic.
+func TestWhatWasFoundAtTheStartIsToldApart(t *testing.T) {
+	store := fleet.NewStore()
+	t.Cleanup(store.Close)
+	store.Put(platform.TopicOperators, "a", "1")
+	news := make(chan News, 8)
+	f := New(platform.NewStore(store.Address()), Options{
+		Topic:    platform.TopicOperators,
+		Wait:     time.Hour,
+		OnChange: func(n News) { news <- n },
+		Log:      &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	if n := <-news; !n.First || len(n.Records) != 1 {
+		t.Errorf("found at the start: %+v", n)
+	}
+	store.Put(platform.TopicOperators, "a", "2")
+	if n := <-news; n.First || len(n.Records) != 1 {
+		t.Errorf("written later: %+v", n)
+	}
+	cancel()
+	wg.Wait()
+}
--- a/machine/peers/catchup_test.go
+++ b/machine/peers/catchup_test.go
@@ -39,8 +39,8 @@
 	f := feed.New(client, feed.Options{
 		Topic: platform.TopicOperators,
 		Wait:  time.Hour,
-		OnChange: func(records []contract.Record) {
-			for _, r := range records {
+		OnChange: func(n feed.News) {
+			for _, r := range n.Records {
 				news <- r.Key
 			}
 		},
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -195,10 +195,10 @@
 	return false
 }
 
-func (p *Peers) membersChanged(records []contract.Record) {
+func (p *Peers) membersChanged(news feed.News) {
 	var restarted []contract.MachineID
 	p.mu.Lock()
-	for _, r := range records {
+	for _, r := range news.Records {
 		if len(r.Value) == 0 {
 			delete(p.known, contract.MachineID(r.Key))
 			continue
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -147,14 +147,14 @@
 }
 
 // operatorsChanged takes in what operators have written.
-func (t *Target) operatorsChanged(records []contract.Record) {
-	for _, r := range records {
+func (t *Target) operatorsChanged(news feed.News) {
+	for _, r := range news.Records {
 		if r.Key == platform.KeyManifest {
 			t.manifestChanged(r.Value)
 			continue
 		}
 		if model, ok := platform.NamedModel(r.Key); ok && len(r.Value) > 0 {
-			t.versionNamed(model, r.Value)
+			t.versionNamed(model, r.Value, news.First)
 		}
 	}
 }
@@ -172,7 +172,9 @@
 	}
 }
 
-func (t *Target) versionNamed(model string, data []byte) {
+// versionNamed takes in the name of a version. One that was found at the start may have
+// been named long before.
+func (t *Target) versionNamed(model string, data []byte, found bool) {
 	version, err := platform.DecodeVersion(data)
 	if err != nil {
 		t.log.WithError(err).Warn("named version ignored")
@@ -186,7 +188,7 @@
 	if !t.named[model].Add(time.Now(), version) {
 		return
 	}
-	t.log.WithField("model", model).WithField("version", version).Info("version named")
+	t.log.WithField("model", model).WithField("version", version).WithField("found", found).Info("version named")
 }
 
 // wanted is the newest named version of the engine's model and its origin; ok is
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -54,8 +54,9 @@
 type Choice struct {
 	ID      roster.TargetID
 	Address string
-	// Version is that of the target's weights as far as known.
-	Version int64
+	// Version is that of the target's weights as far as known, Oldest the oldest one
+	// that was allowed; 0 for any.
+	Version, Oldest int64
 	// First predicts the time to the first event, from a load of Load requests.
 	First time.Duration
 	Load  int
@@ -232,7 +233,7 @@
 			cost := first + p.distance(now, m) + time.Duration(p.rng.Int64N(int64(spread)))
 			if best == nil || cost < bestCost {
 				best, bestCost = m, cost
-				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), First: first,
+				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), Oldest: want.MinVersion, First: first,
 					Load: int(p.estimate(now, m)), ListedAge: now.Sub(m.ListedAt)}
 			}
 		}
