--- a/contract/message.go
+++ b/contract/message.go
@@ -200,6 +200,18 @@
 	// Targets is the highest offset of the list of targets that an entry knows, plus
 	// one; 0 if it knows none.
 	Targets Offset `cbor:"10,keyasint,omitempty"`
+	// Named tells since when the versions that were named a short time ago have been
+	// known, so that processes that learned of them late count from then as well.
+	Named []NamedVersion `cbor:"12,keyasint,omitempty"`
+}
+
+// NamedVersion is a version of a model's weights that operators have named.
+type NamedVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version int64
+	// AgeMS is how many milliseconds before the heartbeat it was named, or more.
+	AgeMS uint32
 }
 
 // EngineStatus is what the process beside a model engine tells entries of it.
