Versions are as old as the first process that saw them named knows

Cause: an entry counted a version's age from when it read the record. One that starts again finds the newest version in the store, which does not tell when it was named, and took it for named just then: for 6.2 s more it sent to engines on version 2, while every other entry refused.

Ruled out: a mistaken belief about the engine's version (two different engines, whose versions the other entries knew); the margin of 1.8 s (the requests were sent after the bound, not before it).

Change: heartbeats tell the ages of versions named within two bounds, from entries and target processes alike; the earliest date holds. What a process finds at its start has an assumed age, so that older versions may begin for 1.5 s more; within that time a peer dates it. A peer also tells of versions between, which the store no longer holds. The same holds for processes that stood still or were cut off, and for the turns of targets, which went by the same clock: a target process that started again took its turn up to 6 s too late.

Why it works: the bound runs from the earliest moment at which any linked process knew; if none does, the answer is the strict one.

--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -14,6 +14,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	w.versionsTold(hb)
 	if e := hb.Engine; e != nil {
 		w.roster.Report(now, e.Address, e.Born, roster.Status{
 			Version:  e.Version,
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -6,7 +6,6 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
-	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
@@ -63,18 +62,29 @@
 		w.log.WithError(err).WithField("offset", r.Offset).Warn("named version ignored")
 		return
 	}
-	n, ok := w.named[model]
-	if !ok {
-		n = &upkeep.Named{}
-		w.named[model] = n
-	}
-	if !n.Add(time.Now(), version) {
+	if !w.named.Record(time.Now(), model, version, found, w.bounds.Version) {
 		return
 	}
 	w.log.WithField("model", model).WithField("version", version).WithField("offset", r.Offset).
 		WithField("found", found).Info("version named")
 }
 
+// versionsTold takes in since when a peer has known the versions that were named a
+// short time ago.
+func (w *world) versionsTold(hb contract.Heartbeat) {
+	for _, v := range w.named.Told(time.Now(), hb.Named) {
+		w.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).
+			WithField("peer", string(hb.Machine)).Info("version dated")
+	}
+}
+
+// recentVersions lists the versions that were named a short time ago, for heartbeats.
+func (w *world) recentVersions() []contract.NamedVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.named.Recent(time.Now(), w.bounds.Version)
+}
+
 // targetsChanged takes in the platform's list of targets.
 func (w *world) targetsChanged(news feed.News) {
 	w.mu.Lock()
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -20,9 +20,6 @@
 	// budgetMargin is the part of the fleet's retry budget that entries share; the
 	// rest covers entries that have just joined.
 	budgetMargin = 0.85
-	// versionMargin is how long before the bound an entry sends nothing more to an
-	// older version: a request may wait at the target before it begins.
-	versionMargin = 1800 * time.Millisecond
 	// unknownEntries stands for the number of entries while it is not known.
 	unknownEntries = 16
 )
@@ -42,7 +39,7 @@
 	roster     *roster.Roster
 	listed     bool
 	evacuated  map[contract.ZoneName]bool
-	named      map[string]*upkeep.Named
+	named      upkeep.Versions
 	pools      map[contract.ServiceName]*placement.Pool
 	budgets    map[contract.ServiceName]*retry.Window
 	comebacks  map[contract.ServiceName]*retry.Comeback
@@ -60,7 +57,6 @@
 		log:       logger,
 		roster:    roster.New(),
 		evacuated: map[contract.ZoneName]bool{},
-		named:     map[string]*upkeep.Named{},
 		pools:     map[contract.ServiceName]*placement.Pool{},
 		budgets:   map[contract.ServiceName]*retry.Window{},
 		comebacks: map[contract.ServiceName]*retry.Comeback{},
@@ -193,9 +189,7 @@
 	}
 	oldest := int64(0)
 	for _, model := range s.Engine.Models {
-		if n, ok := w.named[model]; ok {
-			oldest = max(oldest, n.Least(time.Now(), w.bounds.Version-versionMargin))
-		}
+		oldest = max(oldest, w.named.Of(model).Least(time.Now(), w.bounds.Version-upkeep.SendMargin))
 	}
 	return oldest
 }
@@ -213,10 +207,7 @@
 			continue
 		}
 		for _, model := range s.Engine.Models {
-			list[model] = 1
-			if n, ok := w.named[model]; ok {
-				list[model] = n.Newest()
-			}
+			list[model] = max(w.named.Of(model).Newest(), upkeep.FirstVersion)
 		}
 	}
 	return list
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -47,7 +47,7 @@
 	// bound is how long after a version was named requests may begin on an older one.
 	bound    time.Duration
 	manifest *catalog.Manifest
-	named    map[string]*upkeep.Named
+	named    upkeep.Versions
 }
 
 // New opens the process's link address.
@@ -57,7 +57,6 @@
 		log:     logs.For("target", process.Machine),
 		metrics: metrics.New(),
 		store:   platform.NewStore(process.Fleet.Store),
-		named:   map[string]*upkeep.Named{},
 		bound:   process.Fleet.Bounds.Version,
 	}
 	t.meters = newMeters(t.metrics.Scope())
@@ -78,7 +77,7 @@
 		},
 		Store:  t.store,
 		Log:    logs.For("peers", process.Machine),
-		Beat:   func(_ contract.MachineID, hb *contract.Heartbeat) { hb.Engine = t.keeper.status() },
+		Beat:   t.beat,
 		OnBeat: t.beatReceived,
 		OnDown: func(contract.MachineID) { t.feed.Poke() },
 		Serve:  func(context.Context, contract.Message, *link.Stream) {},
@@ -129,15 +128,35 @@
 	return t.metrics.Close()
 }
 
+// beat fills in what heartbeats tell an entry of the engine and of named versions.
+func (t *Target) beat(_ contract.MachineID, hb *contract.Heartbeat) {
+	hb.Engine = t.keeper.status()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hb.Named = t.named.Recent(time.Now(), t.bound)
+}
+
 // beatReceived takes in what an entry knows. Manifests are large: while an entry of
 // the own zone is linked, they do not come over the links between regions.
 func (t *Target) beatReceived(hb contract.Heartbeat) {
+	t.versionsTold(hb)
 	if _, near := t.peers.First(t.process.Zone); near && hb.Zone != t.process.Zone {
 		return
 	}
 	t.catchup.Told(hb.Machine, int64(hb.Settings)-1)
 }
 
+// versionsTold takes in since when an entry has known the versions that were named a
+// short time ago.
+func (t *Target) versionsTold(hb contract.Heartbeat) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.named.Told(time.Now(), hb.Named) {
+		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).
+			WithField("peer", string(hb.Machine)).Info("version dated")
+	}
+}
+
 // operatorsPause is the time until the store is asked again.
 func (t *Target) operatorsPause() time.Duration {
 	if t.peers.AnyLinked() {
@@ -182,10 +201,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.named[model] == nil {
-		t.named[model] = &upkeep.Named{}
-	}
-	if !t.named[model].Add(time.Now(), version) {
+	if !t.named.Record(time.Now(), model, version, found, t.bound) {
 		return
 	}
 	t.log.WithField("model", model).WithField("version", version).WithField("found", found).Info("version named")
@@ -204,9 +220,7 @@
 		return depot.Version{}, catalog.Origin{}, false
 	}
 	v = depot.Version{Model: service.Engine.Models[0], Number: upkeep.FirstVersion}
-	if named := t.named[v.Model]; named != nil {
-		v.Number = named.Newest()
-	}
+	v.Number = max(v.Number, t.named.Of(v.Model).Newest())
 	return v, t.manifest.Origin(), true
 }
 
@@ -215,8 +229,5 @@
 func (t *Target) behindSince(model string, loaded int64) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if named := t.named[model]; named != nil {
-		return named.Since(loaded)
-	}
-	return time.Time{}
+	return t.named.Of(model).Since(loaded)
 }
