An attempt that is given up is reset, so that it does not arrive later

Cause: the entry closed the connection when the caller left. Close leaves it to the kernel to deliver what was written: to a target behind a path that is cut, that happens when the path heals, with the end of the connection right behind it. The same holds for attempts that were given up for silence and sent elsewhere, and for those past their deadline.

Ruled out: waiting in the entry (a new connection is given up after 0.4 s, a place after 50 ms, and the context of a caller that left ends both).

Change: connections of attempts without a whole answer are reset, which drops what has not arrived. Connections with a whole answer are closed as before.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -60,12 +60,12 @@
 		return attempts.NotSent, nil
 	}
 	x.conn = conn
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abandon)
 	defer stop()
 	defer x.watch()()
 	resp, err := conn.send(x.request(), c.deadline)
 	if err != nil {
-		_ = conn.Close()
+		conn.abandon()
 		x.silent = x.quiet.Load()
 		if isLost(err) {
 			return attempts.Lost, nil
@@ -115,7 +115,7 @@
 			}
 			if x.isSilent() {
 				x.quiet.Store(true)
-				_ = x.conn.Close()
+				x.conn.abandon()
 				return
 			}
 		}
@@ -152,7 +152,7 @@
 	if reply.ID != "" && reply.ID != c.info.ID {
 		c.entry.log.WithField("request", c.info.ID).WithField("answered", reply.ID).
 			WithField("target", string(x.choice.ID)).Warn("answer of another attempt")
-		_ = x.conn.Close()
+		x.conn.abandon()
 		return attempts.Lost, nil
 	}
 	if reply.NotRun {
@@ -182,7 +182,7 @@
 	c := x.call
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes || reply.Encoded {
-		_ = x.conn.Close()
+		x.conn.abandon()
 		x.silent = x.quiet.Load()
 		return attempts.Lost, nil
 	}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -63,7 +63,7 @@
 func (x *exchange) stream(resp *http.Response, reply platform.Reply) attempts.Outcome {
 	c := x.call
 	if reply.Encoded || !reply.Stamped {
-		_ = x.conn.Close()
+		x.conn.abandon()
 		return attempts.Lost
 	}
 	if c.version == 0 {
@@ -77,7 +77,7 @@
 			return x.streamEnded(resp, reply)
 		}
 		if err != nil {
-			_ = x.conn.Close()
+			x.conn.abandon()
 			x.silent = x.quiet.Load()
 			return attempts.Lost
 		}
@@ -94,7 +94,7 @@
 			continue
 		}
 		if err := c.deliver(resp, ev); err != nil {
-			_ = x.conn.Close()
+			x.conn.abandon()
 			return attempts.Lost
 		}
 	}
--- a/machine/entry/direct/upstream.go
+++ b/machine/entry/direct/upstream.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// abandon resets the connection of an attempt that is given up: what has not arrived at
+// the target yet is dropped. Close would still deliver it when a path that is cut heals.
+func (c *conn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // isQuiet reports whether an idle connection is open and nothing has come on it.
 func (c *conn) isQuiet() bool {
 	tcp, ok := c.Conn.(syscall.Conn)
