--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -105,14 +105,19 @@
 	return rank
 }
 
-// reader is the entry that reads a version for this entry's zone.
-func (d *Depot) reader(v Version) (contract.MachineID, bool) {
+// ahead lists the entries of this entry's zone that come before it in the order for a
+// version. The first of the zone reads the version for it.
+func (d *Depot) ahead(v Version) []contract.MachineID {
+	var list []contract.MachineID
 	for _, m := range Rank(v, d.opts.Peers.Members(link.RoleEntry), d.currentOrigin().Zone) {
-		if m.Zone == d.opts.Zone && (m.Machine == d.opts.Self || d.mayBeThere(m.Machine)) {
-			return m.Machine, true
+		if m.Machine == d.opts.Self {
+			break
+		}
+		if m.Zone == d.opts.Zone && d.mayBeThere(m.Machine) {
+			list = append(list, m.Machine)
 		}
 	}
-	return "", false
+	return list
 }
 
 // mayBeThere reports whether an entry is linked, or may be soon.
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -20,8 +20,12 @@
 	// once.
 	patience     = 1200 * time.Millisecond
 	rankPatience = 100 * time.Millisecond
-	// neighbourTime is how long an entry relies on the one that reads for its zone.
+	// neighbourTime is how long the next entry of a zone relies on the one that reads for
+	// it, and how much longer each one after that: if all helped themselves at once, they
+	// would fill the links between regions with copies.
 	neighbourTime = 3500 * time.Millisecond
+	// storeHead is how long an entry waits for what the store holds before it draws.
+	storeHead = 400 * time.Millisecond
 	// maxAsked is how many entries are asked in one round for what they hold.
 	maxAsked = 6
 	// retryPause is the time between tries after a failure.
@@ -89,7 +93,7 @@
 	// What an earlier run has stored need not be drawn again.
 	select {
 	case <-first:
-	case <-time.After(patience):
+	case <-time.After(storeHead):
 	case <-ctx.Done():
 	}
 	h.await(patient)
@@ -107,21 +111,33 @@
 // is another one: they cross the links between regions once.
 func (h *holding) askNeighbour(ctx context.Context) {
 	const look = 100 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, neighbourTime)
-	defer cancel()
+	start := time.Now()
 	for ctx.Err() == nil && !h.whole() {
-		leader, ok := h.depot.reader(h.version)
-		if !ok || leader == h.depot.opts.Self {
+		ahead := h.depot.ahead(h.version)
+		left := waitsForReader(len(ahead)) - time.Since(start)
+		if left <= 0 {
 			return
 		}
-		if h.depot.opts.Peers.Linked(leader) {
-			got, err := Fetch(ctx, h.depot.opts.Peers, leader, h.version, AsTheyCome, h.current, h.begin)
-			h.log().WithField("peer", string(leader)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from the zone's reader")
-		}
+		h.askReader(ctx, ahead[0], left)
 		pause(ctx, look)
 	}
 }
 
+// waitsForReader is how long an entry relies on the one that reads for its zone, if so
+// many entries of the zone come before it. The reader itself waits for nobody.
+func waitsForReader(ahead int) time.Duration { return neighbourTime * time.Duration(ahead) }
+
+// askReader takes the pieces as the zone's reader gets them, for a time.
+func (h *holding) askReader(ctx context.Context, reader contract.MachineID, limit time.Duration) {
+	if !h.depot.opts.Peers.Linked(reader) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	got, err := Fetch(ctx, h.depot.opts.Peers, reader, h.version, AsTheyCome, h.current, h.begin)
+	h.log().WithField("peer", string(reader)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from the zone's reader")
+}
+
 func (h *holding) whole() bool {
 	set := h.current()
 	return set != nil && set.Whole()
@@ -179,8 +195,8 @@
 	}
 	rest := list[maxDrawers:]
 	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	if reader, ok := h.depot.reader(h.version); ok {
-		if i := slices.Index(rest, reader); i > 0 {
+	if ahead := h.depot.ahead(h.version); len(ahead) > 0 {
+		if i := slices.Index(rest, ahead[0]); i > 0 {
 			rest[0], rest[i] = rest[i], rest[0]
 		}
 	}
