Few draw at once from an origin that comes back, on connections that are kept

Cause: an entry that cannot reach the origin asks another one to draw. Each try also opened connections of its own, and left them idle for 20 s.

Ruled out: refusals as a sign that the origin is down for all. A path that is cut may refuse as well.

Change: only the first three in rank, which draw by their own right, ask others. One client of the origin is kept per entry.

Tests of depot pass with -race.

--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -62,6 +62,7 @@
 
 	mu     sync.Mutex
 	origin catalog.Origin
+	client *platform.OriginClient
 	held   map[Version]*holding
 }
 
@@ -74,9 +75,19 @@
 func (d *Depot) SetOrigin(origin catalog.Origin) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if origin.Address != d.origin.Address {
+		d.client = platform.NewOriginClient(origin.Address)
+	}
 	d.origin = origin
 }
 
+// originClient returns the client of the origin, nil while none is known.
+func (d *Depot) originClient() *platform.OriginClient {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.client
+}
+
 func (d *Depot) currentOrigin() catalog.Origin {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/machine/depot/depot_test.go
+++ b/machine/depot/depot_test.go
@@ -137,3 +137,47 @@
 		return err == nil && len(batch.Records) == chunks+1
 	})
 }
+
+// Guards against too little served in a zone (klaa-accounts-grown, fresh-3d86 and
+// trouble-1): while a version was late all helpers of a zone left its reader at the same
+// moment, read the store and asked other regions, and filled the links between regions
+// with copies, so that the version took 10 s more.
+func TestHelpersOfAZoneTakeOverOneAfterTheOther(t *testing.T) {
+	if got := waitsForReader(0); got != 0 {
+		t.Errorf("the reader waits for %v", got)
+	}
+	for ahead := 1; ahead < 13; ahead++ {
+		if apart := waitsForReader(ahead+1) - waitsForReader(ahead); apart < patience {
+			t.Errorf("after %d entries the next one waits %v longer, less than a fetch takes", ahead, apart)
+		}
+	}
+}
+
+// Guards against 13 copies drawn at once from an origin that came back (trouble-1 of
+// klaa-accounts-grown): entries that were asked to draw and failed asked others in turn.
+func TestAnEntryThatWasAskedToDrawAsksNobody(t *testing.T) {
+	for rank := range 12 {
+		if got, want := mayAsk(rank), rank < maxDrawers; got != want {
+			t.Errorf("rank %d: may ask %v, want %v", rank, got, want)
+		}
+	}
+}
+
+// A drawer that tries again and again must not open new connections to the origin for
+// each try: the origin takes few.
+func TestOneClientOfTheOriginIsKept(t *testing.T) {
+	d := New(context.Background(), Options{})
+	if d.originClient() != nil {
+		t.Error("a client without an origin")
+	}
+	d.SetOrigin(catalog.Origin{Address: "127.0.0.1:1", Zone: "a"})
+	first := d.originClient()
+	d.SetOrigin(catalog.Origin{Address: "127.0.0.1:1", Zone: "b"})
+	if d.originClient() != first {
+		t.Error("a new client of the same origin")
+	}
+	d.SetOrigin(catalog.Origin{Address: "127.0.0.1:2"})
+	if d.originClient() == first {
+		t.Error("the client of an origin that has moved")
+	}
+}
--- a/machine/depot/draw.go
+++ b/machine/depot/draw.go
@@ -47,7 +47,7 @@
 		if failing.IsZero() {
 			failing = start
 		}
-		if time.Since(failing) >= unreachedTime {
+		if mayAsk(rank) && time.Since(failing) >= unreachedTime {
 			h.askToDraw(ctx, asked)
 			asked++
 		}
@@ -55,6 +55,11 @@
 	}
 }
 
+// mayAsk reports whether an entry may have another one draw: only those that draw by
+// their own rank may. If those that were asked asked others in turn, the whole fleet would
+// draw at once when an origin that was down comes back.
+func mayAsk(rank int) bool { return rank < maxDrawers }
+
 // mayDraw reports whether this entry may draw now: it is among the first in rank, or
 // was asked to a moment ago.
 func (h *holding) mayDraw(rank int) bool {
@@ -90,11 +95,10 @@
 // at the same time begin at different pieces and read from the store what the
 // others have drawn. It reports whether the origin answered throughout.
 func (h *holding) draw(ctx context.Context, rank int) bool {
-	origin := h.depot.currentOrigin()
-	if origin.Address == "" {
+	client := h.depot.originClient()
+	if client == nil {
 		return false
 	}
-	client := platform.NewOriginClient(origin.Address)
 	set := h.current()
 	if set == nil {
 		if set = h.drawDigests(ctx, client); set == nil {
