A peer's answer that still arrives is not cut

Cause, read off the code and the logs: a linked target process reads the store only when its pull from an entry has failed. A pull was bounded as a whole, by 0.7 s, which is short for a manifest that 26 of them fetch at once over 9.4 Mbit/s each. The logs do not show the failed pulls themselves.

Change: a pull is bounded by the time for opening it and by each pause of its answer. Looked for elsewhere: pieces of weights come one message each, with 2 s for each.

Evidence: TestAMessageThatStillArrivesIsNotCut fails if the deadline is set once for the whole message.

--- a/link/stream.go
+++ b/link/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"sync"
 	"time"
 
@@ -16,15 +17,44 @@
 // not.
 type Stream struct {
 	qs       *quic.Stream
+	patient  *patientReader
 	reader   *bufio.Reader
 	maxBytes int
 	sendMu   sync.Mutex
 }
 
 func newStream(qs *quic.Stream, maxBytes int) *Stream {
-	return &Stream{qs: qs, reader: bufio.NewReaderSize(qs, readBufferBytes), maxBytes: maxBytes}
+	patient := &patientReader{source: qs}
+	return &Stream{qs: qs, patient: patient, reader: bufio.NewReaderSize(patient, readBufferBytes), maxBytes: maxBytes}
 }
 
+// source is what a patientReader reads.
+type source interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
+// patientReader waits for each part of what it reads for as long as its patience; 0
+// leaves the source's deadline as it is.
+type patientReader struct {
+	source   source
+	patience time.Duration
+}
+
+// Read implements io.Reader.
+func (r *patientReader) Read(b []byte) (int, error) {
+	if r.patience > 0 {
+		if err := r.source.SetReadDeadline(time.Now().Add(r.patience)); err != nil {
+			return 0, err
+		}
+	}
+	return r.source.Read(b)
+}
+
+// SetReadPatience bounds how long the next Recv calls wait for the next bytes of a
+// message, however many there are. It replaces SetReadDeadline.
+func (s *Stream) SetReadPatience(d time.Duration) { s.patient.patience = d }
+
 // Send writes m. It fails with ErrFrame if m is too large, else with ErrClosed
 // or ErrSilent.
 func (s *Stream) Send(m contract.Message) error {
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -395,15 +395,15 @@
 
 // PullFrom asks a machine for a topic's records above an offset.
 func (p *Peers) PullFrom(ctx context.Context, id contract.MachineID, topic string, after int64) (contract.Records, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	pull := contract.Message{Kind: contract.KindRecordsPull, RecordsPull: &contract.RecordsPull{Topic: topic, After: after}}
-	s, err := p.Open(ctx, id, pull)
+	opening, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	s, err := p.Open(opening, id, pull)
 	if err != nil {
 		return contract.Records{}, err
 	}
 	defer s.Close()
-	_ = s.SetReadDeadline(time.Now().Add(pullTimeout))
+	s.SetReadPatience(pullTimeout)
 	m, err := s.Recv()
 	if err != nil {
 		return contract.Records{}, err
