Weights go through the entries of a large zone in a tree

Cause: all 12 other entries of the zone took the weights from the reader, over its link of 40 Mbit/s: 28 MB, 5.7 s. Seven of them served 4 targets each, the others none.

Ruled out: the store (the reader had all in 0.6 s), the targets' links (2.0 s a version).

Change: the entries of a zone form a tree with two children each, in the order of rank; pieces are handed on as they come. With up to three entries a zone nothing changes.

--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -12,6 +12,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upkeep"
 )
 
 const (
@@ -107,8 +108,8 @@
 	h.complete(ctx)
 }
 
-// askNeighbour gets the pieces from the entry that reads them for the zone, if that
-// is another one: they cross the links between regions once.
+// askNeighbour gets the pieces from another entry of the zone, unless this one reads them
+// for the zone: they cross the links between regions once.
 func (h *holding) askNeighbour(ctx context.Context) {
 	const look = 100 * time.Millisecond
 	start := time.Now()
@@ -118,7 +119,7 @@
 		if left <= 0 {
 			return
 		}
-		h.askReader(ctx, ahead[0], left)
+		h.askEntry(ctx, ahead[upkeep.Parent(len(ahead))], left)
 		pause(ctx, look)
 	}
 }
@@ -127,15 +128,15 @@
 // many entries of the zone come before it. The reader itself waits for nobody.
 func waitsForReader(ahead int) time.Duration { return neighbourTime * time.Duration(ahead) }
 
-// askReader takes the pieces as the zone's reader gets them, for a time.
-func (h *holding) askReader(ctx context.Context, reader contract.MachineID, limit time.Duration) {
-	if !h.depot.opts.Peers.Linked(reader) {
+// askEntry takes the pieces as another entry of the zone gets them, for a time.
+func (h *holding) askEntry(ctx context.Context, id contract.MachineID, limit time.Duration) {
+	if !h.depot.opts.Peers.Linked(id) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	got, err := Fetch(ctx, h.depot.opts.Peers, reader, h.version, AsTheyCome, h.current, h.begin)
-	h.log().WithField("peer", string(reader)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from the zone's reader")
+	got, err := Fetch(ctx, h.depot.opts.Peers, id, h.version, AsTheyCome, h.current, h.begin)
+	h.log().WithField("peer", string(id)).WithField("pieces", got).WithField("failed", err != nil).Info("pieces from a neighbour")
 }
 
 func (h *holding) whole() bool {
