An entry that knows no members yet neither reads nor draws weights

Cause: the members come from the store. Until an entry had read them, over links between regions that 76 processes filled at that moment, it was alone in its own view and so first in rank: at 43.5 to 43.8 s twelve entries of erongo-a logged rank 0 or close to it, and each read the version from the store and drew from the origin.

Ruled out: the list of entries that are linked (links came later still).

Change: an entry waits for the members before it takes a place in rank, for 2.5 s after its start at most; then it goes on alone. The time in which links may still be made counts from when the members were read, not from the start of the process.

Test: TestAnEntryThatKnowsNoMembersYetDoesNotDraw; without the condition in Named it draws at once.

--- a/machine/depot/depot.go
+++ b/machine/depot/depot.go
@@ -30,8 +30,10 @@
 	maxVersions = 3
 	// sendTimeout bounds the sending of one piece.
 	sendTimeout = 5 * time.Second
-	// linkTime is how long after the start links to other entries may still be made.
-	linkTime = 1500 * time.Millisecond
+	// linkTime is how long after the members were read links to other entries may still be
+	// made; memberTime how long after the start an entry waits for the members.
+	linkTime   = 1500 * time.Millisecond
+	memberTime = 2500 * time.Millisecond
 	// waitNotice is how often a peer that waits for a piece is told to go on waiting.
 	waitNotice = 600 * time.Millisecond
 )
@@ -96,7 +98,7 @@
 
 // Named tells that a version is in force. The entry that is first in rank draws it.
 func (d *Depot) Named(v Version) {
-	if d.rank(v) == 0 {
+	if d.knowsMembers() && d.rank(v) == 0 {
 		d.holding(v)
 	}
 }
@@ -133,7 +135,14 @@
 
 // mayBeThere reports whether an entry is linked, or may be soon.
 func (d *Depot) mayBeThere(id contract.MachineID) bool {
-	return d.opts.Peers.Linked(id) || time.Since(d.started) < linkTime
+	return d.opts.Peers.Linked(id) || time.Since(d.opts.Peers.MembersReadAt()) < linkTime
+}
+
+// knowsMembers reports whether this entry can tell its place among the others: each that
+// knows no others would read and draw for itself. One that cannot learn of them in time
+// goes on alone.
+func (d *Depot) knowsMembers() bool {
+	return !d.opts.Peers.MembersReadAt().IsZero() || time.Since(d.started) >= memberTime
 }
 
 // holding returns a version's pieces and starts to get them.
--- a/machine/depot/depot_test.go
+++ b/machine/depot/depot_test.go
@@ -181,3 +181,22 @@
 		t.Error("the client of an origin that has moved")
 	}
 }
+
+// Guards against too little served after all processes had started again
+// (klaa-accounts-grown trouble-1): until the members had come over the full links between
+// regions each entry took itself for the first in rank, read the store and drew.
+func TestAnEntryThatKnowsNoMembersYetDoesNotDraw(t *testing.T) {
+	const nobody = "127.0.0.1:1"
+	d := start(t, nobody, "entry-1", nobody).depot
+	v := Version{Model: fleet.Model, Number: 2}
+	d.started = time.Now().Add(time.Hour)
+	d.Named(v)
+	if len(d.held) > 0 {
+		t.Error("draws before it can know the members")
+	}
+	d.started = time.Now().Add(-memberTime)
+	d.Named(v)
+	if len(d.held) != 1 {
+		t.Error("does not go on alone when it cannot learn of the members")
+	}
+}
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -84,6 +84,7 @@
 // until patient ends.
 func (h *holding) fill(ctx, patient context.Context) {
 	start := time.Now()
+	h.awaitMembers(ctx)
 	h.log().WithField("rank", h.depot.rank(h.version)).Info("weights wanted")
 	h.askNeighbour(patient)
 	reading, stop := context.WithCancel(ctx)
@@ -108,6 +109,14 @@
 	h.complete(ctx)
 }
 
+// awaitMembers waits until this entry knows its place among the others.
+func (h *holding) awaitMembers(ctx context.Context) {
+	const look = 50 * time.Millisecond
+	for ctx.Err() == nil && !h.depot.knowsMembers() {
+		pause(ctx, look)
+	}
+}
+
 // askNeighbour gets the pieces from another entry of the zone, unless this one reads them
 // for the zone: they cross the links between regions once.
 func (h *holding) askNeighbour(ctx context.Context) {
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -88,9 +88,10 @@
 	asked  int
 	// returned tells that a former run of this machine stood in the store.
 	returned bool
-	// read is closed when the members have been read for the first time.
+	// read is closed when the members have been read for the first time, at readAt.
 	read     chan struct{}
 	readOnce sync.Once
+	readAt   time.Time
 }
 
 // Open opens the link address; Run does the rest.
@@ -218,7 +219,22 @@
 	}
 	p.mu.Unlock()
 	p.dialWanted(restarted)
-	p.readOnce.Do(func() { close(p.read) })
+	p.readOnce.Do(p.membersRead)
+}
+
+func (p *Peers) membersRead() {
+	p.mu.Lock()
+	p.readAt = time.Now()
+	p.mu.Unlock()
+	close(p.read)
+}
+
+// MembersReadAt is when the members were read for the first time; zero if they have not
+// been.
+func (p *Peers) MembersReadAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.readAt
 }
 
 // dialWanted links to the peers that are wanted now, at once to those that have
