bench: the virtual-time benchmarks use the shared queue

Cause: bench/gate and bench/serving each had the same heap of events.

Ruled out: one loop for both, since bench/gate runs one event at or after the end and bench/serving none.

Change: both use simulation.Queue and take the time of day from it.

--- a/bench/gate/coldstart.go
+++ b/bench/gate/coldstart.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/simulation"
 	"mimosastand.example/mimosastand/machine/target/coldstart"
 	"mimosastand.example/mimosastand/machine/target/gate"
 )
@@ -57,44 +57,13 @@
 	regained                  time.Duration
 }
 
-// event is one entry of the run's agenda.
-type event struct {
-	at   time.Time
-	seq  int
-	what func(now time.Time)
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].seq < a[j].seq
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
-
-// Pop implements heap.Interface.
-func (a *agenda) Pop() any {
-	old := *a
-	e := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return e
-}
-
 // run is one run in virtual time.
 type run struct {
 	g      *gate.Gate
 	e      *coldEngine
 	rng    *rand.Rand
-	agenda agenda
+	queue  simulation.Queue
 	start  time.Time
-	now    time.Time
-	seq    int
 	next   int
 	done   []time.Time
 	result result
@@ -107,26 +76,29 @@
 	r := &run{
 		g:   gate.New(start, cfg, p.settings(), rand.New(rand.NewPCG(seed, 1))),
 		e:   newColdEngine(kind, seed, start),
-		rng: rand.New(rand.NewPCG(seed, 2)), start: start, now: start,
+		rng: rand.New(rand.NewPCG(seed, 2)), start: start,
 	}
 	r.step(gate.Configured{Settings: gate.Settings{Ready: true, Limits: p.settings()}})
 	r.step(gate.Activated{Weights: digest})
 	r.after(pollEvery, r.poll)
 	r.after(warmUp/4, r.arrive)
 	r.after(coldAt, func(now time.Time) { r.broke(r.e.turnCold(now, restart)) })
-	for len(r.agenda) > 0 && r.now.Sub(start) < horizon {
-		e := heap.Pop(&r.agenda).(event)
-		r.now = e.at
-		e.what(e.at)
-	}
+	r.play(horizon)
 	r.result.above, r.result.falls = r.e.above, r.e.falls
 	r.result.regained = r.regained()
 	return r.result
 }
 
-func (r *run) after(d time.Duration, what func(time.Time)) {
-	r.seq++
-	heap.Push(&r.agenda, event{at: r.now.Add(d), seq: r.seq, what: what})
+// play runs events until one is due at the time end or later, which still runs.
+func (r *run) play(end time.Duration) {
+	for r.queue.Now() < end && r.queue.Next() {
+	}
+}
+
+func (r *run) now() time.Time { return r.start.Add(r.queue.Now()) }
+
+func (r *run) after(d time.Duration, what func(now time.Time)) {
+	r.queue.After(d, func() { what(r.now()) })
 }
 
 func (r *run) poll(now time.Time) {
@@ -150,12 +122,12 @@
 }
 
 func (r *run) step(e gate.Event) {
-	for _, effect := range slices.Clone(r.g.Step(r.now, e)) {
+	for _, effect := range slices.Clone(r.g.Step(r.now(), e)) {
 		switch effect := effect.(type) {
 		case gate.Run:
 			r.send(effect.Start.Attempt)
 		case gate.Refuse:
-			if r.now.Sub(r.start) >= coldAt {
+			if r.queue.Now() >= coldAt {
 				r.result.notRun++
 			}
 		}
@@ -166,10 +138,10 @@
 func (r *run) send(id contract.AttemptID) {
 	var unit int
 	_, _ = fmt.Sscan(string(id.Request), &unit)
-	if r.now.Sub(r.start) >= coldAt {
+	if r.queue.Now() >= coldAt {
 		r.result.sent++
 	}
-	accepted, broken := r.e.start(r.now, unit)
+	accepted, broken := r.e.start(r.now(), unit)
 	if !accepted {
 		r.after(0, func(time.Time) {
 			r.result.notRun++
@@ -215,7 +187,7 @@
 // before for good; 0 if it never was.
 func (r *run) regained() time.Duration {
 	before := rateAt(r.done, r.start.Add(coldAt))
-	end := r.now
+	end := r.now()
 	last := end
 	for at := end; at.After(r.start.Add(coldAt)); at = at.Add(-rateWindow / 4) {
 		if rateAt(r.done, at) < fullRate*before {
--- a/bench/gate/credits.go
+++ b/bench/gate/credits.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -55,7 +54,7 @@
 	r := &creditRun{
 		run: run{
 			g:   gate.New(start, cfg, limits, rand.New(rand.NewPCG(seed, 1))),
-			rng: rand.New(rand.NewPCG(seed, 2)), start: start, now: start,
+			rng: rand.New(rand.NewPCG(seed, 2)), start: start,
 		},
 		limit: limit, heed: heed,
 		senders: map[contract.MachineID]*sender{}, owner: map[contract.AttemptID]*sender{},
@@ -70,15 +69,11 @@
 	}
 	rate := share * float64(limit) / (unitTime + firstToken).Seconds()
 	r.after(heartbeat, func(time.Time) { r.offer(rate) })
-	for len(r.agenda) > 0 && r.now.Sub(start) < creditsTime {
-		e := heap.Pop(&r.agenda).(event)
-		r.now = e.at
-		e.what(e.at)
-	}
+	r.play(creditsTime)
 	return r
 }
 
-func (r *creditRun) measured() bool { return r.now.Sub(r.start) >= creditsWarmUp }
+func (r *creditRun) measured() bool { return r.queue.Now() >= creditsWarmUp }
 
 // beat is a heartbeat of a sender's link.
 func (r *creditRun) beat(s *sender) {
@@ -94,7 +89,7 @@
 	r.next++
 	s := r.order[r.rng.IntN(len(r.order))]
 	id := contract.AttemptID{Request: contract.RequestID(fmt.Sprint(r.next)), N: 1}
-	s.waiting = append(s.waiting, waitingCall{id: id, since: r.now})
+	s.waiting = append(s.waiting, waitingCall{id: id, since: r.now()})
 	r.flush(s)
 	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func(time.Time) { r.offer(rate) })
 }
@@ -108,7 +103,7 @@
 		r.owner[c.id] = s
 		if r.measured() {
 			r.sent++
-			r.waits = append(r.waits, r.now.Sub(c.since))
+			r.waits = append(r.waits, r.now().Sub(c.since))
 		}
 		r.after(linkDelay, func(time.Time) {
 			r.stepCredits(gate.Arrived{From: s.name, Start: contract.Start{
@@ -119,7 +114,7 @@
 }
 
 func (r *creditRun) stepCredits(e gate.Event) {
-	for _, effect := range slices.Clone(r.g.Step(r.now, e)) {
+	for _, effect := range slices.Clone(r.g.Step(r.now(), e)) {
 		switch effect := effect.(type) {
 		case gate.Run:
 			id := effect.Start.Attempt
--- a/bench/serving/calls.go
+++ b/bench/serving/calls.go
@@ -43,7 +43,7 @@
 		return
 	}
 	gap := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
-	w.after(gap, func() {
+	w.queue.After(gap, func() {
 		if !w.result.closed {
 			call()
 			w.stream(rate, call)
@@ -79,16 +79,16 @@
 // submit brings a call to an entry that the platform's balancer draws blindly.
 func (w *world) submit(r dispatch.Request) {
 	h := w.hosts[w.rng.IntN(len(w.hosts))]
-	c := &call{request: r, host: h, sent: w.now}
+	c := &call{request: r, host: h, sent: w.now()}
 	w.calls[r.ID] = c
 	w.result.calls++
-	w.after(w.size.toCaller, func() { w.step(h, dispatch.Arrive{Request: r}) })
+	w.queue.After(w.size.toCaller, func() { w.step(h, dispatch.Arrive{Request: r}) })
 }
 
 // delivered records a part of an answer as the caller sees it.
 func (w *world) delivered(d dispatch.Deliver) {
 	c := w.calls[d.Request]
-	seen := w.now.Add(w.size.toCaller)
+	seen := w.now().Add(w.size.toCaller)
 	if c.parts == 0 {
 		w.result.first(c, seen.Sub(c.sent))
 	} else {
@@ -116,7 +116,7 @@
 // end stops the calls, waits for the answers and adds up the targets.
 func (w *world) end() *result {
 	w.result.closed = true
-	w.run(time.Minute)
+	w.queue.Run(time.Minute)
 	runs := map[contract.RequestID]int{}
 	for _, t := range w.order {
 		w.result.overBorne += t.OverBorne
--- a/bench/serving/network.go
+++ b/bench/serving/network.go
@@ -42,7 +42,7 @@
 	h.open[exchange] = id
 	t := w.targets[id]
 	if t.Down() {
-		w.after(w.delay(h, t), func() {
+		w.queue.After(w.delay(h, t), func() {
 			w.step(h, dispatch.Broken{Exchange: exchange, Reason: contract.ReasonLinkDown, Unsent: m.Kind == contract.KindStart})
 		})
 		return
@@ -51,7 +51,7 @@
 		return
 	}
 	run := t.Incarnation()
-	w.after(w.delay(h, t), func() {
+	w.queue.After(w.delay(h, t), func() {
 		if t.Incarnation() == run && !t.Down() {
 			w.arriveAt(t, route{h, exchange}, m)
 		}
@@ -62,10 +62,10 @@
 	switch m.Kind {
 	case contract.KindStart:
 		w.follows[m.Start.Attempt] = from
-		w.reply(t, from, t.Start(w.now, machineOf(from.host), *m.Start))
+		w.reply(t, from, t.Start(w.now(), machineOf(from.host), *m.Start))
 	case contract.KindQuery:
 		w.follows[m.Query.Attempt] = from
-		for _, answer := range t.Query(w.now, *m.Query) {
+		for _, answer := range t.Query(w.now(), *m.Query) {
 			w.reply(t, from, answer)
 		}
 	case contract.KindCancel:
@@ -81,12 +81,12 @@
 		return
 	}
 	t.wake = at
-	w.after(max(0, at.Sub(w.now)), func() {
+	w.queue.After(max(0, at.Sub(w.now())), func() {
 		if !t.wake.Equal(at) {
 			return
 		}
 		t.wake = time.Time{}
-		for _, out := range t.Tick(w.now) {
+		for _, out := range t.Tick(w.now()) {
 			w.output(t, out)
 		}
 		w.wakeTarget(t)
@@ -103,7 +103,7 @@
 	if to.host.silent[t.Machine] {
 		return
 	}
-	w.after(w.delay(to.host, t), func() {
+	w.queue.After(w.delay(to.host, t), func() {
 		w.step(to.host, dispatch.Received{Exchange: to.exchange, Message: m})
 	})
 }
@@ -114,8 +114,8 @@
 	for _, h := range w.hosts {
 		w.breakLink(h, t, contract.ReasonLinkDown)
 	}
-	w.after(down, func() {
-		t.Restart(w.now)
+	w.queue.After(down, func() {
+		t.Restart(w.now())
 		for _, h := range w.hosts {
 			w.step(h, dispatch.LinkUp{Machine: t.Machine})
 		}
@@ -145,10 +145,10 @@
 // more; it is found out by its heartbeats and replaced.
 func (w *world) silence(h *host, t *target) {
 	h.silent[t.Machine] = true
-	w.after(silentAfter, func() {
+	w.queue.After(silentAfter, func() {
 		delete(h.silent, t.Machine)
 		w.breakLink(h, t, contract.ReasonLinkSilent)
-		w.after(redialTime, func() { w.step(h, dispatch.LinkUp{Machine: t.Machine}) })
+		w.queue.After(redialTime, func() { w.step(h, dispatch.LinkUp{Machine: t.Machine}) })
 	})
 }
 
@@ -164,16 +164,16 @@
 	w.out = next
 	view := w.size.view(w.offset, next)
 	for _, h := range w.hosts {
-		w.after(w.lag(), func() { w.step(h, dispatch.SettingsChanged{View: view}) })
+		w.queue.After(w.lag(), func() { w.step(h, dispatch.SettingsChanged{View: view}) })
 	}
 	ordered := time.Time{}
 	if out {
-		ordered = w.now
+		ordered = w.now()
 	}
 	for _, t := range w.order {
 		if t.place.Zone == zone {
 			t.Order(ordered)
-			w.after(w.lag(), func() { t.SetOut(out) })
+			w.queue.After(w.lag(), func() { t.SetOut(out) })
 		}
 	}
 }
--- a/bench/serving/run.go
+++ b/bench/serving/run.go
@@ -23,24 +23,24 @@
 	return []scenario{
 		{"calm", func(w *world) {
 			w.everyTeam(calm)
-			w.run(60 * time.Second)
+			w.queue.Run(60 * time.Second)
 		}},
 		{"zone out at 20 s, back at 50 s", func(w *world) {
 			w.everyTeam(calm)
-			w.run(20 * time.Second)
+			w.queue.Run(20 * time.Second)
 			w.setZone(s.zones[0].Zone, true)
-			w.run(30 * time.Second)
+			w.queue.Run(30 * time.Second)
 			w.setZone(s.zones[0].Zone, false)
-			w.run(40 * time.Second)
+			w.queue.Run(40 * time.Second)
 		}},
 		{"faults: 3 deaths, 4 silent links, 2 targets turn cold", func(w *world) {
 			w.everyTeam(calm)
 			w.faults()
-			w.run(60 * time.Second)
+			w.queue.Run(60 * time.Second)
 		}},
 		{"overload: 1.5 times the capacity", func(w *world) {
 			w.everyTeam(1.5)
-			w.run(60 * time.Second)
+			w.queue.Run(60 * time.Second)
 		}},
 	}
 }
@@ -61,7 +61,7 @@
 	pick := func() *target { return w.order[w.rng.IntN(len(w.order)-1)] }
 	for range 3 {
 		t := pick()
-		w.after(at(), func() {
+		w.queue.After(at(), func() {
 			if !t.Down() {
 				w.kill(t, 5*time.Second)
 			}
@@ -69,11 +69,11 @@
 	}
 	for range 4 {
 		h, t := w.hosts[w.rng.IntN(len(w.hosts))], pick()
-		w.after(at(), func() { w.silence(h, t) })
+		w.queue.After(at(), func() { w.silence(h, t) })
 	}
 	for range 2 {
 		t := pick()
-		w.after(at(), func() { t.TurnCold(w.now) })
+		w.queue.After(at(), func() { t.TurnCold(w.now()) })
 	}
 }
 
@@ -150,11 +150,11 @@
 // how many of its calls were not answered whole, over the time of the flood.
 func smallTeam(w *world, rate, flood float64, begins time.Duration) (p99 float64, missing int) {
 	w.start(load{team: team(0), models: rate})
-	w.run(begins)
+	w.queue.Run(begins)
 	delete(w.result.byTeam, team(0))
-	from := w.now
+	from := w.now()
 	w.start(load{team: team(1), models: flood})
-	w.run(180 * time.Second)
+	w.queue.Run(180 * time.Second)
 	w.end()
 	for _, c := range w.calls {
 		late := !c.sent.Before(from)
@@ -176,7 +176,7 @@
 		s.engines *= factor
 		w := policyWorld(s, seed)
 		w.everyTeam(calm)
-		w.run(20 * time.Second)
+		w.queue.Run(20 * time.Second)
 		links := w.links()
 		r := w.end()
 		fmt.Fprintf(table, "%d\t%d\t%d\t%.2f %%\t%.1f ms\t%.1f ms\t%.3f\t%.1f\n", s.entries, s.engines, r.calls,
--- a/bench/serving/run_test.go
+++ b/bench/serving/run_test.go
@@ -10,11 +10,11 @@
 func play(w *world) *result {
 	w.everyTeam(calm)
 	w.faults()
-	w.run(5 * time.Second)
+	w.queue.Run(5 * time.Second)
 	w.setZone(w.size.zones[1].Zone, true)
-	w.run(15 * time.Second)
+	w.queue.Run(15 * time.Second)
 	w.setZone(w.size.zones[1].Zone, false)
-	w.run(25 * time.Second)
+	w.queue.Run(25 * time.Second)
 	return w.end()
 }
 
--- a/bench/serving/world.go
+++ b/bench/serving/world.go
@@ -1,13 +1,13 @@
 package serving
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"mimosastand.example/mimosastand/bench/serving/fake"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/simulation"
 	"mimosastand.example/mimosastand/machine/entry/dispatch"
 	"mimosastand.example/mimosastand/zone/balancer"
 	"mimosastand.example/mimosastand/zone/hostlist"
@@ -30,39 +30,6 @@
 	Wake() (time.Time, bool)
 }
 
-type event struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type agenda []event
-
-// Len implements heap.Interface.
-func (a agenda) Len() int { return len(a) }
-
-// Less implements heap.Interface.
-func (a agenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].seq < a[j].seq
-	}
-	return a[i].at.Before(a[j].at)
-}
-
-// Swap implements heap.Interface.
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
-
-// Pop implements heap.Interface.
-func (a *agenda) Pop() any {
-	last := len(*a) - 1
-	e := (*a)[last]
-	*a = (*a)[:last]
-	return e
-}
-
 // target is a fake target and where it runs.
 type target struct {
 	*fake.Target
@@ -98,9 +65,7 @@
 type world struct {
 	size    size
 	rng     *rand.Rand
-	now     time.Time
-	agenda  agenda
-	seq     uint64
+	queue   simulation.Queue
 	hosts   []*host
 	targets map[contract.MachineID]*target
 	order   []*target
@@ -114,7 +79,7 @@
 
 func newWorld(s size, seed uint64, gate bool, make func(dispatch.Config, *rand.Rand) policy) *world {
 	w := &world{
-		size: s, rng: rand.New(rand.NewPCG(seed, 11)), now: epoch,
+		size: s, rng: rand.New(rand.NewPCG(seed, 11)),
 		targets: map[contract.MachineID]*target{}, follows: map[contract.AttemptID]route{},
 		out: map[contract.ZoneName]bool{}, result: newResult(), calls: map[contract.RequestID]*call{},
 	}
@@ -141,7 +106,7 @@
 		if service == w.size.model {
 			c.Model, c.Digest, c.Warm, c.First, c.Gap = true, weights, engineWarm, firstToken, tokenGap
 		}
-		t := &target{Target: fake.New(w.now.Add(-time.Hour), c), place: w.size.zones[i%len(w.size.zones)], service: service}
+		t := &target{Target: fake.New(w.now().Add(-time.Hour), c), place: w.size.zones[i%len(w.size.zones)], service: service}
 		w.targets[c.Machine] = t
 		w.order = append(w.order, t)
 	}
@@ -184,21 +149,7 @@
 	}
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.agenda, event{at: w.now.Add(d), seq: w.seq, do: do})
-}
-
-// run lets virtual time pass.
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) {
-		e := heap.Pop(&w.agenda).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
+func (w *world) now() time.Time { return epoch.Add(w.queue.Now()) }
 
 // delay is the one-way time between an entry and a target.
 func (w *world) delay(h *host, t *target) time.Duration {
@@ -214,11 +165,11 @@
 		if t.Down() || h.silent[t.Machine] {
 			continue
 		}
-		load := t.Load(w.now, machineOf(h))
+		load := t.Load(w.now(), machineOf(h))
 		hb := contract.Heartbeat{Machine: t.Machine, Incarnation: t.Incarnation(), Load: &load}
-		w.after(w.delay(h, t), func() { w.step(h, dispatch.Heartbeat{Heartbeat: hb}) })
+		w.queue.After(w.delay(h, t), func() { w.step(h, dispatch.Heartbeat{Heartbeat: hb}) })
 	}
-	w.after(heartbeat, func() { w.beat(t) })
+	w.queue.After(heartbeat, func() { w.beat(t) })
 }
 
 func machineOf(h *host) contract.MachineID {
@@ -236,7 +187,7 @@
 	for len(h.pending) > 0 {
 		next := h.pending[0]
 		h.pending = h.pending[1:]
-		h.effects = h.policy.Step(w.now, next, h.effects[:0])
+		h.effects = h.policy.Step(w.now(), next, h.effects[:0])
 		for _, e := range h.effects {
 			w.apply(h, e)
 		}
@@ -251,7 +202,7 @@
 		return
 	}
 	h.wake = at
-	w.after(max(0, at.Sub(w.now)), func() {
+	w.queue.After(max(0, at.Sub(w.now())), func() {
 		if !h.wake.Equal(at) {
 			return
 		}
