settings/follow/spread/sim: the world uses the shared queue

Cause: a third heap of events in virtual time. Its counter also numbered the long polls of the log.

Change: simulation.Queue; polls have a counter of their own, of which only equality counts. Delays and the order of events stay.

--- a/settings/follow/spread/sim/world.go
+++ b/settings/follow/spread/sim/world.go
@@ -1,13 +1,13 @@
 package sim
 
 import (
-	"container/heap"
 	"context"
 	"math/rand/v2"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/durable"
+	"mimosastand.example/mimosastand/internal/simulation"
 	"mimosastand.example/mimosastand/settings/follow/spread"
 	"mimosastand.example/mimosastand/settings/record"
 )
@@ -33,11 +33,9 @@
 	LogDelay time.Duration
 
 	timing  spread.Timing
-	start   time.Time
-	now     time.Time
+	queue   simulation.Queue
 	rng     *rand.Rand
-	queue   queue
-	seq     uint64
+	polls   uint64
 	nodes   []*Node
 	byName  map[string]*Node
 	waiting map[*Node]waiter
@@ -52,7 +50,7 @@
 	Steps, Pulls, PullBytes, Heartbeats int
 }
 
-// waiter is a long poll of the log.
+// waiter is a long poll of the log; id tells it from other polls of the same node.
 type waiter struct {
 	after contract.Offset
 	id    uint64
@@ -60,13 +58,12 @@
 
 // NewWorld returns an empty world whose random choices follow from seed.
 func NewWorld(seed uint64, timing spread.Timing) *World {
-	start := time.Unix(0, 0).UTC()
 	w := &World{
-		timing: timing, start: start, now: start, rng: rand.New(rand.NewPCG(seed, seed)),
+		timing: timing, rng: rand.New(rand.NewPCG(seed, seed)),
 		byName: map[string]*Node{}, waiting: map[*Node]waiter{},
 		cutZones: map[contract.ZoneName]bool{}, cutLog: map[contract.ZoneName]bool{},
 	}
-	w.Log = NewLog(func() time.Time { return w.now })
+	w.Log = NewLog(w.clock)
 	return w
 }
 
@@ -92,15 +89,15 @@
 func (w *World) Start(name string, zone contract.ZoneName, tails bool) *Node {
 	rng := rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64()))
 	n := &Node{Name: name, Zone: zone, world: w, heard: map[*Node]contract.Offset{}}
-	n.Machine = spread.New(w.timing, rng, w.now)
+	n.Machine = spread.New(w.timing, rng, w.clock())
 	if w.Prepare != nil {
 		w.Prepare(n.Machine)
 	}
 	w.nodes = append(w.nodes, n)
 	w.byName[name] = n
 	n.deliver(spread.Tailing{On: tails})
-	w.after(w.upTo(tickInterval), n.tick)
-	w.after(w.upTo(heartbeatEvery), n.heartbeat)
+	w.queue.After(w.upTo(tickInterval), n.tick)
+	w.queue.After(w.upTo(heartbeatEvery), n.heartbeat)
 	return n
 }
 
@@ -128,7 +125,12 @@
 
 // Now returns the virtual time since the world's start.
 func (w *World) Now() time.Duration {
-	return w.now.Sub(w.start)
+	return w.queue.Now()
+}
+
+// clock is the virtual time of day.
+func (w *World) clock() time.Time {
+	return time.Unix(0, 0).UTC().Add(w.queue.Now())
 }
 
 // Cost returns the counts so far.
@@ -183,18 +185,7 @@
 
 // Run lets virtual time pass.
 func (w *World) Run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		item := heap.Pop(&w.queue).(queued)
-		w.now = item.at
-		item.run()
-	}
-	w.now = end
-}
-
-func (w *World) after(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.queue, queued{at: w.now.Add(d), seq: w.seq, run: run})
+	w.queue.Run(d)
 }
 
 func (w *World) upTo(d time.Duration) time.Duration {
@@ -215,7 +206,7 @@
 	if !n.paused {
 		n.deliver(spread.Tick{})
 	}
-	n.world.after(tickInterval, n.tick)
+	n.world.queue.After(tickInterval, n.tick)
 }
 
 // heartbeat tells all peers the node's offset.
@@ -228,7 +219,7 @@
 			n.beat(peer)
 		}
 	}
-	n.world.after(heartbeatEvery, n.heartbeat)
+	n.world.queue.After(heartbeatEvery, n.heartbeat)
 }
 
 func (n *Node) beat(peer *Node) {
@@ -237,7 +228,7 @@
 	}
 	offset := n.Machine.State().Offset()
 	n.world.cost.Heartbeats++
-	n.world.after(linkDelay, func() {
+	n.world.queue.After(linkDelay, func() {
 		peer.heard[n] = offset
 		peer.deliver(spread.PeerOffset{Offset: offset})
 	})
@@ -259,9 +250,9 @@
 	w := n.world
 	w.cost.Steps++
 	before := n.Machine.State().Offset()
-	effects := n.Machine.Step(w.now, ev)
+	effects := n.Machine.Step(w.clock(), ev)
 	if n.Machine.State().Offset() != before {
-		n.Applied = w.now
+		n.Applied = w.clock()
 	}
 	for _, e := range effects {
 		if w.Trace != nil {
@@ -275,13 +266,13 @@
 	w := n.world
 	switch e := e.(type) {
 	case spread.ReadLog:
-		w.after(logDelay+w.LogDelay, func() { n.readLog(e) })
+		w.queue.After(logDelay+w.LogDelay, func() { n.readLog(e) })
 	case spread.ProbeLog:
-		w.after(logDelay+w.LogDelay, func() { n.probe(e.After) })
+		w.queue.After(logDelay+w.LogDelay, func() { n.probe(e.After) })
 	case spread.PullPeer:
-		w.after(linkDelay, func() { n.pull(e.After) })
+		w.queue.After(linkDelay, func() { n.pull(e.After) })
 	case spread.AppendCheckpoint:
-		w.after(logDelay+w.LogDelay, func() { n.append(e.Data) })
+		w.queue.After(logDelay+w.LogDelay, func() { n.append(e.Data) })
 	}
 }
 
@@ -305,7 +296,7 @@
 func (n *Node) readLog(e spread.ReadLog) {
 	w := n.world
 	if n.logCut() {
-		w.after(callTimeout, func() { n.deliver(spread.LogFailed{}) })
+		w.queue.After(callTimeout, func() { n.deliver(spread.LogFailed{}) })
 		return
 	}
 	batch, err := w.poll(e.After)
@@ -317,10 +308,10 @@
 		n.deliver(spread.LogRead{After: e.After, Batch: batch})
 		return
 	}
-	w.seq++
-	id := w.seq
+	w.polls++
+	id := w.polls
 	w.waiting[n] = waiter{after: e.After, id: id}
-	w.after(e.Wait, func() {
+	w.queue.After(e.Wait, func() {
 		if w.waiting[n].id == id {
 			w.finish(n)
 		}
@@ -348,7 +339,7 @@
 func (w *World) wakeWaiters() {
 	for _, n := range w.nodes {
 		if _, ok := w.waiting[n]; ok {
-			w.after(logDelay+w.LogDelay, func() {
+			w.queue.After(logDelay+w.LogDelay, func() {
 				if _, still := w.waiting[n]; still {
 					w.finish(n)
 				}
@@ -363,13 +354,13 @@
 	w := n.world
 	peer := n.choosePeer()
 	if peer == nil || peer.paused {
-		w.after(pullTimeout, func() { n.deliver(spread.PullFailed{}) })
+		w.queue.After(pullTimeout, func() { n.deliver(spread.PullFailed{}) })
 		return
 	}
 	w.cost.Pulls++
 	reply := peer.Machine.Serve(contract.SettingsPull{After: after})
 	w.cost.PullBytes += replyBytes(reply)
-	w.after(2*linkDelay, func() { n.deliver(spread.PeerAnswer{Records: reply}) })
+	w.queue.After(2*linkDelay, func() { n.deliver(spread.PeerAnswer{Records: reply}) })
 }
 
 func (n *Node) choosePeer() *Node {
@@ -392,27 +383,3 @@
 	}
 	return size
 }
-
-type queued struct {
-	at  time.Time
-	seq uint64
-	run func()
-}
-
-type queue []queued
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(queued)) }
-func (q *queue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
