Dead code: exported methods that nothing calls

A count of the uses of each exported name over product, bench, stand-ins and tests shows methods that nothing uses and that no interface asks for.

Change: removed AttemptState.Outcome, fake.Target.Leave, Fleet.RunFor of bench/weights, Process.Done, Cluster.StopAll, Rotation.Add, Tally.Reasons, FirstToken and Gap, Feed.Known, Record.Length, Gate.Leaving, Gate.Started, Change.Time, ChunkStore.Versions, Swarm.Have, Pool.Members and Watcher.Err, and the fields, constants and histograms that served them alone.

--- a/bench/serving/fake/target.go
+++ b/bench/serving/fake/target.go
@@ -74,7 +74,6 @@
 	// operators took it out.
 	out      bool
 	ordered  time.Time
-	leaving  bool
 	down     bool
 	attempts map[contract.AttemptID]*attempt
 	running  []*attempt
@@ -133,9 +132,6 @@
 // SetOut tells the target that its zone is out or in.
 func (t *Target) SetOut(out bool) { t.out = out }
 
-// Leave makes the target refuse new work.
-func (t *Target) Leave() { t.leaving = true }
-
 // Incarnation is the present run.
 func (t *Target) Incarnation() contract.Incarnation { return t.incarnation }
 
@@ -167,7 +163,7 @@
 		Running: uint32(len(t.running)),
 		Limit:   uint32(limit),
 		Warm:    !now.Before(t.coldUntil),
-		Leaving: t.leaving || t.out,
+		Leaving: t.out,
 		Credits: uint32(t.credits(now, entry, limit)),
 		Seq:     t.seq,
 	}
@@ -210,8 +206,6 @@
 
 func (t *Target) objection(now time.Time, s contract.Start) contract.Reason {
 	switch {
-	case t.leaving:
-		return contract.ReasonTargetLeaving
 	case t.out:
 		return contract.ReasonZoneOut
 	case s.Remaining <= 0:
--- a/bench/weights/scenario.go
+++ b/bench/weights/scenario.go
@@ -31,12 +31,6 @@
 	return f.wire.result()
 }
 
-// RunFor works until limit, whatever the hosts hold.
-func (f *Fleet) RunFor(limit time.Duration) Result {
-	f.wire.clock.run(limit, func() bool { return false })
-	return f.wire.result()
-}
-
 // Kill ends a host; peers and the host list notice.
 func (f *Fleet) Kill(i int) { f.wire.hosts[i].kill() }
 
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -55,15 +55,3 @@
 	}
 	return "invalid"
 }
-
-// Outcome returns what the state says about the attempt's outcome.
-func (s AttemptState) Outcome() Outcome {
-	switch s {
-	case AttemptNeverRan:
-		return OutcomeNotRun
-	case AttemptDone:
-		return OutcomeDone
-	default:
-		return OutcomeUnknown
-	}
-}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -31,9 +31,6 @@
 	authority *devkeys.Authority
 }
 
-// stopGrace is how long a planned stop of one process may take.
-const stopGrace = 15 * time.Second
-
 // New prepares a system in dir with the programs in binDir; nothing runs yet.
 func New(dir, binDir string, spec Spec) (*Cluster, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -207,18 +204,6 @@
 	return started
 }
 
-// StopAll asks every process for a planned stop, entries first, and returns the
-// names of those that did not end well.
-func (c *Cluster) StopAll() []string {
-	var failed []string
-	for _, p := range c.Processes() {
-		if p.Running() && !p.Stop(stopGrace) {
-			failed = append(failed, p.Name)
-		}
-	}
-	return failed
-}
-
 // Close ends every process and relay at once and gives the cluster's addresses back.
 func (c *Cluster) Close() {
 	for _, p := range c.Processes() {
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -73,11 +73,6 @@
 	return p.cmd.Process.Pid
 }
 
-// Done is closed when the process has ended.
-func (p *Process) Done() <-chan struct{} {
-	return p.done
-}
-
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"mimosastand.example/mimosastand/contract"
 )
 
@@ -46,33 +44,21 @@
 	Detail string
 }
 
-const (
-	histogramMin     = int64(10 * time.Microsecond)
-	histogramMax     = int64(2 * time.Minute)
-	histogramFigures = 3
-)
-
 // Tally adds up results. It is safe for concurrent use.
 type Tally struct {
-	began      time.Time
-	mu         sync.Mutex
-	classes    map[Class]int
-	reasons    map[string]int
-	details    []string
-	digests    map[contract.Digest]int
-	firstToken *hdrhistogram.Histogram
-	gaps       *hdrhistogram.Histogram
+	began   time.Time
+	mu      sync.Mutex
+	classes map[Class]int
+	details []string
+	digests map[contract.Digest]int
 }
 
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
-		began:      time.Now(),
-		classes:    map[Class]int{},
-		reasons:    map[string]int{},
-		digests:    map[contract.Digest]int{},
-		firstToken: hdrhistogram.New(histogramMin, histogramMax, histogramFigures),
-		gaps:       hdrhistogram.New(histogramMin, histogramMax, histogramFigures),
+		began:   time.Now(),
+		classes: map[Class]int{},
+		digests: map[contract.Digest]int{},
 	}
 }
 
@@ -84,11 +70,8 @@
 	t.classes[r.Class]++
 	switch r.Class {
 	case Whole:
-		_ = t.firstToken.RecordValue(int64(r.FirstToken))
-		_ = t.gaps.RecordValue(int64(r.MaxGap))
 		t.digests[r.Digest]++
 	default:
-		t.reasons[string(r.Reason)+" ("+r.Outcome+")"]++
 		if len(t.details) < keptDetails && r.Detail != "" {
 			at := time.Since(t.began).Round(time.Millisecond)
 			t.details = append(t.details, fmt.Sprintf("after %v %s: %s", at, r.Class, r.Detail))
@@ -114,13 +97,6 @@
 	return total
 }
 
-// Reasons returns how often each reason and outcome came.
-func (t *Tally) Reasons() map[string]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return copyCounts(t.reasons)
-}
-
 // Digests returns how many whole answers came from each version.
 func (t *Tally) Digests() map[contract.Digest]int {
 	t.mu.Lock()
@@ -142,17 +118,3 @@
 	defer t.mu.Unlock()
 	return append([]string(nil), t.details...)
 }
-
-// FirstToken returns a percentile of the time to the first token.
-func (t *Tally) FirstToken(percent float64) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return time.Duration(t.firstToken.ValueAtPercentile(percent))
-}
-
-// Gap returns a percentile of each answer's longest gap between tokens.
-func (t *Tally) Gap(percent float64) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return time.Duration(t.gaps.ValueAtPercentile(percent))
-}
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -45,14 +45,6 @@
 	r.bases = kept
 }
 
-// Add puts an entry host in.
-func (r *Rotation) Add(base string) {
-	r.Remove(base)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.bases = append(r.bases, base)
-}
-
 // Traffic is a steady load of model calls and service calls.
 type Traffic struct {
 	Caller   *Caller
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -253,13 +253,6 @@
 	return f.up
 }
 
-// Known reports whether the whole topic has been read or got from a peer.
-func (f *Feed) Known() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.known
-}
-
 // Newest is the highest offset taken in, -1 if there is none.
 func (f *Feed) Newest() int64 {
 	f.mu.Lock()
--- a/machine/target/answers/record.go
+++ b/machine/target/answers/record.go
@@ -97,9 +97,6 @@
 // Frames returns the number of frames of the answer so far.
 func (r *Record) Frames() uint64 { return r.first + uint64(len(r.frames)) }
 
-// Length returns the number of bytes of the answer so far.
-func (r *Record) Length() uint64 { return r.length }
-
 // Frame returns frame number seq, whose data is not to be changed; ok is false if it is not there (yet or any more).
 func (r *Record) Frame(seq uint64) (f Frame, ok bool) {
 	if seq < r.first || seq >= r.Frames() {
--- a/machine/target/gate/gate.go
+++ b/machine/target/gate/gate.go
@@ -246,9 +246,6 @@
 	return !a.deadline.After(g.now) && g.off&offDeadline == 0
 }
 
-// Leaving reports whether the target accepts no new work.
-func (g *Gate) Leaving() bool { return g.leaving }
-
 // Idle reports whether nothing is queued and nothing runs towards a caller.
 func (g *Gate) Idle() bool {
 	if len(g.queue) > 0 {
--- a/machine/target/gate/query.go
+++ b/machine/target/gate/query.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"time"
-
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/target/answers"
 	"mimosastand.example/mimosastand/machine/target/coldstart"
@@ -126,9 +124,6 @@
 // Offset returns the highest settings record applied.
 func (g *Gate) Offset() contract.Offset { return g.settings.Offset }
 
-// Started returns when the process began.
-func (g *Gate) Started() time.Time { return g.started }
-
 // Lingers reports whether the attempt's answer is closed while the back end may
 // still work on it.
 func (g *Gate) Lingers(id contract.AttemptID) bool {
--- a/settings/record/record.go
+++ b/settings/record/record.go
@@ -3,8 +3,6 @@
 package record
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 	"lukechampine.com/blake3"
 
@@ -45,11 +43,6 @@
 	Intent string `cbor:"7,keyasint,omitempty"`
 }
 
-// Time returns the submitter's clock when the change was made.
-func (c Change) Time() time.Time {
-	return time.UnixMilli(c.UnixMilli).UTC()
-}
-
 // Sum identifies what a change is meant to do, so that a resend and another
 // change with the same identifier can be told apart. Base and time are left
 // out: they may differ in a resend.
--- a/weights/chunkstore.go
+++ b/weights/chunkstore.go
@@ -127,14 +127,3 @@
 	defer s.mu.RUnlock()
 	return s.bytes
 }
-
-// Versions returns the digests of the versions that are held, in no order.
-func (s *ChunkStore) Versions() []contract.Digest {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	out := make([]contract.Digest, 0, len(s.versions))
-	for d := range s.versions {
-		out = append(out, d)
-	}
-	return out
-}
--- a/weights/swarm/swarm.go
+++ b/weights/swarm/swarm.go
@@ -157,16 +157,6 @@
 	return v.heldCount
 }
 
-// Have returns what is held of a version, as a Have would tell it.
-func (s *Swarm) Have(d contract.Digest) (epoch uint64, first int, bits []byte) {
-	v := s.version(d)
-	if v == nil {
-		return s.cfg.Epoch, 0, nil
-	}
-	first, bits = v.held.span()
-	return s.cfg.Epoch, first, bits
-}
-
 // Next returns when to call Step with a Tick, or a time that never comes.
 func (s *Swarm) Next() time.Duration {
 	next := s.flushAt
--- a/zone/balancer/pool.go
+++ b/zone/balancer/pool.go
@@ -210,8 +210,3 @@
 	_, ok := p.members[id]
 	return ok
 }
-
-// Members returns how many targets the pool holds.
-func (p *Pool) Members() int {
-	return len(p.order)
-}
--- a/zone/hostwatch/hostwatch.go
+++ b/zone/hostwatch/hostwatch.go
@@ -26,7 +26,6 @@
 	mu   sync.Mutex
 	last hostlist.List
 	seen bool
-	err  error
 }
 
 // New returns a watcher that calls onChange, which may be nil, with the first
@@ -65,7 +64,6 @@
 func (w *Watcher) take(list hostlist.List, err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.err = err
 	if err != nil || w.seen && list.Version <= w.last.Version {
 		return false
 	}
@@ -80,10 +78,3 @@
 	defer w.mu.Unlock()
 	return w.last, w.seen
 }
-
-// Err returns the error of the last poll, or nil.
-func (w *Watcher) Err() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.err
-}
