Doc comments: units, errors and what constants bound

Change: comments only, and one const block of a single constant in machine/peers.

Run: go test -race of platform, config, link, machine/peers and machine/entry/retry passes; zone/ejection has no tests of its own.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -36,13 +36,13 @@
 
 // Bounds are the limits that the fleet as a whole keeps.
 type Bounds struct {
-	// RetryRatio and RetryBurst bound the attempts beyond the first of each
-	// request to one service, within RetryWindow.
+	// RetryRatio and RetryBurst bound the attempts beyond the first of each request
+	// to one service within RetryWindow: the ratio times the requests, plus the burst.
 	RetryRatio  float64
 	RetryBurst  float64
 	RetryWindow time.Duration
-	// ColdFactor and ColdSlack bound what a cold target gets in a second:
-	// its rate times the factor, plus the slack.
+	// ColdFactor and ColdSlack bound the requests that a cold target gets in a second:
+	// the rate that it bears times the factor, plus the slack in requests.
 	ColdFactor, ColdSlack float64
 	// Version is how long after a version was named requests may begin on an
 	// older one.
--- a/config/process.go
+++ b/config/process.go
@@ -59,6 +59,7 @@
 
 // Entry holds what only an entry process needs.
 type Entry struct {
+	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout time.Duration
--- a/link/traffic.go
+++ b/link/traffic.go
@@ -6,8 +6,8 @@
 	"github.com/quic-go/quic-go"
 )
 
-// Traffic counts the bytes of an Endpoint's connections as QUIC sees them,
-// retransmissions included and UDP and IP headers left out.
+// Traffic counts the bytes and packets of an Endpoint's connections since it was
+// opened, as QUIC sees them: retransmissions included, UDP and IP headers left out.
 type Traffic struct {
 	SentBytes, ReceivedBytes     uint64
 	SentPackets, ReceivedPackets uint64
--- a/machine/entry/retry/window.go
+++ b/machine/entry/retry/window.go
@@ -13,7 +13,8 @@
 	firsts, retries []time.Time
 }
 
-// NewWindow returns an empty window; burst is this entry's share.
+// NewWindow returns an empty window. It allows ratio retries for each request within
+// length, and burst more, which is this entry's share.
 func NewWindow(length time.Duration, ratio, burst float64) *Window {
 	return &Window{length: length, ratio: ratio, burst: burst}
 }
@@ -27,7 +28,8 @@
 // First records a request.
 func (w *Window) First(now time.Time) { w.firsts = append(w.firsts, now) }
 
-// Left is how many retries the window allows now.
+// Left is how many retries the window allows now; it is negative when a bound was
+// lowered below what has been sent.
 func (w *Window) Left(now time.Time) float64 {
 	w.firsts = since(w.firsts, now.Add(-w.length))
 	w.retries = since(w.retries, now.Add(-w.length))
--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -9,10 +9,8 @@
 	"mimosastand.example/mimosastand/machine/feed"
 )
 
-const (
-	// catchupInterval is the time between two looks at whether the process lags.
-	catchupInterval = 300 * time.Millisecond
-)
+// catchupInterval is the time between two looks at whether the process lags.
+const catchupInterval = 300 * time.Millisecond
 
 // Catchup brings to a feed what peers know and the store does not tell: because
 // it turns the process away, or because a read that waits was not woken.
--- a/zone/ejection/tracker.go
+++ b/zone/ejection/tracker.go
@@ -12,17 +12,20 @@
 const (
 	// FailuresToEject is how many failures in a row eject a target.
 	FailuresToEject = 3
-	// SlowFactor times the median of the peers' delays is too slow.
+	// SlowFactor times the median delay of the targets in use is too slow.
 	SlowFactor = 4
 	// BaseEjection is the length of a first ejection, MaxEjection of any.
 	BaseEjection = time.Second
 	MaxEjection  = 30 * time.Second
 
+	// minSamples is how many delays of a target must be known, and minSlowDelay how
+	// long their average must be, before it can be too slow.
 	minSamples   = 5
 	minSlowDelay = 200 * time.Millisecond
 	// maxSlowShare bounds the targets ejected for slowness: one in so many.
 	maxSlowShare = 3
-	delayWeight  = 0.3
+	// delayWeight is the part of the newest delay in the moving average, 0 to 1.
+	delayWeight = 0.3
 )
 
 // Verdict tells how a target may be used.
