machine/entry/claims: the test world uses the shared queue

Cause: the world of the claims kept its events in a sorted list of its own, as the test worlds of the weights did.

Ruled out: methods of the world that only pass on, which would keep the old names.

Change: simulation.Queue for events and time. Events at the same time run in the order in which they were added, as before; histories, sessions and promises stay.

Run: go test -race -count=2 of the package passes on a copy of this tree. Before, one run beside other tests of mine (load average 35 on 8 cores) failed in TestProcesses, which runs real processes and not this world: "connection refused" at its first call, then no call of "paused" that got an answer. The same test passed on the tree before the change, run by itself.

--- a/machine/entry/claims/scenario_test.go
+++ b/machine/entry/claims/scenario_test.go
@@ -51,7 +51,7 @@
 		outcomes := map[string]contract.Outcome{"done": contract.OutcomeDone, "not-run": contract.OutcomeNotRun, "unknown": contract.OutcomeUnknown}
 		w.resolve(e, request, outcomes[arg("outcome")])
 	case "give-up":
-		w.on(e, func() { e.m.GiveUp(w.now, request) })
+		w.on(e, func() { e.m.GiveUp(w.now(), request) })
 	case "log":
 		w.logMode = arg("mode")
 	case "copy":
@@ -83,13 +83,13 @@
 		if err != nil {
 			d.Fatalf(t, "%v", err)
 		}
-		w.advance(parsed)
+		w.queue.Run(parsed)
 	}
 }
 
 // copyRecord appends a copy of a record, as a late duplicate of an append does.
 func (w *world) copyRecord(offset int) {
-	w.log = append(w.log, LogRecord{Offset: contract.Offset(len(w.log) + 1), Time: w.now, Data: w.log[offset-1].Data})
+	w.log = append(w.log, LogRecord{Offset: contract.Offset(len(w.log) + 1), Time: w.now(), Data: w.log[offset-1].Data})
 	w.printf("log %d: copy of %d", len(w.log), offset)
 	for _, name := range w.names {
 		w.deliver(w.entries[name])
--- a/machine/entry/claims/world_test.go
+++ b/machine/entry/claims/world_test.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"sort"
 	"strings"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/simulation"
 	"mimosastand.example/mimosastand/machine/entry/claims/batcher"
 	"mimosastand.example/mimosastand/machine/entry/claims/ledger"
 )
@@ -17,27 +16,22 @@
 
 // world joins several machines, a log and targets under one simulated clock.
 type world struct {
-	start, now time.Time
-	events     []event
-	log        []LogRecord
-	logMode    string
-	entries    map[string]*entry
-	targets    map[string]*target
-	names      []string
-	answers    map[string]string
-	bodies     map[contract.RequestID]contract.Digest
-	out        strings.Builder
-	faults     []string
-	off        mechanism
-	retention  int
-	window     time.Duration
-	maxBody    int
-	ran        map[string]time.Time
-}
-
-type event struct {
-	at time.Time
-	do func()
+	start     time.Time
+	queue     simulation.Queue
+	log       []LogRecord
+	logMode   string
+	entries   map[string]*entry
+	targets   map[string]*target
+	names     []string
+	answers   map[string]string
+	bodies    map[contract.RequestID]contract.Digest
+	out       strings.Builder
+	faults    []string
+	off       mechanism
+	retention int
+	window    time.Duration
+	maxBody   int
+	ran       map[string]time.Time
 }
 
 type entry struct {
@@ -62,7 +56,7 @@
 
 func newWorld() *world {
 	start := time.Unix(1_000_000, 0).UTC()
-	return &world{start: start, now: start, logMode: "up", entries: map[string]*entry{}, targets: map[string]*target{},
+	return &world{start: start, logMode: "up", entries: map[string]*entry{}, targets: map[string]*target{},
 		answers: map[string]string{}, bodies: map[contract.RequestID]contract.Digest{},
 		window: time.Hour, maxBody: 1024, ran: map[string]time.Time{}}
 }
@@ -76,25 +70,10 @@
 	}
 }
 
-func (w *world) at(d time.Duration, do func()) {
-	e := event{at: w.now.Add(d), do: do}
-	i := sort.Search(len(w.events), func(i int) bool { return w.events[i].at.After(e.at) })
-	w.events = slices.Insert(w.events, i, e)
-}
-
-func (w *world) advance(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		next := w.events[0]
-		w.events = w.events[1:]
-		w.now = next.at
-		next.do()
-	}
-	w.now = end
-}
+func (w *world) now() time.Time { return w.start.Add(w.queue.Now()) }
 
 func (w *world) printf(format string, args ...any) {
-	fmt.Fprintf(&w.out, "%7.3f ", w.now.Sub(w.start).Seconds())
+	fmt.Fprintf(&w.out, "%7.3f ", w.queue.Now().Seconds())
 	fmt.Fprintf(&w.out, format+"\n", args...)
 }
 
@@ -115,7 +94,7 @@
 }
 
 func (w *world) addTarget(name string) {
-	w.targets[name] = &target{started: w.now, tombstones: map[contract.RequestID]bool{}, ran: map[contract.RequestID]string{}, running: map[contract.RequestID]bool{}}
+	w.targets[name] = &target{started: w.now(), tombstones: map[contract.RequestID]bool{}, ran: map[contract.RequestID]string{}, running: map[contract.RequestID]bool{}}
 }
 
 // on runs a step of an entry now, or when it is resumed.
@@ -133,7 +112,7 @@
 
 // pump carries out the effects of an entry's machine.
 func (w *world) pump(e *entry) {
-	for _, eff := range e.m.Ready(w.now) {
+	for _, eff := range e.m.Ready(w.now()) {
 		switch eff := eff.(type) {
 		case Decided:
 			w.decided(e, eff)
@@ -141,17 +120,17 @@
 			w.append(e, eff.Batch)
 		case Ask:
 			w.printf("%s asks about %s, age %s", e.name, eff.Winner, eff.Age)
-			w.at(2*hop, func() {
+			w.queue.After(2*hop, func() {
 				answer := w.probe(eff.Winner, eff.Age)
-				w.on(e, func() { e.m.Probed(w.now, eff.Key, eff.Winner, answer) })
+				w.on(e, func() { e.m.Probed(w.now(), eff.Key, eff.Winner, answer) })
 			})
 		case Recorded:
 			w.printf("%s: outcome of %s is in the log", e.name, eff.Request)
 		}
 	}
-	if at, ok := e.m.Wake(); ok && (e.wake.IsZero() || at.Before(e.wake) || !e.wake.After(w.now)) {
+	if at, ok := e.m.Wake(); ok && (e.wake.IsZero() || at.Before(e.wake) || !e.wake.After(w.now())) {
 		e.wake = at
-		w.at(max(at.Sub(w.now), 0), func() { w.on(e, func() { e.m.Tick(w.now) }) })
+		w.queue.After(max(at.Sub(w.now()), 0), func() { w.on(e, func() { e.m.Tick(w.now()) }) })
 	}
 }
 
@@ -177,7 +156,7 @@
 	}
 	w.printf("%s", text)
 	e.verdict[d.Request] = d.Decision
-	e.leases[d.Request] = NewLease(d.Decision, w.now)
+	e.leases[d.Request] = NewLease(d.Decision, w.now())
 }
 
 func (w *world) append(e *entry, b *ledger.Batch) {
@@ -186,16 +165,16 @@
 	if err != nil {
 		panic(err)
 	}
-	w.at(hop, func() {
+	w.queue.After(hop, func() {
 		status := map[string]batcher.Status{"up": batcher.Appended, "down": batcher.Unavailable, "throttle": batcher.Throttled}[mode]
 		if mode == "up" || mode == "lost" {
-			w.log = append(w.log, LogRecord{Offset: contract.Offset(len(w.log) + 1), Time: w.now, Data: data})
+			w.log = append(w.log, LogRecord{Offset: contract.Offset(len(w.log) + 1), Time: w.now(), Data: data})
 			w.printf("log %d: %s", len(w.log), describe(b))
 			for _, name := range w.names {
 				w.deliver(w.entries[name])
 			}
 		}
-		w.at(hop, func() { w.on(e, func() { e.m.Appended(w.now, b.Seq, status) }) })
+		w.queue.After(hop, func() { w.on(e, func() { e.m.Appended(w.now(), b.Seq, status) }) })
 	})
 }
 
@@ -216,14 +195,14 @@
 
 // deliver gives an entry the records that it has not read.
 func (w *world) deliver(e *entry) {
-	w.at(hop, func() {
+	w.queue.After(hop, func() {
 		w.on(e, func() {
 			if w.logMode == "down" {
-				w.at(100*time.Millisecond, func() { w.deliver(e) })
+				w.queue.After(100*time.Millisecond, func() { w.deliver(e) })
 				return
 			}
 			from := e.m.Applied()
-			if err := e.m.Records(w.now, w.log[from:], contract.Offset(len(w.log))); err != nil {
+			if err := e.m.Records(w.now(), w.log[from:], contract.Offset(len(w.log))); err != nil {
 				panic(err)
 			}
 		})
@@ -240,7 +219,7 @@
 		if body, ran := t.ran[request]; ran && !t.dead {
 			return ProbeResult{State: ProbeDone, Result: &Result{Status: 200, Body: []byte(body)}}
 		}
-		if t.dead || t.started.After(w.now.Add(-age)) {
+		if t.dead || t.started.After(w.now().Add(-age)) {
 			answer.State = ProbeUnknown
 			continue
 		}
@@ -255,7 +234,7 @@
 	e.claims[c.Request] = c
 	w.bodies[c.Request] = c.BodyHash
 	w.on(e, func() {
-		if err := e.m.Claim(w.now, c); err != nil {
+		if err := e.m.Claim(w.now(), c); err != nil {
 			w.printf("%s: %s: %v", e.name, request, err)
 		}
 	})
@@ -267,12 +246,12 @@
 	if !decided || d.Verdict != Run || e.dead || e.paused {
 		return false
 	}
-	if !e.leases[request].MayStart(w.now) && w.off&startBound == 0 {
+	if !e.leases[request].MayStart(w.now()) && w.off&startBound == 0 {
 		w.printf("%s: %s is too late to start", e.name, request)
 		return false
 	}
 	if t.dead || t.tombstones[request] {
-		if !t.dead && e.leases[request].MayStart(w.now) {
+		if !t.dead && e.leases[request].MayStart(w.now()) {
 			w.fault("%s was refused within its time to start", request)
 		}
 		w.printf("%s: %s refused by target", e.name, request)
@@ -281,9 +260,9 @@
 	key := e.claims[request].Key
 	t.ran[request] = "answer to " + string(request)
 	last, again := w.ran[key]
-	w.ran[key] = w.now
-	if again && w.now.Sub(last) < w.window-testConfig("").StartWithin {
-		w.fault("key %s ran again after %s", key, w.now.Sub(last))
+	w.ran[key] = w.now()
+	if again && w.now().Sub(last) < w.window-testConfig("").StartWithin {
+		w.fault("key %s ran again after %s", key, w.now().Sub(last))
 	} else {
 		w.answers[key] = t.ran[request]
 	}
@@ -298,7 +277,7 @@
 		result.Body = []byte("answer to " + string(request))
 	}
 	w.on(e, func() {
-		if err := e.m.Resolve(w.now, request, result); err != nil {
+		if err := e.m.Resolve(w.now(), request, result); err != nil {
 			w.printf("%s: %s: %v", e.name, request, err)
 		}
 	})
