e2e: one check that all answers are whole

Cause: six places in five tests compared the whole answers with all of them by the same lines.

Change: system.checkWhole, with the same condition and the same details in what it prints. The line of the caller tells which of two counts it was.

--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -39,12 +39,8 @@
 	s.checkAnswers(traffic.Models)
 	s.checkAnswers(traffic.Effects)
 	s.checkEffects()
-	if whole, all := traffic.Models.Count(load.Whole), traffic.Models.Total(); whole != all {
-		t.Errorf("%d of %d model answers whole: %v", whole, all, traffic.Models.Details())
-	}
-	if whole, all := traffic.Effects.Count(load.Whole), traffic.Effects.Total(); whole != all {
-		t.Errorf("%d of %d effects answered: %v", whole, all, traffic.Effects.Details())
-	}
+	s.checkWhole(traffic.Models)
+	s.checkWhole(traffic.Effects)
 }
 
 // TestZoneCutOff checks a zone that loses the platform and all other zones: its
@@ -72,9 +68,7 @@
 	settle(traffic)
 	s.checkAnswers(traffic.Models)
 	s.checkEffects()
-	if whole, all := traffic.Models.Count(load.Whole), traffic.Models.Total(); whole != all {
-		t.Errorf("%d of %d model answers whole: %v", whole, all, traffic.Models.Details())
-	}
+	s.checkWhole(traffic.Models)
 }
 
 // checkKeyedInside checks that a keyed call in a cut-off zone is truly refused.
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -23,9 +23,7 @@
 	s.waitFor(traffic.Models, 100)
 	settle(traffic)
 	s.checkAnswers(traffic.Models)
-	if whole, all := traffic.Models.Count(load.Whole), traffic.Models.Total(); whole != all {
-		t.Errorf("%d of %d answers whole: %v", whole, all, traffic.Models.Details())
-	}
+	s.checkWhole(traffic.Models)
 }
 
 // TestPlainTargetKilled checks that no effect runs twice when a target of a
@@ -82,9 +80,7 @@
 	s.checkAnswers(traffic.Models)
 	s.checkAnswers(traffic.Effects)
 	s.checkEffects()
-	if whole, all := traffic.Models.Count(load.Whole), traffic.Models.Total(); whole != all {
-		t.Errorf("%d of %d model answers whole: %v", whole, all, traffic.Models.Details())
-	}
+	s.checkWhole(traffic.Models)
 }
 
 // TestLogDown checks that model calls go on while the log is down, that keyed
@@ -169,7 +165,5 @@
 	}))
 	settle(traffic)
 	s.checkAnswers(traffic.Models)
-	if whole, all := traffic.Models.Count(load.Whole), traffic.Models.Total(); whole != all {
-		t.Errorf("%d of %d answers whole: %v", whole, all, traffic.Models.Details())
-	}
+	s.checkWhole(traffic.Models)
 }
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -257,3 +257,11 @@
 		s.t.Errorf("%d answers cut or wrong: %v", bad, tally.Details())
 	}
 }
+
+// checkWhole fails the test if a caller got anything but a whole answer.
+func (s *system) checkWhole(tally *load.Tally) {
+	s.t.Helper()
+	if whole, all := tally.Count(load.Whole), tally.Total(); whole != all {
+		s.t.Errorf("%d of %d answers whole: %v", whole, all, tally.Details())
+	}
+}
