Gauges and the tokens file use periodic.Run

Cause: two loops wrote again what internal/periodic does.

Ruled out: the loops that also wait for a signal, end with a count, or pass the time of the tick on (config, reports of a target, credentials), which are alike in shape only.

Change: periodic.Run in the target's gauge loop and in the admin server; the reading of the tokens file has a name. Intervals and returned errors stay.

Run: go test -race of machine/target, machine/entry/admin and internal/periodic passes.

--- a/machine/entry/admin/server.go
+++ b/machine/entry/admin/server.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/machine/entry/admin/wire"
 	"mimosastand.example/mimosastand/settings/follow"
 )
@@ -85,18 +86,15 @@
 
 // Run reloads the tokens file until ctx ends, and returns ctx's error.
 func (s *Server) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tokensInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if err := s.opts.Tokens.Reload(); err != nil {
-			s.scope.Counter("token_reload_failures").Inc(1)
-			s.opts.Logger.Errorf("tokens kept, the file is unusable: %v", err)
-		}
+	periodic.Run(ctx, tokensInterval, s.reloadTokens)
+	return ctx.Err()
+}
+
+// reloadTokens reads the tokens file; an unusable one leaves the former tokens in force.
+func (s *Server) reloadTokens() {
+	if err := s.opts.Tokens.Reload(); err != nil {
+		s.scope.Counter("token_reload_failures").Inc(1)
+		s.opts.Logger.Errorf("tokens kept, the file is unusable: %v", err)
 	}
 }
 
--- a/machine/target/gauges.go
+++ b/machine/target/gauges.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/weights/swarm"
 )
 
@@ -15,19 +16,12 @@
 // gaugeLoop shows the state of the gate on the metrics page, and tells the
 // runtime and the agent what has changed.
 func (p *Process) gaugeLoop(ctx context.Context) {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
 	live := liveRate{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.showGauges()
-			p.limitMemory()
-			p.tellLive(&live)
-		}
-	}
+	periodic.Run(ctx, gaugeInterval, func() {
+		p.showGauges()
+		p.limitMemory()
+		p.tellLive(&live)
+	})
 }
 
 // memoryBytes is what the process may take beside the chunks in hand: the bound
