Only a witness dates a version; what is known of its age is always told

Cause: the date of a version was one time, whoever set it. Whether a process saw the version named, found it, or learned of it after a gap, was lost.

Change: a process is a witness only if it had read the operators' records to their end within 2.5 s before; a feed tells that time with its news. Heartbeats tell how long a version has been known, always for the newest, and whether to a witness. Without a witness a version counts as named when the records were last read to their end, or, if it was found at the start, as past its bound 1.5 s after the start of the process. A peer's word of a version is taken in before its record comes.

Ruled out: dates by the time of day, which jumps.

Open: all processes suspended at the same time. The steady clock does not count that.

--- a/contract/message.go
+++ b/contract/message.go
@@ -210,8 +210,10 @@
 	_       struct{} `cbor:",toarray"`
 	Model   string
 	Version int64
-	// AgeMS is how many milliseconds before the heartbeat it was named, or more.
-	AgeMS uint32
+	// AgeMS is how many milliseconds before the heartbeat it was named, or more;
+	// Witnessed tells that it is not more.
+	AgeMS     uint32
+	Witnessed bool
 }
 
 // EngineStatus is what the process beside a model engine tells entries of it.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -166,7 +166,7 @@
 			hb.Flights = e.world.ownFlights()
 		}
 	}
-	hb.Named = e.world.recentVersions()
+	hb.Named = e.world.versionAges()
 	hb.Settings = contract.Offset(e.operators.Newest() + 1)
 	hb.Targets = contract.Offset(e.targets.Newest() + 1)
 }
--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	address, end := listenOnce(t, cancel)
-	e := &Entry{world: startedWorld(time.Hour), upstream: newUpstream()}
+	e := &Entry{world: startedWorld(time.Hour, 3), upstream: newUpstream()}
 	c := &call{
 		entry: e, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
 		route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(time.Hour),
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -24,7 +24,7 @@
 				WithField("offset", r.Offset).Info("zone changed")
 		}
 		if model, ok := platform.NamedModel(r.Key); ok && len(r.Value) > 0 {
-			w.versionNamed(model, r, news.First)
+			w.versionNamed(model, r, news.Since)
 		}
 	}
 	for _, p := range w.pools {
@@ -54,35 +54,43 @@
 	w.shareChanged()
 }
 
-// versionNamed takes in the name of a version. One that was found at the start may have
-// been named long before.
-func (w *world) versionNamed(model string, r contract.Record, found bool) {
+// versionNamed takes in the name of a version. since is when operators' records had been
+// read to their end before.
+func (w *world) versionNamed(model string, r contract.Record, since time.Time) {
 	version, err := platform.DecodeVersion(r.Value)
 	if err != nil {
 		w.log.WithError(err).WithField("offset", r.Offset).Warn("named version ignored")
 		return
 	}
-	if !w.named.Record(time.Now(), model, version, found, w.bounds.Version) {
+	if !w.named.Of(model).Record(time.Now(), version, since) {
 		return
 	}
 	w.log.WithField("model", model).WithField("version", version).WithField("offset", r.Offset).
-		WithField("found", found).Info("version named")
+		WithField("found", since.IsZero()).WithField("gap_ms", gapMS(since)).Info("version named")
+}
+
+// gapMS is how many milliseconds ago records had been read to their end; 0 if never.
+func gapMS(since time.Time) int64 {
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since).Milliseconds()
 }
 
 // versionsTold takes in since when a peer has known the versions that were named a
 // short time ago.
 func (w *world) versionsTold(hb contract.Heartbeat) {
 	for _, v := range w.named.Told(time.Now(), hb.Named) {
-		w.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).
+		w.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version dated")
 	}
 }
 
-// recentVersions lists the versions that were named a short time ago, for heartbeats.
-func (w *world) recentVersions() []contract.NamedVersion {
+// versionAges lists how long versions have been known, for heartbeats.
+func (w *world) versionAges() []contract.NamedVersion {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.named.Recent(time.Now(), w.bounds.Version)
+	return w.named.Ages(time.Now(), w.bounds.Version)
 }
 
 // targetsChanged takes in the platform's list of targets.
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -39,7 +39,7 @@
 	roster     *roster.Roster
 	listed     bool
 	evacuated  map[contract.ZoneName]bool
-	named      upkeep.Versions
+	named      *upkeep.Versions
 	pools      map[contract.ServiceName]*placement.Pool
 	budgets    map[contract.ServiceName]*retry.Window
 	comebacks  map[contract.ServiceName]*retry.Comeback
@@ -57,6 +57,7 @@
 		log:       logger,
 		roster:    roster.New(),
 		evacuated: map[contract.ZoneName]bool{},
+		named:     upkeep.NewVersions(time.Now()),
 		pools:     map[contract.ServiceName]*placement.Pool{},
 		budgets:   map[contract.ServiceName]*retry.Window{},
 		comebacks: map[contract.ServiceName]*retry.Comeback{},
@@ -189,7 +190,7 @@
 	}
 	oldest := int64(0)
 	for _, model := range s.Engine.Models {
-		oldest = max(oldest, w.named.Of(model).Least(time.Now(), w.bounds.Version-upkeep.SendMargin))
+		oldest = max(oldest, w.named.Of(model).Least(time.Now(), w.bounds.Version, upkeep.SendMargin))
 	}
 	return oldest
 }
--- a/machine/entry/direct/world_test.go
+++ b/machine/entry/direct/world_test.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -18,20 +20,37 @@
 	testService = contract.ServiceName("models")
 )
 
-// startedWorld is the world of an entry that found version 3 of the model in the store
-// when it started.
-func startedWorld(bound time.Duration) *world {
+// emptyWorld is the world of an entry that has read nothing yet.
+func emptyWorld(bounds config.Bounds) *world {
 	process := &config.Process{Zone: "a", Region: "r", Fleet: &config.Fleet{
 		Zones:  map[contract.ZoneName]contract.RegionName{"a": "r"},
-		Bounds: config.Bounds{Version: bound},
+		Bounds: bounds,
 	}}
-	w := newWorld(process, &log.Logger{Handler: discard.Default, Level: log.InfoLevel})
-	w.operatorsChanged(feed.News{First: true, Records: []contract.Record{
+	return newWorld(process, &log.Logger{Handler: discard.Default, Level: log.InfoLevel})
+}
+
+// startedWorld is the world of an entry that found a version of the model in the store
+// when it started.
+func startedWorld(bound time.Duration, version int) *world {
+	w := emptyWorld(config.Bounds{Version: bound})
+	w.operatorsChanged(found(version))
+	return w
+}
+
+// found is what an entry finds in the store: a manifest and the newest version.
+func found(version int) feed.News {
+	return feed.News{Records: []contract.Record{
 		{Offset: 1, Key: platform.KeyManifest, Value: []byte(
 			`{"version":1,"services":[{"name":"models","engine":{"slots":8,"layers":4,"chunks":4,"models":[{"name":"daka"}]}}]}`)},
-		{Offset: 2, Key: "version/" + testModel, Value: []byte(`{"version":3}`)},
-	}})
-	return w
+		{Offset: 2, Key: "version/" + testModel, Value: fmt.Appendf(nil, `{"version":%d}`, version)},
+	}}
+}
+
+// named is what an entry reads that follows what operators write, when they name a version.
+func named(version int) feed.News {
+	return feed.News{Since: time.Now(), Records: []contract.Record{
+		{Offset: int64(version) + 1, Key: "version/" + testModel, Value: fmt.Appendf(nil, `{"version":%d}`, version)},
+	}}
 }
 
 func (w *world) oldest() int64 {
@@ -44,12 +63,66 @@
 // again took version 3, named seconds before, for one named just then, and sent requests
 // to engines on version 2 past the bound while all other entries refused.
 func TestAnEntryThatStartsAgainKeepsTheBoundOfVersions(t *testing.T) {
-	const bound = time.Hour
-	w := startedWorld(bound)
-	w.beat(contract.Heartbeat{Machine: "entry-2", Zone: "a", Named: []contract.NamedVersion{
-		{Model: testModel, Version: 3, AgeMS: uint32((2 * bound).Milliseconds())},
-	}})
-	if got := w.oldest(); got != 3 {
-		t.Errorf("version %d may begin although version 3 was named two bounds ago", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		const bound, passed = 8 * time.Second, 7 * time.Second
+		other := startedWorld(bound, 2)
+		other.operatorsChanged(named(3))
+		time.Sleep(passed)
+		w := startedWorld(bound, 3)
+		w.beat(contract.Heartbeat{Machine: "entry-2", Zone: "a", Named: other.versionAges()})
+		if got := w.oldest(); got != 3 {
+			t.Errorf("version %d may begin %v after version 3 was named", got, passed)
+		}
+	})
+}
+
+// Guards against needless refusals by an entry that starts just after a version was named:
+// engines still hold the one before.
+func TestAnEntryThatStartsAgainServesTheOlderVersionMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound, stable = 8 * time.Second, 3 * time.Second
+		other := startedWorld(bound, 2)
+		other.operatorsChanged(named(3))
+		w := startedWorld(bound, 3)
+		w.beat(contract.Heartbeat{Machine: "entry-2", Zone: "a", Named: other.versionAges()})
+		time.Sleep(stable)
+		if got := w.oldest(); got > 2 {
+			t.Errorf("only version %d may begin %v after version 3 was named", got, stable)
+		}
+	})
+}
+
+// Guards against VERSION by an entry that first reads the store long after its start: the
+// time that it gives peers to date what it finds must not begin with the reading. When all
+// processes start at once nobody dates it, and by then the entry counts as in touch.
+func TestAVersionFoundLongAfterTheStartCountsAsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stable = 3 * time.Second
+		w := emptyWorld(config.Bounds{Version: 8 * time.Second})
+		time.Sleep(stable)
+		w.operatorsChanged(found(3))
+		if got := w.oldest(); got != 3 {
+			t.Errorf("%v after the start version %d may begin although nobody knows the age of version 3", stable, got)
+		}
+	})
+}
+
+// Guards against VERSION by a whole fleet: an entry that stood still while a version was
+// named, and while all others started again, takes it for one named just now; its word must
+// not replace what the others assume.
+func TestAnEntryThatStoodStillDoesNotDateVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound, stable, still = 8 * time.Second, 3 * time.Second, 7 * time.Second
+		late := startedWorld(bound, 2)
+		news := named(3)
+		time.Sleep(still)
+		late.operatorsChanged(news)
+		w := startedWorld(bound, 3)
+		w.beat(contract.Heartbeat{Machine: "entry-2", Zone: "a", Named: late.versionAges()})
+		time.Sleep(stable)
+		if got := w.oldest(); got != 3 {
+			t.Errorf("%v after version 3 was named version %d may begin, by the word of an entry that stood still",
+				still+stable, got)
+		}
+	})
 }
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -38,9 +38,9 @@
 // News are records that a feed did not hold.
 type News struct {
 	Records []contract.Record
-	// First tells that the topic was not known before: the records may have been
-	// written at any time before now.
-	First bool
+	// Since is when the topic had been read to its end before: the records were written
+	// later. It is zero if they may have been written at any time.
+	Since time.Time
 }
 
 // Feed follows one topic. It is safe for concurrent use.
@@ -52,8 +52,10 @@
 	replica *Replica
 	// known tells that the whole topic has been read, or got from a peer, in this run.
 	known bool
-	up    bool
-	upAt  time.Time
+	// readAt is when the store was last read to the topic's end; zero if never.
+	readAt time.Time
+	up     bool
+	upAt   time.Time
 	// endRead ends the read that waits, if one does. refresh tells that the next read is
 	// not to wait.
 	endRead context.CancelFunc
@@ -165,9 +167,19 @@
 		f.from = batch.Records[n-1].Offset + 1
 	}
 	f.take(func() []contract.Record { return f.replica.Apply(batch.Records) }, false)
+	if f.from >= batch.End {
+		f.readToEnd()
+	}
 	return nil
 }
 
+// readToEnd records that the store has just been read to the topic's end.
+func (f *Feed) readToEnd() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readAt = time.Now()
+}
+
 // errEnded tells that Refresh has ended a read: the store neither answered nor failed.
 var errEnded = errors.New("feed: read ended for a fresh one")
 
@@ -201,16 +213,18 @@
 	}
 	f.from, f.synced = batch.End, true
 	f.take(func() []contract.Record { return f.replica.Reset(batch.Records, batch.End) }, true)
+	f.readToEnd()
 	return nil
 }
 
 // take changes the replica and tells of the news.
 func (f *Feed) take(change func() []contract.Record, whole bool) {
 	f.mu.Lock()
-	news := News{Records: change(), First: !f.known}
+	news := News{Records: change(), Since: f.readAt}
+	first := whole && !f.known
 	f.known = f.known || whole
 	f.mu.Unlock()
-	if len(news.Records) > 0 || news.First && whole {
+	if len(news.Records) > 0 || first {
 		f.opts.OnChange(news)
 	}
 }
--- a/machine/feed/feed_test.go
+++ b/machine/feed/feed_test.go
@@ -113,11 +113,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { f.Run(ctx) })
-	if n := <-news; !n.First || len(n.Records) != 1 {
+	if n := <-news; !n.Since.IsZero() || len(n.Records) != 1 {
 		t.Errorf("found at the start: %+v", n)
 	}
 	store.Put(platform.TopicOperators, "a", "2")
-	if n := <-news; n.First || len(n.Records) != 1 {
+	if n := <-news; n.Since.IsZero() || len(n.Records) != 1 {
 		t.Errorf("written later: %+v", n)
 	}
 	cancel()
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -47,7 +47,7 @@
 	// bound is how long after a version was named requests may begin on an older one.
 	bound    time.Duration
 	manifest *catalog.Manifest
-	named    upkeep.Versions
+	named    *upkeep.Versions
 }
 
 // New opens the process's link address.
@@ -58,6 +58,7 @@
 		metrics: metrics.New(),
 		store:   platform.NewStore(process.Fleet.Store),
 		bound:   process.Fleet.Bounds.Version,
+		named:   upkeep.NewVersions(time.Now()),
 	}
 	t.meters = newMeters(t.metrics.Scope())
 	t.keeper = newKeeper(t)
@@ -133,7 +134,7 @@
 	hb.Engine = t.keeper.status()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	hb.Named = t.named.Recent(time.Now(), t.bound)
+	hb.Named = t.named.Ages(time.Now(), t.bound)
 }
 
 // beatReceived takes in what an entry knows. Manifests are large: while an entry of
@@ -152,7 +153,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.named.Told(time.Now(), hb.Named) {
-		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).
+		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version dated")
 	}
 }
@@ -173,7 +174,7 @@
 			continue
 		}
 		if model, ok := platform.NamedModel(r.Key); ok && len(r.Value) > 0 {
-			t.versionNamed(model, r.Value, news.First)
+			t.versionNamed(model, r.Value, news.Since)
 		}
 	}
 }
@@ -191,9 +192,9 @@
 	}
 }
 
-// versionNamed takes in the name of a version. One that was found at the start may have
-// been named long before.
-func (t *Target) versionNamed(model string, data []byte, found bool) {
+// versionNamed takes in the name of a version. since is when operators' records had been
+// read to their end before.
+func (t *Target) versionNamed(model string, data []byte, since time.Time) {
 	version, err := platform.DecodeVersion(data)
 	if err != nil {
 		t.log.WithError(err).Warn("named version ignored")
@@ -201,10 +202,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.named.Record(time.Now(), model, version, found, t.bound) {
+	if !t.named.Of(model).Record(time.Now(), version, since) {
 		return
 	}
-	t.log.WithField("model", model).WithField("version", version).WithField("found", found).Info("version named")
+	t.log.WithField("model", model).WithField("version", version).WithField("found", since.IsZero()).Info("version named")
 }
 
 // wanted is the newest named version of the engine's model and its origin; ok is
@@ -229,5 +230,5 @@
 func (t *Target) behindSince(model string, loaded int64) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.named.Of(model).Since(loaded)
+	return t.named.Of(model).Since(loaded, t.bound)
 }
--- a/weights/upkeep/named.go
+++ b/weights/upkeep/named.go
@@ -14,6 +14,9 @@
 	// datingTime is how long after its start a process waits for peers to tell since
 	// when a version that it found has been named.
 	datingTime = 1500 * time.Millisecond
+	// freshTime is how long ago the operators' records may have been read to their end
+	// for a version among the next ones to count as named now. A read waits for 1.5 s.
+	freshTime = 2500 * time.Millisecond
 	// recordTime is what records take to reach all processes: dates that differ by less
 	// tell nothing.
 	recordTime = 250 * time.Millisecond
@@ -21,85 +24,140 @@
 
 // Named remembers which versions of a model were named, and when.
 //
-// A process that starts finds the newest version in the store, which does not tell when
-// it was named. Peers that saw it tell how long ago that was. Until one does, the version
-// counts as so old that the ones before it may begin for datingTime more.
+// The store does not tell when a version was named. A process that follows what operators
+// write without a gap sees it: it is a witness. Others learn of it late, because they have
+// started since, stood still or were cut off; to them peers tell how long it has been
+// known, and whether to a witness. Until a witness tells, a version counts as named as
+// early as can be.
 type Named struct {
+	// started is when the process started.
+	started time.Time
 	// versions are in rising order.
 	versions []namedVersion
 }
 
 type namedVersion struct {
 	number int64
-	// at is when the version was named; dated is false while that is an assumption.
-	at    time.Time
-	dated bool
+	// seenAt is the earliest time at which a process is known to have known of the
+	// version; witnessed tells that this is when it was named.
+	seenAt    time.Time
+	witnessed bool
+	// after is when it had not been named yet; zero if that is not known.
+	after time.Time
+	// recorded tells that this process has read the record.
+	recorded bool
 }
 
-// Age is how long ago a version was named.
+// Age is how long ago a version was named, or longer.
 type Age struct {
 	Number int64
 	Age    time.Duration
+	// Witnessed tells that it was named that long ago.
+	Witnessed bool
 }
 
-// Add records that a version was named just now; false if it is not newer than the
-// newest.
-func (n *Named) Add(now time.Time, number int64) bool {
-	return n.add(namedVersion{number: number, at: now, dated: true})
-}
-
-// Find records a version that had been named before the process started; false if it
-// is not newer than the newest. bound is how long after a version was named requests
-// may begin on an older one.
-func (n *Named) Find(now time.Time, number int64, bound time.Duration) bool {
-	return n.add(namedVersion{number: number, at: now.Add(datingTime + SendMargin - bound)})
-}
+// NewNamed returns what a process knows that started at a time.
+func NewNamed(started time.Time) *Named { return &Named{started: started} }
 
-func (n *Named) add(v namedVersion) bool {
-	if v.number <= n.Newest() {
-		return false
+// Record takes in the record of a version, read now; false if it is not newer than the
+// newest record. since is when the operators' records had been read to their end before,
+// zero if never.
+func (n *Named) Record(now time.Time, number int64, since time.Time) bool {
+	for _, v := range n.versions {
+		if v.recorded && v.number >= number {
+			return false
+		}
+	}
+	v := namedVersion{number: number, seenAt: now}
+	if !since.IsZero() {
+		v.witnessed = now.Sub(since) <= freshTime
+		v.after = since
 	}
-	n.versions = append(n.versions, v)
+	known := n.merge(v)
+	known.recorded = true
 	n.trim()
 	return true
 }
 
-// Told takes in from a peer that a version was named at least age ago, and reports
-// whether that was news. The earliest date holds: a process learns of a version late
-// when it was cut off or stood still, never early. A version above the newest is
-// ignored until its record has come.
-func (n *Named) Told(now time.Time, number int64, age time.Duration) bool {
-	if number > n.Newest() {
-		return false
+// Told takes in from a peer how long ago a version was named, or longer, and reports
+// whether that was news.
+func (n *Named) Told(now time.Time, told Age) bool {
+	at := now.Add(-told.Age)
+	known := n.find(told.Number)
+	news := known == nil || told.Witnessed && !known.witnessed || known.seenAt.Sub(at) >= recordTime
+	n.merge(namedVersion{number: told.Number, seenAt: at, witnessed: told.Witnessed})
+	n.trim()
+	return news
+}
+
+// merge joins what is told of a version with what is known: the earliest sight holds.
+func (n *Named) merge(v namedVersion) *namedVersion {
+	known := n.find(v.number)
+	if known == nil {
+		return n.insert(v)
+	}
+	if v.seenAt.Before(known.seenAt) {
+		known.seenAt = v.seenAt
+	}
+	known.witnessed = known.witnessed || v.witnessed
+	if known.after.IsZero() {
+		known.after = v.after
 	}
-	told := namedVersion{number: number, at: now.Add(-age), dated: true}
-	i := slices.IndexFunc(n.versions, func(v namedVersion) bool { return v.number >= number })
-	if n.versions[i].number != number {
-		n.versions = slices.Insert(n.versions, i, told)
-		n.trim()
-		return true
+	return known
+}
+
+func (n *Named) find(number int64) *namedVersion {
+	for i := range n.versions {
+		if n.versions[i].number == number {
+			return &n.versions[i]
+		}
 	}
-	known := n.versions[i]
-	if known.dated && !told.at.Before(known.at) {
-		return false
+	return nil
+}
+
+func (n *Named) insert(v namedVersion) *namedVersion {
+	i := 0
+	for i < len(n.versions) && n.versions[i].number < v.number {
+		i++
 	}
-	n.versions[i] = told
-	return !known.dated || known.at.Sub(told.at) >= recordTime
+	n.versions = slices.Insert(n.versions, i, v)
+	return &n.versions[i]
 }
 
 func (n *Named) trim() {
 	if len(n.versions) > maxNamed {
-		n.versions = n.versions[1:]
+		n.versions = slices.Delete(n.versions, 0, len(n.versions)-maxNamed)
+	}
+}
+
+// date is when a version counts as named, if requests may begin on an older one for
+// bound after it.
+func (n *Named) date(v namedVersion, bound time.Duration) time.Time {
+	switch {
+	case v.witnessed:
+		return v.seenAt
+	case !v.after.IsZero():
+		return earlier(v.seenAt, v.after)
+	default:
+		return earlier(v.seenAt, n.started.Add(datingTime+SendMargin-bound))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
-// Recent lists the versions that were named less than age ago and are dated, oldest
-// first.
-func (n *Named) Recent(now time.Time, age time.Duration) []Age {
+// Ages lists how long the versions have been known, oldest first: those for less than
+// limit, and the newest in any case, with an age of limit at most.
+func (n *Named) Ages(now time.Time, limit time.Duration) []Age {
 	var list []Age
 	for _, v := range n.versions {
-		if ago := now.Sub(v.at); v.dated && ago < age {
-			list = append(list, Age{Number: v.number, Age: ago})
+		age := now.Sub(v.seenAt)
+		if age < limit || v.number == n.Newest() {
+			list = append(list, Age{Number: v.number, Age: min(age, limit), Witnessed: v.witnessed})
 		}
 	}
 	return list
@@ -113,12 +171,12 @@
 	return n.versions[len(n.versions)-1].number
 }
 
-// Least is the oldest version that may begin: the newest of those that were named
-// at least age ago. A version that was named since does not put it off.
-func (n *Named) Least(now time.Time, age time.Duration) int64 {
+// Least is the oldest version that may begin: the newest of those whose bound ends
+// within margin. A version that was named since does not put it off.
+func (n *Named) Least(now time.Time, bound, margin time.Duration) int64 {
 	least := int64(0)
 	for _, v := range n.versions {
-		if now.Sub(v.at) >= age {
+		if now.Sub(n.date(v, bound)) >= bound-margin {
 			least = v.number
 		}
 	}
@@ -127,10 +185,10 @@
 
 // Since is when the oldest version above loaded was named: an engine that holds
 // loaded is behind from then on, whatever was named after it. Zero if none was.
-func (n *Named) Since(loaded int64) time.Time {
+func (n *Named) Since(loaded int64, bound time.Duration) time.Time {
 	for _, v := range n.versions {
 		if v.number > loaded {
-			return v.at
+			return n.date(v, bound)
 		}
 	}
 	return time.Time{}
