An engine that is ahead is expected to hold the version that it holds

Cause: the expected version was the oldest one allowed, not that of the engine chosen.

Change: the engine's version, if it is allowed; else the oldest one, which the engine refuses: the bound may end while the attempt waits for its connection.

Evidence: TestAnEngineThatIsAheadIsExpectedToHoldWhatItHolds failed before ("an engine that holds version 3 is told to expect version 2"); a second test holds the refusal. Tests of entry/direct pass with -race.

--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -44,14 +44,19 @@
 	return c.After(now, room, w.rng.Float64())
 }
 
-// expected is the version of weights that an attempt insists on; 0 for any.
-func (w *world) expected(service contract.ServiceName, pinned int64) int64 {
+// expected is the version of weights that an attempt insists on; 0 for any. A target
+// refuses an attempt that expects another version than it holds.
+func (w *world) expected(service contract.ServiceName, pinned, held int64) int64 {
 	if pinned != 0 {
 		return pinned
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.minVersion(service)
+	oldest := w.minVersion(service)
+	if oldest == 0 {
+		return 0
+	}
+	return max(oldest, held)
 }
 
 // first records a request to a service.
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -83,7 +83,7 @@
 		Priority:    -1,
 		Resume:      c.begun || c.info.HasLastEvent,
 		ResumeAfter: c.last,
-		Version:     c.entry.world.expected(c.service, c.version),
+		Version:     c.entry.world.expected(c.service, c.version, x.choice.Version),
 	}
 	if c.team != nil {
 		attempt.Team = string(c.team.Name)
