When the peer that told first does not answer, another is asked

Callers could get 401, 403 or 404 from an entry that the store turns away, long after all other entries had the newest manifest.

A peer that was gone, cut off or slow was asked again every 0.3 s while the others, which had told the same, were not.

Change: all peers that told the highest offset are remembered, one of them is drawn for each pull, one that does not answer is forgotten until it tells again, and any linked peer is asked next. The store is asked anew only if that fails too.

--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -21,33 +21,29 @@
 	feed  *feed.Feed
 	topic string
 	head  time.Duration
-	// told tells that a peer is ahead.
-	told chan struct{}
+	// news tells that a peer is ahead.
+	news chan struct{}
 
 	mu sync.Mutex
-	// ahead is the peer that told the highest offset, newest that offset, since when
-	// it is higher than the feed's.
-	ahead  contract.MachineID
-	newest int64
-	since  time.Time
+	// lead is what peers told.
+	lead lead
 }
 
 // NewCatchup returns a catch-up of a feed on a topic. The store is given head to
 // tell what a peer knows already.
 func NewCatchup(p *Peers, f *feed.Feed, topic string, head time.Duration) *Catchup {
-	return &Catchup{peers: p, feed: f, topic: topic, head: head, newest: -1, told: make(chan struct{}, 1)}
+	return &Catchup{peers: p, feed: f, topic: topic, head: head, lead: newLead(), news: make(chan struct{}, 1)}
 }
 
 // Told takes in the newest offset that a peer knows, -1 if it knows none.
 func (c *Catchup) Told(peer contract.MachineID, newest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if newest <= c.newest {
+	if !c.lead.tell(time.Now(), peer, newest) {
 		return
 	}
-	c.ahead, c.newest, c.since = peer, newest, time.Now()
 	select {
-	case c.told <- struct{}{}:
+	case c.news <- struct{}{}:
 	default:
 	}
 }
@@ -60,35 +56,62 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.told:
+		case <-c.news:
 		case <-ticker.C:
 		}
 		c.pull(ctx)
 	}
 }
 
+// pull asks a peer if that is due, and another if it does not answer. If nobody is in
+// reach, the store may tell what the peers knew.
 func (c *Catchup) pull(ctx context.Context) {
-	var records contract.Records
-	var err error
-	if id, ok := c.behind(); ok {
-		records, err = c.peers.PullFrom(ctx, id, c.topic, c.feed.Newest())
-	} else if !c.feed.Up() {
-		records, err = c.peers.Pull(ctx, c.topic, c.feed.Newest())
-	} else {
+	id, ok := c.behind(time.Now())
+	if !ok && c.feed.Up() {
 		return
 	}
-	if err != nil {
-		// The peer that is ahead is out of reach; the store may tell what it knew.
+	if ok {
+		if c.pullFrom(ctx, id) == nil {
+			return
+		}
+		c.drop(id)
+	}
+	if c.pullAny(ctx) != nil {
 		c.feed.Refresh()
-		return
 	}
-	c.feed.Merge(records)
 }
 
-// behind returns the peer that knows more than the feed for longer than the store
-// needs to tell it.
-func (c *Catchup) behind() (contract.MachineID, bool) {
+func (c *Catchup) pullFrom(ctx context.Context, id contract.MachineID) error {
+	records, err := c.peers.PullFrom(ctx, id, c.topic, c.feed.Newest())
+	if err == nil {
+		c.feed.Merge(records)
+	}
+	return err
+}
+
+func (c *Catchup) pullAny(ctx context.Context) error {
+	records, err := c.peers.Pull(ctx, c.topic, c.feed.Newest())
+	if err == nil {
+		c.feed.Merge(records)
+	}
+	return err
+}
+
+// behind returns a peer that knows more than the feed for longer than the others need
+// to tell it.
+func (c *Catchup) behind(now time.Time) (contract.MachineID, bool) {
+	held := c.feed.Newest()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead.ahead(held) {
+		return "", false
+	}
+	return c.lead.any(), c.lead.ripe(now, c.head)
+}
+
+// drop forgets that a peer is ahead.
+func (c *Catchup) drop(id contract.MachineID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ahead, c.newest > c.feed.Newest() && time.Since(c.since) >= c.head
+	c.lead.drop(id)
 }
