News that come fast do not put off catching up

An entry that lags pulls from a peer when the store has had 0.25 s to tell the same. Each further offset that a peer told started that time anew, so that manifests closer together than the wait kept it waiting while they came.

Change: the time runs from when the process fell behind.

Evidence: TestNewsDoNotPutOffCatchingUp fails when each offset starts the time anew.

--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -37,9 +37,10 @@
 
 // Told takes in the newest offset that a peer knows, -1 if it knows none.
 func (c *Catchup) Told(peer contract.MachineID, newest int64) {
+	held := c.feed.Newest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lead.tell(time.Now(), peer, newest) {
+	if !c.lead.tell(time.Now(), peer, newest, held) {
 		return
 	}
 	select {
--- a/machine/peers/lead.go
+++ b/machine/peers/lead.go
@@ -18,9 +18,10 @@
 
 func newLead() lead { return lead{newest: -1} }
 
-// tell takes in an offset that a peer knows. It
-// reports whether that is news.
-func (l *lead) tell(now time.Time, peer contract.MachineID, newest int64) bool {
+// tell takes in an offset that a peer knows; held is the one that the process knows. It
+// reports whether that is news. A process that lags already goes on lagging: news that
+// come faster than it waits must not put off its catching up.
+func (l *lead) tell(now time.Time, peer contract.MachineID, newest, held int64) bool {
 	switch {
 	case newest < 0, newest < l.newest:
 		return false
@@ -30,7 +31,9 @@
 		}
 		return false
 	}
-	l.since = now
+	if l.newest <= held {
+		l.since = now
+	}
 	l.peers, l.newest = []contract.MachineID{peer}, newest
 	return true
 }
--- a/machine/peers/lead_test.go
+++ b/machine/peers/lead_test.go
@@ -7,11 +7,28 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
+// Manifests that came faster than an entry waits for the store put off its catching up
+// for as long as they came.
+func TestNewsDoNotPutOffCatchingUp(t *testing.T) {
+	start := time.Now()
+	l := newLead()
+	const head, gap = 400 * time.Millisecond, 350 * time.Millisecond
+	for i := range 3 {
+		l.tell(start.Add(time.Duration(i)*gap), "entry-1", int64(i), -1)
+	}
+	if !l.ahead(-1) || !l.ripe(start.Add(2*gap), head) {
+		t.Errorf("not ripe %v after the process fell behind: %+v", 2*gap, l)
+	}
+	if l.tell(start.Add(time.Minute), "entry-1", 3, 2); l.ripe(start.Add(time.Minute), head) {
+		t.Error("ripe at once after the process had caught up")
+	}
+}
+
 // All that lag asked the one peer that had told first, and its link was full.
 func TestAllPeersThatAreAheadAreAsked(t *testing.T) {
 	l := newLead()
 	for _, id := range []contract.MachineID{"entry-1", "entry-2", "entry-3"} {
-		l.tell(time.Now(), id, 7)
+		l.tell(time.Now(), id, 7, -1)
 	}
 	asked := map[contract.MachineID]bool{}
 	for range 200 {
