A large manifest crosses the links between regions a few times, not once a process

Cause: a manifest of 1,933 routes was read from the store by each of the 25 entries beyond its region, pulled a second time by most of them from an entry elsewhere that told of it, and read by the target processes whose pulls failed, all over links of 30 Mbit/s. These were full from 15 s on; calls to the store could not connect.

Ruled out: the store. Its own zone had the manifest in 0.35 s; the losses elsewhere began 2 s before the store's fault.

Change: - Two entries of a zone wait at the store for what operators write. The others ask every 1.5 s for its end only, leave their neighbours about 0.6 s to tell, and then read by themselves.

Looked for elsewhere: the list of targets is read by one entry of a zone already, and is no longer read again after a neighbour told it; pieces of weights are read by one.

--- a/contract/message.go
+++ b/contract/message.go
@@ -328,8 +328,11 @@
 type Records struct {
 	Topic   string   `cbor:"1,keyasint"`
 	Records []Record `cbor:"2,keyasint,omitempty"`
-	// Known tells that the sender has read the topic in this run.
-	Known bool `cbor:"3,keyasint,omitempty"`
+	// Known tells that the sender knows the whole topic, Newest up to which offset.
+	Known  bool  `cbor:"3,keyasint,omitempty"`
+	Newest int64 `cbor:"4,keyasint,omitempty"`
+	// Busy tells that the sender answers others, and says nothing of the topic.
+	Busy bool `cbor:"5,keyasint,omitempty"`
 }
 
 // PiecesRequest asks a peer for the pieces of one version of a model's weights,
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -37,6 +37,17 @@
 	// shorter than the bound on the age of manifests, 2 s: a read whose answer is lost, or
 	// that is not woken, must not hold one up for so long.
 	operatorsWait = 1500 * time.Millisecond
+	// operatorReaders is how many entries of a zone wait at the store for what operators
+	// write. Their neighbours learn from them and ask only for the store's end,
+	// followPause apart; what they lack they read by themselves after followHead or so.
+	operatorReaders = 2
+	followPause     = 1500 * time.Millisecond
+	followHead      = 600 * time.Millisecond
+	// maxPulls is how many peers the entry tells what operators write at a time: those
+	// that have it tell the others, so that it does not all pass its own link.
+	maxPulls = 3
+	// serveTimeout bounds telling a peer: one that has fallen silent keeps no place.
+	serveTimeout = 8 * time.Second
 	// readerPause is the time between two reads of the list of targets by the entry
 	// that reads for its zone, targetsPause that of its neighbours, which learn from it.
 	readerPause  = 450 * time.Millisecond
@@ -80,6 +91,8 @@
 	callers, probes         net.Listener
 	// farFlights tells when entries of other regions are told of flights.
 	farFlights *pacer
+	// pulls has a place for each peer that is being told what operators write.
+	pulls chan struct{}
 	// work lasts until the entry has stopped, longer than the signal to stop.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -97,6 +110,7 @@
 		upstream: newUpstream(),
 
 		farFlights: newPacer(farFlightsPause),
+		pulls:      make(chan struct{}, maxPulls),
 	}
 	e.meters = newMeters(e.metrics.Scope())
 	e.world = newWorld(process, logs.For("world", process.Machine))
@@ -104,6 +118,8 @@
 	e.operators = feed.New(e.store, feed.Options{
 		Topic:    platform.TopicOperators,
 		Wait:     operatorsWait,
+		Pause:    e.operatorsPause,
+		Defer:    e.operatorsDefer,
 		OnChange: e.operatorsChanged,
 		Log:      logs.For("operators", process.Machine),
 	})
@@ -171,6 +187,28 @@
 	hb.Targets = contract.Offset(e.targets.Newest() + 1)
 }
 
+// follows reports whether this entry leaves reading what operators write to its
+// neighbours.
+func (e *Entry) follows() bool {
+	return e.operators.Known() && e.peers.Rank() >= operatorReaders
+}
+
+// operatorsPause is the time until what operators write is read again.
+func (e *Entry) operatorsPause() time.Duration {
+	if e.follows() {
+		return followPause
+	}
+	return 0
+}
+
+// operatorsDefer is how long the neighbours are left to tell what operators write.
+func (e *Entry) operatorsDefer() time.Duration {
+	if e.follows() {
+		return followHead
+	}
+	return 0
+}
+
 // targetsPause is the time until the list of targets is read again.
 func (e *Entry) targetsPause() time.Duration {
 	if reader, ok := e.peers.First(e.process.Zone); ok && reader != e.process.Machine {
@@ -181,7 +219,11 @@
 
 // beatReceived takes in a peer's heartbeat.
 func (e *Entry) beatReceived(hb contract.Heartbeat) {
-	e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+	if hb.Zone == e.process.Zone || e.peers.Alone() {
+		e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+	} else {
+		e.catchup.ToldFar(hb.Machine, int64(hb.Settings)-1)
+	}
 	if hb.Zone == e.process.Zone {
 		e.targetsCatchup.Told(hb.Machine, int64(hb.Targets)-1)
 	}
@@ -198,22 +240,36 @@
 func (e *Entry) serveStream(ctx context.Context, m contract.Message, s *link.Stream) {
 	switch m.Kind {
 	case contract.KindRecordsPull:
-		var records contract.Records
-		switch m.RecordsPull.Topic {
-		case platform.TopicOperators:
-			records = e.operators.Serve(m.RecordsPull.After)
-		case platform.TopicTargets:
-			records = e.targets.Serve(m.RecordsPull.After)
-		default:
-			e.log.WithField("topic", m.RecordsPull.Topic).Warn("peer asked for an unknown topic")
-			return
-		}
-		_ = s.Send(contract.Message{Kind: contract.KindRecords, Records: &records})
+		e.serveRecords(*m.RecordsPull, s)
 	case contract.KindPiecesRequest:
 		e.depot.Serve(ctx, *m.PiecesRequest, s)
 	}
 }
 
+// serveRecords tells a peer what the entry knows of a topic.
+func (e *Entry) serveRecords(pull contract.RecordsPull, s *link.Stream) {
+	var records contract.Records
+	switch pull.Topic {
+	case platform.TopicOperators:
+		select {
+		case e.pulls <- struct{}{}:
+			defer func() { <-e.pulls }()
+			records = e.operators.Serve(pull.After)
+		default:
+			records = contract.Records{Topic: pull.Topic, Busy: true}
+		}
+	case platform.TopicTargets:
+		records = e.targets.Serve(pull.After)
+	default:
+		e.log.WithField("topic", pull.Topic).Warn("peer asked for an unknown topic")
+		return
+	}
+	_ = s.SetWriteDeadline(time.Now().Add(serveTimeout))
+	if err := s.Send(contract.Message{Kind: contract.KindRecords, Records: &records}); err != nil {
+		e.log.WithError(err).WithField("topic", pull.Topic).Warn("peer not told")
+	}
+}
+
 // operatorsChanged takes in what operators have written.
 func (e *Entry) operatorsChanged(news feed.News) {
 	e.world.operatorsChanged(news)
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -19,6 +19,8 @@
 	maxBackoff = 500 * time.Millisecond
 	// pokePause is the shortest pause between two reads however often Poke is called.
 	pokePause = 150 * time.Millisecond
+	// lagPause is the time between two looks at whether peers have told what lacks.
+	lagPause = 200 * time.Millisecond
 )
 
 // Options tells how a topic is followed.
@@ -28,6 +30,11 @@
 	// next read, which Poke cuts short.
 	Wait  time.Duration
 	Pause func() time.Duration
+	// Defer returns for how long peers are left to tell what the store holds before the
+	// feed reads it: a record may be large, and many processes read it over one link. The
+	// feed asks the store only for its end meanwhile, and for nothing while it knows
+	// nothing. 0 has it read at once, as without Defer.
+	Defer func() time.Duration
 	// OnChange is called with what was news.
 	OnChange func(News)
 	// OnStore is called when the store is lost and when it answers again.
@@ -50,10 +57,12 @@
 
 	mu      sync.Mutex
 	replica *Replica
-	// known tells that the whole topic has been read, or got from a peer, in this run.
-	known bool
-	up    bool
-	upAt  time.Time
+	// known tells that the whole topic has been read, or got from a peer, in this run;
+	// gotKnown is closed then.
+	known    bool
+	gotKnown chan struct{}
+	up       bool
+	upAt     time.Time
 	// endRead ends the read that waits, if one does. refresh tells that the next read is
 	// not to wait.
 	endRead context.CancelFunc
@@ -61,19 +70,25 @@
 
 	poke chan struct{}
 
-	// from is the offset to read on from; synced tells that it is in force. They
-	// belong to Run.
-	from   int64
-	synced bool
+	// from is the offset to read on from; synced tells that it is in force. lagsUntil is
+	// when the feed reads what peers have not told; zero if nothing lacks. They belong
+	// to Run.
+	from      int64
+	synced    bool
+	lagsUntil time.Time
 }
 
 // New returns a feed that Run starts.
 func New(store *platform.Store, opts Options) *Feed {
-	return &Feed{store: store, opts: opts, replica: NewReplica(), poke: make(chan struct{}, 1)}
+	return &Feed{store: store, opts: opts, replica: NewReplica(), gotKnown: make(chan struct{}), poke: make(chan struct{}, 1)}
 }
 
+// SetDefer sets Options.Defer; call it before Run.
+func (f *Feed) SetDefer(head func() time.Duration) { f.opts.Defer = head }
+
 // Run follows the topic until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
+	f.awaitPeers(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		wait := time.Duration(0)
@@ -100,7 +115,37 @@
 	return base/2 + time.Duration(rand.Int64N(int64(base)))
 }
 
+// awaitPeers gives peers time to tell the topic before it is read for the first time.
+func (f *Feed) awaitPeers(ctx context.Context) {
+	head := f.head()
+	if head <= 0 {
+		return
+	}
+	timer := time.NewTimer(spread(head))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.gotKnown:
+	case <-timer.C:
+	}
+}
+
+// head is how long peers are left to tell what the store holds.
+func (f *Feed) head() time.Duration {
+	if f.opts.Defer == nil {
+		return 0
+	}
+	return f.opts.Defer()
+}
+
+// spread returns about d: processes that lack the same are not to read it at the same
+// time.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 func (f *Feed) pause() time.Duration {
+	if !f.lagsUntil.IsZero() {
+		return lagPause
+	}
 	if f.opts.Pause == nil {
 		return 0
 	}
@@ -145,8 +190,12 @@
 	}
 }
 
-// step reads once.
+// step reads once, unless that is left to peers.
 func (f *Feed) step(ctx context.Context) error {
+	left, err := f.leave(ctx)
+	if err != nil || left {
+		return err
+	}
 	if !f.synced {
 		return f.sync(ctx)
 	}
@@ -168,6 +217,36 @@
 	return nil
 }
 
+// leave reports whether there is nothing to read, or peers are to tell it.
+func (f *Feed) leave(ctx context.Context) (bool, error) {
+	head := f.head()
+	if head <= 0 {
+		f.lagsUntil = time.Time{}
+		return false, nil
+	}
+	end, err := f.store.End(ctx, f.opts.Topic)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return false, err
+	}
+	if f.holds(end) {
+		f.from, f.synced = max(f.from, end), true
+		f.lagsUntil = time.Time{}
+		return true, nil
+	}
+	now := time.Now()
+	if f.lagsUntil.IsZero() {
+		f.lagsUntil = now.Add(spread(head))
+	}
+	return now.Before(f.lagsUntil), nil
+}
+
+// holds reports whether the topic is held up to an end.
+func (f *Feed) holds(end int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known && f.replica.Newest() >= end-1
+}
+
 // errEnded tells that Refresh has ended a read: the store neither answered nor failed.
 var errEnded = errors.New("feed: read ended for a fresh one")
 
@@ -182,8 +261,10 @@
 	if f.refresh {
 		wait, f.endRead, f.refresh = 0, nil, false
 	}
+	// What peers have told is not read again.
+	from := max(f.from, f.replica.Newest()+1)
 	f.mu.Unlock()
-	batch, err := f.store.Read(reading, f.opts.Topic, f.from, wait)
+	batch, err := f.store.Read(reading, f.opts.Topic, from, wait)
 	if err != nil && reading.Err() != nil && ctx.Err() == nil {
 		return platform.Batch{}, errEnded
 	}
@@ -208,7 +289,10 @@
 func (f *Feed) take(change func() []contract.Record, whole bool) {
 	f.mu.Lock()
 	news := News{Records: change(), First: !f.known}
-	f.known = f.known || whole
+	if whole && !f.known {
+		f.known = true
+		close(f.gotKnown)
+	}
 	f.mu.Unlock()
 	if len(news.Records) > 0 || news.First && whole {
 		f.opts.OnChange(news)
@@ -260,7 +344,7 @@
 	return f.known
 }
 
-// Newest is the highest offset taken in, -1 if there is none.
+// Newest is the offset up to which the topic is held, -1 if it is not.
 func (f *Feed) Newest() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -271,10 +355,16 @@
 func (f *Feed) Serve(after int64) contract.Records {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return contract.Records{Topic: f.opts.Topic, Records: f.replica.After(after), Known: f.known}
+	return contract.Records{Topic: f.opts.Topic, Records: f.replica.After(after), Known: f.known, Newest: f.replica.Newest()}
 }
 
-// Merge takes in what a peer knows.
+// Merge takes in what a peer knows beyond an offset that this feed has been at.
 func (f *Feed) Merge(records contract.Records) {
-	f.take(func() []contract.Record { return f.replica.Apply(records.Records) }, records.Known)
+	f.take(func() []contract.Record {
+		news := f.replica.Apply(records.Records)
+		if records.Known {
+			f.replica.Advance(records.Newest)
+		}
+		return news
+	}, records.Known)
 }
--- a/machine/feed/replica.go
+++ b/machine/feed/replica.go
@@ -12,7 +12,7 @@
 // safe for concurrent use.
 type Replica struct {
 	records map[string]contract.Record
-	// newest is the highest offset taken in, -1 at first.
+	// newest is the highest offset taken in or known to bring nothing, -1 at first.
 	newest int64
 }
 
@@ -21,9 +21,12 @@
 	return &Replica{records: map[string]contract.Record{}, newest: -1}
 }
 
-// Newest is the highest offset taken in, -1 if there is none.
+// Newest is the offset up to which the topic is held, -1 if it is not.
 func (r *Replica) Newest() int64 { return r.newest }
 
+// Advance tells that records up to an offset are held or bring nothing.
+func (r *Replica) Advance(offset int64) { r.newest = max(r.newest, offset) }
+
 // Apply takes in records and returns those that were news, in order.
 func (r *Replica) Apply(records []contract.Record) []contract.Record {
 	var news []contract.Record
@@ -42,7 +45,7 @@
 }
 
 // Reset takes in the whole of a topic as it was at offset end, and returns what
-// was news: a held key that is missing was dropped, unless it is younger.
+// was news: a held key that is missing was dropped before end, unless it is younger.
 func (r *Replica) Reset(records []contract.Record, end int64) []contract.Record {
 	news := r.Apply(records)
 	present := map[string]bool{}
@@ -53,10 +56,11 @@
 		if present[key] || held.Offset >= end || len(held.Value) == 0 {
 			continue
 		}
-		dropped := contract.Record{Offset: held.Offset, Key: key}
+		dropped := contract.Record{Offset: end - 1, Key: key}
 		r.records[key] = dropped
 		news = append(news, dropped)
 	}
+	r.Advance(end - 1)
 	return news
 }
 
--- a/machine/feed/replica_test.go
+++ b/machine/feed/replica_test.go
@@ -59,3 +59,20 @@
 		t.Errorf("a peer brought a dropped key back: %v", news)
 	}
 }
+
+// A key that was dropped and whose history is gone must reach a peer that learns only
+// what lies above its own offset: a zone would stay evacuated there.
+func TestWhatAResetDropsReachesPeersThatAreBehind(t *testing.T) {
+	behind, ahead := NewReplica(), NewReplica()
+	for _, r := range []*Replica{behind, ahead} {
+		r.Apply([]contract.Record{record(5, "evacuate/a", "v")})
+	}
+	ahead.Reset([]contract.Record{record(7, "config", "v")}, 9)
+	if ahead.Newest() != 8 {
+		t.Errorf("held up to %d", ahead.Newest())
+	}
+	behind.Apply(ahead.After(behind.Newest()))
+	if held := behind.records["evacuate/a"]; len(held.Value) != 0 {
+		t.Errorf("the peer still holds %+v", held)
+	}
+}
--- a/machine/peers/lead_test.go
+++ b/machine/peers/lead_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/platform"
 )
 
 // Manifests that came faster than an entry waits for the store put off its catching up
@@ -46,3 +52,31 @@
 		t.Errorf("ahead with nobody left: %+v", l)
 	}
 }
+
+// Entries fetched a large manifest from another region, over a narrow link, although
+// their neighbours had it or were about to.
+func TestNeighboursAreAskedBeforePeersOfOtherZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := feed.New(nil, feed.Options{
+			Topic:    platform.TopicOperators,
+			OnChange: func(feed.News) {},
+			Log:      &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+		})
+		c := NewCatchup(nil, f, platform.TopicOperators, farHead/3)
+		c.ToldFar("far", 4)
+		time.Sleep(farHead / 2)
+		if id, ok := c.behind(time.Now()); ok {
+			t.Errorf("%s asked while neighbours may tell", id)
+		}
+		c.Told("near", 4)
+		time.Sleep(farHead / 3)
+		if id, ok := c.behind(time.Now()); !ok || id != "near" {
+			t.Errorf("asked %q %v, want the neighbour", id, ok)
+		}
+		c.drop("near")
+		time.Sleep(farHead)
+		if id, ok := c.behind(time.Now()); !ok || id != "far" {
+			t.Errorf("asked %q %v, want the peer elsewhere", id, ok)
+		}
+	})
+}
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -53,8 +53,12 @@
 	redialMax = time.Second
 )
 
-// ErrNoPeer means that no peer could be asked.
-var ErrNoPeer = errors.New("peers: none is linked")
+var (
+	// ErrNoPeer means that no peer could be asked.
+	ErrNoPeer = errors.New("peers: none is linked")
+	// ErrBusy means that a peer answers others; it may be asked again soon.
+	ErrBusy = errors.New("peers: peer is busy")
+)
 
 // Options joins a process to its peers.
 type Options struct {
@@ -427,12 +431,57 @@
 	if m.Kind != contract.KindRecords {
 		return contract.Records{}, errors.Wrapf(link.ErrFrame, "reply of kind %d", m.Kind)
 	}
+	if m.Records.Busy {
+		return contract.Records{}, ErrBusy
+	}
 	return *m.Records, nil
 }
 
-// next returns the linked entries in turn.
+// Rank is the number of linked entries of this process's zone that come before it, by
+// machine.
+func (p *Peers) Rank() int {
+	rank := 0
+	for _, m := range p.Members(link.RoleEntry) {
+		if m.Zone == p.opts.Self.Zone && m.Machine < p.opts.Self.Machine && p.Linked(m.Machine) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Alone reports whether no other entry of this process's zone is linked.
+func (p *Peers) Alone() bool {
+	near, _ := p.entriesByDistance()
+	for _, m := range near {
+		if m.Machine != p.opts.Self.Machine && p.Linked(m.Machine) {
+			return false
+		}
+	}
+	return true
+}
+
+// next returns the linked entries in turn, those of the own zone while there are any.
 func (p *Peers) next() (contract.MachineID, bool) {
-	entries := p.Members(link.RoleEntry)
+	near, far := p.entriesByDistance()
+	if id, ok := p.nextOf(near); ok {
+		return id, true
+	}
+	return p.nextOf(far)
+}
+
+// entriesByDistance lists the entries of the own zone and the others.
+func (p *Peers) entriesByDistance() (near, far []Member) {
+	for _, m := range p.Members(link.RoleEntry) {
+		if m.Zone == p.opts.Self.Zone {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
+func (p *Peers) nextOf(entries []Member) (contract.MachineID, bool) {
 	p.mu.Lock()
 	p.asked++
 	asked := p.asked
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -26,6 +26,8 @@
 	// down refuses all calls.
 	down  bool
 	calls int
+	// told counts the records that replies to reads have carried.
+	told int
 	// late, if not 0, is how long after a write its records appear; its answer is lost.
 	late time.Duration
 	// asleep keeps reads that wait from being woken.
@@ -90,6 +92,13 @@
 	return s.calls
 }
 
+// Records is the number of records that replies to reads have carried so far.
+func (s *Store) Records() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told
+}
+
 // Door is another address of a store, which can refuse on its own: the store turns
 // away the machines that use it.
 type Door struct {
@@ -239,6 +248,7 @@
 		var records [][]byte
 		if from >= first && from < end {
 			records = t.records[from-first:]
+			s.told += len(records)
 		}
 		s.mu.Unlock()
 		left := time.Until(until)
@@ -283,7 +293,12 @@
 	defer s.mu.Unlock()
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []item{}
+	after := r.URL.Query().Get("after")
 	for key, offset := range t.newest {
+		if key <= after {
+			continue
+		}
+		s.told++
 		items = append(items, item{Key: key, Value: t.values[key], Offset: offset})
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
