--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -37,17 +37,6 @@
 	// shorter than the bound on the age of manifests, 2 s: a read whose answer is lost, or
 	// that is not woken, must not hold one up for so long.
 	operatorsWait = 1500 * time.Millisecond
-	// operatorReaders is how many entries of a zone wait at the store for what operators
-	// write. Their neighbours learn from them and ask only for the store's end,
-	// followPause apart; what they lack they read by themselves after followHead or so.
-	operatorReaders = 2
-	followPause     = 1500 * time.Millisecond
-	followHead      = 600 * time.Millisecond
-	// maxPulls is how many peers the entry tells what operators write at a time: those
-	// that have it tell the others, so that it does not all pass its own link.
-	maxPulls = 3
-	// serveTimeout bounds telling a peer: one that has fallen silent keeps no place.
-	serveTimeout = 8 * time.Second
 	// readerPause is the time between two reads of the list of targets by the entry
 	// that reads for its zone, targetsPause that of its neighbours, which learn from it.
 	readerPause  = 450 * time.Millisecond
@@ -187,28 +176,6 @@
 	hb.Targets = contract.Offset(e.targets.Newest() + 1)
 }
 
-// follows reports whether this entry leaves reading what operators write to its
-// neighbours.
-func (e *Entry) follows() bool {
-	return e.operators.Known() && e.peers.Rank() >= operatorReaders
-}
-
-// operatorsPause is the time until what operators write is read again.
-func (e *Entry) operatorsPause() time.Duration {
-	if e.follows() {
-		return followPause
-	}
-	return 0
-}
-
-// operatorsDefer is how long the neighbours are left to tell what operators write.
-func (e *Entry) operatorsDefer() time.Duration {
-	if e.follows() {
-		return followHead
-	}
-	return 0
-}
-
 // targetsPause is the time until the list of targets is read again.
 func (e *Entry) targetsPause() time.Duration {
 	if reader, ok := e.peers.First(e.process.Zone); ok && reader != e.process.Machine {
@@ -219,11 +186,7 @@
 
 // beatReceived takes in a peer's heartbeat.
 func (e *Entry) beatReceived(hb contract.Heartbeat) {
-	if hb.Zone == e.process.Zone || e.peers.Alone() {
-		e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
-	} else {
-		e.catchup.ToldFar(hb.Machine, int64(hb.Settings)-1)
-	}
+	e.operatorsTold(hb)
 	if hb.Zone == e.process.Zone {
 		e.targetsCatchup.Told(hb.Machine, int64(hb.Targets)-1)
 	}
@@ -246,39 +209,6 @@
 	}
 }
 
-// serveRecords tells a peer what the entry knows of a topic.
-func (e *Entry) serveRecords(pull contract.RecordsPull, s *link.Stream) {
-	var records contract.Records
-	switch pull.Topic {
-	case platform.TopicOperators:
-		select {
-		case e.pulls <- struct{}{}:
-			defer func() { <-e.pulls }()
-			records = e.operators.Serve(pull.After)
-		default:
-			records = contract.Records{Topic: pull.Topic, Busy: true}
-		}
-	case platform.TopicTargets:
-		records = e.targets.Serve(pull.After)
-	default:
-		e.log.WithField("topic", pull.Topic).Warn("peer asked for an unknown topic")
-		return
-	}
-	_ = s.SetWriteDeadline(time.Now().Add(serveTimeout))
-	if err := s.Send(contract.Message{Kind: contract.KindRecords, Records: &records}); err != nil {
-		e.log.WithError(err).WithField("topic", pull.Topic).Warn("peer not told")
-	}
-}
-
-// operatorsChanged takes in what operators have written.
-func (e *Entry) operatorsChanged(news feed.News) {
-	e.world.operatorsChanged(news)
-	if m := e.world.current(); m != nil {
-		e.depot.SetOrigin(m.Origin())
-	}
-	e.peers.BeatNow()
-}
-
 // Reload takes in settings that have changed: the bounds and the level of logs.
 // Addresses and names stay until the process starts again. With an error the
 // former settings stay.
