--- a/machine/entry/direct/operators.go
+++ b/machine/entry/direct/operators.go
@@ -57,19 +57,9 @@
 
 // serveRecords tells a peer what the entry knows of a topic.
 func (e *Entry) serveRecords(pull contract.RecordsPull, s *link.Stream) {
-	var records contract.Records
-	switch pull.Topic {
-	case platform.TopicOperators:
-		select {
-		case e.pulls <- struct{}{}:
-			defer func() { <-e.pulls }()
-			records = e.operators.Serve(pull.After)
-		default:
-			records = contract.Records{Topic: pull.Topic, Busy: true}
-		}
-	case platform.TopicTargets:
-		records = e.targets.Serve(pull.After)
-	default:
+	records, done, ok := e.recordsFor(pull)
+	defer done()
+	if !ok {
 		e.log.WithField("topic", pull.Topic).Warn("peer asked for an unknown topic")
 		return
 	}
@@ -79,6 +69,25 @@
 	}
 }
 
+// recordsFor is the answer to a peer, and done is to be called once it has been sent; ok
+// is false if the topic is unknown.
+func (e *Entry) recordsFor(pull contract.RecordsPull) (records contract.Records, done func(), ok bool) {
+	done = func() {}
+	switch pull.Topic {
+	case platform.TopicTargets:
+		return e.targets.Serve(pull.After), done, true
+	case platform.TopicOperators:
+	default:
+		return contract.Records{}, done, false
+	}
+	select {
+	case e.pulls <- struct{}{}:
+		return e.operators.Serve(pull.After), func() { <-e.pulls }, true
+	default:
+		return contract.Records{Topic: pull.Topic, Busy: true}, done, true
+	}
+}
+
 // operatorsChanged takes in what operators have written.
 func (e *Entry) operatorsChanged(news feed.News) {
 	e.world.operatorsChanged(news)
