--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -80,6 +80,8 @@
 	callers, probes         net.Listener
 	// farFlights tells when entries of other regions are told of flights.
 	farFlights *pacer
+	// pulls has a place for each peer that is being told what operators write.
+	pulls chan struct{}
 	// work lasts until the entry has stopped, longer than the signal to stop.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -97,6 +99,7 @@
 		upstream: newUpstream(),
 
 		farFlights: newPacer(farFlightsPause),
+		pulls:      make(chan struct{}, maxPulls),
 	}
 	e.meters = newMeters(e.metrics.Scope())
 	e.world = newWorld(process, logs.For("world", process.Machine))
@@ -104,6 +107,8 @@
 	e.operators = feed.New(e.store, feed.Options{
 		Topic:    platform.TopicOperators,
 		Wait:     operatorsWait,
+		Pause:    e.operatorsPause,
+		Defer:    e.operatorsDefer,
 		OnChange: e.operatorsChanged,
 		Log:      logs.For("operators", process.Machine),
 	})
@@ -181,7 +186,7 @@
 
 // beatReceived takes in a peer's heartbeat.
 func (e *Entry) beatReceived(hb contract.Heartbeat) {
-	e.catchup.Told(hb.Machine, int64(hb.Settings)-1)
+	e.operatorsTold(hb)
 	if hb.Zone == e.process.Zone {
 		e.targetsCatchup.Told(hb.Machine, int64(hb.Targets)-1)
 	}
@@ -198,31 +203,12 @@
 func (e *Entry) serveStream(ctx context.Context, m contract.Message, s *link.Stream) {
 	switch m.Kind {
 	case contract.KindRecordsPull:
-		var records contract.Records
-		switch m.RecordsPull.Topic {
-		case platform.TopicOperators:
-			records = e.operators.Serve(m.RecordsPull.After)
-		case platform.TopicTargets:
-			records = e.targets.Serve(m.RecordsPull.After)
-		default:
-			e.log.WithField("topic", m.RecordsPull.Topic).Warn("peer asked for an unknown topic")
-			return
-		}
-		_ = s.Send(contract.Message{Kind: contract.KindRecords, Records: &records})
+		e.serveRecords(*m.RecordsPull, s)
 	case contract.KindPiecesRequest:
 		e.depot.Serve(ctx, *m.PiecesRequest, s)
 	}
 }
 
-// operatorsChanged takes in what operators have written.
-func (e *Entry) operatorsChanged(news feed.News) {
-	e.world.operatorsChanged(news)
-	if m := e.world.current(); m != nil {
-		e.depot.SetOrigin(m.Origin())
-	}
-	e.peers.BeatNow()
-}
-
 // Reload takes in settings that have changed: the bounds and the level of logs.
 // Addresses and names stay until the process starts again. With an error the
 // former settings stay.
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -28,6 +28,11 @@
 	// next read, which Poke cuts short.
 	Wait  time.Duration
 	Pause func() time.Duration
+	// Defer returns for how long peers are left to tell what the store holds before the
+	// feed reads it: a record may be large, and many processes read it over one link. The
+	// feed asks the store only for its end meanwhile, and for nothing while it knows
+	// nothing. 0 has it read at once, as without Defer.
+	Defer func() time.Duration
 	// OnChange is called with what was news.
 	OnChange func(News)
 	// OnStore is called when the store is lost and when it answers again.
@@ -50,8 +55,10 @@
 
 	mu      sync.Mutex
 	replica *Replica
-	// known tells that the whole topic has been read, or got from a peer, in this run.
-	known bool
+	// known tells that the whole topic has been read, or got from a peer, in this run;
+	// gotKnown is closed then.
+	known    bool
+	gotKnown chan struct{}
 	// readAt is when the store was last read to the topic's end; zero if never.
 	readAt time.Time
 	up     bool
@@ -63,19 +70,25 @@
 
 	poke chan struct{}
 
-	// from is the offset to read on from; synced tells that it is in force. They
-	// belong to Run.
-	from   int64
-	synced bool
+	// from is the offset to read on from; synced tells that it is in force. lagsUntil is
+	// when the feed reads what peers have not told; zero if nothing lacks. They belong
+	// to Run.
+	from      int64
+	synced    bool
+	lagsUntil time.Time
 }
 
 // New returns a feed that Run starts.
 func New(store *platform.Store, opts Options) *Feed {
-	return &Feed{store: store, opts: opts, replica: NewReplica(), poke: make(chan struct{}, 1)}
+	return &Feed{store: store, opts: opts, replica: NewReplica(), gotKnown: make(chan struct{}), poke: make(chan struct{}, 1)}
 }
 
+// SetDefer sets Options.Defer; call it before Run.
+func (f *Feed) SetDefer(head func() time.Duration) { f.opts.Defer = head }
+
 // Run follows the topic until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
+	f.awaitPeers(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		wait := time.Duration(0)
@@ -103,6 +116,9 @@
 }
 
 func (f *Feed) pause() time.Duration {
+	if !f.lagsUntil.IsZero() {
+		return lagPause
+	}
 	if f.opts.Pause == nil {
 		return 0
 	}
@@ -147,8 +163,12 @@
 	}
 }
 
-// step reads once.
+// step reads once, unless that is left to peers.
 func (f *Feed) step(ctx context.Context) error {
+	left, err := f.leave(ctx)
+	if err != nil || left {
+		return err
+	}
 	if !f.synced {
 		return f.sync(ctx)
 	}
@@ -167,7 +187,7 @@
 		f.from = batch.Records[n-1].Offset + 1
 	}
 	f.take(func() []contract.Record { return f.replica.Apply(batch.Records) }, false)
-	if f.from >= batch.End {
+	if f.from >= batch.End || f.holds(batch.End) {
 		f.readToEnd()
 	}
 	return nil
@@ -194,8 +214,10 @@
 	if f.refresh {
 		wait, f.endRead, f.refresh = 0, nil, false
 	}
+	// What peers have told is not read again.
+	from := max(f.from, f.replica.Newest()+1)
 	f.mu.Unlock()
-	batch, err := f.store.Read(reading, f.opts.Topic, f.from, wait)
+	batch, err := f.store.Read(reading, f.opts.Topic, from, wait)
 	if err != nil && reading.Err() != nil && ctx.Err() == nil {
 		return platform.Batch{}, errEnded
 	}
@@ -222,7 +244,10 @@
 	f.mu.Lock()
 	news := News{Records: change(), Since: f.readAt}
 	first := whole && !f.known
-	f.known = f.known || whole
+	if first {
+		f.known = true
+		close(f.gotKnown)
+	}
 	f.mu.Unlock()
 	if len(news.Records) > 0 || first {
 		f.opts.OnChange(news)
@@ -267,7 +292,14 @@
 	return f.up
 }
 
-// Newest is the highest offset taken in, -1 if there is none.
+// Known reports whether the whole topic has been read or got from a peer.
+func (f *Feed) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// Newest is the offset up to which the topic is held, -1 if it is not.
 func (f *Feed) Newest() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -278,10 +310,16 @@
 func (f *Feed) Serve(after int64) contract.Records {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return contract.Records{Topic: f.opts.Topic, Records: f.replica.After(after), Known: f.known}
+	return contract.Records{Topic: f.opts.Topic, Records: f.replica.After(after), Known: f.known, Newest: f.replica.Newest()}
 }
 
-// Merge takes in what a peer knows.
+// Merge takes in what a peer knows beyond an offset that this feed has been at.
 func (f *Feed) Merge(records contract.Records) {
-	f.take(func() []contract.Record { return f.replica.Apply(records.Records) }, records.Known)
+	f.take(func() []contract.Record {
+		news := f.replica.Apply(records.Records)
+		if records.Known {
+			f.replica.Advance(records.Newest)
+		}
+		return news
+	}, records.Known)
 }
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -23,8 +23,12 @@
 	"mimosastand.example/mimosastand/platform"
 )
 
-// ErrNoPeer means that no peer could be asked.
-var ErrNoPeer = errors.New("peers: none is linked")
+var (
+	// ErrNoPeer means that no peer could be asked.
+	ErrNoPeer = errors.New("peers: none is linked")
+	// ErrBusy means that a peer answers others; it may be asked again soon.
+	ErrBusy = errors.New("peers: peer is busy")
+)
 
 // Options joins a process to its peers.
 type Options struct {
--- a/machine/peers/streams.go
+++ b/machine/peers/streams.go
@@ -60,23 +60,10 @@
 	if m.Kind != contract.KindRecords {
 		return contract.Records{}, errors.Wrapf(link.ErrFrame, "reply of kind %d", m.Kind)
 	}
-	return *m.Records, nil
-}
-
-// next returns the linked entries in turn.
-func (p *Peers) next() (contract.MachineID, bool) {
-	entries := p.Members(link.RoleEntry)
-	p.mu.Lock()
-	p.asked++
-	asked := p.asked
-	p.mu.Unlock()
-	for i := range entries {
-		id := entries[(asked+i)%len(entries)].Machine
-		if p.Linked(id) {
-			return id, true
-		}
+	if m.Records.Busy {
+		return contract.Records{}, ErrBusy
 	}
-	return "", false
+	return *m.Records, nil
 }
 
 // ServeStream implements link.Handler.
