placement: a survey tells why a request finds no target

Ruled out: a line for each target (19 lines a refusal). Change: Pool.Survey counts the targets by rule and names the full one that would begin first, with its load and the ages of what is known; usable() rests on the same rules, so there is one copy.

--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
@@ -62,6 +63,9 @@
 	Load  int
 	// ListedAge is how old the target's entry in the list is.
 	ListedAge time.Duration
+	// ToldAge is how long ago the process beside the target told of it; negative if
+	// it never did.
+	ToldAge time.Duration
 }
 
 // Refusal tells why there is no choice.
@@ -186,30 +190,43 @@
 
 // usable reports whether a target may get the attempt however little it has to do.
 func (p *Pool) usable(now time.Time, m *roster.Member, want Want) bool {
+	return p.bar(now, m, want) == NoBar
+}
+
+// bar is the rule that leaves a target out however little it has to do.
+func (p *Pool) bar(now time.Time, m *roster.Member, want Want) Bar {
 	switch {
-	case m.Leaving, p.out[m.Zone], want.Allowed != nil && !want.Allowed(p.regions[m.Zone]):
-		return false
-	case p.service != nil && p.service.Engine != nil && !p.holds(now, m, want):
-		return false
+	case m.Leaving:
+		return BarLeaving
+	case p.out[m.Zone]:
+		return BarEvacuated
+	case want.Allowed != nil && !want.Allowed(p.regions[m.Zone]):
+		return BarRegion
 	}
-	for _, id := range want.Tried {
-		if id == m.ID {
-			return false
+	if p.service != nil && p.service.Engine != nil {
+		if bar := p.weightsBar(now, m, want); bar != NoBar {
+			return bar
 		}
 	}
-	return true
+	if slices.Contains(want.Tried, m.ID) {
+		return BarTried
+	}
+	return NoBar
 }
 
-// holds reports whether a model engine holds weights that the attempt may run on.
-func (p *Pool) holds(now time.Time, m *roster.Member, want Want) bool {
-	version := m.Version(now)
+// weightsBar is the rule by which a model engine's weights leave it out.
+func (p *Pool) weightsBar(now time.Time, m *roster.Member, want Want) Bar {
 	if s, ok := m.Status(now); ok && s.Changing {
-		return false
+		return BarChanging
 	}
+	version := m.Version(now)
 	if want.Pinned != 0 && version != want.Pinned {
-		return false
+		return BarVersion
+	}
+	if version <= 0 || version < want.MinVersion {
+		return BarVersion
 	}
-	return version > 0 && version >= want.MinVersion
+	return NoBar
 }
 
 // Pick chooses a target for an attempt whose first event is due within limit.
@@ -233,8 +250,7 @@
 			cost := first + p.distance(now, m) + time.Duration(p.rng.Int64N(int64(spread)))
 			if best == nil || cost < bestCost {
 				best, bestCost = m, cost
-				choice = Choice{ID: m.ID, Address: m.Address, Version: m.Version(now), Oldest: want.MinVersion, First: first,
-					Load: int(p.estimate(now, m)), ListedAge: now.Sub(m.ListedAt)}
+				choice = p.choice(now, m, want)
 			}
 		}
 		if refusal == Full {
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -38,6 +38,17 @@
 	return m.status, true
 }
 
+// neverTold stands for the age of what a target's process has never told.
+const neverTold = -time.Millisecond
+
+// ToldAge is how long ago the target's process last told of it; negative if it never did.
+func (m *Member) ToldAge(now time.Time) time.Duration {
+	if m.statusAt.IsZero() {
+		return neverTold
+	}
+	return now.Sub(m.statusAt)
+}
+
 // IsSilent reports whether the target's process told of it and no longer does: its
 // machine may be cut off or dead.
 func (m *Member) IsSilent(now time.Time) bool {
