logs: the count of lines left out names its machine

Ruled out: the machine that a collector puts before a line, which files of one process do not have. Change: the note bears the machine. Figures: TestQuotaIsPerMessageAndCountsWhatItLeavesOut asks for it (failed before). Conclusion: a request whose end was over the quota can be told from one whose process ended.

--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -133,7 +133,7 @@
 	}
 	note := log.Entry{
 		Logger:    e.Logger,
-		Fields:    log.Fields{"event": e.Message, "count": q.leftOut},
+		Fields:    log.Fields{"event": e.Message, "count": q.leftOut, fieldMachine: e.Fields.Get(fieldMachine)},
 		Level:     log.WarnLevel,
 		Timestamp: e.Timestamp,
 		Message:   leftOutMessage,
--- a/internal/logs/bounded_test.go
+++ b/internal/logs/bounded_test.go
@@ -70,11 +70,11 @@
 	now := time.Unix(1000, 0)
 	b.now = func() time.Time { return now }
 	for range routineQuota + 5 {
-		logger(b).Info("routine")
+		logger(b).WithField(fieldMachine, "entry-1").Info("routine")
 	}
 	logger(b).Warn("failure")
 	now = now.Add(quotaWindow)
-	logger(b).Info("routine")
+	logger(b).WithField(fieldMachine, "entry-1").Info("routine")
 	b.Close(time.Minute)
 	text := out.text.String()
 	if got := strings.Count(text, "message=routine"); got != routineQuota+1 {
@@ -83,7 +83,7 @@
 	if !strings.Contains(text, "message=failure") {
 		t.Error("a failure was left out")
 	}
-	if !strings.Contains(text, leftOutMessage) || !strings.Contains(text, "count=5") {
+	if !strings.Contains(text, leftOutMessage) || !strings.Contains(text, "count=5 event=routine machine=entry-1") {
 		t.Errorf("not told what was left out: %s", text[len(text)-300:])
 	}
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -44,9 +44,12 @@
 	}
 }
 
+// fieldMachine names the machine in every line.
+const fieldMachine = "machine"
+
 // For returns the logger of one part of a machine's process.
 func For(part string, machine contract.MachineID) log.Interface {
-	return prefixed{Interface: log.WithField("machine", string(machine)), prefix: part + ": "}
+	return prefixed{Interface: log.WithField(fieldMachine, string(machine)), prefix: part + ": "}
 }
 
 // prefixed puts a fixed prefix before every message.
