entry: the line of a failed or late request tells what its end rests on

Ruled out: more lines for a request, since each message has a quota under load and the parts would be lost apart. Change: 'request ended' tells how the targets stood (refusals), how the last attempt broke off, what its choice rested on with its age, why no other followed, and what the caller had of the answer; 'request served late' is new, with a counter; attempts names the rule that ends a request; a caller that leaves while it sends its body gets its line. All fields are listed and compared with the code.

--- a/machine/entry/attempts/attempts.go
+++ b/machine/entry/attempts/attempts.go
@@ -67,21 +67,50 @@
 // After decides what follows an attempt that did not bring a whole answer.
 func After(o Outcome, s State) Verdict {
 	switch {
-	case o == NotSent && s.Left > minLeft && s.Unsent < maxUnsent:
+	case LimitAfter(o, s) != NoLimit:
+		return Final(o, s)
+	case o == NotSent:
 		return Elsewhere
-	case s.mayRepeat(o):
-		return Again
 	default:
-		return Final(o, s)
+		return Again
 	}
 }
 
-// mayRepeat reports whether the request may be sent again after an attempt.
-func (s State) mayRepeat(o Outcome) bool {
-	if s.Left <= minLeft || s.Sent >= s.MaxAttempts || o == NotSent {
-		return false
+// Limit is the rule by which no other attempt follows.
+type Limit string
+
+const (
+	// NoLimit means that another attempt may follow.
+	NoLimit Limit = ""
+	// LimitTime means that too little time is left.
+	LimitTime Limit = "time"
+	// LimitAttempts means that the route allows no more attempts.
+	LimitAttempts Limit = "attempts"
+	// LimitUnsent means that too many attempts never left the entry.
+	LimitUnsent Limit = "unsent"
+	// LimitOnce means that the request may run only once and may have run.
+	LimitOnce Limit = "once"
+	// LimitBudget means that the retry budget is used up.
+	LimitBudget Limit = "retry_budget"
+)
+
+// LimitAfter is the rule by which no other attempt follows one that ended so; the
+// retry budget is not known here.
+func LimitAfter(o Outcome, s State) Limit {
+	switch {
+	case s.Left <= minLeft:
+		return LimitTime
+	case o == NotSent && s.Unsent >= maxUnsent:
+		return LimitUnsent
+	case o == NotSent:
+		return NoLimit
+	case s.Sent >= s.MaxAttempts:
+		return LimitAttempts
+	case o != NotRun && !s.Repeatable:
+		return LimitOnce
+	default:
+		return NoLimit
 	}
-	return o == NotRun || s.Repeatable
 }
 
 // Final decides about the answer when there will be no other attempt.
--- a/machine/entry/attempts/attempts_test.go
+++ b/machine/entry/attempts/attempts_test.go
@@ -61,3 +61,30 @@
 		}
 	}
 }
+
+// The rule that ends a request is named, and names one exactly when none follows.
+func TestLimitAfter(t *testing.T) {
+	second := time.Second
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		state   State
+		want    Limit
+	}{
+		{"no time", Lost, State{Repeatable: true, MaxAttempts: 2, Sent: 1, Left: minLeft}, LimitTime},
+		{"attempts used up", Lost, State{Repeatable: true, MaxAttempts: 2, Sent: 2, Left: second}, LimitAttempts},
+		{"may run once", Lost, State{MaxAttempts: 2, Sent: 1, Left: second}, LimitOnce},
+		{"may run once and has not", NotRun, State{MaxAttempts: 2, Sent: 1, Left: second}, NoLimit},
+		{"never sent", NotSent, State{MaxAttempts: 1, Unsent: maxUnsent, Left: second}, LimitUnsent},
+		{"sent elsewhere", NotSent, State{MaxAttempts: 1, Unsent: 1, Left: second}, NoLimit},
+	} {
+		got := LimitAfter(c.outcome, c.state)
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+		verdict := After(c.outcome, c.state)
+		if follows := verdict == Again || verdict == Elsewhere; follows != (got == NoLimit) {
+			t.Errorf("%s: verdict %d with limit %q", c.name, verdict, got)
+		}
+	}
+}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -44,6 +44,8 @@
 	version int64
 	// targetID is the target of the last attempt.
 	targetID roster.TargetID
+	// story is what the log tells of the request at its end.
+	story story
 }
 
 // serve answers the request.
@@ -66,8 +68,10 @@
 			panic(http.ErrAbortHandler)
 		}
 		verdict := attempts.After(outcome, c.state())
+		c.story.limit = attempts.LimitAfter(outcome, c.state())
 		if verdict == attempts.Again && !c.entry.world.mayRetry(c.service) {
 			verdict = attempts.Final(outcome, c.state())
+			c.story.limit = attempts.LimitBudget
 		}
 		if verdict != attempts.Again && verdict != attempts.Elsewhere {
 			c.conclude(verdict, answer)
@@ -160,10 +164,12 @@
 			return choice, "", 0
 		}
 		if time.Now().After(until) || refusal == placement.None && !c.begun {
+			c.story.noRoom(c.entry.world.survey(c.service, c.want(), limit))
 			return choice, reasonOf(refusal), c.entry.world.comeBack(c.service, c.want(), limit)
 		}
 		select {
 		case <-ctx.Done():
+			c.story.noRoom(c.entry.world.survey(c.service, c.want(), limit))
 			return choice, reasonOf(refusal), 0
 		case <-time.After(placeInterval):
 		}
@@ -190,8 +196,10 @@
 	w.sent(c.service, choice.ID)
 	defer w.ended(c.service, choice.ID)
 	x := &exchange{call: c, choice: choice, start: time.Now()}
+	c.story.placed(choice, x.start)
 	c.entry.meters.placed.RecordDuration(x.start.Sub(c.arrived))
 	outcome, answer := x.run(ctx)
+	c.story.attempted(outcome, x.broke, x.err)
 	c.entry.meters.attempted(outcome)
 	switch outcome {
 	case attempts.NotSent:
@@ -230,6 +238,7 @@
 	}
 	c.w.WriteHeader(a.status)
 	_, _ = c.w.Write(a.body)
+	c.story.delivered(time.Now())
 	c.ended(a.status, "", 0)
 }
 
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -44,6 +44,16 @@
 	return c.After(now, room, w.rng.Float64())
 }
 
+// survey tells why a request finds no target.
+func (w *world) survey(service contract.ServiceName, want placement.Want, limit time.Duration) placement.Survey {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if want.Pinned == 0 {
+		want.MinVersion = w.minVersion(service)
+	}
+	return w.pool(service).Survey(time.Now(), want, limit)
+}
+
 // expected is the version of weights that an attempt insists on; 0 for any.
 func (w *world) expected(service contract.ServiceName, pinned int64) int64 {
 	if pinned != 0 {
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -25,7 +25,6 @@
 	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/depot"
-	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
@@ -288,13 +287,6 @@
 	}
 }
 
-// logRetry logs that a request is sent again.
-func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
-	e.meters.retried(outcome)
-	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
-		WithField("outcome", outcomeNames[outcome]).WithField("sent", c.sent).Info("sent again")
-}
-
 // logPlaced logs where an attempt goes and what the choice rests on.
 func (e *Entry) logPlaced(c *call, choice placement.Choice) {
 	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
@@ -303,15 +295,3 @@
 		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("manifest", c.manifest).
 		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("attempt placed")
 }
-
-// logEnd logs how a request ended.
-func (e *Entry) logEnd(c *call, status int, reason contract.Reason, after time.Duration) {
-	e.meters.ended(c, status, reason)
-	entry := e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(c.targetID)).
-		WithField("status", status).WithField("sent", c.sent).WithField("ms", time.Since(c.arrived).Milliseconds())
-	if reason == "" && status < http.StatusInternalServerError {
-		entry.Info("request served")
-		return
-	}
-	entry.WithField("reason", string(reason)).WithField("after_ms", after.Milliseconds()).Warn("request ended")
-}
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -44,6 +44,9 @@
 	// silent tells that the exchange was cut because the target sent nothing.
 	silent      bool
 	misdirected bool
+	// broke is how a lost attempt broke off, err the error if there is one.
+	broke breakage
+	err   error
 	// heard is when something last came, in nanoseconds since start.
 	heard atomic.Int64
 	quiet atomic.Bool
@@ -57,6 +60,7 @@
 	}
 	conn, err := c.entry.upstream.get(ctx, x.choice.Address, maxIdle)
 	if err != nil {
+		x.broken(err)
 		return attempts.NotSent, nil
 	}
 	x.conn = conn
@@ -65,10 +69,9 @@
 	defer x.watch()()
 	resp, err := conn.send(x.request(), c.deadline)
 	if err != nil {
-		conn.abandon()
-		x.silent = x.quiet.Load()
+		lost := x.cut(err)
 		if isLost(err) {
-			return attempts.Lost, nil
+			return lost, nil
 		}
 		return attempts.NotSent, nil
 	}
@@ -146,6 +149,7 @@
 	c := x.call
 	reply := platform.DecodeReply(resp)
 	x.hear()
+	c.story.replied(reply)
 	if reply.Requests >= 0 {
 		c.entry.world.reported(c.service, x.choice.ID, reply.Requests)
 	}
@@ -153,10 +157,12 @@
 		c.entry.log.WithField("request", c.info.ID).WithField("answered", reply.ID).
 			WithField("target", string(x.choice.ID)).Warn("answer of another attempt")
 		x.conn.abandon()
+		x.broke = brokeOther
 		return attempts.Lost, nil
 	}
 	if reply.NotRun {
 		x.misdirected = reply.Misdirected
+		x.broke = refusal(reply)
 		x.finish(resp, reply)
 		return attempts.NotRun, nil
 	}
@@ -181,9 +187,12 @@
 func (x *exchange) whole(resp *http.Response, reply platform.Reply) (attempts.Outcome, *answer) {
 	c := x.call
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes || reply.Encoded {
+	if err != nil {
+		return x.cut(err), nil
+	}
+	if len(body) > maxAnswerBytes || reply.Encoded {
 		x.conn.abandon()
-		x.silent = x.quiet.Load()
+		x.broke = unusable(reply)
 		return attempts.Lost, nil
 	}
 	if resp.Close {
@@ -194,10 +203,12 @@
 	a := &answer{status: reply.Status, header: platform.AnswerHeaders(resp.Header), body: body}
 	switch {
 	case !reply.Stamped && reply.Status < http.StatusBadRequest:
+		x.broke = brokeUnstamped
 		return attempts.Lost, nil
 	case isPromise(reply.Status):
 		// The target did not say that it has not run the attempt, so that its status
 		// must not promise that to the caller.
+		x.broke = brokePromise
 		return attempts.Lost, nil
 	case reply.Status >= http.StatusInternalServerError:
 		return attempts.Failed, a
--- a/machine/entry/direct/front.go
+++ b/machine/entry/direct/front.go
@@ -97,6 +97,8 @@
 		c.deny(http.StatusRequestEntityTooLarge, contract.ReasonBodyTooLarge)
 	case c.r.Context().Err() == nil:
 		c.deny(http.StatusBadRequest, contract.ReasonBadRequest)
+	default:
+		c.ended(0, contract.ReasonCallerGone, 0)
 	}
 	return false
 }
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// ended counts a request by its kind, status and reason.
+// ended counts a request by its kind, status and reason, and a late one once more.
 func (m *meters) ended(c *call, status int, reason contract.Reason) {
 	kind := "none"
 	if c.route != nil {
@@ -60,6 +60,9 @@
 	}
 	tags := map[string]string{"kind": kind, "status": strconv.Itoa(status), "reason": string(reason)}
 	m.scope.Tagged(tags).Counter("requests").Inc(1)
+	if c.isLate() {
+		m.scope.Tagged(map[string]string{"kind": kind}).Counter("late_requests").Inc(1)
+	}
 	m.whole.RecordDuration(time.Since(c.arrived))
 }
 
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -64,6 +64,7 @@
 	c := x.call
 	if reply.Encoded || !reply.Stamped {
 		x.conn.abandon()
+		x.broke = unusable(reply)
 		return attempts.Lost
 	}
 	if c.version == 0 {
@@ -77,9 +78,7 @@
 			return x.streamEnded(resp, reply)
 		}
 		if err != nil {
-			x.conn.abandon()
-			x.silent = x.quiet.Load()
-			return attempts.Lost
+			return x.cut(err)
 		}
 		if !first {
 			c.entry.meters.gap.RecordDuration(time.Since(x.start) - time.Duration(x.heard.Load()))
@@ -95,6 +94,7 @@
 		}
 		if err := c.deliver(resp, ev); err != nil {
 			x.conn.abandon()
+			x.broke, x.err = brokeCaller, err
 			return attempts.Lost
 		}
 	}
@@ -140,5 +140,6 @@
 	if ev.hasID {
 		c.last = ev.id
 	}
+	c.story.delivered(time.Now())
 	return control.Flush()
 }
