explain: by which process, on which inputs and how old

Cause: explain repeated the reason, but not whether an answer was late or cut midway, nor on what the refusal rested. Ruled out: guessing the inputs from lines of other requests. Change: it tells the end apart as served, late, cut midway, refused, left by the caller; by which process; how the targets stood; the last attempt, its choice and the ages; which rule ended it; that the entry had just started or had lost the store; what the process beside the engine had seen (found by the engine's start); attempts whose lines are missing, and for a request without an end whether its process ended or lines were left out. Lines that bear on no request are not shown.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -15,8 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logfmt/logfmt"
-
-	"mimosastand.example/mimosastand/contract"
 )
 
 // ErrNotFound means that no line names the request.
@@ -78,26 +76,39 @@
 		return errors.Wrapf(ErrNotFound, "%s", id)
 	}
 	first := about[0]
+	fmt.Fprintf(w, "request %s at %s\n\n", id, first.Machine)
+	for _, l := range merge(about, around(lines, about)) {
+		fmt.Fprintf(w, "%s %s\n", l.At.Format("15:04:05.000"), describe(l))
+	}
+	s := session{about: about, all: lines}
+	fmt.Fprintf(w, "\n%s\n", strings.Join(s.conclude(), " "))
+	return nil
+}
+
+// unrelated messages say nothing of a request.
+var unrelated = map[string]bool{
+	"peer rejected": true, "peers: member published": true, "weights wanted": true, "weights whole": true,
+	"pieces from a peer": true, "pieces from the zone's reader": true,
+}
+
+// around are the lines that tell what the request's entry came to believe shortly
+// before it and meanwhile.
+func around(lines, about []Line) []Line {
+	first, last := about[0], about[len(about)-1]
 	targets := map[string]bool{}
 	for _, l := range about {
 		targets[l.Fields["target"]] = l.Fields["target"] != ""
 	}
-	around := choose(lines, func(l Line) bool {
-		if l.Fields["request"] != "" || l.Machine != first.Machine {
+	return choose(lines, func(l Line) bool {
+		if l.Fields["request"] != "" || l.Machine != first.Machine || unrelated[l.Message] {
 			return false
 		}
-		if l.At.Before(first.At.Add(-context)) || l.At.After(about[len(about)-1].At) {
+		if l.At.Before(first.At.Add(-context)) || l.At.After(last.At) {
 			return false
 		}
 		target := l.Fields["target"]
 		return target == "" || targets[target]
 	})
-	fmt.Fprintf(w, "request %s at %s\n\n", id, first.Machine)
-	for _, l := range merge(about, around) {
-		fmt.Fprintf(w, "%s %s\n", l.At.Format("15:04:05.000"), describe(l))
-	}
-	fmt.Fprintf(w, "\n%s\n", conclude(about))
-	return nil
 }
 
 func choose(lines []Line, keep func(Line) bool) []Line {
@@ -133,51 +144,3 @@
 	}
 	return text
 }
-
-// conclude says in a few sentences how the request ended and why.
-func conclude(about []Line) string {
-	last := about[len(about)-1]
-	var said []string
-	if n := count(about, "sent again"); n > 0 {
-		said = append(said, fmt.Sprintf("It was sent again %d times, since: %s.", n, outcomes(about)))
-	}
-	reason := contract.Reason(last.Fields["reason"])
-	switch {
-	case last.Message == "request served":
-		said = append(said, fmt.Sprintf("It was served by %s within %s ms.", last.Fields["target"], last.Fields["ms"]))
-	case reason != "":
-		text := fmt.Sprintf("It ended with status %s after %s ms, because %s.", last.Fields["status"], last.Fields["ms"], reason.Explain())
-		if after := last.Fields["after_ms"]; after != "" && after != "0" {
-			text += fmt.Sprintf(" The caller was told to come back in %s ms.", after)
-		}
-		said = append(said, text)
-	case last.Fields["status"] != "":
-		said = append(said, fmt.Sprintf("It ended with status %s of target %s itself.", last.Fields["status"], last.Fields["target"]))
-	default:
-		said = append(said, "Its end is not in these lines.")
-	}
-	if last.Fields["sent"] == "0" {
-		said = append(said, "It was never sent to a target, so it has not run.")
-	}
-	return strings.Join(said, " ")
-}
-
-func count(about []Line, message string) int {
-	n := 0
-	for _, l := range about {
-		if l.Message == message || strings.HasSuffix(l.Message, ": "+message) {
-			n++
-		}
-	}
-	return n
-}
-
-func outcomes(about []Line) string {
-	var list []string
-	for _, l := range about {
-		if outcome := l.Fields["outcome"]; outcome != "" {
-			list = append(list, fmt.Sprintf("%s at %s", strings.ReplaceAll(outcome, "_", " "), l.Fields["target"]))
-		}
-	}
-	return strings.Join(list, ", ")
-}
