entry: a 421 tells which weights were asked for and which are there

The lines could not tell whether another target or other weights were there. Ruled out: the status alone, which is the same for both. Change: expected_version is what the attempt insisted on, target_version what the target says; explain words both.

--- a/internal/explain/conclude.go
+++ b/internal/explain/conclude.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		how := strings.ReplaceAll(l.Fields["outcome"], "_", " ")
-		if clause := broken[l.Fields["broke"]]; clause != "" {
+		if clause := breakage(l); clause != "" {
 			how += " (" + clause + ")"
 		}
 		list = append(list, fmt.Sprintf("%s at %s", how, l.Fields["target"]))
@@ -213,6 +213,19 @@
 	"misdirected":       "another target or other weights were there",
 }
 
+// breakage says how the attempt of a line broke off; empty if it did not.
+func breakage(l Line) string {
+	clause := broken[l.Fields["broke"]]
+	told, expected := l.Fields["target_version"], l.Fields["expected_version"]
+	if l.Fields["broke"] != "misdirected" || told == "" {
+		return clause
+	}
+	if expected == "" || expected == told {
+		return "another target was there, with version " + told
+	}
+	return fmt.Sprintf("it had version %s, and version %s was asked for", told, expected)
+}
+
 // limits says why no other attempt followed.
 var limits = map[string]string{
 	"time":         "too little time was left",
@@ -237,8 +250,8 @@
 	switch {
 	case f["begun_ms"] != "" && f["broke"] == "":
 		said = append(said, began(end))
-	case broken[f["broke"]] != "":
-		text := fmt.Sprintf("It broke off after %s ms: %s", f["attempt_ms"], broken[f["broke"]])
+	case breakage(end) != "":
+		text := fmt.Sprintf("It broke off after %s ms: %s", f["attempt_ms"], breakage(end))
 		if load := f["target_load"]; load != "" {
 			text += fmt.Sprintf(", it told a load of %s", load)
 		}
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -88,6 +88,7 @@
 		ResumeAfter: c.last,
 		Version:     c.entry.world.expected(c.service, c.version),
 	}
+	c.story.expected = attempt.Version
 	if c.team != nil {
 		attempt.Team = string(c.team.Name)
 	}
--- a/machine/entry/direct/story.go
+++ b/machine/entry/direct/story.go
@@ -47,6 +47,9 @@
 	// answered is the target's own status in the last attempt, 0 if it sent none, and
 	// requests the load that it told, -1 if it did not.
 	answered, requests int
+	// expected is the version that the last attempt insisted on, told the one that the
+	// target said it holds; 0 if there was none.
+	expected, told int64
 	// limit is why no other attempt followed.
 	limit attempts.Limit
 	// survey is how the targets stood when there was no room.
@@ -62,13 +65,16 @@
 func (s *story) placed(choice placement.Choice, now time.Time) {
 	s.choice, s.sentAt = choice, now
 	s.answered, s.requests = 0, -1
+	s.expected, s.told = 0, 0
 	if s.firstAt.IsZero() {
 		s.firstAt = now
 	}
 }
 
 // replied records the head of a target's answer.
-func (s *story) replied(reply platform.Reply) { s.answered, s.requests = reply.Status, reply.Requests }
+func (s *story) replied(reply platform.Reply) {
+	s.answered, s.requests, s.told = reply.Status, reply.Requests, reply.Version
+}
 
 // attempted records how an attempt ended.
 func (s *story) attempted(o attempts.Outcome, how breakage, err error) {
@@ -157,6 +163,12 @@
 	if s.requests >= 0 {
 		f["target_load"] = s.requests
 	}
+	if s.expected > 0 {
+		f["expected_version"] = s.expected
+	}
+	if s.told > 0 {
+		f["target_version"] = s.told
+	}
 }
 
 // choiceFields tell what the choice of a target rests on; prefix begins their names.
