explain: a 421 is told by the weights that were asked for and by the engine's later life

Ruled out: two kinds of 421 from the target; its headers do not tell them apart. Change: explain compares what was asked for with what was believed, and says if the process beside the target's engine has seen a later life of it.

--- a/internal/explain/conclude.go
+++ b/internal/explain/conclude.go
@@ -216,14 +216,22 @@
 // breakage says how the attempt of a line broke off; empty if it did not.
 func breakage(l Line) string {
 	clause := broken[l.Fields["broke"]]
-	told, expected := l.Fields["target_version"], l.Fields["expected_version"]
-	if l.Fields["broke"] != "misdirected" || told == "" {
+	if l.Fields["broke"] != "misdirected" {
 		return clause
 	}
-	if expected == "" || expected == told {
+	told, believed, expected := l.Fields["target_version"], l.Fields["version"], l.Fields["expected_version"]
+	switch {
+	case expected == "":
+		return "another target was there, since no version was asked for"
+	case told == expected:
 		return "another target was there, with version " + told
+	case told != "":
+		return fmt.Sprintf("it had version %s, and version %s was asked for", told, expected)
+	case believed != "" && believed != expected:
+		return fmt.Sprintf("it was taken to have version %s, and version %s was asked for", believed, expected)
+	default:
+		return clause
 	}
-	return fmt.Sprintf("it had version %s, and version %s was asked for", told, expected)
 }
 
 // limits says why no other attempt followed.
@@ -308,15 +316,7 @@
 
 // latest is the last line of a message at the end's machine before it.
 func (s session) latest(end Line, message string) (found Line, ok bool) {
-	for _, l := range s.all {
-		if l.Machine != end.Machine || !is(l, message) || l.At.After(end.At) {
-			continue
-		}
-		if !ok || l.At.After(found.At) {
-			found, ok = l, true
-		}
-	}
-	return found, ok
+	return lastOf(s.all, end.At, func(l Line) bool { return l.Machine == end.Machine && is(l, message) })
 }
 
 // store tells of the topics that the entry could not read.
@@ -355,19 +355,32 @@
 	if born == "" || born == "0" {
 		return nil
 	}
-	var last Line
-	for _, l := range s.all {
-		if is(l, "engine changed") && l.Fields["born"] == born && !l.At.After(end.At) && !l.At.Before(last.At) {
-			last = l
-		}
-	}
-	if last.Machine == "" {
+	beside, ok := lastOf(s.all, end.At, func(l Line) bool { return is(l, "engine changed") && l.Fields["born"] == born })
+	if !ok {
 		return nil
 	}
-	return []string{fmt.Sprintf("%s had seen that engine change %d ms before: up %s, version %s, busy %s.", last.Machine,
+	last, _ := lastOf(s.all, end.At, func(l Line) bool { return is(l, "engine changed") && l.Machine == beside.Machine })
+	engine := "that engine"
+	if last.Fields["born"] != born {
+		engine = "another life of that engine"
+	}
+	return []string{fmt.Sprintf("%s had seen %s change %d ms before: up %s, version %s, busy %s.", last.Machine, engine,
 		end.At.Sub(last.At).Milliseconds(), last.Fields["up"], last.Fields["version"], last.Fields["busy"])}
 }
 
+// lastOf is the last line up to a time that keep takes.
+func lastOf(lines []Line, until time.Time, keep func(Line) bool) (found Line, ok bool) {
+	for _, l := range lines {
+		if l.At.After(until) || !keep(l) {
+			continue
+		}
+		if !ok || !l.At.Before(found.At) {
+			found, ok = l, true
+		}
+	}
+	return found, ok
+}
+
 // missing tells that some of the request's lines are not there.
 func (s session) missing(end Line) []string {
 	placed := int64(0)
--- a/machine/entry/direct/story.go
+++ b/machine/entry/direct/story.go
@@ -258,6 +258,7 @@
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
 	e.meters.retried(outcome)
 	f := log.Fields{"attempt_ms": time.Since(c.story.sentAt).Milliseconds()}
+	f["version"] = c.story.choice.Version
 	c.story.breakageFields(f)
 	e.log.WithFields(f).WithField("request", c.info.ID).WithField("service", string(c.service)).
 		WithField("target", string(c.targetID)).WithField("outcome", outcomeNames[outcome]).WithField("sent", c.sent).Info("sent again")
