entry, explain: an attempt's end is not told of the next one; why a cut stream went on nowhere

Ruled out: a wrong line from the target. Change: a new attempt begins without an end; its time stops with it; explain tells what was known of the targets for another attempt, and why a target is full that would begin in time.

--- a/internal/explain/conclude.go
+++ b/internal/explain/conclude.go
@@ -121,7 +121,8 @@
 	} else {
 		said = append(said, fmt.Sprintf("It ended with status %s after %s ms, because %s.", end.Fields["status"], end.Fields["ms"], reason.Explain()))
 	}
-	return append(said, attempt(end)...)
+	said = append(said, attempt(end)...)
+	return append(said, survey(end)...)
 }
 
 // refused tells of a request that the entry refused.
@@ -168,6 +169,9 @@
 	}
 	sort.Strings(parts)
 	text := fmt.Sprintf("%s knew of %s targets", end.Machine, end.Fields["listed"])
+	if end.Fields["sent"] != "0" {
+		text = fmt.Sprintf("For another attempt %s knew of %s targets", end.Machine, end.Fields["listed"])
+	}
 	if len(parts) > 0 {
 		text += ": " + strings.Join(parts, ", ")
 	}
@@ -176,12 +180,20 @@
 		said = append(said, fmt.Sprintf("Version %s was the oldest allowed.", oldest))
 	}
 	if nearest := end.Fields["nearest"]; nearest != "" {
-		said = append(said, fmt.Sprintf("The nearest full one, %s, would have begun after %s ms at a load of %s%s; %s ms were left.",
-			nearest, end.Fields["nearest_first_ms"], end.Fields["nearest_load"], ages(end, "nearest_"), end.Fields["limit_ms"]))
+		said = append(said, fmt.Sprintf("The nearest full one, %s, would have begun after %s ms at a load of %s%s; %s ms were left%s.",
+			nearest, end.Fields["nearest_first_ms"], end.Fields["nearest_load"], ages(end, "nearest_"), end.Fields["limit_ms"], whyFull(end)))
 	}
 	return said
 }
 
+// whyFull tells why a target is full that would begin in time.
+func whyFull(end Line) string {
+	if number(end, "nearest_first_ms") > number(end, "limit_ms") {
+		return ""
+	}
+	return ", but all its slots were taken or it had just refused a request"
+}
+
 // ages tells how old what is known of a target was.
 func ages(l Line, prefix string) string {
 	var parts []string
@@ -222,7 +234,7 @@
 	told, believed, expected := l.Fields["target_version"], l.Fields["version"], l.Fields["expected_version"]
 	switch {
 	case expected == "":
-		return "another target was there, since no version was asked for"
+		return "another target was there (no version was asked for)"
 	case told == expected:
 		return "another target was there, with version " + told
 	case told != "":
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -199,7 +199,7 @@
 	c.story.placed(choice, x.start)
 	c.entry.meters.placed.RecordDuration(x.start.Sub(c.arrived))
 	outcome, answer := x.run(ctx)
-	c.story.attempted(outcome, x.broke, x.err)
+	c.story.attempted(time.Now(), outcome, x.broke, x.err)
 	c.entry.meters.attempted(outcome)
 	switch outcome {
 	case attempts.NotSent:
--- a/machine/entry/direct/story.go
+++ b/machine/entry/direct/story.go
@@ -37,13 +37,13 @@
 
 // story is what the log tells of a request at its end.
 type story struct {
-	// choice is that of the last attempt, begun at sentAt; firstAt is when the first
-	// attempt began.
-	choice          placement.Choice
-	firstAt, sentAt time.Time
-	outcome         attempts.Outcome
-	broke           breakage
-	err             error
+	// choice is that of the last attempt, which began at sentAt and ended at endedAt,
+	// zero while it runs; firstAt is when the first attempt began.
+	choice                   placement.Choice
+	firstAt, sentAt, endedAt time.Time
+	outcome                  attempts.Outcome
+	broke                    breakage
+	err                      error
 	// answered is the target's own status in the last attempt, 0 if it sent none, and
 	// requests the load that it told, -1 if it did not.
 	answered, requests int
@@ -63,7 +63,8 @@
 
 // placed records that an attempt begins.
 func (s *story) placed(choice placement.Choice, now time.Time) {
-	s.choice, s.sentAt = choice, now
+	s.choice, s.sentAt, s.endedAt = choice, now, time.Time{}
+	s.outcome, s.broke, s.err, s.limit = attempts.Done, "", nil, attempts.NoLimit
 	s.answered, s.requests = 0, -1
 	s.expected, s.told = 0, 0
 	if s.firstAt.IsZero() {
@@ -77,10 +78,19 @@
 }
 
 // attempted records how an attempt ended.
-func (s *story) attempted(o attempts.Outcome, how breakage, err error) {
+func (s *story) attempted(now time.Time, o attempts.Outcome, how breakage, err error) {
+	s.endedAt = now
 	s.outcome, s.broke, s.err = o, how, err
 }
 
+// took is how long the last attempt took or has taken.
+func (s *story) took() time.Duration {
+	if s.endedAt.IsZero() {
+		return time.Since(s.sentAt)
+	}
+	return s.endedAt.Sub(s.sentAt)
+}
+
 // noRoom records how the targets stood when none was found.
 func (s *story) noRoom(survey placement.Survey) { s.survey = &survey }
 
@@ -140,7 +150,7 @@
 		return
 	}
 	f["waited_ms"] = s.firstAt.Sub(c.arrived).Milliseconds()
-	f["attempt_ms"] = time.Since(s.sentAt).Milliseconds()
+	f["attempt_ms"] = s.took().Milliseconds()
 	f["outcome"] = outcomeNames[s.outcome]
 	s.breakageFields(f)
 	if s.err != nil {
@@ -257,7 +267,7 @@
 // logRetry logs that a request is sent again.
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
 	e.meters.retried(outcome)
-	f := log.Fields{"attempt_ms": time.Since(c.story.sentAt).Milliseconds()}
+	f := log.Fields{"attempt_ms": c.story.took().Milliseconds()}
 	f["version"] = c.story.choice.Version
 	c.story.breakageFields(f)
 	e.log.WithFields(f).WithField("request", c.info.ID).WithField("service", string(c.service)).
--- a/machine/entry/direct/story_test.go
+++ b/machine/entry/direct/story_test.go
@@ -59,19 +59,22 @@
 	c.story.replied(platform.Reply{Status: http.StatusOK, Requests: 5, Version: 3})
 	c.story.delivered(c.arrived.Add(200 * time.Millisecond))
 	c.story.delivered(c.arrived.Add(650 * time.Millisecond))
-	c.story.attempted(attempts.Lost, brokeSilent, io.ErrUnexpectedEOF)
+	c.story.attempted(c.arrived.Add(700*time.Millisecond), attempts.Lost, brokeSilent, io.ErrUnexpectedEOF)
 	c.story.limit = attempts.LimitBudget
 	got := c.fields()
 	for name, want := range map[string]any{
 		"outcome": "lost", "broke": "silent", "limit": "retry_budget", "load": 4, "first_ms": int64(110), "version": int64(2),
 		"target_status": http.StatusOK, "target_load": 5, "waited_ms": int64(20), "begun_ms": int64(200), "pause_ms": int64(450),
-		"expected_version": int64(2), "target_version": int64(3), "events": 2, "error": io.ErrUnexpectedEOF.Error(),
+		"attempt_ms": int64(680), "expected_version": int64(2), "target_version": int64(3), "events": 2, "error": io.ErrUnexpectedEOF.Error(),
 	} {
 		if got[name] != want {
 			t.Errorf("%s: %v, want %v", name, got[name], want)
 		}
 	}
 	c.story.placed(placement.Choice{ID: "i-2"}, time.Now())
+	if got := c.fields(); got["outcome"] != "done" || got["broke"] != nil || got["limit"] != nil || got["error"] != nil {
+		t.Errorf("the former attempt's end is told of another: %v", got)
+	}
 	if got := c.fields(); got["target_status"] != nil || got["target_load"] != nil || got["target_version"] != nil || got["expected_version"] != nil {
 		t.Errorf("the former target's answer is told of another: %v", got)
 	}
