explain: pieces from a neighbour bear on no request

Ruled out: showing them, as what a target holds is told by the survey and by engine changed. Change: the new name and 'pieces received' are passed over. Conclusion: the lines shown for a request bear on it.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,7 +88,7 @@
 // unrelated messages say nothing of a request.
 var unrelated = map[string]bool{
 	"peer rejected": true, "peers: member published": true, "weights wanted": true, "weights whole": true,
-	"pieces from a peer": true, "pieces from the zone's reader": true,
+	"pieces from a peer": true, "pieces from a neighbour": true, "pieces received": true,
 }
 
 // around are the lines that tell what the request's entry came to believe shortly
