Soak: an entry that learns late of a version is found

The check was also wrong in one point: it counted time in which the store was down, which the platform's rule VERSION leaves out.

Change: the stand-in of an engine keeps every run with its attempt, version and time; the entry that a caller reached is the sender. A run breaks the promise if it begins on an older version more than 8 s after the store acknowledged a newer one, counted in the stretch since the store has been sound for 3 s, and its sender had no kill, stop, freeze, start or closed door in the 3 s before. That is stricter than before in the rest: no slack of 200 ms, every run instead of the last one of each engine. The bound of an engine that leaves is checked in the same way (before: 3.2 s by the wall clock, one run).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -23,56 +22,90 @@
 	os.Exit(run())
 }
 
-func run() int {
-	seed, seeds, length, bin, keep, quiet := uint64(1), 1, time.Minute, "bin", false, false
+// settings are the flags.
+type settings struct {
+	seed        uint64
+	seeds       int
+	length      time.Duration
+	bin, plan   string
+	keep, quiet bool
+}
+
+func parse() settings {
+	s := settings{seed: 1, seeds: 1, length: time.Minute, bin: "bin"}
 	flaggy.SetName("soak")
 	flaggy.SetDescription("run a fleet on this machine under drawn faults and check its promises")
-	flaggy.UInt64(&seed, "s", "seed", "the first seed")
-	flaggy.Int(&seeds, "n", "seeds", "how many seeds to play, one after another")
-	flaggy.Duration(&length, "f", "for", "how long a seed is played")
-	flaggy.String(&bin, "b", "bin", "directory of the program")
-	flaggy.Bool(&keep, "k", "keep", "keep the logs of seeds that held, too")
-	flaggy.Bool(&quiet, "q", "quiet", "do not print the faults")
+	flaggy.UInt64(&s.seed, "s", "seed", "the first seed")
+	flaggy.Int(&s.seeds, "n", "seeds", "how many seeds to play, one after another")
+	flaggy.Duration(&s.length, "f", "for", "how long a seed is played")
+	flaggy.String(&s.plan, "p", "plan", "file of a plan to play instead of seeds")
+	flaggy.String(&s.bin, "b", "bin", "directory of the program")
+	flaggy.Bool(&s.keep, "k", "keep", "keep the logs of seeds that held, too")
+	flaggy.Bool(&s.quiet, "q", "quiet", "do not print the faults")
 	flaggy.Parse()
+	return s
+}
 
+func run() int {
+	s := parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	list, err := s.list()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	code := 0
-	for n := range seeds {
+	for _, opts := range list {
 		if ctx.Err() != nil {
 			return 1
 		}
-		if !play(ctx, seed+uint64(n), length, bin, keep, quiet) {
+		if !play(ctx, opts, s.keep) {
 			code = 1
 		}
 	}
 	return code
 }
 
-// play plays one seed and reports whether every promise held.
-func play(ctx context.Context, seed uint64, length time.Duration, bin string, keep, quiet bool) bool {
-	dir, err := os.MkdirTemp("", fmt.Sprintf("mimosastand-soak-%d-", seed))
+// list returns what to play.
+func (s settings) list() ([]soak.Options, error) {
+	binDir, err := filepath.Abs(s.bin)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return false
+		return nil, err
+	}
+	opts := soak.Options{Length: s.length, BinDir: binDir, Spec: soak.DefaultSpec(), Bounds: true}
+	if !s.quiet {
+		opts.Log = os.Stdout
+	}
+	if s.plan != "" {
+		kept, err := soak.ReadKept(s.plan)
+		opts.Seed, opts.Length, opts.Plan = kept.Seed, kept.Length, kept.Events
+		return []soak.Options{opts}, err
 	}
-	binDir, err := filepath.Abs(bin)
+	var list []soak.Options
+	for n := range s.seeds {
+		opts.Seed = s.seed + uint64(n)
+		list = append(list, opts)
+	}
+	return list, nil
+}
+
+// play plays one plan and reports whether every promise held.
+func play(ctx context.Context, opts soak.Options, keep bool) bool {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("mimosastand-soak-%d-", opts.Seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	var out io.Writer = os.Stdout
-	if quiet {
-		out = nil
-	}
-	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Length: length, Dir: dir, BinDir: binDir, Spec: soak.DefaultSpec(), Bounds: true, Log: out,
-	})
+	opts.Dir = dir
+	start := time.Now()
+	report, err := soak.Run(ctx, opts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return false
 	}
 	held := show(report)
+	fmt.Printf("seed %d held %v after %.0f s\n", opts.Seed, held, time.Since(start).Seconds())
 	if held && !keep {
 		_ = os.RemoveAll(dir)
 		return true
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -22,6 +22,9 @@
 	// Callers and Ready are the TCP addresses of an entry.
 	Callers, Ready string
 	Door           *standin.Door
+	// Troubles are the times in which the process did not run or was just signalled,
+	// and what else the caller enters.
+	Troubles Spells
 
 	fleet         *Fleet
 	link, metrics string
@@ -38,6 +41,8 @@
 	// disturbed is when the process was last killed, paused, resumed, started or ready
 	// for the first time; stopped is when a planned stop began, zero if none did.
 	disturbed, stopped time.Time
+	// back ends the spell in which the process does not run; nil if it runs.
+	back func()
 }
 
 // Start starts the process.
@@ -55,9 +60,26 @@
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.process, m.serving, m.expected = p, false, false
 	m.disturbed, m.stopped = time.Now(), time.Time{}
+	m.leave()
+	m.comeBack()
 	return nil
 }
 
+// leave notes that the process does not run from now on, comeBack that it does again;
+// mu must be held.
+func (m *Machine) leave() {
+	if m.back == nil {
+		m.back = m.Troubles.Begin()
+	}
+}
+
+func (m *Machine) comeBack() {
+	if m.back != nil {
+		m.back()
+		m.back = nil
+	}
+}
+
 func (m *Machine) sections() []section {
 	listen := map[string]string{"link": m.link, "metrics": m.metrics}
 	if m.Role == config.RoleEntry {
@@ -138,6 +160,7 @@
 	m.mu.Lock()
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.expected, m.disturbed = true, time.Now()
+	m.leave()
 	p := m.process
 	m.mu.Unlock()
 	if p != nil {
@@ -150,6 +173,7 @@
 	m.mu.Lock()
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.expected, m.stopped = true, time.Now()
+	m.leave()
 	p := m.process
 	m.mu.Unlock()
 	return p != nil && p.Stop(plannedStop)
@@ -173,12 +197,21 @@
 func (m *Machine) signal(sig syscall.Signal) error {
 	m.mu.Lock()
 	m.disturbed = time.Now()
+	if sig == syscall.SIGSTOP {
+		m.leave()
+	}
 	p := m.process
 	m.mu.Unlock()
 	if p == nil {
 		return nil
 	}
-	return p.Signal(sig)
+	err := p.Signal(sig)
+	if sig == syscall.SIGCONT {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.comeBack()
+	}
+	return err
 }
 
 // TargetHost is a machine with a model engine and the process beside it.
--- /dev/null
+++ b/internal/soak/bounds.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"mimosastand.example/mimosastand/internal/harness"
+	standin "mimosastand.example/mimosastand/standin/fleet"
+)
+
+const (
+	// versionBound is how long after a version was named requests may begin on an
+	// older one, the default of the settings; drainBound how long after an engine
+	// said that it leaves.
+	versionBound = 8 * time.Second
+	drainBound   = 3 * time.Second
+	// stableWindow is how long the store and the sender must have been calm for a
+	// bound to bind, the platform's stable_window_ms.
+	stableWindow = 3 * time.Second
+)
+
+// run is one run at a model engine and the entry that sent it.
+type run struct {
+	standin.Begin
+	engine *standin.Engine
+	sender *harness.Machine
+}
+
+// naming is the acknowledgement of a version by the store.
+type naming struct {
+	version int64
+	at      time.Time
+}
+
+// leaving is a span in which an engine said that it leaves.
+type leaving struct {
+	engine   *standin.Engine
+	from, to time.Time
+}
+
+// bounds holds what the promises that name a time refer to.
+type bounds struct {
+	// store is when the store was impaired.
+	store harness.Spells
+
+	mu       sync.Mutex
+	namings  []naming
+	leavings []leaving
+}
+
+func (b *bounds) named(version int64, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.namings = append(b.namings, naming{version, at})
+}
+
+func (b *bounds) left(engine *standin.Engine, from, to time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leavings = append(b.leavings, leaving{engine, from, to})
+}
+
+// inTouch reports whether the sender of a run and the store were calm for long enough
+// before it began.
+func (b *bounds) inTouch(r run) bool {
+	return r.sender != nil && r.sender.Troubles.Calm(r.At, stableWindow) && b.store.Calm(r.At, stableWindow)
+}
+
+// age is how much of the time from at to the begin of a run counts: the stretch since
+// the store has been stable.
+func (b *bounds) age(r run, at time.Time) time.Duration {
+	if calm := b.store.CalmSince(r.At); !calm.IsZero() && calm.Add(stableWindow).After(at) {
+		at = calm.Add(stableWindow)
+	}
+	return r.At.Sub(at)
+}
+
+// late is what one entry did past one bound: how often, and the first of it.
+type late struct {
+	count int
+	first string
+}
+
+// check looks for runs that began past a bound and enters those of one entry past one
+// bound together.
+func (b *bounds) check(l *Ledger, runs []run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.namings {
+		b.report(l, VersionBound, runs, func(r run) bool {
+			return r.Version < n.version && b.age(r, n.at) > versionBound
+		}, n.at)
+	}
+	for _, out := range b.leavings {
+		b.report(l, DrainBound, runs, func(r run) bool {
+			return r.engine == out.engine && r.At.Before(out.to) && b.age(r, out.from) > drainBound
+		}, out.from)
+	}
+}
+
+func (b *bounds) report(l *Ledger, p Promise, runs []run, isLate func(run) bool, since time.Time) {
+	found := map[*harness.Machine]*late{}
+	for _, r := range runs {
+		if !b.inTouch(r) || !isLate(r) {
+			continue
+		}
+		if found[r.sender] == nil {
+			found[r.sender] = &late{first: fmt.Sprintf("%s at %s on version %d, %v after it was told",
+				r.Attempt, r.engine.ID, r.Version, r.At.Sub(since).Round(time.Millisecond))}
+		}
+		found[r.sender].count++
+	}
+	for sender, it := range found {
+		l.Break(p, "%s sent %d, first %s", sender.Name, it.count, it.first)
+	}
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -34,7 +34,9 @@
 	ledger *Ledger
 	client *http.Client
 	ids    atomic.Int64
-	wg     sync.WaitGroup
+	// senders holds the entry that each attempt went to.
+	senders sync.Map
+	wg      sync.WaitGroup
 }
 
 // NewTraffic returns traffic that enters what it gets into a ledger.
@@ -110,12 +112,22 @@
 	case Look:
 		method, path, body = http.MethodGet, standin.LookPath+a.Attempt, ""
 	}
+	t.senders.Store(a.Attempt, entry)
 	a.Sent = strings.TrimSpace(fmt.Sprintf("%s %s %s", method, path, body))
 	t.exchange(&a, method, path, body)
 	a.End = time.Now()
 	return a
 }
 
+// Sender is the entry that an attempt went to; nil if it is not known.
+func (t *Traffic) Sender(attempt string) *harness.Machine {
+	entry, ok := t.senders.Load(attempt)
+	if !ok {
+		return nil
+	}
+	return entry.(*harness.Machine)
+}
+
 // AllServe fails with what is missing unless every entry serves every kind of request
 // now.
 func (t *Traffic) AllServe() error {
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -23,7 +23,7 @@
 	ctx    context.Context
 	fleet  *harness.Fleet
 	ledger *Ledger
-	named  *namings
+	bounds *bounds
 }
 
 // begin brings a fault about and returns how to end it; nil if it ends by itself.
@@ -88,8 +88,12 @@
 		i.check(m.Pause())
 		return func() { i.check(m.Resume()) }
 	default:
+		calm := m.Troubles.Begin()
 		m.Door.SetClosed(true)
-		return func() { m.Door.SetClosed(false) }
+		return func() {
+			m.Door.SetClosed(false)
+			calm()
+		}
 	}
 }
 
@@ -117,12 +121,10 @@
 
 // drain has an engine say that it leaves, until it comes back.
 func (i *inflictor) drain(e *standin.Engine) func() {
-	start := time.Now()
 	e.List("draining")
+	start := time.Now()
 	return func() {
-		if last := e.Begun(); last.After(start.Add(drainBound + boundSlack)) {
-			i.ledger.Break(DrainBound, "%s began one %v after it said that it leaves", e.ID, last.Sub(start))
-		}
+		i.bounds.left(e, start, time.Now())
 		e.List("ready")
 	}
 }
@@ -139,18 +141,30 @@
 func (i *inflictor) onPlatform(f Fault) func() {
 	switch f {
 	case StoreDown:
+		calm := i.bounds.store.Begin()
 		i.fleet.Store.SetDown(true)
-		return func() { i.fleet.Store.SetDown(false) }
+		return func() {
+			i.fleet.Store.SetDown(false)
+			calm()
+		}
 	case LateWrites:
+		calm := i.bounds.store.Begin()
 		i.fleet.Store.SetLate(lateBy)
-		return func() { i.fleet.Store.SetLate(0) }
+		return func() {
+			i.fleet.Store.SetLate(0)
+			time.AfterFunc(lateBy, calm)
+		}
+	case OriginAway:
+		i.fleet.Origin.SetAway(true)
+		return func() { i.fleet.Origin.SetAway(false) }
 	case CorruptOrigin:
 		i.fleet.Origin.CorruptEvery(corruptEvery)
 		return func() { i.fleet.Origin.CorruptEvery(0) }
 	case DropHistory:
 		i.fleet.Store.DropHistory()
 	case NameVersion:
-		i.named.add(i.fleet.NameNext(), time.Now())
+		version := i.fleet.NameNext()
+		i.bounds.named(version, time.Now())
 	case NextManifest:
 		_, err := i.fleet.NextManifest()
 		i.check(err)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -29,6 +31,7 @@
 	LateWrites
 	DropHistory
 	CorruptOrigin
+	OriginAway
 	NameVersion
 	NextManifest
 	EvacuateZone
@@ -40,7 +43,7 @@
 	"lose target machine", "kill target", "pause target", "store turns target away",
 	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
 	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
-	"origin corrupts pieces", "name a version", "next manifest", "evacuate zone",
+	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
 
 // String returns what happens.
@@ -70,7 +73,7 @@
 		return services
 	case f <= DropHistory:
 		return store
-	case f == CorruptOrigin:
+	case f <= OriginAway:
 		return origin
 	case f == EvacuateZone:
 		return zones
@@ -114,10 +117,11 @@
 
 // Event is one fault of a plan. At counts from the start.
 type Event struct {
-	At, For time.Duration
-	Fault   Fault
+	At    time.Duration `json:"at_ns"`
+	For   time.Duration `json:"for_ns"`
+	Fault Fault         `json:"fault"`
 	// On is the index of the object within its class.
-	On int
+	On int `json:"on"`
 }
 
 func (e Event) end() time.Duration { return e.At + e.For }
@@ -140,34 +144,57 @@
 	rnd := rand.New(rand.NewPCG(seed, uint64(faults)))
 	var plan []Event
 	for at := calmStart; at < length-healTime; at += between(rnd, minGap, maxGap) {
-		e := Event{
-			At:    at,
-			For:   min(between(rnd, minFor, maxFor), length-healTime-at),
-			Fault: Fault(rnd.IntN(int(faults))),
-		}
-		c := e.Fault.class()
-		if shape.size(c) == 0 {
-			continue
-		}
-		e.On = rnd.IntN(shape.size(c))
-		if fits(plan, e, shape) {
-			plan = append(plan, e)
+		drawn := draw(rnd, at, length-healTime, shape)
+		if allFit(plan, drawn, length-healTime, shape) {
+			plan = append(plan, drawn...)
 		}
 	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// draw draws one event or one series of them that begins at at and ends by end.
+func draw(rnd *rand.Rand, at, end time.Duration, shape Shape) []Event {
+	kind := rnd.IntN(int(faults) + len(series))
+	if kind >= int(faults) {
+		return series[kind-int(faults)](rnd, at, shape)
+	}
+	e := Event{At: at, For: min(between(rnd, minFor, maxFor), end-at), Fault: Fault(kind)}
+	return []Event{place(rnd, e, shape)}
+}
+
+// place draws the object on which an event falls.
+func place(rnd *rand.Rand, e Event, shape Shape) Event {
+	if n := shape.size(e.Fault.class()); n > 0 {
+		e.On = rnd.IntN(n)
+	}
+	return e
+}
+
 func between(rnd *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rnd.Int64N(int64(high-low)))
 }
 
+// allFit reports whether each of the drawn events ends in time and fits with the plan
+// and the others.
+func allFit(plan, drawn []Event, end time.Duration, shape Shape) bool {
+	all := slices.Clone(plan)
+	for _, e := range drawn {
+		if shape.size(e.Fault.class()) == 0 || e.end() > end || !fits(all, e, shape) {
+			return false
+		}
+		all = append(all, e)
+	}
+	return true
+}
+
 // fits reports whether an event leaves one object of its class alone and falls on
 // none that is in trouble.
 func fits(plan []Event, e Event, shape Shape) bool {
 	c := e.Fault.class()
 	troubled := 0
 	for _, other := range plan {
-		if other.Fault.class() != c || other.end() <= e.At {
+		if other.Fault.class() != c || other.end() <= e.At || e.end() <= other.At {
 			continue
 		}
 		if other.On == e.On {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"path/filepath"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -55,3 +57,35 @@
 		}
 	}
 }
+
+// A plan that was written to a file is read back as it was.
+func TestKeptPlans(t *testing.T) {
+	kept := Kept{Seed: 7, Cause: "unknown", Length: time.Minute, Events: Plan(7, time.Minute, shape)}
+	file := filepath.Join(t.TempDir(), planFile)
+	if err := kept.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadKept(file)
+	if err != nil || !reflect.DeepEqual(got, kept) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+// Every plan that is kept can be played: its faults and objects exist.
+func TestKeptPlansFitTheFleet(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		kept, err := ReadKept(file)
+		if err != nil || kept.Cause == "" {
+			t.Errorf("%s: cause %q, %v", file, kept.Cause, err)
+		}
+		for _, e := range kept.Events {
+			if e.On >= shape.size(e.Fault.class()) || e.end() > kept.Length {
+				t.Errorf("%s: %+v", file, e)
+			}
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,19 +4,26 @@
 	"context"
 	"fmt"
 	"io"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"mimosastand.example/mimosastand/internal/harness"
 )
 
-// recoverWait is how long after the last fault all must serve again.
-const recoverWait = 30 * time.Second
+const (
+	// recoverWait is how long after the last fault all must serve again.
+	recoverWait = 30 * time.Second
+	// planFile is the name of the file of the plan among the logs.
+	planFile = "plan.json"
+)
 
 // Options tells what to play.
 type Options struct {
 	Seed   uint64
 	Length time.Duration
+	// Plan, if not nil, is played instead of the seed's.
+	Plan []Event
 	// Dir takes the files and logs of the processes, BinDir holds the program.
 	Dir, BinDir string
 	Spec        harness.FleetSpec
@@ -62,8 +69,15 @@
 	}
 	ledger := NewLedger(opts.Spec.Events, fleet.Runs)
 	s := &session{opts: opts, fleet: fleet, ledger: ledger, traffic: NewTraffic(fleet, ledger),
-		named: &namings{at: map[int64]time.Time{}}, start: time.Now()}
-	plan := Plan(opts.Seed, opts.Length, shapeOf(fleet))
+		bounds: &bounds{}, start: time.Now()}
+	plan := opts.Plan
+	if plan == nil {
+		plan = Plan(opts.Seed, opts.Length, shapeOf(fleet))
+	}
+	kept := Kept{Seed: opts.Seed, Length: opts.Length, Events: plan}
+	if err := kept.Write(filepath.Join(opts.Dir, planFile)); err != nil {
+		return Report{}, err
+	}
 	s.play(ctx, plan)
 	return Report{Seed: opts.Seed, Events: len(plan), Counts: ledger.Counts(), Broken: ledger.Broken()}, ctx.Err()
 }
@@ -74,7 +88,7 @@
 	fleet   *harness.Fleet
 	ledger  *Ledger
 	traffic *Traffic
-	named   *namings
+	bounds  *bounds
 	start   time.Time
 }
 
@@ -94,7 +108,7 @@
 
 // inflict brings the faults about at their times and waits until all are over.
 func (s *session) inflict(ctx context.Context, plan []Event) {
-	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, named: s.named}
+	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, bounds: s.bounds}
 	var wg sync.WaitGroup
 	for _, e := range plan {
 		s.sleepUntil(ctx, e.At)
@@ -150,10 +164,21 @@
 		}
 	}
 	if s.opts.Bounds {
-		s.named.check(s.ledger, s.fleet.AllEngines())
+		s.bounds.check(s.ledger, s.runs())
 	}
 	for _, name := range s.fleet.StopAll() {
 		s.ledger.Break(PlannedStop, "%s at the end", name)
 	}
 	s.ledger.Close()
 }
+
+// runs lists the runs at all model engines with the entries that sent them.
+func (s *session) runs() []run {
+	var list []run
+	for _, e := range s.fleet.AllEngines() {
+		for _, begin := range e.Begins() {
+			list = append(list, run{Begin: begin, engine: e, sender: s.traffic.Sender(begin.Attempt)})
+		}
+	}
+	return list
+}
--- a/standin/fleet/origin.go
+++ b/standin/fleet/origin.go
@@ -21,6 +21,8 @@
 	// drawn counts the pieces sent; corrupt spoils every so manieth.
 	drawn   int
 	corrupt int
+	// away keeps all requests without an answer.
+	away bool
 }
 
 // NewOrigin starts an origin whose versions have a number of chunks.
@@ -29,7 +31,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/manifest/{model}", o.manifest)
 	mux.HandleFunc("GET /-/piece/{model}", o.piece)
-	o.server = httptest.NewServer(mux)
+	o.server = httptest.NewServer(o.guard(mux))
 	return o
 }
 
@@ -37,7 +39,30 @@
 func (o *Origin) Address() string { return strings.TrimPrefix(o.server.URL, "http://") }
 
 // Close stops the origin.
-func (o *Origin) Close() { o.server.Close() }
+func (o *Origin) Close() {
+	o.server.CloseClientConnections()
+	o.server.Close()
+}
+
+// SetAway has the origin answer nothing, or answer again.
+func (o *Origin) SetAway(away bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.away = away
+}
+
+func (o *Origin) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o.mu.Lock()
+		away := o.away
+		o.mu.Unlock()
+		if away {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // Drawn is the number of pieces sent.
 func (o *Origin) Drawn() int {
