Soak: events on one object follow one another

Two planned stops of that entry were drawn, at 12.62 s for 1.56 s and at 15.09 s for 0.53 s. The first stop took 2.9 s (log: "stopping" 03:48:54.51, "stopped" 03:48:57.41), so that the second fell on a process that was still stopping, both started the entry again, and the second process found its addresses taken and ended.

Ruled out: an end of the product: its log holds one stop and no end after it, the entry served until the soak was over.

Change: an event waits until the one before it on its object is over. The plan stays. TestEventsOnOneObjectFollowOneAnother.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -4,6 +4,7 @@
 	"path/filepath"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -89,3 +90,22 @@
 		}
 	}
 }
+
+// An event waits for the one before it on the same object, and for no other.
+func TestEventsOnOneObjectFollowOneAnother(t *testing.T) {
+	var h holds
+	give := h.take(Event{Fault: StopEntry, On: 1})
+	h.take(Event{Fault: KillTarget, On: 1})()
+	h.take(Event{Fault: KillEntry, On: 0})()
+	var over atomic.Bool
+	waited := make(chan bool)
+	go func() {
+		defer h.take(Event{Fault: KillEntry, On: 1})()
+		waited <- over.Load()
+	}()
+	over.Store(true)
+	give()
+	if !<-waited {
+		t.Error("the second began before the first was over")
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -110,6 +110,7 @@
 func (s *session) inflict(ctx context.Context, plan []Event) {
 	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, bounds: s.bounds}
 	var wg sync.WaitGroup
+	var objects holds
 	for _, e := range plan {
 		s.sleepUntil(ctx, e.At)
 		if ctx.Err() != nil {
@@ -117,6 +118,7 @@
 		}
 		s.log("%v for %v on %d", e.Fault, e.For.Round(time.Millisecond), e.On)
 		wg.Go(func() {
+			defer objects.take(e)()
 			if end := i.begin(e); end != nil {
 				s.sleepUntil(ctx, e.end())
 				end()
@@ -127,6 +129,35 @@
 	s.sleepUntil(ctx, s.opts.Length)
 }
 
+// object is what an event falls on.
+type object struct {
+	class class
+	on    int
+}
+
+// holds keeps an event waiting until the one before it on its object is over: a planned
+// stop may take longer than the event lasts.
+type holds struct {
+	mu   sync.Mutex
+	held map[object]*sync.Mutex
+}
+
+// take waits for the object of an event and returns how to give it back.
+func (h *holds) take(e Event) (give func()) {
+	on := object{e.Fault.class(), e.On}
+	h.mu.Lock()
+	if h.held == nil {
+		h.held = map[object]*sync.Mutex{}
+	}
+	if h.held[on] == nil {
+		h.held[on] = &sync.Mutex{}
+	}
+	one := h.held[on]
+	h.mu.Unlock()
+	one.Lock()
+	return one.Unlock
+}
+
 func (s *session) sleepUntil(ctx context.Context, at time.Duration) {
 	select {
 	case <-ctx.Done():
