Soak: faults of the network towards the store and the back ends

Change: each process reaches the store through a relay of its own, and everyone reaches a back end through the relay whose address it publishes. Ten faults are drawn on these paths; one of each role stays alone. The bounds leave out what the platform's rules leave out: a sender whose path to the store, or to that engine, was harmed in the last 3 s, and the time of a version before the end of such harm.

Ruled out: UDP between processes. Their addresses stand in the records that they publish themselves, so a relay would have to change records in the store's stand-in.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -35,6 +36,8 @@
 	Gap    time.Duration
 	// Pieces is the number of pieces of a version.
 	Pieces int
+	// Relayed has processes reach the store and the back ends through relays.
+	Relayed bool
 }
 
 // Fleet is entries and targets as processes of their own, which find everything
@@ -84,32 +87,46 @@
 		return nil, err
 	}
 	for at, zone := range spec.Zones {
-		f.addZone(at+1, zone)
+		if err := f.addZone(at+1, zone); err != nil {
+			return nil, err
+		}
 	}
 	return f, nil
 }
 
-func (f *Fleet) addZone(at int, zone Zone) {
+func (f *Fleet) addZone(at int, zone Zone) error {
 	for n := range f.Spec.Services {
 		e := &standin.Engine{
 			ID: fmt.Sprintf("%s-service-%d", zone.Name, n+1), Service: standin.PlainService, Zone: string(zone.Name),
-			Slots: engineSlots, Work: plainWork,
+			Slots: engineSlots, Work: plainWork, Relayed: f.Spec.Relayed,
+		}
+		if err := e.Start(f.Store, 0); err != nil {
+			return err
 		}
-		e.Start(f.Store, 0)
 		f.Services = append(f.Services, e)
 	}
 	for n := range f.Spec.Engines {
-		m := f.newMachine(at, zone, config.RoleTarget, n+1)
+		m, err := f.newMachine(at, zone, config.RoleTarget, n+1)
+		if err != nil {
+			return err
+		}
 		t := &TargetHost{Machine: m, id: m.Name + "-engine"}
-		t.startEngine(1)
+		if err := t.startEngine(1); err != nil {
+			return err
+		}
 		f.Targets = append(f.Targets, t)
 	}
 	for n := range f.Spec.Entries {
-		f.Entries = append(f.Entries, f.newMachine(at, zone, config.RoleEntry, n+1))
+		m, err := f.newMachine(at, zone, config.RoleEntry, n+1)
+		if err != nil {
+			return err
+		}
+		f.Entries = append(f.Entries, m)
 	}
+	return nil
 }
 
-func (f *Fleet) newMachine(at int, zone Zone, role string, n int) *Machine {
+func (f *Fleet) newMachine(at int, zone Zone, role string, n int) (*Machine, error) {
 	m := &Machine{
 		Name:  fmt.Sprintf("%s-%s-%d", role, zone.Name, n),
 		Zone:  zone,
@@ -120,7 +137,12 @@
 	for _, address := range []*string{&m.Callers, &m.Ready, &m.link, &m.metrics} {
 		*address = f.network.next(at)
 	}
-	return m
+	if !f.Spec.Relayed {
+		return m, nil
+	}
+	path, err := relay.NewTCP("127.0.0.1:0", m.Door.Address())
+	m.StorePath = path
+	return m, err
 }
 
 // Machines lists all machines that run a process of the system.
@@ -242,6 +264,9 @@
 func (f *Fleet) Close() {
 	for _, m := range f.Machines() {
 		m.Kill()
+		if m.StorePath != nil {
+			m.StorePath.Close()
+		}
 		m.Door.Close()
 	}
 	for _, e := range append(f.Engines(), f.Services...) {
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -22,6 +23,8 @@
 	// Callers and Ready are the TCP addresses of an entry.
 	Callers, Ready string
 	Door           *standin.Door
+	// StorePath leads to the door; nil if the process reaches it without a relay.
+	StorePath *relay.TCP
 	// Troubles are the times in which the process did not run or was just signalled,
 	// and what else the caller enters.
 	Troubles Spells
@@ -89,7 +92,7 @@
 		{name: "process", keys: map[string]string{
 			"role": m.Role, "machine": m.Name, "zone": string(m.Zone.Name), "region": string(m.Zone.Region),
 		}},
-		{name: "fleet", keys: map[string]string{"zones": m.fleet.zonesText(), "store": m.Door.Address()}},
+		{name: "fleet", keys: map[string]string{"zones": m.fleet.zonesText(), "store": m.storeAddress()}},
 		{name: "listen", keys: listen},
 	}
 	if m.Role == config.RoleTarget {
@@ -98,6 +101,14 @@
 	return sections
 }
 
+// storeAddress is where the process reaches the store.
+func (m *Machine) storeAddress() string {
+	if m.StorePath != nil {
+		return m.StorePath.Address()
+	}
+	return m.Door.Address()
+}
+
 // AwaitReady waits until an entry is ready for callers.
 func (m *Machine) AwaitReady(ctx context.Context, wait time.Duration) error {
 	if err := WaitFor(ctx, wait, func() error { return answersOK(m.Ready) }); err != nil {
@@ -230,16 +241,20 @@
 	return t.running
 }
 
-func (t *TargetHost) startEngine(version int64) {
+func (t *TargetHost) startEngine(version int64) error {
 	e := &standin.Engine{
 		ID: t.id, Service: standin.ModelService, Zone: string(t.Zone.Name), Model: standin.Model,
 		Slots: engineSlots, Events: t.fleet.Spec.Events, Gap: t.fleet.Spec.Gap,
+		Relayed: t.fleet.Spec.Relayed,
+	}
+	if err := e.Start(t.fleet.Store, version); err != nil {
+		return err
 	}
-	e.Start(t.fleet.Store, version)
 	t.engineMu.Lock()
 	t.running = e
 	t.engineMu.Unlock()
 	t.engine, t.service = e.Address(), standin.ModelService
+	return nil
 }
 
 // Lose takes the machine away: the engine and the process beside it end at once.
@@ -252,7 +267,9 @@
 // that holds nothing.
 func (t *TargetHost) Return() error {
 	lost := t.Engine()
-	t.startEngine(0)
+	if err := t.startEngine(0); err != nil {
+		return err
+	}
 	t.fleet.mu.Lock()
 	t.fleet.former = append(t.fleet.former, lost)
 	t.fleet.mu.Unlock()
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -44,7 +45,9 @@
 	// store is when the store was impaired.
 	store harness.Spells
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// paths are when paths were harmed.
+	paths    map[*relay.TCP]*harness.Spells
 	namings  []naming
 	leavings []leaving
 }
@@ -61,21 +64,49 @@
 	b.leavings = append(b.leavings, leaving{engine, from, to})
 }
 
-// inTouch reports whether the sender of a run and the store were calm for long enough
-// before it began.
+// path holds when a path was harmed.
+func (b *bounds) path(p *relay.TCP) *harness.Spells {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pathSpells(p)
+}
+
+// pathSpells is path; mu must be held.
+func (b *bounds) pathSpells(p *relay.TCP) *harness.Spells {
+	if b.paths == nil {
+		b.paths = map[*relay.TCP]*harness.Spells{}
+	}
+	if b.paths[p] == nil {
+		b.paths[p] = &harness.Spells{}
+	}
+	return b.paths[p]
+}
+
+// inTouch reports whether the sender of a run, the path to its engine and the store were
+// calm for long enough before it began.
 func (b *bounds) inTouch(r run) bool {
-	return r.sender != nil && r.sender.Troubles.Calm(r.At, stableWindow) && b.store.Calm(r.At, stableWindow)
+	return r.sender != nil && r.sender.Troubles.Calm(r.At, stableWindow) &&
+		b.pathSpells(r.engine.Path).Calm(r.At, stableWindow) && b.store.Calm(r.At, stableWindow)
 }
 
 // age is how much of the time from at to the begin of a run counts: the stretch since
-// the store has been stable.
+// the store has been stable, and the sender's path to it and that to the engine whole.
 func (b *bounds) age(r run, at time.Time) time.Duration {
-	if calm := b.store.CalmSince(r.At); !calm.IsZero() && calm.Add(stableWindow).After(at) {
-		at = calm.Add(stableWindow)
+	if calm := b.store.CalmSince(r.At); !calm.IsZero() {
+		at = latest(at, calm.Add(stableWindow))
 	}
+	at = latest(at, b.pathSpells(r.sender.StorePath).CalmSince(r.At))
+	at = latest(at, b.pathSpells(r.engine.Path).CalmSince(r.At))
 	return r.At.Sub(at)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // late is what one entry did past one bound: how often, and the first of it.
 type late struct {
 	count int
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -6,6 +6,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -16,6 +17,8 @@
 	lateBy = 2 * time.Second
 	// corruptEvery is which pieces of the origin are spoilt.
 	corruptEvery = 3
+	// pathDelay is how long each part of what is sent is held up on a delayed path.
+	pathDelay = 150 * time.Millisecond
 )
 
 // inflictor brings faults about and ends them.
@@ -33,6 +36,12 @@
 		return i.onEntry(e.Fault, i.fleet.Entries[e.On])
 	case targets:
 		return i.onTarget(e.Fault, i.fleet.Targets[e.On])
+	case storePaths:
+		m := i.fleet.Machines()[e.On]
+		return onPath(e.Fault-DelayStorePath, m.StorePath, &m.Troubles, i.bounds.path(m.StorePath))
+	case backEndPaths:
+		path := i.backEnd(e.On).Path
+		return onPath(e.Fault-DelayBackEndPath, path, i.bounds.path(path))
 	case services:
 		return onService(e.Fault, i.fleet.Services[e.On])
 	case zones:
@@ -129,6 +138,46 @@
 	}
 }
 
+// backEnd is a back end by its index: the model engines, then the plain services.
+func (i *inflictor) backEnd(at int) *standin.Engine {
+	return append(i.fleet.Engines(), i.fleet.Services...)[at]
+}
+
+// onPath harms a path; notes take when. f counts the faults of paths from the delay.
+func onPath(f Fault, path *relay.TCP, notes ...*harness.Spells) func() {
+	var calm []func()
+	for _, note := range notes {
+		calm = append(calm, note.Begin())
+	}
+	heal := harm(f+DelayStorePath, path)
+	return func() {
+		heal()
+		for _, end := range calm {
+			end()
+		}
+	}
+}
+
+// harm brings a fault of a path about and returns how to end it.
+func harm(f Fault, path *relay.TCP) (heal func()) {
+	switch f {
+	case DelayStorePath:
+		path.SetDelay(pathDelay)
+		return func() { path.SetDelay(0) }
+	case ResetStorePath:
+		path.Reset()
+	case CutToStore:
+		path.SetCutWay(relay.ToServer, true)
+		return func() { path.SetCutWay(relay.ToServer, false) }
+	case CutFromStore:
+		path.SetCutWay(relay.ToClient, true)
+		return func() { path.SetCutWay(relay.ToClient, false) }
+	case SilenceStorePath:
+		path.Silence()
+	}
+	return func() {}
+}
+
 func onService(f Fault, e *standin.Engine) func() {
 	if f == LoseAnswers {
 		e.Mute(true)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,6 +25,16 @@
 	CutStream
 	SpoilStaged
 	DrainEngine
+	DelayStorePath
+	ResetStorePath
+	CutToStore
+	CutFromStore
+	SilenceStorePath
+	DelayBackEndPath
+	ResetBackEndPath
+	CutToBackEnd
+	CutFromBackEnd
+	SilenceBackEndPath
 	HangService
 	LoseAnswers
 	StoreDown
@@ -42,6 +52,9 @@
 	"kill entry", "pause entry", "stop entry", "reload entry", "store turns entry away",
 	"lose target machine", "kill target", "pause target", "store turns target away",
 	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
+	"delay to and from store", "connections to store reset", "cut towards store", "cut from store", "connections to store silent",
+	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
+	"connections to back end silent",
 	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
 	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
@@ -55,6 +68,8 @@
 const (
 	entries class = iota
 	targets
+	storePaths
+	backEndPaths
 	services
 	zones
 	store
@@ -69,6 +84,10 @@
 		return entries
 	case f <= DrainEngine:
 		return targets
+	case f <= SilenceStorePath:
+		return storePaths
+	case f <= SilenceBackEndPath:
+		return backEndPaths
 	case f <= LoseAnswers:
 		return services
 	case f <= DropHistory:
@@ -93,6 +112,10 @@
 		return s.Entries
 	case targets:
 		return s.Targets
+	case storePaths:
+		return s.Entries + s.Targets
+	case backEndPaths:
+		return s.Targets + s.Services
 	case services:
 		return s.Services
 	case zones:
@@ -110,6 +133,10 @@
 		return 1
 	case zones:
 		return min(s.Zones-1, 1)
+	case storePaths:
+		return min(s.Entries, s.Targets) - 1
+	case backEndPaths:
+		return min(s.Targets, s.Services) - 1
 	default:
 		return s.size(c) - 1
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,7 +59,9 @@
 // Run plays one seed. It fails if the fleet could not be started; broken promises
 // are in the report.
 func Run(ctx context.Context, opts Options) (Report, error) {
-	fleet, err := harness.NewFleet(opts.Dir, opts.BinDir, opts.Spec)
+	spec := opts.Spec
+	spec.Relayed = true
+	fleet, err := harness.NewFleet(opts.Dir, opts.BinDir, spec)
 	if err != nil {
 		return Report{}, err
 	}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mimosastand.example/mimosastand/internal/relay"
 )
 
 // layers is the number of layers of the model.
@@ -28,6 +30,9 @@
 	// the time of a plain call.
 	Events    int
 	Gap, Work time.Duration
+	// Relayed has everyone reach the engine through Path.
+	Relayed bool
+	Path    *relay.TCP
 
 	store  *Store
 	server *httptest.Server
@@ -58,7 +63,7 @@
 }
 
 // Start begins to serve and enters the engine in the list.
-func (e *Engine) Start(store *Store, version int64) {
+func (e *Engine) Start(store *Store, version int64) error {
 	e.store, e.version, e.born = store, version, time.Now().UnixMilli()
 	e.staged, e.runs, e.cutAfter = map[int][]byte{}, map[string]int{}, -1
 	mux := http.NewServeMux()
@@ -68,14 +73,30 @@
 	mux.HandleFunc("POST /-/order", e.order)
 	mux.HandleFunc("/", e.serve)
 	e.server = httptest.NewServer(mux)
+	if e.Relayed {
+		path, err := relay.NewTCP("127.0.0.1:0", strings.TrimPrefix(e.server.URL, "http://"))
+		if err != nil {
+			return err
+		}
+		e.Path = path
+	}
 	e.List("ready")
+	return nil
 }
 
-// Address is the engine's "ip:port".
-func (e *Engine) Address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+// Address is the "ip:port" at which the engine is reached.
+func (e *Engine) Address() string {
+	if e.Path != nil {
+		return e.Path.Address()
+	}
+	return strings.TrimPrefix(e.server.URL, "http://")
+}
 
 // Stop ends the engine as a crash does.
 func (e *Engine) Stop() {
+	if e.Path != nil {
+		e.Path.Close()
+	}
 	e.server.CloseClientConnections()
 	e.server.Close()
 }
