Soak: an entry that knows no manifest routes by none

The check took every status but 404 for a route.

Change: an answer with the reason settings_not_ready shows no route. The check loses nothing: such an entry handles nothing as an older version allows, and the same answer no longer counts as "routes by the newest".

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,7 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/machine/entry/problem"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -79,15 +82,20 @@
 		}
 		t.wg.Go(func() {
 			defer func() { <-room }()
-			a := t.Call(kind, entry)
-			t.ledger.Take(a, entry.UndisturbedSince(a.Start))
-			if a.Status == 0 && entry.StoppedSince(a.Start) {
-				t.ledger.Break(PlannedStop, "%s cut %s: %v", entry.Name, a.Attempt, a.Err)
-			}
+			t.callAndTake(kind, entry)
 		})
 	}
 }
 
+// callAndTake sends one request to an entry and enters its answer.
+func (t *Traffic) callAndTake(kind Kind, entry *harness.Machine) {
+	a := t.Call(kind, entry)
+	t.ledger.Take(a, entry.UndisturbedSince(a.Start))
+	if a.Status == 0 && entry.StoppedSince(a.Start) {
+		t.ledger.Break(PlannedStop, "%s cut %s: %v", entry.Name, a.Attempt, a.Err)
+	}
+}
+
 // pick draws an entry that serves, as a balancer does.
 func (t *Traffic) pick() (*harness.Machine, bool) {
 	var up []*harness.Machine
@@ -164,13 +172,21 @@
 	return t.client.Do(req)
 }
 
-// status is the status of an entry's answer on a path; 0 if there was none.
-func (t *Traffic) status(entry *harness.Machine, path string) int {
+// probe is the status of an entry's answer on a path, 0 if there was none, and the
+// reason if the entry gave one of its own.
+func (t *Traffic) probe(entry *harness.Machine, path string) (int, contract.Reason) {
 	resp, err := t.do(entry, fmt.Sprintf("probe-%d", t.ids.Add(1)), http.MethodGet, path, "")
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.Header.Get("Content-Type") != problem.MediaType {
+		return resp.StatusCode, ""
+	}
+	var p problem.Problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		t.ledger.Break(TrueAnswer, "%s on %s: %q: %v", entry.Name, path, data, err)
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, p.Reason
 }
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
@@ -36,7 +37,8 @@
 	}
 }
 
+// routes reports whether an entry knows a manifest and the route of the given version.
 func routes(t *Traffic, entry *harness.Machine, version int) bool {
-	status := t.status(entry, standin.GenerationPath(version))
-	return status != 0 && status != http.StatusNotFound
+	status, reason := t.probe(entry, standin.GenerationPath(version))
+	return status != 0 && status != http.StatusNotFound && reason != contract.ReasonSettingsNotReady
 }
