--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -102,7 +102,7 @@
 		wg.Go(func() { watchManifests(loaded, s.traffic, e) })
 	}
 	s.inflict(ctx, plan)
-	s.recover(ctx)
+	s.recover(ctx, recoverWait)
 	stop()
 	wg.Wait()
 	s.finish()
@@ -174,10 +174,10 @@
 }
 
 // recover waits until all serve again.
-func (s *session) recover(ctx context.Context) {
-	err := harness.WaitFor(ctx, recoverWait, s.traffic.AllServe)
+func (s *session) recover(ctx context.Context, wait time.Duration) {
+	err := harness.WaitFor(ctx, wait, s.traffic.AllServe)
 	if err == nil {
-		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), recoverWait)
+		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), wait)
 	}
 	if err != nil && ctx.Err() == nil {
 		s.ledger.Break(Recovers, "%v", err)
