Soak: callers use their connections until a stopping entry is gone

Cause: callers left an entry the moment its planned stop began, and only calls without any answer counted as cut.

Change: a stopping entry goes on getting requests. The promise "a planned stop ends well and cuts nothing" is broken also by an answer that is cut, and by a request sent during the stop that ran, or was held for more than loss_slack_ms (200 ms), without an answer, as long as nothing but operators and the store harmed the fleet since 3 s before it. The check of calls that began before the stop stays as it was. TestCutsDuringAStopAreFound.

--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -127,6 +127,14 @@
 	return m.serving && !m.expected && m.process.Running()
 }
 
+// Stopping reports whether an entry was ready and runs a planned stop: callers that have
+// an open connection go on using it.
+func (m *Machine) Stopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.serving && !m.stopped.IsZero() && m.process.Running()
+}
+
 // StoppedSince reports whether nothing but a planned stop has befallen the process
 // since at.
 func (m *Machine) StoppedSince(at time.Time) bool {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -29,6 +29,9 @@
 	lookPause = 50 * time.Millisecond
 	// maxAtOnce bounds the requests of a kind that run at once.
 	maxAtOnce = 100
+	// lossSlack is how long a request may be held that a stopping entry does not answer,
+	// the platform's loss_slack_ms.
+	lossSlack = 200 * time.Millisecond
 )
 
 // Traffic sends requests to the entries of a fleet until it is stopped.
@@ -37,6 +40,8 @@
 	ledger *Ledger
 	client *http.Client
 	ids    atomic.Int64
+	// unplanned is when anything but operators and the store harmed the fleet.
+	unplanned harness.Spells
 	// senders holds the entry that each attempt went to.
 	senders sync.Map
 	wg      sync.WaitGroup
@@ -89,18 +94,42 @@
 
 // callAndTake sends one request to an entry and enters its answer.
 func (t *Traffic) callAndTake(kind Kind, entry *harness.Machine) {
+	stopping := entry.Stopping()
 	a := t.Call(kind, entry)
 	t.ledger.Take(a, entry.UndisturbedSince(a.Start))
-	if a.Status == 0 && entry.StoppedSince(a.Start) {
-		t.ledger.Break(PlannedStop, "%s cut %s: %v", entry.Name, a.Attempt, a.Err)
+	if problem := t.stopProblem(a, stopping); problem != "" {
+		t.ledger.Break(PlannedStop, "%s cut %s %s after %v: %v", entry.Name, a.Attempt, problem, a.End.Sub(a.Start), a.Err)
 	}
 }
 
-// pick draws an entry that serves, as a balancer does.
+// stopProblem tells how a planned stop has cut a request; "" if it has not. stopping
+// tells that the entry was stopping when the request was sent.
+func (t *Traffic) stopProblem(a Answer, stopping bool) string {
+	lasted := a.End.Sub(a.Start)
+	stopped := a.Entry.StoppedSince(a.Start)
+	switch {
+	case a.Err == nil:
+		return ""
+	case a.Status == 0 && stopped:
+		return "without an answer"
+	case !stopping && !stopped, !t.unplanned.Calm(a.End, stableWindow+lasted):
+		return ""
+	case a.Status != 0:
+		return "in the middle of its answer"
+	case t.fleet.Runs(a.Attempt) > 0:
+		return "that was sent during the stop and ran"
+	case lasted > lossSlack:
+		return "that was sent during the stop and held"
+	}
+	return ""
+}
+
+// pick draws an entry that serves, or that is stopping as planned: callers use open
+// connections until the process is gone.
 func (t *Traffic) pick() (*harness.Machine, bool) {
 	var up []*harness.Machine
 	for _, e := range t.fleet.Entries {
-		if e.Serving() {
+		if e.Serving() || e.Stopping() {
 			up = append(up, e)
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// harms reports whether a fault is unplanned and can cut requests.
+func (f Fault) harms() bool {
+	switch f.class() {
+	case entries:
+		return f != StopEntry && f != ReloadEntry
+	case targets:
+		return f != DrainEngine
+	case storePaths, backEndPaths, services:
+		return true
+	default:
+		return false
+	}
+}
+
 // Shape is the number of objects of each class.
 type Shape struct {
 	Entries, Targets, Services, Zones int
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -121,6 +121,9 @@
 		s.log("%v for %v on %d", e.Fault, e.For.Round(time.Millisecond), e.On)
 		wg.Go(func() {
 			defer objects.take(e)()
+			if e.Fault.harms() {
+				defer s.traffic.unplanned.Begin()()
+			}
 			if end := i.begin(e); end != nil {
 				s.sleepUntil(ctx, e.end())
 				end()
--- a/internal/soak/session_test.go
+++ b/internal/soak/session_test.go
@@ -127,6 +127,40 @@
 	s.expect(t, PlannedStop)
 }
 
+// Requests that a stopping entry cuts: in the middle of an answer, after they ran, and
+// after it held them; one whose connection closes at once crossed the close.
+func TestCutsDuringAStopAreFound(t *testing.T) {
+	sent := time.Now()
+	for name, c := range map[string]struct {
+		status, runs int
+		lasted       time.Duration
+		harmed       bool
+		want         bool
+	}{
+		"crosses the close":       {0, 0, lossSlack / 2, false, false},
+		"held":                    {0, 0, 2 * lossSlack, false, true},
+		"ran":                     {0, 1, lossSlack / 2, false, true},
+		"middle of its answer":    {200, 1, lossSlack / 2, false, true},
+		"while an engine hangs":   {200, 1, lossSlack / 2, true, false},
+		"held, an engine hanging": {0, 0, 2 * lossSlack, true, false},
+	} {
+		s := newSession(t, endsWell, ok)
+		a := Answer{Kind: Pay, Attempt: "a", Entry: s.fleet.Entries[0], Status: c.status, Err: errors.New("cut"), Start: sent, End: sent.Add(c.lasted)}
+		if c.runs > 0 {
+			s.forward(httptest.NewRequest(http.MethodPost, standin.ChatPath+"x", nil), a.Attempt)
+		}
+		if c.harmed {
+			s.traffic.unplanned.Add(sent.Add(-time.Second), sent)
+		}
+		if problem := s.traffic.stopProblem(a, true); (problem != "") != c.want {
+			t.Errorf("%s: %q", name, problem)
+		}
+		if problem := s.traffic.stopProblem(a, false); problem != "" {
+			t.Errorf("%s, not stopping: %q", name, problem)
+		}
+	}
+}
+
 func TestProcessesThatEndByThemselvesAreFound(t *testing.T) {
 	for script, want := range map[string][]Promise{endsWell: nil, entryEnds: {StaysUp}} {
 		s := newSession(t, script, ok)
@@ -247,7 +281,7 @@
 func TestRunsPastTheBoundAreFoundAtTheEnd(t *testing.T) {
 	for age, want := range map[time.Duration][]Promise{versionBound / 2: nil, versionBound + time.Second: {VersionBound}} {
 		var s *session
-		s = newSession(t, endsWell, func(_ http.ResponseWriter, r *http.Request) { s.forward(r) })
+		s = newSession(t, endsWell, func(_ http.ResponseWriter, r *http.Request) { s.forward(r, r.Header.Get("Attempt-Id")) })
 		s.bounds.named(2, time.Now().Add(-age))
 		s.traffic.Call(Chat, s.fleet.Entries[0])
 		s.finish()
@@ -256,13 +290,13 @@
 }
 
 // forward runs a caller's request at the one engine, as an entry does.
-func (s *session) forward(r *http.Request) {
+func (s *session) forward(r *http.Request, attempt string) {
 	engine := s.fleet.Engines()[0]
 	req, err := http.NewRequest(http.MethodPost, "http://"+engine.Address()+r.URL.Path, nil)
 	if err != nil {
 		panic(err)
 	}
-	req.Header.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	req.Header.Set("Attempt-Id", attempt)
 	req.Header.Set("Expect-Instance", engine.ID)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
