--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,8 +22,12 @@
 	front  *net.UDPConn
 	server *net.UDPAddr
 
-	mu      sync.Mutex
-	cut     Cut
+	mu  sync.Mutex
+	cut Cut
+	// lose tells which direction is lost for all clients, delay how long packets are held
+	// up.
+	lose    [ways]bool
+	delay   time.Duration
 	clients map[string]*net.UDPConn
 	lost    map[string]bool
 }
@@ -71,6 +76,34 @@
 	u.cut = cut
 }
 
+// SetCutWay loses all packets of one direction, or no longer does.
+func (u *UDP) SetCutWay(way Way, cut bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lose[way] = cut
+}
+
+// SetDelay holds up packets in each direction; 0 ends that.
+func (u *UDP) SetDelay(delay time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.delay = delay
+}
+
+// carry sends a packet on, at once or after the delay. A packet that cannot be sent is
+// lost, as any may be.
+func (u *UDP) carry(packet []byte, send func([]byte)) {
+	u.mu.Lock()
+	delay := u.delay
+	u.mu.Unlock()
+	if delay == 0 {
+		send(packet)
+		return
+	}
+	held := append([]byte(nil), packet...)
+	time.AfterFunc(delay, func() { send(held) })
+}
+
 // Forget loses all clients seen so far, for good.
 func (u *UDP) Forget() {
 	u.mu.Lock()
@@ -96,7 +129,7 @@
 			return
 		}
 		if back := u.back(client); back != nil {
-			_, _ = back.Write(buffer[:n])
+			u.carry(buffer[:n], func(packet []byte) { _, _ = back.Write(packet) })
 		}
 	}
 }
@@ -106,7 +139,7 @@
 func (u *UDP) back(client *net.UDPAddr) *net.UDPConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.isLost(client) {
+	if u.lose[ToServer] || u.isLost(client) {
 		return nil
 	}
 	back := u.clients[client.String()]
@@ -136,7 +169,7 @@
 			return
 		}
 		if err == nil && u.passes(client) {
-			_, _ = u.front.WriteToUDP(buffer[:n], client)
+			u.carry(buffer[:n], func(packet []byte) { _, _ = u.front.WriteToUDP(packet, client) })
 		}
 	}
 }
@@ -144,5 +177,5 @@
 func (u *UDP) passes(client *net.UDPAddr) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.isLost(client)
+	return !u.lose[ToClient] && !u.isLost(client)
 }
