Soak: faults of the links between processes

Cause: nothing stood between the links of two processes, since each publishes its own address.

Change: the stand-in of the store has a machine's record name the address of a relay (of the same length, so that the framing stays); no change of the product. Four faults are drawn: links delayed, cut towards and from a process, open links silent for good. Such a process is not in touch while that lasts and for 3 s after, as the platform's rules say.

Ruled out: to give processes another address by a setting; the settings of deploy/ have none, and the soak runs what is deployed.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -140,9 +140,20 @@
 	if !f.Spec.Relayed {
 		return m, nil
 	}
-	path, err := relay.NewTCP("127.0.0.1:0", m.Door.Address())
-	m.StorePath = path
-	return m, err
+	return m, m.relayPaths(f.network.next(at))
+}
+
+// relayPaths has the process reach the store through a relay, and others the process's
+// links through one at the given address.
+func (m *Machine) relayPaths(links string) error {
+	var err error
+	if m.StorePath, err = relay.NewTCP("127.0.0.1:0", m.Door.Address()); err != nil {
+		return err
+	}
+	if m.LinkPath, err = relay.NewUDP(links, m.link); err != nil {
+		return err
+	}
+	return m.Door.Publish(m.link, links)
 }
 
 // Machines lists all machines that run a process of the system.
@@ -266,6 +277,7 @@
 		m.Kill()
 		if m.StorePath != nil {
 			m.StorePath.Close()
+			m.LinkPath.Close()
 		}
 		m.Door.Close()
 	}
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -25,6 +25,8 @@
 	Door           *standin.Door
 	// StorePath leads to the door; nil if the process reaches it without a relay.
 	StorePath *relay.TCP
+	// LinkPath leads to the links of the process that others make to it; nil as above.
+	LinkPath *relay.UDP
 	// Troubles are the times in which the process did not run or was just signalled,
 	// and what else the caller enters.
 	Troubles Spells
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -38,10 +38,13 @@
 		return i.onTarget(e.Fault, i.fleet.Targets[e.On])
 	case storePaths:
 		m := i.fleet.Machines()[e.On]
-		return onPath(e.Fault-DelayStorePath, m.StorePath, &m.Troubles, i.bounds.path(m.StorePath))
+		return inTurn(harm(e.Fault, m.StorePath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
 	case backEndPaths:
 		path := i.backEnd(e.On).Path
-		return onPath(e.Fault-DelayBackEndPath, path, i.bounds.path(path))
+		return inTurn(harm(e.Fault-DelayBackEndPath+DelayStorePath, path), i.bounds.path(path).Begin())
+	case linkPaths:
+		m := i.fleet.Machines()[e.On]
+		return inTurn(harmLinks(e.Fault, m.LinkPath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
 	case services:
 		return onService(e.Fault, i.fleet.Services[e.On])
 	case zones:
@@ -143,16 +146,10 @@
 	return append(i.fleet.Engines(), i.fleet.Services...)[at]
 }
 
-// onPath harms a path; notes take when. f counts the faults of paths from the delay.
-func onPath(f Fault, path *relay.TCP, notes ...*harness.Spells) func() {
-	var calm []func()
-	for _, note := range notes {
-		calm = append(calm, note.Begin())
-	}
-	heal := harm(f+DelayStorePath, path)
+// inTurn returns what does one after another.
+func inTurn(ends ...func()) func() {
 	return func() {
-		heal()
-		for _, end := range calm {
+		for _, end := range ends {
 			end()
 		}
 	}
@@ -178,6 +175,24 @@
 	return func() {}
 }
 
+// harmLinks does the same to the links that others make to a process.
+func harmLinks(f Fault, path *relay.UDP) (heal func()) {
+	switch f {
+	case DelayLinks:
+		path.SetDelay(pathDelay)
+		return func() { path.SetDelay(0) }
+	case CutToLinks:
+		path.SetCutWay(relay.ToServer, true)
+		return func() { path.SetCutWay(relay.ToServer, false) }
+	case CutFromLinks:
+		path.SetCutWay(relay.ToClient, true)
+		return func() { path.SetCutWay(relay.ToClient, false) }
+	case SilenceLinks:
+		path.Forget()
+	}
+	return func() {}
+}
+
 func onService(f Fault, e *standin.Engine) func() {
 	if f == LoseAnswers {
 		e.Mute(true)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,10 @@
 	CutToBackEnd
 	CutFromBackEnd
 	SilenceBackEndPath
+	DelayLinks
+	CutToLinks
+	CutFromLinks
+	SilenceLinks
 	HangService
 	LoseAnswers
 	StoreDown
@@ -55,6 +59,7 @@
 	"delay to and from store", "connections to store reset", "cut towards store", "cut from store", "connections to store silent",
 	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
 	"connections to back end silent",
+	"delay of links", "cut towards links", "cut from links", "links silent",
 	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
 	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
@@ -70,6 +75,7 @@
 	targets
 	storePaths
 	backEndPaths
+	linkPaths
 	services
 	zones
 	store
@@ -88,6 +94,8 @@
 		return storePaths
 	case f <= SilenceBackEndPath:
 		return backEndPaths
+	case f <= SilenceLinks:
+		return linkPaths
 	case f <= LoseAnswers:
 		return services
 	case f <= DropHistory:
@@ -108,7 +116,7 @@
 		return f != StopEntry && f != ReloadEntry
 	case targets:
 		return f != DrainEngine
-	case storePaths, backEndPaths, services:
+	case storePaths, backEndPaths, linkPaths, services:
 		return true
 	default:
 		return false
@@ -126,7 +134,7 @@
 		return s.Entries
 	case targets:
 		return s.Targets
-	case storePaths:
+	case storePaths, linkPaths:
 		return s.Entries + s.Targets
 	case backEndPaths:
 		return s.Targets + s.Services
@@ -147,7 +155,7 @@
 		return 1
 	case zones:
 		return min(s.Zones-1, 1)
-	case storePaths:
+	case storePaths, linkPaths:
 		return min(s.Entries, s.Targets) - 1
 	case backEndPaths:
 		return min(s.Targets, s.Services) - 1
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -4,8 +4,10 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +18,8 @@
 	"time"
 )
 
+const topicMembers = "keyed.members"
+
 // Store is a stand-in of the platform's store. Its faults may be set at any time.
 type Store struct {
 	server *httptest.Server
@@ -104,6 +108,10 @@
 type Door struct {
 	server *httptest.Server
 	closed atomic.Bool
+
+	mu sync.Mutex
+	// private and public are the address in a member's record and what takes its place.
+	private, public string
 }
 
 // NewDoor opens another address of the store.
@@ -114,11 +122,38 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if r.URL.Query().Get("topic") == topicMembers {
+			r.Body = d.published(r.Body)
+		}
 		s.server.Config.Handler.ServeHTTP(w, r)
 	}))
 	return d
 }
 
+// Publish has the machine's own record name another address of the same length, so that
+// a relay can stand before its links.
+func (d *Door) Publish(private, public string) error {
+	if len(private) != len(public) {
+		return fmt.Errorf("standin: %q and %q differ in length", private, public)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.private, d.public = private, public
+	return nil
+}
+
+// published puts the public address in the place of the private one.
+func (d *Door) published(body io.ReadCloser) io.ReadCloser {
+	d.mu.Lock()
+	private, public := d.private, d.public
+	d.mu.Unlock()
+	data, err := io.ReadAll(body)
+	if err != nil || private == "" {
+		return io.NopCloser(bytes.NewReader(data))
+	}
+	return io.NopCloser(bytes.NewReader(bytes.ReplaceAll(data, []byte(private), []byte(public))))
+}
+
 // Address is the door's "ip:port".
 func (d *Door) Address() string { return strings.TrimPrefix(d.server.URL, "http://") }
 
