Soak: nothing begins in an evacuated zone past the bound

Change: a series evacuates a zone for 7 to 12 s. A run at any back end of that zone that begins more than 5 s (evac_ms) after the store's acknowledgement and before the zone is taken back breaks the promise, for senders in touch. Probes count as well, since their entries are known. TestRunInEvacuatedZonePastTheBoundIsFound.

Not checked: the bound on cold engines; the stand-in's engines are never cold.

--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -16,12 +16,15 @@
 	// said that it leaves.
 	versionBound = 8 * time.Second
 	drainBound   = 3 * time.Second
+	// evacuationBound is how long after a zone was evacuated requests may begin there,
+	// the platform's evac_ms.
+	evacuationBound = 5 * time.Second
 	// stableWindow is how long the store and the sender must have been calm for a
 	// bound to bind, the platform's stable_window_ms.
 	stableWindow = 3 * time.Second
 )
 
-// run is one run at a model engine and the entry that sent it.
+// run is one run at a back end and the entry that sent it.
 type run struct {
 	standin.Begin
 	engine *standin.Engine
@@ -40,6 +43,12 @@
 	from, to time.Time
 }
 
+// evacuation is a span in which a zone was evacuated.
+type evacuation struct {
+	zone     string
+	from, to time.Time
+}
+
 // bounds holds what the promises that name a time refer to.
 type bounds struct {
 	// store is when the store was impaired.
@@ -50,6 +59,8 @@
 	paths    map[*relay.TCP]*harness.Spells
 	namings  []naming
 	leavings []leaving
+	// evacuations are those that were taken back.
+	evacuations []evacuation
 }
 
 func (b *bounds) named(version int64, at time.Time) {
@@ -58,6 +69,12 @@
 	b.namings = append(b.namings, naming{version, at})
 }
 
+func (b *bounds) evacuated(zone string, from, to time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evacuations = append(b.evacuations, evacuation{zone, from, to})
+}
+
 func (b *bounds) left(engine *standin.Engine, from, to time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,7 +137,7 @@
 	defer b.mu.Unlock()
 	for _, n := range b.namings {
 		b.report(l, VersionBound, runs, func(r run) bool {
-			return r.Version < n.version && b.age(r, n.at) > versionBound
+			return r.engine.Model != "" && r.Version < n.version && b.age(r, n.at) > versionBound
 		}, n.at)
 	}
 	for _, out := range b.leavings {
@@ -128,6 +145,11 @@
 			return r.engine == out.engine && r.At.Before(out.to) && b.age(r, out.from) > drainBound
 		}, out.from)
 	}
+	for _, out := range b.evacuations {
+		b.report(l, EvacuationBound, runs, func(r run) bool {
+			return r.engine.Zone == out.zone && r.At.Before(out.to) && b.age(r, out.from) > evacuationBound
+		}, out.from)
+	}
 }
 
 func (b *bounds) report(l *Ledger, p Promise, runs []run, isLate func(run) bool, since time.Time) {
--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -19,7 +19,7 @@
 func (h history) find(p Promise, note func(b *bounds, e *standin.Engine, at func(float64) time.Time)) bool {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	engine, sender, b := &standin.Engine{ID: "engine"}, &harness.Machine{Name: "entry"}, &bounds{}
+	engine, sender, b := &standin.Engine{ID: "engine", Zone: "erongo-a", Model: standin.Model}, &harness.Machine{Name: "entry"}, &bounds{}
 	for _, s := range h.store {
 		b.store.Add(at(s[0]), at(s[1]))
 	}
@@ -75,6 +75,28 @@
 	}
 }
 
+func TestRunInEvacuatedZonePastTheBoundIsFound(t *testing.T) {
+	for name, c := range map[string]struct {
+		history
+		zone string
+		want bool
+	}{
+		"in the bound":              {history{begins: 4.9}, "erongo-a", false},
+		"past the bound":            {history{begins: 5.1}, "erongo-a", true},
+		"in another zone":           {history{begins: 5.1}, "khomas-a", false},
+		"after it was taken back":   {history{begins: 8.1}, "erongo-a", false},
+		"entry started just now":    {history{begins: 5.1, sender: [][2]float64{{1, 2.5}}}, "erongo-a", false},
+		"entry started again late":  {history{begins: 5.1, sender: [][2]float64{{0, 2}}}, "erongo-a", true},
+		"store impaired meanwhile":  {history{begins: 5.1, store: [][2]float64{{-3, 1}}}, "erongo-a", false},
+		"store back for long again": {history{begins: 7.9, store: [][2]float64{{-3, -0.2}}}, "erongo-a", true},
+	} {
+		out := func(b *bounds, _ *standin.Engine, at func(float64) time.Time) { b.evacuated(c.zone, at(0), at(8)) }
+		if got := c.find(EvacuationBound, out); got != c.want {
+			t.Errorf("%s: found %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // A plan with the series of the incident names a version while the origin is away and
 // takes an entry away after it.
 func TestPlansHaveEntriesLearnLate(t *testing.T) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -149,7 +149,6 @@
 	case Look:
 		method, path, body = http.MethodGet, standin.LookPath+a.Attempt, ""
 	}
-	t.senders.Store(a.Attempt, entry)
 	a.Sent = strings.TrimSpace(fmt.Sprintf("%s %s %s", method, path, body))
 	t.exchange(&a, method, path, body)
 	a.End = time.Now()
@@ -192,6 +191,7 @@
 }
 
 func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string) (*http.Response, error) {
+	t.senders.Store(attempt, entry)
 	req, err := standin.Request{
 		Attempt: attempt, Key: harness.FleetKey, Entry: entry.Callers, Method: method, Path: path, Body: body,
 	}.HTTP()
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -50,7 +50,11 @@
 	case zones:
 		zone := string(i.fleet.Spec.Zones[e.On].Name)
 		i.fleet.Store.Evacuate(zone, true)
-		return func() { i.fleet.Store.Evacuate(zone, false) }
+		start := time.Now()
+		return func() {
+			i.bounds.evacuated(zone, start, time.Now())
+			i.fleet.Store.Evacuate(zone, false)
+		}
 	default:
 		return i.onPlatform(e.Fault)
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,6 +35,8 @@
 	VersionBound Promise = "nothing begins on an older version past the bound"
 	// DrainBound: nothing begins at an engine that leaves past the bound.
 	DrainBound Promise = "nothing begins at an engine that leaves past the bound"
+	// EvacuationBound: nothing begins in an evacuated zone past the bound.
+	EvacuationBound Promise = "nothing begins in an evacuated zone past the bound"
 	// Recovers: once the faults are over, every entry serves and every engine holds
 	// the newest version.
 	Recovers Promise = "all serve again once the faults are over"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -208,10 +208,10 @@
 	s.ledger.Close()
 }
 
-// runs lists the runs at all model engines with the entries that sent them.
+// runs lists the runs at all back ends with the entries that sent them.
 func (s *session) runs() []run {
 	var list []run
-	for _, e := range s.fleet.AllEngines() {
+	for _, e := range s.fleet.BackEnds() {
 		for _, begin := range e.Begins() {
 			list = append(list, run{Begin: begin, engine: e, sender: s.traffic.Sender(begin.Attempt)})
 		}
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -7,7 +7,7 @@
 
 // series are groups of events that follow one another closely and that single draws
 // would hardly ever bring together.
-var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{lateLearner}
+var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{lateLearner, longEvacuation}
 
 const (
 	// minAway and maxAway bound how long the origin of weights is away around a naming.
@@ -22,6 +22,9 @@
 	// minGone and maxGone bound how long the entry is gone.
 	minGone = 2 * time.Second
 	maxGone = 5 * time.Second
+	// minOut and maxOut bound how long a zone is evacuated so that the bound passes.
+	minOut = 7 * time.Second
+	maxOut = 12 * time.Second
 )
 
 // lateLearner names a version while the origin is away, so that engines stay on the
@@ -37,3 +40,8 @@
 	}
 	return []Event{away, name, place(rnd, gone, shape)}
 }
+
+// longEvacuation evacuates a zone for longer than the bound; single draws end before it.
+func longEvacuation(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
+	return []Event{place(rnd, Event{At: at, For: between(rnd, minOut, maxOut), Fault: EvacuateZone}, shape)}
+}
