Soak: harm of a moment is over at once

Cause: connections that were reset, and those that were silenced, counted as harm for as long as the event was drawn (0.5 to 5 s), and excused the sender from the bounds all the while. The platform's rules name the reset, not a span after it; new connections work.

Change: such an event has no end of its own, and its spell ends at once; the 3 s after it count as before.

Ruled out: to leave silenced connections as harm until they are gone; the path is open in both directions, and what a process does with a silent connection is its own.

--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -38,13 +38,13 @@
 		return i.onTarget(e.Fault, i.fleet.Targets[e.On])
 	case storePaths:
 		m := i.fleet.Machines()[e.On]
-		return inTurn(harm(e.Fault, m.StorePath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
+		return healing(harm(e.Fault, m.StorePath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
 	case backEndPaths:
 		path := i.backEnd(e.On).Path
-		return inTurn(harm(e.Fault-DelayBackEndPath+DelayStorePath, path), i.bounds.path(path).Begin())
+		return healing(harm(e.Fault-DelayBackEndPath+DelayStorePath, path), i.bounds.path(path).Begin())
 	case linkPaths:
 		m := i.fleet.Machines()[e.On]
-		return inTurn(harmLinks(e.Fault, m.LinkPath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
+		return healing(harmLinks(e.Fault, m.LinkPath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
 	case services:
 		return onService(e.Fault, i.fleet.Services[e.On])
 	case zones:
@@ -150,16 +150,25 @@
 	return append(i.fleet.Engines(), i.fleet.Services...)[at]
 }
 
-// inTurn returns what does one after another.
-func inTurn(ends ...func()) func() {
-	return func() {
-		for _, end := range ends {
-			end()
+// healing returns how to end a harm and the spells that note it. A harm of a moment, which
+// needs no heal, is over at once.
+func healing(heal func(), spells ...func()) func() {
+	end := func() {
+		if heal != nil {
+			heal()
+		}
+		for _, over := range spells {
+			over()
 		}
 	}
+	if heal == nil {
+		end()
+		return nil
+	}
+	return end
 }
 
-// harm brings a fault of a path about and returns how to end it.
+// harm brings a fault of a path about and returns how to end it; nil if it is of a moment.
 func harm(f Fault, path *relay.TCP) (heal func()) {
 	switch f {
 	case DelayStorePath:
@@ -176,7 +185,7 @@
 	case SilenceStorePath:
 		path.Silence()
 	}
-	return func() {}
+	return nil
 }
 
 // harmLinks does the same to the links that others make to a process.
@@ -194,7 +203,7 @@
 	case SilenceLinks:
 		path.Forget()
 	}
-	return func() {}
+	return nil
 }
 
 func onService(f Fault, e *standin.Engine) func() {
