Soak: one draw in six is a series

Change: every sixth draw is a series. TestPlansHaveEntriesLearnLate takes 24 s in place of 30 s and is stricter by that.

--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -100,7 +100,7 @@
 // A plan with the series of the incident names a version while the origin is away and
 // takes an entry away after it.
 func TestPlansHaveEntriesLearnLate(t *testing.T) {
-	const length = 30 * time.Second
+	const length = 24 * time.Second
 	found := 0
 	for seed := range uint64(100) {
 		plan := Plan(seed, length, shape)
@@ -128,3 +128,27 @@
 	}
 	return false
 }
+
+// Harm that lasts excuses a sender until it ends, harm of a moment only from then on.
+func TestHarmOfAMomentIsOverAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		heal func()
+		want bool
+	}{
+		"lasts":  {func() {}, true},
+		"moment": {nil, false},
+	} {
+		var spells harness.Spells
+		end := healing(c.heal, spells.Begin())
+		later := time.Now().Add(time.Minute)
+		if lasts := !spells.Calm(later, time.Second); lasts != c.want || (end != nil) != c.want {
+			t.Errorf("%s: lasts %v", name, lasts)
+		}
+		if end != nil {
+			end()
+		}
+		if !spells.Calm(later, time.Second) {
+			t.Errorf("%s: not over", name)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -183,6 +183,8 @@
 	// minGap and maxGap space the events.
 	minGap = 200 * time.Millisecond
 	maxGap = 1500 * time.Millisecond
+	// seriesEvery is how many draws there are to one that draws a series.
+	seriesEvery = 6
 	// minFor and maxFor bound how long a fault lasts.
 	minFor = 500 * time.Millisecond
 	maxFor = 5 * time.Second
@@ -204,11 +206,10 @@
 
 // draw draws one event or one series of them that begins at at and ends by end.
 func draw(rnd *rand.Rand, at, end time.Duration, shape Shape) []Event {
-	kind := rnd.IntN(int(faults) + len(series))
-	if kind >= int(faults) {
-		return series[kind-int(faults)](rnd, at, shape)
+	if rnd.IntN(seriesEvery) == 0 {
+		return series[rnd.IntN(len(series))](rnd, at, shape)
 	}
-	e := Event{At: at, For: min(between(rnd, minFor, maxFor), end-at), Fault: Fault(kind)}
+	e := Event{At: at, For: min(between(rnd, minFor, maxFor), end-at), Fault: Fault(rnd.IntN(int(faults)))}
 	return []Event{place(rnd, e, shape)}
 }
 
