--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -22,6 +23,13 @@
 	// Callers and Ready are the TCP addresses of an entry.
 	Callers, Ready string
 	Door           *standin.Door
+	// StorePath leads to the door; nil if the process reaches it without a relay.
+	StorePath *relay.TCP
+	// LinkPath leads to the links of the process that others make to it; nil as above.
+	LinkPath *relay.UDP
+	// Troubles are the times in which the process did not run or was just signalled,
+	// and what else the caller enters.
+	Troubles Spells
 
 	fleet         *Fleet
 	link, metrics string
@@ -38,6 +46,8 @@
 	// disturbed is when the process was last killed, paused, resumed, started or ready
 	// for the first time; stopped is when a planned stop began, zero if none did.
 	disturbed, stopped time.Time
+	// back ends the spell in which the process does not run; nil if it runs.
+	back func()
 }
 
 // Start starts the process.
@@ -55,9 +65,26 @@
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.process, m.serving, m.expected = p, false, false
 	m.disturbed, m.stopped = time.Now(), time.Time{}
+	m.leave()
+	m.comeBack()
 	return nil
 }
 
+// leave notes that the process does not run from now on, comeBack that it does again;
+// mu must be held.
+func (m *Machine) leave() {
+	if m.back == nil {
+		m.back = m.Troubles.Begin()
+	}
+}
+
+func (m *Machine) comeBack() {
+	if m.back != nil {
+		m.back()
+		m.back = nil
+	}
+}
+
 func (m *Machine) sections() []section {
 	listen := map[string]string{"link": m.link, "metrics": m.metrics}
 	if m.Role == config.RoleEntry {
@@ -67,7 +94,7 @@
 		{name: "process", keys: map[string]string{
 			"role": m.Role, "machine": m.Name, "zone": string(m.Zone.Name), "region": string(m.Zone.Region),
 		}},
-		{name: "fleet", keys: map[string]string{"zones": m.fleet.zonesText(), "store": m.Door.Address()}},
+		{name: "fleet", keys: map[string]string{"zones": m.fleet.zonesText(), "store": m.storeAddress()}},
 		{name: "listen", keys: listen},
 	}
 	if m.Role == config.RoleTarget {
@@ -76,6 +103,14 @@
 	return sections
 }
 
+// storeAddress is where the process reaches the store.
+func (m *Machine) storeAddress() string {
+	if m.StorePath != nil {
+		return m.StorePath.Address()
+	}
+	return m.Door.Address()
+}
+
 // AwaitReady waits until an entry is ready for callers.
 func (m *Machine) AwaitReady(ctx context.Context, wait time.Duration) error {
 	if err := WaitFor(ctx, wait, func() error { return answersOK(m.Ready) }); err != nil {
@@ -94,6 +129,14 @@
 	return m.serving && !m.expected && m.process.Running()
 }
 
+// Stopping reports whether an entry was ready and runs a planned stop: callers that have
+// an open connection go on using it.
+func (m *Machine) Stopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.serving && !m.stopped.IsZero() && m.process.Running()
+}
+
 // StoppedSince reports whether nothing but a planned stop has befallen the process
 // since at.
 func (m *Machine) StoppedSince(at time.Time) bool {
@@ -138,6 +181,7 @@
 	m.mu.Lock()
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.expected, m.disturbed = true, time.Now()
+	m.leave()
 	p := m.process
 	m.mu.Unlock()
 	if p != nil {
@@ -150,6 +194,7 @@
 	m.mu.Lock()
 	m.ownEnds = m.ownEnds || m.endedUnexpectedly()
 	m.expected, m.stopped = true, time.Now()
+	m.leave()
 	p := m.process
 	m.mu.Unlock()
 	return p != nil && p.Stop(plannedStop)
@@ -173,12 +218,21 @@
 func (m *Machine) signal(sig syscall.Signal) error {
 	m.mu.Lock()
 	m.disturbed = time.Now()
+	if sig == syscall.SIGSTOP {
+		m.leave()
+	}
 	p := m.process
 	m.mu.Unlock()
 	if p == nil {
 		return nil
 	}
-	return p.Signal(sig)
+	err := p.Signal(sig)
+	if sig == syscall.SIGCONT {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.comeBack()
+	}
+	return err
 }
 
 // TargetHost is a machine with a model engine and the process beside it.
@@ -197,16 +251,20 @@
 	return t.running
 }
 
-func (t *TargetHost) startEngine(version int64) {
+func (t *TargetHost) startEngine(version int64) error {
 	e := &standin.Engine{
 		ID: t.id, Service: standin.ModelService, Zone: string(t.Zone.Name), Model: standin.Model,
 		Slots: engineSlots, Events: t.fleet.Spec.Events, Gap: t.fleet.Spec.Gap,
+		Relayed: t.fleet.Spec.Relayed,
+	}
+	if err := e.Start(t.fleet.Store, version); err != nil {
+		return err
 	}
-	e.Start(t.fleet.Store, version)
 	t.engineMu.Lock()
 	t.running = e
 	t.engineMu.Unlock()
 	t.engine, t.service = e.Address(), standin.ModelService
+	return nil
 }
 
 // Lose takes the machine away: the engine and the process beside it end at once.
@@ -219,7 +277,9 @@
 // that holds nothing.
 func (t *TargetHost) Return() error {
 	lost := t.Engine()
-	t.startEngine(0)
+	if err := t.startEngine(0); err != nil {
+		return err
+	}
 	t.fleet.mu.Lock()
 	t.fleet.former = append(t.fleet.former, lost)
 	t.fleet.mu.Unlock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,7 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/machine/entry/problem"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -26,6 +29,9 @@
 	lookPause = 50 * time.Millisecond
 	// maxAtOnce bounds the requests of a kind that run at once.
 	maxAtOnce = 100
+	// lossSlack is how long a request may be held that a stopping entry does not answer,
+	// the platform's loss_slack_ms.
+	lossSlack = 200 * time.Millisecond
 )
 
 // Traffic sends requests to the entries of a fleet until it is stopped.
@@ -34,7 +40,11 @@
 	ledger *Ledger
 	client *http.Client
 	ids    atomic.Int64
-	wg     sync.WaitGroup
+	// unplanned is when anything but operators and the store harmed the fleet.
+	unplanned harness.Spells
+	// senders holds the entry that each attempt went to.
+	senders sync.Map
+	wg      sync.WaitGroup
 }
 
 // NewTraffic returns traffic that enters what it gets into a ledger.
@@ -77,20 +87,49 @@
 		}
 		t.wg.Go(func() {
 			defer func() { <-room }()
-			a := t.Call(kind, entry)
-			t.ledger.Take(a, entry.UndisturbedSince(a.Start))
-			if a.Status == 0 && entry.StoppedSince(a.Start) {
-				t.ledger.Break(PlannedStop, "%s cut %s: %v", entry.Name, a.Attempt, a.Err)
-			}
+			t.callAndTake(kind, entry)
 		})
 	}
 }
 
-// pick draws an entry that serves, as a balancer does.
+// callAndTake sends one request to an entry and enters its answer.
+func (t *Traffic) callAndTake(kind Kind, entry *harness.Machine) {
+	stopping := entry.Stopping()
+	a := t.Call(kind, entry)
+	t.ledger.Take(a, entry.UndisturbedSince(a.Start))
+	if problem := t.stopProblem(a, stopping); problem != "" {
+		t.ledger.Break(PlannedStop, "%s cut %s %s after %v: %v", entry.Name, a.Attempt, problem, a.End.Sub(a.Start), a.Err)
+	}
+}
+
+// stopProblem tells how a planned stop has cut a request; "" if it has not. stopping
+// tells that the entry was stopping when the request was sent.
+func (t *Traffic) stopProblem(a Answer, stopping bool) string {
+	lasted := a.End.Sub(a.Start)
+	stopped := a.Entry.StoppedSince(a.Start)
+	switch {
+	case a.Err == nil:
+		return ""
+	case a.Status == 0 && stopped:
+		return "without an answer"
+	case !stopping && !stopped, !t.unplanned.Calm(a.End, stableWindow+lasted):
+		return ""
+	case a.Status != 0:
+		return "in the middle of its answer"
+	case t.fleet.Runs(a.Attempt) > 0:
+		return "that was sent during the stop and ran"
+	case lasted > lossSlack:
+		return "that was sent during the stop and held"
+	}
+	return ""
+}
+
+// pick draws an entry that serves, or that is stopping as planned: callers use open
+// connections until the process is gone.
 func (t *Traffic) pick() (*harness.Machine, bool) {
 	var up []*harness.Machine
 	for _, e := range t.fleet.Entries {
-		if e.Serving() {
+		if e.Serving() || e.Stopping() {
 			up = append(up, e)
 		}
 	}
@@ -116,6 +155,15 @@
 	return a
 }
 
+// Sender is the entry that an attempt went to; nil if it is not known.
+func (t *Traffic) Sender(attempt string) *harness.Machine {
+	entry, ok := t.senders.Load(attempt)
+	if !ok {
+		return nil
+	}
+	return entry.(*harness.Machine)
+}
+
 // AllServe fails with what is missing unless every entry serves every kind of request
 // now.
 func (t *Traffic) AllServe() error {
@@ -143,6 +191,7 @@
 }
 
 func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string) (*http.Response, error) {
+	t.senders.Store(attempt, entry)
 	req, err := standin.Request{
 		Attempt: attempt, Key: harness.FleetKey, Entry: entry.Callers, Method: method, Path: path, Body: body,
 	}.HTTP()
@@ -152,13 +201,21 @@
 	return t.client.Do(req)
 }
 
-// status is the status of an entry's answer on a path; 0 if there was none.
-func (t *Traffic) status(entry *harness.Machine, path string) int {
+// probe is the status of an entry's answer on a path, 0 if there was none, and the
+// reason if the entry gave one of its own.
+func (t *Traffic) probe(entry *harness.Machine, path string) (int, contract.Reason) {
 	resp, err := t.do(entry, fmt.Sprintf("probe-%d", t.ids.Add(1)), http.MethodGet, path, "")
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.Header.Get("Content-Type") != problem.MediaType {
+		return resp.StatusCode, ""
+	}
+	var p problem.Problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		t.ledger.Break(TrueAnswer, "%s on %s: %q: %v", entry.Name, path, data, err)
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, p.Reason
 }
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -6,6 +6,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/internal/harness"
+	"mimosastand.example/mimosastand/internal/relay"
 	standin "mimosastand.example/mimosastand/standin/fleet"
 )
 
@@ -16,6 +17,8 @@
 	lateBy = 2 * time.Second
 	// corruptEvery is which pieces of the origin are spoilt.
 	corruptEvery = 3
+	// pathDelay is how long each part of what is sent is held up on a delayed path.
+	pathDelay = 150 * time.Millisecond
 )
 
 // inflictor brings faults about and ends them.
@@ -23,7 +26,7 @@
 	ctx    context.Context
 	fleet  *harness.Fleet
 	ledger *Ledger
-	named  *namings
+	bounds *bounds
 }
 
 // begin brings a fault about and returns how to end it; nil if it ends by itself.
@@ -33,12 +36,25 @@
 		return i.onEntry(e.Fault, i.fleet.Entries[e.On])
 	case targets:
 		return i.onTarget(e.Fault, i.fleet.Targets[e.On])
+	case storePaths:
+		m := i.fleet.Machines()[e.On]
+		return healing(harm(e.Fault, m.StorePath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
+	case backEndPaths:
+		path := i.backEnd(e.On).Path
+		return healing(harm(e.Fault-DelayBackEndPath+DelayStorePath, path), i.bounds.path(path).Begin())
+	case linkPaths:
+		m := i.fleet.Machines()[e.On]
+		return healing(harmLinks(e.Fault, m.LinkPath), m.Troubles.Begin(), i.bounds.path(m.StorePath).Begin())
 	case services:
 		return onService(e.Fault, i.fleet.Services[e.On])
 	case zones:
 		zone := string(i.fleet.Spec.Zones[e.On].Name)
 		i.fleet.Store.Evacuate(zone, true)
-		return func() { i.fleet.Store.Evacuate(zone, false) }
+		start := time.Now()
+		return func() {
+			i.bounds.evacuated(zone, start, time.Now())
+			i.fleet.Store.Evacuate(zone, false)
+		}
 	default:
 		return i.onPlatform(e.Fault)
 	}
@@ -88,8 +104,12 @@
 		i.check(m.Pause())
 		return func() { i.check(m.Resume()) }
 	default:
+		calm := m.Troubles.Begin()
 		m.Door.SetClosed(true)
-		return func() { m.Door.SetClosed(false) }
+		return func() {
+			m.Door.SetClosed(false)
+			calm()
+		}
 	}
 }
 
@@ -117,16 +137,75 @@
 
 // drain has an engine say that it leaves, until it comes back.
 func (i *inflictor) drain(e *standin.Engine) func() {
-	start := time.Now()
 	e.List("draining")
+	start := time.Now()
 	return func() {
-		if last := e.Begun(); last.After(start.Add(drainBound + boundSlack)) {
-			i.ledger.Break(DrainBound, "%s began one %v after it said that it leaves", e.ID, last.Sub(start))
-		}
+		i.bounds.left(e, start, time.Now())
 		e.List("ready")
 	}
 }
 
+// backEnd is a back end by its index: the model engines, then the plain services.
+func (i *inflictor) backEnd(at int) *standin.Engine {
+	return append(i.fleet.Engines(), i.fleet.Services...)[at]
+}
+
+// healing returns how to end a harm and the spells that note it. A harm of a moment, which
+// needs no heal, is over at once.
+func healing(heal func(), spells ...func()) func() {
+	end := func() {
+		if heal != nil {
+			heal()
+		}
+		for _, over := range spells {
+			over()
+		}
+	}
+	if heal == nil {
+		end()
+		return nil
+	}
+	return end
+}
+
+// harm brings a fault of a path about and returns how to end it; nil if it is of a moment.
+func harm(f Fault, path *relay.TCP) (heal func()) {
+	switch f {
+	case DelayStorePath:
+		path.SetDelay(pathDelay)
+		return func() { path.SetDelay(0) }
+	case ResetStorePath:
+		path.Reset()
+	case CutToStore:
+		path.SetCutWay(relay.ToServer, true)
+		return func() { path.SetCutWay(relay.ToServer, false) }
+	case CutFromStore:
+		path.SetCutWay(relay.ToClient, true)
+		return func() { path.SetCutWay(relay.ToClient, false) }
+	case SilenceStorePath:
+		path.Silence()
+	}
+	return nil
+}
+
+// harmLinks does the same to the links that others make to a process.
+func harmLinks(f Fault, path *relay.UDP) (heal func()) {
+	switch f {
+	case DelayLinks:
+		path.SetDelay(pathDelay)
+		return func() { path.SetDelay(0) }
+	case CutToLinks:
+		path.SetCutWay(relay.ToServer, true)
+		return func() { path.SetCutWay(relay.ToServer, false) }
+	case CutFromLinks:
+		path.SetCutWay(relay.ToClient, true)
+		return func() { path.SetCutWay(relay.ToClient, false) }
+	case SilenceLinks:
+		path.Forget()
+	}
+	return nil
+}
+
 func onService(f Fault, e *standin.Engine) func() {
 	if f == LoseAnswers {
 		e.Mute(true)
@@ -139,18 +218,30 @@
 func (i *inflictor) onPlatform(f Fault) func() {
 	switch f {
 	case StoreDown:
+		calm := i.bounds.store.Begin()
 		i.fleet.Store.SetDown(true)
-		return func() { i.fleet.Store.SetDown(false) }
+		return func() {
+			i.fleet.Store.SetDown(false)
+			calm()
+		}
 	case LateWrites:
+		calm := i.bounds.store.Begin()
 		i.fleet.Store.SetLate(lateBy)
-		return func() { i.fleet.Store.SetLate(0) }
+		return func() {
+			i.fleet.Store.SetLate(0)
+			time.AfterFunc(lateBy, calm)
+		}
+	case OriginAway:
+		i.fleet.Origin.SetAway(true)
+		return func() { i.fleet.Origin.SetAway(false) }
 	case CorruptOrigin:
 		i.fleet.Origin.CorruptEvery(corruptEvery)
 		return func() { i.fleet.Origin.CorruptEvery(0) }
 	case DropHistory:
 		i.fleet.Store.DropHistory()
 	case NameVersion:
-		i.named.add(i.fleet.NameNext(), time.Now())
+		version := i.fleet.NameNext()
+		i.bounds.named(version, time.Now())
 	case NextManifest:
 		_, err := i.fleet.NextManifest()
 		i.check(err)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -23,12 +25,27 @@
 	CutStream
 	SpoilStaged
 	DrainEngine
+	DelayStorePath
+	ResetStorePath
+	CutToStore
+	CutFromStore
+	SilenceStorePath
+	DelayBackEndPath
+	ResetBackEndPath
+	CutToBackEnd
+	CutFromBackEnd
+	SilenceBackEndPath
+	DelayLinks
+	CutToLinks
+	CutFromLinks
+	SilenceLinks
 	HangService
 	LoseAnswers
 	StoreDown
 	LateWrites
 	DropHistory
 	CorruptOrigin
+	OriginAway
 	NameVersion
 	NextManifest
 	EvacuateZone
@@ -39,8 +56,12 @@
 	"kill entry", "pause entry", "stop entry", "reload entry", "store turns entry away",
 	"lose target machine", "kill target", "pause target", "store turns target away",
 	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
+	"delay to and from store", "connections to store reset", "cut towards store", "cut from store", "connections to store silent",
+	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
+	"connections to back end silent",
+	"delay of links", "cut towards links", "cut from links", "links silent",
 	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
-	"origin corrupts pieces", "name a version", "next manifest", "evacuate zone",
+	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
 
 // String returns what happens.
@@ -52,6 +73,9 @@
 const (
 	entries class = iota
 	targets
+	storePaths
+	backEndPaths
+	linkPaths
 	services
 	zones
 	store
@@ -66,11 +90,17 @@
 		return entries
 	case f <= DrainEngine:
 		return targets
+	case f <= SilenceStorePath:
+		return storePaths
+	case f <= SilenceBackEndPath:
+		return backEndPaths
+	case f <= SilenceLinks:
+		return linkPaths
 	case f <= LoseAnswers:
 		return services
 	case f <= DropHistory:
 		return store
-	case f == CorruptOrigin:
+	case f <= OriginAway:
 		return origin
 	case f == EvacuateZone:
 		return zones
@@ -79,6 +109,20 @@
 	}
 }
 
+// harms reports whether a fault is unplanned and can cut requests.
+func (f Fault) harms() bool {
+	switch f.class() {
+	case entries:
+		return f != StopEntry && f != ReloadEntry
+	case targets:
+		return f != DrainEngine
+	case storePaths, backEndPaths, linkPaths, services:
+		return true
+	default:
+		return false
+	}
+}
+
 // Shape is the number of objects of each class.
 type Shape struct {
 	Entries, Targets, Services, Zones int
@@ -90,6 +134,10 @@
 		return s.Entries
 	case targets:
 		return s.Targets
+	case storePaths, linkPaths:
+		return s.Entries + s.Targets
+	case backEndPaths:
+		return s.Targets + s.Services
 	case services:
 		return s.Services
 	case zones:
@@ -107,6 +155,10 @@
 		return 1
 	case zones:
 		return min(s.Zones-1, 1)
+	case storePaths, linkPaths:
+		return min(s.Entries, s.Targets) - 1
+	case backEndPaths:
+		return min(s.Targets, s.Services) - 1
 	default:
 		return s.size(c) - 1
 	}
@@ -114,10 +166,11 @@
 
 // Event is one fault of a plan. At counts from the start.
 type Event struct {
-	At, For time.Duration
-	Fault   Fault
+	At    time.Duration `json:"at_ns"`
+	For   time.Duration `json:"for_ns"`
+	Fault Fault         `json:"fault"`
 	// On is the index of the object within its class.
-	On int
+	On int `json:"on"`
 }
 
 func (e Event) end() time.Duration { return e.At + e.For }
@@ -130,6 +183,8 @@
 	// minGap and maxGap space the events.
 	minGap = 200 * time.Millisecond
 	maxGap = 1500 * time.Millisecond
+	// seriesEvery is how many draws there are to one that draws a series.
+	seriesEvery = 6
 	// minFor and maxFor bound how long a fault lasts.
 	minFor = 500 * time.Millisecond
 	maxFor = 5 * time.Second
@@ -140,34 +195,56 @@
 	rnd := rand.New(rand.NewPCG(seed, uint64(faults)))
 	var plan []Event
 	for at := calmStart; at < length-healTime; at += between(rnd, minGap, maxGap) {
-		e := Event{
-			At:    at,
-			For:   min(between(rnd, minFor, maxFor), length-healTime-at),
-			Fault: Fault(rnd.IntN(int(faults))),
-		}
-		c := e.Fault.class()
-		if shape.size(c) == 0 {
-			continue
-		}
-		e.On = rnd.IntN(shape.size(c))
-		if fits(plan, e, shape) {
-			plan = append(plan, e)
+		drawn := draw(rnd, at, length-healTime, shape)
+		if allFit(plan, drawn, length-healTime, shape) {
+			plan = append(plan, drawn...)
 		}
 	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// draw draws one event or one series of them that begins at at and ends by end.
+func draw(rnd *rand.Rand, at, end time.Duration, shape Shape) []Event {
+	if rnd.IntN(seriesEvery) == 0 {
+		return series[rnd.IntN(len(series))](rnd, at, shape)
+	}
+	e := Event{At: at, For: min(between(rnd, minFor, maxFor), end-at), Fault: Fault(rnd.IntN(int(faults)))}
+	return []Event{place(rnd, e, shape)}
+}
+
+// place draws the object on which an event falls.
+func place(rnd *rand.Rand, e Event, shape Shape) Event {
+	if n := shape.size(e.Fault.class()); n > 0 {
+		e.On = rnd.IntN(n)
+	}
+	return e
+}
+
 func between(rnd *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rnd.Int64N(int64(high-low)))
 }
 
+// allFit reports whether each of the drawn events ends in time and fits with the plan
+// and the others.
+func allFit(plan, drawn []Event, end time.Duration, shape Shape) bool {
+	all := slices.Clone(plan)
+	for _, e := range drawn {
+		if shape.size(e.Fault.class()) == 0 || e.end() > end || !fits(all, e, shape) {
+			return false
+		}
+		all = append(all, e)
+	}
+	return true
+}
+
 // fits reports whether an event leaves one object of its class alone and falls on
 // none that is in trouble.
 func fits(plan []Event, e Event, shape Shape) bool {
 	c := e.Fault.class()
 	troubled := 0
 	for _, other := range plan {
-		if other.Fault.class() != c || other.end() <= e.At {
+		if other.Fault.class() != c || other.end() <= e.At || e.end() <= other.At {
 			continue
 		}
 		if other.On == e.On {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,19 +4,26 @@
 	"context"
 	"fmt"
 	"io"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"mimosastand.example/mimosastand/internal/harness"
 )
 
-// recoverWait is how long after the last fault all must serve again.
-const recoverWait = 30 * time.Second
+const (
+	// recoverWait is how long after the last fault all must serve again.
+	recoverWait = 30 * time.Second
+	// planFile is the name of the file of the plan among the logs.
+	planFile = "plan.json"
+)
 
 // Options tells what to play.
 type Options struct {
 	Seed   uint64
 	Length time.Duration
+	// Plan, if not nil, is played instead of the seed's.
+	Plan []Event
 	// Dir takes the files and logs of the processes, BinDir holds the program.
 	Dir, BinDir string
 	Spec        harness.FleetSpec
@@ -52,7 +59,9 @@
 // Run plays one seed. It fails if the fleet could not be started; broken promises
 // are in the report.
 func Run(ctx context.Context, opts Options) (Report, error) {
-	fleet, err := harness.NewFleet(opts.Dir, opts.BinDir, opts.Spec)
+	spec := opts.Spec
+	spec.Relayed = true
+	fleet, err := harness.NewFleet(opts.Dir, opts.BinDir, spec)
 	if err != nil {
 		return Report{}, err
 	}
@@ -62,8 +71,15 @@
 	}
 	ledger := NewLedger(opts.Spec.Events, fleet.Runs)
 	s := &session{opts: opts, fleet: fleet, ledger: ledger, traffic: NewTraffic(fleet, ledger),
-		named: &namings{at: map[int64]time.Time{}}, start: time.Now()}
-	plan := Plan(opts.Seed, opts.Length, shapeOf(fleet))
+		bounds: &bounds{}, start: time.Now()}
+	plan := opts.Plan
+	if plan == nil {
+		plan = Plan(opts.Seed, opts.Length, shapeOf(fleet))
+	}
+	kept := Kept{Seed: opts.Seed, Length: opts.Length, Events: plan}
+	if err := kept.Write(filepath.Join(opts.Dir, planFile)); err != nil {
+		return Report{}, err
+	}
 	s.play(ctx, plan)
 	return Report{Seed: opts.Seed, Events: len(plan), Counts: ledger.Counts(), Broken: ledger.Broken()}, ctx.Err()
 }
@@ -74,7 +90,7 @@
 	fleet   *harness.Fleet
 	ledger  *Ledger
 	traffic *Traffic
-	named   *namings
+	bounds  *bounds
 	start   time.Time
 }
 
@@ -86,7 +102,7 @@
 		wg.Go(func() { watchManifests(loaded, s.traffic, e) })
 	}
 	s.inflict(ctx, plan)
-	s.recover(ctx)
+	s.recover(ctx, recoverWait)
 	stop()
 	wg.Wait()
 	s.finish()
@@ -94,8 +110,9 @@
 
 // inflict brings the faults about at their times and waits until all are over.
 func (s *session) inflict(ctx context.Context, plan []Event) {
-	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, named: s.named}
+	i := &inflictor{ctx: ctx, fleet: s.fleet, ledger: s.ledger, bounds: s.bounds}
 	var wg sync.WaitGroup
+	var objects holds
 	for _, e := range plan {
 		s.sleepUntil(ctx, e.At)
 		if ctx.Err() != nil {
@@ -103,6 +120,10 @@
 		}
 		s.log("%v for %v on %d", e.Fault, e.For.Round(time.Millisecond), e.On)
 		wg.Go(func() {
+			defer objects.take(e)()
+			if e.Fault.harms() {
+				defer s.traffic.unplanned.Begin()()
+			}
 			if end := i.begin(e); end != nil {
 				s.sleepUntil(ctx, e.end())
 				end()
@@ -113,6 +134,35 @@
 	s.sleepUntil(ctx, s.opts.Length)
 }
 
+// object is what an event falls on.
+type object struct {
+	class class
+	on    int
+}
+
+// holds keeps an event waiting until the one before it on its object is over: a planned
+// stop may take longer than the event lasts.
+type holds struct {
+	mu   sync.Mutex
+	held map[object]*sync.Mutex
+}
+
+// take waits for the object of an event and returns how to give it back.
+func (h *holds) take(e Event) (give func()) {
+	on := object{e.Fault.class(), e.On}
+	h.mu.Lock()
+	if h.held == nil {
+		h.held = map[object]*sync.Mutex{}
+	}
+	if h.held[on] == nil {
+		h.held[on] = &sync.Mutex{}
+	}
+	one := h.held[on]
+	h.mu.Unlock()
+	one.Lock()
+	return one.Unlock
+}
+
 func (s *session) sleepUntil(ctx context.Context, at time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -127,10 +177,10 @@
 }
 
 // recover waits until all serve again.
-func (s *session) recover(ctx context.Context) {
-	err := harness.WaitFor(ctx, recoverWait, s.traffic.AllServe)
+func (s *session) recover(ctx context.Context, wait time.Duration) {
+	err := harness.WaitFor(ctx, wait, s.traffic.AllServe)
 	if err == nil {
-		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), recoverWait)
+		err = s.fleet.AwaitVersion(ctx, s.fleet.Named(), wait)
 	}
 	if err != nil && ctx.Err() == nil {
 		s.ledger.Break(Recovers, "%v", err)
@@ -150,10 +200,21 @@
 		}
 	}
 	if s.opts.Bounds {
-		s.named.check(s.ledger, s.fleet.AllEngines())
+		s.bounds.check(s.ledger, s.runs())
 	}
 	for _, name := range s.fleet.StopAll() {
 		s.ledger.Break(PlannedStop, "%s at the end", name)
 	}
 	s.ledger.Close()
 }
+
+// runs lists the runs at all back ends with the entries that sent them.
+func (s *session) runs() []run {
+	var list []run
+	for _, e := range s.fleet.BackEnds() {
+		for _, begin := range e.Begins() {
+			list = append(list, run{Begin: begin, engine: e, sender: s.traffic.Sender(begin.Attempt)})
+		}
+	}
+	return list
+}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"mimosastand.example/mimosastand/internal/relay"
 )
 
 // layers is the number of layers of the model.
@@ -29,6 +30,9 @@
 	// the time of a plain call.
 	Events    int
 	Gap, Work time.Duration
+	// Relayed has everyone reach the engine through Path.
+	Relayed bool
+	Path    *relay.TCP
 
 	store  *Store
 	server *httptest.Server
@@ -47,14 +51,21 @@
 	hang     bool
 	mute     bool
 	loaded   []string
-	// begun is when a request last began on each version.
-	begun map[int64]time.Time
+	// begins are the runs in their order.
+	begins []Begin
+}
+
+// Begin is one run of an attempt: the version it runs on and when it began.
+type Begin struct {
+	Attempt string
+	Version int64
+	At      time.Time
 }
 
 // Start begins to serve and enters the engine in the list.
-func (e *Engine) Start(store *Store, version int64) {
+func (e *Engine) Start(store *Store, version int64) error {
 	e.store, e.version, e.born = store, version, time.Now().UnixMilli()
-	e.staged, e.runs, e.begun, e.cutAfter = map[int][]byte{}, map[string]int{}, map[int64]time.Time{}, -1
+	e.staged, e.runs, e.cutAfter = map[int][]byte{}, map[string]int{}, -1
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", e.report)
 	mux.HandleFunc("PUT /-/stage-put/{model}", e.stagePut)
@@ -62,14 +73,30 @@
 	mux.HandleFunc("POST /-/order", e.order)
 	mux.HandleFunc("/", e.serve)
 	e.server = httptest.NewServer(mux)
+	if e.Relayed {
+		path, err := relay.NewTCP("127.0.0.1:0", strings.TrimPrefix(e.server.URL, "http://"))
+		if err != nil {
+			return err
+		}
+		e.Path = path
+	}
 	e.List("ready")
+	return nil
 }
 
-// Address is the engine's "ip:port".
-func (e *Engine) Address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+// Address is the "ip:port" at which the engine is reached.
+func (e *Engine) Address() string {
+	if e.Path != nil {
+		return e.Path.Address()
+	}
+	return strings.TrimPrefix(e.server.URL, "http://")
+}
 
 // Stop ends the engine as a crash does.
 func (e *Engine) Stop() {
+	if e.Path != nil {
+		e.Path.Close()
+	}
 	e.server.CloseClientConnections()
 	e.server.Close()
 }
@@ -140,23 +167,13 @@
 	return n
 }
 
-// BegunBefore is when a request last began on a version below the given one; zero if
-// none did.
-func (e *Engine) BegunBefore(version int64) time.Time {
+// Begins lists all runs in their order.
+func (e *Engine) Begins() []Begin {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var last time.Time
-	for v, at := range e.begun {
-		if v < version && at.After(last) {
-			last = at
-		}
-	}
-	return last
+	return append([]Begin(nil), e.begins...)
 }
 
-// Begun is when a request last began.
-func (e *Engine) Begun() time.Time { return e.BegunBefore(math.MaxInt64) }
-
 // Unverified lists the pieces that were loaded although they are not those of their
 // version.
 func (e *Engine) Unverified() []string {
@@ -253,7 +270,7 @@
 	if !misdirected && !full && !hang {
 		e.running++
 		e.runs[attempt]++
-		e.begun[e.version] = time.Now()
+		e.begins = append(e.begins, Begin{Attempt: attempt, Version: e.version, At: time.Now()})
 	}
 	e.mu.Unlock()
 	switch {
