A peer that waits for the pieces itself is left for another

Entries and targets hung on one entry for as long as it was linked and said that it waits: an entry that is slow, or turned away by the store, kept its part of the zone without weights that others of the zone held.

Cause: a request for pieces as they come ended only with the link or the pieces.

Change: it ends when no piece has come for 1.8 s. An entry then takes what one of those before it in rank holds, and asks again; a target goes on to its next source.

Evidence: TestAPeerThatOnlyWaitsIsLeft, with the limit at an hour: the error is that of the test's context after 20 s. Tests of depot pass with -race.

--- a/machine/depot/depot_test.go
+++ b/machine/depot/depot_test.go
@@ -8,12 +8,14 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/standin/fleet"
+	"mimosastand.example/mimosastand/weights/pieces"
 	"mimosastand.example/mimosastand/zone/catalog"
 )
 
@@ -200,3 +202,26 @@
 		t.Error("does not go on alone when it cannot learn of the members")
 	}
 }
+
+// Guards against a zone that hangs on one entry (review of incident inc1): an entry that is
+// linked and waits for the pieces itself was relied on for as long as it lived, also by
+// targets, while others of the zone held them.
+func TestAPeerThatOnlyWaitsIsLeft(t *testing.T) {
+	t.Parallel()
+	const nobody = "127.0.0.1:1"
+	store := fleet.NewStore()
+	t.Cleanup(store.Close)
+	stuck := start(t, store.Address(), "entry-1", nobody)
+	other := start(t, store.Address(), "entry-2", nobody)
+	eventually(t, "the entries are linked", func() bool {
+		return stuck.peers.Linked("entry-2") && other.peers.Linked("entry-1")
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patienceOfTests)
+	defer cancel()
+	v := Version{Model: fleet.Model, Number: 2}
+	none := func() *pieces.Set { return nil }
+	_, err := Fetch(ctx, other.peers, "entry-1", v, AsTheyCome, none, pieces.NewSet)
+	if !errors.Is(err, ErrNoProgress) {
+		t.Errorf("error %v, want %v", err, ErrNoProgress)
+	}
+}
--- a/machine/depot/fetch.go
+++ b/machine/depot/fetch.go
@@ -12,8 +12,16 @@
 	"mimosastand.example/mimosastand/weights/pieces"
 )
 
-// stall is how long a peer may take for the next piece.
-const stall = 2 * time.Second
+const (
+	// stall is how long a peer may take for the next message.
+	stall = 2 * time.Second
+	// waitTime is how long a peer that is asked for pieces as they come may have none: it
+	// may be stuck where another is not.
+	waitTime = 1800 * time.Millisecond
+)
+
+// ErrNoProgress means that a peer waits for the pieces itself.
+var ErrNoProgress = errors.New("depot: no piece for some time")
 
 // Wanted is what a machine is asked for.
 type Wanted uint8
@@ -28,7 +36,7 @@
 )
 
 // Fetch asks a machine for the missing pieces of a version and returns how many
-// came. current returns the set of pieces or nil, begin makes it from the digests.
+// came. It fails with ErrNoProgress if the machine has none to send as they come. current returns the set of pieces or nil, begin makes it from the digests.
 func Fetch(ctx context.Context, p *peers.Peers, id contract.MachineID, v Version, wanted Wanted,
 	current func() *pieces.Set, begin func([][]byte) *pieces.Set) (int, error) {
 	request := contract.PiecesRequest{
@@ -41,7 +49,7 @@
 	defer s.Reset()
 	stop := context.AfterFunc(ctx, s.Reset)
 	defer stop()
-	return receive(s, begin)
+	return receive(s, wanted, begin)
 }
 
 func have(set *pieces.Set) []uint32 {
@@ -57,9 +65,10 @@
 	return list
 }
 
-func receive(s *link.Stream, begin func([][]byte) *pieces.Set) (int, error) {
+func receive(s *link.Stream, wanted Wanted, begin func([][]byte) *pieces.Set) (int, error) {
 	var set *pieces.Set
 	got := 0
+	last := time.Now()
 	for {
 		_ = s.SetReadDeadline(time.Now().Add(stall))
 		m, err := s.Recv()
@@ -72,6 +81,9 @@
 		case m.Pieces.End:
 			return got, nil
 		case m.Pieces.Wait:
+			if wanted == AsTheyCome && time.Since(last) >= waitTime {
+				return got, ErrNoProgress
+			}
 		case m.Pieces.Digests != nil:
 			set = begin(m.Pieces.Digests)
 		case set == nil:
@@ -84,6 +96,7 @@
 			if news {
 				got++
 			}
+			last = time.Now()
 		}
 	}
 }
--- a/machine/depot/holding.go
+++ b/machine/depot/holding.go
@@ -129,6 +129,9 @@
 			return
 		}
 		h.askEntry(ctx, ahead[upkeep.Parent(len(ahead))], left)
+		if ctx.Err() == nil && !h.whole() {
+			h.askKept(ctx, ahead[rand.IntN(len(ahead))])
+		}
 		pause(ctx, look)
 	}
 }
@@ -216,18 +219,22 @@
 // askEntries asks other entries for what they hold: while the store does not
 // carry the pieces, each may have drawn others.
 func (h *holding) askEntries(ctx context.Context) {
-	d := h.depot
 	for _, id := range h.holders() {
 		if h.whole() || ctx.Err() != nil {
 			return
 		}
-		got, err := Fetch(ctx, d.opts.Peers, id, h.version, Kept, h.current, h.begin)
-		entry := h.log().WithField("peer", string(id)).WithField("pieces", got)
-		switch {
-		case err != nil:
-			entry.WithError(err).Warn("pieces not received")
-		case got > 0:
-			entry.Info("pieces from a peer")
-		}
+		h.askKept(ctx, id)
+	}
+}
+
+// askKept asks another entry for what it holds now.
+func (h *holding) askKept(ctx context.Context, id contract.MachineID) {
+	got, err := Fetch(ctx, h.depot.opts.Peers, id, h.version, Kept, h.current, h.begin)
+	entry := h.log().WithField("peer", string(id)).WithField("pieces", got)
+	switch {
+	case err != nil:
+		entry.WithError(err).Warn("pieces not received")
+	case got > 0:
+		entry.Info("pieces from a peer")
 	}
 }
