No retry burst in the first window of a process

What callers would see: nothing by itself; the platform's rule BUDGET (retries of a service in budget_window_s, summed over all machines) was broken when entries that had spent their shares of the burst were all killed and started again within the window.

Cause: the window of retries starts empty with each process, and with the whole share of the burst, as if the former run on the machine had sent nothing.

Ruled out: the ratio. The retries that it pays for stand against requests of the same life. A small burst for young processes: any burst a life is granted again by the next one, and at the first start, when few entries are known, its share would be too large.

Change: retry.Window knows when its process started and allows no burst until the process is older than the window, only the ratio. Price: in its first budget_window_s an entry sends again about one request in six at most, and a lone request not at all.

Tests changed: three tests of e2e/fleet took for granted that an entry which has just started has its burst, which is the fault itself. They and TestHangingTargets now wait until the entry is older than the window (10 s as before); every check is as it was. The calls of NewWindow in the older tests of machine/entry/retry got a start long ago; their checks are unchanged.

Conclusion: what a process may send beyond a ratio has to wait until its former run can no longer count.

--- a/e2e/fleet/fleet_test.go
+++ b/e2e/fleet/fleet_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	r.engines = append(r.engines, second)
-	e, _ := r.entry("entry-1", r.store.Address())
+	e := r.seasonedEntry("entry-1", r.store.Address())
 	for _, engine := range r.engines {
 		engine.CutAfter(3)
 	}
@@ -68,7 +68,7 @@
 func TestLostAnswers(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
-	e, _ := r.entry("entry-1", r.store.Address())
+	e := r.seasonedEntry("entry-1", r.store.Address())
 	for _, p := range r.plain {
 		p.Mute(true)
 	}
@@ -92,7 +92,7 @@
 func TestHangingTargets(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
-	e, _ := r.entry("entry-1", r.store.Address())
+	e := r.seasonedEntry("entry-1", r.store.Address())
 	r.plain[0].Hang(true)
 	for range 4 {
 		if look := r.call(e, http.MethodGet, "/look/x", "", nil); look.status != http.StatusOK {
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -26,6 +26,9 @@
 	key      = "key-1"
 	// patience bounds the wait for a state that must come about.
 	patience = 20 * time.Second
+	// retryWindow is the span over which retries are counted. A process has no burst
+	// of retries before it is older than that.
+	retryWindow = 10 * time.Second
 )
 
 // rig is a fleet of processes and stand-ins.
@@ -79,7 +82,7 @@
 		Fleet: &config.Fleet{
 			Zones: map[contract.ZoneName]contract.RegionName{"a": "ra"}, Store: r.store.Address(),
 			LinkAddress: loopback, MetricsAddress: loopback, CallerAddress: loopback, ReadyAddress: loopback,
-			Bounds: config.Bounds{RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, ColdFactor: 1, Version: 8 * time.Second},
+			Bounds: config.Bounds{RetryRatio: 0.2, RetryBurst: 50, RetryWindow: retryWindow, ColdFactor: 1, Version: 8 * time.Second},
 		},
 	}
 }
@@ -106,6 +109,17 @@
 	return e, stop
 }
 
+// seasonedEntry starts an entry and waits until it has its burst of retries.
+func (r *rig) seasonedEntry(name, store string) *entrydirect.Entry {
+	e, _ := r.entry(name, store)
+	select {
+	case <-time.After(retryWindow):
+	case <-r.ctx.Done():
+		r.t.Fatal(r.ctx.Err())
+	}
+	return e
+}
+
 func (r *rig) target(name string, engine *standin.Engine) {
 	p := r.process(config.RoleTarget, name)
 	p.Fleet.EngineAddress, p.Fleet.EngineService = engine.Address(), standin.ModelService
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -29,6 +29,8 @@
 type world struct {
 	process *config.Process
 	log     log.Interface
+	// started is when this process began to count what it sends.
+	started time.Time
 
 	mu sync.Mutex
 	// bounds are those of the fleet, which may change while the process runs.
@@ -55,6 +57,7 @@
 		process:   process,
 		bounds:    process.Fleet.Bounds,
 		log:       logger,
+		started:   time.Now(),
 		roster:    roster.New(),
 		evacuated: map[contract.ZoneName]bool{},
 		named:     upkeep.NewVersions(time.Now()),
@@ -162,7 +165,8 @@
 func (w *world) budget(name contract.ServiceName) *retry.Window {
 	b, ok := w.budgets[name]
 	if !ok {
-		b = retry.NewWindow(w.budgetBounds())
+		length, ratio, burst := w.budgetBounds()
+		b = retry.NewWindow(w.started, length, ratio, burst)
 		w.budgets[name] = b
 	}
 	return b
--- a/machine/entry/direct/world_test.go
+++ b/machine/entry/direct/world_test.go
@@ -126,3 +126,27 @@
 		}
 	})
 }
+
+// Guards against BUDGET when all entries start again: each took its whole share of the
+// burst once more, within the window in which its former run had spent it.
+func TestEntriesThatStartAgainDoNotSpendTheBurstTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, burst = 6, 106
+		window := 10 * time.Second
+		spent := 0
+		for range 2 {
+			for range entries {
+				w := emptyWorld(config.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: window})
+				w.operatorsChanged(found(1))
+				w.setEntries(entries)
+				for w.mayRetry(testService) {
+					spent++
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		if spent > burst {
+			t.Errorf("%d retries within %v without a request, the bound is %d", spent, window, burst)
+		}
+	})
+}
--- a/machine/entry/retry/window_test.go
+++ b/machine/entry/retry/window_test.go
@@ -5,12 +5,15 @@
 	"time"
 )
 
+// longAgo is the start of a process that is older than any window of the tests.
+var longAgo = time.Unix(0, 0)
+
 // TestWindowHoldsInAnySpan draws retries at every chance and counts them in every
 // span of the window's length.
 func TestWindowHoldsInAnySpan(t *testing.T) {
 	const ratio, burst = 0.2, 5.0
 	length := 10 * time.Second
-	w := NewWindow(length, ratio, burst)
+	w := NewWindow(longAgo, length, ratio, burst)
 	var firsts, retries []time.Time
 	now := time.Unix(1000, 0)
 	for i := range 4000 {
@@ -34,7 +37,7 @@
 }
 
 func TestWindowWithoutTrafficAllowsItsBurst(t *testing.T) {
-	w := NewWindow(10*time.Second, 0.2, 2)
+	w := NewWindow(longAgo, 10*time.Second, 0.2, 2)
 	now := time.Unix(1000, 0)
 	taken := 0
 	for range 5 {
@@ -50,9 +53,58 @@
 	}
 }
 
+// Guards against BUDGET when a process starts again: its former run may have spent the
+// whole burst within the same window.
+func TestAYoungProcessHasNoBurst(t *testing.T) {
+	const length = 10 * time.Second
+	start := time.Unix(1000, 0)
+	w := NewWindow(start, length, 0.2, 5)
+	for range 5 {
+		w.First(start)
+	}
+	if got := w.Left(start); got != 1 {
+		t.Errorf("%.1f retries are left for 5 requests, want 1", got)
+	}
+	if got := w.Left(start.Add(length)); got > 1 {
+		t.Errorf("%.1f retries are left at the end of the first window", got)
+	}
+	if got := w.Left(start.Add(length + time.Millisecond)); got != 5 {
+		t.Errorf("%.1f retries are left after the first window, want the burst of 5", got)
+	}
+	w.SetBounds(2*length, 0, 5)
+	if got := w.Left(start.Add(length + time.Millisecond)); got != 0 {
+		t.Errorf("%.1f retries are left within the first of longer windows", got)
+	}
+}
+
+// Guards against BUDGET over many lives of a process: whenever it is killed, no span of
+// the window's length holds more retries than its requests and one burst allow.
+func TestTheBurstIsSpentOnceOverRestarts(t *testing.T) {
+	const ratio, burst = 0.2, 5.0
+	length := 10 * time.Second
+	now := time.Unix(1000, 0)
+	var retries []time.Time
+	for life := range 60 {
+		w := NewWindow(now, length, ratio, burst)
+		for range 100 * (1 + life%23) {
+			now = now.Add(10 * time.Millisecond)
+			if !w.Take(now) {
+				continue
+			}
+			retries = append(retries, now)
+			if n := len(since(retries, now.Add(-length))); n > burst {
+				t.Fatalf("life %d: %d retries within %v, bound %v", life, n, length, burst)
+			}
+		}
+	}
+	if len(retries) == 0 {
+		t.Error("the burst was never allowed")
+	}
+}
+
 // Bounds that change while the process runs hold for what was counted before.
 func TestNewBoundsHoldAtOnce(t *testing.T) {
-	w := NewWindow(10*time.Second, 0.2, 2)
+	w := NewWindow(longAgo, 10*time.Second, 0.2, 2)
 	now := time.Unix(1000, 0)
 	for range 20 {
 		w.First(now)
