Cold targets: as many entries send as the bound allows, none in its first second

What callers would see: engines in cold start that fall over although each entry kept its share; by the platform's rules, FAILBACK broken (requests to a cold engine in a second, summed over all machines, in touch or not).

Cause: the share was at least one request, so that 38 entries sent 38 to a target that bears 12; and the share began anew with each process, so that an entry that started again within the second sent twice.

Ruled out: the same restriction for targets that are not known to be cold. An entry would then be shut out of most warm targets, and out of all in a region with few.

Change: placement.ColdShares, without I/O. Where the bound is smaller than the number of entries and one more, rendezvous hashing of target and entry chooses bound - 1 entries, which send one request each; the place left over is that of an entry which has just joined. An entry sends nothing to a cold target in the first second of its process or while it knows no entries. Warm targets get what they got before. The world keeps the names of the entries that it has known instead of their number, since the hashing needs them. A target is cold as far as the list tells.

Open: a target that turned cold since the list was read counts as warm; with more entries than the bound their one request each may then exceed it, as before. With a bound of one there is no spare place.

Conclusion: the sum over entries that know the same, and one that they do not know, holds the bound of a target that the list calls cold, restarts included.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -266,13 +266,22 @@
 func (e *Entry) tick() {
 	e.world.tick()
 	e.world.unwatch(e.peers.Wants)
-	e.world.setEntries(len(e.peers.Members(link.RoleEntry)))
+	e.world.setEntries(e.entries())
 	e.upstream.sweep()
 	for model, number := range e.world.versionsInForce() {
 		e.depot.Named(depot.Version{Model: model, Number: number})
 	}
 }
 
+// entries lists the entries that this one knows.
+func (e *Entry) entries() []contract.MachineID {
+	var list []contract.MachineID
+	for _, m := range e.peers.Members(link.RoleEntry) {
+		list = append(list, m.Machine)
+	}
+	return list
+}
+
 // logPlaced logs where an attempt goes and what the choice rests on.
 func (e *Entry) logPlaced(c *call, choice placement.Choice) {
 	e.log.WithField("request", c.info.ID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +49,9 @@
 	flights    map[contract.MachineID]map[uint32]int
 	// watched holds the engine's address of each target process that has told of it.
 	watched map[contract.MachineID]string
-	entries int
+	// entries are all that were known at any time, by machine: what one that left has
+	// sent still counts, and it may come back.
+	entries []contract.MachineID
 	rng     *rand.Rand
 }
 
@@ -116,14 +119,17 @@
 	w.membersChanged()
 }
 
-// setEntries tells how many entries share what the fleet may send.
-func (w *world) setEntries(n int) {
+// setEntries tells which entries share what the fleet may send.
+func (w *world) setEntries(known []contract.MachineID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if n <= w.entries {
+	union := append(slices.Clone(w.entries), known...)
+	slices.Sort(union)
+	union = slices.Compact(union)
+	if len(union) == len(w.entries) {
 		return
 	}
-	w.entries = n
+	w.entries = union
 	w.shareChanged()
 }
 
@@ -137,31 +143,41 @@
 
 // sharers is the number by which the fleet's bounds are divided: the entries
 // known and one that may have just joined.
-func (w *world) sharers() float64 {
-	if w.entries == 0 {
+func (w *world) sharers() int {
+	if len(w.entries) == 0 {
 		return unknownEntries
 	}
-	return float64(w.entries + 1)
+	return len(w.entries) + 1
 }
 
 // shareChanged computes this entry's part of the fleet's bounds.
 func (w *world) shareChanged() {
-	bounds := w.bounds
 	if w.manifest == nil {
 		return
 	}
 	for i := range w.manifest.Services {
 		s := &w.manifest.Services[i]
-		share := 0
-		if s.ColdRate > 0 {
-			share = max(int((s.ColdRate*bounds.ColdFactor+bounds.ColdSlack)/w.sharers()), 1)
-		}
-		w.pool(s.Name).SetColdShare(share)
-		w.pool(s.Name).SetEntries(w.entries)
+		w.pool(s.Name).SetColdShares(w.coldShares(s))
+		w.pool(s.Name).SetEntries(len(w.entries))
 		w.budget(s.Name).SetBounds(w.budgetBounds())
 	}
 }
 
+// coldShares divides what a target of a service may get in a second while it is cold.
+func (w *world) coldShares(s *catalog.Service) placement.ColdShares {
+	if s.ColdRate <= 0 {
+		return placement.ColdShares{}
+	}
+	bound := int(s.ColdRate*w.bounds.ColdFactor + w.bounds.ColdSlack)
+	return placement.ColdShares{
+		Bound:   max(bound, 1),
+		Self:    w.process.Machine,
+		Entries: w.entries,
+		Sharers: w.sharers(),
+		Started: w.started,
+	}
+}
+
 func (w *world) budget(name contract.ServiceName) *retry.Window {
 	b, ok := w.budgets[name]
 	if !ok {
@@ -174,7 +190,7 @@
 
 // budgetBounds are the bounds of this entry's part of a service's retry budget.
 func (w *world) budgetBounds() (length time.Duration, ratio, burst float64) {
-	return w.bounds.RetryWindow, w.bounds.RetryRatio * budgetMargin, w.bounds.RetryBurst * budgetMargin / w.sharers()
+	return w.bounds.RetryWindow, w.bounds.RetryRatio * budgetMargin, w.bounds.RetryBurst * budgetMargin / float64(w.sharers())
 }
 
 func (w *world) comeback(name contract.ServiceName) *retry.Comeback {
--- a/machine/entry/direct/world_test.go
+++ b/machine/entry/direct/world_test.go
@@ -13,6 +13,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/zone/placement"
 )
 
 const (
@@ -138,7 +139,7 @@
 			for range entries {
 				w := emptyWorld(config.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: window})
 				w.operatorsChanged(found(1))
-				w.setEntries(entries)
+				w.setEntries(entryNames(entries))
 				for w.mayRetry(testService) {
 					spent++
 				}
@@ -150,3 +151,68 @@
 		}
 	})
 }
+
+const (
+	coldService = contract.ServiceName("plain")
+	// coldBound is what all entries together may send to a cold target in a second.
+	coldBound = 12
+)
+
+// coldWorld is the world of an entry that knows the entries and one cold target.
+func coldWorld(self contract.MachineID, entries []contract.MachineID) *world {
+	w := emptyWorld(config.Bounds{ColdFactor: 1, ColdSlack: coldBound - 4})
+	w.process.Machine = self
+	w.operatorsChanged(feed.News{Records: []contract.Record{{Offset: 1, Key: platform.KeyManifest, Value: []byte(
+		`{"version":1,"services":[{"name":"plain","cold_per_s":4}]}`)}}})
+	w.setEntries(entries)
+	w.targetsChanged(feed.News{Records: []contract.Record{{Offset: 1, Key: "target-1", Value: []byte(
+		`{"service":"plain","address":"10.0.0.1:80","zone":"a","state":"ready","slots":600,"cold_left_ms":600000,"seq_no":1,"born":1}`)}}})
+	return w
+}
+
+// sendAll sends what the entry may send to the cold target now.
+func (w *world) sendAll() (n int) {
+	for {
+		choice, refusal := w.pick(coldService, placement.Want{}, time.Hour)
+		if refusal != placement.Placed {
+			return n
+		}
+		w.sent(coldService, choice.ID)
+		w.ended(coldService, choice.ID)
+		n++
+	}
+}
+
+func entryNames(n int) []contract.MachineID {
+	names := make([]contract.MachineID, n)
+	for i := range names {
+		names[i] = contract.MachineID(fmt.Sprintf("entry-%d", i))
+	}
+	return names
+}
+
+// Guards against FAILBACK with more entries than a cold target bears requests in a second:
+// each sent one, and again when it had started again within that second.
+func TestEntriesThatStartAgainHoldTheBoundOfAColdTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := entryNames(38)
+		former := make([]*world, len(names))
+		for i, name := range names {
+			former[i] = coldWorld(name, names)
+		}
+		time.Sleep(2 * time.Second)
+		sent := 0
+		for _, w := range former {
+			sent += w.sendAll()
+		}
+		if sent == 0 {
+			t.Error("nobody sends to the cold target")
+		}
+		for _, name := range names {
+			sent += coldWorld(name, names).sendAll()
+		}
+		if sent > coldBound {
+			t.Errorf("%d requests to a cold target within a second, the bound is %d", sent, coldBound)
+		}
+	})
+}
--- a/zone/placement/placement_test.go
+++ b/zone/placement/placement_test.go
@@ -138,7 +138,7 @@
 // No span of a second may bring a target more than the entry's share.
 func TestColdShareHoldsInAnySecond(t *testing.T) {
 	p := newPool(engine("x", "a"))
-	p.SetColdShare(3)
+	p.SetColdShares(coldShares("entry-0", coldEntries(1), 6))
 	var sends []time.Time
 	now := start
 	for range 400 {
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -108,9 +108,8 @@
 	loads    map[roster.TargetID]*load
 	ejection *ejection.Tracker
 	out      map[contract.ZoneName]bool
-	// coldShare is how many requests this entry may send to one target in
-	// coldWindow; 0 if there is no bound.
-	coldShare int
+	// cold divides what a target may get in coldWindow.
+	cold ColdShares
 	// entries is the number of entries that send to the targets.
 	entries int
 }
@@ -150,8 +149,8 @@
 // SetEntries tells how many entries send to the targets, this one included.
 func (p *Pool) SetEntries(n int) { p.entries = n }
 
-// SetColdShare bounds what one target gets from this entry in a second.
-func (p *Pool) SetColdShare(n int) { p.coldShare = n }
+// SetColdShares bounds what one target gets from this entry in a second.
+func (p *Pool) SetColdShares(s ColdShares) { p.cold = s }
 
 // SetOthers replaces what the other entries have in flight at a target.
 func (p *Pool) SetOthers(id roster.TargetID, n float64) { p.load(id).others = n }
@@ -273,7 +272,7 @@
 		return None, 0
 	}
 	l := p.load(m.ID)
-	if !p.bearsCold(now, l) {
+	if !p.bearsCold(now, m, l) {
 		return Cold, 0
 	}
 	pace := PaceOf(p.service, m.Slots)
@@ -285,12 +284,17 @@
 	return Placed, first
 }
 
-func (p *Pool) bearsCold(now time.Time, l *load) bool {
-	if p.coldShare <= 0 {
+// bearsCold reports whether this entry's share of a target has room for an attempt.
+func (p *Pool) bearsCold(now time.Time, m *roster.Member, l *load) bool {
+	if p.cold.Bound <= 0 {
 		return true
 	}
+	share := p.cold.Warm()
+	if now.Before(m.ColdUntil) {
+		share = p.cold.Cold(now, m.ID)
+	}
 	l.trim(now)
-	return len(l.sends) < p.coldShare
+	return len(l.sends) < share
 }
 
 func (l *load) trim(now time.Time) {
--- a/zone/placement/survey_test.go
+++ b/zone/placement/survey_test.go
@@ -73,7 +73,7 @@
 // A survey and a choice agree on whether there is room.
 func TestSurveyAgreesWithTheChoice(t *testing.T) {
 	p := newPool(engine("x", "a"), engine("y", "b"))
-	p.SetColdShare(2)
+	p.SetColdShares(coldShares("entry-0", coldEntries(1), 4))
 	now := start
 	for i := range 200 {
 		now = now.Add(15 * time.Millisecond)
