Silence counts while the process runs: a standstill cuts no streams

What callers would see: after a standstill of an entry (SIGSTOP, the quota of the processor used up) all its streams are cut at once and go on elsewhere or not at all, and all targets are taken out, although their events wait in the sockets.

Cause: watchers compared the wall clock with the time at which something was last read. The standstill counted as silence of the targets, and the watchers looked before the readers had read.

Ruled out: leaving out late looks altogether: a process whose every look is late would notice no silence any more.

Change: ejection.Awake, without I/O, measures for how long the process has run: the time between two looks counts up to 100 ms, and as 50 ms (the interval of the watchers) if it was longer. Exchanges and pools keep that time instead of the clock's. The limits are unchanged.

Evidence: TestAStandstillOfTheProcessIsNoSilence failed before ("silent because the process stood still for 10 s") and passes. TestSilenceIsNoticedAroundAStandstill passed before and holds that silence is still noticed, also what came before a standstill. Not run: a real SIGSTOP of a process under load.

Open: a target that had been silent for nearly the whole limit when the process stood still is still left at the first look. roster.IsSilent and the links' own silence still count a standstill; they only change preference and links until the next heartbeats.

Conclusion: silence is what a running process did not hear.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -195,7 +195,7 @@
 	c.entry.logPlaced(c, choice)
 	w.sent(c.service, choice.ID)
 	defer w.ended(c.service, choice.ID)
-	x := &exchange{call: c, choice: choice, start: time.Now()}
+	x := newExchange(c, choice)
 	c.story.placed(choice, x.start)
 	c.entry.meters.placed.RecordDuration(x.start.Sub(c.arrived))
 	outcome, answer := x.run(ctx)
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -98,13 +98,26 @@
 	w.with(service, func(_ time.Time, p *placement.Pool) { p.Ended(id) })
 }
 
-func (w *world) heard(service contract.ServiceName, id roster.TargetID) {
-	w.with(service, func(now time.Time, p *placement.Pool) { p.Heard(now, id) })
+// ran is for how long the process has run.
+func (w *world) ran() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.awake.Look(time.Now())
+}
+
+// heard records that a target sent something. It returns for how long the process has run.
+func (w *world) heard(service contract.ServiceName, id roster.TargetID) (ran time.Duration) {
+	w.with(service, func(now time.Time, p *placement.Pool) {
+		ran = w.awake.Look(now)
+		p.Heard(ran, id)
+	})
+	return ran
 }
 
-func (w *world) lastHeard(service contract.ServiceName, id roster.TargetID) (at time.Time) {
-	w.with(service, func(_ time.Time, p *placement.Pool) { at = p.LastHeard(id) })
-	return at
+// lastHeard is for how long the process had run when a target last sent anything.
+func (w *world) lastHeard(service contract.ServiceName, id roster.TargetID) (ran time.Duration) {
+	w.with(service, func(_ time.Time, p *placement.Pool) { ran = p.LastHeard(id) })
+	return ran
 }
 
 func (w *world) reported(service contract.ServiceName, id roster.TargetID, requests int) {
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -47,9 +47,17 @@
 	// broke is how a lost attempt broke off, err the error if there is one.
 	broke breakage
 	err   error
-	// heard is when something last came, in nanoseconds since start.
-	heard atomic.Int64
-	quiet atomic.Bool
+	// heard is when something last came, in nanoseconds since start; heardRan is for
+	// how long the process had run then, in nanoseconds.
+	heard    atomic.Int64
+	heardRan atomic.Int64
+	quiet    atomic.Bool
+}
+
+func newExchange(c *call, choice placement.Choice) *exchange {
+	x := &exchange{call: c, choice: choice, start: time.Now()}
+	x.heardRan.Store(int64(c.entry.world.ran()))
+	return x
 }
 
 func (x *exchange) run(ctx context.Context) (attempts.Outcome, *answer) {
@@ -127,9 +135,12 @@
 	return func() { close(done) }
 }
 
+// isSilent reports whether the target has sent nothing for too long. A time in which
+// this process stood still does not count: what came meanwhile is still to be read.
 func (x *exchange) isSilent() bool {
 	c := x.call
-	pause := time.Since(x.start) - time.Duration(x.heard.Load())
+	ran := c.entry.world.ran()
+	pause := ran - time.Duration(x.heardRan.Load())
 	if c.route.Kind != catalog.Streaming {
 		return pause > max(plainSilence, plainObjectives*c.route.Objective) && c.sent+1 < c.route.MaxAttempts
 	}
@@ -137,12 +148,12 @@
 		return true
 	}
 	last := c.entry.world.lastHeard(c.service, x.choice.ID)
-	return pause > targetSilence && time.Since(last) > targetSilence
+	return pause > targetSilence && ran-last > targetSilence
 }
 
 func (x *exchange) hear() {
 	x.heard.Store(int64(time.Since(x.start)))
-	x.call.entry.world.heard(x.call.service, x.choice.ID)
+	x.heardRan.Store(int64(x.call.entry.world.heard(x.call.service, x.choice.ID)))
 }
 
 // receive takes in an answer whose head has come.
--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +59,7 @@
 		entry: e, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
 		route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(time.Hour),
 	}
-	x := &exchange{call: c, choice: placement.Choice{ID: "target-1", Address: address}, start: time.Now()}
+	x := newExchange(c, placement.Choice{ID: "target-1", Address: address})
 	if outcome, _ := x.run(ctx); outcome != attempts.Lost {
 		t.Errorf("outcome %v", outcome)
 	}
@@ -66,3 +67,56 @@
 		t.Errorf("the target's connection ended with %v, want a reset", err)
 	}
 }
+
+// watchedExchange is an attempt of a stream that the target has just begun to answer.
+func watchedExchange() *exchange {
+	c := &call{
+		entry: &Entry{world: startedWorld(time.Hour, 3)}, service: testService,
+		route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(time.Hour),
+	}
+	x := newExchange(c, placement.Choice{ID: "target-1"})
+	x.hear()
+	return x
+}
+
+// Guards against streams that are cut, and targets that are taken out, all at once after
+// a standstill of the process: it took the time in which it could not hear for silence.
+func TestAStandstillOfTheProcessIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := watchedExchange()
+		for range 5 {
+			time.Sleep(watchInterval)
+			if x.isSilent() {
+				t.Fatal("silent soon after it was heard")
+			}
+		}
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			if x.isSilent() {
+				t.Fatal("silent because the process stood still for 10 s")
+			}
+			time.Sleep(watchInterval)
+		}
+	})
+}
+
+// Guards against targets that hang: their silence counts while the process runs, also
+// what came before a standstill.
+func TestSilenceIsNoticedAroundAStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := watchedExchange()
+		looks := 0
+		for !x.isSilent() {
+			time.Sleep(watchInterval)
+			if looks++; looks == 8 {
+				time.Sleep(10 * time.Second)
+			}
+			if looks > 1000 {
+				t.Fatal("silence was never noticed")
+			}
+		}
+		if quiet := time.Duration(looks) * watchInterval; quiet > targetSilence+2*watchInterval {
+			t.Errorf("noticed after %v of running", quiet)
+		}
+	})
+}
--- a/machine/entry/direct/world.go
+++ b/machine/entry/direct/world.go
@@ -13,6 +13,7 @@
 	"mimosastand.example/mimosastand/machine/entry/retry"
 	"mimosastand.example/mimosastand/weights/upkeep"
 	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/ejection"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -52,7 +53,9 @@
 	// entries are all that were known at any time, by machine: what one that left has
 	// sent still counts, and it may come back.
 	entries []contract.MachineID
-	rng     *rand.Rand
+	// awake measures for how long the process has run.
+	awake ejection.Awake
+	rng   *rand.Rand
 }
 
 func newWorld(process *config.Process, logger log.Interface) *world {
--- a/zone/ejection/doc.go
+++ b/zone/ejection/doc.go
@@ -9,6 +9,9 @@
 // never ejects more than a third of the targets, because peers that are all
 // slow mean load and not a fault.
 //
+// Awake measures the time that silence is counted in: a standstill of the process
+// itself is left out.
+//
 // The package has no clock and no goroutines. A Tracker is not safe for
 // concurrent use.
 package ejection
--- a/zone/placement/flight.go
+++ b/zone/placement/flight.go
@@ -24,11 +24,12 @@
 	l.own = max(l.own-1, 0)
 }
 
-// Heard records that a target sent something.
-func (p *Pool) Heard(now time.Time, id roster.TargetID) { p.load(id).heard = now }
+// Heard records that a target sent something when the process had run for ran.
+func (p *Pool) Heard(ran time.Duration, id roster.TargetID) { p.load(id).heard = ran }
 
-// LastHeard is when a target last sent anything; zero if it never did.
-func (p *Pool) LastHeard(id roster.TargetID) time.Time { return p.load(id).heard }
+// LastHeard is for how long the process had run when a target last sent anything; zero
+// if it never did.
+func (p *Pool) LastHeard(id roster.TargetID) time.Duration { return p.load(id).heard }
 
 // Reported takes in the load that a target told in an answer.
 func (p *Pool) Reported(now time.Time, id roster.TargetID, requests int) {
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -92,8 +92,8 @@
 	reportedAt time.Time
 	sent       int
 	fullUntil  time.Time
-	// heard is when the target last sent anything.
-	heard time.Time
+	// heard is for how long the process had run when the target last sent anything.
+	heard time.Duration
 	// sends are the times of the attempts within coldWindow.
 	sends []time.Time
 }
