A target whose process tells of a later life gets nothing

Cause: word of another life than the one listed was dropped, whether earlier or later.

Ruled out: leaving out a target that answers 421, which also means that it loads.

Change: word of a later life means that the listed one has ended; it is not ready until the list names the later one. Word of an earlier life is dropped as before.

--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -159,12 +159,17 @@
 	}
 }
 
-// Report takes in what the process beside the engine at address says.
+// Report takes in what the process beside the engine at address says. Word of a later
+// life than the one listed means that the listed one has ended.
 func (r *Roster) Report(now time.Time, address string, born int64, s Status) {
 	m, ok := r.byAddress[address]
-	if !ok || m.Born != 0 && born != 0 && m.Born != born {
+	both := ok && m.Born != 0 && born != 0
+	if !ok || both && born < m.Born {
 		return
 	}
+	if both && born > m.Born {
+		s = Status{}
+	}
 	m.status = s
 	m.statusAt = now
 }
