--- a/machine/target/target_test.go
+++ b/machine/target/target_test.go
@@ -282,14 +282,18 @@
 // TestPlannedStopCutsNothing checks that running work ends whole after the
 // process was asked to stop, and that new work is refused meanwhile.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	r := modelRig(t, fastEngine)
-	c := r.dial()
-	s := r.open(c, modelStart("r1", 1, 300))
+	c := fastEngine
+	c.Digest = digest
+	// After half of the grace streams are handed over: see TestHandOverResumesElsewhere.
+	r := newRig(t, config.BackendModel, engine.New(c), func(cfg *config.Process) { cfg.ShutdownGrace = time.Minute })
+	r.awaitReady()
+	conn := r.dial()
+	s := r.open(conn, modelStart("r1", 1, 300))
 	begun := r.read(s, func(a *answer) bool { return a.frames == 5 })
 	r.stop()
 	refused := &answer{}
 	for i := uint32(1); refused.refusal == nil; i++ {
-		refused = r.read(r.open(c, modelStart("r2", i, 1)), never)
+		refused = r.read(r.open(conn, modelStart("r2", i, 1)), never)
 	}
 	if refused.refusal.Reason != contract.ReasonTargetLeaving || !refused.refusal.Load.Leaving {
 		t.Fatalf("refusal %+v", refused.refusal)
