--- a/machine/peers/busy_test.go
+++ b/machine/peers/busy_test.go
@@ -1,18 +1,11 @@
 package peers
 
 import (
-	"context"
-	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
-
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
-	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/standin/fleet"
 )
@@ -37,30 +30,11 @@
 		_ = s.Send(contract.Message{Kind: contract.KindRecords, Records: &records})
 	})
 	asking := openEntry(t, store, "entry-1", func(*link.Stream) {})
-	news := make(chan string, 8)
-	f := feed.New(nil, feed.Options{
-		Topic: platform.TopicOperators,
-		OnChange: func(n feed.News) {
-			for _, r := range n.Records {
-				news <- r.Key
-			}
-		},
-		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
-	})
-	c := NewCatchup(asking, f, platform.TopicOperators, 0)
-	for !asking.Linked("entry-2") {
-		time.Sleep(time.Millisecond)
-	}
-	c.Told("entry-2", 5)
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	wg.Go(func() { c.Run(ctx) })
+	news := catchUp(t, asking, "entry-2", "entry-2", 5)
 	if key := <-news; key != "config" {
 		t.Errorf("told %s", key)
 	}
 	if n := pulls.Load(); n != refusals+1 {
 		t.Errorf("asked %d times, want %d", n, refusals+1)
 	}
-	cancel()
-	wg.Wait()
 }
