Log and count the rate limits that targets name

The adapter decodes the limit of an answer; the entry logs each change, keeps it per incarnation of a target and publishes it beside the attempts it sent there. No decision uses it yet. A value that is not a decimal number, negative or above a million a second is logged once and changes nothing (TestDecodeRateLimit).

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -211,6 +211,9 @@
 	outcome, failureResp := x.run(ctx)
 	c.record.attemptEnded(time.Now(), outcome, x.breakage, x.err)
 	c.entry.meters.countAttempt(outcome)
+	if outcome != attempts.NotSent {
+		c.entry.meters.countSent(c.service, choice.ID)
+	}
 	switch outcome {
 	case attempts.NotSent:
 		c.attemptsUnsent++
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -179,6 +179,7 @@
 		x.breakage = breakageOtherAttempt
 		return attempts.Lost, nil
 	}
+	x.recordRateLimit(reply)
 	if reply.NotRun {
 		x.misdirected = reply.Misdirected
 		x.breakage = refusalBreakage(reply)
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -15,6 +15,7 @@
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
 	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/ratelimit"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
@@ -48,7 +49,10 @@
 	pools             map[contract.ServiceName]*placement.Pool
 	retryBudgets      map[contract.ServiceName]*retry.Window
 	returnEstimators  map[contract.ServiceName]*retry.ReturnEstimator
-	peerFlights       map[contract.MachineID]map[uint32]int
+	rateLimits        *ratelimit.Tracker
+	// invalidLimits holds the invalid limit that each target named last.
+	invalidLimits map[ratelimit.Key]string
+	peerFlights   map[contract.MachineID]map[uint32]int
 	// engineAddresses holds the engine's address of each target process that has reported
 	// on its engine.
 	engineAddresses map[contract.MachineID]string
@@ -61,6 +65,7 @@
 }
 
 func newFleetState(process *config.Process, logger log.Interface) *fleetState {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &fleetState{
 		process:          process,
 		bounds:           process.Fleet.Bounds,
@@ -74,7 +79,9 @@
 		returnEstimators: map[contract.ServiceName]*retry.ReturnEstimator{},
 		peerFlights:      map[contract.MachineID]map[uint32]int{},
 		engineAddresses:  map[contract.MachineID]string{},
-		rng:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rateLimits:       ratelimit.NewTracker(rng),
+		invalidLimits:    map[ratelimit.Key]string{},
+		rng:              rng,
 	}
 }
 
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -73,6 +73,11 @@
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("attempts").Inc(1)
 }
 
+// countSent counts an attempt that was sent, by its target.
+func (m *meters) countSent(service contract.ServiceName, id roster.TargetID) {
+	m.scope.Tagged(map[string]string{"service": string(service), "target": string(id)}).Counter("target_attempts").Inc(1)
+}
+
 // countRetry counts a request that is sent again, by the outcome of the last attempt.
 func (m *meters) countRetry(o attempts.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
@@ -106,6 +111,7 @@
 		scope.Gauge("target_version").Update(float64(t.version))
 		scope.Gauge("target_in_flight").Update(float64(t.inFlight))
 		scope.Gauge("target_listed_age_seconds").Update(t.listedAge.Seconds())
+		scope.Gauge("target_limit_per_second").Update(t.limit)
 		m.published[t.id] = t.service
 		delete(departed, t.id)
 	}
@@ -113,6 +119,7 @@
 		scope := m.scope.Tagged(map[string]string{"service": string(service), "target": string(id)})
 		scope.Gauge("target_version").Update(0)
 		scope.Gauge("target_in_flight").Update(0)
+		scope.Gauge("target_limit_per_second").Update(noLimit)
 		scope.Gauge("target_listed_age_seconds").Update(departedAge)
 	}
 }
@@ -120,6 +127,9 @@
 // departedAge is published as the listed age of a target that has left the target list.
 const departedAge = -1
 
+// noLimit is published as the limit of a target that is not known to limit its rate.
+const noLimit = -1
+
 // snapshot summarizes the entry's view of the fleet for its metrics.
 type snapshot struct {
 	targets, ejected int
@@ -130,13 +140,15 @@
 }
 
 // targetState is the entry's view of a target: the version that it serves, the attempts
-// of this entry in flight there, and the age of its listing.
+// of this entry in flight there, the age of its listing, and the rate in requests a second
+// to which it limits all entries together, or noLimit.
 type targetState struct {
 	service   contract.ServiceName
 	id        roster.TargetID
 	version   int64
 	inFlight  int
 	listedAge time.Duration
+	limit     float64
 }
 
 func (fs *fleetState) snapshot() snapshot {
@@ -150,6 +162,7 @@
 		for _, t := range fs.roster.Members(name) {
 			s.targetStates = append(s.targetStates, targetState{
 				service: name, id: t.ID, version: t.Version(now), inFlight: inFlight[t.ID], listedAge: now.Sub(t.ListedAt),
+				limit: fs.limitOf(t),
 			})
 		}
 	}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -59,6 +59,8 @@
 type Choice struct {
 	ID      roster.TargetID
 	Address string
+	// Born is when this incarnation of the target started, in Unix milliseconds.
+	Born int64
 	// Version is the last known version of the target's weights. MinVersion is the
 	// oldest version that was allowed; 0 means any.
 	Version, MinVersion int64
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -124,6 +124,7 @@
 	return Choice{
 		ID:              m.ID,
 		Address:         m.Address,
+		Born:            m.Born,
 		Version:         m.Version(now),
 		MinVersion:      req.MinVersion,
 		FirstEventDelay: NewLatencyModel(p.service, m.Slots).FirstEventDelay(n),
