Test that fails: entries together overrun a target that names a limit

The stand-in of engines and services learns to name a limit in its answers and lists what reaches it. Three entries, a service with two targets of which one names 2 requests a second, 67 requests a second: it got 157 requests in 4 s, allowed 17.

--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -57,6 +57,16 @@
 	loaded []string
 	// runLog lists the runs in the order of their start.
 	runLog []Run
+	// rateLimit is the limit that answers name, in requests a second; empty for none.
+	rateLimit string
+	// arrivals lists all requests in order of arrival, but for those meant for others.
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached the engine, whether or not it ran.
+type Arrival struct {
+	AttemptID string
+	At        time.Time
 }
 
 // Run describes a run of an attempt: the version of the weights it runs with and when it
@@ -143,6 +153,16 @@
 // SetLosesAnswers sets whether the engine runs requests and loses their answers.
 func (e *Engine) SetLosesAnswers(on bool) { e.withLock(func() { e.losesAnswers = on }) }
 
+// SetRateLimit sets the limit that answers name, in requests a second; empty for none.
+func (e *Engine) SetRateLimit(perSecond string) { e.withLock(func() { e.rateLimit = perSecond }) }
+
+// Arrivals lists all requests that reached the engine, in order of arrival.
+func (e *Engine) Arrivals() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Arrival(nil), e.arrivals...)
+}
+
 // withLock calls f with mu held.
 func (e *Engine) withLock(f func()) {
 	e.mu.Lock()
@@ -279,6 +299,12 @@
 	misdirected := r.Header.Get("Expect-Instance") != e.ID || expected != "" && expected != strconv.FormatInt(e.version, 10)
 	full := e.running >= e.Slots
 	unresponsive, losesAnswers, version := e.unresponsive, e.losesAnswers, e.version
+	if e.rateLimit != "" {
+		w.Header().Set("Server-Limit", e.rateLimit)
+	}
+	if !misdirected {
+		e.arrivals = append(e.arrivals, Arrival{AttemptID: attempt, At: time.Now()})
+	}
 	if !misdirected && !full && !unresponsive {
 		e.running++
 		e.runCounts[attempt]++
