Soak and demo: a back end limits the rate of all entries together

The soak draws the fault by itself and in a series with an entry that is stopped, killed or paused, and counts what reaches the back end by the platform's rule; the demo has a phase for it.

--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/harness"
 	"mimosastand.example/mimosastand/internal/soak"
+	standins "mimosastand.example/mimosastand/standin/fleet"
 )
 
 const (
@@ -83,6 +85,25 @@
 	return nil
 }
 
+// limitTarget has a service limit the rate of all entries together, and counts what it gets.
+func (d *demo) limitTarget(ctx context.Context) error {
+	const perSecond = 2.0
+	target := d.fleet.Services[0]
+	target.SetRateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	if err := sleep(ctx, standins.LimitNotice); err != nil {
+		return err
+	}
+	from := time.Now()
+	if err := sleep(ctx, standins.LimitWindow); err != nil {
+		return err
+	}
+	got := standins.MostArrivals(standins.ArrivalsSince(target.Arrivals(), from))
+	target.SetRateLimit("")
+	allowed := standins.AllowedArrivals(perSecond)
+	d.addPromise(got <= allowed, "requests in 4 s to a target that names a limit of 2 a second", "%d", got)
+	return nil
+}
+
 // runsInZone returns how many attempts the back ends of a zone have run.
 func (d *demo) runsInZone(zone contract.ZoneName) int {
 	n := 0
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -37,6 +37,7 @@
 		{"start the stand-ins and the processes, send calls", d.start},
 		{"evacuate a zone and take it back in", d.evacuateAndRestoreZone},
 		{"roll out a second version", d.rollOutSecondVersion},
+		{"let a service limit the rate of its requests", d.limitTarget},
 		{"kill an entry, lose a machine, stop an entry as planned", d.loseProcesses},
 		{"stop everything", d.stopAll},
 	} {
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -63,6 +63,8 @@
 	drains          []drainSpan
 	// evacuations are the evacuations that have ended.
 	evacuations []evacuationSpan
+	// limits are the spans in which back ends limited their rate.
+	limits []limitSpan
 }
 
 func (b *bounds) addAnnouncement(version int64, at time.Time) {
--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -99,6 +99,41 @@
 	}
 }
 
+// The bound counts what arrives within four seconds, from three seconds after the limit was
+// named to its end, from entries and on paths that were unimpaired.
+func TestReportsRequestsPastLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		// from and to bound the time in which a request arrives every 200 ms.
+		from, to float64
+		sender   [][2]float64
+		want     bool
+	}{
+		"within bound":            {3.1, 4.7, nil, false},
+		"past bound":              {3.1, 7.1, nil, true},
+		"before entries follow":   {0, 2.9, nil, false},
+		"after limit was lifted":  {10.1, 14, nil, false},
+		"entry was restarted":     {3.1, 7.1, [][2]float64{{3, 4.5}}, false},
+		"entry restarted earlier": {3.1, 7.1, [][2]float64{{-3, 0}}, true},
+	} {
+		start := time.Now()
+		at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+		engine, sender, b := &standins.Engine{ID: "engine"}, &harness.Machine{Name: "entry"}, &bounds{}
+		for _, s := range c.sender {
+			sender.Impairments.Add(at(s[0]), at(s[1]))
+		}
+		for s := c.from; s < c.to; s += 0.2 {
+			engine.AddArrival(standins.Arrival{AttemptID: "a", At: at(s)})
+		}
+		b.addLimit(limitSpan{engine: engine, perSecond: 1, from: at(0), to: at(10)})
+		checker := NewChecker(1, func(string) int { return 1 })
+		b.checkLimits(checker, func(string) *harness.Machine { return sender })
+		violations := checker.Violations()
+		if got := len(violations) == 1 && violations[0].Promise == LimitBound; got != c.want {
+			t.Errorf("%s: violations %v, want one: %v", name, violations, c.want)
+		}
+	}
+}
+
 // Enough plans contain the series delayedAnnouncement: a version is announced while the
 // origin is unavailable, and an entry fails around the announcement.
 func TestPlansIncludeDelayedAnnouncements(t *testing.T) {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -41,6 +41,9 @@
 	// EvacuationBound: no run begins in a zone later than evacuationBound after it was
 	// evacuated.
 	EvacuationBound Promise = "nothing begins in an evacuated zone past the bound"
+	// LimitBound: a back end that limits its rate gets no more than that from all entries
+	// together, with the platform's tolerance.
+	LimitBound Promise = "no back end gets more than the limit that it names"
 	// Recovers: once the faults are over, every entry serves again and every engine holds
 	// the newest version.
 	Recovers Promise = "all serve again once the faults are over"
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"mimosastand.example/mimosastand/config"
@@ -20,6 +21,9 @@
 	corruptEvery = 3
 	// pathDelay is the delay of each chunk or packet on a delayed path.
 	pathDelay = 150 * time.Millisecond
+	// limitPerSecond is the rate to which a back end limits all entries together: less than
+	// one request a second of each.
+	limitPerSecond = 1.5
 )
 
 // injector starts and ends faults.
@@ -49,6 +53,8 @@
 		return combineEnds(injectLinkFault(e.Fault, m.LinkPath), m.Impairments.Begin(), i.bounds.impairmentsOf(m.StorePath).Begin())
 	case services:
 		return injectServiceFault(e.Fault, i.fleet.Services[e.Index])
+	case backEnds:
+		return i.limitRate(i.backEndAt(e.Index))
 	case zones:
 		zone := string(i.fleet.Spec.Zones[e.Index].Name)
 		i.fleet.Store.Evacuate(zone, true)
@@ -137,6 +143,16 @@
 	}
 }
 
+// limitRate has a back end limit its rate until the returned function is called.
+func (i *injector) limitRate(e *standins.Engine) func() {
+	e.SetRateLimit(strconv.FormatFloat(limitPerSecond, 'f', -1, 64))
+	start := time.Now()
+	return func() {
+		i.bounds.addLimit(limitSpan{engine: e, perSecond: limitPerSecond, from: start, to: time.Now()})
+		e.SetRateLimit("")
+	}
+}
+
 // drainEngine lists the engine as draining until the returned function lists it as ready.
 func (i *injector) drainEngine(e *standins.Engine) func() {
 	e.Publish("draining")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,7 @@
 	SilenceLinks
 	HangService
 	LoseAnswers
+	LimitRate
 	StoreDown
 	LateWrites
 	DropHistory
@@ -60,7 +61,7 @@
 	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
 	"connections to back end silent",
 	"delay of links", "cut towards links", "cut from links", "links silent",
-	"service hangs", "service loses answers", "store down", "store applies writes late", "store drops history",
+	"service hangs", "service loses answers", "back end limits its rate", "store down", "store applies writes late", "store drops history",
 	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
 
@@ -77,6 +78,7 @@
 	backEndPaths
 	linkPaths
 	services
+	backEnds
 	zones
 	store
 	origin
@@ -98,6 +100,8 @@
 		return linkPaths
 	case f <= LoseAnswers:
 		return services
+	case f == LimitRate:
+		return backEnds
 	case f <= DropHistory:
 		return store
 	case f <= OriginUnavailable:
@@ -136,7 +140,7 @@
 		return s.Targets
 	case storePaths, linkPaths:
 		return s.Entries + s.Targets
-	case backEndPaths:
+	case backEndPaths, backEnds:
 		return s.Targets + s.Services
 	case services:
 		return s.Services
@@ -157,7 +161,7 @@
 		return min(s.Zones-1, 1)
 	case storePaths, linkPaths:
 		return min(s.Entries, s.Targets) - 1
-	case backEndPaths:
+	case backEndPaths, backEnds:
 		return min(s.Targets, s.Services) - 1
 	default:
 		return s.count(c) - 1
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -204,6 +204,7 @@
 	}
 	if s.opts.CheckBounds {
 		s.bounds.check(s.checker, s.listRuns())
+		s.bounds.checkLimits(s.checker, s.traffic.Sender)
 	}
 	for _, name := range s.fleet.StopAll() {
 		s.checker.AddViolation(PlannedStop, "%s did not stop cleanly at the end of the run", name)
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -7,7 +7,7 @@
 
 // series are generators of groups of events that follow one another closely and that
 // single draws would almost never combine.
-var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation}
+var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation, longLimit}
 
 const (
 	// minOriginOutage and maxOriginOutage bound how long the origin of weights is
@@ -28,6 +28,10 @@
 	// evacuationBound.
 	minLongEvacuation = 7 * time.Second
 	maxLongEvacuation = 12 * time.Second
+	// minLongLimit and maxLongLimit bound how long a back end limits its rate, longer than
+	// the entries may take to follow and the span in which its requests are counted.
+	minLongLimit = 8 * time.Second
+	maxLongLimit = 14 * time.Second
 )
 
 // delayedAnnouncement announces a version while the origin is unavailable, so that the
@@ -49,3 +53,15 @@
 func longEvacuation(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
 	return []Event{drawObject(rnd, Event{At: at, Duration: randomDuration(rnd, minLongEvacuation, maxLongEvacuation), Fault: EvacuateZone}, shape)}
 }
+
+// longLimit has a back end limit its rate for long enough that its requests can be counted,
+// and stops, kills or pauses an entry meanwhile (docs/incidents/inc1-limit.md).
+func longLimit(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
+	limit := Event{At: at, Duration: randomDuration(rnd, minLongLimit, maxLongLimit), Fault: LimitRate}
+	entryFault := Event{
+		At:       at + randomDuration(rnd, 0, minLongLimit),
+		Duration: randomDuration(rnd, minDuration, minEntryFaultDuration),
+		Fault:    []Fault{KillEntry, PauseEntry, StopEntry}[rnd.IntN(3)],
+	}
+	return []Event{drawObject(rnd, limit, shape), drawObject(rnd, entryFault, shape)}
+}
