An answer that names no attempt counts on a new connection only

What a caller could get: the answer to the request before it on the same connection, or a refusal that says "not run" for a request that has run. A late copy of an answer that lacks the attempt's name was taken for the answer to the next request; and a refusal whose body was not read to its end left bytes that could be. Cause: an empty name passed the check, and discardResponse kept connections with unread bytes. Change: on a connection that was used before, an answer has to name the attempt; a connection is kept only if the rest of a refusal arrived, within 50 ms. Tests (failed before): TestLateCopyOfAnswerIsNotTaken, three of five cases, TestConnectionWithUnreadRefusalIsNotReused.

--- /dev/null
+++ b/machine/entry/direct/answers_test.go
@@ -0,0 +1,138 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/placement"
+)
+
+// scriptedTarget answers each request on a connection with the text that answer returns for
+// it; an empty text closes the connection.
+func scriptedTarget(t *testing.T, answer func(request int, r *http.Request) string) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := answer(n, r)
+					if text == "" {
+						return
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+// answerText is an answer of a target; an attempt of "" leaves its name out.
+func answerText(status int, attempt, header, body string) string {
+	if attempt != "" {
+		header += "Attempt-Id: " + attempt + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nServer-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+func newQuietEntry() *Entry {
+	return &Entry{
+		fleet: newStartedState(time.Hour, 3), conns: newConnPool(), meters: newMeters(metrics.New().Scope()),
+		log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	}
+}
+
+// attemptAt makes one attempt of a call that may run once only, at an address.
+func attemptAt(e *Entry, address, attempt string) (attempts.Outcome, *httptest.ResponseRecorder) {
+	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/pay/x", nil)
+	c := &call{entry: e, w: w, r: r, service: testService, route: &catalog.Route{Kind: catalog.NonIdempotent}, deadline: time.Now().Add(time.Minute)}
+	r.Header.Set("Attempt-Id", attempt)
+	c.info.AttemptID = attempt
+	outcome, _ := newExchange(c, placement.Choice{ID: "target-1", Address: address}).run(context.Background())
+	return outcome, w
+}
+
+// Guards against an answer that reaches the next caller on a connection: a late copy of the
+// answer before it, which may lack the attempt's name, or a copy that says "not run" for a
+// request that has run.
+func TestLateCopyOfAnswerIsNotTaken(t *testing.T) {
+	for name, late := range map[string]string{
+		"copy of the answer":            answerText(200, "first", "", "one"),
+		"copy without the attempt":      answerText(200, "", "", "one"),
+		"refusal of another attempt":    answerText(503, "first", "Not-Executed: 1\r\n", ""),
+		"refusal without the attempt":   answerText(503, "", "Not-Executed: 1\r\n", ""),
+		"misdirected without a request": answerText(421, "", "", ""),
+	} {
+		address := scriptedTarget(t, func(n int, r *http.Request) string {
+			if n == 0 {
+				return answerText(200, "first", "", "one")
+			}
+			return late + answerText(200, r.Header.Get("Attempt-Id"), "", "two")
+		})
+		e := newQuietEntry()
+		if outcome, _ := attemptAt(e, address, "first"); outcome != attempts.Completed {
+			t.Fatalf("%s: first attempt ended with %v, want Completed", name, outcome)
+		}
+		if outcome, w := attemptAt(e, address, "second"); outcome != attempts.Lost || w.Body.Len() > 0 {
+			t.Errorf("%s: second attempt ended with %v and body %q, want 4 (Lost) and none", name, outcome, w.Body)
+		}
+	}
+}
+
+// Guards against a connection that is used again before all of a refusal was read: the rest
+// of it would be taken for the next answer.
+func TestConnectionWithUnreadRefusalIsNotReused(t *testing.T) {
+	const attempt = "second"
+	forged := answerText(200, attempt, "", "forged")
+	address := scriptedTarget(t, func(n int, r *http.Request) string {
+		switch {
+		case n > 0:
+			return forged
+		case r.Header.Get("Attempt-Id") == attempt:
+			return answerText(200, attempt, "", "own")
+		default:
+			// The end of this answer arrives with the next one.
+			whole := answerText(503, "first", "Not-Executed: 1\r\n", strings.Repeat("x", 64<<10)+forged)
+			return strings.TrimSuffix(whole, forged)
+		}
+	})
+	e := newQuietEntry()
+	if outcome, _ := attemptAt(e, address, "first"); outcome != attempts.NotRun {
+		t.Fatalf("first attempt ended with %v, want NotRun", outcome)
+	}
+	if outcome, w := attemptAt(e, address, attempt); outcome != attempts.Completed || w.Body.String() != "own" {
+		t.Errorf("second attempt ended with %v and body %q, want Completed and \"own\"", outcome, w.Body)
+	}
+}
--- a/machine/entry/direct/connpool.go
+++ b/machine/entry/direct/connpool.go
@@ -45,6 +45,8 @@
 	reader    *bufio.Reader
 	idleLimit time.Duration
 	idleSince time.Time
+	// reused is set if the connection carried an attempt before.
+	reused bool
 }
 
 // connPool keeps idle connections to targets. It never sends a request twice: every
@@ -68,6 +70,7 @@
 			break
 		}
 		if time.Since(c.idleSince) < min(c.idleLimit, maxIdle) && c.isReusable() {
+			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -172,7 +172,7 @@
 	if reply.OpenRequests >= 0 {
 		c.entry.fleet.recordReportedLoad(c.service, x.choice.ID, reply.OpenRequests)
 	}
-	if reply.AttemptID != "" && reply.AttemptID != c.info.AttemptID {
+	if !x.isOwnAnswer(reply) {
 		c.entry.log.WithField("request", c.info.AttemptID).WithField("answered", reply.AttemptID).
 			WithField("target", string(x.choice.ID)).Warn("response belongs to another attempt")
 		x.conn.reset()
@@ -192,12 +192,25 @@
 	return x.forwardBuffered(resp, reply)
 }
 
+// isOwnAnswer reports whether a response belongs to this attempt. On a connection that was
+// used before, a late copy of an earlier response may arrive in its place, so one that does
+// not name the attempt counts only on a new connection.
+func (x *exchange) isOwnAnswer(reply platform.Reply) bool {
+	if reply.AttemptID == "" {
+		return !x.conn.reused
+	}
+	return reply.AttemptID == x.call.info.AttemptID
+}
+
 // discardResponse reads the rest of a response that is not forwarded and keeps the
-// connection.
+// connection, unless the rest is long or does not arrive soon: the caller waits for the next
+// attempt.
 func (x *exchange) discardResponse(resp *http.Response, reply platform.Reply) {
 	const maxDiscardBytes = 64 << 10
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
-	if err != nil || resp.Close {
+	const discardTimeout = 50 * time.Millisecond
+	_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes+1))
+	if err != nil || n > maxDiscardBytes || resp.Close {
 		_ = x.conn.Close()
 		return
 	}
