Silence ends an attempt only if another one can follow

What callers saw: a slow stream was cut after 1.6 s, or 0.9 s if its target sent nothing else, and ended as broken although no other attempt was allowed or the retry budget was empty. And a stalled stream that sent comments now and then never counted as silent. Change: both kinds are ended early only if the route and the budget allow another attempt; events that hold comments only are no activity.

Found beside it, in the reading of events: a line as long as the buffer (4096 bytes) ended its event early, so that a complete stream could count as lost, and a line of over 1 MiB gave an error of the buffer. Tests (failed before): TestSilentStreamIsKeptIfNoAttemptCanFollow, TestCommentsAreNotActivity, TestEventWithLongLineIsReadWhole.

--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
@@ -136,3 +137,20 @@
 		t.Errorf("second attempt ended with %v and body %q, want Completed and \"own\"", outcome, w.Body)
 	}
 }
+
+// Guards against streams that count as broken off although they are complete: a line as long
+// as the reader's buffer looked like the end of its event.
+func TestEventWithLongLineIsReadWhole(t *testing.T) {
+	for _, length := range []int{4095, 4096, 4097, 8192, 100_000} {
+		line := "data: " + strings.Repeat("x", length-len("data: \n")) + "\n"
+		text := line + "id: 7\n\n"
+		ev, err := readEvent(bufio.NewReader(strings.NewReader(text)))
+		if err != nil || string(ev.data) != text || ev.id != 7 {
+			t.Errorf("line of %d bytes: readEvent() = %d bytes, id %d, %v, want all %d bytes, id 7", length, len(ev.data), ev.id, err, len(text))
+		}
+	}
+	tooLong := "data: " + strings.Repeat("x", maxEventBytes) + "\n\n"
+	if _, err := readEvent(bufio.NewReader(strings.NewReader(tooLong))); !errors.Is(err, errEventTooLong) {
+		t.Errorf("event of over 1 MiB: readEvent() error = %v, want errEventTooLong", err)
+	}
+}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -97,6 +97,12 @@
 	}
 }
 
+// mayRetry reports whether the route and the retry budget allow an attempt after the one that
+// is under way.
+func (c *call) mayRetry() bool {
+	return c.attemptsSent+1 < c.route.MaxAttempts && c.entry.fleet.canRetry(c.service)
+}
+
 // endWithoutTarget ends a request for which no target was found.
 func (c *call) endWithoutTarget(reason contract.Reason, retryAfter time.Duration) {
 	switch {
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -85,6 +85,13 @@
 	fs.retryBudget(service).RecordRequest(time.Now())
 }
 
+// canRetry reports whether the service's retry budget allows a retry.
+func (fs *fleetState) canRetry(service contract.ServiceName) bool {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.retryBudget(service).Remaining(time.Now()) >= 1
+}
+
 // takeRetry takes one retry from the service's retry budget and reports whether the
 // budget allowed it.
 func (fs *fleetState) takeRetry(service contract.ServiceName) bool {
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -142,20 +142,21 @@
 	return func() { close(done) }
 }
 
-// isSilent reports whether the target has sent nothing for too long. A time in which this
-// process stood still does not count, since what arrived meanwhile has not been read yet.
+// isSilent reports whether the target has sent nothing for too long, and another attempt can
+// follow: a late answer is better than none. A time in which this process stood still does
+// not count, since what arrived meanwhile has not been read yet.
 func (x *exchange) isSilent() bool {
 	c := x.call
 	runTime := c.entry.fleet.runTime()
 	silence := runTime - time.Duration(x.lastActivityRunTime.Load())
 	if c.route.Kind != catalog.Streaming {
-		return silence > max(minIdempotentTimeout, idempotentTimeoutObjectives*c.route.Objective) && c.attemptsSent+1 < c.route.MaxAttempts
+		return silence > max(minIdempotentTimeout, idempotentTimeoutObjectives*c.route.Objective) && c.mayRetry()
 	}
 	if silence > streamSilenceTimeout {
-		return true
+		return c.mayRetry()
 	}
 	targetActivity := c.entry.fleet.lastActivity(c.service, x.choice.ID)
-	return silence > targetSilenceTimeout && runTime-targetActivity > targetSilenceTimeout
+	return silence > targetSilenceTimeout && runTime-targetActivity > targetSilenceTimeout && c.mayRetry()
 }
 
 func (x *exchange) recordActivity() {
@@ -163,6 +164,14 @@
 	x.lastActivityRunTime.Store(int64(x.call.entry.fleet.recordActivity(x.call.service, x.choice.ID)))
 }
 
+// recordEvent records that an event arrived. Comments do not count as activity: a stalled
+// target may send them to keep the connection.
+func (x *exchange) recordEvent(ev event) {
+	if ev.hasField {
+		x.recordActivity()
+	}
+}
+
 // receive handles a response whose head has arrived.
 func (x *exchange) receive(resp *http.Response) (attempts.Outcome, *bufferedResponse) {
 	c := x.call
--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -70,11 +72,13 @@
 }
 
 // newStreamingExchange returns an attempt of a stream that the target has just begun to
-// answer.
+// answer. The retry budget allows another attempt.
 func newStreamingExchange() *exchange {
+	fleet := newStartedState(time.Hour, 3)
+	fleet.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: 100})
 	c := &call{
-		entry: &Entry{fleet: newStartedState(time.Hour, 3)}, service: testService,
-		route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(time.Hour),
+		entry: &Entry{fleet: fleet}, service: testService,
+		route: &catalog.Route{Kind: catalog.Streaming, MaxAttempts: 2}, deadline: time.Now().Add(time.Hour),
 	}
 	x := newExchange(c, placement.Choice{ID: "target-1"})
 	x.recordActivity()
@@ -123,3 +127,53 @@
 		}
 	})
 }
+
+// Guards against cutting a slow but sound stream when nothing can continue it: the route
+// allows no other attempt, so that the caller would get a broken answer instead of a late
+// one.
+func TestSilentStreamIsKeptIfNoAttemptCanFollow(t *testing.T) {
+	for name, c := range map[string]struct {
+		maxAttempts int
+		burst       float64
+		want        bool
+	}{
+		"no other attempt": {1, 100, false},
+		"no retry budget":  {2, 0, false},
+		"another attempt":  {2, 100, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newStreamingExchange()
+			x.call.route.MaxAttempts = c.maxAttempts
+			x.call.entry.fleet.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: c.burst})
+			silent := false
+			for range 2 * streamSilenceTimeout / silenceCheckInterval {
+				time.Sleep(silenceCheckInterval)
+				silent = x.isSilent()
+			}
+			if silent != c.want {
+				t.Errorf("%s: isSilent() = %v after %v, want %v", name, silent, 2*streamSilenceTimeout, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a stalled stream that never counts as silent, since it sends something now
+// and then that is no event.
+func TestCommentsAreNotActivity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStreamingExchange()
+		silent := false
+		for range 2 * streamSilenceTimeout / silenceCheckInterval {
+			time.Sleep(silenceCheckInterval)
+			silent = x.isSilent()
+			ev, err := readEvent(bufio.NewReader(strings.NewReader(": wait\n\n")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			x.recordEvent(ev)
+		}
+		if !silent {
+			t.Errorf("isSilent() = false after %v of comments, want true", 2*streamSilenceTimeout)
+		}
+	})
+}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -27,6 +27,8 @@
 	// id orders the events of a stream; hasID is set if this event has one.
 	id    int64
 	hasID bool
+	// hasField is set if the event has more than comments.
+	hasField bool
 }
 
 // readEvent reads up to and including the next blank line. It returns io.EOF if the
@@ -34,31 +36,42 @@
 func readEvent(r *bufio.Reader) (event, error) {
 	var ev event
 	for {
-		line, err := r.ReadSlice('\n')
+		line, err := readLine(r, maxEventBytes-len(ev.data))
 		ev.data = append(ev.data, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(ev.data) <= maxEventBytes {
-			continue
-		}
 		if errors.Is(err, io.EOF) && len(ev.data) > 0 {
 			return ev, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return ev, err
 		}
-		if len(ev.data) > maxEventBytes {
-			return ev, errEventTooLong
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			ev.id, ev.hasID = id, err == nil
 		}
+		ev.hasField = ev.hasField || len(text) > 0 && text[0] != ':'
 		if len(text) == 0 && len(bytes.TrimSpace(ev.data)) > 0 {
 			return ev, nil
 		}
 	}
 }
 
+// readLine reads up to and including the end of a line, whatever the size of the reader's
+// buffer. It returns errEventTooLong if the line is longer than limit.
+func readLine(r *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return line, errEventTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // forwardStream forwards the events of a response as they arrive. A stream that breaks
 // off is Lost: another target may continue it after the last event.
 func (x *exchange) forwardStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
@@ -84,7 +97,7 @@
 		if !first {
 			c.entry.meters.eventGap.RecordDuration(time.Since(x.start) - time.Duration(x.lastActivity.Load()))
 		}
-		x.recordActivity()
+		x.recordEvent(ev)
 		if first {
 			first = false
 			c.entry.meters.firstEventTime.RecordDuration(time.Since(x.start))
