An attempt is not sent on a choice made before the process stood still

What could happen: a process that was paused for seconds between choosing a target and sending there acted on what had run out meanwhile: an evacuation, a drain, the bound of a version, a share of a limit. Not covered: a pause between this check and the write, and a suspended machine, whose steady clock stands still; the target's own checks (expected instance and version) hold then. Test (failed before): TestStaleChoiceIsNotSent.

--- a/internal/explain/placement.go
+++ b/internal/explain/placement.go
@@ -89,6 +89,7 @@
 	"encoded":           "the answer was changed on its way",
 	"too_large":         "the answer was too large",
 	"unstamped_promise": "the answer claimed not to have run without saying so surely",
+	"stale_choice":      "the entry stood still after it had chosen the target, and did not send",
 	"target_busy":       "it had no room",
 	"misdirected":       "another target or other weights were there",
 }
--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -18,6 +18,7 @@
 
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
 )
@@ -154,3 +155,32 @@
 		t.Errorf("event of over 1 MiB: readEvent() error = %v, want errEventTooLong", err)
 	}
 }
+
+// Guards against a process that stood still for seconds after it chose a target and then
+// sends there: the target may have been evacuated, drained or limited meanwhile.
+func TestStaleChoiceIsNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		age  time.Duration
+		want attempts.Outcome
+	}{
+		"fresh": {0, attempts.Completed},
+		"stale": {2 * time.Second, attempts.NotSent},
+	} {
+		requests := 0
+		address := scriptedTarget(t, func(_ int, r *http.Request) string {
+			requests++
+			return answerText(200, "a", "", "one")
+		})
+		e := newQuietEntry()
+		r := httptest.NewRequest(http.MethodPost, "/pay/x", nil)
+		x := newExchange(&call{
+			entry: e, w: httptest.NewRecorder(), r: r, service: testService, info: platform.Call{AttemptID: "a"},
+			route: &catalog.Route{Kind: catalog.NonIdempotent}, deadline: time.Now().Add(time.Minute),
+		}, placement.Choice{ID: "target-1", Address: address})
+		x.start = x.start.Add(-c.age)
+		outcome, _ := x.run(context.Background())
+		if sent := requests > 0; outcome != c.want || sent != (c.want == attempts.Completed) {
+			t.Errorf("%s choice: outcome %v, sent %v, want outcome %v", name, outcome, sent, c.want)
+		}
+	}
+}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -230,7 +230,9 @@
 	switch outcome {
 	case attempts.NotSent:
 		c.attemptsUnsent++
-		fleet.recordFailure(c.service, choice.ID, false)
+		if x.breakage != breakageStaleChoice {
+			fleet.recordFailure(c.service, choice.ID, false)
+		}
 	case attempts.NotRun:
 		c.attemptsSent++
 		fleet.recordRefusal(c.service, choice.ID, x.misdirected)
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -25,6 +25,9 @@
 	// objectives of its route if that is longer.
 	minIdempotentTimeout        = 250 * time.Millisecond
 	idempotentTimeoutObjectives = 3
+	// maxChoiceAge is how old a choice may be when the attempt is sent: longer than it takes
+	// to connect, and short against the bounds on what the choice rests on.
+	maxChoiceAge = dialTimeout + 200*time.Millisecond
 	// silenceCheckInterval is the time between two checks whether the target is silent.
 	silenceCheckInterval = 50 * time.Millisecond
 )
@@ -78,6 +81,12 @@
 		return attempts.NotSent, nil
 	}
 	x.conn = conn
+	if time.Since(x.start) > maxChoiceAge {
+		// The process stood still since.
+		conn.reset()
+		x.breakage = breakageStaleChoice
+		return attempts.NotSent, nil
+	}
 	stop := context.AfterFunc(ctx, conn.reset)
 	defer stop()
 	defer x.watchSilence()()
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -33,6 +33,9 @@
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
 	// run, but lack the target's mark that the attempt has not.
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
+	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
+	// by then.
+	breakageStaleChoice breakage = "stale_choice"
 	// breakageTargetBusy and breakageMisdirected attempts were refused by the target,
 	// which has no room, or is another than expected or holds other weights.
 	breakageTargetBusy  breakage = "target_busy"
