A broken answer is reset for callers of HTTP/1.0

What such a caller saw: a stream that broke off ended like a complete one, since for HTTP/1.0 the end of the connection ends the answer. Change: its connection is reset. Test (failed before): TestBrokenAnswerIsResetForHTTP10. Callers of HTTP/1.1 were not affected, the answer's last chunk is missing there.

--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -184,3 +184,33 @@
 		}
 	}
 }
+
+// Guards against a broken answer that looks complete to a caller of HTTP/1.0, for whom the
+// end of the connection ends the answer: the connection has to be reset.
+func TestBrokenAnswerIsResetForHTTP10(t *testing.T) {
+	e := newQuietEntry()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := &call{entry: e, w: w, r: r, route: &catalog.Route{Kind: catalog.Streaming}, arrived: time.Now(), deadline: time.Now().Add(time.Minute)}
+		if err := c.sendEvent(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, event{data: []byte("id: 1\n\n")}); err != nil {
+			t.Error(err)
+		}
+		c.endWithVerdict(attempts.Abort, nil)
+	}))
+	defer server.Close()
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "GET /chat/x "+version+"\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		// A reset may drop the beginning of the answer, too.
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("%s: broken answer read as complete, body %q, want an error", version, body)
+			}
+		}
+		_ = conn.Close()
+	}
+}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -130,12 +130,24 @@
 		c.writeProblem(http.StatusGatewayTimeout, contract.ReasonDeadline, 0)
 	case attempts.Abort:
 		c.recordEnd(0, contract.ReasonTruncatedAnswer, 0)
-		panic(http.ErrAbortHandler)
+		c.breakOff()
 	default:
 		c.writeProblem(http.StatusBadGateway, contract.ReasonTruncatedAnswer, 0)
 	}
 }
 
+// breakOff ends an answer that is incomplete so that the caller does not take it for complete.
+// For a caller of HTTP/1.0 the end of the connection ends the answer, so it is reset.
+func (c *call) breakOff() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		if raw, _, err := http.NewResponseController(c.w).Hijack(); err == nil {
+			resetConn(raw)
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // requirements returns what a target must fulfil to get the next attempt.
 func (c *call) requirements() placement.Requirements {
 	var team []contract.RegionName
--- a/machine/entry/direct/connpool.go
+++ b/machine/entry/direct/connpool.go
@@ -137,11 +137,14 @@
 	}
 }
 
-// reset closes the connection of an abandoned attempt with a TCP reset, which drops data
-// that has not reached the target yet. A plain Close would still deliver that data when
-// an interrupted network path works again.
-func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+// reset closes the connection of an abandoned attempt with a TCP reset. A plain Close would
+// still deliver what has not reached the target yet when an interrupted network path works
+// again.
+func (c *conn) reset() { resetConn(c.Conn) }
+
+// resetConn closes a connection with a TCP reset, which drops data that has not arrived.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
