Entries together keep the number of connections that a target accepts

Change: an entry has its share of them, at least one; where there are fewer connections than entries it closes its own after each attempt.

--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -78,6 +78,13 @@
 	return max(oldest, held)
 }
 
+// keepsIdleConns reports whether connections to the service's targets are kept between
+// attempts.
+func (fs *fleetState) keepsIdleConns(service contract.ServiceName) (keeps bool) {
+	fs.withPool(service, func(_ time.Time, p *placement.Pool) { keeps = p.KeepsIdleConns() })
+	return keeps
+}
+
 // recordRequest counts a request towards the service's retry budget.
 func (fs *fleetState) recordRequest(service contract.ServiceName) {
 	fs.mu.Lock()
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -228,7 +228,17 @@
 	const discardTimeout = 50 * time.Millisecond
 	_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes+1))
-	if err != nil || n > maxDiscardBytes || resp.Close {
+	if err != nil || n > maxDiscardBytes {
+		_ = x.conn.Close()
+		return
+	}
+	x.releaseConn(resp, reply)
+}
+
+// releaseConn keeps the connection for other attempts after a complete response, unless the
+// target closes it or has too few connections.
+func (x *exchange) releaseConn(resp *http.Response, reply platform.Reply) {
+	if resp.Close || !x.call.entry.fleet.keepsIdleConns(x.call.service) {
 		_ = x.conn.Close()
 		return
 	}
@@ -252,11 +262,7 @@
 		x.breakage = unusableBreakage(reply)
 		return attempts.Lost, nil
 	}
-	if resp.Close {
-		_ = x.conn.Close()
-	} else {
-		c.entry.conns.putIdle(x.conn, reply.IdleTimeout)
-	}
+	x.releaseConn(resp, reply)
 	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header), body: body}
 	switch {
 	case !reply.HasStamp && reply.Status < http.StatusBadRequest:
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -117,11 +117,7 @@
 // finishStream ends the response to a stream that is complete and keeps the connection.
 func (x *exchange) finishStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
 	c := x.call
-	if resp.Close {
-		_ = x.conn.Close()
-	} else {
-		c.entry.conns.putIdle(x.conn, reply.IdleTimeout)
-	}
+	x.releaseConn(resp, reply)
 	c.sendHead(resp)
 	c.recordEnd(http.StatusOK, "", 0)
 	return attempts.Completed
--- a/zone/placement/placement_test.go
+++ b/zone/placement/placement_test.go
@@ -262,3 +262,30 @@
 		t.Error("target cut was never picked after its process reported again")
 	}
 }
+
+// Guards against more connections to a target than it accepts from all entries together: it
+// resets those beyond. Each entry held as many as its own requests needed.
+func TestEntriesTogetherKeepConnectionLimit(t *testing.T) {
+	const maxConns = 90
+	for _, entries := range []int{3, 9, 40} {
+		known := entryIDs(entries)
+		open := 0
+		for _, self := range known {
+			p := newPool(engineMember("x", "a"))
+			s := modelService()
+			s.MaxConns, s.Engine.Slots = maxConns, 1000
+			p.SetService(s)
+			p.SetColdShares(newColdShares(self, known, 0))
+			for {
+				if _, refusal := p.Pick(start, Requirements{}, time.Hour); refusal != Placed {
+					break
+				}
+				p.Sent(start, "x")
+				open++
+			}
+		}
+		if open > maxConns || open < maxConns/3 {
+			t.Errorf("%d entries: %d requests at once, want at most %d and at least a third of it", entries, open, maxConns)
+		}
+	}
+}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -305,12 +305,28 @@
 	model := NewLatencyModel(p.service, m.Slots)
 	n := p.estimateLoad(now, m)
 	delay := model.FirstEventDelay(n)
-	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit {
+	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() {
 		return Full, delay
 	}
 	return Placed, delay
 }
 
+// connShare returns how many connections this entry may have to one target. Each carries one
+// attempt at a time. Every entry may have one: if there are more entries than connections,
+// KeepsIdleConns tells them to close theirs after each attempt.
+func (p *Pool) connShare() int {
+	if p.service == nil || p.service.MaxConns <= 0 {
+		return math.MaxInt
+	}
+	return max(p.service.MaxConns/max(p.coldShares.ShareCount, 1), 1)
+}
+
+// KeepsIdleConns reports whether the targets accept a connection of each entry at the same
+// time.
+func (p *Pool) KeepsIdleConns() bool {
+	return p.service == nil || p.service.MaxConns <= 0 || p.service.MaxConns >= p.coldShares.ShareCount
+}
+
 // unlimited is the share of a target that gets as many requests as it has room for.
 var unlimited = sendShare{requests: math.MaxInt}
 
