An entry that knows no other has no burst of retries

Now it has none until it knows the others; the ratio of its own requests stays. Test (failed before): TestEntryWithoutMembersHasNoRetryBurst.

--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -76,6 +76,7 @@
 func newStreamingExchange() *exchange {
 	fleet := newStartedState(time.Hour, 3)
 	fleet.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: 100})
+	fleet.setEntries(entryNames(1))
 	c := &call{
 		entry: &Entry{fleet: fleet}, service: testService,
 		route: &catalog.Route{Kind: catalog.Streaming, MaxAttempts: 2}, deadline: time.Now().Add(time.Hour),
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -209,8 +209,12 @@
 }
 
 // retryBudgetBounds returns the bounds of this entry's share of a service's retry budget.
+// Without a known entry the size of a share of the burst is unknown, so there is none.
 func (fs *fleetState) retryBudgetBounds() (length time.Duration, ratio, burst float64) {
-	return fs.bounds.RetryWindow, fs.bounds.RetryRatio * budgetShare, fs.bounds.RetryBurst * budgetShare / float64(fs.shareCount())
+	if len(fs.knownEntries) > 0 {
+		burst = fs.bounds.RetryBurst * budgetShare / float64(fs.shareCount())
+	}
+	return fs.bounds.RetryWindow, fs.bounds.RetryRatio * budgetShare, burst
 }
 
 func (fs *fleetState) returnEstimator(name contract.ServiceName) *retry.ReturnEstimator {
--- a/machine/entry/direct/fleetstate_test.go
+++ b/machine/entry/direct/fleetstate_test.go
@@ -160,6 +160,27 @@
 	})
 }
 
+// Guards against a retry burst that entries take before they know how many share it: more
+// entries than assumed would send more than the fleet's budget (BUDGET).
+func TestEntryWithoutMembersHasNoRetryBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := newEmptyState(config.Bounds{RetryWindow: time.Second, RetryBurst: 100})
+		fs.applyOperatorRecords(initialRecords(3))
+		time.Sleep(2 * time.Second)
+		if fs.takeRetry(testService) {
+			t.Error("takeRetry() = true while no entry is known, want false")
+		}
+		fs.setEntries(entryNames(40))
+		got := 0
+		for fs.takeRetry(testService) {
+			got++
+		}
+		if got == 0 || got > 100/41 {
+			t.Errorf("%d retries of one of 40 entries, want 1 to %d", got, 100/41)
+		}
+	})
+}
+
 const (
 	coldService = contract.ServiceName("plain")
 	// coldBound is how many requests all entries together may send to a cold target in a
