The store's era: detection, recovery, stand-in and soak

What callers could see: a process that asked again only after the offsets had been given out anew got no 410 and missed the records in between without knowing; what a process had published of itself was gone while it lived, so that nobody new could link to it. Cause: nothing read Store-Era, and offsets of different eras were compared.

Change: the adapter reports the era with each answer and does not believe one of an older era. Positions of records have the era above the offset, in replicas, heartbeats and pulls between peers. A feed that sees a new era reads the newest records anew; what it holds and the store lost stays until it is written again, for 10 s (operators), 3 s (targets) or a minute (members). Which record is older follows from the version it contains, otherwise from what was read before at its offset. The process writes its member record and pieces of weights again if the store lacks them. Peers tell the era in heartbeats.

Tests of the feed that merge records as a peer does name the stand-in's era now.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	length          time.Duration
 	bin, plan       string
 	keepLogs, quiet bool
+	drills, hideEra bool
 }
 
 // parseFlags parses the command line.
@@ -43,6 +44,8 @@
 	flaggy.String(&f.bin, "b", "bin", "directory of the program")
 	flaggy.Bool(&f.keepLogs, "k", "keep", "keep the logs of seeds that held, too")
 	flaggy.Bool(&f.quiet, "q", "quiet", "do not print the faults")
+	flaggy.Bool(&f.drills, "d", "drills", "play returns of the store from older copies only")
+	flaggy.Bool(&f.hideEra, "e", "hide-era", "leave the era out of the store's answers, so that no process notices such a return")
 	flaggy.Parse()
 	return f
 }
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opts := soak.Options{Length: f.length, BinDir: binDir, Spec: soak.DefaultSpec(), CheckBounds: true}
+	opts := soak.Options{Length: f.length, BinDir: binDir, Spec: soak.DefaultSpec(), CheckBounds: true, Drills: f.drills, HideEra: f.hideEra}
 	if !f.quiet {
 		opts.Log = os.Stdout
 	}
--- a/contract/message.go
+++ b/contract/message.go
@@ -197,8 +197,8 @@
 	Machine     MachineID   `cbor:"1,keyasint,omitempty"`
 	Incarnation Incarnation `cbor:"2,keyasint,omitempty"`
 	// SettingsOffset is the highest settings offset that the sender has applied; between
-	// processes that read the operators' topic it is the end offset of what the sender
-	// has read of that topic: the highest offset plus one, 0 if none.
+	// processes that read the operators' topic it is the end of what the sender has read
+	// of that topic: the newest position plus one, 0 if none.
 	SettingsOffset Offset `cbor:"3,keyasint"`
 	// Load is set by targets.
 	Load    *Load       `cbor:"4,keyasint,omitempty"`
@@ -213,12 +213,14 @@
 	// SameInFlight reports that InFlight is omitted and the counts reported before still
 	// apply.
 	SameInFlight bool `cbor:"11,keyasint,omitempty"`
-	// TargetsEndOffset is the highest offset that an entry has read of the list of
+	// TargetsEndOffset is the newest position that an entry has read of the list of
 	// targets, plus one; 0 if it has read none.
 	TargetsEndOffset Offset `cbor:"10,keyasint,omitempty"`
 	// Announced lists for how long recently announced versions have been known, so that
 	// processes that learn of them late count from the same time.
 	Announced []AnnouncedVersion `cbor:"12,keyasint,omitempty"`
+	// StoreEra is the newest era of the platform's store that the sender knows; 0 if none.
+	StoreEra int64 `cbor:"14,keyasint,omitempty"`
 	// RateLimits lists the rates to which targets limit all entries, and the limits that
 	// were lifted recently, as far as the sending entry knows.
 	RateLimits []TargetRateLimit `cbor:"13,keyasint,omitempty"`
@@ -351,7 +353,7 @@
 
 // Record is the newest record of a key in one of the platform store's topics.
 type Record struct {
-	// Offset is the position of the record in the topic; a greater one is newer.
+	// Offset is the position of the record in the topic (NewPosition); a greater one is newer.
 	Offset int64  `cbor:"1,keyasint"`
 	Key    string `cbor:"2,keyasint"`
 	// Value is empty for a key that was deleted.
@@ -362,7 +364,8 @@
 // store.
 type RecordsPull struct {
 	Topic string `cbor:"1,keyasint"`
-	// After is the offset up to which the peer omits records.
+	// After is the position up to which the peer omits records. A peer in a newer era of the
+	// store sends all.
 	After int64 `cbor:"2,keyasint"`
 }
 
@@ -370,10 +373,12 @@
 type Records struct {
 	Topic   string   `cbor:"1,keyasint"`
 	Records []Record `cbor:"2,keyasint,omitempty"`
-	// Synced reports whether the sender has read the complete topic, Newest is the offset
+	// Synced reports whether the sender has read the complete topic, Newest is the position
 	// up to which it has.
 	Synced bool  `cbor:"3,keyasint,omitempty"`
 	Newest int64 `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store in which the sender has read the topic.
+	Era int64 `cbor:"6,keyasint,omitempty"`
 	// Busy reports that the sender is answering other peers and does not answer this
 	// request.
 	Busy bool `cbor:"5,keyasint,omitempty"`
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -46,6 +46,8 @@
 	// unexpectedExit reports whether an earlier process exited although the harness had
 	// neither stopped nor killed it.
 	unexpectedExit bool
+	// startedAt is when the current process was started.
+	startedAt time.Time
 	// disturbedAt is when the process was last killed, paused, resumed, started or found
 	// ready. stoppedAt is when its planned stop began; zero if there was none.
 	disturbedAt, stoppedAt time.Time
@@ -68,12 +70,20 @@
 	defer m.mu.Unlock()
 	m.unexpectedExit = m.unexpectedExit || m.processExitedUnexpectedly()
 	m.process, m.serving, m.endExpected = p, false, false
-	m.disturbedAt, m.stoppedAt = time.Now(), time.Time{}
+	m.startedAt = time.Now()
+	m.disturbedAt, m.stoppedAt = m.startedAt, time.Time{}
 	m.beginDowntime()
 	m.finishDowntime()
 	return nil
 }
 
+// StartedAt returns when the current process was started.
+func (m *Machine) StartedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.startedAt
+}
+
 // beginDowntime records that the process does not run from now on. mu must be held.
 func (m *Machine) beginDowntime() {
 	if m.endDowntime == nil {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -44,6 +44,9 @@
 	// LimitBound: a back end that limits its rate gets no more than that from all entries
 	// together, with the platform's tolerance.
 	LimitBound Promise = "no back end gets more than the limit that it names"
+	// Registered: once the faults are over, the store has the record by which each running
+	// process is found.
+	Registered Promise = "what a process published stands in the store"
 	// Recovers: once the faults are over, every entry serves again and every engine holds
 	// the newest version.
 	Recovers Promise = "all serve again once the faults are over"
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -24,6 +24,10 @@
 	// limitPerSecond is the rate to which a back end limits all entries together: less than
 	// one request a second of each.
 	limitPerSecond = 1.5
+	// restoreAge is how old the copy is from which the store comes back, and rewriteTime how
+	// long operators and engines may take to write again what was lost.
+	restoreAge  = 3 * time.Second
+	rewriteTime = time.Second
 )
 
 // injector starts and ends faults.
@@ -252,6 +256,14 @@
 			i.fleet.Store.SetWriteDelay(0)
 			time.AfterFunc(lateWriteDelay, endImpairment)
 		}
+	case RestoreStore:
+		endImpairment := i.bounds.storeImpairments.Begin()
+		i.fleet.Store.SetDown(true)
+		return func() {
+			i.fleet.Store.Restore(restoreAge)
+			i.fleet.Store.SetDown(false)
+			time.AfterFunc(rewriteTime, endImpairment)
+		}
 	case OriginUnavailable:
 		i.fleet.Origin.SetUnresponsive(true)
 		return func() { i.fleet.Origin.SetUnresponsive(false) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,7 @@
 	StoreDown
 	LateWrites
 	DropHistory
+	RestoreStore
 	CorruptOrigin
 	OriginUnavailable
 	AnnounceVersion
@@ -61,7 +62,7 @@
 	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
 	"connections to back end silent",
 	"delay of links", "cut towards links", "cut from links", "links silent",
-	"service hangs", "service loses answers", "back end limits its rate", "store down", "store applies writes late", "store drops history",
+	"service hangs", "service loses answers", "back end limits its rate", "store down", "store applies writes late", "store drops history", "store back from an older copy",
 	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
 }
 
@@ -102,7 +103,7 @@
 		return services
 	case f == LimitRate:
 		return backEnds
-	case f <= DropHistory:
+	case f <= RestoreStore:
 		return store
 	case f <= OriginUnavailable:
 		return origin
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mimosastand.example/mimosastand/internal/harness"
 )
 
@@ -32,6 +34,9 @@
 	// CheckBounds enables the checks of the promises that have a time bound. They need a
 	// machine that is not overloaded.
 	CheckBounds bool
+	// If Drills is set, the plan of the seed has returns of the store from older copies
+	// only. If HideEra is set, the store does not report its era.
+	Drills, HideEra bool
 	// Log receives one line per fault; nil disables it.
 	Log io.Writer
 }
@@ -68,6 +73,7 @@
 		return Report{}, err
 	}
 	defer fleet.Close()
+	fleet.Store.SetEraHidden(opts.HideEra)
 	if err := fleet.Start(ctx); err != nil {
 		return Report{}, err
 	}
@@ -75,6 +81,9 @@
 	s := &session{opts: opts, fleet: fleet, checker: checker, traffic: NewTraffic(fleet, checker),
 		bounds: &bounds{}, start: time.Now()}
 	plan := opts.Plan
+	if plan == nil && opts.Drills {
+		plan = GenerateDrills(opts.Seed, opts.Length, shapeOf(fleet))
+	}
 	if plan == nil {
 		plan = GeneratePlan(opts.Seed, opts.Length, shapeOf(fleet))
 	}
@@ -188,6 +197,20 @@
 	if err != nil && ctx.Err() == nil {
 		s.checker.AddViolation(Recovers, "%v", err)
 	}
+	if err := harness.WaitFor(ctx, timeout, s.checkRegistered); err != nil && ctx.Err() == nil {
+		s.checker.AddViolation(Registered, "%v", err)
+	}
+}
+
+// checkRegistered returns an error for the first running process whose member record in the
+// store was not written since the process started.
+func (s *session) checkRegistered() error {
+	for _, m := range s.fleet.Machines() {
+		if at := s.fleet.Store.MemberWrittenAt(m.Name); m.Running() && at.Before(m.StartedAt()) {
+			return errors.Newf("soak: the member record of %s was written at %v, before it started", m.Name, at.Format(time.TimeOnly))
+		}
+	}
+	return nil
 }
 
 // finish runs the checks that need the complete run, and stops the fleet.
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -65,3 +67,37 @@
 	}
 	return []Event{drawObject(rnd, limit, shape), drawObject(rnd, entryFault, shape)}
 }
+
+const (
+	// minDrillGap and maxDrillGap bound the time between two returns of the store in a plan
+	// of drills. maxDrillOutage bounds how long the store is away.
+	minDrillGap    = 3 * time.Second
+	maxDrillGap    = 6 * time.Second
+	maxDrillOutage = 1500 * time.Millisecond
+	// writesPerDrill is how many writes of operators, or restarts of processes that publish
+	// themselves, come before each return, so that something is lost.
+	writesPerDrill = 3
+)
+
+// GenerateDrills draws a plan in which the store comes back from older copies, again and
+// again, and nothing else fails: operators write, and processes are stopped and started.
+func GenerateDrills(seed uint64, length time.Duration, shape Shape) []Event {
+	rnd := rand.New(rand.NewPCG(seed, uint64(faultCount)))
+	writers := []Fault{AnnounceVersion, PublishManifest, EvacuateZone, StopEntry}
+	var plan []Event
+	for at := faultFreeStart; at < length-recoveryTime; at += randomDuration(rnd, minDrillGap, maxDrillGap) {
+		drawn := []Event{{At: at, Duration: randomDuration(rnd, minDuration, maxDrillOutage), Fault: RestoreStore}}
+		for range writesPerDrill {
+			before := randomDuration(rnd, 0, faultFreeStart)
+			write := Event{At: at - before, Duration: randomDuration(rnd, minDuration, maxDuration), Fault: writers[rnd.IntN(len(writers))]}
+			drawn = append(drawn, drawObject(rnd, write, shape))
+		}
+		for _, e := range drawn {
+			if allFit(plan, []Event{e}, length-recoveryTime, shape) {
+				plan = append(plan, e)
+			}
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -25,6 +25,7 @@
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/machine/storerestore"
 	"mimosastand.example/mimosastand/machine/weightcache"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -45,6 +46,10 @@
 	// already has: it wakes reads of the operators' records. The target list has no such
 	// delay, because one entry of a zone reads it for the others.
 	operatorsCatchupDelay = 250 * time.Millisecond
+	// operatorsRewriteTimeout and targetsRewriteTimeout are how long records are kept that the
+	// store lost when it came back from an older copy. Engines report about every second.
+	operatorsRewriteTimeout = 10 * time.Second
+	targetsRewriteTimeout   = 3 * time.Second
 	// remoteFlightsInterval is the least time between two reports of attempts in flight
 	// to an entry of another region.
 	remoteFlightsInterval = 500 * time.Millisecond
@@ -112,12 +117,16 @@
 		ReadInterval:    e.operatorsReadInterval,
 		PeerGracePeriod: e.operatorsPeerGracePeriod,
 		OnChange:        e.applyOperatorRecords,
+		RewriteTimeout:  operatorsRewriteTimeout,
+		Compare:         platform.CompareOperatorRecords,
 		Log:             logs.NewLogger("operators", process.Machine),
 	})
 	e.targetsFeed = feed.New(e.store, feed.Options{
 		Topic:              platform.TopicTargets,
 		ReadInterval:       e.targetsReadInterval,
 		OnChange:           e.fleet.applyTargetRecords,
+		RewriteTimeout:     targetsRewriteTimeout,
+		Compare:            platform.CompareTargets,
 		OnStoreStateChange: e.fleet.setStoreUp,
 		Log:                logs.NewLogger("targets", process.Machine),
 	})
@@ -131,6 +140,14 @@
 		Peers: e.peers,
 		Log:   logs.NewLogger("weightcache", process.Machine),
 	})
+	storerestore.Watch(e.runCtx, storerestore.Options{
+		Store:         e.store,
+		Peers:         e.peers,
+		Feeds:         []*feed.Feed{e.operatorsFeed, e.targetsFeed},
+		RewritePieces: e.weightCache.RewriteLost,
+		OnRestore:     e.meters.countStoreRestore,
+		Log:           e.log,
+	})
 	e.operatorsCatchup = peers.NewCatchup(e.peers, e.operatorsFeed, platform.TopicOperators, operatorsCatchupDelay)
 	e.targetsCatchup = peers.NewCatchup(e.peers, e.targetsFeed, platform.TopicTargets, 0)
 	return e, nil
@@ -175,6 +192,7 @@
 		hb.RateLimits = e.fleet.rateLimitReports()
 	}
 	hb.Announced = e.fleet.versionAges()
+	hb.StoreEra = e.store.Era()
 	hb.SettingsOffset = contract.Offset(e.operatorsFeed.NewestOffset() + 1)
 	hb.TargetsEndOffset = contract.Offset(e.targetsFeed.NewestOffset() + 1)
 }
@@ -189,6 +207,7 @@
 
 // handleHeartbeat applies a peer's heartbeat.
 func (e *Entry) handleHeartbeat(hb contract.Heartbeat) {
+	e.store.LearnEra(hb.StoreEra)
 	e.observeOperatorsOffset(hb)
 	if hb.Zone == e.process.Zone {
 		e.targetsCatchup.ObservePeerOffset(hb.Machine, int64(hb.TargetsEndOffset)-1)
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -78,6 +78,9 @@
 	m.scope.Tagged(map[string]string{"service": string(service), "target": string(id)}).Counter("target_attempts").Inc(1)
 }
 
+// countStoreRestore counts a return of the store from an older copy.
+func (m *meters) countStoreRestore() { m.scope.Counter("store_restores").Inc(1) }
+
 // countRetry counts a request that is sent again, by the outcome of the last attempt.
 func (m *meters) countRetry(o attempts.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
@@ -91,6 +94,7 @@
 	m.scope.Gauge("manifest_version").Update(float64(s.manifestVersion))
 	m.scope.Gauge("manifest_age_seconds").Update(s.manifestAge.Seconds())
 	metrics.ReportStoreCalls(m.scope, e.store.ResultCounts())
+	m.scope.Gauge("store_era").Update(float64(e.store.Era()))
 	metrics.ReportLinks(m.scope, e.peers.Traffic())
 	m.scope.Gauge("linked_peers").Update(float64(e.peers.LinkedCount()))
 	m.scope.Gauge("log_lines_left_out").Update(float64(logs.DroppedLines()))
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -40,6 +40,13 @@
 	// OnChange is called with the records that have changed, and when the complete topic
 	// is held for the first time even if it has no records.
 	OnChange func(Update)
+	// RewriteTimeout is how long a record that the store lost, when it came back from an
+	// older copy, is held for its writer to write it again. Then the store's state counts.
+	RewriteTimeout time.Duration
+	// Compare orders two values of a key by their contents; it may be nil. Without an order
+	// it follows from offsets which record is the newer one after the store came back from
+	// an older copy, and that is not always certain.
+	Compare CompareFunc
 	// OnStoreStateChange is called with the outcome of the first call to the store and
 	// whenever the outcome changes; it may be nil.
 	OnStoreStateChange func(up bool)
@@ -81,17 +88,21 @@
 
 	trigger chan struct{}
 
-	// from is the offset of the next read if fromValid is set; otherwise the feed reads a
-	// snapshot. graceEndsAt is when the feed reads the records that peers have not sent;
+	// lostAt is when records were last found to be lost by the store.
+	lostAt time.Time
+
+	// from is the offset of the next read, in the era fromEra of the store, if fromValid is
+	// set; otherwise the feed reads a snapshot. graceEndsAt is when the feed reads the records that peers have not sent;
 	// zero if no record is missing. Only Run uses these fields.
 	from        int64
+	fromEra     int64
 	fromValid   bool
 	graceEndsAt time.Time
 }
 
 // New returns a Feed that follows its topic while Run is running.
 func New(store *platform.Store, opts Options) *Feed {
-	return &Feed{store: store, opts: opts, replica: NewReplica(), firstSync: make(chan struct{}), trigger: make(chan struct{}, 1)}
+	return &Feed{store: store, opts: opts, replica: NewReplica(opts.Compare), firstSync: make(chan struct{}), trigger: make(chan struct{}, 1)}
 }
 
 // SetPeerGracePeriod sets Options.PeerGracePeriod. It must be called before Run.
@@ -178,6 +189,9 @@
 
 // poll reads the topic once, unless peers have sent the records or may still do so.
 func (f *Feed) poll(ctx context.Context) error {
+	if f.endLoss() {
+		return f.readSnapshot(ctx)
+	}
 	skip, err := f.canSkipRead(ctx)
 	if err != nil || skip {
 		return err
@@ -186,7 +200,7 @@
 		return f.readSnapshot(ctx)
 	}
 	batch, err := f.read(ctx)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, platform.ErrTrimmed) || err == nil && batch.Era != f.fromEra {
 		f.fromValid = false
 		return f.readSnapshot(ctx)
 	}
@@ -197,15 +211,28 @@
 		f.fromValid = false
 	}
 	if n := len(batch.Records); n > 0 {
-		f.from = batch.Records[n-1].Offset + 1
+		f.from = contract.PositionOffset(batch.Records[n-1].Offset) + 1
 	}
 	f.applyChange(func() []contract.Record { return f.replica.Apply(batch.Records) }, false)
-	if f.from >= batch.EndOffset || f.holdsUpTo(batch.EndOffset) {
+	if f.from >= batch.EndOffset || f.holdsUpTo(batch) {
 		f.markCaughtUp()
 	}
 	return nil
 }
 
+// endLoss reports whether records that the store lost were not written again in time. The
+// snapshot that is read next then replaces them.
+func (f *Feed) endLoss() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replica.LostCount() == 0 || time.Since(f.lostAt) < f.opts.RewriteTimeout {
+		return false
+	}
+	f.opts.Log.WithField("topic", f.opts.Topic).WithField("records", f.replica.LostCount()).Warn("lost records were not written again")
+	f.replica.ForgetLost()
+	return true
+}
+
 // markCaughtUp records that the feed now holds the topic up to the end offset reported by
 // the store.
 func (f *Feed) markCaughtUp() {
@@ -231,7 +258,7 @@
 		wait, f.cancelRead, f.refreshPending = 0, nil, false
 	}
 	// Records received from peers are not read again.
-	from := max(f.from, f.replica.NewestOffset()+1)
+	from := contract.PositionOffset(max(contract.NewPosition(f.fromEra, f.from), f.replica.NewestOffset()+1))
 	f.mu.Unlock()
 	batch, err := f.store.Read(readCtx, f.opts.Topic, from, wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
@@ -250,12 +277,39 @@
 	if err != nil {
 		return err
 	}
-	f.from, f.fromValid = batch.EndOffset, true
-	f.applyChange(func() []contract.Record { return f.replica.Reset(batch.Records, batch.EndOffset) }, true)
+	f.from, f.fromEra, f.fromValid = batch.EndOffset, batch.Era, true
+	f.reset(batch.Records, batch.Era, contract.NewPosition(batch.Era, batch.EndOffset))
 	f.markCaughtUp()
 	return nil
 }
 
+// reset applies a snapshot of the complete topic, and reports what the store has lost if
+// the snapshot is of a newer era.
+func (f *Feed) reset(records []contract.Record, era, end int64) {
+	lost, isNewEra := 0, false
+	f.applyChange(func() []contract.Record {
+		isNewEra = f.hasSynced && era > f.replica.Era()
+		changed := f.replica.Reset(records, era, end)
+		if lost = f.replica.LostCount(); isNewEra && lost > 0 {
+			f.lostAt = time.Now()
+		}
+		return changed
+	}, true)
+	if isNewEra {
+		f.opts.Log.WithField("topic", f.opts.Topic).WithField("era", era).WithField("records", lost).Warn("topic read in a new era of the store")
+	}
+}
+
+// Era returns the era of the store in which the topic is held.
+func (f *Feed) Era() int64 { return f.replicaEra() }
+
+// Stored returns the record of a key that the store has, as far as this feed knows.
+func (f *Feed) Stored(key string) (contract.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Stored(key)
+}
+
 // applyChange applies a change to the replica and passes the changed records to OnChange.
 // complete means that the change makes the replica hold the complete topic.
 func (f *Feed) applyChange(change func() []contract.Record, complete bool) {
@@ -320,24 +374,36 @@
 	return f.hasSynced
 }
 
-// NewestOffset returns the offset up to which the topic is held, or -1 if it is not held.
+// NewestOffset returns the position up to which the topic is held, or -1 if it is not held.
 func (f *Feed) NewestOffset() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.replica.NewestOffset()
 }
 
-// RecordsAfter returns the reply to a peer's pull of the records above an offset.
+// RecordsAfter returns the reply to a peer's pull of the records above a position.
 func (f *Feed) RecordsAfter(after int64) contract.Records {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return contract.Records{Topic: f.opts.Topic, Records: f.replica.RecordsAfter(after), Synced: f.hasSynced, Newest: f.replica.NewestOffset()}
+	return contract.Records{
+		Topic: f.opts.Topic, Records: f.replica.RecordsAfter(after), Synced: f.hasSynced,
+		Newest: f.replica.NewestOffset(), Era: f.replica.Era(),
+	}
 }
 
 // Merge applies a peer's reply to a pull. The pull must have asked for the records above
-// an offset up to which this feed already held the topic: with a later one Merge would
-// mark records as held that were never received.
+// a position up to which this feed already held the topic: with a later one Merge would
+// mark records as held that were never received. The reply of a peer that has read the
+// topic in a newer era of the store has the complete topic; that of one in an older era is
+// ignored.
 func (f *Feed) Merge(records contract.Records) {
+	switch era := f.replicaEra(); {
+	case records.Era < era, records.Era > era && !records.Synced:
+		return
+	case records.Era > era:
+		f.reset(records.Records, records.Era, records.Newest+1)
+		return
+	}
 	f.applyChange(func() []contract.Record {
 		changed := f.replica.Apply(records.Records)
 		if records.Synced {
@@ -346,3 +412,9 @@
 		return changed
 	}, records.Synced)
 }
+
+func (f *Feed) replicaEra() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Era()
+}
--- a/machine/feed/peergrace.go
+++ b/machine/feed/peergrace.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -56,7 +57,7 @@
 		return false, err
 	}
 	if f.holdsUpTo(end) {
-		f.from, f.fromValid = max(f.from, end), true
+		f.skipTo(end)
 		f.graceEndsAt = time.Time{}
 		f.markCaughtUp()
 		return true, nil
@@ -68,9 +69,19 @@
 	return now.Before(f.graceEndsAt), nil
 }
 
-// holdsUpTo reports whether the feed has synced and holds the topic up to an end offset.
-func (f *Feed) holdsUpTo(end int64) bool {
+// skipTo makes the next read begin at the end offset of a batch, unless a later one is known
+// in its era.
+func (f *Feed) skipTo(end platform.Batch) {
+	if f.fromEra == end.Era {
+		end.EndOffset = max(f.from, end.EndOffset)
+	}
+	f.from, f.fromEra, f.fromValid = end.EndOffset, end.Era, true
+}
+
+// holdsUpTo reports whether the feed has synced and holds the topic up to the end offset of
+// a batch, in its era of the store.
+func (f *Feed) holdsUpTo(end platform.Batch) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.hasSynced && f.replica.NewestOffset() >= end-1
+	return f.hasSynced && f.replica.Era() == end.Era && f.replica.NewestOffset() >= contract.NewPosition(end.Era, end.EndOffset)-1
 }
--- a/machine/feed/peergrace_test.go
+++ b/machine/feed/peergrace_test.go
@@ -97,15 +97,16 @@
 	if key := <-keys; key != "a" {
 		t.Fatalf("first changed key = %q, want \"a\"", key)
 	}
-	offset := store.Put(platform.TopicOperators, "config", "large")
+	position := contract.NewPosition(store.Era(), store.Put(platform.TopicOperators, "config", "large"))
 	if reads := countReads(paths, newestPath, 4); reads != 0 {
 		t.Errorf("reads within the peer grace period = %d, want 0", reads)
 	}
 	f.Merge(contract.Records{
 		Topic:   platform.TopicOperators,
-		Records: []contract.Record{{Offset: offset, Key: "config", Value: []byte("large")}},
+		Records: []contract.Record{{Offset: position, Key: "config", Value: []byte("large")}},
 		Synced:  true,
-		Newest:  offset,
+		Newest:  position,
+		Era:     store.Era(),
 	})
 	if key := <-keys; key != "config" {
 		t.Fatalf("second changed key = %q, want \"config\"", key)
@@ -137,7 +138,7 @@
 func TestUnsyncedFeedWaitsForPeersBeforeReadingStore(t *testing.T) {
 	store := fleet.NewStore()
 	t.Cleanup(store.Close)
-	offset := store.Put(platform.TopicOperators, "config", "large")
+	position := contract.NewPosition(store.Era(), store.Put(platform.TopicOperators, "config", "large"))
 	changedKeys := make(chan string, 8)
 	f := New(platform.NewStore(store.Address()), Options{
 		Topic:           platform.TopicOperators,
@@ -155,9 +156,10 @@
 	wg.Go(func() { f.Run(ctx) })
 	f.Merge(contract.Records{
 		Topic:   platform.TopicOperators,
-		Records: []contract.Record{{Offset: offset, Key: "config", Value: []byte("large")}},
+		Records: []contract.Record{{Offset: position, Key: "config", Value: []byte("large")}},
 		Synced:  true,
-		Newest:  offset,
+		Newest:  position,
+		Era:     store.Era(),
 	})
 	if key := <-changedKeys; key != "config" {
 		t.Errorf("changed key = %q, want \"config\"", key)
--- a/machine/peers/memberlist.go
+++ b/machine/peers/memberlist.go
@@ -20,6 +20,8 @@
 	joinReadInterval   = 120 * time.Millisecond
 	entryReadInterval  = time.Second
 	targetReadInterval = 15 * time.Second
+	// memberRewriteTimeout is how long the record of a peer is kept that the store lost.
+	memberRewriteTimeout = time.Minute
 )
 
 // maxReadWait returns how long a read of the members waits for records.
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -84,7 +84,9 @@
 		MaxWait:      p.maxReadWait(),
 		ReadInterval: p.memberReadInterval,
 		OnChange:     p.applyMembers,
-		Log:          opts.Log,
+		// Peers write their records again at once, unless they are gone.
+		RewriteTimeout: memberRewriteTimeout,
+		Log:            opts.Log,
 	})
 	creds, fingerprint, err := link.NewPinnedCredentials(
 		link.Peer{Machine: opts.Self.Machine, Role: opts.Self.Role}, p.isTrusted)
--- a/machine/target/direct/meters.go
+++ b/machine/target/direct/meters.go
@@ -29,9 +29,13 @@
 // countCorruptPiece counts a staged piece that was unreadable or corrupt.
 func (m *meters) countCorruptPiece() { m.scope.Counter("pieces_spoilt").Inc(1) }
 
+// countStoreRestore counts a return of the store from an older copy.
+func (m *meters) countStoreRestore() { m.scope.Counter("store_restores").Inc(1) }
+
 // updateGauges sets the gauges to the present state of the process.
 func (m *meters) updateGauges(t *Target) {
 	metrics.ReportStoreCalls(m.scope, t.store.ResultCounts())
+	m.scope.Gauge("store_era").Update(float64(t.store.Era()))
 	metrics.ReportLinks(m.scope, t.peers.Traffic())
 	m.scope.Gauge("log_lines_left_out").Update(float64(logs.DroppedLines()))
 	m.scope.Gauge("linked_peers").Update(float64(t.peers.LinkedCount()))
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -19,6 +19,7 @@
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
+	"mimosastand.example/mimosastand/machine/storerestore"
 	"mimosastand.example/mimosastand/machine/weightcache"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/upgrade"
@@ -30,6 +31,9 @@
 const (
 	linkedReadInterval   = 20 * time.Second
 	unlinkedReadInterval = 700 * time.Millisecond
+	// operatorsRewriteTimeout is how long records are kept that the store lost when it came
+	// back from an older copy.
+	operatorsRewriteTimeout = 10 * time.Second
 )
 
 // Target is the process beside one model engine.
@@ -67,7 +71,10 @@
 		Topic:        platform.TopicOperators,
 		ReadInterval: t.operatorsReadInterval,
 		OnChange:     t.applyOperatorRecords,
-		Log:          logs.NewLogger("operators", process.Machine),
+		// Records that the store lost are replaced by newer ones only (CompareOperatorRecords).
+		RewriteTimeout: operatorsRewriteTimeout,
+		Compare:        platform.CompareOperatorRecords,
+		Log:            logs.NewLogger("operators", process.Machine),
 	})
 	p, err := peers.Open(peers.Options{
 		Self: peers.Member{
@@ -118,6 +125,13 @@
 // Run serves until ctx ends.
 func (t *Target) Run(ctx context.Context) error {
 	t.log.Info("started")
+	storerestore.Watch(ctx, storerestore.Options{
+		Store:     t.store,
+		Peers:     t.peers,
+		Feeds:     []*feed.Feed{t.feed},
+		OnRestore: t.meters.countStoreRestore,
+		Log:       t.log,
+	})
 	var wg sync.WaitGroup
 	wg.Go(func() { t.peers.Run(ctx) })
 	wg.Go(func() { t.feed.Run(ctx) })
@@ -134,6 +148,7 @@
 // heartbeat.
 func (t *Target) fillHeartbeat(_ contract.MachineID, hb *contract.Heartbeat) {
 	hb.Engine = t.reconciler.status()
+	hb.StoreEra = t.store.Era()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hb.Announced = t.announced.Ages(time.Now(), t.bound)
@@ -143,6 +158,7 @@
 // the target's own zone is linked, the target does not read operators' records from
 // entries of other zones, over the links between regions.
 func (t *Target) handleHeartbeat(hb contract.Heartbeat) {
+	t.store.LearnEra(hb.StoreEra)
 	t.applyPeerAges(hb)
 	if _, hasLocal := t.peers.FirstLinkedEntry(t.process.Zone); hasLocal && hb.Zone != t.process.Zone {
 		return
--- a/machine/weightcache/cache.go
+++ b/machine/weightcache/cache.go
@@ -167,6 +167,21 @@
 	return cv
 }
 
+// RewriteLost appends the pieces of complete versions that the store lost when it came back
+// from an older copy in an era, as far as it is this entry's turn. It returns their number.
+func (c *Cache) RewriteLost(ctx context.Context, era int64) (rewritten int) {
+	c.mu.Lock()
+	var held []*cachedVersion
+	for _, cv := range c.versions {
+		held = append(held, cv)
+	}
+	c.mu.Unlock()
+	for _, cv := range held {
+		rewritten += cv.rewriteLost(ctx, era)
+	}
+	return rewritten
+}
+
 // evictOld removes the versions of the model that are too old now that another is added, and
 // ends the work on them. mu must be held.
 func (c *Cache) evictOld(added Version) {
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -51,11 +51,15 @@
 	downloadRequestedAt time.Time
 	// digestsKnown is closed when the digests are known.
 	digestsKnown chan struct{}
-	// stored flags the pieces that are known to be in the store.
-	stored []bool
-	// nextOffset is the offset of the next read. It is used without a lock: by readStore,
-	// and by backfillStore once readStore has returned.
-	nextOffset int64
+	// stored flags the pieces that are known to be in the store, in its era storedEra.
+	// appendedEnd is the offset after the last of them.
+	stored                 []bool
+	storedEra, appendedEnd int64
+	// nextOffset is the offset of the next read, in the era readEra of the store. They are
+	// used without a lock: by readStore, and once that has returned by backfillStore, which
+	// holds backfillMu.
+	nextOffset, readEra int64
+	backfillMu          sync.Mutex
 
 	pendingMu sync.Mutex
 	// pending holds the records that are still to be appended. The append of the first one
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -59,8 +59,14 @@
 		wait = 0
 	}
 	batch, err := cv.cache.opts.Store.Read(ctx, cv.topic(), cv.nextOffset, wait)
+	if err == nil && batch.Era != cv.readEra && cv.nextOffset > 0 {
+		// The offset belongs to an older era of the store.
+		cv.nextOffset, cv.readEra = 0, batch.Era
+		return cv.readNext(ctx)
+	}
 	if errors.Is(err, platform.ErrTrimmed) {
-		cv.nextOffset, err = cv.cache.opts.Store.ForEachNewestPage(ctx, cv.topic(), cv.applyRecords)
+		batch, err = cv.cache.opts.Store.ForEachNewestPage(ctx, cv.topic(), cv.applyRecords)
+		cv.nextOffset = batch.EndOffset
 	}
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
@@ -68,9 +74,10 @@
 		}
 		return 0, err
 	}
+	cv.readEra = batch.Era
 	cv.applyRecords(batch.Records)
 	if n := len(batch.Records); n > 0 {
-		cv.nextOffset = batch.Records[n-1].Offset + 1
+		cv.nextOffset = contract.PositionOffset(batch.Records[n-1].Offset) + 1
 	}
 	cv.nextOffset = max(cv.nextOffset, batch.FirstOffset)
 	return len(batch.Records), nil
@@ -79,11 +86,15 @@
 // backfillStore appends the records that are missing in the store, once the version is
 // complete: pieces may have come from an entry that cannot write to the store. The first
 // entries in rank do so one after another, each only for what the others have not appended.
-func (cv *cachedVersion) backfillStore(ctx context.Context) {
+//
+// It returns the number of pieces that were missing.
+func (cv *cachedVersion) backfillStore(ctx context.Context) (missingCount int) {
 	rank := cv.cache.rankOf(cv.id)
 	if rank >= maxDownloaders || cv.currentSet().Bytes() > MaxStoredBytes {
-		return
+		return 0
 	}
+	cv.backfillMu.Lock()
+	defer cv.backfillMu.Unlock()
 	sleep(ctx, backfillDelay+time.Duration(rank)*backfillDelay)
 	for ctx.Err() == nil && len(cv.missingInStore()) > 0 {
 		n, err := cv.readNext(ctx)
@@ -97,7 +108,7 @@
 	}
 	missing := cv.missingInStore()
 	if len(missing) == 0 || ctx.Err() != nil {
-		return
+		return 0
 	}
 	cv.log().WithField("pieces", len(missing)).Info("pieces missing in the store")
 	set := cv.currentSet()
@@ -105,6 +116,45 @@
 	for _, i := range missing {
 		cv.enqueueRecord(strconv.Itoa(i), set.Get(i))
 	}
+	return len(missing)
+}
+
+// rewriteLost appends the records of a complete version that the store lost when it came
+// back from an older copy in an era. It returns the number of pieces.
+func (cv *cachedVersion) rewriteLost(ctx context.Context, era int64) int {
+	if !cv.isComplete() || cv.cache.rankOf(cv.id) >= maxDownloaders {
+		return 0
+	}
+	end, err := cv.cache.opts.Store.EndOffset(ctx, cv.topic())
+	for err != nil && !errors.Is(err, platform.ErrNotFound) && ctx.Err() == nil {
+		sleep(ctx, storeRetryDelay)
+		end, err = cv.cache.opts.Store.EndOffset(ctx, cv.topic())
+	}
+	if ctx.Err() != nil || end.EndOffset >= cv.knownEnd() {
+		return 0
+	}
+	cv.enterEra(era)
+	return cv.backfillStore(ctx)
+}
+
+// knownEnd returns the least offset at which the topic of a complete version ended in the
+// last era of the store: after all pieces and the digests, and after all that this entry
+// appended.
+func (cv *cachedVersion) knownEnd() int64 {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	return max(cv.appendedEnd, int64(len(cv.stored))+1)
+}
+
+// enterEra forgets what the store held in an older era.
+func (cv *cachedVersion) enterEra(era int64) {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	if era <= cv.storedEra {
+		return
+	}
+	cv.storedEra, cv.appendedEnd = era, 0
+	clear(cv.stored)
 }
 
 // missingInStore returns the indexes of the pieces that are not known to be in the store.
@@ -140,14 +190,21 @@
 			cv.log().WithError(err).Warn("piece from the store failed verification")
 			continue
 		}
-		cv.markStored(i)
+		cv.markStored(i, r.Offset)
 	}
 }
 
-func (cv *cachedVersion) markStored(i int) {
+// markStored records that the store has a piece at a position, unless that is of an older
+// era than is known.
+func (cv *cachedVersion) markStored(i int, position int64) {
+	cv.enterEra(contract.PositionEra(position))
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
+	if contract.PositionEra(position) < cv.storedEra {
+		return
+	}
 	cv.stored[i] = true
+	cv.appendedEnd = max(cv.appendedEnd, contract.PositionOffset(position)+1)
 }
 
 func (cv *cachedVersion) isStored(i int) bool {
@@ -199,10 +256,10 @@
 // zones have to get the piece another way.
 func (cv *cachedVersion) storeRecord(ctx context.Context, r contract.Record) {
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		_, err := cv.cache.opts.Store.Put(ctx, cv.topic(), r.Key, r.Value)
+		position, err := cv.cache.opts.Store.Put(ctx, cv.topic(), r.Key, r.Value)
 		if err == nil {
 			if i, err := strconv.Atoi(r.Key); err == nil {
-				cv.markStored(i)
+				cv.markStored(i, position)
 			}
 			return
 		}
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -37,12 +37,19 @@
 	writeDelay time.Duration
 	// wakeupsDisabled is set if waiting reads are not woken.
 	wakeupsDisabled bool
+	// era is reported in all answers unless eraHidden is set; writes lists all writes, from
+	// which an older copy is made.
+	era       int64
+	eraHidden bool
+	writes    []write
 }
 
 type topic struct {
-	// first is the offset of the first of the retained records.
-	first   int64
-	records [][]byte
+	// first is the offset of the first of the retained records, writtenAt holds the time of
+	// the newest record of each key.
+	first     int64
+	records   [][]byte
+	writtenAt map[string]time.Time
 	// newest holds the offset of the newest record of each key, and values its value.
 	newest map[string]int64
 	values map[string][]byte
@@ -50,7 +57,7 @@
 
 // NewStore starts a store on a loopback address.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{})}
+	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", s.serveAppend)
 	mux.HandleFunc("GET /-/log-read", s.serveRead)
@@ -180,6 +187,9 @@
 		s.mu.Lock()
 		s.calls++
 		down := s.down
+		if !s.eraHidden {
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+		}
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -202,7 +212,7 @@
 func (s *Store) topic(name string) *topic {
 	t, ok := s.topics[name]
 	if !ok {
-		t = &topic{newest: map[string]int64{}, values: map[string][]byte{}}
+		t = &topic{newest: map[string]int64{}, values: map[string][]byte{}, writtenAt: map[string]time.Time{}}
 		s.topics[name] = t
 	}
 	return t
@@ -228,13 +238,20 @@
 // appendRecord appends a record and returns its offset. A record with an empty value
 // removes its key from the newest records of a keyed topic. mu must be held.
 func (s *Store) appendRecord(topicName string, record []byte) int64 {
+	s.writes = append(s.writes, write{topicName, record, time.Now()})
+	return s.applyWrite(s.writes[len(s.writes)-1])
+}
+
+// applyWrite applies a write and returns its offset. mu must be held.
+func (s *Store) applyWrite(wr write) int64 {
+	topicName, record := wr.topic, wr.record
 	t := s.topic(topicName)
 	offset := t.first + int64(len(t.records))
 	t.records = append(t.records, record)
 	if strings.HasPrefix(topicName, "keyed.") {
 		key := string(record[1 : 1+int(record[0])])
 		value := record[1+int(record[0]):]
-		t.newest[key], t.values[key] = offset, value
+		t.newest[key], t.values[key], t.writtenAt[key] = offset, value, wr.at
 		if len(value) == 0 {
 			delete(t.newest, key)
 			delete(t.values, key)
@@ -286,6 +303,10 @@
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		w.Header().Del("Store-Era")
+		if !s.eraHidden {
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+		}
 		t := s.topic(query.Get("topic"))
 		end, first, changed, down := t.first+int64(len(t.records)), t.first, s.changed, s.down
 		var records [][]byte
@@ -299,7 +320,7 @@
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case from < first:
+		case from < first, from > end:
 			w.WriteHeader(http.StatusGone)
 			_ = json.NewEncoder(w).Encode(map[string]int64{"first": first})
 			return
