--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// Plans of drills have several returns of the store, and writes that these make it lose.
+func TestDrillsLoseWrites(t *testing.T) {
+	const length = 24 * time.Second
+	for seed := range uint64(20) {
+		returns, writes := 0, 0
+		for _, e := range GenerateDrills(seed, length, shape) {
+			if e.Fault == RestoreStore {
+				returns++
+			} else {
+				writes++
+			}
+		}
+		if returns < 2 || writes < returns {
+			t.Errorf("seed %d: %d returns of the store and %d writes, want at least 2 returns and as many writes", seed, returns, writes)
+		}
+	}
+}
+
 func TestGeneratePlanSparesTheOnlyObjectOfAClass(t *testing.T) {
 	for _, e := range GeneratePlan(1, time.Minute, Shape{Entries: 1, Targets: 1, Services: 1, Zones: 1}) {
 		if c := e.Fault.class(); c <= zones {
