--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -92,8 +92,8 @@
 	lostAt time.Time
 
 	// from is the offset of the next read, in the era fromEra of the store, if fromValid is
-	// set; otherwise the feed reads a snapshot. graceEndsAt is when the feed reads the records that peers have not sent;
-	// zero if no record is missing. Only Run uses these fields.
+	// set; otherwise the feed reads a snapshot. graceEndsAt is when the feed reads the records
+	// that peers have not sent; zero if no record is missing. Only Run uses these fields.
 	from        int64
 	fromEra     int64
 	fromValid   bool
@@ -272,7 +272,7 @@
 func (f *Feed) readSnapshot(ctx context.Context) error {
 	batch, err := f.store.Newest(ctx, f.opts.Topic)
 	if errors.Is(err, platform.ErrNotFound) {
-		batch, err = platform.Batch{}, nil
+		batch, err = platform.Batch{Era: f.store.Era()}, nil
 	}
 	if err != nil {
 		return err
--- a/machine/feed/peergrace.go
+++ b/machine/feed/peergrace.go
@@ -53,7 +53,10 @@
 		return false, nil
 	}
 	end, err := f.store.EndOffset(ctx, f.opts.Topic)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) {
+		end, err = platform.Batch{Era: f.store.Era()}, nil
+	}
+	if err != nil {
 		return false, err
 	}
 	if f.holdsUpTo(end) {
