Stand-in: an engine that drains stays draining when it loads weights

The logs show the target listed as leaving at 44.79 s and as ready at 46.15 s, when the engine loaded version 2: the stand-in published itself as ready after each load. The entry did as the list said.

--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -38,7 +38,9 @@
 	server *httptest.Server
 	born   int64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// state is what the engine last published.
+	state   string
 	version int64
 	staged  map[int][]byte
 	running int
@@ -113,6 +115,7 @@
 // Publish writes the engine's entry in the target list, with a state such as "ready".
 func (e *Engine) Publish(state string) {
 	e.mu.Lock()
+	e.state = state
 	e.seq++
 	entry := map[string]any{
 		"service": e.Service, "address": e.Address(), "zone": e.Zone, "version": "v1", "slots": e.Slots,
@@ -259,8 +262,9 @@
 		e.loaded = append(e.loaded, fmt.Sprintf("%d:%d:%s", order.Version, i, hex.EncodeToString(sum[:])))
 	}
 	e.version = order.Version
+	state := e.state
 	e.mu.Unlock()
-	e.Publish("ready")
+	e.Publish(state)
 	w.WriteHeader(http.StatusAccepted)
 }
 
