Log and count targets that fall silent

A request whose target fell silent left its mark only at its end (broke=silent), without how long the target had been silent on all attempts and whether another target could follow. The hypotheses on LOST need both.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -142,6 +142,7 @@
 			case <-ticker.C:
 			}
 			if x.isSilent() {
+				x.call.entry.logSilence(x)
 				x.silenceDetected.Store(true)
 				x.conn.reset()
 				return
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -275,6 +275,17 @@
 	}
 }
 
+// logSilence logs and counts that the target of an attempt has fallen silent.
+func (e *Entry) logSilence(x *exchange) {
+	e.meters.countSilence()
+	c := x.call
+	runTime := e.fleet.runTime()
+	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(x.choice.ID)).
+		WithField("silent_ms", (runTime - time.Duration(x.lastActivityRunTime.Load())).Milliseconds()).
+		WithField("target_silent_ms", (runTime - e.fleet.lastActivity(c.service, x.choice.ID)).Milliseconds()).
+		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("target silent")
+}
+
 // logRetry logs and counts that a request is sent again.
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
 	e.meters.countRetry(outcome)
