Tests that fail: a silent target ends the answer

Callers whose target pauses for 1.8 s and then goes on get a stream that is cut, or 504 for an idempotent call: the entry gives the attempt up before it knows whether another target can follow.

--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -29,6 +29,8 @@
 	// retryWindow is the time over which the retry budget counts retries. A process gets its
 	// burst of retries only when it is older than that.
 	retryWindow = 10 * time.Second
+	// knownWithin is the time in which entries know of a change of the target list.
+	knownWithin = 700 * time.Millisecond
 )
 
 // rig is a fleet of entries and targets with the stand-ins that they use.
@@ -124,6 +126,18 @@
 	return e
 }
 
+// startOtherEngine starts one more engine, which has version 1 of the weights, and waits until the
+// entries know it.
+func (r *rig) startOtherEngine(slots int) *standins.Engine {
+	e := &standins.Engine{ID: "i-m9", Service: standins.ModelService, Zone: "a", Model: standins.Model, Slots: slots, EventCount: 8, EventInterval: 10 * time.Millisecond}
+	if err := e.Start(r.store, 1); err != nil {
+		r.t.Fatal(err)
+	}
+	r.engines = append(r.engines, e)
+	time.Sleep(knownWithin)
+	return e
+}
+
 // startTarget starts the target process beside a model engine.
 func (r *rig) startTarget(name string, engine *standins.Engine) {
 	p := r.newProcessConfig(config.RoleTarget, name)
