A silent target no longer ends an answer

Callers got a stream that was cut, or 502 and 504 for idempotent calls, when a sound target was silent for a second and went on. Cause: the entry reset the attempt once another one seemed allowed, and only then looked for a target, for room in the retry budget and for the same version of the weights; without these, or if the next target failed, the answer had ended.

Now the second attempt runs beside the silent one (a hedge), and whichever goes on first is kept: the first event or the complete response of the hedge ends the silent attempt, an event of the silent one ends the hedge, a hedge that fails changes nothing. Each attempt reads in a goroutine of its own and hands its parts to the request, the only one that writes to the caller. attempts.LimitFor decides on the hedge as on any retry; it takes one unit of the budget.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -63,7 +63,7 @@
 			c.endWithoutTarget(reason, retryAfter)
 			return
 		}
-		outcome, failureResp := c.runAttempt(ctx, choice)
+		outcome, failureResp := c.runAttempts(ctx, choice)
 		if outcome == attempts.Completed {
 			return
 		}
@@ -97,10 +97,12 @@
 	}
 }
 
-// mayRetry reports whether the route and the retry budget allow an attempt after the one that
+// mayHedge reports whether the route and the retry budget allow an attempt beside the one that
 // is under way.
-func (c *call) mayRetry() bool {
-	return c.attemptsSent+1 < c.route.MaxAttempts && c.entry.fleet.canRetry(c.service)
+func (c *call) mayHedge() bool {
+	state := c.attemptState()
+	state.Sent++
+	return attempts.LimitFor(attempts.Lost, state) == attempts.NoLimit && c.entry.fleet.canRetry(c.service)
 }
 
 // endWithoutTarget ends a request for which no target was found.
@@ -222,48 +224,6 @@
 	}
 }
 
-// runAttempt sends the request to a target and forwards the response. A failure that the
-// target itself reports is not forwarded but returned.
-func (c *call) runAttempt(ctx context.Context, choice placement.Choice) (attempts.Outcome, *bufferedResponse) {
-	fleet := c.entry.fleet
-	c.triedTargets = append(c.triedTargets, choice.ID)
-	c.lastTarget = choice.ID
-	c.entry.logPlacement(c, choice)
-	defer fleet.recordAttemptEnd(c.service, choice.ID)
-	x := newExchange(c, choice)
-	c.record.attemptStarted(choice, x.start)
-	c.entry.meters.placementTime.RecordDuration(x.start.Sub(c.arrived))
-	outcome, failureResp := x.run(ctx)
-	c.record.attemptEnded(time.Now(), outcome, x.breakage, x.err)
-	c.entry.meters.countAttempt(outcome)
-	if outcome != attempts.NotSent {
-		c.entry.meters.countSent(c.service, choice.ID)
-	}
-	switch outcome {
-	case attempts.NotSent:
-		c.attemptsUnsent++
-		if x.breakage != breakageStaleChoice {
-			fleet.recordFailure(c.service, choice.ID, false)
-		}
-	case attempts.NotRun:
-		c.attemptsSent++
-		fleet.recordRefusal(c.service, choice.ID, x.misdirected)
-	case attempts.Failed:
-		c.attemptsSent++
-		c.mayHaveRun = true
-		fleet.recordFailure(c.service, choice.ID, false)
-	case attempts.Lost:
-		c.attemptsSent++
-		c.mayHaveRun = true
-		if ctx.Err() == nil || x.silent {
-			fleet.recordFailure(c.service, choice.ID, x.silent)
-		}
-	default:
-		c.attemptsSent++
-	}
-	return outcome, failureResp
-}
-
 // writeResponse sends a complete response of a target to the caller.
 func (c *call) writeResponse(resp *bufferedResponse) {
 	h := c.w.Header()
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -163,6 +163,11 @@
 	})
 }
 
+// recordInconclusive records an attempt whose end says nothing about the target's health.
+func (fs *fleetState) recordInconclusive(service contract.ServiceName, id roster.TargetID) {
+	fs.withPool(service, func(_ time.Time, p *placement.Pool) { p.Inconclusive(id) })
+}
+
 func (fs *fleetState) recordFailure(service contract.ServiceName, id roster.TargetID, silent bool) {
 	fs.withPool(service, func(now time.Time, p *placement.Pool) {
 		if p.Failed(now, id, silent) {
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -40,34 +40,95 @@
 	body   []byte
 }
 
-// exchange is one attempt on one connection.
+// exchange is one attempt on one connection. It runs in a goroutine of its own and hands what
+// arrives to the request, so that the request can wait for more than one attempt.
 type exchange struct {
 	call   *call
 	choice placement.Choice
 	start  time.Time
 	conn   *conn
-	// silent is set if the exchange was aborted because the target sent nothing. abort sets
-	// it if silenceDetected is set.
-	silent      bool
+	// parts receives what arrives for the caller. abandoned is closed when nobody receives
+	// any more.
+	parts     chan part
+	abandoned chan struct{}
+	cancel    context.CancelFunc
+	// stopReset keeps the end of the context from resetting conn. It reports false if that
+	// has happened.
+	stopReset func() bool
+	// resumes is set if the target is to go on with a stream after the event resumeAfter, and
+	// continues if the caller has a part of the answer already. pinned is the only version
+	// of the weights that may go on; 0 means any.
+	resumes, continues bool
+	resumeAfter        int64
+	pinned             int64
+	// expectedVersion is the version that the attempt insists on; 0 means any.
+	expectedVersion int64
+	// head is the head of the response and reply what it says, once there is one.
+	head        *http.Response
+	reply       platform.Reply
 	misdirected bool
 	// breakage is why the attempt brought no usable response, err the error behind it if
 	// there is one.
 	breakage breakage
 	err      error
+	// silent is set once the target has counted as silent.
+	silent bool
 	// lastActivity is when something was last received, in nanoseconds since start;
 	// lastActivityRunTime is the run time of the process at that moment, in nanoseconds.
-	// silenceDetected is set when watchSilence aborts the exchange.
 	lastActivity        atomic.Int64
 	lastActivityRunTime atomic.Int64
-	silenceDetected     atomic.Bool
+}
+
+// part is a part of a response that the caller is to get, or the end of an attempt.
+type part struct {
+	// event and head are set for an event of a stream: head is that of the response.
+	event event
+	head  *http.Response
+	// ended is set for the last part. The attempt ended with outcome, and with the complete
+	// response if it is not a stream.
+	ended    bool
+	outcome  attempts.Outcome
+	response *bufferedResponse
 }
 
 func newExchange(c *call, choice placement.Choice) *exchange {
-	x := &exchange{call: c, choice: choice, start: time.Now()}
+	x := &exchange{
+		call: c, choice: choice, start: time.Now(),
+		parts: make(chan part, 1), abandoned: make(chan struct{}), cancel: func() {}, stopReset: func() bool { return true },
+		resumes: c.headSent || c.info.HasLastEvent, continues: c.headSent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
+	}
+	x.reply.OpenRequests = -1
 	x.lastActivityRunTime.Store(int64(c.entry.fleet.runTime()))
 	return x
 }
 
+// begin runs the attempt in a goroutine until it ends or is abandoned.
+func (x *exchange) begin(ctx context.Context) {
+	ctx, x.cancel = context.WithCancel(ctx)
+	go func() {
+		outcome, response := x.run(ctx)
+		x.emit(part{ended: true, outcome: outcome, response: response, head: x.head})
+	}()
+}
+
+// abandon ends the attempt, of which no further part is received.
+func (x *exchange) abandon() {
+	close(x.abandoned)
+	x.cancel()
+}
+
+// emit hands a part to the request. It reports false if the attempt is abandoned.
+func (x *exchange) emit(p part) bool {
+	select {
+	case x.parts <- p:
+		return true
+	case <-x.abandoned:
+		return false
+	}
+}
+
+// run makes the attempt. Events of a stream are handed on as they arrive; any other complete
+// response is returned, also one that reports a failure of the target.
 func (x *exchange) run(ctx context.Context) (attempts.Outcome, *bufferedResponse) {
 	c := x.call
 	// An hour adds no limit in practice: the connection's idleLimit is shorter.
@@ -87,9 +148,8 @@
 		x.breakage = breakageStaleChoice
 		return attempts.NotSent, nil
 	}
-	stop := context.AfterFunc(ctx, conn.reset)
-	defer stop()
-	defer x.watchSilence()()
+	x.stopReset = context.AfterFunc(ctx, conn.reset)
+	defer x.stopReset()
 	resp, err := conn.roundTrip(x.request(), c.deadline)
 	if err != nil {
 		outcome := x.abort(err)
@@ -103,15 +163,15 @@
 
 func (x *exchange) request() attemptRequest {
 	c := x.call
+	x.expectedVersion = c.entry.fleet.expectedVersion(c.service, x.pinned, x.choice.Version)
 	attempt := platform.Attempt{
 		Target:      x.choice.ID,
 		Remaining:   time.Until(c.deadline),
 		Priority:    -1,
-		Resume:      c.headSent || c.info.HasLastEvent,
-		ResumeAfter: c.lastEvent,
-		Version:     c.entry.fleet.expectedVersion(c.service, c.pinnedVersion, x.choice.Version),
+		Resume:      x.resumes,
+		ResumeAfter: x.resumeAfter,
+		Version:     x.expectedVersion,
 	}
-	c.record.expectedVersion = attempt.Version
 	if c.team != nil {
 		attempt.Team = string(c.team.Name)
 	}
@@ -124,49 +184,20 @@
 	}
 }
 
-// watchSilence aborts the exchange when the target falls silent, if the request may run
-// more than once. The function returned stops the watch.
-func (x *exchange) watchSilence() (stop func()) {
-	c := x.call
-	if !c.route.IsRepeatable() {
-		return func() {}
-	}
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(silenceCheckInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			if x.isSilent() {
-				x.call.entry.logSilence(x)
-				x.silenceDetected.Store(true)
-				x.conn.reset()
-				return
-			}
-		}
-	}()
-	return func() { close(done) }
-}
-
-// isSilent reports whether the target has sent nothing for too long, and another attempt can
-// follow: a late answer is better than none. A time in which this process stood still does
-// not count, since what arrived meanwhile has not been read yet.
+// isSilent reports whether the target has sent nothing for too long. A time in which this
+// process stood still does not count, since what arrived meanwhile has not been read yet.
 func (x *exchange) isSilent() bool {
 	c := x.call
 	runTime := c.entry.fleet.runTime()
 	silence := runTime - time.Duration(x.lastActivityRunTime.Load())
 	if c.route.Kind != catalog.Streaming {
-		return silence > max(minIdempotentTimeout, idempotentTimeoutObjectives*c.route.Objective) && c.mayRetry()
+		return silence > max(minIdempotentTimeout, idempotentTimeoutObjectives*c.route.Objective)
 	}
 	if silence > streamSilenceTimeout {
-		return c.mayRetry()
+		return true
 	}
 	targetActivity := c.entry.fleet.lastActivity(c.service, x.choice.ID)
-	return silence > targetSilenceTimeout && runTime-targetActivity > targetSilenceTimeout && c.mayRetry()
+	return silence > targetSilenceTimeout && runTime-targetActivity > targetSilenceTimeout
 }
 
 func (x *exchange) recordActivity() {
@@ -186,8 +217,8 @@
 func (x *exchange) receive(resp *http.Response) (attempts.Outcome, *bufferedResponse) {
 	c := x.call
 	reply := platform.DecodeReply(resp)
+	x.reply, x.head = reply, resp
 	x.recordActivity()
-	c.record.replyReceived(reply)
 	if reply.OpenRequests >= 0 {
 		c.entry.fleet.recordReportedLoad(c.service, x.choice.ID, reply.OpenRequests)
 	}
@@ -206,9 +237,9 @@
 		return attempts.NotRun, nil
 	}
 	if c.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
-		return x.forwardStream(resp, reply), nil
+		return x.readStream(resp, reply), nil
 	}
-	return x.forwardBuffered(resp, reply)
+	return x.readBuffered(resp, reply)
 }
 
 // isOwnAnswer reports whether a response belongs to this attempt. On a connection that was
@@ -246,13 +277,12 @@
 	x.call.entry.conns.putIdle(x.conn, reply.IdleTimeout)
 }
 
-// forwardBuffered reads a response to its end and forwards it, unless it is unusable or
-// reports a failure of the target. A response is unusable, and the attempt Lost, if it breaks
+// readBuffered reads a response to its end and returns it, unless it is unusable. A response is unusable, and the attempt Lost, if it breaks
 // off, is larger than maxResponseBytes, has a content encoding, is a success or redirect
 // without the target's stamp, or has a status that implies that the request has not run. Any
 // other response with a status of 500 or above is returned with Failed; the caller gets it if
 // no other attempt follows.
-func (x *exchange) forwardBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
+func (x *exchange) readBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
 	c := x.call
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
@@ -278,8 +308,7 @@
 		return attempts.Failed, buffered
 	}
 	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
-	c.writeResponse(buffered)
-	return attempts.Completed, nil
+	return attempts.Completed, buffered
 }
 
 // impliesNotRun reports whether a status tells callers that the request has not run. A
--- /dev/null
+++ b/machine/entry/direct/hedge.go
@@ -0,0 +1,242 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/zone/placement"
+)
+
+// attemptPair forwards the response of an attempt to the caller. While the target is silent, a
+// second attempt, the hedge, runs beside it. Whichever goes on first is kept: a silent target
+// may go on, and the hedge may find no target or fail.
+type attemptPair struct {
+	call    *call
+	ctx     context.Context
+	current *exchange
+	// hedge is nil if no second attempt runs.
+	hedge *exchange
+}
+
+// runAttempts sends the request to the chosen target, and to another one if the first falls
+// silent, and forwards the response. It returns how the last attempt ended, with the response
+// by which its target reported a failure.
+func (c *call) runAttempts(ctx context.Context, choice placement.Choice) (attempts.Outcome, *bufferedResponse) {
+	p := &attemptPair{call: c, ctx: ctx, current: c.beginAttempt(ctx, choice)}
+	p.recordStart()
+	c.entry.meters.placementTime.RecordDuration(p.current.start.Sub(c.arrived))
+	defer p.dropHedge()
+	return p.forward()
+}
+
+// beginAttempt starts an attempt at a target.
+func (c *call) beginAttempt(ctx context.Context, choice placement.Choice) *exchange {
+	c.triedTargets = append(c.triedTargets, choice.ID)
+	c.entry.logPlacement(c, choice)
+	x := newExchange(c, choice)
+	x.begin(ctx)
+	return x
+}
+
+// forward forwards what arrives until the current attempt ends and no hedge is left.
+func (p *attemptPair) forward() (attempts.Outcome, *bufferedResponse) {
+	checks, stop := p.silenceChecks()
+	defer stop()
+	for {
+		select {
+		case got := <-p.current.parts:
+			if !got.ended {
+				p.dropHedge()
+				if !p.sendEvent(got) {
+					return attempts.Lost, nil
+				}
+				continue
+			}
+			if done := p.currentEnded(got); done {
+				return got.outcome, got.response
+			}
+		case got := <-p.hedgeParts():
+			if got.ended && got.outcome != attempts.Completed {
+				p.hedgeFailed(got)
+				continue
+			}
+			p.takeOver()
+			if got.ended {
+				p.currentEnded(got)
+				return got.outcome, got.response
+			}
+			if !p.sendEvent(got) {
+				return attempts.Lost, nil
+			}
+		case <-checks:
+			p.checkSilence()
+		}
+	}
+}
+
+// silenceChecks returns a channel that receives at each time to check whether the target is
+// silent; it never does if the request may run only once.
+func (p *attemptPair) silenceChecks() (checks <-chan time.Time, stop func()) {
+	if !p.call.route.IsRepeatable() {
+		return nil, func() {}
+	}
+	ticker := time.NewTicker(silenceCheckInterval)
+	return ticker.C, ticker.Stop
+}
+
+// hedgeParts returns the channel of the hedge; nil if there is none.
+func (p *attemptPair) hedgeParts() <-chan part {
+	if p.hedge == nil {
+		return nil
+	}
+	return p.hedge.parts
+}
+
+// checkSilence starts a hedge if the target of the current attempt is silent, the rules allow
+// another attempt and a target has room for it now.
+func (p *attemptPair) checkSilence() {
+	c := p.call
+	if p.hedge != nil || len(p.current.parts) > 0 || !p.current.isSilent() || !c.mayHedge() {
+		return
+	}
+	p.recordSilence()
+	choice, refusal := c.entry.fleet.pickTarget(c.service, c.requirements(), time.Until(c.deadline))
+	if refusal != placement.Placed {
+		return
+	}
+	if !c.entry.fleet.takeRetry(c.service) {
+		c.entry.fleet.recordAttemptEnd(c.service, choice.ID)
+		return
+	}
+	c.entry.meters.countHedge()
+	p.hedge = c.beginAttempt(p.ctx, choice)
+}
+
+// recordSilence records once that the target of the current attempt is silent.
+func (p *attemptPair) recordSilence() {
+	if p.current.silent {
+		return
+	}
+	p.current.silent = true
+	p.call.entry.logSilence(p.current)
+	p.call.entry.fleet.recordFailure(p.call.service, p.current.choice.ID, true)
+}
+
+// currentEnded records the end of the current attempt. It reports false if the hedge takes
+// its place.
+func (p *attemptPair) currentEnded(got part) (done bool) {
+	c := p.call
+	c.record.replyReceived(p.current.reply, p.current.expectedVersion)
+	c.record.attemptEnded(time.Now(), got.outcome, p.current.breakage, p.current.err)
+	c.attemptEnded(p.current, got.outcome)
+	if got.outcome == attempts.Completed {
+		c.complete(got)
+		return true
+	}
+	if p.hedge == nil {
+		return true
+	}
+	c.entry.logRetry(c, got.outcome)
+	p.promoteHedge()
+	return false
+}
+
+// takeOver ends the current attempt, whose target is silent, and puts the hedge in its place.
+func (p *attemptPair) takeOver() {
+	c := p.call
+	c.record.attemptEnded(time.Now(), attempts.Lost, breakageSilent, nil)
+	c.entry.logRetry(c, attempts.Lost)
+	p.current.abandon()
+	c.attemptEnded(p.current, attempts.Lost)
+	p.promoteHedge()
+}
+
+// promoteHedge makes the hedge the current attempt.
+func (p *attemptPair) promoteHedge() {
+	p.current, p.hedge = p.hedge, nil
+	p.recordStart()
+}
+
+// recordStart records that the current attempt is the one on which the answer depends.
+func (p *attemptPair) recordStart() {
+	p.call.lastTarget = p.current.choice.ID
+	p.call.record.attemptStarted(p.current.choice, p.current.start)
+}
+
+// hedgeFailed records a hedge that ended while the current attempt is still under way.
+func (p *attemptPair) hedgeFailed(got part) {
+	p.call.attemptEnded(p.hedge, got.outcome)
+	p.hedge = nil
+}
+
+// dropHedge abandons the hedge, if there is one: the current attempt goes on or has ended.
+func (p *attemptPair) dropHedge() {
+	if p.hedge == nil {
+		return
+	}
+	p.hedge.abandon()
+	p.call.entry.fleet.recordInconclusive(p.call.service, p.hedge.choice.ID)
+	p.call.attemptsSent++
+	p.call.mayHaveRun = true
+	p.call.entry.fleet.recordAttemptEnd(p.call.service, p.hedge.choice.ID)
+	p.hedge = nil
+}
+
+// sendEvent sends an event of the current attempt to the caller. It reports false, and ends
+// the attempt, if the caller has gone.
+func (p *attemptPair) sendEvent(got part) bool {
+	c, x := p.call, p.current
+	if c.pinnedVersion == 0 {
+		c.pinnedVersion = x.reply.Version
+	}
+	err := c.sendEvent(got.head, got.event)
+	if err == nil {
+		return true
+	}
+	x.abandon()
+	c.record.replyReceived(x.reply, x.expectedVersion)
+	c.record.attemptEnded(time.Now(), attempts.Lost, breakageCallerGone, err)
+	c.attemptEnded(x, attempts.Lost)
+	return false
+}
+
+// complete ends the answer after a complete response: the rest of a stream has been sent.
+func (c *call) complete(got part) {
+	if got.response != nil {
+		c.writeResponse(got.response)
+		return
+	}
+	c.sendHead(got.head)
+	c.recordEnd(http.StatusOK, contract.Reason(""), 0)
+}
+
+// attemptEnded records how an attempt ended with its target, and counts it.
+func (c *call) attemptEnded(x *exchange, outcome attempts.Outcome) {
+	fleet := c.entry.fleet
+	fleet.recordAttemptEnd(c.service, x.choice.ID)
+	c.entry.meters.countAttempt(outcome)
+	if outcome == attempts.NotSent {
+		c.attemptsUnsent++
+		if x.breakage != breakageStaleChoice {
+			fleet.recordFailure(c.service, x.choice.ID, false)
+		}
+		return
+	}
+	c.entry.meters.countSent(c.service, x.choice.ID)
+	c.attemptsSent++
+	switch outcome {
+	case attempts.NotRun:
+		fleet.recordRefusal(c.service, x.choice.ID, x.misdirected)
+	case attempts.Failed:
+		c.mayHaveRun = true
+		fleet.recordFailure(c.service, x.choice.ID, false)
+	case attempts.Lost:
+		c.mayHaveRun = true
+		if !x.silent && c.r.Context().Err() == nil && time.Now().Before(c.deadline) {
+			fleet.recordFailure(c.service, x.choice.ID, false)
+		}
+	}
+}
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -84,6 +84,9 @@
 // countSilence counts an attempt whose target has fallen silent.
 func (m *meters) countSilence() { m.scope.Counter("target_silences").Inc(1) }
 
+// countHedge counts an attempt that is sent beside one whose target is silent.
+func (m *meters) countHedge() { m.scope.Counter("hedges").Inc(1) }
+
 // countRetry counts a request that is sent again, by the outcome of the last attempt.
 func (m *meters) countRetry(o attempts.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -80,8 +80,10 @@
 	}
 }
 
-// replyReceived records the head of a target's response.
-func (rec *requestRecord) replyReceived(reply platform.Reply) {
+// replyReceived records the head of a target's response, and the version that the attempt
+// insisted on.
+func (rec *requestRecord) replyReceived(reply platform.Reply, expectedVersion int64) {
+	rec.expectedVersion = expectedVersion
 	rec.targetStatus, rec.targetLoad, rec.targetVersion = reply.Status, reply.OpenRequests, reply.Version
 }
 
@@ -223,7 +225,6 @@
 // abort resets a connection that failed; the attempt is lost.
 func (x *exchange) abort(err error) attempts.Outcome {
 	x.conn.reset()
-	x.silent = x.silenceDetected.Load()
 	x.recordBreakage(err)
 	return attempts.Lost
 }
@@ -241,8 +242,6 @@
 func (x *exchange) classifyBreakage(err error) breakage {
 	caller := x.call.r.Context().Err()
 	switch {
-	case x.silenceDetected.Load():
-		return breakageSilent
 	case caller != nil && !errors.Is(caller, context.DeadlineExceeded):
 		return breakageCallerGone
 	case !time.Now().Before(x.call.deadline):
@@ -281,8 +280,8 @@
 	c := x.call
 	runTime := e.fleet.runTime()
 	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(x.choice.ID)).
-		WithField("silent_ms", (runTime - time.Duration(x.lastActivityRunTime.Load())).Milliseconds()).
-		WithField("target_silent_ms", (runTime - e.fleet.lastActivity(c.service, x.choice.ID)).Milliseconds()).
+		WithField("silent_ms", (runTime-time.Duration(x.lastActivityRunTime.Load())).Milliseconds()).
+		WithField("target_silent_ms", (runTime-e.fleet.lastActivity(c.service, x.choice.ID)).Milliseconds()).
 		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("target silent")
 }
 
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -72,24 +72,22 @@
 	}
 }
 
-// forwardStream forwards the events of a response as they arrive. A stream that breaks
-// off is Lost: another target may continue it after the last event.
-func (x *exchange) forwardStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
+// readStream hands on the events of a response as they arrive. A stream that breaks off is
+// Lost: another target may continue it after the last event.
+func (x *exchange) readStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
 	c := x.call
 	if reply.HasContentEncoding || !reply.HasStamp {
 		x.conn.reset()
 		x.breakage = unusableBreakage(reply)
 		return attempts.Lost
 	}
-	if c.pinnedVersion == 0 {
-		c.pinnedVersion = reply.Version
-	}
 	events := bufio.NewReader(resp.Body)
 	first := true
 	for {
 		ev, err := readEvent(events)
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, reply)
+			x.releaseConn(resp, reply)
+			return attempts.Completed
 		}
 		if err != nil {
 			return x.abort(err)
@@ -103,26 +101,12 @@
 			c.entry.meters.firstEventTime.RecordDuration(time.Since(x.start))
 			c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
 		}
-		if ev.hasID && ev.id <= c.lastEvent && (c.headSent || c.info.HasLastEvent) {
-			continue
-		}
-		if err := c.sendEvent(resp, ev); err != nil {
-			x.conn.reset()
-			x.breakage, x.err = breakageCallerGone, err
+		if !x.emit(part{event: ev, head: resp}) {
 			return attempts.Lost
 		}
 	}
 }
 
-// finishStream ends the response to a stream that is complete and keeps the connection.
-func (x *exchange) finishStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
-	c := x.call
-	x.releaseConn(resp, reply)
-	c.sendHead(resp)
-	c.recordEnd(http.StatusOK, "", 0)
-	return attempts.Completed
-}
-
 // sendHead sends the head of the response unless that has been done: if another target
 // continues a stream, the head of the first target stays.
 func (c *call) sendHead(resp *http.Response) {
@@ -140,8 +124,12 @@
 	c.w.WriteHeader(resp.StatusCode)
 }
 
-// sendEvent sends one event to the caller, after the head of the response.
+// sendEvent sends one event to the caller, after the head of the response, unless the caller
+// has it already.
 func (c *call) sendEvent(resp *http.Response, ev event) error {
+	if ev.hasID && ev.id <= c.lastEvent && (c.headSent || c.info.HasLastEvent) {
+		return nil
+	}
 	c.sendHead(resp)
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetWriteDeadline(c.deadline.Add(time.Second))
