--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -268,9 +268,9 @@
 }
 
 // releaseConn keeps the connection for other attempts after a complete response, unless the
-// target closes it or has too few connections.
+// target closes it or has too few connections, or the end of the context resets it.
 func (x *exchange) releaseConn(resp *http.Response, reply platform.Reply) {
-	if resp.Close || !x.call.entry.fleet.keepsIdleConns(x.call.service) {
+	if !x.stopReset() || resp.Close || !x.call.entry.fleet.keepsIdleConns(x.call.service) {
 		_ = x.conn.Close()
 		return
 	}
--- a/machine/entry/direct/hedge_test.go
+++ b/machine/entry/direct/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,9 +17,11 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/placement"
 )
 
 // streamText is a response with a stream of the events first to last. If it is not whole, the
@@ -140,3 +143,33 @@
 	}()
 	return lis.Addr().String()
 }
+
+// leavingCaller leaves while the answer is written.
+type leavingCaller struct {
+	*httptest.ResponseRecorder
+	leave context.CancelFunc
+}
+
+// Write implements http.ResponseWriter.
+func (w leavingCaller) Write(data []byte) (int, error) {
+	w.leave()
+	time.Sleep(10 * time.Millisecond)
+	return w.ResponseRecorder.Write(data)
+}
+
+// Guards against requests that are lost because another caller left: a connection whose response
+// had arrived whole was reset although it was in the pool, where others may have taken it.
+func TestReleasedConnectionIsNotReset(t *testing.T) {
+	address := scriptedTarget(t, func(_ int, r *http.Request) string { return answerText(http.StatusOK, "a", "", "one") })
+	e := newQuietEntry()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	c := &call{entry: e, r: httptest.NewRequest(http.MethodPost, "/pay/x", nil), service: testService, info: platform.Call{AttemptID: "a"},
+		w: leavingCaller{httptest.NewRecorder(), leave}, route: &catalog.Route{Kind: catalog.NonIdempotent}, deadline: time.Now().Add(time.Minute)}
+	if outcome, _ := c.runAttempts(ctx, placement.Choice{ID: "target-1", Address: address}); outcome != attempts.Completed {
+		t.Fatalf("outcome = %v, want Completed", outcome)
+	}
+	if conn := e.conns.takeIdle(address); conn == nil || !conn.isReusable() {
+		t.Error("the connection of a complete response cannot be used again, want it open")
+	}
+}
