Entry: log and count connections that end without a response

A request that net/http reads and drops, while the server shuts down or after a panic, leaves no trace in the entry's log or metrics: the handler never runs, or does not reach its end.

The connections of callers are tracked.

--- a/machine/entry/direct/connpool.go
+++ b/machine/entry/direct/connpool.go
@@ -144,7 +144,7 @@
 
 // resetConn closes a connection with a TCP reset, which drops data that has not arrived.
 func resetConn(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -85,6 +85,8 @@
 	// deliver.
 	operatorsCatchup, targetsCatchup *peers.Catchup
 	callerListener, readyListener    net.Listener
+	// callerConns follows the connections of callers.
+	callerConns *connTracker
 	// remoteFlights paces the reports of attempts in flight to entries of other regions.
 	remoteFlights *pacer
 	// transferSlots holds one element for each transfer of operators' records to a peer.
@@ -109,6 +111,7 @@
 		transferSlots: make(chan struct{}, maxTransfers),
 	}
 	e.meters = newMeters(e.metrics.Scope())
+	e.callerConns = newConnTracker(e.log, e.meters)
 	e.fleet = newFleetState(process, logs.NewLogger("fleet", process.Machine))
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 	e.operatorsFeed = feed.New(e.store, feed.Options{
@@ -251,13 +254,8 @@
 	for _, loop := range []func(context.Context){e.peers.Run, e.operatorsFeed.Run, e.targetsFeed.Run, e.operatorsCatchup.Run, e.targetsCatchup.Run, e.maintenanceLoop} {
 		go loop(e.runCtx)
 	}
-	server := &http.Server{
-		Handler:           callerHandler{e},
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	go e.serve(server, e.callerListener)
+	server := e.newCallerServer(callerHandler{e})
+	go e.serve(server, e.callerConns.listener(e.callerListener))
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.readyListener)
 	go e.metrics.Serve(e.runCtx, e.process.Fleet.MetricsAddress, e.log)
 	<-ctx.Done()
@@ -266,6 +264,16 @@
 	return e.metrics.Close()
 }
 
+// newCallerServer returns the server for callers.
+func (e *Entry) newCallerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 func (e *Entry) serve(server *http.Server, lis net.Listener) {
 	if err := server.Serve(lis); err != nil && !e.stopping.Load() {
 		e.log.WithError(err).Error("listener failed")
