Entry: a planned stop answers every request that it has read

That closes connections in StateIdle, also ones on which the server has begun to read a request, drops a request whose head is read while it shuts down, and waits 5 s for a new connection that never speaks.

The stop no longer uses Shutdown. Connections that wait for a request get a read deadline in the past, every 10 ms until none is left: a read that has taken bytes from the socket wins and lifts the deadline, otherwise the read times out and the server closes the connection, of which nothing was read. New connections get 1 s for that. What remains at the end of the grace period, less 0.6 s, is closed as before.

The tests start the drain with the listener as second argument, and the test of unanswered connections closes its listener before it waits for the tracker to be empty, which now includes that; checks and bounds are the same.

--- a/machine/entry/direct/conntracker_test.go
+++ b/machine/entry/direct/conntracker_test.go
@@ -29,11 +29,11 @@
 		e, lines := newQuietEntry(), memory.New()
 		e.callerConns = newConnTracker(&log.Logger{Handler: lines, Level: log.InfoLevel}, e.meters)
 		called := make(chan struct{})
-		server, address := startCallerServer(t, e, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server, callers := startCallerServer(t, e, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			close(called)
 			c.handler(w, r)
 		}), nil)
-		conn, err := net.Dial("tcp", address)
+		conn, err := net.Dial("tcp", callers.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -45,6 +45,7 @@
 			_, _ = io.Copy(io.Discard, conn)
 		}
 		_ = conn.Close()
+		_ = callers.Close()
 		waitUntil(t, "no connection is open", e.callerConns.isEmpty)
 		_ = server.Close()
 		if len(lines.Entries) != c.want {
@@ -55,7 +56,7 @@
 
 // startCallerServer serves callers of e with a handler, through a listener whose
 // connections count what is read from them if reads is set.
-func startCallerServer(t *testing.T, e *Entry, handler http.Handler, reads *readRecorder) (*http.Server, string) {
+func startCallerServer(t *testing.T, e *Entry, handler http.Handler, reads *readRecorder) (*http.Server, *callerListener) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,8 +68,9 @@
 	}
 	server := e.newCallerServer(handler)
 	t.Cleanup(func() { _ = server.Close() })
-	go func() { _ = server.Serve(e.callerConns.listener(lis)) }()
-	return server, lis.Addr().String()
+	callers := e.callerConns.listener(lis)
+	go func() { _ = server.Serve(callers) }()
+	return server, callers
 }
 
 // readRecorder is a listener that records how many bytes are read from each connection. A
--- a/machine/entry/direct/drain.go
+++ b/machine/entry/direct/drain.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"context"
 	"net/http"
 	"time"
 )
@@ -13,22 +12,35 @@
 	// killMargin is left unused at the end of the grace period, when the platform kills
 	// the process.
 	killMargin = 600 * time.Millisecond
+	// newConnGrace is how long a new connection may wait for its first request.
+	newConnGrace = time.Second
+	// drainInterval is the time between two looks at the open connections.
+	drainInterval = 10 * time.Millisecond
 )
 
 // drain stops the entry without aborting requests: readiness fails at once, requests that
-// still arrive are served, and each response closes its connection. Idle connections are
-// closed once no new ones arrive, so that the last requests have the rest of the grace
-// period, up to killMargin, to complete.
-func (e *Entry) drain(server *http.Server) {
-	start := time.Now()
+// still arrive are served, and each response closes its connection. Once no new connections
+// arrive, those that wait for a request are ended, again and again until none is left. The
+// last requests have the rest of the grace period, up to killMargin, to complete.
+//
+// It does not call http.Server.Shutdown, which drops requests that have been read: it
+// closes connections whose next request the server has read in part, and a server that
+// shuts down does not answer a request whose head it has just read.
+func (e *Entry) drain(server *http.Server, callers *callerListener) {
+	end := time.Now().Add(max(e.process.ShutdownGrace-killMargin, readinessNotice+killMargin))
 	e.stopping.Store(true)
 	e.log.WithField("open", e.openRequests.Load()).Info("stopping")
 	time.Sleep(readinessNotice)
-	limit := e.process.ShutdownGrace - killMargin
-	ctx, cancel := context.WithTimeout(context.Background(), max(limit-time.Since(start), killMargin))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		e.log.WithError(err).WithField("open", e.openRequests.Load()).Warn("open requests aborted at end of grace period")
-		_ = server.Close()
+	if err := callers.stopAccepting(); err != nil {
+		e.log.WithError(err).Warn("listener for callers cannot be closed in order")
+		_ = callers.Close()
 	}
+	for !e.callerConns.isEmpty() && time.Now().Before(end) {
+		e.callerConns.endWaiting(newConnGrace)
+		time.Sleep(drainInterval)
+	}
+	if open := e.openRequests.Load(); open > 0 {
+		e.log.WithField("open", open).Warn("open requests aborted at end of grace period")
+	}
+	_ = server.Close()
 }
--- a/machine/entry/direct/drain_test.go
+++ b/machine/entry/direct/drain_test.go
@@ -24,7 +24,7 @@
 type drainedEntry struct {
 	*Entry
 	server  *http.Server
-	address string
+	callers *callerListener
 	reads   *readRecorder
 	// stopped is closed when the drain is over.
 	stopped chan struct{}
@@ -35,7 +35,7 @@
 	d := &drainedEntry{Entry: newQuietEntry(), reads: &readRecorder{delay: delay, conns: make(chan *recordedConn, 1000)}, stopped: make(chan struct{})}
 	d.process = &config.Process{ShutdownGrace: 8 * time.Second}
 	d.callerConns = newConnTracker(d.log, d.meters)
-	d.server, d.address = startCallerServer(t, d.Entry, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d.server, d.callers = startCallerServer(t, d.Entry, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -49,7 +49,7 @@
 	start := time.Now()
 	go func() {
 		defer close(d.stopped)
-		d.drain(d.server)
+		d.drain(d.server, d.callers)
 	}()
 	return start
 }
@@ -66,7 +66,7 @@
 
 func (d *drainedEntry) dial(t *testing.T) *drainCaller {
 	t.Helper()
-	conn, err := net.Dial("tcp", d.address)
+	conn, err := net.Dial("tcp", d.callers.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -255,11 +255,12 @@
 		go loop(e.runCtx)
 	}
 	server := e.newCallerServer(callerHandler{e})
-	go e.serve(server, e.callerConns.listener(e.callerListener))
+	callers := e.callerConns.listener(e.callerListener)
+	go e.serve(server, callers)
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.readyListener)
 	go e.metrics.Serve(e.runCtx, e.process.Fleet.MetricsAddress, e.log)
 	<-ctx.Done()
-	e.drain(server)
+	e.drain(server, callers)
 	e.log.Info("stopped")
 	return e.metrics.Close()
 }
@@ -271,6 +272,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         e.callerConns.observe,
 	}
 }
 
