Entry: a panic while a request is handled is answered, logged and counted

A panic other than http.ErrAbortHandler is now logged in one line with up to 4 KiB of the stack and counted (panics). If no answer has begun, the caller gets 503 with "not run" (internal_error) as long as no attempt may have run, otherwise 502; the connection is closed. An answer that has begun is broken off. The server's own response writer still goes to http.MaxBytesReader, which closes the connection of a body that is too long.

--- a/contract/explain.go
+++ b/contract/explain.go
@@ -29,6 +29,7 @@
 	ReasonWeightsChanged:   "the version changed under the answer",
 	ReasonBackendDown:      "the back end is down",
 	ReasonBackendError:     "the back end failed",
+	ReasonInternalError:    "this entry host failed before it sent the request to a target",
 
 	ReasonDuplicateAttempt: "the attempt came before",
 	ReasonTombstone:        "the attempt was refused before",
--- a/contract/reason.go
+++ b/contract/reason.go
@@ -43,6 +43,7 @@
 	ReasonWeightsChanged   Reason = "weights_changed"
 	ReasonBackendDown      Reason = "backend_down"
 	ReasonBackendError     Reason = "backend_error"
+	ReasonInternalError    Reason = "internal_error"
 )
 
 // Reasons that concern attempts, keys and links.
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -35,7 +35,9 @@
 	e.openRequests.Add(1)
 	defer e.openRequests.Add(-1)
 	arrived := time.Now()
-	c := &call{entry: e, w: w, r: r, arrived: arrived, info: platform.DecodeCall(r.Header)}
+	answer := &beginWriter{ResponseWriter: w}
+	c := &call{entry: e, w: answer, r: r, arrived: arrived, info: platform.DecodeCall(r.Header)}
+	defer c.answerPanic(answer)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -44,7 +46,7 @@
 		c.writeUnavailable(contract.ReasonSettingsNotReady, notReadyRetryAfter)
 		return
 	}
-	if !c.admit(manifest) || !c.readBody(manifest) {
+	if !c.admit(manifest) || !c.readBody(w, manifest) {
 		return
 	}
 	c.serve()
@@ -84,13 +86,14 @@
 }
 
 // readBody reads the request's body. It answers a request whose body is not accepted, and
-// returns false.
-func (c *call) readBody(m *catalog.Manifest) bool {
+// returns false. w is the server's own response writer, which closes the connection of a body
+// that is too large.
+func (c *call) readBody(w http.ResponseWriter, m *catalog.Manifest) bool {
 	limit := int64(maxBodyBytes)
 	if m.Limits.BodyBytes > 0 {
 		limit = int64(m.Limits.BodyBytes)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -84,6 +84,9 @@
 // countUnanswered counts a connection that ends without a response to what was read from it.
 func (m *meters) countUnanswered() { m.scope.Counter("unanswered_connections").Inc(1) }
 
+// countPanic counts a request whose handling panicked.
+func (m *meters) countPanic() { m.scope.Counter("panics").Inc(1) }
+
 // countRetry counts a request that is sent again, by the outcome of the last attempt.
 func (m *meters) countRetry(o attempts.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
--- a/machine/entry/direct/panic_test.go
+++ b/machine/entry/direct/panic_test.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/apex/log"
+
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
@@ -88,6 +91,13 @@
 				}
 				return c.answer
 			}))
+			var stacks atomic.Int64
+			e.log = &log.Logger{Level: log.ErrorLevel, Handler: log.HandlerFunc(func(line *log.Entry) error {
+				if line.Fields["stack"] != nil {
+					stacks.Add(1)
+				}
+				return nil
+			})}
 			e.callerConns = newConnTracker(e.log, e.meters)
 			_, callers := startCallerServer(t, e, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if c.inBody {
@@ -96,6 +106,9 @@
 				callerHandler{e}.ServeHTTP(&panickingWriter{ResponseWriter: w, panicAt: c.panicAt}, r)
 			}), nil)
 			status, body, err := postTo(t, callers.Addr().String())
+			if panics := c.inBody || c.panicAt > 0; panics != (stacks.Load() == 1) {
+				t.Errorf("%d lines with a stack logged, want one if the handler panics (%v)", stacks.Load(), panics)
+			}
 			if c.want == 0 {
 				if err == nil {
 					t.Fatalf("answer %d %q is complete, want it broken off", status, body)
