--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -106,8 +106,11 @@
 func (x *exchange) begin(ctx context.Context) {
 	ctx, x.cancel = context.WithCancel(ctx)
 	go func() {
-		outcome, response := x.run(ctx)
-		x.emit(part{ended: true, outcome: outcome, response: response, head: x.head})
+		end := part{ended: true, outcome: attempts.Lost}
+		defer func() { x.emit(end) }()
+		defer x.recoverPanic()
+		end.outcome, end.response = x.run(ctx)
+		end.head = x.head
 	}()
 }
 
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -36,6 +36,8 @@
 	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
 	// by then.
 	breakageStaleChoice breakage = "stale_choice"
+	// breakagePanic attempts panicked.
+	breakagePanic breakage = "panic"
 	// breakageTargetBusy and breakageMisdirected attempts were refused by the target,
 	// which has no room, or is another than expected or holds other weights.
 	breakageTargetBusy  breakage = "target_busy"
