Entry: the head of a target's response is bounded

Callers: a target that sends a head without end made the entry grow until the platform killed it, and every request in flight ended with neither an answer nor a refusal.

Cause: http.ReadResponse reads a head of any length, and informational responses were skipped without a count.

--- a/machine/entry/direct/connpool.go
+++ b/machine/entry/direct/connpool.go
@@ -43,6 +43,7 @@
 	net.Conn
 	address   string
 	reader    *bufio.Reader
+	head      *headReader
 	idleLimit time.Duration
 	idleSince time.Time
 	// reused is set if the connection carried an attempt before.
@@ -79,7 +80,12 @@
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReader(raw)}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	head := &headReader{source: raw}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReader(head), head: head}
 }
 
 func (p *connPool) takeIdle(address string) *conn {
@@ -201,13 +207,9 @@
 		}
 		return nil, errors.Mark(err, errResponseLost)
 	}
-	for {
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil {
-			return nil, errors.Mark(err, errResponseLost)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
+	resp, err := c.readResponse(req)
+	if err != nil {
+		return nil, errors.Mark(err, errResponseLost)
 	}
+	return resp, nil
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -30,6 +30,8 @@
 	breakageOtherAttempt breakage = "other_stamp"
 	breakageEncoded      breakage = "encoded"
 	breakageTooLarge     breakage = "too_large"
+	// breakageHeadTooLarge responses have a head that exceeds a bound.
+	breakageHeadTooLarge breakage = "head_too_large"
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
 	// run, but lack the target's mark that the attempt has not.
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
@@ -247,6 +249,8 @@
 		return breakageCallerGone
 	case !time.Now().Before(x.call.deadline):
 		return breakageDeadline
+	case errors.Is(err, errHeadTooLarge):
+		return breakageHeadTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return breakageEndedEarly
 	default:
