Entry: only a stream continues a stream

Callers: the answer of a second target with another status than 200, such as a 404, was written behind the events of a stream that had broken off, and the answer ended as if it were complete.

Change: such a response is unusable once the head has gone to the caller: the attempt is Lost with the breakage no_stream, so that another attempt follows or the answer is broken off. It does not count as a failure of the target, which may decline to continue a stream.

TestOnlyStreamContinuesStream failed before for all nine statuses with the outcome Completed.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -255,7 +255,7 @@
 	case attempts.Lost:
 		c.attemptsSent++
 		c.mayHaveRun = true
-		if ctx.Err() == nil || x.silent {
+		if x.isTargetFailure(ctx) {
 			fleet.recordFailure(c.service, choice.ID, x.silent)
 		}
 	default:
@@ -264,6 +264,15 @@
 	return outcome, failureResp
 }
 
+// isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
+// A target may decline to continue a stream.
+func (x *exchange) isTargetFailure(ctx context.Context) bool {
+	if x.breakage == breakageNoStream {
+		return false
+	}
+	return ctx.Err() == nil || x.silent
+}
+
 // writeResponse sends a complete response of a target to the caller.
 func (c *call) writeResponse(resp *bufferedResponse) {
 	h := c.w.Header()
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -248,8 +248,8 @@
 // forwardBuffered reads a response to its end and forwards it, unless it is unusable or
 // reports a failure of the target. A response is unusable, and the attempt Lost, if it breaks
 // off, is larger than maxResponseBytes, has a content encoding, is a success or redirect
-// without the target's stamp, or has a status that implies that the request has not run. Any
-// other response with a status of 500 or above is returned with Failed; the caller gets it if
+// without the target's stamp, has a status that implies that the request has not run, or would
+// follow the events of a stream. Any other response with a status of 500 or above is returned with Failed; the caller gets it if
 // no other attempt follows.
 func (x *exchange) forwardBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
 	c := x.call
@@ -275,6 +275,10 @@
 		return attempts.Lost, nil
 	case reply.Status >= http.StatusInternalServerError:
 		return attempts.Failed, buffered
+	case c.headSent:
+		// The caller has the beginning of a stream, which only a stream continues.
+		x.breakage = breakageNoStream
+		return attempts.Lost, nil
 	}
 	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
 	c.writeResponse(buffered)
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -35,6 +35,8 @@
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
 	// run, but lack the target's mark that the attempt has not.
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
+	// breakageNoStream responses are no stream, although the caller has the beginning of one.
+	breakageNoStream breakage = "no_stream"
 	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
 	// by then.
 	breakageStaleChoice breakage = "stale_choice"
--- /dev/null
+++ b/machine/entry/direct/resume_test.go
@@ -0,0 +1,86 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/roster"
+)
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a\r\nWeight-Versions: 3\r\n"
+	firstEvent = "id: 1\ndata: one\n\n"
+)
+
+// closingTarget answers one request on each connection with a text and closes the connection,
+// or resets it.
+func closingTarget(t *testing.T, text string, reset bool) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(conn, text, reset)
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func answerOnce(conn net.Conn, text string, reset bool) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	if _, err := io.WriteString(conn, text); err != nil || !reset {
+		return
+	}
+	// The entry reads what was sent before the reset arrives.
+	time.Sleep(50 * time.Millisecond)
+	resetConn(conn)
+}
+
+// attemptsAt makes one attempt after the other of one call, each at a target that answers with
+// the given text and closes the connection.
+func attemptsAt(t *testing.T, c *call, answers ...string) (last attempts.Outcome) {
+	t.Helper()
+	c.route.MaxAttempts = len(answers) + 1
+	for i, text := range answers {
+		choice := placement.Choice{ID: roster.TargetID(fmt.Sprintf("target-%d", i)), Address: closingTarget(t, text, false)}
+		last, _ = c.runAttempt(context.Background(), choice)
+	}
+	return last
+}
+
+// Guards against a broken stream that looks complete: the answer of a second target with
+// another status than 200 was written behind the events.
+func TestOnlyStreamContinuesStream(t *testing.T) {
+	broken := streamHead + "Content-Length: 1000\r\n\r\n" + firstEvent + "id: 2\nda"
+	for _, status := range []int{201, 204, 206, 302, 400, 404, 409, 410, 499} {
+		c, w := boundedCall(newQuietEntry(), catalog.Streaming)
+		outcome := attemptsAt(t, c, broken, answerText(status, "a", "", ""))
+		if outcome == attempts.Completed || w.Body.String() != firstEvent {
+			t.Errorf("status %d: outcome %v, body %q, want no 0 (Completed) and only the first event", status, outcome, w.Body)
+		}
+		if verdict := attempts.Decide(outcome, c.attemptState()); c.headSent && verdict != attempts.Retry && verdict != attempts.Abort {
+			t.Errorf("status %d: verdict %v, want Retry or Abort", status, verdict)
+		}
+	}
+}
