Entry: a stream insists on a version once its first event is sent

Callers: a stream whose first target broke off before the first event could end without an answer although other targets would have served it: it insisted on the first target's version, of which the caller had nothing.

Change: the version is pinned when the first event goes to the caller.

TestStreamWithoutEventsPinsNoVersion failed before: version 3 was pinned after a head alone and after a part of an event.

--- a/machine/entry/direct/resume_test.go
+++ b/machine/entry/direct/resume_test.go
@@ -84,3 +84,22 @@
 		}
 	}
 }
+
+// Guards against a stream that finds no target: it insisted on the version of a target from
+// which the caller had got nothing.
+func TestStreamWithoutEventsPinsNoVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   int64
+	}{
+		"head":          {streamHead + "Content-Length: 1000\r\n\r\n", 0},
+		"part of event": {streamHead + "Content-Length: 1000\r\n\r\nid: 1\nda", 0},
+		"event":         {streamHead + "Content-Length: 1000\r\n\r\n" + firstEvent, 3},
+	} {
+		call, _ := boundedCall(newQuietEntry(), catalog.Streaming)
+		outcome := attemptsAt(t, call, c.answer)
+		if got := call.requirements().Pinned; outcome != attempts.Lost || got != c.want {
+			t.Errorf("%s: outcome %v, pinned version %d, want 4 (Lost), %d", name, outcome, got, c.want)
+		}
+	}
+}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -81,9 +81,6 @@
 		x.breakage = unusableBreakage(reply)
 		return attempts.Lost
 	}
-	if c.pinnedVersion == 0 {
-		c.pinnedVersion = reply.Version
-	}
 	events := bufio.NewReader(resp.Body)
 	first := true
 	for {
@@ -106,6 +103,9 @@
 		if ev.hasID && ev.id <= c.lastEvent && (c.headSent || c.info.HasLastEvent) {
 			continue
 		}
+		if c.pinnedVersion == 0 {
+			c.pinnedVersion = reply.Version
+		}
 		if err := c.sendEvent(resp, ev); err != nil {
 			x.conn.reset()
 			x.breakage, x.err = breakageCallerGone, err
