Entry: a head past its bound is told from a malformed one

TestHeadWithoutEndIsBounded failed once under the race detector (short lines: broke "connection"): the parser of headers reports the line that was cut off instead of the reader's error. The reader remembers that the bound was exceeded.

--- a/machine/entry/direct/headlimit.go
+++ b/machine/entry/direct/headlimit.go
@@ -30,6 +30,8 @@
 type headReader struct {
 	source  io.Reader
 	limited bool
+	// exceeded is set once the head exceeds a bound.
+	exceeded bool
 	// total counts the bytes of the head, line those since the last end of a line, and
 	// lines the ends of lines.
 	total, line, lines int
@@ -47,6 +49,7 @@
 		return h.source.Read(p)
 	}
 	if h.total > maxHeadBytes || h.line > maxHeadLineBytes || h.lines > maxHeadLines {
+		h.exceeded = true
 		return 0, errHeadTooLarge
 	}
 	n, err := h.source.Read(p)
@@ -70,6 +73,10 @@
 	defer c.head.endHead()
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(c.reader, req)
+		if c.head.exceeded {
+			// The parser may report the line that was cut off instead.
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
