Entry: the silence watch of an attempt ends with the attempt

It could also reset the connection after that had been kept for another attempt.

Change: the function that stops the watch waits for its end.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -125,14 +125,16 @@
 }
 
 // watchSilence aborts the exchange when the target falls silent, if the request may run
-// more than once. The function returned stops the watch.
+// more than once. The function returned stops the watch and waits for its end: the connection
+// may carry another attempt from then on.
 func (x *exchange) watchSilence() (stop func()) {
 	c := x.call
 	if !c.route.IsRepeatable() {
 		return func() {}
 	}
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		ticker := time.NewTicker(silenceCheckInterval)
 		defer ticker.Stop()
 		for {
@@ -148,7 +150,10 @@
 			}
 		}
 	}()
-	return func() { close(done) }
+	return func() {
+		close(done)
+		<-ended
+	}
 }
 
 // isSilent reports whether the target has sent nothing for too long, and another attempt can
