Entry: what all responses buffer together is bounded

Callers: a few targets that send bodies or events without end made the entry grow until the platform killed it, and every request in flight ended with neither an answer nor a refusal.

Cause: up to 8 MiB were buffered for each response and up to 1 MiB for each event of a stream, several times over while the buffers grew.

Change: each answer has 4 KiB and takes chunks of 32 KiB from a budget of 16 MiB for the process; chunks are used again. An answer may hold at most as much as is left for the others, so that a few without end cannot take all of it.

TestTargetsWithoutEndAreBoundedTogether: 200 requests at targets without end may cost 64 MB.

Tests: readEvent and event keep their data in the new buffer, so that the calls in answers_test.go and exchange_test.go pass one; their checks stay.

--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -139,19 +139,36 @@
 	}
 }
 
+// eventOf is an event as it is read.
+func eventOf(t *testing.T, text string) event {
+	t.Helper()
+	ev, err := readEvent(bufio.NewReader(strings.NewReader(text)), newChunkBuffer(&bufferBudget{}))
+	if err != nil {
+		t.Error(err)
+	}
+	return ev
+}
+
+// textOf returns the bytes of an event.
+func textOf(ev event) string {
+	var text strings.Builder
+	_ = ev.data.writeTo(&text)
+	return text.String()
+}
+
 // Guards against streams that count as broken off although they are complete: a line as long
 // as the reader's buffer looked like the end of its event.
 func TestEventWithLongLineIsReadWhole(t *testing.T) {
 	for _, length := range []int{4095, 4096, 4097, 8192, 100_000} {
 		line := "data: " + strings.Repeat("x", length-len("data: \n")) + "\n"
 		text := line + "id: 7\n\n"
-		ev, err := readEvent(bufio.NewReader(strings.NewReader(text)))
-		if err != nil || string(ev.data) != text || ev.id != 7 {
-			t.Errorf("line of %d bytes: readEvent() = %d bytes, id %d, %v, want all %d bytes, id 7", length, len(ev.data), ev.id, err, len(text))
+		ev, err := readEvent(bufio.NewReader(strings.NewReader(text)), newChunkBuffer(&bufferBudget{}))
+		if err != nil || textOf(ev) != text || ev.id != 7 {
+			t.Errorf("line of %d bytes: readEvent() = %d bytes, id %d, %v, want all %d bytes, id 7", length, ev.data.len(), ev.id, err, len(text))
 		}
 	}
 	tooLong := "data: " + strings.Repeat("x", maxEventBytes) + "\n\n"
-	if _, err := readEvent(bufio.NewReader(strings.NewReader(tooLong))); !errors.Is(err, errEventTooLong) {
+	if _, err := readEvent(bufio.NewReader(strings.NewReader(tooLong)), newChunkBuffer(&bufferBudget{})); !errors.Is(err, errEventTooLong) {
 		t.Errorf("event of over 1 MiB: readEvent() error = %v, want errEventTooLong", err)
 	}
 }
@@ -191,7 +208,7 @@
 	e := newQuietEntry()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{entry: e, w: w, r: r, route: &catalog.Route{Kind: catalog.Streaming}, arrived: time.Now(), deadline: time.Now().Add(time.Minute)}
-		if err := c.sendEvent(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, event{data: []byte("id: 1\n\n")}); err != nil {
+		if err := c.sendEvent(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, eventOf(t, "id: 1\n\n")); err != nil {
 			t.Error(err)
 		}
 		c.endWithVerdict(attempts.Abort, nil)
--- a/machine/entry/direct/bounds_test.go
+++ b/machine/entry/direct/bounds_test.go
@@ -25,26 +25,26 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
+	repeated := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
 	go func() {
 		for {
 			conn, err := lis.Accept()
 			if err != nil {
 				return
 			}
-			go sendWithoutEnd(conn, head, part)
+			go sendWithoutEnd(conn, head, repeated)
 		}
 	}()
 	return lis.Addr().String()
 }
 
-func sendWithoutEnd(conn net.Conn, head, part string) {
+func sendWithoutEnd(conn net.Conn, head string, repeated []byte) {
 	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
 	text := strings.ReplaceAll(head, "{id}", r.Header.Get("Attempt-Id"))
-	repeated := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
 	for _, err = io.WriteString(conn, text); err == nil; {
 		_, err = conn.Write(repeated)
 	}
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -64,6 +64,7 @@
 			return
 		}
 		outcome, failureResp := c.runAttempt(ctx, choice)
+		defer failureResp.release()
 		if outcome == attempts.Completed {
 			return
 		}
@@ -81,6 +82,7 @@
 			c.endWithVerdict(verdict, failureResp)
 			return
 		}
+		failureResp.release()
 		c.entry.logRetry(c, outcome)
 	}
 }
@@ -286,7 +288,7 @@
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(resp.status)
-	_, _ = c.w.Write(resp.body)
+	_ = resp.body.writeTo(c.w)
 	c.record.partDelivered(time.Now())
 	c.recordEnd(resp.status, "", 0)
 }
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -77,6 +77,7 @@
 	store       *platform.Store
 	fleet       *fleetState
 	conns       *connPool
+	buffers     bufferBudget
 	peers       *peers.Peers
 	weightCache *weightcache.Cache
 	// operatorsFeed follows the operators' records, targetsFeed the target list.
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -37,7 +37,14 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *chunkBuffer
+}
+
+// release frees the memory of the response; there may be none.
+func (r *bufferedResponse) release() {
+	if r != nil {
+		r.body.release()
+	}
 }
 
 // exchange is one attempt on one connection.
@@ -252,42 +259,52 @@
 
 // forwardBuffered reads a response to its end and forwards it, unless it is unusable or
 // reports a failure of the target. A response is unusable, and the attempt Lost, if it breaks
-// off, is larger than maxResponseBytes, has a content encoding, is a success or redirect
+// off, is larger than maxResponseBytes or than what the buffers of all responses have left, has a content encoding, is a success or redirect
 // without the target's stamp, has a status that implies that the request has not run, or would
 // follow the events of a stream. Any other response with a status of 500 or above is returned with Failed; the caller gets it if
 // no other attempt follows.
 func (x *exchange) forwardBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
+	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header)}
+	buffered.body = newChunkBuffer(&x.call.entry.buffers)
+	outcome := x.forwardBody(resp, reply, buffered)
+	if outcome == attempts.Failed {
+		return outcome, buffered
+	}
+	buffered.release()
+	return outcome, nil
+}
+
+// forwardBody does what forwardBuffered does. It reads the body into buffered.
+func (x *exchange) forwardBody(resp *http.Response, reply platform.Reply, buffered *bufferedResponse) attempts.Outcome {
 	c := x.call
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return x.abort(err), nil
+	if err := buffered.body.readAll(resp.Body, maxResponseBytes); err != nil {
+		return x.abort(err)
 	}
-	if len(body) > maxResponseBytes || reply.HasContentEncoding {
+	if reply.HasContentEncoding {
 		x.conn.reset()
 		x.breakage = unusableBreakage(reply)
-		return attempts.Lost, nil
+		return attempts.Lost
 	}
 	x.releaseConn(resp, reply)
-	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header), body: body}
 	switch {
 	case !reply.HasStamp && reply.Status < http.StatusBadRequest:
 		x.breakage = breakageNoStamp
-		return attempts.Lost, nil
+		return attempts.Lost
 	case impliesNotRun(reply.Status):
 		// The response lacks the target's mark that the attempt has not run, so its status
 		// must not promise that to the caller.
 		x.breakage = breakageUnmarkedRefusal
-		return attempts.Lost, nil
+		return attempts.Lost
 	case reply.Status >= http.StatusInternalServerError:
-		return attempts.Failed, buffered
+		return attempts.Failed
 	case c.headSent:
 		// The caller has the beginning of a stream, which only a stream continues.
 		x.breakage = breakageNoStream
-		return attempts.Lost, nil
+		return attempts.Lost
 	}
 	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
 	c.writeResponse(buffered)
-	return attempts.Completed, nil
+	return attempts.Completed
 }
 
 // impliesNotRun reports whether a status tells callers that the request has not run. A
--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -167,7 +167,7 @@
 		for range 2 * streamSilenceTimeout / silenceCheckInterval {
 			time.Sleep(silenceCheckInterval)
 			silent = x.isSilent()
-			ev, err := readEvent(bufio.NewReader(strings.NewReader(": wait\n\n")))
+			ev, err := readEvent(bufio.NewReader(strings.NewReader(": wait\n\n")), newChunkBuffer(&bufferBudget{}))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -30,6 +30,9 @@
 	breakageOtherAttempt breakage = "other_stamp"
 	breakageEncoded      breakage = "encoded"
 	breakageTooLarge     breakage = "too_large"
+	// breakageBuffersFull responses were given up since the responses of all requests buffered
+	// too much together.
+	breakageBuffersFull breakage = "buffers_full"
 	// breakageHeadTooLarge responses have a head that exceeds a bound.
 	breakageHeadTooLarge breakage = "head_too_large"
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
@@ -253,6 +256,10 @@
 		return breakageDeadline
 	case errors.Is(err, errHeadTooLarge):
 		return breakageHeadTooLarge
+	case errors.Is(err, errTooLong):
+		return breakageTooLarge
+	case errors.Is(err, errBuffersFull):
+		return breakageBuffersFull
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return breakageEndedEarly
 	default:
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -19,56 +19,74 @@
 
 // errEventTooLong means that an event is longer than maxEventBytes and cannot be
 // forwarded.
-var errEventTooLong = errors.New("entry: event of a stream exceeds 1 MiB")
+var errEventTooLong = errors.Mark(errors.New("entry: event of a stream exceeds 1 MiB"), errTooLong)
 
-// event is one event of a stream as received, including its blank line.
+// event is one event of a stream as received, including its blank line. Its data is valid
+// until the next event is read.
 type event struct {
-	data []byte
+	data *chunkBuffer
 	// id orders the events of a stream; hasID is set if this event has one.
 	id    int64
 	hasID bool
 	// hasField is set if the event has more than comments.
 	hasField bool
+	// hasText is set if the event has more than white space.
+	hasText bool
 }
 
-// readEvent reads up to and including the next blank line. It returns io.EOF if the
-// stream ends between two events, and io.ErrUnexpectedEOF if it ends within one.
-func readEvent(r *bufio.Reader) (event, error) {
-	var ev event
+// readEvent reads up to and including the next blank line into data, which it empties
+// before. It returns io.EOF if the stream ends between two events, and io.ErrUnexpectedEOF
+// if it ends within one.
+func readEvent(r *bufio.Reader, data *chunkBuffer) (event, error) {
+	data.release()
+	ev := event{data: data}
 	for {
-		line, err := readLine(r, maxEventBytes-len(ev.data))
-		ev.data = append(ev.data, line...)
-		if errors.Is(err, io.EOF) && len(ev.data) > 0 {
+		blank, err := ev.readLine(r)
+		if errors.Is(err, io.EOF) && data.len() > 0 {
 			return ev, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			ev.id, ev.hasID = id, err == nil
-		}
-		ev.hasField = ev.hasField || len(text) > 0 && text[0] != ':'
-		if len(text) == 0 && len(bytes.TrimSpace(ev.data)) > 0 {
+		if blank && ev.hasText {
 			return ev, nil
 		}
 	}
 }
 
-// readLine reads up to and including the end of a line, whatever the size of the reader's
-// buffer. It returns errEventTooLong if the line is longer than limit.
-func readLine(r *bufio.Reader, limit int) ([]byte, error) {
-	var line []byte
-	for {
+// readLine adds the next line, whatever the size of the reader's buffer, and reports whether
+// it is blank.
+func (ev *event) readLine(r *bufio.Reader) (blank bool, err error) {
+	blank = true
+	for first := true; ; first = false {
 		part, err := r.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > limit {
-			return line, errEventTooLong
+		if ev.data.len()+len(part) > maxEventBytes {
+			return false, errEventTooLong
+		}
+		if appendErr := ev.data.append(part); appendErr != nil {
+			return false, appendErr
+		}
+		ev.hasText = ev.hasText || len(bytes.TrimSpace(part)) > 0
+		text := bytes.TrimRight(part, "\r\n")
+		if len(text) > 0 && blank {
+			blank = false
+			ev.hasField = ev.hasField || text[0] != ':'
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
+		if first {
+			ev.setID(text)
 		}
+		return blank, err
+	}
+}
+
+// setID takes the number of the event from a line that holds it.
+func (ev *event) setID(line []byte) {
+	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		ev.id, ev.hasID = id, err == nil
 	}
 }
 
@@ -81,10 +99,11 @@
 		x.breakage = unusableBreakage(reply)
 		return attempts.Lost
 	}
-	events := bufio.NewReader(resp.Body)
+	events, data := bufio.NewReader(resp.Body), newChunkBuffer(&c.entry.buffers)
+	defer data.release()
 	first := true
 	for {
-		ev, err := readEvent(events)
+		ev, err := readEvent(events, data)
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(resp, reply)
 		}
@@ -145,7 +164,7 @@
 	c.sendHead(resp)
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetWriteDeadline(c.deadline.Add(time.Second))
-	if _, err := c.w.Write(ev.data); err != nil {
+	if err := ev.data.writeTo(c.w); err != nil {
 		return err
 	}
 	if ev.hasID {
