Entry: blank lines after the last event end a stream

Callers: a stream that ended with an additional blank line was sent again or broken off, since it counted as one that ends within an event.

Change: white space alone is no event; it is forwarded, and the stream is complete.

--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -35,14 +35,14 @@
 }
 
 // readEvent reads up to and including the next blank line into data, which it empties
-// before. It returns io.EOF if the stream ends between two events, and io.ErrUnexpectedEOF
-// if it ends within one.
+// before. It returns io.EOF if the stream ends between two events, blank lines after the last
+// one included, and io.ErrUnexpectedEOF if it ends within one.
 func readEvent(r *bufio.Reader, data *chunkBuffer) (event, error) {
 	data.release()
 	ev := event{data: data}
 	for {
 		blank, err := ev.readLine(r)
-		if errors.Is(err, io.EOF) && data.len() > 0 {
+		if errors.Is(err, io.EOF) && ev.hasText {
 			return ev, io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -105,7 +105,7 @@
 	for {
 		ev, err := readEvent(events, data)
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, reply)
+			return x.finishStream(resp, reply, ev)
 		}
 		if err != nil {
 			return x.abort(err)
@@ -133,11 +133,14 @@
 	}
 }
 
-// finishStream ends the response to a stream that is complete and keeps the connection.
-func (x *exchange) finishStream(resp *http.Response, reply platform.Reply) attempts.Outcome {
+// finishStream ends the response to a stream that is complete and keeps the connection. rest
+// holds the blank lines after the last event.
+func (x *exchange) finishStream(resp *http.Response, reply platform.Reply, rest event) attempts.Outcome {
 	c := x.call
 	x.releaseConn(resp, reply)
 	c.sendHead(resp)
+	// A caller that has left has no use for the error.
+	_ = rest.data.writeTo(c.w)
 	c.recordEnd(http.StatusOK, "", 0)
 	return attempts.Completed
 }
