--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -28,6 +28,9 @@
 	// maxChoiceAge is how old a choice may be when the attempt is sent: longer than it takes
 	// to connect, and short against the bounds on what the choice rests on.
 	maxChoiceAge = dialTimeout + 200*time.Millisecond
+	// spareBuffers is how many events of one stream are under way at a time: one that is read,
+	// one that waits and one that is sent.
+	spareBuffers = 3
 	// silenceCheckInterval is the time between two checks whether the target is silent.
 	silenceCheckInterval = 50 * time.Millisecond
 )
@@ -37,7 +40,14 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *chunkBuffer
+}
+
+// release frees the memory of the response; there may be none.
+func (r *bufferedResponse) release() {
+	if r != nil {
+		r.body.release()
+	}
 }
 
 // exchange is one attempt on one connection. It runs in a goroutine of its own and hands what
@@ -52,6 +62,8 @@
 	parts     chan part
 	abandoned chan struct{}
 	cancel    context.CancelFunc
+	// spare holds buffers of events that can be used again.
+	spare chan *chunkBuffer
 	// stopReset keeps the end of the context from resetting conn. It reports false if that
 	// has happened.
 	stopReset func() bool
@@ -63,16 +75,19 @@
 	pinned             int64
 	// expectedVersion is the version that the attempt insists on; 0 means any.
 	expectedVersion int64
-	// head is the head of the response and reply what it says, once there is one.
+	// head is the head of the response and reply what it says, once there is one. rest holds
+	// the blank lines after the last event of a stream.
 	head        *http.Response
+	rest        event
 	reply       platform.Reply
 	misdirected bool
 	// breakage is why the attempt brought no usable response, err the error behind it if
 	// there is one.
 	breakage breakage
 	err      error
-	// silent is set once the target has counted as silent.
-	silent bool
+	// silent is set once the target has counted as silent, and callerGone if the caller takes
+	// no more of the answer.
+	silent, callerGone bool
 	// lastActivity is when something was last received, in nanoseconds since start;
 	// lastActivityRunTime is the run time of the process at that moment, in nanoseconds.
 	lastActivity        atomic.Int64
@@ -81,7 +96,8 @@
 
 // part is a part of a response that the caller is to get, or the end of an attempt.
 type part struct {
-	// event and head are set for an event of a stream: head is that of the response.
+	// event and head are set for an event of a stream: head is that of the response. With the
+	// end of a stream, event holds the blank lines after the last event.
 	event event
 	head  *http.Response
 	// ended is set for the last part. The attempt ended with outcome, and with the complete
@@ -91,10 +107,18 @@
 	response *bufferedResponse
 }
 
+// release frees the memory of the part, once it has been sent or is not needed.
+func (p part) release() {
+	if p.event.data != nil {
+		p.event.data.release()
+	}
+	p.response.release()
+}
+
 func newExchange(c *call, choice placement.Choice) *exchange {
 	x := &exchange{
 		call: c, choice: choice, start: time.Now(),
-		parts: make(chan part, 1), abandoned: make(chan struct{}), cancel: func() {}, stopReset: func() bool { return true },
+		parts: make(chan part, 1), abandoned: make(chan struct{}), spare: make(chan *chunkBuffer, spareBuffers), cancel: func() {}, stopReset: func() bool { return true },
 		resumes: c.headSent || c.info.HasLastEvent, continues: c.headSent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
 	}
 	x.reply.OpenRequests = -1
@@ -110,7 +134,7 @@
 		defer func() { x.emit(end) }()
 		defer x.recoverPanic()
 		end.outcome, end.response = x.run(ctx)
-		end.head = x.head
+		end.head, end.event = x.head, x.rest
 	}()
 }
 
@@ -118,16 +142,55 @@
 func (x *exchange) abandon() {
 	close(x.abandoned)
 	x.cancel()
+	x.discardParts()
 }
 
 // emit hands a part to the request. It reports false if the attempt is abandoned.
 func (x *exchange) emit(p part) bool {
 	select {
 	case x.parts <- p:
-		return true
 	case <-x.abandoned:
+		p.release()
 		return false
 	}
+	select {
+	case <-x.abandoned:
+		x.discardParts()
+		return false
+	default:
+		return true
+	}
+}
+
+// discardParts frees the parts that nobody receives.
+func (x *exchange) discardParts() {
+	for {
+		select {
+		case p := <-x.parts:
+			p.release()
+		default:
+			return
+		}
+	}
+}
+
+// nextBuffer returns a buffer for an event.
+func (x *exchange) nextBuffer() *chunkBuffer {
+	select {
+	case b := <-x.spare:
+		return b
+	default:
+		return newChunkBuffer(&x.call.entry.buffers)
+	}
+}
+
+// recycle frees an event that has been sent, and keeps its buffer for another one.
+func (x *exchange) recycle(p part) {
+	p.release()
+	select {
+	case x.spare <- p.event.data:
+	default:
+	}
 }
 
 // run makes the attempt. Events of a stream are handed on as they arrive; any other complete
@@ -280,38 +343,53 @@
 	x.call.entry.conns.putIdle(x.conn, reply.IdleTimeout)
 }
 
-// readBuffered reads a response to its end and returns it, unless it is unusable. A response is unusable, and the attempt Lost, if it breaks
-// off, is larger than maxResponseBytes, has a content encoding, is a success or redirect
-// without the target's stamp, or has a status that implies that the request has not run. Any
-// other response with a status of 500 or above is returned with Failed; the caller gets it if
-// no other attempt follows.
+// readBuffered reads a response to its end and returns it, unless it is unusable. A response is
+// unusable, and the attempt Lost, if it breaks off, is larger than maxResponseBytes or than what
+// the buffers of all responses have left, has a content encoding, is a success or redirect
+// without the target's stamp, has a status that implies that the request has not run, or would
+// follow the events of a stream. Any other response with a status of 500 or above is returned
+// with Failed; the caller gets it if no other attempt follows.
 func (x *exchange) readBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
+	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header)}
+	buffered.body = newChunkBuffer(&x.call.entry.buffers)
+	outcome := x.readBody(resp, reply, buffered)
+	if outcome == attempts.Lost {
+		buffered.release()
+		return outcome, nil
+	}
+	return outcome, buffered
+}
+
+// readBody does what readBuffered does. It reads the body into buffered.
+func (x *exchange) readBody(resp *http.Response, reply platform.Reply, buffered *bufferedResponse) attempts.Outcome {
 	c := x.call
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return x.abort(err), nil
+	if err := buffered.body.readAll(resp.Body, maxResponseBytes); err != nil {
+		return x.abort(err)
 	}
-	if len(body) > maxResponseBytes || reply.HasContentEncoding {
+	if reply.HasContentEncoding {
 		x.conn.reset()
 		x.breakage = unusableBreakage(reply)
-		return attempts.Lost, nil
+		return attempts.Lost
 	}
 	x.releaseConn(resp, reply)
-	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header), body: body}
 	switch {
 	case !reply.HasStamp && reply.Status < http.StatusBadRequest:
 		x.breakage = breakageNoStamp
-		return attempts.Lost, nil
+		return attempts.Lost
 	case impliesNotRun(reply.Status):
 		// The response lacks the target's mark that the attempt has not run, so its status
 		// must not promise that to the caller.
 		x.breakage = breakageUnmarkedRefusal
-		return attempts.Lost, nil
+		return attempts.Lost
 	case reply.Status >= http.StatusInternalServerError:
-		return attempts.Failed, buffered
+		return attempts.Failed
+	case x.continues:
+		// The caller has the beginning of a stream, which only a stream continues.
+		x.breakage = breakageNoStream
+		return attempts.Lost
 	}
 	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
-	return attempts.Completed, buffered
+	return attempts.Completed
 }
 
 // impliesNotRun reports whether a status tells callers that the request has not run. A
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -134,11 +134,13 @@
 	c.attemptEnded(p.current, got.outcome)
 	if got.outcome == attempts.Completed {
 		c.complete(got)
+		got.release()
 		return true
 	}
 	if p.hedge == nil {
 		return true
 	}
+	got.release()
 	c.entry.logRetry(c, got.outcome)
 	p.promoteHedge()
 	return false
@@ -168,6 +170,7 @@
 
 // hedgeFailed records a hedge that ended while the current attempt is still under way.
 func (p *attemptPair) hedgeFailed(got part) {
+	got.release()
 	p.call.attemptEnded(p.hedge, got.outcome)
 	p.hedge = nil
 }
@@ -189,6 +192,10 @@
 // the attempt, if the caller has gone.
 func (p *attemptPair) sendEvent(got part) bool {
 	c, x := p.call, p.current
+	defer x.recycle(got)
+	if c.hasEvent(got.event) {
+		return true
+	}
 	if c.pinnedVersion == 0 {
 		c.pinnedVersion = x.reply.Version
 	}
@@ -197,6 +204,7 @@
 		return true
 	}
 	x.abandon()
+	x.callerGone = true
 	c.record.replyReceived(x.reply, x.expectedVersion)
 	c.record.attemptEnded(time.Now(), attempts.Lost, breakageCallerGone, err)
 	c.attemptEnded(x, attempts.Lost)
@@ -210,9 +218,22 @@
 		return
 	}
 	c.sendHead(got.head)
+	if got.event.data != nil {
+		// A caller that has left has no use for the error.
+		_ = got.event.data.writeTo(c.w)
+	}
 	c.recordEnd(http.StatusOK, contract.Reason(""), 0)
 }
 
+// isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
+// A target may decline to continue a stream, and a silent one has been recorded before.
+func (x *exchange) isTargetFailure() bool {
+	if x.silent || x.callerGone || x.breakage == breakageNoStream {
+		return false
+	}
+	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
+}
+
 // attemptEnded records how an attempt ended with its target, and counts it.
 func (c *call) attemptEnded(x *exchange, outcome attempts.Outcome) {
 	fleet := c.entry.fleet
@@ -235,7 +256,7 @@
 		fleet.recordFailure(c.service, x.choice.ID, false)
 	case attempts.Lost:
 		c.mayHaveRun = true
-		if !x.silent && c.r.Context().Err() == nil && time.Now().Before(c.deadline) {
+		if x.isTargetFailure() {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
 	}
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -30,9 +30,16 @@
 	breakageOtherAttempt breakage = "other_stamp"
 	breakageEncoded      breakage = "encoded"
 	breakageTooLarge     breakage = "too_large"
+	// breakageBuffersFull responses were given up since the responses of all requests buffered
+	// too much together.
+	breakageBuffersFull breakage = "buffers_full"
+	// breakageHeadTooLarge responses have a head that exceeds a bound.
+	breakageHeadTooLarge breakage = "head_too_large"
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
 	// run, but lack the target's mark that the attempt has not.
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
+	// breakageNoStream responses are no stream, although the caller has the beginning of one.
+	breakageNoStream breakage = "no_stream"
 	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
 	// by then.
 	breakageStaleChoice breakage = "stale_choice"
@@ -248,6 +255,12 @@
 		return breakageCallerGone
 	case !time.Now().Before(x.call.deadline):
 		return breakageDeadline
+	case errors.Is(err, errHeadTooLarge):
+		return breakageHeadTooLarge
+	case errors.Is(err, errTooLong):
+		return breakageTooLarge
+	case errors.Is(err, errBuffersFull):
+		return breakageBuffersFull
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return breakageEndedEarly
 	default:
