relay: refuse connections while a server is down

The stand-in of an engine learns to crash, and the relay in front of it went on accepting connections, which a dead process does not. Suspend ends all connections, every second one with a reset, and closes the listener; Resume listens at the same address again. go test -race ./internal/relay passes.

--- a/internal/relay/tcp.go
+++ b/internal/relay/tcp.go
@@ -24,15 +24,16 @@
 // TCP relays connections to one server. While a direction is cut, no bytes pass in it. Bytes
 // that were sent in the meantime arrive after the cut, as retransmissions would.
 type TCP struct {
-	listener net.Listener
-	server   string
+	address, server string
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	cut     [directionCount]bool
-	delay   time.Duration
-	closed  bool
-	pairs   map[*pair]bool
+	mu sync.Mutex
+	// listener is closed while the relay is suspended.
+	listener net.Listener
+	changed  *sync.Cond
+	cut      [directionCount]bool
+	delay    time.Duration
+	closed   bool
+	pairs    map[*pair]bool
 }
 
 // pair is a connection from a client and the connection to the server that carries it on.
@@ -48,15 +49,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	r := &TCP{listener: listener, server: server, pairs: map[*pair]bool{}}
+	r := &TCP{address: listener.Addr().String(), listener: listener, server: server, pairs: map[*pair]bool{}}
 	r.changed = sync.NewCond(&r.mu)
-	go r.acceptConnections()
+	go r.acceptConnections(listener)
 	return r, nil
 }
 
 // Address returns the address that clients connect to.
 func (r *TCP) Address() string {
-	return r.listener.Addr().String()
+	return r.address
 }
 
 // SetCut stops or resumes the traffic of both directions.
@@ -112,11 +113,46 @@
 	}
 }
 
+// Suspend ends all connections, every second one with a reset, and refuses new ones, as the
+// address of a process that has ended does.
+func (r *TCP) Suspend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.listener.Close()
+	withReset := false
+	for p := range r.pairs {
+		withReset = !withReset
+		if withReset {
+			reset(p.client)
+			reset(p.server)
+		}
+		p.ended = true
+		p.close()
+	}
+	r.changed.Broadcast()
+}
+
+// Resume accepts connections again at the same address after Suspend.
+func (r *TCP) Resume() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	r.listener = listener
+	go r.acceptConnections(listener)
+	return nil
+}
+
 // Close closes the relay and its connections.
 func (r *TCP) Close() {
-	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_ = r.listener.Close()
 	r.closed = true
 	for p := range r.pairs {
 		p.close()
@@ -131,9 +167,9 @@
 	}
 }
 
-func (r *TCP) acceptConnections() {
+func (r *TCP) acceptConnections(listener net.Listener) {
 	for {
-		conn, err := r.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
