--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -15,6 +15,8 @@
 	Entry        string
 	Method, Path string
 	Body         string
+	// Prompt lists the parts of the prompt, in order; empty if the request names none.
+	Prompt []PromptPart
 }
 
 // NewHTTPRequest returns the HTTP request to send.
@@ -26,6 +28,9 @@
 	req.Host = Host
 	req.Header.Set("Attempt-Id", r.AttemptID)
 	req.Header.Set("Authorization", "Bearer "+r.APIKey)
+	if len(r.Prompt) > 0 {
+		setPrompt(req.Header, r.Prompt)
+	}
 	return req, nil
 }
 
--- /dev/null
+++ b/standin/fleet/crash.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// crashDelay is the time from the head of an answer to the crash that its request causes.
+	crashDelay = 50 * time.Millisecond
+	// DefaultDowntime is how long an engine is down after a crash.
+	DefaultDowntime = time.Second
+	// listenRetryInterval is the time between two tries to listen at the former address.
+	listenRetryInterval = 10 * time.Millisecond
+)
+
+// Crash describes a crash of an engine.
+type Crash struct {
+	At time.Time
+	// AttemptID is the attempt whose prompt caused the crash; empty for another cause.
+	AttemptID string
+}
+
+// crashState is what an engine knows of its crashes. The mutex of the engine guards it.
+type crashState struct {
+	// parts are the parts of prompts that make the engine crash.
+	parts    []string
+	downtime time.Duration
+	crashes  []Crash
+	// stopped is set if the engine does not come back.
+	stopped bool
+}
+
+// SetCrashingParts sets the parts of prompts that make the engine crash, unless they come
+// last in a prompt. Empty names do not count; none ends the fault.
+func (e *Engine) SetCrashingParts(ids ...string) {
+	ids = slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == "" })
+	e.withLock(func() { e.crash.parts = ids })
+}
+
+// SetDowntime sets how long the engine is down after a crash; 0 stands for DefaultDowntime.
+func (e *Engine) SetDowntime(d time.Duration) { e.withLock(func() { e.crash.downtime = d }) }
+
+// Crashes lists the crashes in order of their time.
+func (e *Engine) Crashes() []Crash {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.crash.crashes)
+}
+
+// Crash has the engine crash. All its connections end, nothing listens at its address and
+// nothing is published until it is back, after its downtime, as a new incarnation with the
+// same weights.
+func (e *Engine) Crash() { e.crashBy("") }
+
+// crashBy has the engine crash because of an attempt, unless it is down.
+func (e *Engine) crashBy(attempt string) {
+	e.mu.Lock()
+	server := e.server
+	if server == nil || e.crash.stopped {
+		e.mu.Unlock()
+		return
+	}
+	e.server, e.running = nil, 0
+	e.crash.crashes = append(e.crash.crashes, Crash{At: time.Now(), AttemptID: attempt})
+	downtime := e.crash.downtime
+	e.mu.Unlock()
+	if downtime == 0 {
+		downtime = DefaultDowntime
+	}
+	if e.Relay != nil {
+		e.Relay.Suspend()
+	}
+	e.connections.breakAll()
+	_ = server.Close()
+	time.AfterFunc(downtime, e.comeBack)
+}
+
+// comeBack starts a new incarnation at the same address and lists it.
+func (e *Engine) comeBack() {
+	listener, err := net.Listen("tcp", e.address)
+	if err == nil && e.Relay != nil {
+		err = e.Relay.Resume()
+	}
+	if err != nil {
+		if listener != nil {
+			_ = listener.Close()
+		}
+		time.AfterFunc(listenRetryInterval, e.comeBack)
+		return
+	}
+	e.withLock(func() { e.born = time.Now().UnixMilli() })
+	if err := e.serve(listener); err != nil {
+		return
+	}
+	e.mu.Lock()
+	stopped, state := e.crash.stopped, e.state
+	e.mu.Unlock()
+	if !stopped {
+		e.Publish(state)
+	}
+}
+
+// crashWhileServing sends the head of an answer, has the engine crash and returns once the
+// connection has ended.
+func (e *Engine) crashWhileServing(w http.ResponseWriter, r *http.Request, attempt string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	time.AfterFunc(crashDelay, func() { e.crashBy(attempt) })
+	<-r.Context().Done()
+}
+
+// endRun ends a run of the incarnation that was born at a time. Runs of former incarnations
+// ended with them.
+func (e *Engine) endRun(born int64) {
+	e.withLock(func() {
+		if e.born == born && e.server != nil {
+			e.running--
+		}
+	})
+}
+
+// isCausedBy reports whether a prompt of these parts makes the engine crash; the mutex of the
+// engine must be held.
+func (c *crashState) isCausedBy(parts []string) bool {
+	for i, part := range parts {
+		if i < len(parts)-1 && slices.Contains(c.parts, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// PromptPart is a part of a prompt. Requests whose prompts have the same part give it the
+// same ID.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// setPrompt sets the headers that describe a prompt of these parts.
+func setPrompt(h http.Header, parts []PromptPart) {
+	var list []string
+	tokens := 0
+	for _, p := range parts {
+		list = append(list, p.ID+":"+strconv.Itoa(p.Tokens))
+		tokens += p.Tokens
+	}
+	h.Set("Prompt-Prefix", strings.Join(list, ","))
+	h.Set("Token-Count", strconv.Itoa(tokens)+","+strconv.Itoa(maxOutputTokens))
+}
+
+// maxOutputTokens is how many tokens a caller asks for at most.
+const maxOutputTokens = 80
+
+// promptParts returns the IDs of the parts of a request's prompt, in order.
+func promptParts(h http.Header) []string {
+	value := h.Get("Prompt-Prefix")
+	if value == "" {
+		return nil
+	}
+	var ids []string
+	for entry := range strings.SplitSeq(value, ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -1,15 +1,12 @@
 package fleet
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -34,11 +31,17 @@
 	UseRelay bool
 	Relay    *relay.TCP
 
-	store  *Store
-	server *httptest.Server
-	born   int64
+	store *Store
+	// address is where the engine's server listens; connections are its open ones.
+	address     string
+	handler     http.Handler
+	connections connections
 
 	mu sync.Mutex
+	// server is nil while the engine is down.
+	server *http.Server
+	// born is the time of the start of the current incarnation, in milliseconds.
+	born int64
 	// state is what the engine last published.
 	state   string
 	version int64
@@ -63,14 +66,9 @@
 	rateLimit string
 	// arrivals lists all requests in order of arrival, but for those meant for others.
 	arrivals []Arrival
-}
-
-// Run describes a run of an attempt: the version of the weights it runs with and when it
-// started.
-type Run struct {
-	AttemptID string
-	Version   int64
-	StartedAt time.Time
+	crash    crashState
+	framing  Framing
+	endless  EndlessKind
 }
 
 // Start starts the server of the engine and adds the engine to the target list.
@@ -83,9 +81,17 @@
 	mux.HandleFunc("GET /-/stage-get/{model}", e.serveStageGet)
 	mux.HandleFunc("POST /-/order", e.serveOrder)
 	mux.HandleFunc("/", e.serveRequest)
-	e.server = httptest.NewServer(mux)
+	e.handler = mux
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e.address = listener.Addr().String()
+	if err := e.serve(listener); err != nil {
+		return err
+	}
 	if e.UseRelay {
-		tcpRelay, err := relay.NewTCP("127.0.0.1:0", strings.TrimPrefix(e.server.URL, "http://"))
+		tcpRelay, err := relay.NewTCP("127.0.0.1:0", e.address)
 		if err != nil {
 			return err
 		}
@@ -95,27 +101,51 @@
 	return nil
 }
 
+// serve starts the server of the engine with a listener, unless the engine was stopped.
+func (e *Engine) serve(listener net.Listener) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crash.stopped {
+		return listener.Close()
+	}
+	server := &http.Server{Handler: e.handler}
+	e.server = server
+	go func() { _ = server.Serve(e.connections.track(listener)) }()
+	return nil
+}
+
 // Address returns the "ip:port" at which the engine is reached.
 func (e *Engine) Address() string {
 	if e.Relay != nil {
 		return e.Relay.Address()
 	}
-	return strings.TrimPrefix(e.server.URL, "http://")
+	return e.address
 }
 
-// Stop stops the engine as a crash does: its entry stays in the target list.
+// Stop stops the engine as a crash for good does: its entry stays in the target list.
 func (e *Engine) Stop() {
 	if e.Relay != nil {
 		e.Relay.Close()
 	}
-	e.server.CloseClientConnections()
-	e.server.Close()
+	e.mu.Lock()
+	server := e.server
+	e.crash.stopped = true
+	e.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+	e.connections.closeAll()
 }
 
-// Publish writes the engine's entry in the target list, with a state such as "ready".
+// Publish writes the engine's entry in the target list, with a state such as "ready". An
+// engine that is down writes it once it is back.
 func (e *Engine) Publish(state string) {
 	e.mu.Lock()
 	e.state = state
+	if e.server == nil {
+		e.mu.Unlock()
+		return
+	}
 	e.seq++
 	entry := map[string]any{
 		"service": e.Service, "address": e.Address(), "zone": e.Zone, "version": "v1", "slots": e.Slots,
@@ -164,117 +194,6 @@
 	return e.version
 }
 
-// RunCount returns how often an attempt has run.
-func (e *Engine) RunCount(attempt string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.runCounts[attempt]
-}
-
-// TotalRuns returns the number of runs of all attempts.
-func (e *Engine) TotalRuns() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := 0
-	for _, r := range e.runCounts {
-		n += r
-	}
-	return n
-}
-
-// RunLog lists all runs in the order of their start.
-func (e *Engine) RunLog() []Run {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]Run(nil), e.runLog...)
-}
-
-// LoadedCorruptPieces lists the pieces that were loaded although they are not the ones of
-// their version.
-func (e *Engine) LoadedCorruptPieces() []string {
-	var corrupt []string
-	for _, loaded := range e.LoadedPieces() {
-		var version int64
-		var index int
-		var sum string
-		_, err := fmt.Sscanf(strings.ReplaceAll(loaded, ":", " "), "%d %d %s", &version, &index, &sum)
-		if err != nil || sum != PieceDigest(version, index) {
-			corrupt = append(corrupt, loaded)
-		}
-	}
-	return corrupt
-}
-
-// CorruptStagedPieces replaces all staged pieces by corrupt data.
-func (e *Engine) CorruptStagedPieces() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for i := range e.staged {
-		e.staged[i] = []byte("rotten")
-	}
-}
-
-func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	entry := map[string]any{"busy": false, "seq_no": len(e.loaded), "queue_depth": 0, "in_flight": e.running, "born": e.born}
-	e.addModel(entry)
-	_ = json.NewEncoder(w).Encode(entry)
-}
-
-// serveStagePut stages a piece. The protocol calls the index of the piece "sample_count".
-func (e *Engine) serveStagePut(w http.ResponseWriter, r *http.Request) {
-	index, _ := strconv.Atoi(r.URL.Query().Get("sample_count"))
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	e.withLock(func() { e.staged[index] = data })
-	w.WriteHeader(http.StatusOK)
-}
-
-// serveStageGet answers with a staged piece, whose index is "sample_count".
-func (e *Engine) serveStageGet(w http.ResponseWriter, r *http.Request) {
-	index, _ := strconv.Atoi(r.URL.Query().Get("sample_count"))
-	e.mu.Lock()
-	data, ok := e.staged[index]
-	e.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_, _ = w.Write(data)
-}
-
-// serveOrder loads the staged pieces without verifying them.
-func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Op      string `json:"op"`
-		Version int64  `json:"version"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Op != "start" {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	for i := range len(e.staged) {
-		sum := sha256.Sum256(e.staged[i])
-		e.loaded = append(e.loaded, fmt.Sprintf("%d:%d:%s", order.Version, i, hex.EncodeToString(sum[:])))
-	}
-	e.version = order.Version
-	state := e.state
-	e.mu.Unlock()
-	e.Publish(state)
-	w.WriteHeader(http.StatusAccepted)
-}
-
-// LoadedPieces lists "version:index:hash" of every piece that was ever loaded.
-func (e *Engine) LoadedPieces() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string(nil), e.loaded...)
-}
-
 // serveRequest serves a request of an entry: as a stream if the stand-in is a model engine,
 // otherwise with an echo of the request.
 func (e *Engine) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -287,11 +206,13 @@
 	misdirected := r.Header.Get("Expect-Instance") != e.ID || expected != "" && expected != strconv.FormatInt(e.version, 10)
 	full := e.running >= e.Slots
 	unresponsive, losesAnswers, version := e.unresponsive, e.losesAnswers, e.version
+	born, framing, endless := e.born, e.framing, e.endless
+	crashes := e.crash.isCausedBy(promptParts(r.Header))
 	if e.rateLimit != "" {
 		w.Header().Set("Server-Limit", e.rateLimit)
 	}
 	if !misdirected {
-		e.arrivals = append(e.arrivals, Arrival{AttemptID: attempt, At: time.Now()})
+		e.arrivals = append(e.arrivals, Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header)})
 	}
 	if !misdirected && !full && !unresponsive {
 		e.running++
@@ -311,29 +232,46 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer e.withLock(func() { e.running-- })
+	defer e.endRun(born)
 	if losesAnswers {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Stamp", "stamp-"+e.ID+"-"+attempt)
+	if framing != FramedAnswers {
+		// The server of net/http then neither sends chunks nor a length.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if e.Model != "" {
+		w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
+	}
+	if endless != EndlessNone {
+		sendEndless(w, endless)
+		return
+	}
 	if e.Model == "" {
 		time.Sleep(e.CallDuration)
 		_, _ = fmt.Fprintf(w, "%s %s %s tenant=%s", r.Method, r.RequestURI, body, r.Header.Get("Tenant"))
 		return
 	}
-	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
-	e.serveStream(w, r, version)
+	if crashes {
+		e.crashWhileServing(w, r, attempt)
+		return
+	}
+	e.serveStream(w, r, version, framing)
 }
 
 // serveStream sends events that name the version of the weights that made them. It begins
 // after the event that the request gives in Last-Event-Id.
-func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, version int64) {
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, version int64, framing Framing) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.mu.Lock()
 	cut := e.cutAfter
 	e.cutAfter = -1
 	e.mu.Unlock()
+	if framing == UnframedAnswersCut {
+		cut = max(1, (e.EventCount-after)/2)
+	}
 	control := http.NewResponseController(w)
 	for i := after + 1; i <= e.EventCount; i++ {
 		if cut == 0 {
--- a/standin/fleet/limit.go
+++ b/standin/fleet/limit.go
@@ -16,6 +16,8 @@
 type Arrival struct {
 	AttemptID string
 	At        time.Time
+	// Parts are the IDs of the parts of its prompt, in order.
+	Parts []string
 }
 
 // SetRateLimit sets the limit that answers name, in requests a second; empty for none.
