soak: engines that crash on a part of a prompt, fall silent or spoil answers

Chat requests carry parts now; while the new fault is on, one request more in ten carries the part that crashes engines. Further faults: a silent engine, answers without framing, answers without end. Two series combine a crashing part with an entry that is killed, paused or stopped, and a silence with a manifest and a stop. There are five series instead of three, so a third of the draws is for a series, not a sixth: 100 plans again hold at least 20 delayed announcements, as their test asks. Saved plans name faults and mean the same as before; the plan of a seed changes, as with each new kind of fault.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -61,6 +61,8 @@
 	mu       sync.Mutex
 	manifest standins.Manifest
 	version  int64
+	// crashingParts are the parts of prompts that crash engines.
+	crashingParts []string
 	// formerEngines are the engines of lost machines.
 	formerEngines []*standins.Engine
 }
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -281,6 +281,7 @@
 	t.engineMu.Lock()
 	t.current = e
 	t.engineMu.Unlock()
+	e.SetCrashingParts(t.fleet.crashingPartsNow()...)
 	t.engineAddress, t.service = e.Address(), standins.ModelService
 	return nil
 }
--- /dev/null
+++ b/internal/harness/parts.go
@@ -0,0 +1,20 @@
+package harness
+
+import "slices"
+
+// SetCrashingParts sets the parts of prompts that crash the engines, also those that start
+// later; none ends the fault.
+func (f *Fleet) SetCrashingParts(ids ...string) {
+	f.mu.Lock()
+	f.crashingParts = slices.Clone(ids)
+	f.mu.Unlock()
+	for _, e := range f.Engines() {
+		e.SetCrashingParts(ids...)
+	}
+}
+
+func (f *Fleet) crashingPartsNow() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashingParts
+}
--- a/internal/soak/answer.go
+++ b/internal/soak/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/internal/harness"
+	standins "mimosastand.example/mimosastand/standin/fleet"
 )
 
 // Kind is a kind of request.
@@ -42,6 +43,8 @@
 	// served with.
 	Stamp, Weights string
 	Body           string
+	// prompt lists the parts of the prompt that was sent; empty if there is none.
+	prompt []standins.PromptPart
 }
 
 // Served reports whether the answer is a complete success.
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -65,6 +65,8 @@
 	evacuations []evacuationSpan
 	// limits are the spans in which back ends limited their rate.
 	limits []limitSpan
+	// parts are the spans in which a part of a prompt crashed engines.
+	parts []partSpan
 }
 
 func (b *bounds) addAnnouncement(version int64, at time.Time) {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -44,6 +44,14 @@
 	// LimitBound: a back end that limits its rate gets no more than that from all entries
 	// together, with the platform's tolerance.
 	LimitBound Promise = "no back end gets more than the limit that it names"
+	// PartBound: entries do not go on sending requests with a part of a prompt that has
+	// crashed five engines.
+	PartBound Promise = "a part of a prompt that crashes engines reaches no more of them past the bound"
+	// SoundBegins: sound requests that share the first part with those go on to begin.
+	SoundBegins Promise = "sound requests begin although others crash engines"
+	// UncutStream: a stream is cut off only beside a fault that can cut it. An engine that
+	// is silent for a while is none.
+	UncutStream Promise = "no stream is cut without a fault that cuts"
 	// Registered: once the faults are over, the store has the record by which each running
 	// process is found.
 	Registered Promise = "what a process published stands in the store"
--- /dev/null
+++ b/internal/soak/crashpart.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"mimosastand.example/mimosastand/internal/harness"
+	standins "mimosastand.example/mimosastand/standin/fleet"
+)
+
+const (
+	// crashesUntilBound is the number of crashes by one part after which the bounds begin.
+	crashesUntilBound = 5
+	// maxLateWithPart is how many requests with the part may reach engines past the bound.
+	maxLateWithPart = 3
+	// minCountedRequests is how many requests of each kind the comparison needs.
+	minCountedRequests = 20
+)
+
+// partSpan is a span in which a part of a prompt crashed engines. first is the first part of
+// the prompts that had it.
+type partSpan struct {
+	part, first string
+	from, to    time.Time
+}
+
+// crashOnPart has a part of a prompt crash engines until the returned function is called.
+func (i *injector) crashOnPart(firstIndex int) func() {
+	part, first := i.parts.beginBad(firstIndex)
+	i.fleet.SetCrashingParts(part)
+	start := time.Now()
+	return func() {
+		i.bounds.addPart(partSpan{part: part, first: first, from: start, to: time.Now()})
+		i.parts.endBad()
+		i.fleet.SetCrashingParts()
+	}
+}
+
+func (b *bounds) addPart(span partSpan) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.parts = append(b.parts, span)
+}
+
+// partRecord is what engines and callers recorded of prompts.
+type partRecord struct {
+	engines []*standins.Engine
+	sent    []sentPrompt
+	// sender returns the entry that sent an attempt, or nil.
+	sender func(attempt string) *harness.Machine
+}
+
+// checkParts checks what followed the crashes by parts of prompts.
+func (s *session) checkParts() { s.checkPartsOf(s.fleet.AllEngines()) }
+
+// checkPartsOf is checkParts for some engines.
+func (s *session) checkPartsOf(engines []*standins.Engine) {
+	s.bounds.mu.Lock()
+	defer s.bounds.mu.Unlock()
+	record := partRecord{engines: engines, sent: s.traffic.parts.list(), sender: s.traffic.Sender}
+	for _, span := range s.bounds.parts {
+		crashes := record.crashesBy(span.part)
+		if len(crashes) == 0 {
+			continue
+		}
+		bound := crashes[min(crashesUntilBound, len(crashes))-1]
+		late := s.bounds.countLateWithPart(record, span, bound)
+		before, after, bad := record.compareSound(span, bound.Add(2*stableWindow))
+		s.log("%s crashed %d engines and reached %d past the bound; %v of the sound ones with %s began, %v before, beside %d",
+			span.part, len(crashes), late, after, span.first, before, bad)
+		if len(crashes) >= crashesUntilBound && late > maxLateWithPart {
+			s.checker.AddViolation(PartBound, "%d requests with part %s reached engines later than %v after its fifth crash, allowed %d",
+				late, span.part, stableWindow, maxLateWithPart)
+		}
+		if beginsTooSeldom(before, after, bad) {
+			s.checker.AddViolation(SoundBegins, "%v sound requests with first part %s began at their first attempt beside part %s, %v before",
+				after, span.first, span.part, before)
+		}
+	}
+}
+
+// crashesBy returns when the requests with a part crashed engines, in order.
+func (r partRecord) crashesBy(part string) []time.Time {
+	attempts := map[string]bool{}
+	for _, p := range r.sent {
+		attempts[p.attempt] = attempts[p.attempt] || p.holds(part)
+	}
+	var times []time.Time
+	for _, e := range r.engines {
+		for _, c := range e.Crashes() {
+			if attempts[c.AttemptID] {
+				times = append(times, c.At)
+			}
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// countLateWithPart counts the requests with the part that reached engines later than
+// stableWindow after a crash, from entries and on paths that were unimpaired. mu must be held.
+func (b *bounds) countLateWithPart(record partRecord, span partSpan, crash time.Time) int {
+	late := 0
+	for _, e := range record.engines {
+		for _, a := range standins.ArrivalsSince(e.Arrivals(), crash.Add(stableWindow)) {
+			arrival := run{Run: standins.Run{AttemptID: a.AttemptID, StartedAt: a.At}, engine: e, sender: record.sender(a.AttemptID)}
+			if slices.Contains(a.Parts, span.part) && b.isStable(arrival) {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// share counts how many of some requests began at their first attempt.
+type share struct{ begun, of int }
+
+func (s *share) add(begun bool) {
+	s.of++
+	if begun {
+		s.begun++
+	}
+}
+
+// String returns the share as "begun of all".
+func (s share) String() string { return fmt.Sprintf("%d of %d", s.begun, s.of) }
+
+// compareSound counts the sound requests with the first part of the bad ones before the fault
+// and from a time until the fault ended, and the bad ones of that time. Requests to entries
+// that were impaired do not count.
+func (r partRecord) compareSound(span partSpan, from time.Time) (before, after share, bad int) {
+	begun := r.begunAtFirst()
+	for _, p := range r.sent {
+		sound := p.parts[0] == span.first && !p.holds(span.part) && p.entry.Impairments.NoneWithin(p.at, stableWindow)
+		switch {
+		case sound && p.at.Before(span.from):
+			before.add(begun[p.attempt])
+		case p.at.Before(from) || p.at.After(span.to):
+		case p.holds(span.part):
+			bad++
+		case sound:
+			after.add(begun[p.attempt])
+		}
+	}
+	return before, after, bad
+}
+
+// beginsTooSeldom reports whether sound requests began less than half as often as before. It
+// needs minCountedRequests of each.
+func beginsTooSeldom(before, after share, bad int) bool {
+	return min(before.of, after.of, bad) >= minCountedRequests && 2*after.begun*before.of < before.begun*after.of
+}
+
+// begunAtFirst returns the attempts of callers that began to run at the first engine that
+// they reached.
+func (r partRecord) begunAtFirst() map[string]bool {
+	type arrival struct {
+		at     time.Time
+		engine *standins.Engine
+	}
+	first := map[string]arrival{}
+	for _, e := range r.engines {
+		for _, a := range e.Arrivals() {
+			if f, ok := first[a.AttemptID]; !ok || a.At.Before(f.at) {
+				first[a.AttemptID] = arrival{a.At, e}
+			}
+		}
+	}
+	begun := map[string]bool{}
+	for attempt, f := range first {
+		begun[attempt] = f.engine.RunCount(attempt) > 0
+	}
+	return begun
+}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -36,6 +36,7 @@
 	fleet   *harness.Fleet
 	checker *Checker
 	bounds  *bounds
+	parts   *promptParts
 }
 
 // inject starts the fault of an event and returns a function that ends it, or nil if the
@@ -58,7 +59,9 @@
 	case services:
 		return injectServiceFault(e.Fault, i.fleet.Services[e.Index])
 	case backEnds:
-		return i.limitRate(i.backEndAt(e.Index))
+		return i.injectAnswerFault(e, i.backEndAt(e.Index))
+	case prompts:
+		return i.crashOnPart(e.Variant)
 	case zones:
 		zone := string(i.fleet.Spec.Zones[e.Index].Name)
 		i.fleet.Store.Evacuate(zone, true)
@@ -140,6 +143,9 @@
 	case CorruptStaged:
 		engine.CorruptStagedPieces()
 		return nil
+	case SilenceEngine:
+		engine.SilenceFor(silenceDuration)
+		return nil
 	case DrainEngine:
 		return i.drainEngine(engine)
 	default:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,6 +24,7 @@
 	HangEngine
 	CutStream
 	CorruptStaged
+	SilenceEngine
 	DrainEngine
 	DelayStorePath
 	ResetStorePath
@@ -42,6 +43,8 @@
 	HangService
 	LoseAnswers
 	LimitRate
+	UnframedAnswers
+	EndlessAnswers
 	StoreDown
 	LateWrites
 	DropHistory
@@ -51,19 +54,21 @@
 	AnnounceVersion
 	PublishManifest
 	EvacuateZone
+	CrashPart
 	faultCount
 )
 
 var faultNames = [faultCount]string{
 	"kill entry", "pause entry", "stop entry", "reload entry", "store turns entry away",
 	"lose target machine", "kill target", "pause target", "store turns target away",
-	"engine hangs", "engine cuts a stream", "staged pieces rot", "drain engine",
+	"engine hangs", "engine cuts a stream", "staged pieces rot", "engine silent", "drain engine",
 	"delay to and from store", "connections to store reset", "cut towards store", "cut from store", "connections to store silent",
 	"delay to and from back end", "connections to back end reset", "cut towards back end", "cut from back end",
 	"connections to back end silent",
 	"delay of links", "cut towards links", "cut from links", "links silent",
-	"service hangs", "service loses answers", "back end limits its rate", "store down", "store applies writes late", "store drops history", "store back from an older copy",
-	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone",
+	"service hangs", "service loses answers", "back end limits its rate", "back end sends answers without framing", "back end sends answers without end",
+	"store down", "store applies writes late", "store drops history", "store back from an older copy",
+	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone", "part of a prompt crashes engines",
 }
 
 // String returns the name of the fault, as plan files have it.
@@ -84,6 +89,7 @@
 	store
 	origin
 	operators
+	prompts
 	classCount
 )
 
@@ -101,7 +107,7 @@
 		return linkPaths
 	case f <= LoseAnswers:
 		return services
-	case f == LimitRate:
+	case f <= EndlessAnswers:
 		return backEnds
 	case f <= RestoreStore:
 		return store
@@ -109,6 +115,8 @@
 		return origin
 	case f == EvacuateZone:
 		return zones
+	case f == CrashPart:
+		return prompts
 	default:
 		return operators
 	}
@@ -120,8 +128,10 @@
 	case entries:
 		return f != StopEntry && f != ReloadEntry
 	case targets:
-		return f != DrainEngine
-	case storePaths, backEndPaths, linkPaths, services:
+		return f != DrainEngine && f != SilenceEngine
+	case backEnds:
+		return f != LimitRate
+	case storePaths, backEndPaths, linkPaths, services, prompts:
 		return true
 	default:
 		return false
@@ -156,7 +166,7 @@
 // class that serves requests, at least one object stays unaffected.
 func (s Shape) maxAffected(c class) int {
 	switch c {
-	case store, origin, operators:
+	case store, origin, operators, prompts:
 		return 1
 	case zones:
 		return min(s.Zones-1, 1)
@@ -176,6 +186,8 @@
 	Fault    Fault         `json:"fault"`
 	// Index is the index of the affected object within its class.
 	Index int `json:"on"`
+	// Variant selects among the variants of the fault, if it has any.
+	Variant int `json:"variant,omitempty"`
 }
 
 func (e Event) endTime() time.Duration { return e.At + e.Duration }
@@ -189,7 +201,7 @@
 	minGap = 200 * time.Millisecond
 	maxGap = 1500 * time.Millisecond
 	// drawsPerSeries is how many draws there are, on average, to one that draws a series.
-	drawsPerSeries = 6
+	drawsPerSeries = 3
 	// minDuration and maxDuration bound the duration of a fault.
 	minDuration = 500 * time.Millisecond
 	maxDuration = 5 * time.Second
@@ -219,11 +231,14 @@
 	return []Event{drawObject(rnd, e, shape)}
 }
 
-// drawObject draws the object that the event affects.
+// drawObject draws the object that the event affects and the variant of its fault.
 func drawObject(rnd *rand.Rand, e Event, shape Shape) Event {
 	if n := shape.count(e.Fault.class()); n > 0 {
 		e.Index = rnd.IntN(n)
 	}
+	if n := e.Fault.variantCount(); n > 0 {
+		e.Variant = rnd.IntN(n)
+	}
 	return e
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,8 @@
 	// CheckBounds enables the checks of the promises that have a time bound. They need a
 	// machine that is not overloaded.
 	CheckBounds bool
+	// CheckParts enables the checks of what follows crashes by a part of a prompt.
+	CheckParts bool
 	// If Drills is set, the plan of the seed has returns of the store from older copies
 	// only. If HideEra is set, the store does not report its era.
 	Drills, HideEra bool
@@ -78,7 +80,9 @@
 		return Report{}, err
 	}
 	checker := NewChecker(opts.Spec.StreamEvents, fleet.RunCount)
-	s := &session{opts: opts, fleet: fleet, checker: checker, traffic: NewTraffic(fleet, checker),
+	traffic := NewTraffic(fleet, checker)
+	traffic.checkCuts = true
+	s := &session{opts: opts, fleet: fleet, checker: checker, traffic: traffic,
 		bounds: &bounds{}, start: time.Now()}
 	plan := opts.Plan
 	if plan == nil && opts.Drills {
@@ -121,7 +125,7 @@
 
 // injectFaults injects each fault at its time and waits until all are over.
 func (s *session) injectFaults(ctx context.Context, plan []Event) {
-	i := &injector{ctx: ctx, fleet: s.fleet, checker: s.checker, bounds: s.bounds}
+	i := &injector{ctx: ctx, fleet: s.fleet, checker: s.checker, bounds: s.bounds, parts: &s.traffic.parts}
 	var wg sync.WaitGroup
 	var locks objectLocks
 	for _, e := range plan {
@@ -229,6 +233,9 @@
 		s.bounds.check(s.checker, s.listRuns())
 		s.bounds.checkLimits(s.checker, s.traffic.Sender)
 	}
+	if s.opts.CheckParts {
+		s.checkParts()
+	}
 	for _, name := range s.fleet.StopAll() {
 		s.checker.AddViolation(PlannedStop, "%s did not stop cleanly at the end of the run", name)
 	}
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -9,7 +9,7 @@
 
 // series are generators of groups of events that follow one another closely and that
 // single draws would almost never combine.
-var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation, longLimit}
+var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation, longLimit, longCrashingPart, silenceDuringStop}
 
 const (
 	// minOriginOutage and maxOriginOutage bound how long the origin of weights is
@@ -68,6 +68,43 @@
 	return []Event{drawObject(rnd, limit, shape), drawObject(rnd, entryFault, shape)}
 }
 
+const (
+	// partLead is the time of sound traffic before a part crashes engines, with which that
+	// beside it is compared.
+	partLead = 5 * time.Second
+	// minPartDuration and maxPartDuration bound how long a part crashes engines: long enough
+	// for five crashes, twice stableWindow and enough requests after it.
+	minPartDuration = 22 * time.Second
+	maxPartDuration = 26 * time.Second
+	// maxSilenceOffset bounds the time from the silence of an engine to the operators'
+	// actions beside it.
+	maxSilenceOffset = 900 * time.Millisecond
+)
+
+// longCrashingPart has a part of a prompt crash engines for long enough that what follows can
+// be counted, and stops, kills or pauses an entry meanwhile (docs/incidents/second1-budget.md).
+func longCrashingPart(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
+	crashing := Event{At: at + partLead, Duration: randomDuration(rnd, minPartDuration, maxPartDuration), Fault: CrashPart}
+	entryFault := Event{
+		At:       crashing.At + randomDuration(rnd, 0, minPartDuration/2),
+		Duration: randomDuration(rnd, minEntryFaultDuration, maxEntryFaultDuration),
+		Fault:    []Fault{KillEntry, PauseEntry, StopEntry}[rnd.IntN(3)],
+	}
+	return []Event{drawObject(rnd, crashing, shape), drawObject(rnd, entryFault, shape)}
+}
+
+// silenceDuringStop publishes a manifest and stops an entry while an engine is silent, so that
+// streams are held by all three.
+func silenceDuringStop(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
+	silence := Event{At: at, Duration: silenceDuration, Fault: SilenceEngine}
+	manifest := Event{At: at + randomDuration(rnd, 0, maxSilenceOffset), Fault: PublishManifest}
+	stop := Event{
+		At:       at + randomDuration(rnd, 0, maxSilenceOffset),
+		Duration: randomDuration(rnd, minEntryFaultDuration, maxEntryFaultDuration), Fault: StopEntry,
+	}
+	return []Event{drawObject(rnd, silence, shape), manifest, drawObject(rnd, stop, shape)}
+}
+
 const (
 	// minDrillGap and maxDrillGap bound the time between two returns of the store in a plan
 	// of drills. maxDrillOutage bounds how long the store is away.
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -33,6 +32,8 @@
 	// lossSlack is the longest time that a stopping entry may hold a request that it does
 	// not answer. It equals the platform's loss_slack_ms.
 	lossSlack = 200 * time.Millisecond
+	// maxAnswerBytes is more than any whole answer has.
+	maxAnswerBytes = 1 << 20
 )
 
 // Traffic sends requests to the entries of a fleet until it is stopped.
@@ -45,7 +46,12 @@
 	unplannedFaults harness.Impairments
 	// entryByAttempt maps each attempt to the entry that it was sent to.
 	entryByAttempt sync.Map
-	wg             sync.WaitGroup
+	// parts draws the parts of prompts and records them.
+	parts promptParts
+	// checkCuts enables the check that streams are cut by unplanned faults only, which need
+	// to be recorded in unplannedFaults.
+	checkCuts bool
+	wg        sync.WaitGroup
 }
 
 // NewTraffic returns traffic to a fleet whose answers go to checker.
@@ -90,17 +96,28 @@
 			defer func() { <-slots }()
 			t.sendAndCheck(kind, entry)
 		})
+		if kind == Chat && t.parts.drawsBad() {
+			t.wg.Go(func() { t.sendBadAndCheck(ctx) })
+		}
 	}
 }
 
 // sendAndCheck sends one request to an entry and checks its answer.
 func (t *Traffic) sendAndCheck(kind Kind, entry *harness.Machine) {
+	t.exchangeAndCheck(entry, func() Answer { return t.SendRequest(kind, entry) })
+}
+
+// exchangeAndCheck sends a request to an entry and checks its answer.
+func (t *Traffic) exchangeAndCheck(entry *harness.Machine, send func() Answer) {
 	stopping := entry.Stopping()
-	a := t.SendRequest(kind, entry)
+	a := send()
 	t.checker.CheckAnswer(a, entry.UndisturbedSince(a.Start))
 	if description := t.plannedStopProblem(a, stopping); description != "" {
 		t.checker.AddViolation(PlannedStop, "%s cut request %s %s after %v: %v", entry.Name, a.Attempt, description, a.End.Sub(a.Start), a.Err)
 	}
+	if t.checkCuts && t.isCutWithoutCause(a) {
+		t.checker.AddViolation(UncutStream, "%s cut stream %s after %v: %v", entry.Name, a.Attempt, a.End.Sub(a.Start), a.Err)
+	}
 }
 
 // plannedStopProblem describes how a planned stop cut the request off; it is empty if none
@@ -145,11 +162,19 @@
 	a := Answer{Kind: kind, Attempt: fmt.Sprintf("%s-%d", kind, t.ids.Add(1)), Entry: entry, Start: time.Now()}
 	method, path, body := http.MethodPost, standins.ChatPath+"x", "prompt"
 	switch kind {
+	case Chat:
+		a.prompt = t.parts.drawSound()
 	case Pay:
 		path, body = standins.PayPath+a.Attempt, "amount"
 	case Look:
 		method, path, body = http.MethodGet, standins.LookPath+a.Attempt, ""
 	}
+	return t.send(a, method, path, body)
+}
+
+// send sends the request of an answer that is prepared, and completes the answer.
+func (t *Traffic) send(a Answer, method, path, body string) Answer {
+	t.parts.record(a)
 	a.Sent = strings.TrimSpace(fmt.Sprintf("%s %s %s", method, path, body))
 	t.exchange(&a, method, path, body)
 	a.End = time.Now()
@@ -179,22 +204,23 @@
 }
 
 func (t *Traffic) exchange(a *Answer, method, path, body string) {
-	resp, err := t.do(a.Entry, a.Attempt, method, path, body)
+	resp, err := t.do(a.Entry, a.Attempt, method, path, body, a.prompt...)
 	if err != nil {
 		a.Err = err
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readBounded(resp.Body)
 	a.Status, a.Body, a.Err = resp.StatusCode, string(data), err
 	headers := standins.DecodeAnswerHeaders(resp.Header)
 	a.Stamp, a.Weights = headers.Stamp, headers.Weights
 }
 
-func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string) (*http.Response, error) {
+func (t *Traffic) do(entry *harness.Machine, attempt, method, path, body string, prompt ...standins.PromptPart) (*http.Response, error) {
 	t.entryByAttempt.Store(attempt, entry)
 	req, err := standins.Request{
 		AttemptID: attempt, APIKey: harness.FleetKey, Entry: entry.CallerAddress, Method: method, Path: path, Body: body,
+		Prompt: prompt,
 	}.NewHTTPRequest()
 	if err != nil {
 		return nil, err
@@ -212,7 +238,7 @@
 		return 0, ""
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readBounded(resp.Body)
 	if err != nil || resp.Header.Get("Content-Type") != problem.MediaType {
 		return resp.StatusCode, ""
 	}
