--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -23,7 +23,9 @@
 	// servingTime is how long the zone serves before the evacuation and after its return.
 	servingTime = 3 * time.Second
 	// outageTime is how long a lost machine is away.
-	outageTime     = 2 * time.Second
+	outageTime = 2 * time.Second
+	// crashingTime is how long a part of a prompt crashes engines.
+	crashingTime   = 10 * time.Second
 	servingTimeout = 15 * time.Second
 	versionTimeout = 15 * time.Second
 	// maxOriginCopies is how many copies of one version the origin may send.
@@ -104,6 +106,19 @@
 	return nil
 }
 
+// crashEngines has a part of a prompt crash engines, and counts the crashes.
+func (d *demo) crashEngines(ctx context.Context) error {
+	end := d.traffic.BeginCrashingPart()
+	err := sleep(ctx, crashingTime)
+	figures := end()
+	if err != nil {
+		return err
+	}
+	d.addFigure("crashes of engines by a part of a prompt, in 10 s", "%d", figures.Crashes)
+	d.addFigure("requests with that part that reached engines from 3 s after the fifth crash on", "%d", figures.Late)
+	return d.awaitAllServing(ctx)
+}
+
 // runsInZone returns how many attempts the back ends of a zone have run.
 func (d *demo) runsInZone(zone contract.ZoneName) int {
 	n := 0
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -38,6 +38,7 @@
 		{"evacuate a zone and take it back in", d.evacuateAndRestoreZone},
 		{"roll out a second version", d.rollOutSecondVersion},
 		{"let a service limit the rate of its requests", d.limitTarget},
+		{"let a part of a prompt crash engines", d.crashEngines},
 		{"kill an entry, lose a machine, stop an entry as planned", d.loseProcesses},
 		{"stop everything", d.stopAll},
 	} {
--- a/internal/soak/crashpart.go
+++ b/internal/soak/crashpart.go
@@ -25,18 +25,48 @@
 	from, to    time.Time
 }
 
-// crashOnPart has a part of a prompt crash engines until the returned function is called.
-func (i *injector) crashOnPart(firstIndex int) func() {
-	part, first := i.parts.beginBad(firstIndex)
-	i.fleet.SetCrashingParts(part)
+// PartFigures describes what followed crashes by a part of a prompt.
+type PartFigures struct {
+	// Crashes is the number of crashes. Late is the number of requests with the part that
+	// reached engines later than stableWindow after the fifth crash.
+	Crashes, Late int
+}
+
+// BeginCrashingPart has a part of a prompt crash engines, and requests carry it, until the
+// returned function is called. That function returns what happened meanwhile.
+func (t *Traffic) BeginCrashingPart() (end func() PartFigures) {
+	endPart := t.crashOnPart(0)
+	return func() PartFigures {
+		span := endPart()
+		record := t.partRecord(t.fleet.AllEngines())
+		crashes := record.crashesBy(span.part)
+		figures := PartFigures{Crashes: len(crashes)}
+		if len(crashes) >= crashesUntilBound {
+			figures.Late = (&bounds{}).countLateWithPart(record, span, crashes[crashesUntilBound-1])
+		}
+		return figures
+	}
+}
+
+// crashOnPart has a part of a prompt crash engines, and requests carry it behind the first
+// part with the given index, until the returned function is called.
+func (t *Traffic) crashOnPart(firstIndex int) (end func() partSpan) {
+	part, first := t.parts.beginBad(firstIndex)
+	t.fleet.SetCrashingParts(part)
 	start := time.Now()
-	return func() {
-		i.bounds.addPart(partSpan{part: part, first: first, from: start, to: time.Now()})
-		i.parts.endBad()
-		i.fleet.SetCrashingParts()
+	return func() partSpan {
+		t.parts.endBad()
+		t.fleet.SetCrashingParts()
+		return partSpan{part: part, first: first, from: start, to: time.Now()}
 	}
 }
 
+// crashOnPart does the same and records the span.
+func (i *injector) crashOnPart(firstIndex int) func() {
+	end := i.traffic.crashOnPart(firstIndex)
+	return func() { i.bounds.addPart(end()) }
+}
+
 func (b *bounds) addPart(span partSpan) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -51,6 +81,10 @@
 	sender func(attempt string) *harness.Machine
 }
 
+func (t *Traffic) partRecord(engines []*standins.Engine) partRecord {
+	return partRecord{engines: engines, sent: t.parts.list(), sender: t.Sender}
+}
+
 // checkParts checks what followed the crashes by parts of prompts.
 func (s *session) checkParts() { s.checkPartsOf(s.fleet.AllEngines()) }
 
@@ -58,7 +92,7 @@
 func (s *session) checkPartsOf(engines []*standins.Engine) {
 	s.bounds.mu.Lock()
 	defer s.bounds.mu.Unlock()
-	record := partRecord{engines: engines, sent: s.traffic.parts.list(), sender: s.traffic.Sender}
+	record := s.traffic.partRecord(engines)
 	for _, span := range s.bounds.parts {
 		crashes := record.crashesBy(span.part)
 		if len(crashes) == 0 {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -36,7 +36,7 @@
 	fleet   *harness.Fleet
 	checker *Checker
 	bounds  *bounds
-	parts   *promptParts
+	traffic *Traffic
 }
 
 // inject starts the fault of an event and returns a function that ends it, or nil if the
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -125,7 +125,7 @@
 
 // injectFaults injects each fault at its time and waits until all are over.
 func (s *session) injectFaults(ctx context.Context, plan []Event) {
-	i := &injector{ctx: ctx, fleet: s.fleet, checker: s.checker, bounds: s.bounds, parts: &s.traffic.parts}
+	i := &injector{ctx: ctx, fleet: s.fleet, checker: s.checker, bounds: s.bounds, traffic: s.traffic}
 	var wg sync.WaitGroup
 	var locks objectLocks
 	for _, e := range plan {
