--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -173,6 +174,7 @@
 	f["attempt_ms"] = rec.attemptTime().Milliseconds()
 	f["outcome"] = outcomeNames[rec.outcome]
 	rec.addBreakageFields(f)
+	c.addPromptFields(f, rec.outcome)
 	if rec.err != nil {
 		f["error"] = rec.err.Error()
 	}
@@ -182,6 +184,16 @@
 	addChoiceFields(f, "", rec.choice)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// addPromptFields adds the parts that the prompt of a lost attempt shares with others.
+func (c *call) addPromptFields(f log.Fields, outcome attempts.Outcome) {
+	if shared := len(c.info.PromptParts) - 1; outcome == attempts.Lost && shared > 0 {
+		f["parts"] = strings.Join(c.info.PromptParts[:min(shared, maxLoggedParts)], ",")
+	}
+}
+
 // addBreakageFields adds how the last attempt broke off and what the target reported.
 func (rec *requestRecord) addBreakageFields(f log.Fields) {
 	if rec.breakage != "" {
@@ -306,6 +318,7 @@
 	f := log.Fields{"attempt_ms": c.record.attemptTime().Milliseconds()}
 	f["version"] = c.record.choice.Version
 	c.record.addBreakageFields(f)
+	c.addPromptFields(f, outcome)
 	e.log.WithFields(f).WithField("request", c.info.AttemptID).WithField("service", string(c.service)).
 		WithField("target", string(c.lastTarget)).WithField("outcome", outcomeNames[outcome]).WithField("sent", c.attemptsSent).Info("sent again")
 }
