--- /dev/null
+++ b/e2e/fleet/poison_test.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	entrydirect "mimosastand.example/mimosastand/machine/entry/direct"
+)
+
+const (
+	// badPart is the part of a prompt that crashes engines.
+	badPart = "badc0de"
+	// crashesUntilBound is the number of crashes, and learningTime the time after the last of
+	// them, from which at most maxPastBound requests with the part may reach engines: the
+	// platform's rule.
+	crashesUntilBound = 5
+	learningTime      = 3 * time.Second
+	maxPastBound      = 3
+)
+
+// promptTraffic sends sound requests and some with badPart to entries in turn.
+type promptTraffic struct {
+	r       *rig
+	entries []*entrydirect.Entry
+	calls   sync.WaitGroup
+	// soundSent and soundServed count the sound requests sent from countFrom on.
+	countFrom              time.Time
+	soundSent, soundServed atomic.Int64
+}
+
+// run sends a sound request each soundInterval and one with badPart each badInterval.
+func (p *promptTraffic) run(duration time.Duration) {
+	const soundInterval, soundPerBad, firstParts = 15 * time.Millisecond, 8, 5
+	start := time.Now()
+	for n := 0; time.Since(start) < duration; n++ {
+		first := fmt.Sprintf("first-%d", n%firstParts)
+		entry, counts := p.entries[n%len(p.entries)], time.Now().After(p.countFrom)
+		p.calls.Go(func() { p.send(entry, counts, first) })
+		if n%soundPerBad == 0 {
+			other := p.entries[(n/soundPerBad)%len(p.entries)]
+			p.calls.Go(func() { p.send(other, false, first, badPart) })
+		}
+		time.Sleep(soundInterval)
+	}
+	p.calls.Wait()
+}
+
+// send sends a request whose prompt has the parts and one of its own.
+func (p *promptTraffic) send(e *entrydirect.Entry, counts bool, parts ...string) {
+	got := p.r.callWithPrompt(e, parts...)
+	if !counts {
+		return
+	}
+	p.soundSent.Add(1)
+	if got.status == http.StatusOK && got.err == nil {
+		p.soundServed.Add(1)
+	}
+}
+
+// Guards against prompts that crash one engine after the other (BUDGET, incident second1): no
+// entry read the parts of prompts, and retries carried the crash to another engine.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	t.Parallel()
+	const soundTime, badTime = 3 * time.Second, 14 * time.Second
+	r := newRig(t)
+	for n := range 8 {
+		r.addEngine(fmt.Sprintf("i-e%d", n), 8)
+	}
+	p := &promptTraffic{r: r, countFrom: time.Now().Add(time.Hour)}
+	for i := range 3 {
+		e, _ := r.startEntry(fmt.Sprintf("entry-%d", i+1), r.store.Address())
+		p.entries = append(p.entries, e)
+	}
+	p.run(soundTime)
+	for _, e := range r.engines {
+		e.SetCrashingParts(badPart)
+	}
+	p.countFrom = time.Now().Add(2 * learningTime)
+	p.run(badTime)
+
+	crashes, late := r.crashesAndLateArrivals()
+	t.Logf("%d crashes, %d requests past the bound, %d of %d sound ones served", crashes, late, p.soundServed.Load(), p.soundSent.Load())
+	if crashes == 0 || late > maxPastBound {
+		t.Errorf("%d engines crashed and %d requests with the part reached engines %v after the fifth crash, want at least 1 and at most %d",
+			crashes, late, learningTime, maxPastBound)
+	}
+	if sent, served := p.soundSent.Load(), p.soundServed.Load(); served*2 < sent {
+		t.Errorf("%d of %d sound requests served, want at least half", served, sent)
+	}
+}
+
+// crashesAndLateArrivals returns how often engines crashed because of badPart, and how many
+// requests with it reached engines later than learningTime after the fifth crash.
+func (r *rig) crashesAndLateArrivals() (crashes, late int) {
+	var times []time.Time
+	for _, e := range r.engines {
+		for _, c := range e.Crashes() {
+			times = append(times, c.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	if len(times) < crashesUntilBound {
+		return len(times), 0
+	}
+	bound := times[crashesUntilBound-1].Add(learningTime)
+	for _, e := range r.engines {
+		for _, a := range e.Arrivals() {
+			if slices.Contains(a.Parts, badPart) && a.At.After(bound) {
+				late++
+			}
+		}
+	}
+	return len(times), late
+}
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -129,12 +129,18 @@
 // startOtherEngine starts one more engine, which has version 1 of the weights, and waits until the
 // entries know it.
 func (r *rig) startOtherEngine(slots int) *standins.Engine {
-	e := &standins.Engine{ID: "i-m9", Service: standins.ModelService, Zone: "a", Model: standins.Model, Slots: slots, EventCount: 8, EventInterval: 10 * time.Millisecond}
+	e := r.addEngine("i-m9", slots)
+	time.Sleep(knownWithin)
+	return e
+}
+
+// addEngine starts one more engine, which has version 1 of the weights.
+func (r *rig) addEngine(id string, slots int) *standins.Engine {
+	e := &standins.Engine{ID: id, Service: standins.ModelService, Zone: "a", Model: standins.Model, Slots: slots, EventCount: 8, EventInterval: 10 * time.Millisecond}
 	if err := e.Start(r.store, 1); err != nil {
 		r.t.Fatal(err)
 	}
 	r.engines = append(r.engines, e)
-	time.Sleep(knownWithin)
 	return e
 }
 
@@ -182,10 +188,23 @@
 
 // call sends a request to an entry as a caller. modifyHeader, if not nil, changes its headers.
 func (r *rig) call(e *entrydirect.Entry, method, path, body string, modifyHeader func(http.Header)) result {
+	return r.send(standins.Request{Entry: e.CallerAddress(), Method: method, Path: path, Body: body}, modifyHeader)
+}
+
+// callWithPrompt sends a request for a stream whose prompt has the parts and one of its own.
+func (r *rig) callWithPrompt(e *entrydirect.Entry, parts ...string) result {
+	var prompt []standins.PromptPart
+	for _, id := range append(parts, fmt.Sprintf("own-%d", r.requestCount.Load())) {
+		prompt = append(prompt, standins.PromptPart{ID: id, Tokens: 100})
+	}
+	return r.send(standins.Request{Entry: e.CallerAddress(), Method: http.MethodPost, Path: "/chat/x", Body: "prompt", Prompt: prompt}, nil)
+}
+
+// send sends a request, whose attempt and key it sets.
+func (r *rig) send(request standins.Request, modifyHeader func(http.Header)) result {
 	res := result{id: fmt.Sprintf("attempt-%d", r.requestCount.Add(1))}
-	req, err := standins.Request{
-		AttemptID: res.id, APIKey: apiKey, Entry: e.CallerAddress(), Method: method, Path: path, Body: body,
-	}.NewHTTPRequest()
+	request.AttemptID, request.APIKey = res.id, apiKey
+	req, err := request.NewHTTPRequest()
 	if err != nil {
 		r.t.Fatal(err)
 	}
