--- a/contract/message.go
+++ b/contract/message.go
@@ -224,6 +224,47 @@
 	// RateLimits lists the rates to which targets limit all entries, and the limits that
 	// were lifted recently, as far as the sending entry knows.
 	RateLimits []TargetRateLimit `cbor:"13,keyasint,omitempty"`
+	// PoisonObservations lists the attempts of the sending entry that ended recently with
+	// the crash of their target. PoisonVerdicts lists what the entry knows of the parts of
+	// prompts that crash targets.
+	PoisonObservations []PoisonObservation `cbor:"15,keyasint,omitempty"`
+	PoisonVerdicts     []PoisonVerdict     `cbor:"16,keyasint,omitempty"`
+}
+
+// PoisonObservation is an attempt that ended, before it had shown to be sound, with the crash
+// of its target.
+type PoisonObservation struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is a random number that identifies the attempt.
+	ID uint64
+	// Crash is a 64-bit hash of the target's name and the start of its incarnation, Service
+	// one of the name of its service.
+	Crash   uint64
+	Service uint64
+	// Parts are 64-bit hashes of parts of the prompt.
+	Parts []uint64
+	// SentAgeMS and BrokenAgeMS are the times in milliseconds from the sending and from the
+	// end of the attempt to the heartbeat.
+	SentAgeMS   uint32
+	BrokenAgeMS uint32
+}
+
+// PoisonVerdict is what an entry learnt of a group of parts: requests that hold all of them
+// crash targets, or, for a single part, that a request with it has been served.
+type PoisonVerdict struct {
+	_ struct{} `cbor:",toarray"`
+	// Parts are 64-bit hashes of the parts, in ascending order.
+	Parts []uint64
+	// Observation is a random number that identifies the statement, since several entries
+	// report it.
+	Observation uint64
+	// AgeMS is the time in milliseconds from what the statement rests on to the heartbeat.
+	AgeMS uint32
+	// Blamed reports whether requests with the group are refused, Probing whether one of
+	// them has been sent nonetheless. Probes counts those that crashed their target.
+	Blamed  bool
+	Probing bool
+	Probes  uint8
 }
 
 // TargetRateLimit is what an answer of a target showed of the rate that it accepts.
