Package poison: find and refuse the part of prompts that crashes engines

The new decision package learns from attempts that end unproven with the crash of their target, and spreads blames and clears in heartbeats. EntryShares.IsTurn divides the probes among the entries.

--- a/zone/placement/shares.go
+++ b/zone/placement/shares.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,21 @@
 	}
 }
 
+// IsTurn reports whether it is this entry's turn to do something that only one entry at a
+// time should do, which has been due for the time elapsed. key identifies the matter. The
+// entries take turns of one window each in the order of rendezvous hashing; between two
+// turns is a break in which the next entry learns what the last one has done.
+func (s EntryShares) IsTurn(key uint64, elapsed time.Duration) bool {
+	const window = time.Second
+	const heartbeatBreak = window / 2
+	if elapsed < 0 || elapsed%window >= window-heartbeatBreak {
+		return false
+	}
+	matter := roster.TargetID(strconv.FormatUint(key, 16))
+	turns := turnOrder{place: s.rankFor(matter), count: len(s.Entries), window: window}
+	return turns.isNow(elapsed, window*time.Duration(turns.count))
+}
+
 // senderCount returns how many entries may send to a target that cannot serve one request
 // of each. One request is reserved for an unknown entry, unless there is only one.
 func senderCount(total int) int { return max(total-1, 1) }
--- /dev/null
+++ b/zone/poison/blame.go
@@ -0,0 +1,235 @@
+package poison
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// blameChain is how many crashes in a row blame a part, blameContrast how many attempts
+	// without it must have been proven meanwhile.
+	blameChain    = 3
+	blameContrast = 3
+	// blameShareDivisor gives the least share of the service's crashes since the first with a
+	// part, as far as no other part explains them, at which the part must have been present.
+	// If many engines crash for another cause, a part of few requests is at few of them.
+	blameShareDivisor = 3
+	// sameMoment bounds the error in the times of crashes that several entries report.
+	sameMoment = 200 * time.Millisecond
+	// maxBlames bounds the blamed groups, maxGroupParts the parts of one.
+	maxBlames     = 128
+	maxGroupParts = 4
+	// maxClears bounds the parts that are remembered as cleared.
+	maxClears = 256
+)
+
+// groupKey identifies a group of parts.
+type groupKey uint64
+
+func keyOf(group []Part) groupKey {
+	var b []byte
+	for _, p := range group {
+		b = binary.LittleEndian.AppendUint64(b, uint64(p))
+	}
+	return groupKey(xxhash.Sum64(b))
+}
+
+// blame is the newest statement on a group of parts whose requests crash targets. The parts
+// are in ascending order; there are several if their observations do not tell them apart.
+type blame struct {
+	group []Part
+	// at is when the last crash happened on which the statement rests, or, if probing, when
+	// the probe was sent.
+	at      time.Time
+	probing bool
+	// probes counts the probes that crashed their target.
+	probes uint8
+	// id distinguishes statements: the same one may be reported by several peers.
+	id uint64
+}
+
+// clearance is the newest proof that a part under suspicion is sound.
+type clearance struct {
+	at time.Time
+	id uint64
+}
+
+// evaluate blames parts so that the crashes observed are explained by as few as possible. The
+// part with the most crashes comes first, and the others count only what it does not explain.
+func (t *Tracker) evaluate() {
+	if !t.changed {
+		return
+	}
+	t.changed = false
+	covered := map[uint64]bool{}
+	for {
+		group, crashes := t.mostSuspect(t.candidates(), covered)
+		if group == nil {
+			return
+		}
+		if at, ok := t.isGuilty(group, covered); ok {
+			t.addBlame(&blame{group: group, at: at, id: t.rng.Uint64()})
+		}
+		for _, c := range crashes {
+			covered[c] = true
+		}
+	}
+}
+
+// candidates returns the parts with enough observations to be blamed, in ascending order.
+func (t *Tracker) candidates() []Part {
+	var list []Part
+	for p, s := range t.suspects {
+		if len(s.sightings) >= blameChain {
+			list = append(list, p)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// mostSuspect returns the part with the most crashes that are not in covered, with the other
+// parts that have the same ones, and these crashes. It returns nil if none has enough.
+func (t *Tracker) mostSuspect(candidates []Part, covered map[uint64]bool) (group []Part, crashes []uint64) {
+	length := 0
+	for _, p := range candidates {
+		s := t.suspects[p]
+		own := s.crashes(covered)
+		if len(own) < blameChain || len(own) < len(crashes) {
+			continue
+		}
+		chain := len(s.chain(covered))
+		switch {
+		case slices.Equal(own, crashes):
+			group = append(group, p)
+			length = max(length, chain)
+		case len(own) > len(crashes) || chain > length:
+			group, crashes, length = []Part{p}, own, chain
+		}
+	}
+	return t.leastProven(group, maxGroupParts), crashes
+}
+
+// leastProven returns at most n of the parts, those that were proven least recently, in
+// ascending order.
+func (t *Tracker) leastProven(parts []Part, n int) []Part {
+	if len(parts) <= n {
+		return parts
+	}
+	list := slices.SortedStableFunc(slices.Values(parts), func(a, b Part) int {
+		return t.proven.last(a).Compare(t.proven.last(b))
+	})
+	return slices.Sorted(slices.Values(list[:n]))
+}
+
+// isGuilty reports whether a group that is not blamed yet is to be blamed for the crashes that
+// are not in covered, and when the last of them happened.
+func (t *Tracker) isGuilty(group []Part, covered map[uint64]bool) (at time.Time, ok bool) {
+	if t.blames[keyOf(group)] != nil {
+		return at, false
+	}
+	for _, p := range group {
+		s := t.suspects[p]
+		if len(s.chain(covered)) < blameChain || !t.standsOut(s, covered) {
+			return at, false
+		}
+		at = s.sightings[len(s.sightings)-1].brokenAt
+	}
+	return at, true
+}
+
+// standsOut reports whether attempts without the part of s were proven since its first
+// sighting, and enough of the crashes since then that no blamed group explains happened to
+// attempts with it; those in covered do not count for it.
+func (t *Tracker) standsOut(s *suspect, covered map[uint64]bool) bool {
+	if s.contrast < blameContrast {
+		return false
+	}
+	own := s.crashes(covered)
+	from := s.sightings[0].brokenAt.Add(-sameMoment)
+	all := 0
+	for _, c := range t.crashes {
+		if c.service == s.service && c.group == 0 && !c.at.Before(from) {
+			all++
+		}
+	}
+	return (len(own)+s.dropped)*blameShareDivisor >= all
+}
+
+// addBlame sets the statement on a group.
+func (t *Tracker) addBlame(b *blame) {
+	key := keyOf(b.group)
+	if t.blames[key] == nil && len(t.blames) >= maxBlames {
+		t.evictBlame()
+	}
+	t.blames[key] = b
+	t.changed = true
+	t.explain(key, t.crashesOf(b.group))
+}
+
+func (t *Tracker) evictBlame() {
+	oldest := slices.MinFunc(t.sortedBlames(), func(a, b groupKey) int {
+		return t.blames[a].at.Compare(t.blames[b].at)
+	})
+	t.lift(oldest)
+}
+
+func (t *Tracker) sortedBlames() []groupKey { return slices.Sorted(maps.Keys(t.blames)) }
+
+// crashesOf returns the crashes of attempts with all parts of a group.
+func (t *Tracker) crashesOf(group []Part) []uint64 {
+	var list []uint64
+	count := map[uint64]int{}
+	for _, p := range group {
+		s := t.suspects[p]
+		if s == nil {
+			return nil
+		}
+		for _, x := range s.sightings {
+			if count[x.id]++; count[x.id] == len(group) {
+				list = append(list, x.crash)
+			}
+		}
+	}
+	return list
+}
+
+// recordClear records that an attempt with a part under suspicion was proven at a time: what
+// was observed of the part before no longer counts, and the groups with it are not blamed.
+func (t *Tracker) recordClear(p Part, at time.Time, id uint64) {
+	if !at.After(t.clears[p].at) {
+		return
+	}
+	if _, known := t.clears[p]; !known && len(t.clears) >= maxClears {
+		t.evictClear()
+	}
+	t.clears[p] = clearance{at, id}
+	t.changed = true
+	t.dropSightings(p, func(x sighting) bool { return !x.brokenAt.After(at) })
+	for _, key := range t.sortedBlames() {
+		if b := t.blames[key]; slices.Contains(b.group, p) && !b.at.After(at) {
+			t.lift(key)
+		}
+	}
+}
+
+func (t *Tracker) evictClear() {
+	oldest := slices.MinFunc(slices.Sorted(maps.Keys(t.clears)), func(a, b Part) int {
+		return t.clears[a].at.Compare(t.clears[b].at)
+	})
+	delete(t.clears, oldest)
+}
+
+// lift removes the blame from a group. Crashes that it explained count again from then on.
+func (t *Tracker) lift(key groupKey) {
+	delete(t.blames, key)
+	for _, c := range t.crashes {
+		if c.group == key {
+			c.group = 0
+		}
+	}
+}
--- /dev/null
+++ b/zone/poison/check.go
@@ -0,0 +1,126 @@
+package poison
+
+import (
+	"time"
+)
+
+const (
+	// firstProbeAfter is the time from the blame to the first probe. It doubles with each
+	// probe that crashes its target, maxProbeDoublings times at most: to 16 min.
+	firstProbeAfter   = 30 * time.Second
+	maxProbeDoublings = 5
+	// probeTimeout is the time after which another probe may follow one of which nothing was
+	// heard.
+	probeTimeout = 5 * time.Second
+	// minRetryAfter is the least time named to callers.
+	minRetryAfter = time.Second
+)
+
+// Decision says what is to be done with a request.
+type Decision uint8
+
+// The decisions. A Probe is sent like a request that is Allowed.
+const (
+	Allowed Decision = iota
+	Refused
+	Probe
+)
+
+// Turns reports whether it is this entry's turn to do something that has been due for the time
+// elapsed; key identifies the matter. It is implemented by placement.EntryShares.IsTurn.
+type Turns func(key uint64, elapsed time.Duration) bool
+
+// Check decides on an attempt that is about to be sent, and returns the time until the next
+// probe if it is refused. If it is a probe, the reports to the other entries say so from then
+// on, and no other follows until the outcome is known or probeTimeout has passed.
+func (t *Tracker) Check(now time.Time, r Request, turns Turns) (d Decision, retryAfter time.Duration) {
+	held := t.heldBlames(r)
+	if len(held) == 0 {
+		return t.checkSuspects(now, r)
+	}
+	// The group that is due last decides, so that one entry's turn comes for all.
+	last := held[0]
+	for _, key := range held[1:] {
+		if t.blames[key].due().After(t.blames[last].due()) {
+			last = key
+		}
+	}
+	sinceDue := now.Sub(t.blames[last].due())
+	if sinceDue < 0 || !turns(uint64(last), sinceDue) {
+		return Refused, max(-sinceDue, minRetryAfter)
+	}
+	for _, key := range held {
+		t.blames[key].startProbe(now, t.rng.Uint64())
+	}
+	return Probe, 0
+}
+
+const (
+	// heldChain is how many crashes in a row it takes until a part that was never proven is
+	// held back: one attempt in holdTime shows as much as several, and crashes one engine.
+	heldChain = 2
+	holdTime  = time.Second
+)
+
+// checkSuspects refuses an attempt with a part that is about to be blamed, unless the last one
+// is long enough ago that its end would be known.
+func (t *Tracker) checkSuspects(now time.Time, r Request) (d Decision, retryAfter time.Duration) {
+	var held []*suspect
+	for _, p := range r.Parts {
+		if s := t.suspects[p]; s != nil && t.isHeld(p, s) {
+			held = append(held, s)
+		}
+	}
+	for _, s := range held {
+		if wait := holdTime - now.Sub(s.lastAllowed); wait > 0 {
+			return Refused, max(wait, minRetryAfter)
+		}
+	}
+	for _, s := range held {
+		s.lastAllowed = now
+	}
+	return Allowed, 0
+}
+
+// isHeld reports whether attempts with a part are held back.
+func (t *Tracker) isHeld(p Part, s *suspect) bool {
+	return t.proven.last(p).IsZero() && len(s.sightings) >= heldChain && len(s.chain(nil)) >= heldChain && t.standsOut(s, nil)
+}
+
+// heldBlames returns the blamed groups of which the request holds all parts.
+func (t *Tracker) heldBlames(r Request) []groupKey {
+	if len(t.blames) == 0 || len(r.Parts) == 0 {
+		return nil
+	}
+	var held []groupKey
+	for _, key := range t.sortedBlames() {
+		if r.holds(t.blames[key].group) {
+			held = append(held, key)
+		}
+	}
+	return held
+}
+
+func (t *Tracker) holdsBlamed(r Request) bool { return len(t.heldBlames(r)) > 0 }
+
+// due returns when the next probe may be sent.
+func (b *blame) due() time.Time {
+	if b.probing {
+		return b.at.Add(probeTimeout)
+	}
+	return b.at.Add(firstProbeAfter << min(b.probes, maxProbeDoublings))
+}
+
+func (b *blame) startProbe(now time.Time, id uint64) { b.at, b.probing, b.id = now, true, id }
+
+// probeFailed renews the blame of the groups whose probe is the attempt observed.
+func (t *Tracker) probeFailed(o Observation) {
+	for _, key := range t.heldBlames(o.Request) {
+		b := t.blames[key]
+		if !b.probing || o.SentAt.Before(b.at) {
+			continue
+		}
+		b.at, b.probing, b.id = o.BrokenAt, false, t.rng.Uint64()
+		b.probes = min(b.probes+1, maxProbeDoublings)
+	}
+}
--- /dev/null
+++ b/zone/poison/request.go
@@ -0,0 +1,61 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosastand.example/mimosastand/contract"
+)
+
+// ProvenAfter is how long an answer must have been streaming since its first event until its
+// attempt is proven.
+const ProvenAfter = 300 * time.Millisecond
+
+// Part identifies a part of the prompts of one service. Two parts have the same value by
+// chance in one of 2^64 pairs.
+type Part uint64
+
+// PartOf returns the value of the part of a service's prompts with an ID.
+func PartOf(service contract.ServiceName, id string) Part {
+	return Part(xxhash.Sum64String(string(service) + "/" + id))
+}
+
+// Request is what the package knows of a request: the service, as a 64-bit hash, and the
+// parts of its prompt, except the last.
+type Request struct {
+	Service uint64
+	Parts   []Part
+}
+
+// NewRequest returns the request to a service whose prompt consists of the parts with these
+// IDs.
+func NewRequest(service contract.ServiceName, ids []string) Request {
+	r := Request{Service: xxhash.Sum64String(string(service))}
+	for i := range max(len(ids)-1, 0) {
+		r.Parts = append(r.Parts, PartOf(service, ids[i]))
+	}
+	slices.Sort(r.Parts)
+	r.Parts = slices.Compact(r.Parts)
+	return r
+}
+
+// holds reports whether the request has all parts of a group.
+func (r Request) holds(group []Part) bool {
+	for _, p := range group {
+		if !slices.Contains(r.Parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// Observation is an attempt that broke off unproven, on a target whose incarnation has ended.
+type Observation struct {
+	// Crash identifies the incarnation of the target.
+	Crash   uint64
+	Request Request
+	// SentAt is when the attempt was sent, BrokenAt when it broke off.
+	SentAt, BrokenAt time.Time
+}
--- /dev/null
+++ b/zone/poison/tracker.go
@@ -0,0 +1,142 @@
+package poison
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tracker holds an entry's knowledge of the parts that crash targets.
+type Tracker struct {
+	rng      *rand.Rand
+	suspects map[Part]*suspect
+	proven   *provenParts
+	// changed is set while there is something new that may blame a part.
+	changed bool
+	// blames holds the groups of parts that are blamed, clears the parts that were under
+	// suspicion when an attempt with them was proven.
+	blames map[groupKey]*blame
+	clears map[Part]clearance
+	// crashes holds the crashes that are known, and which of them a blamed group explains.
+	crashes map[uint64]*crash
+	// own lists the last observations of this entry, the newest last.
+	own []ownObservation
+}
+
+// NewTracker returns an empty tracker that draws the numbers of observations from rng.
+func NewTracker(rng *rand.Rand) *Tracker {
+	return &Tracker{
+		rng:      rng,
+		suspects: map[Part]*suspect{},
+		proven:   newProvenParts(),
+		blames:   map[groupKey]*blame{},
+		clears:   map[Part]clearance{},
+		crashes:  map[uint64]*crash{},
+	}
+}
+
+// Observe records an attempt of this entry that broke off unproven, once it is confirmed that
+// the target's incarnation has ended.
+func (t *Tracker) Observe(now time.Time, o Observation) {
+	if len(o.Request.Parts) == 0 {
+		return
+	}
+	id := t.rng.Uint64()
+	t.recordOwn(now, id, o)
+	t.probeFailed(o)
+	t.apply(now, id, o)
+	t.evaluate()
+}
+
+// apply adds an observation to the records of its parts. It does not count against a part of
+// which an attempt was proven since, or if a blamed group explains the crash.
+func (t *Tracker) apply(now time.Time, id uint64, o Observation) {
+	if now.Sub(o.BrokenAt) > sightingLifetime {
+		return
+	}
+	x := sighting{id: id, crash: o.Crash, sentAt: o.SentAt, brokenAt: o.BrokenAt}
+	t.recordCrash(o)
+	for _, p := range o.Request.Parts {
+		if at := t.proven.last(p); !at.Before(o.BrokenAt) {
+			t.recordClear(p, at, t.rng.Uint64())
+			continue
+		}
+		if !t.clears[p].at.Before(o.BrokenAt) || t.isExplained(o.Crash, p) {
+			continue
+		}
+		t.addSighting(p, o.Request.Service, x)
+	}
+	for _, key := range t.sortedBlames() {
+		if b := t.blames[key]; o.Request.holds(b.group) {
+			t.explain(key, []uint64{o.Crash})
+		}
+	}
+}
+
+// Proven records that an attempt of this entry, sent at sentAt, is proven. It is called once
+// for each such attempt. It clears the parts of the request of what was observed before, and
+// counts for all suspect parts that the request does not hold.
+func (t *Tracker) Proven(now time.Time, r Request, sentAt time.Time) {
+	for _, p := range r.Parts {
+		t.proven.add(p, now)
+		if t.isSuspected(p) {
+			t.recordClear(p, now, t.rng.Uint64())
+		}
+	}
+	for p, s := range t.suspects {
+		if s.service == r.Service && !slices.Contains(r.Parts, p) && sentAt.After(s.sightings[0].brokenAt) {
+			s.contrast++
+			t.changed = t.changed || s.contrast == blameContrast
+		}
+	}
+	t.evaluate()
+}
+
+func (t *Tracker) isSuspected(p Part) bool {
+	if t.suspects[p] != nil {
+		return true
+	}
+	for _, b := range t.blames {
+		if slices.Contains(b.group, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// maxRetryChain is the longest chain of a part's observations with which an attempt is sent
+// again: another crash may have cut it short by chance.
+const maxRetryChain = 1
+
+// MayRetry reports whether an attempt that broke off unproven may be sent again: a part that
+// crashes targets would crash another one. It may if all parts were proven recently and none
+// is suspect.
+func (t *Tracker) MayRetry(r Request) bool {
+	for _, p := range r.Parts {
+		if t.proven.last(p).IsZero() {
+			return false
+		}
+		if s := t.suspects[p]; s != nil && len(s.chain(nil)) > maxRetryChain {
+			return false
+		}
+	}
+	return !t.holdsBlamed(r)
+}
+
+// prune forgets what is too old to count.
+func (t *Tracker) prune(now time.Time) {
+	expired := func(x sighting) bool { return now.Sub(x.brokenAt) > sightingLifetime }
+	for p := range t.suspects {
+		t.dropSightings(p, expired)
+	}
+	for p, c := range t.clears {
+		if now.Sub(c.at) > sightingLifetime {
+			delete(t.clears, p)
+		}
+	}
+	for id, c := range t.crashes {
+		if now.Sub(c.at) > sightingLifetime {
+			delete(t.crashes, id)
+		}
+	}
+}
