--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -18,8 +18,8 @@
 	// part, as far as no other part explains them, at which the part must have been present.
 	// If many engines crash for another cause, a part of few requests is at few of them.
 	blameShareDivisor = 3
-	// sameMoment bounds the error in the times of crashes that several entries report.
-	sameMoment = 200 * time.Millisecond
+	// maxCandidates bounds how many groups are looked at after each change.
+	maxCandidates = 16
 	// maxBlames bounds the blamed groups, maxGroupParts the parts of one.
 	maxBlames     = 128
 	maxGroupParts = 4
@@ -65,14 +65,23 @@
 		return
 	}
 	t.changed = false
+	t.held = nil
+	if !t.hasContrast() {
+		return
+	}
 	covered := map[uint64]bool{}
-	for {
+	for range maxCandidates {
 		group, crashes := t.mostSuspect(t.candidates(), covered)
 		if group == nil {
 			return
 		}
-		if at, ok := t.isGuilty(group, covered); ok {
+		chain, at := t.evidence(group, covered)
+		switch {
+		case t.blames[keyOf(group)] != nil:
+		case chain >= blameChain:
 			t.addBlame(&blame{group: group, at: at, id: t.rng.Uint64()})
+		case chain >= heldChain:
+			t.held = append(t.held, group)
 		}
 		for _, c := range crashes {
 			covered[c] = true
@@ -80,11 +89,22 @@
 	}
 }
 
-// candidates returns the parts with enough observations to be blamed, in ascending order.
+// hasContrast reports whether attempts without some suspect part were proven: otherwise no
+// part is to be blamed.
+func (t *Tracker) hasContrast() bool {
+	for _, s := range t.suspects {
+		if s.contrast >= blameContrast {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the parts with enough observations to be held back or blamed, in ascending order.
 func (t *Tracker) candidates() []Part {
 	var list []Part
 	for p, s := range t.suspects {
-		if len(s.sightings) >= blameChain {
+		if len(s.sightings) >= heldChain {
 			list = append(list, p)
 		}
 	}
@@ -99,7 +119,7 @@
 	for _, p := range candidates {
 		s := t.suspects[p]
 		own := s.crashes(covered)
-		if len(own) < blameChain || len(own) < len(crashes) {
+		if len(own) < heldChain || len(own) < len(crashes) {
 			continue
 		}
 		chain := len(s.chain(covered))
@@ -126,38 +146,42 @@
 	return slices.Sorted(slices.Values(list[:n]))
 }
 
-// isGuilty reports whether a group that is not blamed yet is to be blamed for the crashes that
-// are not in covered, and when the last of them happened.
-func (t *Tracker) isGuilty(group []Part, covered map[uint64]bool) (at time.Time, ok bool) {
-	if t.blames[keyOf(group)] != nil {
-		return at, false
-	}
-	for _, p := range group {
+// evidence returns the length of the shortest chain of the parts of a group, without the
+// crashes in covered, and when the last of these happened. It is 0 if a part does not stand
+// out.
+func (t *Tracker) evidence(group []Part, covered map[uint64]bool) (chain int, at time.Time) {
+	for i, p := range group {
 		s := t.suspects[p]
-		if len(s.chain(covered)) < blameChain || !t.standsOut(s, covered) {
-			return at, false
+		if !t.standsOut(p, s, covered) {
+			return 0, at
+		}
+		if own := len(s.chain(covered)); i == 0 || own < chain {
+			chain = own
 		}
 		at = s.sightings[len(s.sightings)-1].brokenAt
 	}
-	return at, true
+	return chain, at
 }
 
-// standsOut reports whether attempts without the part of s were proven since its first
+// standsOut reports whether attempts without a suspect part were proven since its first
 // sighting, and enough of the crashes since then that no blamed group explains happened to
 // attempts with it; those in covered do not count for it.
-func (t *Tracker) standsOut(s *suspect, covered map[uint64]bool) bool {
+func (t *Tracker) standsOut(p Part, s *suspect, covered map[uint64]bool) bool {
 	if s.contrast < blameContrast {
 		return false
 	}
-	own := s.crashes(covered)
 	from := s.sightings[0].brokenAt.Add(-sameMoment)
-	all := 0
+	own, all := len(s.crashes(covered)), 0
 	for _, c := range t.crashes {
-		if c.service == s.service && c.group == 0 && !c.at.Before(from) {
-			all++
+		if c.service != s.service || c.group != 0 || c.at.Before(from) {
+			continue
+		}
+		all++
+		if c.droppedBy == p {
+			own++
 		}
 	}
-	return (len(own)+s.dropped)*blameShareDivisor >= all
+	return own*blameShareDivisor >= all
 }
 
 // addBlame sets the statement on a group.
--- a/zone/poison/check.go
+++ b/zone/poison/check.go
@@ -66,8 +66,8 @@
 // is long enough ago that its end would be known.
 func (t *Tracker) checkSuspects(now time.Time, r Request) (d Decision, retryAfter time.Duration) {
 	var held []*suspect
-	for _, p := range r.Parts {
-		if s := t.suspects[p]; s != nil && t.isHeld(p, s) {
+	for _, group := range t.held {
+		if s := t.suspects[group[0]]; s != nil && r.holds(group) && t.neverProven(group) {
 			held = append(held, s)
 		}
 	}
@@ -82,9 +82,13 @@
 	return Allowed, 0
 }
 
-// isHeld reports whether attempts with a part are held back.
-func (t *Tracker) isHeld(p Part, s *suspect) bool {
-	return t.proven.last(p).IsZero() && len(s.sightings) >= heldChain && len(s.chain(nil)) >= heldChain && t.standsOut(s, nil)
+func (t *Tracker) neverProven(group []Part) bool {
+	for _, p := range group {
+		if !t.proven.last(p).IsZero() {
+			return false
+		}
+	}
+	return true
 }
 
 // heldBlames returns the blamed groups of which the request holds all parts.
--- a/zone/poison/crash.go
+++ b/zone/poison/crash.go
@@ -16,6 +16,8 @@
 	at time.Time
 	// group is the blamed group that explains the crash; 0 if none does.
 	group groupKey
+	// droppedBy is the part that had no room for its sighting; 0 if none.
+	droppedBy Part
 }
 
 // recordCrash records the crash that an observation shows.
@@ -43,6 +45,24 @@
 	delete(t.crashes, oldest)
 }
 
+// forget has a crash no longer count, since a part had no room for its sighting. The sightings
+// of parts with fewer would otherwise seem to be of a crash that the part does not explain.
+func (t *Tracker) forget(id uint64, by Part) {
+	if c := t.crashes[id]; c != nil {
+		c.droppedBy = by
+	}
+	for p, s := range t.suspects {
+		if len(s.sightings) < maxSightings {
+			t.dropSightings(p, func(x sighting) bool { return x.crash == id })
+		}
+	}
+}
+
+func (t *Tracker) isForgotten(id uint64) bool {
+	c := t.crashes[id]
+	return c != nil && c.droppedBy != 0
+}
+
 // explain records that a blamed group explains crashes: they no longer count against parts
 // outside the group.
 func (t *Tracker) explain(key groupKey, crashes []uint64) {
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -13,6 +13,8 @@
 	maxSightings = 16
 	// sightingLifetime is how long an observation counts.
 	sightingLifetime = time.Minute
+	// sameMoment bounds the error in the times of what several entries report.
+	sameMoment = 100 * time.Millisecond
 )
 
 // sighting is an observation in the record of one of its parts.
@@ -29,8 +31,6 @@
 	// contrast counts the attempts without the part that were sent since the first sighting
 	// and proven.
 	contrast int
-	// dropped counts the sightings that there was no room for.
-	dropped int
 	// lastAllowed is when an attempt was sent last while the part was held back.
 	lastAllowed time.Time
 }
@@ -49,23 +49,21 @@
 	slices.SortFunc(s.sightings, func(a, b sighting) int {
 		return cmp.Or(a.brokenAt.Compare(b.brokenAt), cmp.Compare(a.id, b.id))
 	})
-	if len(s.sightings) > maxSightings {
-		s.dropOne()
-	}
 	return i < 0
 }
 
 // dropOne drops the oldest sighting that does not belong to the longest chain, or the oldest
-// one if all do.
-func (s *suspect) dropOne() {
+// one if all do, and returns its crash.
+func (s *suspect) dropOne() (crash uint64) {
 	inChain := map[uint64]bool{}
 	for _, link := range longestChain(s.sightings) {
 		inChain[link.id] = true
 	}
 	i := slices.IndexFunc(s.sightings, func(x sighting) bool { return !inChain[x.id] })
 	i = max(i, 0)
-	s.dropped++
+	crash = s.sightings[i].crash
 	s.sightings = slices.Delete(s.sightings, i, i+1)
+	return crash
 }
 
 // remove drops the sightings for which drop returns true. The contrast then starts anew, since
@@ -74,7 +72,7 @@
 	before := len(s.sightings)
 	s.sightings = slices.DeleteFunc(s.sightings, drop)
 	if len(s.sightings) < before {
-		s.contrast, s.dropped = 0, 0
+		s.contrast = 0
 	}
 }
 
@@ -103,12 +101,12 @@
 }
 
 // longestChain returns the most sightings of which each attempt was sent after the one before
-// had broken. list is in the order in which the attempts broke.
+// had broken, as far as their times can tell. list is in the order in which the attempts broke.
 func longestChain(list []sighting) []sighting {
 	var chain []sighting
 	crashes := map[uint64]bool{}
 	for _, x := range list {
-		if crashes[x.crash] || len(chain) > 0 && !x.sentAt.After(chain[len(chain)-1].brokenAt) {
+		if crashes[x.crash] || len(chain) > 0 && !x.sentAt.After(chain[len(chain)-1].brokenAt.Add(sameMoment)) {
 			continue
 		}
 		crashes[x.crash] = true
@@ -131,6 +129,9 @@
 	if s.add(x) {
 		t.changed = true
 	}
+	if len(s.sightings) > maxSightings {
+		t.forget(s.dropOne(), p)
+	}
 }
 
 func (t *Tracker) evictSuspect() {
--- a/zone/poison/tracker.go
+++ b/zone/poison/tracker.go
@@ -17,6 +17,8 @@
 	// suspicion when an attempt with them was proven.
 	blames map[groupKey]*blame
 	clears map[Part]clearance
+	// held lists the groups of parts that are about to be blamed.
+	held [][]Part
 	// crashes holds the crashes that are known, and which of them a blamed group explains.
 	crashes map[uint64]*crash
 	// own lists the last observations of this entry, the newest last.
@@ -56,6 +58,9 @@
 	}
 	x := sighting{id: id, crash: o.Crash, sentAt: o.SentAt, brokenAt: o.BrokenAt}
 	t.recordCrash(o)
+	if t.isForgotten(o.Crash) {
+		return
+	}
 	for _, p := range o.Request.Parts {
 		if at := t.proven.last(p); !at.Before(o.BrokenAt) {
 			t.recordClear(p, at, t.rng.Uint64())
