Prompts with a part that crashes engines are refused

Package poison infers the part from crashes that follow each other, over all entries; this commit wires it into the entry: - a request that holds a blamed part is refused at once, poisoned_prompt, with the time until it is tried again; one request in the fleet tries again after 30 s, by the turns that divide other bounds; - an attempt that lost its connection unproven counts as a crash if nothing listens at the target's address; then it is sent again only if all its parts are known to be sound; - heartbeats carry observations and verdicts.

--- a/contract/reason.go
+++ b/contract/reason.go
@@ -29,6 +29,8 @@
 	ReasonTargetFull  Reason = "target_full"
 	ReasonTargetLimit Reason = "target_limit"
 	ReasonNoTarget    Reason = "no_target"
+	// ReasonPoisonedPrompt requests have a part in their prompt that crashes targets.
+	ReasonPoisonedPrompt Reason = "poisoned_prompt"
 )
 
 // Reasons that concern hosts, zones, settings and weights.
--- a/internal/explain/placement.go
+++ b/internal/explain/placement.go
@@ -122,6 +122,7 @@
 	"unsent":       "too many attempts could not be sent",
 	"once":         "it may run only once",
 	"retry_budget": "the retry budget was used up",
+	"crash":        "its target had crashed, and its prompt was not known to be sound",
 }
 
 // describeLastAttempt describes the last attempt and the data on which its target was chosen.
--- a/machine/entry/attempts/attempts.go
+++ b/machine/entry/attempts/attempts.go
@@ -97,6 +97,9 @@
 	// LimitBudget means that the retry budget is used up. The caller of this package sets
 	// it; LimitFor does not know the budget.
 	LimitBudget Limit = "retry_budget"
+	// LimitCrash means that the attempt ended with the crash of its target, and that another
+	// one might crash the next. The caller of this package sets it.
+	LimitCrash Limit = "crash"
 )
 
 // LimitFor returns the rule that forbids another attempt after one that ended with o, or
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -12,6 +12,7 @@
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/poison"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
@@ -30,6 +31,8 @@
 	service  contract.ServiceName
 	deadline time.Time
 	body     []byte
+	// prompt holds the parts of the prompt that other requests may share.
+	prompt poison.Request
 
 	// triedTargets lists the targets of all attempts, including those that could not be
 	// reached.
@@ -45,6 +48,9 @@
 	headSent      bool
 	lastEvent     int64
 	pinnedVersion int64
+	// lostAttempts are attempts that may have ended with the crash of their target, not looked
+	// into yet.
+	lostAttempts []lostAttempt
 	// lastTarget is the target of the last attempt.
 	lastTarget roster.TargetID
 	// record collects what is logged when the request ends.
@@ -58,6 +64,10 @@
 	defer cancel()
 	c.entry.fleet.recordRequest(c.service)
 	for {
+		if refused, retryAfter := c.checkPrompt(); refused {
+			c.endWithoutTarget(contract.ReasonPoisonedPrompt, retryAfter)
+			return
+		}
 		choice, reason, retryAfter := c.placeAttempt(ctx)
 		if reason != "" {
 			c.endWithoutTarget(reason, retryAfter)
@@ -65,6 +75,7 @@
 		}
 		outcome, failureResp := c.runAttempts(ctx, choice)
 		defer failureResp.release()
+		mayRepeatPrompt := c.mayRepeatPrompt(ctx)
 		if outcome == attempts.Completed {
 			return
 		}
@@ -74,6 +85,10 @@
 		}
 		verdict := attempts.Decide(outcome, c.attemptState())
 		c.record.limit = attempts.LimitFor(outcome, c.attemptState())
+		if verdict == attempts.Retry && !mayRepeatPrompt {
+			verdict = attempts.FinalVerdict(outcome, c.attemptState())
+			c.record.limit = attempts.LimitCrash
+		}
 		if verdict == attempts.Retry && !c.entry.fleet.takeRetry(c.service) {
 			verdict = attempts.FinalVerdict(outcome, c.attemptState())
 			c.record.limit = attempts.LimitBudget
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -194,6 +194,7 @@
 			hb.InFlight = e.fleet.ownFlights()
 		}
 		hb.RateLimits = e.fleet.rateLimitReports()
+		hb.PoisonObservations, hb.PoisonVerdicts = e.fleet.poisonReports()
 	}
 	hb.Announced = e.fleet.versionAges()
 	hb.StoreEra = e.store.Era()
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -88,6 +88,10 @@
 	// silent is set once the target has counted as silent, and callerGone if the caller takes
 	// no more of the answer.
 	silent, callerGone bool
+	// firstEventAt is when the first event was handed on; proven is set once the attempt has
+	// shown that its prompt does not crash the target.
+	firstEventAt time.Time
+	proven       bool
 	// lastActivity is when something was last received, in nanoseconds since start;
 	// lastActivityRunTime is the run time of the process at that moment, in nanoseconds.
 	lastActivity        atomic.Int64
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -15,6 +15,7 @@
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
 	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/poison"
 	"mimosastand.example/mimosastand/zone/ratelimit"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -50,6 +51,7 @@
 	retryBudgets      map[contract.ServiceName]*retry.Window
 	returnEstimators  map[contract.ServiceName]*retry.ReturnEstimator
 	rateLimits        *ratelimit.Tracker
+	poison            *poison.Tracker
 	peerFlights       map[contract.MachineID]map[uint32]int
 	// engineAddresses holds the engine's address of each target process that has reported
 	// on its engine.
@@ -78,6 +80,7 @@
 		peerFlights:      map[contract.MachineID]map[uint32]int{},
 		engineAddresses:  map[contract.MachineID]string{},
 		rateLimits:       ratelimit.NewTracker(rng),
+		poison:           poison.NewTracker(rng),
 		rng:              rng,
 	}
 }
@@ -178,14 +181,16 @@
 // coldShares returns how the entries divide the bounds on what a target of a service may
 // get.
 func (fs *fleetState) coldShares(s *catalog.Service) placement.ColdShares {
-	return placement.ColdShares{
-		EntryShares: placement.EntryShares{
-			Self:       fs.process.Machine,
-			Entries:    fs.knownEntries,
-			ShareCount: fs.shareCount(),
-			StartedAt:  fs.startedAt,
-		},
-		TotalLimit: fs.coldLimit(s),
+	return placement.ColdShares{EntryShares: fs.entryShares(), TotalLimit: fs.coldLimit(s)}
+}
+
+// entryShares returns how the entries divide what all of them together may do.
+func (fs *fleetState) entryShares() placement.EntryShares {
+	return placement.EntryShares{
+		Self:       fs.process.Machine,
+		Entries:    fs.knownEntries,
+		ShareCount: fs.shareCount(),
+		StartedAt:  fs.startedAt,
 	}
 }
 
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -9,14 +9,15 @@
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
-// applyHeartbeat applies a peer's heartbeat: the ages of versions, rate limits of targets, and the state of an
-// engine or the flights of an entry.
+// applyHeartbeat applies a peer's heartbeat: the ages of versions, rate limits of targets, what
+// crashes targets, and the state of an engine or the flights of an entry.
 func (fs *fleetState) applyHeartbeat(hb contract.Heartbeat) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	now := time.Now()
 	fs.applyPeerAges(hb)
 	fs.applyPeerLimits(hb)
+	fs.applyPeerPoison(hb)
 	if e := hb.Engine; e != nil {
 		fs.roster.Report(now, e.Address, e.Born, roster.Status{
 			Version:  e.Version,
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -13,6 +13,7 @@
 	"mimosastand.example/mimosastand/machine/entry/problem"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/poison"
 )
 
 const (
@@ -73,6 +74,7 @@
 		}
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
+	c.prompt = poison.NewRequest(c.service, c.info.PromptParts)
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -102,6 +102,9 @@
 	if p.hedge != nil || len(p.current.parts) > 0 || !p.current.isSilent() || !c.mayHedge() {
 		return
 	}
+	if !p.current.proven && !c.entry.fleet.mayRepeatPrompt(c.prompt) {
+		return
+	}
 	p.recordSilence()
 	choice, refusal := c.entry.fleet.pickTarget(c.service, c.requirements(), time.Until(c.deadline))
 	if refusal != placement.Placed {
@@ -133,6 +136,7 @@
 	c.record.attemptEnded(time.Now(), got.outcome, p.current.breakage, p.current.err)
 	c.attemptEnded(p.current, got.outcome)
 	if got.outcome == attempts.Completed {
+		p.current.recordEnd(got)
 		c.complete(got)
 		got.release()
 		return true
@@ -193,6 +197,7 @@
 func (p *attemptPair) sendEvent(got part) bool {
 	c, x := p.call, p.current
 	defer x.recycle(got)
+	x.recordProof(false)
 	if c.hasEvent(got.event) {
 		return true
 	}
@@ -256,6 +261,9 @@
 		fleet.recordFailure(c.service, x.choice.ID, false)
 	case attempts.Lost:
 		c.mayHaveRun = true
+		if x.isLostUnproven() {
+			c.lostAttempts = append(c.lostAttempts, lostAttempt{choice: x.choice, sentAt: x.start, brokenAt: time.Now()})
+		}
 		if x.isTargetFailure() {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -93,6 +93,9 @@
 // countPanic counts a request whose handling panicked.
 func (m *meters) countPanic() { m.scope.Counter("panics").Inc(1) }
 
+// countCrash counts an attempt that ended with the crash of its target.
+func (m *meters) countCrash() { m.scope.Counter("target_crashes").Inc(1) }
+
 // countRetry counts a request that is sent again, by the outcome of the last attempt.
 func (m *meters) countRetry(o attempts.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
--- /dev/null
+++ b/machine/entry/direct/poison.go
@@ -0,0 +1,148 @@
+package direct
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/poison"
+	"mimosastand.example/mimosastand/zone/ratelimit"
+)
+
+// crashCheckTimeout bounds the dial that shows whether a target still listens.
+const crashCheckTimeout = 200 * time.Millisecond
+
+// lostAttempt is an attempt whose connection ended before the attempt was proven.
+type lostAttempt struct {
+	choice           placement.Choice
+	sentAt, brokenAt time.Time
+}
+
+// isLostUnproven reports whether an attempt that was lost may have ended with the crash of its
+// target: its connection ended, and it had not been proven.
+func (x *exchange) isLostUnproven() bool {
+	if x.silent || x.callerGone || x.proven || len(x.call.prompt.Parts) == 0 {
+		return false
+	}
+	return x.breakage == breakageEndedEarly || x.breakage == breakageConnection
+}
+
+// recordEnd records a complete stream with events as proven.
+func (x *exchange) recordEnd(end part) {
+	if end.response == nil && !x.firstEventAt.IsZero() {
+		x.recordProof(true)
+	}
+}
+
+// recordProof records the attempt as proven once its stream has lasted long enough after its
+// first event, or is complete.
+func (x *exchange) recordProof(complete bool) {
+	if x.firstEventAt.IsZero() {
+		x.firstEventAt = time.Now()
+	}
+	if x.proven || !complete && time.Since(x.firstEventAt) < poison.ProvenAfter {
+		return
+	}
+	x.proven = true
+	x.call.entry.fleet.recordProven(x.call.prompt, x.start)
+}
+
+// checkPrompt refuses a request whose prompt is known to crash targets. retryAfter is when the
+// caller may come back.
+func (c *call) checkPrompt() (refused bool, retryAfter time.Duration) {
+	decision, retryAfter := c.entry.fleet.checkPrompt(c.prompt)
+	if decision == poison.Probe {
+		c.entry.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).Warn("prompt that crashed targets is tried again")
+	}
+	return decision == poison.Refused, retryAfter
+}
+
+// mayRepeatPrompt reports whether the prompt may be sent to another target after the last
+// attempts, and records the crashes of their targets. It may if the targets are still there,
+// or if all parts of the prompt are known to be sound.
+func (c *call) mayRepeatPrompt(ctx context.Context) bool {
+	lost := c.lostAttempts
+	c.lostAttempts = nil
+	crashed := false
+	for _, l := range lost {
+		crashed = c.entry.recordCrash(ctx, c, l) || crashed
+	}
+	return !crashed || c.entry.fleet.mayRepeatPrompt(c.prompt)
+}
+
+// recordCrash records the loss of an attempt as the crash of its target if nothing listens at
+// the target's address any more, and reports whether that is so.
+func (e *Entry) recordCrash(ctx context.Context, c *call, l lostAttempt) (crashed bool) {
+	if !e.isDown(ctx, l.choice.Address) {
+		return false
+	}
+	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(l.choice.ID)).
+		WithField("attempt_ms", l.brokenAt.Sub(l.sentAt).Milliseconds()).WithField("parts", c.info.PromptParts).Warn("target crashed")
+	e.meters.countCrash()
+	e.fleet.recordCrash(poison.Observation{
+		Crash: uint64(ratelimit.KeyOf(l.choice.ID, l.choice.Born)), Request: c.prompt, SentAt: l.sentAt, BrokenAt: l.brokenAt,
+	})
+	return true
+}
+
+// isDown reports whether connections to an address are refused.
+func (e *Entry) isDown(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	conn, err := e.conns.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// checkPrompt decides whether a prompt may be sent to a target.
+func (fs *fleetState) checkPrompt(r poison.Request) (poison.Decision, time.Duration) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.poison.Check(time.Now(), r, fs.entryShares().IsTurn)
+}
+
+// mayRepeatPrompt reports whether a prompt may be sent again after it was lost with a target.
+func (fs *fleetState) mayRepeatPrompt(r poison.Request) bool {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.poison.MayRetry(r)
+}
+
+// recordProven records that a target answers an attempt, sent at sentAt, without harm.
+func (fs *fleetState) recordProven(r poison.Request, sentAt time.Time) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.poison.Proven(time.Now(), r, sentAt)
+}
+
+// recordCrash records an attempt that ended with the crash of its target.
+func (fs *fleetState) recordCrash(o poison.Observation) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.poison.Observe(time.Now(), o)
+}
+
+// poisonReports lists what this entry knows of prompts that crash targets, for heartbeats to
+// other entries.
+func (fs *fleetState) poisonReports() ([]contract.PoisonObservation, []contract.PoisonVerdict) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.poison.Reports(time.Now())
+}
+
+// applyPeerPoison applies what a peer reports of prompts that crash targets.
+func (fs *fleetState) applyPeerPoison(hb contract.Heartbeat) {
+	if len(hb.PoisonObservations) == 0 && len(hb.PoisonVerdicts) == 0 {
+		return
+	}
+	if n := fs.poison.ApplyReports(time.Now(), hb.PoisonObservations, hb.PoisonVerdicts); n > 0 {
+		fs.log.WithField("peer", string(hb.Machine)).WithField("changed", n).Info("refused parts of prompts received from peer")
+	}
+}
