soak: leave out requests that no engine may run when comparing sound ones

No caller saw this. The entries' logs show why: version 2 was announced at 24.6 s while the origin was away until 34.5 s, so from 32.6 s until an engine had loaded it no run was allowed on version 1, and all 25 requests a second were refused (no_target) for 5 s. Such requests do not count now; all others do, and the bound of a half stays. Also: a test of the relay's Suspend, and Arrival.HasPart.

--- a/internal/relay/tcp_test.go
+++ b/internal/relay/tcp_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -136,3 +138,31 @@
 		t.Errorf("echo error = %v after %v, want none after at least twice the delay", err, time.Since(start))
 	}
 }
+
+// A suspended relay refuses connections and has ended the open ones; once resumed, it answers
+// at the same address.
+func TestSuspendRefusesConnections(t *testing.T) {
+	r := newTCPRelay(t)
+	address, open := r.Address(), dialTCP(t, r)
+	expectEcho(t, open)
+	r.Suspend()
+	_ = open.SetReadDeadline(time.Now().Add(answerTimeout))
+	if n, err := open.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("open connection after Suspend: %d bytes, error %v, want its end", n, err)
+	}
+	if conn, err := net.Dial("tcp", address); err == nil {
+		_ = conn.Close()
+		t.Error("a suspended relay accepted a connection")
+	}
+	if err := r.Resume(); err != nil || r.Address() != address {
+		t.Fatalf("Resume() = %v at %s, want no error at %s", err, r.Address(), address)
+	}
+	expectEcho(t, dialTCP(t, r))
+}
+
+func expectEcho(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := echoByte(conn, answerTimeout); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/soak/crashpart.go
+++ b/internal/soak/crashpart.go
@@ -79,6 +79,8 @@
 	sent    []sentPrompt
 	// sender returns the entry that sent an attempt, or nil.
 	sender func(attempt string) *harness.Machine
+	// announcements are the versions of the weights that were announced.
+	announcements []announcement
 }
 
 func (t *Traffic) partRecord(engines []*standins.Engine) partRecord {
@@ -93,6 +95,7 @@
 	s.bounds.mu.Lock()
 	defer s.bounds.mu.Unlock()
 	record := s.traffic.partRecord(engines)
+	record.announcements = s.bounds.announcements
 	for _, span := range s.bounds.parts {
 		crashes := record.crashesBy(span.part)
 		if len(crashes) == 0 {
@@ -139,7 +142,7 @@
 	for _, e := range record.engines {
 		for _, a := range standins.ArrivalsSince(e.Arrivals(), crash.Add(stableWindow)) {
 			arrival := run{Run: standins.Run{AttemptID: a.AttemptID, StartedAt: a.At}, engine: e, sender: record.sender(a.AttemptID)}
-			if slices.Contains(a.Parts, span.part) && b.isStable(arrival) {
+			if a.HasPart(span.part) && b.isStable(arrival) {
 				late++
 			}
 		}
@@ -162,10 +165,13 @@
 
 // compareSound counts the sound requests with the first part of the bad ones before the fault
 // and from a time until the fault ended, and the bad ones of that time. Requests to entries
-// that were impaired do not count.
+// that were impaired do not count, nor do those that no engine may run for want of weights.
 func (r partRecord) compareSound(span partSpan, from time.Time) (before, after share, bad int) {
-	begun := r.begunAtFirst()
+	begun, missing := r.begunAtFirst(), r.missingWeights()
 	for _, p := range r.sent {
+		if slices.ContainsFunc(missing, func(s timeSpan) bool { return s.contains(p.at) }) {
+			continue
+		}
 		sound := p.parts[0] == span.first && !p.holds(span.part) && p.entry.Impairments.NoneWithin(p.at, stableWindow)
 		switch {
 		case sound && p.at.Before(span.from):
@@ -186,6 +192,28 @@
 	return min(before.of, after.of, bad) >= minCountedRequests && 2*after.begun*before.of < before.begun*after.of
 }
 
+type timeSpan struct{ from, to time.Time }
+
+func (s timeSpan) contains(at time.Time) bool { return !at.Before(s.from) && at.Before(s.to) }
+
+// missingWeights lists the spans in which no run was allowed on an older version and no
+// engine had yet run the announced one, as when the origin is unavailable.
+func (r partRecord) missingWeights() []timeSpan {
+	var spans []timeSpan
+	for _, announced := range r.announcements {
+		s := timeSpan{from: announced.at.Add(versionBound), to: time.Now()}
+		for _, e := range r.engines {
+			for _, began := range e.RunLog() {
+				if began.Version >= announced.version && began.StartedAt.Before(s.to) {
+					s.to = began.StartedAt
+				}
+			}
+		}
+		spans = append(spans, s)
+	}
+	return spans
+}
+
 // begunAtFirst returns the attempts of callers that began to run at the first engine that
 // they reached.
 func (r partRecord) begunAtFirst() map[string]bool {
--- a/internal/soak/crashpart_test.go
+++ b/internal/soak/crashpart_test.go
@@ -24,8 +24,8 @@
 	e.SetCrashingParts(part)
 	e.SetDowntime(time.Millisecond)
 	for n := range crashes {
-		for err := error(nil); len(e.Crashes()) == n; time.Sleep(time.Millisecond) {
-			if err = sendParts(e, fmt.Sprintf("bad-%d", n), "f0", part, "00"); err == nil {
+		for ; len(e.Crashes()) == n; time.Sleep(time.Millisecond) {
+			if err := sendParts(e, fmt.Sprintf("bad-%d", n), "f0", part, "00"); err == nil {
 				t.Fatalf("request %d with part %s was served, want a crash", n, part)
 			}
 		}
@@ -98,14 +98,18 @@
 func TestReportsSoundRequestsHeldBackWithBadOnes(t *testing.T) {
 	for name, c := range map[string]struct {
 		begun, of, bad int
-		want           bool
+		// announced is when version 2 was announced, if not 0; no engine loads it.
+		announced time.Duration
+		want      bool
 	}{
-		"all begin":            {30, 30, 30, false},
-		"half begin":           {15, 30, 30, false},
-		"fewer begin":          {14, 30, 30, true},
-		"none begins":          {0, 30, 30, true},
-		"too few bad ones":     {0, 30, 19, false},
-		"too few to tell from": {0, 19, 30, false},
+		"all begin":             {30, 30, 30, 0, false},
+		"half begin":            {15, 30, 30, 0, false},
+		"fewer begin":           {14, 30, 30, 0, true},
+		"none begins":           {0, 30, 30, 0, true},
+		"weights are missing":   {0, 30, 30, -versionBound, false},
+		"older version may run": {0, 30, 30, -versionBound + 2*time.Second, true},
+		"too few bad ones":      {0, 30, 19, 0, false},
+		"too few to tell from":  {0, 19, 30, 0, false},
 	} {
 		start, entry := time.Now(), &harness.Machine{Name: "entry"}
 		span := partSpan{part: "bad", first: "f0", from: start, to: start.Add(time.Minute)}
@@ -115,6 +119,9 @@
 			t.Fatal(err)
 		}
 		r := partRecord{engines: []*standins.Engine{e}}
+		if c.announced != 0 {
+			r.announcements = []announcement{{2, start.Add(c.announced)}}
+		}
 		send := func(attempt string, at time.Time, begins bool, second string) {
 			r.sent = append(r.sent, sentPrompt{attempt: attempt, at: at, entry: entry, parts: []string{"f0", second, "00"}})
 			if begins {
@@ -127,10 +134,10 @@
 			send(fmt.Sprintf("before-%d", n), start.Add(-time.Second), true, "50")
 		}
 		for n := range c.of {
-			send(fmt.Sprintf("sound-%d", n), start.Add(time.Second), n < c.begun, "50")
+			send(fmt.Sprintf("sound-%d", n), start.Add(time.Millisecond), n < c.begun, "50")
 		}
 		for n := range c.bad {
-			send(fmt.Sprintf("bad-%d", n), start.Add(time.Second), false, "bad")
+			send(fmt.Sprintf("bad-%d", n), start.Add(time.Millisecond), false, "bad")
 		}
 		before, after, bad := r.compareSound(span, start)
 		if got := beginsTooSeldom(before, after, bad); got != c.want {
--- a/standin/fleet/limit.go
+++ b/standin/fleet/limit.go
@@ -20,6 +20,9 @@
 	Parts []string
 }
 
+// HasPart reports whether the prompt has a part.
+func (a Arrival) HasPart(id string) bool { return slices.Contains(a.Parts, id) }
+
 // SetRateLimit sets the limit that answers name, in requests a second; empty for none.
 func (e *Engine) SetRateLimit(perSecond string) { e.withLock(func() { e.rateLimit = perSecond }) }
 
