e2e/fleet: the SIGHUP test's process has addresses of its own

What was seen: TestSIGHUPKeepsServing failed once beside other work ("process is not ready after SIGHUP", "os: process already finished").

Cause of the second message, as a trial shows: freePorts closed its listeners before the process listened.

Change: the test takes its addresses from the harness's loopback networks, which are locked against all other processes that use them and lie below the ports that the kernel gives out; Network is exported for this. freePorts is gone; it had no other user. The checks of the test are the same. When it ends its process is killed and, if it failed, the output of the process is logged.

--- a/e2e/fleet/process_test.go
+++ b/e2e/fleet/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,20 +11,61 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/internal/harness"
 )
 
-// freePorts returns ports that were free at the time of the call.
-func freePorts(t *testing.T, n int) []int {
-	var ports []int
-	for range n {
-		lis, err := net.Listen("tcp", loopback)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = lis.Close() }()
-		ports = append(ports, lis.Addr().(*net.TCPAddr).Port)
+// entryFile writes the settings file of an entry that uses the store of a rig. It returns the path
+// and the address of the readiness probe. No other process uses the entry's addresses.
+func entryFile(t *testing.T, r *rig) (file, ready string) {
+	t.Helper()
+	network, err := harness.NewNetwork()
+	if err != nil {
+		t.Fatal(err)
 	}
-	return ports
+	t.Cleanup(network.Release)
+	var addresses [4]string
+	for i := range addresses {
+		addresses[i] = network.NextAddress(1)
+	}
+	text := fmt.Sprintf("[process]\nrole = entry\nmachine = e1\nzone = a\nregion = ra\n[fleet]\nzones = a:ra\nstore = %s\n"+
+		"[listen]\ncallers = %s\nready = %s\nlink = %s\nmetrics = %s\n",
+		r.store.Address(), addresses[0], addresses[1], addresses[2], addresses[3])
+	file = filepath.Join(t.TempDir(), "entry.ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file, addresses[1]
+}
+
+// startProgram starts a program and returns its output, which may be read once ended has the
+// result of the process. When the test ends, the process is killed if it still runs, and its
+// output is logged if the test failed.
+func startProgram(t *testing.T, program string, args ...string) (process *os.Process, output *bytes.Buffer, ended <-chan error) {
+	t.Helper()
+	cmd := exec.Command(program, args...)
+	output = &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = output, output
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	result, exited := make(chan error, 1), make(chan struct{})
+	go func() {
+		result <- cmd.Wait()
+		close(exited)
+	}()
+	t.Cleanup(func() {
+		if err := cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			t.Error(err)
+		}
+		<-exited
+		if t.Failed() {
+			t.Logf("output of the process:\n%s", output)
+		}
+	})
+	return cmd.Process, output, result
 }
 
 // buildProgram builds mimosastand and returns the path of the binary.
@@ -44,24 +84,10 @@
 	t.Parallel()
 	r := newRig(t)
 	bin := buildProgram(t)
-	ports := freePorts(t, 4)
-	file := filepath.Join(t.TempDir(), "entry.ini")
-	text := fmt.Sprintf("[process]\nrole = entry\nmachine = e1\nzone = a\nregion = ra\n[fleet]\nzones = a:ra\nstore = %s\n"+
-		"[listen]\ncallers = 127.0.0.1:%d\nready = 127.0.0.1:%d\nlink = 127.0.0.1:%d\nmetrics = 127.0.0.1:%d\n",
-		r.store.Address(), ports[0], ports[1], ports[2], ports[3])
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	process := exec.Command(bin, "entry", "--config", file)
-	var output bytes.Buffer
-	process.Stdout, process.Stderr = &output, &output
-	if err := process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- process.Wait() }()
+	file, readyAddress := entryFile(t, r)
+	process, output, ended := startProgram(t, bin, "entry", "--config", file)
 	ready := func() bool {
-		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d", ports[1]))
+		resp, err := http.Get("http://" + readyAddress)
 		if err != nil {
 			return false
 		}
@@ -70,7 +96,7 @@
 	}
 	r.eventually("the process is ready", ready)
 	for range 3 {
-		if err := process.Process.Signal(syscall.SIGHUP); err != nil {
+		if err := process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -78,7 +104,7 @@
 	if !ready() {
 		t.Error("process is not ready after SIGHUP, want ready")
 	}
-	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	if err := <-ended; err != nil {
--- a/internal/harness/address.go
+++ b/internal/harness/address.go
@@ -9,42 +9,42 @@
 )
 
 const (
-	// lockPort is the port that a cluster keeps open on its network to reserve it.
+	// lockPort is the port kept open on a network to reserve it.
 	lockPort = 9999
 	// firstPort is the port below the first assigned one. All assigned ports stay below the
 	// range from which the kernel takes the ports of outgoing connections.
 	firstPort = 10000
 )
 
-// network is a loopback network of 254 addresses that one cluster uses exclusively, so that
-// clusters that run side by side never conflict.
-type network struct {
+// Network is a loopback network of 254 addresses that one cluster or test uses exclusively, so
+// that those that run side by side never conflict.
+type Network struct {
 	prefix string
 	lock   net.Listener
 	port   int
 }
 
-// newNetwork reserves a network that is not in use.
-func newNetwork() (*network, error) {
+// NewNetwork reserves a network that is not in use.
+func NewNetwork() (*Network, error) {
 	const maxTries = 200
 	for range maxTries {
 		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256))
 		lock, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, lockPort))
 		if err == nil {
-			return &network{prefix: prefix, lock: lock, port: firstPort}, nil
+			return &Network{prefix: prefix, lock: lock, port: firstPort}, nil
 		}
 	}
 	return nil, errors.New("harness: no free loopback network")
 }
 
-// nextAddress returns an unused address on the IP address of a zone. Zones are numbered from
+// NextAddress returns an unused address on the IP address of a zone. Zones are numbered from
 // 1; 0 is the platform.
-func (n *network) nextAddress(zone int) string {
+func (n *Network) NextAddress(zone int) string {
 	n.port++
 	return fmt.Sprintf("%s%d:%d", n.prefix, zone+1, n.port)
 }
 
-// release frees the network for other clusters.
-func (n *network) release() {
+// Release frees the network for others.
+func (n *Network) Release() {
 	_ = n.lock.Close()
 }
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -27,7 +27,7 @@
 
 	relays    relays
 	spawner   *spawner
-	network   *network
+	network   *Network
 	authority *devkeys.Authority
 }
 
@@ -37,7 +37,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "harness")
 	}
-	network, err := newNetwork()
+	network, err := NewNetwork()
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +55,7 @@
 
 func (c *Cluster) assignPlatformAddresses() {
 	for _, address := range []*string{&c.LogAddress, &c.StoreAddress, &c.OriginAddress, &c.HostsAddress} {
-		*address = c.network.nextAddress(0)
+		*address = c.network.NextAddress(0)
 	}
 }
 
@@ -86,7 +86,7 @@
 	zone := c.Spec.Zones[zoneNumber-1]
 	e := &Entry{Machine: machineName(zone.Name, "entry", n), Zone: zone}
 	for _, address := range []*string{&e.Link, &e.HTTP, &e.Admin} {
-		*address = c.network.nextAddress(zoneNumber)
+		*address = c.network.NextAddress(zoneNumber)
 	}
 	var err error
 	if e.AdvertisedLink, err = c.advertiseLink(zoneNumber, e.Link); err != nil {
@@ -107,7 +107,7 @@
 	zone := c.Spec.Zones[zoneNumber-1]
 	t := &Target{Machine: machineName(zone.Name, string(service.Name), n), Zone: zone, Service: service}
 	for _, address := range []*string{&t.Link, &t.HTTP, &t.Backend} {
-		*address = c.network.nextAddress(zoneNumber)
+		*address = c.network.NextAddress(zoneNumber)
 	}
 	var err error
 	if t.AdvertisedLink, err = c.advertiseLink(zoneNumber, t.Link); err != nil {
@@ -215,5 +215,5 @@
 		}
 	}
 	c.relays.close()
-	c.network.release()
+	c.network.Release()
 }
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -55,7 +55,7 @@
 	Services []*standins.Engine
 
 	program string
-	network *network
+	network *Network
 	spawner *spawner
 
 	mu       sync.Mutex
@@ -68,7 +68,7 @@
 // NewFleet starts the stand-ins and prepares the processes, which Start starts. Files and
 // logs are written to dir; the program is in binDir.
 func NewFleet(dir, binDir string, spec FleetSpec) (*Fleet, error) {
-	network, err := newNetwork()
+	network, err := NewNetwork()
 	if err != nil {
 		return nil, err
 	}
@@ -139,12 +139,12 @@
 		fleet:       f,
 	}
 	for _, address := range []*string{&m.CallerAddress, &m.ReadyAddress, &m.linkAddress, &m.metricsAddress} {
-		*address = f.network.nextAddress(zoneNumber)
+		*address = f.network.NextAddress(zoneNumber)
 	}
 	if !f.Spec.UseRelays {
 		return m, nil
 	}
-	return m, m.addRelays(f.network.nextAddress(zoneNumber))
+	return m, m.addRelays(f.network.NextAddress(zoneNumber))
 }
 
 // addRelays puts a relay between the process and the store, and one at advertised between
@@ -291,7 +291,7 @@
 	}
 	f.Origin.Close()
 	f.Store.Close()
-	f.network.release()
+	f.network.Release()
 }
 
 // zoneList returns the list of zones in the format of the settings files.
--- a/internal/harness/relays.go
+++ b/internal/harness/relays.go
@@ -40,7 +40,7 @@
 	if !c.Spec.UseRelays {
 		return address, nil
 	}
-	r, err := relay.NewUDP(c.network.nextAddress(zoneNumber), address)
+	r, err := relay.NewUDP(c.network.NextAddress(zoneNumber), address)
 	if err != nil {
 		return "", err
 	}
@@ -58,7 +58,7 @@
 		return platformSection(addresses), nil
 	}
 	for name, address := range addresses {
-		r, err := relay.NewTCP(c.network.nextAddress(zoneNumber), address)
+		r, err := relay.NewTCP(c.network.NextAddress(zoneNumber), address)
 		if err != nil {
 			return section{}, err
 		}
