--- a/zone/poison/scenarios_test.go
+++ b/zone/poison/scenarios_test.go
@@ -197,7 +197,6 @@
 		"entry that pauses": func(f *fleet, e *fleetEntry) {
 			f.at(badStart+time.Second, func() { e.pausedUntil = f.now.Add(3 * time.Second) })
 		},
-		"entry that is cut off": func(_ *fleet, e *fleetEntry) { e.isolated = true },
 		"entry that is cut off for 8 s": func(f *fleet, e *fleetEntry) {
 			e.isolated = true
 			f.at(badStart+8*time.Second, func() { e.isolated = false })
@@ -215,6 +214,16 @@
 	}
 }
 
+// Guards against an entry that has to learn of a bad part alone and sends on too long.
+func TestEntryCutOffForGood(t *testing.T) {
+	forEachFleet(t, fleetSizes, func(t *testing.T, f *fleet) {
+		f.badFrom = badStart
+		f.entries[0].isolated = true
+		f.run(simulationTime)
+		checkContained(t, "entry that is cut off", f, startTime)
+	})
+}
+
 // Guards against a part that stays refused after it has stopped being bad, and against probes
 // by several entries.
 func TestPartIsServedAgainAfterProbe(t *testing.T) {
