--- a/zone/poison/scenarios_test.go
+++ b/zone/poison/scenarios_test.go
@@ -29,6 +29,14 @@
 	})
 }
 
+// fifthCrash returns when the fifth crash happened.
+func (r *results) fifthCrash() (at time.Time, ok bool) {
+	if len(r.crashes) < 5 {
+		return time.Time{}, false
+	}
+	return r.crashes[4], true
+}
+
 // forEachFleet runs a test for some sizes of the fleet and seeds.
 func forEachFleet(t *testing.T, sizes []int, play func(t *testing.T, f *fleet)) {
 	for _, n := range sizes {
@@ -197,7 +205,6 @@
 		"entry that pauses": func(f *fleet, e *fleetEntry) {
 			f.at(badStart+time.Second, func() { e.pausedUntil = f.now.Add(3 * time.Second) })
 		},
-		"entry that is cut off": func(_ *fleet, e *fleetEntry) { e.isolated = true },
 		"entry that is cut off for 8 s": func(f *fleet, e *fleetEntry) {
 			e.isolated = true
 			f.at(badStart+8*time.Second, func() { e.isolated = false })
@@ -215,6 +222,16 @@
 	}
 }
 
+// Guards against an entry that has to learn of a bad part alone and sends on too long.
+func TestEntryCutOffForGood(t *testing.T) {
+	forEachFleet(t, fleetSizes, func(t *testing.T, f *fleet) {
+		f.badFrom = badStart
+		f.entries[0].isolated = true
+		f.run(simulationTime)
+		checkContained(t, "entry that is cut off", f, startTime)
+	})
+}
+
 // Guards against a part that stays refused after it has stopped being bad, and against probes
 // by several entries.
 func TestPartIsServedAgainAfterProbe(t *testing.T) {
