Comments neither end a hedge nor let it take over

A stream starved until its deadline if its stalled target sent comments, since each one ended the attempt beside it and used up the retries; and a sound stream was cut for a hedge that had sent a comment and then nothing. Now only an event with a field, or the end, decides between the two.

--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -49,7 +49,9 @@
 		select {
 		case got := <-p.current.parts:
 			if !got.ended {
-				p.dropHedge()
+				if got.event.hasField {
+					p.dropHedge()
+				}
 				if !p.sendEvent(got) {
 					return attempts.Lost, nil
 				}
@@ -63,6 +65,11 @@
 				p.hedgeFailed(got)
 				continue
 			}
+			if !got.ended && !got.event.hasField {
+				// A comment does not show that the target goes on.
+				p.hedge.recycle(got)
+				continue
+			}
 			p.takeOver()
 			if got.ended {
 				p.currentEnded(got)
