A panic ends the attempts of its request

After a panic in the goroutine of an attempt its connection stayed open, since the deferred call that keeps the connection from being reset came first; after one in the request the attempt went on for nobody and its target counted as busy for ever.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -88,6 +88,8 @@
 	// silent is set once the target has counted as silent, and callerGone if the caller takes
 	// no more of the answer.
 	silent, callerGone bool
+	// ended is set once the end of the attempt has been recorded.
+	ended bool
 	// firstEventAt is when the first event was handed on; proven is set once the attempt has
 	// shown that its prompt does not crash the target.
 	firstEventAt time.Time
@@ -340,11 +342,13 @@
 // releaseConn keeps the connection for other attempts after a complete response, unless the
 // target closes it or has too few connections, or the end of the context resets it.
 func (x *exchange) releaseConn(resp *http.Response, reply platform.Reply) {
+	conn := x.conn
+	x.conn = nil
 	if !x.stopReset() || resp.Close || !x.call.entry.fleet.keepsIdleConns(x.call.service) {
-		_ = x.conn.Close()
+		_ = conn.Close()
 		return
 	}
-	x.call.entry.conns.putIdle(x.conn, reply.IdleTimeout)
+	x.call.entry.conns.putIdle(conn, reply.IdleTimeout)
 }
 
 // readBuffered reads a response to its end and returns it, unless it is unusable. A response is
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -28,7 +28,7 @@
 	p := &attemptPair{call: c, ctx: ctx, current: c.beginAttempt(ctx, choice)}
 	p.recordStart()
 	c.entry.meters.placementTime.RecordDuration(p.current.start.Sub(c.arrived))
-	defer p.dropHedge()
+	defer p.endAll()
 	return p.forward()
 }
 
@@ -186,6 +186,17 @@
 	p.hedge = nil
 }
 
+// endAll abandons what is still under way: the hedge, and the current attempt if the request
+// panicked.
+func (p *attemptPair) endAll() {
+	p.dropHedge()
+	if p.current.ended {
+		return
+	}
+	p.current.abandon()
+	p.call.entry.fleet.recordAttemptEnd(p.call.service, p.current.choice.ID)
+}
+
 // dropHedge abandons the hedge, if there is one: the current attempt goes on or has ended.
 func (p *attemptPair) dropHedge() {
 	if p.hedge == nil {
@@ -249,6 +260,7 @@
 // attemptEnded records how an attempt ended with its target, and counts it.
 func (c *call) attemptEnded(x *exchange, outcome attempts.Outcome) {
 	fleet := c.entry.fleet
+	x.ended = true
 	fleet.recordAttemptEnd(c.service, x.choice.ID)
 	c.entry.meters.countAttempt(outcome)
 	if outcome == attempts.NotSent {
--- a/machine/entry/direct/panic_test.go
+++ b/machine/entry/direct/panic_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 
@@ -145,6 +147,36 @@
 	return resp.StatusCode, string(data), err
 }
 
+// panickingCaller panics when a part of the answer is written to it.
+type panickingCaller struct{ http.ResponseWriter }
+
+func (panickingCaller) Write([]byte) (int, error) { panic("broken writer") }
+
+// Guards against attempts that go on after a panic of their request: their targets would work for
+// nobody, and count as busy.
+func TestPanicEndsAttempt(t *testing.T) {
+	left := make(chan error, 1)
+	address := connTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, streamText("a", 1, 9, false))
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := conn.Read(make([]byte, 1))
+		left <- err
+	})
+	c, w, _ := newHedgingCall(t, address)
+	c.w = panickingCaller{w}
+	func() {
+		defer func() { _ = recover() }()
+		c.serve()
+	}()
+	if err := <-left; errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection to the target is open 2 s after the panic, want it reset")
+	}
+	c.triedTargets = nil
+	if choice, _ := c.entry.fleet.pickTarget(c.service, c.requirements(), time.Minute); choice.Load != 0 {
+		t.Errorf("load of the target = %d after the panic, want 0", choice.Load)
+	}
+}
+
 // Guards against a panic that ends the whole process, with all requests in it: attempts run in
 // goroutines of their own.
 func TestPanicInAttemptEndsOnlyTheAttempt(t *testing.T) {
--- a/machine/entry/direct/panics.go
+++ b/machine/entry/direct/panics.go
@@ -48,7 +48,9 @@
 	}
 	x.call.entry.recordPanic(x.call, cause)
 	x.breakage = breakagePanic
-	x.cancel()
+	if x.conn != nil {
+		x.conn.reset()
+	}
 }
 
 // recordPanic logs and counts a panic in the handling of a request.
