A hedge ends before the answer of the first target is written

The target of a hedge worked on for as long as a slow caller took to read the other answer (2 s in the test).

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -119,6 +119,9 @@
 func (c *call) mayHedge() bool {
 	state := c.attemptState()
 	state.Sent++
+	if attempts.LimitFor(attempts.NotSent, state) != attempts.NoLimit {
+		return false
+	}
 	return attempts.LimitFor(attempts.Lost, state) == attempts.NoLimit && c.entry.fleet.canRetry(c.service)
 }
 
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -143,12 +143,13 @@
 	c.record.attemptEnded(time.Now(), got.outcome, p.current.breakage, p.current.err)
 	c.attemptEnded(p.current, got.outcome)
 	if got.outcome == attempts.Completed {
+		p.dropHedge()
 		p.current.recordEnd(got)
 		c.complete(got)
 		got.release()
 		return true
 	}
-	if p.hedge == nil {
+	if p.hedge == nil || p.ctx.Err() != nil {
 		return true
 	}
 	got.release()
@@ -265,7 +266,7 @@
 	c.entry.meters.countAttempt(outcome)
 	if outcome == attempts.NotSent {
 		c.attemptsUnsent++
-		if x.breakage != breakageStaleChoice {
+		if x.breakage != breakageStaleChoice && x.breakage != breakageCallerGone {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
 		return
--- a/machine/entry/direct/hedge_test.go
+++ b/machine/entry/direct/hedge_test.go
@@ -120,6 +120,43 @@
 	}
 }
 
+// slowCaller takes a time to read each part of an answer.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	delay time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (w slowCaller) Write(data []byte) (int, error) {
+	time.Sleep(w.delay)
+	return w.ResponseRecorder.Write(data)
+}
+
+// Guards against work for nobody: the target of a hedge worked on for as long as the caller took
+// to read the answer of the first one.
+func TestHedgeEndsBeforeAnswerIsWritten(t *testing.T) {
+	var requests atomic.Int64
+	answered, ended := make(chan time.Time, 1), make(chan time.Time, 1)
+	answer := func(conn net.Conn, _ *http.Request) {
+		if requests.Add(1) == 1 {
+			time.Sleep(700 * time.Millisecond)
+			answered <- time.Now()
+			_, _ = io.WriteString(conn, answerText(http.StatusOK, "a", "", "one"))
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		ended <- time.Now()
+	}
+	c, w, _ := newHedgingCall(t, connTarget(t, answer), connTarget(t, answer))
+	c.route = &catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2, Objective: 50 * time.Millisecond}
+	c.w = slowCaller{w, 2 * time.Second}
+	choice, _ := c.entry.fleet.pickTarget(c.service, c.requirements(), time.Minute)
+	c.runAttempts(context.Background(), choice)
+	if took := (<-ended).Sub(<-answered); took > 500*time.Millisecond {
+		t.Errorf("the second target worked on for %v after the first one had answered, want at most 500ms", took)
+	}
+}
+
 // connTarget answers the first request on each connection with what answer writes.
 func connTarget(t *testing.T, answer func(conn net.Conn, r *http.Request)) (address string) {
 	t.Helper()
