A connection whose next request has begun is not ended at a stop

The server's background read may take a byte of the next request before the connection counts as idle; the stop then took it for waiting and ended it, and the rest of the request was reset. A connection waits only if nothing was read since the last write began. TestConnectionWithRequestBegunIsNotWaiting failed before.

--- a/machine/entry/direct/conntracker.go
+++ b/machine/entry/direct/conntracker.go
@@ -155,7 +155,7 @@
 	ended      sync.Once
 
 	mu sync.Mutex
-	// unanswered counts the bytes read since the last byte was written.
+	// unanswered counts the bytes read since the last write began.
 	unanswered int
 	// callerLeft is set once the caller has closed its side or the connection has failed.
 	callerLeft bool
@@ -164,11 +164,12 @@
 	waiting, ending bool
 }
 
-// waitForRequest notes that the response to the last request is complete.
+// waitForRequest notes that the response to the last request is complete. The server may have
+// read the beginning of the next request already.
 func (c *callerConn) waitForRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting = c.unanswered == 0
 }
 
 // endIfWaiting makes a connection that waits for a request end: the pending read, or the
@@ -216,16 +217,22 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
+	c.answerBegun()
 	n, err := c.tcpConn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
-		c.unanswered = 0
-	}
 	c.noteError(err)
 	return n, err
 }
 
+// answerBegun notes that what was read so far is being answered. Bytes of the next request may be
+// read while the answer is written.
+func (c *callerConn) answerBegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = 0
+}
+
 // noteError records an error that is neither a timeout nor due to the entry's own close.
 func (c *callerConn) noteError(err error) {
 	own := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
--- a/machine/entry/direct/conntracker_test.go
+++ b/machine/entry/direct/conntracker_test.go
@@ -119,3 +119,40 @@
 		}
 	}
 }
+
+// Guards against a connection that is ended although its next request has begun: the server's
+// background read had taken a byte of it.
+func TestConnectionWithRequestBegunIsNotWaiting(t *testing.T) {
+	e := newQuietEntry()
+	tracker := newConnTracker(e.log, e.meters)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	caller, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	raw, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := tracker.add(raw.(tcpConn))
+	defer c.Close()
+	if _, err := c.Write([]byte("answer")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(caller, smallRequest); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	tracker.observe(c, http.StateIdle)
+	tracker.endWaiting(0)
+	if _, err := c.Read(make([]byte, 100)); err != nil {
+		t.Errorf("reading the rest of the request: %v, want no error", err)
+	}
+}
