A stopping entry refuses what it would have to abort

A request that came later than 2.9 s after SIGTERM, on a connection that was new or kept, was taken and cut at the end of the grace period if it lasted until then. It is refused at once now, shutting_down, if its deadline lies past the end of the stop; the promise that it has not run is true. What arrives before callers can know of the stop is served as before.

--- a/machine/entry/direct/drain.go
+++ b/machine/entry/direct/drain.go
@@ -18,6 +18,17 @@
 	drainInterval = 10 * time.Millisecond
 )
 
+// stopPlan holds the times of a planned stop. Until noticeEnd new connections may arrive; at end
+// what is still under way is aborted.
+type stopPlan struct{ noticeEnd, end time.Time }
+
+// isTooLate reports whether a request that arrived at a time may still be under way when a planned
+// stop ends. One that arrives before callers can know of the stop is always served.
+func (e *Entry) isTooLate(arrived, deadline time.Time) bool {
+	plan := e.stopPlan.Load()
+	return plan != nil && arrived.After(plan.noticeEnd) && deadline.After(plan.end)
+}
+
 // drain stops the entry without aborting requests: readiness fails at once, requests that
 // still arrive are served, and each response closes its connection. Once no new connections
 // arrive, those that wait for a request are ended, again and again until none is left. The
@@ -27,7 +38,9 @@
 // closes connections whose next request the server has read in part, and a server that
 // shuts down does not answer a request whose head it has just read.
 func (e *Entry) drain(server *http.Server, callers *callerListener) {
-	end := time.Now().Add(max(e.process.ShutdownGrace-killMargin, readinessNotice+killMargin))
+	now := time.Now()
+	end := now.Add(max(e.process.ShutdownGrace-killMargin, readinessNotice+killMargin))
+	e.stopPlan.Store(&stopPlan{noticeEnd: now.Add(readinessNotice), end: end})
 	e.stopping.Store(true)
 	e.log.WithField("open", e.openRequests.Load()).Info("stopping")
 	time.Sleep(readinessNotice)
--- a/machine/entry/direct/drain_test.go
+++ b/machine/entry/direct/drain_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -242,3 +243,40 @@
 		})
 	}
 }
+
+// Guards against a request that a stopping entry takes and then aborts at the end of its grace
+// period: one that arrives after the notice and may last longer is refused at once.
+func TestStopRefusesRequestThatWouldBeAborted(t *testing.T) {
+	t.Parallel()
+	e := newRoutedEntry(t, "streaming", "127.0.0.1:1")
+	e.process = &config.Process{ShutdownGrace: 8 * time.Second}
+	e.callerConns = newConnTracker(e.log, e.meters)
+	server, callers := startCallerServer(t, e, callerHandler{e}, nil)
+	start, stopped := time.Now(), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.drain(server, callers)
+	}()
+	time.Sleep(time.Until(start.Add(readinessNotice - 50*time.Millisecond)))
+	conn, err := net.Dial("tcp", callers.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(time.Until(start.Add(readinessNotice + 500*time.Millisecond)))
+	sent := time.Now()
+	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nab"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Fatalf("response %+v, error %v, want 503 that closes the connection", resp, err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || !strings.Contains(string(body), `"shutting_down"`) {
+		t.Errorf("body %q, error %v, want reason shutting_down", body, err)
+	}
+	if took := time.Since(sent); took > 500*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+	<-stopped
+}
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -93,9 +93,11 @@
 	// transferSlots holds one element for each transfer of operators' records to a peer.
 	transferSlots chan struct{}
 	// runCtx ends when the entry has stopped, which is later than the signal to stop.
-	runCtx       context.Context
-	cancelRun    context.CancelFunc
-	stopping     atomic.Bool
+	runCtx    context.Context
+	cancelRun context.CancelFunc
+	stopping  atomic.Bool
+	// stopPlan holds the times of a planned stop once it has begun.
+	stopPlan     atomic.Pointer[stopPlan]
 	openRequests atomic.Int64
 }
 
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -50,6 +50,10 @@
 	if !c.admit(manifest) || !c.readBody(w, manifest) {
 		return
 	}
+	if e.isTooLate(c.arrived, c.deadline) {
+		c.writeUnavailable(contract.ReasonShuttingDown, notReadyRetryAfter)
+		return
+	}
 	c.serve()
 }
 
