--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	d.addFigure("crashes of engines by a part of a prompt, in 10 s", "%d", figures.Crashes)
-	d.addFigure("requests with that part that reached engines from 3 s after the fifth crash on", "%d", figures.Late)
+	d.addPromise(figures.KeepBound(), "requests with that part that reached engines from 3 s after the fifth crash on", "%d", figures.Late)
 	return d.awaitAllServing(ctx)
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,7 +30,6 @@
 	bin, plan       string
 	keepLogs, quiet bool
 	drills, hideEra bool
-	checkParts      bool
 }
 
 // parseFlags parses the command line.
@@ -47,7 +46,6 @@
 	flaggy.Bool(&f.quiet, "q", "quiet", "do not print the faults")
 	flaggy.Bool(&f.drills, "d", "drills", "play returns of the store from older copies only")
 	flaggy.Bool(&f.hideEra, "e", "hide-era", "leave the era out of the store's answers, so that no process notices such a return")
-	flaggy.Bool(&f.checkParts, "c", "check-parts", "check what follows crashes by a part of a prompt")
 	flaggy.Parse()
 	return f
 }
@@ -79,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opts := soak.Options{Length: f.length, BinDir: binDir, Spec: soak.DefaultSpec(), CheckBounds: true, CheckParts: f.checkParts, Drills: f.drills, HideEra: f.hideEra}
+	opts := soak.Options{Length: f.length, BinDir: binDir, Spec: soak.DefaultSpec(), CheckBounds: true, Drills: f.drills, HideEra: f.hideEra}
 	if !f.quiet {
 		opts.Log = os.Stdout
 	}
--- a/internal/soak/crashpart.go
+++ b/internal/soak/crashpart.go
@@ -32,6 +32,9 @@
 	Crashes, Late int
 }
 
+// KeepBound reports whether few enough of the requests with the part reached engines.
+func (f PartFigures) KeepBound() bool { return f.Late <= maxLateWithPart }
+
 // BeginCrashingPart has a part of a prompt crash engines, and requests carry it, until the
 // returned function is called. That function returns what happened meanwhile.
 func (t *Traffic) BeginCrashingPart() (end func() PartFigures) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,8 +34,6 @@
 	// CheckBounds enables the checks of the promises that have a time bound. They need a
 	// machine that is not overloaded.
 	CheckBounds bool
-	// CheckParts enables the checks of what follows crashes by a part of a prompt.
-	CheckParts bool
 	// If Drills is set, the plan of the seed has returns of the store from older copies
 	// only. If HideEra is set, the store does not report its era.
 	Drills, HideEra bool
@@ -232,8 +230,6 @@
 	if s.opts.CheckBounds {
 		s.bounds.check(s.checker, s.listRuns())
 		s.bounds.checkLimits(s.checker, s.traffic.Sender)
-	}
-	if s.opts.CheckParts {
 		s.checkParts()
 	}
 	for _, name := range s.fleet.StopAll() {
