--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,8 +10,10 @@
 const (
 	// maxSuspects bounds the parts with observations, maxSightings the observations of one
 	// part.
-	maxSuspects  = 256
-	maxSightings = 16
+	maxSuspects = 256
+	// evictedSuspects is how many parts are dropped at a time.
+	evictedSuspects = 32
+	maxSightings    = 16
 	// sightingLifetime is how long an observation counts.
 	sightingLifetime = time.Minute
 	// sameMoment bounds the error in the times of what several entries report.
@@ -115,13 +118,13 @@
 	return chain
 }
 
-// addSighting records an observation of a part. Without room for a further part it drops the
-// one with the least sightings, and of those the one whose last is the oldest.
+// addSighting records an observation of a part. Without room for a further part it drops those
+// with the least sightings, and of these the ones whose last is the oldest.
 func (t *Tracker) addSighting(p Part, service uint64, x sighting) {
 	s := t.suspects[p]
 	if s == nil {
 		if len(t.suspects) >= maxSuspects {
-			t.evictSuspect()
+			t.evictSuspects()
 		}
 		s = &suspect{service: service}
 		t.suspects[p] = s
@@ -134,23 +137,20 @@
 	}
 }
 
-func (t *Tracker) evictSuspect() {
-	var least Part
-	found := false
-	for p, s := range t.suspects {
-		if !found || t.compareSuspects(p, s, least) < 0 {
-			least, found = p, true
-		}
+// evictSuspects drops the evictedSuspects parts with the least evidence.
+func (t *Tracker) evictSuspects() {
+	parts := slices.SortedFunc(maps.Keys(t.suspects), t.compareSuspects)
+	for _, p := range parts[:evictedSuspects] {
+		delete(t.suspects, p)
 	}
-	delete(t.suspects, least)
 }
 
-func (t *Tracker) compareSuspects(p Part, s *suspect, other Part) int {
-	o := t.suspects[other]
+func (t *Tracker) compareSuspects(a, b Part) int {
+	s, o := t.suspects[a], t.suspects[b]
 	return cmp.Or(
 		cmp.Compare(len(s.sightings), len(o.sightings)),
 		s.sightings[len(s.sightings)-1].brokenAt.Compare(o.sightings[len(o.sightings)-1].brokenAt),
-		cmp.Compare(p, other),
+		cmp.Compare(a, b),
 	)
 }
 
--- a/zone/poison/tracker_test.go
+++ b/zone/poison/tracker_test.go
@@ -19,19 +19,23 @@
 func TestMemoryIsBoundedWithManyParts(t *testing.T) {
 	const (
 		parts        = 1_000_000
+		perRequest   = 50
 		maxMemory    = 8 << 20
 		maxHeartbeat = 8 << 10
 	)
 	tr, now := newTracker(), startTime
 	largest := 0
 	before := heapInUse()
-	for i := range parts / 4 {
+	for i := range parts / perRequest {
 		now = now.Add(time.Millisecond)
-		ids := []string{fmt.Sprint("a", i), fmt.Sprint("b", i), fmt.Sprint("c", i), fmt.Sprint("d", i), "own"}
-		r := poison.NewRequest(service, ids)
+		var ids []string
+		for n := range perRequest {
+			ids = append(ids, fmt.Sprint(n, "-", i))
+		}
+		r := poison.NewRequest(service, append(ids, "own"))
 		tr.Proven(now, poison.NewRequest(service, []string{fmt.Sprint("e", i), "own"}), now.Add(-time.Second/2))
 		tr.Observe(now, poison.Observation{Crash: uint64(i), Request: r, SentAt: now.Add(-time.Second / 2), BrokenAt: now})
-		if i%1000 != 0 {
+		if i%100 != 0 {
 			continue
 		}
 		observations, verdicts := tr.Reports(now)
