Proof of a part ends at the first event; crashes and hedges are told apart

Events that were on their way when the target crashed, read after the entry had stood still for 300 ms, would have lifted a blame in the whole fleet. What is cleared now ends at the first event, and the 300 ms are run time of the process. - A silent target of a request with a part never seen before kept it to its deadline.

--- a/e2e/fleet/poison_test.go
+++ b/e2e/fleet/poison_test.go
@@ -33,15 +33,15 @@
 	soundSent, soundServed atomic.Int64
 }
 
-// run sends a sound request each soundInterval and one with badPart each badInterval.
-func (p *promptTraffic) run(duration time.Duration) {
+// run sends sound requests, and some with badPart among them if withBad is set.
+func (p *promptTraffic) run(duration time.Duration, withBad bool) {
 	const soundInterval, soundPerBad, firstParts = 15 * time.Millisecond, 8, 5
 	start := time.Now()
 	for n := 0; time.Since(start) < duration; n++ {
 		first := fmt.Sprintf("first-%d", n%firstParts)
 		entry, counts := p.entries[n%len(p.entries)], time.Now().After(p.countFrom)
 		p.calls.Go(func() { p.send(entry, counts, first) })
-		if n%soundPerBad == 0 {
+		if withBad && n%soundPerBad == 0 {
 			other := p.entries[(n/soundPerBad)%len(p.entries)]
 			p.calls.Go(func() { p.send(other, false, first, badPart) })
 		}
@@ -65,7 +65,16 @@
 // Guards against prompts that crash one engine after the other (BUDGET, incident second1): no
 // entry read the parts of prompts, and retries carried the crash to another engine.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
-	t.Parallel()
+	for name, events := range map[string]int{"before the first event": 0, "after the first event": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testCrashingPart(t, events)
+		})
+	}
+}
+
+// testCrashingPart has a part crash engines after so many events of an answer.
+func testCrashingPart(t *testing.T, events int) {
 	const soundTime, badTime = 3 * time.Second, 14 * time.Second
 	r := newRig(t)
 	for n := range 8 {
@@ -76,12 +85,13 @@
 		e, _ := r.startEntry(fmt.Sprintf("entry-%d", i+1), r.store.Address())
 		p.entries = append(p.entries, e)
 	}
-	p.run(soundTime)
+	p.run(soundTime, false)
 	for _, e := range r.engines {
+		e.SetEventsBeforeCrash(events)
 		e.SetCrashingParts(badPart)
 	}
 	p.countFrom = time.Now().Add(2 * learningTime)
-	p.run(badTime)
+	p.run(badTime, true)
 
 	crashes, late := r.crashesAndLateArrivals()
 	t.Logf("%d crashes, %d requests past the bound, %d of %d sound ones served", crashes, late, p.soundServed.Load(), p.soundSent.Load())
@@ -89,11 +99,29 @@
 		t.Errorf("%d engines crashed and %d requests with the part reached engines %v after the fifth crash, want at least 1 and at most %d",
 			crashes, late, learningTime, maxPastBound)
 	}
+	if most := r.mostEngines(); most > 1 {
+		t.Errorf("a request with the part reached %d engines, want 1", most)
+	}
 	if sent, served := p.soundSent.Load(), p.soundServed.Load(); served*2 < sent {
 		t.Errorf("%d of %d sound requests served, want at least half", served, sent)
 	}
 }
 
+// mostEngines returns the greatest number of engines that one attempt with badPart reached.
+func (r *rig) mostEngines() int {
+	engines := map[string]int{}
+	most := 0
+	for _, e := range r.engines {
+		for _, a := range e.Arrivals() {
+			if slices.Contains(a.Parts, badPart) {
+				engines[a.AttemptID]++
+				most = max(most, engines[a.AttemptID])
+			}
+		}
+	}
+	return most
+}
+
 // crashesAndLateArrivals returns how often engines crashed because of badPart, and how many
 // requests with it reached engines later than learningTime after the fifth crash.
 func (r *rig) crashesAndLateArrivals() (crashes, late int) {
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -75,10 +75,13 @@
 		}
 		outcome, failureResp := c.runAttempts(ctx, choice)
 		defer failureResp.release()
-		mayRepeatPrompt := c.mayRepeatPrompt(ctx)
 		if outcome == attempts.Completed {
+			if len(c.lostAttempts) > 0 {
+				go c.mayRepeatPrompt(ctx)
+			}
 			return
 		}
+		mayRepeatPrompt := c.mayRepeatPrompt(ctx)
 		if c.r.Context().Err() != nil {
 			c.recordEnd(0, contract.ReasonCallerGone, 0)
 			panic(http.ErrAbortHandler)
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -90,9 +90,12 @@
 	silent, callerGone bool
 	// ended is set once the end of the attempt has been recorded.
 	ended bool
-	// firstEventAt is when the first event was handed on; proven is set once the attempt has
-	// shown that its prompt does not crash the target.
-	firstEventAt time.Time
+	// replaced is set once another attempt has taken over.
+	replaced bool
+	// begunAt is when the answer began, after the process had run for begunRunTime; proven is set
+	// once the attempt has shown that its prompt does not crash the target.
+	begunAt      time.Time
+	begunRunTime time.Duration
 	proven       bool
 	// lastActivity is when something was last received, in nanoseconds since start;
 	// lastActivityRunTime is the run time of the process at that moment, in nanoseconds.
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -109,7 +109,7 @@
 	if p.hedge != nil || len(p.current.parts) > 0 || !p.current.isSilent() || !c.mayHedge() {
 		return
 	}
-	if !p.current.proven && !c.entry.fleet.mayRepeatPrompt(c.prompt) {
+	if !p.current.proven && !c.entry.fleet.mayHedgePrompt(c.prompt) {
 		return
 	}
 	p.recordSilence()
@@ -164,6 +164,7 @@
 	c.record.attemptEnded(time.Now(), attempts.Lost, breakageSilent, nil)
 	c.entry.logRetry(c, attempts.Lost)
 	p.current.abandon()
+	p.current.replaced = true
 	c.attemptEnded(p.current, attempts.Lost)
 	p.promoteHedge()
 }
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -16,6 +18,9 @@
 // crashCheckTimeout bounds the dial that shows whether a target still listens.
 const crashCheckTimeout = 200 * time.Millisecond
 
+// crashSettleTime is how long a new connection must last to show that its target is there.
+const crashSettleTime = 30 * time.Millisecond
+
 // lostAttempt is an attempt whose connection ended before the attempt was proven.
 type lostAttempt struct {
 	choice           placement.Choice
@@ -25,30 +30,36 @@
 // isLostUnproven reports whether an attempt that was lost may have ended with the crash of its
 // target: its connection ended, and it had not been proven.
 func (x *exchange) isLostUnproven() bool {
-	if x.silent || x.callerGone || x.proven || len(x.call.prompt.Parts) == 0 {
+	if x.replaced || x.callerGone || x.proven || len(x.call.prompt.Parts) == 0 {
 		return false
 	}
 	return x.breakage == breakageEndedEarly || x.breakage == breakageConnection
 }
 
-// recordEnd records a complete stream with events as proven.
+// recordEnd records a complete answer as proven: a stream with events, or another success.
 func (x *exchange) recordEnd(end part) {
-	if end.response == nil && !x.firstEventAt.IsZero() {
+	isSuccess := end.response != nil && end.response.status < http.StatusMultipleChoices
+	if isSuccess || end.response == nil && !x.begunAt.IsZero() {
 		x.recordProof(true)
 	}
 }
 
 // recordProof records the attempt as proven once its stream has lasted long enough after its
-// first event, or is complete.
+// first event, while this process ran, or is complete.
 func (x *exchange) recordProof(complete bool) {
-	if x.firstEventAt.IsZero() {
-		x.firstEventAt = time.Now()
+	if x.proven || len(x.call.info.PromptParts) == 0 {
+		return
 	}
-	if x.proven || !complete && time.Since(x.firstEventAt) < poison.ProvenAfter {
+	fleet := x.call.entry.fleet
+	runTime := fleet.runTime()
+	if x.begunAt.IsZero() {
+		x.begunAt, x.begunRunTime = time.Now(), runTime
+	}
+	if !complete && runTime-x.begunRunTime < poison.ProvenAfter {
 		return
 	}
 	x.proven = true
-	x.call.entry.fleet.recordProven(x.call.prompt, x.start)
+	fleet.recordProven(x.begunAt, x.call.prompt, x.start)
 }
 
 // checkPrompt refuses a request whose prompt is known to crash targets. retryAfter is when the
@@ -89,16 +100,19 @@
 	return true
 }
 
-// isDown reports whether connections to an address are refused.
+// isDown reports whether connections to an address are refused, or end at once: the listener of a
+// process that ends may last a little longer than its connections.
 func (e *Entry) isDown(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
 	conn, err := e.conns.dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return false
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(crashSettleTime))
+	_, err = conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // checkPrompt decides whether a prompt may be sent to a target.
@@ -115,11 +129,19 @@
 	return fs.poison.MayRetry(r)
 }
 
-// recordProven records that a target answers an attempt, sent at sentAt, without harm.
-func (fs *fleetState) recordProven(r poison.Request, sentAt time.Time) {
+// recordProven records that a target answers an attempt without harm. The attempt was sent at
+// sentAt, and its answer began at begunAt.
+func (fs *fleetState) recordProven(begunAt time.Time, r poison.Request, sentAt time.Time) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.poison.Proven(begunAt, r, sentAt)
+}
+
+// mayHedgePrompt reports whether a prompt may be sent beside an attempt whose target is silent.
+func (fs *fleetState) mayHedgePrompt(r poison.Request) bool {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	fs.poison.Proven(time.Now(), r, sentAt)
+	return fs.poison.MayHedge(r)
 }
 
 // recordCrash records an attempt that ended with the crash of its target.
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -31,6 +32,8 @@
 	parts    []string
 	downtime time.Duration
 	crashes  []Crash
+	// events is how many events of the answer come before the crash that a prompt causes.
+	events int
 	// stopped is set if the engine does not come back.
 	stopped bool
 }
@@ -42,6 +45,10 @@
 	e.withLock(func() { e.crash.parts = ids })
 }
 
+// SetEventsBeforeCrash sets how many events of an answer come before the crash that its prompt
+// causes.
+func (e *Engine) SetEventsBeforeCrash(n int) { e.withLock(func() { e.crash.events = n }) }
+
 // SetDowntime sets how long the engine is down after a crash; 0 stands for DefaultDowntime.
 func (e *Engine) SetDowntime(d time.Duration) { e.withLock(func() { e.crash.downtime = d }) }
 
@@ -60,7 +67,7 @@
 // crashBy has the engine crash because of an attempt, unless it is down.
 func (e *Engine) crashBy(attempt string) {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	if server == nil || e.crash.stopped {
 		e.mu.Unlock()
 		return
@@ -75,6 +82,8 @@
 	if e.Relay != nil {
 		e.Relay.Suspend()
 	}
+	// When a process dies, its port refuses as soon as its connections end.
+	_ = listener.Close()
 	e.connections.breakAll()
 	_ = server.Close()
 	time.AfterFunc(downtime, e.comeBack)
@@ -105,10 +114,16 @@
 	}
 }
 
-// crashWhileServing sends the head of an answer, has the engine crash and returns once the
+// crashWhileServing sends the head of an answer and its first events, has the engine crash and returns once the
 // connection has ended.
 func (e *Engine) crashWhileServing(w http.ResponseWriter, r *http.Request, attempt string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.mu.Lock()
+	events := e.crash.events
+	e.mu.Unlock()
+	for id := range events {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: crash\n\n", id+1)
+	}
 	_ = http.NewResponseController(w).Flush()
 	time.AfterFunc(crashDelay, func() { e.crashBy(attempt) })
 	<-r.Context().Done()
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -40,6 +40,8 @@
 	mu sync.Mutex
 	// server is nil while the engine is down.
 	server *http.Server
+	// listener is that of server.
+	listener net.Listener
 	// born is the time of the start of the current incarnation, in milliseconds.
 	born int64
 	// state is what the engine last published.
@@ -109,7 +111,7 @@
 		return listener.Close()
 	}
 	server := &http.Server{Handler: e.handler}
-	e.server = server
+	e.server, e.listener = server, listener
 	go func() { _ = server.Serve(e.connections.track(listener)) }()
 	return nil
 }
--- a/zone/poison/tracker.go
+++ b/zone/poison/tracker.go
@@ -79,13 +79,14 @@
 }
 
 // Proven records that an attempt of this entry, sent at sentAt, is proven. It is called once
-// for each such attempt. It clears the parts of the request of what was observed before, and
-// counts for all suspect parts that the request does not hold.
-func (t *Tracker) Proven(now time.Time, r Request, sentAt time.Time) {
+// for each such attempt. It clears the parts of the request of what was observed until its
+// answer began, at begunAt, and counts for all suspect parts that the request does not hold.
+// What came later may have been on its way when the target crashed.
+func (t *Tracker) Proven(begunAt time.Time, r Request, sentAt time.Time) {
 	for _, p := range r.Parts {
-		t.proven.add(p, now)
+		t.proven.add(p, begunAt)
 		if t.isSuspected(p) {
-			t.recordClear(p, now, t.rng.Uint64())
+			t.recordClear(p, begunAt, t.rng.Uint64())
 		}
 	}
 	for p, s := range t.suspects {
@@ -128,6 +129,17 @@
 	return !t.holdsBlamed(r)
 }
 
+// MayHedge reports whether an attempt may be sent beside one whose target is silent, which is
+// no sign of a crash: no part is suspect.
+func (t *Tracker) MayHedge(r Request) bool {
+	for _, p := range r.Parts {
+		if t.suspects[p] != nil {
+			return false
+		}
+	}
+	return !t.holdsBlamed(r)
+}
+
 // prune forgets what is too old to count.
 func (t *Tracker) prune(now time.Time) {
 	expired := func(x sighting) bool { return now.Sub(x.brokenAt) > sightingLifetime }
