--- /dev/null
+++ b/contract/heartbeat.go
@@ -0,0 +1,130 @@
+package contract
+
+// Heartbeat is sent periodically in both directions on every link. On the wire, all
+// heartbeats of a connection after the first omit the sender's identity (Machine,
+// Incarnation, Zone and Service), and the weights of the load while they stay the
+// same. Package link restores the omitted fields.
+type Heartbeat struct {
+	Machine     MachineID   `cbor:"1,keyasint,omitempty"`
+	Incarnation Incarnation `cbor:"2,keyasint,omitempty"`
+	// SettingsOffset is the highest settings offset that the sender has applied; between
+	// processes that read the operators' topic it is the end of what the sender has read
+	// of that topic: the newest position plus one, 0 if none.
+	SettingsOffset Offset `cbor:"3,keyasint"`
+	// Load is set by targets.
+	Load    *Load       `cbor:"4,keyasint,omitempty"`
+	Zone    ZoneName    `cbor:"5,keyasint,omitempty"`
+	Service ServiceName `cbor:"6,keyasint,omitempty"`
+	// SameWeights reports that Load.Weights is omitted because it is the same as in the
+	// previous heartbeat with a load.
+	SameWeights bool `cbor:"7,keyasint,omitempty"`
+	// Engine is set by the process that runs beside a model engine, InFlight by an entry.
+	Engine   *EngineStatus    `cbor:"8,keyasint,omitempty"`
+	InFlight []TargetInFlight `cbor:"9,keyasint,omitempty"`
+	// SameInFlight reports that InFlight is omitted and the counts reported before still
+	// apply.
+	SameInFlight bool `cbor:"11,keyasint,omitempty"`
+	// TargetsEndOffset is the newest position that an entry has read of the list of
+	// targets, plus one; 0 if it has read none.
+	TargetsEndOffset Offset `cbor:"10,keyasint,omitempty"`
+	// Announced lists for how long recently announced versions have been known, so that
+	// processes that learn of them late count from the same time.
+	Announced []AnnouncedVersion `cbor:"12,keyasint,omitempty"`
+	// StoreEra is the newest era of the platform's store that the sender knows; 0 if none.
+	StoreEra int64 `cbor:"14,keyasint,omitempty"`
+	// RateLimits lists the rates to which targets limit all entries, and the limits that
+	// were lifted recently, as far as the sending entry knows.
+	RateLimits []TargetRateLimit `cbor:"13,keyasint,omitempty"`
+	// PoisonObservations lists the attempts of the sending entry that ended recently with
+	// the crash of their target. PoisonVerdicts lists what the entry knows of the parts of
+	// prompts that crash targets.
+	PoisonObservations []PoisonObservation `cbor:"15,keyasint,omitempty"`
+	PoisonVerdicts     []PoisonVerdict     `cbor:"16,keyasint,omitempty"`
+}
+
+// PoisonObservation is an attempt that ended, before it had shown to be sound, with the crash
+// of its target.
+type PoisonObservation struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is a random number that identifies the attempt.
+	ID uint64
+	// Crash is a 64-bit hash of the target's name and the start of its incarnation, Service
+	// one of the name of its service.
+	Crash   uint64
+	Service uint64
+	// Parts are 64-bit hashes of parts of the prompt.
+	Parts []uint64
+	// SentAgeMS and BrokenAgeMS are the times in milliseconds from the sending and from the
+	// end of the attempt to the heartbeat.
+	SentAgeMS   uint32
+	BrokenAgeMS uint32
+}
+
+// PoisonVerdict is what an entry learnt of a group of parts: requests that hold all of them
+// crash targets, or, for a single part, that a request with it has been served.
+type PoisonVerdict struct {
+	_ struct{} `cbor:",toarray"`
+	// Parts are 64-bit hashes of the parts, in ascending order.
+	Parts []uint64
+	// Observation is a random number that identifies the statement, since several entries
+	// report it.
+	Observation uint64
+	// AgeMS is the time in milliseconds from what the statement rests on to the heartbeat.
+	AgeMS uint32
+	// Blamed reports whether requests with the group are refused, Probing whether one of
+	// them has been sent nonetheless. Probes counts those that crashed their target.
+	Blamed  bool
+	Probing bool
+	Probes  uint8
+}
+
+// TargetRateLimit is what an answer of a target showed of the rate that it accepts.
+type TargetRateLimit struct {
+	_ struct{} `cbor:",toarray"`
+	// Target is a 64-bit hash of the target's name and the start of its incarnation.
+	Target uint64
+	// Observation is a random number that identifies the answer, since several entries
+	// report it.
+	Observation uint64
+	// AgeMS is the time in milliseconds from the answer to the heartbeat.
+	AgeMS uint32
+	// Limited reports whether the target limits its rate, to PerSecond requests a second
+	// from all entries together.
+	Limited   bool
+	PerSecond float64
+}
+
+// AnnouncedVersion is a version of a model's weights that operators have announced.
+type AnnouncedVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version int64
+	// AgeMS is the time in milliseconds from the announcement to the heartbeat, at least;
+	// Witnessed reports that no more time has passed, unless the sender capped AgeMS.
+	AgeMS     uint32
+	Witnessed bool
+}
+
+// EngineStatus is the state of a model engine, which the process beside it reports to
+// entries.
+type EngineStatus struct {
+	// Address is the address at which the engine serves requests; Born is when it
+	// started, in Unix milliseconds, 0 if unknown.
+	Address string `cbor:"1,keyasint"`
+	Born    int64  `cbor:"2,keyasint,omitempty"`
+	// Up reports whether the engine answers.
+	Up bool `cbor:"3,keyasint,omitempty"`
+	// Version is the version of the loaded weights; 0 if no model is completely loaded.
+	Version int64 `cbor:"4,keyasint,omitempty"`
+	// Changing reports whether the engine is loading a version or is about to.
+	Changing bool `cbor:"5,keyasint,omitempty"`
+}
+
+// TargetInFlight is the number of attempts that an entry has in flight at a target.
+type TargetInFlight struct {
+	_ struct{} `cbor:",toarray"`
+	// Target is a 32-bit hash of the target's name. Names would make heartbeats large,
+	// since the heartbeats between any two entries carry the list.
+	Target uint32
+	Count  uint32
+}
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -326,46 +326,6 @@
 	}
 }
 
-// onCallFailed reports the store as lost unless that has been reported already.
-func (f *Feed) onCallFailed(err error) {
-	f.mu.Lock()
-	wasUp := f.storeUp || f.storeStateAt.IsZero()
-	f.storeUp = false
-	if f.storeStateAt.IsZero() {
-		f.storeStateAt = time.Now()
-	}
-	f.mu.Unlock()
-	if !wasUp {
-		return
-	}
-	f.opts.Log.WithError(err).WithField("topic", f.opts.Topic).Warn("store lost")
-	if f.opts.OnStoreStateChange != nil {
-		f.opts.OnStoreStateChange(false)
-	}
-}
-
-// onCallSucceeded reports that the store answers unless it answered before.
-func (f *Feed) onCallSucceeded() {
-	f.mu.Lock()
-	wasUp := f.storeUp
-	f.storeUp, f.storeStateAt = true, time.Now()
-	f.mu.Unlock()
-	if wasUp {
-		return
-	}
-	f.opts.Log.WithField("topic", f.opts.Topic).Info("store answers")
-	if f.opts.OnStoreStateChange != nil {
-		f.opts.OnStoreStateChange(true)
-	}
-}
-
-// IsStoreUp reports whether the last call to the store succeeded.
-func (f *Feed) IsStoreUp() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.storeUp
-}
-
 // HasSynced reports whether the complete topic has been read from the store or received
 // from a peer.
 func (f *Feed) HasSynced() bool {
