Logs name a request together with its repeats

An on-call reader could not tell whether two attempts that ended with a crash carry the same request: the lines name the attempt, which differs each time a caller tries. A hash of method, host, path, query, team and body, the field identity, stands in 'target crashed', 'sent again' after a lost attempt, and 'request ended'. Lost attempts of plain calls are looked into as those of prompts are: whether anything still listens at the target. Nothing is decided by either yet.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -33,6 +33,8 @@
 	body     []byte
 	// prompt holds the parts of the prompt that other requests may share.
 	prompt poison.Request
+	// whole identifies the request together with its repeats.
+	whole poison.Part
 
 	// triedTargets lists the targets of all attempts, including those that could not be
 	// reached.
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -50,6 +50,7 @@
 	if !c.admit(manifest) || !c.readBody(w, manifest) {
 		return
 	}
+	c.identify()
 	if e.isTooLate(c.arrived, c.deadline) {
 		c.writeUnavailable(contract.ReasonShuttingDown, notReadyRetryAfter)
 		return
@@ -78,7 +79,6 @@
 		}
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
-	c.prompt = poison.NewRequest(c.service, c.info.PromptParts)
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -91,6 +91,16 @@
 	return true
 }
 
+// identify determines by what the request may be recognized if it comes again.
+func (c *call) identify() {
+	id := poison.Identity{Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
+	if c.team != nil {
+		id.Caller = string(c.team.Name)
+	}
+	c.whole = poison.WholeOf(c.service, id)
+	c.prompt = poison.NewRequest(c.service, c.info.PromptParts)
+}
+
 // readBody reads the request's body. It answers a request whose body is not accepted, and
 // returns false. w is the server's own response writer, which closes the connection of a body
 // that is too large.
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -30,7 +30,7 @@
 // isLostUnproven reports whether an attempt that was lost may have ended with the crash of its
 // target: its connection ended, and it had not been proven.
 func (x *exchange) isLostUnproven() bool {
-	if x.replaced || x.callerGone || x.proven || len(x.call.prompt.Parts) == 0 {
+	if x.replaced || x.callerGone || x.proven {
 		return false
 	}
 	return x.breakage == breakageEndedEarly || x.breakage == breakageConnection
@@ -92,7 +92,7 @@
 		return false
 	}
 	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(l.choice.ID)).
-		WithField("attempt_ms", l.brokenAt.Sub(l.sentAt).Milliseconds()).WithField("parts", c.info.PromptParts).Warn("target crashed")
+		WithField("attempt_ms", l.brokenAt.Sub(l.sentAt).Milliseconds()).WithField("identity", c.whole.String()).WithField("parts", c.info.PromptParts).Warn("target crashed")
 	e.meters.countCrash()
 	e.fleet.recordCrash(poison.Observation{
 		Crash: uint64(ratelimit.KeyOf(l.choice.ID, l.choice.Born)), Request: c.prompt, SentAt: l.sentAt, BrokenAt: l.brokenAt,
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -137,6 +137,9 @@
 // caller wanted.
 func (c *call) logFields() log.Fields {
 	f := log.Fields{}
+	if c.whole != 0 {
+		f["identity"] = c.whole.String()
+	}
 	if c.attemptsUnsent > 0 {
 		f["unsent"] = c.attemptsUnsent
 	}
--- a/zone/poison/request.go
+++ b/zone/poison/request.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 // chance in one of 2^64 pairs.
 type Part uint64
 
+// String returns the value in hexadecimal, for logs.
+func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // PartOf returns the value of the part of a service's prompts with an ID.
 func PartOf(service contract.ServiceName, id string) Part {
 	return Part(xxhash.Sum64String(string(service) + "/" + id))
