Test that fails: a request that comes again crashes one engine after the other

The stand-in engine learns to crash by a whole request: method, path, team and body. Three entries, ten model engines and three of the plain service; the bad request comes every 0.4 s at any entry.

--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -144,6 +144,20 @@
 	return e
 }
 
+// addPlainEngine starts one more target of the plain service.
+func (r *rig) addPlainEngine(id string) {
+	e := &standins.Engine{ID: id, Service: standins.PlainService, Zone: "a", Slots: 8, CallDuration: 5 * time.Millisecond}
+	if err := e.Start(r.store, 0); err != nil {
+		r.t.Fatal(err)
+	}
+	r.plain = append(r.plain, e)
+}
+
+// allEngines lists the model engines and the targets of the plain service.
+func (r *rig) allEngines() []*standins.Engine {
+	return append(append([]*standins.Engine(nil), r.engines...), r.plain...)
+}
+
 // startTarget starts the target process beside a model engine.
 func (r *rig) startTarget(name string, engine *standins.Engine) {
 	p := r.newProcessConfig(config.RoleTarget, name)
@@ -241,7 +255,7 @@
 // runCount returns how often the targets ran an attempt.
 func (r *rig) runCount(attempt string) int {
 	n := 0
-	for _, e := range append(append([]*standins.Engine(nil), r.engines...), r.plain...) {
+	for _, e := range r.allEngines() {
 		n += e.RunCount(attempt)
 	}
 	return n
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -22,14 +22,16 @@
 // Crash describes a crash of an engine.
 type Crash struct {
 	At time.Time
-	// AttemptID is the attempt whose prompt caused the crash; empty for another cause.
+	// AttemptID is the attempt that caused the crash; empty for another cause.
 	AttemptID string
 }
 
 // crashState is what an engine knows of its crashes. The mutex of the engine guards it.
 type crashState struct {
 	// parts are the parts of prompts that make the engine crash.
-	parts    []string
+	parts []string
+	// requests are the whole requests that do, as RequestKey returns them.
+	requests []string
 	downtime time.Duration
 	crashes  []Crash
 	// events is how many events of the answer come before the crash that a prompt causes.
@@ -45,6 +47,17 @@
 	e.withLock(func() { e.crash.parts = ids })
 }
 
+// RequestKey names a request by what it has in common with its repeats.
+func RequestKey(method, uri, team, body string) string {
+	return strings.Join([]string{method, uri, team, body}, " ")
+}
+
+// SetCrashingRequests sets the requests, named by RequestKey, that make the engine crash; none
+// ends the fault.
+func (e *Engine) SetCrashingRequests(keys ...string) {
+	e.withLock(func() { e.crash.requests = slices.Clone(keys) })
+}
+
 // SetEventsBeforeCrash sets how many events of an answer come before the crash that its prompt
 // causes.
 func (e *Engine) SetEventsBeforeCrash(n int) { e.withLock(func() { e.crash.events = n }) }
@@ -114,9 +127,17 @@
 	}
 }
 
-// crashWhileServing sends the head of an answer and its first events, has the engine crash and returns once the
-// connection has ended.
+// crashWhileServing has the engine crash and returns once the connection has ended. A model engine
+// sends the head of an answer and its first events before.
 func (e *Engine) crashWhileServing(w http.ResponseWriter, r *http.Request, attempt string) {
+	if e.Model != "" {
+		e.beginCrashingStream(w)
+	}
+	time.AfterFunc(crashDelay, func() { e.crashBy(attempt) })
+	<-r.Context().Done()
+}
+
+func (e *Engine) beginCrashingStream(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.mu.Lock()
 	events := e.crash.events
@@ -125,8 +146,6 @@
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: crash\n\n", id+1)
 	}
 	_ = http.NewResponseController(w).Flush()
-	time.AfterFunc(crashDelay, func() { e.crashBy(attempt) })
-	<-r.Context().Done()
 }
 
 // endRun ends a run of the incarnation that was born at a time. Runs of former incarnations
@@ -139,9 +158,13 @@
 	})
 }
 
-// isCausedBy reports whether a prompt of these parts makes the engine crash; the mutex of the
-// engine must be held.
-func (c *crashState) isCausedBy(parts []string) bool {
+// isCausedBy reports whether a request makes the engine crash; the mutex of the engine must be
+// held.
+func (c *crashState) isCausedBy(a Arrival) bool {
+	return slices.Contains(c.requests, a.Key) || c.isCausedByPart(a.Parts)
+}
+
+func (c *crashState) isCausedByPart(parts []string) bool {
 	for i, part := range parts {
 		if i < len(parts)-1 && slices.Contains(c.parts, part) {
 			return true
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -209,12 +209,13 @@
 	full := e.running >= e.Slots
 	unresponsive, losesAnswers, version := e.unresponsive, e.losesAnswers, e.version
 	born, framing, endless := e.born, e.framing, e.endless
-	crashes := e.crash.isCausedBy(promptParts(r.Header))
+	arrival := Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header), Key: RequestKey(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))}
+	crashes := e.crash.isCausedBy(arrival)
 	if e.rateLimit != "" {
 		w.Header().Set("Server-Limit", e.rateLimit)
 	}
 	if !misdirected {
-		e.arrivals = append(e.arrivals, Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header)})
+		e.arrivals = append(e.arrivals, arrival)
 	}
 	if !misdirected && !full && !unresponsive {
 		e.running++
@@ -250,15 +251,15 @@
 		sendEndless(w, endless)
 		return
 	}
+	if crashes {
+		e.crashWhileServing(w, r, attempt)
+		return
+	}
 	if e.Model == "" {
 		time.Sleep(e.CallDuration)
 		_, _ = fmt.Fprintf(w, "%s %s %s tenant=%s", r.Method, r.RequestURI, body, r.Header.Get("Tenant"))
 		return
 	}
-	if crashes {
-		e.crashWhileServing(w, r, attempt)
-		return
-	}
 	e.serveStream(w, r, version, framing)
 }
 
--- a/standin/fleet/limit.go
+++ b/standin/fleet/limit.go
@@ -18,6 +18,8 @@
 	At        time.Time
 	// Parts are the IDs of the parts of its prompt, in order.
 	Parts []string
+	// Key is what RequestKey returns of the request.
+	Key string
 }
 
 // HasPart reports whether the prompt has a part.
