--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -52,8 +52,11 @@
 	// one of the name of its service.
 	Crash   uint64
 	Service uint64
-	// Parts are 64-bit hashes of parts of the prompt.
-	Parts []uint64
+	// Whole is a 64-bit hash of the request, which its repeats have too; 0 if unknown. Prompt is
+	// one of the complete prompt, and Parts are those of parts of it.
+	Whole  uint64
+	Prompt uint64
+	Parts  []uint64
 	// SentAgeMS and BrokenAgeMS are the times in milliseconds from the sending and from the
 	// end of the attempt to the heartbeat.
 	SentAgeMS   uint32
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -31,10 +31,11 @@
 	service  contract.ServiceName
 	deadline time.Time
 	body     []byte
-	// prompt holds the parts of the prompt that other requests may share.
-	prompt poison.Request
-	// whole identifies the request together with its repeats.
-	whole poison.Part
+	// suspect holds what may crash targets: the request as a whole, and the parts of the prompt
+	// that other requests may share.
+	suspect poison.Request
+	// probing is set if the current attempt was sent although the request has crashed targets.
+	probing bool
 
 	// triedTargets lists the targets of all attempts, including those that could not be
 	// reached.
@@ -66,10 +67,6 @@
 	defer cancel()
 	c.entry.fleet.recordRequest(c.service)
 	for {
-		if refused, retryAfter := c.checkPrompt(); refused {
-			c.endWithoutTarget(contract.ReasonPoisonedPrompt, retryAfter)
-			return
-		}
 		choice, reason, retryAfter := c.placeAttempt(ctx)
 		if reason != "" {
 			c.endWithoutTarget(reason, retryAfter)
@@ -79,18 +76,18 @@
 		defer failureResp.release()
 		if outcome == attempts.Completed {
 			if len(c.lostAttempts) > 0 {
-				go c.mayRepeatPrompt(ctx)
+				go c.mayRepeat(ctx)
 			}
 			return
 		}
-		mayRepeatPrompt := c.mayRepeatPrompt(ctx)
+		mayRepeat := c.mayRepeat(ctx)
 		if c.r.Context().Err() != nil {
 			c.recordEnd(0, contract.ReasonCallerGone, 0)
 			panic(http.ErrAbortHandler)
 		}
 		verdict := attempts.Decide(outcome, c.attemptState())
 		c.record.limit = attempts.LimitFor(outcome, c.attemptState())
-		if verdict == attempts.Retry && !mayRepeatPrompt {
+		if verdict == attempts.Retry && !mayRepeat {
 			verdict = attempts.FinalVerdict(outcome, c.attemptState())
 			c.record.limit = attempts.LimitCrash
 		}
@@ -200,22 +197,25 @@
 )
 
 // placeAttempt chooses a target. As long as the wait for room allows, it tries again; it
-// does not wait if no target can serve the request and no response has begun. Without a
-// target it returns the reason and the time after which the caller should retry, which is
-// 0 if ctx ended.
+// does not wait if no target can serve the request and no response has begun, or if the
+// request is known to crash targets, which may become known meanwhile. Without a target it
+// returns the reason and the time after which the caller should retry, which is 0 if ctx ended.
 func (c *call) placeAttempt(ctx context.Context) (placement.Choice, contract.Reason, time.Duration) {
 	until := c.arrived.Add(c.route.Objective / arrivalWaitDivisor)
 	if c.attemptsSent > 0 {
 		until = time.Now().Add(retryPlacementTimeout)
 	}
 	for {
+		if refused, retryAfter := c.crashesTargets(); refused {
+			return placement.Choice{}, contract.ReasonPoisonedPrompt, retryAfter
+		}
 		limit := time.Until(c.deadline)
 		if c.attemptsSent == 0 {
 			limit = min(limit, max(c.route.Objective-time.Since(c.arrived), 0))
 		}
 		choice, refusal := c.entry.fleet.pickTarget(c.service, c.requirements(), limit)
 		if refusal == placement.Placed {
-			return choice, "", 0
+			return c.confirmAttempt(choice)
 		}
 		if time.Now().After(until) || isFinal(refusal) && !c.headSent {
 			c.record.setSurvey(c.entry.fleet.surveyTargets(c.service, c.requirements(), limit))
@@ -230,6 +230,18 @@
 	}
 }
 
+// confirmAttempt has the request sent to the chosen target, unless what it has is known to crash
+// targets since.
+func (c *call) confirmAttempt(choice placement.Choice) (placement.Choice, contract.Reason, time.Duration) {
+	refused, retryAfter := c.checkSuspect()
+	if !refused {
+		return choice, "", 0
+	}
+	c.entry.fleet.recordInconclusive(c.service, choice.ID)
+	c.entry.fleet.recordAttemptEnd(c.service, choice.ID)
+	return placement.Choice{}, contract.ReasonPoisonedPrompt, retryAfter
+}
+
 // isFinal reports whether waiting for a target is of no use: none may serve the request, or
 // those that may limit their rate for longer than a request waits.
 func isFinal(r placement.Refusal) bool {
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -31,8 +31,9 @@
 	// spareBuffers is how many events of one stream are under way at a time: one that is read,
 	// one that waits and one that is sent.
 	spareBuffers = 3
-	// silenceCheckInterval is the time between two checks whether the target is silent.
-	silenceCheckInterval = 50 * time.Millisecond
+	// checkInterval is the time between two checks whether the target is silent, and whether the
+	// request has become known to crash targets.
+	checkInterval = 50 * time.Millisecond
 )
 
 // bufferedResponse is a complete response of a target, with the headers that callers get. What
--- a/machine/entry/direct/exchange_test.go
+++ b/machine/entry/direct/exchange_test.go
@@ -93,7 +93,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := newStreamingExchange()
 		for range 5 {
-			time.Sleep(silenceCheckInterval)
+			time.Sleep(checkInterval)
 			if x.isSilent() {
 				t.Fatal("isSilent() = true within 250 ms of the last activity, want false")
 			}
@@ -103,7 +103,7 @@
 			if x.isSilent() {
 				t.Fatal("isSilent() = true after a 10 s standstill of the process, want false")
 			}
-			time.Sleep(silenceCheckInterval)
+			time.Sleep(checkInterval)
 		}
 	})
 }
@@ -115,7 +115,7 @@
 		x := newStreamingExchange()
 		checks := 0
 		for !x.isSilent() {
-			time.Sleep(silenceCheckInterval)
+			time.Sleep(checkInterval)
 			if checks++; checks == 8 {
 				time.Sleep(10 * time.Second)
 			}
@@ -123,7 +123,7 @@
 				t.Fatal("isSilent() = false after 1000 checks, want true")
 			}
 		}
-		if silence := time.Duration(checks) * silenceCheckInterval; silence > targetSilenceTimeout+2*silenceCheckInterval {
+		if silence := time.Duration(checks) * checkInterval; silence > targetSilenceTimeout+2*checkInterval {
 			t.Errorf("silence detected after %v of run time, want at most 1s", silence)
 		}
 	})
@@ -147,8 +147,8 @@
 			x.call.route.MaxAttempts = c.maxAttempts
 			x.call.entry.fleet.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: c.burst})
 			hedged := false
-			for range 2 * streamSilenceTimeout / silenceCheckInterval {
-				time.Sleep(silenceCheckInterval)
+			for range 2 * streamSilenceTimeout / checkInterval {
+				time.Sleep(checkInterval)
 				hedged = x.isSilent() && x.call.mayHedge()
 			}
 			if hedged != c.want {
@@ -164,8 +164,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := newStreamingExchange()
 		silent := false
-		for range 2 * streamSilenceTimeout / silenceCheckInterval {
-			time.Sleep(silenceCheckInterval)
+		for range 2 * streamSilenceTimeout / checkInterval {
+			time.Sleep(checkInterval)
 			silent = x.isSilent()
 			ev, err := readEvent(bufio.NewReader(strings.NewReader(": wait\n\n")), newChunkBuffer(&bufferBudget{}))
 			if err != nil {
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -97,8 +97,8 @@
 	if c.team != nil {
 		id.Caller = string(c.team.Name)
 	}
-	c.whole = poison.WholeOf(c.service, id)
-	c.prompt = poison.NewRequest(c.service, c.info.PromptParts)
+	c.suspect = poison.NewRequest(c.service, c.info.PromptParts)
+	c.suspect.Whole = poison.WholeOf(c.service, id)
 }
 
 // readBody reads the request's body. It answers a request whose body is not accepted, and
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -43,8 +43,8 @@
 
 // forward forwards what arrives until the current attempt ends and no hedge is left.
 func (p *attemptPair) forward() (attempts.Outcome, *bufferedResponse) {
-	checks, stop := p.silenceChecks()
-	defer stop()
+	checks := time.NewTicker(checkInterval)
+	defer checks.Stop()
 	for {
 		select {
 		case got := <-p.current.parts:
@@ -78,20 +78,32 @@
 			if !p.sendEvent(got) {
 				return attempts.Lost, nil
 			}
-		case <-checks:
+		case <-checks.C:
+			if p.isToBeGivenUp() {
+				p.giveUp()
+				return attempts.Lost, nil
+			}
 			p.checkSilence()
 		}
 	}
 }
 
-// silenceChecks returns a channel that receives at each time to check whether the target is
-// silent; it never does if the request may run only once.
-func (p *attemptPair) silenceChecks() (checks <-chan time.Time, stop func()) {
-	if !p.call.route.IsRepeatable() {
-		return nil, func() {}
+// isToBeGivenUp reports whether the request has become known to crash targets, and the target has
+// not begun to answer: it may not have begun to run the request either.
+func (p *attemptPair) isToBeGivenUp() bool {
+	if p.call.probing || len(p.current.parts) > 0 || !p.current.begunAt.IsZero() {
+		return false
 	}
-	ticker := time.NewTicker(silenceCheckInterval)
-	return ticker.C, ticker.Stop
+	return p.call.entry.fleet.shouldGiveUp(p.call.suspect)
+}
+
+// giveUp ends the current attempt.
+func (p *attemptPair) giveUp() {
+	c, x := p.call, p.current
+	x.abandon()
+	x.breakage = breakageCrashesTargets
+	c.record.attemptEnded(time.Now(), attempts.Lost, x.breakage, nil)
+	c.attemptEnded(x, attempts.Lost)
 }
 
 // hedgeParts returns the channel of the hedge; nil if there is none.
@@ -109,7 +121,7 @@
 	if p.hedge != nil || len(p.current.parts) > 0 || !p.current.isSilent() || !c.mayHedge() {
 		return
 	}
-	if !p.current.proven && !c.entry.fleet.mayHedgePrompt(c.prompt) {
+	if !p.current.proven && !c.entry.fleet.mayHedge(c.suspect) {
 		return
 	}
 	p.recordSilence()
@@ -253,7 +265,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.breakage == breakageNoStream {
+	if x.silent || x.callerGone || x.breakage == breakageNoStream || x.breakage == breakageCrashesTargets {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -47,7 +47,7 @@
 // recordProof records the attempt as proven once its stream has lasted long enough after its
 // first event, while this process ran, or is complete.
 func (x *exchange) recordProof(complete bool) {
-	if x.proven || len(x.call.info.PromptParts) == 0 {
+	if x.proven {
 		return
 	}
 	fleet := x.call.entry.fleet
@@ -59,30 +59,42 @@
 		return
 	}
 	x.proven = true
-	fleet.recordProven(x.begunAt, x.call.prompt, x.start)
+	fleet.recordProven(x.begunAt, x.call.suspect, x.start)
 }
 
-// checkPrompt refuses a request whose prompt is known to crash targets. retryAfter is when the
+// crashesTargets reports whether the request is known to crash targets. retryAfter is when the
 // caller may come back.
-func (c *call) checkPrompt() (refused bool, retryAfter time.Duration) {
-	decision, retryAfter := c.entry.fleet.checkPrompt(c.prompt)
-	if decision == poison.Probe {
-		c.entry.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).Warn("prompt that crashed targets is tried again")
+func (c *call) crashesTargets() (refused bool, retryAfter time.Duration) {
+	decision, retryAfter := c.entry.fleet.peekSuspect(c.suspect)
+	return decision == poison.Refused, retryAfter
+}
+
+// checkSuspect refuses an attempt that is about to be sent if the request is known to crash
+// targets.
+func (c *call) checkSuspect() (refused bool, retryAfter time.Duration) {
+	decision, retryAfter := c.entry.fleet.checkSuspect(c.suspect)
+	c.probing = decision == poison.Probe
+	if c.probing {
+		c.entry.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).
+			WithField("identity", c.suspect.Whole.String()).Warn("request that crashed targets is tried again")
 	}
 	return decision == poison.Refused, retryAfter
 }
 
-// mayRepeatPrompt reports whether the prompt may be sent to another target after the last
-// attempts, and records the crashes of their targets. It may if the targets are still there,
-// or if all parts of the prompt are known to be sound.
-func (c *call) mayRepeatPrompt(ctx context.Context) bool {
+// mayRepeat reports whether the request may be sent to another target after the last attempts,
+// and records the crashes of their targets. It may if the targets are still there, or if nothing
+// that it has is suspect.
+func (c *call) mayRepeat(ctx context.Context) bool {
 	lost := c.lostAttempts
 	c.lostAttempts = nil
 	crashed := false
 	for _, l := range lost {
 		crashed = c.entry.recordCrash(ctx, c, l) || crashed
 	}
-	return !crashed || c.entry.fleet.mayRepeatPrompt(c.prompt)
+	if refused, _ := c.crashesTargets(); refused {
+		return false
+	}
+	return !crashed || c.entry.fleet.mayRepeat(c.suspect)
 }
 
 // recordCrash records the loss of an attempt as the crash of its target if nothing listens at
@@ -92,10 +104,10 @@
 		return false
 	}
 	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(l.choice.ID)).
-		WithField("attempt_ms", l.brokenAt.Sub(l.sentAt).Milliseconds()).WithField("identity", c.whole.String()).WithField("parts", c.info.PromptParts).Warn("target crashed")
+		WithField("attempt_ms", l.brokenAt.Sub(l.sentAt).Milliseconds()).WithField("identity", c.suspect.Whole.String()).WithField("parts", c.info.PromptParts).Warn("target crashed")
 	e.meters.countCrash()
 	e.fleet.recordCrash(poison.Observation{
-		Crash: uint64(ratelimit.KeyOf(l.choice.ID, l.choice.Born)), Request: c.prompt, SentAt: l.sentAt, BrokenAt: l.brokenAt,
+		Crash: uint64(ratelimit.KeyOf(l.choice.ID, l.choice.Born)), Request: c.suspect, SentAt: l.sentAt, BrokenAt: l.brokenAt,
 	})
 	return true
 }
@@ -115,15 +127,29 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// checkPrompt decides whether a prompt may be sent to a target.
-func (fs *fleetState) checkPrompt(r poison.Request) (poison.Decision, time.Duration) {
+// peekSuspect decides whether a request may be sent to a target; it need not be sent.
+func (fs *fleetState) peekSuspect(r poison.Request) (poison.Decision, time.Duration) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.poison.Peek(time.Now(), r, fs.entryShares().IsTurn)
+}
+
+// checkSuspect decides whether a request may be sent to a target now. If so, it counts as sent.
+func (fs *fleetState) checkSuspect(r poison.Request) (poison.Decision, time.Duration) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	return fs.poison.Check(time.Now(), r, fs.entryShares().IsTurn)
 }
 
-// mayRepeatPrompt reports whether a prompt may be sent again after it was lost with a target.
-func (fs *fleetState) mayRepeatPrompt(r poison.Request) bool {
+// shouldGiveUp reports whether a request under way has become known to crash targets.
+func (fs *fleetState) shouldGiveUp(r poison.Request) bool {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.poison.ShouldGiveUp(r)
+}
+
+// mayRepeat reports whether a request may be sent again after it was lost with a target.
+func (fs *fleetState) mayRepeat(r poison.Request) bool {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	return fs.poison.MayRetry(r)
@@ -137,8 +163,8 @@
 	fs.poison.Proven(begunAt, r, sentAt)
 }
 
-// mayHedgePrompt reports whether a prompt may be sent beside an attempt whose target is silent.
-func (fs *fleetState) mayHedgePrompt(r poison.Request) bool {
+// mayHedge reports whether a request may be sent beside an attempt whose target is silent.
+func (fs *fleetState) mayHedge(r poison.Request) bool {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	return fs.poison.MayHedge(r)
@@ -151,7 +177,7 @@
 	fs.poison.Observe(time.Now(), o)
 }
 
-// poisonReports lists what this entry knows of prompts that crash targets, for heartbeats to
+// poisonReports lists what this entry knows of what crashes targets, for heartbeats to
 // other entries.
 func (fs *fleetState) poisonReports() ([]contract.PoisonObservation, []contract.PoisonVerdict) {
 	fs.mu.Lock()
@@ -159,12 +185,12 @@
 	return fs.poison.Reports(time.Now())
 }
 
-// applyPeerPoison applies what a peer reports of prompts that crash targets.
+// applyPeerPoison applies what a peer reports of what crashes targets.
 func (fs *fleetState) applyPeerPoison(hb contract.Heartbeat) {
 	if len(hb.PoisonObservations) == 0 && len(hb.PoisonVerdicts) == 0 {
 		return
 	}
-	if n := fs.poison.ApplyReports(time.Now(), hb.PoisonObservations, hb.PoisonVerdicts); n > 0 {
-		fs.log.WithField("peer", string(hb.Machine)).WithField("changed", n).Info("refused parts of prompts received from peer")
+	if n := fs.poison.ApplyReports(time.Now(), hb.Machine, hb.PoisonObservations, hb.PoisonVerdicts); n > 0 {
+		fs.log.WithField("peer", string(hb.Machine)).WithField("changed", n).Info("verdicts on what crashes targets received from peer")
 	}
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -44,6 +44,9 @@
 	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
 	// by then.
 	breakageStaleChoice breakage = "stale_choice"
+	// breakageCrashesTargets attempts were given up, since the request had become known to crash
+	// targets.
+	breakageCrashesTargets breakage = "crashes_targets"
 	// breakagePanic attempts panicked.
 	breakagePanic breakage = "panic"
 	// breakageTargetBusy and breakageMisdirected attempts were refused by the target,
@@ -137,8 +140,8 @@
 // caller wanted.
 func (c *call) logFields() log.Fields {
 	f := log.Fields{}
-	if c.whole != 0 {
-		f["identity"] = c.whole.String()
+	if c.suspect.Whole != 0 {
+		f["identity"] = c.suspect.Whole.String()
 	}
 	if c.attemptsUnsent > 0 {
 		f["unsent"] = c.attemptsUnsent
--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -59,79 +59,129 @@
 }
 
 // evaluate blames parts so that the crashes observed are explained by as few as possible. The
-// part with the most crashes comes first, and the others count only what it does not explain.
+// one with the most independent evidence comes first, and the others count only what it does not
+// explain.
 func (t *Tracker) evaluate() {
 	if !t.changed {
 		return
 	}
 	t.changed = false
-	t.held = nil
-	if !t.hasContrast() {
-		return
-	}
+	t.held, t.heldWholes = nil, map[Part]bool{}
 	covered := map[uint64]bool{}
 	for range maxCandidates {
-		group, crashes := t.mostSuspect(t.candidates(), covered)
-		if group == nil {
+		c := t.mostSuspect(t.candidates(), covered)
+		if c == nil {
 			return
 		}
-		chain, at := t.evidence(group, covered)
-		switch {
-		case t.blames[keyOf(group)] != nil:
-		case chain >= blameChain:
-			t.addBlame(&blame{group: group, at: at, id: t.rng.Uint64()})
-		case chain >= heldChain:
-			t.held = append(t.held, group)
-		}
-		for _, c := range crashes {
-			covered[c] = true
+		t.judge(c, covered)
+		for _, crash := range c.crashes {
+			covered[crash] = true
 		}
 	}
 }
 
-// hasContrast reports whether attempts without some suspect part were proven: otherwise no
-// part is to be blamed.
-func (t *Tracker) hasContrast() bool {
-	for _, s := range t.suspects {
-		if s.contrast >= blameContrast {
-			return true
+// judge blames a candidate, or holds it back, as far as the evidence goes.
+func (t *Tracker) judge(c *candidate, covered map[uint64]bool) {
+	switch {
+	case t.blames[keyOf(c.group)] != nil:
+	case len(c.rivals) > 0:
+		t.holdRivals(c)
+	case c.isWhole:
+		t.judgeWhole(t.suspects[c.group[0]], covered)
+	default:
+		t.judgeParts(c.group, covered)
+	}
+}
+
+func (t *Tracker) judgeParts(group []Part, covered map[uint64]bool) {
+	chain, at := t.evidence(group, covered)
+	switch {
+	case chain >= blameChain:
+		t.addBlame(&blame{group: group, at: at, id: t.rng.Uint64()})
+	case chain >= heldChain:
+		t.held = append(t.held, group)
+	}
+}
+
+// judgeWhole judges a request as a whole. It need not have been sent in a chain if it was present
+// at each crash of its service, and other requests need not have been proven meanwhile if it
+// was at each moment: it may have crashed all targets.
+func (t *Tracker) judgeWhole(s *suspect, covered map[uint64]bool) {
+	own, all := t.momentsOf(s, covered)
+	if own*blameShareDivisor < all {
+		return
+	}
+	hasContrast := s.contrast >= blameContrast
+	inChain := len(s.chain(covered)) >= blameChain
+	atEach := len(s.crashes(covered)) >= blameChain && t.isAtEachCrash(s)
+	moments := len(s.moments(covered))
+	switch {
+	case inChain && (hasContrast || own == all), atEach && hasContrast && moments >= heldChain:
+		t.addBlame(&blame{group: []Part{s.part}, at: s.lastBroken(), id: t.rng.Uint64()})
+	case moments >= heldChain:
+		t.heldWholes[s.part] = true
+	}
+}
+
+// isAtEachCrash reports whether a request was present at each crash of its service since its
+// first sighting, as far as no blamed group explains it.
+func (t *Tracker) isAtEachCrash(s *suspect) bool {
+	mine := s.crashes(nil)
+	from := s.sightings[0].brokenAt.Add(-sameMoment)
+	for id, c := range t.crashes {
+		if c.service != s.service || c.group != 0 || c.at.Before(from) || c.droppedBy == s.part {
+			continue
+		}
+		if _, found := slices.BinarySearch(mine, id); !found {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
-// candidates returns the parts with enough observations to be held back or blamed, in ascending order.
-func (t *Tracker) candidates() []Part {
-	var list []Part
-	for p, s := range t.suspects {
-		if len(s.sightings) >= heldChain {
-			list = append(list, p)
+// holdRivals holds back the requests of which only one need be to blame. What becomes of the
+// next attempt tells them apart.
+func (t *Tracker) holdRivals(c *candidate) {
+	for _, p := range append(c.rivals, c.group...) {
+		if t.suspects[p].isWhole {
+			t.heldWholes[p] = true
 		}
 	}
-	slices.Sort(list)
-	return list
 }
 
-// mostSuspect returns the part with the most crashes that are not in covered, with the other
-// parts that have the same ones, and these crashes. It returns nil if none has enough.
-func (t *Tracker) mostSuspect(candidates []Part, covered map[uint64]bool) (group []Part, crashes []uint64) {
-	length := 0
-	for _, p := range candidates {
-		s := t.suspects[p]
-		own := s.crashes(covered)
-		if len(own) < heldChain || len(own) < len(crashes) {
-			continue
+// momentsOf returns at how many moments targets of a service crashed since the first sighting of
+// a request, as far as no blamed group explains it, and at how many of them the request was
+// present; crashes in covered do not count for it. Many targets that crash at once for another
+// cause are one moment.
+func (t *Tracker) momentsOf(s *suspect, covered map[uint64]bool) (own, all int) {
+	mine := map[uint64]bool{}
+	for _, x := range s.uncovered(covered) {
+		mine[x.crash] = true
+	}
+	type moment struct {
+		at   time.Time
+		mine bool
+	}
+	from := s.sightings[0].brokenAt.Add(-sameMoment)
+	var list []moment
+	for id, c := range t.crashes {
+		if c.service == s.service && c.group == 0 && !c.at.Before(from) {
+			list = append(list, moment{c.at, mine[id] || c.droppedBy == s.part})
 		}
-		chain := len(s.chain(covered))
-		switch {
-		case slices.Equal(own, crashes):
-			group = append(group, p)
-			length = max(length, chain)
-		case len(own) > len(crashes) || chain > length:
-			group, crashes, length = []Part{p}, own, chain
+	}
+	slices.SortFunc(list, func(a, b moment) int { return a.at.Compare(b.at) })
+	var last moment
+	for _, m := range list {
+		if all == 0 || m.at.Sub(last.at) > sameMoment {
+			all++
+			last = moment{at: m.at}
+		}
+		if m.mine && !last.mine {
+			own++
+			last.mine = true
 		}
 	}
-	return t.leastProven(group, maxGroupParts), crashes
+	return own, all
 }
 
 // leastProven returns at most n of the parts, those that were proven least recently, in
@@ -141,7 +191,7 @@
 		return parts
 	}
 	list := slices.SortedStableFunc(slices.Values(parts), func(a, b Part) int {
-		return t.proven.last(a).Compare(t.proven.last(b))
+		return t.lastProven(a).Compare(t.lastProven(b))
 	})
 	return slices.Sorted(slices.Values(list[:n]))
 }
--- /dev/null
+++ b/zone/poison/candidate.go
@@ -0,0 +1,87 @@
+package poison
+
+import "slices"
+
+// candidate is a part, or several that cannot be told apart, that may explain crashes.
+type candidate struct {
+	group   []Part
+	isWhole bool
+	// crashes are those that no candidate before explains, in ascending order. weight counts
+	// those that are independent of each other, chain the ones that followed each other.
+	crashes       []uint64
+	weight, chain int
+	// rivals explain the same crashes, and no request holds them and the group.
+	rivals []Part
+}
+
+// candidates returns the parts with enough observations to be held back or blamed, in ascending order.
+func (t *Tracker) candidates() []Part {
+	var list []Part
+	for p, s := range t.suspects {
+		if len(s.sightings) >= heldChain {
+			list = append(list, p)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// mostSuspect returns the candidate with the most independent observations of crashes that are
+// not in covered, with what has the same ones. It returns nil if none has enough.
+func (t *Tracker) mostSuspect(parts []Part, covered map[uint64]bool) *candidate {
+	var best *candidate
+	for _, p := range parts {
+		c := newCandidate(t.suspects[p], covered)
+		switch {
+		case c.weight < heldChain:
+		case best == nil || c.isStronger(best):
+			best = c
+		case c.hasSameCrashes(best):
+			best.join(c)
+		}
+	}
+	if best != nil {
+		best.group = t.leastProven(best.group, maxGroupParts)
+	}
+	return best
+}
+
+func newCandidate(s *suspect, covered map[uint64]bool) *candidate {
+	return &candidate{
+		group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered),
+		weight: len(s.independent(covered)), chain: len(s.chain(covered)),
+	}
+}
+
+// explainsItself reports whether a request has crashed so many targets by itself that its crashes
+// say nothing about the parts of its prompt.
+func (c *candidate) explainsItself() bool { return c.isWhole && c.weight >= blameChain }
+
+// isStronger reports whether there is more evidence for a candidate than for another.
+func (c *candidate) isStronger(o *candidate) bool {
+	if c.explainsItself() != o.explainsItself() {
+		return c.explainsItself()
+	}
+	if c.weight != o.weight {
+		return c.weight > o.weight
+	}
+	if len(c.crashes) != len(o.crashes) {
+		return len(c.crashes) > len(o.crashes)
+	}
+	return c.chain > o.chain && !c.hasSameCrashes(o)
+}
+
+func (c *candidate) hasSameCrashes(o *candidate) bool {
+	return c.weight == o.weight && slices.Equal(c.crashes, o.crashes)
+}
+
+// join adds a candidate with the same crashes. A request may hold several parts of prompts, but
+// it is one whole.
+func (c *candidate) join(o *candidate) {
+	if c.isWhole || o.isWhole {
+		c.rivals = append(c.rivals, o.group...)
+		return
+	}
+	c.group = append(c.group, o.group...)
+	c.chain = max(c.chain, o.chain)
+}
--- a/zone/poison/check.go
+++ b/zone/poison/check.go
@@ -17,7 +17,7 @@
 // Decision says what is to be done with a request.
 type Decision uint8
 
-// The decisions. A Probe is sent like a request that is Allowed.
+// The decisions. A Probe is sent like a request that is Allowed, although it has crashed targets.
 const (
 	Allowed Decision = iota
 	Refused
@@ -32,9 +32,28 @@
 // probe if it is refused. If it is a probe, the reports to the other entries say so from then
 // on, and no other follows until the outcome is known or probeTimeout has passed.
 func (t *Tracker) Check(now time.Time, r Request, turns Turns) (d Decision, retryAfter time.Duration) {
+	d, retryAfter = t.Peek(now, r, turns)
+	if d == Refused {
+		return d, retryAfter
+	}
+	for _, key := range t.heldBlames(r) {
+		t.blames[key].startProbe(now, t.rng.Uint64())
+	}
+	for _, s := range t.heldSuspects(r) {
+		s.lastAllowed = now
+	}
+	return d, 0
+}
+
+// ShouldGiveUp reports whether an attempt that is under way, and is not a probe, would be refused
+// for what has become known since.
+func (t *Tracker) ShouldGiveUp(r Request) bool { return t.heldWholes[r.Whole] || t.holdsBlamed(r) }
+
+// Peek returns what Check would decide, for an attempt that is not sent yet.
+func (t *Tracker) Peek(now time.Time, r Request, turns Turns) (d Decision, retryAfter time.Duration) {
 	held := t.heldBlames(r)
 	if len(held) == 0 {
-		return t.checkSuspects(now, r)
+		return t.checkSuspects(now, r, turns)
 	}
 	// The group that is due last decides, so that one entry's turn comes for all.
 	last := held[0]
@@ -47,9 +66,6 @@
 	if sinceDue < 0 || !turns(uint64(last), sinceDue) {
 		return Refused, max(-sinceDue, minRetryAfter)
 	}
-	for _, key := range held {
-		t.blames[key].startProbe(now, t.rng.Uint64())
-	}
 	return Probe, 0
 }
 
@@ -61,28 +77,41 @@
 )
 
 // checkSuspects refuses an attempt with a part that is about to be blamed, unless the last one
-// is long enough ago that its end would be known.
-func (t *Tracker) checkSuspects(now time.Time, r Request) (d Decision, retryAfter time.Duration) {
+// is long enough ago that its end would be known. A request as a whole that is about to be
+// blamed is sent by one entry at a time, since it comes at all of them.
+func (t *Tracker) checkSuspects(now time.Time, r Request, turns Turns) (d Decision, retryAfter time.Duration) {
+	d = Allowed
+	for _, s := range t.heldSuspects(r) {
+		if wait := holdTime - now.Sub(s.lastAllowed); wait > 0 {
+			return Refused, max(wait, minRetryAfter)
+		}
+		if s.isWhole && !turns(uint64(s.part), now.Sub(s.lastBroken())) {
+			return Refused, minRetryAfter
+		}
+		if s.isWhole {
+			d = Probe
+		}
+	}
+	return d, 0
+}
+
+// heldSuspects returns what a request has that is about to be blamed.
+func (t *Tracker) heldSuspects(r Request) []*suspect {
 	var held []*suspect
 	for _, group := range t.held {
 		if s := t.suspects[group[0]]; s != nil && r.holds(group) && t.neverProven(group) {
 			held = append(held, s)
 		}
 	}
-	for _, s := range held {
-		if wait := holdTime - now.Sub(s.lastAllowed); wait > 0 {
-			return Refused, max(wait, minRetryAfter)
-		}
+	if s := t.suspects[r.Whole]; s != nil && t.heldWholes[r.Whole] {
+		held = append(held, s)
 	}
-	for _, s := range held {
-		s.lastAllowed = now
-	}
-	return Allowed, 0
+	return held
 }
 
 func (t *Tracker) neverProven(group []Part) bool {
 	for _, p := range group {
-		if !t.proven.last(p).IsZero() {
+		if !t.lastProven(p).IsZero() {
 			return false
 		}
 	}
@@ -91,7 +120,7 @@
 
 // heldBlames returns the blamed groups of which the request holds all parts.
 func (t *Tracker) heldBlames(r Request) []groupKey {
-	if len(t.blames) == 0 || len(r.Parts) == 0 {
+	if len(t.blames) == 0 {
 		return nil
 	}
 	var held []groupKey
--- a/zone/poison/fleet_test.go
+++ b/zone/poison/fleet_test.go
@@ -77,6 +77,10 @@
 	arrived time.Time
 	sent    int
 	begun   bool
+	served  bool
+	whole   string
+	// repeats is how often the caller may still send the request again.
+	repeats int
 }
 
 // attempt is one sending of a request to an engine.
@@ -86,6 +90,17 @@
 	engine *fleetEngine
 	sentAt time.Time
 	proven bool
+	probe  bool
+}
+
+// attemptTimes are the bounds of the times of an attempt: from its sending until the engine begins,
+// from then until the end, and until the crash that it may cause.
+type attemptTimes struct{ begin, length, crash [2]time.Duration }
+
+var modelTimes = attemptTimes{
+	begin:  [2]time.Duration{250 * time.Millisecond, 350 * time.Millisecond},
+	length: [2]time.Duration{150 * time.Millisecond, 2 * time.Second},
+	crash:  [2]time.Duration{40 * time.Millisecond, 100 * time.Millisecond},
 }
 
 // fleet is a simulated fleet: entries, engines, and callers.
@@ -103,6 +118,17 @@
 	// newBad returns the IDs of the parts of a bad request, except the last, and the bad ones
 	// among them.
 	newBad func(f *fleet) (ids, bad []string)
+	// badWholes are the requests that come again and again, one of them each time, if the bad
+	// requests are not all different.
+	badWholes []string
+	// times are those of attempts, badPerSecond the rate of bad requests.
+	times        attemptTimes
+	badPerSecond float64
+	// soundRepeats is how often the caller of a sound request sends it again after it was not
+	// served.
+	soundRepeats int
+	// plain is set if requests have no prompts.
+	plain bool
 	// soundFrom is when sound requests begin.
 	soundFrom, badFrom time.Duration
 	soundPerSecond     float64
@@ -117,11 +143,15 @@
 	probes      []time.Time
 	refusedBad  []time.Time
 	soundRefuse int
-	sound       []*request
+	// crashesBy and sentBy are the crashes and the sendings of each of badWholes.
+	crashesBy, sentBy map[string][]time.Time
+	givenUp           int
+	sound             []*request
 }
 
 func newFleet(seed uint64, entries int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), now: startTime, soundPerSecond: soundPerSecond}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), now: startTime, soundPerSecond: soundPerSecond, badPerSecond: badPerSecond, times: modelTimes}
+	f.results.crashesBy, f.results.sentBy = map[string][]time.Time{}, map[string][]time.Time{}
 	f.isBad = func(string, time.Duration) bool { return true }
 	f.crashesAll = func(time.Duration) bool { return false }
 	f.newBad = func(f *fleet) ([]string, []string) {
@@ -137,10 +167,15 @@
 			shares: placement.EntryShares{Self: name, Entries: names, ShareCount: entries + 1, StartedAt: startTime},
 		})
 	}
-	for i := range engineCount {
+	f.setEngines(engineCount)
+	return f
+}
+
+func (f *fleet) setEngines(n int) {
+	f.engines = nil
+	for i := range n {
 		f.engines = append(f.engines, &fleetEngine{id: i, up: true, running: map[*attempt]bool{}})
 	}
-	return f
 }
 
 func (f *fleet) elapsed() time.Duration { return f.now.Sub(startTime) }
@@ -205,20 +240,35 @@
 
 func (f *fleet) arriveSound() {
 	f.after(f.arrivalInterval(f.soundPerSecond), f.arriveSound)
-	ids := []string{f.firstPart(), f.class(), fmt.Sprintf("tool-%d", f.rng.IntN(20))}
-	r := f.newRequest(ids, nil)
+	r := f.newRequest([]string{f.firstPart(), f.class(), fmt.Sprintf("tool-%d", f.rng.IntN(20))}, nil)
 	f.results.sound = append(f.results.sound, r)
 	f.arrive(r)
 }
 
 func (f *fleet) arriveBad() {
-	f.after(f.arrivalInterval(badPerSecond), f.arriveBad)
-	f.arrive(f.newRequest(f.newBad(f)))
+	f.after(f.arrivalInterval(f.badPerSecond), f.arriveBad)
+	r := f.newRequest(f.newBad(f))
+	if n := len(f.badWholes); n > 0 {
+		r.setWhole(f.badWholes[f.rng.IntN(n)])
+	}
+	f.arrive(r)
 }
 
 func (f *fleet) newRequest(ids, bad []string) *request {
-	ids = append(ids, fmt.Sprintf("own-%d", f.rng.Uint64()))
-	return &request{parts: poison.NewRequest(service, ids), bad: bad, arrived: f.now}
+	own := fmt.Sprintf("own-%d", f.rng.Uint64())
+	ids = append(ids, own)
+	if f.plain {
+		ids = nil
+	}
+	r := &request{parts: poison.NewRequest(service, ids), bad: bad, arrived: f.now, repeats: f.soundRepeats}
+	r.setWhole(own)
+	return r
+}
+
+// setWhole has the request be the one with a body.
+func (r *request) setWhole(body string) {
+	r.whole = body
+	r.parts.Whole = poison.WholeOf(service, poison.Identity{Body: []byte(body)})
 }
 
 // arrive has a request arrive at an entry that has started.
@@ -245,12 +295,41 @@
 	decision, _ := e.tracker.Check(f.now, r.parts, e.shares.IsTurn)
 	f.count(r, decision)
 	if decision == poison.Refused {
+		f.failed(r)
 		return
 	}
 	r.sent++
-	a := &attempt{request: r, entry: e, engine: engine, sentAt: f.now}
+	a := &attempt{request: r, entry: e, engine: engine, sentAt: f.now, probe: decision == poison.Probe}
 	engine.running[a] = true
-	f.after(f.between(250*time.Millisecond, 350*time.Millisecond), func() { f.begin(a) })
+	begin := f.between(f.times.begin[0], f.times.begin[1])
+	f.atEntry(begin-min(begin, checkInterval), e, func() { f.giveUp(a) })
+	f.after(begin, func() { f.begin(a) })
+}
+
+// checkInterval is how long before its beginning an entry looks last whether an attempt is to be
+// given up.
+const checkInterval = 50 * time.Millisecond
+
+// giveUp ends an attempt that is refused by now.
+func (f *fleet) giveUp(a *attempt) {
+	if a.probe || !a.engine.running[a] || !a.entry.tracker.ShouldGiveUp(a.parts) {
+		return
+	}
+	delete(a.engine.running, a)
+	f.results.givenUp++
+	if len(a.bad) == 0 {
+		f.results.soundRefuse++
+	}
+}
+
+// failed has the caller of a sound request that was not served send it again at once.
+func (f *fleet) failed(r *request) {
+	if len(r.bad) > 0 || r.repeats == 0 {
+		return
+	}
+	r.repeats--
+	r.sent = 0
+	f.after(2*time.Millisecond, func() { f.arrive(r) })
 }
 
 func (f *fleet) count(r *request, d poison.Decision) {
@@ -261,6 +340,7 @@
 		f.results.refusedBad = append(f.results.refusedBad, f.now)
 	case len(r.bad) > 0:
 		f.results.badSent = append(f.results.badSent, f.now)
+		f.results.sentBy[r.whole] = append(f.results.sentBy[r.whole], f.now)
 	}
 	if d == poison.Probe {
 		f.results.probes = append(f.results.probes, f.now)
@@ -273,15 +353,17 @@
 		return
 	}
 	a.begun = a.begun || a.sent == 1
+	length := f.between(f.times.length[0], f.times.length[1])
 	if f.crashesEngine(a) {
-		born := a.engine.born
-		f.after(f.between(40*time.Millisecond, 100*time.Millisecond), func() {
+		born, delay := a.engine.born, f.between(f.times.crash[0], f.times.crash[1])
+		length = max(length, delay+time.Millisecond)
+		f.after(delay, func() {
 			if a.engine.born == born {
+				f.results.crashesBy[a.whole] = append(f.results.crashesBy[a.whole], f.now)
 				f.crash(a.engine)
 			}
 		})
 	}
-	length := f.between(150*time.Millisecond, 2*time.Second)
 	f.after(min(length, poison.ProvenAfter), func() { f.prove(a) })
 	f.after(length, func() { delete(a.engine.running, a) })
 }
@@ -302,7 +384,7 @@
 	if !a.engine.running[a] {
 		return
 	}
-	a.proven = true
+	a.proven, a.served = true, true
 	if len(a.bad) > 0 {
 		f.results.badServed = append(f.results.badServed, f.now)
 	}
@@ -338,7 +420,9 @@
 	f.atEntry(f.between(50*time.Millisecond, 500*time.Millisecond), a.entry, func() { a.entry.tracker.Observe(f.now, o) })
 	if a.sent < maxAttempts && a.entry.tracker.MayRetry(a.parts) {
 		f.atEntry(10*time.Millisecond, a.entry, func() { f.send(a.entry, a.request) })
+		return
 	}
+	f.failed(a.request)
 }
 
 // heartbeat has an entry report to all others that it is linked with.
@@ -353,7 +437,7 @@
 			continue
 		}
 		f.atEntry(f.between(2*time.Millisecond, 30*time.Millisecond), peer, func() {
-			peer.tracker.ApplyReports(f.now, observations, verdicts)
+			peer.tracker.ApplyReports(f.now, e.name, observations, verdicts)
 		})
 	}
 }
--- a/zone/poison/report.go
+++ b/zone/poison/report.go
@@ -44,7 +44,7 @@
 	var observations []contract.PoisonObservation
 	for _, o := range slices.Backward(t.own) {
 		observations = append(observations, contract.PoisonObservation{
-			ID: o.id, Crash: o.Crash, Service: o.Request.Service, Parts: numbers(o.Request.Parts),
+			ID: o.id, Crash: o.Crash, Service: o.Request.Service, Whole: uint64(o.Request.Whole), Prompt: o.Request.Prompt, Parts: numbers(o.Request.Parts),
 			SentAgeMS: ageMS(now, o.SentAt), BrokenAgeMS: ageMS(now, o.BrokenAt),
 		})
 	}
@@ -77,18 +77,19 @@
 	slices.SortStableFunc(list, func(a, b contract.PoisonVerdict) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
 }
 
-// ApplyReports applies what another entry reports, and returns the number of groups that are
+// ApplyReports applies what another entry, the peer, reports, and returns the number of groups that are
 // newly blamed or no longer. The newest statement on a group holds; one that came by several
 // ways is as old as the first report tells.
-func (t *Tracker) ApplyReports(now time.Time, observations []contract.PoisonObservation, verdicts []contract.PoisonVerdict) (changed int) {
+func (t *Tracker) ApplyReports(now time.Time, peer contract.MachineID, observations []contract.PoisonObservation, verdicts []contract.PoisonVerdict) (changed int) {
 	before := t.sortedBlames()
 	for _, v := range verdicts {
 		t.applyVerdict(now, v)
 	}
 	for _, o := range observations {
 		t.apply(now, o.ID, Observation{
+			Entry:   peer,
 			Crash:   o.Crash,
-			Request: Request{Service: o.Service, Parts: parts(o.Parts, maxReportedParts)},
+			Request: Request{Service: o.Service, Whole: Part(o.Whole), Prompt: o.Prompt, Parts: parts(o.Parts, maxReportedParts)},
 			SentAt:  atAge(now, o.SentAgeMS), BrokenAt: atAge(now, o.BrokenAgeMS),
 		})
 	}
@@ -129,7 +130,7 @@
 // clearedSince reports whether a part of the group was proven at a time or later.
 func (t *Tracker) clearedSince(group []Part, at time.Time) bool {
 	for _, p := range group {
-		proven := t.proven.last(p)
+		proven := t.lastProven(p)
 		if !proven.Before(at) {
 			t.recordClear(p, proven, t.rng.Uint64())
 		}
--- a/zone/poison/scenarios_test.go
+++ b/zone/poison/scenarios_test.go
@@ -36,7 +36,7 @@
 
 func sortAttempts(list []*attempt) {
 	slices.SortFunc(list, func(a, b *attempt) int {
-		return cmp.Or(a.sentAt.Compare(b.sentAt), cmp.Compare(a.parts.Parts[0], b.parts.Parts[0]))
+		return cmp.Or(a.sentAt.Compare(b.sentAt), cmp.Compare(a.parts.Whole, b.parts.Whole))
 	})
 }
 
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -5,29 +5,47 @@
 	"maps"
 	"slices"
 	"time"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 const (
 	// maxSuspects bounds the parts with observations, maxSightings the observations of one
 	// part.
-	maxSuspects = 256
+	maxSuspects = 1024
 	// evictedSuspects is how many parts are dropped at a time.
-	evictedSuspects = 32
+	evictedSuspects = 128
 	maxSightings    = 16
 	// sightingLifetime is how long an observation counts.
-	sightingLifetime = time.Minute
+	sightingLifetime = 10 * time.Minute
 	// sameMoment bounds the error in the times of what several entries report.
 	sameMoment = 100 * time.Millisecond
 )
 
 // sighting is an observation in the record of one of its parts.
 type sighting struct {
-	id, crash        uint64
+	id, crash uint64
+	// request is the same for repeats of a request; 0 if unknown.
+	request          uint64
+	entry            contract.MachineID
 	sentAt, brokenAt time.Time
 }
 
+// isAfter reports whether a time that the sighting tells of is after the end of an earlier
+// sighting, as far as the times of their entries can tell.
+func (x sighting) isAfter(at time.Time, earlier sighting) bool {
+	slack := sameMoment
+	if x.entry == earlier.entry {
+		slack = 0
+	}
+	return at.After(earlier.brokenAt.Add(slack))
+}
+
 // suspect is a part with observations that are not cleared.
 type suspect struct {
+	part Part
+	// isWhole is set if the part is a request as a whole.
+	isWhole bool
 	service uint64
 	// sightings are in the order in which the attempts broke.
 	sightings []sighting
@@ -59,7 +77,7 @@
 // one if all do, and returns its crash.
 func (s *suspect) dropOne() (crash uint64) {
 	inChain := map[uint64]bool{}
-	for _, link := range longestChain(s.sightings) {
+	for _, link := range s.chain(nil) {
 		inChain[link.id] = true
 	}
 	i := slices.IndexFunc(s.sightings, func(x sighting) bool { return !inChain[x.id] })
@@ -92,42 +110,102 @@
 	return slices.Compact(list)
 }
 
-// chain returns the longest chain of sightings of crashes that are not in covered.
-func (s *suspect) chain(covered map[uint64]bool) []sighting {
+// lastBroken returns when the last attempt broke.
+func (s *suspect) lastBroken() time.Time { return s.sightings[len(s.sightings)-1].brokenAt }
+
+// uncovered returns the sightings of crashes that are not in covered.
+func (s *suspect) uncovered(covered map[uint64]bool) []sighting {
 	var list []sighting
 	for _, x := range s.sightings {
 		if !covered[x.crash] {
 			list = append(list, x)
 		}
 	}
-	return longestChain(list)
+	return list
+}
+
+// independent returns the sightings of distinct crashes that are not in covered, as far as they
+// are independent.
+func (s *suspect) independent(covered map[uint64]bool) []sighting {
+	return s.chainBy(covered, func(sighting, sighting) bool { return true })
 }
 
-// longestChain returns the most sightings of which each attempt was sent after the one before
-// had broken, as far as their times can tell. list is in the order in which the attempts broke.
-func longestChain(list []sighting) []sighting {
+// chain returns the longest chain of independent sightings of crashes that are not in covered:
+// each attempt was sent after the one before had broken.
+func (s *suspect) chain(covered map[uint64]bool) []sighting {
+	return s.chainBy(covered, func(x, last sighting) bool { return x.isAfter(x.sentAt, last) })
+}
+
+// moments returns the independent sightings of which each attempt broke after the one before.
+// They may have been under way at the same time.
+func (s *suspect) moments(covered map[uint64]bool) []sighting {
+	return s.chainBy(covered, func(x, last sighting) bool { return x.isAfter(x.brokenAt, last) })
+}
+
+// chainBy returns independent sightings of which each follows the one before.
+func (s *suspect) chainBy(covered map[uint64]bool, follows func(x, last sighting) bool) []sighting {
+	list := s.uncovered(covered)
 	var chain []sighting
-	crashes := map[uint64]bool{}
+	evidence := s.newEvidence(list)
 	for _, x := range list {
-		if crashes[x.crash] || len(chain) > 0 && !x.sentAt.After(chain[len(chain)-1].brokenAt.Add(sameMoment)) {
-			continue
+		if (len(chain) == 0 || follows(x, chain[len(chain)-1])) && evidence.add(x) {
+			chain = append(chain, x)
 		}
-		crashes[x.crash] = true
-		chain = append(chain, x)
 	}
 	return chain
 }
 
+// evidence collects independent sightings of a suspect. Each crash counts once. Repeats of one
+// request say nothing about which part of its prompt crashes targets, so a crash counts against
+// a part only if no request that held it was at one counted before.
+type evidence struct {
+	crashes map[uint64]bool
+	// requestsAt holds the requests at each crash; nil if repeats count.
+	requestsAt map[uint64][]uint64
+	requests   map[uint64]bool
+}
+
+func (s *suspect) newEvidence(list []sighting) *evidence {
+	e := &evidence{crashes: map[uint64]bool{}}
+	if s.isWhole {
+		return e
+	}
+	e.requestsAt, e.requests = map[uint64][]uint64{}, map[uint64]bool{}
+	for _, x := range list {
+		if x.request != 0 {
+			e.requestsAt[x.crash] = append(e.requestsAt[x.crash], x.request)
+		}
+	}
+	return e
+}
+
+// add adds a sighting, unless it depends on those added before.
+func (e *evidence) add(x sighting) bool {
+	if e.crashes[x.crash] {
+		return false
+	}
+	for _, r := range e.requestsAt[x.crash] {
+		if e.requests[r] {
+			return false
+		}
+	}
+	e.crashes[x.crash] = true
+	for _, r := range e.requestsAt[x.crash] {
+		e.requests[r] = true
+	}
+	return true
+}
+
 // addSighting records an observation of a part. Without room for a further part it drops those
 // with the least sightings, and of these the ones whose last is the oldest.
-func (t *Tracker) addSighting(p Part, service uint64, x sighting) {
+func (t *Tracker) addSighting(p Part, r Request, x sighting) {
 	s := t.suspects[p]
 	if s == nil {
 		if len(t.suspects) >= maxSuspects {
 			t.evictSuspects()
 		}
-		s = &suspect{service: service}
-		t.suspects[p] = s
+		s = &suspect{part: p, isWhole: p == r.Whole, service: r.Service}
+		t.suspects[p], t.uncontrasted[p] = s, s
 	}
 	if s.add(x) {
 		t.changed = true
@@ -141,10 +219,15 @@
 func (t *Tracker) evictSuspects() {
 	parts := slices.SortedFunc(maps.Keys(t.suspects), t.compareSuspects)
 	for _, p := range parts[:evictedSuspects] {
-		delete(t.suspects, p)
+		t.dropSuspect(p)
 	}
 }
 
+func (t *Tracker) dropSuspect(p Part) {
+	delete(t.suspects, p)
+	delete(t.uncontrasted, p)
+}
+
 func (t *Tracker) compareSuspects(a, b Part) int {
 	s, o := t.suspects[a], t.suspects[b]
 	return cmp.Or(
@@ -162,6 +245,10 @@
 	}
 	s.remove(drop)
 	if len(s.sightings) == 0 {
-		delete(t.suspects, p)
+		t.dropSuspect(p)
+		return
+	}
+	if s.contrast < blameContrast {
+		t.uncontrasted[p] = s
 	}
 }
--- a/zone/poison/tracker.go
+++ b/zone/poison/tracker.go
@@ -10,15 +10,19 @@
 type Tracker struct {
 	rng      *rand.Rand
 	suspects map[Part]*suspect
-	proven   *provenParts
+	// uncontrasted holds the suspects without enough contrast.
+	uncontrasted map[Part]*suspect
+	// proven holds the parts of prompts, provenWholes the requests that were proven last.
+	proven, provenWholes *provenParts
 	// changed is set while there is something new that may blame a part.
 	changed bool
 	// blames holds the groups of parts that are blamed, clears the parts that were under
 	// suspicion when an attempt with them was proven.
 	blames map[groupKey]*blame
 	clears map[Part]clearance
-	// held lists the groups of parts that are about to be blamed.
-	held [][]Part
+	// held lists the groups of parts that are about to be blamed, heldWholes the requests.
+	held       [][]Part
+	heldWholes map[Part]bool
 	// crashes holds the crashes that are known, and which of them a blamed group explains.
 	crashes map[uint64]*crash
 	// own lists the last observations of this entry, the newest last.
@@ -28,19 +32,21 @@
 // NewTracker returns an empty tracker that draws the numbers of observations from rng.
 func NewTracker(rng *rand.Rand) *Tracker {
 	return &Tracker{
-		rng:      rng,
-		suspects: map[Part]*suspect{},
-		proven:   newProvenParts(),
-		blames:   map[groupKey]*blame{},
-		clears:   map[Part]clearance{},
-		crashes:  map[uint64]*crash{},
+		rng:          rng,
+		suspects:     map[Part]*suspect{},
+		uncontrasted: map[Part]*suspect{},
+		proven:       newProvenParts(),
+		provenWholes: newProvenParts(),
+		blames:       map[groupKey]*blame{},
+		clears:       map[Part]clearance{},
+		crashes:      map[uint64]*crash{},
 	}
 }
 
 // Observe records an attempt of this entry that broke off unproven, once it is confirmed that
 // the target's incarnation has ended.
 func (t *Tracker) Observe(now time.Time, o Observation) {
-	if len(o.Request.Parts) == 0 {
+	if len(o.Request.all()) == 0 {
 		return
 	}
 	id := t.rng.Uint64()
@@ -56,20 +62,20 @@
 	if now.Sub(o.BrokenAt) > sightingLifetime {
 		return
 	}
-	x := sighting{id: id, crash: o.Crash, sentAt: o.SentAt, brokenAt: o.BrokenAt}
+	x := sighting{id: id, crash: o.Crash, request: o.Request.repeatKey(), entry: o.Entry, sentAt: o.SentAt, brokenAt: o.BrokenAt}
 	t.recordCrash(o)
 	if t.isForgotten(o.Crash) {
 		return
 	}
-	for _, p := range o.Request.Parts {
-		if at := t.proven.last(p); !at.Before(o.BrokenAt) {
+	for _, p := range o.Request.all() {
+		if at := t.lastProven(p); !at.Before(o.BrokenAt) {
 			t.recordClear(p, at, t.rng.Uint64())
 			continue
 		}
 		if !t.clears[p].at.Before(o.BrokenAt) || t.isExplained(o.Crash, p) {
 			continue
 		}
-		t.addSighting(p, o.Request.Service, x)
+		t.addSighting(p, o.Request, x)
 	}
 	for _, key := range t.sortedBlames() {
 		if b := t.blames[key]; o.Request.holds(b.group) {
@@ -85,14 +91,22 @@
 func (t *Tracker) Proven(begunAt time.Time, r Request, sentAt time.Time) {
 	for _, p := range r.Parts {
 		t.proven.add(p, begunAt)
+	}
+	if r.Whole != 0 {
+		t.provenWholes.add(r.Whole, begunAt)
+	}
+	for _, p := range r.all() {
 		if t.isSuspected(p) {
 			t.recordClear(p, begunAt, t.rng.Uint64())
 		}
 	}
-	for p, s := range t.suspects {
-		if s.service == r.Service && !slices.Contains(r.Parts, p) && sentAt.After(s.sightings[0].brokenAt) {
-			s.contrast++
-			t.changed = t.changed || s.contrast == blameContrast
+	for p, s := range t.uncontrasted {
+		if s.service != r.Service || r.has(p) || !sentAt.After(s.sightings[0].brokenAt) {
+			continue
+		}
+		if s.contrast++; s.contrast >= blameContrast {
+			t.changed = true
+			delete(t.uncontrasted, p)
 		}
 	}
 	t.evaluate()
@@ -110,29 +124,40 @@
 	return false
 }
 
+// lastProven returns when a part of prompts or a request was proven last, or the zero time if
+// that is not known.
+func (t *Tracker) lastProven(p Part) time.Time {
+	if at := t.proven.last(p); !at.IsZero() {
+		return at
+	}
+	return t.provenWholes.last(p)
+}
+
 // maxRetryChain is the longest chain of a part's observations with which an attempt is sent
 // again: another crash may have cut it short by chance.
 const maxRetryChain = 1
 
-// MayRetry reports whether an attempt that broke off unproven may be sent again: a part that
-// crashes targets would crash another one. It may if all parts were proven recently and none
-// is suspect.
+// MayRetry reports whether an attempt that broke off unproven may be sent again: what crashes
+// targets would crash another one. It may if all parts of the prompt were proven recently and
+// nothing of it is suspect because of more than one crash.
 func (t *Tracker) MayRetry(r Request) bool {
 	for _, p := range r.Parts {
 		if t.proven.last(p).IsZero() {
 			return false
 		}
+	}
+	for _, p := range r.all() {
 		if s := t.suspects[p]; s != nil && len(s.chain(nil)) > maxRetryChain {
 			return false
 		}
 	}
-	return !t.holdsBlamed(r)
+	return !t.heldWholes[r.Whole] && !t.holdsBlamed(r)
 }
 
 // MayHedge reports whether an attempt may be sent beside one whose target is silent, which is
 // no sign of a crash: no part is suspect.
 func (t *Tracker) MayHedge(r Request) bool {
-	for _, p := range r.Parts {
+	for _, p := range r.all() {
 		if t.suspects[p] != nil {
 			return false
 		}
--- a/zone/poison/tracker_test.go
+++ b/zone/poison/tracker_test.go
@@ -33,7 +33,10 @@
 			ids = append(ids, fmt.Sprint(n, "-", i))
 		}
 		r := poison.NewRequest(service, append(ids, "own"))
-		tr.Proven(now, poison.NewRequest(service, []string{fmt.Sprint("e", i), "own"}), now.Add(-time.Second/2))
+		r.Whole = poison.WholeOf(service, poison.Identity{URI: fmt.Sprint("/bad/", i)})
+		proven := poison.NewRequest(service, []string{fmt.Sprint("e", i), "own"})
+		proven.Whole = poison.WholeOf(service, poison.Identity{URI: fmt.Sprint("/sound/", i)})
+		tr.Proven(now, proven, now.Add(-time.Second/2))
 		tr.Observe(now, poison.Observation{Crash: uint64(i), Request: r, SentAt: now.Add(-time.Second / 2), BrokenAt: now})
 		if i%100 != 0 {
 			continue
@@ -53,6 +56,45 @@
 	}
 }
 
+// Guards against growth with the number of different requests, sound ones and those that crash
+// engines.
+func TestMemoryIsBoundedWithManyRequests(t *testing.T) {
+	const (
+		requests        = 1_000_000
+		soundPerCrash   = 50
+		maxMemory       = 8 << 20
+		maxHeartbeat    = 8 << 10
+		reportInterval  = 10_000
+		requestInterval = time.Millisecond
+	)
+	tr, now := newTracker(), startTime
+	largest := 0
+	before := heapInUse()
+	for i := range requests {
+		now = now.Add(requestInterval)
+		r := poison.Request{Service: 1, Whole: poison.WholeOf(service, poison.Identity{URI: fmt.Sprint("/", i)})}
+		if i%soundPerCrash != 0 {
+			tr.Proven(now, r, now.Add(-requestInterval))
+			continue
+		}
+		tr.Observe(now, poison.Observation{Crash: uint64(i), Request: r, SentAt: now.Add(-time.Second / 2), BrokenAt: now})
+		if i%reportInterval == 0 {
+			observations, verdicts := tr.Reports(now)
+			b, err := cbor.Marshal(contract.Heartbeat{PoisonObservations: observations, PoisonVerdicts: verdicts})
+			if err != nil {
+				t.Fatal(err)
+			}
+			largest = max(largest, len(b))
+		}
+	}
+	grown := int64(heapInUse()) - int64(before)
+	runtime.KeepAlive(tr)
+	t.Logf("%d requests: %d bytes of memory, largest heartbeat %d bytes", requests, grown, largest)
+	if grown > maxMemory || largest > maxHeartbeat {
+		t.Errorf("want at most %d bytes of memory and %d of a heartbeat", maxMemory, maxHeartbeat)
+	}
+}
+
 func heapInUse() uint64 {
 	var m runtime.MemStats
 	runtime.GC()
@@ -60,6 +102,31 @@
 	return m.HeapAlloc
 }
 
+// Guards against two requests that are taken for the same one, or repeats that are not.
+func TestWholeTellsRequestsApart(t *testing.T) {
+	base := poison.Identity{Method: "GET", Host: "h", URI: "/a", Caller: "team", Body: []byte("b")}
+	others := map[string]poison.Identity{
+		"method": {Method: "POST", Host: "h", URI: "/a", Caller: "team", Body: []byte("b")},
+		"host":   {Method: "GET", Host: "g", URI: "/a", Caller: "team", Body: []byte("b")},
+		"path":   {Method: "GET", Host: "h", URI: "/c", Caller: "team", Body: []byte("b")},
+		"caller": {Method: "GET", Host: "h", URI: "/a", Caller: "other", Body: []byte("b")},
+		"body":   {Method: "GET", Host: "h", URI: "/a", Caller: "team", Body: []byte("c")},
+		"bounds": {Method: "GET", Host: "h", URI: "/ateam", Caller: "", Body: []byte("b")},
+	}
+	whole := poison.WholeOf(service, base)
+	if again := base; poison.WholeOf(service, again) != whole {
+		t.Error("the same request has another value")
+	}
+	for name, other := range others {
+		if poison.WholeOf(service, other) == whole {
+			t.Errorf("a request with another %s has the same value", name)
+		}
+	}
+	if poison.WholeOf("other", base) == whole {
+		t.Error("a request to another service has the same value")
+	}
+}
+
 // Guards against retries that carry a crash on to another engine.
 func TestRetryOnlyOfProvenParts(t *testing.T) {
 	tr := newTracker()
