Requests as a whole are judged before parts, and held back longer

Seen in simulations (TestRepeatedRequestIsRefused, 9 entries, engines that crash in turn beside a bad request): 4 and 5 sendings past the bound, since a part that the bad request shares had more evidence and covered its crashes without being blamed, and since crashes for other causes counted against its share while it was held back.

A crash cuts off the requests of many callers and the wait concerns one, so the first turn comes after 30 s.

--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -58,18 +58,24 @@
 	id uint64
 }
 
-// evaluate blames parts so that the crashes observed are explained by as few as possible. The
-// one with the most independent evidence comes first, and the others count only what it does not
-// explain.
+// evaluate blames what explains the crashes observed. Requests as a whole come first: what one
+// of them explains says nothing about the parts of its prompt.
 func (t *Tracker) evaluate() {
 	if !t.changed {
 		return
 	}
 	t.changed = false
 	t.held, t.heldWholes = nil, map[Part]bool{}
-	covered := map[uint64]bool{}
+	t.judgeAll(t.candidates(true), map[uint64]bool{})
+	t.judgeAll(t.candidates(false), t.crashesByRepeats())
+}
+
+// judgeAll judges suspects so that the crashes are explained by as few of them as possible. The
+// one with the most independent evidence comes first, and the others count only what it does not
+// explain, like what is in covered.
+func (t *Tracker) judgeAll(parts []Part, covered map[uint64]bool) {
 	for range maxCandidates {
-		c := t.mostSuspect(t.candidates(), covered)
+		c := t.mostSuspect(parts, covered)
 		if c == nil {
 			return
 		}
@@ -103,33 +109,33 @@
 	}
 }
 
-// judgeWhole judges a request as a whole. It need not have been sent in a chain if it was present
-// at each crash of its service, and other requests need not have been proven meanwhile if it
-// was at each moment: it may have crashed all targets.
+// judgeWhole judges a request as a whole. It need not have been sent in a chain, and other requests
+// need not have been proven meanwhile, if it was present at each crash: it may have crashed all
+// targets.
 func (t *Tracker) judgeWhole(s *suspect, covered map[uint64]bool) {
-	own, all := t.momentsOf(s, covered)
+	own, all := t.momentsDuring(s, covered)
 	if own*blameShareDivisor < all {
 		return
 	}
-	hasContrast := s.contrast >= blameContrast
-	inChain := len(s.chain(covered)) >= blameChain
-	atEach := len(s.crashes(covered)) >= blameChain && t.isAtEachCrash(s)
+	hasContrast, atEach := s.contrast >= blameContrast, t.isAtEachCrash(s)
 	moments := len(s.moments(covered))
+	inChain := len(s.chain(covered)) >= blameChain
+	isRepeated := len(s.crashes(covered)) >= blameChain && moments >= heldChain
 	switch {
-	case inChain && (hasContrast || own == all), atEach && hasContrast && moments >= heldChain:
+	case inChain && (hasContrast || atEach), isRepeated && hasContrast && atEach:
 		t.addBlame(&blame{group: []Part{s.part}, at: s.lastBroken(), id: t.rng.Uint64()})
 	case moments >= heldChain:
 		t.heldWholes[s.part] = true
 	}
 }
 
-// isAtEachCrash reports whether a request was present at each crash of its service since its
-// first sighting, as far as no blamed group explains it.
+// isAtEachCrash reports whether a request was present at each crash of its service from its first
+// to its last sighting, as far as no blamed group explains it.
 func (t *Tracker) isAtEachCrash(s *suspect) bool {
 	mine := s.crashes(nil)
-	from := s.sightings[0].brokenAt.Add(-sameMoment)
+	from, to := s.sightings[0].brokenAt.Add(-sameMoment), s.lastBroken().Add(sameMoment)
 	for id, c := range t.crashes {
-		if c.service != s.service || c.group != 0 || c.at.Before(from) || c.droppedBy == s.part {
+		if c.service != s.service || c.group != 0 || c.droppedBy == s.part || c.at.Before(from) || c.at.After(to) {
 			continue
 		}
 		if _, found := slices.BinarySearch(mine, id); !found {
@@ -143,30 +149,27 @@
 // next attempt tells them apart.
 func (t *Tracker) holdRivals(c *candidate) {
 	for _, p := range append(c.rivals, c.group...) {
-		if t.suspects[p].isWhole {
-			t.heldWholes[p] = true
-		}
+		t.heldWholes[p] = true
 	}
 }
 
-// momentsOf returns at how many moments targets of a service crashed since the first sighting of
-// a request, as far as no blamed group explains it, and at how many of them the request was
-// present; crashes in covered do not count for it. Many targets that crash at once for another
-// cause are one moment.
-func (t *Tracker) momentsOf(s *suspect, covered map[uint64]bool) (own, all int) {
-	mine := map[uint64]bool{}
-	for _, x := range s.uncovered(covered) {
-		mine[x.crash] = true
-	}
-	type moment struct {
-		at   time.Time
-		mine bool
-	}
-	from := s.sightings[0].brokenAt.Add(-sameMoment)
+// moment is a time at which targets crashed; mine is set if the request in question was there.
+type moment struct {
+	at   time.Time
+	mine bool
+}
+
+// momentsDuring returns at how many moments targets of the service crashed while one of the lost
+// attempts of a request was under way, as far as no blamed group explains it, and at how many of
+// them the request was present; crashes in covered do not count for it. Many targets that crash at
+// once for another cause are one moment.
+func (t *Tracker) momentsDuring(s *suspect, covered map[uint64]bool) (own, all int) {
+	mine := s.crashes(covered)
 	var list []moment
 	for id, c := range t.crashes {
-		if c.service == s.service && c.group == 0 && !c.at.Before(from) {
-			list = append(list, moment{c.at, mine[id] || c.droppedBy == s.part})
+		if c.service == s.service && c.group == 0 && s.isUnderWay(c.at) {
+			_, found := slices.BinarySearch(mine, id)
+			list = append(list, moment{c.at, found || c.droppedBy == s.part})
 		}
 	}
 	slices.SortFunc(list, func(a, b moment) int { return a.at.Compare(b.at) })
@@ -184,6 +187,13 @@
 	return own, all
 }
 
+// isUnderWay reports whether a lost attempt was under way at a time.
+func (s *suspect) isUnderWay(at time.Time) bool {
+	return slices.ContainsFunc(s.sightings, func(x sighting) bool {
+		return !at.Before(x.sentAt.Add(-sameMoment)) && !at.After(x.brokenAt.Add(sameMoment))
+	})
+}
+
 // leastProven returns at most n of the parts, those that were proven least recently, in
 // ascending order.
 func (t *Tracker) leastProven(parts []Part, n int) []Part {
--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -10,15 +10,16 @@
 	// those that are independent of each other, chain the ones that followed each other.
 	crashes       []uint64
 	weight, chain int
-	// rivals explain the same crashes, and no request holds them and the group.
+	// rivals are requests as a whole that explain the same crashes as the group.
 	rivals []Part
 }
 
-// candidates returns the parts with enough observations to be held back or blamed, in ascending order.
-func (t *Tracker) candidates() []Part {
+// candidates returns the requests as a whole, or the parts of prompts, with enough observations to
+// be held back or blamed, in ascending order.
+func (t *Tracker) candidates(wholes bool) []Part {
 	var list []Part
 	for p, s := range t.suspects {
-		if len(s.sightings) >= heldChain {
+		if s.isWhole == wholes && len(s.sightings) >= heldChain {
 			list = append(list, p)
 		}
 	}
@@ -26,12 +27,34 @@
 	return list
 }
 
+// crashesByRepeats returns the crashes of requests that came again and crashed enough targets to
+// be blamed by themselves.
+func (t *Tracker) crashesByRepeats() map[uint64]bool {
+	list := map[uint64]bool{}
+	for _, s := range t.suspects {
+		crashes := s.crashes(nil)
+		if !s.isWhole || len(crashes) < blameChain {
+			continue
+		}
+		for _, id := range crashes {
+			list[id] = true
+		}
+	}
+	return list
+}
+
 // mostSuspect returns the candidate with the most independent observations of crashes that are
-// not in covered, with what has the same ones. It returns nil if none has enough.
+// not in covered, with what has the same ones. It returns nil if none has enough. The parts are
+// all of prompts, or all requests as a whole.
 func (t *Tracker) mostSuspect(parts []Part, covered map[uint64]bool) *candidate {
 	var best *candidate
 	for _, p := range parts {
-		c := newCandidate(t.suspects[p], covered)
+		s := t.suspects[p]
+		if s == nil {
+			// What was blamed meanwhile explains all of its crashes.
+			continue
+		}
+		c := newCandidate(s, covered)
 		switch {
 		case c.weight < heldChain:
 		case best == nil || c.isStronger(best):
@@ -53,15 +76,8 @@
 	}
 }
 
-// explainsItself reports whether a request has crashed so many targets by itself that its crashes
-// say nothing about the parts of its prompt.
-func (c *candidate) explainsItself() bool { return c.isWhole && c.weight >= blameChain }
-
 // isStronger reports whether there is more evidence for a candidate than for another.
 func (c *candidate) isStronger(o *candidate) bool {
-	if c.explainsItself() != o.explainsItself() {
-		return c.explainsItself()
-	}
 	if c.weight != o.weight {
 		return c.weight > o.weight
 	}
@@ -78,7 +94,7 @@
 // join adds a candidate with the same crashes. A request may hold several parts of prompts, but
 // it is one whole.
 func (c *candidate) join(o *candidate) {
-	if c.isWhole || o.isWhole {
+	if c.isWhole {
 		c.rivals = append(c.rivals, o.group...)
 		return
 	}
--- a/zone/poison/check.go
+++ b/zone/poison/check.go
@@ -74,6 +74,11 @@
 	// held back: one attempt in holdTime shows as much as several, and crashes one engine.
 	heldChain = 2
 	holdTime  = time.Second
+	// wholeTurnStretch is how many times longer than others the turns are in which entries send
+	// a request as a whole that is held back: another crash cuts off the requests of many
+	// callers, and to wait concerns one. wholeHoldTime is when the first turn comes after a crash.
+	wholeTurnStretch = 15
+	wholeHoldTime    = 2 * wholeTurnStretch * time.Second
 )
 
 // checkSuspects refuses an attempt with a part that is about to be blamed, unless the last one
@@ -85,11 +90,13 @@
 		if wait := holdTime - now.Sub(s.lastAllowed); wait > 0 {
 			return Refused, max(wait, minRetryAfter)
 		}
-		if s.isWhole && !turns(uint64(s.part), now.Sub(s.lastBroken())) {
-			return Refused, minRetryAfter
+		if !s.isWhole {
+			continue
 		}
-		if s.isWhole {
-			d = Probe
+		d = Probe
+		sinceCrash := now.Sub(s.lastBroken())
+		if !turns(uint64(s.part), sinceCrash/wholeTurnStretch) {
+			return Refused, max(wholeHoldTime-sinceCrash, minRetryAfter)
 		}
 	}
 	return d, 0
