--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -67,6 +67,10 @@
 	// targetStatus is the status of the target's response in the last attempt, 0 if there
 	// was none, and targetLoad the load that the target reported, -1 if it did not.
 	targetStatus, targetLoad int
+	// targetBackoff is for how long the target wanted no further request, targetLeaving whether it
+	// said that it leaves.
+	targetBackoff time.Duration
+	targetLeaving bool
 	// expectedVersion is the version that the last attempt insisted on, targetVersion the
 	// one that the target reported; 0 if there was none.
 	expectedVersion, targetVersion int64
@@ -86,7 +90,7 @@
 func (rec *requestRecord) attemptStarted(choice placement.Choice, now time.Time) {
 	rec.choice, rec.startedAt, rec.endedAt = choice, now, time.Time{}
 	rec.outcome, rec.breakage, rec.err, rec.limit = attempts.Completed, "", nil, attempts.NoLimit
-	rec.targetStatus, rec.targetLoad = 0, -1
+	rec.targetStatus, rec.targetLoad, rec.targetBackoff, rec.targetLeaving = 0, -1, 0, false
 	rec.expectedVersion, rec.targetVersion = 0, 0
 	if rec.firstAttemptAt.IsZero() {
 		rec.firstAttemptAt = now
@@ -98,6 +102,7 @@
 func (rec *requestRecord) replyReceived(reply platform.Reply, expectedVersion int64) {
 	rec.expectedVersion = expectedVersion
 	rec.targetStatus, rec.targetLoad, rec.targetVersion = reply.Status, reply.OpenRequests, reply.Version
+	rec.targetBackoff, rec.targetLeaving = reply.Backoff, reply.Leaving
 }
 
 // attemptEnded records how an attempt ended.
@@ -211,6 +216,12 @@
 	if rec.targetLoad >= 0 {
 		f["target_load"] = rec.targetLoad
 	}
+	if rec.targetBackoff > 0 {
+		f["target_backoff_ms"] = rec.targetBackoff.Milliseconds()
+	}
+	if rec.targetLeaving {
+		f["target_leaving"] = true
+	}
 	if rec.expectedVersion > 0 {
 		f["expected_version"] = rec.expectedVersion
 	}
