Test that fails: a target that wants no requests for a time goes on getting them

The stand-in engine turns requests away with a Retry-After. Seen on this code: 75 requests in the 3 s that it asked for (2 allowed), and requests that still go there when all targets have asked.

--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -69,6 +69,7 @@
 	// arrivals lists all requests in order of arrival, but for those meant for others.
 	arrivals []Arrival
 	crash    crashState
+	refusal  refusalState
 	framing  Framing
 	endless  EndlessKind
 }
@@ -206,7 +207,7 @@
 	e.mu.Lock()
 	expected := r.Header.Get("Expect-Version")
 	misdirected := r.Header.Get("Expect-Instance") != e.ID || expected != "" && expected != strconv.FormatInt(e.version, 10)
-	full := e.running >= e.Slots
+	full := !misdirected && e.refusal.refuses(w.Header()) || e.running >= e.Slots
 	unresponsive, losesAnswers, version := e.unresponsive, e.losesAnswers, e.version
 	born, framing, endless := e.born, e.framing, e.endless
 	arrival := Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header), Key: RequestKey(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))}
