--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
@@ -211,49 +209,6 @@
 	return n + float64(recent*max(p.entries-1, 0))
 }
 
-// isUsable reports whether a target may get the attempt, irrespective of its load and
-// health.
-func (p *Pool) isUsable(now time.Time, m *roster.Member, req Requirements) bool {
-	return p.exclusionOf(now, m, req) == NotExcluded
-}
-
-// exclusionOf returns the rule that excludes a target irrespective of its load and
-// health.
-func (p *Pool) exclusionOf(now time.Time, m *roster.Member, req Requirements) Exclusion {
-	switch {
-	case m.Leaving:
-		return ExcludedLeaving
-	case p.evacuated[m.Zone]:
-		return ExcludedEvacuated
-	case req.RegionAllowed != nil && !req.RegionAllowed(p.regions[m.Zone]):
-		return ExcludedRegion
-	}
-	if p.service != nil && p.service.Engine != nil {
-		if exclusion := p.weightsExclusion(now, m, req); exclusion != NotExcluded {
-			return exclusion
-		}
-	}
-	if slices.Contains(req.Tried, m.ID) {
-		return ExcludedTried
-	}
-	return NotExcluded
-}
-
-// weightsExclusion returns the rule that excludes a model engine because of its weights.
-func (p *Pool) weightsExclusion(now time.Time, m *roster.Member, req Requirements) Exclusion {
-	if s, ok := m.Status(now); ok && s.Changing {
-		return ExcludedChanging
-	}
-	version := m.Version(now)
-	if req.Pinned != 0 && version != req.Pinned {
-		return ExcludedVersion
-	}
-	if version <= 0 || version < req.MinVersion {
-		return ExcludedVersion
-	}
-	return NotExcluded
-}
-
 // Pick chooses a target for an attempt whose first event is due within limit. Ejected
 // targets are considered only if no other target has room or is full.
 func (p *Pool) Pick(now time.Time, req Requirements, limit time.Duration) (Choice, Refusal) {
@@ -263,15 +218,12 @@
 	var choice Choice
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for _, m := range p.members {
-			if !p.isUsable(now, m, req) {
+			a := p.admit(now, m, req, limit, pass > 0)
+			if a.exclusion != NotExcluded {
+				outcome = min(outcome, a.exclusion.refusal())
 				continue
 			}
-			result, delay := p.checkRoom(now, m, limit, pass > 0)
-			if result != Placed {
-				outcome = min(outcome, result)
-				continue
-			}
-			cost := delay + p.penalty(now, m) + time.Duration(p.rng.Int64N(int64(costJitter)))
+			cost := a.delay + p.penalty(now, m) + time.Duration(p.rng.Int64N(int64(costJitter)))
 			if best == nil || cost < bestCost {
 				best, bestCost = m, cost
 				choice = p.choiceOf(now, m, req)
@@ -287,61 +239,12 @@
 	return choice, Placed
 }
 
-// checkRoom reports whether a target has room for an attempt and predicts the delay of
-// the first event. Ejected targets are considered only with includeEjected set.
-func (p *Pool) checkRoom(now time.Time, m *roster.Member, limit time.Duration, includeEjected bool) (Refusal, time.Duration) {
-	verdict := p.ejection.Verdict(now, contract.MachineID(m.ID))
-	// An ejected target is not probed with a request while its process is silent.
-	if !includeEjected && (verdict == ejection.Ejected || verdict == ejection.Probe && m.IsSilent(now)) {
-		return NoTarget, 0
-	}
-	l := p.loadOf(m.ID)
-	if l.sends.wait(now, p.coldShare(now, m)) > 0 {
-		return ColdShareUsed, 0
-	}
-	if p.rateWait(now, m) > 0 {
-		return RateShareUsed, 0
-	}
-	model := NewLatencyModel(p.service, m.Slots)
-	n := p.estimateLoad(now, m)
-	delay := model.FirstEventDelay(n)
-	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() {
-		return Full, delay
-	}
-	return Placed, delay
-}
-
-// connShare returns how many connections this entry may have to one target. Each carries one
-// attempt at a time. Every entry may have one: if there are more entries than connections,
-// KeepsIdleConns tells them to close theirs after each attempt.
-func (p *Pool) connShare() int {
-	if p.service == nil || p.service.MaxConns <= 0 {
-		return math.MaxInt
-	}
-	return max(p.service.MaxConns/max(p.coldShares.ShareCount, 1), 1)
-}
-
 // KeepsIdleConns reports whether the targets accept a connection of each entry at the same
 // time.
 func (p *Pool) KeepsIdleConns() bool {
 	return p.service == nil || p.service.MaxConns <= 0 || p.service.MaxConns >= p.coldShares.ShareCount
 }
 
-// unlimited is the share of a target that gets as many requests as it has room for.
-var unlimited = sendShare{requests: math.MaxInt}
-
-// coldShare returns this entry's share of the requests that a target may get in coldWindow.
-func (p *Pool) coldShare(now time.Time, m *roster.Member) sendShare {
-	switch {
-	case p.coldShares.TotalLimit <= 0:
-		return unlimited
-	case now.Before(m.ColdUntil):
-		return sendShare{p.coldShares.ColdLimit(now, m.ID), coldWindow}
-	default:
-		return sendShare{p.coldShares.WarmLimit(), coldWindow}
-	}
-}
-
 // penalty returns the part of a target's cost that does not depend on its load.
 func (p *Pool) penalty(now time.Time, m *roster.Member) time.Duration {
 	total := time.Duration(0)
@@ -358,36 +261,6 @@
 	return total
 }
 
-// PredictWait predicts how long it takes until some target can send the first event of
-// one more request within limit. ok is false if no target may serve the request.
-func (p *Pool) PredictWait(now time.Time, req Requirements, limit time.Duration) (delay time.Duration, ok bool) {
-	for _, m := range p.members {
-		if !p.isUsable(now, m, req) {
-			continue
-		}
-		wait := max(NewLatencyModel(p.service, m.Slots).FirstEventDelay(p.estimateLoad(now, m))-limit, p.rateWait(now, m))
-		if !ok || wait < delay {
-			delay, ok = wait, true
-		}
-	}
-	return max(delay, 0), ok
-}
-
-// rateWait returns the time until a target that limits its rate takes a further request:
-// from this entry if it has a share, otherwise from any.
-func (p *Pool) rateWait(now time.Time, m *roster.Member) time.Duration {
-	limit, ok := p.rateLimits.Of(m.ID, m.Born)
-	if !ok {
-		return 0
-	}
-	sends := &p.loadOf(m.ID).sends
-	share := p.coldShares.shareOfRate(limit, now, m.ID, sends.last)
-	if share.requests > 0 {
-		return sends.wait(now, share)
-	}
-	return timePerRequest(limit.PerSecond)
-}
-
 // EjectedCount returns the number of targets that are ejected because of failures,
 // slowness or silence. Targets that are due for a probe are not counted.
 func (p *Pool) EjectedCount(now time.Time) int {
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -49,6 +49,22 @@
 // String returns the name of the exclusion in logs.
 func (e Exclusion) String() string { return exclusionNames[e] }
 
+// refusal returns what a request is told that finds only targets excluded by the rule.
+func (e Exclusion) refusal() Refusal {
+	switch e {
+	case NotExcluded:
+		return Placed
+	case ExcludedFull:
+		return Full
+	case ExcludedCold:
+		return ColdShareUsed
+	case ExcludedRate:
+		return RateShareUsed
+	default:
+		return NoTarget
+	}
+}
+
 // Survey summarizes the state of the targets that a choice is based on.
 type Survey struct {
 	// Listed is the number of targets of the service.
@@ -90,7 +106,7 @@
 func (p *Pool) surveyTargets(now time.Time, req Requirements, limit time.Duration, includeEjected bool) Survey {
 	s := Survey{Listed: len(p.members), Limit: limit, MinVersion: req.MinVersion}
 	for _, m := range p.members {
-		exclusion := p.exclusionUnderLoad(now, m, req, limit, includeEjected)
+		exclusion := p.admit(now, m, req, limit, includeEjected).exclusion
 		s.Counts[exclusion]++
 		if exclusion != ExcludedFull {
 			continue
@@ -103,26 +119,6 @@
 	return s
 }
 
-// exclusionUnderLoad returns the rule that excludes a target, with its health and load
-// taken into account.
-func (p *Pool) exclusionUnderLoad(now time.Time, m *roster.Member, req Requirements, limit time.Duration, includeEjected bool) Exclusion {
-	if exclusion := p.exclusionOf(now, m, req); exclusion != NotExcluded {
-		return exclusion
-	}
-	switch outcome, _ := p.checkRoom(now, m, limit, includeEjected); outcome {
-	case NoTarget:
-		return ExcludedEjected
-	case ColdShareUsed:
-		return ExcludedCold
-	case RateShareUsed:
-		return ExcludedRate
-	case Full:
-		return ExcludedFull
-	default:
-		return NotExcluded
-	}
-}
-
 // choiceOf returns the Choice that describes a target for an attempt.
 func (p *Pool) choiceOf(now time.Time, m *roster.Member, req Requirements) Choice {
 	n := p.estimateLoad(now, m)
