Package poison looks at candidates without building maps

TestCrashesWithoutBadPart spent half of its time in maps of the evidence of candidates that were weaker than the best one. These are passed over, and the few sightings of a part are compared as lists.

--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -1,15 +1,20 @@
 package poison
 
-import "slices"
+import (
+	"slices"
+	"sync"
+)
 
 // candidate is a part, or several that cannot be told apart, that may explain crashes.
 type candidate struct {
 	group   []Part
 	isWhole bool
 	// crashes are those that no candidate before explains, in ascending order. weight counts
-	// those that are independent of each other, chain the ones that followed each other.
-	crashes       []uint64
-	weight, chain int
+	// those that are independent of each other.
+	crashes []uint64
+	weight  int
+	// chainLength returns how many of them followed each other.
+	chainLength func() int
 	// rivals are requests as a whole that explain the same crashes as the group.
 	rivals []Part
 }
@@ -54,6 +59,9 @@
 			// What was blamed meanwhile explains all of its crashes.
 			continue
 		}
+		if len(s.sightings) < heldChain || best != nil && len(s.sightings) < best.weight {
+			continue
+		}
 		c := newCandidate(s, covered)
 		switch {
 		case c.weight < heldChain:
@@ -71,8 +79,8 @@
 
 func newCandidate(s *suspect, covered map[uint64]bool) *candidate {
 	return &candidate{
-		group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered),
-		weight: len(s.independent(covered)), chain: len(s.chain(covered)),
+		group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered), weight: len(s.independent(covered)),
+		chainLength: sync.OnceValue(func() int { return len(s.chain(covered)) }),
 	}
 }
 
@@ -84,7 +92,7 @@
 	if len(c.crashes) != len(o.crashes) {
 		return len(c.crashes) > len(o.crashes)
 	}
-	return c.chain > o.chain && !c.hasSameCrashes(o)
+	return !c.hasSameCrashes(o) && c.chainLength() > o.chainLength()
 }
 
 func (c *candidate) hasSameCrashes(o *candidate) bool {
@@ -99,5 +107,6 @@
 		return
 	}
 	c.group = append(c.group, o.group...)
-	c.chain = max(c.chain, o.chain)
+	own := c.chainLength
+	c.chainLength = func() int { return max(own(), o.chainLength()) }
 }
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -142,58 +142,47 @@
 	return s.chainBy(covered, func(x, last sighting) bool { return x.isAfter(x.brokenAt, last) })
 }
 
-// chainBy returns independent sightings of which each follows the one before.
+// chainBy returns independent sightings of which each follows the one before. Each crash counts
+// once. Repeats of one request say nothing about which part of its prompt crashes targets, so a
+// crash counts against a part only if no request that held it was at one counted before. The
+// sightings of a part are few, at most maxSightings.
 func (s *suspect) chainBy(covered map[uint64]bool, follows func(x, last sighting) bool) []sighting {
 	list := s.uncovered(covered)
 	var chain []sighting
-	evidence := s.newEvidence(list)
 	for _, x := range list {
-		if (len(chain) == 0 || follows(x, chain[len(chain)-1])) && evidence.add(x) {
+		if len(chain) > 0 && !follows(x, chain[len(chain)-1]) {
+			continue
+		}
+		if !s.dependsOn(x, chain, list) {
 			chain = append(chain, x)
 		}
 	}
 	return chain
 }
 
-// evidence collects independent sightings of a suspect. Each crash counts once. Repeats of one
-// request say nothing about which part of its prompt crashes targets, so a crash counts against
-// a part only if no request that held it was at one counted before.
-type evidence struct {
-	crashes map[uint64]bool
-	// requestsAt holds the requests at each crash; nil if repeats count.
-	requestsAt map[uint64][]uint64
-	requests   map[uint64]bool
-}
-
-func (s *suspect) newEvidence(list []sighting) *evidence {
-	e := &evidence{crashes: map[uint64]bool{}}
-	if s.isWhole {
-		return e
-	}
-	e.requestsAt, e.requests = map[uint64][]uint64{}, map[uint64]bool{}
-	for _, x := range list {
-		if x.request != 0 {
-			e.requestsAt[x.crash] = append(e.requestsAt[x.crash], x.request)
+// dependsOn reports whether a sighting adds nothing to those in chain, which are taken from list.
+func (s *suspect) dependsOn(x sighting, chain, list []sighting) bool {
+	for _, counted := range chain {
+		if counted.crash == x.crash || !s.isWhole && shareRequest(counted.crash, x.crash, list) {
+			return true
 		}
 	}
-	return e
+	return false
 }
 
-// add adds a sighting, unless it depends on those added before.
-func (e *evidence) add(x sighting) bool {
-	if e.crashes[x.crash] {
-		return false
-	}
-	for _, r := range e.requestsAt[x.crash] {
-		if e.requests[r] {
-			return false
+// shareRequest reports whether one request was at both crashes.
+func shareRequest(a, b uint64, list []sighting) bool {
+	for _, x := range list {
+		if x.crash != a || x.request == 0 {
+			continue
+		}
+		for _, y := range list {
+			if y.crash == b && y.request == x.request {
+				return true
+			}
 		}
 	}
-	e.crashes[x.crash] = true
-	for _, r := range e.requestsAt[x.crash] {
-		e.requests[r] = true
-	}
-	return true
+	return false
 }
 
 // addSighting records an observation of a part. Without room for a further part it drops those
