A target that says that it leaves gets no new request

Cause: nothing read Server-Leaving of answers; an entry followed the target list only, which comes later, or never agrees.

Change: package zone/leaving remembers the incarnations that said so; Pool.admit excludes them at once, for first attempts, retries, hedges, probes and resumed streams, and an attempt that was still connecting is not sent. Entries tell each other in heartbeats. The word holds until the incarnation is gone: an answer without it may have been overtaken, and a list that does not agree takes nothing back.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -40,6 +40,9 @@
 	// prompts that crash targets.
 	PoisonObservations []PoisonObservation `cbor:"15,keyasint,omitempty"`
 	PoisonVerdicts     []PoisonVerdict     `cbor:"16,keyasint,omitempty"`
+	// LeavingTargets lists 64-bit hashes of the names and starts of the targets that have said
+	// in an answer that they are about to stop, as far as the sending entry knows.
+	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // PoisonObservation is an attempt that ended, before it had shown to be sound, with the crash
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -197,6 +197,7 @@
 		}
 		hb.RateLimits = e.fleet.rateLimitReports()
 		hb.PoisonObservations, hb.PoisonVerdicts = e.fleet.poisonReports()
+		hb.LeavingTargets = e.fleet.leavingReports()
 	}
 	hb.Announced = e.fleet.versionAges()
 	hb.StoreEra = e.store.Era()
@@ -302,7 +303,7 @@
 
 func (e *Entry) maintain() {
 	e.fleet.dropLapsedTargets()
-	e.fleet.pruneRateLimits()
+	e.fleet.pruneTargetRecords()
 	e.fleet.forgetUnlinked(e.peers.MaintainsLink)
 	e.fleet.setEntries(e.entryMembers())
 	e.conns.closeExpired()
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -238,6 +238,7 @@
 	}
 	x.recordRateLimit(reply)
 	x.recordBackoff(reply)
+	x.recordLeaving(reply)
 	if reply.NotRun {
 		x.misdirected = reply.Misdirected
 		x.breakage = refusalBreakage(reply)
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -14,6 +14,7 @@
 	"mimosastand.example/mimosastand/weights/upgrade"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
+	"mimosastand.example/mimosastand/zone/leaving"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/poison"
 	"mimosastand.example/mimosastand/zone/ratelimit"
@@ -51,6 +52,7 @@
 	retryBudgets      map[contract.ServiceName]*retry.Window
 	returnEstimators  map[contract.ServiceName]*retry.ReturnEstimator
 	rateLimits        *ratelimit.Tracker
+	leaving           *leaving.Tracker
 	poison            *poison.Tracker
 	peerFlights       map[contract.MachineID]map[uint32]int
 	// engineAddresses holds the engine's address of each target process that has reported
@@ -80,6 +82,7 @@
 		peerFlights:      map[contract.MachineID]map[uint32]int{},
 		engineAddresses:  map[contract.MachineID]string{},
 		rateLimits:       ratelimit.NewTracker(rng),
+		leaving:          leaving.NewTracker(),
 		poison:           poison.NewTracker(rng),
 		rng:              rng,
 	}
@@ -108,6 +111,7 @@
 		p = placement.NewPool(home, fs.process.Fleet.Zones, rng)
 		p.SetEvacuated(fs.evacuated)
 		p.SetRateLimits(fs.rateLimits)
+		p.SetLeaving(fs.leaving)
 		p.SetMembers(time.Now(), fs.roster.Members(name))
 		fs.pools[name] = p
 	}
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -10,7 +10,7 @@
 )
 
 // applyHeartbeat applies a peer's heartbeat: the ages of versions, rate limits of targets, what
-// crashes targets, and the state of an engine or the flights of an entry.
+// crashes targets, which of them leave, and the state of an engine or the flights of an entry.
 func (fs *fleetState) applyHeartbeat(hb contract.Heartbeat) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
@@ -18,6 +18,7 @@
 	fs.applyPeerAges(hb)
 	fs.applyPeerLimits(hb)
 	fs.applyPeerPoison(hb)
+	fs.applyPeerLeaving(hb)
 	if e := hb.Engine; e != nil {
 		fs.roster.Report(now, e.Address, e.Born, roster.Status{
 			Version:  e.Version,
--- a/machine/entry/direct/ratelimits.go
+++ b/machine/entry/direct/ratelimits.go
@@ -73,20 +73,24 @@
 	return fs.rateLimits.Reports(time.Now())
 }
 
-// pruneRateLimits forgets the limits of targets that have left the target list.
-func (fs *fleetState) pruneRateLimits() {
+// pruneTargetRecords forgets what targets said that have left the target list.
+func (fs *fleetState) pruneTargetRecords() {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	listed := func() map[ratelimit.Key]bool {
-		keys := map[ratelimit.Key]bool{}
-		for name := range fs.pools {
-			for _, m := range fs.roster.Members(name) {
-				keys[ratelimit.KeyOf(m.ID, m.Born)] = true
-			}
+	now := time.Now()
+	fs.rateLimits.Prune(now, fs.listedIncarnations)
+	fs.leaving.Prune(now, fs.listedIncarnations)
+}
+
+// listedIncarnations returns the keys of the targets on the list.
+func (fs *fleetState) listedIncarnations() map[ratelimit.Key]bool {
+	keys := map[ratelimit.Key]bool{}
+	for name := range fs.pools {
+		for _, m := range fs.roster.Members(name) {
+			keys[ratelimit.KeyOf(m.ID, m.Born)] = true
 		}
-		return keys
 	}
-	fs.rateLimits.Prune(time.Now(), listed)
+	return keys
 }
 
 // limitOf returns the rate in requests a second to which a target limits all entries
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -45,8 +45,10 @@
 }
 
 // StillAdmits reports whether a target that was chosen may still get the attempt: it may have asked
-// for no more requests since.
-func (p *Pool) StillAdmits(c Choice) bool { return p.backoffWait(c.ID, c.Born) == 0 }
+// for no more requests since, or have said that it leaves.
+func (p *Pool) StillAdmits(c Choice) bool {
+	return p.backoffWait(c.ID, c.Born) == 0 && !p.leaving.IsLeaving(c.ID, c.Born)
+}
 
 // isEjected reports whether a target is ejected. One that is due for a probe gets no request as
 // long as its process is silent.
@@ -59,7 +61,7 @@
 // health.
 func (p *Pool) exclusionOf(now time.Time, m *roster.Member, req Requirements) Exclusion {
 	switch {
-	case m.Leaving:
+	case m.Leaving || p.leaving.IsLeaving(m.ID, m.Born):
 		return ExcludedLeaving
 	case p.evacuated[m.Zone]:
 		return ExcludedEvacuated
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -7,6 +7,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
+	"mimosastand.example/mimosastand/zone/leaving"
 	"mimosastand.example/mimosastand/zone/ratelimit"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -134,6 +135,8 @@
 	// rateLimits holds the rates to which targets limit all entries; coldShares tells this
 	// entry's share of them.
 	rateLimits *ratelimit.Tracker
+	// leaving holds the targets that have said that they leave.
+	leaving *leaving.Tracker
 	// runTime is for how long the process has been running.
 	runTime time.Duration
 	// entries is the number of entries that send to the targets, this one included.
@@ -150,6 +153,7 @@
 		loads:      map[roster.TargetID]*targetLoad{},
 		ejection:   ejection.NewTracker(rng),
 		rateLimits: ratelimit.NewTracker(rng),
+		leaving:    leaving.NewTracker(),
 	}
 }
 
@@ -186,6 +190,10 @@
 // SetRateLimits replaces the tracker of the targets' rate limits, which pools may share.
 func (p *Pool) SetRateLimits(t *ratelimit.Tracker) { p.rateLimits = t }
 
+// SetLeaving replaces the tracker of the targets that have said that they leave, which pools may
+// share.
+func (p *Pool) SetLeaving(t *leaving.Tracker) { p.leaving = t }
+
 // SetPeerLoad sets the number of attempts that the other entries have in flight at a
 // target.
 func (p *Pool) SetPeerLoad(id roster.TargetID, n float64) { p.loadOf(id).peerInFlight = n }
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -12,7 +12,7 @@
 const (
 	// NotExcluded means that the target may get the attempt.
 	NotExcluded Exclusion = iota
-	// ExcludedLeaving means that the target is draining.
+	// ExcludedLeaving means that the target is draining, by the target list or its own word.
 	ExcludedLeaving
 	// ExcludedEvacuated means that operators have evacuated the target's zone.
 	ExcludedEvacuated
