Soak: a request crashes back ends, a back end wants no requests, or says that it leaves

Three faults, drawn alone and beside all others, and a series with a request that crashes back ends for 12 to 16 s beside an entry that is stopped, killed or paused. Three promises: the bounds of the platform on each.

--- a/e2e/fleet/backoff_test.go
+++ b/e2e/fleet/backoff_test.go
@@ -51,7 +51,7 @@
 		r.sendLooks(e, 20*time.Millisecond, 10*time.Millisecond)
 		return len(target.Refusals()) > 0
 	})
-	refusedAt := target.Refusals()[0]
+	refusedAt := target.Refusals()[0].At
 	if failed := r.sendLooks(e, backoffTime, 10*time.Millisecond); len(failed) > 0 {
 		t.Errorf("%d requests failed although another target has room, the first with status %d", len(failed), failed[0].status)
 	}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -18,8 +18,9 @@
 const (
 	// readyTimeout bounds the time until an entry is ready after the start of a fleet.
 	readyTimeout = 20 * time.Second
-	// FleetKey is the API key of the only team.
-	FleetKey = "key-1"
+	// FleetTeam is the only team, and FleetKey its API key.
+	FleetTeam = "team-1"
+	FleetKey  = "key-1"
 	// engineSlots is how many requests the stand-in of an engine or service runs at once.
 	engineSlots = 8
 	// plainCallDuration is the duration of a call to a plain service.
@@ -63,6 +64,8 @@
 	version  int64
 	// crashingParts are the parts of prompts that crash engines.
 	crashingParts []string
+	// crashingRequests are the whole requests that crash back ends.
+	crashingRequests []string
 	// formerEngines are the engines of lost machines.
 	formerEngines []*standins.Engine
 }
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -282,6 +282,7 @@
 	t.current = e
 	t.engineMu.Unlock()
 	e.SetCrashingParts(t.fleet.crashingPartsNow()...)
+	e.SetCrashingRequests(t.fleet.crashingRequestsNow()...)
 	t.engineAddress, t.service = e.Address(), standins.ModelService
 	return nil
 }
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -67,6 +67,10 @@
 	limits []limitSpan
 	// parts are the spans in which a part of a prompt crashed engines.
 	parts []partSpan
+	// requests are those that crashed back ends.
+	requests []crashingRequest
+	// refusals are the back ends that turned requests away for a time, or said that they leave.
+	refusals []*standins.Engine
 }
 
 func (b *bounds) addAnnouncement(version int64, at time.Time) {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -49,6 +49,14 @@
 	PartBound Promise = "a part of a prompt that crashes engines reaches no more of them past the bound"
 	// SoundBegins: sound requests that share the first part with those go on to begin.
 	SoundBegins Promise = "sound requests begin although others crash engines"
+	// RequestBound: entries do not go on sending a request that has crashed three back ends.
+	RequestBound Promise = "a request that crashes back ends reaches no more of them past the bound"
+	// BackoffBound: a back end that turns an entry away for a time gets nothing from it in that
+	// time, with the platform's tolerance.
+	BackoffBound Promise = "a back end gets nothing from an entry that it turned away for a time"
+	// LeavingBound: a back end that says that it leaves gets nothing more from an entry that has
+	// passed this on.
+	LeavingBound Promise = "a back end that says that it leaves gets nothing more"
 	// UncutStream: a stream is cut off only beside a fault that can cut it. An engine that
 	// is silent for a while is none.
 	UncutStream Promise = "no stream is cut without a fault that cuts"
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -24,6 +24,8 @@
 		return int(standins.EndlessKindCount - standins.EndlessHead)
 	case CrashPart:
 		return firstPartCount
+	case CrashRequest:
+		return int(kindCount)
 	default:
 		return 0
 	}
@@ -39,6 +41,10 @@
 	case EndlessAnswers:
 		engine.SetEndless(standins.EndlessHead + standins.EndlessKind(e.Variant))
 		return func() { engine.SetEndless(standins.EndlessNone) }
+	case TurnAway:
+		return i.turnAway(engine)
+	case SayLeaving:
+		return i.sayLeaving(engine)
 	default:
 		return i.limitRate(engine)
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -61,6 +61,9 @@
 	case backEnds:
 		return i.injectAnswerFault(e, i.backEndAt(e.Index))
 	case prompts:
+		if e.Fault == CrashRequest {
+			return i.crashOnRequest(Kind(e.Variant))
+		}
 		return i.crashOnPart(e.Variant)
 	case zones:
 		zone := string(i.fleet.Spec.Zones[e.Index].Name)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,8 @@
 	LimitRate
 	UnframedAnswers
 	EndlessAnswers
+	TurnAway
+	SayLeaving
 	StoreDown
 	LateWrites
 	DropHistory
@@ -55,6 +57,7 @@
 	PublishManifest
 	EvacuateZone
 	CrashPart
+	CrashRequest
 	faultCount
 )
 
@@ -67,8 +70,10 @@
 	"connections to back end silent",
 	"delay of links", "cut towards links", "cut from links", "links silent",
 	"service hangs", "service loses answers", "back end limits its rate", "back end sends answers without framing", "back end sends answers without end",
+	"back end wants no requests", "back end says that it leaves",
 	"store down", "store applies writes late", "store drops history", "store back from an older copy",
 	"origin corrupts pieces", "origin away", "name a version", "next manifest", "evacuate zone", "part of a prompt crashes engines",
+	"request crashes back ends",
 }
 
 // String returns the name of the fault, as plan files have it.
@@ -107,7 +112,7 @@
 		return linkPaths
 	case f <= LoseAnswers:
 		return services
-	case f <= EndlessAnswers:
+	case f <= SayLeaving:
 		return backEnds
 	case f <= RestoreStore:
 		return store
@@ -115,7 +120,7 @@
 		return origin
 	case f == EvacuateZone:
 		return zones
-	case f == CrashPart:
+	case f == CrashPart, f == CrashRequest:
 		return prompts
 	default:
 		return operators
@@ -130,7 +135,7 @@
 	case targets:
 		return f != DrainEngine && f != SilenceEngine
 	case backEnds:
-		return f != LimitRate
+		return f != LimitRate && f != TurnAway
 	case storePaths, backEndPaths, linkPaths, services, prompts:
 		return true
 	default:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -231,6 +231,8 @@
 		s.bounds.check(s.checker, s.listRuns())
 		s.bounds.checkLimits(s.checker, s.traffic.Sender)
 		s.checkParts()
+		s.bounds.checkRequests(s.checker, s.fleet.BackEnds(), s.traffic.Sender)
+		s.bounds.checkRefusals(s.checker, s.traffic.Sender)
 	}
 	for _, name := range s.fleet.StopAll() {
 		s.checker.AddViolation(PlannedStop, "%s did not stop cleanly at the end of the run", name)
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -9,7 +9,7 @@
 
 // series are generators of groups of events that follow one another closely and that
 // single draws would almost never combine.
-var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation, longLimit, longCrashingPart, silenceDuringStop}
+var series = []func(rnd *rand.Rand, at time.Duration, shape Shape) []Event{delayedAnnouncement, longEvacuation, longLimit, longCrashingPart, longCrashingRequest, silenceDuringStop}
 
 const (
 	// minOriginOutage and maxOriginOutage bound how long the origin of weights is
@@ -93,6 +93,25 @@
 	return []Event{drawObject(rnd, crashing, shape), drawObject(rnd, entryFault, shape)}
 }
 
+const (
+	// minRequestDuration and maxRequestDuration bound how long a request crashes back ends: long
+	// enough for three crashes, stableWindow and more sendings than are allowed after it.
+	minRequestDuration = 12 * time.Second
+	maxRequestDuration = 16 * time.Second
+)
+
+// longCrashingRequest has a request crash back ends for long enough that what follows can be
+// counted, and stops, kills or pauses an entry meanwhile (docs/incidents/inc1-budget-request.md).
+func longCrashingRequest(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
+	crashing := Event{At: at, Duration: randomDuration(rnd, minRequestDuration, maxRequestDuration), Fault: CrashRequest}
+	entryFault := Event{
+		At:       crashing.At + randomDuration(rnd, 0, minRequestDuration/2),
+		Duration: randomDuration(rnd, minEntryFaultDuration, maxEntryFaultDuration),
+		Fault:    []Fault{KillEntry, PauseEntry, StopEntry}[rnd.IntN(3)],
+	}
+	return []Event{drawObject(rnd, crashing, shape), drawObject(rnd, entryFault, shape)}
+}
+
 // silenceDuringStop publishes a manifest and stops an entry while an engine is silent, so that
 // streams are held by all three.
 func silenceDuringStop(rnd *rand.Rand, at time.Duration, shape Shape) []Event {
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -207,10 +207,10 @@
 	e.mu.Lock()
 	expected := r.Header.Get("Expect-Version")
 	misdirected := r.Header.Get("Expect-Instance") != e.ID || expected != "" && expected != strconv.FormatInt(e.version, 10)
-	full := !misdirected && e.refusal.refuses(w.Header()) || e.running >= e.Slots
+	arrival := Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header), Key: RequestKey(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))}
+	full := !misdirected && e.refusal.refuses(w.Header(), arrival) || e.running >= e.Slots
 	unresponsive, losesAnswers, version := e.unresponsive, e.losesAnswers, e.version
 	born, framing, endless := e.born, e.framing, e.endless
-	arrival := Arrival{AttemptID: attempt, At: time.Now(), Parts: promptParts(r.Header), Key: RequestKey(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))}
 	crashes := e.crash.isCausedBy(arrival)
 	if e.rateLimit != "" {
 		w.Header().Set("Server-Limit", e.rateLimit)
--- a/standin/fleet/leaving.go
+++ b/standin/fleet/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -13,8 +14,9 @@
 	refuseUntil time.Time
 	// leaving is set if all answers say that the engine leaves.
 	leaving bool
-	// refusals lists when requests were turned away with a Retry-After.
-	refusals []time.Time
+	// refusals lists the requests that were turned away with a Retry-After, and words those
+	// whose answers said that the engine leaves.
+	refusals, words []Arrival
 }
 
 // TurnAway has the engine turn all requests away for a time with a Retry-After; an empty one is left
@@ -26,25 +28,33 @@
 // SetLeaving sets whether all answers say that the engine leaves.
 func (e *Engine) SetLeaving(on bool) { e.withLock(func() { e.refusal.leaving = on }) }
 
-// Refusals lists when requests were turned away with a Retry-After.
-func (e *Engine) Refusals() []time.Time {
+// Refusals lists the requests that were turned away with a Retry-After, in order.
+func (e *Engine) Refusals() []Arrival {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]time.Time(nil), e.refusal.refusals...)
+	return slices.Clone(e.refusal.refusals)
+}
+
+// LeavingWords lists the requests whose answers said that the engine leaves, in order.
+func (e *Engine) LeavingWords() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.refusal.words)
 }
 
 // refuses reports whether a request is to be turned away, and sets the headers of its answer; the
 // mutex of the engine must be held.
-func (r *refusalState) refuses(h http.Header) bool {
+func (r *refusalState) refuses(h http.Header, a Arrival) bool {
 	if r.leaving {
 		h.Set("Server-Leaving", "1")
+		r.words = append(r.words, a)
 	}
 	if !time.Now().Before(r.refuseUntil) {
 		return false
 	}
 	if r.backoff != "" {
 		h.Set("Retry-After", r.backoff)
-		r.refusals = append(r.refusals, time.Now())
+		r.refusals = append(r.refusals, a)
 	}
 	return true
 }
