--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -74,8 +74,9 @@
 // one with the most independent evidence comes first, and the others count only what it does not
 // explain, like what is in covered.
 func (t *Tracker) judgeAll(parts []Part, covered map[uint64]bool) {
+	candidates := t.newCandidates(parts, covered)
 	for range maxCandidates {
-		c := t.mostSuspect(parts, covered)
+		c := t.mostSuspect(candidates)
 		if c == nil {
 			return
 		}
@@ -83,6 +84,7 @@
 		for _, crash := range c.crashes {
 			covered[crash] = true
 		}
+		candidates = t.withoutCovered(candidates, covered, c.crashes)
 	}
 }
 
--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -7,6 +7,8 @@
 
 // candidate is a part, or several that cannot be told apart, that may explain crashes.
 type candidate struct {
+	// part is the one that the candidate was made of, group all of them.
+	part    Part
 	group   []Part
 	isWhole bool
 	// crashes are those that no candidate before explains, in ascending order. weight counts
@@ -48,23 +50,23 @@
 	return list
 }
 
-// mostSuspect returns the candidate with the most independent observations of crashes that are
-// not in covered, with what has the same ones. It returns nil if none has enough. The parts are
-// all of prompts, or all requests as a whole.
-func (t *Tracker) mostSuspect(parts []Part, covered map[uint64]bool) *candidate {
-	var best *candidate
+// newCandidates returns the candidates among parts that have enough evidence.
+func (t *Tracker) newCandidates(parts []Part, covered map[uint64]bool) []*candidate {
+	var list []*candidate
 	for _, p := range parts {
-		s := t.suspects[p]
-		if s == nil {
-			// What was blamed meanwhile explains all of its crashes.
-			continue
+		if c := newCandidate(t.suspects[p], covered); c.weight >= heldChain {
+			list = append(list, c)
 		}
-		if len(s.sightings) < heldChain || best != nil && len(s.sightings) < best.weight {
-			continue
-		}
-		c := newCandidate(s, covered)
+	}
+	return list
+}
+
+// mostSuspect returns the candidate with the most evidence, with those that have the same crashes;
+// nil if there is none. They are all parts of prompts, or all requests as a whole.
+func (t *Tracker) mostSuspect(candidates []*candidate) *candidate {
+	var best *candidate
+	for _, c := range candidates {
 		switch {
-		case c.weight < heldChain:
 		case best == nil || c.isStronger(best):
 			best = c
 		case c.hasSameCrashes(best):
@@ -77,9 +79,35 @@
 	return best
 }
 
+// withoutCovered returns the candidates that have enough evidence besides the crashes in covered,
+// of which those in crashes were added last.
+func (t *Tracker) withoutCovered(candidates []*candidate, covered map[uint64]bool, crashes []uint64) []*candidate {
+	var list []*candidate
+	for _, c := range candidates {
+		if !c.hasAny(crashes) {
+			list = append(list, c)
+			continue
+		}
+		// What was blamed meanwhile may explain all crashes of a suspect.
+		if s := t.suspects[c.part]; s != nil {
+			list = append(list, t.newCandidates([]Part{c.part}, covered)...)
+		}
+	}
+	return list
+}
+
+func (c *candidate) hasAny(crashes []uint64) bool {
+	for _, id := range crashes {
+		if _, found := slices.BinarySearch(c.crashes, id); found {
+			return true
+		}
+	}
+	return false
+}
+
 func newCandidate(s *suspect, covered map[uint64]bool) *candidate {
 	return &candidate{
-		group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered), weight: len(s.independent(covered)),
+		part: s.part, group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered), weight: len(s.independent(covered)),
 		chainLength: sync.OnceValue(func() int { return len(s.chain(covered)) }),
 	}
 }
