An attempt that is given up is marked apart from how it broke off

giveUp wrote the breakage of an attempt whose own goroutine may still write it (found by reading the diff; no run showed it). It sets a flag of its own, as for a caller that has left.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -86,9 +86,9 @@
 	// there is one.
 	breakage breakage
 	err      error
-	// silent is set once the target has counted as silent, and callerGone if the caller takes
-	// no more of the answer.
-	silent, callerGone bool
+	// silent is set once the target has counted as silent, callerGone if the caller takes no more of
+	// the answer, and givenUp if the request became known to crash targets.
+	silent, callerGone, givenUp bool
 	// ended is set once the end of the attempt has been recorded.
 	ended bool
 	// replaced is set once another attempt has taken over.
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -101,8 +101,8 @@
 func (p *attemptPair) giveUp() {
 	c, x := p.call, p.current
 	x.abandon()
-	x.breakage = breakageCrashesTargets
-	c.record.attemptEnded(time.Now(), attempts.Lost, x.breakage, nil)
+	x.givenUp = true
+	c.record.attemptEnded(time.Now(), attempts.Lost, breakageCrashesTargets, nil)
 	c.attemptEnded(x, attempts.Lost)
 }
 
@@ -265,7 +265,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.breakage == breakageNoStream || x.breakage == breakageCrashesTargets {
+	if x.silent || x.callerGone || x.givenUp || x.breakage == breakageNoStream {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
