A blamed group names each of its parts once

Where two parts had the same crashes and a third had more, the group of the two named the second one twice, so that entries blamed what others call another group.

Evidence: TestGroupNamesEachPartOnce, which failed with a verdict of three parts for two. Change: the strongest is found first, and a copy of it is joined.

--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -1,22 +1,17 @@
 package poison
 
-import (
-	"slices"
-	"sync"
-)
+import "slices"
 
 // candidate is a part, or several that cannot be told apart, that may explain crashes.
 type candidate struct {
-	// part is the one that the candidate was made of, group all of them.
+	// part is the one that the candidate was made of; group lists those that were joined.
 	part    Part
 	group   []Part
 	isWhole bool
 	// crashes are those that no candidate before explains, in ascending order. weight counts
-	// those that are independent of each other.
-	crashes []uint64
-	weight  int
-	// chainLength returns how many of them followed each other.
-	chainLength func() int
+	// those that are independent of each other, chain those that followed each other.
+	crashes       []uint64
+	weight, chain int
 	// rivals are requests as a whole that explain the same crashes as the group.
 	rivals []Part
 }
@@ -61,22 +56,27 @@
 	return list
 }
 
-// mostSuspect returns the candidate with the most evidence, with those that have the same crashes;
-// nil if there is none. They are all parts of prompts, or all requests as a whole.
+// mostSuspect returns the candidate with the most evidence, joined with those that have the same
+// crashes; nil if there is none. They are all parts of prompts, or all requests as a whole.
 func (t *Tracker) mostSuspect(candidates []*candidate) *candidate {
-	var best *candidate
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := candidates[0]
 	for _, c := range candidates {
-		switch {
-		case best == nil || c.isStronger(best):
+		if c.isStronger(best) {
 			best = c
-		case c.hasSameCrashes(best):
-			best.join(c)
 		}
 	}
-	if best != nil {
-		best.group = t.leastProven(best.group, maxGroupParts)
+	joined := *best
+	joined.group = nil
+	for _, c := range candidates {
+		if c.hasSameCrashes(best) {
+			joined.join(c)
+		}
 	}
-	return best
+	joined.group = t.leastProven(joined.group, maxGroupParts)
+	return &joined
 }
 
 // withoutCovered returns the candidates that have enough evidence besides the crashes in covered,
@@ -107,8 +107,8 @@
 
 func newCandidate(s *suspect, covered map[uint64]bool) *candidate {
 	return &candidate{
-		part: s.part, group: []Part{s.part}, isWhole: s.isWhole, crashes: s.crashes(covered), weight: len(s.independent(covered)),
-		chainLength: sync.OnceValue(func() int { return len(s.chain(covered)) }),
+		part: s.part, isWhole: s.isWhole, crashes: s.crashes(covered),
+		weight: len(s.independent(covered)), chain: len(s.chain(covered)),
 	}
 }
 
@@ -120,21 +120,19 @@
 	if len(c.crashes) != len(o.crashes) {
 		return len(c.crashes) > len(o.crashes)
 	}
-	return !c.hasSameCrashes(o) && c.chainLength() > o.chainLength()
+	return !c.hasSameCrashes(o) && c.chain > o.chain
 }
 
 func (c *candidate) hasSameCrashes(o *candidate) bool {
 	return c.weight == o.weight && slices.Equal(c.crashes, o.crashes)
 }
 
-// join adds a candidate with the same crashes. A request may hold several parts of prompts, but
-// it is one whole.
+// join adds a candidate with the same crashes, or the first one. A request may hold several parts of
+// prompts, but it is one whole.
 func (c *candidate) join(o *candidate) {
-	if c.isWhole {
-		c.rivals = append(c.rivals, o.group...)
+	if c.isWhole && len(c.group) > 0 {
+		c.rivals = append(c.rivals, o.part)
 		return
 	}
-	c.group = append(c.group, o.group...)
-	own := c.chainLength
-	c.chainLength = func() int { return max(own(), o.chainLength()) }
+	c.group = append(c.group, o.part)
 }
