A request is no longer held back once its crashes are forgotten

Ten minutes after two crashes a request was allowed again and then given up after 50 ms, each time, until another crash was observed.

Cause: the set of held requests was drawn up only when something was observed, and Peek asked for the observations beside it while ShouldGiveUp and MayRetry did not.

Evidence: TestHeldRequestIsForgottenWithItsCrashes failed. Change: what is forgotten, too, has the suspects judged anew, and a suspect that is dropped is held no more. Result: the test passes.

--- a/zone/poison/candidate_test.go
+++ b/zone/poison/candidate_test.go
@@ -32,3 +32,44 @@
 		}
 	}
 }
+
+// repeatedCrashes has one request crash an engine each time, one every second.
+func repeatedCrashes(tr *poison.Tracker, now time.Time, r poison.Request, n int) time.Time {
+	for range n {
+		tr.Observe(now, poison.Observation{Crash: uint64(now.UnixNano()), Request: r, SentAt: now.Add(-400 * time.Millisecond), BrokenAt: now})
+		now = now.Add(time.Second)
+	}
+	return now
+}
+
+// A request that crashed two targets is held back until what was observed of it no longer counts.
+func TestHeldRequestIsForgottenWithItsCrashes(t *testing.T) {
+	tr := newTracker()
+	r := poison.Request{Service: 1, Whole: poison.WholeOf(service, poison.Identity{URI: "/bad"})}
+	never := func(uint64, time.Duration) bool { return false }
+	now := repeatedCrashes(tr, startTime, r, 2)
+	if d, after := tr.Check(now, r, never); d != poison.Refused || after < 20*time.Second || !tr.ShouldGiveUp(r) || tr.MayRetry(r) {
+		t.Errorf("Check() = %d, retry after %v; ShouldGiveUp() = %v, MayRetry() = %v; want refused, for long, true and false",
+			d, after, tr.ShouldGiveUp(r), tr.MayRetry(r))
+	}
+	now = now.Add(15 * time.Minute)
+	tr.Reports(now)
+	if d, _ := tr.Check(now, r, never); d != poison.Allowed || tr.ShouldGiveUp(r) || !tr.MayRetry(r) {
+		t.Errorf("15 min later Check() = %d, ShouldGiveUp() = %v, MayRetry() = %v; want allowed, false and true", d, tr.ShouldGiveUp(r), tr.MayRetry(r))
+	}
+}
+
+// A request that is held back is sent by the entry whose turn it is, once, and is then a probe that
+// is not given up by the entry.
+func TestHeldRequestIsSentInTurn(t *testing.T) {
+	tr := newTracker()
+	r := poison.Request{Service: 1, Whole: poison.WholeOf(service, poison.Identity{URI: "/bad"})}
+	now := repeatedCrashes(tr, startTime, r, 2)
+	always := func(uint64, time.Duration) bool { return true }
+	if d, _ := tr.Check(now, r, always); d != poison.Probe {
+		t.Errorf("Check() = %d in turn, want a probe", d)
+	}
+	if d, _ := tr.Check(now.Add(100*time.Millisecond), r, always); d != poison.Refused {
+		t.Errorf("Check() = %d right after a probe, want refused", d)
+	}
+}
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -215,6 +215,7 @@
 func (t *Tracker) dropSuspect(p Part) {
 	delete(t.suspects, p)
 	delete(t.uncontrasted, p)
+	delete(t.heldWholes, p)
 }
 
 func (t *Tracker) compareSuspects(a, b Part) int {
@@ -232,7 +233,9 @@
 	if s == nil {
 		return
 	}
+	before := len(s.sightings)
 	s.remove(drop)
+	t.changed = t.changed || len(s.sightings) < before
 	if len(s.sightings) == 0 {
 		t.dropSuspect(p)
 		return
--- a/zone/poison/tracker.go
+++ b/zone/poison/tracker.go
@@ -181,4 +181,5 @@
 			delete(t.crashes, id)
 		}
 	}
+	t.evaluate()
 }
