Package poison compares chains of candidates only where all else is equal

A profile of the simulations of package poison shows a third of the time in judging candidates: the list of sightings was copied and its chain drawn up for each. It is copied only if something in it is covered, and chains are compared only between candidates with as many crashes.

--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -76,7 +76,7 @@
 func (t *Tracker) judgeAll(parts []Part, covered map[uint64]bool) {
 	candidates := t.newCandidates(parts, covered)
 	for range maxCandidates {
-		c := t.mostSuspect(candidates)
+		c := t.mostSuspect(candidates, covered)
 		if c == nil {
 			return
 		}
--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -9,9 +9,9 @@
 	group   []Part
 	isWhole bool
 	// crashes are those that no candidate before explains, in ascending order. weight counts
-	// those that are independent of each other, chain those that followed each other.
-	crashes       []uint64
-	weight, chain int
+	// those that are independent of each other.
+	crashes []uint64
+	weight  int
 	// rivals are requests as a whole that explain the same crashes as the group.
 	rivals []Part
 }
@@ -56,15 +56,15 @@
 	return list
 }
 
-// mostSuspect returns the candidate with the most evidence, joined with those that have the same
-// crashes; nil if there is none. They are all parts of prompts, or all requests as a whole.
-func (t *Tracker) mostSuspect(candidates []*candidate) *candidate {
+// mostSuspect returns the candidate with the most evidence besides the crashes in covered, joined
+// with those that have the same crashes; nil if there is none. They are all parts of prompts, or all requests as a whole.
+func (t *Tracker) mostSuspect(candidates []*candidate, covered map[uint64]bool) *candidate {
 	if len(candidates) == 0 {
 		return nil
 	}
 	best := candidates[0]
 	for _, c := range candidates {
-		if c.isStronger(best) {
+		if c.isStronger(best) || c.hasAsMany(best) && !c.hasSameCrashes(best) && t.chainOf(c, covered) > t.chainOf(best, covered) {
 			best = c
 		}
 	}
@@ -107,8 +107,7 @@
 
 func newCandidate(s *suspect, covered map[uint64]bool) *candidate {
 	return &candidate{
-		part: s.part, isWhole: s.isWhole, crashes: s.crashes(covered),
-		weight: len(s.independent(covered)), chain: len(s.chain(covered)),
+		part: s.part, isWhole: s.isWhole, crashes: s.crashes(covered), weight: len(s.independent(covered)),
 	}
 }
 
@@ -117,10 +116,16 @@
 	if c.weight != o.weight {
 		return c.weight > o.weight
 	}
-	if len(c.crashes) != len(o.crashes) {
-		return len(c.crashes) > len(o.crashes)
-	}
-	return !c.hasSameCrashes(o) && c.chain > o.chain
+	return len(c.crashes) > len(o.crashes)
+}
+
+func (c *candidate) hasAsMany(o *candidate) bool {
+	return c.weight == o.weight && len(c.crashes) == len(o.crashes)
+}
+
+// chainOf returns how many crashes of a candidate, without those in covered, followed each other.
+func (t *Tracker) chainOf(c *candidate, covered map[uint64]bool) int {
+	return len(t.suspects[c.part].chain(covered))
 }
 
 func (c *candidate) hasSameCrashes(o *candidate) bool {
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -115,13 +115,11 @@
 
 // uncovered returns the sightings of crashes that are not in covered.
 func (s *suspect) uncovered(covered map[uint64]bool) []sighting {
-	var list []sighting
-	for _, x := range s.sightings {
-		if !covered[x.crash] {
-			list = append(list, x)
-		}
+	isCovered := func(x sighting) bool { return covered[x.crash] }
+	if !slices.ContainsFunc(s.sightings, isCovered) {
+		return s.sightings
 	}
-	return list
+	return slices.DeleteFunc(slices.Clone(s.sightings), isCovered)
 }
 
 // independent returns the sightings of distinct crashes that are not in covered, as far as they
