--- a/zone/leaving/leaving_test.go
+++ b/zone/leaving/leaving_test.go
@@ -75,3 +75,21 @@
 		t.Errorf("%d targets in a report, want at most 128", n)
 	}
 }
+
+// Guards against targets of which the other entries never hear since the same ones fill each report.
+func TestReportsNameNewestFirst(t *testing.T) {
+	a, b := leaving.NewTracker(), leaving.NewTracker()
+	now := start
+	for born := range int64(1000) {
+		now = now.Add(10 * time.Millisecond)
+		a.Observe(now, "x", born)
+		if born%25 == 24 {
+			b.ApplyReports(now, a.Reports(now))
+		}
+	}
+	for born := range int64(1000) {
+		if !b.IsLeaving("x", born) {
+			t.Fatalf("the other entry does not know of target %d", born)
+		}
+	}
+}
