Identity of a request: host in lower case and without a port; package comment of poison

A caller that writes the host in other letters, or with a port, sends the same request. The body is hashed without a copy. The comments of package poison speak of requests as a whole, and no longer of a probeTimeout, which does not exist.

--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -61,12 +61,8 @@
 // admit determines the request's route, team, service and deadline. It answers a request
 // that the manifest does not allow, and returns false.
 func (c *call) admit(m *catalog.Manifest) bool {
-	host := c.r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
 	c.manifest = m.Version
-	c.route = m.Route(strings.ToLower(host), c.r.URL.Path)
+	c.route = m.Route(c.hostName(), c.r.URL.Path)
 	if c.route == nil {
 		c.writeRejection(http.StatusNotFound, contract.ReasonUnknownService)
 		return false
@@ -91,9 +87,18 @@
 	return true
 }
 
+// hostName returns the host that the caller named, in lower case and without a port.
+func (c *call) hostName() string {
+	host := c.r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // identify determines by what the request may be recognized if it comes again.
 func (c *call) identify() {
-	id := poison.Identity{Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
+	id := poison.Identity{Method: c.r.Method, Host: c.hostName(), URI: c.r.RequestURI, Body: c.body}
 	if c.team != nil {
 		id.Caller = string(c.team.Name)
 	}
--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -14,9 +14,10 @@
 	// without it must have been proven meanwhile.
 	blameChain    = 3
 	blameContrast = 3
-	// blameShareDivisor gives the least share of the service's crashes since the first with a
-	// part, as far as no other part explains them, at which the part must have been present.
-	// If many engines crash for another cause, a part of few requests is at few of them.
+	// blameShareDivisor gives the least share of the service's crashes, as far as no other part
+	// explains them, at which a part must have been present: of those since the first with a
+	// part of prompts, of those while an attempt was under way with a request as a whole. If
+	// many engines crash for another cause, a part of few requests is at few of them.
 	blameShareDivisor = 3
 	// maxCandidates bounds how many groups are looked at after each change.
 	maxCandidates = 16
--- a/zone/poison/check.go
+++ b/zone/poison/check.go
@@ -30,7 +30,7 @@
 
 // Check decides on an attempt that is about to be sent, and returns the time until the next
 // probe if it is refused. If it is a probe, the reports to the other entries say so from then
-// on, and no other follows until the outcome is known or probeTimeout has passed.
+// on, and the next one is due as if it had crashed its target, until it is proven.
 func (t *Tracker) Check(now time.Time, r Request, turns Turns) (d Decision, retryAfter time.Duration) {
 	d, retryAfter = t.Peek(now, r, turns)
 	if d == Refused {
--- a/zone/poison/identity.go
+++ b/zone/poison/identity.go
@@ -21,10 +21,11 @@
 // WholeOf returns the part that stands for a request as a whole to a service. It is never 0.
 func WholeOf(service contract.ServiceName, id Identity) Part {
 	h := xxhash.New()
-	for _, field := range []string{string(service), id.Method, id.Host, id.URI, id.Caller, string(id.Body)} {
-		// The length keeps fields apart; writing to a hash does not fail.
+	// Writing to a hash does not fail. The lengths keep the fields apart.
+	for _, field := range []string{string(service), id.Method, id.Host, id.URI, id.Caller} {
 		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(field))))
 		_, _ = h.WriteString(field)
 	}
+	_, _ = h.Write(id.Body)
 	return Part(max(h.Sum64(), 1))
 }
