--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -34,12 +34,13 @@
 func (t *Tracker) crashesByRepeats() map[uint64]bool {
 	list := map[uint64]bool{}
 	for _, s := range t.suspects {
-		crashes := s.crashes(nil)
-		if !s.isWhole || len(crashes) < blameChain {
+		if !s.isWhole || len(s.sightings) < blameChain {
 			continue
 		}
-		for _, id := range crashes {
-			list[id] = true
+		if crashes := s.crashes(nil); len(crashes) >= blameChain {
+			for _, id := range crashes {
+				list[id] = true
+			}
 		}
 	}
 	return list
--- a/zone/poison/suspect.go
+++ b/zone/poison/suspect.go
@@ -204,9 +204,11 @@
 
 // evictSuspects drops the evictedSuspects parts with the least evidence.
 func (t *Tracker) evictSuspects() {
-	parts := slices.SortedFunc(maps.Keys(t.suspects), t.compareSuspects)
-	for _, p := range parts[:evictedSuspects] {
-		t.dropSuspect(p)
+	list := slices.SortedFunc(maps.Values(t.suspects), func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(len(a.sightings), len(b.sightings)), a.lastBroken().Compare(b.lastBroken()), cmp.Compare(a.part, b.part))
+	})
+	for _, s := range list[:evictedSuspects] {
+		t.dropSuspect(s.part)
 	}
 }
 
@@ -216,15 +218,6 @@
 	delete(t.heldWholes, p)
 }
 
-func (t *Tracker) compareSuspects(a, b Part) int {
-	s, o := t.suspects[a], t.suspects[b]
-	return cmp.Or(
-		cmp.Compare(len(s.sightings), len(o.sightings)),
-		s.sightings[len(s.sightings)-1].brokenAt.Compare(o.sightings[len(o.sightings)-1].brokenAt),
-		cmp.Compare(a, b),
-	)
-}
-
 // dropSightings drops the sightings of a part for which drop returns true.
 func (t *Tracker) dropSightings(p Part, drop func(sighting) bool) {
 	s := t.suspects[p]
