A request is blamed only once all observations of its crashes can have come

Of two requests at the same three crashes, the one whose observations came first was blamed, a sound one as well as the bad one, for two minutes.

Cause: each observation was judged at once, and those of one crash come from several entries within about 0.8 s.

Change: until its crashes are a second old a request is only held back, and so are those that may turn out to have been at the same crashes. One that was elsewhere at that moment, or whose observations have all come, may not.

--- a/zone/poison/blame.go
+++ b/zone/poison/blame.go
@@ -67,42 +67,97 @@
 	}
 	t.changed = false
 	t.held, t.heldWholes = nil, map[Part]bool{}
-	t.judgeAll(t.candidates(true), map[uint64]bool{})
-	t.judgeAll(t.candidates(false), t.crashesByRepeats())
+	t.judgeWholes()
+	t.judgeParts()
 }
 
-// judgeAll judges suspects so that the crashes are explained by as few of them as possible. The
-// one with the most independent evidence comes first, and the others count only what it does not
-// explain, like what is in covered.
-func (t *Tracker) judgeAll(parts []Part, covered map[uint64]bool) {
-	candidates := t.newCandidates(parts, covered)
+// judgeWholes judges the requests as a whole, the one with the most evidence first. The others are
+// blamed for what it does not explain only. They are held back for it as well as long as they may
+// turn out to have been at the same crashes.
+func (t *Tracker) judgeWholes() {
+	covered := map[uint64]bool{}
+	var judged []*candidate
+	candidates := t.newCandidates(t.candidates(true), nil)
 	for range maxCandidates {
-		c := t.mostSuspect(candidates, covered)
+		c := t.mostSuspect(candidates, nil)
 		if c == nil {
 			return
 		}
-		t.judge(c, covered)
+		if len(c.rivals) > 0 {
+			t.holdRivals(c)
+		} else {
+			t.judgeWhole(t.suspects[c.part], covered, t.coveredFor(c, judged))
+		}
 		for _, crash := range c.crashes {
 			covered[crash] = true
 		}
-		candidates = t.withoutCovered(candidates, covered, c.crashes)
+		judged = append(judged, c)
+		candidates = t.newCandidates(t.partsWithout(candidates, c), nil)
 	}
 }
 
-// judge blames a candidate, or holds it back, as far as the evidence goes.
-func (t *Tracker) judge(c *candidate, covered map[uint64]bool) {
-	switch {
-	case t.blames[keyOf(c.group)] != nil:
-	case len(c.rivals) > 0:
-		t.holdRivals(c)
-	case c.isWhole:
-		t.judgeWhole(t.suspects[c.group[0]], covered)
-	default:
-		t.judgeParts(c.group, covered)
+// coveredFor returns the crashes for which a request need not be held back, since one that was
+// judged before was at them and at a settled one beside.
+func (t *Tracker) coveredFor(c *candidate, judged []*candidate) map[uint64]bool {
+	covered := map[uint64]bool{}
+	for _, other := range judged {
+		if t.mayTie(c, other) {
+			continue
+		}
+		for _, crash := range other.crashes {
+			covered[crash] = true
+		}
+	}
+	return covered
+}
+
+// mayTie reports whether a request may turn out to have been at all crashes of another one, once
+// all observations have come.
+func (t *Tracker) mayTie(c, other *candidate) bool {
+	for _, id := range other.crashes {
+		if !c.hasAny([]uint64{id}) && !t.mayHaveBeenAt(c, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayHaveBeenAt reports whether a request may have been at a crash at which it was not observed: the
+// crash is not settled, and the request was at no other one at that moment.
+func (t *Tracker) mayHaveBeenAt(c *candidate, id uint64) bool {
+	missed := t.crashes[id]
+	if missed == nil || t.now.Sub(missed.at) >= settleTime {
+		return false
+	}
+	return !slices.ContainsFunc(c.crashes, func(own uint64) bool {
+		crash := t.crashes[own]
+		return crash != nil && crash.at.Sub(missed.at).Abs() <= sameMoment
+	})
+}
+
+// judgeParts judges the parts of prompts so that the crashes are explained by as few of them as
+// possible. The one with the most independent evidence comes first, and the others count only
+// what it does not explain.
+func (t *Tracker) judgeParts() {
+	covered := t.crashesByRepeats()
+	candidates := t.newCandidates(t.candidates(false), covered)
+	for range maxCandidates {
+		c := t.mostSuspect(candidates, covered)
+		if c == nil {
+			return
+		}
+		if t.blames[keyOf(c.group)] == nil {
+			t.judgeGroup(c.group, covered)
+		}
+		for _, crash := range c.crashes {
+			covered[crash] = true
+		}
+		candidates = t.withoutCovered(candidates, covered, c.crashes)
 	}
 }
 
-func (t *Tracker) judgeParts(group []Part, covered map[uint64]bool) {
+// judgeGroup blames parts of prompts, or holds them back, as far as the evidence goes.
+func (t *Tracker) judgeGroup(group []Part, covered map[uint64]bool) {
 	chain, at := t.evidence(group, covered)
 	switch {
 	case chain >= blameChain:
@@ -112,26 +167,40 @@
 	}
 }
 
+// settleTime is how long it takes until the observations of a crash have come from all entries: the
+// target must be found to be down, and the next heartbeat must arrive.
+const settleTime = time.Second
+
 // judgeWhole judges a request as a whole. It need not have been sent in a chain, and other requests
 // need not have been proven meanwhile, if it was present at each crash: it may have crashed all
-// targets.
-func (t *Tracker) judgeWhole(s *suspect, covered map[uint64]bool) {
-	own, all := t.momentsDuring(s, covered)
+// targets. Until its crashes are settled it is only held back, since another request may turn out
+// to have been at the same ones. The crashes in covered do not count for blaming it, those in
+// coveredHold do not for holding it back.
+func (t *Tracker) judgeWhole(s *suspect, covered, coveredHold map[uint64]bool) {
+	own, all := t.momentsDuring(s)
 	if own*blameShareDivisor < all {
 		return
 	}
-	hasContrast, atEach := s.contrast >= blameContrast, t.isAtEachCrash(s)
-	moments := len(s.moments(covered))
-	inChain := len(s.chain(covered)) >= blameChain
-	isRepeated := len(s.crashes(covered)) >= blameChain && moments >= heldChain
+	stands := t.standsAgainst(s, covered)
+	isSettled := t.now.Sub(s.lastBroken()) >= settleTime
 	switch {
-	case inChain && (hasContrast || atEach), isRepeated && hasContrast && atEach:
+	case t.blames[keyOf([]Part{s.part})] != nil:
+	case stands && isSettled:
 		t.addBlame(&blame{group: []Part{s.part}, at: s.lastBroken(), id: t.rng.Uint64()})
-	case moments >= heldChain:
+	case len(s.moments(coveredHold)) >= heldChain:
 		t.heldWholes[s.part] = true
+		t.changed = t.changed || stands
 	}
 }
 
+// standsAgainst reports whether the crashes that are not in covered suffice to blame a request.
+func (t *Tracker) standsAgainst(s *suspect, covered map[uint64]bool) bool {
+	hasContrast, atEach := s.contrast >= blameContrast, t.isAtEachCrash(s)
+	inChain := len(s.chain(covered)) >= blameChain
+	isRepeated := len(s.crashes(covered)) >= blameChain && len(s.moments(covered)) >= heldChain
+	return inChain && (hasContrast || atEach) || isRepeated && hasContrast && atEach
+}
+
 // isAtEachCrash reports whether a request was present at each crash of its service from its first
 // to its last sighting, as far as no blamed group explains it.
 func (t *Tracker) isAtEachCrash(s *suspect) bool {
@@ -164,10 +233,9 @@
 
 // momentsDuring returns at how many moments targets of the service crashed while one of the lost
 // attempts of a request was under way, as far as no blamed group explains it, and at how many of
-// them the request was present; crashes in covered do not count for it. Many targets that crash at
-// once for another cause are one moment.
-func (t *Tracker) momentsDuring(s *suspect, covered map[uint64]bool) (own, all int) {
-	mine := s.crashes(covered)
+// them the request was present. Many targets that crash at once for another cause are one moment.
+func (t *Tracker) momentsDuring(s *suspect) (own, all int) {
+	mine := s.crashes(nil)
 	var list []moment
 	for id, c := range t.crashes {
 		if c.service == s.service && c.group == 0 && s.isUnderWay(c.at) {
--- a/zone/poison/candidate.go
+++ b/zone/poison/candidate.go
@@ -57,6 +57,19 @@
 	return list
 }
 
+// partsWithout returns the parts of the candidates that are still suspect, without one and its
+// rivals.
+func (t *Tracker) partsWithout(candidates []*candidate, judged *candidate) []Part {
+	var list []Part
+	for _, c := range candidates {
+		isJudged := slices.Contains(judged.group, c.part) || slices.Contains(judged.rivals, c.part)
+		if !isJudged && t.suspects[c.part] != nil {
+			list = append(list, c.part)
+		}
+	}
+	return list
+}
+
 // mostSuspect returns the candidate with the most evidence besides the crashes in covered, joined
 // with those that have the same crashes; nil if there is none. They are all parts of prompts, or all requests as a whole.
 func (t *Tracker) mostSuspect(candidates []*candidate, covered map[uint64]bool) *candidate {
--- a/zone/poison/candidate_test.go
+++ b/zone/poison/candidate_test.go
@@ -73,3 +73,55 @@
 		t.Errorf("Check() = %d right after a probe, want refused", d)
 	}
 }
+
+// isBlamed reports whether a request is refused for as long as one that is blamed.
+func isBlamed(tr *poison.Tracker, now time.Time, r poison.Request) bool {
+	tr.Reports(now)
+	d, after := tr.Check(now, r, func(uint64, time.Duration) bool { return false })
+	return d == poison.Refused && after > time.Minute
+}
+
+// Guards against a request that is refused since the same crashes cut it off as the one that causes
+// them. The next crash tells the two apart.
+func TestRequestCutOffByTheSameCrashesIsNotBlamed(t *testing.T) {
+	for seed := range 10 {
+		tr, now := newTracker(), startTime
+		bad, sound := newRequest(fmt.Sprint("/bad-", seed)), newRequest(fmt.Sprint("/sound-", seed))
+		crash := func(requests ...poison.Request) {
+			for _, r := range requests {
+				tr.Observe(now, poison.Observation{Crash: uint64(now.UnixNano()), Request: r, SentAt: now.Add(-400 * time.Millisecond), BrokenAt: now})
+			}
+			now = now.Add(time.Second)
+			proveSound(tr, now)
+		}
+		for range 3 {
+			crash(bad, sound)
+		}
+		if isBlamed(tr, now, bad) || isBlamed(tr, now, sound) {
+			t.Errorf("seed %d: one of two requests is blamed that were at the same crashes", seed)
+		}
+		crash(bad)
+		if !isBlamed(tr, now, bad) || isBlamed(tr, now, sound) {
+			t.Errorf("seed %d: blamed = %v, the sound one = %v; want true and false", seed, isBlamed(tr, now, bad), isBlamed(tr, now, sound))
+		}
+		if d, _ := tr.Check(now, sound, func(uint64, time.Duration) bool { return false }); d != poison.Allowed {
+			t.Errorf("seed %d: the sound request is refused", seed)
+		}
+	}
+}
+
+// Guards against a request that crashes all targets of a service and is sent on since no other is
+// served meanwhile. If others are at crashes, too, the targets may crash whatever they get.
+func TestRequestThatCrashesAllTargetsIsBlamed(t *testing.T) {
+	bad, other := newRequest("/bad"), newRequest("/other")
+	tr := newTracker()
+	if now := repeatedCrashes(tr, startTime, bad, 3); !isBlamed(tr, now, bad) {
+		t.Error("a request that was at each crash is not blamed")
+	}
+	tr = newTracker()
+	now := repeatedCrashes(tr, startTime, bad, 2)
+	now = repeatedCrashes(tr, now, other, 1)
+	if now = repeatedCrashes(tr, now, bad, 1); isBlamed(tr, now, bad) {
+		t.Error("a request is blamed although nothing was served and targets crashed without it")
+	}
+}
--- a/zone/poison/fleetresults_test.go
+++ b/zone/poison/fleetresults_test.go
@@ -41,3 +41,12 @@
 	t.Logf("%-34s entries=%2d crashes=%3d bad_sent=%3d late=%d probes=%d bad_refused=%3d sound_refused=%d begun=%.3f",
 		name, entries, len(r.crashes), len(r.badSent), late, len(r.probes), len(r.refusedBad), r.soundRefuse, share)
 }
+
+// refuseSound counts a refusal of a sound request.
+func (r *results) refuseSound(refused *request) {
+	r.soundRefuse++
+	if !refused.refused {
+		refused.refused = true
+		r.soundRefused++
+	}
+}
--- a/zone/poison/report.go
+++ b/zone/poison/report.go
@@ -81,6 +81,7 @@
 // newly blamed or no longer. The newest statement on a group holds; one that came by several
 // ways is as old as the first report tells.
 func (t *Tracker) ApplyReports(now time.Time, peer contract.MachineID, observations []contract.PoisonObservation, verdicts []contract.PoisonVerdict) (changed int) {
+	t.now = now
 	before := t.sortedBlames()
 	for _, v := range verdicts {
 		t.applyVerdict(now, v)
--- a/zone/poison/tracker.go
+++ b/zone/poison/tracker.go
@@ -14,7 +14,9 @@
 	uncontrasted map[Part]*suspect
 	// proven holds the parts of prompts, provenWholes the requests that were proven last.
 	proven, provenWholes *provenParts
-	// changed is set while there is something new that may blame a part.
+	// now is the newest time that the tracker was told. changed is set while there is something
+	// new that may blame a part.
+	now     time.Time
 	changed bool
 	// blames holds the groups of parts that are blamed, clears the parts that were under
 	// suspicion when an attempt with them was proven.
@@ -49,6 +51,7 @@
 	if len(o.Request.all()) == 0 {
 		return
 	}
+	t.now = now
 	id := t.rng.Uint64()
 	t.recordOwn(now, id, o)
 	t.probeFailed(o)
@@ -167,6 +170,7 @@
 
 // prune forgets what is too old to count.
 func (t *Tracker) prune(now time.Time) {
+	t.now = now
 	expired := func(x sighting) bool { return now.Sub(x.brokenAt) > sightingLifetime }
 	for p := range t.suspects {
 		t.dropSightings(p, expired)
