An error of a second target is no longer written into a stream that has begun

Callers could find the text of an error in the middle of their stream, with the stream ended as complete.

Cause: whether an answer would follow the beginning of a stream was decided when the attempt was sent. A second attempt beside a silent target is sent before the answer has begun; if the first target then sends a comment and breaks off, a buffered answer of the second one (201, 400, 404) counted as the answer of the request and was written behind it.

Change: it is decided when the answer is used, in one place for both attempts of a pair. The attempt is lost and the stream goes on elsewhere or is broken off.

Test: TestErrorOfHedgeIsNotWrittenIntoStream failed before for 201, 400 and 404 with the error's text in the body, and passes.

--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -65,12 +65,11 @@
 	// stopReset keeps the end of the context from resetting conn. It reports false if that
 	// has happened.
 	stopReset func() bool
-	// resumes is set if the target is to go on with a stream after the event resumeAfter, and
-	// continues if the caller has a part of the answer already. pinned is the only version
-	// of the weights that may go on; 0 means any.
-	resumes, continues bool
-	resumeAfter        int64
-	pinned             int64
+	// resumes is set if the target is to go on with a stream after the event resumeAfter.
+	// pinned is the only version of the weights that may go on; 0 means any.
+	resumes     bool
+	resumeAfter int64
+	pinned      int64
 	// expectedVersion is the version that the attempt insists on; 0 means any.
 	expectedVersion int64
 	// head is the head of the response and reply what it says, once there is one. rest holds
@@ -105,7 +104,7 @@
 	x := &exchange{
 		call: c, choice: choice, start: time.Now(),
 		parts: make(chan part, 1), abandoned: make(chan struct{}), spare: make(chan *chunkBuffer, spareBuffers), cancel: func() {}, stopReset: func() bool { return true },
-		resumes: c.headSent || c.info.HasLastEvent, continues: c.headSent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
+		resumes: c.headSent || c.info.HasLastEvent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
 	}
 	x.reply.OpenRequests = -1
 	x.lastActivityRunTime.Store(int64(c.entry.fleet.runTime()))
@@ -298,8 +297,8 @@
 // readBuffered reads a response to its end and returns it, unless it is unusable. A response is
 // unusable, and the attempt Lost, if it breaks off, is larger than maxResponseBytes or than what
 // the buffers of all responses have left, has a content encoding, is a success or redirect
-// without the target's stamp, has a status that implies that the request has not run, or would
-// follow the events of a stream. Any other response with a status of 500 or above is returned
+// without the target's stamp, or has a status that implies that the request has not run. Any
+// other response with a status of 500 or above is returned
 // with Failed; the caller gets it if no other attempt follows.
 func (x *exchange) readBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
 	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header)}
@@ -335,10 +334,6 @@
 		return attempts.Lost
 	case reply.Status >= http.StatusInternalServerError:
 		return attempts.Failed
-	case x.continues:
-		// The caller has the beginning of a stream, which only a stream continues.
-		x.breakage = breakageNoStream
-		return attempts.Lost
 	}
 	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
 	return attempts.Completed
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -53,6 +53,7 @@
 	for {
 		select {
 		case got := <-p.current.parts:
+			got = p.current.withoutOtherAnswer(got)
 			if !got.ended {
 				if got.event.hasField {
 					p.dropHedge()
@@ -66,6 +67,7 @@
 				return got.outcome, got.response
 			}
 		case got := <-p.hedgeParts():
+			got = p.hedge.withoutOtherAnswer(got)
 			if got.ended && got.outcome != attempts.Completed {
 				p.hedgeFailed(got)
 				continue
@@ -93,6 +95,18 @@
 	}
 }
 
+// withoutOtherAnswer makes the end of the attempt a lost one if it brought an answer that is no stream
+// and the caller has the beginning of a stream, which only a stream continues. It must be asked when the
+// part is used: the other attempt of the pair may have begun the stream after this one was sent.
+func (x *exchange) withoutOtherAnswer(got part) part {
+	if !x.call.headSent || got.response == nil || got.outcome != attempts.Completed {
+		return got
+	}
+	got.release()
+	x.breakage = breakageNoStream
+	return part{ended: true, outcome: attempts.Lost}
+}
+
 // giveUpReason returns why the current attempt is to be given up before its target has begun to
 // answer, and so perhaps before it has begun to run the request; empty if it is not.
 func (p *attemptPair) giveUpReason() breakage {
--- a/machine/entry/direct/hedge_test.go
+++ b/machine/entry/direct/hedge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,6 +122,40 @@
 	}
 }
 
+// Guards against the text of an error in the middle of a stream: a second target was asked before the
+// first one began to answer, and answered with an error after the first one had broken off.
+func TestErrorOfHedgeIsNotWrittenIntoStream(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{http.StatusCreated, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint("status=", status), func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			answer := func(conn net.Conn, _ *http.Request) {
+				if requests.Add(1) == 1 {
+					time.Sleep(targetSilenceTimeout + 400*time.Millisecond)
+					_, _ = io.WriteString(conn, streamText("a", 1, 0, false)+": begun\n\n")
+					time.Sleep(400 * time.Millisecond)
+					resetConn(conn)
+					return
+				}
+				time.Sleep(1200 * time.Millisecond)
+				_, _ = io.WriteString(conn, answerText(status, "a", "", "error text"))
+			}
+			c, w, _ := newHedgingCall(t, connTarget(t, answer), connTarget(t, answer))
+			c.deadline = time.Now().Add(5 * time.Second)
+			choice, _ := c.entry.fleet.pickTarget(c.service, c.requirements(time.Minute), time.Minute)
+			outcome, response := c.runAttempts(context.Background(), choice)
+			response.release()
+			if verdict := attempts.Decide(outcome, c.attemptState()); verdict != attempts.Abort && verdict != attempts.Retry {
+				t.Errorf("%d requests, outcome %v, verdict %v, want 0 (Retry) or 6 (Abort)", requests.Load(), outcome, verdict)
+			}
+			if strings.Contains(w.Body.String(), "error text") {
+				t.Errorf("body = %q, want no error text", w.Body)
+			}
+		})
+	}
+}
+
 // slowCaller takes a time to read each part of an answer.
 type slowCaller struct {
 	*httptest.ResponseRecorder
