A stream without a length is broken off by a status line and by the lack of any event

Callers could find the head of an answer in the middle of their stream, or a stream that broke off ended as complete.

Cause: a stream with neither length nor chunks ends with its connection. What a faulty target wrote behind the events was read as an event, and a target that was to go on and closed its connection after the head completed the stream with nothing.

Change: a line that begins an HTTP head is no part of an event, and a response that only its connection ends must have an event. Both are lost attempts: another target goes on.

Tests: TestHeadOfAnswerIsNoEvent and TestStreamIsNotContinuedByNothing failed before; TestStreamMayBeContinuedByEmptyBody and TestRepeatedRefusalIsNotTaken (refusals that a target writes once more on a kept connection are told by their attempt already) passed before as after.

--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -17,6 +17,8 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// statusLinePrefix begins the head of an answer, and no line of an event.
+	statusLinePrefix = "HTTP/1."
 	// writeGrace is how long after its deadline a stream may still be written to a caller that
 	// reads slowly.
 	writeGrace = time.Second
@@ -26,6 +28,10 @@
 // forwarded.
 var errEventTooLong = errors.Mark(errors.New("entry: event of a stream exceeds 1 MiB"), errTooLong)
 
+// errNoEvent means that a stream contains the head of an answer: without a length it ends with its
+// connection, and a faulty target may write something else behind it.
+var errNoEvent = errors.New("entry: a stream contains the head of an answer")
+
 // event is one event of a stream as received, including its blank line. Its data is valid
 // until the next event is read.
 type event struct {
@@ -65,6 +71,9 @@
 	blank = true
 	for first := true; ; first = false {
 		part, err := r.ReadSlice('\n')
+		if first && bytes.HasPrefix(part, []byte(statusLinePrefix)) {
+			return false, errNoEvent
+		}
 		if ev.data.len()+len(part) > maxEventBytes {
 			return false, errEventTooLong
 		}
@@ -108,6 +117,10 @@
 	first := true
 	for {
 		ev, err := readEvent(events, x.nextBuffer())
+		if errors.Is(err, io.EOF) && first && endsWithConnection(resp) {
+			// Nothing tells a stream that is complete from one that broke off.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			x.rest = ev
 			x.releaseConn(resp, reply)
@@ -132,6 +145,11 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of its connection ends a response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // sendHead sends the head of the response unless that has been done: if another target
 // continues a stream, the head of the first target stays.
 func (c *call) sendHead(resp *http.Response) {
--- /dev/null
+++ b/machine/entry/direct/streamerror_test.go
@@ -0,0 +1,67 @@
+package direct
+
+import (
+	"net/http"
+	"testing"
+
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+// Guards against the head of another answer in the middle of a stream: a stream without a length ends
+// with its connection, and a faulty target wrote an error behind the events.
+func TestHeadOfAnswerIsNoEvent(t *testing.T) {
+	c, w := boundedCall(newQuietEntry(), catalog.Streaming)
+	head := streamHead + "Connection: close\r\n\r\n"
+	outcome := attemptsAt(t, c, head+firstEvent+answerText(http.StatusInternalServerError, "a", "", "error text"))
+	if outcome != attempts.Lost || w.Body.String() != firstEvent {
+		t.Errorf("outcome %v, body %q, want 4 (Lost) and the first event only", outcome, w.Body)
+	}
+}
+
+// Guards against a broken stream that looks complete: the target that was to go on closed its
+// connection after the head of its answer, which had no length.
+func TestStreamIsNotContinuedByNothing(t *testing.T) {
+	c, w := boundedCall(newQuietEntry(), catalog.Streaming)
+	broken := streamHead + "Content-Length: 1000\r\n\r\n" + firstEvent + "id: 2\nda"
+	outcome := attemptsAt(t, c, broken, streamHead+"Connection: close\r\n\r\n")
+	if outcome != attempts.Lost || w.Body.String() != firstEvent {
+		t.Errorf("outcome %v, body %q, want 4 (Lost) and the first event only", outcome, w.Body)
+	}
+}
+
+// A target that has nothing to add to a stream says so with an empty body of a known length.
+func TestStreamMayBeContinuedByEmptyBody(t *testing.T) {
+	c, w := boundedCall(newQuietEntry(), catalog.Streaming)
+	broken := streamHead + "Content-Length: 1000\r\n\r\n" + firstEvent
+	for _, framing := range []string{"Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
+		if outcome := attemptsAt(t, c, broken, streamHead+framing); outcome != attempts.Completed {
+			t.Errorf("%q: outcome %v, body %q, want 0 (Completed)", framing, outcome, w.Body)
+		}
+	}
+}
+
+// Guards against requests that run twice, or are said not to have run: a faulty target writes a refusal
+// once more on a connection that is kept, in place of the answer to the next request.
+func TestRepeatedRefusalIsNotTaken(t *testing.T) {
+	for name, repeated := range map[string]string{
+		"same refusal":                answerText(503, "first", "Not-Executed: 1\r\n", "full"),
+		"refusal without the attempt": answerText(503, "", "Not-Executed: 1\r\n", "full"),
+		"rate limit":                  answerText(429, "first", "Not-Executed: 1\r\n", "full"),
+		"misdirected":                 answerText(421, "first", "", "full"),
+	} {
+		address := scriptedTarget(t, func(n int, r *http.Request) string {
+			if n == 0 {
+				return answerText(503, "first", "Not-Executed: 1\r\n", "full")
+			}
+			return repeated + answerText(200, r.Header.Get("Attempt-Id"), "", "two")
+		})
+		e := newQuietEntry()
+		if outcome, _ := attemptAt(e, address, "first"); outcome != attempts.NotRun {
+			t.Fatalf("%s: first attempt ended with %v, want 2 (NotRun)", name, outcome)
+		}
+		if outcome, w := attemptAt(e, address, "second"); outcome != attempts.Lost || w.Body.Len() > 0 {
+			t.Errorf("%s: second attempt ended with %v and body %q, want 4 (Lost) and none", name, outcome, w.Body)
+		}
+	}
+}
