--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -16,7 +16,8 @@
 // modelLayers is the number of layers of the model.
 const modelLayers = 16
 
-const topicTargets = "keyed.servers"
+// TopicTargets is the target list: a record for each target that serves.
+const TopicTargets = "keyed.servers"
 
 // Engine is a stand-in of a model engine, or of a plain service if Model is empty. Its
 // exported fields may be set before Start.
@@ -159,7 +160,7 @@
 	}
 	e.mu.Unlock()
 	data, _ := json.Marshal(entry)
-	e.store.Put(topicTargets, e.ID, string(data))
+	e.store.Put(TopicTargets, e.ID, string(data))
 }
 
 // addModel adds what the engine has loaded to an entry of the target list or a report; mu
--- a/standin/fleet/engine_test.go
+++ b/standin/fleet/engine_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
-	if listed := string(store.topic(topicTargets).values["i"]); !strings.Contains(listed, `"draining"`) || e.Version() != 2 {
+	if listed := string(store.topic(TopicTargets).values["i"]); !strings.Contains(listed, `"draining"`) || e.Version() != 2 {
 		t.Errorf("listed %s with version %d, want draining with version 2", listed, e.Version())
 	}
 }
--- a/standin/fleet/faults_test.go
+++ b/standin/fleet/faults_test.go
@@ -59,7 +59,7 @@
 func listed(store *Store) string {
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	return string(store.topic(topicTargets).values["i"])
+	return string(store.topic(TopicTargets).values["i"])
 }
 
 func countEvents(body string) int { return strings.Count(body, "\n\n") }
--- a/standin/fleet/operators.go
+++ b/standin/fleet/operators.go
@@ -110,5 +110,5 @@
 // record of each key stays.
 func (s *Store) DropHistory() {
 	s.Compact(topicOperators)
-	s.Compact(topicTargets)
+	s.Compact(TopicTargets)
 }
--- a/standin/fleet/restore.go
+++ b/standin/fleet/restore.go
@@ -58,7 +58,7 @@
 		newest[wr.topic+"/"+wr.key()] = i
 	}
 	for i, wr := range lost {
-		isOwn := wr.topic == topicOperators || wr.topic == topicTargets
+		isOwn := wr.topic == topicOperators || wr.topic == TopicTargets
 		if !isOwn || newest[wr.topic+"/"+wr.key()] != i || s.writtenSince(wr) {
 			continue
 		}
