A target that leaves the list is removed at once unless entries can have lapsed

Cause: after any failed read of the target list an entry kept each removed target until 2 s after its next successful read, since entries also vanish while the store is down. A read that hangs for a second, of one entry alone, was enough.

Entries lapse after three report intervals of silence, and each target reports once in an interval. So a store that has answered any process within two intervals, and steadily before, holds no lapse: the target has left. The feed tells for how long the store has been answering, to this process or to a peer; the interval comes with the settings of the entry.

Log lines of removals say whether the target is retained, and on what that rests.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -31,7 +31,10 @@
 	EngineAddress string
 	// EngineService is the service that this engine serves.
 	EngineService contract.ServiceName
-	Bounds        Bounds
+	// TargetReportInterval is the interval at which targets report to the store, where their entry
+	// of the target list lapses without reports; 0 if it is not known (entry only).
+	TargetReportInterval time.Duration
+	Bounds               Bounds
 }
 
 // Bounds holds the limits that apply to the fleet as a whole.
@@ -85,6 +88,8 @@
 		set: func(c *Process, v value) { c.Fleet.CallerAddress = v.text }},
 	{section: "listen", key: "ready", kind: kindAddress, required: true,
 		set: func(c *Process, v value) { c.Fleet.ReadyAddress = v.text }},
+	{section: fleetSection, key: "target_report_interval", kind: kindDuration, def: "0s", min: 0, max: 3600 * second,
+		set: func(c *Process, v value) { c.Fleet.TargetReportInterval = v.duration }},
 }
 
 // fleetTargetFields lists the additional fields of a target of a fleet.
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -87,7 +87,8 @@
 		Fleet: &config.Fleet{
 			Zones: map[contract.ZoneName]contract.RegionName{"a": "ra"}, Store: r.store.Address(),
 			LinkAddress: loopback, MetricsAddress: loopback, CallerAddress: loopback, ReadyAddress: loopback,
-			Bounds: config.Bounds{RetryRatio: 0.2, RetryBurst: 50, RetryWindow: retryWindow, ColdFactor: 1, OldVersionGrace: 8 * time.Second},
+			TargetReportInterval: reportInterval,
+			Bounds:               config.Bounds{RetryRatio: 0.2, RetryBurst: 50, RetryWindow: retryWindow, ColdFactor: 1, OldVersionGrace: 8 * time.Second},
 		},
 	}
 }
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -29,6 +29,7 @@
 	"mimosastand.example/mimosastand/machine/weightcache"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/placement"
+	"mimosastand.example/mimosastand/zone/roster"
 )
 
 const (
@@ -144,6 +145,7 @@
 		OnChange:           e.applyTargetRecords,
 		RewriteTimeout:     targetsRewriteTimeout,
 		Compare:            platform.CompareTargets,
+		MaxAnswerGap:       roster.MaxLoss(process.Fleet.TargetReportInterval),
 		OnStoreStateChange: e.fleet.setStoreUp,
 		Log:                logs.NewLogger("targets", process.Machine),
 	})
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -80,7 +80,7 @@
 		bounds:           process.Fleet.Bounds,
 		log:              logger,
 		startedAt:        time.Now(),
-		roster:           roster.New(),
+		roster:           roster.New(process.Fleet.TargetReportInterval),
 		evacuated:        map[contract.ZoneName]bool{},
 		announced:        upgrade.NewVersionTracker(time.Now()),
 		pools:            map[contract.ServiceName]*placement.Pool{},
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -105,8 +105,10 @@
 	now := time.Now()
 	for _, r := range update.Records {
 		if len(r.Value) == 0 {
-			fs.roster.Remove(now, roster.TargetID(r.Key))
-			fs.log.WithField("target", r.Key).Info("target removed from list")
+			retained := fs.roster.Remove(now, roster.TargetID(r.Key), update.Answers)
+			fs.log.WithField("target", r.Key).WithField("retained", retained).WithField("offset", r.Offset).
+				WithField("answered_ms", millisSince(update.Answers.Last)).WithField("answers_since_ms", millisSince(update.Answers.Since)).
+				Info("target removed from list")
 			hasNews = true
 			continue
 		}
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -49,6 +49,9 @@
 	// RewriteTimeout is how long a record that the store lost, when it came back from an
 	// older copy, is held for its writer to write it again. Then the store's state counts.
 	RewriteTimeout time.Duration
+	// MaxAnswerGap is the longest time between two confirmations by the store that does not end
+	// a run of answers (Update.Answers).
+	MaxAnswerGap time.Duration
 	// Compare orders two values of a key by their contents; it may be nil. Without an order
 	// it follows from offsets which record is the newer one after the store came back from
 	// an older copy, and that is not always certain.
@@ -66,6 +69,8 @@
 	// store: the records were written later. It is zero if the feed has not caught up
 	// with the store before, so the records may have been written at any time.
 	CaughtUpAt time.Time
+	// Answers tells for how long the store had been answering when the records changed.
+	Answers contract.StoreAnswers
 }
 
 // Feed follows one topic. It is safe for concurrent use.
@@ -92,8 +97,10 @@
 	cancelRead     context.CancelFunc
 	refreshPending bool
 	// confirmedAt is when the store last confirmed, to this process or to a peer, that the
-	// topic ends where this feed holds it; zero if never.
-	confirmedAt time.Time
+	// topic ends where this feed holds it; zero if never. answersSince is when the run of
+	// confirmations began that confirmedAt belongs to.
+	confirmedAt  time.Time
+	answersSince time.Time
 	// readRequested means that the next read does not depend on what peers confirm.
 	readRequested bool
 
@@ -174,7 +181,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.caughtUpAt = time.Now()
-	f.confirmedAt = f.caughtUpAt
+	f.confirm(f.caughtUpAt)
 }
 
 // errReadCanceled means that Refresh has canceled a read: the store neither answered nor
@@ -250,7 +257,11 @@
 // complete means that the change makes the replica hold the complete topic.
 func (f *Feed) applyChange(change func() []contract.Record, complete bool) {
 	f.mu.Lock()
-	update := Update{Records: change(), CaughtUpAt: f.caughtUpAt}
+	update := Update{
+		Records:    change(),
+		CaughtUpAt: f.caughtUpAt,
+		Answers:    contract.StoreAnswers{Since: f.answersSince, Last: f.confirmedAt},
+	}
 	isFirstSync := complete && !f.hasSynced
 	if isFirstSync {
 		f.hasSynced = true
--- a/machine/feed/takeover.go
+++ b/machine/feed/takeover.go
@@ -26,11 +26,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	confirmedAt := time.Now().Add(-time.Duration(p.ConfirmedAgeMS) * time.Millisecond)
-	if f.hasSynced && f.replica.NewestOffset()+1 >= int64(p.End) && confirmedAt.After(f.confirmedAt) {
-		f.confirmedAt = confirmedAt
+	if f.hasSynced && f.replica.NewestOffset()+1 >= int64(p.End) {
+		f.confirm(confirmedAt)
 	}
 }
 
+// confirm records that the store confirmed the end of the topic at a time, unless a later
+// confirmation is known. f.mu must be held.
+func (f *Feed) confirm(at time.Time) {
+	if !at.After(f.confirmedAt) {
+		return
+	}
+	if f.confirmedAt.IsZero() || at.Sub(f.confirmedAt) > f.opts.MaxAnswerGap {
+		f.answersSince = at
+	}
+	f.confirmedAt = at
+}
+
 // untilTakeover returns the time until the feed calls the store itself, and 0 if that is now.
 // Meanwhile the store counts as available if it has answered a peer since it failed to answer
 // this process.
--- a/machine/feed/takeover_test.go
+++ b/machine/feed/takeover_test.go
@@ -92,3 +92,37 @@
 		}
 	})
 }
+
+// Guards against a short pause of the store that counts as an outage in which entries lapse: answers to
+// any process, with pauses that are short enough, are one run.
+func TestAnswersWithShortPausesAreOneRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxGap = time.Second
+		f := newFollower()
+		f.opts.MaxAnswerGap = maxGap
+		var got contract.StoreAnswers
+		f.opts.OnChange = func(u Update) { got = u.Answers }
+		offset := int64(5)
+		change := func() contract.StoreAnswers {
+			f.Merge(contract.Records{Records: []contract.Record{{Offset: offset, Key: "k"}}, Synced: true, Newest: offset})
+			offset++
+			return got
+		}
+		if answers := change(); !answers.Last.IsZero() {
+			t.Errorf("answers = %+v before any, want none", answers)
+		}
+		began := time.Now()
+		for range 3 {
+			f.ObserveProgress(progressOf(offset, 0))
+			time.Sleep(maxGap)
+		}
+		if answers := change(); !answers.Since.Equal(began) || time.Since(answers.Last) != maxGap {
+			t.Errorf("answers = %+v, want one run since %v", answers, began)
+		}
+		time.Sleep(time.Millisecond)
+		f.ObserveProgress(progressOf(offset, 0))
+		if answers := change(); !answers.Since.Equal(time.Now()) {
+			t.Errorf("answers = %+v after a longer pause, want a run that begins now", answers)
+		}
+	})
+}
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -14,6 +14,8 @@
 	// silenceTimeout is how long a target process that has reported may go without
 	// reporting before it counts as silent.
 	silenceTimeout = 1700 * time.Millisecond
+	// reportsToLapse is how many report intervals a target must be silent for its entry to lapse.
+	reportsToLapse = 3
 	// statusMaxAge is how long a status report takes precedence over the target list.
 	statusMaxAge = 3 * time.Second
 )
@@ -120,11 +122,14 @@
 	// lostAt is when the store became unavailable and recoveredAt when it answered
 	// again; both are zero until the store is first lost.
 	lostAt, recoveredAt time.Time
+	// reportInterval is the interval at which targets report to the store; 0 if unknown.
+	reportInterval time.Duration
 }
 
-// New returns an empty roster.
-func New() *Roster {
-	return &Roster{members: map[TargetID]*Member{}, byAddress: map[string]*Member{}, byReportKey: map[ReportKey]*Member{}}
+// New returns an empty roster of targets that report to the store every reportInterval; 0 if that is
+// not known.
+func New(reportInterval time.Duration) *Roster {
+	return &Roster{reportInterval: reportInterval, members: map[TargetID]*Member{}, byAddress: map[string]*Member{}, byReportKey: map[ReportKey]*Member{}}
 }
 
 // Update applies an entry of the target list. It ignores an entry of an earlier
@@ -145,22 +150,23 @@
 	r.rebuildIndex()
 }
 
-// Remove removes a target that is no longer listed. If the entry may be missing only
-// because of a store outage, the target is retained until it is listed again or Tick
-// drops it. A leaving target is always removed immediately.
-func (r *Roster) Remove(now time.Time, id TargetID) {
+// Remove removes a target that is no longer listed. answers are those that the store gave before it was
+// found missing. If the entry may be missing only because of a store outage, the target is retained
+// until it is listed again or Tick drops it. A leaving target is always removed immediately.
+func (r *Roster) Remove(now time.Time, id TargetID, answers contract.StoreAnswers) (retained bool) {
 	m, ok := r.members[id]
 	if !ok {
-		return
+		return false
 	}
-	if r.mayLapse(now) && !m.Leaving {
+	if !m.Leaving && r.mayLapse(now) && !r.hasAnswered(now, answers) {
 		if m.lapsedAt.IsZero() {
 			m.lapsedAt = now
 		}
-		return
+		return true
 	}
 	delete(r.members, id)
 	r.rebuildIndex()
+	return false
 }
 
 // mayLapse reports whether entries may be missing from the target list although their
@@ -172,6 +178,22 @@
 	return !r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) < lapseRetention
 }
 
+// hasAnswered reports whether the store has been available for so long, to any process, that no entry
+// can have lapsed with it: each target has been able to report since an earlier outage, and MaxLoss
+// has not passed since the last answer.
+func (r *Roster) hasAnswered(now time.Time, answers contract.StoreAnswers) bool {
+	if answers.Last.IsZero() || now.Sub(answers.Last) >= MaxLoss(r.reportInterval) {
+		return false
+	}
+	return answers.Last.Sub(answers.Since) >= lapseRetention
+}
+
+// MaxLoss returns for how long the store may not answer without any entry lapsing: each target has
+// reported within one interval before. It is 0 if the interval is.
+func MaxLoss(reportInterval time.Duration) time.Duration {
+	return (reportsToLapse - 1) * reportInterval
+}
+
 // StoreLost records that the store has stopped answering.
 func (r *Roster) StoreLost(now time.Time) {
 	if !r.lostAt.After(r.recoveredAt) {
