A feed that does not know all deletions sends a peer all keys

Callers' requests reached targets that had left the list, for as long as they ran (DRAIN).

Change: a replica knows from which position on it has the tombstones of all deleted keys.

--- a/contract/message.go
+++ b/contract/message.go
@@ -285,6 +285,9 @@
 type Records struct {
 	Topic   string   `cbor:"1,keyasint"`
 	Records []Record `cbor:"2,keyasint,omitempty"`
+	// All reports that Records holds all keys of the topic: one that is missing was deleted before
+	// Newest, and the sender may not know when.
+	All bool `cbor:"7,keyasint,omitempty"`
 	// Synced reports whether the sender has read the complete topic, Newest is the position
 	// up to which it has.
 	Synced bool  `cbor:"3,keyasint,omitempty"`
--- a/machine/feed/passedon_test.go
+++ b/machine/feed/passedon_test.go
@@ -45,10 +45,12 @@
 type feedModel struct {
 	topic restorableLog
 	feeds []*Feed
+	// replies holds the reply to the last pull of each feed, which arrives later.
+	replies []contract.Records
 }
 
 func newFeedModel(n int) *feedModel {
-	m := &feedModel{}
+	m := &feedModel{replies: make([]contract.Records, n)}
 	for range n {
 		m.feeds = append(m.feeds, newSilentFeed(func(Update) {}))
 	}
@@ -59,7 +61,7 @@
 func (m *feedModel) step(t *rapid.T) {
 	i := rapid.IntRange(0, len(m.feeds)-1).Draw(t, "feed")
 	f := m.feeds[i]
-	switch rapid.SampledFrom([]string{"write", "delete", "snapshot", "read", "pull", "restart"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"write", "delete", "snapshot", "read", "pull", "reply", "restart"}).Draw(t, "step") {
 	case "write":
 		m.topic.write(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), fmt.Sprint("v", len(m.topic.records)))
 	case "delete":
@@ -72,9 +74,12 @@
 			f.applyChange(func() []contract.Record { return f.replica.Apply(next) }, false)
 		}
 	case "pull":
-		f.Merge(m.feeds[rapid.IntRange(0, len(m.feeds)-1).Draw(t, "peer")].RecordsAfter(f.NewestOffset()))
+		m.replies[i] = m.feeds[rapid.IntRange(0, len(m.feeds)-1).Draw(t, "peer")].RecordsAfter(f.NewestOffset())
+	case "reply":
+		f.Merge(m.replies[i])
+		m.replies[i] = contract.Records{}
 	case "restart":
-		m.feeds[i] = newSilentFeed(func(Update) {})
+		m.feeds[i], m.replies[i] = newSilentFeed(func(Update) {}), contract.Records{}
 	}
 }
 
--- a/machine/feed/replica.go
+++ b/machine/feed/replica.go
@@ -20,6 +20,9 @@
 	// newestOffset is the highest position that has been applied or is known to change
 	// nothing; -1 at first.
 	newestOffset int64
+	// deletionsFrom is the position from which on all deletions are known. A snapshot has no trace
+	// of the keys that were deleted before it.
+	deletionsFrom int64
 	// compare orders two records of a key by their contents; nil if they have no order.
 	compare CompareFunc
 	// log is what was read of the topic lately.
@@ -113,13 +116,13 @@
 }
 
 // Reset applies a snapshot of the complete topic at the position end, of an era, and returns
-// the records that changed. A held key that is missing from the snapshot was deleted before
+// the records that changed; one that a peer sent may have tombstones. A held key that is missing from the snapshot was deleted before
 // end, unless its record has the position end or a higher one, or is lost; it gets a
 // tombstone with the position end-1.
 func (r *Replica) Reset(records []contract.Record, era, end int64) []contract.Record {
 	present := map[string]bool{}
 	for _, record := range records {
-		present[record.Key] = true
+		present[record.Key] = len(record.Value) > 0
 	}
 	isNewEra := era > r.era && r.newestOffset >= 0
 	if era > r.era {
@@ -139,6 +142,7 @@
 		changed = append(changed, tombstone)
 	}
 	r.Advance(end - 1)
+	r.deletionsFrom = max(r.deletionsFrom, end)
 	return changed
 }
 
@@ -210,14 +214,21 @@
 	clear(r.lost)
 }
 
-// RecordsAfter returns the records with a position above the given one, tombstones
-// included, or all if that is of an older era than the one held.
+// RecordsAfter returns the records with a position above the given one, tombstones included, or those
+// of all keys if not KnowsDeletionsAfter the position.
 func (r *Replica) RecordsAfter(offset int64) []contract.Record {
+	isPartial := r.KnowsDeletionsAfter(offset)
 	var list []contract.Record
 	for _, record := range r.records {
-		if record.Offset > offset || contract.PositionEra(offset) < r.era {
+		if record.Offset > offset || !isPartial {
 			list = append(list, record)
 		}
 	}
 	return list
 }
+
+// KnowsDeletionsAfter reports whether the replica has a tombstone of each key that was deleted after a
+// position. It does not if the position is of an older era than the one held.
+func (r *Replica) KnowsDeletionsAfter(offset int64) bool {
+	return offset+1 >= r.deletionsFrom && contract.PositionEra(offset) >= r.era
+}
