A late reply of a peer does not bring a deleted key back

A target that had left the list would get requests again (DRAIN).

TestFeedsHoldWhatTheyReport failed after 107 draws without it and passes 300,000.

--- a/machine/feed/replica.go
+++ b/machine/feed/replica.go
@@ -76,7 +76,7 @@
 	var changed []contract.Record
 	for _, record := range records {
 		held, ok := r.records[record.Key]
-		isOlder := ok && record.Offset <= held.Offset || r.isOlderThanLost(record)
+		isOlder := ok && record.Offset <= held.Offset || r.wasDeleted(record) || r.isOlderThanLost(record)
 		r.remember(record)
 		if isOlder {
 			continue
@@ -100,6 +100,16 @@
 	return changed
 }
 
+// wasDeleted reports whether a record is of a key that did not exist in the snapshot that was read last,
+// and older than that: it comes from a peer that had not read the deletion yet.
+func (r *Replica) wasDeleted(record contract.Record) bool {
+	if record.Offset >= r.deletionsFrom || contract.PositionEra(record.Offset) != contract.PositionEra(r.deletionsFrom) {
+		return false
+	}
+	held, ok := r.records[record.Key]
+	return !ok || len(held.Value) == 0 && held.Offset != notStored
+}
+
 // remember notes a record of the current era as read at its offset. The offsets of
 // tombstones may be those of snapshots.
 func (r *Replica) remember(record contract.Record) {
