A confirmation by the store counts once, however often it is passed on

Lists of targets and manifests can be learned late when all entries that read a topic for their zone are gone at the same time: the others take over once the last confirmation of the topic is old enough, and over slow links it aged too slowly. Cause: its age is passed on without the time of the transfer, each receiver took the youngest it heard, and handed that back.

TestConfirmationAgesWhilePassedToAndFro failed before: 600 ms of a takeover age of 1 s were left 1.3 s after the last confirmation, over links of 150 ms.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -27,9 +27,9 @@
 	// Operators, Targets and Members tell how far the sender knows the topics of what
 	// operators write, of the list of targets, and of the members; nil for a topic that the
 	// sender does not pass on.
-	Operators *TopicProgress `cbor:"18,keyasint,omitempty"`
-	Targets   *TopicProgress `cbor:"10,keyasint,omitempty"`
-	Members   *TopicProgress `cbor:"19,keyasint,omitempty"`
+	Operators *TopicProgress `cbor:"21,keyasint,omitempty"`
+	Targets   *TopicProgress `cbor:"22,keyasint,omitempty"`
+	Members   *TopicProgress `cbor:"23,keyasint,omitempty"`
 	// Announced lists for how long recently announced versions have been known, so that
 	// processes that learn of them late count from the same time.
 	Announced []AnnouncedVersion `cbor:"12,keyasint,omitempty"`
@@ -60,6 +60,17 @@
 	// process or to one that it heard from, that the topic ends there; Unconfirmed if it
 	// never has.
 	ConfirmedAgeMS uint32
+	// Confirmation identifies that confirmation.
+	Confirmation Confirmation
+}
+
+// Confirmation identifies a confirmation by the store of where a topic ends.
+type Confirmation struct {
+	_ struct{} `cbor:",toarray"`
+	// Reader is a random number that the process which the store answered drew at its start.
+	Reader uint32
+	// Number counts the confirmations that this process has had.
+	Number uint32
 }
 
 // Unconfirmed is the age of a confirmation that never came.
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -101,6 +102,11 @@
 	// confirmations began that confirmedAt belongs to.
 	confirmedAt  time.Time
 	answersSince time.Time
+	// confirmation identifies the confirmation of confirmedAt, own the last one that the store gave
+	// this process, and heard holds the number of the last one of each process that was heard of.
+	confirmation contract.Confirmation
+	own          contract.Confirmation
+	heard        map[uint32]uint32
 	// readRequested means that the next read does not depend on what peers confirm.
 	readRequested bool
 
@@ -123,7 +129,10 @@
 	if opts.TriggerDelay <= 0 {
 		opts.TriggerDelay = defaultTriggerDelay
 	}
-	return &Feed{store: store, opts: opts, replica: NewReplica(opts.Compare), firstSync: make(chan struct{}), trigger: make(chan struct{}, 1)}
+	return &Feed{
+		store: store, opts: opts, replica: NewReplica(opts.Compare), firstSync: make(chan struct{}), trigger: make(chan struct{}, 1),
+		own: contract.Confirmation{Reader: rand.Uint32()}, heard: map[uint32]uint32{},
+	}
 }
 
 // SetPeerGracePeriod sets Options.PeerGracePeriod. It must be called before Run.
@@ -181,7 +190,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.caughtUpAt = time.Now()
-	f.confirm(f.caughtUpAt)
+	f.own.Number++
+	f.confirm(f.caughtUpAt, f.own)
 }
 
 // errReadCanceled means that Refresh has canceled a read: the store neither answered nor
--- a/machine/feed/takeover.go
+++ b/machine/feed/takeover.go
@@ -6,11 +6,16 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
+// maxReadersHeard bounds the processes whose confirmations are remembered.
+const maxReadersHeard = 4096
+
 // Progress returns how far this feed knows its topic, for heartbeats to peers.
 func (f *Feed) Progress() *contract.TopicProgress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := &contract.TopicProgress{End: contract.Offset(f.replica.NewestOffset() + 1), ConfirmedAgeMS: contract.Unconfirmed}
+	p := &contract.TopicProgress{
+		End: contract.Offset(f.replica.NewestOffset() + 1), ConfirmedAgeMS: contract.Unconfirmed, Confirmation: f.confirmation,
+	}
 	if age := time.Since(f.confirmedAt); !f.confirmedAt.IsZero() && age.Milliseconds() < contract.Unconfirmed {
 		p.ConfirmedAgeMS = uint32(age.Milliseconds())
 	}
@@ -18,29 +23,41 @@
 }
 
 // ObserveProgress applies what a peer reports of the topic: while this feed holds as much as
-// the peer, a confirmation that the peer knows of holds for this feed, too.
+// the peer, a confirmation that the peer knows of holds for this feed, too. Each confirmation
+// counts once: the age of one that comes back lacks the time of each transfer.
 func (f *Feed) ObserveProgress(p *contract.TopicProgress) {
 	if p == nil || p.ConfirmedAgeMS == contract.Unconfirmed {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	confirmedAt := time.Now().Add(-time.Duration(p.ConfirmedAgeMS) * time.Millisecond)
-	if f.hasSynced && f.replica.NewestOffset()+1 >= int64(p.End) {
-		f.confirm(confirmedAt)
+	if !f.hasSynced || f.replica.NewestOffset()+1 < int64(p.End) || !f.isNew(p.Confirmation) {
+		return
 	}
+	if len(f.heard) >= maxReadersHeard {
+		clear(f.heard)
+	}
+	f.heard[p.Confirmation.Reader] = p.Confirmation.Number
+	f.confirm(time.Now().Add(-time.Duration(p.ConfirmedAgeMS)*time.Millisecond), p.Confirmation)
+}
+
+// isNew reports whether a confirmation of another process is newer than those heard of. f.mu must be
+// held.
+func (f *Feed) isNew(c contract.Confirmation) bool {
+	last, known := f.heard[c.Reader]
+	return c.Reader != f.own.Reader && (!known || c.Number > last)
 }
 
 // confirm records that the store confirmed the end of the topic at a time, unless a later
 // confirmation is known. f.mu must be held.
-func (f *Feed) confirm(at time.Time) {
+func (f *Feed) confirm(at time.Time, c contract.Confirmation) {
 	if !at.After(f.confirmedAt) {
 		return
 	}
 	if f.confirmedAt.IsZero() || at.Sub(f.confirmedAt) > f.opts.MaxAnswerGap {
 		f.answersSince = at
 	}
-	f.confirmedAt = at
+	f.confirmedAt, f.confirmation = at, c
 }
 
 // untilTakeover returns the time until the feed calls the store itself, and 0 if that is now.
--- a/machine/feed/takeover_test.go
+++ b/machine/feed/takeover_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,8 +28,15 @@
 	return f
 }
 
+// confirmations counts those that progressOf returned.
+var confirmations atomic.Uint32
+
+// progressOf reports a confirmation that was not heard of before.
 func progressOf(end int64, age time.Duration) *contract.TopicProgress {
-	return &contract.TopicProgress{End: contract.Offset(end), ConfirmedAgeMS: uint32(age.Milliseconds())}
+	return &contract.TopicProgress{
+		End: contract.Offset(end), ConfirmedAgeMS: uint32(age.Milliseconds()),
+		Confirmation: contract.Confirmation{Reader: 1, Number: confirmations.Add(1)},
+	}
 }
 
 // Guards against calls of the store that grow with the number of processes: at 268 of them 7,923
@@ -126,3 +134,34 @@
 		}
 	})
 }
+
+// Guards against a topic that nobody reads (lists and manifests that are learned late) when all that read it
+// for their zone are gone: over slow links a confirmation that went to and fro looked younger each time.
+func TestConfirmationAgesWhilePassedToAndFro(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			interval  = 100 * time.Millisecond
+			linkDelay = 150 * time.Millisecond
+		)
+		feeds := []*Feed{newFollower(), newFollower(), newFollower()}
+		feeds[0].ObserveProgress(progressOf(5, 0))
+		began := time.Now()
+		for time.Since(began) < testTakeoverAge+2*linkDelay {
+			for i, from := range feeds {
+				for j, to := range feeds {
+					if i != j {
+						p := from.Progress()
+						time.AfterFunc(linkDelay, func() { to.ObserveProgress(p) })
+					}
+				}
+			}
+			time.Sleep(interval)
+		}
+		for i, f := range feeds {
+			if wait := f.untilTakeover(); wait > 0 {
+				t.Errorf("feed %d waits for another %v, %v after the last confirmation; want none", i, wait, time.Since(began))
+			}
+		}
+		time.Sleep(time.Second)
+	})
+}
