A stream without a length is not complete if its target is gone

Callers could take a broken stream for complete.

Change: at the end of such a stream the entry looks whether the target still listens, as it does after a crash; if not, the stream is broken off and goes on elsewhere. A target that ends right after a complete stream costs one resumed attempt that has nothing to add.

TestStreamOfCrashedTargetIsNotComplete failed before.

--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -117,8 +117,8 @@
 	first := true
 	for {
 		ev, err := readEvent(events, x.nextBuffer())
-		if errors.Is(err, io.EOF) && first && endsWithConnection(resp) {
-			// Nothing tells a stream that is complete from one that broke off.
+		if errors.Is(err, io.EOF) && endsWithConnection(resp) && (first || x.targetIsDown()) {
+			// Nothing in the stream tells a complete one from one that broke off.
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -145,6 +145,11 @@
 	}
 }
 
+// targetIsDown reports whether nothing listens at the target's address any more.
+func (x *exchange) targetIsDown() bool {
+	return x.call.entry.isDown(x.call.r.Context(), x.choice.Address)
+}
+
 // endsWithConnection reports whether only the end of its connection ends a response.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/machine/entry/direct/streamerror_test.go
+++ b/machine/entry/direct/streamerror_test.go
@@ -1,11 +1,14 @@
 package direct
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/placement"
 )
 
 // Guards against the head of another answer in the middle of a stream: a stream without a length ends
@@ -65,3 +68,36 @@
 		}
 	}
 }
+
+// Guards against a broken stream that looks complete (soak, seed 7006): a target crashed while it sent a stream
+// without a length, and its connection was closed in order between two events.
+func TestStreamOfCrashedTargetIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes bool
+		want    attempts.Outcome
+	}{
+		"target runs":    {false, attempts.Completed},
+		"target crashed": {true, attempts.Lost},
+	} {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			if c.crashes {
+				_ = lis.Close()
+			}
+			answerOnce(conn, streamHead+"Connection: close\r\n\r\n"+firstEvent, false)
+		}()
+		call, w := boundedCall(newQuietEntry(), catalog.Streaming)
+		outcome, _ := call.runAttempts(context.Background(), placement.Choice{ID: "target-1", Address: lis.Addr().String()})
+		_ = lis.Close()
+		if outcome != c.want || w.Body.String() != firstEvent {
+			t.Errorf("%s: outcome %v, body %q, want %v and the first event", name, outcome, w.Body, c.want)
+		}
+	}
+}
