--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -107,8 +107,8 @@
 		if len(r.Value) == 0 {
 			retained := fs.roster.Remove(now, roster.TargetID(r.Key), update.Answers)
 			fs.log.WithField("target", r.Key).WithField("retained", retained).WithField("offset", r.Offset).
-				WithField("answered_ms", millisSince(update.Answers.Last)).WithField("answers_since_ms", millisSince(update.Answers.Since)).
-				Info("target removed from list")
+				WithField("answered_ms", millisSince(update.Answers.Last)).
+				WithField("answers_since_ms", millisSince(update.Answers.Since)).Info("target removed from list")
 			hasNews = true
 			continue
 		}
