--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -96,8 +96,8 @@
 }
 
 // withoutOtherAnswer makes the end of the attempt a lost one if it brought an answer that is no stream
-// and the caller has the beginning of a stream, which only a stream continues. It must be asked when the
-// part is used: the other attempt of the pair may have begun the stream after this one was sent.
+// and the caller has the beginning of a stream, which only a stream continues. The other attempt of the
+// pair may have begun the stream after this one was sent, so it is called when the part is used.
 func (x *exchange) withoutOtherAnswer(got part) part {
 	if !x.call.headSent || got.response == nil || got.outcome != attempts.Completed {
 		return got
