Resumed streams: an error of the next target is tested over all statuses; plainer words

What callers could see: the text of an error, or its head, in a stream that broke off and was resumed, or such a stream that ends as if it were complete. This one is the plain case, nine statuses with and without the mark of a request that has not run: the caller keeps the first event, and the stream is broken off once no attempt is left.

--- a/machine/entry/direct/buffered.go
+++ b/machine/entry/direct/buffered.go
@@ -71,7 +71,7 @@
 	return attempts.Completed
 }
 
-// impliesNotRun reports whether a status tells callers that the request has not run. A
+// impliesNotRun reports whether a status promises callers that the request has not run. A
 // response with StatusMisdirectedRequest counts as marked (Reply.NotRun) and is handled
 // before.
 func impliesNotRun(status int) bool {
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -118,7 +118,7 @@
 	for {
 		ev, err := readEvent(events, x.nextBuffer())
 		if errors.Is(err, io.EOF) && endsWithConnection(resp) && (first || x.targetIsDown()) {
-			// Nothing in the stream tells a complete one from one that broke off.
+			// A complete stream and one that broke off look the same here.
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
--- a/machine/entry/direct/streamerror_test.go
+++ b/machine/entry/direct/streamerror_test.go
@@ -11,6 +11,26 @@
 	"mimosastand.example/mimosastand/zone/placement"
 )
 
+// Guards against the text or the head of an error in the middle of a stream that is resumed, and against such
+// a stream that ends as if it were complete: the first target broke off, and the next answers with an error.
+func TestErrorOfTargetThatResumesStreamIsNotSent(t *testing.T) {
+	broken := streamHead + "Content-Length: 1000\r\n\r\n" + firstEvent + "id: 2\nda"
+	for _, header := range []string{"", "Not-Executed: 1\r\n", "Content-Type: text/event-stream\r\n"} {
+		for _, status := range []int{400, 404, 408, 421, 429, 500, 502, 503, 504} {
+			c, w := boundedCall(newQuietEntry(), catalog.Streaming)
+			outcome := attemptsAt(t, c, broken, answerText(status, "a", header, "id: 2\ndata: error text\n\n"))
+			if outcome == attempts.Completed || w.Body.String() != firstEvent || w.Code != http.StatusOK {
+				t.Errorf("%d %q: outcome %v, body %q, want no 0 (Completed) and the first event only", status, header, outcome, w.Body)
+			}
+			state := c.attemptState()
+			state.MaxAttempts = state.Sent
+			if verdict := attempts.Decide(outcome, state); verdict != attempts.Abort {
+				t.Errorf("%d %q: verdict %v without attempts left, want 6 (Abort)", status, header, verdict)
+			}
+		}
+	}
+}
+
 // Guards against the head of another answer in the middle of a stream: a stream without a length ends
 // with its connection, and a faulty target wrote an error behind the events.
 func TestHeadOfAnswerIsNoEvent(t *testing.T) {
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -70,7 +70,7 @@
 	// store: the records were written later. It is zero if the feed has not caught up
 	// with the store before, so the records may have been written at any time.
 	CaughtUpAt time.Time
-	// Answers tells for how long the store had been answering when the records changed.
+	// Answers is the run of answers of the store that lasted until the records changed.
 	Answers contract.StoreAnswers
 }
 
