One check of late answers on a kept connection serves both tests

The new test of repeated refusals had the shape of the one of late copies of answers. Both use one check now, with the same rows and bounds; all nine rows fail if any answer counts as the attempt's own.

--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -98,19 +98,26 @@
 		"refusal without the attempt":   answerText(503, "", "Not-Executed: 1\r\n", ""),
 		"misdirected without a request": answerText(421, "", "", ""),
 	} {
-		address := scriptedTarget(t, func(n int, r *http.Request) string {
-			if n == 0 {
-				return answerText(200, "first", "", "one")
-			}
-			return late + answerText(200, r.Header.Get("Attempt-Id"), "", "two")
-		})
-		e := newQuietEntry()
-		if outcome, _ := attemptAt(e, address, "first"); outcome != attempts.Completed {
-			t.Fatalf("%s: first attempt ended with %v, want Completed", name, outcome)
-		}
-		if outcome, w := attemptAt(e, address, "second"); outcome != attempts.Lost || w.Body.Len() > 0 {
-			t.Errorf("%s: second attempt ended with %v and body %q, want 4 (Lost) and none", name, outcome, w.Body)
+		checkLateAnswerIsNotTaken(t, name, answerText(200, "first", "", "one"), attempts.Completed, late)
+	}
+}
+
+// checkLateAnswerIsNotTaken makes two attempts on one connection. The target answers the first one with first,
+// which ends it with outcome, and writes late before its answer to the second one.
+func checkLateAnswerIsNotTaken(t *testing.T, name, first string, outcome attempts.Outcome, late string) {
+	t.Helper()
+	address := scriptedTarget(t, func(n int, r *http.Request) string {
+		if n == 0 {
+			return first
 		}
+		return late + answerText(200, r.Header.Get("Attempt-Id"), "", "two")
+	})
+	e := newQuietEntry()
+	if got, _ := attemptAt(e, address, "first"); got != outcome {
+		t.Fatalf("%s: first attempt ended with %v, want %v", name, got, outcome)
+	}
+	if got, w := attemptAt(e, address, "second"); got != attempts.Lost || w.Body.Len() > 0 {
+		t.Errorf("%s: second attempt ended with %v and body %q, want 4 (Lost) and none", name, got, w.Body)
 	}
 }
 
--- a/machine/entry/direct/streamerror_test.go
+++ b/machine/entry/direct/streamerror_test.go
@@ -67,25 +67,14 @@
 // Guards against requests that run twice, or are said not to have run: a faulty target writes a refusal
 // once more on a connection that is kept, in place of the answer to the next request.
 func TestRepeatedRefusalIsNotTaken(t *testing.T) {
-	for name, repeated := range map[string]string{
-		"same refusal":                answerText(503, "first", "Not-Executed: 1\r\n", "full"),
+	refusal := answerText(503, "first", "Not-Executed: 1\r\n", "full")
+	for name, late := range map[string]string{
+		"same refusal":                refusal,
 		"refusal without the attempt": answerText(503, "", "Not-Executed: 1\r\n", "full"),
 		"rate limit":                  answerText(429, "first", "Not-Executed: 1\r\n", "full"),
 		"misdirected":                 answerText(421, "first", "", "full"),
 	} {
-		address := scriptedTarget(t, func(n int, r *http.Request) string {
-			if n == 0 {
-				return answerText(503, "first", "Not-Executed: 1\r\n", "full")
-			}
-			return repeated + answerText(200, r.Header.Get("Attempt-Id"), "", "two")
-		})
-		e := newQuietEntry()
-		if outcome, _ := attemptAt(e, address, "first"); outcome != attempts.NotRun {
-			t.Fatalf("%s: first attempt ended with %v, want 2 (NotRun)", name, outcome)
-		}
-		if outcome, w := attemptAt(e, address, "second"); outcome != attempts.Lost || w.Body.Len() > 0 {
-			t.Errorf("%s: second attempt ended with %v and body %q, want 4 (Lost) and none", name, outcome, w.Body)
-		}
+		checkLateAnswerIsNotTaken(t, name, refusal, attempts.NotRun, late)
 	}
 }
 
