Failing test: sound requests are blamed with bad ones that differ in their prompts only

Cause: the identity of a request as a whole is path, caller and body; the prompt is described by a header and left out, since nothing says that repeats of a request have the same one. Four crashes within a second, at which bad and sound requests with one body were present, are put down to that whole, before its parts are judged, although it had been proven 30 times.

--- a/zone/poison/candidate_test.go
+++ b/zone/poison/candidate_test.go
@@ -125,3 +125,27 @@
 		t.Error("a request is blamed although nothing was served and targets crashed without it")
 	}
 }
+
+// Guards against the refusal of sound requests that differ from the bad ones in their prompts only, which the
+// identity of a request as a whole leaves out (soak, seed 9103).
+func TestSoundRequestsWithPathAndBodyOfBadOnesAreNotBlamed(t *testing.T) {
+	tr, now := newTracker(), startTime
+	bad, sound := newRequest("/chat", "first", "bad", "own"), newRequest("/chat", "first", "sound", "own")
+	for range 30 {
+		tr.Proven(now, sound, now.Add(-600*time.Millisecond))
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 4 {
+		for _, r := range []poison.Request{sound, bad, sound} {
+			tr.Observe(now, poison.Observation{Crash: uint64(now.UnixNano()), Request: r, SentAt: now.Add(-50 * time.Millisecond), BrokenAt: now})
+		}
+		now = now.Add(250 * time.Millisecond)
+	}
+	now = now.Add(2 * time.Second)
+	if isBlamed(tr, now, sound) {
+		t.Error("sound requests are blamed for the crashes of bad ones with the same path and body")
+	}
+	if !isBlamed(tr, now, bad) {
+		t.Error("bad requests are not blamed")
+	}
+}
