--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -30,6 +30,8 @@
 type Zone struct {
 	Name, Region     string
 	Entries, Engines int
+	// HasStorePath is set if the zone's processes reach the store over a path that can be cut.
+	HasStorePath bool
 }
 
 // Spec describes a small deployment. Program is the program that the deploy file builds, and
@@ -48,6 +50,8 @@
 	Entries []*Process
 	Targets []*Process
 	Engines []*Engine
+	// StorePaths holds the paths to the store that can be cut, by zone.
+	StorePaths map[string]*CutPath
 
 	spec     Spec
 	dir      string
@@ -62,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{spec: spec, dir: dir, record: record}
+	f := &Fleet{spec: spec, dir: dir, record: record, StorePaths: map[string]*CutPath{}}
 	f.network = freeNetwork()
 	storeAddress, originAddress := f.nextIP()+":8007", f.nextIP()+":8006"
 	if f.Store, err = NewStore(storeAddress, spec.KeepHistory); err != nil {
@@ -99,6 +103,13 @@
 }
 
 func (f *Fleet) addZone(z Zone, storeAddress string) error {
+	if z.HasStorePath {
+		path, err := NewCutPath(f.nextIP()+":8007", storeAddress)
+		if err != nil {
+			return err
+		}
+		f.StorePaths[z.Name], storeAddress = path, path.Address
+	}
 	for n := range z.Entries {
 		ip := f.nextIP()
 		fields := f.fields(fmt.Sprintf("edge-%s-%d", z.Name, n+1), z, ip, storeAddress)
--- a/review/rig/service.go
+++ b/review/rig/service.go
@@ -33,6 +33,7 @@
 	store                  *Store
 
 	mu   sync.Mutex
+	left bool
 	cmd  *exec.Cmd
 	born int64
 	seq  int64
@@ -94,6 +95,14 @@
 	s.cmd = nil
 }
 
+// Leave removes the entry of the service, which never says that it drains and goes on serving.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = true
+	s.store.Put(TopicServers, s.ID, nil)
+}
+
 // Runs returns the lines in which the service told its runs.
 func (s *Service) Runs() []string { return strings.Split(strings.TrimSpace(s.out.String()), "\n") }
 
@@ -101,7 +110,7 @@
 func (s *Service) report() {
 	for range time.Tick(reportInterval) {
 		s.mu.Lock()
-		if s.cmd != nil {
+		if s.cmd != nil && !s.left {
 			s.publish()
 		}
 		s.mu.Unlock()
