--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -315,7 +315,7 @@
 	p.cmd = nil
 }
 
-// Freeze suspends the process, and Thaw continues it.
+// Freeze suspends the process.
 func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
 
 // Thaw continues a suspended process.
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -27,16 +27,12 @@
 const (
 	TopicOperators = "keyed.op"
 	TopicServers   = "keyed.servers"
-	TopicMembers   = "keyed.members"
 )
 
 // Store is a stand-in of the platform's log store. All topics are keyed and have one partition.
 type Store struct {
 	address string
 	keep    time.Duration
-	// lateAppend returns for how long an append is delayed and its answer lost; 0 for a
-	// normal append.
-	lateAppend func(topic, key string) time.Duration
 
 	mu      sync.Mutex
 	topics  map[string]*topic
@@ -69,14 +65,6 @@
 	return s, err
 }
 
-// SetLateAppend sets the fault of a store that loses answers: lateAppend returns for how long
-// an append is delayed and its answer lost, or 0.
-func (s *Store) SetLateAppend(lateAppend func(topic, key string) time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateAppend = lateAppend
-}
-
 // Put writes a record, as operators and engines do.
 func (s *Store) Put(topicName, key string, value []byte) {
 	s.mu.Lock()
@@ -91,13 +79,6 @@
 	return len(s.topic(topicName).newest)
 }
 
-// Newest returns the newest value of a key, and nil if there is none.
-func (s *Store) Newest(topicName, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.topic(topicName).newest[key].value
-}
-
 // FirstOffset returns the offset of the oldest record of a topic that has not expired.
 func (s *Store) FirstOffset(topicName string) int64 {
 	s.mu.Lock()
@@ -149,26 +130,10 @@
 	if err != nil {
 		return
 	}
-	name := r.URL.Query().Get("topic")
-	if delay := s.appendDelay(name, body); delay > 0 {
-		time.AfterFunc(delay, func() { s.appendAll(name, body) })
-		panic(http.ErrAbortHandler)
-	}
-	first, end := s.appendAll(name, body)
+	first, end := s.appendAll(r.URL.Query().Get("topic"), body)
 	writeJSON(w, map[string]int64{"offset": first, "end_offset": end})
 }
 
-// appendDelay returns for how long an append is delayed, by the key of its first record.
-func (s *Store) appendDelay(name string, body []byte) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lateAppend == nil || len(body) < 5 {
-		return 0
-	}
-	key, _ := splitKey(body[4:])
-	return s.lateAppend(name, key)
-}
-
 // appendAll appends the records of a call: each is preceded by its length.
 func (s *Store) appendAll(name string, body []byte) (first, end int64) {
 	s.mu.Lock()
