review: each case in its own folder

The programs of the cases move into review/1 to review/5, the stand-ins that they share into the package review.

--- a/review/cmd/frozenverify/main.go
+++ b/review/2/main.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"mimosastand.example/mimosastand/review/rig"
+	"mimosastand.example/mimosastand/review"
 )
 
 const (
@@ -33,11 +33,11 @@
 // rottenPieces are the staged pieces that turn bad: 2 of 48, of at most 6 in 100.
 var rottenPieces = []int{3, 17}
 
-func main() { rig.Main(play) }
+func main() { review.Main(play) }
 
-func play(c rig.Case) (broken bool, err error) {
-	fleet, err := rig.NewFleet(rig.Spec{
-		Zones: []rig.Zone{
+func play(c review.Case) (broken bool, err error) {
+	fleet, err := review.NewFleet(review.Spec{
+		Zones: []review.Zone{
 			{Name: "khomas-a", Region: "khomas", Entries: 2, Engines: 2},
 			{Name: "erongo-a", Region: "erongo", Entries: 2, Engines: 2},
 		},
@@ -54,10 +54,10 @@
 	if err := fleet.StartAll(); err != nil {
 		return false, err
 	}
-	clients := rig.StartClients(c.Record, fleet.CallerAddresses(), sendInterval)
+	clients := review.StartClients(c.Record, fleet.CallerAddresses(), sendInterval)
 	defer clients.Stop()
 	fleet.AnnounceVersion(newVersion)
-	if err := rig.WaitFor(rolloutTimeout, func() bool { return fleet.HoldVersion(newVersion) }); err != nil {
+	if err := review.WaitFor(rolloutTimeout, func() bool { return fleet.HoldVersion(newVersion) }); err != nil {
 		return false, err
 	}
 	time.Sleep(observedTime)
@@ -67,9 +67,9 @@
 
 // disruption freezes a target process once, and has staged pieces of its engine turn bad.
 type disruption struct {
-	record *rig.Record
-	target *rig.Process
-	engine *rig.Engine
+	record *review.Record
+	target *review.Process
+	engine *review.Engine
 	once   sync.Once
 }
 
@@ -102,7 +102,7 @@
 
 // judge applies WHOLE: no token is made with a layer that was taken while one of its pieces was
 // missing, spoilt or of another version, unless it had turned bad there in the last 3 s.
-func judge(c rig.Case) (broken bool) {
+func judge(c review.Case) (broken bool) {
 	bad := 0
 	for _, run := range c.Record.Runs() {
 		for _, p := range run.Bad {
--- a/review/cmd/leftduringcut/main.go
+++ b/review/5/main.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"mimosastand.example/mimosastand/review/rig"
+	"mimosastand.example/mimosastand/review"
 )
 
 const (
@@ -37,11 +37,11 @@
 	cutZone, homeZone = "erongo-a", "khomas-a"
 )
 
-func main() { rig.Main(play) }
+func main() { review.Main(play) }
 
-func play(c rig.Case) (broken bool, err error) {
-	fleet, err := rig.NewFleet(rig.Spec{
-		Zones: []rig.Zone{
+func play(c review.Case) (broken bool, err error) {
+	fleet, err := review.NewFleet(review.Spec{
+		Zones: []review.Zone{
 			{Name: homeZone, Region: "khomas", Entries: 2},
 			{Name: cutZone, Region: "erongo", Entries: 1, HasStorePath: true},
 		},
@@ -75,9 +75,9 @@
 
 // scene is the deployment of a case and what happened in it.
 type scene struct {
-	c       rig.Case
-	fleet   *rig.Fleet
-	engines []*rig.Service
+	c       review.Case
+	fleet   *review.Fleet
+	engines []*review.Service
 	// departures lists the engines that left.
 	departures []departure
 
@@ -88,7 +88,7 @@
 // departure is an engine that left at a time. From inTouchAt until inTouchUntil the entry was in
 // touch and more than drain_ms had passed.
 type departure struct {
-	engine                          *rig.Service
+	engine                          *review.Service
 	leftAt, inTouchAt, inTouchUntil time.Time
 }
 
@@ -150,13 +150,13 @@
 }
 
 func (s *scene) send(client *http.Client, entry, attempt string) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+entry+rig.StatusPath+"17", nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+entry+review.StatusPath+"17", nil)
 	if err != nil {
 		panic(err)
 	}
-	req.Host = rig.Host
+	req.Host = review.Host
 	for name, value := range map[string]string{
-		"Attempt-Id": attempt, "Authorization": "Bearer " + rig.Key, "Deadline-Ms": fmt.Sprint(timeLimit.Milliseconds()),
+		"Attempt-Id": attempt, "Authorization": "Bearer " + review.Key, "Deadline-Ms": fmt.Sprint(timeLimit.Milliseconds()),
 	} {
 		req.Header.Set(name, value)
 	}
--- a/review/rig/origin.go
+++ b/review/origin.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package rig
+package review
 
 import (
 	"bytes"
--- a/review/rig/store.go
+++ b/review/store.go
@@ -1,9 +1,9 @@
 //go:build review
 
-// Package rig contains the stand-ins of the review cases: the platform's log store, model
+// Package review contains the stand-ins of the review cases: the platform's log store, model
 // engines, the origin of weights and clients. It also starts the project's processes. The
 // stand-ins follow the users' protocol page and know nothing of the project's code.
-package rig
+package review
 
 import (
 	"encoding/binary"
