--- /dev/null
+++ b/internal/boottime/boottime.go
@@ -0,0 +1,20 @@
+// Package boottime measures time with a clock that goes on while the machine is suspended.
+package boottime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the machine was booted. Unlike the differences of time.Time, those of
+// Now include the time for which the machine was suspended, and steps of the time of day do not
+// change them. On a system without such a clock it returns the time of the monotonic one.
+func Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The monotonic clock exists on every system that Go supports.
+		_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	}
+	return time.Duration(t.Nano())
+}
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -4,13 +4,29 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/pieces"
 	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
+const (
+	// maxPieceBadTime is for how long an engine may have held a bad piece when it loads it.
+	maxPieceBadTime = 3 * time.Second
+	// maxVerificationAge is how long ago the verification of the staged pieces may have begun when
+	// the order to load them is sent. The order is on its way for platform.OrderTimeout at most.
+	maxVerificationAge = maxPieceBadTime - platform.OrderTimeout
+	// maxVerifications bounds how often all staged pieces are verified for one order.
+	maxVerifications = 3
+)
+
+// errVerificationExpired means that the verification of the staged pieces began longer ago than
+// maxVerificationAge.
+var errVerificationExpired = errors.New("target: verification of the staged pieces has expired")
+
 // stagePieces stages the pieces of a candidate at the engine, unless they are staged
 // already. They overwrite the staged pieces of any other candidate.
 func (r *reconciler) stagePieces(ctx context.Context, c *candidate) {
@@ -88,25 +104,64 @@
 	return rank, total
 }
 
-// orderLoad verifies all staged pieces of a candidate and orders the engine to load them.
+// orderLoad verifies all staged pieces of a candidate and orders the engine to load them. The
+// engine loads the pieces as they are when it accepts the order, and one may turn bad after it was
+// verified. So the order is sent only while all verifications are recent: otherwise, for example
+// if the process stood still meanwhile, all pieces are verified again.
 func (r *reconciler) orderLoad(ctx context.Context, c *candidate) {
 	logger := r.log.WithField("version", c.version.String())
+	for range maxVerifications {
+		verifiedSince := r.bootTime()
+		if !r.verifyAllStaged(ctx, c, logger) {
+			return
+		}
+		err := r.sendOrder(ctx, c, verifiedSince)
+		logger := logger.WithField("verified_ms", (r.bootTime() - verifiedSince).Milliseconds())
+		if errors.Is(err, errVerificationExpired) {
+			logger.Warn("verification of the staged pieces has expired; verifying them again")
+			continue
+		}
+		if err != nil {
+			logger.WithError(err).Warn("load order failed")
+			return
+		}
+		logger.Info("load order accepted")
+		r.recordOrder(c)
+		return
+	}
+	logger.Warn("staged pieces could not be verified in time; load order postponed")
+}
+
+// verifyAllStaged verifies all staged pieces of a candidate. It reports false if a piece could not
+// be verified.
+func (r *reconciler) verifyAllStaged(ctx context.Context, c *candidate, logger log.Interface) bool {
 	for i := range c.set.Len() {
 		if err := r.verifyStaged(ctx, c.set, c.version.Model, i); err != nil {
 			logger.WithError(err).WithField("piece", i).Warn("staged piece could not be verified; load order postponed")
-			return
+			return false
 		}
 	}
-	err := r.engine.Load(ctx, c.version.Model, c.version.Number)
+	return true
+}
+
+// sendOrder sends the order to load a candidate whose pieces have been verified since a boot time.
+// It fails with errVerificationExpired, without sending it, if that is too long ago.
+func (r *reconciler) sendOrder(ctx context.Context, c *candidate, verifiedSince time.Duration) error {
+	err := r.engine.Load(ctx, c.version.Model, c.version.Number, func() error {
+		if r.bootTime()-verifiedSince > maxVerificationAge {
+			return errVerificationExpired
+		}
+		return nil
+	})
 	r.target.meters.countResult("orders", err)
-	if err != nil {
-		logger.WithError(err).Warn("load order failed")
-		return
-	}
-	logger.Info("load order accepted")
+	return err
+}
+
+// recordOrder records that the engine has accepted the order to load a candidate.
+func (r *reconciler) recordOrder(c *candidate) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.orderedAt, r.orderedVersion = time.Now(), c.version.Number
-	r.mu.Unlock()
 }
 
 // verifyStaged reads a staged piece back and verifies it. A piece that is unreadable or
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/weightcache"
@@ -37,6 +38,9 @@
 	target *Target
 	engine *platform.EngineClient
 	log    log.Interface
+	// bootTime returns the time since the machine was booted, including the time for which it was
+	// suspended.
+	bootTime func() time.Duration
 
 	mu sync.Mutex
 	// report is the engine's last report, received at reportedAt; up reports whether the
@@ -57,9 +61,10 @@
 
 func newReconciler(t *Target) *reconciler {
 	return &reconciler{
-		target: t,
-		engine: platform.NewEngineClient(t.process.Fleet.EngineAddress),
-		log:    logs.NewLogger("reconciler", t.process.Machine),
+		target:   t,
+		engine:   platform.NewEngineClient(t.process.Fleet.EngineAddress),
+		log:      logs.NewLogger("reconciler", t.process.Machine),
+		bootTime: boottime.Now,
 	}
 }
 
