--- a/config/fleet.go
+++ b/config/fleet.go
@@ -51,6 +51,8 @@
 	// OldVersionGrace is how long after the announcement of a version requests may still
 	// start on an older one.
 	OldVersionGrace time.Duration
+	// StableWindow is how long after the end of a disruption the other bounds hold again.
+	StableWindow time.Duration
 }
 
 // fleetShutdownGrace is the default of shutdown_grace in a fleet. It equals the
@@ -80,6 +82,8 @@
 		set: func(c *Process, v value) { c.Fleet.Bounds.ColdSlack = v.float }},
 	{section: "bounds", key: "version", kind: kindDuration, def: "8s", min: second, max: 3600 * second,
 		set: func(c *Process, v value) { c.Fleet.Bounds.OldVersionGrace = v.duration }},
+	{section: "bounds", key: "stable_window", kind: kindDuration, def: "3s", min: 0, max: 3600 * second,
+		set: func(c *Process, v value) { c.Fleet.Bounds.StableWindow = v.duration }},
 }
 
 // fleetEntryFields lists the additional fields of an entry of a fleet.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -146,7 +146,7 @@
 		RewriteTimeout:     targetsRewriteTimeout,
 		Compare:            platform.CompareTargets,
 		MaxAnswerGap:       roster.MaxLoss(process.Fleet.TargetReportInterval),
-		OnStoreStateChange: e.fleet.setStoreUp,
+		OnStoreStateChange: e.setStoreState,
 		Log:                logs.NewLogger("targets", process.Machine),
 	})
 	if err := e.listen(); err != nil {
@@ -251,6 +251,16 @@
 	}
 }
 
+// setStoreState records whether the store answers reads of the target list. Targets whose entries
+// lapsed with the store are dropped as soon as they count as gone.
+func (e *Entry) setStoreState(s feed.StoreState) {
+	if retained := e.fleet.setStoreState(s); retained > 0 {
+		time.AfterFunc(retained, e.dropLapsedTargets)
+	}
+}
+
+func (e *Entry) dropLapsedTargets() { e.fleet.dropLapsedTargets(e.targetsFeed.Answers()) }
+
 // handleHeartbeat applies a peer's heartbeat.
 func (e *Entry) handleHeartbeat(hb contract.Heartbeat) {
 	e.store.LearnEra(hb.StoreEra)
@@ -342,7 +352,7 @@
 }
 
 func (e *Entry) maintain() {
-	e.fleet.dropLapsedTargets()
+	e.dropLapsedTargets()
 	e.fleet.pruneTargetRecords()
 	e.fleet.forgetUnlinked(e.peers.IsNeighbour)
 	entries, zones := e.entryMembers()
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -12,6 +12,7 @@
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/retry"
+	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/weights/upgrade"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
@@ -27,6 +28,9 @@
 	// budgetShare is the part of the fleet's retry budget that the known entries divide
 	// among themselves; the rest covers entries that have just joined.
 	budgetShare = 0.85
+	// lapseMargin is how long before the end of the stable window after an outage targets are dropped
+	// whose entries lapsed in it.
+	lapseMargin = 250 * time.Millisecond
 	// assumedEntries is the number of shares in the fleet's bounds while no entry is
 	// known.
 	assumedEntries = 16
@@ -129,23 +133,29 @@
 	return p
 }
 
-// setStoreUp records whether the store answers.
-func (fs *fleetState) setStoreUp(up bool) {
+// setStoreState records whether the store answers. If it has returned, it reports for how long targets
+// are retained whose entries lapsed meanwhile; 0 otherwise.
+func (fs *fleetState) setStoreState(s feed.StoreState) (retained time.Duration) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	if up {
-		fs.roster.StoreRecovered(time.Now())
-	} else {
-		fs.roster.StoreLost(time.Now())
+	if !s.Up {
+		fs.roster.StoreLost()
+		return 0
 	}
+	now := time.Now()
+	return fs.roster.StoreRecovered(now, s.AwayAt, fs.bounds.StableWindow-lapseMargin).Sub(now)
 }
 
 // dropLapsedTargets drops the targets whose listing lapsed while the store was lost and
-// has not returned.
-func (fs *fleetState) dropLapsedTargets() {
+// has not returned. answers are the latest ones of the store.
+func (fs *fleetState) dropLapsedTargets(answers contract.StoreAnswers) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	if fs.roster.Tick(time.Now()) {
+	dropped := fs.roster.Tick(time.Now(), answers)
+	for _, id := range dropped {
+		fs.log.WithField("target", string(id)).Info("target dropped: not listed again after an outage of the store")
+	}
+	if len(dropped) > 0 {
 		fs.updatePoolMembers()
 	}
 }
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -117,22 +117,23 @@
 			fs.log.WithError(err).WithField("target", r.Key).WithField("offset", r.Offset).Warn("invalid target ignored")
 			continue
 		}
-		hasNews = fs.applyTarget(now, t) || hasNews
+		hasNews = fs.applyTarget(now, t, update.CaughtUpAt) || hasNews
 	}
 	fs.targetsListed = true
 	fs.updatePoolMembers()
 	return hasNews
 }
 
-// applyTarget applies an entry of the target list, and reports whether it has news.
-func (fs *fleetState) applyTarget(now time.Time, t roster.Target) (hasNews bool) {
+// applyTarget applies an entry of the target list that was written after a time, and reports whether it
+// has news.
+func (fs *fleetState) applyTarget(now time.Time, t roster.Target, writtenAfter time.Time) (hasNews bool) {
 	before := fs.roster.Member(t.ID)
 	hasNews = before == nil || before.DiffersFrom(now, t)
 	if before == nil || before.Leaving != t.Leaving || before.Born != t.Born {
 		fs.log.WithField("target", string(t.ID)).WithField("service", string(t.Service)).WithField("zone", string(t.Zone)).
 			WithField("leaving", t.Leaving).WithField("born", t.Born).WithField("address", t.Address).Info("target listed")
 	}
-	fs.roster.Update(now, t)
+	fs.roster.Update(now, t, writtenAfter)
 	return hasNews
 }
 
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -59,7 +59,7 @@
 	Compare CompareFunc
 	// OnStoreStateChange is called with the outcome of the first call to the store and
 	// whenever the outcome changes; it may be nil.
-	OnStoreStateChange func(up bool)
+	OnStoreStateChange func(StoreState)
 	Log                log.Interface
 }
 
@@ -89,9 +89,10 @@
 	// the store; zero if it never has.
 	caughtUpAt time.Time
 	// storeUp is the outcome of the last call to the store; storeStateAt is zero until a
-	// first call has ended.
+	// first call has ended. storeAwayAt is when the last call began that failed; zero if none did.
 	storeUp      bool
 	storeStateAt time.Time
+	storeAwayAt  time.Time
 	// cancelRead cancels the read in progress. It is nil before the first read and while
 	// a read must not be canceled. refreshPending means that the next read does not wait
 	// for records.
@@ -270,7 +271,7 @@
 	update := Update{
 		Records:    change(),
 		CaughtUpAt: f.caughtUpAt,
-		Answers:    contract.StoreAnswers{Since: f.answersSince, Last: f.confirmedAt},
+		Answers:    f.answers(),
 	}
 	isFirstSync := complete && !f.hasSynced
 	if isFirstSync {
@@ -283,6 +284,18 @@
 	}
 }
 
+// Answers returns the present run of answers of the store.
+func (f *Feed) Answers() contract.StoreAnswers {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answers()
+}
+
+// answers is Answers with f.mu held.
+func (f *Feed) answers() contract.StoreAnswers {
+	return contract.StoreAnswers{Since: f.answersSince, Last: f.confirmedAt}
+}
+
 // HasSynced reports whether the complete topic has been read from the store or received
 // from a peer.
 func (f *Feed) HasSynced() bool {
--- a/machine/feed/feed_test.go
+++ b/machine/feed/feed_test.go
@@ -33,9 +33,9 @@
 				changed <- r
 			}
 		},
-		OnStoreStateChange: func(up bool) {
-			if !up {
-				t.Error("OnStoreStateChange(false) called, want no report of a lost store")
+		OnStoreStateChange: func(s StoreState) {
+			if !s.Up {
+				t.Error("OnStoreStateChange called with a lost store, want no report of a lost store")
 			}
 		},
 		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
@@ -77,8 +77,8 @@
 		Topic:    platform.TopicOperators,
 		MaxWait:  time.Hour,
 		OnChange: func(Update) {},
-		OnStoreStateChange: func(up bool) {
-			if !up {
+		OnStoreStateChange: func(s StoreState) {
+			if !s.Up {
 				lost <- struct{}{}
 			}
 		},
--- a/machine/feed/schedule.go
+++ b/machine/feed/schedule.go
@@ -17,15 +17,15 @@
 			f.sleep(ctx, wait)
 			continue
 		}
-		delay := time.Duration(0)
+		delay, calledAt := time.Duration(0), time.Now()
 		err := f.poll(ctx)
 		if errors.Is(err, errReadCanceled) {
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
 			failures++
-			f.onCallFailed(err)
-			delay = retryDelay(failures)
+			f.onCallFailed(err, calledAt)
+			delay = max(retryDelay(failures)-time.Since(calledAt), 0)
 		} else {
 			failures = 0
 			f.onCallSucceeded()
@@ -35,7 +35,9 @@
 	}
 }
 
-// retryDelay returns the delay after a number of consecutive failures: an exponential
+// retryDelay returns the least time between the beginnings of two calls after a number of consecutive
+// failures. A call that the store did not answer for longer is repeated at once: the sooner the
+// store is found again, the better it is known when it returned. The delay is an exponential
 // backoff with a jitter of up to half of it in either direction.
 func retryDelay(failures int) time.Duration {
 	const maxDoublings = 4
--- a/machine/feed/storestate.go
+++ b/machine/feed/storestate.go
@@ -2,19 +2,26 @@
 
 import "time"
 
-// onCallFailed reports the store as lost unless that has been reported already.
-func (f *Feed) onCallFailed(err error) {
+// StoreState is the outcome of a call to the store that differs from that of the call before.
+type StoreState struct {
+	Up bool
+	// AwayAt is when the last call began that the store did not answer; zero if there was none. If Up
+	// is set, the store has returned since then.
+	AwayAt time.Time
+}
+
+// onCallFailed reports the store as lost unless that has been reported already. calledAt is when the
+// call began that failed.
+func (f *Feed) onCallFailed(err error, calledAt time.Time) {
 	f.mu.Lock()
 	wasUp := f.storeUp || f.storeStateAt.IsZero()
-	f.storeUp, f.storeStateAt = false, time.Now()
+	f.storeUp, f.storeStateAt, f.storeAwayAt = false, time.Now(), calledAt
 	f.mu.Unlock()
 	if !wasUp {
 		return
 	}
 	f.opts.Log.WithError(err).WithField("topic", f.opts.Topic).Warn("store lost")
-	if f.opts.OnStoreStateChange != nil {
-		f.opts.OnStoreStateChange(false)
-	}
+	f.reportStoreState(StoreState{AwayAt: calledAt})
 }
 
 // onCallSucceeded reports that the store answers unless it answered before.
@@ -22,13 +29,22 @@
 	f.mu.Lock()
 	wasUp := f.storeUp
 	f.storeUp, f.storeStateAt = true, time.Now()
+	awayAt := f.storeAwayAt
 	f.mu.Unlock()
 	if wasUp {
 		return
 	}
-	f.opts.Log.WithField("topic", f.opts.Topic).Info("store answers")
+	logger := f.opts.Log.WithField("topic", f.opts.Topic)
+	if !awayAt.IsZero() {
+		logger = logger.WithField("away_ms", time.Since(awayAt).Milliseconds())
+	}
+	logger.Info("store answers")
+	f.reportStoreState(StoreState{Up: true, AwayAt: awayAt})
+}
+
+func (f *Feed) reportStoreState(s StoreState) {
 	if f.opts.OnStoreStateChange != nil {
-		f.opts.OnStoreStateChange(true)
+		f.opts.OnStoreStateChange(s)
 	}
 }
 
--- a/machine/feed/takeover_test.go
+++ b/machine/feed/takeover_test.go
@@ -85,7 +85,7 @@
 func TestTriggerAndStoreStateOfFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFollower()
-		f.onCallFailed(platform.ErrUnavailable)
+		f.onCallFailed(platform.ErrUnavailable, time.Now())
 		time.Sleep(testTakeoverAge)
 		f.ObserveProgress(progressOf(5, 0))
 		if f.untilTakeover() == 0 || !f.IsStoreUp() {
--- a/zone/placement/fleetload_test.go
+++ b/zone/placement/fleetload_test.go
@@ -62,7 +62,7 @@
 	f.objective = max(f.objective, 2*model.FirstEventDelay(0))
 	for i := range engines {
 		m := engineMember(fmt.Sprintf("engine-%03d", i), f.zone(i))
-		f.roster.Update(start, m.Target)
+		f.roster.Update(start, m.Target, time.Time{})
 		f.engines = append(f.engines, &fleetEngine{simulatedEngine: simulatedEngine{slots: model.slots, service: model.RequestDuration()}})
 	}
 	for i, m := range f.roster.Members("") {
--- a/zone/placement/misdirected_test.go
+++ b/zone/placement/misdirected_test.go
@@ -17,14 +17,14 @@
 		want  bool
 	}{
 		"nothing learned": {func(*roster.Roster, time.Time) {}, false},
-		"listed again":    {func(r *roster.Roster, now time.Time) { r.Update(now, listedAgain(r)) }, true},
+		"listed again":    {func(r *roster.Roster, now time.Time) { r.Update(now, listedAgain(r), time.Time{}) }, true},
 		"process reports": {func(r *roster.Roster, now time.Time) {
 			r.Report(now, "stale:1", 0, roster.Status{Version: 1, Ready: true})
 		}, true},
-		"older list entry": {func(r *roster.Roster, now time.Time) { r.Update(now.Add(-time.Second), listedAgain(r)) }, false},
+		"older list entry": {func(r *roster.Roster, now time.Time) { r.Update(now.Add(-time.Second), listedAgain(r), time.Time{}) }, false},
 	} {
 		r := roster.New(0)
-		r.Update(start.Add(-time.Minute), engineMember("stale", "a").Target)
+		r.Update(start.Add(-time.Minute), engineMember("stale", "a").Target, time.Time{})
 		p := newPool(r.Members("")...)
 		p.SetService(service)
 		p.Misdirected(start, "stale")
--- a/zone/placement/placement_test.go
+++ b/zone/placement/placement_test.go
@@ -235,7 +235,7 @@
 	r := roster.New(0)
 	for _, id := range []string{"cut", "near"} {
 		r.Update(start, roster.Target{ID: roster.TargetID(id), Service: "m", Address: id, Zone: "a", Slots: 4,
-			Model: &roster.Model{Version: 1, Layers: 16}})
+			Model: &roster.Model{Version: 1, Layers: 16}}, time.Time{})
 		r.Report(start, id, 0, roster.Status{Version: 1, Ready: true})
 	}
 	p := newPool(r.Members("m")...)
--- a/zone/placement/reportedload_test.go
+++ b/zone/placement/reportedload_test.go
@@ -14,7 +14,7 @@
 	full, free := engineMember("full", "a"), engineMember("free", "a")
 	r := roster.New(0)
 	for _, m := range []*roster.Member{full, free} {
-		r.Update(start, m.Target)
+		r.Update(start, m.Target, time.Time{})
 	}
 	slots := NewLatencyModel(modelService(), 0).slots
 	r.Report(start, full.Address, full.Born, roster.Status{Version: 1, Ready: true, Load: slots + maxWaiting, HasLoad: true})
--- a/zone/placement/rollout_test.go
+++ b/zone/placement/rollout_test.go
@@ -49,7 +49,7 @@
 	f := &rollout{rng: rand.New(rand.NewPCG(seed, 7)), roster: roster.New(0), weight: 1, objective: 450 * time.Millisecond}
 	service := rolloutService()
 	for i := range engines {
-		f.roster.Update(start, engineMember(fmt.Sprintf("engine-%03d", i), "a").Target)
+		f.roster.Update(start, engineMember(fmt.Sprintf("engine-%03d", i), "a").Target, time.Time{})
 		f.engines = append(f.engines, &passEngine{engine: service.Engine})
 	}
 	f.members = f.roster.Members("")
--- a/zone/roster/news_test.go
+++ b/zone/roster/news_test.go
@@ -24,7 +24,7 @@
 		"no layers":     {func(t *Target) { t.Model = nil }, true},
 	} {
 		r := New(0)
-		r.Update(now, listed)
+		r.Update(now, listed, time.Time{})
 		changed := listed
 		c.change(&changed)
 		if got := r.Member("x").DiffersFrom(now, changed); got != c.want {
@@ -34,7 +34,7 @@
 	cold := listed
 	cold.ColdLeft = 2 * time.Second
 	r := New(0)
-	r.Update(now, cold)
+	r.Update(now, cold, time.Time{})
 	if r.Member("x").DiffersFrom(now.Add(time.Second), cold) {
 		t.Error("a target that is known to be cold: DiffersFrom() = true, want false")
 	}
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -29,8 +29,10 @@
 	ColdUntil time.Time
 
 	lapsedAt time.Time
-	status   Status
-	statusAt time.Time
+	// writtenAfter is a time after which the store accepted the current entry; zero if none is known.
+	writtenAfter time.Time
+	status       Status
+	statusAt     time.Time
 	// usableSince is the time of the report from which on the target may be used.
 	usableSince time.Time
 }
@@ -119,9 +121,11 @@
 	byAddress map[string]*Member
 	// byReportKey maps the keys of reports to members.
 	byReportKey map[ReportKey]*Member
-	// lostAt is when the store became unavailable and recoveredAt when it answered
-	// again; both are zero until the store is first lost.
-	lostAt, recoveredAt time.Time
+	// isStoreLost is set while the store does not answer. awayAt is when it was last known to be
+	// away before it answered again, and lapseEnd when entries that lapsed meanwhile are gone; both
+	// are zero until the store has been lost and has answered again.
+	isStoreLost      bool
+	awayAt, lapseEnd time.Time
 	// reportInterval is the interval at which targets report to the store; 0 if unknown.
 	reportInterval time.Duration
 }
@@ -132,9 +136,10 @@
 	return &Roster{reportInterval: reportInterval, members: map[TargetID]*Member{}, byAddress: map[string]*Member{}, byReportKey: map[ReportKey]*Member{}}
 }
 
-// Update applies an entry of the target list. It ignores an entry of an earlier
-// incarnation of the target, and an entry older than the current one.
-func (r *Roster) Update(now time.Time, t Target) {
+// Update applies an entry of the target list that the store accepted after writtenAfter, the zero time
+// if that is not known. It ignores an entry of an earlier incarnation of the target, and an entry older
+// than the current one.
+func (r *Roster) Update(now time.Time, t Target, writtenAfter time.Time) {
 	m, ok := r.members[t.ID]
 	if ok && (t.Born < m.Born || t.Born == m.Born && t.Seq < m.Seq) {
 		return
@@ -145,6 +150,7 @@
 	}
 	m.Target = t
 	m.ListedAt = now
+	m.writtenAfter = writtenAfter
 	m.lapsedAt = time.Time{}
 	m.ColdUntil = now.Add(t.ColdLeft)
 	r.rebuildIndex()
@@ -158,7 +164,7 @@
 	if !ok {
 		return false
 	}
-	if !m.Leaving && r.mayLapse(now) && !r.hasAnswered(now, answers) {
+	if !m.Leaving && r.mayLapse(now) && !r.hasAnswered(now, answers) && !r.isWrittenSinceReturn(m) {
 		if m.lapsedAt.IsZero() {
 			m.lapsedAt = now
 		}
@@ -172,10 +178,13 @@
 // mayLapse reports whether entries may be missing from the target list although their
 // targets are still running.
 func (r *Roster) mayLapse(now time.Time) bool {
-	if r.lostAt.After(r.recoveredAt) {
-		return true
-	}
-	return !r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) < lapseRetention
+	return r.isStoreLost || now.Before(r.lapseEnd)
+}
+
+// isWrittenSinceReturn reports whether the store has accepted the current entry of a target since it
+// returned. Such an entry has not lapsed with the store: the target has left.
+func (r *Roster) isWrittenSinceReturn(m *Member) bool {
+	return !r.isStoreLost && m.writtenAfter.After(r.awayAt)
 }
 
 // hasAnswered reports whether the store has been available for so long, to any process, that no entry
@@ -195,32 +204,33 @@
 }
 
 // StoreLost records that the store has stopped answering.
-func (r *Roster) StoreLost(now time.Time) {
-	if !r.lostAt.After(r.recoveredAt) {
-		r.lostAt = now
+func (r *Roster) StoreLost() { r.isStoreLost = true }
+
+// StoreRecovered records that the store, which was away at awayAt and has returned since, answers
+// again. It returns until when entries that lapsed are retained: for lapseRetention, and not longer
+// than limit after awayAt, since the store may have returned as early as that.
+func (r *Roster) StoreRecovered(now, awayAt time.Time, limit time.Duration) (lapseEnd time.Time) {
+	if !r.isStoreLost {
+		return r.lapseEnd
 	}
+	r.isStoreLost, r.awayAt = false, awayAt
+	r.lapseEnd = now.Add(min(lapseRetention, max(limit-now.Sub(awayAt), 0)))
+	return r.lapseEnd
 }
 
-// StoreRecovered records that the store answers again.
-func (r *Roster) StoreRecovered(now time.Time) {
-	if r.lostAt.After(r.recoveredAt) {
-		r.recoveredAt = now
-	}
-}
-
-// Tick drops the entries that lapsed during an outage and have not been listed again, and reports
-// whether there were any. It does nothing while entries may still be missing.
-func (r *Roster) Tick(now time.Time) (dropped bool) {
-	if r.mayLapse(now) {
-		return false
+// Tick drops the entries that lapsed during an outage and have not been listed again, and returns
+// them. It does nothing while entries may still be missing. answers are the latest ones of the store.
+func (r *Roster) Tick(now time.Time, answers contract.StoreAnswers) (dropped []TargetID) {
+	if r.mayLapse(now) && !r.hasAnswered(now, answers) {
+		return nil
 	}
 	for id, m := range r.members {
 		if !m.lapsedAt.IsZero() {
 			delete(r.members, id)
-			dropped = true
+			dropped = append(dropped, id)
 		}
 	}
-	if dropped {
+	if len(dropped) > 0 {
 		r.rebuildIndex()
 	}
 	return dropped
--- a/zone/roster/roster_test.go
+++ b/zone/roster/roster_test.go
@@ -12,6 +12,9 @@
 	"mimosastand.example/mimosastand/contract"
 )
 
+// lapseLimit is how long after the store was away lapsed entries are retained at most in the scripts.
+const lapseLimit = 2750 * time.Millisecond
+
 // TestRosterScripts runs the scripts in testdata. Each input line is a command, such as
 // a change of the target list or a report of a target process. The output shows the
 // members after all commands of a block.
@@ -47,7 +50,7 @@
 		r.Update(*now, Target{
 			ID: TargetID(words[1]), Service: "s", Address: "addr-" + words[1], Born: args["born"], Seq: args["seq"],
 			Leaving: args["leaving"] != 0, Model: &Model{Version: args["version"], Layers: int(args["layers"])},
-		})
+		}, writtenAfter(*now, args))
 	case "remove":
 		var answers contract.StoreAnswers
 		if last, ok := args["answered"]; ok {
@@ -61,17 +64,27 @@
 	case "unwatched":
 		r.ClearStatus("addr-" + words[1])
 	case "store-lost":
-		r.StoreLost(*now)
+		r.StoreLost()
 	case "store-back":
-		r.StoreRecovered(*now)
+		r.StoreRecovered(*now, now.Add(-time.Duration(args["away"])*time.Millisecond), lapseLimit)
 	case "wait":
 		*now = now.Add(time.Duration(args["ms"]) * time.Millisecond)
-		r.Tick(*now)
+		r.Tick(*now, contract.StoreAnswers{})
 	default:
 		d.Fatalf(t, "unknown command %s", words[0])
 	}
 }
 
+// writtenAfter returns the time after which the entry of a command was written, "written" milliseconds
+// ago; zero if it is not said.
+func writtenAfter(now time.Time, args map[string]int64) time.Time {
+	age, ok := args["written"]
+	if !ok {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
 func formatMembers(r *Roster, now time.Time) string {
 	var lines []string
 	for _, m := range r.Members("s") {
