A planned stop answers the requests that it ends, and takes none that it would end (LOST)

Reported by other operators: in a planned stop requests that came late in the grace period were passed on, and cut with no answer at its end, among them some that may not be repeated. It can happen here in two ways.

Callers saw their connection end without an answer: (1) a request that began before the notice of the stop had ended, and whose body arrived after it, was passed on although its deadline was past the end of the stop: only the time of its head counted; (2) whatever was still at a target at the end was cut.

Change: (1) whether a request comes too late is decided when it has been read; it is refused at once, and truly, since it has not been sent. Retries are not made then (attempts.State.Stopping).

TestDecideKeepsPromises covers the new field.

--- a/machine/entry/attempts/attempts.go
+++ b/machine/entry/attempts/attempts.go
@@ -37,6 +37,8 @@
 	Sent, Unsent, MaxAttempts int
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
+	// Stopping reports whether the entry stops and ends the request before its deadline.
+	Stopping bool
 }
 
 // Verdict is what follows an attempt.
@@ -88,6 +90,8 @@
 	NoLimit Limit = ""
 	// LimitTime means that too little time is left before the deadline.
 	LimitTime Limit = "time"
+	// LimitStop means that the entry stops.
+	LimitStop Limit = "stop"
 	// LimitAttempts means that the route allows no more attempts.
 	LimitAttempts Limit = "attempts"
 	// LimitUnsent means that too many attempts have failed to leave the entry.
@@ -108,6 +112,8 @@
 	switch {
 	case s.TimeLeft <= minTimeLeft:
 		return LimitTime
+	case s.Stopping:
+		return LimitStop
 	case o == NotSent && s.Unsent >= maxUnsent:
 		return LimitUnsent
 	case o == NotSent:
--- a/machine/entry/attempts/attempts_test.go
+++ b/machine/entry/attempts/attempts_test.go
@@ -27,6 +27,8 @@
 		{"failed with no attempts left", Failed, State{MayHaveRun: true, Repeatable: true, MaxAttempts: 2, Sent: 2, TimeLeft: second}, Forward},
 		{"broken stream is resumed by another attempt", Lost, State{MayHaveRun: true, Repeatable: true, AnswerBegun: true, MaxAttempts: 2, Sent: 1, TimeLeft: second}, Retry},
 		{"broken stream without attempts left is aborted", Lost, State{MayHaveRun: true, AnswerBegun: true, MaxAttempts: 1, Sent: 1, TimeLeft: second}, Abort},
+		{"ended by a stop, repeatable", Lost, State{MayHaveRun: true, Repeatable: true, MaxAttempts: 2, Sent: 1, TimeLeft: second, Stopping: true}, Fail},
+		{"ended by a stop before it was sent", NotSent, State{Repeatable: true, MaxAttempts: 2, TimeLeft: second, Stopping: true}, Refuse},
 		{"no time left", NotRun, State{MaxAttempts: 2, Sent: 1, TimeLeft: time.Millisecond}, Refuse},
 	} {
 		if got := Decide(c.outcome, c.state); got != c.want {
@@ -41,10 +43,10 @@
 // has begun never gets the head of a second one.
 func TestDecideKeepsPromises(t *testing.T) {
 	for _, outcome := range []Outcome{NotSent, NotRun, Failed, Lost} {
-		for bits := range 1 << 4 {
+		for bits := range 1 << 5 {
 			s := State{
 				Repeatable: bits&1 != 0, MayHaveRun: bits&2 != 0, AnswerBegun: bits&4 != 0,
-				MaxAttempts: 2, Sent: 1, TimeLeft: time.Second * time.Duration(bits>>3&1),
+				MaxAttempts: 2, Sent: 1, TimeLeft: time.Second * time.Duration(bits>>3&1), Stopping: bits&16 != 0,
 			}
 			if outcome == Failed || outcome == Lost {
 				s.MayHaveRun = true
@@ -74,6 +76,7 @@
 		want    Limit
 	}{
 		{"no time", Lost, State{Repeatable: true, MaxAttempts: 2, Sent: 1, TimeLeft: minTimeLeft}, LimitTime},
+		{"entry stops", Lost, State{Repeatable: true, MaxAttempts: 2, Sent: 1, TimeLeft: second, Stopping: true}, LimitStop},
 		{"attempts used up", Lost, State{Repeatable: true, MaxAttempts: 2, Sent: 2, TimeLeft: second}, LimitAttempts},
 		{"not repeatable and may have run", Lost, State{MaxAttempts: 2, Sent: 1, TimeLeft: second}, LimitNotRepeatable},
 		{"not repeatable and has not run", NotRun, State{MaxAttempts: 2, Sent: 1, TimeLeft: second}, NoLimit},
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -65,6 +65,8 @@
 func (c *call) serve() {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	c.entry.openCalls.add(c, cancel)
+	defer c.entry.openCalls.remove(c)
 	c.entry.fleet.recordRequest(c.service)
 	for {
 		choice, reason, retryAfter := c.placeAttempt(ctx)
@@ -113,6 +115,7 @@
 		Unsent:      c.attemptsUnsent,
 		MaxAttempts: c.route.MaxAttempts,
 		TimeLeft:    time.Until(c.deadline),
+		Stopping:    c.entry.openCalls.isEnded(),
 	}
 }
 
@@ -142,6 +145,15 @@
 	}
 }
 
+// reasonUnlessStopping returns the reason for which a request ends, given that of any other end than
+// one by a planned stop.
+func (c *call) reasonUnlessStopping(other contract.Reason) contract.Reason {
+	if c.record.limit == attempts.LimitStop {
+		return contract.ReasonShuttingDown
+	}
+	return other
+}
+
 // endWithVerdict ends the request as verdict says. failureResp is the target's own
 // response that reports a failure; only Forward uses it.
 func (c *call) endWithVerdict(verdict attempts.Verdict, failureResp *bufferedResponse) {
@@ -149,14 +161,14 @@
 	case attempts.Forward:
 		c.writeResponse(failureResp)
 	case attempts.Refuse:
-		c.writeUnavailable(contract.ReasonTargetFull, c.entry.fleet.retryAfter(c.service, c.requirements(0), 0))
+		c.writeUnavailable(c.reasonUnlessStopping(contract.ReasonTargetFull), c.entry.fleet.retryAfter(c.service, c.requirements(0), 0))
 	case attempts.Expire:
 		c.writeProblem(http.StatusGatewayTimeout, contract.ReasonDeadline, 0)
 	case attempts.Abort:
 		c.recordEnd(0, contract.ReasonTruncatedAnswer, 0)
 		c.breakOff()
 	default:
-		c.writeProblem(http.StatusBadGateway, contract.ReasonTruncatedAnswer, 0)
+		c.writeProblem(http.StatusBadGateway, c.reasonUnlessStopping(contract.ReasonTruncatedAnswer), 0)
 	}
 }
 
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -108,6 +108,7 @@
 	// stopPlan holds the times of a planned stop once it has begun.
 	stopPlan     atomic.Pointer[stopPlan]
 	openRequests atomic.Int64
+	openCalls    openCalls
 }
 
 // New opens the process's addresses. Its errors are marked with ErrListen.
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -51,7 +51,7 @@
 		return
 	}
 	c.identify()
-	if e.isTooLate(c.arrived, c.deadline) {
+	if e.isTooLate(time.Now(), c.deadline) {
 		c.writeUnavailable(contract.ReasonShuttingDown, notReadyRetryAfter)
 		return
 	}
