--- /dev/null
+++ b/machine/entry/direct/cutanswer_test.go
@@ -0,0 +1,31 @@
+package direct
+
+import (
+	"testing"
+
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+// Guards against a success with an empty or short body that looks whole (MIXED): the target stopped in the
+// middle of the head of its answer and closed the connection, at any byte.
+func TestAnswerCutInItsHeadIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a\r\n"
+	e := newQuietEntry()
+	for name, head := range map[string]string{
+		"with a length":  head + "Content-Length: 120\r\n\r\n",
+		"length first":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer-Stamp: s\r\nAttempt-Id: a\r\n\r\n",
+		"in chunks":      head + "Transfer-Encoding: chunked\r\n\r\n",
+		"without length": head + "Connection: close\r\n\r\n",
+	} {
+		for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Streaming} {
+			for cut := range len(head) {
+				c, w := boundedCall(e, kind)
+				if outcome := attemptsAt(t, c, head[:cut]); outcome != attempts.Lost || w.Body.Len() > 0 || c.headSent {
+					t.Errorf("%s, %v, cut after %q: outcome %v, body %q, head sent %v, want 4 (Lost) and nothing",
+						name, kind, head[:cut], outcome, w.Body, c.headSent)
+				}
+			}
+		}
+	}
+}
