--- a/machine/entry/direct/buffered.go
+++ b/machine/entry/direct/buffered.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -27,7 +28,7 @@
 }
 
 // readBuffered reads a response to its end and returns it, unless it is unusable. A response is
-// unusable, and the attempt Lost, if it breaks off, is larger than maxResponseBytes or than what
+// unusable, and the attempt Lost, if it breaks off or may have done so, is larger than maxResponseBytes or than what
 // the buffers of all responses have left, has a content encoding, is a success or redirect
 // without the target's stamp, or has a status that implies that the request has not run. Any
 // other response with a status of 500 or above is returned with Failed; the caller gets it if no
@@ -49,6 +50,9 @@
 	if err := buffered.body.readAll(resp.Body, maxResponseBytes); err != nil {
 		return x.abort(err)
 	}
+	if x.mayBeCutOff(resp) {
+		return x.abort(io.ErrUnexpectedEOF)
+	}
 	if reply.HasContentEncoding {
 		x.conn.reset()
 		x.breakage = unusableBreakage(reply)
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -117,8 +117,7 @@
 	first := true
 	for {
 		ev, err := readEvent(events, x.nextBuffer())
-		if errors.Is(err, io.EOF) && endsWithConnection(resp) && (first || x.targetIsDown()) {
-			// A complete stream and one that broke off look the same here.
+		if errors.Is(err, io.EOF) && (first && endsWithConnection(resp) || x.mayBeCutOff(resp)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -145,9 +144,11 @@
 	}
 }
 
-// targetIsDown reports whether nothing listens at the target's address any more.
-func (x *exchange) targetIsDown() bool {
-	return x.call.entry.isDown(x.call.r.Context(), x.choice.Address)
+// mayBeCutOff reports whether a response that has ended may have been cut off: only the end of its
+// connection ends it, and nothing listens at the target's address any more. A target that crashes and one
+// that has sent everything end a connection in the same way.
+func (x *exchange) mayBeCutOff(resp *http.Response) bool {
+	return endsWithConnection(resp) && x.call.entry.isDown(x.call.r.Context(), x.choice.Address)
 }
 
 // endsWithConnection reports whether only the end of its connection ends a response.
