--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -11,6 +11,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/weights/pieces"
 )
 
 const (
@@ -170,7 +171,8 @@
 	return list
 }
 
-// applyRecords verifies records of the topic and adds their pieces.
+// applyRecords verifies records of the topic and adds their pieces, with those that were read before
+// the digests were known.
 func (cv *cachedVersion) applyRecords(records []contract.Record) {
 	for _, r := range records {
 		if r.Key == digestsKey && len(r.Value)%digestSize == 0 && len(r.Value) > 0 {
@@ -179,8 +181,39 @@
 	}
 	set := cv.currentSet()
 	if set == nil {
+		cv.holdUnverified(records)
 		return
 	}
+	cv.addPieces(set, cv.takeUnverified())
+	cv.addPieces(set, records)
+}
+
+// holdUnverified holds pieces that cannot be verified until the digests are known: among the newest
+// records of a topic the digests come last. What exceeds MaxStoredBytes is dropped.
+func (cv *cachedVersion) holdUnverified(records []contract.Record) {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	for _, r := range records {
+		if cv.unverifiedBytes+len(r.Value) > MaxStoredBytes {
+			cv.log().WithField("key", r.Key).Warn("piece from the store dropped: too much is held without digests")
+			return
+		}
+		cv.unverified = append(cv.unverified, r)
+		cv.unverifiedBytes += len(r.Value)
+	}
+}
+
+// takeUnverified returns the pieces that are held without digests, and holds them no longer.
+func (cv *cachedVersion) takeUnverified() []contract.Record {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	records := cv.unverified
+	cv.unverified, cv.unverifiedBytes = nil, 0
+	return records
+}
+
+// addPieces verifies records of pieces and adds the pieces to the set.
+func (cv *cachedVersion) addPieces(set *pieces.Set, records []contract.Record) {
 	for _, r := range records {
 		i, err := strconv.Atoi(r.Key)
 		if err != nil {
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -9,8 +9,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -349,6 +351,13 @@
 	_, _ = w.Write(out)
 }
 
+// maxPageItems and maxPageBytes bound a page of the newest records.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
+// serveNewest answers with a page of the newest records, in the order of their keys.
 func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
 	type item struct {
 		Key    string `json:"key"`
@@ -360,14 +369,19 @@
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []item{}
 	after := r.URL.Query().Get("after")
-	for key, offset := range t.newest {
+	size, hasMore := 0, false
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
 		if key <= after {
 			continue
 		}
+		size += len(t.values[key])
+		if hasMore = len(items) > 0 && (len(items) == maxPageItems || size > maxPageBytes); hasMore {
+			break
+		}
 		s.recordsServed++
-		items = append(items, item{Key: key, Value: t.values[key], Offset: offset})
+		items = append(items, item{Key: key, Value: t.values[key], Offset: t.newest[key]})
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"items": items, "has_more": false, "end_offset": t.first + int64(len(t.records)),
+		"items": items, "has_more": hasMore, "end_offset": t.first + int64(len(t.records)),
 	})
 }
