--- a/machine/entry/direct/connpool.go
+++ b/machine/entry/direct/connpool.go
@@ -2,12 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -176,38 +173,17 @@
 	return err == nil && empty
 }
 
-// attemptRequest is a request as it is sent to a target.
-type attemptRequest struct {
-	method, uri, host string
-	header            http.Header
-	body              []byte
-}
-
-// roundTrip writes the request at once and reads the head of the response. Its errors are
-// marked with errNotSent or errResponseLost.
+// roundTrip writes the request and reads the head of the response. Its errors are marked with
+// errNotSent or errResponseLost.
 func (c *conn) roundTrip(r attemptRequest, deadline time.Time) (*http.Response, error) {
-	req := &http.Request{
-		Method:        r.method,
-		URL:           &url.URL{Opaque: r.uri},
-		Host:          r.host,
-		Header:        r.header,
-		ContentLength: int64(len(r.body)),
-	}
-	if len(r.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.body))
-	}
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		return nil, errors.Mark(err, errNotSent)
-	}
 	_ = c.SetDeadline(deadline)
-	if n, err := c.Write(out.Bytes()); err != nil {
+	if n, err := r.writeTo(c.Conn); err != nil {
 		if n == 0 {
 			return nil, errors.Mark(err, errNotSent)
 		}
 		return nil, errors.Mark(err, errResponseLost)
 	}
-	resp, err := c.readResponse(req)
+	resp, err := c.readResponse(&http.Request{Method: r.method})
 	if err != nil {
 		return nil, errors.Mark(err, errResponseLost)
 	}
