--- a/machine/entry/direct/attemptrequest_test.go
+++ b/machine/entry/direct/attemptrequest_test.go
@@ -81,7 +81,7 @@
 		address, requests := recordingTarget(t)
 		c, _ := boundedCall(newQuietEntry(), catalog.NonIdempotent)
 		r.Header.Set("Attempt-Id", "a")
-		c.r, c.body = r, body
+		c.r, c.body.data = r, body
 		outcome, _ := c.runAttempts(context.Background(), placement.Choice{ID: "target-1", Address: address})
 		if outcome != attempts.Completed {
 			t.Errorf("%q: outcome %v, want 0 (Completed)", line, outcome)
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -30,7 +30,7 @@
 	team     *catalog.Team
 	service  contract.ServiceName
 	deadline time.Time
-	body     []byte
+	body     requestBody
 	// suspect holds what may crash targets: the request as a whole, and the parts of the prompt
 	// that other requests may share.
 	suspect poison.Request
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -86,6 +86,7 @@
 	fleet       *fleetState
 	conns       *connPool
 	buffers     bufferBudget
+	bodies      bodyBudget
 	checks      *checkLoop
 	peers       *peers.Peers
 	weightCache *weightcache.Cache
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -167,7 +167,7 @@
 		uri:    c.r.RequestURI,
 		host:   c.r.Host,
 		header: attempt.ForwardedHeaders(c.r.Header),
-		body:   c.body,
+		body:   c.body.data,
 	}
 }
 
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -25,6 +24,8 @@
 	// notReadyRetryAfter is the time after which callers should retry while the entry has
 	// no manifest or no target list.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// bodiesFullRetryAfter is the time after which callers should retry whose bodies find no room.
+	bodiesFullRetryAfter = 500 * time.Millisecond
 )
 
 // callerHandler serves callers.
@@ -38,6 +39,8 @@
 	arrived := time.Now()
 	answer := &beginWriter{ResponseWriter: w}
 	c := &call{entry: e, w: answer, r: r, arrived: arrived, info: platform.DecodeCall(r.Header)}
+	c.body.budget = &e.bodies
+	defer c.body.release()
 	defer c.answerPanic(answer)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -98,7 +101,7 @@
 
 // identify determines by what the request may be recognized if it comes again.
 func (c *call) identify() {
-	id := poison.Identity{Method: c.r.Method, Host: c.hostName(), URI: c.r.RequestURI, Body: c.body}
+	id := poison.Identity{Method: c.r.Method, Host: c.hostName(), URI: c.r.RequestURI, Body: c.body.data}
 	if c.team != nil {
 		id.Caller = string(c.team.Name)
 	}
@@ -114,12 +117,13 @@
 	if m.Limits.BodyBytes > 0 {
 		limit = int64(m.Limits.BodyBytes)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.r.Body, limit))
+	err := c.body.readAll(http.MaxBytesReader(w, c.r.Body, limit), min(c.r.ContentLength, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		c.body = body
 		return true
+	case errors.Is(err, errBodiesFull):
+		c.writeUnavailable(contract.ReasonQueueFull, bodiesFullRetryAfter)
 	case errors.As(err, &tooLarge):
 		c.writeRejection(http.StatusRequestEntityTooLarge, contract.ReasonBodyTooLarge)
 	case c.r.Context().Err() == nil:
