A target that ends new connections has not crashed because of that

Callers saw answers without a length of a sound target given up, and requests could be blamed for a crash that was none: a target that has too many connections resets each new one, and such a connection counted as proof that the target had crashed.

Change: a connection that ends at once is made again, up to four times within 30 ms and more; only a refused one shows a crash. The listener of a process that ends still may last a little longer than its connections.

Test: TestTargetWithTooManyConnectionsIsNotDown failed before the fix ("resets each connection: isDown() = true, want false").

--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -18,6 +19,12 @@
 // crashCheckTimeout bounds the dial that shows whether a target still listens.
 const crashCheckTimeout = 200 * time.Millisecond
 
+// maxCrashDials bounds the dials of one look at a target, and crashRedialDelay is the time between two.
+const (
+	maxCrashDials    = 4
+	crashRedialDelay = 10 * time.Millisecond
+)
+
 // crashSettleTime is how long a new connection must last to show that its target is there.
 const crashSettleTime = 30 * time.Millisecond
 
@@ -113,19 +120,31 @@
 	return true
 }
 
-// isDown reports whether connections to an address are refused, or end at once: the listener of a
-// process that ends may last a little longer than its connections.
+// isDown reports whether connections to an address are refused. The listener of a process that ends
+// may last a little longer than its connections: one that ends at once is made again. A target that
+// has too many connections also ends them, and goes on doing so.
 func (e *Entry) isDown(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
-	conn, err := e.conns.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for range maxCrashDials {
+		conn, err := e.conns.dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		if lasts(conn) {
+			return false
+		}
+		time.Sleep(crashRedialDelay)
 	}
+	return false
+}
+
+// lasts reports whether a new connection does not end at once, and closes it.
+func lasts(conn net.Conn) bool {
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadDeadline(time.Now().Add(crashSettleTime))
-	_, err = conn.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // peekSuspect decides whether a request may be sent to a target; it need not be sent.
