Test: a catch-up whose peer is cut off reports a position in the store's era

TestCatchupRefreshesFeedWhenPeerAheadIsUnreachable could wait for ever: it reported the plain offset 1, while the feed holds positions in the era of the store, so that no peer was ever ahead; it passed only if its read reached the store after the second record was written.

It reports a position now, and the read waits at the store before the record is written, so that only the refresh can bring it.

--- a/machine/peers/catchup_test.go
+++ b/machine/peers/catchup_test.go
@@ -57,9 +57,17 @@
 		t.Fatalf("first changed key = %q, want \"a\"", key)
 	}
 	store.SetWakeupsDisabled(true)
-	c.ObservePeerOffset("entry-2", store.Put(platform.TopicOperators, "b", "2"))
-	if key := <-changedKeys; key != "b" {
-		t.Errorf("second changed key = %q, want \"b\"", key)
+	// The feed's next read waits at the store before "b" is written.
+	time.Sleep(50 * time.Millisecond)
+	offset := store.Put(platform.TopicOperators, "b", "2")
+	c.ObservePeerOffset("entry-2", contract.NewPosition(f.Era(), offset))
+	select {
+	case key := <-changedKeys:
+		if key != "b" {
+			t.Errorf("second changed key = %q, want \"b\"", key)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("\"b\" is not read within 10s, although a peer has reported it")
 	}
 	cancel()
 	wg.Wait()
