--- a/machine/entry/direct/buffered.go
+++ b/machine/entry/direct/buffered.go
@@ -28,10 +28,10 @@
 }
 
 // readBuffered reads a response to its end and returns it, unless it is unusable. A response is
-// unusable, and the attempt Lost, if it breaks off or may have done so, is larger than maxResponseBytes or than what
-// the buffers of all responses have left, has a content encoding, is a success or redirect
-// without the target's stamp, or has a status that implies that the request has not run. Any
-// other response with a status of 500 or above is returned with Failed; the caller gets it if no
+// unusable, and the attempt Lost, if it breaks off or may have done so, is larger than
+// maxResponseBytes or than what the buffers of all responses have left, has a content encoding, is
+// a success or redirect without the target's stamp, or has a status that implies that the request
+// has not run. Any other response with a status of 500 or above is returned with Failed; the caller gets it if no
 // other attempt follows.
 func (x *exchange) readBuffered(resp *http.Response, reply platform.Reply) (attempts.Outcome, *bufferedResponse) {
 	buffered := &bufferedResponse{status: reply.Status, header: platform.AnswerHeaders(resp.Header)}
--- a/machine/entry/direct/drain.go
+++ b/machine/entry/direct/drain.go
@@ -35,7 +35,7 @@
 // still arrive are served, and each response closes its connection. Once no new connections
 // arrive, those that wait for a request are ended, again and again until none is left. The
 // last requests have the rest of the grace period, up to killMargin, to complete. Then those under
-// way are ended, and lastAnswersTimeout is left to tell their callers.
+// way are ended, and their answers have lastAnswersTimeout to reach the callers.
 //
 // It does not call http.Server.Shutdown, which drops requests that have been read: it
 // closes connections whose next request the server has read in part, and a server that
--- a/machine/entry/direct/opencalls.go
+++ b/machine/entry/direct/opencalls.go
@@ -35,7 +35,7 @@
 }
 
 // endAll ends the attempts of all requests, also of those that are added later. The requests get no
-// other attempt: their callers are told at once whether they may have run.
+// other attempt, and their answers say whether they may have run.
 func (o *openCalls) endAll() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -54,9 +54,9 @@
 	// appendedEnd is the offset after the last of them.
 	stored                 []bool
 	storedEra, appendedEnd int64
-	// unverified holds records of pieces that were read before the digests were known, and
+	// unverified holds the records of pieces that were read before the digests were known, by key, and
 	// unverifiedBytes is their size.
-	unverified      []contract.Record
+	unverified      map[string]contract.Record
 	unverifiedBytes int
 	// nextOffset is the offset of the next read, in the era readEra of the store. They are
 	// used without a lock: by readStore, and once that has returned by backfillStore, which
--- a/machine/weightcache/pages_test.go
+++ b/machine/weightcache/pages_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/standin/fleet"
 )
@@ -41,6 +42,19 @@
 	}
 }
 
+// Guards against pieces that are dropped because those of one page were read again and again: the reads of
+// the next page failed.
+func TestPieceThatIsReadAgainIsHeldOnce(t *testing.T) {
+	cv := &cachedVersion{}
+	record := contract.Record{Key: "1", Value: make([]byte, 1<<20)}
+	for range 2 * MaxStoredBytes / len(record.Value) {
+		cv.applyRecords([]contract.Record{record})
+	}
+	if held := cv.takeUnverified(); len(held) != 1 {
+		t.Errorf("%d records of one piece are held, want 1", len(held))
+	}
+}
+
 // pagesTimeout limits the wait for pieces that the store has.
 const pagesTimeout = 5 * time.Second
 
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -188,18 +190,23 @@
 	cv.addPieces(set, records)
 }
 
-// holdUnverified holds pieces that cannot be verified until the digests are known: among the newest
-// records of a topic the digests come last. What exceeds MaxStoredBytes is dropped.
+// holdUnverified holds the newest record of each piece that cannot be verified until the digests are
+// known: among the newest records of a topic the digests come last. What exceeds MaxStoredBytes is
+// dropped.
 func (cv *cachedVersion) holdUnverified(records []contract.Record) {
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
+	if cv.unverified == nil {
+		cv.unverified = map[string]contract.Record{}
+	}
 	for _, r := range records {
-		if cv.unverifiedBytes+len(r.Value) > MaxStoredBytes {
+		added := len(r.Value) - len(cv.unverified[r.Key].Value)
+		if cv.unverifiedBytes+added > MaxStoredBytes {
 			cv.log().WithField("key", r.Key).Warn("piece from the store dropped: too much is held without digests")
 			return
 		}
-		cv.unverified = append(cv.unverified, r)
-		cv.unverifiedBytes += len(r.Value)
+		cv.unverified[r.Key] = r
+		cv.unverifiedBytes += added
 	}
 }
 
@@ -207,7 +214,7 @@
 func (cv *cachedVersion) takeUnverified() []contract.Record {
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
-	records := cv.unverified
+	records := slices.Collect(maps.Values(cv.unverified))
 	cv.unverified, cv.unverifiedBytes = nil, 0
 	return records
 }
