--- a/machine/entry/direct/isdown_test.go
+++ b/machine/entry/direct/isdown_test.go
@@ -1,51 +1,56 @@
 package direct
 
 import (
-	"context"
 	"net"
+	"syscall"
 	"testing"
-	"time"
 )
 
 // Guards against a target that counts as crashed, and answers and requests that are given up or blamed for it,
 // because it has too many connections and ends each new one; and against one that crashed and whose
 // listener lasts a little longer than its connections.
 func TestTargetWithTooManyConnectionsIsNotDown(t *testing.T) {
-	const never = time.Hour
+	const (
+		lasting = "lasting"
+		ending  = "ending"
+		refused = "refused"
+	)
 	for name, c := range map[string]struct {
-		// closesAfter is when the listener is closed.
-		closesAfter time.Duration
-		resets      bool
-		want        bool
+		// dials is what becomes of one dial after the other; the last one is repeated.
+		dials []string
+		want  bool
 	}{
-		"runs":                           {never, false, false},
-		"resets each connection":         {never, true, false},
-		"has crashed":                    {0, true, true},
-		"crashes, its listener later on": {crashRedialDelay * 3 / 2, true, true},
+		"runs":                           {[]string{lasting}, false},
+		"ends each connection":           {[]string{ending}, false},
+		"ends one connection":            {[]string{ending, lasting}, false},
+		"has crashed":                    {[]string{refused}, true},
+		"crashes, its listener later on": {[]string{ending, refused}, true},
+		"crashes, its listener last":     {[]string{ending, ending, ending, refused}, true},
+		"no connection in time":          {[]string{"timeout"}, false},
 	} {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		go func() {
-			for {
-				conn, err := lis.Accept()
-				if err != nil {
-					return
-				}
-				if c.resets {
-					resetConn(conn)
-				}
+		n := 0
+		got := isRefused(func() (net.Conn, error) {
+			dial := c.dials[min(n, len(c.dials)-1)]
+			n++
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			switch dial {
+			case lasting:
+				return near, nil
+			case ending:
+				_ = far.Close()
+				return near, nil
+			case refused:
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			default:
+				return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
 			}
-		}()
-		if c.closesAfter == 0 {
-			_ = lis.Close()
+		})
+		if got != c.want {
+			t.Errorf("%s: isRefused() = %v after %d dials, want %v", name, got, n, c.want)
 		}
-		closing := time.AfterFunc(c.closesAfter, func() { _ = lis.Close() })
-		if got := newQuietEntry().isDown(context.Background(), lis.Addr().String()); got != c.want {
-			t.Errorf("%s: isDown() = %v, want %v", name, got, c.want)
+		if n > maxCrashDials {
+			t.Errorf("%s: %d dials, want at most %d", name, n, maxCrashDials)
 		}
-		closing.Stop()
-		_ = lis.Close()
 	}
 }
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -120,14 +120,19 @@
 	return true
 }
 
-// isDown reports whether connections to an address are refused. The listener of a process that ends
-// may last a little longer than its connections: one that ends at once is made again. A target that
-// has too many connections also ends them, and goes on doing so.
+// isDown reports whether nothing listens at an address any more.
 func (e *Entry) isDown(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
+	return isRefused(func() (net.Conn, error) { return e.conns.dialer.DialContext(ctx, "tcp", address) })
+}
+
+// isRefused reports whether connections are refused. The listener of a process that ends may last a
+// little longer than its connections: one that ends at once is made again. A target that has too
+// many connections also ends them, and goes on doing so.
+func isRefused(dial func() (net.Conn, error)) bool {
 	for range maxCrashDials {
-		conn, err := e.conns.dialer.DialContext(ctx, "tcp", address)
+		conn, err := dial()
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
