--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -116,7 +116,9 @@
 			return
 		}
 		err := r.sendOrder(ctx, c, verifiedSince)
-		logger := logger.WithField("verified_ms", (r.bootTime() - verifiedSince).Milliseconds())
+		report := r.lastReport()
+		logger := logger.WithField("verified_ms", (r.bootTime()-verifiedSince).Milliseconds()).
+			WithField("born", report.Born).WithField("orders", report.Orders)
 		if errors.Is(err, errVerificationExpired) {
 			logger.Warn("verification of the staged pieces has expired; verifying them again")
 			continue
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -96,6 +96,13 @@
 	return r.report.Model.Version
 }
 
+// lastReport returns the engine's last report.
+func (r *reconciler) lastReport() platform.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report
+}
+
 // run calls reconcile at intervals until ctx ends.
 func (r *reconciler) run(ctx context.Context) {
 	timer := time.NewTimer(pollInterval)
@@ -144,7 +151,7 @@
 		return
 	}
 	r.log.WithField("up", isUp).WithField("version", current.Model.Version).WithField("layers", current.Model.Layers).
-		WithField("busy", current.Busy).WithField("born", current.Born).Info("engine changed")
+		WithField("busy", current.Busy).WithField("born", current.Born).WithField("orders", current.Orders).Info("engine changed")
 	r.target.peers.SendHeartbeats()
 }
 
@@ -173,9 +180,9 @@
 	return r.loadedVersion() == r.orderedVersion || time.Since(r.orderedAt) > orderReportLag
 }
 
-// sameEngineState reports whether two reports mean the same to entries.
+// sameEngineState reports whether two reports show the same orders and weights.
 func sameEngineState(a, b platform.Report) bool {
-	return a.Born == b.Born && a.Busy == b.Busy && a.Model.Version == b.Model.Version && a.Model.Layers == b.Model.Layers
+	return a.Born == b.Born && a.Orders == b.Orders && a.Busy == b.Busy && a.Model.Version == b.Model.Version && a.Model.Layers == b.Model.Layers
 }
 
 // updateCandidates adds the newest version to the candidates and starts to fetch the
