--- /dev/null
+++ b/machine/target/direct/loadingengine_test.go
@@ -0,0 +1,285 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mimosastand.example/mimosastand/config"
+	"mimosastand.example/mimosastand/machine/weightcache"
+	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+const (
+	testModel   = "m"
+	testService = "engines"
+	testLayers  = 4
+	// settleTimeout bounds how long an engine may take until it serves a version.
+	settleTimeout = 20 * time.Second
+	// tickInterval is the time between two calls of reconcile in these tests.
+	tickInterval = 10 * time.Millisecond
+	// checkInterval is the time between two looks at what requests would get.
+	checkInterval = 200 * time.Microsecond
+)
+
+func versionPiece(version int64, i int) []byte {
+	return fmt.Appendf(nil, "piece %d of version %d", i, version)
+}
+
+// loadingEngine is an engine with one staging area. It loads the staged pieces as they are when it
+// accepts an order, at once.
+type loadingEngine struct {
+	address string
+	// onPut is called before a piece is stored, and onOrder before an order is accepted; the call is
+	// carried out when it returns. Both get the number of such calls, from 1 on.
+	onPut   func(n, index int)
+	onOrder func(n int)
+
+	mu          sync.Mutex
+	puts, calls int
+	staged      map[int][]byte
+	// born, orders and layers are the start of the engine, the orders accepted since, and the number
+	// of layers that it holds, of version.
+	born, orders int64
+	layers       int
+	version      int64
+	// bad lists the pieces that were not those of the version when they were loaded.
+	bad []int
+	// loads counts the loads, badLoads those with a bad piece.
+	loads, badLoads int
+}
+
+// newLoadingEngine starts an engine that holds version 1, which is also staged.
+func newLoadingEngine(t *testing.T) *loadingEngine {
+	e := &loadingEngine{staged: map[int][]byte{}, born: 1, layers: testLayers, version: 1}
+	for i := range stagedPieces {
+		e.staged[i] = versionPiece(1, i)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/report", e.serveReport)
+	mux.HandleFunc("GET /-/stage-get/{model}", e.serveStagedPiece)
+	mux.HandleFunc("PUT /-/stage-put/{model}", e.storePiece)
+	mux.HandleFunc("POST /-/order", e.serveOrder)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	e.address = strings.TrimPrefix(server.URL, "http://")
+	return e
+}
+
+func (e *loadingEngine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := map[string]any{"busy": false, "seq_no": e.orders, "born": e.born, "models": []any{}, "layers": nil}
+	if e.layers > 0 {
+		report["models"] = []any{map[string]any{"name": testModel, "version": e.version}}
+		report["layers"] = map[string]any{"from": 0, "to": e.layers, "version": e.version}
+	}
+	_ = json.NewEncoder(w).Encode(report)
+}
+
+func (e *loadingEngine) serveStagedPiece(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	data, ok := e.staged[pieceIndex(r)]
+	e.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (e *loadingEngine) storePiece(_ http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.puts++
+	n := e.puts
+	e.mu.Unlock()
+	if e.onPut != nil {
+		e.onPut(n, pieceIndex(r))
+	}
+	e.setStaged(pieceIndex(r), data)
+}
+
+// serveOrder carries out an order to hold a range of layers, all if it names none.
+func (e *loadingEngine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	order := struct {
+		Version  int64  `json:"version"`
+		From, To *int   `json:",omitempty"`
+		Expect   *int64 `json:"expect"`
+	}{}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.calls++
+	n := e.calls
+	e.mu.Unlock()
+	if e.onOrder != nil {
+		e.onOrder(n)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	layers := testLayers
+	if order.To != nil {
+		layers = *order.To
+	}
+	switch {
+	case order.Expect != nil && *order.Expect != e.orders:
+		w.WriteHeader(http.StatusConflict)
+	case e.layers == layers && (layers == 0 || e.version == order.Version):
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.accept(order.Version, layers)
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// accept loads the staged pieces as they are, or gives up all layers; mu must be held.
+func (e *loadingEngine) accept(version int64, layers int) {
+	e.orders++
+	e.layers, e.version, e.bad = layers, version, nil
+	if layers == 0 {
+		return
+	}
+	for i := range stagedPieces {
+		if !bytes.Equal(e.staged[i], versionPiece(version, i)) {
+			e.bad = append(e.bad, i)
+		}
+	}
+	e.loads++
+	if len(e.bad) > 0 {
+		e.badLoads++
+	}
+}
+
+func (e *loadingEngine) setStaged(i int, data []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[i] = data
+}
+
+// restart starts the engine anew, without layers and without staged pieces.
+func (e *loadingEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.born++
+	e.orders, e.layers, e.version, e.bad = 0, 0, 0, nil
+	e.staged = map[int][]byte{}
+}
+
+// holdsSound reports whether the engine holds a version whole and without a bad piece.
+func (e *loadingEngine) holdsSound(version int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version == version && e.layers == testLayers && len(e.bad) == 0
+}
+
+// badAnswers reports whether the engine would answer from unsound weights a request that expects a
+// version, and from which pieces.
+func (e *loadingEngine) badAnswers(version int64) []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version != version {
+		return nil
+	}
+	return e.bad
+}
+
+// newCandidate returns a candidate with all pieces of a version.
+func newCandidate(t *testing.T, version int64) *candidate {
+	t.Helper()
+	var digests [][]byte
+	for i := range stagedPieces {
+		digest := sha256.Sum256(versionPiece(version, i))
+		digests = append(digests, digest[:])
+	}
+	c := &candidate{version: weightcache.Version{Model: testModel, Number: version}, set: pieces.NewSet(digests)}
+	for i := range stagedPieces {
+		if _, err := c.set.Add(i, versionPiece(version, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+// newTargetOf returns the process beside an engine, which has heard of version 1 only.
+func newTargetOf(t *testing.T, e *loadingEngine) *Target {
+	t.Helper()
+	const unreachable = "127.0.0.1:1"
+	target, err := New(&config.Process{Machine: "side-1", Zone: "zone-a", Fleet: &config.Fleet{
+		Store: unreachable, LinkAddress: "127.0.0.1:0", EngineAddress: e.address, EngineService: testService,
+		Bounds: config.Bounds{OldVersionGrace: 8 * time.Second},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	target.manifest = catalog.New(catalog.Manifest{Version: 1, Services: []catalog.Service{
+		{Name: testService, Engine: &catalog.Engine{Layers: testLayers, Chunks: stagedPieces, Models: []string{testModel}}},
+	}})
+	return target
+}
+
+// announce announces a version of which the process has all pieces.
+func announce(t *testing.T, target *Target, version int64) {
+	t.Helper()
+	target.mu.Lock()
+	target.announced.ForModel(testModel).ApplyRecord(time.Now(), version, time.Now())
+	target.mu.Unlock()
+	r := target.reconciler
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.candidates = append(r.candidates, newCandidate(t, version))
+	r.candidates = r.candidates[max(len(r.candidates)-maxCandidates, 0):]
+}
+
+// wouldBeSentRequests returns the version that requests expect which entries may send to the engine; 0
+// if they may send none.
+func wouldBeSentRequests(target *Target) int64 {
+	s := target.reconciler.status()
+	if !s.Up || s.Changing {
+		return 0
+	}
+	return s.Version
+}
+
+// reconcileUntil calls reconcile until the engine holds a version whole, sound and in use. It fails
+// when requests may be sent to the engine while it holds a bad piece of the version that they expect.
+func reconcileUntil(t *testing.T, target *Target, e *loadingEngine, version int64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { checkAnswers(ctx, t, target, e) })
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && !t.Failed(); time.Sleep(tickInterval) {
+		target.reconciler.reconcile(t.Context())
+		if wouldBeSentRequests(target) == version && e.holdsSound(version) {
+			return
+		}
+	}
+	t.Errorf("version %d is not served within %v: %+v", version, settleTimeout, target.reconciler.status())
+}
+
+// checkAnswers fails the test if requests are answered from bad pieces before ctx ends.
+func checkAnswers(ctx context.Context, t *testing.T, target *Target, e *loadingEngine) {
+	for ; ctx.Err() == nil; time.Sleep(checkInterval) {
+		sent := wouldBeSentRequests(target)
+		if bad := e.badAnswers(sent); sent > 0 && len(bad) > 0 {
+			t.Errorf("requests that expect version %d are answered from the bad pieces %v", sent, bad)
+			return
+		}
+	}
+}
