--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +25,8 @@
 	testModel   = "m"
 	testService = "engines"
 	testLayers  = 4
+	// stagedPieces is the number of pieces of a version.
+	stagedPieces = 8
 	// settleTimeout bounds how long an engine may take until it serves a version.
 	settleTimeout = 20 * time.Second
 	// tickInterval is the time between two calls of reconcile in these tests.
@@ -40,14 +43,16 @@
 // accepts an order, at once.
 type loadingEngine struct {
 	address string
-	// onPut is called before a piece is stored, and onOrder before an order is accepted; the call is
-	// carried out when it returns. Both get the number of such calls, from 1 on.
+	// onRead is called before a staged piece is returned, onPut before one is stored, and onOrder before
+	// an order is accepted; the call is carried out when it returns. All get the number of such calls,
+	// from 1 on.
+	onRead  func(n int)
 	onPut   func(n, index int)
 	onOrder func(n int)
 
-	mu          sync.Mutex
-	puts, calls int
-	staged      map[int][]byte
+	mu                 sync.Mutex
+	reads, puts, calls int
+	staged             map[int][]byte
 	// born, orders and layers are the start of the engine, the orders accepted since, and the number
 	// of layers that it holds, of version.
 	born, orders int64
@@ -76,6 +81,12 @@
 	return e
 }
 
+// pieceIndex returns the index of the piece that a call names.
+func pieceIndex(r *http.Request) int {
+	i, _ := strconv.Atoi(r.URL.Query().Get("sample_count"))
+	return i
+}
+
 func (e *loadingEngine) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -89,8 +100,13 @@
 
 func (e *loadingEngine) serveStagedPiece(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
+	e.reads++
+	n := e.reads
 	data, ok := e.staged[pieceIndex(r)]
 	e.mu.Unlock()
+	if e.onRead != nil {
+		e.onRead(n)
+	}
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -116,9 +132,10 @@
 // serveOrder carries out an order to hold a range of layers, all if it names none.
 func (e *loadingEngine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	order := struct {
-		Version  int64  `json:"version"`
-		From, To *int   `json:",omitempty"`
-		Expect   *int64 `json:"expect"`
+		Version int64  `json:"version"`
+		From    *int   `json:"from"`
+		To      *int   `json:"to"`
+		Expect  *int64 `json:"expect"`
 	}{}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		return
@@ -165,6 +182,13 @@
 	}
 }
 
+// readCount returns the number of pieces that have been read.
+func (e *loadingEngine) readCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reads
+}
+
 func (e *loadingEngine) setStaged(i int, data []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -9,7 +9,6 @@
 
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/platform"
-	"mimosastand.example/mimosastand/weights/pieces"
 	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
@@ -38,7 +37,7 @@
 		return
 	}
 	for i := range c.set.Len() {
-		err := r.engine.StagePiece(ctx, c.version.Model, i, c.set.Get(i))
+		err := r.stagePiece(ctx, c, i)
 		r.target.meters.countResult("pieces_staged", err)
 		if err != nil {
 			r.log.WithError(err).WithField("piece", i).Warn("staging piece failed")
@@ -53,6 +52,14 @@
 	c.stagedAt, c.stagedBorn = time.Now(), born
 }
 
+// stagePiece stages a piece of a candidate at the engine.
+func (r *reconciler) stagePiece(ctx context.Context, c *candidate, i int) error {
+	r.mu.Lock()
+	r.proof.isWritten = true
+	r.mu.Unlock()
+	return r.engine.StagePiece(ctx, c.version.Model, i, c.set.Get(i))
+}
+
 // orderWhenDue orders the engine to load a candidate when the target's turn in its zone is
 // due. Shortly before, it announces the change to entries by heartbeats.
 func (r *reconciler) orderWhenDue(ctx context.Context, c *candidate) {
@@ -63,7 +70,7 @@
 		Now:         time.Now(),
 		Up:          r.up,
 		Busy:        r.report.Busy || !r.orderedAt.IsZero() && time.Since(r.orderedAt) < orderReportLag,
-		Loaded:      r.loadedVersion(),
+		Loaded:      r.servedVersion(),
 		Desired:     c.version.Number,
 		BehindSince: r.target.behindSince(c.version.Model, r.loadedVersion()),
 		Rank:        rank,
@@ -104,10 +111,10 @@
 	return rank, total
 }
 
-// orderLoad verifies all staged pieces of a candidate and orders the engine to load them. The
-// engine loads the pieces as they are when it accepts the order, and one may turn bad after it was
-// verified. So the order is sent only while all verifications are recent: otherwise, for example
-// if the process stood still meanwhile, all pieces are verified again.
+// orderLoad verifies all staged pieces of a candidate, orders the engine to load them, and proves that it
+// has loaded sound ones. The engine loads the pieces as they are when it accepts the order, and one may
+// turn bad after it was verified. So the order is sent only while all verifications are recent:
+// otherwise, for example if the process stood still meanwhile, all pieces are verified again.
 func (r *reconciler) orderLoad(ctx context.Context, c *candidate) {
 	logger := r.log.WithField("version", c.version.String())
 	for range maxVerifications {
@@ -115,8 +122,12 @@
 		if !r.verifyAllStaged(ctx, c, logger) {
 			return
 		}
-		err := r.sendOrder(ctx, c, verifiedSince)
+		// The report shows that the pieces were staged before the engine accepts the order.
+		if !r.pollEngine(ctx) {
+			return
+		}
 		report := r.lastReport()
+		err := r.sendOrder(ctx, c, report.Orders, verifiedSince)
 		logger := logger.WithField("verified_ms", (r.bootTime()-verifiedSince).Milliseconds()).
 			WithField("born", report.Born).WithField("orders", report.Orders)
 		if errors.Is(err, errVerificationExpired) {
@@ -129,6 +140,9 @@
 		}
 		logger.Info("load order accepted")
 		r.recordOrder(c)
+		if r.pollEngine(ctx) {
+			r.proveLoaded(ctx)
+		}
 		return
 	}
 	logger.Warn("staged pieces could not be verified in time; load order postponed")
@@ -138,7 +152,7 @@
 // be verified.
 func (r *reconciler) verifyAllStaged(ctx context.Context, c *candidate, logger log.Interface) bool {
 	for i := range c.set.Len() {
-		if err := r.verifyStaged(ctx, c.set, c.version.Model, i); err != nil {
+		if err := r.verifyStaged(ctx, c, i); err != nil {
 			logger.WithError(err).WithField("piece", i).Warn("staged piece could not be verified; load order postponed")
 			return false
 		}
@@ -146,10 +160,12 @@
 	return true
 }
 
-// sendOrder sends the order to load a candidate whose pieces have been verified since a boot time.
-// It fails with errVerificationExpired, without sending it, if that is too long ago.
-func (r *reconciler) sendOrder(ctx context.Context, c *candidate, verifiedSince time.Duration) error {
-	err := r.engine.Load(ctx, c.version.Model, c.version.Number, func() error {
+// sendOrder sends the order to load a candidate whose pieces have been verified since a boot time, to an
+// engine that has accepted a number of orders. It fails with errVerificationExpired, without sending it,
+// if the verification is too long ago.
+func (r *reconciler) sendOrder(ctx context.Context, c *candidate, accepted int64, verifiedSince time.Duration) error {
+	order := platform.Order{Model: c.version.Model, Version: c.version.Number, Accepted: accepted}
+	err := r.engine.Load(ctx, order, func() error {
 		if r.bootTime()-verifiedSince > maxVerificationAge {
 			return errVerificationExpired
 		}
@@ -168,18 +184,18 @@
 
 // verifyStaged reads a staged piece back and verifies it. A piece that is unreadable or
 // corrupt is staged again and read back again, up to maxAttempts times.
-func (r *reconciler) verifyStaged(ctx context.Context, set *pieces.Set, model string, i int) error {
+func (r *reconciler) verifyStaged(ctx context.Context, c *candidate, i int) error {
 	const maxAttempts = 3
 	for range maxAttempts {
-		data, err := r.engine.StagedPiece(ctx, model, i)
+		data, err := r.engine.StagedPiece(ctx, c.version.Model, i)
 		if err == nil {
-			if err = set.Verify(i, data); err == nil {
+			if err = c.set.Verify(i, data); err == nil {
 				return nil
 			}
 		}
 		r.target.meters.countCorruptPiece()
 		r.log.WithError(err).WithField("piece", i).Warn("staged piece unreadable or corrupt; staging it again")
-		if err := r.engine.StagePiece(ctx, model, i, set.Get(i)); err != nil {
+		if err := r.stagePiece(ctx, c, i); err != nil {
 			return err
 		}
 	}
--- a/machine/target/direct/meters.go
+++ b/machine/target/direct/meters.go
@@ -29,6 +29,12 @@
 // countCorruptPiece counts a staged piece that was unreadable or corrupt.
 func (m *meters) countCorruptPiece() { m.scope.Counter("pieces_spoilt").Inc(1) }
 
+// countProof counts an attempt to prove that an engine has loaded sound weights, by its result: "sound",
+// "unsound", or "failed" if the staged pieces could not be read.
+func (m *meters) countProof(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("proofs").Inc(1)
+}
+
 // countStoreRestore counts a return of the store from an older copy.
 func (m *meters) countStoreRestore() { m.scope.Counter("store_restores").Inc(1) }
 
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -57,6 +57,8 @@
 
 	// candidates lists the versions that the engine should load, oldest first.
 	candidates []*candidate
+
+	proof proof
 }
 
 func newReconciler(t *Target) *reconciler {
@@ -76,7 +78,7 @@
 		Address:  r.target.process.Fleet.EngineAddress,
 		Born:     r.report.Born,
 		Up:       r.up,
-		Changing: r.changePending || r.report.Busy,
+		Changing: r.changePending || r.report.Busy || r.isUnproved(),
 	}
 	if r.up {
 		s.Version = r.loadedVersion()
@@ -103,6 +105,15 @@
 	return r.report
 }
 
+// servedVersion returns the version that the engine serves, 0 if none: weights that are not known to be
+// sound serve no requests. mu must be held.
+func (r *reconciler) servedVersion() int64 {
+	if r.isUnproved() {
+		return 0
+	}
+	return r.loadedVersion()
+}
+
 // run calls reconcile at intervals until ctx ends.
 func (r *reconciler) run(ctx context.Context) {
 	timer := time.NewTimer(pollInterval)
@@ -122,7 +133,7 @@
 func (r *reconciler) nextPollDelay() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.up && (r.changePending || r.report.Busy) {
+	if r.up && (r.changePending || r.report.Busy || r.isUnproved()) {
 		return changePollInterval
 	}
 	return pollInterval
@@ -136,23 +147,25 @@
 		return
 	}
 	r.updateCandidates(ctx, version, origin)
+	r.proveLoaded(ctx)
 	if c := r.nextCandidate(); c != nil {
 		r.stagePieces(ctx, c)
 		r.orderWhenDue(ctx, c)
 	}
 }
 
-// pollEngine reads the engine's report. It sends heartbeats at once if the engine's state
-// has changed.
-func (r *reconciler) pollEngine(ctx context.Context) {
+// pollEngine reads the engine's report, and reports whether the engine answered. It sends heartbeats at
+// once if the engine's state has changed.
+func (r *reconciler) pollEngine(ctx context.Context) (isUp bool) {
 	report, err := r.engine.Report(ctx)
 	previous, wasUp, current, isUp := r.recordReport(report, err == nil)
 	if wasUp == isUp && (!isUp || sameEngineState(previous, current)) {
-		return
+		return isUp
 	}
 	r.log.WithField("up", isUp).WithField("version", current.Model.Version).WithField("layers", current.Model.Layers).
 		WithField("busy", current.Busy).WithField("born", current.Born).WithField("orders", current.Orders).Info("engine changed")
 	r.target.peers.SendHeartbeats()
+	return isUp
 }
 
 // recordReport stores the report if the engine answered; otherwise the last report stays.
@@ -163,7 +176,9 @@
 	previous, wasUp = r.report, r.up
 	r.up = answered
 	if answered {
+		isFirst := r.reportedAt.IsZero()
 		r.report, r.reportedAt = report, time.Now()
+		r.proof.observe(r.state(), report.Busy, isFirst)
 		if report.Born != previous.Born || r.orderFinished() {
 			r.changePending, r.orderedAt = false, time.Time{}
 		}
@@ -209,6 +224,7 @@
 		Desired:   v.Number,
 		HasBeenUp: r.report.Born != 0,
 		Returned:  r.target.peers.HasPreviousRun(),
+		Unproved:  r.isUnproved(),
 	}
 }
 
--- a/machine/target/direct/reconciler_test.go
+++ b/machine/target/direct/reconciler_test.go
@@ -40,6 +40,10 @@
 		} {
 			time.Sleep(c.after)
 			r.recordReport(c.report, true)
+			if c.report.Busy {
+				// The weights are proved while the engine loads them.
+				r.proof.sound = weightsState{born: 1, version: 2}
+			}
 			if got := r.status(); got.Changing != c.changing {
 				t.Errorf("%+v: Changing = %v, want %v", c.report, got.Changing, c.changing)
 			}
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 	"time"
+
+	"mimosastand.example/mimosastand/platform"
 )
 
 // stallTime is longer than the process waits for the engine to store a piece.
@@ -152,3 +154,77 @@
 	}
 	t.Fatal("the engine got no order")
 }
+
+// Guards against answers from weights that nothing is known of (WHOLE, inc2): the order to load them was
+// given by an earlier process, or to another start of the engine. Weights that an engine holds when
+// the process first hears of it, or starts with, are trusted.
+func TestProofIsDueAfterOrdersOfOthers(t *testing.T) {
+	held := weightsState{born: 1, orders: 2, version: 2}
+	for name, c := range map[string]struct {
+		known        proof
+		reported     weightsState
+		isBusy       bool
+		isFirst      bool
+		wantUnproved bool
+	}{
+		"loaded before this process":        {proof{}, held, false, true, false},
+		"loads as this process starts":      {proof{}, held, true, true, true},
+		"nothing new":                       {proof{sound: held}, held, false, false, false},
+		"another order":                     {proof{sound: held}, weightsState{1, 3, 2}, false, false, true},
+		"another version without an order":  {proof{sound: held}, weightsState{1, 2, 3}, false, false, true},
+		"started again without layers":      {proof{sound: held}, weightsState{2, 0, 0}, false, false, false},
+		"started again with version 1":      {proof{sound: held}, weightsState{2, 0, 1}, false, false, false},
+		"ordered at once after its restart": {proof{sound: held}, weightsState{2, 1, 2}, false, false, true},
+		"has given up its layers":           {proof{sound: held}, weightsState{1, 3, 0}, false, false, false},
+		"loads after giving up its layers":  {proof{sound: held}, weightsState{1, 4, 0}, true, false, true},
+	} {
+		c.known.observe(c.reported, c.isBusy, c.isFirst)
+		if got := c.known.sound != c.reported; got != c.wantUnproved {
+			t.Errorf("%s: unproved = %v, want %v", name, got, c.wantUnproved)
+		}
+	}
+}
+
+// Guards against bad pieces that are repaired before they are looked at (WHOLE, inc2): pieces that may have
+// been staged after the engine took them prove nothing.
+func TestPiecesStagedSinceTheOrderProveNothing(t *testing.T) {
+	accepted := weightsState{born: 1, orders: 3, version: 2}
+	for name, c := range map[string]struct {
+		known proof
+		want  bool
+	}{
+		"nothing staged":                           {proof{}, false},
+		"staged, report, order":                    {proof{written: weightsState{1, 2, 1}}, false},
+		"staged after the order, report":           {proof{written: weightsState{1, 3, 1}}, true},
+		"staged since the last report":             {proof{isWritten: true, written: weightsState{1, 2, 1}}, true},
+		"staged at an earlier start of the engine": {proof{written: weightsState{9, 5, 1}}, false},
+	} {
+		if got := c.known.mayHaveChanged(accepted); got != c.want {
+			t.Errorf("%s: mayHaveChanged() = %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against an engine that stays out of use because the process beside it was replaced while it
+// loaded: its weights are proved by the pieces that the new process fetches.
+func TestWeightsLoadedForEarlierProcessAreProved(t *testing.T) {
+	e := newLoadingEngine(t)
+	first := newTargetOf(t, e)
+	first.reconciler.reconcile(t.Context())
+	announce(t, first, 2)
+	reconcileUntil(t, first, e, 2)
+	second := newTargetOf(t, e)
+	second.reconciler.recordReport(platform.Report{Born: 1, Orders: 1, Busy: true}, true)
+	second.reconciler.reconcile(t.Context())
+	if got := wouldBeSentRequests(second); got != 0 {
+		t.Errorf("requests that expect version %d are sent before the proof", got)
+	}
+	if r := second.reconciler; !r.fetchState(newCandidate(t, 2).version).ShouldFetch() {
+		t.Error("the pieces that prove the weights are not fetched")
+	}
+	announce(t, second, 2)
+	reconcileUntil(t, second, e, 2)
+	if e.loads != 1 {
+		t.Errorf("%d loads, want the one of the first process", e.loads)
+	}
+}
--- a/standin/fleet/engine.go
+++ b/standin/fleet/engine.go
@@ -61,6 +61,8 @@
 	// losesAnswers is set if requests run and their connections are closed without an
 	// answer.
 	losesAnswers bool
+	// orders counts the orders that were accepted since the start.
+	orders int64
 	// loaded lists "version:index:hash" of every piece that was ever loaded.
 	loaded []string
 	// runLog lists the runs in the order of their start.
--- a/standin/fleet/weights.go
+++ b/standin/fleet/weights.go
@@ -39,7 +39,7 @@
 func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := map[string]any{"busy": false, "seq_no": len(e.loaded), "queue_depth": 0, "in_flight": e.running, "born": e.born}
+	entry := map[string]any{"busy": false, "seq_no": e.orders, "queue_depth": 0, "in_flight": e.running, "born": e.born}
 	e.addModel(entry)
 	_ = json.NewEncoder(w).Encode(entry)
 }
@@ -68,28 +68,46 @@
 	_, _ = w.Write(data)
 }
 
-// serveOrder loads the staged pieces without verifying them.
+// serveOrder carries out an order to hold all layers, loaded from the staged pieces without verifying
+// them, or none.
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Op      string `json:"op"`
 		Version int64  `json:"version"`
+		To      *int   `json:"to"`
+		Expect  *int64 `json:"expect"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Op != "start" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
-	for i := range len(e.staged) {
-		sum := sha256.Sum256(e.staged[i])
-		e.loaded = append(e.loaded, fmt.Sprintf("%d:%d:%s", order.Version, i, hex.EncodeToString(sum[:])))
+	if order.Expect != nil && *order.Expect != e.orders {
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.orders++
+	if order.To != nil && *order.To == 0 {
+		e.version = 0
+	} else {
+		e.loadStaged(order.Version)
 	}
-	e.version = order.Version
 	state := e.state
 	e.mu.Unlock()
 	e.Publish(state)
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// loadStaged loads the staged pieces as a version; mu must be held.
+func (e *Engine) loadStaged(version int64) {
+	for i := range len(e.staged) {
+		sum := sha256.Sum256(e.staged[i])
+		e.loaded = append(e.loaded, fmt.Sprintf("%d:%d:%s", version, i, hex.EncodeToString(sum[:])))
+	}
+	e.version = version
+}
+
 // LoadedPieces lists "version:index:hash" of every piece that was ever loaded.
 func (e *Engine) LoadedPieces() []string {
 	e.mu.Lock()
--- a/weights/upgrade/fetchstate.go
+++ b/weights/upgrade/fetchstate.go
@@ -14,6 +14,8 @@
 	// HasBeenUp reports whether the engine has answered this process before. Returned
 	// reports whether an earlier process of this machine had published itself as a member.
 	HasBeenUp, Returned bool
+	// Unproved reports whether the loaded weights are not known to be sound. Their pieces show it.
+	Unproved bool
 }
 
 // ShouldFetch reports whether the pieces are to be fetched. An engine that ran before and
@@ -21,7 +23,7 @@
 // yet to start for the first time holds the first version, and needs only later ones.
 func (s FetchState) ShouldFetch() bool {
 	if s.Up {
-		return s.Loaded < s.Desired
+		return s.Loaded < s.Desired || s.Unproved && s.Loaded == s.Desired
 	}
 	return s.HasBeenUp || s.Returned || s.Desired > FirstVersion
 }
--- a/weights/upgrade/fetchstate_test.go
+++ b/weights/upgrade/fetchstate_test.go
@@ -16,6 +16,8 @@
 		"machine back after failure": {FetchState{Returned: true, Desired: 1}, true},
 		"not started, later version": {FetchState{Desired: 2}, true},
 		"one version behind":         {FetchState{Up: true, Loaded: 1, Desired: 2, HasBeenUp: true}, true},
+		"loaded, not proved":         {FetchState{Up: true, Loaded: 2, Desired: 2, Unproved: true}, true},
+		"older, not proved":          {FetchState{Up: true, Loaded: 3, Desired: 2, Unproved: true}, false},
 		"ahead":                      {FetchState{Up: true, Loaded: 3, Desired: 2, HasBeenUp: true}, false},
 	} {
 		if got := c.state.ShouldFetch(); got != c.want {
