--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -110,7 +110,7 @@
 		time.AfterFunc(listenRetryInterval, e.comeBack)
 		return
 	}
-	e.withLock(func() { e.born = time.Now().UnixMilli() })
+	e.withLock(func() { e.born, e.orders = time.Now().UnixMilli(), 0 })
 	if err := e.serve(listener); err != nil {
 		return
 	}
