--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -68,7 +68,7 @@
 func (r *reconciler) proveLoaded(ctx context.Context) {
 	r.mu.Lock()
 	c := r.loadedCandidate()
-	if c == nil || !r.isUnproved() {
+	if c == nil || !r.up || !r.isUnproved() {
 		r.mu.Unlock()
 		return
 	}
