--- a/machine/target/direct/candidate.go
+++ b/machine/target/direct/candidate.go
@@ -18,18 +18,30 @@
 	set     *pieces.Set
 	// fetching reports whether a goroutine is fetching its pieces.
 	fetching bool
-	// stagedAt is when all pieces had been staged at the engine, and stagedBorn is the
-	// engine's start time then: an engine that restarts loses its staged pieces. stagedAt
-	// is zero if the pieces are not staged.
-	stagedAt   time.Time
-	stagedBorn int64
 }
 
 // isComplete reports whether all pieces of the version have been fetched.
 func (c *candidate) isComplete() bool { return c.set != nil && c.set.IsComplete() }
 
-// isStaged reports whether the pieces are staged at the engine that started at born.
-func (c *candidate) isStaged(born int64) bool { return !c.stagedAt.IsZero() && c.stagedBorn == born }
+// stagingArea is what an engine's staging area holds: it has one copy of each piece, and any piece that
+// is staged replaces that of another version.
+type stagingArea struct {
+	// candidate is the version of which all pieces had been staged at the time at; nil if pieces of
+	// several versions may be staged.
+	candidate *candidate
+	at        time.Time
+	// born is the engine's start time then: an engine that restarts loses its staged pieces.
+	born int64
+}
+
+// stagedAt returns when all pieces of c had been staged at the engine that started at born; zero if they
+// are not all staged.
+func (a stagingArea) stagedAt(c *candidate, born int64) time.Time {
+	if a.candidate != c || a.born != born {
+		return time.Time{}
+	}
+	return a.at
+}
 
 // addCandidate appends an announced version to the candidates, which are in rising order
 // of version, and drops the oldest beyond maxCandidates. It returns them unchanged if any
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -31,7 +31,7 @@
 func (r *reconciler) stagePieces(ctx context.Context, c *candidate) {
 	r.mu.Lock()
 	born := r.report.Born
-	isStaged := c.isStaged(born)
+	isStaged := !r.staged.stagedAt(c, born).IsZero()
 	r.mu.Unlock()
 	if isStaged {
 		return
@@ -46,16 +46,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, other := range r.candidates {
-		other.stagedAt = time.Time{}
-	}
-	c.stagedAt, c.stagedBorn = time.Now(), born
+	r.staged = stagingArea{candidate: c, at: time.Now(), born: born}
 }
 
-// stagePiece stages a piece of a candidate at the engine.
+// stagePiece stages a piece of a candidate at the engine. From then on no other candidate is staged as a
+// whole, whether or not the engine answers.
 func (r *reconciler) stagePiece(ctx context.Context, c *candidate, i int) error {
 	r.mu.Lock()
 	r.proof.isWritten = true
+	if r.staged.candidate != c {
+		r.staged = stagingArea{}
+	}
 	r.mu.Unlock()
 	return r.engine.StagePiece(ctx, c.version.Model, i, c.set.Get(i))
 }
@@ -77,9 +78,7 @@
 		ZoneTargets: total,
 		Bound:       bound,
 		NewsDelay:   r.target.peers.NewsDelay(),
-	}
-	if c.isStaged(r.report.Born) {
-		state.StagedAt = c.stagedAt
+		StagedAt:    r.staged.stagedAt(c, r.report.Born),
 	}
 	step := upgrade.Decide(state)
 	becomesPending := step != upgrade.Wait && !r.changePending
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -57,6 +57,8 @@
 
 	// candidates lists the versions that the engine should load, oldest first.
 	candidates []*candidate
+	// staged is what the engine's staging area holds.
+	staged stagingArea
 
 	proof proof
 }
