--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -160,6 +160,9 @@
 	// Load is the number of requests that run or wait at the engine, if HasLoad is set.
 	Load    uint32 `cbor:"6,keyasint,omitempty"`
 	HasLoad bool   `cbor:"7,keyasint,omitempty"`
+	// Layers is the number of layers that are loaded, from the first one on; 0 if not reported. The
+	// process beside the engine may not know how many the model has.
+	Layers uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // TargetReport is the state of a model engine that an entry passes on to others.
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -180,7 +180,7 @@
 		inFlight := p.InFlight()
 		for _, t := range fs.roster.Members(name) {
 			s.targetStates = append(s.targetStates, targetState{
-				service: name, id: t.ID, version: t.Version(now), inFlight: inFlight[t.ID], listedAge: now.Sub(t.ListedAt),
+				service: name, id: t.ID, version: t.Version(now, fs.modelLayers(name)), inFlight: inFlight[t.ID], listedAge: now.Sub(t.ListedAt),
 				limit: fs.limitOf(t),
 			})
 		}
--- a/machine/entry/direct/targetreports.go
+++ b/machine/entry/direct/targetreports.go
@@ -13,7 +13,7 @@
 func (fs *fleetState) applyEngineStatus(now time.Time, e *contract.EngineStatus) (hasNews bool) {
 	status := roster.Status{
 		Version:  e.Version,
-		Ready:    e.Up && e.Version > 0,
+		Ready:    e.Up && e.Version > 0 && fs.isWhole(e),
 		Changing: e.Changing,
 		Load:     int(e.Load),
 		HasLoad:  e.HasLoad,
@@ -25,6 +25,24 @@
 	return hasNews
 }
 
+// isWhole reports whether an engine has loaded as many layers as its model has, as far as both are known.
+func (fs *fleetState) isWhole(e *contract.EngineStatus) bool {
+	m := fs.roster.ByAddress(e.Address)
+	if m == nil || e.Layers == 0 {
+		return true
+	}
+	layers := fs.modelLayers(m.Service)
+	return layers == 0 || int(e.Layers) == layers
+}
+
+// modelLayers returns the number of layers of a service's model; 0 if it is not known.
+func (fs *fleetState) modelLayers(service contract.ServiceName) int {
+	if fs.manifest == nil {
+		return 0
+	}
+	return fs.manifest.ModelLayers(service)
+}
+
 // applyTargetReports applies the reports on engines that another entry passes on. They are passed on
 // with regular heartbeats only: by their ages an older report may count as the newer one for a while,
 // and the two would be passed to and fro.
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -58,6 +58,8 @@
 	born, orders int64
 	layers       int
 	version      int64
+	// reported replaces the layers in the report until the engine accepts an order; nil does not.
+	reported any
 	// bad lists the pieces that were not those of the version when they were loaded.
 	bad []int
 	// loads counts the loads, badLoads those with a bad piece.
@@ -95,6 +97,9 @@
 		report["models"] = []any{map[string]any{"name": testModel, "version": e.version}}
 		report["layers"] = map[string]any{"from": 0, "to": e.layers, "version": e.version}
 	}
+	if e.reported != nil {
+		report["layers"] = e.reported
+	}
 	_ = json.NewEncoder(w).Encode(report)
 }
 
@@ -167,7 +172,7 @@
 // accept loads the staged pieces as they are, or gives up all layers; mu must be held.
 func (e *loadingEngine) accept(version int64, layers int) {
 	e.orders++
-	e.layers, e.version, e.bad = layers, version, nil
+	e.layers, e.version, e.bad, e.reported = layers, version, nil, nil
 	if layers == 0 {
 		return
 	}
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -79,6 +80,7 @@
 		Born:     r.report.Born,
 		Up:       r.up,
 		Changing: r.changePending || r.report.Busy || r.isUnproved(),
+		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
 	}
 	if r.up {
 		s.Version = r.loadedVersion()
@@ -90,12 +92,9 @@
 }
 
 // loadedVersion returns the version that the engine has loaded completely, 0 if there is
-// none. mu must be held.
+// none. Before the manifest is known, entries tell whether its layers are all. mu must be held.
 func (r *reconciler) loadedVersion() int64 {
-	if r.report.Model.Layers == 0 {
-		return 0
-	}
-	return r.report.Model.Version
+	return r.report.Model.WholeVersion(r.target.modelLayers())
 }
 
 // lastReport returns the engine's last report.
@@ -197,7 +196,7 @@
 
 // sameEngineState reports whether two reports show the same orders and weights.
 func sameEngineState(a, b platform.Report) bool {
-	return a.Born == b.Born && a.Orders == b.Orders && a.Busy == b.Busy && a.Model.Version == b.Model.Version && a.Model.Layers == b.Model.Layers
+	return a.Born == b.Born && a.Orders == b.Orders && a.Busy == b.Busy && a.Model == b.Model
 }
 
 // updateCandidates adds the newest version to the candidates and starts to fetch the
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -252,6 +252,16 @@
 	return v, t.manifest.Origin(), true
 }
 
+// modelLayers returns the number of layers of the engine's model; 0 while that is not known.
+func (t *Target) modelLayers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.manifest == nil {
+		return 0
+	}
+	return t.manifest.ModelLayers(t.process.Fleet.EngineService)
+}
+
 // behindSince returns the time from which the oldest version of a model above loaded
 // counts as announced; zero if there is no such version.
 func (t *Target) behindSince(model string, loaded int64) time.Time {
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -228,3 +228,37 @@
 		t.Errorf("%d loads, want the one of the first process", e.loads)
 	}
 }
+
+// layerRange is a range of layers in the report of an engine; To is exclusive.
+type layerRange struct {
+	From    int   `json:"from"`
+	To      int   `json:"to"`
+	Version int64 `json:"version"`
+}
+
+// Guards against answers from an engine that lacks layers or holds layers of two versions (WHOLE, inc2,
+// H5): any number of layers counted as the whole model.
+func TestEngineThatIsNotWholeIsNotReportedAsLoaded(t *testing.T) {
+	const half = testLayers / 2
+	for name, c := range map[string]struct {
+		layers []layerRange
+		want   int64
+	}{
+		"whole":               {[]layerRange{{0, testLayers, 1}}, 1},
+		"whole in two ranges": {[]layerRange{{0, half, 1}, {half, testLayers, 1}}, 1},
+		"first layer":         {[]layerRange{{0, 1, 1}}, 0},
+		"last layers":         {[]layerRange{{half, testLayers, 1}}, 0},
+		"overlap":             {[]layerRange{{0, half, 1}, {0, half, 1}}, 0},
+		"two versions":        {[]layerRange{{0, half, 1}, {half, testLayers, 2}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newLoadingEngine(t)
+			e.reported = c.layers
+			target := newTargetOf(t, e)
+			target.reconciler.pollEngine(t.Context())
+			if got := wouldBeSentRequests(target); got != c.want {
+				t.Errorf("requests that expect version %d are sent, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/zone/catalog/catalog.go
+++ b/zone/catalog/catalog.go
@@ -187,6 +187,15 @@
 	return m.services[name]
 }
 
+// ModelLayers returns the number of layers of a service's model; 0 if it is not known.
+func (m *Manifest) ModelLayers(name contract.ServiceName) int {
+	s := m.Service(name)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.Layers
+}
+
 // HasTeams reports whether any team is configured, in which case requests need a key.
 func (m *Manifest) HasTeams() bool { return len(m.Teams) > 0 }
 
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -101,7 +101,7 @@
 	if s, ok := m.Status(now); ok && s.Changing {
 		return ExcludedChanging
 	}
-	version := m.Version(now)
+	version := m.Version(now, p.modelLayers())
 	if req.Pinned != 0 && version != req.Pinned {
 		return ExcludedVersion
 	}
@@ -111,6 +111,14 @@
 	return NotExcluded
 }
 
+// modelLayers returns the number of layers of the service's model; 0 if it is not known.
+func (p *Pool) modelLayers() int {
+	if p.service == nil || p.service.Engine == nil {
+		return 0
+	}
+	return p.service.Engine.Layers
+}
+
 // connShare returns how many connections this entry may have to one target. Each carries one
 // attempt at a time. Every entry may have one: if there are more entries than connections,
 // KeepsIdleConns tells them to close theirs after each attempt.
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -133,7 +133,7 @@
 		ID:              m.ID,
 		Address:         m.Address,
 		Born:            m.Born,
-		Version:         m.Version(now),
+		Version:         m.Version(now, p.modelLayers()),
 		MinVersion:      req.MinVersion,
 		FirstEventDelay: NewLatencyModel(p.service, m.Slots).FirstEventDelay(n),
 		Load:            int(n),
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -99,19 +99,16 @@
 	return !m.statusAt.IsZero() && now.Sub(m.statusAt) > silenceTimeout
 }
 
-// Version returns the version of the weights that the target has loaded. It is 0 if
-// the target cannot serve a model.
-func (m *Member) Version(now time.Time) int64 {
+// Version returns the version of the weights that the target has loaded, of a model with a number of
+// layers; 0 if that is not known. It is 0 if the target cannot serve a model.
+func (m *Member) Version(now time.Time, layers int) int64 {
 	if s, ok := m.Status(now); ok {
 		if !s.Ready {
 			return 0
 		}
 		return s.Version
 	}
-	if m.Model == nil || m.Model.Layers == 0 {
-		return 0
-	}
-	return m.Model.Version
+	return m.loaded().WholeVersion(layers)
 }
 
 // Roster holds the targets of all services.
@@ -263,6 +260,9 @@
 // ByReportKey returns the target that reports with a key are about, or nil if it is not listed.
 func (r *Roster) ByReportKey(key ReportKey) *Member { return r.byReportKey[key] }
 
+// ByAddress returns the target that started last at an address, or nil if none is listed there.
+func (r *Roster) ByAddress(address string) *Member { return r.byAddress[address] }
+
 // ClearStatus discards the status of the target at address, because reports of its
 // process are no longer received. The absence of reports then does not count as
 // silence.
--- a/zone/roster/roster_test.go
+++ b/zone/roster/roster_test.go
@@ -88,7 +88,7 @@
 func formatMembers(r *Roster, now time.Time) string {
 	var lines []string
 	for _, m := range r.Members("s") {
-		line := fmt.Sprintf("%s born=%d version=%d", m.ID, m.Born, m.Version(now))
+		line := fmt.Sprintf("%s born=%d version=%d", m.ID, m.Born, m.Version(now, 0))
 		if m.Leaving {
 			line += " leaving"
 		}
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -38,10 +38,21 @@
 // Model is what a model engine has loaded.
 type Model struct {
 	Name string
-	// Version is the version of the loaded weights; 0 if no layer is loaded.
+	// Version is the newest version of the loaded layers; 0 if no layer is loaded.
 	Version int64
-	// Layers is the number of loaded layers.
+	// Layers is the number of layers that are loaded without a gap, from the first one on.
 	Layers int
+	// IsMixed is set if the layers are not all of one model and version.
+	IsMixed bool
+}
+
+// WholeVersion returns the version of the weights if all layers of the model are loaded, of one version;
+// 0 if not. layers is how many the model has; 0 if that is not known, then any first layers count as all.
+func (m Model) WholeVersion(layers int) int64 {
+	if m.IsMixed || m.Layers == 0 || layers > 0 && m.Layers != layers {
+		return 0
+	}
+	return m.Version
 }
 
 // loaded returns what a model engine has loaded; the zero value for a plain service.
