--- a/internal/explain/conclude.go
+++ b/internal/explain/conclude.go
@@ -29,6 +29,7 @@
 	var sentences []string
 	sentences = append(sentences, r.describeRetries()...)
 	sentences = append(sentences, describeEnd(end)...)
+	sentences = append(sentences, r.describeLoad(end)...)
 	sentences = append(sentences, r.describeEntryState(end)...)
 	return append(sentences, r.describeMissingLines(end)...)
 }
--- a/internal/explain/entrystate.go
+++ b/internal/explain/entrystate.go
@@ -67,11 +67,11 @@
 	if born == "" || born == "0" {
 		return nil
 	}
-	observed, ok := lastOf(r.all, end.Time, func(l Line) bool { return hasMessage(l, "engine changed") && l.Fields["born"] == born })
+	observed, ok := lastOf(r.all, end.Time, func(l Line) bool { return hasMessage(l, messageEngine) && l.Fields["born"] == born })
 	if !ok {
 		return nil
 	}
-	last, _ := lastOf(r.all, end.Time, func(l Line) bool { return hasMessage(l, "engine changed") && l.Machine == observed.Machine })
+	last, _ := lastOf(r.all, end.Time, func(l Line) bool { return hasMessage(l, messageEngine) && l.Machine == observed.Machine })
 	engine := "that engine"
 	if last.Fields["born"] != born {
 		engine = "another life of that engine"
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -382,6 +382,7 @@
 	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
 		WithField("load", choice.Load).WithField("first_ms", choice.FirstEventDelay.Milliseconds()).WithField("version", choice.Version).
 		WithField("oldest", choice.MinVersion).
-		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("manifest", c.manifest).
+		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("told_ms", choice.StatusAge.Milliseconds()).
+		WithField("born", choice.Born).WithField("manifest", c.manifest).
 		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("attempt placed")
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -195,6 +195,7 @@
 	if rec.limit != attempts.NoLimit {
 		f["limit"] = string(rec.limit)
 	}
+	rec.addWeightsFields(f)
 	addChoiceFields(f, "", rec.choice)
 }
 
@@ -225,6 +226,18 @@
 	if rec.targetLeaving {
 		f["target_leaving"] = true
 	}
+}
+
+// addWeightsFields adds which weights the last attempt relied on: those of a start of the target, as
+// the process beside it had reported them, the version that the attempt insisted on, and the one that
+// the target answered with.
+func (rec *requestRecord) addWeightsFields(f log.Fields) {
+	if rec.startedAt.IsZero() {
+		return
+	}
+	f["born"] = rec.choice.Born
+	f["version"] = rec.choice.Version
+	f["told_ms"] = rec.choice.StatusAge.Milliseconds()
 	if rec.expectedVersion > 0 {
 		f["expected_version"] = rec.expectedVersion
 	}
@@ -336,7 +349,7 @@
 func (e *Entry) logRetry(c *call, outcome attempts.Outcome) {
 	e.meters.countRetry(outcome)
 	f := log.Fields{"attempt_ms": c.record.attemptTime().Milliseconds()}
-	f["version"] = c.record.choice.Version
+	c.record.addWeightsFields(f)
 	c.record.addBreakageFields(f)
 	c.addPromptFields(f, outcome)
 	e.log.WithFields(f).WithField("request", c.info.AttemptID).WithField("service", string(c.service)).
@@ -352,7 +365,9 @@
 	succeeded := reason == "" && status < http.StatusInternalServerError
 	switch {
 	case succeeded && !c.isLate():
-		entry.Info("request served")
+		f := log.Fields{}
+		c.record.addWeightsFields(f)
+		entry.WithFields(f).Info("request served")
 	case succeeded:
 		entry.WithFields(c.logFields()).Warn("request served late")
 	default:
--- a/machine/entry/direct/requestrecord_test.go
+++ b/machine/entry/direct/requestrecord_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
@@ -125,3 +126,29 @@
 		t.Errorf("unusableBreakage() of a stamped response = %s, want too_large", got)
 	}
 }
+
+// Guards against answers whose weights cannot be told from the logs (inc2): each line about an attempt
+// names the start of the target and the version that the attempt relied on, and the age of that report.
+func TestLinesNameWeightsOfAttempt(t *testing.T) {
+	c, _, logged := newHedgingCall(t)
+	logged.Entries = nil
+	choice := placement.Choice{ID: "i-1", Born: 700, Version: 2, StatusAge: 80 * time.Millisecond}
+	c.entry.logPlacement(c, choice)
+	c.record.attemptStarted(choice, time.Now())
+	c.record.replyReceived(platform.Reply{Status: http.StatusOK, Version: 3}, 2)
+	c.entry.logRetry(c, attempts.Lost)
+	c.entry.logEnd(c, http.StatusOK, "", 0)
+	c.entry.logEnd(c, http.StatusBadGateway, contract.ReasonTruncatedAnswer, 0)
+	want := []string{"attempt placed", "sent again", "request served", "request ended"}
+	if len(logged.Entries) != len(want) {
+		t.Fatalf("%d lines, want %d", len(logged.Entries), len(want))
+	}
+	for i, l := range logged.Entries {
+		if l.Message != want[i] || l.Fields["born"] != int64(700) || l.Fields["version"] != int64(2) || l.Fields["told_ms"] != int64(80) {
+			t.Errorf("line %q with %v, want %q with the weights of the attempt", l.Message, l.Fields, want[i])
+		}
+		if i > 0 && (l.Fields["expected_version"] != int64(2) || l.Fields["target_version"] != int64(3)) {
+			t.Errorf("line %q with %v, want the versions that were expected and answered", l.Message, l.Fields)
+		}
+	}
+}
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -36,14 +36,16 @@
 	if isStaged {
 		return
 	}
+	start := time.Now()
 	for i := range c.set.Len() {
 		err := r.stagePiece(ctx, c, i)
 		r.target.meters.countResult("pieces_staged", err)
 		if err != nil {
-			r.log.WithError(err).WithField("piece", i).Warn("staging piece failed")
+			r.loadLog(c).WithError(err).WithField("piece", i).WithField("result", callResult(err)).Warn("staging piece failed")
 			return
 		}
 	}
+	r.loadLog(c).WithField("pieces", c.set.Len()).WithField("ms", time.Since(start).Milliseconds()).Info("pieces staged")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, other := range r.candidates {
@@ -127,15 +129,16 @@
 			return
 		}
 		report := r.lastReport()
+		start := time.Now()
 		err := r.sendOrder(ctx, c, report.Orders, verifiedSince)
-		logger := logger.WithField("verified_ms", (r.bootTime()-verifiedSince).Milliseconds()).
-			WithField("born", report.Born).WithField("orders", report.Orders)
+		logger := logger.WithField("verified_ms", (r.bootTime()-verifiedSince).Milliseconds()).WithField("ms", time.Since(start).Milliseconds()).
+			WithField("born", report.Born).WithField("orders", report.Orders).WithField("digests", c.set.Fingerprint())
 		if errors.Is(err, errVerificationExpired) {
 			logger.Warn("verification of the staged pieces has expired; verifying them again")
 			continue
 		}
 		if err != nil {
-			logger.WithError(err).Warn("load order failed")
+			logger.WithError(err).WithField("result", callResult(err)).Warn("load order failed")
 			return
 		}
 		logger.Info("load order accepted")
@@ -192,11 +195,14 @@
 			if err = c.set.Verify(i, data); err == nil {
 				return nil
 			}
+			err = errors.Wrap(err, r.describeBadPiece(i, data))
 		}
 		r.target.meters.countCorruptPiece()
-		r.log.WithError(err).WithField("piece", i).Warn("staged piece unreadable or corrupt; staging it again")
-		if err := r.stagePiece(ctx, c, i); err != nil {
-			return err
+		r.loadLog(c).WithError(err).WithField("piece", i).Warn("staged piece unreadable or corrupt; staging it again")
+		err = r.stagePiece(ctx, c, i)
+		r.target.meters.countResult("pieces_restaged", err)
+		if err != nil {
+			return errors.Wrapf(err, "staging it again: %s", callResult(err))
 		}
 	}
 	return errors.Newf("staged piece %d is still unreadable or corrupt after repeated staging", i)
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -104,10 +104,13 @@
 // candidate, in the state that it is in or will be in once it has loaded them.
 func (r *reconciler) proveCandidate(ctx context.Context, state weightsState, c *candidate) {
 	logger := r.log.WithField("version", c.version.String()).WithField("born", state.born).WithField("orders", state.orders)
+	start := time.Now()
 	err := r.readAllStaged(ctx, c)
+	logger = logger.WithField("ms", time.Since(start).Milliseconds()).WithField("pieces", c.set.Len()).WithField("digests", c.set.Fingerprint())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.proof.mayHaveChanged(state) {
+		logger = logger.WithField("read", describeRead(err))
 		err = errors.CombineErrors(errStagedSince, err)
 	}
 	switch {
@@ -143,7 +146,7 @@
 			return err
 		}
 		if err := c.set.Verify(i, data); err != nil {
-			return errors.CombineErrors(errors.Wrapf(errNotSound, "piece %d", i), err)
+			return errors.CombineErrors(errors.Wrap(errNotSound, r.describeBadPiece(i, data)), err)
 		}
 	}
 	return nil
@@ -172,7 +175,7 @@
 	err := r.engine.Unload(ctx, platform.Order{Model: c.version.Model, Version: state.version, Accepted: state.orders})
 	r.target.meters.countResult("unloads", err)
 	if err != nil {
-		logger.WithError(err).Warn("unsound weights not given up")
+		logger.WithError(err).WithField("result", callResult(err)).Warn("unsound weights not given up")
 		return
 	}
 	logger.Info("unsound weights given up")
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -105,6 +105,13 @@
 	return r.report
 }
 
+// isUnreported reports whether the engine has sent no report yet.
+func (r *reconciler) isUnreported() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reportedAt.IsZero()
+}
+
 // servedVersion returns the version that the engine serves, 0 if none: weights that are not known to be
 // sound serve no requests. mu must be held.
 func (r *reconciler) servedVersion() int64 {
@@ -158,12 +165,12 @@
 // once if the engine's state has changed.
 func (r *reconciler) pollEngine(ctx context.Context) (isUp bool) {
 	report, err := r.engine.Report(ctx)
+	isFirst := r.isUnreported()
 	previous, wasUp, current, isUp := r.recordReport(report, err == nil)
 	if wasUp == isUp && (!isUp || sameEngineState(previous, current)) {
 		return isUp
 	}
-	r.log.WithField("up", isUp).WithField("version", current.Model.Version).WithField("layers", current.Model.Layers).
-		WithField("busy", current.Busy).WithField("born", current.Born).WithField("orders", current.Orders).Info("engine changed")
+	r.logReport(current, isUp, isFirst)
 	r.target.peers.SendHeartbeats()
 	return isUp
 }
@@ -277,7 +284,8 @@
 				logger.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
 			}
 			if set := r.currentPieces(c)(); set != nil && set.IsComplete() {
-				logger.WithField("ms", time.Since(start).Milliseconds()).Info("pieces received")
+				logger.WithField("ms", time.Since(start).Milliseconds()).WithField("entry", string(id)).WithField("pieces", set.Len()).
+					WithField("digests", set.Fingerprint()).Info("pieces received")
 				return
 			}
 		}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -116,7 +116,8 @@
 	if !cv.isComplete() {
 		return
 	}
-	cv.log().WithField("ms", time.Since(start).Milliseconds()).Info("weights whole")
+	set := cv.currentSet()
+	cv.log().WithField("ms", time.Since(start).Milliseconds()).WithField("pieces", set.Len()).WithField("digests", set.Fingerprint()).Info("weights whole")
 	stopReading()
 	reads.Wait()
 	cv.backfillStore(ctx)
