Requests that share a body with bad ones are not blamed for their prompts

Cause: the identity of a request as a whole leaves its prompt out, so sound and bad requests are one whole, which is judged first and blamed for all crashes.

Change: where a whole was proven with another prompt, the parts that were at all of its crashes and never proven are blamed, or held back, in its place. A whole that was never proven is blamed as before.

--- a/zone/poison/wholes.go
+++ b/zone/poison/wholes.go
@@ -85,14 +85,49 @@
 	}
 	stands := t.standsAgainst(s, covered)
 	isSettled := t.now.Sub(s.lastBroken()) >= settleTime
+	parts := t.unprovenPartsOf(s)
+	group := parts
+	if len(parts) == 0 {
+		group = []Part{s.part}
+	}
 	switch {
-	case t.blames[keyOf([]Part{s.part})] != nil:
+	case t.blames[keyOf(group)] != nil:
 	case stands && isSettled:
-		t.addBlame(&blame{group: []Part{s.part}, at: s.lastBroken(), id: t.rng.Uint64()})
+		t.addBlame(&blame{group: group, at: s.lastBroken(), id: t.rng.Uint64()})
 	case len(s.moments(coveredHold)) >= heldChain:
-		t.heldWholes[s.part] = true
 		t.changed = t.changed || stands
+		if len(parts) > 0 {
+			t.held = append(t.held, parts)
+			return
+		}
+		t.heldWholes[s.part] = true
+	}
+}
+
+// unprovenPartsOf returns the parts of prompts that were at all crashes of a request as a whole and were
+// never proven, in ascending order, if the whole was proven with another prompt. They are to blame then:
+// requests with the same path, caller and body may differ in their prompts, which the whole leaves out.
+func (t *Tracker) unprovenPartsOf(s *suspect) []Part {
+	if t.lastProven(s.part).IsZero() {
+		return nil
+	}
+	mine := s.crashes(nil)
+	var list []Part
+	for p, other := range t.suspects {
+		if !other.isWhole && other.service == s.service && t.lastProven(p).IsZero() && containsAll(other.crashes(nil), mine) {
+			list = append(list, p)
+		}
 	}
+	slices.Sort(list)
+	return list[:min(len(list), maxGroupParts)]
+}
+
+// containsAll reports whether a list in ascending order contains all of another.
+func containsAll(list, wanted []uint64) bool {
+	return !slices.ContainsFunc(wanted, func(id uint64) bool {
+		_, found := slices.BinarySearch(list, id)
+		return !found
+	})
 }
 
 // standsAgainst reports whether the crashes that are not in covered suffice to blame a request.
