--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -35,6 +35,10 @@
 	statusAt     time.Time
 	// usableSince is the time of the report from which on the target may be used.
 	usableSince time.Time
+	// needsReport is set once the target list alone does not tell whether the loaded weights may be used:
+	// then they are if they are of reportedVersion, which its process last reported as usable; 0 if none.
+	needsReport     bool
+	reportedVersion int64
 }
 
 // DiffersFrom reports whether an entry of the target list has news on whether requests may be sent to
@@ -46,10 +50,27 @@
 
 // setStatus applies a status that the target's process reported at a time.
 func (m *Member) setStatus(s Status, at time.Time) {
-	if s.isUsable() && !m.status.isUsable() {
+	if s.IsUsable() && !m.status.IsUsable() {
 		m.usableSince = at
 	}
 	m.status, m.statusAt = s, at
+	m.needsReport, m.reportedVersion = true, 0
+	if s.IsUsable() {
+		m.reportedVersion = s.Version
+	}
+}
+
+// list applies an entry of the target list. It may show weights that the target's process has not reported
+// yet, or never will; those that the target held when it was first listed are trusted.
+func (m *Member) list(now time.Time, t Target) {
+	_, isReported := m.Status(now)
+	if !m.ListedAt.IsZero() && !isReported && m.loaded() != t.loaded() {
+		m.needsReport = true
+		if t.loaded().Version != m.reportedVersion {
+			m.reportedVersion = 0
+		}
+	}
+	m.Target, m.ListedAt, m.ColdUntil = t, now, now.Add(t.ColdLeft)
 }
 
 // UsableSince returns since when the target may be used, by the reports of its process; zero if they
@@ -108,7 +129,11 @@
 		}
 		return s.Version
 	}
-	return m.loaded().WholeVersion(layers)
+	version := m.loaded().WholeVersion(layers)
+	if m.needsReport && version != m.reportedVersion {
+		return 0
+	}
+	return version
 }
 
 // Roster holds the targets of all services.
@@ -145,11 +170,9 @@
 		m = &Member{}
 		r.members[t.ID] = m
 	}
-	m.Target = t
-	m.ListedAt = now
+	m.list(now, t)
 	m.writtenAfter = writtenAfter
 	m.lapsedAt = time.Time{}
-	m.ColdUntil = now.Add(t.ColdLeft)
 	r.rebuildIndex()
 }
 
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -77,13 +77,13 @@
 	HasLoad bool
 }
 
-// isUsable reports whether the target may be used, as far as the status tells.
-func (s Status) isUsable() bool { return s.Ready && !s.Changing }
+// IsUsable reports whether the target may be used, as far as the status tells.
+func (s Status) IsUsable() bool { return s.Ready && !s.Changing }
 
 // DiffersFrom reports whether another status has news on which requests the target may get; loads are
 // none.
 func (s Status) DiffersFrom(other Status) bool {
-	return s.isUsable() != other.isUsable() || s.Version != other.Version
+	return s.IsUsable() != other.IsUsable() || s.Version != other.Version
 }
 
 // ReportKey identifies an incarnation of an engine in reports.
--- a/zone/targetreport/tracker.go
+++ b/zone/targetreport/tracker.go
@@ -22,6 +22,8 @@
 	// maxRemoteReports bounds them in a heartbeat to another region, whose entries send here
 	// only what their own region has no room for.
 	maxRemoteReports = 8
+	// maxWithheldReports bounds the reports on engines that get no requests in such a heartbeat.
+	maxWithheldReports = 8
 	// listInterval is how long a list of reports is passed on before it is made anew: heartbeats
 	// to all linked entries follow each other closely.
 	listInterval = 100 * time.Millisecond
@@ -103,21 +105,37 @@
 }
 
 // RemoteReports lists the reports on the engines with the least load among those for which
-// isOffered returns true, for an entry of another region. Within listInterval the same ones are
-// listed.
+// isOffered returns true, and the newest ones on such engines that get no requests, for an entry of
+// another region. Within listInterval the same ones are listed.
 func (t *Tracker) RemoteReports(now time.Time, isOffered func(roster.ReportKey) bool) []contract.TargetReport {
 	if t.remote.isDue(now) {
-		reports := slices.DeleteFunc(t.recent(now), func(r Report) bool {
-			return !r.Status.HasLoad || !r.Status.Ready || r.Status.Changing || !isOffered(r.Key)
-		})
-		slices.SortFunc(reports, func(a, b Report) int {
-			return cmp.Or(cmp.Compare(a.Status.Load, b.Status.Load), b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
-		})
-		t.remote = list{reports: reports[:min(len(reports), maxRemoteReports)], madeAt: now}
+		open, withheld := t.remoteReports(now, isOffered)
+		reports := append(open[:min(len(open), maxRemoteReports)], withheld[:min(len(withheld), maxWithheldReports)]...)
+		t.remote = list{reports: reports, madeAt: now}
 	}
 	return encode(now, t.remote.reports)
 }
 
+// remoteReports returns the recent reports on the engines for which isOffered returns true: those on engines
+// with a known load that may get requests, the least load first, and those on engines that may not, the
+// newest first.
+func (t *Tracker) remoteReports(now time.Time, isOffered func(roster.ReportKey) bool) (open, withheld []Report) {
+	for _, r := range t.recent(now) {
+		switch {
+		case !isOffered(r.Key):
+		case !r.Status.IsUsable():
+			withheld = append(withheld, r)
+		case r.Status.HasLoad:
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Status.Load, b.Status.Load), b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
+	})
+	slices.SortFunc(withheld, func(a, b Report) int { return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Key, b.Key)) })
+	return open, withheld
+}
+
 // recent returns the reports that are not too old, and forgets the others.
 func (t *Tracker) recent(now time.Time) []Report {
 	var list []Report
--- a/zone/targetreport/tracker_test.go
+++ b/zone/targetreport/tracker_test.go
@@ -51,6 +51,15 @@
 	if len(got) != maxRemoteReports || got[0].Target != 399 {
 		t.Errorf("%d reports for another region, the first on engine %d, want %d and the least loaded engine first", len(got), got[0].Target, maxRemoteReports)
 	}
+	for i := range 100 {
+		r := reportOf(1000+i, 0, now)
+		r.Status.Changing = true
+		tr.Observe(r)
+	}
+	now = now.Add(listInterval)
+	if got := len(tr.RemoteReports(now, func(roster.ReportKey) bool { return true })); got != maxRemoteReports+maxWithheldReports {
+		t.Errorf("%d reports for another region, want %d on engines with room and %d on engines that get no requests", got, maxRemoteReports, maxWithheldReports)
+	}
 	if added := NewTracker().ApplyReports(now, make([]contract.TargetReport, 10*maxReports)); len(added) > 1 {
 		t.Errorf("%d reports on one engine were new, want 1", len(added))
 	}
