--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -55,21 +55,17 @@
 	return fs.pool(service).Survey(time.Now(), req, limit)
 }
 
-// expectedVersion returns the version of weights that an attempt insists on; 0 for any.
+// expectedVersion returns the version of weights that an attempt insists on; 0 for any, if none is known.
 // That is pinned if set, otherwise the newer of the oldest allowed version and held, the
 // version that the target is known to hold. A target refuses an attempt that expects
-// another version than it holds.
+// another version than it holds: it may have loaded one since that is not known to be sound.
 func (fs *fleetState) expectedVersion(service contract.ServiceName, pinned, held int64) int64 {
 	if pinned != 0 {
 		return pinned
 	}
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	oldest := fs.oldestBeginning(service)
-	if oldest == 0 {
-		return 0
-	}
-	return max(oldest, held)
+	return max(fs.oldestBeginning(service), held)
 }
 
 // keepsIdleConns reports whether connections to the service's targets are kept between
--- a/machine/entry/direct/expected_test.go
+++ b/machine/entry/direct/expected_test.go
@@ -57,3 +57,26 @@
 		}
 	})
 }
+
+// Guards against answers from weights that are not known to be sound (WHOLE, inc2): before the bound of a
+// newer version ended, an attempt expected no version, and an engine that had loaded another one since ran it.
+func TestAttemptExpectsVersionThatItsTargetHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 8 * time.Second
+		for name, announced := range map[string]int{"one version": 1, "a newer one, within its bound": 2} {
+			fs := newStartedState(bound, 1)
+			time.Sleep(time.Second)
+			fs.applyOperatorRecords(announcementOf(announced))
+			c := &call{
+				entry: &Entry{fleet: fs}, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
+				route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(bound),
+			}
+			for held, want := range map[int64]string{0: "", 1: "1"} {
+				x := &exchange{call: c, choice: placement.Choice{ID: "target-1", Version: held}}
+				if got := x.request().header.Get("Expect-Version"); got != want {
+					t.Errorf("%s: Expect-Version = %q for a target that holds version %d, want %q", name, got, held, want)
+				}
+			}
+		}
+	})
+}
