--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -129,8 +129,9 @@
 		return attempts.NotSent, nil
 	}
 	x.conn = conn
-	if time.Since(x.start) > maxChoiceAge || !x.stillAdmits() {
-		// The process stood still since, or the target wants no requests any more.
+	if time.Since(x.start) > maxChoiceAge || !x.stillAdmits() || x.isTooOld() {
+		// The process stood still since, or the target wants no requests any more, or its weights are
+		// too old by now. What it has loaded instead, if anything, is not known to be sound.
 		conn.reset()
 		x.breakage = breakageStaleChoice
 		return attempts.NotSent, nil
--- a/machine/entry/direct/expected_test.go
+++ b/machine/entry/direct/expected_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
 )
@@ -80,3 +81,21 @@
 		}
 	})
 }
+
+// Guards against answers from weights that are not known to be sound (WHOLE, inc2): an attempt whose bound
+// ended while it waited for its connection expected the version that its target had yet to be proved to hold.
+func TestAttemptIsNotSentForVersionThatItsTargetIsNotKnownToHold(t *testing.T) {
+	e := newQuietEntry()
+	const bound = 8 * time.Second
+	e.fleet = newStartedState(time.Nanosecond, 2)
+	c := &call{
+		entry: e, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
+		route: &catalog.Route{Kind: catalog.Streaming}, deadline: time.Now().Add(bound),
+	}
+	for held, want := range map[int64]attempts.Outcome{1: attempts.NotSent, 2: attempts.Lost} {
+		x := newExchange(c, placement.Choice{ID: "target-1", Address: closingTarget(t, "", false), Version: held})
+		if outcome, _ := x.run(t.Context()); outcome != want {
+			t.Errorf("target that held version %d: outcome %v, want %v", held, outcome, want)
+		}
+	}
+}
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -125,11 +125,15 @@
 // isOutdated reports whether the attempt may no longer begin on the weights of its target, which
 // are too old by now, and may be sent elsewhere.
 func (x *exchange) isOutdated() bool {
-	c := x.call
-	if x.pinned != 0 || x.choice.Version == 0 || !c.route.IsRepeatable() {
+	return x.call.route.IsRepeatable() && x.isTooOld()
+}
+
+// isTooOld reports whether a request may no longer begin on the weights that the target was known to hold.
+func (x *exchange) isTooOld() bool {
+	if x.pinned != 0 || x.choice.Version == 0 {
 		return false
 	}
-	return !c.entry.fleet.mayBegin(c.service, x.choice.Version)
+	return !x.call.entry.fleet.mayBegin(x.call.service, x.choice.Version)
 }
 
 // giveUp ends the current attempt.
