--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -55,6 +55,8 @@
 	pinned      int64
 	// expectedVersion is the version that the attempt insists on; 0 means any.
 	expectedVersion int64
+	// version is the last one that an event of the answer gave; 0 if none did.
+	version int64
 	// head is the head of the response and reply what it says, once there is one. rest holds
 	// the blank lines after the last event of a stream.
 	head        *http.Response
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -53,7 +54,7 @@
 	for {
 		select {
 		case got := <-p.current.parts:
-			got = p.current.withoutOtherAnswer(got)
+			got = p.current.withoutOtherAnswer(p.current.withoutOtherVersion(got))
 			if !got.ended {
 				if got.event.hasField {
 					p.dropHedge()
@@ -67,7 +68,7 @@
 				return got.outcome, got.response
 			}
 		case got := <-p.hedgeParts():
-			got = p.hedge.withoutOtherAnswer(got)
+			got = p.hedge.withoutOtherAnswer(p.hedge.withoutOtherVersion(got))
 			if got.ended && got.outcome != attempts.Completed {
 				p.hedgeFailed(got)
 				continue
@@ -107,6 +108,32 @@
 	return part{ended: true, outcome: attempts.Lost}
 }
 
+// withoutOtherVersion ends the attempt as a lost one if its part of a stream is of another version of the
+// weights than the caller has been told, and does not tell. It is called when the part is used, as
+// withoutOtherAnswer is.
+func (x *exchange) withoutOtherVersion(got part) part {
+	c := x.call
+	if got.event.version != 0 {
+		x.version = got.event.version
+		return got
+	}
+	if c.pinnedVersion == 0 || got.ended && (got.outcome != attempts.Completed || got.response != nil) || x.weightsVersion() == c.pinnedVersion {
+		return got
+	}
+	if !got.ended {
+		x.abandon()
+	}
+	got.release()
+	x.breakage = breakageOtherVersion
+	return part{ended: true, outcome: attempts.Lost}
+}
+
+// weightsVersion returns the version of the weights by which the target answers: the one that
+// the attempt expects if it does not say.
+func (x *exchange) weightsVersion() int64 {
+	return cmp.Or(x.version, x.reply.Version, x.expectedVersion)
+}
+
 // giveUpReason returns why the current attempt is to be given up before its target has begun to
 // answer, and so perhaps before it has begun to run the request; empty if it is not.
 func (p *attemptPair) giveUpReason() breakage {
@@ -274,8 +301,8 @@
 	if c.hasEvent(got.event) {
 		return true
 	}
-	if c.pinnedVersion == 0 {
-		c.pinnedVersion = x.reply.Version
+	if c.pinnedVersion == 0 || got.event.version != 0 {
+		c.pinnedVersion = x.weightsVersion()
 	}
 	err := c.sendEvent(got.head, got.event)
 	if err == nil {
@@ -306,7 +333,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.givenUp || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
+	if x.silent || x.callerGone || x.givenUp || x.breakage == breakageNoStream || x.breakage == breakageOtherVersion || x.call.entry.openCalls.isEnded() {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
--- a/machine/entry/direct/hedgecomments_test.go
+++ b/machine/entry/direct/hedgecomments_test.go
@@ -59,3 +59,30 @@
 		t.Errorf("body = %q, want events 1 to 3", w.Body)
 	}
 }
+
+// Guards against answers of two versions in one stream, with the number of one (WHOLE, inc2): a second target
+// was asked before the first one began its answer, with a comment only, and went on in its place.
+func TestHedgeOfAnotherVersionDoesNotTakeOver(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int64
+	answer := func(conn net.Conn, _ *http.Request) {
+		if requests.Add(1) == 1 {
+			time.Sleep(targetSilenceTimeout + 400*time.Millisecond)
+			_, _ = io.WriteString(conn, streamText("a", 1, 0, false)+": begun\n\n")
+			time.Sleep(800 * time.Millisecond)
+			_, _ = io.WriteString(conn, "id: 1\ndata: x\n\n")
+			_ = conn.Close()
+			return
+		}
+		time.Sleep(800 * time.Millisecond)
+		_, _ = io.WriteString(conn, strings.Replace(streamText("a", 1, 1, false), "Weight-Versions: 1", "Weight-Versions: 2", 1))
+		time.Sleep(time.Second)
+		_ = conn.Close()
+	}
+	c, w, _ := newHedgingCall(t, connTarget(t, answer), connTarget(t, answer))
+	c.deadline = time.Now().Add(5 * time.Second)
+	c.serve()
+	if version := w.Header().Get("Weight-Versions"); version != "1" || c.lastTarget != c.triedTargets[0] || !strings.Contains(w.Body.String(), "id: 1\n") {
+		t.Errorf("version %s, last target %s of %v, body %q, want event 1 of the first target", version, c.lastTarget, c.triedTargets, w.Body)
+	}
+}
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -41,6 +41,8 @@
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
 	// breakageNoStream responses are no stream, although the caller has the beginning of one.
 	breakageNoStream breakage = "no_stream"
+	// breakageOtherVersion responses go on with a stream by another version of the weights.
+	breakageOtherVersion breakage = "other_version"
 	// breakageStaleChoice attempts were not sent, since the choice of the target was too old
 	// by then.
 	breakageStaleChoice breakage = "stale_choice"
--- a/machine/entry/direct/resume_test.go
+++ b/machine/entry/direct/resume_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +104,34 @@
 		}
 	}
 }
+
+// Guards against answers of two versions in one stream, with the number of one (WHOLE, inc2): a target went
+// on with another version than it was to, or the version had changed within the stream.
+func TestOnlySameVersionContinuesStream(t *testing.T) {
+	const length = "Content-Length: 1000\r\n\r\n"
+	const secondEvent = "id: 2\ndata: two\n\n"
+	other := strings.Replace(streamHead, "Weight-Versions: 3", "Weight-Versions: 4", 1)
+	unsaid := strings.Replace(streamHead, "Weight-Versions: 3\r\n", "", 1)
+	const changed = "weight-versions: 4\nid: 2\ndata: two\n\n"
+	const thirdEvent = "id: 3\ndata: three\n\n"
+	for name, c := range map[string]struct {
+		first, second, want string
+		wantPinned          int64
+	}{
+		"same version":                      {streamHead + length + firstEvent, streamHead + length + secondEvent, firstEvent + secondEvent, 3},
+		"other version":                     {streamHead + length + firstEvent, other + length + secondEvent, firstEvent, 3},
+		"changes, goes on with the new one": {streamHead + length + firstEvent + changed, other + length + thirdEvent, firstEvent + changed + thirdEvent, 4},
+		"changes, goes on with the old one": {streamHead + length + firstEvent + changed, streamHead + length + thirdEvent, firstEvent + changed, 4},
+		"the first target does not say":     {unsaid + length + firstEvent, other + length + secondEvent, firstEvent, 3},
+	} {
+		call, w := boundedCall(newQuietEntry(), catalog.Streaming)
+		call.route.MaxAttempts = 3
+		for i, text := range []string{c.first, c.second} {
+			choice := placement.Choice{ID: roster.TargetID(fmt.Sprintf("target-%d", i)), Address: closingTarget(t, text, false), Version: 3}
+			call.runAttempts(context.Background(), choice)
+		}
+		if got := w.Body.String(); got != c.want || call.pinnedVersion != c.wantPinned {
+			t.Errorf("%s: body %q, pinned version %d, want %q, %d", name, got, call.pinnedVersion, c.want, c.wantPinned)
+		}
+	}
+}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -43,8 +43,13 @@
 	hasField bool
 	// hasText is set if the event has more than white space.
 	hasText bool
+	// version is the version of the weights from this event on, if it gives one; 0 otherwise.
+	version int64
 }
 
+// versionField begins the line of an event that gives the version of the weights.
+const versionField = "weight-versions:"
+
 // readEvent reads up to and including the next blank line into data, which it empties
 // before. It returns io.EOF if the stream ends between two events, blank lines after the last
 // one included, and io.ErrUnexpectedEOF if it ends within one.
@@ -90,14 +95,18 @@
 			continue
 		}
 		if first {
-			ev.setID(text)
+			ev.applyLine(text)
 		}
 		return blank, err
 	}
 }
 
-// setID takes the number of the event from a line that holds it.
-func (ev *event) setID(line []byte) {
+// applyLine takes the number of the event, or the version of the weights, from a line that holds it.
+func (ev *event) applyLine(line []byte) {
+	if value, ok := bytes.CutPrefix(line, []byte(versionField)); ok {
+		ev.version, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return
+	}
 	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		ev.id, ev.hasID = id, err == nil
