--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -169,14 +169,19 @@
 	}
 }
 
-// accept loads the staged pieces as they are, or gives up all layers; mu must be held.
+// accept loads the staged pieces of the layers that it does not hold of the version, as they are, or gives
+// up all layers; mu must be held.
 func (e *loadingEngine) accept(version int64, layers int) {
+	held := e.layers
+	if version != e.version || layers == 0 {
+		held, e.bad = 0, nil
+	}
 	e.orders++
-	e.layers, e.version, e.bad, e.reported = layers, version, nil, nil
+	e.layers, e.version, e.reported = layers, version, nil
 	if layers == 0 {
 		return
 	}
-	for i := range stagedPieces {
+	for i := held * stagedPieces / testLayers; i < stagedPieces; i++ {
 		if !bytes.Equal(e.staged[i], versionPiece(version, i)) {
 			e.bad = append(e.bad, i)
 		}
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/platform"
@@ -152,13 +153,7 @@
 // unload orders the engine to give up unsound weights, so that it loads the version again. It repairs the
 // staged pieces first, if it can.
 func (r *reconciler) unload(ctx context.Context, state weightsState, c *candidate) {
-	r.mu.Lock()
-	isDue := !r.report.Busy && time.Since(r.proof.unloadedAt) >= unloadRetryInterval
-	if isDue {
-		r.proof.unloadedAt = time.Now()
-	}
-	r.mu.Unlock()
-	if !isDue {
+	if !r.unloadIsDue() {
 		return
 	}
 	logger := r.log.WithField("version", c.version.String()).WithField("born", state.born).WithField("orders", state.orders)
@@ -169,7 +164,38 @@
 	if !r.pollEngine(ctx) {
 		return
 	}
-	err := r.engine.Unload(ctx, platform.Order{Model: c.version.Model, Version: state.version, Accepted: state.orders})
+	r.orderUnload(ctx, c.version.Model, state, logger)
+}
+
+// unloadIsDue reports whether the engine may be ordered now to give up weights.
+func (r *reconciler) unloadIsDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.report.Busy || time.Since(r.proof.unloadedAt) < unloadRetryInterval {
+		return false
+	}
+	r.proof.unloadedAt = time.Now()
+	return true
+}
+
+// unloadPart orders the engine to give up layers that are not the whole model, and reports whether it holds
+// such layers. An order for all layers would load only those that it lacks, and what the pieces of the
+// others were when it took them is not known.
+func (r *reconciler) unloadPart(ctx context.Context, model string) (isPart bool) {
+	r.mu.Lock()
+	state := r.state()
+	isPart = r.up && !r.report.Busy && r.orderedAt.IsZero() && state.version == 0 && r.report.Model.Version != 0
+	state.version = r.report.Model.Version
+	r.mu.Unlock()
+	if isPart && r.unloadIsDue() {
+		r.orderUnload(ctx, model, state, r.log.WithField("born", state.born).WithField("orders", state.orders))
+	}
+	return isPart
+}
+
+// orderUnload orders the engine to give up the weights that it holds in a state.
+func (r *reconciler) orderUnload(ctx context.Context, model string, state weightsState, logger log.Interface) {
+	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
 	r.target.meters.countResult("unloads", err)
 	if err != nil {
 		logger.WithError(err).Warn("unsound weights not given up")
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -146,6 +146,9 @@
 		return
 	}
 	r.updateCandidates(ctx, version, origin)
+	if r.unloadPart(ctx, version.Model) {
+		return
+	}
 	r.proveLoaded(ctx)
 	if c := r.nextCandidate(); c != nil {
 		r.stagePieces(ctx, c)
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// Guards against answers from a layer that was taken bad by an earlier order (WHOLE, inc2): the engine loads
+// only the layers that it lacks, and the staged pieces have been repaired since it took the others.
+func TestLayersOfEarlierOrderAreGivenUp(t *testing.T) {
+	e := newLoadingEngine(t)
+	e.mu.Lock()
+	e.orders, e.layers, e.version, e.bad = 1, 1, 2, []int{0}
+	e.mu.Unlock()
+	target := newTargetOf(t, e)
+	announce(t, target, 2)
+	reconcileUntil(t, target, e, 2)
+}
+
 // layerRange is a range of layers in the report of an engine; To is exclusive.
 type layerRange struct {
 	From    int   `json:"from"`
