--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -45,7 +45,7 @@
 	PoisonVerdicts     []PoisonVerdict     `cbor:"16,keyasint,omitempty"`
 	// TargetReports lists what the processes beside engines reported to the sending entry, or
 	// to others from which it heard.
-	TargetReports []TargetReport `cbor:"20,keyasint,omitempty"`
+	TargetReports []TargetReport `cbor:"24,keyasint,omitempty"`
 	// LeavingTargets lists 64-bit hashes of the names and starts of the targets that have said
 	// in an answer that they are about to stop, as far as the sending entry knows.
 	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
@@ -163,6 +163,9 @@
 	// Layers is the number of layers that are loaded, from the first one on; 0 if not reported. The
 	// process beside the engine may not know how many the model has.
 	Layers uint32 `cbor:"8,keyasint,omitempty"`
+	// Number orders the reports of the process: the milliseconds of its clock, modulo 2^32, and
+	// at least one more than in its report before; 0 if not reported.
+	Number uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // TargetReport is the state of a model engine that an entry passes on to others.
@@ -181,6 +184,8 @@
 	HasLoad bool
 	// AgeMS is the time in milliseconds from the report to the heartbeat.
 	AgeMS uint32
+	// Number is that of the EngineStatus.
+	Number uint32
 }
 
 // TargetInFlight is the number of attempts that an entry has in flight at a target.
--- a/machine/entry/direct/targetreports.go
+++ b/machine/entry/direct/targetreports.go
@@ -17,6 +17,7 @@
 		Changing: e.Changing,
 		Load:     int(e.Load),
 		HasLoad:  e.HasLoad,
+		Number:   e.Number,
 	}
 	fs.roster.Report(now, e.Address, e.Born, status)
 	report := targetreport.Report{Key: roster.ReportKeyOf(e.Address, e.Born), Status: status, At: now}
@@ -44,8 +45,7 @@
 }
 
 // applyTargetReports applies the reports on engines that another entry passes on. They are passed on
-// with regular heartbeats only: by their ages an older report may count as the newer one for a while,
-// and the two would be passed to and fro.
+// with regular heartbeats only.
 func (fs *fleetState) applyTargetReports(now time.Time, reports []contract.TargetReport) {
 	for _, r := range fs.targetReports.ApplyReports(now, reports) {
 		fs.roster.ApplyRelayed(r.Key, r.At, r.Status)
--- a/machine/entry/direct/withheldengine_test.go
+++ b/machine/entry/direct/withheldengine_test.go
@@ -105,3 +105,24 @@
 		t.Error("a request is sent to an engine that gets none, want that it is not")
 	}
 }
+
+// Guards against requests to an engine that gets none (WHOLE, inc2): an older report on it that came by a
+// longer way counted as the newer one.
+func TestOlderRelayedReportDoesNotPutEngineToUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, other := newStartedState(time.Hour, 3), newStartedState(time.Hour, 3)
+		near.list(1, 3)
+		engine := contract.EngineStatus{Address: "x:1", Born: 1, Up: true, Version: 3, Number: 1}
+		other.list(1, 3)
+		other.applyHeartbeat(contract.Heartbeat{Machine: "target-1", Engine: &engine})
+		sent := contract.Heartbeat{Machine: "entry-2", TargetReports: other.reportsFor("r")}
+		time.Sleep(100 * time.Millisecond)
+		engine.Changing, engine.Number = true, 2
+		near.applyHeartbeat(contract.Heartbeat{Machine: "target-1", Engine: &engine})
+		time.Sleep(200 * time.Millisecond)
+		near.applyHeartbeat(sent)
+		if near.isPlaced() {
+			t.Error("a request is sent to an engine that gets none, want that it is not")
+		}
+	})
+}
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -60,6 +60,9 @@
 	candidates []*candidate
 
 	proof proof
+
+	// statusNumber is the number of the last status.
+	statusNumber uint32
 }
 
 func newReconciler(t *Target) *reconciler {
@@ -81,6 +84,7 @@
 		Up:       r.up,
 		Changing: r.changePending || r.report.Busy || r.isUnproved(),
 		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
+		Number:   r.nextStatusNumber(),
 	}
 	if r.up {
 		s.Version = r.loadedVersion()
@@ -91,6 +95,21 @@
 	return s
 }
 
+// nextStatusNumber returns a number above that of the last status, also of an earlier process: the
+// milliseconds of the clock, modulo 2^32, or the next number if that is not above. mu must be held.
+func (r *reconciler) nextStatusNumber() uint32 {
+	now := uint32(time.Now().UnixMilli())
+	if r.statusNumber == 0 || int32(now-r.statusNumber) > 0 {
+		r.statusNumber = now
+	} else {
+		r.statusNumber++
+	}
+	if r.statusNumber == 0 {
+		r.statusNumber++
+	}
+	return r.statusNumber
+}
+
 // loadedVersion returns the version that the engine has loaded completely, 0 if there is
 // none. Before the manifest is known, entries tell whether its layers are all. mu must be held.
 func (r *reconciler) loadedVersion() int64 {
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -259,7 +259,7 @@
 // Report records a status report of the target process that runs next to the engine at
 // address. A report of an earlier incarnation than the listed one is ignored. A report
 // of a later incarnation means that the listed one has ended: it sets an empty status,
-// so that the listed target gets no requests.
+// so that the listed target gets no requests. A report that is older than one that was passed on is ignored.
 func (r *Roster) Report(now time.Time, address string, born int64, s Status) {
 	m, ok := r.byAddress[address]
 	bothKnown := ok && m.Born != 0 && born != 0
@@ -269,13 +269,16 @@
 	if bothKnown && born > m.Born {
 		s = Status{}
 	}
+	if m.status.IsNewer(m.statusAt, s, now) {
+		return
+	}
 	m.setStatus(s, now)
 }
 
 // ApplyRelayed applies a status report, made at a time, that an entry passed on. It changes nothing
 // if a newer one is known or no such target is listed.
 func (r *Roster) ApplyRelayed(key ReportKey, at time.Time, s Status) {
-	if m, ok := r.byReportKey[key]; ok && at.After(m.statusAt) {
+	if m, ok := r.byReportKey[key]; ok && s.IsNewer(at, m.status, m.statusAt) {
 		m.setStatus(s, at)
 	}
 }
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -75,6 +75,17 @@
 	// Load is the number of requests that run or wait at the engine, if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Number orders the reports of the process, modulo 2^32; 0 if it gives none.
+	Number uint32
+}
+
+// IsNewer reports whether a status that was reported at a time is newer than another one. Their numbers tell,
+// if both have one and the other still counts: the times of relayed reports lose what the transfers took.
+func (s Status) IsNewer(at time.Time, other Status, otherAt time.Time) bool {
+	if s.Number == 0 || other.Number == 0 || at.Sub(otherAt) > statusMaxAge {
+		return at.After(otherAt)
+	}
+	return int32(s.Number-other.Number) > 0
 }
 
 // IsUsable reports whether the target may be used, as far as the status tells.
--- a/zone/targetreport/tracker.go
+++ b/zone/targetreport/tracker.go
@@ -59,7 +59,7 @@
 
 // Observe records a report, and reports whether it is newer than the one that was known.
 func (t *Tracker) Observe(r Report) bool {
-	if known, ok := t.reports[r.Key]; ok && !r.At.After(known.At) {
+	if known, ok := t.reports[r.Key]; ok && !r.isNewer(known) {
 		return false
 	}
 	if t.HasNews(r) {
@@ -74,16 +74,18 @@
 // requests it may get.
 func (t *Tracker) HasNews(r Report) bool {
 	known, ok := t.reports[r.Key]
-	return ok && r.At.After(known.At) && r.Status.DiffersFrom(known.Status)
+	return ok && r.isNewer(known) && r.Status.DiffersFrom(known.Status)
 }
 
+func (r Report) isNewer(known Report) bool { return r.Status.IsNewer(r.At, known.Status, known.At) }
+
 // ApplyReports applies the reports that another entry passes on, and returns those that are new.
 func (t *Tracker) ApplyReports(now time.Time, reports []contract.TargetReport) []Report {
 	var added []Report
 	for _, r := range reports[:min(len(reports), maxReports)] {
 		received := Report{
 			Key:    roster.ReportKey(r.Target),
-			Status: roster.Status{Version: r.Version, Ready: r.Ready, Changing: r.Changing, Load: int(r.Load), HasLoad: r.HasLoad},
+			Status: roster.Status{Version: r.Version, Ready: r.Ready, Changing: r.Changing, Load: int(r.Load), HasLoad: r.HasLoad, Number: r.Number},
 			At:     now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 		}
 		if t.Observe(received) {
@@ -154,7 +156,7 @@
 	for _, r := range list {
 		reports = append(reports, contract.TargetReport{
 			Target: uint64(r.Key), Version: r.Status.Version, Ready: r.Status.Ready, Changing: r.Status.Changing,
-			Load: uint32(r.Status.Load), HasLoad: r.Status.HasLoad, AgeMS: uint32(max(now.Sub(r.At), 0).Milliseconds()),
+			Load: uint32(r.Status.Load), HasLoad: r.Status.HasLoad, AgeMS: uint32(max(now.Sub(r.At), 0).Milliseconds()), Number: r.Status.Number,
 		})
 	}
 	return reports
--- a/zone/targetreport/tracker_test.go
+++ b/zone/targetreport/tracker_test.go
@@ -109,3 +109,24 @@
 		t.Errorf("reports after the interval = %+v, want a load of 4, 50 ms old", got)
 	}
 }
+
+// Guards against requests to an engine that gets none (WHOLE, inc2): the age of a report lost the time of
+// each transfer, so that an older report replaced the newer one, and came back as the newer one.
+func TestOlderReportDoesNotReplaceNewerOne(t *testing.T) {
+	const transfer = 300 * time.Millisecond
+	usable, changing := reportOf(1, 0, start), reportOf(1, 0, start.Add(100*time.Millisecond))
+	usable.Status.Number, changing.Status.Number, changing.Status.Changing = 1, 2, true
+	slow, linked := NewTracker(), NewTracker()
+	slow.Observe(usable)
+	sent := slow.Reports(start)
+	linked.Observe(changing)
+	if added := linked.ApplyReports(start.Add(transfer), sent); len(added) != 0 {
+		t.Errorf("older reports taken for new: %+v", added)
+	}
+	if got := linked.Reports(start.Add(transfer)); len(got) != 1 || !got[0].Changing {
+		t.Errorf("reports passed on = %+v, want that the engine changes", got)
+	}
+	if added := slow.ApplyReports(start.Add(2*transfer), linked.Reports(start.Add(transfer))); len(added) != 1 {
+		t.Errorf("the newer report was not taken: %+v", added)
+	}
+}
