--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -55,6 +55,8 @@
 	pinned      int64
 	// expectedVersion is the version that the attempt insists on; 0 means any.
 	expectedVersion int64
+	// version is the last one that an event of the answer gave; 0 if none did.
+	version int64
 	// head is the head of the response and reply what it says, once there is one. rest holds
 	// the blank lines after the last event of a stream.
 	head        *http.Response
@@ -129,8 +131,9 @@
 		return attempts.NotSent, nil
 	}
 	x.conn = conn
-	if time.Since(x.start) > maxChoiceAge || !x.stillAdmits() {
-		// The process stood still since, or the target wants no requests any more.
+	if time.Since(x.start) > maxChoiceAge || !x.stillAdmits() || x.isTooOld() {
+		// The process stood still since, or the target wants no requests any more, or its weights are
+		// too old by now. What it has loaded instead, if anything, is not known to be sound.
 		conn.reset()
 		x.breakage = breakageStaleChoice
 		return attempts.NotSent, nil
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -62,6 +62,9 @@
 	staged stagingArea
 
 	proof proof
+
+	// statusNumber is the number of the last status.
+	statusNumber uint32
 }
 
 func newReconciler(t *Target) *reconciler {
@@ -83,6 +86,7 @@
 		Up:       r.up,
 		Changing: r.changePending || r.report.Busy || r.isUnproved(),
 		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
+		Number:   r.nextStatusNumber(),
 	}
 	if r.up {
 		s.Version = r.loadedVersion()
@@ -93,6 +97,21 @@
 	return s
 }
 
+// nextStatusNumber returns a number above that of the last status, also of an earlier process: the
+// milliseconds of the clock, modulo 2^32, or the next number if that is not above. mu must be held.
+func (r *reconciler) nextStatusNumber() uint32 {
+	now := uint32(time.Now().UnixMilli())
+	if r.statusNumber == 0 || int32(now-r.statusNumber) > 0 {
+		r.statusNumber = now
+	} else {
+		r.statusNumber++
+	}
+	if r.statusNumber == 0 {
+		r.statusNumber++
+	}
+	return r.statusNumber
+}
+
 // loadedVersion returns the version that the engine has loaded completely, 0 if there is
 // none. Before the manifest is known, entries tell whether its layers are all. mu must be held.
 func (r *reconciler) loadedVersion() int64 {
@@ -155,6 +174,9 @@
 		return
 	}
 	r.updateCandidates(ctx, version, origin)
+	if r.unloadPart(ctx, version.Model) {
+		return
+	}
 	r.proveLoaded(ctx)
 	if c := r.nextCandidate(); c != nil {
 		r.stagePieces(ctx, c)
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -75,15 +75,26 @@
 	// Load is the number of requests that run or wait at the engine, if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Number orders the reports of the process, modulo 2^32; 0 if it gives none.
+	Number uint32
 }
 
-// isUsable reports whether the target may be used, as far as the status tells.
-func (s Status) isUsable() bool { return s.Ready && !s.Changing }
+// IsNewer reports whether a status that was reported at a time is newer than another one. Their numbers tell,
+// if both have one and the other still counts: the times of relayed reports lose what the transfers took.
+func (s Status) IsNewer(at time.Time, other Status, otherAt time.Time) bool {
+	if s.Number == 0 || other.Number == 0 || at.Sub(otherAt) > statusMaxAge {
+		return at.After(otherAt)
+	}
+	return int32(s.Number-other.Number) > 0
+}
+
+// IsUsable reports whether the target may be used, as far as the status tells.
+func (s Status) IsUsable() bool { return s.Ready && !s.Changing }
 
 // DiffersFrom reports whether another status has news on which requests the target may get; loads are
 // none.
 func (s Status) DiffersFrom(other Status) bool {
-	return s.isUsable() != other.isUsable() || s.Version != other.Version
+	return s.IsUsable() != other.IsUsable() || s.Version != other.Version
 }
 
 // ReportKey identifies an incarnation of an engine in reports.
--- a/zone/targetreport/tracker.go
+++ b/zone/targetreport/tracker.go
@@ -22,6 +22,8 @@
 	// maxRemoteReports bounds them in a heartbeat to another region, whose entries send here
 	// only what their own region has no room for.
 	maxRemoteReports = 8
+	// maxWithheldReports bounds the reports on engines that get no requests in such a heartbeat.
+	maxWithheldReports = 8
 	// listInterval is how long a list of reports is passed on before it is made anew: heartbeats
 	// to all linked entries follow each other closely.
 	listInterval = 100 * time.Millisecond
@@ -57,7 +59,7 @@
 
 // Observe records a report, and reports whether it is newer than the one that was known.
 func (t *Tracker) Observe(r Report) bool {
-	if known, ok := t.reports[r.Key]; ok && !r.At.After(known.At) {
+	if known, ok := t.reports[r.Key]; ok && !r.isNewer(known) {
 		return false
 	}
 	if t.HasNews(r) {
@@ -72,16 +74,18 @@
 // requests it may get.
 func (t *Tracker) HasNews(r Report) bool {
 	known, ok := t.reports[r.Key]
-	return ok && r.At.After(known.At) && r.Status.DiffersFrom(known.Status)
+	return ok && r.isNewer(known) && r.Status.DiffersFrom(known.Status)
 }
 
+func (r Report) isNewer(known Report) bool { return r.Status.IsNewer(r.At, known.Status, known.At) }
+
 // ApplyReports applies the reports that another entry passes on, and returns those that are new.
 func (t *Tracker) ApplyReports(now time.Time, reports []contract.TargetReport) []Report {
 	var added []Report
 	for _, r := range reports[:min(len(reports), maxReports)] {
 		received := Report{
 			Key:    roster.ReportKey(r.Target),
-			Status: roster.Status{Version: r.Version, Ready: r.Ready, Changing: r.Changing, Load: int(r.Load), HasLoad: r.HasLoad},
+			Status: roster.Status{Version: r.Version, Ready: r.Ready, Changing: r.Changing, Load: int(r.Load), HasLoad: r.HasLoad, Number: r.Number},
 			At:     now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 		}
 		if t.Observe(received) {
@@ -103,21 +107,37 @@
 }
 
 // RemoteReports lists the reports on the engines with the least load among those for which
-// isOffered returns true, for an entry of another region. Within listInterval the same ones are
-// listed.
+// isOffered returns true, and the newest ones on such engines that get no requests, for an entry of
+// another region. Within listInterval the same ones are listed.
 func (t *Tracker) RemoteReports(now time.Time, isOffered func(roster.ReportKey) bool) []contract.TargetReport {
 	if t.remote.isDue(now) {
-		reports := slices.DeleteFunc(t.recent(now), func(r Report) bool {
-			return !r.Status.HasLoad || !r.Status.Ready || r.Status.Changing || !isOffered(r.Key)
-		})
-		slices.SortFunc(reports, func(a, b Report) int {
-			return cmp.Or(cmp.Compare(a.Status.Load, b.Status.Load), b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
-		})
-		t.remote = list{reports: reports[:min(len(reports), maxRemoteReports)], madeAt: now}
+		open, withheld := t.remoteReports(now, isOffered)
+		reports := append(open[:min(len(open), maxRemoteReports)], withheld[:min(len(withheld), maxWithheldReports)]...)
+		t.remote = list{reports: reports, madeAt: now}
 	}
 	return encode(now, t.remote.reports)
 }
 
+// remoteReports returns the recent reports on the engines for which isOffered returns true: those on engines
+// with a known load that may get requests, the least load first, and those on engines that may not, the
+// newest first.
+func (t *Tracker) remoteReports(now time.Time, isOffered func(roster.ReportKey) bool) (open, withheld []Report) {
+	for _, r := range t.recent(now) {
+		switch {
+		case !isOffered(r.Key):
+		case !r.Status.IsUsable():
+			withheld = append(withheld, r)
+		case r.Status.HasLoad:
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Status.Load, b.Status.Load), b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
+	})
+	slices.SortFunc(withheld, func(a, b Report) int { return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Key, b.Key)) })
+	return open, withheld
+}
+
 // recent returns the reports that are not too old, and forgets the others.
 func (t *Tracker) recent(now time.Time) []Report {
 	var list []Report
@@ -136,7 +156,7 @@
 	for _, r := range list {
 		reports = append(reports, contract.TargetReport{
 			Target: uint64(r.Key), Version: r.Status.Version, Ready: r.Status.Ready, Changing: r.Status.Changing,
-			Load: uint32(r.Status.Load), HasLoad: r.Status.HasLoad, AgeMS: uint32(max(now.Sub(r.At), 0).Milliseconds()),
+			Load: uint32(r.Status.Load), HasLoad: r.Status.HasLoad, AgeMS: uint32(max(now.Sub(r.At), 0).Milliseconds()), Number: r.Status.Number,
 		})
 	}
 	return reports
--- a/zone/targetreport/tracker_test.go
+++ b/zone/targetreport/tracker_test.go
@@ -51,6 +51,15 @@
 	if len(got) != maxRemoteReports || got[0].Target != 399 {
 		t.Errorf("%d reports for another region, the first on engine %d, want %d and the least loaded engine first", len(got), got[0].Target, maxRemoteReports)
 	}
+	for i := range 100 {
+		r := reportOf(1000+i, 0, now)
+		r.Status.Changing = true
+		tr.Observe(r)
+	}
+	now = now.Add(listInterval)
+	if got := len(tr.RemoteReports(now, func(roster.ReportKey) bool { return true })); got != maxRemoteReports+maxWithheldReports {
+		t.Errorf("%d reports for another region, want %d on engines with room and %d on engines that get no requests", got, maxRemoteReports, maxWithheldReports)
+	}
 	if added := NewTracker().ApplyReports(now, make([]contract.TargetReport, 10*maxReports)); len(added) > 1 {
 		t.Errorf("%d reports on one engine were new, want 1", len(added))
 	}
@@ -100,3 +109,24 @@
 		t.Errorf("reports after the interval = %+v, want a load of 4, 50 ms old", got)
 	}
 }
+
+// Guards against requests to an engine that gets none (WHOLE, inc2): the age of a report lost the time of
+// each transfer, so that an older report replaced the newer one, and came back as the newer one.
+func TestOlderReportDoesNotReplaceNewerOne(t *testing.T) {
+	const transfer = 300 * time.Millisecond
+	usable, changing := reportOf(1, 0, start), reportOf(1, 0, start.Add(100*time.Millisecond))
+	usable.Status.Number, changing.Status.Number, changing.Status.Changing = 1, 2, true
+	slow, linked := NewTracker(), NewTracker()
+	slow.Observe(usable)
+	sent := slow.Reports(start)
+	linked.Observe(changing)
+	if added := linked.ApplyReports(start.Add(transfer), sent); len(added) != 0 {
+		t.Errorf("older reports taken for new: %+v", added)
+	}
+	if got := linked.Reports(start.Add(transfer)); len(got) != 1 || !got[0].Changing {
+		t.Errorf("reports passed on = %+v, want that the engine changes", got)
+	}
+	if added := slow.ApplyReports(start.Add(2*transfer), linked.Reports(start.Add(transfer))); len(added) != 1 {
+		t.Errorf("the newer report was not taken: %+v", added)
+	}
+}
