--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -160,6 +160,8 @@
 		Store: e.store,
 		Peers: e.peers,
 		Log:   logs.NewLogger("weightcache", process.Machine),
+		// A list of digests of another length is refused.
+		PieceCount: e.fleet.pieceCount,
 	})
 	storerestore.Watch(e.runCtx, storerestore.Options{
 		Store:         e.store,
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -322,6 +322,20 @@
 	return version
 }
 
+// pieceCount returns the number of pieces of a model; 0 while no manifest that has the model is known.
+func (fs *fleetState) pieceCount(model string) int {
+	m := fs.currentManifest()
+	if m == nil {
+		return 0
+	}
+	for _, s := range m.Services {
+		if s.Engine != nil && slices.Contains(s.Engine.Models, model) {
+			return s.Engine.Chunks
+		}
+	}
+	return 0
+}
+
 // newestVersions returns the newest version of each model in the manifest.
 func (fs *fleetState) newestVersions() map[string]int64 {
 	fs.mu.Lock()
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -225,12 +224,11 @@
 // newCandidate returns a candidate with all pieces of a version.
 func newCandidate(t *testing.T, version int64) *candidate {
 	t.Helper()
-	var digests [][]byte
-	for i := range stagedPieces {
-		digest := sha256.Sum256(versionPiece(version, i))
-		digests = append(digests, digest[:])
+	set, err := pieces.NewSet(pieceDigests(version), stagedPieces)
+	if err != nil {
+		t.Fatal(err)
 	}
-	c := &candidate{version: weightcache.Version{Model: testModel, Number: version}, set: pieces.NewSet(digests)}
+	c := &candidate{version: weightcache.Version{Model: testModel, Number: version}, set: set}
 	for i := range stagedPieces {
 		if _, err := c.set.Add(i, versionPiece(version, i)); err != nil {
 			t.Fatal(err)
@@ -243,8 +241,14 @@
 func newTargetOf(t *testing.T, e *loadingEngine) *Target {
 	t.Helper()
 	const unreachable = "127.0.0.1:1"
-	target, err := New(&config.Process{Machine: "side-1", Zone: "zone-a", Fleet: &config.Fleet{
-		Store: unreachable, LinkAddress: "127.0.0.1:0", EngineAddress: e.address, EngineService: testService,
+	return newTargetWith(t, config.Fleet{Store: unreachable, EngineAddress: e.address})
+}
+
+// newTargetWith returns the process beside an engine, with the addresses of the store and the engine.
+func newTargetWith(t *testing.T, addresses config.Fleet) *Target {
+	t.Helper()
+	target, err := New(&config.Process{Machine: "side-1", Zone: "zone-a", Region: "region-a", Fleet: &config.Fleet{
+		Store: addresses.Store, LinkAddress: "127.0.0.1:0", EngineAddress: addresses.EngineAddress, EngineService: testService,
 		Bounds: config.Bounds{OldVersionGrace: 8 * time.Second},
 	}})
 	if err != nil {
@@ -259,9 +263,7 @@
 // announce announces a version of which the process has all pieces.
 func announce(t *testing.T, target *Target, version int64) {
 	t.Helper()
-	target.mu.Lock()
-	target.announced.ForModel(testModel).ApplyRecord(time.Now(), version, time.Now())
-	target.mu.Unlock()
+	announceVersion(target, version)
 	r := target.reconciler
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -269,6 +271,13 @@
 	r.candidates = r.candidates[max(len(r.candidates)-maxCandidates, 0):]
 }
 
+// announceVersion announces a version of which the process has no pieces yet.
+func announceVersion(target *Target, version int64) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.announced.ForModel(testModel).ApplyRecord(time.Now(), version, time.Now())
+}
+
 // wouldBeSentRequests returns the version that requests expect which entries may send to the engine; 0
 // if they may send none.
 func wouldBeSentRequests(target *Target) int64 {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -252,15 +252,22 @@
 }
 
 // initPieces returns a function that returns the candidate's set of pieces, which it
-// creates from the digests if there is none yet.
-func (r *reconciler) initPieces(c *candidate) func([][]byte) *pieces.Set {
-	return func(digests [][]byte) *pieces.Set {
+// creates from the digests if there is none yet. That function fails with pieces.ErrInvalidDigests if
+// they cannot be those of the model: an engine loads pieces without a digest as they are.
+func (r *reconciler) initPieces(c *candidate) func([][]byte) (*pieces.Set, error) {
+	return func(digests [][]byte) (*pieces.Set, error) {
+		pieceCount := r.target.pieceCount()
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if c.set == nil {
-			c.set = pieces.NewSet(digests)
+		if c.set != nil {
+			return c.set, nil
 		}
-		return c.set
+		set, err := pieces.NewSet(digests, pieceCount)
+		if err != nil {
+			return nil, err
+		}
+		c.set = set
+		return set, nil
 	}
 }
 
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -240,18 +240,39 @@
 func (t *Target) desiredVersion() (v weightcache.Version, origin catalog.Origin, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.manifest == nil {
-		return weightcache.Version{}, catalog.Origin{}, false
-	}
-	service := t.manifest.Service(t.process.Fleet.EngineService)
-	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+	engine := t.engine()
+	if engine == nil || len(engine.Models) == 0 {
 		return weightcache.Version{}, catalog.Origin{}, false
 	}
-	v = weightcache.Version{Model: service.Engine.Models[0], Number: upgrade.FirstVersion}
+	v = weightcache.Version{Model: engine.Models[0], Number: upgrade.FirstVersion}
 	v.Number = max(v.Number, t.announced.ForModel(v.Model).Newest())
 	return v, t.manifest.Origin(), true
 }
 
+// engine returns the manifest's description of the engine; nil while no manifest that has one is known.
+// mu must be held.
+func (t *Target) engine() *catalog.Engine {
+	if t.manifest == nil {
+		return nil
+	}
+	service := t.manifest.Service(t.process.Fleet.EngineService)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+// pieceCount returns the number of pieces of the engine's model; 0 if that is not known.
+func (t *Target) pieceCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	engine := t.engine()
+	if engine == nil {
+		return 0
+	}
+	return engine.Chunks
+}
+
 // behindSince returns the time from which the oldest version of a model above loaded
 // counts as announced; zero if there is no such version.
 func (t *Target) behindSince(model string, loaded int64) time.Time {
--- a/machine/weightcache/cache.go
+++ b/machine/weightcache/cache.go
@@ -57,6 +57,8 @@
 	Store *platform.Store
 	Peers *peers.Peers
 	Log   log.Interface
+	// PieceCount returns the number of pieces of a model, 0 if that is not known. It may be nil.
+	PieceCount func(model string) int
 }
 
 // Cache gets the pieces of versions and serves them to peers. It is safe for concurrent use.
@@ -99,6 +101,14 @@
 	return c.origin
 }
 
+// pieceCount returns the number of pieces of a model; 0 if that is not known.
+func (c *Cache) pieceCount(model string) int {
+	if c.opts.PieceCount == nil {
+		return 0
+	}
+	return c.opts.PieceCount(model)
+}
+
 // FetchIfFirstInRank starts to get the pieces of a version that is to be served, if this entry
 // is first in rank. The others start when the pieces are requested from them. It is called
 // repeatedly, since the rank may become known or change later.
--- a/machine/weightcache/cache_test.go
+++ b/machine/weightcache/cache_test.go
@@ -260,7 +260,8 @@
 	defer cancel()
 	v := Version{Model: fleet.Model, Number: 2}
 	noSet := func() *pieces.Set { return nil }
-	_, err := Fetch(ctx, other.peers, "entry-1", v, FetchFollow, noSet, pieces.NewSet)
+	newSet := func(digests [][]byte) (*pieces.Set, error) { return pieces.NewSet(digests, 0) }
+	_, err := Fetch(ctx, other.peers, "entry-1", v, FetchFollow, noSet, newSet)
 	if !errors.Is(err, ErrNoProgress) {
 		t.Errorf("Fetch() error = %v, want %v", err, ErrNoProgress)
 	}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -77,16 +77,23 @@
 	return cv.set
 }
 
-// initSet creates the set of pieces from the digests, unless it exists, and returns it.
-func (cv *cachedVersion) initSet(digests [][]byte) *pieces.Set {
+// initSet creates the set of pieces from the digests, unless it exists, and returns it. It fails with
+// pieces.ErrInvalidDigests if they cannot be those of the model.
+func (cv *cachedVersion) initSet(digests [][]byte) (*pieces.Set, error) {
+	pieceCount := cv.cache.pieceCount(cv.id.Model)
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
-	if cv.set == nil {
-		cv.set = pieces.NewSet(digests)
-		cv.stored = make([]bool, len(digests))
-		close(cv.digestsKnown)
+	if cv.set != nil {
+		return cv.set, nil
 	}
-	return cv.set
+	set, err := pieces.NewSet(digests, pieceCount)
+	if err != nil {
+		return nil, err
+	}
+	cv.set = set
+	cv.stored = make([]bool, len(digests))
+	close(cv.digestsKnown)
+	return set, nil
 }
 
 func (cv *cachedVersion) log() log.Interface {
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -169,7 +169,11 @@
 			return nil
 		}
 		if equalDigests(previous, digests) {
-			set := cv.initSet(digests)
+			set, err := cv.initSet(digests)
+			if err != nil {
+				cv.log().WithError(err).Warn("digests refused")
+				return nil
+			}
 			cv.enqueueRecord(digestsKey, bytes.Join(digests, nil))
 			return set
 		}
--- a/machine/weightcache/fetch.go
+++ b/machine/weightcache/fetch.go
@@ -37,10 +37,10 @@
 
 // Fetch requests the missing pieces of a version from a machine and returns how many were
 // added. currentSet returns the set of pieces or nil, and initSet creates it from the
-// digests. In the mode FetchFollow it fails with ErrNoProgress if the machine reports that
+// digests, unless they are invalid. In the mode FetchFollow it fails with ErrNoProgress if the machine reports that
 // it waits itself and has sent no piece for peerProgressTimeout.
 func Fetch(ctx context.Context, p *peers.Peers, peer contract.MachineID, v Version, mode FetchMode,
-	currentSet func() *pieces.Set, initSet func([][]byte) *pieces.Set) (int, error) {
+	currentSet func() *pieces.Set, initSet func([][]byte) (*pieces.Set, error)) (int, error) {
 	request := contract.PiecesRequest{
 		Model: v.Model, Version: v.Number, HeldOnly: mode == FetchHeld, FromOrigin: mode == FetchFromOrigin, Have: heldIndexes(currentSet()),
 	}
@@ -69,7 +69,7 @@
 }
 
 // receivePieces receives messages until the last one and returns how many pieces were added.
-func receivePieces(s *link.Stream, mode FetchMode, initSet func([][]byte) *pieces.Set) (int, error) {
+func receivePieces(s *link.Stream, mode FetchMode, initSet func([][]byte) (*pieces.Set, error)) (int, error) {
 	var set *pieces.Set
 	got := 0
 	lastPieceAt := time.Now()
@@ -89,7 +89,9 @@
 				return got, ErrNoProgress
 			}
 		case m.Pieces.Digests != nil:
-			set = initSet(m.Pieces.Digests)
+			if set, err = initSet(m.Pieces.Digests); err != nil {
+				return got, err
+			}
 		case set == nil:
 			return got, errors.Wrap(link.ErrFrame, "piece received before the digests")
 		default:
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"strconv"
@@ -20,7 +21,6 @@
 	// digestsKey is the key of the record of the digests. The keys of pieces are their
 	// indexes.
 	digestsKey = "digests"
-	digestSize = 32
 	// readWait is how long one read of the topic waits for records. readInterval is the time
 	// between two reads, so that one read returns several pieces.
 	readWait     = time.Second
@@ -177,8 +177,11 @@
 // the digests were known.
 func (cv *cachedVersion) applyRecords(records []contract.Record) {
 	for _, r := range records {
-		if r.Key == digestsKey && len(r.Value)%digestSize == 0 && len(r.Value) > 0 {
-			cv.initSet(splitDigests(r.Value))
+		if r.Key != digestsKey {
+			continue
+		}
+		if _, err := cv.initSet(splitDigests(r.Value)); err != nil {
+			cv.log().WithError(err).Warn("digests refused")
 		}
 	}
 	set := cv.currentSet()
@@ -253,15 +256,8 @@
 	return cv.stored[i]
 }
 
-// splitDigests splits a record of concatenated digests.
-func splitDigests(data []byte) [][]byte {
-	var digests [][]byte
-	for len(data) >= digestSize {
-		digests = append(digests, data[:digestSize])
-		data = data[digestSize:]
-	}
-	return digests
-}
+// splitDigests splits a record of concatenated digests. The last one is shorter if the record is cut off.
+func splitDigests(data []byte) [][]byte { return slices.Collect(slices.Chunk(data, sha256.Size)) }
 
 // enqueueRecord queues a record to be appended to the version's topic in the background: a
 // slow or unavailable store must not delay the download.
--- a/weights/pieces/pieces.go
+++ b/weights/pieces/pieces.go
@@ -14,6 +14,8 @@
 var (
 	// ErrDigestMismatch means that the data of a piece does not have the expected digest.
 	ErrDigestMismatch = errors.New("pieces: digest mismatch")
+	// ErrInvalidDigests means that a list cannot be that of the digests of a version.
+	ErrInvalidDigests = errors.New("pieces: invalid list of digests")
 	// ErrIndexOutOfRange means that the version has no piece of the given index.
 	ErrIndexOutOfRange = errors.New("pieces: index out of range")
 )
@@ -29,9 +31,19 @@
 	added chan struct{}
 }
 
-// NewSet returns an empty set of pieces with the given SHA-256 digests.
-func NewSet(digests [][]byte) *Set {
-	return &Set{digests: digests, data: make([][]byte, len(digests)), added: make(chan struct{})}
+// NewSet returns an empty set of pieces with the given SHA-256 digests. It fails with ErrInvalidDigests
+// if one is not the length of such a digest, or if their number is not pieceCount, the number of pieces
+// that the model has; 0 if that is not known.
+func NewSet(digests [][]byte, pieceCount int) (*Set, error) {
+	if len(digests) == 0 || pieceCount > 0 && len(digests) != pieceCount {
+		return nil, errors.Wrapf(ErrInvalidDigests, "%d digests for a model of %d pieces", len(digests), pieceCount)
+	}
+	for i, digest := range digests {
+		if len(digest) != sha256.Size {
+			return nil, errors.Wrapf(ErrInvalidDigests, "digest %d has %d bytes", i, len(digest))
+		}
+	}
+	return &Set{digests: digests, data: make([][]byte, len(digests)), added: make(chan struct{})}, nil
 }
 
 // Len returns the number of pieces of the version.
--- a/weights/pieces/pieces_test.go
+++ b/weights/pieces/pieces_test.go
@@ -16,8 +16,40 @@
 	return list
 }
 
+func newSet(t *testing.T, texts ...string) *Set {
+	t.Helper()
+	s, err := NewSet(digestsOf(texts...), len(texts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against pieces that nobody verifies or stages (WHOLE, inc2): a set of no digests was complete at
+// once, and one of too few was complete although the model has more pieces.
+func TestInvalidDigestsAreRefused(t *testing.T) {
+	for name, digests := range map[string][][]byte{
+		"none":      {},
+		"too few":   digestsOf("zero"),
+		"too many":  digestsOf("zero", "one", "two"),
+		"cut off":   {digestsOf("zero")[0], digestsOf("one")[0][:31]},
+		"too long":  {digestsOf("zero")[0], append(digestsOf("one")[0], 0)},
+		"empty one": {digestsOf("zero")[0], nil},
+	} {
+		if s, err := NewSet(digests, 2); s != nil || !errors.Is(err, ErrInvalidDigests) {
+			t.Errorf("%s: NewSet() = %v, %v, want ErrInvalidDigests", name, s, err)
+		}
+	}
+	if _, err := NewSet(nil, 0); !errors.Is(err, ErrInvalidDigests) {
+		t.Errorf("none, while the number of pieces is not known: NewSet() error = %v, want ErrInvalidDigests", err)
+	}
+	if s, err := NewSet(digestsOf("zero"), 0); err != nil || s.Len() != 1 {
+		t.Errorf("one, while the number of pieces is not known: NewSet() error = %v, want none", err)
+	}
+}
+
 func TestAddAcceptsOnlyVerifiedPieces(t *testing.T) {
-	s := NewSet(digestsOf("zero", "one"))
+	s := newSet(t, "zero", "one")
 	if _, err := s.Add(0, []byte("corrupt")); !errors.Is(err, ErrDigestMismatch) {
 		t.Errorf("corrupt piece: Add() error = %v, want ErrDigestMismatch", err)
 	}
@@ -35,7 +67,7 @@
 }
 
 func TestSetBecomesComplete(t *testing.T) {
-	s := NewSet(digestsOf("zero", "one"))
+	s := newSet(t, "zero", "one")
 	added := s.Added()
 	for i, text := range []string{"zero", "one"} {
 		if isNew, err := s.Add(i, []byte(text)); !isNew || err != nil {
