Digests that no piece matches are corrected

The piece never matched, so no engine got the version, and the entries downloaded the piece again and again. It could not make an engine load unsound pieces.

Cause: the list of digests that came first was believed for good.

Evidence: all three tests failed before: TestCorruptDigestsAreCorrected and TestCorruptDigestsInStoreAreCorrected (entries, 20 s without the version), TestEngineGetsVersionOnceDigestsAreCorrected (an engine, 20 s).

Change: after four downloads of a piece that did not match, the digests are downloaded again until two replies agree. A piece that matches the digest of its sender, and not that of the receiver, makes the receiver take the sender's list. Both only change digests of pieces that are not held: where a piece is held that has another digest in the list, the list is refused, since it may be that of another version.

Result: the tests pass, with those of the packages concerned, with -race.

--- a/machine/target/direct/digests_test.go
+++ b/machine/target/direct/digests_test.go
@@ -124,3 +124,22 @@
 		})
 	}
 }
+
+// Guards against an engine that never gets a version: the list of digests that came first had a corrupt
+// one, and that list was kept for good.
+func TestEngineGetsVersionOnceDigestsAreCorrected(t *testing.T) {
+	const corruptPiece = 3
+	corrupt := pieceDigests(2)
+	corrupt[corruptPiece] = make([]byte, sha256.Size)
+	e, server := newLoadingEngine(t), &piecesServer{digests: corrupt}
+	target := newLinkedTargetOf(t, e, server)
+	target.reconciler.reconcile(t.Context())
+	announceVersion(target, 2)
+	for end := time.Now().Add(settleTimeout); target.reconciler.snapshot().pieceCount < corruptPiece; time.Sleep(tickInterval) {
+		if target.reconciler.reconcile(t.Context()); time.Now().After(end) {
+			t.Fatal("no pieces were received")
+		}
+	}
+	server.setDigests(pieceDigests(2))
+	reconcileUntil(t, target, e, 2)
+}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -50,6 +50,8 @@
 	downloadRequestedAt time.Time
 	// digestsKnown is closed when the digests are known.
 	digestsKnown chan struct{}
+	// storedDigests is the newest list of digests in the store that was read.
+	storedDigests [][]byte
 	// stored flags the pieces that are known to be in the store, in its era storedEra.
 	// appendedEnd is the offset after the last of them.
 	stored                 []bool
--- a/machine/weightcache/digests_test.go
+++ b/machine/weightcache/digests_test.go
@@ -1,6 +1,7 @@
 package weightcache
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
 	"testing"
@@ -43,3 +44,38 @@
 		t.Errorf("the version is complete with %d of %d pieces", got, chunks)
 	}
 }
+
+// Guards against a version that no engine ever gets: two replies of the origin had been corrupted alike, so
+// that one piece never matched its digest, in any zone. The second entry has the digests from the first.
+func TestCorruptDigestsAreCorrected(t *testing.T) {
+	store, origin := fleet.NewStore(), fleet.NewOrigin(chunks)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	origin.CorruptDigests(2)
+	first := startNode(t, store.Address(), "entry-1", origin.Address())
+	second := startNode(t, store.Address(), "entry-2", "127.0.0.1:1")
+	eventually(t, "the entries are linked", func() bool {
+		return first.peers.IsLinked("entry-2") && second.peers.IsLinked("entry-1")
+	})
+	v := Version{Model: fleet.Model, Number: 2}
+	others := second.cache.ensureVersion(v)
+	cv := first.cache.ensureVersion(v)
+	eventually(t, "the version is complete at the entry that downloads", cv.isComplete)
+	eventually(t, "the version is complete at the other entry", others.isComplete)
+}
+
+// Guards against a version that no engine ever gets: the store holds a digest that no piece matches.
+func TestCorruptDigestsInStoreAreCorrected(t *testing.T) {
+	store, origin := fleet.NewStore(), fleet.NewOrigin(chunks)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	v := Version{Model: fleet.Model, Number: 2}
+	var digests []byte
+	for range chunks {
+		digests = append(digests, make([]byte, sha256.Size)...)
+	}
+	storeVersion(t, store, v, 0)
+	store.Put(platform.WeightsTopic(v.Model, v.Number), digestsKey, string(digests))
+	cv := startNode(t, store.Address(), "entry-1", origin.Address()).cache.ensureVersion(v)
+	eventually(t, "the version is complete", cv.isComplete)
+}
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/pieces"
 )
@@ -26,6 +28,9 @@
 	// requestedDownloadTimeout is how long an entry that was requested to download may
 	// take.
 	requestedDownloadTimeout = 2500 * time.Millisecond
+	// maxMismatches is how often a downloaded piece may fail verification in a row until the digests
+	// are downloaded again: a piece may be corrupt several times.
+	maxMismatches = 4
 	// MaxStoredBytes is the size of the largest version that is kept in the store.
 	MaxStoredBytes = 32 << 20
 )
@@ -141,7 +146,11 @@
 	for range downloadWorkers {
 		wg.Go(func() {
 			for i := range missing {
-				if err := cv.downloadPiece(roundCtx, client, set, i); err != nil {
+				err := cv.downloadPiece(roundCtx, client, set, i)
+				switch {
+				case errors.Is(err, pieces.ErrDigestMismatch):
+					cv.correctDigests(roundCtx, client, set)
+				case err != nil:
 					cancel()
 				}
 			}
@@ -161,25 +170,51 @@
 // downloadDigests downloads the digests until two consecutive replies agree, because a
 // reply may be corrupt, and stores them. It returns nil if the origin does not answer.
 func (cv *cachedVersion) downloadDigests(ctx context.Context, client *platform.OriginClient) *pieces.Set {
+	digests := cv.requestDigests(ctx, client, func() bool { return cv.currentSet() != nil })
+	if digests == nil {
+		return cv.currentSet()
+	}
+	set, err := cv.initSet(digests)
+	if err != nil {
+		cv.log().WithError(err).Warn("digests refused")
+		return nil
+	}
+	cv.enqueueRecord(digestsKey, bytes.Join(digests, nil))
+	return set
+}
+
+// requestDigests requests the digests until two consecutive replies agree. It returns nil if the origin
+// does not answer, or if isObsolete reports true before.
+func (cv *cachedVersion) requestDigests(ctx context.Context, client *platform.OriginClient, isObsolete func() bool) [][]byte {
 	var previous [][]byte
-	for ctx.Err() == nil && cv.currentSet() == nil {
+	for ctx.Err() == nil && !isObsolete() {
 		digests, err := client.Digests(ctx, cv.id.Model, cv.id.Number)
 		if err != nil {
 			cv.log().WithError(err).Warn("digests not downloaded from the origin")
 			return nil
 		}
 		if equalDigests(previous, digests) {
-			set, err := cv.initSet(digests)
-			if err != nil {
-				cv.log().WithError(err).Warn("digests refused")
-				return nil
-			}
-			cv.enqueueRecord(digestsKey, bytes.Join(digests, nil))
-			return set
+			return digests
 		}
 		previous = digests
 	}
-	return cv.currentSet()
+	return nil
+}
+
+// correctDigests downloads the digests again, after a piece has failed verification repeatedly, and takes
+// those of the pieces that are not held. Two replies may have been corrupted alike, and the store or
+// a peer may have had corrupt digests.
+func (cv *cachedVersion) correctDigests(ctx context.Context, client *platform.OriginClient, set *pieces.Set) {
+	digests := cv.requestDigests(ctx, client, set.IsComplete)
+	if digests == nil || equalDigests(digests, set.Digests()) {
+		return
+	}
+	if !set.Correct(digests) {
+		cv.log().Warn("digests of the origin contradict the pieces that are held")
+		return
+	}
+	cv.log().Warn("digests corrected")
+	cv.enqueueRecord(digestsKey, bytes.Join(digests, nil))
 }
 
 func equalDigests(a, b [][]byte) bool {
@@ -187,9 +222,10 @@
 }
 
 // downloadPiece downloads a piece until it passes verification. It fails if the origin does
-// not answer.
+// not answer, and with pieces.ErrDigestMismatch if the piece has failed verification maxMismatches times:
+// its digest may be wrong.
 func (cv *cachedVersion) downloadPiece(ctx context.Context, client *platform.OriginClient, set *pieces.Set, i int) error {
-	for ctx.Err() == nil && set.Get(i) == nil {
+	for mismatches := 0; ctx.Err() == nil && set.Get(i) == nil; {
 		data, err := client.Piece(ctx, cv.id.Model, cv.id.Number, i)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -199,6 +235,9 @@
 		}
 		if _, err := set.Add(i, data); err != nil {
 			cv.log().WithError(err).WithField("piece", i).Warn("downloaded piece failed verification")
+			if mismatches++; mismatches >= maxMismatches {
+				return err
+			}
 			continue
 		}
 		if set.Len()*len(data) <= MaxStoredBytes && !cv.isStored(i) {
--- a/machine/weightcache/fetch.go
+++ b/machine/weightcache/fetch.go
@@ -71,6 +71,7 @@
 // receivePieces receives messages until the last one and returns how many pieces were added.
 func receivePieces(s *link.Stream, mode FetchMode, initSet func([][]byte) (*pieces.Set, error)) (int, error) {
 	var set *pieces.Set
+	var digests [][]byte
 	got := 0
 	lastPieceAt := time.Now()
 	for {
@@ -89,13 +90,14 @@
 				return got, ErrNoProgress
 			}
 		case m.Pieces.Digests != nil:
-			if set, err = initSet(m.Pieces.Digests); err != nil {
+			digests = m.Pieces.Digests
+			if set, err = initSet(digests); err != nil {
 				return got, err
 			}
 		case set == nil:
 			return got, errors.Wrap(link.ErrFrame, "piece received before the digests")
 		default:
-			isNew, err := set.Add(int(m.Pieces.Index), m.Pieces.Data)
+			isNew, err := set.AddFrom(digests, int(m.Pieces.Index), m.Pieces.Data)
 			if err != nil {
 				return got, err
 			}
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -180,9 +180,12 @@
 		if r.Key != digestsKey {
 			continue
 		}
-		if _, err := cv.initSet(splitDigests(r.Value)); err != nil {
+		digests := splitDigests(r.Value)
+		if _, err := cv.initSet(digests); err != nil {
 			cv.log().WithError(err).Warn("digests refused")
+			continue
 		}
+		cv.setStoredDigests(digests)
 	}
 	set := cv.currentSet()
 	if set == nil {
@@ -193,6 +196,18 @@
 	cv.addPieces(set, records)
 }
 
+func (cv *cachedVersion) setStoredDigests(digests [][]byte) {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	cv.storedDigests = digests
+}
+
+func (cv *cachedVersion) currentStoredDigests() [][]byte {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	return cv.storedDigests
+}
+
 // holdUnverified holds the newest record of each piece that cannot be verified until the digests are
 // known: among the newest records of a topic the digests come last. What exceeds MaxStoredBytes is
 // dropped.
@@ -224,12 +239,13 @@
 
 // addPieces verifies records of pieces and adds the pieces to the set.
 func (cv *cachedVersion) addPieces(set *pieces.Set, records []contract.Record) {
+	digests := cv.currentStoredDigests()
 	for _, r := range records {
 		i, err := strconv.Atoi(r.Key)
 		if err != nil {
 			continue
 		}
-		if _, err := set.Add(i, r.Value); err != nil {
+		if _, err := set.AddFrom(digests, i, r.Value); err != nil {
 			cv.log().WithError(err).Warn("piece from the store failed verification")
 			continue
 		}
--- a/standin/fleet/origin.go
+++ b/standin/fleet/origin.go
@@ -22,6 +22,8 @@
 	// none.
 	piecesServed int
 	corruptEvery int
+	// corruptLists is how many further lists of digests are corrupt, all alike.
+	corruptLists int
 	// unresponsive is set if requests get no answer.
 	unresponsive bool
 }
@@ -80,6 +82,13 @@
 	o.corruptEvery = n
 }
 
+// CorruptDigests has the origin corrupt the first digest of its next n lists, in the same way.
+func (o *Origin) CorruptDigests(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.corruptLists = n
+}
+
 // Piece returns a piece of a version.
 func Piece(version int64, index int) []byte {
 	return []byte(strings.Repeat(fmt.Sprintf("v%d piece %d;", version, index), 200))
@@ -98,6 +107,12 @@
 	for i := range o.pieceCount {
 		digests = append(digests, PieceDigest(version, i))
 	}
+	o.mu.Lock()
+	if o.corruptLists > 0 {
+		o.corruptLists--
+		digests[0] = strings.Repeat("0", len(digests[0]))
+	}
+	o.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{"model": r.PathValue("model"), "version": version, "digests": digests})
 }
 
--- a/weights/pieces/pieces.go
+++ b/weights/pieces/pieces.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -22,11 +23,10 @@
 
 // Set holds the pieces of one version that have been verified so far.
 type Set struct {
+	mu      sync.Mutex
 	digests [][]byte
-
-	mu    sync.Mutex
-	data  [][]byte
-	count int
+	data    [][]byte
+	count   int
 	// added is closed and replaced when a piece is added.
 	added chan struct{}
 }
@@ -43,35 +43,71 @@
 			return nil, errors.Wrapf(ErrInvalidDigests, "digest %d has %d bytes", i, len(digest))
 		}
 	}
-	return &Set{digests: digests, data: make([][]byte, len(digests)), added: make(chan struct{})}, nil
+	return &Set{digests: slices.Clone(digests), data: make([][]byte, len(digests)), added: make(chan struct{})}, nil
 }
 
 // Len returns the number of pieces of the version.
-func (s *Set) Len() int { return len(s.digests) }
+func (s *Set) Len() int { return len(s.data) }
 
-// Digests returns the digests of all pieces; the caller must not change them.
-func (s *Set) Digests() [][]byte { return s.digests }
+// Digests returns the digests of all pieces; the caller must not change their bytes.
+func (s *Set) Digests() [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.digests)
+}
 
 // Verify checks that data is piece i. It fails with ErrIndexOutOfRange or
 // ErrDigestMismatch.
-func (s *Set) Verify(i int, data []byte) error {
-	if i < 0 || i >= len(s.digests) {
-		return errors.Wrapf(ErrIndexOutOfRange, "piece %d of %d", i, len(s.digests))
+func (s *Set) Verify(i int, data []byte) error { return verify(s.Digests(), i, data) }
+
+// verify checks that data is piece i of those with the given digests.
+func verify(digests [][]byte, i int, data []byte) error {
+	if i < 0 || i >= len(digests) {
+		return errors.Wrapf(ErrIndexOutOfRange, "piece %d of %d", i, len(digests))
 	}
-	if sum := sha256.Sum256(data); !bytes.Equal(sum[:], s.digests[i]) {
+	if sum := sha256.Sum256(data); !bytes.Equal(sum[:], digests[i]) {
 		return errors.Wrapf(ErrDigestMismatch, "piece %d", i)
 	}
 	return nil
 }
 
+// Correct replaces the digests of the pieces that are not held, and reports whether it did. It does not
+// if a piece is held that has another digest in the list, or if the list is of another length: it cannot
+// be one of the same version then.
+func (s *Set) Correct(digests [][]byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(digests) != len(s.digests) {
+		return false
+	}
+	for i, digest := range digests {
+		if len(digest) != sha256.Size || s.data[i] != nil && !bytes.Equal(digest, s.digests[i]) {
+			return false
+		}
+	}
+	s.digests = slices.Clone(digests)
+	return true
+}
+
+// AddFrom adds piece i, from a sender with its own list of digests. If that is the digest of the piece, and
+// the one in the set is not, the set takes the list of the sender, as Correct does: a digest that no piece
+// has matched may be wrong, and one that a piece has matched is not corrupt.
+func (s *Set) AddFrom(senderDigests [][]byte, i int, data []byte) (bool, error) {
+	isNew, err := s.Add(i, data)
+	if errors.Is(err, ErrDigestMismatch) && verify(senderDigests, i, data) == nil && s.Correct(senderDigests) {
+		return s.Add(i, data)
+	}
+	return isNew, err
+}
+
 // Add verifies and stores piece i. It reports whether the piece was not held before. It
 // fails with the errors of Verify.
 func (s *Set) Add(i int, data []byte) (bool, error) {
-	if err := s.Verify(i, data); err != nil {
-		return false, err
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := verify(s.digests, i, data); err != nil {
+		return false, err
+	}
 	if s.data[i] != nil {
 		return false, nil
 	}
--- a/weights/pieces/pieces_test.go
+++ b/weights/pieces/pieces_test.go
@@ -86,3 +86,35 @@
 		t.Errorf("%d of %d pieces held, want all, with \"one\" as piece 1", s.Count(), s.Len())
 	}
 }
+
+// Guards against a version that stays incomplete because of a corrupt digest, and against pieces of another
+// version (WHOLE, inc2): a list takes the place of another only where no piece contradicts it.
+func TestOnlyDigestsWithoutPieceAreCorrected(t *testing.T) {
+	texts := []string{"zero", "one", "two"}
+	sound, corrupt := digestsOf(texts...), digestsOf("zero", "corrupt", "two")
+	for name, c := range map[string]struct {
+		held, sender [][]byte
+		heldPiece    string
+		want         bool
+	}{
+		"corrupt digest in the set":         {corrupt, sound, "zero", true},
+		"sender's digest is corrupt":        {sound, corrupt, "zero", true},
+		"sender's list of another version":  {corrupt, digestsOf("other", "one", "two"), "zero", false},
+		"sender's list is shorter":          {corrupt, sound[:2], "zero", false},
+		"neither list has the piece":        {corrupt, corrupt, "zero", false},
+		"nothing held, all digests corrupt": {digestsOf("a", "b", "c"), sound, "", true},
+	} {
+		s, err := NewSet(c.held, len(texts))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.heldPiece != "" {
+			if _, err := s.Add(0, []byte(c.heldPiece)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if isNew, err := s.AddFrom(c.sender, 1, []byte("one")); isNew != c.want || (err == nil) != c.want {
+			t.Errorf("%s: AddFrom() = %v, %v, want %v", name, isNew, err, c.want)
+		}
+	}
+}
