--- a/machine/weightcache/digests_test.go
+++ b/machine/weightcache/digests_test.go
@@ -1,6 +1,7 @@
 package weightcache
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/standin/fleet"
+	"mimosastand.example/mimosastand/weights/pieces"
 )
 
 // storeVersion puts the pieces of a version into the store, with the digests of the first digestCount.
@@ -79,3 +81,42 @@
 	cv := startNode(t, store.Address(), "entry-1", origin.Address()).cache.ensureVersion(v)
 	eventually(t, "the version is complete", cv.isComplete)
 }
+
+// Guards against pieces of another version (WHOLE, inc2): a version that was evicted while it was served, and
+// is requested again, is the same version.
+func TestEvictedVersionIsServedAsItself(t *testing.T) {
+	store, origin := fleet.NewStore(), fleet.NewOrigin(chunks)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	server := startNode(t, store.Address(), "entry-1", origin.Address())
+	client := startNode(t, store.Address(), "entry-2", "127.0.0.1:1")
+	eventually(t, "the entries are linked", func() bool { return client.peers.IsLinked("entry-1") })
+	old := Version{Model: fleet.Model, Number: 2}
+	set := fetchVersion(t, client, old, func() {
+		server.cache.ensureVersion(Version{Model: fleet.Model, Number: old.Number + versionWindow})
+	})
+	for i := range set.Len() {
+		if !bytes.Equal(set.Get(i), fleet.Piece(old.Number, i)) {
+			t.Errorf("piece %d of version %d is %.20q", i, old.Number, set.Get(i))
+		}
+	}
+}
+
+// fetchVersion fetches all pieces of a version from entry-1. It calls onDigests when the digests have come.
+func fetchVersion(t *testing.T, n *node, v Version, onDigests func()) *pieces.Set {
+	t.Helper()
+	var set *pieces.Set
+	current := func() *pieces.Set { return set }
+	initSet := func(digests [][]byte) (_ *pieces.Set, err error) {
+		if set == nil {
+			onDigests()
+			set, err = pieces.NewSet(digests, chunks)
+		}
+		return set, err
+	}
+	eventually(t, "the version is fetched", func() bool {
+		_, _ = Fetch(t.Context(), n.peers, "entry-1", v, FetchFollow, current, initSet)
+		return set != nil && set.IsComplete()
+	})
+	return set
+}
