--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"strconv"
@@ -20,7 +21,6 @@
 	// digestsKey is the key of the record of the digests. The keys of pieces are their
 	// indexes.
 	digestsKey = "digests"
-	digestSize = 32
 	// readWait is how long one read of the topic waits for records. readInterval is the time
 	// between two reads, so that one read returns several pieces.
 	readWait     = time.Second
@@ -177,9 +177,15 @@
 // the digests were known.
 func (cv *cachedVersion) applyRecords(records []contract.Record) {
 	for _, r := range records {
-		if r.Key == digestsKey && len(r.Value)%digestSize == 0 && len(r.Value) > 0 {
-			cv.initSet(splitDigests(r.Value))
+		if r.Key != digestsKey {
+			continue
+		}
+		digests := splitDigests(r.Value)
+		if _, err := cv.initSet(digests); err != nil {
+			cv.log().WithError(err).Warn("digests refused")
+			continue
 		}
+		cv.setStoredDigests(digests)
 	}
 	set := cv.currentSet()
 	if set == nil {
@@ -190,6 +196,18 @@
 	cv.addPieces(set, records)
 }
 
+func (cv *cachedVersion) setStoredDigests(digests [][]byte) {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	cv.storedDigests = digests
+}
+
+func (cv *cachedVersion) currentStoredDigests() [][]byte {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	return cv.storedDigests
+}
+
 // holdUnverified holds the newest record of each piece that cannot be verified until the digests are
 // known: among the newest records of a topic the digests come last. What exceeds MaxStoredBytes is
 // dropped.
@@ -221,12 +239,13 @@
 
 // addPieces verifies records of pieces and adds the pieces to the set.
 func (cv *cachedVersion) addPieces(set *pieces.Set, records []contract.Record) {
+	digests := cv.currentStoredDigests()
 	for _, r := range records {
 		i, err := strconv.Atoi(r.Key)
 		if err != nil {
 			continue
 		}
-		if _, err := set.Add(i, r.Value); err != nil {
+		if _, err := set.AddFrom(digests, i, r.Value); err != nil {
 			cv.log().WithError(err).Warn("piece from the store failed verification")
 			continue
 		}
@@ -253,15 +272,8 @@
 	return cv.stored[i]
 }
 
-// splitDigests splits a record of concatenated digests.
-func splitDigests(data []byte) [][]byte {
-	var digests [][]byte
-	for len(data) >= digestSize {
-		digests = append(digests, data[:digestSize])
-		data = data[digestSize:]
-	}
-	return digests
-}
+// splitDigests splits a record of concatenated digests. The last one is shorter if the record is cut off.
+func splitDigests(data []byte) [][]byte { return slices.Collect(slices.Chunk(data, sha256.Size)) }
 
 // enqueueRecord queues a record to be appended to the version's topic in the background: a
 // slow or unavailable store must not delay the download.
--- a/weights/pieces/fingerprint.go
+++ b/weights/pieces/fingerprint.go
@@ -12,7 +12,7 @@
 // whether two processes verify a version against the same digests.
 func (s *Set) Fingerprint() string {
 	h := sha256.New()
-	for _, digest := range s.digests {
+	for _, digest := range s.Digests() {
 		// A hash never returns an error.
 		_, _ = h.Write(digest)
 	}
