--- a/internal/explain/entrystate.go
+++ b/internal/explain/entrystate.go
@@ -58,16 +58,16 @@
 // beside it logged. The lines of that process are found by the engine's start time, which
 // the entry logs too when the target is listed.
 func (r requestLog) describeEngine(end Line) []string {
-	born := ""
+	born, address := "", ""
 	for _, l := range r.all {
 		if hasMessage(l, "target listed") && l.Fields["target"] == end.Fields["target"] && !l.Time.After(end.Time) {
-			born = l.Fields["born"]
+			born, address = l.Fields["born"], l.Fields["address"]
 		}
 	}
 	if born == "" || born == "0" {
 		return nil
 	}
-	observed, ok := lastOf(r.all, end.Time, func(l Line) bool { return hasMessage(l, messageEngine) && l.Fields["born"] == born })
+	observed, ok := lastOf(r.all, end.Time, func(l Line) bool { return isOfEngine(l, born, address) })
 	if !ok {
 		return nil
 	}
--- a/internal/explain/load.go
+++ b/internal/explain/load.go
@@ -16,13 +16,14 @@
 	if born == "" || born == "0" || end.Fields["version"] == "0" {
 		return nil
 	}
-	isOfStart := func(l Line, message string) bool { return hasMessage(l, message) && l.Fields["born"] == born }
-	engine, ok := lastOf(r.all, end.Time, func(l Line) bool { return isOfStart(l, messageEngine) })
+	engine, ok := lastOf(r.all, end.Time, func(l Line) bool { return isOfEngine(l, born, end.Fields["address"]) })
 	if !ok {
 		return nil
 	}
 	orders := engine.Fields["orders"]
-	isOfLoad := func(l Line, message string) bool { return isOfStart(l, message) && l.Fields["orders"] == orders }
+	isOfLoad := func(l Line, message string) bool {
+		return hasMessage(l, message) && l.Machine == engine.Machine && l.Fields["born"] == born && l.Fields["orders"] == orders
+	}
 	load := fmt.Sprintf("after %s orders since its start %s", orders, born)
 	sentences := []string{fmt.Sprintf("%s had taken over version %s of that engine, %s, without a proof.",
 		engine.Machine, engine.Fields["version"], load)}
@@ -35,6 +36,13 @@
 	return append(sentences, describeUnsound(end, filter(r.all, func(l Line) bool { return isOfLoad(l, messageUnsound) }))...)
 }
 
+// isOfEngine reports whether a line shows a state of the engine at an address that started at born. Lines
+// of older builds do not have the address.
+func isOfEngine(l Line, born, address string) bool {
+	logged := l.Fields["address"]
+	return hasMessage(l, messageEngine) && l.Fields["born"] == born && (logged == "" || address == "" || logged == address)
+}
+
 // describeUnsound describes the first line by which a load was found unsound, if there is one.
 func describeUnsound(end Line, lines []Line) []string {
 	if len(lines) == 0 {
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -383,6 +383,6 @@
 		WithField("load", choice.Load).WithField("first_ms", choice.FirstEventDelay.Milliseconds()).WithField("version", choice.Version).
 		WithField("oldest", choice.MinVersion).
 		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("told_ms", choice.StatusAge.Milliseconds()).
-		WithField("born", choice.Born).WithField("manifest", c.manifest).
+		WithField("born", choice.Born).WithField("address", choice.Address).WithField("manifest", c.manifest).
 		WithField("left_ms", time.Until(c.deadline).Milliseconds()).Info("attempt placed")
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -235,6 +235,7 @@
 	if rec.startedAt.IsZero() {
 		return
 	}
+	f["address"] = rec.choice.Address
 	f["born"] = rec.choice.Born
 	f["version"] = rec.choice.Version
 	f["told_ms"] = rec.choice.StatusAge.Milliseconds()
--- a/machine/entry/direct/requestrecord_test.go
+++ b/machine/entry/direct/requestrecord_test.go
@@ -132,7 +132,7 @@
 func TestLinesNameWeightsOfAttempt(t *testing.T) {
 	c, _, logged := newHedgingCall(t)
 	logged.Entries = nil
-	choice := placement.Choice{ID: "i-1", Born: 700, Version: 2, StatusAge: 80 * time.Millisecond}
+	choice := placement.Choice{ID: "i-1", Address: "127.0.0.1:7001", Born: 700, Version: 2, StatusAge: 80 * time.Millisecond}
 	c.entry.logPlacement(c, choice)
 	c.record.attemptStarted(choice, time.Now())
 	c.record.replyReceived(platform.Reply{Status: http.StatusOK, Version: 3}, 2)
@@ -144,7 +144,8 @@
 		t.Fatalf("%d lines, want %d", len(logged.Entries), len(want))
 	}
 	for i, l := range logged.Entries {
-		if l.Message != want[i] || l.Fields["born"] != int64(700) || l.Fields["version"] != int64(2) || l.Fields["told_ms"] != int64(80) {
+		if l.Message != want[i] || l.Fields["born"] != int64(700) || l.Fields["version"] != int64(2) || l.Fields["told_ms"] != int64(80) ||
+			l.Fields["address"] != choice.Address {
 			t.Errorf("line %q with %v, want %q with the weights of the attempt", l.Message, l.Fields, want[i])
 		}
 		if i > 0 && (l.Fields["expected_version"] != int64(2) || l.Fields["target_version"] != int64(3)) {
--- a/machine/target/direct/loadlog.go
+++ b/machine/target/direct/loadlog.go
@@ -80,5 +80,5 @@
 	r.mu.Unlock()
 	r.log.WithField("up", isUp).WithField("version", report.Model.Version).WithField("layers", report.Model.Layers).
 		WithField("busy", report.Busy).WithField("born", report.Born).WithField("orders", report.Orders).
-		WithField("first", isFirst).WithField("proved", isProved).Info("engine changed")
+		WithField("address", r.target.process.Fleet.EngineAddress).WithField("first", isFirst).WithField("proved", isProved).Info("engine changed")
 }
--- a/machine/target/direct/loadlog_test.go
+++ b/machine/target/direct/loadlog_test.go
@@ -88,7 +88,7 @@
 		message string
 		fields  map[string]string
 	}{
-		{"engine changed", map[string]string{"first": "true", "proved": "true", "born": "1", "orders": "0", "version": "1"}},
+		{"engine changed", map[string]string{"first": "true", "proved": "true", "address": "127.0.0.1:*", "born": "1", "orders": "0", "version": "1"}},
 		{"pieces staged", map[string]string{"version": "m.2", "pieces": "8", "born": "1", "orders": "0", "ms": "*"}},
 		{"load order accepted", map[string]string{"version": "m.2", "born": "1", "orders": "0", "verified_ms": "*", "ms": "*", "digests": digests}},
 		{"engine changed", map[string]string{"first": "false", "proved": "false", "born": "1", "orders": "1", "version": "2"}},
