An engine whose load order got no answer is used again

Callers were refused, or waited for other engines: an engine that had loaded sound weights stayed out of use until the next version or its restart.

Cause: an order that got no answer was not recorded, so it never counted as finished, and the engine counted as changing for ever. The same held for an engine whose turn had begun when a newer version, whose turn comes later, took its place.

Change: an order that may have been accepted is recorded as well, and a turn that has passed to a newer version ends the change. An order is not sent to a start of the engine at which the pieces are not staged.

--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -48,6 +48,8 @@
 	onRead  func(n int)
 	onPut   func(n, index int)
 	onOrder func(n int)
+	// beforeAnswer is called when an order has been accepted, before it is answered.
+	beforeAnswer func()
 
 	mu                 sync.Mutex
 	reads, puts, calls int
@@ -63,6 +65,8 @@
 	bad []int
 	// loads counts the loads, badLoads those with a bad piece.
 	loads, badLoads int
+	// spoilsReadAfterOrder is set if the first read after an order returns other bytes than are staged.
+	spoilsReadAfterOrder bool
 }
 
 // newLoadingEngine starts an engine that holds version 1, which is also staged.
@@ -115,6 +119,11 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	e.mu.Lock()
+	if e.spoilsReadAfterOrder && e.orders > 0 {
+		e.spoilsReadAfterOrder, data = false, []byte("spoilt")
+	}
+	e.mu.Unlock()
 	_, _ = w.Write(data)
 }
 
@@ -164,6 +173,11 @@
 		w.WriteHeader(http.StatusOK)
 	default:
 		e.accept(order.Version, layers)
+		if e.beforeAnswer != nil {
+			e.mu.Unlock()
+			e.beforeAnswer()
+			e.mu.Lock()
+		}
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
@@ -288,11 +302,11 @@
 	target.announced.ForModel(testModel).ApplyRecord(time.Now(), version, time.Now())
 }
 
-// wouldBeSentRequests returns the version that requests expect which entries may send to the engine; 0
+// wouldBeSentRequests returns, for entries that know nothing of an earlier process, the version that requests expect which entries may send to the engine; 0
 // if they may send none.
 func wouldBeSentRequests(target *Target) int64 {
 	s := target.reconciler.status()
-	if !s.Up || s.Changing {
+	if s == nil || !s.Up || s.Changing {
 		return 0
 	}
 	return s.Version
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -29,13 +29,10 @@
 // stagePieces stages the pieces of a candidate at the engine, unless they are staged
 // already. They overwrite the staged pieces of any other candidate.
 func (r *reconciler) stagePieces(ctx context.Context, c *candidate) {
-	r.mu.Lock()
-	born := r.report.Born
-	isStaged := !r.staged.stagedAt(c, born).IsZero()
-	r.mu.Unlock()
-	if isStaged {
+	if r.isStaged(c) {
 		return
 	}
+	born := r.lastReport().Born
 	start := time.Now()
 	for i := range c.set.Len() {
 		err := r.stagePiece(ctx, c, i)
@@ -84,9 +81,8 @@
 	}
 	step := upgrade.Decide(state)
 	becomesPending := step != upgrade.Wait && !r.changePending
-	if becomesPending {
-		r.changePending = true
-	}
+	// The turn of a newer version may come later than that of the one before it.
+	r.changePending = step != upgrade.Wait || !r.orderedAt.IsZero()
 	r.mu.Unlock()
 	if becomesPending {
 		r.target.peers.SendHeartbeats()
@@ -124,7 +120,7 @@
 			return
 		}
 		// The report shows that the pieces were staged before the engine accepts the order.
-		if !r.pollEngine(ctx) {
+		if !r.pollEngine(ctx) || !r.isStaged(c) {
 			return
 		}
 		report := r.lastReport()
@@ -136,12 +132,14 @@
 			logger.Warn("verification of the staged pieces has expired; verifying them again")
 			continue
 		}
+		if err == nil || errors.Is(err, platform.ErrUncertain) {
+			r.recordOrder(c)
+		}
 		if err != nil {
 			logger.WithError(err).WithField("result", callResult(err)).Warn("load order failed")
 			return
 		}
 		logger.Info("load order accepted")
-		r.recordOrder(c)
 		if r.pollEngine(ctx) {
 			r.proveLoaded(ctx)
 		}
@@ -177,7 +175,15 @@
 	return err
 }
 
-// recordOrder records that the engine has accepted the order to load a candidate.
+// isStaged reports whether all pieces of a candidate have been staged since the last known start of the
+// engine.
+func (r *reconciler) isStaged(c *candidate) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.staged.stagedAt(c, r.report.Born).IsZero()
+}
+
+// recordOrder records that the engine has accepted the order to load a candidate, or may have.
 func (r *reconciler) recordOrder(c *candidate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
