--- a/contract/message.go
+++ b/contract/message.go
@@ -311,6 +311,8 @@
 	// pieces from there at once.
 	HeldOnly   bool `cbor:"4,keyasint,omitempty"`
 	FromOrigin bool `cbor:"5,keyasint,omitempty"`
+	// DigestsOnly requests the digests and no pieces.
+	DigestsOnly bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Pieces answers a PiecesRequest. The first message with content has the digests of all
--- /dev/null
+++ b/machine/target/direct/inherited_test.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// loadBad makes the engine load version 2 with a bad piece for the order of a process that has gone since.
+func loadBad(e *loadingEngine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range stagedPieces {
+		e.staged[i] = versionPiece(2, i)
+	}
+	e.staged[3] = []byte("bad")
+	e.accept(2, testLayers)
+}
+
+// Guards against answers from weights that an earlier process found unsound, or had no time to prove (WHOLE,
+// inc2): the process that replaces it trusts them.
+func TestReplacedProcessServesNoUnsoundWeights(t *testing.T) {
+	for name, isFoundUnsound := range map[string]bool{"found unsound before": true, "replaced before the proof": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newLoadingEngine(t)
+			first := newTargetOf(t, e)
+			first.reconciler.reconcile(t.Context())
+			loadBad(e)
+			if isFoundUnsound {
+				first.mu.Lock()
+				first.announced.ForModel(testModel).ApplyRecord(time.Now(), 2, time.Now())
+				first.mu.Unlock()
+				r := first.reconciler
+				r.candidates = []*candidate{newCandidate(t, 2)}
+				r.proof.unloadedAt = time.Now()
+				r.reconcile(t.Context())
+				if r.proof.unsound.version != 2 || wouldBeSentRequests(first) != 0 {
+					t.Fatalf("the first process has not found the weights unsound: %+v", r.proof)
+				}
+			}
+			second := newTargetOf(t, e)
+			announce(t, second, 2)
+			reconcileUntil(t, second, e, 2)
+		})
+	}
+}
+
+// Guards against a proof by a piece that a write without an answer has replaced after the engine took it.
+func TestLateWriteAfterOrderProvesNothing(t *testing.T) {
+	const heldPiece = 2
+	e := newLoadingEngine(t)
+	target := newTargetOf(t, e)
+	target.reconciler.reconcile(t.Context())
+	release := make(chan struct{})
+	e.onPut = func(n, _ int) {
+		if n == heldPiece+1 {
+			<-release
+		}
+	}
+	e.onOrder = func(n int) {
+		if n == 1 {
+			e.setStaged(heldPiece, []byte("bad"))
+		}
+	}
+	var once sync.Once
+	e.onRead = func(int) {
+		e.mu.Lock()
+		isLoaded := e.orders == 1
+		e.mu.Unlock()
+		if isLoaded {
+			once.Do(func() {
+				close(release)
+				awaitStaged(t, e, heldPiece, versionPiece(2, heldPiece))
+			})
+		}
+	}
+	announce(t, target, 2)
+	reconcileUntil(t, target, e, 2)
+}
+
+// Guards against an engine that is out of use since one read of a staged piece was spoilt: a second read
+// shows that the piece is sound.
+func TestSpoiltReadCostsNoLoad(t *testing.T) {
+	e := newLoadingEngine(t)
+	e.spoilsReadAfterOrder = true
+	target := newTargetOf(t, e)
+	target.reconciler.reconcile(t.Context())
+	announce(t, target, 2)
+	reconcileUntil(t, target, e, 2)
+	if e.loads != 1 {
+		t.Errorf("%d loads, want 1", e.loads)
+	}
+}
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -10,8 +10,17 @@
 	"mimosastand.example/mimosastand/platform"
 )
 
-// unloadRetryInterval is the time between two orders to give up unsound weights.
-const unloadRetryInterval = time.Second
+const (
+	// unloadRetryInterval is the time between two orders to give up unsound weights.
+	unloadRetryInterval = time.Second
+	// maxProofReads is how often a piece is read that is not found sound: a read may be spoilt.
+	maxProofReads = 3
+	// inheritedSilence is for how long a process that has just started does not report weights that an
+	// earlier one had the engine load. Entries go by what that one reported until then.
+	inheritedSilence = time.Second
+	// inheritedFetchTime is for how long it requests the digests of such weights.
+	inheritedFetchTime = 5 * time.Second
+)
 
 // weightsState identifies what an engine has loaded: by its start, the number of orders that it has
 // accepted since, and the version of its weights, 0 if it does not hold one completely.
@@ -27,6 +36,10 @@
 type proof struct {
 	// sound is the last state known to be sound, unsound the last one known not to be.
 	sound, unsound weightsState
+	// inherited is the state in which the process found the engine at inheritedAt, if an earlier process
+	// had it load weights. They are trusted, but looked at as soon as their digests are known.
+	inherited   weightsState
+	inheritedAt time.Time
 	// isWritten is set if pieces have been staged since the last report. written is the state that
 	// the first report after the last staged piece showed.
 	isWritten bool
@@ -35,14 +48,18 @@
 	unloadedAt time.Time
 }
 
-// observe applies a report of the engine. A process that has just started trusts weights that are
-// loaded, unless the engine carries out an order of an earlier process.
+// observe applies a report of the engine.
 func (p *proof) observe(s weightsState, isBusy, isFirst bool) {
+	isFirstOfStart := isFirst || s.born != p.sound.born && s.born != p.inherited.born
 	switch {
-	case isFirst && isBusy:
-		p.sound = weightsState{born: s.born, orders: s.orders - 1}
-	case isFirst, s.born != p.sound.born && s.orders == 0, s.version == 0 && !isBusy:
+	case isFirstOfStart && s.orders == 0:
+		// The engine has loaded nothing but what it was started with.
+		p.sound = s
+	case s.version == 0 && !isBusy:
+		// It holds nothing.
 		p.sound = s
+	case isFirst && !isBusy:
+		p.inherited, p.inheritedAt = s, time.Now()
 	}
 	if p.isWritten {
 		p.isWritten, p.written = false, s
@@ -64,6 +81,14 @@
 // be held.
 func (r *reconciler) isUnproved() bool { return r.state() != r.proof.sound }
 
+// isInherited reports whether the engine holds the weights that this process found, and nothing is known
+// of them yet. mu must be held.
+func (r *reconciler) isInherited() bool { return r.isUnproved() && r.state() == r.proof.inherited }
+
+// isWithheld reports whether the engine gets no requests since its weights are not known to be sound. mu
+// must be held.
+func (r *reconciler) isWithheld() bool { return r.isUnproved() && !r.isInherited() }
+
 // proveLoaded finds out whether the engine has loaded sound pieces, if that is not known yet. Until then
 // it gets no requests. Weights that are not sound are given up.
 func (r *reconciler) proveLoaded(ctx context.Context) {
@@ -76,11 +101,15 @@
 	state := r.state()
 	state.version = c.version.Number
 	isSound, isUnsound := state == r.proof.sound, state == r.proof.unsound
+	isHidden := r.isInherited() && r.proof.mayHaveChanged(state)
+	isReplaced := newestComplete(r.candidates, state.version) != nil
 	r.mu.Unlock()
 	switch {
-	case isSound:
-	case isUnsound:
+	case isSound, isHidden:
+	case isUnsound && !isReplaced:
 		r.unload(ctx, state, c)
+	case isUnsound:
+		// The engine loads a newer version at once.
 	default:
 		r.proveCandidate(ctx, state, c)
 	}
@@ -106,27 +135,42 @@
 func (r *reconciler) proveCandidate(ctx context.Context, state weightsState, c *candidate) {
 	logger := r.log.WithField("version", c.version.String()).WithField("born", state.born).WithField("orders", state.orders)
 	start := time.Now()
-	err := r.readAllStaged(ctx, c)
+	read := r.readAllStaged(ctx, c)
+	err := r.recordProof(state, read)
 	logger = logger.WithField("ms", time.Since(start).Milliseconds()).WithField("pieces", c.set.Len()).WithField("digests", c.set.Fingerprint())
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.proof.mayHaveChanged(state) {
-		logger = logger.WithField("read", describeRead(err))
-		err = errors.CombineErrors(errStagedSince, err)
+	if errors.Is(err, errStagedSince) {
+		logger = logger.WithField("read", describeRead(read))
 	}
 	switch {
 	case err == nil:
-		r.proof.sound = state
 		r.target.meters.countProof("sound")
 		logger.Info("loaded weights proved")
 	case errors.Is(err, errNotSound):
-		r.proof.unsound = state
 		r.target.meters.countProof("unsound")
 		logger.WithError(err).Warn("loaded weights are not sound; the engine gets no requests")
 	default:
 		r.target.meters.countProof("failed")
 		logger.WithError(err).Warn("loaded weights not proved yet")
+		return
+	}
+	r.target.peers.SendHeartbeats()
+}
+
+// recordProof records what a read of all staged pieces, which ended with an error or nil, says of the
+// weights that were loaded in a state. It fails with errNotSound if they may not be sound.
+func (r *reconciler) recordProof(state weightsState, read error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.proof.mayHaveChanged(state) {
+		read = errStagedSince
 	}
+	switch {
+	case read == nil:
+		r.proof.sound = state
+	case errors.Is(read, errNotSound):
+		r.proof.unsound, r.proof.inherited = state, weightsState{}
+	}
+	return read
 }
 
 var (
@@ -139,16 +183,30 @@
 // readAllStaged reads all staged pieces. It fails with errNotSound if one is not that of the candidate.
 func (r *reconciler) readAllStaged(ctx context.Context, c *candidate) error {
 	for i := range c.set.Len() {
-		data, err := r.engine.StagedPiece(ctx, c.version.Model, i)
-		if errors.Is(err, platform.ErrNotFound) {
-			return errors.Wrapf(errNotSound, "piece %d is missing", i)
+		err := r.readStaged(ctx, c, i)
+		for range maxProofReads - 1 {
+			if errors.Is(err, errNotSound) {
+				err = r.readStaged(ctx, c, i)
+			}
 		}
 		if err != nil {
 			return err
 		}
-		if err := c.set.Verify(i, data); err != nil {
-			return errors.CombineErrors(errors.Wrap(errNotSound, r.describeBadPiece(i, data)), err)
-		}
+	}
+	return nil
+}
+
+// readStaged reads a staged piece. It fails with errNotSound if it is not that of the candidate.
+func (r *reconciler) readStaged(ctx context.Context, c *candidate, i int) error {
+	data, err := r.engine.StagedPiece(ctx, c.version.Model, i)
+	if errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrapf(errNotSound, "piece %d is missing", i)
+	}
+	if err != nil {
+		return err
+	}
+	if err := c.set.Verify(i, data); err != nil {
+		return errors.CombineErrors(errors.Wrap(errNotSound, r.describeBadPiece(i, data)), err)
 	}
 	return nil
 }
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -51,7 +51,7 @@
 	up         bool
 	// changePending reports whether a load order is imminent or has been sent, until the
 	// engine has finished it or has restarted. orderedAt is when the engine accepted the
-	// order, to load orderedVersion; zero if there is none.
+	// order, or may have, to load orderedVersion; zero if there is none.
 	changePending  bool
 	orderedAt      time.Time
 	orderedVersion int64
@@ -76,15 +76,19 @@
 	}
 }
 
-// status returns the state of the engine for the heartbeats to entries.
+// status returns the state of the engine for the heartbeats to entries; nil if entries are to go by what
+// an earlier process reported.
 func (r *reconciler) status() *contract.EngineStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isInherited() && time.Since(r.proof.inheritedAt) < inheritedSilence {
+		return nil
+	}
 	s := &contract.EngineStatus{
 		Address:  r.target.process.Fleet.EngineAddress,
 		Born:     r.report.Born,
 		Up:       r.up,
-		Changing: r.changePending || r.report.Busy || r.isUnproved(),
+		Changing: r.changePending || r.report.Busy || r.isWithheld(),
 		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
 		Number:   r.nextStatusNumber(),
 	}
@@ -135,7 +139,7 @@
 // servedVersion returns the version that the engine serves, 0 if none: weights that are not known to be
 // sound serve no requests. mu must be held.
 func (r *reconciler) servedVersion() int64 {
-	if r.isUnproved() {
+	if r.isWithheld() {
 		return 0
 	}
 	return r.loadedVersion()
@@ -160,7 +164,7 @@
 func (r *reconciler) nextPollDelay() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.up && (r.changePending || r.report.Busy || r.isUnproved()) {
+	if r.up && (r.changePending || r.report.Busy || r.isWithheld()) {
 		return changePollInterval
 	}
 	return pollInterval
@@ -237,11 +241,17 @@
 	defer r.mu.Unlock()
 	r.candidates = addCandidate(r.candidates, v)
 	for _, c := range r.candidates {
-		if c.fetching || c.isComplete() || !r.fetchState(c.version).ShouldFetch() {
+		if c.fetching || c.isComplete() {
 			continue
 		}
-		c.fetching = true
-		go r.fetchPieces(ctx, c, origin)
+		switch {
+		case r.fetchState(c.version).ShouldFetch():
+			c.fetching = true
+			go r.fetchPieces(ctx, c, origin)
+		case r.needsDigests(c):
+			c.fetching = true
+			go r.fetchDigests(ctx, c, origin)
+		}
 	}
 }
 
@@ -254,7 +264,7 @@
 		Desired:   v.Number,
 		HasBeenUp: r.report.Born != 0,
 		Returned:  r.target.peers.HasPreviousRun(),
-		Unproved:  r.isUnproved(),
+		Unproved:  r.isWithheld(),
 	}
 }
 
@@ -326,6 +336,27 @@
 	}
 }
 
+// needsDigests reports whether the digests of a candidate are to be fetched: an earlier process had the
+// engine load it. mu must be held.
+func (r *reconciler) needsDigests(c *candidate) bool {
+	return c.set == nil && r.isInherited() && c.version.Number == r.proof.inherited.version && time.Since(r.proof.inheritedAt) < inheritedFetchTime
+}
+
+// fetchDigests fetches the digests of a candidate from the entries that have them.
+func (r *reconciler) fetchDigests(ctx context.Context, c *candidate, origin catalog.Origin) {
+	defer r.markFetchFinished(c)
+	for _, id := range r.sourceEntries(c.version, origin, ownZoneTimeout) {
+		_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchDigests, r.currentPieces(c), r.initPieces(c))
+		r.target.meters.countResult("fetches", err)
+		if err != nil {
+			r.log.WithError(err).WithField("version", c.version.String()).WithField("entry", string(id)).Warn("digests not received")
+		}
+		if r.currentPieces(c)() != nil {
+			return
+		}
+	}
+}
+
 // needsFetch reports whether c is still a candidate and its pieces are to be fetched.
 func (r *reconciler) needsFetch(c *candidate) bool {
 	r.mu.Lock()
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -156,8 +156,8 @@
 }
 
 // Guards against answers from weights that nothing is known of (WHOLE, inc2): the order to load them was
-// given by an earlier process, or to another start of the engine. Weights that an engine holds when
-// the process first hears of it, or starts with, are trusted.
+// given by an earlier process, or to another start of the engine. Weights that an engine was started
+// with need no proof.
 func TestProofIsDueAfterOrdersOfOthers(t *testing.T) {
 	held := weightsState{born: 1, orders: 2, version: 2}
 	for name, c := range map[string]struct {
@@ -167,7 +167,8 @@
 		isFirst      bool
 		wantUnproved bool
 	}{
-		"loaded before this process":        {proof{}, held, false, true, false},
+		"loaded before this process":        {proof{}, held, false, true, true},
+		"started with what it holds":        {proof{}, weightsState{1, 0, 1}, false, true, false},
 		"loads as this process starts":      {proof{}, held, true, true, true},
 		"nothing new":                       {proof{sound: held}, held, false, false, false},
 		"another order":                     {proof{sound: held}, weightsState{1, 3, 2}, false, false, true},
--- a/machine/weightcache/cache.go
+++ b/machine/weightcache/cache.go
@@ -241,7 +241,8 @@
 	_ = sendMessage(s, contract.Pieces{End: true})
 }
 
-// serveHeld sends the requested pieces that are held now, without waiting for others.
+// serveHeld sends the requested pieces that are held now, without waiting for others, or only their
+// digests.
 func (c *Cache) serveHeld(v Version, request contract.PiecesRequest, s *link.Stream) {
 	c.mu.Lock()
 	cv := c.versions[v]
@@ -251,6 +252,10 @@
 		if err := sendMessage(s, contract.Pieces{Digests: set.Digests()}); err != nil {
 			return
 		}
+		if request.DigestsOnly {
+			_ = sendMessage(s, contract.Pieces{End: true})
+			return
+		}
 		if _, err := sendHeld(s, set, sentFlags(request.Have, set.Len())); err != nil {
 			return
 		}
--- a/machine/weightcache/fetch.go
+++ b/machine/weightcache/fetch.go
@@ -33,6 +33,8 @@
 	FetchHeld
 	// FetchFromOrigin requests the machine to download the pieces from the origin at once.
 	FetchFromOrigin
+	// FetchDigests requests only the digests, if the machine has them.
+	FetchDigests
 )
 
 // Fetch requests the missing pieces of a version from a machine and returns how many were
@@ -42,7 +44,7 @@
 func Fetch(ctx context.Context, p *peers.Peers, peer contract.MachineID, v Version, mode FetchMode,
 	currentSet func() *pieces.Set, initSet func([][]byte) (*pieces.Set, error)) (int, error) {
 	request := contract.PiecesRequest{
-		Model: v.Model, Version: v.Number, HeldOnly: mode == FetchHeld, FromOrigin: mode == FetchFromOrigin, Have: heldIndexes(currentSet()),
+		Model: v.Model, Version: v.Number, HeldOnly: mode == FetchHeld || mode == FetchDigests, DigestsOnly: mode == FetchDigests, FromOrigin: mode == FetchFromOrigin, Have: heldIndexes(currentSet()),
 	}
 	s, err := p.OpenStream(ctx, peer, contract.Message{Kind: contract.KindPiecesRequest, PiecesRequest: &request})
 	if err != nil {
