A loaded version is proved although newer ones have been announced

Callers could have been refused while an engine, or several, held sound weights: an engine gets no requests until its weights are proved, and the version that it had loaded was no longer, or never, among the versions whose pieces are fetched. So it waited for the newest version, which may be late while the origin is away.

Cause: the two newest versions only are kept, and a process that has just started fetches the newest only.

Change: the version that the engine has loaded, or is loading, stays among those that are fetched until it is proved, with the pieces that are held.

The tests that use it check what they checked before.

--- a/machine/target/direct/candidate.go
+++ b/machine/target/direct/candidate.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mimosastand.example/mimosastand/machine/weightcache"
@@ -9,7 +11,7 @@
 
 // maxCandidates bounds the versions that are fetched at the same time. The version
 // announced before the newest is fetched as well: while the newest does not arrive, it is
-// still better than an older one.
+// still better than an older one. A loaded version that is not proved yet may be one more.
 const maxCandidates = 2
 
 // candidate is a version that the engine should load.
@@ -59,6 +61,30 @@
 	return candidates
 }
 
+// findCandidate returns the candidate of a version; nil if there is none.
+func findCandidate(candidates []*candidate, number int64) *candidate {
+	i := slices.IndexFunc(candidates, func(c *candidate) bool { return c.version.Number == number })
+	if i < 0 {
+		return nil
+	}
+	return candidates[i]
+}
+
+// keepCandidate adds a version to the candidates, unless it is one of them, with the pieces that it had
+// among the previous ones.
+func keepCandidate(candidates, previous []*candidate, v weightcache.Version) []*candidate {
+	if findCandidate(candidates, v.Number) != nil {
+		return candidates
+	}
+	kept := findCandidate(previous, v.Number)
+	if kept == nil {
+		kept = &candidate{version: v}
+	}
+	candidates = append(slices.Clone(candidates), kept)
+	slices.SortFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.version.Number, b.version.Number) })
+	return candidates
+}
+
 // newestComplete returns the newest complete candidate above the loaded version, or nil.
 func newestComplete(candidates []*candidate, loaded int64) *candidate {
 	for i := len(candidates) - 1; i >= 0; i-- {
--- a/machine/target/direct/candidate_test.go
+++ b/machine/target/direct/candidate_test.go
@@ -60,3 +60,26 @@
 		t.Errorf("version 3 counts as staged at %v although piece 0 is that of version 2", at)
 	}
 }
+
+// Guards against engines that get no requests until the newest version has come: the version that they have
+// loaded was dropped for newer ones before it was proved, or the process that proves it began later.
+func TestLoadedVersionIsProvedAlthoughNewerOnesAreAnnounced(t *testing.T) {
+	for name, isKnown := range map[string]bool{"its pieces are held": true, "the process is new": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newLoadingEngine(t)
+			target := newLinkedTargetOf(t, e, &piecesServer{digests: pieceDigests(2)})
+			target.reconciler.reconcile(t.Context())
+			if isKnown {
+				announce(t, target, 2)
+			}
+			e.loadSound(2)
+			target.reconciler.pollEngine(t.Context())
+			for version := range int64(maxCandidates) {
+				announceVersion(target, 3+version)
+				v, origin, _ := target.desiredVersion()
+				target.reconciler.updateCandidates(t.Context(), v, origin)
+			}
+			reconcileUntil(t, target, e, 2)
+		})
+	}
+}
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -194,6 +194,16 @@
 	e.staged[i] = data
 }
 
+// loadSound has the engine load the sound pieces of a version by an order of another process.
+func (e *loadingEngine) loadSound(version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range stagedPieces {
+		e.staged[i] = versionPiece(version, i)
+	}
+	e.accept(version, testLayers)
+}
+
 // restart starts the engine anew, without layers and without staged pieces.
 func (e *loadingEngine) restart() {
 	e.mu.Lock()
@@ -267,6 +277,10 @@
 	r := target.reconciler
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if c := findCandidate(r.candidates, version); c != nil {
+		c.set = newCandidate(t, version).set
+		return
+	}
 	r.candidates = append(r.candidates, newCandidate(t, version))
 	r.candidates = r.candidates[max(len(r.candidates)-maxCandidates, 0):]
 }
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -88,16 +88,20 @@
 // loadedCandidate returns the candidate that the engine has loaded, or is loading by an order of this
 // process; nil if its pieces are not known. mu must be held.
 func (r *reconciler) loadedCandidate() *candidate {
-	version := r.loadedVersion()
-	if r.report.Busy && !r.orderedAt.IsZero() {
-		version = r.orderedVersion
+	c := findCandidate(r.candidates, r.newestOrdered())
+	if c == nil || c.set == nil {
+		return nil
 	}
-	for _, c := range r.candidates {
-		if c.version.Number == version && c.set != nil {
-			return c
-		}
+	return c
+}
+
+// newestOrdered returns the version that the engine has loaded, or is loading by an order of this process; 0
+// if there is none. mu must be held.
+func (r *reconciler) newestOrdered() int64 {
+	if r.report.Busy && !r.orderedAt.IsZero() {
+		return r.orderedVersion
 	}
-	return nil
+	return r.loadedVersion()
 }
 
 // proveCandidate reads all staged pieces, and records whether the engine has loaded sound pieces of a
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -203,11 +203,16 @@
 }
 
 // updateCandidates adds the newest version to the candidates and starts to fetch the
-// pieces that are missing.
+// pieces that are missing. A loaded version stays one until it is proved: until then the engine gets
+// no requests.
 func (r *reconciler) updateCandidates(ctx context.Context, v weightcache.Version, origin catalog.Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.candidates = addCandidate(r.candidates, v)
+	previous := r.candidates
+	r.candidates = addCandidate(previous, v)
+	if loaded := r.newestOrdered(); r.up && loaded > 0 && r.isUnproved() {
+		r.candidates = keepCandidate(r.candidates, previous, weightcache.Version{Model: v.Model, Number: loaded})
+	}
 	for _, c := range r.candidates {
 		if c.fetching || c.isComplete() || !r.fetchState(c.version).ShouldFetch() {
 			continue
