--- a/machine/target/direct/loadlog_test.go
+++ b/machine/target/direct/loadlog_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/internal/explain"
 	"mimosastand.example/mimosastand/internal/logs"
@@ -164,6 +165,7 @@
 				}
 			}
 		}, "load order failed", map[string]string{"result": "uncertain", "version": "m.2", "born": "1", "orders": "0", "ms": "1*"}},
+		// Another order is accepted first, which leaves version 1 as it is.
 		"order refused": {func(_ *testing.T, e *loadingEngine) {
 			e.onOrder = func(n int) {
 				if n == 1 {
@@ -180,6 +182,32 @@
 				}
 			}
 		}, "staging piece failed", map[string]string{"result": "uncertain", "version": "m.2", "born": "1", "orders": "0", "piece": "2"}},
+		"order to give up weights refused": {func(_ *testing.T, e *loadingEngine) {
+			e.onOrder = func(n int) {
+				switch n {
+				case 1:
+					e.setStaged(3, []byte("bad"))
+				case 2:
+					e.mu.Lock()
+					e.accept(2, testLayers)
+					e.mu.Unlock()
+				}
+			}
+		}, "unsound weights not given up", map[string]string{"result": "conflict", "version": "m.2", "born": "1", "orders": "1"}},
+		"write of a bad piece without an answer": {func(_ *testing.T, e *loadingEngine) {
+			e.onOrder = func(n int) {
+				if n == 1 {
+					e.setStaged(3, []byte("bad"))
+				}
+			}
+			e.onPut = func(n, _ int) {
+				if n == stagedPieces+1 {
+					time.Sleep(stallTime)
+				}
+			}
+		}, "staged piece could not be verified; load order postponed", map[string]string{
+			"version": "m.2", "born": "1", "orders": "1", "piece": "3", "error": "staging it again: uncertain*",
+		}},
 		"piece of another version": {func(t *testing.T, e *loadingEngine) {
 			e.onOrder = func(n int) {
 				if n == 1 {
@@ -247,3 +275,20 @@
 		}
 	}
 }
+
+// Guards against pieces that are staged again and not counted (inc2).
+func TestPiecesStagedAgainAreCounted(t *testing.T) {
+	e := newLoadingEngine(t)
+	r, c := newOrderingReconciler(t, e, &testClock{})
+	scope := tally.NewTestScope("", nil)
+	r.target.meters = newMeters(scope)
+	e.setStaged(3, []byte("bad"))
+	e.setStaged(5, []byte("bad"))
+	if !r.verifyAllStaged(t.Context(), c, r.log) {
+		t.Fatal("the pieces could not be verified")
+	}
+	counter := scope.Snapshot().Counters()["target.pieces_restaged+result=ok"]
+	if counter == nil || counter.Value() != 2 {
+		t.Errorf("pieces_restaged = %v, want 2 pieces", counter)
+	}
+}
