--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -43,6 +43,7 @@
 	plain           []*standins.Engine
 	entries         []*entrydirect.Entry
 	wg              sync.WaitGroup
+	pieces          int
 	manifestVersion int
 	apiKeys         []string
 	requestCount    atomic.Int64
@@ -51,8 +52,7 @@
 // newRig starts the stand-ins: two engines, of which the first has version 1 of the weights and
 // the second has none, two targets of the plain service, the store and the origin.
 func newRig(t *testing.T) *rig {
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &rig{t: t, ctx: ctx, store: standins.NewStore(), origin: standins.NewOrigin(pieceCount), apiKeys: []string{apiKey}}
+	r := newBareRig(t, pieceCount)
 	for i := range 2 {
 		e := &standins.Engine{ID: fmt.Sprintf("i-m%d", i), Service: standins.ModelService, Zone: "a", Model: standins.Model, Slots: 8, EventCount: 8, EventInterval: 10 * time.Millisecond}
 		if err := e.Start(r.store, int64(1-i)); err != nil {
@@ -67,6 +67,13 @@
 		}
 		r.plain = append(r.plain, e)
 	}
+	return r
+}
+
+// newBareRig starts the store and an origin whose versions have a number of pieces.
+func newBareRig(t *testing.T, pieces int) *rig {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{t: t, ctx: ctx, store: standins.NewStore(), origin: standins.NewOrigin(pieces), pieces: pieces, apiKeys: []string{apiKey}}
 	r.writeManifest()
 	t.Cleanup(func() {
 		cancel()
@@ -173,7 +180,7 @@
 // writeManifest writes the next version of the manifest, with the current API keys.
 func (r *rig) writeManifest() {
 	r.manifestVersion++
-	m := standins.Manifest{Version: r.manifestVersion, Keys: r.apiKeys, Origin: r.origin.Address(), Zone: "a", Pieces: pieceCount}
+	m := standins.Manifest{Version: r.manifestVersion, Keys: r.apiKeys, Origin: r.origin.Address(), Zone: "a", Pieces: r.pieces}
 	if err := r.store.WriteManifest(m); err != nil {
 		r.t.Fatal(err)
 	}
