An announced change ends when nothing is left to order

Callers could be refused although an engine held the wanted version, sound: its process's order was refused, since another one had loaded that version first, and the change that it had announced never ended.

Change: with nothing left to order, and no order outstanding, the change is over.

--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -61,11 +61,23 @@
 	case isFirst && !isBusy:
 		p.inherited, p.inheritedAt = s, time.Now()
 	}
+	p.observeUnsound(s)
 	if p.isWritten {
 		p.isWritten, p.written = false, s
 	}
 }
 
+// observeUnsound carries over what is known of unsound weights: an order that leaves the engine with the same
+// version need not have loaded any of its layers again.
+func (p *proof) observeUnsound(s weightsState) {
+	switch {
+	case s.born == p.unsound.born && s.version == p.unsound.version:
+		p.unsound.orders = s.orders
+	case s.born != p.unsound.born, s.orders != p.unsound.orders:
+		p.unsound = weightsState{}
+	}
+}
+
 // mayHaveChanged reports whether a piece may have been staged after the engine had accepted its last
 // order: what is staged now does not show then what it has loaded.
 func (p *proof) mayHaveChanged(s weightsState) bool {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -182,9 +182,22 @@
 		return
 	}
 	r.proveLoaded(ctx)
-	if c := r.nextCandidate(); c != nil {
-		r.stagePieces(ctx, c)
-		r.orderWhenDue(ctx, c)
+	c := r.nextCandidate()
+	if c == nil {
+		r.endChange()
+		return
+	}
+	r.stagePieces(ctx, c)
+	r.orderWhenDue(ctx, c)
+}
+
+// endChange ends the change that entries were told of if nothing is left to order: another order may have
+// loaded the version that this process wanted.
+func (r *reconciler) endChange() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.up && r.orderedAt.IsZero() {
+		r.changePending = false
 	}
 }
 
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -275,3 +275,27 @@
 		})
 	}
 }
+
+// Guards against answers from weights that are known to be unsound (WHOLE, inc2): another order was accepted,
+// which loaded nothing, and the staged pieces had been repaired.
+func TestUnsoundWeightsStayUnsoundUntilTheyAreGone(t *testing.T) {
+	unsound := weightsState{born: 1, orders: 3, version: 2}
+	for name, c := range map[string]struct {
+		reported weightsState
+		want     weightsState
+	}{
+		"nothing new":                   {unsound, unsound},
+		"still being loaded":            {weightsState{1, 3, 0}, unsound},
+		"another order, same version":   {weightsState{1, 4, 2}, weightsState{1, 4, 2}},
+		"given up":                      {weightsState{1, 4, 0}, weightsState{}},
+		"replaced by another version":   {weightsState{1, 4, 3}, weightsState{}},
+		"the engine has started again":  {weightsState{2, 0, 2}, weightsState{}},
+		"another start, as many orders": {weightsState{2, 3, 2}, weightsState{}},
+	} {
+		known := proof{unsound: unsound}
+		known.observeUnsound(c.reported)
+		if known.unsound != c.want {
+			t.Errorf("%s: unsound = %+v, want %+v", name, known.unsound, c.want)
+		}
+	}
+}
