--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -68,8 +68,9 @@
 	breakage breakage
 	err      error
 	// silent is set once the target has counted as silent, callerGone if the caller takes no more of
-	// the answer, and givenUp if the request became known to crash targets.
-	silent, callerGone, givenUp bool
+	// the answer, givenUp if the request became known to crash targets, and otherVersion if the answer
+	// is of another version of the weights than the caller was told.
+	silent, callerGone, givenUp, otherVersion bool
 	// ended is set once the end of the attempt has been recorded.
 	ended bool
 	// replaced is set once another attempt has taken over.
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -124,10 +124,19 @@
 		x.abandon()
 	}
 	got.release()
-	x.breakage = breakageOtherVersion
+	x.otherVersion = true
 	return part{ended: true, outcome: attempts.Lost}
 }
 
+// endReason returns why the attempt brought no usable response, and the error behind it if there is one.
+// An attempt that is ended for its version may still run, and write what breaks.
+func (x *exchange) endReason() (breakage, error) {
+	if x.otherVersion {
+		return breakageOtherVersion, nil
+	}
+	return x.breakage, x.err
+}
+
 // weightsVersion returns the version of the weights by which the target answers: the one that
 // the attempt expects if it does not say.
 func (x *exchange) weightsVersion() int64 {
@@ -219,7 +228,8 @@
 func (p *attemptPair) currentEnded(got part) (done bool) {
 	c := p.call
 	c.record.replyReceived(p.current.reply, p.current.expectedVersion)
-	c.record.attemptEnded(time.Now(), got.outcome, p.current.breakage, p.current.err)
+	reason, err := p.current.endReason()
+	c.record.attemptEnded(time.Now(), got.outcome, reason, err)
 	c.attemptEnded(p.current, got.outcome)
 	if got.outcome == attempts.Completed {
 		p.dropHedge()
@@ -333,7 +343,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.givenUp || x.breakage == breakageNoStream || x.breakage == breakageOtherVersion || x.call.entry.openCalls.isEnded() {
+	if x.silent || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -37,7 +37,7 @@
 // isLostUnproven reports whether an attempt that was lost may have ended with the crash of its
 // target: its connection ended, and it had not been proven.
 func (x *exchange) isLostUnproven() bool {
-	if x.replaced || x.callerGone || x.givenUp || x.proven {
+	if x.replaced || x.callerGone || x.givenUp || x.otherVersion || x.proven {
 		return false
 	}
 	return x.breakage == breakageEndedEarly || x.breakage == breakageConnection
