--- a/e2e/fleet/stagingengine_test.go
+++ b/e2e/fleet/stagingengine_test.go
@@ -55,6 +55,7 @@
 	version           int64 // of the layers, 0 if there are none
 	loadingUntil      time.Time
 	stalledUntil      time.Time
+	isUnlisted        bool // if set, the engine does not write to the target list
 	staged            map[int]stagedPiece
 	puts, gets, calls int
 	loads             []*engineLoad
@@ -120,6 +121,21 @@
 	e.stalledUntil = time.Now().Add(d)
 }
 
+// unlistFor has the engine write nothing to the target list for a time, and its state at the end.
+func (e *stagingEngine) unlistFor(d time.Duration) {
+	e.setUnlisted(true)
+	time.AfterFunc(d, func() {
+		e.setUnlisted(false)
+		e.publish()
+	})
+}
+
+func (e *stagingEngine) setUnlisted(isUnlisted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isUnlisted = isUnlisted
+}
+
 // awaitStall waits while the engine stands still.
 func (e *stagingEngine) awaitStall() {
 	e.mu.Lock()
@@ -131,6 +147,10 @@
 func (e *stagingEngine) publish() {
 	e.awaitStall()
 	e.mu.Lock()
+	if e.isUnlisted {
+		e.mu.Unlock()
+		return
+	}
 	e.seq++
 	state := e.state()
 	state["seq_no"] = e.seq
--- a/e2e/fleet/unsoundopen_test.go
+++ b/e2e/fleet/unsoundopen_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// Guards against answers without any sound piece (WHOLE, inc2): an engine starts again as an order arrives, and
+// entries hear of the new start from the target list when it has loaded, before its process reports again.
+func TestEngineThatIsListedAfterItsLoadServesNothingUnproved(t *testing.T) {
+	t.Parallel()
+	const engineCount = 4
+	f := newProcessFleet(t, buildProgram(t), engineCount)
+	p := &play{f: f}
+	p.run(func(p *play, i int) {
+		e := p.engine(i)
+		e.setHooks(takeCallTime, takeCallTime, func(n, _ int) {
+			if n == 1 {
+				e.restart(false)
+				e.unlistFor(loadTime + 50*time.Millisecond)
+			}
+		})
+	})
+	failOnUnsoundAnswers(t, f.engines)
+}
+
 // Guards against an engine that stays out of use until the next version because the order to load its sound
 // weights got no answer.
 func TestEngineServesAfterUnansweredOrder(t *testing.T) {
--- a/e2e/fleet/unsoundplays_test.go
+++ b/e2e/fleet/unsoundplays_test.go
@@ -47,6 +47,7 @@
 	"7-two-versions":             (*play).nameTwoVersions,
 	"8-all":                      (*play).doAny,
 	"9-late-order-freeze":        (*play).freezeTargetAfterLateOrder,
+	"11-stall-two-versions":      (*play).stallWithTwoVersions,
 	"10-order-of-killed-process": (*play).holdOrderOfKilledTarget,
 }
 
@@ -278,6 +279,14 @@
 	}
 }
 
+// stallWithTwoVersions has the engine stand still while one of two versions is staged or ordered.
+func (p *play) stallWithTwoVersions(i int) {
+	p.nameTwoVersions(i)
+	e, stall := p.engine(i), time.Second+time.Duration(p.rand.IntN(3000))*time.Millisecond
+	onPut, onGet := p.atCall(3*stagingPieces, func() { e.stall(stall) })
+	e.setHooks(onPut, onGet, nil)
+}
+
 func (p *play) doAny(i int) {
 	p.nameTwoVersions(i)
 	switch p.rand.IntN(3) {
