--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -167,7 +167,7 @@
 		return
 	}
 	if !ok || t.Born != m.Born {
-		m = &Member{}
+		m = &Member{needsReport: r.hasReported(t)}
 		r.members[t.ID] = m
 	}
 	m.list(now, t)
@@ -176,6 +176,16 @@
 	r.rebuildIndex()
 }
 
+// hasReported reports whether the process beside a target reported an earlier start of it: what the new
+// start has loaded by the time that it is listed counts once the process reports it, too.
+func (r *Roster) hasReported(t Target) bool {
+	m, ok := r.members[t.ID]
+	if !ok {
+		m, ok = r.byAddress[t.Address]
+	}
+	return ok && m.needsReport
+}
+
 // Remove removes a target that is no longer listed. answers are those that the store gave before it was
 // found missing. If the entry may be missing only because of a store outage, the target is retained
 // until it is listed again or Tick drops it. A leaving target is always removed immediately.
