--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		if err == nil || errors.Is(err, platform.ErrUncertain) {
-			r.recordOrder(c)
+			r.recordOrder(c, err)
 		}
 		if err != nil {
 			logger.WithError(err).WithField("result", callResult(err)).Warn("load order failed")
@@ -183,11 +183,55 @@
 	return !r.staged.stagedAt(c, r.report.Born).IsZero()
 }
 
-// recordOrder records that the engine has accepted the order to load a candidate, or may have.
-func (r *reconciler) recordOrder(c *candidate) {
+// recordOrder records that the engine has accepted the order to load a candidate, or may have if err is not
+// nil.
+func (r *reconciler) recordOrder(c *candidate, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.orderedAt, r.orderedVersion = time.Now(), c.version.Number
+	r.unanswered = unansweredOrder{}
+	if err != nil {
+		r.unanswered = unansweredOrder{isPending: true, born: r.report.Born, orders: r.report.Orders}
+	}
+}
+
+// maxVoidAttempts bounds how often an engine is ordered to give up its weights for an order without an answer.
+const maxVoidAttempts = 3
+
+// unansweredOrder is an order that got no answer, to an engine that had accepted a number of orders since its
+// start. The engine may accept it at any time, but not after another one.
+type unansweredOrder struct {
+	isPending    bool
+	born, orders int64
+	attempts     int
+}
+
+// voidUnansweredOrder has the engine accept another order than one that got no answer, and reports whether that
+// one may still be accepted. No piece may be staged until then: it could replace a bad one that the engine takes
+// for that order, which nobody could tell afterwards, least of all the next process. The engine gives up its
+// weights for it.
+func (r *reconciler) voidUnansweredOrder(ctx context.Context, model string) (isPending bool) {
+	r.mu.Lock()
+	state, o := r.state(), &r.unanswered
+	state.version = r.report.Model.Version
+	isPending = r.up && o.isPending && o.born == state.born && o.orders == state.orders && state.version != 0 && o.attempts < maxVoidAttempts
+	isDue := isPending && !r.report.Busy && time.Since(r.orderedAt) >= orderReportLag
+	if isDue {
+		o.attempts++
+	}
+	r.mu.Unlock()
+	if !isDue {
+		return isPending
+	}
+	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
+	r.target.meters.countResult("unloads", err)
+	logger := r.log.WithField("born", state.born).WithField("orders", state.orders)
+	if err != nil {
+		logger.WithError(err).WithField("result", callResult(err)).Warn("load order without an answer not made void")
+		return true
+	}
+	logger.Info("load order without an answer made void")
+	return true
 }
 
 // verifyStaged reads a staged piece back and verifies it. A piece that is unreadable or
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -55,6 +55,7 @@
 	changePending  bool
 	orderedAt      time.Time
 	orderedVersion int64
+	unanswered     unansweredOrder
 
 	// candidates lists the versions that the engine should load, oldest first.
 	candidates []*candidate
@@ -181,6 +182,9 @@
 	if r.unloadPart(ctx, version.Model) {
 		return
 	}
+	if r.voidUnansweredOrder(ctx, version.Model) {
+		return
+	}
 	r.proveLoaded(ctx)
 	c := r.nextCandidate()
 	if c == nil {
