--- a/e2e/fleet/loadlines_test.go
+++ b/e2e/fleet/loadlines_test.go
@@ -62,25 +62,25 @@
 	lines := endLogs()
 	checkDigests(t, lines)
 	for stamp, id := range served {
-		checkStory(t, lines, stamp, id)
+		checkExplanation(t, lines, stamp, id)
 	}
 }
 
-// checkStory checks that the story of a request tells by which process the weights were proved on which
+// checkExplanation checks that the explanation of a request names the process that proved the weights on which
 // its answer with a stamp was made.
-func checkStory(t *testing.T, lines []explain.Line, stamp, id string) {
+func checkExplanation(t *testing.T, lines []explain.Line, stamp, id string) {
 	t.Helper()
-	var story strings.Builder
-	if err := explain.Request(&story, lines, id); err != nil {
+	var explanation strings.Builder
+	if err := explain.Request(&explanation, lines, id); err != nil {
 		t.Fatal(err)
 	}
-	t.Log(story.String())
+	t.Log(explanation.String())
 	process := "target-1"
 	if strings.Contains(stamp, "i-m1") {
 		process = "target-2"
 	}
-	if want := process + " had proved " + standins.Model + ".2 of that engine"; !strings.Contains(story.String(), want) {
-		t.Errorf("the story of the request with stamp %q does not say %q", stamp, want)
+	if want := process + " had proved " + standins.Model + ".2 of that engine"; !strings.Contains(explanation.String(), want) {
+		t.Errorf("the explanation of the request with stamp %q does not say %q", stamp, want)
 	}
 }
 
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -69,7 +69,7 @@
 	err      error
 	// silent is set once the target has counted as silent, callerGone if the caller takes no more of
 	// the answer, givenUp if the request became known to crash targets, and otherVersion if the answer
-	// is of another version of the weights than the caller was told.
+	// is of another version of the weights than the one that the caller has.
 	silent, callerGone, givenUp, otherVersion bool
 	// ended is set once the end of the attempt has been recorded.
 	ended bool
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -109,7 +109,7 @@
 }
 
 // withoutOtherVersion ends the attempt as a lost one if its part of a stream is of another version of the
-// weights than the caller has been told, and does not tell. It is called when the part is used, as
+// weights than what the caller has, without saying so. It is called when the part is used, as
 // withoutOtherAnswer is.
 func (x *exchange) withoutOtherVersion(got part) part {
 	c := x.call
--- a/machine/entry/direct/requestrecord_test.go
+++ b/machine/entry/direct/requestrecord_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// Guards against answers whose weights cannot be told from the logs (inc2): each line about an attempt
+// Guards against answers whose weights the logs do not show (inc2): each line about an attempt
 // names the start of the target and the version that the attempt relied on, and the age of that report.
 func TestLinesNameWeightsOfAttempt(t *testing.T) {
 	c, _, logged := newHedgingCall(t)
--- a/machine/entry/direct/wholeengine_test.go
+++ b/machine/entry/direct/wholeengine_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against answers from a part of the weights (WHOLE, inc2, H5): the process beside the engine has
-// no manifest yet, which tells how many layers the model has.
+// no manifest yet, which has the number of layers of the model.
 func TestReportedEngineThatIsNotWholeGetsNoRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for layers, want := range map[uint32]bool{1: false, 4: true, 8: false} {
--- a/machine/entry/direct/withheldengine_test.go
+++ b/machine/entry/direct/withheldengine_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against answers from weights that are not known to be sound (WHOLE, inc2): an entry without a
-// current report of an engine went by the target list, which tells only what the engine has loaded.
+// current report of an engine went by the target list, which shows only what the engine has loaded.
 func TestListedWeightsThatWereNotReportedGetNoRequests(t *testing.T) {
 	relayed := func(version int64, changing bool) contract.Heartbeat {
 		return contract.Heartbeat{Machine: "entry-2", TargetReports: []contract.TargetReport{{
--- a/machine/target/direct/candidate.go
+++ b/machine/target/direct/candidate.go
@@ -32,7 +32,7 @@
 	// several versions may be staged.
 	candidate *candidate
 	at        time.Time
-	// born is the engine's start time then: an engine that restarts loses its staged pieces.
+	// born is the engine's start time then: an engine that restarts may lose its staged pieces.
 	born int64
 }
 
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -48,6 +48,8 @@
 	onRead  func(n int)
 	onPut   func(n, index int)
 	onOrder func(n int)
+	// loadTime is for how long the engine is busy with a load and shows no layers.
+	loadTime time.Duration
 	// beforeAnswer is called when an order has been accepted, before it is answered.
 	beforeAnswer func()
 
@@ -65,6 +67,8 @@
 	bad []int
 	// loads counts the loads, badLoads those with a bad piece.
 	loads, badLoads int
+	// busyUntil is when the last load ends.
+	busyUntil time.Time
 	// spoilsReadAfterOrder is set if the first read after an order returns other bytes than are staged.
 	spoilsReadAfterOrder bool
 }
@@ -95,8 +99,9 @@
 func (e *loadingEngine) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report := map[string]any{"busy": false, "seq_no": e.orders, "born": e.born, "models": []any{}, "layers": nil}
-	if e.layers > 0 {
+	isBusy := time.Now().Before(e.busyUntil)
+	report := map[string]any{"busy": isBusy, "seq_no": e.orders, "born": e.born, "models": []any{}, "layers": nil}
+	if e.layers > 0 && !isBusy {
 		report["models"] = []any{map[string]any{"name": testModel, "version": e.version}}
 		report["layers"] = map[string]any{"from": 0, "to": e.layers, "version": e.version}
 	}
@@ -199,6 +204,7 @@
 			e.bad = append(e.bad, i)
 		}
 	}
+	e.busyUntil = time.Now().Add(e.loadTime)
 	e.loads++
 	if len(e.bad) > 0 {
 		e.badLoads++
--- a/machine/target/direct/loadlog.go
+++ b/machine/target/direct/loadlog.go
@@ -38,6 +38,11 @@
 	return r.log.WithField("version", c.version.String()).WithField("born", r.report.Born).WithField("orders", r.report.Orders)
 }
 
+// stateLog returns the logger of what becomes of the weights that the engine holds in a state.
+func (r *reconciler) stateLog(s weightsState) log.Interface {
+	return r.log.WithField("born", s.born).WithField("orders", s.orders)
+}
+
 // describeBadPiece describes staged data that is not the expected piece i, as it is logged: the
 // beginning of its digest, and the version whose piece i it is, if the process has the digests of that.
 func (r *reconciler) describeBadPiece(i int, data []byte) string {
--- a/machine/target/direct/loadlog_test.go
+++ b/machine/target/direct/loadlog_test.go
@@ -79,7 +79,7 @@
 	})
 }
 
-// Guards against loads that cannot be told from the logs (inc2): the lines of a load with a bad piece come
+// Guards against loads that the logs do not show (inc2): the lines of a load with a bad piece come
 // in this order and name the load, the digests and the piece.
 func TestLinesOfLoadWithBadPiece(t *testing.T) {
 	digests := newCandidate(t, 2).set.Fingerprint()
@@ -254,7 +254,7 @@
 }
 
 // Guards against a bad piece that no line names, since pieces were staged meanwhile (inc2): such a proof
-// tells what was read all the same.
+// names what was read all the same.
 func TestProofAfterStagingTellsWhatWasRead(t *testing.T) {
 	for name, c := range map[string]struct {
 		piece []byte
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -52,7 +52,7 @@
 // whole, whether or not the engine answers.
 func (r *reconciler) stagePiece(ctx context.Context, c *candidate, i int) error {
 	r.mu.Lock()
-	r.proof.isWritten = true
+	r.proof.stagedSinceReport = true
 	if r.staged.candidate != c {
 		r.staged = stagingArea{}
 	}
@@ -223,10 +223,8 @@
 	if !isDue {
 		return isPending
 	}
-	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
-	r.target.meters.countResult("unloads", err)
-	logger := r.log.WithField("born", state.born).WithField("orders", state.orders)
-	if err != nil {
+	logger := r.stateLog(state)
+	if err := r.orderUnload(ctx, model, state); err != nil {
 		logger.WithError(err).WithField("result", callResult(err)).Warn("load order without an answer not made void")
 		return true
 	}
--- /dev/null
+++ b/machine/target/direct/piecefetch.go
@@ -0,0 +1,130 @@
+package direct
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/weightcache"
+	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upgrade"
+	"mimosastand.example/mimosastand/zone/catalog"
+)
+
+// currentPieces returns a function that returns the candidate's set of pieces, nil before
+// its digests are known.
+func (r *reconciler) currentPieces(c *candidate) func() *pieces.Set {
+	return func() *pieces.Set {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return c.set
+	}
+}
+
+// initPieces returns a function that returns the candidate's set of pieces, which it
+// creates from the digests if there is none yet. That function fails with pieces.ErrInvalidDigests if
+// they cannot be those of the model: an engine loads pieces without a digest as they are.
+func (r *reconciler) initPieces(c *candidate) func([][]byte) (*pieces.Set, error) {
+	return func(digests [][]byte) (*pieces.Set, error) {
+		pieceCount := r.target.pieceCount()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if c.set != nil {
+			return c.set, nil
+		}
+		set, err := pieces.NewSet(digests, pieceCount)
+		if err != nil {
+			return nil, err
+		}
+		c.set = set
+		return set, nil
+	}
+}
+
+// fetchPieces fetches the pieces of a candidate from the entries of the zone, and later
+// from any entry, until the candidate is complete or no longer needed.
+func (r *reconciler) fetchPieces(ctx context.Context, c *candidate, origin catalog.Origin) {
+	const retryInterval = 100 * time.Millisecond
+	start := time.Now()
+	logger := r.log.WithField("version", c.version.String())
+	defer r.markFetchFinished(c)
+	for ctx.Err() == nil && r.needsFetch(c) {
+		for _, id := range r.sourceEntries(c.version, origin, time.Since(start)) {
+			_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
+			r.target.meters.countResult("fetches", err)
+			if err != nil {
+				logger.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
+			}
+			if set := r.currentPieces(c)(); set != nil && set.IsComplete() {
+				logger.WithField("ms", time.Since(start).Milliseconds()).WithField("entry", string(id)).WithField("pieces", set.Len()).
+					WithField("digests", set.Fingerprint()).Info("pieces received")
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// needsDigests reports whether the digests of a candidate are to be fetched: an earlier process had the
+// engine load it. mu must be held.
+func (r *reconciler) needsDigests(c *candidate) bool {
+	return c.set == nil && r.isInherited() && c.version.Number == r.proof.inherited.version && time.Since(r.proof.inheritedAt) < inheritedFetchTime
+}
+
+// fetchDigests fetches the digests of a candidate from the entries that have them.
+func (r *reconciler) fetchDigests(ctx context.Context, c *candidate, origin catalog.Origin) {
+	defer r.markFetchFinished(c)
+	for _, id := range r.sourceEntries(c.version, origin, ownZoneTimeout) {
+		_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchDigests, r.currentPieces(c), r.initPieces(c))
+		r.target.meters.countResult("fetches", err)
+		if err != nil {
+			r.log.WithError(err).WithField("version", c.version.String()).WithField("entry", string(id)).Warn("digests not received")
+		}
+		if r.currentPieces(c)() != nil {
+			return
+		}
+	}
+}
+
+// needsFetch reports whether c is still a candidate and its pieces are to be fetched.
+func (r *reconciler) needsFetch(c *candidate) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.candidates, c) && r.fetchState(c.version).ShouldFetch()
+}
+
+// markFetchFinished records that the pieces of a candidate are no longer being fetched.
+func (r *reconciler) markFetchFinished(c *candidate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.fetching = false
+}
+
+// sourceEntries lists the linked entries to ask for pieces, in order: those of the
+// target's own zone and, once the fetch has waited for ownZoneTimeout, those of other
+// zones, whose pieces are sent over the links between regions.
+func (r *reconciler) sourceEntries(v weightcache.Version, origin catalog.Origin, waited time.Duration) []contract.MachineID {
+	ownZone := r.target.process.Zone
+	ranked := weightcache.RankEntries(v, r.target.peers.Members(link.RoleEntry), origin.Zone)
+	var local, remote []contract.MachineID
+	for _, m := range ranked {
+		switch {
+		case !r.target.peers.IsLinked(m.Machine):
+		case m.Zone == ownZone:
+			local = append(local, m.Machine)
+		default:
+			remote = append(remote, m.Machine)
+		}
+	}
+	rank, total := r.zoneRank()
+	local = upgrade.OrderSources(local, rank, total)
+	if waited < ownZoneTimeout {
+		return local
+	}
+	return append(local, remote...)
+}
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/machine/weightcache"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -40,10 +40,10 @@
 	// had it load weights. They are trusted, but looked at as soon as their digests are known.
 	inherited   weightsState
 	inheritedAt time.Time
-	// isWritten is set if pieces have been staged since the last report. written is the state that
-	// the first report after the last staged piece showed.
-	isWritten bool
-	written   weightsState
+	// stagedSinceReport is set if pieces have been staged since the last report. stagedBy is the state in
+	// which the first report after the last staged piece showed the engine.
+	stagedSinceReport bool
+	stagedBy          weightsState
 	// unloadedAt is when the engine was last ordered to give up unsound weights.
 	unloadedAt time.Time
 }
@@ -62,8 +62,8 @@
 		p.inherited, p.inheritedAt = s, time.Now()
 	}
 	p.observeUnsound(s)
-	if p.isWritten {
-		p.isWritten, p.written = false, s
+	if p.stagedSinceReport {
+		p.stagedSinceReport, p.stagedBy = false, s
 	}
 }
 
@@ -78,10 +78,10 @@
 	}
 }
 
-// mayHaveChanged reports whether a piece may have been staged after the engine had accepted its last
-// order: what is staged now does not show then what it has loaded.
-func (p *proof) mayHaveChanged(s weightsState) bool {
-	return p.isWritten || p.written.born == s.born && p.written.orders >= s.orders
+// mayBeStagedSince reports whether a piece may have been staged after the engine had accepted the last order
+// of a state: what is staged now does not show then what it has loaded.
+func (p *proof) mayBeStagedSince(s weightsState) bool {
+	return p.stagedSinceReport || p.stagedBy.born == s.born && p.stagedBy.orders >= s.orders
 }
 
 // state returns the state of the engine's weights by its last report. mu must be held.
@@ -110,10 +110,11 @@
 		r.mu.Unlock()
 		return
 	}
+	// While the engine loads, its report does not show the version yet.
 	state := r.state()
 	state.version = c.version.Number
 	isSound, isUnsound := state == r.proof.sound, state == r.proof.unsound
-	isHidden := r.isInherited() && r.proof.mayHaveChanged(state)
+	isHidden := r.isInherited() && r.proof.mayBeStagedSince(state)
 	isReplaced := newestComplete(r.candidates, state.version) != nil
 	r.mu.Unlock()
 	switch {
@@ -149,7 +150,7 @@
 // proveCandidate reads all staged pieces, and records whether the engine has loaded sound pieces of a
 // candidate, in the state that it is in or will be in once it has loaded them.
 func (r *reconciler) proveCandidate(ctx context.Context, state weightsState, c *candidate) {
-	logger := r.log.WithField("version", c.version.String()).WithField("born", state.born).WithField("orders", state.orders)
+	logger := r.stateLog(state).WithField("version", c.version.String())
 	start := time.Now()
 	read := r.readAllStaged(ctx, c)
 	err := r.recordProof(state, read)
@@ -177,7 +178,7 @@
 func (r *reconciler) recordProof(state weightsState, read error) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.proof.mayHaveChanged(state) {
+	if r.proof.mayBeStagedSince(state) {
 		read = errStagedSince
 	}
 	switch {
@@ -233,15 +234,14 @@
 	if !r.unloadIsDue() {
 		return
 	}
-	logger := r.log.WithField("version", c.version.String()).WithField("born", state.born).WithField("orders", state.orders)
-	if c.isComplete() && !r.verifyAllStaged(ctx, c, logger) {
+	if c.isComplete() && !r.verifyAllStaged(ctx, c, r.loadLog(c)) {
 		return
 	}
 	// The report shows that the pieces were staged before the engine accepts the order.
 	if !r.pollEngine(ctx) {
 		return
 	}
-	r.orderUnload(ctx, c.version.Model, state, logger)
+	r.giveUp(ctx, c.version.Model, state)
 }
 
 // unloadIsDue reports whether the engine may be ordered now to give up weights.
@@ -265,18 +265,24 @@
 	state.version = r.report.Model.Version
 	r.mu.Unlock()
 	if isPart && r.unloadIsDue() {
-		r.orderUnload(ctx, model, state, r.log.WithField("born", state.born).WithField("orders", state.orders))
+		r.giveUp(ctx, model, state)
 	}
 	return isPart
 }
 
-// orderUnload orders the engine to give up the weights that it holds in a state.
-func (r *reconciler) orderUnload(ctx context.Context, model string, state weightsState, logger log.Interface) {
-	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
-	r.target.meters.countResult("unloads", err)
-	if err != nil {
+// giveUp orders the engine to give up unsound weights that it holds in a state.
+func (r *reconciler) giveUp(ctx context.Context, model string, state weightsState) {
+	logger := r.stateLog(state).WithField("version", weightcache.Version{Model: model, Number: state.version}.String())
+	if err := r.orderUnload(ctx, model, state); err != nil {
 		logger.WithError(err).WithField("result", callResult(err)).Warn("unsound weights not given up")
 		return
 	}
 	logger.Info("unsound weights given up")
 }
+
+// orderUnload orders the engine to give up the weights that it holds in a state.
+func (r *reconciler) orderUnload(ctx context.Context, model string, state weightsState) error {
+	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
+	r.target.meters.countResult("unloads", err)
+	return err
+}
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -196,13 +196,13 @@
 		want  bool
 	}{
 		"nothing staged":                           {proof{}, false},
-		"staged, report, order":                    {proof{written: weightsState{1, 2, 1}}, false},
-		"staged after the order, report":           {proof{written: weightsState{1, 3, 1}}, true},
-		"staged since the last report":             {proof{isWritten: true, written: weightsState{1, 2, 1}}, true},
-		"staged at an earlier start of the engine": {proof{written: weightsState{9, 5, 1}}, false},
+		"staged, report, order":                    {proof{stagedBy: weightsState{1, 2, 1}}, false},
+		"staged after the order, report":           {proof{stagedBy: weightsState{1, 3, 1}}, true},
+		"staged since the last report":             {proof{stagedSinceReport: true, stagedBy: weightsState{1, 2, 1}}, true},
+		"staged at an earlier start of the engine": {proof{stagedBy: weightsState{9, 5, 1}}, false},
 	} {
-		if got := c.known.mayHaveChanged(accepted); got != c.want {
-			t.Errorf("%s: mayHaveChanged() = %v, want %v", name, got, c.want)
+		if got := c.known.mayBeStagedSince(accepted); got != c.want {
+			t.Errorf("%s: mayBeStagedSince() = %v, want %v", name, got, c.want)
 		}
 	}
 }
--- a/zone/roster/target.go
+++ b/zone/roster/target.go
@@ -88,7 +88,7 @@
 	return int32(s.Number-other.Number) > 0
 }
 
-// IsUsable reports whether the target may be used, as far as the status tells.
+// IsUsable reports whether the target may be used, as far as the status shows.
 func (s Status) IsUsable() bool { return s.Ready && !s.Changing }
 
 // DiffersFrom reports whether another status has news on which requests the target may get; loads are
