--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -35,6 +35,7 @@
 	born := r.lastReport().Born
 	start := time.Now()
 	for i := range c.set.Len() {
+		r.refreshReport(ctx)
 		err := r.stagePiece(ctx, c, i)
 		r.target.meters.countResult("pieces_staged", err)
 		if err != nil {
@@ -152,6 +153,7 @@
 // be verified.
 func (r *reconciler) verifyAllStaged(ctx context.Context, c *candidate, logger log.Interface) bool {
 	for i := range c.set.Len() {
+		r.refreshReport(ctx)
 		if err := r.verifyStaged(ctx, c, i); err != nil {
 			logger.WithError(err).WithField("piece", i).Warn("staged piece could not be verified; load order postponed")
 			return false
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -200,6 +200,7 @@
 // readAllStaged reads all staged pieces. It fails with errNotSound if one is not that of the candidate.
 func (r *reconciler) readAllStaged(ctx context.Context, c *candidate) error {
 	for i := range c.set.Len() {
+		r.refreshReport(ctx)
 		err := r.readStaged(ctx, c, i)
 		for range maxProofReads - 1 {
 			if errors.Is(err, errNotSound) {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -23,6 +23,9 @@
 	changePollInterval = 50 * time.Millisecond
 	// ownZoneTimeout is how long a fetch asks only the entries of the target's own zone.
 	ownZoneTimeout = 1500 * time.Millisecond
+	// maxReportAge is the age of the engine's last report from which on the engine gets no requests: what
+	// it has done since is not known, for example while the process waits in a call to it or stood still.
+	maxReportAge = 800 * time.Millisecond
 	// orderReportLag is how long after a load order the engine's report may not show the
 	// order yet.
 	orderReportLag = 600 * time.Millisecond
@@ -78,6 +81,17 @@
 	return r.report.Model.WholeVersion(r.target.modelLayers())
 }
 
+// refreshReport polls the engine unless its last report is recent. It is called between calls to the engine
+// of which there may be many.
+func (r *reconciler) refreshReport(ctx context.Context) {
+	r.mu.Lock()
+	age := time.Since(r.reportedAt)
+	r.mu.Unlock()
+	if age >= pollInterval {
+		r.pollEngine(ctx)
+	}
+}
+
 // lastReport returns the engine's last report.
 func (r *reconciler) lastReport() platform.Report {
 	r.mu.Lock()
--- a/machine/target/direct/status.go
+++ b/machine/target/direct/status.go
@@ -19,7 +19,7 @@
 		Address:  r.target.process.Fleet.EngineAddress,
 		Born:     r.report.Born,
 		Up:       r.up,
-		Changing: r.changePending || r.report.Busy || r.isWithheld(),
+		Changing: r.changePending || r.report.Busy || r.isWithheld() || time.Since(r.reportedAt) > maxReportAge,
 		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
 		Number:   r.nextStatusNumber(),
 	}
--- a/machine/target/direct/status_test.go
+++ b/machine/target/direct/status_test.go
@@ -2,11 +2,54 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/platform"
 )
 
+// Guards against requests to an engine of which nothing has been heard for a while (WHOLE, inc2): the process
+// stood still, or waits in a call to the engine, and its heartbeats repeated what it knew before.
+func TestOldReportServesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reconciler{target: &Target{process: &config.Process{Fleet: &config.Fleet{}}}}
+		r.recordReport(reportOf(1, false), true)
+		time.Sleep(maxReportAge)
+		if r.status().Changing {
+			t.Errorf("report of %v ago: Changing = true, want false", maxReportAge)
+		}
+		time.Sleep(time.Millisecond)
+		if !r.status().Changing {
+			t.Error("older report: Changing = false, want true")
+		}
+		r.recordReport(reportOf(1, false), true)
+		if r.status().Changing {
+			t.Error("new report: Changing = true, want false")
+		}
+	})
+}
+
+// Guards against an engine that is out of use while its pieces are staged or read, which takes long on a slow
+// machine: the engine is polled meanwhile, and still gets requests.
+func TestReportIsRefreshedWhilePiecesAreStaged(t *testing.T) {
+	const pieceTime = 2 * maxReportAge / stagedPieces
+	e := newLoadingEngine(t)
+	target := newTargetOf(t, e)
+	target.reconciler.reconcile(t.Context())
+	isServed := true
+	slow := func() {
+		time.Sleep(pieceTime)
+		isServed = isServed && wouldBeSentRequests(target) == 1
+	}
+	e.onPut = func(int, int) { slow() }
+	announce(t, target, 2)
+	target.reconciler.stagePieces(t.Context(), target.reconciler.nextCandidate())
+	if !isServed {
+		t.Errorf("the engine was out of use while its pieces were staged for %v", stagedPieces*pieceTime)
+	}
+}
+
 // Guards against weights that are proved only after the engine has loaded them, so that it serves nothing for
 // longer than it loads: the look is made while it is busy, and its report shows no version.
 func TestWeightsAreProvedWhileTheEngineLoads(t *testing.T) {
