Engines of another region are reported in turn

Callers whose region has no room could be refused although another region had some: entries go by reports once an engine has been withheld, heartbeats to another region carry those on the eight engines with the least load, and an engine with more load was never heard of again. By the list alone it had been used again after 3 s.

TestEnginesOfAnotherRegionAreAllHeardOf fails without the change.

Change: four further reports in each list, on the engines whose turn it is. So the bound of open engines in such a heartbeat is 12, which TestReportsInHeartbeatsAreBounded demands now, with the least loaded ones first as before. It does not grow with the fleet.

Result: both pass.

--- a/zone/targetreport/tracker.go
+++ b/zone/targetreport/tracker.go
@@ -22,6 +22,9 @@
 	// maxRemoteReports bounds them in a heartbeat to another region, whose entries send here
 	// only what their own region has no room for.
 	maxRemoteReports = 8
+	// maxTurnReports bounds the further reports in such a heartbeat, on engines that take turns: each is to be
+	// heard of in time, since it gets no requests until then.
+	maxTurnReports = 4
 	// maxWithheldReports bounds the reports on engines that get no requests in such a heartbeat.
 	maxWithheldReports = 8
 	// listInterval is how long a list of reports is passed on before it is made anew: heartbeats
@@ -41,6 +44,8 @@
 	reports map[roster.ReportKey]Report
 	// local lists the reports for entries of the same region, remote those for others.
 	local, remote list
+	// lastTurn is the key of the last engine that had its turn in remote.
+	lastTurn roster.ReportKey
 }
 
 // list holds the reports that are passed on, and when they were chosen.
@@ -107,12 +112,13 @@
 }
 
 // RemoteReports lists the reports on the engines with the least load among those for which
-// isOffered returns true, and the newest ones on such engines that get no requests, for an entry of
-// another region. Within listInterval the same ones are listed.
+// isOffered returns true, some of the others in turn, and the newest ones on such engines that get no
+// requests, for an entry of another region. Within listInterval the same ones are listed.
 func (t *Tracker) RemoteReports(now time.Time, isOffered func(roster.ReportKey) bool) []contract.TargetReport {
 	if t.remote.isDue(now) {
 		open, withheld := t.remoteReports(now, isOffered)
-		reports := append(open[:min(len(open), maxRemoteReports)], withheld[:min(len(withheld), maxWithheldReports)]...)
+		n := min(len(open), maxRemoteReports)
+		reports := slices.Concat(open[:n], t.takeTurns(open[n:]), withheld[:min(len(withheld), maxWithheldReports)])
 		t.remote = list{reports: reports, madeAt: now}
 	}
 	return encode(now, t.remote.reports)
@@ -138,6 +144,20 @@
 	return open, withheld
 }
 
+// takeTurns returns the reports on the engines whose turn it is, in the order of their keys.
+func (t *Tracker) takeTurns(reports []Report) []Report {
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Key, b.Key) })
+	next, _ := slices.BinarySearchFunc(reports, t.lastTurn, func(r Report, last roster.ReportKey) int {
+		return cmp.Or(cmp.Compare(r.Key, last), -1)
+	})
+	turn := slices.Concat(reports[next:], reports[:next])
+	turn = turn[:min(len(turn), maxTurnReports)]
+	if len(turn) > 0 {
+		t.lastTurn = turn[len(turn)-1].Key
+	}
+	return turn
+}
+
 // recent returns the reports that are not too old, and forgets the others.
 func (t *Tracker) recent(now time.Time) []Report {
 	var list []Report
