Numbers of reports on engines do not step back with the time of day

Callers could be refused, or get answers from withheld weights, for as long as the time of day had stepped back: the process beside an engine numbered its reports by that clock, and a process that replaced it had lower numbers, which linked entries ignored without end. The age of an engine's report went by a clock that omits the time for which a machine is suspended.

Change: both go by the boot time, which goes on across processes and suspensions; an engine that a reboot ends has another start. And a number counts for 3 s in entries that are linked to the process, as it did in others.

In the test of a freeze while the order is connected the clock is read once more now, for the engine's report; the process stands still at the same moment as before.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -163,8 +163,8 @@
 	// Layers is the number of layers that are loaded, from the first one on; 0 if not reported. The
 	// process beside the engine may not know how many the model has.
 	Layers uint32 `cbor:"8,keyasint,omitempty"`
-	// Number orders the reports of the process: the milliseconds of its clock, modulo 2^32, and
-	// at least one more than in its report before; 0 if not reported.
+	// Number orders the reports of the process and of those before it: the milliseconds since the machine
+	// was booted, modulo 2^32, and at least one more than in its report before; 0 if not reported.
 	Number uint32 `cbor:"9,keyasint,omitempty"`
 }
 
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -48,6 +48,8 @@
 	onRead  func(n int)
 	onPut   func(n, index int)
 	onOrder func(n int)
+	// reportLag is how old the state in the engine's report is.
+	reportLag time.Duration
 	// loadTime is for how long the engine is busy with a load and shows no layers.
 	loadTime time.Duration
 	// beforeAnswer is called when an order has been accepted, before it is answered.
@@ -69,6 +71,8 @@
 	loads, badLoads int
 	// busyUntil is when the last load ends.
 	busyUntil time.Time
+	// states lists the states since each order and each start, in the order of time.
+	states []shownState
 	// spoilsReadAfterOrder is set if the first read after an order returns other bytes than are staged.
 	spoilsReadAfterOrder bool
 }
@@ -76,6 +80,7 @@
 // newLoadingEngine starts an engine that holds version 1, which is also staged.
 func newLoadingEngine(t *testing.T) *loadingEngine {
 	e := &loadingEngine{staged: map[int][]byte{}, born: 1, layers: testLayers, version: 1}
+	e.states = append(e.states, e.state())
 	for i := range stagedPieces {
 		e.staged[i] = versionPiece(1, i)
 	}
@@ -96,14 +101,42 @@
 	return i
 }
 
+// shownState is what the report shows of the engine from a time on, and later by the lag of reports.
+type shownState struct {
+	at, busyUntil         time.Time
+	born, orders, version int64
+	layers                int
+}
+
+// state returns the present state; mu must be held.
+func (e *loadingEngine) state() shownState {
+	return shownState{time.Now(), e.busyUntil, e.born, e.orders, e.version, e.layers}
+}
+
+// stateAt returns the state at a time; mu must be held.
+func (e *loadingEngine) stateAt(at time.Time) shownState {
+	s := e.states[0]
+	for _, later := range e.states {
+		if !later.at.After(at) {
+			s = later
+		}
+	}
+	return s
+}
+
 func (e *loadingEngine) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	isBusy := time.Now().Before(e.busyUntil)
-	report := map[string]any{"busy": isBusy, "seq_no": e.orders, "born": e.born, "models": []any{}, "layers": nil}
-	if e.layers > 0 && !isBusy {
-		report["models"] = []any{map[string]any{"name": testModel, "version": e.version}}
-		report["layers"] = map[string]any{"from": 0, "to": e.layers, "version": e.version}
+	at, s := time.Now(), e.state()
+	if e.reportLag > 0 {
+		at = at.Add(-e.reportLag)
+		s = e.stateAt(at)
+	}
+	isBusy := at.Before(s.busyUntil)
+	report := map[string]any{"busy": isBusy, "seq_no": s.orders, "born": s.born, "models": []any{}, "layers": nil}
+	if s.layers > 0 && !isBusy {
+		report["models"] = []any{map[string]any{"name": testModel, "version": s.version}}
+		report["layers"] = map[string]any{"from": 0, "to": s.layers, "version": s.version}
 	}
 	if e.reported != nil {
 		report["layers"] = e.reported
@@ -196,6 +229,7 @@
 	}
 	e.orders++
 	e.layers, e.version, e.reported = layers, version, nil
+	defer func() { e.states = append(e.states, e.state()) }()
 	if layers == 0 {
 		return
 	}
@@ -241,6 +275,7 @@
 	e.born++
 	e.orders, e.layers, e.version, e.bad = 0, 0, 0, nil
 	e.staged = map[int][]byte{}
+	e.states = append(e.states, e.state())
 }
 
 // holdsSound reports whether the engine holds a version whole and without a bad piece.
--- a/machine/target/direct/loadorder_test.go
+++ b/machine/target/direct/loadorder_test.go
@@ -49,8 +49,17 @@
 		hook        func(*loadingEngine, *testClock, func(reads int))
 	}{
 		"while the pieces are read": {stagedPieces - 2, func(e *loadingEngine, _ *testClock, f func(int)) { e.onRead = f }},
+		// After the last piece the clock is read for the engine's report, and then for the order.
 		"while the order is connected": {stagedPieces, func(e *loadingEngine, clock *testClock, f func(int)) {
-			clock.onRead = func() { f(e.readCount()) }
+			isReported := false
+			clock.onRead = func() {
+				reads := e.readCount()
+				if reads == stagedPieces && !isReported {
+					isReported = true
+					return
+				}
+				f(reads)
+			}
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -46,7 +46,9 @@
 	// engine answered the last poll.
 	report     platform.Report
 	reportedAt time.Time
-	up         bool
+	// reportedBoot is the boot time then.
+	reportedBoot time.Duration
+	up           bool
 	// changePending reports whether a load order is imminent or has been sent, until the
 	// engine has finished it or has restarted. orderedAt is when the engine accepted the
 	// order, or may have, to load orderedVersion; zero if there is none.
@@ -197,7 +199,7 @@
 	r.up = answered
 	if answered {
 		isFirst := r.reportedAt.IsZero()
-		r.report, r.reportedAt = report, time.Now()
+		r.report, r.reportedAt, r.reportedBoot = report, time.Now(), r.bootTime()
 		r.proof.observe(r.state(), report.Busy, isFirst)
 		if report.Born != previous.Born || r.orderFinished() {
 			r.changePending, r.orderedAt = false, time.Time{}
--- a/machine/target/direct/reconciler_test.go
+++ b/machine/target/direct/reconciler_test.go
@@ -10,6 +10,15 @@
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
+// newIdleReconciler returns a reconciler whose boot time goes by the clock of the test.
+func newIdleReconciler() *reconciler {
+	booted := time.Now()
+	return &reconciler{
+		target:   &Target{process: &config.Process{Fleet: &config.Fleet{}}},
+		bootTime: func() time.Duration { return time.Since(booted) },
+	}
+}
+
 // reportOf returns what an engine reports that has loaded a version, 0 for none.
 func reportOf(version int64, busy bool) platform.Report {
 	layers := 16
@@ -23,7 +32,7 @@
 // less time than a report may lag, and entries learned only with a later heartbeat that it was back.
 func TestLoadedEngineIsReportedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &reconciler{target: &Target{process: &config.Process{Fleet: &config.Fleet{}}}}
+		r := newIdleReconciler()
 		r.recordReport(reportOf(0, false), true)
 		if got := r.nextPollDelay(); got != pollInterval {
 			t.Errorf("at rest: nextPollDelay() = %v, want %v", got, pollInterval)
@@ -57,7 +66,7 @@
 // Guards against an engine that stays out of use because it did not load what it was ordered to.
 func TestOrderEndsWithoutEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &reconciler{target: &Target{process: &config.Process{Fleet: &config.Fleet{}}}}
+		r := newIdleReconciler()
 		r.recordReport(reportOf(1, false), true)
 		r.changePending, r.orderedAt, r.orderedVersion = true, time.Now(), 2
 		time.Sleep(orderReportLag)
--- a/machine/target/direct/status.go
+++ b/machine/target/direct/status.go
@@ -19,7 +19,7 @@
 		Address:  r.target.process.Fleet.EngineAddress,
 		Born:     r.report.Born,
 		Up:       r.up,
-		Changing: r.changePending || r.report.Busy || r.isWithheld() || time.Since(r.reportedAt) > maxReportAge,
+		Changing: r.changePending || r.report.Busy || r.isWithheld() || r.bootTime()-r.reportedBoot > maxReportAge,
 		Layers:   uint32(min(r.report.Model.Layers, math.MaxUint32)),
 		Number:   r.nextStatusNumber(),
 	}
@@ -33,9 +33,10 @@
 }
 
 // nextStatusNumber returns a number above that of the last status, also of an earlier process: the
-// milliseconds of the clock, modulo 2^32, or the next number if that is not above. mu must be held.
+// milliseconds since the machine was booted, modulo 2^32, or the next number if that is not above. The time of
+// day may step back. mu must be held.
 func (r *reconciler) nextStatusNumber() uint32 {
-	now := uint32(time.Now().UnixMilli())
+	now := uint32(r.bootTime().Milliseconds())
 	if r.statusNumber == 0 || int32(now-r.statusNumber) > 0 {
 		r.statusNumber = now
 	} else {
--- a/machine/target/direct/status_test.go
+++ b/machine/target/direct/status_test.go
@@ -5,7 +5,6 @@
 	"testing/synctest"
 	"time"
 
-	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -13,7 +12,7 @@
 // stood still, or waits in a call to the engine, and its heartbeats repeated what it knew before.
 func TestOldReportServesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &reconciler{target: &Target{process: &config.Process{Fleet: &config.Fleet{}}}}
+		r := newIdleReconciler()
 		r.recordReport(reportOf(1, false), true)
 		time.Sleep(maxReportAge)
 		if r.status().Changing {
@@ -69,7 +68,7 @@
 // Guards against unproved weights that keep an engine from its next version until its turn in the zone: it
 // serves nothing, so it has none to wait for.
 func TestUnprovedWeightsAreNotServed(t *testing.T) {
-	r := &reconciler{target: &Target{process: &config.Process{Fleet: &config.Fleet{}}}}
+	r := newIdleReconciler()
 	r.recordReport(reportOf(1, false), true)
 	if got := r.servedVersion(); got != 1 {
 		t.Errorf("servedVersion() = %d, want 1", got)
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -279,7 +279,7 @@
 	if bothKnown && born > m.Born {
 		s = Status{}
 	}
-	if m.status.IsNewer(m.statusAt, s, now) {
+	if now.Sub(m.statusAt) <= statusMaxAge && m.status.IsNewer(m.statusAt, s, now) {
 		return
 	}
 	m.setStatus(s, now)
