--- a/machine/target/direct/inherited_test.go
+++ b/machine/target/direct/inherited_test.go
@@ -98,3 +98,26 @@
 		t.Errorf("%d loads, want 1", e.loads)
 	}
 }
+
+// Guards against answers from unsound weights of an earlier process until the next version is loaded (WHOLE,
+// inc2): its pieces were staged before their digests had arrived, so that nobody looked at them.
+func TestNothingIsStagedOverInheritedWeights(t *testing.T) {
+	e := newLoadingEngine(t)
+	loadBad(e)
+	target := newTargetOf(t, e)
+	announce(t, target, 3)
+	r := target.reconciler
+	r.reconcile(t.Context())
+	r.reconcile(t.Context())
+	if e.puts > 0 {
+		t.Errorf("%d pieces were staged before the weights were looked at", e.puts)
+	}
+	r.mu.Lock()
+	findCandidate(r.candidates, 2).set = newCandidate(t, 2).set
+	r.mu.Unlock()
+	r.proveLoaded(t.Context())
+	if !r.isWithheld() {
+		t.Error("unsound weights of an earlier process are in use")
+	}
+	reconcileUntil(t, target, e, 3)
+}
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -140,8 +140,11 @@
 			logger.Warn("verification of the staged pieces has expired; verifying them again")
 			continue
 		}
-		if err == nil || errors.Is(err, platform.ErrUncertain) {
+		switch {
+		case err == nil, errors.Is(err, platform.ErrUncertain):
 			r.recordOrder(c, err)
+		case errors.Is(err, platform.ErrConflict):
+			r.recordRefusal(report.Born, report.Orders)
 		}
 		if err != nil {
 			logger.WithError(err).WithField("result", callResult(err)).Warn("load order failed")
@@ -206,6 +209,18 @@
 	r.proof.answered = weightsState{born: r.report.Born, orders: r.report.Orders + 1, version: c.version.Number}
 }
 
+// recordRefusal records that an engine refused an order since its state was another than the one in its report,
+// at a start of the engine and with a number of accepted orders. It may have accepted another order before the
+// last piece was staged.
+func (r *reconciler) recordRefusal(born, orders int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusedAt = time.Now()
+	if r.proof.stagedBy.born == born && r.proof.stagedBy.orders == orders {
+		r.proof.stagedBy.orders++
+	}
+}
+
 // maxVoidAttempts bounds how often an engine is ordered to give up its weights for an order without an answer.
 const maxVoidAttempts = 3
 
@@ -226,7 +241,7 @@
 	state, o := r.state(), &r.unanswered
 	state.version = r.report.Model.Version
 	isPending = r.up && o.isPending && o.born == state.born && o.orders == state.orders && state.version != 0 && o.attempts < maxVoidAttempts
-	isDue := isPending && !r.report.Busy && time.Since(r.orderedAt) >= orderReportLag
+	isDue := isPending && !r.report.Busy && time.Since(r.orderedAt) >= orderReportLag && time.Since(r.refusedAt) >= orderReportLag
 	if isDue {
 		o.attempts++
 	}
--- a/machine/target/direct/proof.go
+++ b/machine/target/direct/proof.go
@@ -18,6 +18,8 @@
 	// inheritedSilence is for how long a process that has just started does not report weights that an
 	// earlier one had the engine load. Entries go by what that one reported until then.
 	inheritedSilence = time.Second
+	// inheritedLookTime is for how long it stages nothing over the pieces that show whether they are sound.
+	inheritedLookTime = 2 * time.Second
 	// inheritedFetchTime is for how long it requests the digests of such weights.
 	inheritedFetchTime = 5 * time.Second
 )
@@ -298,5 +300,8 @@
 func (r *reconciler) orderUnload(ctx context.Context, model string, state weightsState) error {
 	err := r.engine.Unload(ctx, platform.Order{Model: model, Version: state.version, Accepted: state.orders})
 	r.target.meters.countResult("unloads", err)
+	if errors.Is(err, platform.ErrConflict) {
+		r.recordRefusal(state.born, state.orders)
+	}
 	return err
 }
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -56,6 +56,9 @@
 	orderedAt      time.Time
 	orderedVersion int64
 	unanswered     unansweredOrder
+	// refusedAt is when the engine last refused an order since its state was another: it may have accepted
+	// one that its report does not show yet.
+	refusedAt time.Time
 
 	// candidates lists the versions that the engine should load, oldest first.
 	candidates []*candidate
@@ -162,10 +165,24 @@
 		r.endChange()
 		return
 	}
+	if !r.mayStage() {
+		return
+	}
 	r.stagePieces(ctx, c)
 	r.orderWhenDue(ctx, c)
 }
 
+// mayStage reports whether pieces may be staged now. What is staged later than the engine accepts an order
+// hides what it has loaded: so an order must show in the engine's report and be proved before, and
+// weights that an earlier process had loaded must have been looked at, if that is possible soon.
+func (r *reconciler) mayStage() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isShown := r.proof.answered.born != r.report.Born || r.proof.answered.orders <= r.report.Orders || time.Since(r.orderedAt) >= orderReportLag
+	isLookedAt := !r.isInherited() || time.Since(r.proof.inheritedAt) >= inheritedLookTime
+	return isShown && isLookedAt && time.Since(r.refusedAt) >= orderReportLag
+}
+
 // endChange ends the change that entries were notified of if nothing is left to order: another order may have
 // loaded the version that this process wanted.
 func (r *reconciler) endChange() {
