Stand-ins share one loopback server; one wait for a status in the tests of fleets

Cause: address and shutdown of the stand-in's server stood three times, the wait for a status of an entry four times, and a hook of the plays of unsound weights twice. Change: standin/fleet has a loopbackServer, the rig has eventuallyStatus, the plays have releaseAtCall. No check changes.

--- a/e2e/fleet/fleet_test.go
+++ b/e2e/fleet/fleet_test.go
@@ -241,9 +241,7 @@
 	r.writeManifest()
 	r.store.DropHistory()
 	r.store.SetDown(false)
-	r.eventually("the newest manifest is in force", func() bool {
-		return r.call(e, http.MethodGet, "/look/x", "", nil).status == http.StatusUnauthorized
-	})
+	r.eventuallyStatus(e, "the newest manifest is in force", http.StatusUnauthorized)
 }
 
 // TestStopFinishesRequests checks that an entry that is stopped completes the running requests,
--- a/e2e/fleet/restore_test.go
+++ b/e2e/fleet/restore_test.go
@@ -29,9 +29,7 @@
 		r.store.Evacuate(fmt.Sprint("zone-", i), true)
 	}
 	r.store.SetDown(false)
-	r.eventually("the key that was revoked after the return is refused", func() bool {
-		return r.call(e, http.MethodGet, "/look/x", "", nil).status == http.StatusUnauthorized
-	})
+	r.eventuallyStatus(e, "the key that was revoked after the return is refused", http.StatusUnauthorized)
 }
 
 // Guards against going back to what the older copy has: an evacuation and a revoked key that
@@ -45,14 +43,10 @@
 	r.apiKeys = []string{apiKey, "key-2"}
 	r.writeManifest()
 	r.store.Evacuate("a", true)
-	r.eventually("the zone is evacuated", func() bool {
-		return r.call(e, http.MethodGet, "/look/x", "", nil).status == http.StatusServiceUnavailable
-	})
+	r.eventuallyStatus(e, "the zone is evacuated", http.StatusServiceUnavailable)
 	r.apiKeys = []string{"key-2"}
 	r.writeManifest()
-	r.eventually("the key is refused", func() bool {
-		return r.call(e, http.MethodGet, "/look/x", "", nil).status == http.StatusUnauthorized
-	})
+	r.eventuallyStatus(e, "the key is refused", http.StatusUnauthorized)
 	r.store.SetDown(true)
 	r.store.Restore(restoreAge)
 	r.store.SetDown(false)
--- a/e2e/fleet/rig_test.go
+++ b/e2e/fleet/rig_test.go
@@ -198,6 +198,12 @@
 	}
 }
 
+// eventuallyStatus waits until an idempotent call at an entry is answered with a status.
+func (r *rig) eventuallyStatus(e *entrydirect.Entry, what string, status int) {
+	r.t.Helper()
+	r.eventually(what, func() bool { return r.call(e, http.MethodGet, "/look/x", "", nil).status == status })
+}
+
 // result is the answer that a caller got.
 type result struct {
 	id         string
--- a/e2e/fleet/unsoundplays_test.go
+++ b/e2e/fleet/unsoundplays_test.go
@@ -147,15 +147,21 @@
 	}
 }
 
-func (p *play) holdOrderUntilNextIsStaged(i int) {
-	released, at := make(chan struct{}), stagingPieces+1+p.rand.IntN(stagingPieces-1)
-	p.engine(i).setHooks(func(n, _ int) {
+// releaseAtCall returns a hook that closes released at the given call, which then lasts longer: what waits
+// for released goes on while that call is under way.
+func releaseAtCall(at int, released chan struct{}) func(n, index int) {
+	return func(n, _ int) {
 		time.Sleep(callTime)
 		if n == at {
 			close(released)
 			time.Sleep(4 * callTime)
 		}
-	}, takeCallTime, func(n, _ int) {
+	}
+}
+
+func (p *play) holdOrderUntilNextIsStaged(i int) {
+	released, at := make(chan struct{}), stagingPieces+1+p.rand.IntN(stagingPieces-1)
+	p.engine(i).setHooks(releaseAtCall(at, released), takeCallTime, func(n, _ int) {
 		if n == 1 {
 			p.announceNext()
 			await(released, 6*time.Second)
@@ -225,13 +231,7 @@
 // next version.
 func (p *play) holdOrderOfKilledTarget(i int) {
 	released, at, target := make(chan struct{}), stagingPieces+1+p.rand.IntN(stagingPieces-1), p.f.targets[i]
-	p.engine(i).setHooks(func(n, _ int) {
-		time.Sleep(callTime)
-		if n == at {
-			close(released)
-			time.Sleep(4 * callTime)
-		}
-	}, takeCallTime, func(n, _ int) {
+	p.engine(i).setHooks(releaseAtCall(at, released), takeCallTime, func(n, _ int) {
 		if n == 1 {
 			p.announceNext()
 			p.begin(target.restart)
--- a/standin/fleet/origin.go
+++ b/standin/fleet/origin.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,7 +13,7 @@
 
 // Origin is a stand-in of the origin of weights.
 type Origin struct {
-	server     *httptest.Server
+	loopbackServer
 	pieceCount int
 
 	mu sync.Mutex
@@ -34,19 +33,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/manifest/{model}", o.serveManifest)
 	mux.HandleFunc("GET /-/piece/{model}", o.servePiece)
-	o.server = httptest.NewServer(o.withFault(mux))
+	o.loopbackServer = newLoopbackServer(o.withFault(mux))
 	return o
 }
 
-// Address returns the "ip:port" of the origin.
-func (o *Origin) Address() string { return strings.TrimPrefix(o.server.URL, "http://") }
-
-// Close stops the origin.
-func (o *Origin) Close() {
-	o.server.CloseClientConnections()
-	o.server.Close()
-}
-
 // SetUnresponsive sets whether the origin leaves requests unanswered.
 func (o *Origin) SetUnresponsive(unresponsive bool) {
 	o.mu.Lock()
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -11,7 +11,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,7 +23,7 @@
 
 // Store is a stand-in of the platform's log store. Its faults may be set at any time.
 type Store struct {
-	server *httptest.Server
+	loopbackServer
 
 	mu      sync.Mutex
 	topics  map[string]*topic
@@ -64,19 +63,10 @@
 	mux.HandleFunc("POST /-/log-append", s.serveAppend)
 	mux.HandleFunc("GET /-/log-read", s.serveRead)
 	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
-	s.server = httptest.NewServer(s.withFault(mux))
+	s.loopbackServer = newLoopbackServer(s.withFault(mux))
 	return s
 }
 
-// Address returns the "ip:port" of the store.
-func (s *Store) Address() string { return strings.TrimPrefix(s.server.URL, "http://") }
-
-// Close stops the store.
-func (s *Store) Close() {
-	s.server.CloseClientConnections()
-	s.server.Close()
-}
-
 // SetDown sets whether the store refuses all calls.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -118,8 +108,8 @@
 // AccessPoint is an additional address of a store that can be down on its own. The store is
 // then unavailable to the hosts that use this address.
 type AccessPoint struct {
-	server *httptest.Server
-	down   atomic.Bool
+	loopbackServer
+	down atomic.Bool
 
 	mu sync.Mutex
 	// privateAddr is the address in a member's record that publicAddr replaces.
@@ -129,7 +119,7 @@
 // NewAccessPoint opens an additional address of the store.
 func (s *Store) NewAccessPoint() *AccessPoint {
 	a := &AccessPoint{}
-	a.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	a.loopbackServer = newLoopbackServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if a.down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -137,7 +127,7 @@
 		if r.URL.Query().Get("topic") == topicMembers {
 			r.Body = a.withPublicAddress(r.Body)
 		}
-		s.server.Config.Handler.ServeHTTP(w, r)
+		s.Config.Handler.ServeHTTP(w, r)
 	}))
 	return a
 }
@@ -167,20 +157,11 @@
 	return io.NopCloser(bytes.NewReader(bytes.ReplaceAll(data, []byte(privateAddr), []byte(publicAddr))))
 }
 
-// Address returns the "ip:port" of the access point.
-func (a *AccessPoint) Address() string { return strings.TrimPrefix(a.server.URL, "http://") }
-
 // SetDown sets whether the access point refuses all calls. It closes the connections of
 // waiting calls.
 func (a *AccessPoint) SetDown(down bool) {
 	a.down.Store(down)
-	a.server.CloseClientConnections()
-}
-
-// Close stops the access point.
-func (a *AccessPoint) Close() {
-	a.server.CloseClientConnections()
-	a.server.Close()
+	a.CloseClientConnections()
 }
 
 // withFault wraps a handler with the fault of a store that is down, and counts the calls.
