Decode pace and sizes, and use them in predictions on paced services

Cause: a target whose machine is slowed by other work, and a prompt of ten times the usual size, were predicted to take the usual time. Change: Reply.Pace, Call.AnswerEstimate and the memory, pair time and chunk of an engine are decoded. On paced and size-aware services the predicted delay uses the pace of the target, the size of the request, the prompts that are unread and the mean error of past predictions; an engine whose memory cannot hold the request counts as full. Requirements has the sizes, Choice the assumed pace and the correction, FirstEventDelay is the corrected prediction there. Other services take the path of before.

--- a/machine/entry/direct/buffered.go
+++ b/machine/entry/direct/buffered.go
@@ -46,7 +46,6 @@
 
 // readBody does what readBuffered does. It reads the body into buffered.
 func (x *exchange) readBody(resp *http.Response, reply platform.Reply, buffered *bufferedResponse) attempts.Outcome {
-	c := x.call
 	if err := buffered.body.readAll(resp.Body, maxResponseBytes); err != nil {
 		return x.abort(err)
 	}
@@ -71,7 +70,7 @@
 	case reply.Status >= http.StatusInternalServerError:
 		return attempts.Failed
 	}
-	c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
+	x.recordResponse(time.Since(x.start))
 	return attempts.Completed
 }
 
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -195,6 +195,8 @@
 		RegionAllowed: func(r contract.RegionName) bool { return catalog.RegionAllowed(r, c.route.Regions, team) },
 		Tried:         c.triedTargets,
 		Pinned:        c.pinnedVersion,
+		PromptTokens:  c.info.PromptTokens,
+		AnswerTokens:  c.info.AnswerEstimate,
 	}
 	if req.Pinned == 0 {
 		req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -28,7 +28,7 @@
 	now := time.Now()
 	choice, refusal := fs.pool(service).Pick(now, req, limit)
 	if refusal == placement.Placed {
-		fs.pool(service).Sent(now, choice.ID)
+		fs.pool(service).SentSized(now, choice.ID, req)
 	}
 	return choice, refusal
 }
@@ -136,9 +136,17 @@
 	fs.withPool(service, func(now time.Time, p *placement.Pool) { p.LoadReported(now, id, requests) })
 }
 
-func (fs *fleetState) recordResponse(service contract.ServiceName, id roster.TargetID, delay time.Duration) {
+// recordPace records the pace in percent that a target reported with an answer.
+func (fs *fleetState) recordPace(service contract.ServiceName, id roster.TargetID, percent float64) {
+	fs.withPool(service, func(now time.Time, p *placement.Pool) { p.PaceAnswered(now, id, percent) })
+}
+
+// recordResponse records that the first event of an attempt, or its complete response if it is no stream,
+// arrived after delay.
+func (fs *fleetState) recordResponse(service contract.ServiceName, choice placement.Choice, delay time.Duration) {
 	fs.withPool(service, func(now time.Time, p *placement.Pool) {
-		p.Answered(now, id, delay)
+		p.Answered(now, choice.ID, delay)
+		p.PredictionObserved(now, choice, delay)
 		fs.returnEstimator(service).RecordServed(now)
 	})
 }
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -222,6 +222,9 @@
 	if reply.OpenRequests >= 0 {
 		c.entry.fleet.recordReportedLoad(c.service, x.choice.ID, reply.OpenRequests)
 	}
+	if reply.Pace > 0 {
+		c.entry.fleet.recordPace(c.service, x.choice.ID, reply.Pace)
+	}
 	if !x.isOwnAnswer(reply) {
 		c.entry.log.WithField("request", c.info.AttemptID).WithField("answered", reply.AttemptID).
 			WithField("target", string(x.choice.ID)).Warn("response belongs to another attempt")
@@ -244,6 +247,14 @@
 	return x.readBuffered(resp, reply)
 }
 
+// recordResponse records the time to the first event, or to the complete response if it is no stream, and
+// compares it with the prediction.
+func (x *exchange) recordResponse(delay time.Duration) {
+	c := x.call
+	c.entry.fleet.recordResponse(c.service, x.choice, delay)
+	c.entry.meters.recordPrediction(c.service, x.choice.FirstEventDelay, delay, c.route.Objective)
+}
+
 // isOwnAnswer reports whether a response belongs to this attempt. On a connection that was
 // used before, a late copy of an earlier response may arrive in its place, so one that does
 // not name the attempt counts only on a new connection.
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -17,6 +17,9 @@
 // latencyBuckets range from 5 ms to 9.2 s.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 17)
 
+// errorBuckets range from 0.5 s earlier to 1 s later than predicted.
+var errorBuckets = tally.MustMakeLinearDurationBuckets(-500*time.Millisecond, 50*time.Millisecond, 31)
+
 var kindNames = map[catalog.Kind]string{
 	catalog.Idempotent:    "idempotent",
 	catalog.NonIdempotent: "non_idempotent",
@@ -73,6 +76,16 @@
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("attempts").Inc(1)
 }
 
+// recordPrediction records by how much the first event of an attempt came later than predicted, and counts
+// the attempt if it was predicted to come within the objective and did not; 0 means no objective.
+func (m *meters) recordPrediction(service contract.ServiceName, predicted, observed, objective time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"service": string(service)})
+	scope.Histogram("prediction_error", errorBuckets).RecordDuration(observed - predicted)
+	if objective > 0 && predicted <= objective && observed > objective {
+		scope.Counter("late_predictions").Inc(1)
+	}
+}
+
 // countSent counts an attempt that was sent, by its target.
 func (m *meters) countSent(service contract.ServiceName, id roster.TargetID) {
 	m.scope.Tagged(map[string]string{"service": string(service), "target": string(id)}).Counter("target_attempts").Inc(1)
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -145,7 +145,7 @@
 		if first {
 			first = false
 			c.entry.meters.firstEventTime.RecordDuration(time.Since(x.start))
-			c.entry.fleet.recordResponse(c.service, x.choice.ID, time.Since(x.start))
+			x.recordResponse(time.Since(x.start))
 		}
 		if !x.emit(part{event: ev, head: resp}) {
 			return attempts.Lost
--- a/zone/catalog/catalog.go
+++ b/zone/catalog/catalog.go
@@ -76,6 +76,15 @@
 	StepTime, PerRequest, PerContext time.Duration
 	// PrefillRate is the number of prompt tokens read in a second.
 	PrefillRate float64
+	// PairTime is added to the time to read a prompt for each million pairs of a prompt token and
+	// any earlier token; 0 if not declared.
+	PairTime time.Duration
+	// PrefillChunk is the largest number of prompt tokens that are read between two steps; 0 if
+	// not declared.
+	PrefillChunk float64
+	// MemoryTokens is the number of prompt and answer tokens that the memory of an engine holds;
+	// 0 if not declared.
+	MemoryTokens float64
 	// Stride is the number of steps in a pass, and also the number of tokens in an
 	// event.
 	Stride int
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -37,8 +37,8 @@
 	}
 	model := NewLatencyModel(p.service, m.Slots)
 	n := p.estimateLoad(now, m)
-	delay := p.predictDelay(now, m, n)
-	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() {
+	delay := p.predictDelay(now, m, n, req)
+	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() || !p.fitsMemory(now, l, n, req) {
 		return admission{exclusion: ExcludedFull, delay: delay}
 	}
 	return admission{delay: delay}
@@ -151,7 +151,7 @@
 		if p.exclusionOf(now, m, req) != NotExcluded {
 			continue
 		}
-		wait := max(p.predictDelay(now, m, p.estimateLoad(now, m))-limit, p.rateWait(now, m), p.backoffWait(m.ID, m.Born))
+		wait := max(p.predictDelay(now, m, p.estimateLoad(now, m), req)-limit, p.rateWait(now, m), p.backoffWait(m.ID, m.Born))
 		if !ok || wait < delay {
 			delay, ok = wait, true
 		}
--- a/zone/placement/attempts.go
+++ b/zone/placement/attempts.go
@@ -8,22 +8,22 @@
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
-// Sent records that an attempt was sent to a target.
-func (p *Pool) Sent(now time.Time, id roster.TargetID) {
+// Sent records that an attempt of the usual size was sent to a target.
+func (p *Pool) Sent(now time.Time, id roster.TargetID) { p.SentSized(now, id, Requirements{}) }
+
+// SentSized records that an attempt of a request was sent to a target. Of req only the sizes count.
+func (p *Pool) SentSized(now time.Time, id roster.TargetID, req Requirements) {
 	l := p.loadOf(id)
-	l.ownInFlight++
+	l.addOwn(p.sizeOf(req))
 	l.sentSince++
 	l.sends.add(now)
 	p.inflow.sent(now)
-	l.addPrompts(now, p.prefillTime(), 1)
+	l.addPrompts(now, p.promptTime(now, req), 1)
 	p.ejection.Sent(now, contract.MachineID(id))
 }
 
 // Ended records the end of an attempt.
-func (p *Pool) Ended(id roster.TargetID) {
-	l := p.loadOf(id)
-	l.ownInFlight = max(l.ownInFlight-1, 0)
-}
+func (p *Pool) Ended(id roster.TargetID) { p.loadOf(id).removeOwn() }
 
 // Received records that something arrived from a target when the process had been
 // running for the time at.
--- a/zone/placement/latency.go
+++ b/zone/placement/latency.go
@@ -38,15 +38,20 @@
 		return LatencyModel{slots: slots, passTime: plainServiceTime, interval: plainServiceTime / time.Duration(slots)}
 	}
 	e := s.Engine
-	slots = max(e.Slots, 1)
-	context := (e.PromptTokens + e.AnswerTokens*meanContextShare) / 1000
+	return newEngineModel(e, e.PromptTokens, e.AnswerTokens, e.PromptTokens/e.PrefillRate*float64(time.Second))
+}
+
+// newEngineModel returns the model of an engine whose requests have prompts and answers of so many
+// tokens each. prefillTime is the time to read such a prompt, in nanoseconds.
+func newEngineModel(e *catalog.Engine, prompt, answer, prefillTime float64) LatencyModel {
+	slots := max(e.Slots, 1)
+	context := (prompt + answer*meanContextShare) / 1000
 	step := float64(e.StepTime) + float64(slots)*(float64(e.PerRequest)+float64(e.PerContext)*context)
-	prefillTime := e.PromptTokens / e.PrefillRate * float64(time.Second)
 	return LatencyModel{
 		slots:       slots,
 		passTime:    time.Duration(step * float64(e.Stride)),
 		prefillTime: time.Duration(prefillTime),
-		interval:    time.Duration(prefillTime + step*e.AnswerTokens/float64(slots)),
+		interval:    time.Duration(prefillTime + step*answer/float64(slots)),
 	}
 }
 
@@ -61,7 +66,12 @@
 // pass (half a pass on average), one full pass, and the time to read the prompt. If all
 // slots are in use, the time until one becomes free is added.
 func (m LatencyModel) FirstEventDelay(load float64) time.Duration {
-	delay := m.passTimeAt(load)*3/2 + m.prefillTime
+	return m.firstEventDelay(load, m.prefillTime)
+}
+
+// firstEventDelay is FirstEventDelay of an attempt whose prompt takes promptTime to read.
+func (m LatencyModel) firstEventDelay(load float64, promptTime time.Duration) time.Duration {
+	delay := m.passTimeAt(load)*3/2 + promptTime
 	if excess := load - float64(m.slots) + 1; excess > 0 {
 		delay += time.Duration(excess * float64(m.interval))
 	}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -57,6 +57,9 @@
 	Pinned int64
 	// Tried lists the targets that the request has already been sent to.
 	Tried []roster.TargetID
+	// PromptTokens and AnswerTokens are the size of the prompt and the expected size of the answer; 0
+	// if unknown, then the usual size is assumed. They count on paced and size-aware services only.
+	PromptTokens, AnswerTokens float64
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
@@ -72,6 +75,10 @@
 	// of Load requests.
 	FirstEventDelay time.Duration
 	Load            int
+	// Pace is the pace in percent that FirstEventDelay assumes; 0 on services that are not paced.
+	// Correction is the part of FirstEventDelay that follows from the errors of past predictions.
+	Pace       float64
+	Correction time.Duration
 	// ListedAge is how long ago the target's entry in the target list was received.
 	ListedAge time.Duration
 	// StatusAge is how long ago the target's process last reported; it is negative if
@@ -123,6 +130,10 @@
 	lastReceived time.Duration
 	// sends holds the times of the attempts sent within sendLogWindow.
 	sends sendLog
+	// ownPrompt and ownAnswer are the tokens of this entry's attempts in flight.
+	ownPrompt, ownAnswer float64
+	// pace is what was last learned of the target's pace.
+	pace paceReport
 	// readUntil is when the target is expected to have read the prompts of the attempts that this
 	// entry has sent, and of those that the others are expected to have sent meanwhile.
 	readUntil time.Time
@@ -153,6 +164,12 @@
 	flightsComplete bool
 	// inflow estimates what the other entries send.
 	inflow inflow
+	// sizeAware is set if the sizes of requests count although the service is not paced.
+	sizeAware bool
+	// pace holds what was seen lately at all targets, correction what the errors of past
+	// predictions teach.
+	pace       paceSummary
+	correction correction
 }
 
 // NewPool returns an empty pool for an entry that runs at home. regions maps each zone
@@ -244,8 +261,11 @@
 
 // predictDelay predicts the time to the first event of an attempt that is sent now and finds load
 // requests at the target. The prompts of those that were sent just before are read first.
-func (p *Pool) predictDelay(now time.Time, m *roster.Member, load float64) time.Duration {
+func (p *Pool) predictDelay(now time.Time, m *roster.Member, load float64, req Requirements) time.Duration {
 	unread := max(p.loadOf(m.ID).readUntil.Sub(now), 0)
+	if p.isSizeAware(now) {
+		return p.predictSized(now, m, load, unread, req)
+	}
 	return NewLatencyModel(p.service, m.Slots).FirstEventDelay(load) + unread
 }
 
@@ -254,6 +274,18 @@
 // would all take the same one.
 const candidatesPerDistance = 2
 
+// pacedCandidatesPerDistance is candidatesPerDistance on paced services: a sixth of the targets is slow at a
+// time, and both of two drawn targets may be.
+const pacedCandidatesPerDistance = 3
+
+// candidateCount returns how many targets at each distance a choice compares.
+func (p *Pool) candidateCount(now time.Time) int {
+	if p.IsPaced(now) {
+		return pacedCandidatesPerDistance
+	}
+	return candidatesPerDistance
+}
+
 // Pick chooses a target for an attempt whose first event is due within limit: the best of a few at
 // each distance that may get it, which are drawn at random. Ejected targets are considered only if
 // no other target has room or is full.
@@ -277,10 +309,11 @@
 	outcome = NoTarget
 	var bestCost time.Duration
 	var candidates [distanceCount]int
+	most := p.candidateCount(now)
 	for _, i := range p.rng.Perm(len(p.members)) {
 		m := p.members[i]
 		d := p.distanceOf(m)
-		if candidates[d] >= candidatesPerDistance {
+		if candidates[d] >= most {
 			continue
 		}
 		a := p.admit(now, m, req, limit, includeEjected)
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -129,7 +129,7 @@
 // choiceOf returns the Choice that describes a target for an attempt.
 func (p *Pool) choiceOf(now time.Time, m *roster.Member, req Requirements) Choice {
 	n := p.estimateLoad(now, m)
-	return Choice{
+	c := Choice{
 		ID:              m.ID,
 		Address:         m.Address,
 		Born:            m.Born,
@@ -140,4 +140,8 @@
 		ListedAge:       now.Sub(m.ListedAt),
 		StatusAge:       m.StatusAge(now),
 	}
+	if p.isSizeAware(now) {
+		c.FirstEventDelay, c.Pace, c.Correction = p.predictDelay(now, m, n, req), p.paceOf(now, m.ID), p.correction.valueAt(now)
+	}
+	return c
 }
