--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -381,7 +381,9 @@
 
 // logPlacement logs the target of an attempt and the data that the choice is based on.
 func (e *Entry) logPlacement(c *call, choice placement.Choice) {
-	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
+	f := log.Fields{}
+	addPaceFields(f, "", choice)
+	e.log.WithFields(f).WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
 		WithField("load", choice.Load).WithField("first_ms", choice.FirstEventDelay.Milliseconds()).WithField("version", choice.Version).
 		WithField("oldest", choice.MinVersion).
 		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("told_ms", choice.StatusAge.Milliseconds()).
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -76,6 +76,8 @@
 	// said that it leaves.
 	targetBackoff time.Duration
 	targetLeaving bool
+	// targetPace is the pace in percent that the target reported, 0 if it did not.
+	targetPace float64
 	// expectedVersion is the version that the last attempt insisted on, targetVersion the
 	// one that the target reported; 0 if there was none.
 	expectedVersion, targetVersion int64
@@ -97,6 +99,7 @@
 	rec.outcome, rec.breakage, rec.err, rec.limit = attempts.Completed, "", nil, attempts.NoLimit
 	rec.targetStatus, rec.targetLoad, rec.targetBackoff, rec.targetLeaving = 0, -1, 0, false
 	rec.expectedVersion, rec.targetVersion = 0, 0
+	rec.targetPace = 0
 	if rec.firstAttemptAt.IsZero() {
 		rec.firstAttemptAt = now
 	}
@@ -107,7 +110,7 @@
 func (rec *requestRecord) replyReceived(reply platform.Reply, expectedVersion int64) {
 	rec.expectedVersion = expectedVersion
 	rec.targetStatus, rec.targetLoad, rec.targetVersion = reply.Status, reply.OpenRequests, reply.Version
-	rec.targetBackoff, rec.targetLeaving = reply.Backoff, reply.Leaving
+	rec.targetBackoff, rec.targetLeaving, rec.targetPace = reply.Backoff, reply.Leaving, reply.Pace
 }
 
 // attemptEnded records how an attempt ended.
@@ -189,6 +192,9 @@
 	f["waited_ms"] = rec.firstAttemptAt.Sub(c.arrived).Milliseconds()
 	f["attempt_ms"] = rec.attemptTime().Milliseconds()
 	f["outcome"] = outcomeNames[rec.outcome]
+	if observed := rec.firstDeliveryAt.Sub(rec.startedAt); !rec.firstDeliveryAt.IsZero() && observed >= 0 {
+		f["observed_ms"] = observed.Milliseconds()
+	}
 	rec.addBreakageFields(f)
 	c.addPromptFields(f, rec.outcome)
 	if rec.err != nil {
@@ -228,6 +234,9 @@
 	if rec.targetLeaving {
 		f["target_leaving"] = true
 	}
+	if rec.targetPace > 0 {
+		f["target_pace"] = int(rec.targetPace)
+	}
 }
 
 // addWeightsFields adds which weights the last attempt relied on: those of a start of the target, as
@@ -257,6 +266,18 @@
 	f[prefix+"version"] = c.Version
 	f[prefix+"listed_ms"] = c.ListedAge.Milliseconds()
 	f[prefix+"told_ms"] = c.StatusAge.Milliseconds()
+	addPaceFields(f, prefix, c)
+}
+
+// addPaceFields adds what a prediction assumed of the pace of the target and of the error of predictions, if
+// it did; prefix begins the names of the fields.
+func addPaceFields(f log.Fields, prefix string, c placement.Choice) {
+	if c.Pace > 0 {
+		f[prefix+"pace"] = int(c.Pace)
+	}
+	if c.Correction != 0 {
+		f[prefix+"correction_ms"] = c.Correction.Milliseconds()
+	}
 }
 
 // addSurveyFields adds why there was no room: how many targets each rule excluded, and
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -38,6 +38,7 @@
 	model := NewLatencyModel(p.service, m.Slots)
 	n := p.estimateLoad(now, m)
 	delay := p.predictDelay(now, m, n, req)
+	limit = p.sizedLimit(now, limit, req)
 	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() || !p.fitsMemory(now, l, n, req) {
 		return admission{exclusion: ExcludedFull, delay: delay}
 	}
@@ -147,6 +148,7 @@
 // PredictWait predicts how long it takes until some target can send the first event of
 // one more request within limit. ok is false if no target may serve the request.
 func (p *Pool) PredictWait(now time.Time, req Requirements, limit time.Duration) (delay time.Duration, ok bool) {
+	limit = p.sizedLimit(now, limit, req)
 	for _, m := range p.members {
 		if p.exclusionOf(now, m, req) != NotExcluded {
 			continue
--- a/zone/placement/correction.go
+++ b/zone/placement/correction.go
@@ -10,7 +10,9 @@
 	// long as it takes until the first events of requests show the effect of a correction, which would
 	// oscillate otherwise.
 	correctionWindow = 3 * time.Second
-	// correctionDecay is the time in which a correction without observations shrinks to a third.
+	// correctionHold is how long a correction stays as it is without observations, correctionDecay the time in which
+	// it shrinks to a third after that.
+	correctionHold  = time.Second
 	correctionDecay = 5 * time.Second
 	// maxCorrectionShare bounds a correction, as a share of the predicted delay at an idle target.
 	maxCorrectionShare = 0.5
@@ -38,8 +40,8 @@
 
 // valueAt returns the correction at a time.
 func (c *correction) valueAt(now time.Time) time.Duration {
-	idle := max(now.Sub(c.at), 0)
-	if c.mean == 0 || idle == 0 {
+	idle := now.Sub(c.at) - correctionHold
+	if idle <= 0 {
 		return c.mean
 	}
 	return time.Duration(float64(c.mean) * math.Exp(-float64(idle)/float64(correctionDecay)))
--- /dev/null
+++ b/zone/placement/pace_test.go
@@ -0,0 +1,168 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// pacedPool returns a pool of engines at which x reported a pace at start, and y the usual one.
+func pacedPool(percent float64) *Pool {
+	p := newPool(engineMember("x", "a"), engineMember("y", "a"), engineMember("z", "a"))
+	p.PaceAnswered(start, "y", usualPace)
+	p.PaceAnswered(start, "x", percent)
+	return p
+}
+
+// Guards against a pace that is forgotten within a slow period or counts long after it, and against a target without a
+// report that counts as faster than the others.
+func TestPaceHoldsAndReturnsToMean(t *testing.T) {
+	p := pacedPool(250)
+	mean := p.pace.mean
+	if mean <= usualPace || mean >= 250 {
+		t.Fatalf("mean pace %v, want between 100 and 250", mean)
+	}
+	for _, c := range []struct {
+		id   string
+		age  time.Duration
+		want float64
+	}{
+		{"x", 0, 250}, {"x", paceHold, 250}, {"x", paceHold + paceReturn/2, (250 + mean) / 2}, {"x", paceHold + paceReturn, mean}, {"z", 0, mean}, {"y", paceHold, usualPace},
+		{"x", pacedWindow, 0},
+	} {
+		if got := p.paceOf(start.Add(c.age), p.members[int(c.id[0]-'x')].ID); math.Abs(got-c.want) > 0.01 {
+			t.Errorf("pace of %s after %v = %v, want %v", c.id, c.age, got, c.want)
+		}
+	}
+}
+
+// Guards against a fast machine that counts as faster than the declared step times, and against a report that makes
+// every target count as full for its hold time.
+func TestPaceIsBounded(t *testing.T) {
+	p := pacedPool(40)
+	if got := p.paceOf(start, "x"); got != usualPace {
+		t.Errorf("pace of 40 %% counts as %v, want 100", got)
+	}
+	p.PaceAnswered(start, "x", 1e9)
+	if got := p.paceOf(start, "x"); got != maxPace {
+		t.Errorf("pace of 1e9 %% counts as %v, want %v", got, float64(maxPace))
+	}
+}
+
+// Guards against paces and sizes that change the choice on services that are neither paced nor size-aware.
+func TestOtherServicesIgnorePaceAndSize(t *testing.T) {
+	large := Requirements{PromptTokens: 1e6, AnswerTokens: 1e6}
+	usual, other := newPool(engineMember("x", "a"), engineMember("y", "b")), newPool(engineMember("x", "a"), engineMember("y", "b"))
+	for _, p := range []*Pool{usual, other} {
+		s := modelService()
+		s.Engine.MemoryTokens, s.Engine.PairTime = 10, time.Second
+		p.SetService(s)
+	}
+	other.PaceReported(start, "x", 250)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 15 * time.Millisecond)
+		want, refusal := usual.Pick(now, Requirements{}, 300*time.Millisecond)
+		got, otherRefusal := other.Pick(now, large, 300*time.Millisecond)
+		if got != want || refusal != otherRefusal {
+			t.Fatalf("choice %d: %+v, %d, want %+v, %d", i, got, otherRefusal, want, refusal)
+		}
+		if refusal == Placed {
+			usual.Sent(now, want.ID)
+			other.SentSized(now, got.ID, large)
+			usual.PredictionObserved(now, want, time.Second)
+			other.PredictionObserved(now, got, time.Hour)
+		}
+	}
+}
+
+// Guards against a prompt of ten times the usual size that is predicted to take as long as a usual one, as the request's
+// own and as one that the target still has to read.
+func TestPredictionCountsPromptSizes(t *testing.T) {
+	large := Requirements{PromptTokens: 10000, AnswerTokens: 96}
+	p := newPool(engineMember("x", "a"))
+	p.SetSizeAware(true)
+	small, _ := p.Pick(start, Requirements{}, time.Second)
+	own, _ := p.Pick(start, large, time.Second)
+	read := 9 * NewLatencyModel(modelService(), 0).prefillTime
+	if diff := own.FirstEventDelay - small.FirstEventDelay; diff < read || diff > read*3/2 {
+		t.Errorf("a prompt of ten times the size adds %v, want %v to half as much again", diff, read)
+	}
+	p.SentSized(start, "x", large)
+	if behind, outcome := p.Pick(start, Requirements{}, time.Second); outcome != Placed || behind.FirstEventDelay-small.FirstEventDelay < read {
+		t.Errorf("behind a large prompt: %v (refusal %d), want at least %v more than %v", behind.FirstEventDelay, outcome, read, small.FirstEventDelay)
+	}
+	if _, outcome := p.Pick(start, Requirements{PromptTokens: math.Inf(1)}, time.Second); outcome != Placed {
+		t.Errorf("a prompt without a usable size: refusal %d, want the usual size and Placed", outcome)
+	}
+	if c, _ := p.Pick(start, Requirements{PromptTokens: 1e300}, time.Minute); c.FirstEventDelay < maxPromptTime || c.FirstEventDelay > 2*maxPromptTime {
+		t.Errorf("a prompt of 1e300 tokens is predicted to take %v, want at least %v and at most twice that", c.FirstEventDelay, maxPromptTime)
+	}
+}
+
+// Guards against large prompts that are never served, since reading them alone takes longer than the objective, and
+// against a longer limit for others.
+func TestLargePromptIsPlacedAtIdleTarget(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	p := newPool(engineMember("x", "a"))
+	p.SetSizeAware(true)
+	large := Requirements{PromptTokens: 12000, AnswerTokens: 96}
+	c, outcome := p.Pick(start, large, limit)
+	if outcome != Placed || c.FirstEventDelay <= limit {
+		t.Fatalf("Pick() of a prompt that takes %v: refusal %d, want Placed", c.FirstEventDelay, outcome)
+	}
+	p.SentSized(start, "x", large)
+	if _, outcome := p.Pick(start, large, limit); outcome != Full {
+		t.Errorf("behind another one: refusal %d, want Full", outcome)
+	}
+	if got := p.sizedLimit(start, limit, Requirements{PromptTokens: 1000}); got != limit {
+		t.Errorf("limit of a usual prompt = %v, want %v", got, limit)
+	}
+}
+
+// Guards against requests that an engine has no memory for, and against memory that stays taken after their end.
+func TestRequestNeedsMemory(t *testing.T) {
+	p := newPool(engineMember("x", "a"))
+	p.SetSizeAware(true)
+	s := modelService()
+	s.Engine.MemoryTokens = 20000
+	p.SetService(s)
+	half := Requirements{PromptTokens: 1000, AnswerTokens: 9000}
+	for i := range 2 {
+		if _, outcome := p.Pick(start, half, time.Minute); outcome != Placed {
+			t.Fatalf("request %d of half of the memory: refusal %d, want Placed", i, outcome)
+		}
+		p.SentSized(start, "x", half)
+	}
+	if _, outcome := p.Pick(start, Requirements{}, time.Minute); outcome != Full {
+		t.Errorf("all memory taken: refusal %d, want Full", outcome)
+	}
+	p.Ended("x")
+	p.Ended("x")
+	if _, outcome := p.Pick(start, half, time.Minute); outcome != Placed {
+		t.Errorf("after both ended: refusal %d, want Placed", outcome)
+	}
+}
+
+// Guards against a correction that outlives what it was learned from, or that one stalled answer sets to its bound.
+func TestCorrectionIsBoundedAndDecays(t *testing.T) {
+	p := newPool(engineMember("x", "a"))
+	p.SetSizeAware(true)
+	c, _ := p.Pick(start, Requirements{}, time.Second)
+	p.PredictionObserved(start, c, time.Minute)
+	bound := p.maxCorrection()
+	if got := p.correction.valueAt(start); got <= 0 || got > bound/5 {
+		t.Errorf("correction after one stalled answer = %v, want above 0 and at most a fifth of %v", got, bound)
+	}
+	now := start
+	for range 500 {
+		now = now.Add(50 * time.Millisecond)
+		p.PredictionObserved(now, c, time.Minute)
+	}
+	later, _ := p.Pick(now, Requirements{}, time.Second)
+	if got := later.Correction; got > bound || got < bound*9/10 || later.FirstEventDelay != c.FirstEventDelay+got {
+		t.Errorf("correction %v, prediction %v, want near the bound %v, and that much above %v", got, later.FirstEventDelay, bound, c.FirstEventDelay)
+	}
+	if got := p.correction.valueAt(now.Add(30 * time.Second)); got > bound/100 {
+		t.Errorf("correction 30 s after the last answer = %v, want at most a hundredth of %v", got, bound)
+	}
+}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -166,6 +166,8 @@
 	inflow inflow
 	// sizeAware is set if the sizes of requests count although the service is not paced.
 	sizeAware bool
+	// pacedCandidates is how many targets at each distance a choice compares while the service is paced.
+	pacedCandidates int
 	// pace holds what was seen lately at all targets, correction what the errors of past
 	// predictions teach.
 	pace       paceSummary
@@ -183,6 +185,8 @@
 		ejection:   ejection.NewTracker(rng),
 		rateLimits: ratelimit.NewTracker(rng),
 		leaving:    leaving.NewTracker(),
+
+		pacedCandidates: pacedCandidatesPerDistance,
 	}
 }
 
@@ -252,8 +256,8 @@
 	if now.Sub(l.reportedAt) < min(reportMaxAge, duration) {
 		n = max(n, float64(l.reported+l.sentSince))
 	}
-	if load, at, ok := m.ReportedLoad(now); ok && !p.flightsComplete && now.Sub(at) < processReportMaxAge {
-		n = max(n, float64(load+l.sends.countAfter(at)))
+	if load, at, ok := p.processLoad(now, m, duration); ok {
+		n = max(n, load+float64(l.sends.countAfter(at)))
 	}
 	recent := l.sends.countAfter(now.Add(-min(peerLoadLag, duration)))
 	return n + float64(recent)*p.inflow.perOwn
@@ -281,7 +285,7 @@
 // candidateCount returns how many targets at each distance a choice compares.
 func (p *Pool) candidateCount(now time.Time) int {
 	if p.IsPaced(now) {
-		return pacedCandidatesPerDistance
+		return p.pacedCandidates
 	}
 	return candidatesPerDistance
 }
--- a/zone/placement/size.go
+++ b/zone/placement/size.go
@@ -33,16 +33,35 @@
 	if !(tokens > 0) || math.IsInf(tokens, 0) {
 		return usual
 	}
-	return tokens
+	return min(tokens, maxTokens)
 }
 
 const (
 	// pairUnit is the number of pairs of tokens that catalog.Engine.PairTime is declared for.
 	pairUnit = 1e6
-	// maxPromptTime bounds the time to read one prompt, whatever size a caller declares.
-	maxPromptTime = time.Minute
+	// maxTokens bounds the size of a request that is counted.
+	maxTokens = 1e9
+	// maxPromptTime bounds the time to read one prompt that is counted. A caller that declares a false size
+	// makes its entry avoid a target for so long at most.
+	maxPromptTime = 2 * time.Second
+	// idleShare is the largest share of the limit of a request that its delay at an idle target takes up.
+	idleShare = 0.75
 )
 
+// sizedLimit returns the limit of a request whose first event is due within limit. That of a prompt that takes
+// longer to read than the usual one is extended by the difference at most, if its first event is late even at an
+// idle target, or nearly so: such requests would never be placed otherwise.
+func (p *Pool) sizedLimit(now time.Time, limit time.Duration, req Requirements) time.Duration {
+	if p.engine() == nil || !p.isSizeAware(now) {
+		return limit
+	}
+	model := NewLatencyModel(p.service, 0)
+	promptTime := p.promptTime(now, req)
+	extra := max(promptTime-model.prefillTime, 0)
+	needed := time.Duration(float64(model.firstEventDelay(0, promptTime)) / idleShare)
+	return max(limit, min(needed, limit+extra))
+}
+
 // promptTime returns the time to read the prompt of a request: that of the usual size unless sizes count.
 func (p *Pool) promptTime(now time.Time, req Requirements) time.Duration {
 	if e := p.engine(); e != nil && p.isSizeAware(now) {
