--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -222,9 +222,6 @@
 	if reply.OpenRequests >= 0 {
 		c.entry.fleet.recordReportedLoad(c.service, x.choice.ID, reply.OpenRequests)
 	}
-	if reply.Pace > 0 {
-		c.entry.fleet.recordPace(c.service, x.choice.ID, reply.Pace)
-	}
 	if !x.isOwnAnswer(reply) {
 		c.entry.log.WithField("request", c.info.AttemptID).WithField("answered", reply.AttemptID).
 			WithField("target", string(x.choice.ID)).Warn("response belongs to another attempt")
@@ -232,6 +229,9 @@
 		x.breakage = breakageOtherAttempt
 		return attempts.Lost, nil
 	}
+	if reply.Pace > 0 {
+		c.entry.fleet.recordPace(c.service, x.choice.ID, reply.Pace)
+	}
 	x.recordRateLimit(reply)
 	x.recordBackoff(reply)
 	x.recordLeaving(reply)
--- a/zone/placement/pace.go
+++ b/zone/placement/pace.go
@@ -20,6 +20,11 @@
 	pacedWindow = 10 * time.Second
 	// meanPaceWindow is the time over which the paces of all targets are averaged.
 	meanPaceWindow = 4 * time.Second
+	// minPaceWeight is the time for which a pace counts at least in that average.
+	minPaceWeight = 50 * time.Millisecond
+	// pacedCandidatesPerDistance is candidatesPerDistance on paced services, whose reported loads fade with
+	// their age, so that entries do not all choose the same target.
+	pacedCandidatesPerDistance = 3
 )
 
 // paceReport is the pace of a target in percent, at least usualPace, as it arrived at a time.
@@ -47,9 +52,6 @@
 	s.at = now
 }
 
-// minPaceWeight is the time for which a pace counts at least.
-const minPaceWeight = 50 * time.Millisecond
-
 // PaceAnswered records the pace in percent that a target reported with an answer. From then on the
 // service is paced for pacedWindow.
 func (p *Pool) PaceAnswered(now time.Time, id roster.TargetID, percent float64) {
@@ -59,14 +61,6 @@
 	p.loadOf(id).pace = paceReport{percent, now}
 }
 
-// PaceReported records the pace in percent that the process beside a target reported. It counts on paced
-// services only.
-func (p *Pool) PaceReported(now time.Time, id roster.TargetID, percent float64) {
-	if p.IsPaced(now) {
-		p.loadOf(id).pace = paceReport{min(max(percent, usualPace), maxPace), now}
-	}
-}
-
 // IsPaced reports whether targets of the service have answered with a pace lately.
 func (p *Pool) IsPaced(now time.Time) bool {
 	return !p.pace.answeredAt.IsZero() && now.Sub(p.pace.answeredAt) < pacedWindow
@@ -79,6 +73,14 @@
 // SetSizeAware is set.
 func (p *Pool) isSizeAware(now time.Time) bool { return p.sizeAware || p.IsPaced(now) }
 
+// candidateCount returns how many targets at each distance a choice compares.
+func (p *Pool) candidateCount(now time.Time) int {
+	if p.IsPaced(now) {
+		return p.pacedCandidates
+	}
+	return candidatesPerDistance
+}
+
 // paceOf returns the pace in percent that is assumed at a target; 0 if the service is not paced. A reported
 // pace holds for paceHold and then returns to the mean of all targets, which also stands for targets
 // that reported none.
--- a/zone/placement/pace_test.go
+++ b/zone/placement/pace_test.go
@@ -58,7 +58,7 @@
 		s.Engine.MemoryTokens, s.Engine.PairTime = 10, time.Second
 		p.SetService(s)
 	}
-	other.PaceReported(start, "x", 250)
+	other.PaceAnswered(start.Add(-pacedWindow), "x", 250)
 	for i := range 40 {
 		now := start.Add(time.Duration(i) * 15 * time.Millisecond)
 		want, refusal := usual.Pick(now, Requirements{}, 300*time.Millisecond)
--- a/zone/placement/pacefleet_test.go
+++ b/zone/placement/pacefleet_test.go
@@ -271,7 +271,7 @@
 			f.schedule(now.Add(delay+2*time.Millisecond), func(at time.Time) {
 				f.rosters[i].ApplyRelayed(key, now, status)
 				if f.rules.heartbeats && (linked || f.rules.relayed) {
-					f.pools[i].PaceReported(at, e.id, pace)
+					f.pools[i].loadOf(e.id).pace = paceReport{pace, at}
 				}
 			})
 		}
@@ -289,7 +289,7 @@
 			if f.rules.asked {
 				seen = now.Add(-(now.Sub(start) + time.Duration(k)*17*time.Millisecond) % pollInterval).Add(-f.rules.reportLag)
 			}
-			p.PaceReported(now, e.id, e.paceAt(seen))
+			p.loadOf(e.id).pace = paceReport{e.paceAt(seen), now}
 		}
 	}
 	limit := max(paceObjective-now.Sub(arrived), 0)
--- a/zone/placement/pacerules_test.go
+++ b/zone/placement/pacerules_test.go
@@ -75,7 +75,7 @@
 	list := []paceRules{presentRules, chosenRules}
 	for _, d := range []int{2, 3, 5} {
 		for _, r := range []paceRules{
-			{name: "answers"}, {name: "heartbeats", heartbeats: true}, {name: "heartbeats, report 300 ms old", heartbeats: true, reportLag: 300 * time.Millisecond},
+			{name: "answers"}, {name: "heartbeats", heartbeats: true}, {name: "heartbeats, report 150 ms old", heartbeats: true, reportLag: 150 * time.Millisecond}, {name: "heartbeats, report 300 ms old", heartbeats: true, reportLag: 300 * time.Millisecond},
 			{name: "heartbeats passed on", heartbeats: true, relayed: true}, {name: "processes asked", asked: true},
 			{name: "processes asked, report 300 ms old", asked: true, reportLag: 300 * time.Millisecond}, {name: "paces known", exact: true},
 		} {
@@ -86,7 +86,7 @@
 	}
 	for _, rules := range list {
 		b.Run(rules.name, func(b *testing.B) {
-			late, p50, p99 := meanOf(4, rules, 30*time.Second)
+			late, p50, p99 := meanOf(4, rules, time.Minute)
 			b.ReportMetric(late, "late-share")
 			b.ReportMetric(float64(p50.Milliseconds()), "p50-ms")
 			b.ReportMetric(float64(p99.Milliseconds()), "p99-ms")
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -278,18 +278,6 @@
 // would all take the same one.
 const candidatesPerDistance = 2
 
-// pacedCandidatesPerDistance is candidatesPerDistance on paced services: a sixth of the targets is slow at a
-// time, and both of two drawn targets may be.
-const pacedCandidatesPerDistance = 3
-
-// candidateCount returns how many targets at each distance a choice compares.
-func (p *Pool) candidateCount(now time.Time) int {
-	if p.IsPaced(now) {
-		return p.pacedCandidates
-	}
-	return candidatesPerDistance
-}
-
 // Pick chooses a target for an attempt whose first event is due within limit: the best of a few at
 // each distance that may get it, which are drawn at random. Ejected targets are considered only if
 // no other target has room or is full.
