--- a/zone/placement/pacefleet_test.go
+++ b/zone/placement/pacefleet_test.go
@@ -26,6 +26,8 @@
 	reportLag           time.Duration
 	// asked has an entry ask the processes beside all engines before each choice, exact has it know the pace.
 	asked, exact bool
+	// probed has it also ask all targets for their load.
+	probed bool
 	// utilization is the load as a share of what the engines bear at the usual pace, between burstFrom and burstUntil
 	// times burst; 0 stands for paceUtilization and no burst.
 	utilization, burst float64
@@ -290,6 +292,9 @@
 				seen = now.Add(-(now.Sub(start) + time.Duration(k)*17*time.Millisecond) % pollInterval).Add(-f.rules.reportLag)
 			}
 			p.loadOf(e.id).pace = paceReport{e.paceAt(seen), now}
+			if f.rules.probed {
+				f.rosters[i].ApplyRelayed(roster.ReportKeyOf(string(e.id)+":1", 0), now, roster.Status{Version: 1, Ready: true, Load: e.load(now), HasLoad: true})
+			}
 		}
 	}
 	limit := max(paceObjective-now.Sub(arrived), 0)
--- a/zone/placement/pacerules_test.go
+++ b/zone/placement/pacerules_test.go
@@ -78,6 +78,7 @@
 			{name: "answers"}, {name: "heartbeats", heartbeats: true}, {name: "heartbeats, report 150 ms old", heartbeats: true, reportLag: 150 * time.Millisecond}, {name: "heartbeats, report 300 ms old", heartbeats: true, reportLag: 300 * time.Millisecond},
 			{name: "heartbeats passed on", heartbeats: true, relayed: true}, {name: "processes asked", asked: true},
 			{name: "processes asked, report 300 ms old", asked: true, reportLag: 300 * time.Millisecond}, {name: "paces known", exact: true},
+			{name: "paces and loads known", exact: true, probed: true},
 		} {
 			r.answers, r.candidates = true, d
 			r.name = fmt.Sprintf("%s, best of %d", r.name, d)
