--- a/zone/placement/pace_test.go
+++ b/zone/placement/pace_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"mimosastand.example/mimosastand/zone/roster"
 )
 
 // pacedPool returns a pool of engines at which x reported a pace at start, and y the usual one.
@@ -166,3 +168,56 @@
 		t.Errorf("correction 30 s after the last answer = %v, want at most a hundredth of %v", got, bound)
 	}
 }
+
+// Guards against what was learned of a paced service and still counts once its targets no longer report a pace, for
+// example since something before them removes it.
+func TestServiceWithoutPacesIsPredictedAsBefore(t *testing.T) {
+	p, usual := pacedPool(250), newPool(engineMember("x", "a"), engineMember("y", "a"), engineMember("z", "a"))
+	now := start
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		c, _ := p.Pick(now, Requirements{}, time.Second)
+		p.PaceAnswered(now, c.ID, 250)
+		p.PredictionObserved(now, c, time.Second)
+	}
+	now = now.Add(pacedWindow)
+	want, _ := usual.Pick(now, Requirements{}, time.Second)
+	got, outcome := p.Pick(now, Requirements{PromptTokens: 10000}, time.Second)
+	if outcome != Placed || got.FirstEventDelay != want.FirstEventDelay || got.Pace != 0 || got.Correction != 0 {
+		t.Errorf("%v after the last pace: %+v, want the prediction %v without pace and correction", pacedWindow, got, want.FirstEventDelay)
+	}
+	if p.candidateCount(now) != candidatesPerDistance {
+		t.Errorf("%d candidates at each distance, want %d", p.candidateCount(now), candidatesPerDistance)
+	}
+}
+
+// Guards against old reports of loads that all entries follow to the same targets, and against fresh ones that count for
+// nothing.
+func TestReportedLoadFadesOnPacedServices(t *testing.T) {
+	for _, paced := range []bool{false, true} {
+		r := roster.New(0)
+		for id, load := range map[string]int{"idle": 0, "busy": 4} {
+			m := engineMember(id, "a")
+			r.Update(start, m.Target, time.Time{})
+			r.ApplyRelayed(roster.ReportKeyOf(m.Address, 0), start, roster.Status{Version: 1, Ready: true, Load: load, HasLoad: true})
+		}
+		p := newPool(r.Members("")...)
+		if paced {
+			p.PaceAnswered(start, "idle", usualPace)
+		}
+		for _, c := range []struct {
+			age         time.Duration
+			least, most float64
+		}{{0, 4, 4}, {time.Second, 3.9, 4}} {
+			if paced && c.age > 0 {
+				c.least, c.most = 2, 2.2
+			}
+			now := start.Add(c.age)
+			p.updateInflow(now, Requirements{}, time.Second)
+			load, _, ok := p.processLoad(now, r.Member("busy"), NewLatencyModel(p.service, 0).RequestDuration())
+			if !ok || load < c.least || load > c.most {
+				t.Errorf("paced %v, report %v old: load %.2f, want %.1f to %.1f", paced, c.age, load, c.least, c.most)
+			}
+		}
+	}
+}
