--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -229,6 +229,9 @@
 		x.breakage = breakageOtherAttempt
 		return attempts.Lost, nil
 	}
+	if reply.Pace > 0 {
+		c.entry.fleet.recordPace(c.service, x.choice.ID, reply.Pace)
+	}
 	x.recordRateLimit(reply)
 	x.recordBackoff(reply)
 	x.recordLeaving(reply)
@@ -244,6 +247,14 @@
 	return x.readBuffered(resp, reply)
 }
 
+// recordResponse records the time to the first event, or to the complete response if it is no stream, and
+// compares it with the prediction.
+func (x *exchange) recordResponse(delay time.Duration) {
+	c := x.call
+	c.entry.fleet.recordResponse(c.service, x.choice, delay)
+	c.entry.meters.recordPrediction(c.service, x.choice.FirstEventDelay, delay, c.route.Objective)
+}
+
 // isOwnAnswer reports whether a response belongs to this attempt. On a connection that was
 // used before, a late copy of an earlier response may arrive in its place, so one that does
 // not name the attempt counts only on a new connection.
