Requests at slow targets are hedged within the operators' share

Change: the setting [hedging] extra_work of entries (0 to 1, default 0) limits second attempts to a share of the requests of a service. An attemptPair starts its hedge also when the first event is due; the first event decides, and the other attempt is cancelled and does not count as a failure of its target. The loop that looks at attempts runs when the next hedge is due, if that is sooner than its interval. Hedges also take from the retry budget. Counters slow_hedges and slow_hedges_not_allowed, lines "hedge started" and "hedge won".

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -35,6 +35,14 @@
 	// of the target list lapses without reports; 0 if it is not known (entry only).
 	TargetReportInterval time.Duration
 	Bounds               Bounds
+	// Hedging limits second attempts at requests whose targets are slow (entry only).
+	Hedging Hedging
+}
+
+// Hedging limits the second attempts that an entry sends beside those whose targets are slow.
+type Hedging struct {
+	// ExtraWork is the number of extra attempts as a share of the requests of a service; 0 means none.
+	ExtraWork float64
 }
 
 // Bounds holds the limits that apply to the fleet as a whole.
@@ -94,6 +102,8 @@
 		set: func(c *Process, v value) { c.Fleet.ReadyAddress = v.text }},
 	{section: fleetSection, key: "target_report_interval", kind: kindDuration, def: "0s", min: 0, max: 3600 * second,
 		set: func(c *Process, v value) { c.Fleet.TargetReportInterval = v.duration }},
+	{section: "hedging", key: "extra_work", kind: kindFloat, def: "0", min: 0, max: 1,
+		set: func(c *Process, v value) { c.Fleet.Hedging.ExtraWork = v.float }},
 }
 
 // fleetTargetFields lists the additional fields of a target of a fleet.
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -68,6 +68,7 @@
 	c.entry.openCalls.add(c, cancel)
 	defer c.entry.openCalls.remove(c)
 	c.entry.fleet.recordRequest(c.service)
+	c.entry.fleet.recordPrompt(c.service, c.info.PromptTokens)
 	for {
 		choice, reason, retryAfter := c.placeAttempt(ctx)
 		if reason != "" {
@@ -239,15 +240,25 @@
 			c.record.setSurvey(c.entry.fleet.surveyTargets(c.service, req, limit))
 			return choice, refusalReason(refusal), c.entry.fleet.retryAfter(c.service, req, limit)
 		}
-		select {
-		case <-ctx.Done():
+		if !c.waitForTarget(ctx) {
 			c.record.setSurvey(c.entry.fleet.surveyTargets(c.service, req, limit))
 			return choice, refusalReason(refusal), 0
-		case <-time.After(placementInterval):
 		}
 	}
 }
 
+// waitForTarget waits until the next try to place an attempt. It reports false if ctx ended.
+func (c *call) waitForTarget(ctx context.Context) bool {
+	c.entry.fleet.addWaiting(c.service, 1)
+	defer c.entry.fleet.addWaiting(c.service, -1)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(placementInterval):
+		return true
+	}
+}
+
 // confirmAttempt has the request sent to the chosen target, unless what it has is known to crash
 // targets since.
 func (c *call) confirmAttempt(choice placement.Choice) (placement.Choice, contract.Reason, time.Duration) {
--- a/machine/entry/direct/checkloop.go
+++ b/machine/entry/direct/checkloop.go
@@ -12,6 +12,10 @@
 // that has not begun are too old by now.
 const checkInterval = 50 * time.Millisecond
 
+// minCheckInterval is the least time between two looks. They are closer together than checkInterval
+// while the hedge of an attempt is due sooner: the objectives of plain services are little longer.
+const minCheckInterval = 5 * time.Millisecond
+
 // checkLoop has the requests under way look at their attempts when there may be something to see.
 // It is one loop for all of them: a timer of each request would wake the process as often as all
 // requests together, for attempts that mostly go on.
@@ -21,10 +25,12 @@
 	mu        sync.Mutex
 	pairs     map[*attemptPair]bool
 	isRunning bool
+	// added has an element when a request has been added whose hedge is due some time.
+	added chan struct{}
 }
 
 func newCheckLoop(fleet *fleetState) *checkLoop {
-	return &checkLoop{fleet: fleet, pairs: map[*attemptPair]bool{}}
+	return &checkLoop{fleet: fleet, pairs: map[*attemptPair]bool{}, added: make(chan struct{}, 1)}
 }
 
 // watch has a request look at its attempts from now on, until unwatch.
@@ -36,6 +42,13 @@
 		l.isRunning = true
 		go l.run()
 	}
+	if p.hedgeDue.Load() == 0 {
+		return
+	}
+	select {
+	case l.added <- struct{}{}:
+	default:
+	}
 }
 
 func (l *checkLoop) unwatch(p *attemptPair) {
@@ -44,29 +57,38 @@
 	delete(l.pairs, p)
 }
 
-// run looks at the requests every checkInterval until there are none.
+// run looks at the requests every checkInterval, and sooner if a hedge is due, until there are none.
 func (l *checkLoop) run() {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for range ticker.C {
-		if !l.signalDue() {
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-l.added:
+		}
+		next, ok := l.signalDue()
+		if !ok {
 			return
 		}
+		timer.Reset(next)
 	}
 }
 
-// signalDue signals the requests that are to look at their attempts. It reports false, and the loop
-// ends, if there are no requests.
-func (l *checkLoop) signalDue() bool {
+// signalDue signals the requests that are to look at their attempts, and returns the time until it is to
+// be called again. It reports false, and the loop ends, if there are no requests.
+func (l *checkLoop) signalDue() (next time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pairs) == 0 {
 		l.isRunning = false
-		return false
+		return 0, false
 	}
 	basis := l.fleet.checkBasis()
+	next = checkInterval
 	for p := range l.pairs {
-		if !p.mayNeedCheck(basis) {
+		wait, due := p.untilHedge(basis.runTime)
+		next = min(next, max(wait, minCheckInterval))
+		if !due && !p.mayNeedCheck(basis) {
 			continue
 		}
 		select {
@@ -74,7 +96,7 @@
 		default:
 		}
 	}
-	return true
+	return next, true
 }
 
 // checkBasis is what decides which requests look at their attempts.
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -140,6 +140,9 @@
 	fs.withPool(service, func(now time.Time, p *placement.Pool) {
 		p.Answered(now, id, delay)
 		fs.returnEstimator(service).RecordServed(now)
+		if t := fs.hedgeTracker(service); t != nil {
+			t.RecordFirstEvent(now, delay)
+		}
 	})
 }
 
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -293,7 +293,7 @@
 	}
 }
 
-// Reload applies changed settings: the fleet's bounds and the log level. Addresses and
+// Reload applies changed settings: the fleet's bounds, the extra work and the log level. Addresses and
 // names stay until the process is restarted. If err is set, or process is not configured
 // for a fleet, the current settings stay.
 func (e *Entry) Reload(process *config.Process, err error) {
@@ -302,6 +302,7 @@
 		return
 	}
 	e.fleet.setBounds(process.Fleet.Bounds)
+	e.fleet.setHedging(process.Fleet.Hedging)
 	logs.SetLevel(process.LogLevel)
 	e.log.Info("settings reloaded")
 }
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/entry/hedging"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -73,8 +74,12 @@
 	silent, callerGone, givenUp, otherVersion bool
 	// ended is set once the end of the attempt has been recorded.
 	ended bool
-	// replaced is set once another attempt has taken over.
-	replaced bool
+	// replaced is set once another attempt has taken over, outpaced if that was since the target was slow.
+	replaced, outpaced bool
+	// outpaces is set for a hedge that was started since the target of the first attempt is slow, until it
+	// is known what became of it. hedgeRefusal is the last rule by which the attempt got no such hedge.
+	outpaces     bool
+	hedgeRefusal hedging.Refusal
 	// begunAt is when the answer began, after the process had run for begunRunTime; proven is set
 	// once the attempt has shown that its prompt does not crash the target.
 	begunAt      time.Time
@@ -84,6 +89,8 @@
 	// lastActivityRunTime is the run time of the process at that moment, in nanoseconds.
 	lastActivity        atomic.Int64
 	lastActivityRunTime atomic.Int64
+	// startRunTime is the run time of the process when the attempt started.
+	startRunTime time.Duration
 }
 
 func newExchange(c *call, choice placement.Choice) *exchange {
@@ -93,7 +100,8 @@
 		resumes: c.headSent || c.info.HasLastEvent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
 	}
 	x.reply.OpenRequests = -1
-	x.lastActivityRunTime.Store(int64(c.entry.fleet.runTime()))
+	x.startRunTime = c.entry.fleet.runTime()
+	x.lastActivityRunTime.Store(int64(x.startRunTime))
 	return x
 }
 
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -61,6 +61,7 @@
 	rateLimits        *ratelimit.Tracker
 	leaving           *leaving.Tracker
 	poison            *poison.Tracker
+	hedging           hedgingState
 	peerFlights       map[contract.MachineID]map[uint32]int
 	// flightTargets holds the targets that the numbers in the flights of peers stand for.
 	flightTargets map[uint32][]pooledTarget
@@ -97,6 +98,7 @@
 		rateLimits:       ratelimit.NewTracker(rng),
 		leaving:          leaving.NewTracker(),
 		poison:           poison.NewTracker(rng),
+		hedging:          hedgingState{settings: process.Fleet.Hedging},
 		rng:              rng,
 	}
 }
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -12,9 +12,9 @@
 	"mimosastand.example/mimosastand/zone/placement"
 )
 
-// attemptPair forwards the response of an attempt to the caller. While the target is silent, a
-// second attempt, the hedge, runs beside it. Whichever goes on first is kept: a silent target
-// may go on, and the hedge may find no target or fail.
+// attemptPair forwards the response of an attempt to the caller. While the target is silent, or slower to
+// begin than another one is predicted to be, a second attempt, the hedge, runs beside it. Whichever goes
+// on first is kept: a silent target may go on, and the hedge may find no target or fail.
 type attemptPair struct {
 	call    *call
 	ctx     context.Context
@@ -25,6 +25,10 @@
 	// one for the loop that decides so.
 	checks  chan struct{}
 	watched atomic.Pointer[exchange]
+	// hedgeAfter is the run time of the process from which on the current attempt counts as slow, and
+	// hedgeDue when the loop is to have the request look at it next, in nanoseconds; 0 for never.
+	hedgeAfter time.Duration
+	hedgeDue   atomic.Int64
 }
 
 // runAttempts sends the request to the chosen target, and to another one if the first falls
@@ -57,6 +61,7 @@
 			got = p.current.withoutOtherAnswer(p.current.withoutOtherVersion(got))
 			if !got.ended {
 				if got.event.hasField {
+					p.stopHedging()
 					p.dropHedge()
 				}
 				if !p.sendEvent(got) {
@@ -92,6 +97,7 @@
 				return attempts.Lost, nil
 			}
 			p.checkSilence()
+			p.checkSlow()
 		}
 	}
 }
@@ -193,6 +199,9 @@
 // another attempt and a target has room for it now.
 func (p *attemptPair) checkSilence() {
 	c := p.call
+	if p.hedge != nil && p.hedge.outpaces && len(p.current.parts) == 0 && p.current.isSilent() {
+		p.recordSilence()
+	}
 	if p.hedge != nil || len(p.current.parts) > 0 || !p.current.isSilent() || !c.mayHedge() {
 		return
 	}
@@ -243,15 +252,22 @@
 	}
 	got.release()
 	c.entry.logRetry(c, got.outcome)
+	p.hedgeEnded(hedgePromoted)
 	p.promoteHedge()
 	return false
 }
 
-// takeOver ends the current attempt, whose target is silent, and puts the hedge in its place.
+// takeOver ends the current attempt, whose target is silent or slow, and puts the hedge in its place.
 func (p *attemptPair) takeOver() {
 	c := p.call
-	c.record.attemptEnded(time.Now(), attempts.Lost, breakageSilent, nil)
-	c.entry.logRetry(c, attempts.Lost)
+	if p.current.silent {
+		c.record.attemptEnded(time.Now(), attempts.Lost, breakageSilent, nil)
+		c.entry.logRetry(c, attempts.Lost)
+	} else {
+		c.record.attemptEnded(time.Now(), attempts.Lost, breakageSlow, nil)
+		p.current.outpaced = true
+	}
+	p.hedgeEnded(hedgeWon)
 	p.current.abandon()
 	p.current.replaced = true
 	c.attemptEnded(p.current, attempts.Lost)
@@ -267,6 +283,7 @@
 // recordStart records that the current attempt is the one on which the answer depends.
 func (p *attemptPair) recordStart() {
 	p.watched.Store(p.current)
+	p.scheduleHedge()
 	p.call.lastTarget = p.current.choice.ID
 	p.call.record.attemptStarted(p.current.choice, p.current.start)
 }
@@ -274,6 +291,7 @@
 // hedgeFailed records a hedge that ended while the current attempt is still under way.
 func (p *attemptPair) hedgeFailed(got part) {
 	got.release()
+	p.hedgeEnded(hedgeFailed)
 	p.call.attemptEnded(p.hedge, got.outcome)
 	p.hedge = nil
 }
@@ -295,6 +313,7 @@
 		return
 	}
 	p.hedge.abandon()
+	p.hedgeEnded(hedgeCancelled)
 	p.call.entry.fleet.recordInconclusive(p.call.service, p.hedge.choice.ID)
 	p.call.attemptsSent++
 	p.call.mayHaveRun = true
@@ -343,7 +362,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
+	if x.silent || x.outpaced || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
@@ -375,6 +394,9 @@
 		if x.isLostUnproven() {
 			c.lostAttempts = append(c.lostAttempts, lostAttempt{choice: x.choice, sentAt: x.start, brokenAt: time.Now()})
 		}
+		if x.outpaced {
+			fleet.recordReplaced(c.service, x)
+		}
 		if x.isTargetFailure() {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -10,6 +10,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/entry/hedging"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -87,6 +88,17 @@
 // countHedge counts an attempt that is sent beside one whose target is silent.
 func (m *meters) countHedge() { m.scope.Counter("hedges").Inc(1) }
 
+// countHedgeResult counts a hedge beside a slow target by what became of it, its start included.
+func (m *meters) countHedgeResult(result hedgeResult) {
+	m.scope.Tagged(map[string]string{"result": string(result)}).Counter("slow_hedges").Inc(1)
+}
+
+// countHedgeRefusal counts an attempt at a slow target that got no hedge, by the rule. One that several
+// rules forbade in turn counts for each.
+func (m *meters) countHedgeRefusal(r hedging.Refusal) {
+	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("slow_hedges_not_allowed").Inc(1)
+}
+
 // countUnanswered counts a connection that ends without a response to what was read from it.
 func (m *meters) countUnanswered() { m.scope.Counter("unanswered_connections").Inc(1) }
 
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -142,5 +142,6 @@
 	for name, p := range fs.pools {
 		p.SetMembers(now, fs.roster.Members(name))
 	}
+	fs.hedging.unanswered.Retain(func(id roster.TargetID) bool { return fs.roster.Member(id) != nil })
 	fs.indexFlightTargets()
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -21,7 +21,9 @@
 type breakage string
 
 const (
-	breakageSilent     breakage = "silent"
+	breakageSilent breakage = "silent"
+	// breakageSlow attempts were replaced by a hedge, which began to answer before them.
+	breakageSlow       breakage = "slow"
 	breakageDeadline   breakage = "deadline"
 	breakageCallerGone breakage = "caller_gone"
 	breakageEndedEarly breakage = "ended_early"
