mimosastand explain placement: where a request would go now, and why

Cause: operators could see afterwards, from logs, where a request went, and of a refusal only how many targets each rule excluded. Change: GET /placement at an entry's metrics address answers with the target that a request would get, or the reason and the Retry-After, and with the state of every target. The command prints it as a table or as JSON, with exit code 6 for a request that would be refused. The parser has no command with both log files and further commands, so that "explain placement" is told from "explain LOG" by the command line. The demo asks one entry.

--- a/cli/client.go
+++ b/cli/client.go
@@ -21,7 +21,8 @@
 	maxReplyBytes = 64 << 20
 )
 
-// client calls the administration API on the first server that answers.
+// client calls the administration API on the first server that answers. Without a token it calls what
+// needs none.
 type client struct {
 	servers []string
 	token   string
@@ -84,7 +85,9 @@
 	if err != nil {
 		return false, errors.Mark(err, ErrUsage)
 	}
-	req.Header.Set("Authorization", "Bearer "+c.token)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -24,6 +24,8 @@
 	// ExitUnavailable means that no server answered, that the log accepts no changes, or
 	// that the result is unknown; the error message says which.
 	ExitUnavailable = 5
+	// ExitWouldRefuse means that a request would be refused now; the report says why.
+	ExitWouldRefuse = 6
 )
 
 var (
@@ -59,6 +61,8 @@
 		return ExitOK
 	case errors.Is(err, ErrUsage):
 		return ExitUsage
+	case errors.Is(err, ErrWouldRefuse):
+		return ExitWouldRefuse
 	case errors.Is(err, ErrUnavailable), errors.Is(err, ErrResultUnknown):
 		return ExitUnavailable
 	case errors.As(err, &problem):
--- a/cmd/demo/phases.go
+++ b/cmd/demo/phases.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +48,15 @@
 	return nil
 }
 
+// explainPlacement prints where an entry would send a request now, and why.
+func (d *demo) explainPlacement(ctx context.Context) error {
+	report, err := d.fleet.Entries[0].ExplainPlacement(ctx, "--host", standins.Host, "--path", standins.ChatPath+"x", "--team", harness.FleetTeam, "--prompt", "900", "--answer", "125")
+	for line := range strings.Lines(report) {
+		fmt.Print("          ", line)
+	}
+	return err
+}
+
 // awaitAllServing waits until every entry serves every kind of request.
 func (d *demo) awaitAllServing(ctx context.Context) error {
 	return harness.WaitFor(ctx, servingTimeout, d.traffic.CheckAllServe)
--- a/cmd/demo/script.go
+++ b/cmd/demo/script.go
@@ -35,6 +35,7 @@
 func (d *demo) runPhases(ctx context.Context) error {
 	for _, p := range []phase{
 		{"start the stand-ins and the processes, send calls", d.start},
+		{"ask an entry where a request would go now", d.explainPlacement},
 		{"evacuate a zone and take it back in", d.evacuateAndRestoreZone},
 		{"roll out a second version", d.rollOutSecondVersion},
 		{"let a service limit the rate of its requests", d.limitTarget},
--- a/cmd/mimosastand/explain.go
+++ b/cmd/mimosastand/explain.go
@@ -13,8 +13,24 @@
 // maxLogFiles is how many log files the explain command accepts.
 const maxLogFiles = 8
 
+// placementWord is the word behind "explain" that asks an entry instead of logs. A log file of that name
+// is given as ./placement.
+const placementWord = "placement"
+
+// isExplainPlacement reports whether a command line is that of "explain placement". A command of the
+// parser has either log files or further commands.
+func isExplainPlacement(args []string) bool {
+	return len(args) > 2 && args[1] == "explain" && args[2] == placementWord
+}
+
+// newExplainGroup returns the command "explain" to which "placement" is attached.
+func newExplainGroup() command {
+	sub := newSubcommand("explain", "say where a request would go now", "mimosastand explain placement --help")
+	return command{sub: sub, run: func(context.Context) int { return exitUsage }}
+}
+
 func newExplainCommand() command {
-	sub := newSubcommand("explain", "say from logs what happened to a request and why",
+	sub := newSubcommand("explain", "say from logs what happened to a request and why; \"explain placement\" says where one would go now",
 		"mimosastand explain entry-1.log entry-2.log --request 9c41d07be2a35f68")
 	request := ""
 	sub.String(&request, "r", "request", "the request's identifier")
--- a/cmd/mimosastand/main.go
+++ b/cmd/mimosastand/main.go
@@ -47,11 +47,17 @@
 	flaggy.SetName("mimosastand")
 	flaggy.SetDescription("weight distribution and routing for bursts")
 	flaggy.SetVersion(version)
-	commands := []command{newEntryCommand(), newTargetCommand(), newCheckCommand(), newExplainCommand()}
+	explain := newExplainCommand()
+	commands := []command{newEntryCommand(), newTargetCommand(), newCheckCommand()}
+	operators := cli.Register(flaggy.DefaultParser)
+	if isExplainPlacement(os.Args) {
+		explain = newExplainGroup()
+		operators.RegisterExplainPlacement(explain.sub)
+	}
+	commands = append(commands, explain)
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
-	operators := cli.Register(flaggy.DefaultParser)
 	flaggy.Parse()
 
 	if operators.Used() {
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"os/exec"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/cli"
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/internal/relay"
 	standins "mimosastand.example/mimosastand/standin/fleet"
@@ -126,6 +130,18 @@
 	return m.StoreAccess.Address()
 }
 
+// ExplainPlacement runs the command "explain placement" for a request at the entry, and returns what it
+// prints. A request that would be refused is no error.
+func (m *Machine) ExplainPlacement(ctx context.Context, args ...string) (string, error) {
+	args = append([]string{"explain", "placement", "--entry", m.metricsAddress}, args...)
+	out, err := exec.CommandContext(ctx, m.fleet.program, args...).CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() == cli.ExitWouldRefuse {
+		err = nil
+	}
+	return string(out), errors.Wrap(err, "explain placement")
+}
+
 // AwaitReady waits until the entry is ready for callers.
 func (m *Machine) AwaitReady(ctx context.Context, timeout time.Duration) error {
 	if err := WaitFor(ctx, timeout, func() error { return checkOK(m.ReadyAddress) }); err != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,8 @@
 	scope    tally.Scope
 	reporter promreporter.Reporter
 	closer   io.Closer
+	// pages holds the handlers of other pages by path.
+	pages map[string]http.Handler
 }
 
 // New returns a registry whose metric names begin with "mimosastand_", except those of the
@@ -40,7 +42,7 @@
 		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Registry{scope: scope, reporter: reporter, closer: closer}
+	return &Registry{scope: scope, reporter: reporter, closer: closer, pages: map[string]http.Handler{}}
 }
 
 // Scope returns the root scope.
@@ -53,6 +55,9 @@
 	return r.reporter.HTTPHandler()
 }
 
+// AddPage serves another page at a path of the address of the metrics page. It must be called before Serve.
+func (r *Registry) AddPage(path string, page http.Handler) { r.pages[path] = page }
+
 // Close flushes and stops the reporter.
 func (r *Registry) Close() error {
 	return r.closer.Close()
--- a/internal/metrics/serve.go
+++ b/internal/metrics/serve.go
@@ -12,11 +12,16 @@
 // does not read its answer is closed.
 const pageTimeout = 5 * time.Second
 
-// Serve serves the page of a registry on address until ctx ends. If it cannot, it logs a
+// Serve serves the page of a registry, and the other pages, on address until ctx ends. If it cannot, it logs a
 // warning and returns; the process goes on without the page.
 func (r *Registry) Serve(ctx context.Context, address string, logger log.Interface) {
+	mux := http.NewServeMux()
+	mux.Handle("/", r.Handler())
+	for path, page := range r.pages {
+		mux.Handle(path, page)
+	}
 	server := &http.Server{
-		Addr: address, Handler: r.Handler(),
+		Addr: address, Handler: mux,
 		ReadTimeout: pageTimeout, WriteTimeout: pageTimeout, IdleTimeout: pageTimeout,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -227,10 +227,7 @@
 		if refused, retryAfter := c.crashesTargets(); refused {
 			return placement.Choice{}, contract.ReasonPoisonedPrompt, retryAfter
 		}
-		limit := time.Until(c.deadline)
-		if c.attemptsSent == 0 {
-			limit = min(limit, max(c.route.Objective-time.Since(c.arrived), 0))
-		}
+		limit := c.firstEventLimit()
 		req := c.requirements(limit)
 		choice, refusal := c.entry.fleet.pickTarget(c.service, req, limit)
 		if refusal == placement.Placed {
@@ -259,6 +256,15 @@
 	}
 }
 
+// firstEventLimit returns the time within which the first event of the next attempt is due.
+func (c *call) firstEventLimit() time.Duration {
+	limit := time.Until(c.deadline)
+	if c.attemptsSent == 0 {
+		limit = min(limit, max(c.route.Objective-time.Since(c.arrived), 0))
+	}
+	return limit
+}
+
 // confirmAttempt has the request sent to the chosen target, unless what it has is known to crash
 // targets since.
 func (c *call) confirmAttempt(choice placement.Choice) (placement.Choice, contract.Reason, time.Duration) {
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -23,6 +23,7 @@
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/placementreport"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/machine/storerestore"
@@ -318,6 +319,7 @@
 	callers := e.callerConns.listener(e.callerListener)
 	go e.serve(server, callers)
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.readyListener)
+	e.metrics.AddPage(placementreport.Path, placementHandler{e})
 	go e.metrics.Serve(e.runCtx, e.process.Fleet.MetricsAddress, e.log)
 	<-ctx.Done()
 	e.drain(server, callers)
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -78,6 +78,13 @@
 		}
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
+	c.setDeadline()
+	c.lastEvent = c.info.LastEvent
+	return true
+}
+
+// setDeadline determines the deadline from the route and what the caller asks for.
+func (c *call) setDeadline() {
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -86,8 +93,6 @@
 		timeout = min(timeout, c.info.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout)
-	c.lastEvent = c.info.LastEvent
-	return true
 }
 
 // hostName returns the host that the caller named, in lower case and without a port.
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -103,12 +103,17 @@
 // room or is full.
 func (p *Pool) Survey(now time.Time, req Requirements, limit time.Duration) Survey {
 	s := p.surveyTargets(now, req, limit, false)
-	if s.Counts[NotExcluded] > 0 || s.Counts[ExcludedFull] > 0 {
+	if s.hasRoomOrIsFull() {
 		return s
 	}
 	return p.surveyTargets(now, req, limit, true)
 }
 
+// hasRoomOrIsFull reports whether a target has room or is full. If none does, ejected ones are considered.
+func (s Survey) hasRoomOrIsFull() bool {
+	return s.Counts[NotExcluded] > 0 || s.Counts[ExcludedFull] > 0
+}
+
 // surveyTargets is Survey with ejected targets considered only if includeEjected is set.
 func (p *Pool) surveyTargets(now time.Time, req Requirements, limit time.Duration, includeEjected bool) Survey {
 	s := Survey{Listed: len(p.members), Limit: limit, MinVersion: req.MinVersion}
