explain says when a request was hedged, and which target began first

Cause: the lines "hedge started" and "hedge won" were shown, but not in the summary. Change: two sentences of "mimosastand explain".

--- a/internal/explain/conclude.go
+++ b/internal/explain/conclude.go
@@ -9,6 +9,8 @@
 const (
 	messagePlaced    = "attempt placed"
 	messageSentAgain = "sent again"
+	messageHedged    = "hedge started"
+	messageHedgeWon  = "hedge won"
 	messageServed    = "request served"
 	messageLate      = "request served late"
 	messageEnded     = "request ended"
@@ -28,6 +30,7 @@
 	}
 	var sentences []string
 	sentences = append(sentences, r.describeRetries()...)
+	sentences = append(sentences, r.describeHedges()...)
 	sentences = append(sentences, describeEnd(end)...)
 	sentences = append(sentences, r.describeLoad(end)...)
 	sentences = append(sentences, r.describeEntryState(end)...)
@@ -64,6 +67,21 @@
 	return []string{fmt.Sprintf("It was sent again %d times, since: %s.", len(attempts), strings.Join(attempts, ", "))}
 }
 
+// describeHedges describes the attempts that were sent beside slow ones, and which of them began first.
+func (r requestLog) describeHedges() []string {
+	var sentences []string
+	for _, l := range r.lines {
+		switch {
+		case hasMessage(l, messageHedged):
+			sentences = append(sentences, fmt.Sprintf("%s had sent nothing after %s ms (predicted: %s ms), so it was also sent to %s (predicted: %s ms).",
+				l.Fields["slow_target"], l.Fields["attempt_ms"], l.Fields["slow_first_ms"], l.Fields["target"], l.Fields["first_ms"]))
+		case hasMessage(l, messageHedgeWon):
+			sentences = append(sentences, fmt.Sprintf("%s began first, %s ms after that.", l.Fields["target"], l.Fields["hedge_ms"]))
+		}
+	}
+	return sentences
+}
+
 // hasMessage reports whether a line has the message, with or without a prefix.
 func hasMessage(l Line, message string) bool {
 	return l.Message == message || strings.HasSuffix(l.Message, ": "+message)
--- a/machine/entry/hedging/simulation_test.go
+++ b/machine/entry/hedging/simulation_test.go
@@ -1,13 +1,13 @@
 package hedging_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"mimosastand.example/mimosastand/internal/simulation"
 	"mimosastand.example/mimosastand/machine/entry/hedging"
 )
 
@@ -26,23 +26,6 @@
 	simLoadAge = 400 * time.Millisecond
 )
 
-type simEvent struct {
-	at time.Duration
-	do func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int           { return len(q) }
-func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simTarget works slowly from each even time in changes to the next. reported is its load as the entries
 // know it.
 type simTarget struct {
@@ -81,12 +64,11 @@
 // simDelay says after which time without a first event a hedge is due.
 type simDelay func(*hedging.Tracker, time.Time, hedging.Attempt) time.Duration
 
-// simulation plays a minute of requests. Entries choose the less loaded of two targets by reports, and
+// fleetSimulation plays a minute of requests. Entries choose the less loaded of two targets by reports, and
 // know nothing of slow periods. A cancelled attempt frees its slot at once.
-type simulation struct {
+type fleetSimulation struct {
+	simulation.Queue
 	rng              *rand.Rand
-	now              time.Duration
-	queue            simQueue
 	targets          []*simTarget
 	trackers         []*hedging.Tracker
 	extraWork        float64
@@ -96,12 +78,10 @@
 	prompts, reread  float64
 }
 
-func (s *simulation) schedule(at time.Duration, do func()) { heap.Push(&s.queue, simEvent{at, do}) }
-
-func (s *simulation) clock() time.Time { return time.Unix(0, 0).Add(s.now) }
+func (s *fleetSimulation) clock() time.Time { return time.Unix(0, 0).Add(s.Now()) }
 
 // pick chooses a target; other is the one that has the request already.
-func (s *simulation) pick(other *simTarget) *simTarget {
+func (s *fleetSimulation) pick(other *simTarget) *simTarget {
 	var best *simTarget
 	for drawn := 0; drawn < 2; {
 		t := s.targets[s.rng.IntN(simTargets)]
@@ -119,31 +99,31 @@
 	return best
 }
 
-func (s *simulation) send(a *simAttempt) {
+func (s *fleetSimulation) send(a *simAttempt) {
 	a.target.reported++
 	a.target.waiting = append(a.target.waiting, a)
 	s.fill(a.target)
 }
 
 // fill starts waiting attempts while slots are free.
-func (s *simulation) fill(t *simTarget) {
+func (s *fleetSimulation) fill(t *simTarget) {
 	for t.running < simSlots && len(t.waiting) > 0 {
 		a := t.waiting[0]
 		t.waiting = t.waiting[1:]
 		t.running++
 		a.isRunning = true
-		s.schedule(t.finish(s.now, a.first), func() {
+		s.After(t.finish(s.Now(), a.first)-s.Now(), func() {
 			if a.isEnded {
 				return
 			}
 			a.begun()
-			s.schedule(t.finish(s.now, a.rest), func() { s.end(a) })
+			s.After(t.finish(s.Now(), a.rest)-s.Now(), func() { s.end(a) })
 		})
 	}
 }
 
 // end ends an attempt, whether it is complete or cancelled.
-func (s *simulation) end(a *simAttempt) {
+func (s *fleetSimulation) end(a *simAttempt) {
 	if a.isEnded {
 		return
 	}
@@ -156,12 +136,12 @@
 	a.target.waiting = slices.DeleteFunc(a.target.waiting, func(b *simAttempt) bool { return b == a })
 }
 
-func (s *simulation) request() {
+func (s *fleetSimulation) request() {
 	prompt := 300 + s.rng.ExpFloat64()*550
 	predicted := time.Duration((70 + prompt/20.7) * float64(time.Millisecond))
 	work := predicted + time.Duration((s.rng.Float64()-0.5)*46*float64(time.Millisecond))
 	rest := time.Duration(min(s.rng.ExpFloat64(), 4) * 125 * simStep * float64(time.Millisecond))
-	tracker, start := s.trackers[s.rng.IntN(simEntries)], s.now
+	tracker, start := s.trackers[s.rng.IntN(simEntries)], s.Now()
 	a := hedging.Attempt{Predicted: predicted, Objective: simObjective, PromptTokens: prompt}
 	s.requests++
 	s.prompts += prompt
@@ -174,8 +154,8 @@
 			if other := pair[1-i]; other != nil {
 				s.end(other)
 			}
-			tracker.RecordFirstEvent(s.clock(), s.now-start)
-			s.times = append(s.times, s.now-start)
+			tracker.RecordFirstEvent(s.clock(), s.Now()-start)
+			s.times = append(s.times, s.Now()-start)
 		}}
 		s.send(pair[i])
 	}
@@ -185,8 +165,8 @@
 		if isBegun {
 			return
 		}
-		refusal := tracker.Check(s.clock(), a, s.now-start, false)
-		if refusal == hedging.Allowed && predicted <= tracker.Remaining(s.clock(), a, s.now-start) {
+		refusal := tracker.Check(s.clock(), a, s.Now()-start, false)
+		if refusal == hedging.Allowed && predicted <= tracker.Remaining(s.clock(), a, s.Now()-start) {
 			if t := s.pick(pair[0].target); t != nil && tracker.TryAcquire(s.clock()) {
 				s.hedges++
 				s.reread += prompt
@@ -195,18 +175,18 @@
 			}
 		}
 		if !refusal.IsFinal() {
-			s.schedule(s.now+simRetry, look)
+			s.After(simRetry, look)
 		}
 	}
 	if s.extraWork > 0 {
-		s.schedule(s.now+s.delay(tracker, s.clock(), a), look)
+		s.After(s.delay(tracker, s.clock(), a), look)
 	}
 }
 
 // simulate plays a minute with each of some seeds, and returns the sums, with the times to the first
 // event in order of size.
-func simulate(seeds int, extraWork float64, delay simDelay) *simulation {
-	sum := &simulation{}
+func simulate(seeds int, extraWork float64, delay simDelay) *fleetSimulation {
+	sum := &fleetSimulation{}
 	for seed := range seeds {
 		s := play(uint64(seed), extraWork, delay)
 		sum.times = append(sum.times, s.times...)
@@ -218,8 +198,8 @@
 }
 
 // play plays a minute.
-func play(seed uint64, extraWork float64, delay simDelay) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 2)), extraWork: extraWork, delay: delay}
+func play(seed uint64, extraWork float64, delay simDelay) *fleetSimulation {
+	s := &fleetSimulation{rng: rand.New(rand.NewPCG(seed, 2)), extraWork: extraWork, delay: delay}
 	for range simTargets {
 		t := &simTarget{}
 		normal := float64(simSlowTime) * (1 - simSlowShare) / simSlowShare
@@ -234,35 +214,32 @@
 	}
 	rate := simUtilization * simTargets * simSlots / (0.111 + 0.98*0.125*simStep)
 	for at := time.Duration(0); at < simDuration; at += time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second)) {
-		s.schedule(at, s.request)
+		s.After(at, s.request)
 	}
 	for at := time.Duration(0); at < simDuration; at += simLoadAge {
-		s.schedule(at, func() {
+		s.After(at, func() {
 			for _, t := range s.targets {
 				t.reported = t.running + len(t.waiting)
 			}
 		})
 	}
-	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(simEvent)
-		s.now = e.at
-		e.do()
+	for s.RunNext() {
 	}
 	return s
 }
 
-func (s *simulation) quantile(q float64) time.Duration {
+func (s *fleetSimulation) quantile(q float64) time.Duration {
 	return s.times[int(math.Ceil(q*float64(len(s.times))))-1]
 }
 
 // late returns the share of the requests that missed the objective.
-func (s *simulation) late() float64 {
+func (s *fleetSimulation) late() float64 {
 	i, _ := slices.BinarySearch(s.times, simObjective)
 	return 1 - float64(i)/float64(len(s.times))
 }
 
 // extra returns the extra attempts as a share of the requests.
-func (s *simulation) extra() float64 { return float64(s.hedges) / float64(s.requests) }
+func (s *fleetSimulation) extra() float64 { return float64(s.hedges) / float64(s.requests) }
 
 // Guards against hedges that cost work and do not shorten the slowest answers, or that exceed their share.
 // With -v it prints the table of the design note.
@@ -290,7 +267,7 @@
 			{"1/2 of the objective, 0.1", 0.1, at(0.5)}, {"3/4 of the objective, 0.1", 0.1, at(0.75)}, {"tied, 0.1", 0.1, at(0)}, {"tied, 1", 1, at(0)},
 		}...)
 	}
-	results := map[string]*simulation{}
+	results := map[string]*fleetSimulation{}
 	for _, w := range ways {
 		s := simulate(seeds, w.extraWork, w.delay)
 		results[w.name] = s
