Test of a plain request beside a slow target

Cause: the tests of hedges beside slow targets were of streams only. Change: one of a plain request whose first target does not answer.

--- a/machine/entry/direct/slowhedge_test.go
+++ b/machine/entry/direct/slowhedge_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// Guards against plain requests that wait for a slow target until it counts as silent.
+func TestHedgeOfPlainRequest(t *testing.T) {
+	t.Parallel()
+	s := newSlowCall(t, func(net.Conn) {}, streamAfter(0, "two"))
+	s.route = &catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2, Objective: slowObjective}
+	s.check("two", "target-1", 1)
+	s.isReset(0)
+}
+
 // Guards against pieces of two answers in one, and attempts that stay in flight, when both attempts
 // answer at about the same time.
 func TestCrossedAnswersOfHedge(t *testing.T) {
