--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -148,6 +148,9 @@
 		p.Answered(now, choice.ID, delay)
 		p.PredictionObserved(now, choice, delay)
 		fs.returnEstimator(service).RecordServed(now)
+		if t := fs.hedgeTracker(service); t != nil {
+			t.RecordFirstEvent(now, delay)
+		}
 	})
 }
 
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -23,6 +23,7 @@
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
+	"mimosastand.example/mimosastand/machine/entry/placementreport"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/machine/storerestore"
@@ -293,7 +294,7 @@
 	}
 }
 
-// Reload applies changed settings: the fleet's bounds and the log level. Addresses and
+// Reload applies changed settings: the fleet's bounds, the extra work and the log level. Addresses and
 // names stay until the process is restarted. If err is set, or process is not configured
 // for a fleet, the current settings stay.
 func (e *Entry) Reload(process *config.Process, err error) {
@@ -302,6 +303,7 @@
 		return
 	}
 	e.fleet.setBounds(process.Fleet.Bounds)
+	e.fleet.setHedging(process.Fleet.Hedging)
 	logs.SetLevel(process.LogLevel)
 	e.log.Info("settings reloaded")
 }
@@ -317,6 +319,7 @@
 	callers := e.callerConns.listener(e.callerListener)
 	go e.serve(server, callers)
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReady)}, e.readyListener)
+	e.metrics.AddPage(placementreport.Path, placementHandler{e})
 	go e.metrics.Serve(e.runCtx, e.process.Fleet.MetricsAddress, e.log)
 	<-ctx.Done()
 	e.drain(server, callers)
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -39,7 +39,7 @@
 	n := p.estimateLoad(now, m)
 	delay := p.predictDelay(now, m, n, req)
 	limit = p.sizedLimit(now, limit, req)
-	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() || !p.fitsMemory(now, l, n, req) {
+	if now.Before(l.fullUntil) || n >= maxLoadBefore(model.slots, req) || delay > limit || l.ownInFlight >= p.connShare() || !p.fitsMemory(now, l, n, req) {
 		return admission{exclusion: ExcludedFull, delay: delay}
 	}
 	return admission{delay: delay}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -60,6 +60,8 @@
 	// PromptTokens and AnswerTokens are the size of the prompt and the expected size of the answer; 0
 	// if unknown, then the usual size is assumed. They count on paced and size-aware services only.
 	PromptTokens, AnswerTokens float64
+	// needsFreeSlot is set if the attempt must not wait for a slot at the target.
+	needsFreeSlot bool
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
