--- a/settings/checkpoint/checkpoint.go
+++ b/settings/checkpoint/checkpoint.go
@@ -5,15 +5,12 @@
 package checkpoint
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-
 	"github.com/cockroachdb/errors"
 	"lukechampine.com/blake3"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/internal/cborlimit"
+	"mimosastand.example/mimosastand/internal/deflate"
 	"mimosastand.example/mimosastand/settings"
 	"mimosastand.example/mimosastand/settings/record"
 	"mimosastand.example/mimosastand/settings/tree"
@@ -108,14 +105,7 @@
 	if err != nil || len(plain) > MaxSnapshotBytes {
 		return nil, record.Digest{}, errors.Wrapf(ErrMalformed, "%d bytes: %v", len(plain), err)
 	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.DefaultCompression)
-	if err != nil {
-		return nil, record.Digest{}, errors.Mark(err, ErrMalformed)
-	}
-	_, _ = w.Write(plain) // a bytes.Buffer takes all writes
-	_ = w.Close()
-	return out.Bytes(), blake3.Sum256(plain), nil
+	return deflate.Compress(plain, deflate.Dense), blake3.Sum256(plain), nil
 }
 
 // DigestOf returns the digest of a snapshot's content.
@@ -157,13 +147,9 @@
 }
 
 func inflate(data []byte) ([]byte, error) {
-	limited := io.LimitReader(flate.NewReader(bytes.NewReader(data)), MaxSnapshotBytes+1)
-	plain, err := io.ReadAll(limited)
+	plain, err := deflate.Decompress(data, MaxSnapshotBytes)
 	if err != nil {
 		return nil, errors.Mark(err, ErrMalformed)
 	}
-	if len(plain) > MaxSnapshotBytes {
-		return nil, errors.Wrap(ErrMalformed, "too large")
-	}
 	return plain, nil
 }
