A feed avoids copies of large records that it does not need

Readers then read every version in between, and read again what peers had sent.

With Options.LargeBytes a feed now - reads the newest records instead of all that follow if the store has several, which it asks after a large reply or a failed read; - ends a read in progress when a peer has sent the record; - leaves a large topic that it does not hold to peers until StartDelay has passed.

--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -44,6 +44,14 @@
 	// period without any call, which ends early if a peer sends the complete topic. With
 	// 0 or a nil function the feed reads at once.
 	PeerGracePeriod func() time.Duration
+	// LargeBytes is the size of the topic's records from which on the feed avoids copies that
+	// it does not need: it skips superseded records, ends a read of what peers have sent
+	// meanwhile, and leaves the topic to peers at first. With 0 no topic is large.
+	LargeBytes int
+	// StartDelay returns how long after the start of the feed a large topic that it does not
+	// hold is left to peers. It is called repeatedly, since it may depend on the members.
+	// With a nil function the feed reads at once.
+	StartDelay func() time.Duration
 	// OnChange is called with the records that have changed, and when the complete topic
 	// is held for the first time even if it has no records.
 	OnChange func(Update)
@@ -108,6 +116,10 @@
 	confirmation contract.Confirmation
 	own          contract.Confirmation
 	heard        map[uint32]uint32
+	// cancelTransfer cancels the read in progress, whose records are needless once the topic is
+	// held up to the position transferUntil. It is nil if there is no such read.
+	cancelTransfer context.CancelFunc
+	transferUntil  int64
 	// readRequested means that the next read does not depend on what peers confirm.
 	readRequested bool
 
@@ -123,6 +135,12 @@
 	fromEra     int64
 	fromValid   bool
 	graceEndsAt time.Time
+	// startedAt is when Run began. isLeftToPeers is set while a large topic that is not held is
+	// left to peers, and askEndFirst if several large records may follow those held: the last
+	// read returned at least LargeBytes, or failed. Only Run uses these fields.
+	startedAt     time.Time
+	isLeftToPeers bool
+	askEndFirst   bool
 }
 
 // New returns a Feed that follows its topic while Run is running.
@@ -144,12 +162,15 @@
 	if f.endLoss() {
 		return f.readSnapshot(ctx)
 	}
-	skip, err := f.canSkipRead(ctx)
+	end, skip, err := f.canSkipRead(ctx)
 	if err != nil || skip {
 		return err
 	}
 	if !f.fromValid {
-		return f.readSnapshot(ctx)
+		return f.readFirst(ctx)
+	}
+	if isSuperseded, err := f.isNextSuperseded(ctx, end); err != nil || isSuperseded {
+		return err
 	}
 	batch, err := f.read(ctx)
 	if errors.Is(err, platform.ErrTrimmed) || err == nil && batch.Era != f.fromEra {
@@ -157,6 +178,7 @@
 		return f.readSnapshot(ctx)
 	}
 	if err != nil {
+		f.askEndFirst = f.isLarge(f.HeldBytes())
 		return err
 	}
 	if batch.EndOffset < f.from {
@@ -165,6 +187,7 @@
 	if n := len(batch.Records); n > 0 {
 		f.from = contract.PositionOffset(batch.Records[n-1].Offset) + 1
 	}
+	f.askEndFirst = f.isLarge(sizeOf(batch.Records))
 	f.applyChange(func() []contract.Record { return f.replica.Apply(batch.Records) }, false)
 	if f.from >= batch.EndOffset || f.holdsUpTo(batch) {
 		f.markCaughtUp()
@@ -195,9 +218,9 @@
 	f.confirm(f.caughtUpAt, f.own)
 }
 
-// errReadCanceled means that Refresh has canceled a read: the store neither answered nor
-// failed.
-var errReadCanceled = errors.New("feed: read canceled by a refresh")
+// errReadCanceled means that Refresh has canceled a read, or Merge one whose records a peer has
+// sent: the store neither answered nor failed.
+var errReadCanceled = errors.New("feed: read canceled by a refresh or by records of a peer")
 
 // read reads the records that follow those held. The first read after a Refresh does not
 // wait for records, and a further Refresh does not cancel it: otherwise a store that does
@@ -211,20 +234,31 @@
 	if f.refreshPending {
 		wait, f.cancelRead, f.refreshPending = 0, nil, false
 	}
-	// Records received from peers are not read again.
-	from := contract.PositionOffset(max(contract.NewPosition(f.fromEra, f.from), f.replica.NewestOffset()+1))
+	next := f.nextPosition()
+	f.cancelTransfer, f.transferUntil = cancel, next
 	f.mu.Unlock()
-	batch, err := f.store.Read(readCtx, f.opts.Topic, from, wait)
+	defer f.endTransfer()
+	batch, err := f.store.Read(readCtx, f.opts.Topic, contract.PositionOffset(next), wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		return platform.Batch{}, errReadCanceled
 	}
 	return batch, err
 }
 
+// nextPosition returns the position from which the next read continues. Records received from
+// peers are not read again. f.mu must be held.
+func (f *Feed) nextPosition() int64 {
+	return max(contract.NewPosition(f.fromEra, f.from), f.replica.NewestOffset()+1)
+}
+
 // readSnapshot reads the newest record of each key, and sets the offset from which later
 // reads continue.
-func (f *Feed) readSnapshot(ctx context.Context) error {
-	batch, err := f.store.Newest(ctx, f.opts.Topic)
+func (f *Feed) readSnapshot(ctx context.Context) error { return f.readSnapshotUpTo(ctx, 0) }
+
+// readSnapshotUpTo is readSnapshot for a topic of up to maxBytes; 0 for any size. It fails with
+// platform.ErrTooLarge for another one.
+func (f *Feed) readSnapshotUpTo(ctx context.Context, maxBytes int) error {
+	batch, err := f.store.NewestUpTo(ctx, f.opts.Topic, maxBytes)
 	if errors.Is(err, platform.ErrNotFound) {
 		batch, err = platform.Batch{Era: f.store.Era()}, nil
 	}
@@ -232,6 +266,7 @@
 		return err
 	}
 	f.from, f.fromEra, f.fromValid = batch.EndOffset, batch.Era, true
+	f.askEndFirst = f.isLarge(sizeOf(batch.Records))
 	f.reset(batch.Records, batch.Era, contract.NewPosition(batch.Era, batch.EndOffset))
 	f.markCaughtUp()
 	return nil
--- a/machine/feed/peergrace.go
+++ b/machine/feed/peergrace.go
@@ -45,31 +45,40 @@
 
 // canSkipRead reports whether the store need not be read now: because the topic is held
 // up to its end, or because peers still have time to send what is missing. It starts and
-// ends the grace period and, with the topic held, moves the next read to the end offset.
-func (f *Feed) canSkipRead(ctx context.Context) (bool, error) {
+// ends the grace period and, with the topic held, moves the next read to the end offset. end is
+// where the topic ends; nil if the store was not asked.
+func (f *Feed) canSkipRead(ctx context.Context) (end *platform.Batch, skip bool, err error) {
 	gracePeriod := f.gracePeriod()
 	if gracePeriod <= 0 {
 		f.graceEndsAt = time.Time{}
-		return false, nil
+		return nil, false, nil
 	}
-	end, err := f.store.EndOffset(ctx, f.opts.Topic)
-	if errors.Is(err, platform.ErrNotFound) {
-		end, err = platform.Batch{Era: f.store.Era()}, nil
+	if end, err = f.endOffset(ctx); err != nil {
+		return nil, false, err
 	}
-	if err != nil {
-		return false, err
-	}
-	if f.holdsUpTo(end) {
-		f.skipTo(end)
+	if f.holdsUpTo(*end) {
+		f.skipTo(*end)
 		f.graceEndsAt = time.Time{}
 		f.markCaughtUp()
-		return true, nil
+		return end, true, nil
 	}
 	now := time.Now()
 	if f.graceEndsAt.IsZero() {
 		f.graceEndsAt = now.Add(jitter(gracePeriod))
 	}
-	return now.Before(f.graceEndsAt), nil
+	return end, now.Before(f.graceEndsAt), nil
+}
+
+// endOffset requests where the topic ends. A topic that does not exist yet ends at offset 0.
+func (f *Feed) endOffset(ctx context.Context) (*platform.Batch, error) {
+	end, err := f.store.EndOffset(ctx, f.opts.Topic)
+	if errors.Is(err, platform.ErrNotFound) {
+		end, err = platform.Batch{Era: f.store.Era()}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &end, nil
 }
 
 // skipTo makes the next read begin at the end offset of a batch, unless a later one is known
--- a/machine/feed/peerrecords.go
+++ b/machine/feed/peerrecords.go
@@ -23,6 +23,7 @@
 		return
 	case records.Era > era, records.All:
 		f.reset(records.Records, records.Era, records.Newest+1)
+		f.cancelNeedlessTransfer()
 		return
 	}
 	f.applyChange(func() []contract.Record {
@@ -32,6 +33,7 @@
 		}
 		return changed
 	}, records.Synced)
+	f.cancelNeedlessTransfer()
 }
 
 func (f *Feed) replicaEra() int64 {
--- a/machine/feed/schedule.go
+++ b/machine/feed/schedule.go
@@ -10,6 +10,7 @@
 
 // Run follows the topic until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
+	f.startedAt = time.Now()
 	f.awaitPeers(ctx)
 	failures := 0
 	for ctx.Err() == nil {
@@ -46,6 +47,9 @@
 }
 
 func (f *Feed) nextReadDelay() time.Duration {
+	if f.isLeftToPeers && !f.HasSynced() {
+		return startCheckInterval
+	}
 	if !f.graceEndsAt.IsZero() {
 		return lagCheckInterval
 	}
