Entries take turns to pull large records from another region, compressed

Every entry of a zone pulled from a remote peer 0.75 s after it had heard of a newer offset: 14 copies of each manifest crossed a link between regions at the same time. The time counted from when the entry first fell behind, so that one that was late with a version was due at once for the next. A pull from a silent peer also kept an entry from pulling from a neighbour that had the records by then.

- The time counts from the first report of an offset above the one that is held now.
- A pull from a remote peer runs beside those from local peers, and ends when the feed holds what it was to bring.

isDue of peerOffsets became untilDue, which takes the offset that is held, and peerAhead returns a struct: the existing tests are adapted to that and check the same.

--- a/contract/message.go
+++ b/contract/message.go
@@ -270,6 +270,9 @@
 	Key    string `cbor:"2,keyasint"`
 	// Value is empty for a key that was deleted.
 	Value []byte `cbor:"3,keyasint,omitempty"`
+	// Packed is the value in DEFLATE format, in place of Value. Only the reply to a pull with
+	// AcceptPacked has it.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // RecordsPull requests from a peer the records that it has of a topic of the platform's
@@ -279,6 +282,8 @@
 	// After is the position up to which the peer omits records. A peer in a newer era of the
 	// store sends all.
 	After int64 `cbor:"2,keyasint"`
+	// AcceptPacked reports that the sender reads records with Packed.
+	AcceptPacked bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Records answers a RecordsPull.
--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -24,26 +24,39 @@
 	// busyRetryDelay is the mean delay before the next pull after a peer was busy.
 	busyRetryDelay = 100 * time.Millisecond
 	// remoteGracePeriod is how long the local peers and the store are given to deliver
-	// what a remote peer holds: manifests are large, and links between regions are
-	// narrow.
+	// what a remote peer holds, unless SetDelays is called: manifests are large, and links
+	// between regions are narrow.
 	remoteGracePeriod = 750 * time.Millisecond
 )
 
+// recordSource is where a Catchup pulls records from.
+type recordSource interface {
+	// PullFrom requests a topic's records above an offset from a machine, Pull from any entry.
+	PullFrom(ctx context.Context, id contract.MachineID, topic string, after int64) (contract.Records, error)
+	Pull(ctx context.Context, topic string, after int64) (contract.Records, error)
+}
+
 // Catchup pulls from peers the records that a feed does not receive from the store:
 // because the store refuses the process's calls, or because a waiting read was not woken.
 type Catchup struct {
-	peers       *Peers
-	feed        *feed.Feed
-	topic       string
-	gracePeriod time.Duration
-	// trigger wakes Run when a local peer has reported a new highest offset.
+	source recordSource
+	feed   *feed.Feed
+	topic  string
+	// localDelay returns how long the store is given to deliver what a local peer holds,
+	// remoteDelay how long the store and the local peers are given to deliver what a remote
+	// peer holds.
+	localDelay, remoteDelay func() time.Duration
+	// trigger wakes Run when a local peer has reported a new highest offset, and when a remote
+	// peer that was busy may be asked again.
 	trigger chan struct{}
 
 	mu sync.Mutex
 	// local holds the offsets of the peers from which records are pulled after
-	// gracePeriod, remote those of the peers used after remoteGracePeriod if no local
+	// localDelay, remote those of the peers used after remoteDelay if no local
 	// peer is ahead.
 	local, remote peerOffsets
+	// cancelRemote cancels the pull from a remote peer in progress; nil if there is none.
+	cancelRemote context.CancelFunc
 }
 
 // NewCatchup returns a Catchup for a feed and its topic. The store is given gracePeriod
@@ -56,8 +69,17 @@
 	return newCatchup(p, f, topic, gracePeriod)
 }
 
-func newCatchup(p *Peers, f *feed.Feed, topic string, gracePeriod time.Duration) *Catchup {
-	return &Catchup{peers: p, feed: f, topic: topic, gracePeriod: gracePeriod, local: newPeerOffsets(), remote: newPeerOffsets(), trigger: make(chan struct{}, 1)}
+func newCatchup(source recordSource, f *feed.Feed, topic string, gracePeriod time.Duration) *Catchup {
+	c := &Catchup{source: source, feed: f, topic: topic, local: newPeerOffsets(), remote: newPeerOffsets(), trigger: make(chan struct{}, 1)}
+	c.SetDelays(func() time.Duration { return gracePeriod }, func() time.Duration { return remoteGracePeriod })
+	return c
+}
+
+// SetDelays sets how long the store is given to deliver what a local peer holds, and how long the
+// store and the local peers are given to deliver what a remote peer holds. It must be called
+// before Run.
+func (c *Catchup) SetDelays(local, remote func() time.Duration) {
+	c.localDelay, c.remoteDelay = local, remote
 }
 
 // ObservePeer applies how far a peer reports that it knows the topic; progress is nil if it
@@ -85,9 +107,13 @@
 	held := c.feed.NewestOffset()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.local.observe(time.Now(), peer, newest, held) {
-		return
+	if c.local.observe(time.Now(), peer, newest, held) {
+		c.wake()
 	}
+}
+
+// wake makes Run check at once whether records are to be pulled.
+func (c *Catchup) wake() {
 	select {
 	case c.trigger <- struct{}{}:
 	default:
@@ -100,7 +126,7 @@
 	held := c.feed.NewestOffset()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.remote.observe(time.Now(), peer, newest, max(held, c.local.newestOffset))
+	c.remote.observe(time.Now(), peer, newest, held)
 }
 
 // Run pulls from peers until ctx is done.
@@ -114,72 +140,130 @@
 		case <-c.trigger:
 		case <-timer.C:
 		}
-		delay := lagCheckInterval
-		if c.pullIfNeeded(ctx) {
-			delay = busyRetryDelay/2 + rand.N(busyRetryDelay)
-		}
-		timer.Reset(delay)
+		timer.Reset(c.pullIfNeeded(ctx))
 	}
 }
 
-// pullIfNeeded pulls from a peer whose records are due, or from any entry if that peer does not
-// answer, or if the store is lost and the topic is not held at all. busy means that the peer was busy and the pull is
-// to be repeated soon. If no pull succeeds, the feed reads the store again, which may
-// hold what the peers reported.
-func (c *Catchup) pullIfNeeded(ctx context.Context) (busy bool) {
-	id, ok := c.peerAhead(time.Now())
-	if !ok && (c.feed.IsStoreUp() || c.feed.HasSynced()) {
-		return false
-	}
-	var err error
-	if ok {
-		err = c.pullFrom(ctx, id)
-		if err == nil || errors.Is(err, ErrBusy) {
-			return err != nil
+// pullIfNeeded pulls from a peer whose records are due, or from any entry if the store is lost and
+// the topic is not held at all. It returns the time until the next check.
+func (c *Catchup) pullIfNeeded(ctx context.Context) time.Duration {
+	ahead := c.peerAhead(time.Now())
+	isLost := !c.feed.IsStoreUp() && !c.feed.HasSynced()
+	switch {
+	case ahead.isDue && ahead.isRemote:
+		c.pullRemote(ctx, ahead.peer)
+	case ahead.isDue:
+		if c.pull(ctx, ahead.peer) {
+			return busyDelay()
+		}
+	case isLost:
+		if c.pullAny(ctx) {
+			return busyDelay()
 		}
-		c.removePeer(id)
+	default:
+		return min(ahead.untilDue, lagCheckInterval)
 	}
-	err = c.pullAny(ctx)
-	if errors.Is(err, ErrBusy) {
-		return true
+	return lagCheckInterval
+}
+
+// busyDelay returns the delay before the next pull after a peer was busy.
+func busyDelay() time.Duration { return busyRetryDelay/2 + rand.N(busyRetryDelay) }
+
+// pullRemote pulls from a remote peer, unless such a pull is in progress, without keeping Run from
+// pulling from a local peer meanwhile.
+func (c *Catchup) pullRemote(ctx context.Context, id contract.MachineID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelRemote != nil {
+		return
 	}
-	if err != nil {
-		c.feed.Refresh()
+	pullCtx, cancel := context.WithCancel(ctx)
+	c.cancelRemote = cancel
+	go func() {
+		busy := c.pull(pullCtx, id)
+		if busy {
+			sleep(pullCtx, busyDelay())
+		}
+		cancel()
+		c.mu.Lock()
+		c.cancelRemote = nil
+		c.mu.Unlock()
+		if busy {
+			c.wake()
+		}
+	}()
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	return false
 }
 
-func (c *Catchup) pullFrom(ctx context.Context, id contract.MachineID) error {
-	records, err := c.peers.PullFrom(ctx, id, c.topic, c.feed.NewestOffset())
-	if err == nil {
+// pull pulls from a peer, or from any entry if that peer does not answer. It reports whether the
+// peer was busy, so that the pull is to be repeated soon.
+func (c *Catchup) pull(ctx context.Context, id contract.MachineID) (busy bool) {
+	records, err := c.source.PullFrom(ctx, id, c.topic, c.feed.NewestOffset())
+	switch {
+	case err == nil:
 		c.feed.Merge(records)
+		return false
+	case errors.Is(err, ErrBusy):
+		return true
+	case ctx.Err() != nil:
+		return false
 	}
-	return err
+	c.removePeer(id)
+	return c.pullAny(ctx)
 }
 
-func (c *Catchup) pullAny(ctx context.Context) error {
-	records, err := c.peers.Pull(ctx, c.topic, c.feed.NewestOffset())
-	if err == nil {
+// pullAny pulls from any entry. If that fails, the feed reads the store again, which may
+// hold what the peers reported.
+func (c *Catchup) pullAny(ctx context.Context) (busy bool) {
+	records, err := c.source.Pull(ctx, c.topic, c.feed.NewestOffset())
+	switch {
+	case err == nil:
 		c.feed.Merge(records)
+	case errors.Is(err, ErrBusy):
+		return true
+	default:
+		c.feed.Refresh()
 	}
-	return err
+	return false
 }
 
-// peerAhead returns a peer that holds newer records than the feed, and whether they are
-// due: the grace period for other sources to deliver them has passed. While a local peer
-// is ahead, remote peers are not considered.
-func (c *Catchup) peerAhead(now time.Time) (contract.MachineID, bool) {
-	held := c.feed.NewestOffset()
+// aheadPeer is a peer that holds newer records than the feed.
+type aheadPeer struct {
+	peer     contract.MachineID
+	isRemote bool
+	// isDue reports whether the time for other sources to deliver the records has passed,
+	// which it will have untilDue later.
+	isDue    bool
+	untilDue time.Duration
+}
+
+// peerAhead returns a peer that holds newer records than the feed. While a local peer is ahead,
+// remote peers are not considered. A pull from a remote peer in progress is canceled if the feed
+// holds what the peer reported.
+func (c *Catchup) peerAhead(now time.Time) aheadPeer {
+	held, localDelay, remoteDelay := c.feed.NewestOffset(), c.localDelay(), c.remoteDelay()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	isRemoteAhead := c.remote.isAhead(held)
+	if !isRemoteAhead && c.cancelRemote != nil {
+		c.cancelRemote()
+	}
+	ahead := aheadPeer{untilDue: lagCheckInterval}
 	switch {
 	case c.local.isAhead(held):
-		return c.local.randomPeer(), c.local.isDue(now, c.gracePeriod)
-	case c.remote.isAhead(held):
-		return c.remote.randomPeer(), c.remote.isDue(now, remoteGracePeriod)
-	default:
-		return "", false
+		ahead = aheadPeer{peer: c.local.randomPeer(), untilDue: c.local.untilDue(now, held, localDelay)}
+	case isRemoteAhead:
+		ahead = aheadPeer{peer: c.remote.randomPeer(), isRemote: true, untilDue: c.remote.untilDue(now, held, remoteDelay)}
 	}
+	ahead.isDue = ahead.untilDue <= 0
+	return ahead
 }
 
 // removePeer removes a peer that did not answer from the peers that are ahead.
--- a/machine/peers/entries.go
+++ b/machine/peers/entries.go
@@ -24,6 +24,21 @@
 	return rank
 }
 
+// PlaceInZone returns the number of listed entries of this process's zone that precede it by
+// machine name, running or not, and the number of all of them. ok is false if the members have not
+// been read.
+func (p *Peers) PlaceInZone() (place, size int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries := p.zoneEntries[p.opts.Self.Zone]
+	for _, m := range entries {
+		if m.Machine < p.opts.Self.Machine {
+			place++
+		}
+	}
+	return place, len(entries), !p.firstReadAt.IsZero()
+}
+
 // MayBeRunning reports whether an entry may be running and connected: a neighbour if it is linked,
 // another entry if any neighbour of its zone is, or if there is none.
 func (p *Peers) MayBeRunning(id contract.MachineID) bool {
--- a/machine/peers/helpers_test.go
+++ b/machine/peers/helpers_test.go
@@ -32,9 +32,7 @@
 		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
 	})
 	c := NewCatchup(puller, f, platform.TopicOperators, 0)
-	for !puller.IsLinked(linked) {
-		time.Sleep(time.Millisecond)
-	}
+	waitForLink(puller, linked)
 	c.ObservePeerOffset(ahead, newest)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -68,3 +66,10 @@
 	})
 	return p
 }
+
+// waitForLink waits until a process is linked to a machine.
+func waitForLink(p *Peers, id contract.MachineID) {
+	for !p.IsLinked(id) {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/machine/peers/peeroffsets_test.go
+++ b/machine/peers/peeroffsets_test.go
@@ -22,10 +22,10 @@
 	for i := range 3 {
 		offsets.observe(start.Add(time.Duration(i)*interval), "entry-1", int64(i), -1)
 	}
-	if !offsets.isAhead(-1) || !offsets.isDue(start.Add(2*interval), gracePeriod) {
+	if !offsets.isAhead(-1) || offsets.untilDue(start.Add(2*interval), -1, gracePeriod) > 0 {
 		t.Errorf("pull not due %v after the process fell behind, want it due: %+v", 2*interval, offsets)
 	}
-	if offsets.observe(start.Add(time.Minute), "entry-1", 3, 2); offsets.isDue(start.Add(time.Minute), gracePeriod) {
+	if offsets.observe(start.Add(time.Minute), "entry-1", 3, 2); offsets.untilDue(start.Add(time.Minute), 2, gracePeriod) <= 0 {
 		t.Error("pull due at once after the process had caught up, want it due after the grace period")
 	}
 }
@@ -66,18 +66,18 @@
 		c := NewCatchup(nil, f, platform.TopicOperators, remoteGracePeriod/3)
 		c.ObserveRemotePeerOffset("far", 4)
 		time.Sleep(remoteGracePeriod / 2)
-		if id, ok := c.peerAhead(time.Now()); ok {
-			t.Errorf("peerAhead() = %s, true within the grace period, want false", id)
+		if ahead := c.peerAhead(time.Now()); ahead.isDue {
+			t.Errorf("peerAhead() = %+v within the grace period, want it not due", ahead)
 		}
 		c.ObservePeerOffset("near", 4)
 		time.Sleep(remoteGracePeriod / 3)
-		if id, ok := c.peerAhead(time.Now()); !ok || id != "near" {
-			t.Errorf("peerAhead() = %q, %v, want the local peer, true", id, ok)
+		if ahead := c.peerAhead(time.Now()); !ahead.isDue || ahead.peer != "near" {
+			t.Errorf("peerAhead() = %+v, want the local peer, due", ahead)
 		}
 		c.removePeer("near")
 		time.Sleep(remoteGracePeriod)
-		if id, ok := c.peerAhead(time.Now()); !ok || id != "far" {
-			t.Errorf("peerAhead() = %q, %v, want the remote peer, true", id, ok)
+		if ahead := c.peerAhead(time.Now()); !ahead.isDue || ahead.peer != "far" {
+			t.Errorf("peerAhead() = %+v, want the remote peer, due", ahead)
 		}
 	})
 }
--- a/machine/peers/streams.go
+++ b/machine/peers/streams.go
@@ -47,7 +47,7 @@
 // PullFrom requests a topic's records above an offset from a machine. It returns ErrBusy
 // if the machine is serving other pulls.
 func (p *Peers) PullFrom(ctx context.Context, id contract.MachineID, topic string, after int64) (contract.Records, error) {
-	pull := contract.Message{Kind: contract.KindRecordsPull, RecordsPull: &contract.RecordsPull{Topic: topic, After: after}}
+	pull := contract.Message{Kind: contract.KindRecordsPull, RecordsPull: &contract.RecordsPull{Topic: topic, After: after, AcceptPacked: true}}
 	openCtx, cancel := context.WithTimeout(ctx, streamTimeout)
 	defer cancel()
 	s, err := p.OpenStream(openCtx, id, pull)
@@ -55,6 +55,7 @@
 		return contract.Records{}, err
 	}
 	defer s.Close()
+	defer context.AfterFunc(ctx, s.Reset)()
 	s.SetReadIdleTimeout(streamTimeout)
 	m, err := s.Recv()
 	if err != nil {
@@ -66,6 +67,9 @@
 	if m.Records.Busy {
 		return contract.Records{}, ErrBusy
 	}
+	if err := unpack(m.Records.Records); err != nil {
+		return contract.Records{}, err
+	}
 	return *m.Records, nil
 }
 
