Entries bring large manifests into their zone by turns, also at their start

The entries use the turns of peers.RemotePullDelay and the feed's handling of large topics for the operators' records:

- An entry that starts in a zone of more than four reads a large manifest from the store if it is one of the first two by name, and later, by turns 0.4 s apart, if no peer has sent it until then.
Small manifests and small zones are read at once, as before.
- While it is not yet linked to its zone it does not count as the first in rank, nor entries of other zones as its neighbours: all entries that had lost power did.
- Entries that do not wait at the store pull from a neighbour at once, not after 0.25 s in which the store cannot deliver anything to them.
- Those that have to read the store themselves do so by turns if the manifest is large.
- Replies to pulls are compressed if the peer accepts it.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -102,6 +102,7 @@
 	remoteFlights *pacer
 	// transferSlots holds one element for each transfer of operators' records to a peer.
 	transferSlots chan struct{}
+	packer        *peers.Packer
 	// runCtx ends when the entry has stopped, which is later than the signal to stop.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -123,6 +124,7 @@
 
 		remoteFlights: newPacer(remoteFlightsInterval),
 		transferSlots: make(chan struct{}, maxTransfers),
+		packer:        peers.NewPacker(),
 	}
 	e.meters = newMeters(e.metrics.Scope())
 	e.callerConns = newConnTracker(e.log, e.meters)
@@ -135,6 +137,8 @@
 		ReadInterval:    e.operatorsReadInterval,
 		TakeoverAge:     e.operatorsTakeoverAge,
 		PeerGracePeriod: e.operatorsPeerGracePeriod,
+		LargeBytes:      peers.LargeTopicBytes,
+		StartDelay:      e.operatorsStartDelay,
 		OnChange:        e.applyOperatorRecords,
 		RewriteTimeout:  operatorsRewriteTimeout,
 		Compare:         platform.CompareOperatorRecords,
@@ -172,6 +176,7 @@
 		Log:           e.log,
 	})
 	e.operatorsCatchup = peers.NewCatchup(e.peers, e.operatorsFeed, platform.TopicOperators, operatorsCatchupDelay)
+	e.operatorsCatchup.SetDelays(e.operatorsLocalDelay, e.operatorsRemoteDelay)
 	e.targetsCatchup = peers.NewCatchup(e.peers, e.targetsFeed, platform.TopicTargets, 0)
 	return e, nil
 }
--- a/machine/entry/direct/operators.go
+++ b/machine/entry/direct/operators.go
@@ -6,6 +6,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -16,6 +17,17 @@
 	// records after about operatorsFollowerGracePeriod.
 	operatorReadersPerZone       = 2
 	operatorsFollowerGracePeriod = 600 * time.Millisecond
+	// linkPeriod is the time after an entry has first read the members during which it has no
+	// links yet to the entries that precede it: it counts all of them as running.
+	linkPeriod = 1500 * time.Millisecond
+	// maxUnrankedZone is the number of entries of a zone up to which all of them read a large
+	// manifest at their start at the same time. In a larger zone those of the first turn do so,
+	// and those of each later turn startTurnInterval after the turn before, unless a peer has
+	// sent it. maxMembersWait is how long an entry waits for the members that show its turn: a
+	// process that cannot read them cannot read the manifest either.
+	maxUnrankedZone   = 4
+	startTurnInterval = 400 * time.Millisecond
+	maxMembersWait    = 1500 * time.Millisecond
 	// maxTransfers is how many peers the entry sends operators' records to at a time.
 	// Peers that have the records pass them on, so that not all copies go over this
 	// entry's link.
@@ -25,10 +37,48 @@
 	transferTimeout = 8 * time.Second
 )
 
+// operatorsRank returns the place of this entry among those of its zone that bring operators'
+// records into it.
+func (e *Entry) operatorsRank() int {
+	rank := e.peers.RankInZone()
+	if !e.isLinking() {
+		return rank
+	}
+	place, _, _ := e.peers.PlaceInZone()
+	return max(rank, place)
+}
+
+// isLinking reports whether this entry has just started in a zone of many entries, and is not yet
+// linked to those that it will be linked to.
+func (e *Entry) isLinking() bool {
+	_, size, ok := e.peers.PlaceInZone()
+	return !ok || size > maxUnrankedZone && time.Since(e.peers.MembersFirstReadAt()) < linkPeriod
+}
+
+// operatorsStartDelay returns how long after its start this entry leaves a large manifest to
+// peers.
+func (e *Entry) operatorsStartDelay() time.Duration {
+	place, size, ok := e.peers.PlaceInZone()
+	switch {
+	case !ok:
+		return maxMembersWait
+	case size <= maxUnrankedZone:
+		return 0
+	default:
+		return time.Duration(startTurn(place)) * startTurnInterval
+	}
+}
+
+// startTurn returns the turn of the entry at a place in its zone to read a large manifest at its
+// start. The first turn is that of the entries that wait at the store later.
+func startTurn(place int) int {
+	return max(peers.TransferTurn(place)-peers.TransferTurn(operatorReadersPerZone-1), 0)
+}
+
 // isOperatorsFollower reports whether this entry leaves reading the operators' records to
 // other entries of its zone.
 func (e *Entry) isOperatorsFollower() bool {
-	return e.operatorsFeed.HasSynced() && e.peers.RankInZone() >= operatorReadersPerZone
+	return e.operatorsFeed.HasSynced() && e.operatorsRank() >= operatorReadersPerZone
 }
 
 // operatorsReadInterval returns the time until the operators' records are read again.
@@ -42,25 +92,55 @@
 // operatorsTakeoverAge returns how old the store's confirmation of the operators' records must
 // be for this entry to ask the store; 0 for the entries that wait there.
 func (e *Entry) operatorsTakeoverAge() time.Duration {
-	rank := e.peers.RankInZone()
+	rank := e.operatorsRank()
 	if rank < operatorReadersPerZone {
 		return 0
 	}
 	return e.takeoverAge(operatorsPollTimeout, rank)
 }
 
-// operatorsPeerGracePeriod returns how long the zone's other entries are given to deliver
-// the operators' records.
+// operatorsPeerGracePeriod returns how long peers are given to deliver the operators' records
+// once this entry has learned from the store that some are missing.
 func (e *Entry) operatorsPeerGracePeriod() time.Duration {
-	if e.isOperatorsFollower() {
+	if !e.isOperatorsFollower() {
+		return 0
+	}
+	return followerGracePeriod(e.operatorsRank(), e.operatorsFeed.HeldBytes())
+}
+
+// followerGracePeriod returns how long an entry with a rank in its zone leaves operators' records
+// to peers. Entries take turns to read large ones.
+func followerGracePeriod(rank, heldBytes int) time.Duration {
+	if heldBytes < peers.LargeTopicBytes {
 		return operatorsFollowerGracePeriod
 	}
-	return 0
+	turns := peers.TransferTurn(rank) - peers.TransferTurn(operatorReadersPerZone)
+	return operatorsFollowerGracePeriod + time.Duration(max(turns, 0))*peers.TurnInterval
+}
+
+// operatorsLocalDelay returns how long the store is given to deliver operators' records that a
+// peer of this entry's zone holds. It delivers them only to entries that wait there.
+func (e *Entry) operatorsLocalDelay() time.Duration {
+	if !e.operatorsFeed.HasSynced() || e.isOperatorsFollower() {
+		return 0
+	}
+	return operatorsCatchupDelay
+}
+
+// operatorsRemoteDelay returns how long the store and the peers of this entry's zone are given to
+// deliver operators' records that a peer of another zone holds. Until this entry holds any, they
+// count as large.
+func (e *Entry) operatorsRemoteDelay() time.Duration {
+	bytes := peers.LargeTopicBytes
+	if e.operatorsFeed.HasSynced() {
+		bytes = e.operatorsFeed.HeldBytes()
+	}
+	return peers.RemotePullDelay(e.operatorsRank(), bytes)
 }
 
 // observeOperators records how far a peer knows the operators' records.
 func (e *Entry) observeOperators(hb contract.Heartbeat) {
-	if hb.Zone == e.process.Zone || e.peers.IsAloneInZone() {
+	if hb.Zone == e.process.Zone || e.peers.IsAloneInZone() && !e.isLinking() {
 		e.operatorsCatchup.ObservePeer(hb.Machine, hb.Operators)
 		return
 	}
@@ -75,6 +155,7 @@
 		e.log.WithField("topic", pull.Topic).Warn("peer requested unknown topic")
 		return
 	}
+	records.Records = e.packer.Pack(pull, records.Records)
 	_ = s.SetWriteDeadline(time.Now().Add(transferTimeout))
 	if err := s.Send(contract.Message{Kind: contract.KindRecords, Records: &records}); err != nil {
 		e.log.WithError(err).WithField("topic", pull.Topic).Warn("sending records to peer failed")
