--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -139,6 +139,7 @@
 		PeerGracePeriod: e.operatorsPeerGracePeriod,
 		LargeBytes:      peers.LargeTopicBytes,
 		StartDelay:      e.operatorsStartDelay,
+		OnCopyAvoided:   e.meters.countAvoidedCopy,
 		OnChange:        e.applyOperatorRecords,
 		RewriteTimeout:  operatorsRewriteTimeout,
 		Compare:         platform.CompareOperatorRecords,
@@ -177,6 +178,7 @@
 	})
 	e.operatorsCatchup = peers.NewCatchup(e.peers, e.operatorsFeed, platform.TopicOperators, operatorsCatchupDelay)
 	e.operatorsCatchup.SetDelays(e.operatorsLocalDelay, e.operatorsRemoteDelay)
+	e.operatorsCatchup.OnRemotePull(e.reportRemotePull)
 	e.targetsCatchup = peers.NewCatchup(e.peers, e.targetsFeed, platform.TopicTargets, 0)
 	return e, nil
 }
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -10,6 +10,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -81,6 +82,16 @@
 // countStoreRestore counts a return of the store from an older copy.
 func (m *meters) countStoreRestore() { m.scope.Counter("store_restores").Inc(1) }
 
+// countRemotePull counts a pull of operators' records from an entry of another zone, by its result.
+func (m *meters) countRemotePull(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("remote_pulls").Inc(1)
+}
+
+// countAvoidedCopy counts a copy of large operators' records that was not read from the store.
+func (m *meters) countAvoidedCopy(reason feed.AvoidedCopy) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("copies_avoided").Inc(1)
+}
+
 // countSilence counts an attempt whose target has fallen silent.
 func (m *meters) countSilence() { m.scope.Counter("target_silences").Inc(1) }
 
--- a/machine/entry/direct/operators.go
+++ b/machine/entry/direct/operators.go
@@ -138,6 +138,13 @@
 	return peers.RemotePullDelay(e.operatorsRank(), bytes)
 }
 
+// reportRemotePull logs and counts a pull of operators' records from an entry of another zone.
+func (e *Entry) reportRemotePull(p peers.RemotePull) {
+	e.meters.countRemotePull(string(p.Result))
+	e.log.WithField("topic", platform.TopicOperators).WithField("peer", string(p.Peer)).WithField("result", string(p.Result)).
+		WithField("ms", p.Took.Milliseconds()).Info("records pulled from another zone")
+}
+
 // observeOperators records how far a peer knows the operators' records.
 func (e *Entry) observeOperators(hb contract.Heartbeat) {
 	if hb.Zone == e.process.Zone || e.peers.IsAloneInZone() && !e.isLinking() {
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -52,6 +52,8 @@
 	// hold is left to peers. It is called repeatedly, since it may depend on the members.
 	// With a nil function the feed reads at once.
 	StartDelay func() time.Duration
+	// OnCopyAvoided is called for each copy of large records that the feed avoids; it may be nil.
+	OnCopyAvoided func(AvoidedCopy)
 	// OnChange is called with the records that have changed, and when the complete topic
 	// is held for the first time even if it has no records.
 	OnChange func(Update)
--- a/machine/feed/largetopic.go
+++ b/machine/feed/largetopic.go
@@ -14,6 +14,27 @@
 // checks whether they have sent it.
 const startCheckInterval = 50 * time.Millisecond
 
+// AvoidedCopy is why a feed does not read large records from the store.
+type AvoidedCopy string
+
+// The reasons: a topic that is not held is left to peers, records that are superseded are skipped,
+// a peer has sent the records while they were read, or before the store was first asked.
+const (
+	LeftToPeers    AvoidedCopy = "left_to_peers"
+	Superseded     AvoidedCopy = "superseded"
+	SentMeanwhile  AvoidedCopy = "sent_meanwhile"
+	SentBeforeRead AvoidedCopy = "sent_before_read"
+)
+
+// reportAvoided logs and reports that a copy is avoided. records is the number of records that
+// are not read; 0 if it is not known.
+func (f *Feed) reportAvoided(reason AvoidedCopy, records int64) {
+	f.opts.Log.WithField("topic", f.opts.Topic).WithField("reason", string(reason)).WithField("records", records).Info("large records not read")
+	if f.opts.OnCopyAvoided != nil {
+		f.opts.OnCopyAvoided(reason)
+	}
+}
+
 // HeldBytes returns the size of the records that are held.
 func (f *Feed) HeldBytes() int {
 	f.mu.Lock()
@@ -61,6 +82,7 @@
 	err := f.readSnapshotUpTo(ctx, f.opts.LargeBytes)
 	if errors.Is(err, platform.ErrTooLarge) {
 		f.isLeftToPeers = true
+		f.reportAvoided(LeftToPeers, 0)
 		return nil
 	}
 	return err
@@ -89,6 +111,7 @@
 	default:
 		return f.readSnapshot(ctx)
 	}
+	f.reportAvoided(SentBeforeRead, 0)
 	return nil
 }
 
@@ -111,6 +134,7 @@
 	if end.Era != f.fromEra || missing <= 1 {
 		return false, nil
 	}
+	f.reportAvoided(Superseded, missing-1)
 	return true, f.readTransfer(ctx, contract.NewPosition(end.Era, end.EndOffset)-1)
 }
 
@@ -141,10 +165,13 @@
 // what it was to return.
 func (f *Feed) cancelNeedlessTransfer() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cancelTransfer == nil || !f.hasSynced || f.replica.NewestOffset() < f.transferUntil || !f.isLarge(f.replica.size()) {
-		return
+	isNeedless := f.cancelTransfer != nil && f.hasSynced && f.replica.NewestOffset() >= f.transferUntil && f.isLarge(f.replica.size())
+	if isNeedless {
+		f.cancelTransfer()
+		f.cancelTransfer = nil
+	}
+	f.mu.Unlock()
+	if isNeedless {
+		f.reportAvoided(SentMeanwhile, 1)
 	}
-	f.cancelTransfer()
-	f.cancelTransfer = nil
 }
--- a/machine/peers/catchup.go
+++ b/machine/peers/catchup.go
@@ -46,6 +46,8 @@
 	// remoteDelay how long the store and the local peers are given to deliver what a remote
 	// peer holds.
 	localDelay, remoteDelay func() time.Duration
+	// onRemotePull is called when a pull from a remote peer has ended; it may be nil.
+	onRemotePull func(RemotePull)
 	// trigger wakes Run when a local peer has reported a new highest offset, and when a remote
 	// peer that was busy may be asked again.
 	trigger chan struct{}
@@ -82,6 +84,29 @@
 	c.localDelay, c.remoteDelay = local, remote
 }
 
+// RemotePull is a pull from a remote peer that has ended.
+type RemotePull struct {
+	Peer   contract.MachineID
+	Took   time.Duration
+	Result PullResult
+}
+
+// PullResult is what became of a pull.
+type PullResult string
+
+// The results of pulls: the records were received, the peer was busy, the records arrived
+// otherwise meanwhile, or the peer did not answer.
+const (
+	PullReceived PullResult = "received"
+	PullBusy     PullResult = "busy"
+	PullCanceled PullResult = "canceled"
+	PullFailed   PullResult = "failed"
+)
+
+// OnRemotePull sets the function that is called when a pull from a remote peer has ended. It must
+// be called before Run.
+func (c *Catchup) OnRemotePull(report func(RemotePull)) { c.onRemotePull = report }
+
 // ObservePeer applies how far a peer reports that it knows the topic; progress is nil if it
 // does not know the topic.
 func (c *Catchup) ObservePeer(peer contract.MachineID, progress *contract.TopicProgress) {
@@ -153,11 +178,11 @@
 	case ahead.isDue && ahead.isRemote:
 		c.pullRemote(ctx, ahead.peer)
 	case ahead.isDue:
-		if c.pull(ctx, ahead.peer) {
+		if c.pull(ctx, ahead.peer) == PullBusy {
 			return busyDelay()
 		}
 	case isLost:
-		if c.pullAny(ctx) {
+		if c.pullAny(ctx) == PullBusy {
 			return busyDelay()
 		}
 	default:
@@ -180,15 +205,19 @@
 	pullCtx, cancel := context.WithCancel(ctx)
 	c.cancelRemote = cancel
 	go func() {
-		busy := c.pull(pullCtx, id)
-		if busy {
+		started := time.Now()
+		result := c.pull(pullCtx, id)
+		if c.onRemotePull != nil {
+			c.onRemotePull(RemotePull{Peer: id, Took: time.Since(started), Result: result})
+		}
+		if result == PullBusy {
 			sleep(pullCtx, busyDelay())
 		}
 		cancel()
 		c.mu.Lock()
 		c.cancelRemote = nil
 		c.mu.Unlock()
-		if busy {
+		if result == PullBusy {
 			c.wake()
 		}
 	}()
@@ -202,18 +231,18 @@
 	}
 }
 
-// pull pulls from a peer, or from any entry if that peer does not answer. It reports whether the
-// peer was busy, so that the pull is to be repeated soon.
-func (c *Catchup) pull(ctx context.Context, id contract.MachineID) (busy bool) {
+// pull pulls from a peer, or from any entry if that peer does not answer. It returns the result of
+// the last of these pulls; after PullBusy it is to be repeated soon.
+func (c *Catchup) pull(ctx context.Context, id contract.MachineID) PullResult {
 	records, err := c.source.PullFrom(ctx, id, c.topic, c.feed.NewestOffset())
 	switch {
 	case err == nil:
 		c.feed.Merge(records)
-		return false
+		return PullReceived
 	case errors.Is(err, ErrBusy):
-		return true
+		return PullBusy
 	case ctx.Err() != nil:
-		return false
+		return PullCanceled
 	}
 	c.removePeer(id)
 	return c.pullAny(ctx)
@@ -221,17 +250,17 @@
 
 // pullAny pulls from any entry. If that fails, the feed reads the store again, which may
 // hold what the peers reported.
-func (c *Catchup) pullAny(ctx context.Context) (busy bool) {
+func (c *Catchup) pullAny(ctx context.Context) PullResult {
 	records, err := c.source.Pull(ctx, c.topic, c.feed.NewestOffset())
 	switch {
 	case err == nil:
 		c.feed.Merge(records)
+		return PullReceived
 	case errors.Is(err, ErrBusy):
-		return true
-	default:
-		c.feed.Refresh()
+		return PullBusy
 	}
-	return false
+	c.feed.Refresh()
+	return PullFailed
 }
 
 // aheadPeer is a peer that holds newer records than the feed.
