--- a/machine/peers/packing_test.go
+++ b/machine/peers/packing_test.go
@@ -75,3 +75,17 @@
 		t.Errorf("PullFrom() = %d records, %v, want the record as it was before it was packed", len(records.Records), err)
 	}
 }
+
+// FuzzUnpack checks that values that a peer sent compressed are restored within the bound, or refused.
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte("no compressed value"), deflate.Compress([]byte("value"), deflate.Fast))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		records := []contract.Record{{Key: "a", Packed: a}, {Key: "b", Packed: b}}
+		if err := unpack(records); err != nil {
+			return
+		}
+		if n := len(records[0].Value) + len(records[1].Value); n > maxUnpackedBytes {
+			t.Errorf("%d bytes restored, want %d at most", n, maxUnpackedBytes)
+		}
+	})
+}
