An entry reads streams on for callers that read slowly, within a shared bound

A stream was read three events ahead of its caller. Of 1,000 answers of 300 KB whose callers did not read, the engines cut all 1,000 after 2 s, and each cut counted as a failure of the engine. Now what the caller has not taken waits in the attempt's backlog, whose bytes count against the budget of all answers. Without room for 1 s the attempt is given up (slow_caller), which is no failure of the target; the stream continues by another attempt once the caller has taken what waits.

A complete response is written until a second after the request's deadline. It had no bound, so that callers that did not read kept its room from others.

--- a/machine/entry/direct/buffers.go
+++ b/machine/entry/direct/buffers.go
@@ -35,13 +35,34 @@
 	// once none is in use.
 	used int
 	idle []*chunk
+	// bytes counts what is in use beside chunks: the parts that wait for their callers.
+	bytes int
+}
+
+// takeBytes takes n bytes for an answer that holds held bytes. It reports false if the answer may
+// have no more.
+func (b *bufferBudget) takeBytes(held, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held+n > maxBufferedBytes-b.used*chunkBytes-b.bytes {
+		return false
+	}
+	b.bytes += n
+	return true
+}
+
+// putBytes takes bytes back.
+func (b *bufferBudget) putBytes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bytes -= n
 }
 
 // take returns a chunk for an answer that holds held chunks, or nil if it may have no more.
 func (b *bufferBudget) take(held int) *chunk {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if held+1 > maxBufferedBytes/chunkBytes-b.used {
+	if held+1 > (maxBufferedBytes-b.bytes)/chunkBytes-b.used {
 		return nil
 	}
 	b.used++
@@ -75,6 +96,8 @@
 	chunks []*chunk
 	// tail is how much of the last chunk is used.
 	tail int
+	// taken is what first has taken from the budget; 0 unless its part waits for the caller.
+	taken int
 }
 
 func newChunkBuffer(budget *bufferBudget) *chunkBuffer {
@@ -166,5 +189,8 @@
 // release empties the buffer, which can be used again.
 func (b *chunkBuffer) release() {
 	b.budget.put(b.chunks)
-	b.first, b.chunks, b.tail = b.first[:0], nil, 0
+	if b.taken > 0 {
+		b.budget.putBytes(b.taken)
+	}
+	b.first, b.chunks, b.tail, b.taken = b.first[:0], nil, 0, 0
 }
--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -281,8 +281,10 @@
 	}
 }
 
-// writeResponse sends a complete response of a target to the caller.
+// writeResponse sends a complete response of a target to the caller. A caller that does not take it
+// in time must not keep its room from the responses to others.
 func (c *call) writeResponse(resp *bufferedResponse) {
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
 	h := c.w.Header()
 	for name, values := range resp.header {
 		h[name] = values
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -26,8 +26,8 @@
 	// maxChoiceAge is how old a choice may be when the attempt is sent: longer than it takes
 	// to connect, and short against the bounds on what the choice rests on.
 	maxChoiceAge = dialTimeout + 200*time.Millisecond
-	// spareBuffers is how many events of one stream are under way at a time: one that is read,
-	// one that waits and one that is sent.
+	// spareBuffers is how many events of one stream are under way in such buffers at a time: one
+	// that is read, one that waits and one that is sent. Others wait in the backlog.
 	spareBuffers = 3
 )
 
@@ -43,8 +43,10 @@
 	parts     chan part
 	abandoned chan struct{}
 	cancel    context.CancelFunc
-	// spare holds buffers of events that can be used again.
-	spare chan *chunkBuffer
+	// spare holds buffers of events that can be used again, backlog the parts for which parts has
+	// no room.
+	spare   chan *chunkBuffer
+	backlog backlog
 	// stopReset keeps the end of the context from resetting conn. It reports false if that
 	// has happened.
 	stopReset func() bool
@@ -90,6 +92,7 @@
 	x := &exchange{
 		call: c, choice: choice, start: time.Now(),
 		parts: make(chan part, 1), abandoned: make(chan struct{}), spare: make(chan *chunkBuffer, spareBuffers), cancel: func() {}, stopReset: func() bool { return true },
+		backlog: backlog{moved: make(chan struct{}, 1)},
 		resumes: c.headSent || c.info.HasLastEvent, resumeAfter: c.lastEvent, pinned: c.pinnedVersion,
 	}
 	x.reply.OpenRequests = -1
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -343,7 +343,7 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
+	if x.silent || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.breakage == breakageSlowCaller || x.call.entry.openCalls.isEnded() {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -92,6 +92,9 @@
 	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("copies_avoided").Inc(1)
 }
 
+// countSlowCaller counts an attempt that is given up since its caller does not take the answer.
+func (m *meters) countSlowCaller() { m.scope.Counter("slow_callers").Inc(1) }
+
 // countSilence counts an attempt whose target has fallen silent.
 func (m *meters) countSilence() { m.scope.Counter("target_silences").Inc(1) }
 
--- a/machine/entry/direct/part.go
+++ b/machine/entry/direct/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 )
@@ -27,25 +28,44 @@
 	p.response.release()
 }
 
-// emit hands a part to the request. It reports false if the attempt is abandoned.
+// emit hands a part to the request, and does not wait until the caller has taken it while there is
+// room for it. Without room for maxUnreadTime it gives the attempt up: the target serves others, and
+// the caller gets the rest of a stream from a later attempt. It reports false if the attempt is given
+// up or abandoned.
 func (x *exchange) emit(p part) bool {
-	select {
-	case x.parts <- p:
-	case <-x.abandoned:
-		p.release()
+	for since := time.Now(); !x.offer(p); x.awaitMove() {
+		if time.Since(since) >= maxUnreadTime {
+			p.release()
+			x.conn.reset()
+			x.breakage = breakageSlowCaller
+			x.call.entry.meters.countSlowCaller()
+			return false
+		}
+	}
+	if x.isAbandoned() {
+		x.discardParts()
 		return false
 	}
+	return true
+}
+
+func (x *exchange) isAbandoned() bool {
 	select {
 	case <-x.abandoned:
-		x.discardParts()
-		return false
-	default:
 		return true
+	default:
+		return false
 	}
 }
 
 // discardParts frees the parts that nobody receives.
 func (x *exchange) discardParts() {
+	x.backlog.mu.Lock()
+	defer x.backlog.mu.Unlock()
+	for _, p := range x.backlog.parts {
+		p.release()
+	}
+	x.backlog.parts, x.backlog.bytes = nil, 0
 	for {
 		select {
 		case p := <-x.parts:
@@ -66,11 +86,21 @@
 	}
 }
 
-// recycle frees an event that has been sent, and keeps its buffer for another one.
+// recycle frees an event that has been sent, and keeps its buffer for another one. The next part
+// that waits can then be received.
 func (x *exchange) recycle(p part) {
-	p.release()
+	x.keepBuffer(p.event.data)
+	x.refill()
+}
+
+// keepBuffer frees a buffer and keeps it for another event, unless it has the size of one only.
+func (x *exchange) keepBuffer(b *chunkBuffer) {
+	b.release()
+	if cap(b.first) < firstChunkBytes {
+		return
+	}
 	select {
-	case x.spare <- p.event.data:
+	case x.spare <- b:
 	default:
 	}
 }
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -34,6 +34,9 @@
 	// breakageBuffersFull responses were given up since the responses of all requests buffered
 	// too much together.
 	breakageBuffersFull breakage = "buffers_full"
+	// breakageSlowCaller responses were given up since the caller did not take them, and there was
+	// no room to keep more of them.
+	breakageSlowCaller breakage = "slow_caller"
 	// breakageHeadTooLarge responses have a head that exceeds a bound.
 	breakageHeadTooLarge breakage = "head_too_large"
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -19,7 +19,7 @@
 	maxEventBytes = 1 << 20
 	// statusLinePrefix begins the head of an answer, and no line of an event.
 	statusLinePrefix = "HTTP/1."
-	// writeGrace is how long after its deadline a stream may still be written to a caller that
+	// writeGrace is how long after its deadline a response may still be written to a caller that
 	// reads slowly.
 	writeGrace = time.Second
 )
