--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -362,7 +362,10 @@
 // isTargetFailure reports whether an attempt that was lost counts as a failure of its target.
 // A target may decline to continue a stream, and a silent one has been recorded before.
 func (x *exchange) isTargetFailure() bool {
-	if x.silent || x.outpaced || x.callerGone || x.givenUp || x.otherVersion || x.breakage == breakageNoStream || x.call.entry.openCalls.isEnded() {
+	if x.silent || x.outpaced || x.callerGone || x.givenUp || x.otherVersion || x.call.entry.openCalls.isEnded() {
+		return false
+	}
+	if x.breakage == breakageNoStream || x.breakage == breakageSlowCaller {
 		return false
 	}
 	return x.call.r.Context().Err() == nil && time.Now().Before(x.call.deadline)
