--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -131,6 +131,11 @@
 	for service, left := range s.retryBudgets {
 		m.scope.Tagged(map[string]string{"service": string(service)}).Gauge("retry_budget_left").Update(left)
 	}
+	for service, pr := range s.predictions {
+		scope := m.scope.Tagged(map[string]string{"service": string(service)})
+		scope.Gauge("mean_pace_percent").Update(pr.meanPace)
+		scope.Gauge("prediction_correction_seconds").Update(pr.correction.Seconds())
+	}
 }
 
 // updateTargetGauges publishes the state of each target, and resets the gauges of those
@@ -169,6 +174,14 @@
 	manifestAge      time.Duration
 	retryBudgets     map[contract.ServiceName]float64
 	targetStates     []targetState
+	predictions      map[contract.ServiceName]predictionState
+}
+
+// predictionState is what the predictions of a service assume: the mean pace of its targets in percent, 0 if they
+// report none, and the correction.
+type predictionState struct {
+	meanPace   float64
+	correction time.Duration
 }
 
 // targetState is the entry's view of a target: the version that it serves, the attempts
@@ -186,10 +199,11 @@
 func (fs *fleetState) snapshot() snapshot {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	s := snapshot{targets: fs.roster.Len(), retryBudgets: map[contract.ServiceName]float64{}}
+	s := snapshot{targets: fs.roster.Len(), retryBudgets: map[contract.ServiceName]float64{}, predictions: map[contract.ServiceName]predictionState{}}
 	now := time.Now()
 	for name, p := range fs.pools {
 		s.ejected += p.EjectedCount(now)
+		s.predictions[name] = predictionState{p.MeanPace(now), p.Correction(now)}
 		inFlight := p.InFlight()
 		for _, t := range fs.roster.Members(name) {
 			s.targetStates = append(s.targetStates, targetState{
--- a/zone/placement/correction.go
+++ b/zone/placement/correction.go
@@ -55,6 +55,14 @@
 	p.correction.observe(now, delay-(c.FirstEventDelay-c.Correction), p.maxCorrection())
 }
 
+// Correction returns by how much predictions are corrected now; 0 if sizes of requests do not count.
+func (p *Pool) Correction(now time.Time) time.Duration {
+	if !p.isSizeAware(now) {
+		return 0
+	}
+	return p.correction.valueAt(now)
+}
+
 // maxCorrection returns the bound of the correction in either direction.
 func (p *Pool) maxCorrection() time.Duration {
 	return time.Duration(float64(NewLatencyModel(p.service, 0).FirstEventDelay(0)) * maxCorrectionShare)
--- a/zone/placement/pace.go
+++ b/zone/placement/pace.go
@@ -66,6 +66,14 @@
 	return !p.pace.answeredAt.IsZero() && now.Sub(p.pace.answeredAt) < pacedWindow
 }
 
+// MeanPace returns the mean pace in percent that answers carried lately; 0 if the service is not paced.
+func (p *Pool) MeanPace(now time.Time) float64 {
+	if !p.IsPaced(now) {
+		return 0
+	}
+	return p.pace.mean
+}
+
 // SetSizeAware sets whether the sizes of requests count although the service is not paced.
 func (p *Pool) SetSizeAware(aware bool) { p.sizeAware = aware }
 
--- a/zone/placement/survey.go
+++ b/zone/placement/survey.go
@@ -141,7 +141,7 @@
 		StatusAge:       m.StatusAge(now),
 	}
 	if p.isSizeAware(now) {
-		c.FirstEventDelay, c.Pace, c.Correction = p.predictDelay(now, m, n, req), p.paceOf(now, m.ID), p.correction.valueAt(now)
+		c.FirstEventDelay, c.Pace, c.Correction = p.predictDelay(now, m, n, req), p.paceOf(now, m.ID), p.Correction(now)
 	}
 	return c
 }
