The longer limit of a large prompt ends at the caller's deadline

Cause: for a retry the limit is the time left, which the extension exceeded: a request could be placed that nobody waits for any more. Change: Requirements.Remaining bounds the extension.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -197,6 +197,7 @@
 		Pinned:        c.pinnedVersion,
 		PromptTokens:  c.info.PromptTokens,
 		AnswerTokens:  c.info.AnswerEstimate,
+		Remaining:     max(time.Until(c.deadline), 0),
 	}
 	if req.Pinned == 0 {
 		req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
--- a/zone/placement/pace_test.go
+++ b/zone/placement/pace_test.go
@@ -116,6 +116,10 @@
 	if _, outcome := p.Pick(start, large, limit); outcome != Full {
 		t.Errorf("behind another one: refusal %d, want Full", outcome)
 	}
+	large.Remaining = limit + 10*time.Millisecond
+	if got := p.sizedLimit(start, limit, large); got != large.Remaining {
+		t.Errorf("limit of a large prompt %v before its deadline = %v, want that", large.Remaining, got)
+	}
 	if got := p.sizedLimit(start, limit, Requirements{PromptTokens: 1000}); got != limit {
 		t.Errorf("limit of a usual prompt = %v, want %v", got, limit)
 	}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -60,6 +60,9 @@
 	// PromptTokens and AnswerTokens are the size of the prompt and the expected size of the answer; 0
 	// if unknown, then the usual size is assumed. They count on paced and size-aware services only.
 	PromptTokens, AnswerTokens float64
+	// Remaining is the time until the caller's deadline, which the longer limit of a large prompt does not
+	// exceed; 0 if unknown.
+	Remaining time.Duration
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
--- a/zone/placement/size.go
+++ b/zone/placement/size.go
@@ -59,7 +59,11 @@
 	promptTime := p.promptTime(now, req)
 	extra := max(promptTime-model.prefillTime, 0)
 	needed := time.Duration(float64(model.firstEventDelay(0, promptTime)) / idleShare)
-	return max(limit, min(needed, limit+extra))
+	longest := limit + extra
+	if req.Remaining > 0 {
+		longest = min(longest, req.Remaining)
+	}
+	return max(limit, min(needed, longest))
 }
 
 // promptTime returns the time to read the prompt of a request: that of the usual size unless sizes count.
