Few entries download from the origin, however long no piece arrives

Cause: the number of downloaders doubled every second while no piece arrived, also while the origin itself was away. The entries first in rank meanwhile waited up to 2.5 s for requests to others and did not notice its return.

Change: upgrade.DownloadState lets the first in rank download, the next two after 0.4 s each without a piece, and then three others at a time in turns that are spread over the whole order. Entries that cannot reach the origin say so in heartbeats (a new, optional field); while such reports arrive, nobody replaces them. Each rank starts elsewhere among the pieces that are still missing. Requests to other entries alternate between zones, go on beside the attempts, and give a requested entry one attempt unless the origin answers it.

TestOnlyFirstInRankDownloadUnlessRequested sets the time without a piece, and also checks that a request ends when the origin does not answer.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -46,11 +46,23 @@
 	// TargetReports lists what the processes beside engines reported to the sending entry, or
 	// to others from which it heard.
 	TargetReports []TargetReport `cbor:"24,keyasint,omitempty"`
+	// OriginOutage is the newest report of an entry that could not reach the origin of weights;
+	// nil if there is none, or if the sender knows no such reports.
+	OriginOutage *OriginOutage `cbor:"25,keyasint,omitempty"`
 	// LeavingTargets lists 64-bit hashes of the names and starts of the targets that have said
 	// in an answer that they are about to stop, as far as the sending entry knows.
 	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
 }
 
+// OriginOutage reports that an entry tried to download weights and could not reach their origin.
+type OriginOutage struct {
+	_ struct{} `cbor:",toarray"`
+	// Report is a random number that identifies the report, since several entries pass it on.
+	Report uint64
+	// AgeMS is the time in milliseconds from the attempt to the heartbeat.
+	AgeMS uint32
+}
+
 // TopicProgress tells how far a process knows a topic of the platform's store.
 type TopicProgress struct {
 	_ struct{} `cbor:",toarray"`
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -90,6 +90,7 @@
 	checks      *checkLoop
 	peers       *peers.Peers
 	weightCache *weightcache.Cache
+	origin      *weightcache.OriginWatch
 	// operatorsFeed follows the operators' records, targetsFeed the target list.
 	operatorsFeed, targetsFeed *feed.Feed
 	// operatorsCatchup and targetsCatchup fetch from peers what the store does not
@@ -120,6 +121,7 @@
 		metrics: metrics.New(),
 		store:   platform.NewStore(process.Fleet.Store),
 		conns:   newConnPool(),
+		origin:  weightcache.NewOriginWatch(),
 
 		remoteFlights: newPacer(remoteFlightsInterval),
 		transferSlots: make(chan struct{}, maxTransfers),
@@ -162,6 +164,7 @@
 		Log:   logs.NewLogger("weightcache", process.Machine),
 		// A list of digests of another length is refused.
 		PieceCount: e.fleet.pieceCount,
+		Origin:     e.origin,
 	})
 	storerestore.Watch(e.runCtx, storerestore.Options{
 		Store:         e.store,
@@ -216,6 +219,7 @@
 		hb.RateLimits = e.fleet.rateLimitReports()
 		hb.PoisonObservations, hb.PoisonVerdicts = e.fleet.poisonReports()
 		hb.LeavingTargets = e.fleet.leavingReports()
+		hb.OriginOutage = e.origin.Report()
 		hb.Targets = e.targetsFeed.Progress()
 	}
 	hb.Announced = e.fleet.versionAges()
@@ -269,6 +273,7 @@
 func (e *Entry) handleHeartbeat(hb contract.Heartbeat) {
 	e.store.LearnEra(hb.StoreEra)
 	e.observeOperators(hb)
+	e.origin.Apply(hb.OriginOutage)
 	if hb.Zone == e.process.Zone {
 		e.targetsCatchup.ObservePeer(hb.Machine, hb.Targets)
 	}
--- a/machine/weightcache/cache.go
+++ b/machine/weightcache/cache.go
@@ -59,6 +59,8 @@
 	Log   log.Interface
 	// PieceCount returns the number of pieces of a model, 0 if that is not known. It may be nil.
 	PieceCount func(model string) int
+	// Origin knows which entries could not reach the origin; nil if only this entry's attempts count.
+	Origin *OriginWatch
 }
 
 // Cache gets the pieces of versions and serves them to peers. It is safe for concurrent use.
@@ -75,6 +77,9 @@
 
 // New returns a cache whose background work ends with ctx.
 func New(ctx context.Context, opts Options) *Cache {
+	if opts.Origin == nil {
+		opts.Origin = NewOriginWatch()
+	}
 	return &Cache{opts: opts, ctx: ctx, started: time.Now(), versions: map[Version]*cachedVersion{}}
 }
 
--- a/machine/weightcache/cache_test.go
+++ b/machine/weightcache/cache_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -39,12 +40,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	n := &node{}
+	watch := NewOriginWatch()
 	opened, err := peers.Open(peers.Options{
 		Self:          peers.Member{Machine: name, Role: link.RoleEntry, Zone: "a", Region: "ra", Address: "127.0.0.1:0"},
 		Store:         platform.NewStore(store),
 		Log:           logger,
-		FillHeartbeat: func(contract.MachineID, *contract.Heartbeat) {},
-		OnHeartbeat:   func(contract.Heartbeat) {},
+		FillHeartbeat: func(_ contract.MachineID, hb *contract.Heartbeat) { hb.OriginOutage = watch.Report() },
+		OnHeartbeat:   func(hb contract.Heartbeat) { watch.Apply(hb.OriginOutage) },
 		ServeStream: func(ctx context.Context, m contract.Message, s *link.Stream) {
 			if m.Kind == contract.KindPiecesRequest {
 				n.cache.Serve(ctx, *m.PiecesRequest, s)
@@ -55,7 +57,7 @@
 		t.Fatal(err)
 	}
 	n.peers = opened
-	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger})
+	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger, Origin: watch})
 	n.cache.SetOrigin(catalog.Origin{Address: origin, Zone: "a"})
 	var wg sync.WaitGroup
 	wg.Go(func() { opened.Run(ctx) })
@@ -99,36 +101,94 @@
 }
 
 // The bandwidth of the origin's link is small: entries of high rank download only when they
-// are requested to, and for a limited time. Without this, all 38 entries of a fleet
-// downloaded at once after an outage of the origin, and none had the version for 20 s.
+// are requested to, for a limited time, and only while the origin answers them. Without this, all
+// 38 entries of a fleet downloaded at once after an outage of the origin, and none had the version
+// for 20 s.
 func TestOnlyFirstInRankDownloadUnlessRequested(t *testing.T) {
 	_, endWait := context.WithCancel(context.Background())
 	cv := &cachedVersion{endWait: endWait}
+	state := func(rank int) upgrade.DownloadState {
+		return upgrade.DownloadState{Rank: rank, Place: rank, Entries: 38, Stalled: 900 * time.Millisecond}
+	}
 	for rank, want := range []bool{true, true, true, false, false} {
-		if got := cv.mayDownload(rank, 0); got != want {
-			t.Errorf("mayDownload(%d) = %v without a request, want true only below 3", rank, got)
+		if got := cv.mayDownload(state(rank)); got != want {
+			t.Errorf("mayDownload() of rank %d = %v without a request, want true only below 3", rank, got)
 		}
 	}
 	cv.triggerDownload()
-	if !cv.mayDownload(30, 0) {
-		t.Error("mayDownload(30) = false after a request, want true")
+	if !cv.mayDownload(state(30)) {
+		t.Error("mayDownload() of rank 30 = false after a request, want true")
+	}
+	cv.endRequestedDownload(time.Now().Add(-time.Second))
+	if !cv.mayDownload(state(30)) {
+		t.Error("an attempt before the request failed: mayDownload() of rank 30 = false, want true")
+	}
+	cv.endRequestedDownload(time.Now())
+	if cv.mayDownload(state(30)) {
+		t.Error("the origin did not answer: mayDownload() of rank 30 = true, want false")
 	}
 	cv.downloadRequestedAt = time.Now().Add(-requestedDownloadTimeout)
-	if cv.mayDownload(30, 0) {
-		t.Error("mayDownload(30) = true when the request has timed out, want false")
+	if cv.mayDownload(state(30)) {
+		t.Error("mayDownload() of rank 30 = true when the request has timed out, want false")
 	}
 }
 
-// Guards against a version that nobody downloads, since the entries that are first in rank are gone
-// and those that follow are not linked to them and do not know.
-func TestMoreEntriesMayDownloadWhileNoPieceArrives(t *testing.T) {
-	cv := &cachedVersion{}
-	const entries = 148
-	if cv.mayDownload(entries-1, downloadersGrowth) {
-		t.Errorf("mayDownload(%d) = true after %v without a piece, want false", entries-1, downloadersGrowth)
+// Guards against entries that replace the first in rank although these run and try: the time without
+// a piece must count from the last report that the origin is unreachable.
+func TestStallCountsFromEndOfKnownOutage(t *testing.T) {
+	now := time.Now()
+	p := &progress{count: 54, since: now.Add(-6 * time.Second)}
+	p.resumeAfter(now.Add(-7 * time.Second))
+	if got := p.stalledFor(54); got < 6*time.Second {
+		t.Errorf("an outage before the last piece: stalled for %v, want at least 6s", got)
+	}
+	p.resumeAfter(now.Add(time.Hour))
+	if got := p.stalledFor(54); got != 0 {
+		t.Errorf("during a known outage: stalled for %v, want 0s", got)
+	}
+}
+
+// Guards against a slow return from an outage and a herd after it: several entries lack the same
+// pieces when the origin comes back, and all of them downloaded them in the same order, or were
+// waiting for a request to another entry to time out.
+func TestOriginAwayAndBackSendsAboutOneCopy(t *testing.T) {
+	t.Parallel()
+	const pieceCount, entries = 24, 6
+	store, origin := fleet.NewStore(), fleet.NewOrigin(pieceCount)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	origin.SetPieceTime(20 * time.Millisecond)
+	origin.SetDown(true)
+	var nodes []*node
+	for i := range entries {
+		nodes = append(nodes, startNode(t, store.Address(), contract.MachineID(fmt.Sprintf("entry-%d", i+1)), origin.Address()))
 	}
-	if stalled := 6 * downloadersGrowth; !cv.mayDownload(entries-1, stalled) {
-		t.Errorf("mayDownload(%d) = false after %v without a piece, want true", entries-1, stalled)
+	eventually(t, "the entries are linked", func() bool {
+		linked := true
+		for _, n := range nodes {
+			linked = linked && n.peers.LinkedCount() >= entries/2
+		}
+		return linked
+	})
+	v := Version{Model: fleet.Model, Number: 2}
+	var wanted []*cachedVersion
+	for _, n := range nodes {
+		wanted = append(wanted, n.cache.ensureVersion(v))
+	}
+	time.Sleep(stallTimeout + 3*time.Second)
+	origin.SetDown(false)
+	back := time.Now()
+	eventually(t, "an entry has the version", func() bool {
+		return slices.ContainsFunc(wanted, (*cachedVersion).isComplete)
+	})
+	if took, limit := time.Since(back), requestedDownloadTimeout/2; took > limit {
+		t.Errorf("the first entry has the version %v after the origin is back, want at most %v", took, limit)
+	}
+	eventually(t, "all entries have the version", func() bool {
+		return !slices.ContainsFunc(wanted, func(cv *cachedVersion) bool { return !cv.isComplete() })
+	})
+	if served, limit := origin.PiecesServed(), pieceCount*9/8; served > limit {
+		t.Errorf("the origin sent %d pieces for a version of %d, want at most %d", served, pieceCount, limit)
 	}
 }
 
@@ -199,7 +259,7 @@
 // entries that were requested to download and failed requested others in turn.
 func TestRequestedDownloaderRequestsNoOthers(t *testing.T) {
 	for rank := range 12 {
-		if got, want := mayRequestDownload(rank), rank < maxDownloaders; got != want {
+		if got, want := mayRequestDownload(rank), rank < upgrade.MaxDownloaders; got != want {
 			t.Errorf("mayRequestDownload(%d) = %v, want %v", rank, got, want)
 		}
 	}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -11,6 +11,7 @@
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
 const (
@@ -241,6 +242,20 @@
 	return list
 }
 
+// downloadCandidates returns the other linked entries in the order in which they are requested to
+// download: those of different zones alternate, since it may be this entry's zone that cannot reach
+// the origin.
+func (cv *cachedVersion) downloadCandidates() []contract.MachineID {
+	c := cv.cache
+	var entries []upgrade.ZoneEntry[contract.MachineID]
+	for _, m := range c.rankedEntries(cv.id) {
+		if m.Machine != c.opts.Self && c.opts.Peers.IsLinked(m.Machine) {
+			entries = append(entries, upgrade.ZoneEntry[contract.MachineID]{Entry: m.Machine, Zone: m.Zone})
+		}
+	}
+	return upgrade.AlternateZones(entries, c.opts.Zone)
+}
+
 // selectPeers returns the entries to request pieces from in one round: those that download,
 // the reader of the zone, and a random selection of the others.
 func (cv *cachedVersion) selectPeers() []contract.MachineID {
@@ -248,7 +263,7 @@
 	if len(list) <= maxPeersPerRound {
 		return list
 	}
-	others := list[maxDownloaders:]
+	others := list[upgrade.MaxDownloaders:]
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	if predecessors := cv.cache.zonePredecessors(cv.id); len(predecessors) > 0 {
 		if i := slices.Index(others, predecessors[0]); i > 0 {
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -3,23 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
 const (
-	// maxDownloaders is how many entries may download a version at once, not counting those
-	// that others requested to: the bandwidth of the origin's link is small.
-	maxDownloaders = 3
-	// downloadersGrowth is how often the number of entries that may download doubles while an
-	// entry gets no piece: those that are first in rank may be gone without its knowledge.
-	downloadersGrowth = time.Second
 	// downloadWorkers is how many pieces one entry downloads at once.
 	downloadWorkers = 3
 	// originFailureDelay is how long the origin must have been unreachable before another
@@ -28,6 +25,9 @@
 	// requestedDownloadTimeout is how long an entry that was requested to download may
 	// take.
 	requestedDownloadTimeout = 2500 * time.Millisecond
+	// firstPeersTimeout is how long an entry asks others for the pieces that they hold before it
+	// downloads: one that is gone or on a saturated link must not delay it longer.
+	firstPeersTimeout = 400 * time.Millisecond
 	// maxMismatches is how often a downloaded piece may fail verification in a row until the digests
 	// are downloaded again: a piece may be corrupt several times.
 	maxMismatches = 4
@@ -36,30 +36,68 @@
 )
 
 // fetchMissing gets the missing pieces from entries that hold them and, if this entry may
-// download, from the origin, until the version is complete. While the origin is unreachable
-// it requests other entries to download.
+// download, from the origin, until the version is complete. The two go on beside each other: an
+// entry that waits for a peer must notice at once that the origin is back.
 func (cv *cachedVersion) fetchMissing(ctx context.Context) {
-	requests := 0
+	ctx, cancel := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer cancel()
+	firstRound := make(chan struct{})
+	work.Go(func() {
+		cv.fetchHeldFromPeers(ctx)
+		close(firstRound)
+		for ctx.Err() == nil && !cv.isComplete() {
+			sleep(ctx, retryDelay)
+			cv.fetchHeldFromPeers(ctx)
+		}
+	})
+	select {
+	case <-firstRound:
+	case <-time.After(firstPeersTimeout):
+	case <-ctx.Done():
+	}
+	cv.downloadWhenAllowed(ctx)
+}
+
+// downloadWhenAllowed downloads missing pieces whenever this entry may, until the version is
+// complete. While the origin is unreachable it tries again every retryDelay, and meanwhile requests
+// other entries to download.
+func (cv *cachedVersion) downloadWhenAllowed(ctx context.Context) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	requested := 0
+	idle := make(chan struct{}, 1)
+	idle <- struct{}{}
 	var failingSince time.Time
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
-		cv.fetchHeldFromPeers(ctx)
-		rank := cv.cache.rankOf(cv.id)
-		if !cv.mayDownload(rank, progress.stalledFor(cv.pieceCount())) {
+		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
+		state := cv.downloadState(progress.stalledFor(cv.pieceCount()))
+		if !cv.mayDownload(state) {
 			sleep(ctx, retryDelay)
 			continue
 		}
 		start := time.Now()
-		if cv.download(ctx, rank) {
+		if cv.download(ctx, state.Rank) {
 			failingSince = time.Time{}
 			continue
 		}
+		cv.endRequestedDownload(start)
 		if failingSince.IsZero() {
 			failingSince = start
 		}
-		if mayRequestDownload(rank) && time.Since(failingSince) >= originFailureDelay {
-			cv.requestDownload(ctx, requests)
-			requests++
+		if mayRequestDownload(state.Rank) && time.Since(failingSince) >= originFailureDelay {
+			select {
+			case <-idle:
+				number := requested
+				requested++
+				requests.Go(func() {
+					cv.requestDownload(ctx, number)
+					idle <- struct{}{}
+				})
+			default:
+			}
 		}
 		sleep(ctx, retryDelay)
 	}
@@ -68,21 +106,34 @@
 // mayRequestDownload reports whether an entry may request another one to download. Only
 // entries that download by their own rank may: if requested entries requested others in
 // turn, the whole fleet would download at once when the origin recovers from an outage.
-func mayRequestDownload(rank int) bool { return rank < maxDownloaders }
+func mayRequestDownload(rank int) bool { return rank < upgrade.MaxDownloaders }
+
+// downloadState returns what decides whether this entry may download, after it got no piece for the
+// time stalled.
+func (cv *cachedVersion) downloadState(stalled time.Duration) upgrade.DownloadState {
+	c := cv.cache
+	ranked := c.rankedEntries(cv.id)
+	place := slices.IndexFunc(ranked, func(m peers.Member) bool { return m.Machine == c.opts.Self })
+	return upgrade.DownloadState{Rank: c.rankOf(cv.id), Place: max(place, 0), Entries: len(ranked), Stalled: stalled}
+}
 
-// mayDownload reports whether this entry may download now, after it got no piece for the time
-// stalled: because it is among the first in rank or was recently requested to.
-func (cv *cachedVersion) mayDownload(rank int, stalled time.Duration) bool {
+// mayDownload reports whether this entry may download now: by its place in the order, or because it
+// was recently requested to.
+func (cv *cachedVersion) mayDownload(state upgrade.DownloadState) bool {
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
-	return rank < downloaderLimit(stalled) || time.Since(cv.downloadRequestedAt) < requestedDownloadTimeout
+	return state.MayDownload() || time.Since(cv.downloadRequestedAt) < requestedDownloadTimeout
 }
 
-// downloaderLimit returns how many entries may download while an entry has got no piece for the
-// time stalled.
-func downloaderLimit(stalled time.Duration) int {
-	const maxDoublings = 16
-	return maxDownloaders << min(stalled/downloadersGrowth, maxDoublings)
+// endRequestedDownload ends the permission that a request before the given time gave, after the
+// origin did not answer this entry either: otherwise requested entries would download beside the
+// first in rank when the origin returns.
+func (cv *cachedVersion) endRequestedDownload(start time.Time) {
+	cv.mu.Lock()
+	defer cv.mu.Unlock()
+	if cv.downloadRequestedAt.Before(start) {
+		cv.downloadRequestedAt = time.Time{}
+	}
 }
 
 // progress tells for how long the number of pieces has not changed.
@@ -98,7 +149,15 @@
 	if count != p.count {
 		p.count, p.since = count, time.Now()
 	}
-	return time.Since(p.since)
+	return max(time.Since(p.since), 0)
+}
+
+// resumeAfter counts the time without a piece from at, if that is later: until then it was known
+// why no piece arrives.
+func (p *progress) resumeAfter(at time.Time) {
+	if at.After(p.since) {
+		p.since = at
+	}
 }
 
 // triggerDownload handles a request by another entry to download at once.
@@ -111,10 +170,10 @@
 
 // requestDownload requests another entry to download the pieces, because this one cannot
 // reach the origin, and receives them. requests is the number of earlier requests: each one
-// goes to the next entry in order of rank.
+// goes to the next of the candidates.
 func (cv *cachedVersion) requestDownload(ctx context.Context, requests int) {
 	c := cv.cache
-	entries := cv.linkedEntries()
+	entries := cv.downloadCandidates()
 	if len(entries) == 0 || cv.isComplete() {
 		return
 	}
@@ -156,9 +215,8 @@
 			}
 		})
 	}
-	firstPiece := rank % maxDownloaders * set.Len() / maxDownloaders
-	for i := range set.Len() {
-		if i = (firstPiece + i) % set.Len(); set.Get(i) == nil {
+	for _, i := range upgrade.DownloadOrder(set.Missing(), rank) {
+		if set.Get(i) == nil {
 			missing <- i
 		}
 	}
@@ -190,6 +248,7 @@
 	for ctx.Err() == nil && !isObsolete() {
 		digests, err := client.Digests(ctx, cv.id.Model, cv.id.Number)
 		if err != nil {
+			cv.reportOriginFailure(ctx, err)
 			cv.log().WithError(err).Warn("digests not downloaded from the origin")
 			return nil
 		}
@@ -229,6 +288,7 @@
 		data, err := client.Piece(ctx, cv.id.Model, cv.id.Number, i)
 		if err != nil {
 			if ctx.Err() == nil {
+				cv.reportOriginFailure(ctx, err)
 				cv.log().WithError(err).WithField("piece", i).Warn("piece not downloaded from the origin")
 			}
 			return err
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -15,6 +15,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
 const (
@@ -93,7 +94,7 @@
 // It returns the number of pieces that were missing.
 func (cv *cachedVersion) backfillStore(ctx context.Context) (missingCount int) {
 	rank := cv.cache.rankOf(cv.id)
-	if rank >= maxDownloaders || cv.currentSet().Bytes() > MaxStoredBytes {
+	if rank >= upgrade.MaxDownloaders || cv.currentSet().Bytes() > MaxStoredBytes {
 		return 0
 	}
 	cv.backfillMu.Lock()
@@ -125,7 +126,7 @@
 // rewriteLost appends the records of a complete version that the store lost when it came
 // back from an older copy in an era. It returns the number of pieces.
 func (cv *cachedVersion) rewriteLost(ctx context.Context, era int64) int {
-	if !cv.isComplete() || cv.cache.rankOf(cv.id) >= maxDownloaders {
+	if !cv.isComplete() || cv.cache.rankOf(cv.id) >= upgrade.MaxDownloaders {
 		return 0
 	}
 	end, err := cv.cache.opts.Store.EndOffset(ctx, cv.topic())
--- a/standin/fleet/origin.go
+++ b/standin/fleet/origin.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Origin is a stand-in of the origin of weights.
@@ -26,6 +27,11 @@
 	corruptLists int
 	// unresponsive is set if requests get no answer.
 	unresponsive bool
+	// down is set if connections are closed without an answer.
+	down bool
+	// pieceTime is how long the link of the origin takes for one piece; link is held meanwhile.
+	pieceTime time.Duration
+	link      sync.Mutex
 }
 
 // NewOrigin starts an origin whose versions consist of the given number of pieces.
@@ -54,12 +60,29 @@
 	o.unresponsive = unresponsive
 }
 
-// withFault wraps a handler with the fault of an unresponsive origin.
+// SetDown sets whether the origin closes connections without an answer.
+func (o *Origin) SetDown(down bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = down
+}
+
+// SetPieceTime sets how long the link of the origin takes for one piece, of all callers together.
+func (o *Origin) SetPieceTime(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pieceTime = d
+}
+
+// withFault wraps a handler with the faults of an origin that is unresponsive or down.
 func (o *Origin) withFault(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		o.mu.Lock()
-		unresponsive := o.unresponsive
+		unresponsive, down := o.unresponsive, o.down
 		o.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
 		if unresponsive {
 			<-r.Context().Done()
 			return
@@ -123,7 +146,13 @@
 	o.mu.Lock()
 	o.piecesServed++
 	corrupt := o.corruptEvery > 0 && o.piecesServed%o.corruptEvery == 0
+	pieceTime := o.pieceTime
 	o.mu.Unlock()
+	if pieceTime > 0 {
+		o.link.Lock()
+		time.Sleep(pieceTime)
+		o.link.Unlock()
+	}
 	data := Piece(version, index)
 	if corrupt {
 		data = append([]byte("!"), data[1:]...)
--- a/weights/pieces/pieces.go
+++ b/weights/pieces/pieces.go
@@ -132,6 +132,19 @@
 	return s.count
 }
 
+// Missing returns the indexes of the pieces that are not held, in ascending order.
+func (s *Set) Missing() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]int, 0, len(s.data)-s.count)
+	for i, data := range s.data {
+		if data == nil {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Bytes returns the total size of the pieces held.
 func (s *Set) Bytes() int {
 	s.mu.Lock()
--- a/weights/upgrade/sources.go
+++ b/weights/upgrade/sources.go
@@ -3,6 +3,8 @@
 import (
 	"math/bits"
 	"slices"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 // The link of a small entry carries about four times the rate at which one target receives
@@ -44,3 +46,34 @@
 	list = append(list, entries[0])
 	return slices.Concat(list, entries[1+helpers:])
 }
+
+// ZoneEntry is an entry and its zone.
+type ZoneEntry[T any] struct {
+	Entry T
+	Zone  contract.ZoneName
+}
+
+// AlternateZones returns entries so that those of different zones alternate, the ones of the zone
+// own last in each round. Within a zone their order stays.
+func AlternateZones[T any](entries []ZoneEntry[T], own contract.ZoneName) []T {
+	var zones []contract.ZoneName
+	byZone := map[contract.ZoneName][]T{}
+	for _, e := range entries {
+		if _, ok := byZone[e.Zone]; !ok && e.Zone != own {
+			zones = append(zones, e.Zone)
+		}
+		byZone[e.Zone] = append(byZone[e.Zone], e.Entry)
+	}
+	if len(byZone[own]) > 0 {
+		zones = append(zones, own)
+	}
+	list := make([]T, 0, len(entries))
+	for round := 0; len(list) < len(entries); round++ {
+		for _, zone := range zones {
+			if round < len(byZone[zone]) {
+				list = append(list, byZone[zone][round])
+			}
+		}
+	}
+	return list
+}
--- a/weights/upgrade/sources_test.go
+++ b/weights/upgrade/sources_test.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"slices"
 	"testing"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 // In a zone of 27 targets and 13 entries no entry may send the weights to more than a few
@@ -81,3 +83,19 @@
 		}
 	}
 }
+
+// Guards against requests to download that go to all entries of the zone which cannot reach the origin
+// before one of another zone gets one.
+func TestRequestsToDownloadAlternateBetweenZones(t *testing.T) {
+	var entries []ZoneEntry[string]
+	for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "c1"} {
+		entries = append(entries, ZoneEntry[string]{Entry: name, Zone: contract.ZoneName(name[:1])})
+	}
+	want := []string{"b1", "c1", "a1", "b2", "a2", "a3"}
+	if got := AlternateZones(entries, "a"); !slices.Equal(got, want) {
+		t.Errorf("AlternateZones() = %v, want %v", got, want)
+	}
+	if got := AlternateZones[string](nil, "a"); len(got) != 0 {
+		t.Errorf("no entries: AlternateZones() = %v, want none", got)
+	}
+}
