One transfer of a version into a zone, and no turn past the bound

Entries stopped relying on the reader of their zone 3.5 s a place after they began, although the origin was known to be away. After 26 entries had lost power, the others followed the first linked entry, the reader: it held version 3 at 30.9 s, those behind it at 34.0 s. Engines whose version had passed its bound waited 0.34 s for a notification of entries that sent nothing any more.

Change: upgrade.SourceState lets a target ask other zones after 1.5 s without a link to its own, or when its zone has brought no piece for 8 s and 2 s more a rank. The time for which an entry relies on the reader (now 2.5 s a place) counts from the last piece or the last report that the origin is away. An entry without its parent follows one of the linked ones before it, chosen by a hash. Entries that are not the reader ask entries of their zone before those of others. Decide loads at once when the bound of the loaded version has passed.

--- a/machine/target/direct/piecefetch.go
+++ b/machine/target/direct/piecefetch.go
@@ -43,15 +43,27 @@
 	}
 }
 
-// fetchPieces fetches the pieces of a candidate from the entries of the zone, and later
+// heldCount returns the number of pieces of a set, which may be nil.
+func heldCount(set *pieces.Set) int {
+	if set == nil {
+		return 0
+	}
+	return set.Count()
+}
+
+// fetchPieces fetches the pieces of a candidate from the entries of the zone, and if these fail
 // from any entry, until the candidate is complete or no longer needed.
 func (r *reconciler) fetchPieces(ctx context.Context, c *candidate, origin catalog.Origin) {
 	const retryInterval = 100 * time.Millisecond
 	start := time.Now()
 	logger := r.log.WithField("version", c.version.String())
 	defer r.markFetchFinished(c)
+	clock := newSourceClock(start)
+	asksOthers := func(hasLocal bool, rank int) bool {
+		return clock.state(time.Now(), heldCount(r.currentPieces(c)()), hasLocal, rank).AsksOtherZones()
+	}
 	for ctx.Err() == nil && r.needsFetch(c) {
-		for _, id := range r.sourceEntries(c.version, origin, time.Since(start)) {
+		for _, id := range r.sourceEntries(c.version, origin, asksOthers) {
 			_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
 			r.target.meters.countResult("fetches", err)
 			if err != nil {
@@ -79,7 +91,9 @@
 // fetchDigests fetches the digests of a candidate from the entries that have them.
 func (r *reconciler) fetchDigests(ctx context.Context, c *candidate, origin catalog.Origin) {
 	defer r.markFetchFinished(c)
-	for _, id := range r.sourceEntries(c.version, origin, ownZoneTimeout) {
+	// Digests are small.
+	anyZone := func(bool, int) bool { return true }
+	for _, id := range r.sourceEntries(c.version, origin, anyZone) {
 		_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchDigests, r.currentPieces(c), r.initPieces(c))
 		r.target.meters.countResult("fetches", err)
 		if err != nil {
@@ -105,10 +119,9 @@
 	c.fetching = false
 }
 
-// sourceEntries lists the linked entries to ask for pieces, in order: those of the
-// target's own zone and, once the fetch has waited for ownZoneTimeout, those of other
-// zones, whose pieces are sent over the links between regions.
-func (r *reconciler) sourceEntries(v weightcache.Version, origin catalog.Origin, waited time.Duration) []contract.MachineID {
+// sourceEntries lists the linked entries to ask for pieces, in order: those of the target's own
+// zone, and those of other zones if asksOthers says so, given whether an entry of the own zone is linked.
+func (r *reconciler) sourceEntries(v weightcache.Version, origin catalog.Origin, asksOthers func(hasLocal bool, rank int) bool) []contract.MachineID {
 	ownZone := r.target.process.Zone
 	ranked := weightcache.RankEntries(v, r.target.peers.Members(link.RoleEntry), origin.Zone)
 	var local, remote []contract.MachineID
@@ -123,8 +136,27 @@
 	}
 	rank, total := r.zoneRank()
 	local = upgrade.OrderSources(local, rank, total)
-	if waited < ownZoneTimeout {
+	if !asksOthers(len(local) > 0, rank) {
 		return local
 	}
 	return append(local, remote...)
 }
+
+// sourceClock measures for how long a fetch has had no piece and no linked entry in the target's zone.
+type sourceClock struct {
+	count             int
+	pieceAt, linkedAt time.Time
+}
+
+func newSourceClock(now time.Time) *sourceClock { return &sourceClock{pieceAt: now, linkedAt: now} }
+
+// state returns the state of the sources at a time when count pieces are held.
+func (c *sourceClock) state(now time.Time, count int, hasLocal bool, rank int) upgrade.SourceState {
+	if count != c.count {
+		c.count, c.pieceAt = count, now
+	}
+	if hasLocal {
+		c.linkedAt = now
+	}
+	return upgrade.SourceState{HasLocal: hasLocal, Unlinked: now.Sub(c.linkedAt), WithoutPiece: now.Sub(c.pieceAt), Rank: rank}
+}
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -21,8 +21,6 @@
 	// changePollInterval is the same while the engine loads weights or is about to: it serves nothing
 	// until entries know that it is back.
 	changePollInterval = 50 * time.Millisecond
-	// ownZoneTimeout is how long a fetch asks only the entries of the target's own zone.
-	ownZoneTimeout = 1500 * time.Millisecond
 	// maxReportAge is the age of the engine's last report from which on the engine gets no requests: what
 	// it has done since is not known, for example while the process waits in a call to it or stood still.
 	maxReportAge = 800 * time.Millisecond
--- a/machine/weightcache/cache_test.go
+++ b/machine/weightcache/cache_test.go
@@ -215,6 +215,32 @@
 	}
 }
 
+// Guards against a reader that sends the pieces to most of its zone: after many entries had lost power at
+// once, all others followed the first linked one, and its link carried a few copies in 3 s.
+func TestEntriesWithoutParentSpreadOverThoseThatRun(t *testing.T) {
+	const entries, limit = 30, 6
+	var members []peers.Member
+	for i := range entries {
+		members = append(members, peers.Member{Machine: contract.MachineID(fmt.Sprintf("entry-%02d", i)), Zone: "a"})
+	}
+	ranked := RankEntries(Version{Model: "m", Number: 3}, members, "a")
+	runs := map[contract.MachineID]bool{}
+	for i := 0; i < entries; i += 2 {
+		runs[ranked[i].Machine] = true
+	}
+	followers := map[contract.MachineID]int{}
+	for _, m := range ranked[1:] {
+		parent, ok := parentInZone(ranked, m.Machine, "a", func(id contract.MachineID) bool { return runs[id] })
+		if !ok || !runs[parent] {
+			t.Fatalf("parentInZone() of %s = %q, %v, want an entry that runs", m.Machine, parent, ok)
+		}
+		followers[parent]++
+	}
+	if got := followers[ranked[0].Machine]; got > limit {
+		t.Errorf("%d of %d entries follow the reader, want at most %d", got, entries-1, limit)
+	}
+}
+
 // If the entry that downloaded a version cannot write to the store, another entry that got
 // the pieces from it must store what is missing: after a power failure no process has them.
 func TestStoreIsBackfilledWhenDownloaderCannotWrite(t *testing.T) {
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -21,10 +21,13 @@
 	stallTimeout        = 1200 * time.Millisecond
 	stallTimeoutPerRank = 100 * time.Millisecond
 	maxStallRank        = 20
-	// readerTimeoutStep is how long the second entry of a zone relies on the reader, and
-	// how much longer each further one does: if all took over at once, their copies would
-	// saturate the links between regions.
-	readerTimeoutStep = 3500 * time.Millisecond
+	// readerTimeoutStep is how long the second entry of a zone relies on the reader without
+	// getting a piece, and how much longer each further one does: if all took over at once, their
+	// copies would saturate the links between regions.
+	readerTimeoutStep = 2500 * time.Millisecond
+	// followTimeout is how long an entry follows a neighbour until it looks for a better one: the
+	// neighbour may be on a slow link.
+	followTimeout = 5 * time.Second
 	// firstReadTimeout is how long an entry waits for the first read of the store before it
 	// may download.
 	firstReadTimeout = 400 * time.Millisecond
@@ -146,32 +149,33 @@
 // returns when the version is complete, this entry stops relying on the reader, or ctx ends.
 func (cv *cachedVersion) fetchFromZone(ctx context.Context) {
 	const pollInterval = 100 * time.Millisecond
-	start := time.Now()
+	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		// The reader cannot do better while the origin is known to be away.
+		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
 		predecessors := cv.cache.zonePredecessors(cv.id)
-		remaining := readerTimeout(len(predecessors)) - time.Since(start)
-		if remaining <= 0 {
+		if progress.stalledFor(cv.pieceCount()) >= readerTimeout(len(predecessors)) {
 			return
 		}
-		cv.followZone(ctx, remaining)
+		cv.followZone(ctx)
 		sleep(ctx, pollInterval)
 	}
 }
 
 // readerTimeout returns how long the entry of the given rank within its zone relies on the
-// reader. The reader itself has rank 0 and does not wait.
+// reader without getting a piece. The reader itself has rank 0 and does not wait.
 func readerTimeout(rank int) time.Duration { return readerTimeoutStep * time.Duration(rank) }
 
-// followZone receives the pieces from the parent in the zone's tree, until the timeout, and then
-// those that a linked entry of the zone holds.
-func (cv *cachedVersion) followZone(ctx context.Context, timeout time.Duration) {
+// followZone receives the pieces from the parent in the zone's tree, for as long as they come and for
+// followTimeout at most, and then those that a linked entry of the zone holds.
+func (cv *cachedVersion) followZone(ctx context.Context) {
 	c := cv.cache
 	ranked := c.rankedEntries(cv.id)
 	parent, ok := parentInZone(ranked, c.opts.Self, c.opts.Zone, c.opts.Peers.IsLinked)
 	if !ok {
 		return
 	}
-	cv.followPeer(ctx, parent, timeout)
+	cv.followPeer(ctx, parent, followTimeout)
 	if ctx.Err() != nil || cv.isComplete() {
 		return
 	}
@@ -256,21 +260,27 @@
 	return upgrade.AlternateZones(entries, c.opts.Zone)
 }
 
-// selectPeers returns the entries to request pieces from in one round: those that download,
-// the reader of the zone, and a random selection of the others.
+// selectPeers returns the entries to request pieces from in one round. The reader of a zone requests
+// them from those that download, and from a random selection of the others. The other entries of the
+// zone request them from entries of the zone first, beginning with the reader: what these hold need
+// not come over the links between regions again.
 func (cv *cachedVersion) selectPeers() []contract.MachineID {
 	list := cv.linkedEntries()
 	if len(list) <= maxPeersPerRound {
 		return list
 	}
-	others := list[upgrade.MaxDownloaders:]
+	downloaders, others := list[:upgrade.MaxDownloaders], list[upgrade.MaxDownloaders:]
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	if predecessors := cv.cache.zonePredecessors(cv.id); len(predecessors) > 0 {
-		if i := slices.Index(others, predecessors[0]); i > 0 {
-			others[0], others[i] = others[i], others[0]
-		}
+	predecessors := cv.cache.zonePredecessors(cv.id)
+	if len(predecessors) == 0 {
+		return list[:maxPeersPerRound]
+	}
+	distance := func(id contract.MachineID) int {
+		m, ok := cv.cache.opts.Peers.Member(id)
+		return weightOf(id != predecessors[0]) + weightOf(!ok || m.Zone != cv.cache.opts.Zone)
 	}
-	return list[:maxPeersPerRound]
+	slices.SortStableFunc(others, func(a, b contract.MachineID) int { return distance(a) - distance(b) })
+	return slices.Concat(others[:maxPeersPerRound-upgrade.MaxDownloaders], downloaders)
 }
 
 // fetchHeldFromPeers fetches the pieces that other entries hold: while the store does not
--- a/machine/weightcache/rank.go
+++ b/machine/weightcache/rank.go
@@ -52,8 +52,9 @@
 }
 
 // parentInZone returns the entry of a zone from which the entry self gets the pieces, given the
-// entries in their order of rank: its parent in the tree of the zone or, if that is not linked, the
-// first linked one that precedes it.
+// entries in their order of rank: its parent in the tree of the zone or, if that is not linked, one
+// of the linked ones that precede it. Which one depends on a hash: after many entries lost power at
+// once, the first of them would have to send the pieces to most of the zone.
 func parentInZone(ranked []peers.Member, self contract.MachineID, zone contract.ZoneName, isLinked func(contract.MachineID) bool) (contract.MachineID, bool) {
 	var preceding []contract.MachineID
 	for _, m := range ranked {
@@ -70,9 +71,9 @@
 	if parent := preceding[upgrade.ParentIndex(len(preceding))]; isLinked(parent) {
 		return parent, true
 	}
-	i := slices.IndexFunc(preceding, isLinked)
-	if i < 0 {
+	linked := slices.DeleteFunc(preceding, func(id contract.MachineID) bool { return !isLinked(id) })
+	if len(linked) == 0 {
 		return "", false
 	}
-	return preceding[i], true
+	return linked[xxhash.Sum64String(string(self))%uint64(len(linked))], true
 }
--- a/weights/upgrade/sources.go
+++ b/weights/upgrade/sources.go
@@ -3,16 +3,24 @@
 import (
 	"math/bits"
 	"slices"
+	"time"
 
 	"mimosastand.example/mimosastand/contract"
 )
 
-// The link of a small entry carries about four times the rate at which one target receives
-// weights.
 const (
 	// targetsPerSource is the largest number of targets that one entry sends weights to,
-	// provided that the zone has enough entries.
+	// provided that the zone has enough entries: the link of a small entry carries about four
+	// times the rate at which one target receives weights.
 	targetsPerSource = 4
+	// unlinkedTimeout is how long a target must have had no link to an entry of its zone before it
+	// asks those of other zones.
+	unlinkedTimeout = 1500 * time.Millisecond
+	// zoneSilenceTimeout is how long the linked entries of a target's zone must have brought no piece
+	// before the first target in rank asks entries of other zones, zoneSilenceStep how much longer
+	// each further one waits. The entries of a zone look for the pieces elsewhere themselves.
+	zoneSilenceTimeout = 8 * time.Second
+	zoneSilenceStep    = 2 * time.Second
 	// targetsPerHelper is how many targets each helper entry serves in a zone that is too
 	// large for a single entry.
 	targetsPerHelper = 2
@@ -47,6 +55,28 @@
 	return slices.Concat(list, entries[1+helpers:])
 }
 
+// SourceState is the state on which a target bases the decision to ask entries of other zones for
+// pieces.
+type SourceState struct {
+	// HasLocal reports whether an entry of the target's zone is linked. Unlinked is for how long
+	// none has been.
+	HasLocal bool
+	Unlinked time.Duration
+	// WithoutPiece is for how long no piece has arrived, and Rank the target's place among the
+	// targets of its zone.
+	WithoutPiece time.Duration
+	Rank         int
+}
+
+// AsksOtherZones reports whether to ask entries of other zones. Their pieces take the links between
+// regions, which one transfer into the zone, by its entries, loads least.
+func (s SourceState) AsksOtherZones() bool {
+	if !s.HasLocal {
+		return s.Unlinked >= unlinkedTimeout
+	}
+	return s.WithoutPiece >= zoneSilenceTimeout+time.Duration(s.Rank)*zoneSilenceStep
+}
+
 // ZoneEntry is an entry and its zone.
 type ZoneEntry[T any] struct {
 	Entry T
--- a/weights/upgrade/sources_test.go
+++ b/weights/upgrade/sources_test.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"slices"
 	"testing"
+	"time"
 
 	"mimosastand.example/mimosastand/contract"
 )
@@ -99,3 +100,29 @@
 		t.Errorf("no entries: AlternateZones() = %v, want none", got)
 	}
 }
+
+// Guards against links between regions that carry the same version for each target: while a version was
+// late, the targets of a zone asked the entries of other zones for all pieces after 1.5 s.
+func TestTargetsLeaveLinksBetweenRegionsToEntries(t *testing.T) {
+	const originAway = 6500 * time.Millisecond
+	for rank := range 20 {
+		s := SourceState{HasLocal: true, WithoutPiece: originAway, Rank: rank}
+		if s.AsksOtherZones() {
+			t.Errorf("rank %d, linked in its zone, origin away for %v: AsksOtherZones() = true, want false", rank, originAway)
+		}
+	}
+	for name, c := range map[string]struct {
+		state SourceState
+		want  bool
+	}{
+		"the process has just started":                     {SourceState{Unlinked: unlinkedTimeout / 2}, false},
+		"no entry of the zone is linked":                   {SourceState{Unlinked: unlinkedTimeout, Rank: 9}, true},
+		"the zone brings nothing, first target":            {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout}, true},
+		"the zone brings nothing, the others, a bit later": {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout, Rank: 1}, false},
+		"the zone brings nothing for long":                 {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout + 9*zoneSilenceStep, Rank: 9}, true},
+	} {
+		if got := c.state.AsksOtherZones(); got != c.want {
+			t.Errorf("%s: AsksOtherZones() = %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/weights/upgrade/upgrade.go
+++ b/weights/upgrade/upgrade.go
@@ -67,8 +67,17 @@
 		return Load
 	}
 	due := s.DueAt()
+	loadAt := due.Add(s.NewsDelay + notifyMargin)
+	// Once the loaded version is past its bound, the engine gets no requests, and entries need not be
+	// notified in advance.
+	if end := s.BehindSince.Add(s.Bound); end.Before(loadAt) {
+		loadAt = end
+		if end.Before(due) {
+			loadAt = due
+		}
+	}
 	switch {
-	case !s.Now.Before(due.Add(s.NewsDelay + notifyMargin)):
+	case !s.Now.Before(loadAt):
 		return Load
 	case !s.Now.Before(due):
 		return NotifyEntries
--- a/weights/upgrade/upgrade_test.go
+++ b/weights/upgrade/upgrade_test.go
@@ -56,6 +56,29 @@
 	}
 }
 
+// Guards against engines that stay without an allowed version for longer than it takes to load: pieces
+// that arrive about when the bound of the loaded version ends were loaded only after a notification of
+// entries, which sent no requests any more.
+func TestEngineDoesNotNotifyPastBound(t *testing.T) {
+	s := newState()
+	s.Rank, s.NewsDelay = 3, 250*time.Millisecond
+	for name, c := range map[string]struct {
+		behind time.Duration
+		after  time.Duration
+		want   Action
+	}{
+		"past the bound when the pieces are staged": {s.Bound + time.Second, 0, Load},
+		"bound not over":                     {s.Bound - 100*time.Millisecond, 50 * time.Millisecond, NotifyEntries},
+		"bound ends during the notification": {s.Bound - 100*time.Millisecond, 100 * time.Millisecond, Load},
+		"in time":                            {s.Bound - lastTurnMargin, 300 * time.Millisecond, NotifyEntries},
+	} {
+		s.BehindSince, s.Now = s.StagedAt.Add(-c.behind), s.StagedAt.Add(c.after)
+		if got := Decide(s); got != c.want {
+			t.Errorf("%s: Decide() = %d, want %d", name, got, c.want)
+		}
+	}
+}
+
 func TestEmptyEngineLoadsAtOnce(t *testing.T) {
 	s := newState()
 	s.Loaded, s.Rank = 0, 3
