Of two versions that arrive at once, one goes first

Cause: versions announced 2 s apart shared the link of the origin (5.94 Mbit/s, one copy takes 2.8 s) and those of the targets (7.6 Mbit/s), so that each took twice its time. Engines loaded the older one and were taken out again for the newer one a moment later.

Change: upgrade.Precede decides, at each entry and each target for what it receives itself: the older version goes first if its missing pieces take a second at most and arrive within its bound, and the newer one still arrives within its own; the newer one waits for 1.5 s at most. Otherwise the newer one goes first, until it is complete (the older one is superseded) or brings no piece for 1.5 s (the older one is resumed). upgrade.SkipState keeps a staged version from being loaded if the newer one arrives in time. Each deferred, resumed and superseded transfer and load is logged and counted. A loaded version that is not proved yet, a single version and one without a known announcement never wait.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -165,6 +165,9 @@
 		// A list of digests of another length is refused.
 		PieceCount: e.fleet.pieceCount,
 		Origin:     e.origin,
+		VersionEnd: e.fleet.versionEnd,
+
+		OnTransferEvent: e.meters.countTransferEvent,
 	})
 	storerestore.Watch(e.runCtx, storerestore.Options{
 		Store:         e.store,
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -10,6 +10,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/weightcache"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -54,6 +55,18 @@
 	}
 }
 
+// transferEventNames are the values of the label event.
+var transferEventNames = map[weightcache.TransferEvent]string{
+	weightcache.TransferDeferred:   "deferred",
+	weightcache.TransferResumed:    "resumed",
+	weightcache.TransferSuperseded: "superseded",
+}
+
+// countTransferEvent counts versions of weights that wait for others, go on, or are no longer needed.
+func (m *meters) countTransferEvent(e weightcache.TransferEvent) {
+	m.scope.Tagged(map[string]string{"event": transferEventNames[e]}).Counter("weight_transfers").Inc(1)
+}
+
 // countRequest counts a request by kind, status and reason, and a late one once more.
 func (m *meters) countRequest(c *call, status int, reason contract.Reason) {
 	kind := "none"
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -97,6 +97,13 @@
 	return fs.announced.Ages(time.Now(), fs.bounds.OldVersionGrace)
 }
 
+// versionEnd returns when the bound of an announced version ends.
+func (fs *fleetState) versionEnd(model string, number int64) (end time.Time, ok bool) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.announced.ForModel(model).End(number, fs.bounds.OldVersionGrace)
+}
+
 // applyTargetRecords applies changes of the platform's target list. It reports whether they have news
 // on where requests may be sent; most changes only say that a target still runs.
 func (fs *fleetState) applyTargetRecords(update feed.Update) (hasNews bool) {
--- a/machine/target/direct/candidate.go
+++ b/machine/target/direct/candidate.go
@@ -20,6 +20,12 @@
 	set     *pieces.Set
 	// fetching reports whether a goroutine is fetching its pieces.
 	fetching bool
+	// transfer tells whether the fetch waits while that of another candidate goes first.
+	transfer weightcache.Transfer
+	// skippedSince is since when the version, though staged, is not loaded because a newer one is
+	// about to arrive; zero if it has not been. isSkipped reports whether that still holds.
+	skippedSince time.Time
+	isSkipped    bool
 }
 
 // isComplete reports whether all pieces of the version have been fetched.
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -88,6 +88,9 @@
 		StagedAt:    r.staged.stagedAt(c, r.report.Born),
 	}
 	step := upgrade.Decide(state)
+	if step != upgrade.Wait && r.skipsForNewer(c, state) {
+		step = upgrade.Wait
+	}
 	becomesPending := step != upgrade.Wait && !r.changePending
 	// The turn of a newer version may come later than that of the one before it.
 	r.changePending = step != upgrade.Wait || !r.orderedAt.IsZero()
--- a/machine/target/direct/meters.go
+++ b/machine/target/direct/meters.go
@@ -35,6 +35,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("proofs").Inc(1)
 }
 
+// countSuccession counts a fetch or load that was deferred, resumed or superseded.
+func (m *meters) countSuccession(event string) {
+	m.scope.Tagged(map[string]string{"event": event}).Counter("successions").Inc(1)
+}
+
 // countStoreRestore counts a return of the store from an older copy.
 func (m *meters) countStoreRestore() { m.scope.Counter("store_restores").Inc(1) }
 
--- a/machine/target/direct/piecefetch.go
+++ b/machine/target/direct/piecefetch.go
@@ -63,8 +63,16 @@
 		return clock.state(time.Now(), heldCount(r.currentPieces(c)()), hasLocal, rank).AsksOtherZones()
 	}
 	for ctx.Err() == nil && r.needsFetch(c) {
+		if c.transfer.IsWaiting() {
+			clock.pause(time.Now())
+			sleep(ctx, retryInterval)
+			continue
+		}
 		for _, id := range r.sourceEntries(c.version, origin, asksOthers) {
-			_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
+			isInterrupted, err := r.fetchFrom(ctx, c, id)
+			if isInterrupted {
+				break
+			}
 			r.target.meters.countResult("fetches", err)
 			if err != nil {
 				logger.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
@@ -75,10 +83,24 @@
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryInterval):
-		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+// fetchFrom fetches the missing pieces of a candidate from an entry. It stops, and reports that it was
+// interrupted, when another candidate goes first.
+func (r *reconciler) fetchFrom(ctx context.Context, c *candidate, entry contract.MachineID) (isInterrupted bool, err error) {
+	fetchCtx, cancel := c.transfer.Context(ctx)
+	defer cancel()
+	_, err = weightcache.Fetch(fetchCtx, r.target.peers, entry, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
+	return err != nil && ctx.Err() == nil && fetchCtx.Err() != nil, err
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -150,6 +172,9 @@
 
 func newSourceClock(now time.Time) *sourceClock { return &sourceClock{pieceAt: now, linkedAt: now} }
 
+// pause has the time without a piece count from now: the fetch waits for that of another version.
+func (c *sourceClock) pause(now time.Time) { c.pieceAt = now }
+
 // state returns the state of the sources at a time when count pieces are held.
 func (c *sourceClock) state(now time.Time, count int, hasLocal bool, rank int) upgrade.SourceState {
 	if count != c.count {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -151,6 +151,7 @@
 		return
 	}
 	r.updateCandidates(ctx, version, origin)
+	r.arbitrate(time.Now())
 	if r.unloadPart(ctx, version.Model) {
 		return
 	}
@@ -284,5 +285,9 @@
 	if !r.up {
 		return nil
 	}
-	return newestComplete(r.candidates, r.loadedVersion())
+	next := newestComplete(r.candidates, r.loadedVersion())
+	if next != nil {
+		r.logSupersededLoads(next)
+	}
+	return next
 }
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -291,3 +291,11 @@
 	defer t.mu.Unlock()
 	return t.announced.ForModel(model).BehindSince(loaded, t.bound)
 }
+
+// versionEnd returns when the bound of an announced version ends; ok is false if it is not known to be
+// announced.
+func (t *Target) versionEnd(model string, number int64) (end time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.announced.ForModel(model).End(number, t.bound)
+}
--- a/machine/weightcache/cache.go
+++ b/machine/weightcache/cache.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/periodic"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/peers"
 	"mimosastand.example/mimosastand/platform"
@@ -61,6 +62,12 @@
 	PieceCount func(model string) int
 	// Origin knows which entries could not reach the origin; nil if only this entry's attempts count.
 	Origin *OriginWatch
+	// VersionEnd returns when the bound of an announced version ends; ok is false if the version is not
+	// known to be announced. Without it no version waits for another one.
+	VersionEnd func(model string, number int64) (end time.Time, ok bool)
+	// OnTransferEvent is called when a version has to wait for another one, goes on, or is no longer
+	// needed. It may be nil.
+	OnTransferEvent func(TransferEvent)
 }
 
 // Cache gets the pieces of versions and serves them to peers. It is safe for concurrent use.
@@ -73,6 +80,8 @@
 	origin   catalog.Origin
 	client   *platform.OriginClient
 	versions map[Version]*cachedVersion
+	// arbitration starts the goroutine that decides which versions go first.
+	arbitration sync.Once
 }
 
 // New returns a cache whose background work ends with ctx.
@@ -183,6 +192,7 @@
 	waitCtx, endWait := context.WithCancel(ctx)
 	cv := &cachedVersion{cache: c, id: v, ctx: ctx, digestsKnown: make(chan struct{}), cancel: cancel, endWait: endWait}
 	c.versions[v] = cv
+	c.arbitration.Do(func() { go periodic.Run(c.ctx, arbitrationInterval, c.arbitrate) })
 	go cv.fetchAll(ctx, waitCtx)
 	return cv
 }
@@ -190,13 +200,7 @@
 // RewriteLost appends the pieces of complete versions that the store lost when it came back
 // from an older copy in an era, as far as it is this entry's turn. It returns their number.
 func (c *Cache) RewriteLost(ctx context.Context, era int64) (rewritten int) {
-	c.mu.Lock()
-	var held []*cachedVersion
-	for _, cv := range c.versions {
-		held = append(held, cv)
-	}
-	c.mu.Unlock()
-	for _, cv := range held {
+	for _, cv := range c.cachedVersions() {
 		rewritten += cv.rewriteLost(ctx, era)
 	}
 	return rewritten
--- a/machine/weightcache/cache_test.go
+++ b/machine/weightcache/cache_test.go
@@ -32,6 +32,16 @@
 type node struct {
 	cache *Cache
 	peers *peers.Peers
+	// ends holds when the bounds of announced versions end.
+	ends sync.Map
+}
+
+func (n *node) versionEnd(_ string, number int64) (time.Time, bool) {
+	end, ok := n.ends.Load(number)
+	if !ok {
+		return time.Time{}, false
+	}
+	return end.(time.Time), true
 }
 
 // startNode starts an entry in zone "a" with the given store and origin addresses.
@@ -57,7 +67,7 @@
 		t.Fatal(err)
 	}
 	n.peers = opened
-	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger, Origin: watch})
+	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger, Origin: watch, VersionEnd: n.versionEnd})
 	n.cache.SetOrigin(catalog.Origin{Address: origin, Zone: "a"})
 	var wg sync.WaitGroup
 	wg.Go(func() { opened.Run(ctx) })
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -47,6 +47,8 @@
 	// cancel ends the work on the version. endWait ends the wait for pieces that others
 	// read or download.
 	cancel, endWait context.CancelFunc
+	// transfer tells whether the version waits while another one of the model goes first.
+	transfer Transfer
 
 	mu  sync.Mutex
 	set *pieces.Set
@@ -151,13 +153,18 @@
 	const pollInterval = 100 * time.Millisecond
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		if cv.transfer.IsWaiting() {
+			cv.transfer.Wait(ctx)
+			// The time for which the version waited does not count.
+			progress.resumeAfter(time.Now())
+		}
 		// The reader cannot do better while the origin is known to be away.
 		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
 		predecessors := cv.cache.zonePredecessors(cv.id)
 		if progress.stalledFor(cv.pieceCount()) >= readerTimeout(len(predecessors)) {
 			return
 		}
-		cv.followZone(ctx)
+		cv.whileFirst(ctx, cv.followZone)
 		sleep(ctx, pollInterval)
 	}
 }
@@ -217,6 +224,10 @@
 	const pollInterval = 50 * time.Millisecond
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		if cv.transfer.IsWaiting() {
+			cv.transfer.Wait(ctx)
+			progress.resumeAfter(time.Now())
+		}
 		rank := cv.cache.rankOf(cv.id)
 		stalled := progress.stalledFor(cv.pieceCount())
 		if rank == 0 || stalled >= stallTimeout+time.Duration(min(rank, maxStallRank))*stallTimeoutPerRank {
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -45,11 +45,11 @@
 	defer cancel()
 	firstRound := make(chan struct{})
 	work.Go(func() {
-		cv.fetchHeldFromPeers(ctx)
+		cv.whileFirst(ctx, cv.fetchHeldFromPeers)
 		close(firstRound)
 		for ctx.Err() == nil && !cv.isComplete() {
 			sleep(ctx, retryDelay)
-			cv.fetchHeldFromPeers(ctx)
+			cv.whileFirst(ctx, cv.fetchHeldFromPeers)
 		}
 	})
 	select {
@@ -72,6 +72,12 @@
 	var failingSince time.Time
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		if cv.transfer.IsWaiting() && !cv.isDownloadRequested() {
+			// The time for which the version waits does not count.
+			progress.resumeAfter(time.Now())
+			sleep(ctx, retryDelay)
+			continue
+		}
 		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
 		state := cv.downloadState(progress.stalledFor(cv.pieceCount()))
 		if !cv.mayDownload(state) {
@@ -79,7 +85,8 @@
 			continue
 		}
 		start := time.Now()
-		if cv.download(ctx, state.Rank) {
+		isDone, isInterrupted := cv.downloadUnlessDeferred(ctx, state.Rank)
+		if isDone || isInterrupted {
 			failingSince = time.Time{}
 			continue
 		}
@@ -120,9 +127,26 @@
 // mayDownload reports whether this entry may download now: by its place in the order, or because it
 // was recently requested to.
 func (cv *cachedVersion) mayDownload(state upgrade.DownloadState) bool {
+	return state.MayDownload() || cv.isDownloadRequested()
+}
+
+// isDownloadRequested reports whether another entry recently requested this one to download. That
+// entry has decided that it needs the version, and cannot reach the origin.
+func (cv *cachedVersion) isDownloadRequested() bool {
 	cv.mu.Lock()
 	defer cv.mu.Unlock()
-	return state.MayDownload() || time.Since(cv.downloadRequestedAt) < requestedDownloadTimeout
+	return time.Since(cv.downloadRequestedAt) < requestedDownloadTimeout
+}
+
+// downloadUnlessDeferred downloads as download does, and stops when another version goes first, unless
+// the download was requested. It reports whether the origin answered every request, and whether it was
+// interrupted.
+func (cv *cachedVersion) downloadUnlessDeferred(ctx context.Context, rank int) (isDone, isInterrupted bool) {
+	if cv.isDownloadRequested() {
+		return cv.download(ctx, rank), false
+	}
+	isWhole := cv.whileFirst(ctx, func(ctx context.Context) { isDone = cv.download(ctx, rank) })
+	return isDone, !isWhole
 }
 
 // endRequestedDownload ends the permission that a request before the given time gave, after the
@@ -248,8 +272,10 @@
 	for ctx.Err() == nil && !isObsolete() {
 		digests, err := client.Digests(ctx, cv.id.Model, cv.id.Number)
 		if err != nil {
-			cv.reportOriginFailure(ctx, err)
-			cv.log().WithError(err).Warn("digests not downloaded from the origin")
+			if ctx.Err() == nil {
+				cv.reportOriginFailure(ctx, err)
+				cv.log().WithError(err).Warn("digests not downloaded from the origin")
+			}
 			return nil
 		}
 		if equalDigests(previous, digests) {
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -44,7 +44,8 @@
 	var once sync.Once
 	defer once.Do(func() { close(firstRead) })
 	for ctx.Err() == nil && !cv.isComplete() {
-		_, err := cv.readNext(ctx)
+		var err error
+		cv.whileFirst(ctx, func(ctx context.Context) { _, err = cv.readNext(ctx) })
 		once.Do(func() { close(firstRead) })
 		if err != nil {
 			sleep(ctx, retryDelay)
--- a/weights/upgrade/announced.go
+++ b/weights/upgrade/announced.go
@@ -205,6 +205,15 @@
 	return oldest
 }
 
+// End returns when the bound of an announced version ends; ok is false if the version is not known.
+func (a *AnnouncedVersions) End(number int64, bound time.Duration) (end time.Time, ok bool) {
+	v := a.find(number)
+	if v == nil {
+		return time.Time{}, false
+	}
+	return a.announcedAt(*v, bound, SendMargin).Add(bound), true
+}
+
 // BehindSince returns when the oldest version above loaded was announced. An engine that
 // has loaded is behind from then on, whatever was announced later. It returns the zero
 // time if there is no such version.
