Entries decide on downloads beside the other ways to get pieces

Cause: an entry decided whether to download only after it had stopped to rely on the reader of its zone (2.5 s a place) and had waited for progress (1.3 s). So when the first in rank died silently, the next one began after more than 4 s, of a bound of 8 to 10 s, and the turns of further entries did not begin where these still followed others. Any entry that failed to download reported the origin as unreachable, also one on a saturated link between regions, and so kept the next in rank back.

Change: the decision runs from the beginning; until an entry has read the store and asked peers, the other ways have 1.2 s more to bring a piece. Only entries that download by their rank report.

--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -49,6 +50,8 @@
 	cancel, endWait context.CancelFunc
 	// transfer tells whether the version waits while another one of the model goes first.
 	transfer Transfer
+	// isFront reports whether this entry last tried to download by its rank.
+	isFront atomic.Bool
 
 	mu  sync.Mutex
 	set *pieces.Set
@@ -114,6 +117,12 @@
 	start := time.Now()
 	cv.waitForMembers(ctx)
 	cv.log().WithField("rank", cv.cache.rankOf(cv.id)).Info("weights wanted")
+	downloadCtx, stopDownload := context.WithCancel(ctx)
+	ready := make(chan struct{})
+	var download sync.WaitGroup
+	defer download.Wait()
+	defer stopDownload()
+	download.Go(func() { cv.downloadWhenAllowed(downloadCtx, ready) })
 	cv.fetchFromZone(waitCtx)
 	readCtx, stopReading := context.WithCancel(ctx)
 	defer stopReading()
@@ -127,7 +136,8 @@
 	case <-ctx.Done():
 	}
 	cv.waitForProgress(waitCtx)
-	cv.fetchMissing(ctx)
+	cv.fetchMissing(ctx, ready)
+	stopDownload()
 	if !cv.isComplete() {
 		return
 	}
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -25,6 +25,8 @@
 	// requestedDownloadTimeout is how long an entry that was requested to download may
 	// take.
 	requestedDownloadTimeout = 2500 * time.Millisecond
+	// downloadPollInterval is the time between two decisions whether to download.
+	downloadPollInterval = 50 * time.Millisecond
 	// firstPeersTimeout is how long an entry asks others for the pieces that they hold before it
 	// downloads: one that is gone or on a saturated link must not delay it longer.
 	firstPeersTimeout = 400 * time.Millisecond
@@ -35,35 +37,26 @@
 	MaxStoredBytes = 32 << 20
 )
 
-// fetchMissing gets the missing pieces from entries that hold them and, if this entry may
-// download, from the origin, until the version is complete. The two go on beside each other: an
-// entry that waits for a peer must notice at once that the origin is back.
-func (cv *cachedVersion) fetchMissing(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	var work sync.WaitGroup
-	defer work.Wait()
-	defer cancel()
-	firstRound := make(chan struct{})
-	work.Go(func() {
+// fetchMissing gets the missing pieces from entries that hold them, until the version is complete. It
+// closes firstRound after it has asked some, or after firstPeersTimeout.
+func (cv *cachedVersion) fetchMissing(ctx context.Context, firstRound chan struct{}) {
+	var once sync.Once
+	end := func() { once.Do(func() { close(firstRound) }) }
+	defer end()
+	defer time.AfterFunc(firstPeersTimeout, end).Stop()
+	for ctx.Err() == nil && !cv.isComplete() {
 		cv.whileFirst(ctx, cv.fetchHeldFromPeers)
-		close(firstRound)
-		for ctx.Err() == nil && !cv.isComplete() {
-			sleep(ctx, retryDelay)
-			cv.whileFirst(ctx, cv.fetchHeldFromPeers)
-		}
-	})
-	select {
-	case <-firstRound:
-	case <-time.After(firstPeersTimeout):
-	case <-ctx.Done():
+		end()
+		sleep(ctx, retryDelay)
 	}
-	cv.downloadWhenAllowed(ctx)
 }
 
 // downloadWhenAllowed downloads missing pieces whenever this entry may, until the version is
-// complete. While the origin is unreachable it tries again every retryDelay, and meanwhile requests
-// other entries to download.
-func (cv *cachedVersion) downloadWhenAllowed(ctx context.Context) {
+// complete. It goes on beside all other ways to get the pieces: an entry that waits for a peer must
+// notice at once that the origin is back, or that those before it in rank are gone. Until ready is
+// closed, the other ways have stallTimeout to bring a piece. While the origin is unreachable it tries
+// again every retryDelay, and meanwhile requests other entries to download.
+func (cv *cachedVersion) downloadWhenAllowed(ctx context.Context, ready <-chan struct{}) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	requested := 0
@@ -75,16 +68,22 @@
 		if cv.transfer.IsWaiting() && !cv.isDownloadRequested() {
 			// The time for which the version waits does not count.
 			progress.resumeAfter(time.Now())
-			sleep(ctx, retryDelay)
+			sleep(ctx, downloadPollInterval)
 			continue
 		}
 		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
-		state := cv.downloadState(progress.stalledFor(cv.pieceCount()))
-		if !cv.mayDownload(state) {
-			sleep(ctx, retryDelay)
+		stalled := progress.stalledFor(cv.pieceCount())
+		isReady := isClosed(ready)
+		if !isReady {
+			stalled = max(stalled-stallTimeout, 0)
+		}
+		state := cv.downloadState(stalled)
+		if !cv.mayDownload(state) || !isReady && stalled == 0 && !cv.isDownloadRequested() {
+			sleep(ctx, downloadPollInterval)
 			continue
 		}
 		start := time.Now()
+		cv.isFront.Store(mayRequestDownload(state.Rank))
 		isDone, isInterrupted := cv.downloadUnlessDeferred(ctx, state.Rank)
 		if isDone || isInterrupted {
 			failingSince = time.Time{}
@@ -110,6 +109,15 @@
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayRequestDownload reports whether an entry may request another one to download. Only
 // entries that download by their own rank may: if requested entries requested others in
 // turn, the whole fleet would download at once when the origin recovers from an outage.
--- a/machine/weightcache/originwatch.go
+++ b/machine/weightcache/originwatch.go
@@ -52,9 +52,11 @@
 	return w.outage.KnownUntil()
 }
 
-// reportOriginFailure reports to all entries that the origin could not be reached, if err says so.
+// reportOriginFailure reports to all entries that the origin could not be reached, if err says so. Only
+// entries that download by their rank report: others may be on a saturated link between regions, and
+// must not keep those next in rank from replacing the first ones.
 func (cv *cachedVersion) reportOriginFailure(ctx context.Context, err error) {
-	if ctx.Err() != nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUncertain) {
+	if !cv.isFront.Load() || ctx.Err() != nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUncertain) {
 		return
 	}
 	w := cv.cache.opts.Origin
