--- a/machine/target/direct/piecefetch.go
+++ b/machine/target/direct/piecefetch.go
@@ -43,16 +43,36 @@
 	}
 }
 
-// fetchPieces fetches the pieces of a candidate from the entries of the zone, and later
+// heldCount returns the number of pieces of a set, which may be nil.
+func heldCount(set *pieces.Set) int {
+	if set == nil {
+		return 0
+	}
+	return set.Count()
+}
+
+// fetchPieces fetches the pieces of a candidate from the entries of the zone, and if these fail
 // from any entry, until the candidate is complete or no longer needed.
 func (r *reconciler) fetchPieces(ctx context.Context, c *candidate, origin catalog.Origin) {
 	const retryInterval = 100 * time.Millisecond
 	start := time.Now()
 	logger := r.log.WithField("version", c.version.String())
 	defer r.markFetchFinished(c)
+	clock := newSourceClock(start)
+	asksOthers := func(hasLocal bool, rank int) bool {
+		return clock.state(time.Now(), heldCount(r.currentPieces(c)()), hasLocal, rank).AsksOtherZones()
+	}
 	for ctx.Err() == nil && r.needsFetch(c) {
-		for _, id := range r.sourceEntries(c.version, origin, time.Since(start)) {
-			_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
+		if c.transfer.IsWaiting() {
+			clock.pause(time.Now())
+			sleep(ctx, retryInterval)
+			continue
+		}
+		for _, id := range r.sourceEntries(c.version, origin, asksOthers) {
+			isInterrupted, err := r.fetchFrom(ctx, c, id)
+			if isInterrupted {
+				break
+			}
 			r.target.meters.countResult("fetches", err)
 			if err != nil {
 				logger.WithError(err).WithField("entry", string(id)).Warn("pieces not received")
@@ -63,10 +83,24 @@
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryInterval):
-		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+// fetchFrom fetches the missing pieces of a candidate from an entry. It stops, and reports that it was
+// interrupted, when another candidate goes first.
+func (r *reconciler) fetchFrom(ctx context.Context, c *candidate, entry contract.MachineID) (isInterrupted bool, err error) {
+	fetchCtx, cancel := c.transfer.Context(ctx)
+	defer cancel()
+	_, err = weightcache.Fetch(fetchCtx, r.target.peers, entry, c.version, weightcache.FetchFollow, r.currentPieces(c), r.initPieces(c))
+	return err != nil && ctx.Err() == nil && fetchCtx.Err() != nil, err
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -79,7 +113,9 @@
 // fetchDigests fetches the digests of a candidate from the entries that have them.
 func (r *reconciler) fetchDigests(ctx context.Context, c *candidate, origin catalog.Origin) {
 	defer r.markFetchFinished(c)
-	for _, id := range r.sourceEntries(c.version, origin, ownZoneTimeout) {
+	// Digests are small.
+	anyZone := func(bool, int) bool { return true }
+	for _, id := range r.sourceEntries(c.version, origin, anyZone) {
 		_, err := weightcache.Fetch(ctx, r.target.peers, id, c.version, weightcache.FetchDigests, r.currentPieces(c), r.initPieces(c))
 		r.target.meters.countResult("fetches", err)
 		if err != nil {
@@ -105,10 +141,9 @@
 	c.fetching = false
 }
 
-// sourceEntries lists the linked entries to ask for pieces, in order: those of the
-// target's own zone and, once the fetch has waited for ownZoneTimeout, those of other
-// zones, whose pieces are sent over the links between regions.
-func (r *reconciler) sourceEntries(v weightcache.Version, origin catalog.Origin, waited time.Duration) []contract.MachineID {
+// sourceEntries lists the linked entries to ask for pieces, in order: those of the target's own
+// zone, and those of other zones if asksOthers says so, given whether an entry of the own zone is linked.
+func (r *reconciler) sourceEntries(v weightcache.Version, origin catalog.Origin, asksOthers func(hasLocal bool, rank int) bool) []contract.MachineID {
 	ownZone := r.target.process.Zone
 	ranked := weightcache.RankEntries(v, r.target.peers.Members(link.RoleEntry), origin.Zone)
 	var local, remote []contract.MachineID
@@ -123,8 +158,30 @@
 	}
 	rank, total := r.zoneRank()
 	local = upgrade.OrderSources(local, rank, total)
-	if waited < ownZoneTimeout {
+	if !asksOthers(len(local) > 0, rank) {
 		return local
 	}
 	return append(local, remote...)
 }
+
+// sourceClock measures for how long a fetch has had no piece and no linked entry in the target's zone.
+type sourceClock struct {
+	count             int
+	pieceAt, linkedAt time.Time
+}
+
+func newSourceClock(now time.Time) *sourceClock { return &sourceClock{pieceAt: now, linkedAt: now} }
+
+// pause has the time without a piece count from now: the fetch waits for that of another version.
+func (c *sourceClock) pause(now time.Time) { c.pieceAt = now }
+
+// state returns the state of the sources at a time when count pieces are held.
+func (c *sourceClock) state(now time.Time, count int, hasLocal bool, rank int) upgrade.SourceState {
+	if count != c.count {
+		c.count, c.pieceAt = count, now
+	}
+	if hasLocal {
+		c.linkedAt = now
+	}
+	return upgrade.SourceState{HasLocal: hasLocal, Unlinked: now.Sub(c.linkedAt), WithoutPiece: now.Sub(c.pieceAt), Rank: rank}
+}
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -21,8 +21,6 @@
 	// changePollInterval is the same while the engine loads weights or is about to: it serves nothing
 	// until entries know that it is back.
 	changePollInterval = 50 * time.Millisecond
-	// ownZoneTimeout is how long a fetch asks only the entries of the target's own zone.
-	ownZoneTimeout = 1500 * time.Millisecond
 	// maxReportAge is the age of the engine's last report from which on the engine gets no requests: what
 	// it has done since is not known, for example while the process waits in a call to it or stood still.
 	maxReportAge = 800 * time.Millisecond
@@ -153,6 +151,7 @@
 		return
 	}
 	r.updateCandidates(ctx, version, origin)
+	r.arbitrate(time.Now())
 	if r.unloadPart(ctx, version.Model) {
 		return
 	}
@@ -286,5 +285,9 @@
 	if !r.up {
 		return nil
 	}
-	return newestComplete(r.candidates, r.loadedVersion())
+	next := newestComplete(r.candidates, r.loadedVersion())
+	if next != nil {
+		r.logSupersededLoads(next)
+	}
+	return next
 }
--- a/machine/weightcache/cache_test.go
+++ b/machine/weightcache/cache_test.go
@@ -31,6 +31,18 @@
 type node struct {
 	cache *Cache
 	peers *peers.Peers
+	// ends holds when the bounds of announced versions end.
+	ends sync.Map
+	// stop ends the process.
+	stop func()
+}
+
+func (n *node) versionEnd(_ string, number int64) (time.Time, bool) {
+	end, ok := n.ends.Load(number)
+	if !ok {
+		return time.Time{}, false
+	}
+	return end.(time.Time), true
 }
 
 // startNode starts an entry in zone "a" with the given store and origin addresses.
@@ -39,12 +51,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	n := &node{}
+	watch := NewOriginWatch()
 	opened, err := peers.Open(peers.Options{
 		Self:          peers.Member{Machine: name, Role: link.RoleEntry, Zone: "a", Region: "ra", Address: "127.0.0.1:0"},
 		Store:         platform.NewStore(store),
 		Log:           logger,
-		FillHeartbeat: func(contract.MachineID, *contract.Heartbeat) {},
-		OnHeartbeat:   func(contract.Heartbeat) {},
+		FillHeartbeat: func(_ contract.MachineID, hb *contract.Heartbeat) { hb.OriginOutage = watch.Report() },
+		OnHeartbeat:   func(hb contract.Heartbeat) { watch.Apply(hb.OriginOutage) },
 		ServeStream: func(ctx context.Context, m contract.Message, s *link.Stream) {
 			if m.Kind == contract.KindPiecesRequest {
 				n.cache.Serve(ctx, *m.PiecesRequest, s)
@@ -55,14 +68,15 @@
 		t.Fatal(err)
 	}
 	n.peers = opened
-	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger})
+	n.cache = New(ctx, Options{Self: name, Zone: "a", Store: platform.NewStore(store), Peers: opened, Log: logger, Origin: watch, VersionEnd: n.versionEnd})
 	n.cache.SetOrigin(catalog.Origin{Address: origin, Zone: "a"})
 	var wg sync.WaitGroup
 	wg.Go(func() { opened.Run(ctx) })
-	t.Cleanup(func() {
+	n.stop = func() {
 		cancel()
 		wg.Wait()
-	})
+	}
+	t.Cleanup(n.stop)
 	return n
 }
 
@@ -99,36 +113,50 @@
 }
 
 // The bandwidth of the origin's link is small: entries of high rank download only when they
-// are requested to, and for a limited time. Without this, all 38 entries of a fleet
-// downloaded at once after an outage of the origin, and none had the version for 20 s.
+// are requested to, for a limited time, and only while the origin answers them. Without this, all
+// 38 entries of a fleet downloaded at once after an outage of the origin, and none had the version
+// for 20 s.
 func TestOnlyFirstInRankDownloadUnlessRequested(t *testing.T) {
 	_, endWait := context.WithCancel(context.Background())
 	cv := &cachedVersion{endWait: endWait}
+	state := func(rank int) upgrade.DownloadState {
+		return upgrade.DownloadState{Rank: rank, Place: rank, Entries: 38, Stalled: 900 * time.Millisecond}
+	}
 	for rank, want := range []bool{true, true, true, false, false} {
-		if got := cv.mayDownload(rank, 0); got != want {
-			t.Errorf("mayDownload(%d) = %v without a request, want true only below 3", rank, got)
+		if got := cv.mayDownload(state(rank)); got != want {
+			t.Errorf("mayDownload() of rank %d = %v without a request, want true only below 3", rank, got)
 		}
 	}
 	cv.triggerDownload()
-	if !cv.mayDownload(30, 0) {
-		t.Error("mayDownload(30) = false after a request, want true")
+	if !cv.mayDownload(state(30)) {
+		t.Error("mayDownload() of rank 30 = false after a request, want true")
+	}
+	cv.endRequestedDownload(time.Now().Add(-time.Second))
+	if !cv.mayDownload(state(30)) {
+		t.Error("an attempt before the request failed: mayDownload() of rank 30 = false, want true")
+	}
+	cv.endRequestedDownload(time.Now())
+	if cv.mayDownload(state(30)) {
+		t.Error("the origin did not answer: mayDownload() of rank 30 = true, want false")
 	}
 	cv.downloadRequestedAt = time.Now().Add(-requestedDownloadTimeout)
-	if cv.mayDownload(30, 0) {
-		t.Error("mayDownload(30) = true when the request has timed out, want false")
+	if cv.mayDownload(state(30)) {
+		t.Error("mayDownload() of rank 30 = true when the request has timed out, want false")
 	}
 }
 
-// Guards against a version that nobody downloads, since the entries that are first in rank are gone
-// and those that follow are not linked to them and do not know.
-func TestMoreEntriesMayDownloadWhileNoPieceArrives(t *testing.T) {
-	cv := &cachedVersion{}
-	const entries = 148
-	if cv.mayDownload(entries-1, downloadersGrowth) {
-		t.Errorf("mayDownload(%d) = true after %v without a piece, want false", entries-1, downloadersGrowth)
+// Guards against entries that replace the first in rank although these run and try: the time without
+// a piece must count from the last report that the origin is unreachable.
+func TestStallCountsFromEndOfKnownOutage(t *testing.T) {
+	now := time.Now()
+	p := &progress{count: 54, since: now.Add(-6 * time.Second)}
+	p.resumeAfter(now.Add(-7 * time.Second))
+	if got := p.stalledFor(54); got < 6*time.Second {
+		t.Errorf("an outage before the last piece: stalled for %v, want at least 6s", got)
 	}
-	if stalled := 6 * downloadersGrowth; !cv.mayDownload(entries-1, stalled) {
-		t.Errorf("mayDownload(%d) = false after %v without a piece, want true", entries-1, stalled)
+	p.resumeAfter(now.Add(time.Hour))
+	if got := p.stalledFor(54); got != 0 {
+		t.Errorf("during a known outage: stalled for %v, want 0s", got)
 	}
 }
 
@@ -155,6 +183,32 @@
 	}
 }
 
+// Guards against a reader that sends the pieces to most of its zone: after many entries had lost power at
+// once, all others followed the first linked one, and its link carried a few copies in 3 s.
+func TestEntriesWithoutParentSpreadOverThoseThatRun(t *testing.T) {
+	const entries, limit = 30, 6
+	var members []peers.Member
+	for i := range entries {
+		members = append(members, peers.Member{Machine: contract.MachineID(fmt.Sprintf("entry-%02d", i)), Zone: "a"})
+	}
+	ranked := RankEntries(Version{Model: "m", Number: 3}, members, "a")
+	runs := map[contract.MachineID]bool{}
+	for i := 0; i < entries; i += 2 {
+		runs[ranked[i].Machine] = true
+	}
+	followers := map[contract.MachineID]int{}
+	for _, m := range ranked[1:] {
+		parent, ok := parentInZone(ranked, m.Machine, "a", func(id contract.MachineID) bool { return runs[id] })
+		if !ok || !runs[parent] {
+			t.Fatalf("parentInZone() of %s = %q, %v, want an entry that runs", m.Machine, parent, ok)
+		}
+		followers[parent]++
+	}
+	if got := followers[ranked[0].Machine]; got > limit {
+		t.Errorf("%d of %d entries follow the reader, want at most %d", got, entries-1, limit)
+	}
+}
+
 // If the entry that downloaded a version cannot write to the store, another entry that got
 // the pieces from it must store what is missing: after a power failure no process has them.
 func TestStoreIsBackfilledWhenDownloaderCannotWrite(t *testing.T) {
@@ -199,7 +253,7 @@
 // entries that were requested to download and failed requested others in turn.
 func TestRequestedDownloaderRequestsNoOthers(t *testing.T) {
 	for rank := range 12 {
-		if got, want := mayRequestDownload(rank), rank < maxDownloaders; got != want {
+		if got, want := mayRequestDownload(rank), rank < upgrade.MaxDownloaders; got != want {
 			t.Errorf("mayRequestDownload(%d) = %v, want %v", rank, got, want)
 		}
 	}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/weights/pieces"
+	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
 const (
@@ -20,10 +22,13 @@
 	stallTimeout        = 1200 * time.Millisecond
 	stallTimeoutPerRank = 100 * time.Millisecond
 	maxStallRank        = 20
-	// readerTimeoutStep is how long the second entry of a zone relies on the reader, and
-	// how much longer each further one does: if all took over at once, their copies would
-	// saturate the links between regions.
-	readerTimeoutStep = 3500 * time.Millisecond
+	// readerTimeoutStep is how long the second entry of a zone relies on the reader without
+	// getting a piece, and how much longer each further one does: if all took over at once, their
+	// copies would saturate the links between regions.
+	readerTimeoutStep = 2500 * time.Millisecond
+	// followTimeout is how long an entry follows a neighbour until it looks for a better one: the
+	// neighbour may be on a slow link.
+	followTimeout = 5 * time.Second
 	// firstReadTimeout is how long an entry waits for the first read of the store before it
 	// may download.
 	firstReadTimeout = 400 * time.Millisecond
@@ -43,6 +48,10 @@
 	// cancel ends the work on the version. endWait ends the wait for pieces that others
 	// read or download.
 	cancel, endWait context.CancelFunc
+	// transfer tells whether the version waits while another one of the model goes first.
+	transfer Transfer
+	// isFront reports whether this entry last tried to download by its rank.
+	isFront atomic.Bool
 
 	mu  sync.Mutex
 	set *pieces.Set
@@ -108,6 +117,12 @@
 	start := time.Now()
 	cv.waitForMembers(ctx)
 	cv.log().WithField("rank", cv.cache.rankOf(cv.id)).Info("weights wanted")
+	downloadCtx, stopDownload := context.WithCancel(ctx)
+	ready := make(chan struct{})
+	var download sync.WaitGroup
+	defer download.Wait()
+	defer stopDownload()
+	download.Go(func() { cv.downloadWhenAllowed(downloadCtx, ready) })
 	cv.fetchFromZone(waitCtx)
 	readCtx, stopReading := context.WithCancel(ctx)
 	defer stopReading()
@@ -121,7 +136,8 @@
 	case <-ctx.Done():
 	}
 	cv.waitForProgress(waitCtx)
-	cv.fetchMissing(ctx)
+	cv.fetchMissing(ctx, ready)
+	stopDownload()
 	if !cv.isComplete() {
 		return
 	}
@@ -145,32 +161,38 @@
 // returns when the version is complete, this entry stops relying on the reader, or ctx ends.
 func (cv *cachedVersion) fetchFromZone(ctx context.Context) {
 	const pollInterval = 100 * time.Millisecond
-	start := time.Now()
+	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		if cv.transfer.IsWaiting() {
+			cv.transfer.Wait(ctx)
+			// The time for which the version waited does not count.
+			progress.resumeAfter(time.Now())
+		}
+		// The reader cannot do better while the origin is known to be away.
+		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
 		predecessors := cv.cache.zonePredecessors(cv.id)
-		remaining := readerTimeout(len(predecessors)) - time.Since(start)
-		if remaining <= 0 {
+		if progress.stalledFor(cv.pieceCount()) >= readerTimeout(len(predecessors)) {
 			return
 		}
-		cv.followZone(ctx, remaining)
+		cv.whileFirst(ctx, cv.followZone)
 		sleep(ctx, pollInterval)
 	}
 }
 
 // readerTimeout returns how long the entry of the given rank within its zone relies on the
-// reader. The reader itself has rank 0 and does not wait.
+// reader without getting a piece. The reader itself has rank 0 and does not wait.
 func readerTimeout(rank int) time.Duration { return readerTimeoutStep * time.Duration(rank) }
 
-// followZone receives the pieces from the parent in the zone's tree, until the timeout, and then
-// those that a linked entry of the zone holds.
-func (cv *cachedVersion) followZone(ctx context.Context, timeout time.Duration) {
+// followZone receives the pieces from the parent in the zone's tree, for as long as they come and for
+// followTimeout at most, and then those that a linked entry of the zone holds.
+func (cv *cachedVersion) followZone(ctx context.Context) {
 	c := cv.cache
 	ranked := c.rankedEntries(cv.id)
 	parent, ok := parentInZone(ranked, c.opts.Self, c.opts.Zone, c.opts.Peers.IsLinked)
 	if !ok {
 		return
 	}
-	cv.followPeer(ctx, parent, timeout)
+	cv.followPeer(ctx, parent, followTimeout)
 	if ctx.Err() != nil || cv.isComplete() {
 		return
 	}
@@ -212,6 +234,10 @@
 	const pollInterval = 50 * time.Millisecond
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
+		if cv.transfer.IsWaiting() {
+			cv.transfer.Wait(ctx)
+			progress.resumeAfter(time.Now())
+		}
 		rank := cv.cache.rankOf(cv.id)
 		stalled := progress.stalledFor(cv.pieceCount())
 		if rank == 0 || stalled >= stallTimeout+time.Duration(min(rank, maxStallRank))*stallTimeoutPerRank {
@@ -241,21 +267,41 @@
 	return list
 }
 
-// selectPeers returns the entries to request pieces from in one round: those that download,
-// the reader of the zone, and a random selection of the others.
+// downloadCandidates returns the other linked entries in the order in which they are requested to
+// download: those of different zones alternate, since it may be this entry's zone that cannot reach
+// the origin.
+func (cv *cachedVersion) downloadCandidates() []contract.MachineID {
+	c := cv.cache
+	var entries []upgrade.ZoneEntry[contract.MachineID]
+	for _, m := range c.rankedEntries(cv.id) {
+		if m.Machine != c.opts.Self && c.opts.Peers.IsLinked(m.Machine) {
+			entries = append(entries, upgrade.ZoneEntry[contract.MachineID]{Entry: m.Machine, Zone: m.Zone})
+		}
+	}
+	return upgrade.AlternateZones(entries, c.opts.Zone)
+}
+
+// selectPeers returns the entries to request pieces from in one round. The reader of a zone requests
+// them from those that download, and from a random selection of the others. The other entries of the
+// zone request them from entries of the zone first, beginning with the reader: what these hold need
+// not come over the links between regions again.
 func (cv *cachedVersion) selectPeers() []contract.MachineID {
 	list := cv.linkedEntries()
 	if len(list) <= maxPeersPerRound {
 		return list
 	}
-	others := list[maxDownloaders:]
+	downloaders, others := list[:upgrade.MaxDownloaders], list[upgrade.MaxDownloaders:]
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	if predecessors := cv.cache.zonePredecessors(cv.id); len(predecessors) > 0 {
-		if i := slices.Index(others, predecessors[0]); i > 0 {
-			others[0], others[i] = others[i], others[0]
-		}
+	predecessors := cv.cache.zonePredecessors(cv.id)
+	if len(predecessors) == 0 {
+		return list[:maxPeersPerRound]
+	}
+	distance := func(id contract.MachineID) int {
+		m, ok := cv.cache.opts.Peers.Member(id)
+		return weightOf(id != predecessors[0]) + weightOf(!ok || m.Zone != cv.cache.opts.Zone)
 	}
-	return list[:maxPeersPerRound]
+	slices.SortStableFunc(others, func(a, b contract.MachineID) int { return distance(a) - distance(b) })
+	return slices.Concat(others[:maxPeersPerRound-upgrade.MaxDownloaders], downloaders)
 }
 
 // fetchHeldFromPeers fetches the pieces that other entries hold: while the store does not
--- a/weights/upgrade/sources_test.go
+++ b/weights/upgrade/sources_test.go
@@ -4,6 +4,9 @@
 	"math/bits"
 	"slices"
 	"testing"
+	"time"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 // In a zone of 27 targets and 13 entries no entry may send the weights to more than a few
@@ -81,3 +84,45 @@
 		}
 	}
 }
+
+// Guards against requests to download that go to all entries of the zone which cannot reach the origin
+// before one of another zone gets one.
+func TestRequestsToDownloadAlternateBetweenZones(t *testing.T) {
+	var entries []ZoneEntry[string]
+	for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "c1"} {
+		entries = append(entries, ZoneEntry[string]{Entry: name, Zone: contract.ZoneName(name[:1])})
+	}
+	want := []string{"b1", "c1", "a1", "b2", "a2", "a3"}
+	if got := AlternateZones(entries, "a"); !slices.Equal(got, want) {
+		t.Errorf("AlternateZones() = %v, want %v", got, want)
+	}
+	if got := AlternateZones[string](nil, "a"); len(got) != 0 {
+		t.Errorf("no entries: AlternateZones() = %v, want none", got)
+	}
+}
+
+// Guards against links between regions that carry the same version for each target: while a version was
+// late, the targets of a zone asked the entries of other zones for all pieces after 1.5 s.
+func TestTargetsLeaveLinksBetweenRegionsToEntries(t *testing.T) {
+	const originAway = 6500 * time.Millisecond
+	for rank := range 20 {
+		s := SourceState{HasLocal: true, WithoutPiece: originAway, Rank: rank}
+		if s.AsksOtherZones() {
+			t.Errorf("rank %d, linked in its zone, origin away for %v: AsksOtherZones() = true, want false", rank, originAway)
+		}
+	}
+	for name, c := range map[string]struct {
+		state SourceState
+		want  bool
+	}{
+		"the process has just started":                     {SourceState{Unlinked: unlinkedTimeout / 2}, false},
+		"no entry of the zone is linked":                   {SourceState{Unlinked: unlinkedTimeout, Rank: 9}, true},
+		"the zone brings nothing, first target":            {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout}, true},
+		"the zone brings nothing, the others, a bit later": {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout, Rank: 1}, false},
+		"the zone brings nothing for long":                 {SourceState{HasLocal: true, WithoutPiece: zoneSilenceTimeout + 9*zoneSilenceStep, Rank: 9}, true},
+	} {
+		if got := c.state.AsksOtherZones(); got != c.want {
+			t.Errorf("%s: AsksOtherZones() = %v, want %v", name, got, c.want)
+		}
+	}
+}
