--- a/machine/peers/peeroffsets_test.go
+++ b/machine/peers/peeroffsets_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,3 +82,57 @@
 		}
 	})
 }
+
+// silentRemote is a source whose remote peer "far" never answers.
+type silentRemote struct {
+	local    contract.Records
+	canceled chan struct{}
+}
+
+// PullFrom implements recordSource.
+func (s silentRemote) PullFrom(ctx context.Context, id contract.MachineID, _ string, _ int64) (contract.Records, error) {
+	if id != "far" {
+		return s.local, nil
+	}
+	<-ctx.Done()
+	close(s.canceled)
+	return contract.Records{}, ctx.Err()
+}
+
+// Pull implements recordSource.
+func (s silentRemote) Pull(context.Context, string, int64) (contract.Records, error) {
+	return contract.Records{}, ErrNoPeer
+}
+
+// Guards against an entry that waits for a silent peer of another zone while a neighbour has the
+// records, and against a pull that goes on over the link although it is needless.
+func TestSilentRemotePeerDelaysNoLocalPull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := feed.New(nil, feed.Options{
+			Topic: platform.TopicOperators, OnChange: func(feed.Update) {}, Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+		})
+		f.Merge(contract.Records{Records: []contract.Record{{Offset: 3, Key: "config", Value: []byte("old")}}, Synced: true, Newest: 3})
+		source := silentRemote{
+			local:    contract.Records{Records: []contract.Record{{Offset: 4, Key: "config", Value: []byte("new")}}, Synced: true, Newest: 4},
+			canceled: make(chan struct{}),
+		}
+		c := newCatchup(source, f, platform.TopicOperators, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go c.Run(ctx)
+		c.ObserveRemotePeerOffset("far", 4)
+		time.Sleep(remoteGracePeriod + lagCheckInterval)
+		c.ObservePeerOffset("near", 4)
+		synctest.Wait()
+		if got := f.NewestOffset(); got != 4 {
+			t.Errorf("topic held up to %d at once after a neighbour has reported 4, want 4", got)
+		}
+		started := time.Now()
+		<-source.canceled
+		if took := time.Since(started); took > lagCheckInterval {
+			t.Errorf("needless pull canceled after %v, want %v at most", took, lagCheckInterval)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
