An entry with small manifests waits at the store from its start, as before

Since entries count those that precede them as running while they are not yet linked, one that held a small manifest left the store to entries of which it did not hear, for up to 2.5 s. That holds for large manifests only now. There, such an entry asks the store where the topic ends a second after the last confirmation.

--- a/machine/entry/direct/operators.go
+++ b/machine/entry/direct/operators.go
@@ -49,8 +49,12 @@
 }
 
 // isLinking reports whether this entry has just started in a zone of many entries, and is not yet
-// linked to those that it will be linked to.
+// linked to those that it will be linked to. With small manifests that makes no difference: copies
+// of them may cross the links between regions.
 func (e *Entry) isLinking() bool {
+	if e.operatorsFeed.HasSynced() && e.operatorsFeed.HeldBytes() < peers.LargeTopicBytes {
+		return false
+	}
 	_, size, ok := e.peers.PlaceInZone()
 	return !ok || size > maxUnrankedZone && time.Since(e.peers.MembersFirstReadAt()) < linkPeriod
 }
@@ -90,11 +94,15 @@
 }
 
 // operatorsTakeoverAge returns how old the store's confirmation of the operators' records must
-// be for this entry to ask the store; 0 for the entries that wait there.
+// be for this entry to ask the store; 0 for the entries that wait there. One that is not linked yet
+// does not learn what others know, and asks the store where the records end.
 func (e *Entry) operatorsTakeoverAge() time.Duration {
 	rank := e.operatorsRank()
-	if rank < operatorReadersPerZone {
+	switch {
+	case rank < operatorReadersPerZone:
 		return 0
+	case e.isLinking():
+		return operatorsPollTimeout
 	}
 	return e.takeoverAge(operatorsPollTimeout, rank)
 }
