Comments of a target without end do not fill the backlog of an answer

Cause: since parts wait for slow callers, a target that sends comments without end filled the heap with small parts faster than they were collected: 62 to 133 MB for 200 requests in TestTargetsWithoutEndAreBoundedTogether (bound 64 MB), 7 MB before. Change: at most 256 parts of an answer wait, comments only behind fewer than 8.

--- a/machine/entry/direct/backlog.go
+++ b/machine/entry/direct/backlog.go
@@ -13,8 +13,15 @@
 	maxUnreadTime = time.Second
 	// roomCheckInterval is the time between two checks whether other answers have left room.
 	roomCheckInterval = 100 * time.Millisecond
-	// partOverheadBytes is what a waiting part takes beside its text.
-	partOverheadBytes = 160
+	// maxWaitingParts bounds the parts of one answer that wait. Answers of models have fewer events; a target
+	// that sends small events without end would fill the heap with them faster than they are collected.
+	maxWaitingParts = 256
+	// maxWaitingComments is the number of waiting parts from which on a comment waits as well: a target may
+	// send comments without end to keep a connection.
+	maxWaitingComments = 8
+	// partOverheadBytes is what a waiting part takes beside its text, with the spare room of the list that
+	// holds it.
+	partOverheadBytes = 256
 )
 
 // backlog holds the parts of a response that have been read and that the caller has not taken yet,
@@ -58,7 +65,7 @@
 func (x *exchange) compact(p *part) bool {
 	data := p.event.data
 	size := data.len() + partOverheadBytes
-	if !data.budget.takeBytes(x.backlog.bytes, size) {
+	if len(x.backlog.parts) >= maxWaiting(p.event) || !data.budget.takeBytes(x.backlog.bytes, size) {
 		return false
 	}
 	text := bytes.NewBuffer(make([]byte, 0, data.len()))
@@ -69,6 +76,14 @@
 	return true
 }
 
+// maxWaiting returns the number of waiting parts from which on an event is not added to them.
+func maxWaiting(ev event) int {
+	if ev.hasField {
+		return maxWaitingParts
+	}
+	return maxWaitingComments
+}
+
 // refill hands the next part of the backlog, if there is one, to the request, which has taken the
 // one before.
 func (x *exchange) refill() {
