Entries defer only downloads from the origin, and finish almost complete versions

With 3 to 7 pieces missing, 0.3 s of that link, version 2 waited since version 3 would otherwise be late. Interrupted downloads threw away pieces that were on their way, and fetched them again.

Change: at entries the decision applies to downloads only, and to all transfers once a version is superseded. A version that takes 0.5 s at most goes first as long as it can be loaded before the bound of the newer one ends. Pieces on their way are waited for. A version is superseded by any complete newer one, not only by the newest.

--- a/machine/weightcache/arbitration.go
+++ b/machine/weightcache/arbitration.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 )
@@ -57,13 +56,3 @@
 		c.opts.OnTransferEvent(e)
 	}
 }
-
-// whileFirst calls f when the version need not wait for another one, with a context that ends when it
-// has to. It reports whether f was not interrupted that way.
-func (cv *cachedVersion) whileFirst(ctx context.Context, f func(context.Context)) bool {
-	cv.transfer.Wait(ctx)
-	transferCtx, cancel := cv.transfer.Context(ctx)
-	defer cancel()
-	f(transferCtx)
-	return ctx.Err() != nil || transferCtx.Err() == nil
-}
--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -48,7 +48,9 @@
 	// cancel ends the work on the version. endWait ends the wait for pieces that others
 	// read or download.
 	cancel, endWait context.CancelFunc
-	// transfer tells whether the version waits while another one of the model goes first.
+	// transfer tells whether the version waits while another one of the model goes first: it is not
+	// downloaded then. What the store and other entries hold arrives nonetheless, unless the version is
+	// superseded: the links between entries carry several times what the origin sends.
 	transfer Transfer
 	// isFront reports whether this entry last tried to download by its rank.
 	isFront atomic.Bool
@@ -163,10 +165,9 @@
 	const pollInterval = 100 * time.Millisecond
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
-		if cv.transfer.IsWaiting() {
-			cv.transfer.Wait(ctx)
-			// The time for which the version waited does not count.
-			progress.resumeAfter(time.Now())
+		if cv.transfer.IsSuperseded() {
+			sleep(ctx, retryDelay)
+			continue
 		}
 		// The reader cannot do better while the origin is known to be away.
 		progress.resumeAfter(cv.cache.opts.Origin.knownUntil())
@@ -174,7 +175,7 @@
 		if progress.stalledFor(cv.pieceCount()) >= readerTimeout(len(predecessors)) {
 			return
 		}
-		cv.whileFirst(ctx, cv.followZone)
+		cv.followZone(ctx)
 		sleep(ctx, pollInterval)
 	}
 }
@@ -234,9 +235,9 @@
 	const pollInterval = 50 * time.Millisecond
 	progress := newProgress(cv.pieceCount())
 	for ctx.Err() == nil && !cv.isComplete() {
-		if cv.transfer.IsWaiting() {
-			cv.transfer.Wait(ctx)
-			progress.resumeAfter(time.Now())
+		if cv.transfer.IsSuperseded() {
+			sleep(ctx, retryDelay)
+			continue
 		}
 		rank := cv.cache.rankOf(cv.id)
 		stalled := progress.stalledFor(cv.pieceCount())
--- a/machine/weightcache/download.go
+++ b/machine/weightcache/download.go
@@ -45,7 +45,9 @@
 	defer end()
 	defer time.AfterFunc(firstPeersTimeout, end).Stop()
 	for ctx.Err() == nil && !cv.isComplete() {
-		cv.whileFirst(ctx, cv.fetchHeldFromPeers)
+		if !cv.transfer.IsSuperseded() {
+			cv.fetchHeldFromPeers(ctx)
+		}
 		end()
 		sleep(ctx, retryDelay)
 	}
@@ -151,10 +153,12 @@
 // interrupted.
 func (cv *cachedVersion) downloadUnlessDeferred(ctx context.Context, rank int) (isDone, isInterrupted bool) {
 	if cv.isDownloadRequested() {
-		return cv.download(ctx, rank), false
+		return cv.download(ctx, rank, nil), false
 	}
-	isWhole := cv.whileFirst(ctx, func(ctx context.Context) { isDone = cv.download(ctx, rank) })
-	return isDone, !isWhole
+	transferCtx, cancel := cv.transfer.Context(ctx)
+	defer cancel()
+	isDone = cv.download(ctx, rank, transferCtx.Done())
+	return isDone, ctx.Err() == nil && transferCtx.Err() != nil
 }
 
 // endRequestedDownload ends the permission that a request before the given time gave, after the
@@ -218,8 +222,9 @@
 
 // download gets the missing pieces from the origin and stores them. Entries that download
 // at the same time start at different pieces and read from the store what the others have
-// downloaded. It reports whether the origin answered every request.
-func (cv *cachedVersion) download(ctx context.Context, rank int) bool {
+// downloaded. Once stop is closed it ends after the pieces that are on their way: these would have to
+// come over the origin's link again. It reports whether the origin answered every request.
+func (cv *cachedVersion) download(ctx context.Context, rank int, stop <-chan struct{}) bool {
 	client := cv.cache.originClient()
 	if client == nil {
 		return false
@@ -247,9 +252,15 @@
 			}
 		})
 	}
+feed:
 	for _, i := range upgrade.DownloadOrder(set.Missing(), rank) {
-		if set.Get(i) == nil {
-			missing <- i
+		if set.Get(i) != nil {
+			continue
+		}
+		select {
+		case missing <- i:
+		case <-stop:
+			break feed
 		}
 	}
 	close(missing)
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -44,8 +44,11 @@
 	var once sync.Once
 	defer once.Do(func() { close(firstRead) })
 	for ctx.Err() == nil && !cv.isComplete() {
-		var err error
-		cv.whileFirst(ctx, func(ctx context.Context) { _, err = cv.readNext(ctx) })
+		if cv.transfer.IsSuperseded() {
+			sleep(ctx, retryDelay)
+			continue
+		}
+		_, err := cv.readNext(ctx)
 		once.Do(func() { close(firstRead) })
 		if err != nil {
 			sleep(ctx, retryDelay)
--- a/machine/weightcache/transfer.go
+++ b/machine/weightcache/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,13 @@
 	return t.isWaiting
 }
 
+// IsSuperseded reports whether the version is no longer needed.
+func (t *Transfer) IsSuperseded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isSuperseded
+}
+
 func (t *Transfer) state() (isWaiting bool, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,20 +56,6 @@
 	return t.isWaiting, t.changed
 }
 
-// Wait waits until the transfer may go on, or ctx ends.
-func (t *Transfer) Wait(ctx context.Context) {
-	for ctx.Err() == nil {
-		isWaiting, changed := t.state()
-		if !isWaiting {
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // Context returns a context that ends with ctx or when the transfer has to wait.
 func (t *Transfer) Context(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -143,8 +137,14 @@
 			onEvent(c, e, preferred)
 		}
 	}
-	for _, c := range contenders[:len(contenders)-1] {
+	isNewerComplete := false
+	for _, c := range slices.Backward(contenders[:len(contenders)-1]) {
 		p := upgrade.Precede(now, c.Transfer.Progress(now, c.Set, c.End), newestProgress)
+		isComplete := c.Set != nil && c.Set.IsComplete()
+		if isNewerComplete && !isComplete {
+			p = upgrade.OlderSuperseded
+		}
+		isNewerComplete = isNewerComplete || isComplete
 		if p == upgrade.OlderFirst {
 			preferred = c.Version
 		}
--- a/weights/upgrade/succession.go
+++ b/weights/upgrade/succession.go
@@ -6,12 +6,18 @@
 	// quickTime is how long the missing pieces of a version may take for it to be finished before a
 	// newer one. At most 1/maxOpenShare of it may be missing, whatever the rate promises, and
 	// 1/quickShare while the rate is unknown.
-	quickTime    = time.Second
+	quickTime    = 1500 * time.Millisecond
 	maxOpenShare = 2
 	quickShare   = 4
+	// shortTime is how long the missing pieces of a version may take for it to be finished first even
+	// after its bound, or if the newer one then is late: a version of which so little is missing
+	// must not be lost.
+	shortTime = 500 * time.Millisecond
+	// deliveryTime is about how long the last pieces take from the first entry to the engines.
+	deliveryTime = 500 * time.Millisecond
 	// maxYield is how long the newer version waits for the older one at most, until it has gone on for
 	// yieldPause.
-	maxYield   = 1500 * time.Millisecond
+	maxYield   = 2 * time.Second
 	yieldPause = 2 * time.Second
 	// yieldStall is how long the older version may bring no piece while the newer one waits for it.
 	yieldStall = 500 * time.Millisecond
@@ -65,7 +71,8 @@
 )
 
 // Precede decides which of two versions goes first on the links that they share. The older one does
-// only if it will be complete soon, and within its bound, and the newer one is not late for that.
+// only if it will be complete soon, and within its bound, and the newer one is not late for that, or by
+// shortTime at most.
 // Otherwise it waits, until the newer one is complete or brings no piece.
 func Precede(now time.Time, older, newer VersionProgress) Precedence {
 	switch {
@@ -95,8 +102,12 @@
 		return false
 	}
 	left := p.timeLeft(p.PeakRate)
+	if left <= shortTime {
+		// The version is allowed until the bound of the newer one ends.
+		return now.Add(left + engineLoadTime).Before(newer.End)
+	}
 	// Both take the same links, so the rate of one is about that of the other.
-	newerAt := now.Add(left + newer.timeLeft(max(p.PeakRate, newer.PeakRate)))
+	newerAt := now.Add(left + newer.timeLeft(max(p.PeakRate, newer.PeakRate)) + deliveryTime)
 	return left <= quickTime && now.Add(left).Before(p.End) && newerAt.Before(newer.End)
 }
 
