Entries whose parent has no pieces ask other entries of the zone

Cause: an entry whose parent in the zone's tree had lost its pieces with its power waited for it for 1.8 s (peerProgressTimeout) before it asked another entry of the zone.

Change: after 0.6 s without a piece it also asks the other linked entries of its zone, one after another, for the pieces that they hold. Requests that end since the entry stops following log no warning.

Result: new test of a parent without pieces (fails without the change).

--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -26,6 +26,9 @@
 	// getting a piece, and how much longer each further one does: if all took over at once, their
 	// copies would saturate the links between regions.
 	readerTimeoutStep = 2500 * time.Millisecond
+	// neighbourInterval is how long an entry gets no piece from its parent until it asks another
+	// entry of the zone for those that it holds, and the time between two such requests.
+	neighbourInterval = 600 * time.Millisecond
 	// followTimeout is how long an entry follows a neighbour until it looks for a better one: the
 	// neighbour may be on a slow link.
 	followTimeout = 5 * time.Second
@@ -193,13 +196,37 @@
 	if !ok {
 		return
 	}
+	followCtx, stop := context.WithCancel(ctx)
+	var others sync.WaitGroup
+	others.Go(func() { cv.fetchHeldWhileStalled(followCtx, parent) })
 	cv.followPeer(ctx, parent, followTimeout)
-	if ctx.Err() != nil || cv.isComplete() {
-		return
+	stop()
+	others.Wait()
+	if ctx.Err() == nil && !cv.isComplete() {
+		cv.fetchHeldFromNeighbour(ctx, parent)
 	}
+}
+
+// fetchHeldWhileStalled fetches the pieces that linked entries of the zone but the parent hold, one entry
+// after another, for as long as no others arrive: after many entries lost power, the parent may be waiting while a
+// neighbour that kept running has the pieces.
+func (cv *cachedVersion) fetchHeldWhileStalled(ctx context.Context, parent contract.MachineID) {
+	progress := newProgress(cv.pieceCount())
+	for ctx.Err() == nil && !cv.isComplete() {
+		sleep(ctx, neighbourInterval)
+		if ctx.Err() == nil && progress.stalledFor(cv.pieceCount()) >= neighbourInterval {
+			cv.fetchHeldFromNeighbour(ctx, parent)
+		}
+	}
+}
+
+// fetchHeldFromNeighbour fetches the pieces that a linked entry of the zone other than the parent, drawn at
+// random, holds.
+func (cv *cachedVersion) fetchHeldFromNeighbour(ctx context.Context, parent contract.MachineID) {
+	c := cv.cache
 	var linked []contract.MachineID
-	for _, m := range ranked {
-		if m.Zone == c.opts.Zone && c.opts.Peers.IsLinked(m.Machine) {
+	for _, m := range c.rankedEntries(cv.id) {
+		if m.Zone == c.opts.Zone && m.Machine != c.opts.Self && m.Machine != parent && c.opts.Peers.IsLinked(m.Machine) {
 			linked = append(linked, m.Machine)
 		}
 	}
@@ -321,7 +348,7 @@
 	got, err := Fetch(ctx, cv.cache.opts.Peers, peer, cv.id, FetchHeld, cv.currentSet, cv.initSet)
 	entry := cv.log().WithField("peer", string(peer)).WithField("pieces", got)
 	switch {
-	case err != nil:
+	case err != nil && ctx.Err() == nil:
 		entry.WithError(err).Warn("pieces not received")
 	case got > 0:
 		entry.Info("pieces from a peer")
--- a/machine/weightcache/outage_test.go
+++ b/machine/weightcache/outage_test.go
@@ -1,6 +1,8 @@
 package weightcache
 
 import (
+	"context"
+	"crypto/sha256"
 	"fmt"
 	"slices"
 	"testing"
@@ -96,3 +98,52 @@
 		t.Errorf("the origin sent %d pieces for a version of %d, want at most %d", served, pieceCount, limit)
 	}
 }
+
+// Guards against entries that wait for a parent which lost its pieces with its power, while a neighbour that
+// kept running has them: they asked others only after peerProgressTimeout.
+func TestPiecesComeFromNeighbourWhileParentWaits(t *testing.T) {
+	t.Parallel()
+	const pieceCount = 8
+	store, origin := fleet.NewStore(), fleet.NewOrigin(pieceCount)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	origin.SetDown(true)
+	v := Version{Model: fleet.Model, Number: 2}
+	nodes, _ := startLinkedNodes(t, 3, store, origin, Version{Model: fleet.Model, Number: 1})
+	byName := map[contract.MachineID]*node{}
+	for i, n := range nodes {
+		byName[nodeName(i)] = n
+	}
+	ranked := nodes[0].cache.rankedEntries(v)
+	eventually(t, "the entries are linked to each other", func() bool { return byName[ranked[1].Machine].peers.LinkedCount() == 2 })
+	// The parent gets no pieces.
+	parent := byName[ranked[0].Machine].cache
+	parent.mu.Lock()
+	parent.versions[v] = &cachedVersion{cache: parent, id: v, digestsKnown: make(chan struct{}), cancel: func() {}}
+	parent.mu.Unlock()
+	holder := byName[ranked[2].Machine].cache.ensureVersion(v)
+	var digests [][]byte
+	for i := range pieceCount {
+		sum := sha256.Sum256(fleet.Piece(v.Number, i))
+		digests = append(digests, sum[:])
+	}
+	set, err := holder.initSet(digests)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range pieceCount {
+		if _, err := set.Add(i, fleet.Piece(v.Number, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// Without its own downloads and reads of the store, the entry depends on the others.
+	follower := &cachedVersion{cache: byName[ranked[1].Machine].cache, id: v, digestsKnown: make(chan struct{})}
+	start := time.Now()
+	go follower.followZone(ctx)
+	eventually(t, "the entry has the pieces", follower.isComplete)
+	if took := time.Since(start); took >= peerProgressTimeout {
+		t.Errorf("the entry has the pieces after %v, want less than %v", took, peerProgressTimeout)
+	}
+}
