Move the decaying rate meter to zone/ratemeter

The queue of ranked services (zone/contention) measures rates as the queue of the older path does. The meter of machine/entry/fairshare therefore becomes a package of its own. No change in behaviour; the tests of fairshare pass.

--- a/machine/entry/fairshare/queue.go
+++ b/machine/entry/fairshare/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/zone/ratemeter"
 )
 
 // Item is a queued request.
@@ -57,7 +58,7 @@
 	// the teams with items, by name.
 	teams    map[contract.TeamName]*team
 	active   []*team
-	meter    rateMeter
+	meter    ratemeter.Meter
 	disabled mechanism
 }
 
@@ -122,7 +123,7 @@
 		q.removeItem(t, 0)
 		q.virtualTime = max(q.virtualTime, t.startTag)
 		t.startTag += item.cost()
-		q.meter.add(now, float64(max(item.Tokens, 1)))
+		q.meter.Add(now, float64(max(item.Tokens, 1)))
 		return item, true
 	}
 	return Item{}, false
@@ -157,7 +158,7 @@
 // it and the recent rate at which the queue drained. It returns 0 if the queue is empty or
 // has not drained yet.
 func (q *Queue) EstimateWait(now time.Time, name contract.TeamName, weight float64) time.Duration {
-	rate := q.meter.rate(now)
+	rate := q.meter.Rate(now)
 	if q.length == 0 || rate <= 0 {
 		return 0
 	}
