Slot shares and a queue for ranked services

At 1.4 times the capacity, the requests answered in time fell from 687 to 260-370 in 2 s: loads are known 0.3 to 1 s late and a request lasts 1.1 s, so the entries overfilled the engines that all of them took for empty, and every answer came late. Requests also raced for room in a polling loop, whatever their rank.

For services with more than one priority and model engines: - zone/placement: each entry owns a part of the slots of every engine and sends on these whatever the reported load is; on slots of others only with room to spare. - zone/contention: requests wait in a queue by rank and team, are admitted by their predicted start, and are placed when an attempt ends or loads change. - machine/entry/direct: placeQueued in place of the polling loop; Request-Priority is the rank. - machine/entry/retry: ReturnPlan spaces the returns of refused callers. Other services take the path that they took before.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -29,8 +29,12 @@
 	route    *catalog.Route
 	team     *catalog.Team
 	service  contract.ServiceName
-	deadline time.Time
-	body     requestBody
+	// rank is the urgency of the request. isRanked is set if its service has several, hasQueue if
+	// its requests wait in a queue.
+	rank               int
+	isRanked, hasQueue bool
+	deadline           time.Time
+	body               requestBody
 	// suspect holds what may crash targets: the request as a whole, and the parts of the prompt
 	// that other requests may share.
 	suspect poison.Request
@@ -187,19 +191,25 @@
 // requirements returns what a target must fulfil to get the next attempt, whose first event is due
 // within limit.
 func (c *call) requirements(limit time.Duration) placement.Requirements {
+	req := c.targetRequirements()
+	if req.Pinned == 0 {
+		req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
+	}
+	return req
+}
+
+// targetRequirements returns what a target must fulfil to get the next attempt, except for the oldest
+// version of its weights.
+func (c *call) targetRequirements() placement.Requirements {
 	var team []contract.RegionName
 	if c.team != nil {
 		team = c.team.Regions
 	}
-	req := placement.Requirements{
+	return placement.Requirements{
 		RegionAllowed: func(r contract.RegionName) bool { return catalog.RegionAllowed(r, c.route.Regions, team) },
 		Tried:         c.triedTargets,
 		Pinned:        c.pinnedVersion,
 	}
-	if req.Pinned == 0 {
-		req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
-	}
-	return req
 }
 
 const (
@@ -218,6 +228,9 @@
 // request is known to crash targets, which may become known meanwhile. Without a target it
 // returns the reason and the time after which the caller should retry, which is 0 if ctx ended.
 func (c *call) placeAttempt(ctx context.Context) (placement.Choice, contract.Reason, time.Duration) {
+	if c.hasQueue {
+		return c.placeQueued(ctx)
+	}
 	until := c.arrived.Add(c.route.Objective / arrivalWaitDivisor)
 	if c.attemptsSent > 0 {
 		until = time.Now().Add(retryPlacementTimeout)
--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -105,7 +105,10 @@
 }
 
 func (fs *fleetState) recordAttemptEnd(service contract.ServiceName, id roster.TargetID) {
-	fs.withPool(service, func(_ time.Time, p *placement.Pool) { p.Ended(id) })
+	fs.withPool(service, func(now time.Time, p *placement.Pool) {
+		p.Ended(id)
+		fs.slotFreed(now, service)
+	})
 }
 
 // runTime returns for how long the process has run; time in which it stood still does not
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -362,6 +362,7 @@
 	entries, zones := e.entryMembers()
 	e.fleet.setEntryZones(zones)
 	e.fleet.setEntries(entries)
+	e.fleet.setRunningEntries(entries)
 	e.fleet.setFlightsComplete(e.peers.LinksAllEntries())
 	e.conns.closeExpired()
 	for model, number := range e.fleet.newestVersions() {
@@ -381,7 +382,7 @@
 
 // logPlacement logs the target of an attempt and the data that the choice is based on.
 func (e *Entry) logPlacement(c *call, choice placement.Choice) {
-	e.log.WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
+	e.log.WithFields(c.rankFields()).WithField("request", c.info.AttemptID).WithField("service", string(c.service)).WithField("target", string(choice.ID)).
 		WithField("load", choice.Load).WithField("first_ms", choice.FirstEventDelay.Milliseconds()).WithField("version", choice.Version).
 		WithField("oldest", choice.MinVersion).
 		WithField("listed_ms", choice.ListedAge.Milliseconds()).WithField("told_ms", choice.StatusAge.Milliseconds()).
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -158,7 +158,7 @@
 	attempt := platform.Attempt{
 		Target:      x.choice.ID,
 		Remaining:   time.Until(c.deadline),
-		Priority:    -1,
+		Priority:    c.targetPriority(),
 		Resume:      x.resumes,
 		ResumeAfter: x.resumeAfter,
 		Version:     x.expectedVersion,
@@ -175,6 +175,14 @@
 	}
 }
 
+// targetPriority returns the priority that targets are told; -1 for none.
+func (c *call) targetPriority() int {
+	if !c.isRanked {
+		return -1
+	}
+	return min(max(c.rank, 0), maxRank)
+}
+
 // isSilent reports whether the target has sent nothing for too long. A time in which this
 // process stood still does not count, since what arrived meanwhile has not been read yet.
 func (x *exchange) isSilent() bool {
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -70,6 +70,10 @@
 	// knownEntries lists all entries that were known at any time, by machine: what an
 	// entry that left has sent still counts, and it may return.
 	knownEntries []contract.MachineID
+	// runningEntries lists the entries of the current member list, sorted.
+	runningEntries []contract.MachineID
+	// ranked holds the queues of ranked services.
+	ranked map[contract.ServiceName]*rankedService
 	// entryZones holds the zones of the entries that were known at any time.
 	entryZones map[contract.MachineID]contract.ZoneName
 	// runClock measures for how long the process has run.
@@ -90,6 +94,8 @@
 		pools:            map[contract.ServiceName]*placement.Pool{},
 		retryBudgets:     map[contract.ServiceName]*retry.Window{},
 		returnEstimators: map[contract.ServiceName]*retry.ReturnEstimator{},
+		runningEntries:   []contract.MachineID{},
+		ranked:           map[contract.ServiceName]*rankedService{},
 		peerFlights:      map[contract.MachineID]map[uint32]int{},
 		engineAddresses:  map[contract.MachineID]string{},
 		entryZones:       map[contract.MachineID]contract.ZoneName{},
@@ -223,6 +229,7 @@
 		fs.pool(s.Name).SetEntryCount(len(fs.knownEntries))
 		fs.retryBudget(s.Name).SetBounds(fs.retryBudgetBounds())
 	}
+	fs.updateSlotShares()
 }
 
 // coldShares returns how the entries divide the bounds on what a target of a service may
@@ -285,6 +292,11 @@
 func (fs *fleetState) oldestSendable(service contract.ServiceName, limit time.Duration, isRepeatable bool) int64 {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
+	return fs.oldestSendableLocked(service, limit, isRepeatable)
+}
+
+// oldestSendableLocked is oldestSendable with mu locked.
+func (fs *fleetState) oldestSendableLocked(service contract.ServiceName, limit time.Duration, isRepeatable bool) int64 {
 	margin := upgrade.SendMargin
 	if isRepeatable {
 		margin = min(margin, upgrade.BeginMargin+limit)
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -19,7 +19,9 @@
 	now := time.Now()
 	fs.applyPeerAges(hb)
 	news := fs.applyPeerLimits(hb) + fs.applyPeerPoison(hb) + fs.applyPeerLeaving(hb)
-	return fs.applyPeerState(now, hb) || news > 0
+	hasNews = fs.applyPeerState(now, hb) || news > 0
+	fs.dispatchReported(now)
+	return hasNews
 }
 
 // applyPeerState applies the state of an engine, or what an entry has in flight and knows of engines.
--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -39,6 +39,8 @@
 	// stream, eventGap that between two events, and requestTime that from the arrival of
 	// a request to its end.
 	placementTime, firstEventTime, eventGap, requestTime tally.Histogram
+	// queueTime measures how long requests wait in the queues of ranked services.
+	queueTime tally.Histogram
 	// published holds the targets of the last update.
 	published map[roster.TargetID]contract.ServiceName
 }
@@ -51,6 +53,7 @@
 		firstEventTime: scope.Histogram("first_event_time", latencyBuckets),
 		eventGap:       scope.Histogram("event_gap", latencyBuckets),
 		requestTime:    scope.Histogram("request_time", latencyBuckets),
+		queueTime:      scope.Histogram("queue_time", latencyBuckets),
 	}
 }
 
@@ -101,6 +104,29 @@
 	m.scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("retries").Inc(1)
 }
 
+// countQueued counts a request of a ranked service that waits for room.
+func (m *meters) countQueued(rank int) { m.ofRank(rank).Counter("queued_requests").Inc(1) }
+
+// countDequeued counts the end of a wait for room, and measures it. kind is empty if the request was
+// placed.
+func (m *meters) countDequeued(rank int, kind refusalKind, wait time.Duration) {
+	if kind == "" {
+		m.ofRank(rank).Counter("dispatched_requests").Inc(1)
+	}
+	m.queueTime.RecordDuration(wait)
+}
+
+// countRankRefusal counts a request of a ranked service that found no target.
+func (m *meters) countRankRefusal(rank int, kind refusalKind) {
+	m.scope.Tagged(map[string]string{"rank": rankTag(rank), "reason": string(kind)}).Counter("rank_refusals").Inc(1)
+}
+
+func (m *meters) ofRank(rank int) tally.Scope {
+	return m.scope.Tagged(map[string]string{"rank": rankTag(rank)})
+}
+
+func rankTag(rank int) string { return strconv.Itoa(min(max(rank, 0), maxRank)) }
+
 // updateGauges publishes the entry's view of the fleet.
 func (m *meters) updateGauges(e *Entry) {
 	s := e.fleet.snapshot()
--- a/machine/entry/direct/requestrecord.go
+++ b/machine/entry/direct/requestrecord.go
@@ -81,6 +81,8 @@
 	expectedVersion, targetVersion int64
 	// limit is the rule by which no other attempt followed.
 	limit attempts.Limit
+	// queueTime is how long the request waited in the queue of its service.
+	queueTime time.Duration
 	// survey is the state of the targets when none had room.
 	survey *placement.Survey
 	// firstDeliveryAt is when the first part of the response went to the caller,
@@ -149,7 +151,7 @@
 // logFields returns the fields that explain why a request ended differently than the
 // caller wanted.
 func (c *call) logFields() log.Fields {
-	f := log.Fields{}
+	f := c.rankFields()
 	if c.suspect.Whole != 0 {
 		f["identity"] = c.suspect.Whole.String()
 	}
@@ -168,6 +170,18 @@
 	return f
 }
 
+// rankFields returns the rank of a request of a ranked service, and how long it waited in the queue.
+func (c *call) rankFields() log.Fields {
+	f := log.Fields{}
+	if c.isRanked {
+		f["rank"] = c.rank
+	}
+	if c.record.queueTime > 0 {
+		f["queued_ms"] = c.record.queueTime.Milliseconds()
+	}
+	return f
+}
+
 // addDeliveryFields adds what the caller has received of the response.
 func (c *call) addDeliveryFields(f log.Fields) {
 	rec := &c.record
--- a/machine/entry/retry/window_test.go
+++ b/machine/entry/retry/window_test.go
@@ -149,3 +149,29 @@
 		t.Errorf("RetryAfter() = %v long after the refusals, want at most 2*MinReturnDelay", got)
 	}
 }
+
+// Guards against refused callers that return together and are refused again: each returns after
+// those before it, as fast as they find room, and a more urgent one does not wait for the others.
+func TestReturnPlanSpacesReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var p ReturnPlan
+	last := time.Duration(0)
+	for range 10 {
+		last = p.RetryAfter(now, 1, 200*time.Millisecond, 10, 0.999)
+	}
+	if last < time.Second || last > 1200*time.Millisecond {
+		t.Errorf("RetryAfter() = %v for the tenth at ten a second, want 1 s or a little more", last)
+	}
+	if got := p.RetryAfter(now, 0, 200*time.Millisecond, 10, 0.999); got > 250*time.Millisecond {
+		t.Errorf("RetryAfter() = %v for a more urgent one, want about 200 ms", got)
+	}
+	for range 100 {
+		last = p.RetryAfter(now, 1, 0, 10, 0.999)
+	}
+	if last > MaxReturnDelay || last < MaxReturnDelay/2 {
+		t.Errorf("RetryAfter() = %v after a hundred, want nearly %v", last, MaxReturnDelay)
+	}
+	if got := p.Expected(now.Add(MaxReturnDelay), 1); got != 0 {
+		t.Errorf("Expected() = %d when all have returned, want 0", got)
+	}
+}
--- a/zone/catalog/catalog.go
+++ b/zone/catalog/catalog.go
@@ -141,6 +141,8 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Team
 	services map[contract.ServiceName]*Service
+	// ranked holds the services whose requests have more than one rank.
+	ranked map[contract.ServiceName]bool
 }
 
 // New returns a manifest with the given contents, indexed for lookups.
@@ -163,9 +165,44 @@
 	for i := range m.Services {
 		m.services[m.Services[i].Name] = &m.Services[i]
 	}
+	m.ranked = m.findRanked()
 	return &m
 }
 
+// findRanked returns the services whose requests may have different ranks, by the priorities of
+// their routes and of the teams.
+func (m *Manifest) findRanked() map[contract.ServiceName]bool {
+	first, ranked := map[contract.ServiceName]int{}, map[contract.ServiceName]bool{}
+	add := func(service contract.ServiceName, priority int) {
+		if p, ok := first[service]; ok && p != priority {
+			ranked[service] = true
+		}
+		first[service] = priority
+	}
+	for _, r := range m.Routes {
+		for _, s := range r.Shares {
+			add(s.Service, r.Priority)
+			for _, t := range m.Teams {
+				if t.HasPriority {
+					add(s.Service, t.Priority)
+				}
+			}
+		}
+	}
+	return ranked
+}
+
+// IsRanked reports whether the requests of a service may have different ranks.
+func (m *Manifest) IsRanked(service contract.ServiceName) bool { return m.ranked[service] }
+
+// Rank returns the rank of a team's requests to the route; 0 is the most urgent. team may be nil.
+func (r *Route) Rank(team *Team) int {
+	if team != nil && team.HasPriority {
+		return team.Priority
+	}
+	return r.Priority
+}
+
 // Route returns the route of host whose prefix is the longest one of path, or nil if
 // there is none.
 func (m *Manifest) Route(host, path string) *Route {
--- a/zone/catalog/catalog_test.go
+++ b/zone/catalog/catalog_test.go
@@ -90,3 +90,21 @@
 		t.Errorf("Origin() = %+v, want {10.0.0.1:1 z}", got)
 	}
 }
+
+// Guards against services that queue requests although all of them are equally urgent, and against
+// ranks that only teams make being missed.
+func TestRankedServicesHaveSeveralPriorities(t *testing.T) {
+	shares := func(s contract.ServiceName) []Share { return []Share{{Service: s, Weight: 1}} }
+	routes := []Route{{Shares: shares("a")}, {Priority: 1, Shares: shares("a")}, {Priority: 1, Shares: shares("b")}, {Priority: 1, Shares: shares("b")}}
+	m := New(Manifest{Routes: routes})
+	if !m.IsRanked("a") || m.IsRanked("b") || m.IsRanked("c") {
+		t.Errorf("IsRanked() = %v, %v, %v, want true only for a service with two priorities", m.IsRanked("a"), m.IsRanked("b"), m.IsRanked("c"))
+	}
+	team := Team{Name: "t", HasPriority: true}
+	if m := New(Manifest{Routes: routes, Teams: []Team{team}}); !m.IsRanked("b") {
+		t.Error("IsRanked() = false for a service with a team of another priority, want true")
+	}
+	if got := routes[1].Rank(&team); got != 0 || routes[1].Rank(nil) != 1 {
+		t.Errorf("Rank() = %d with a team of priority 0, and %d without, want 0 and 1", got, routes[1].Rank(nil))
+	}
+}
--- a/zone/placement/admission.go
+++ b/zone/placement/admission.go
@@ -16,6 +16,8 @@
 	exclusion Exclusion
 	// delay is the predicted delay of the first event, if the target has room or is full.
 	delay time.Duration
+	// borrows is set if the attempt would use a slot of another entry.
+	borrows bool
 }
 
 // admit decides whether a target may get an attempt now whose first event is due within limit. It
@@ -36,12 +38,12 @@
 		return admission{exclusion: ExcludedRate}
 	}
 	model := NewLatencyModel(p.service, m.Slots)
-	n := p.estimateLoad(now, m)
-	delay := p.predictDelay(now, m, n)
-	if now.Before(l.fullUntil) || n >= float64(model.slots+maxWaiting) || delay > limit || l.ownInFlight >= p.connShare() {
+	room := p.roomAt(now, m, req, model.slots)
+	delay := p.predictDelay(now, m, room.load)
+	if now.Before(l.fullUntil) || !room.hasRoom || delay > limit || l.ownInFlight >= p.connShare() {
 		return admission{exclusion: ExcludedFull, delay: delay}
 	}
-	return admission{delay: delay}
+	return admission{delay: delay, borrows: room.borrows}
 }
 
 // StillAdmits reports whether a target that was chosen may still get the attempt: it may have asked
@@ -132,12 +134,19 @@
 // unlimited is the share of a target that gets as many requests as it has room for.
 var unlimited = sendShare{requests: math.MaxInt}
 
-// coldShare returns this entry's share of the requests that a target may get in coldWindow.
+// coldShare returns this entry's share of the requests that a target may get in coldWindow. The
+// owners of slots have larger shares while the slots are shared.
 func (p *Pool) coldShare(now time.Time, m *roster.Member) sendShare {
-	switch {
-	case p.coldShares.TotalLimit <= 0:
+	if p.coldShares.TotalLimit <= 0 {
 		return unlimited
-	case now.Before(m.ColdUntil):
+	}
+	ownerLimit, isDivided := p.ownerColdLimit(now, m)
+	switch isCold := now.Before(m.ColdUntil); {
+	case isCold && isDivided:
+		return sendShare{ownerLimit, coldWindow}
+	case isDivided:
+		return sendShare{max(ownerLimit, p.coldShares.WarmLimit()), coldWindow}
+	case isCold:
 		return sendShare{p.coldShares.near(m.Zone).ColdLimit(now, m.ID), coldWindow}
 	default:
 		return sendShare{p.coldShares.WarmLimit(), coldWindow}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -57,6 +57,8 @@
 	Pinned int64
 	// Tried lists the targets that the request has already been sent to.
 	Tried []roster.TargetID
+	// Spare is how many of the entry's own slots must stay free for more urgent requests.
+	Spare int
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
@@ -153,6 +155,11 @@
 	flightsComplete bool
 	// inflow estimates what the other entries send.
 	inflow inflow
+	// slots holds the slots that this entry owns among the running entries, and coldSlots those
+	// among all that were ever known; unused unless ShareSlots was called.
+	slots, coldSlots slotShares
+	// borrowing estimates what the other entries send beyond their slots.
+	borrowing borrowing
 }
 
 // NewPool returns an empty pool for an entry that runs at home. regions maps each zone
@@ -170,13 +177,17 @@
 }
 
 // SetService replaces the declaration of the service.
-func (p *Pool) SetService(s *catalog.Service) { p.service = s }
+func (p *Pool) SetService(s *catalog.Service) {
+	p.service = s
+	p.updateSlots()
+}
 
 // SetMembers replaces the targets. The records of targets that are no longer listed are
 // dropped, unless this entry has attempts in flight there, has just sent one, or backs off: a target
 // that is listed again must not get more than its share.
 func (p *Pool) SetMembers(now time.Time, members []*roster.Member) {
 	p.members = members
+	p.updateSlots()
 	listed := map[roster.TargetID]bool{}
 	for _, m := range members {
 		listed[m.ID] = true
@@ -229,6 +240,13 @@
 // decide on the same information. Otherwise an engine that returns idle would get the
 // next requests of all entries at once.
 func (p *Pool) estimateLoad(now time.Time, m *roster.Member) float64 {
+	duration := NewLatencyModel(p.service, m.Slots).RequestDuration()
+	recent := p.loadOf(m.ID).sends.countAfter(now.Add(-min(peerLoadLag, duration)))
+	return p.knownLoad(now, m) + float64(recent)*p.inflow.perOwn
+}
+
+// knownLoad returns the number of requests at a target as far as this entry knows.
+func (p *Pool) knownLoad(now time.Time, m *roster.Member) float64 {
 	l := p.loadOf(m.ID)
 	duration := NewLatencyModel(p.service, m.Slots).RequestDuration()
 	n := float64(l.ownInFlight) + l.peerInFlight
@@ -238,8 +256,7 @@
 	if load, at, ok := m.ReportedLoad(now); ok && !p.flightsComplete && now.Sub(at) < processReportMaxAge {
 		n = max(n, float64(load+l.sends.countAfter(at)))
 	}
-	recent := l.sends.countAfter(now.Add(-min(peerLoadLag, duration)))
-	return n + float64(recent)*p.inflow.perOwn
+	return n
 }
 
 // predictDelay predicts the time to the first event of an attempt that is sent now and finds load
@@ -259,6 +276,7 @@
 // no other target has room or is full.
 func (p *Pool) Pick(now time.Time, req Requirements, limit time.Duration) (Choice, Refusal) {
 	p.updateInflow(now, req, limit)
+	req = p.withoutSpare(now, req)
 	outcome := NoTarget
 	for _, includeEjected := range []bool{false, true} {
 		best, refusal := p.pickAmong(now, req, limit, includeEjected)
@@ -290,6 +308,9 @@
 		}
 		candidates[d]++
 		cost := a.delay + p.penalty(now, m) + time.Duration(p.rng.Int64N(int64(costJitter)))
+		if a.borrows {
+			cost += borrowPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
