--- a/zone/placement/slots_test.go
+++ b/zone/placement/slots_test.go
@@ -112,3 +112,35 @@
 		t.Errorf("Pick() = %v for a slot of another entry at an engine of unknown load, want Full", got)
 	}
 }
+
+// Guards the bound on what a cold target gets from all entries together, one included that the others
+// do not know, while the owners of its slots have larger parts than equal ones.
+func TestOwnersKeepColdLimit(t *testing.T) {
+	const total = 26
+	for _, entries := range []int{2, 3, 9, 44, 78} {
+		pools, members, ids := slotFleet(entries, 5)
+		others := ids[1:]
+		for _, m := range members {
+			sum, owners := 0, 0
+			for i, p := range pools {
+				known := others
+				if i == 0 {
+					known = ids
+				}
+				p.SetColdShares(ColdShares{EntryShares: EntryShares{Self: ids[i], Entries: known, ShareCount: len(known) + 1}, TotalLimit: total})
+				p.ShareSlots(ids[i], known)
+				limit, ok := p.ownerColdLimit(start.Add(time.Hour), m)
+				if !ok {
+					limit = p.coldShares.ColdLimit(start.Add(time.Hour), m.ID)
+				}
+				sum += limit
+				if limit > 0 {
+					owners++
+				}
+			}
+			if sum > total || owners == 0 {
+				t.Errorf("%d entries: %d may send %d requests a second to a cold target, want at most %d", entries, owners, sum, total)
+			}
+		}
+	}
+}
