Entries divide the room that they borrow, and callers return within their time

Returning callers could be told to wait for longer than the third of their time that they wait. Change: an entry borrows no more than the room at a target divided by the number of the others, and draws decide who takes less than one slot. Retry-After is at most a third of the time that is left. A caller that returns soon enough counts as in time until its objective has passed. Refusals by targets use the same plan of returns.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -165,7 +165,7 @@
 	case attempts.Forward:
 		c.writeResponse(failureResp)
 	case attempts.Refuse:
-		c.writeUnavailable(c.reasonUnlessStopping(contract.ReasonTargetFull), c.entry.fleet.retryAfter(c.service, c.requirements(0), 0))
+		c.writeUnavailable(c.reasonUnlessStopping(contract.ReasonTargetFull), c.retryAfterRefusal())
 	case attempts.Expire:
 		c.writeProblem(http.StatusGatewayTimeout, contract.ReasonDeadline, 0)
 	case attempts.Abort:
@@ -176,6 +176,14 @@
 	}
 }
 
+// retryAfterRefusal returns the time after which the caller should retry whose request targets refused.
+func (c *call) retryAfterRefusal() time.Duration {
+	if c.hasQueue {
+		return c.entry.fleet.rankedRetryAfter(c.newWaiter(), placement.Full)
+	}
+	return c.entry.fleet.retryAfter(c.service, c.requirements(0), 0)
+}
+
 // breakOff ends an answer that is incomplete so that the caller does not take it for complete.
 // For a caller of HTTP/1.0 the end of the connection ends the answer, so it is reset.
 func (c *call) breakOff() {
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -79,10 +79,7 @@
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
 	c.rank, c.isRanked, c.hasQueue = c.route.Rank(c.team), m.IsRanked(c.service), hasQueue(m, c.service)
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := routeTimeout(c.route)
 	if c.info.Timeout > 0 {
 		timeout = min(timeout, c.info.Timeout)
 	}
@@ -91,6 +88,14 @@
 	return true
 }
 
+// routeTimeout returns the longest time that a request to a route may take.
+func routeTimeout(r *catalog.Route) time.Duration {
+	if r.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return r.Timeout
+}
+
 // hostName returns the host that the caller named, in lower case and without a port.
 func (c *call) hostName() string {
 	host := c.r.Host
--- a/machine/entry/direct/waiting.go
+++ b/machine/entry/direct/waiting.go
@@ -16,6 +16,12 @@
 	// lateWaitDivisor gives how long a request waits whose caller was refused before: the time that
 	// its caller has left, divided by lateWaitDivisor.
 	lateWaitDivisor = 4
+	// minTimeSpent is the least time that a refused caller has spent when it returns: part of the
+	// shortest Retry-After. A first call may have a little less time left than its route gives.
+	minTimeSpent = 100 * time.Millisecond
+	// maxReturnDivisor bounds the time after which refused callers are told to return: they wait for
+	// a third of the time that they have left, at most.
+	maxReturnDivisor = 3
 	// dispatchInterval is the time between two looks at a queue for what comes with time alone,
 	// such as the end of a target's cold start.
 	dispatchInterval = 50 * time.Millisecond
@@ -52,8 +58,8 @@
 	repeatable   bool
 	// begun is set if the caller has the beginning of the answer.
 	begun bool
-	// due is when the first event is due.
-	due time.Time
+	// due is when the first event is due, deadline that of the caller.
+	due, deadline time.Time
 	// queued is the place in the queue while the request waits.
 	queued *contention.Waiting[*waiter]
 	// done receives the result of a request that waits.
@@ -148,38 +154,41 @@
 	now := time.Now()
 	w := &waiter{
 		service: c.service, repeatable: c.route.IsRepeatable(), begun: c.headSent,
-		requirements: c.targetRequirements(), due: c.deadline, done: make(chan waitResult, 1),
+		requirements: c.targetRequirements(), due: c.deadline, deadline: c.deadline, done: make(chan waitResult, 1),
 	}
 	w.request = contention.Request{Rank: c.rank, Class: c.route.Name + "/" + strconv.Itoa(c.rank)}
 	if c.team != nil {
 		w.request.Team = c.team.Name
 		w.request.Class += "/" + string(c.team.Name)
 	}
-	switch timeLeft := c.deadline.Sub(now); {
+	timeLeft := c.deadline.Sub(now)
+	due := c.arrived.Add(c.route.Objective - c.timeSpent())
+	startBy := due.Add(-c.entry.fleet.slotDelay(c.service))
+	switch {
 	case c.attemptsSent > 0:
 		// What the request was sent to before excludes targets for it alone.
 		w.request.Resent, w.request.Class = true, c.info.AttemptID
 		w.request.StartBy = now.Add(min(retryPlacementTimeout, timeLeft))
-	case c.isReturning():
+	case c.timeSpent() > 0 && startBy.Before(now):
 		w.request.Late, w.request.Class = true, w.request.Class+"/late"
 		w.request.StartBy = now.Add(timeLeft / lateWaitDivisor)
 	default:
-		if due := c.arrived.Add(c.route.Objective); due.Before(w.due) {
+		w.request.StartBy = startBy
+		if due.Before(w.due) {
 			w.due = due
 		}
-		w.request.StartBy = w.due.Add(-c.entry.fleet.slotDelay(c.service))
 	}
 	return w
 }
 
-// isReturning reports whether the caller was refused before: it has less time left than the route
-// gives.
-func (c *call) isReturning() bool {
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+// timeSpent returns how long ago the caller made its first call if it was refused before: it has less
+// time left then than its route gives. It is 0 for a first call.
+func (c *call) timeSpent() time.Duration {
+	spent := routeTimeout(c.route) - c.info.Timeout
+	if c.info.Timeout <= 0 || spent < minTimeSpent {
+		return 0
 	}
-	return c.info.Timeout > 0 && c.info.Timeout < timeout
+	return spent
 }
 
 // limit returns the time within which the first event is due.
@@ -325,5 +334,6 @@
 			wait = noTargetRetryAfter
 		}
 	}
-	return s.returns.RetryAfter(now, w.request.Rank, wait, s.queue.LateRate(now, rate), fs.rng.Float64())
+	limit := max(w.deadline.Sub(now)/maxReturnDivisor, 0)
+	return s.returns.RetryAfter(now, w.request.Rank, wait, s.queue.LateRate(now, rate), limit, fs.rng.Float64())
 }
--- a/machine/entry/direct/waiting_test.go
+++ b/machine/entry/direct/waiting_test.go
@@ -32,7 +32,7 @@
 func newTestWaiter(rank int, wait time.Duration) *waiter {
 	now := time.Now()
 	return &waiter{
-		service: testService, due: now.Add(time.Second), done: make(chan waitResult, 1),
+		service: testService, due: now.Add(time.Second), deadline: now.Add(6 * time.Second), done: make(chan waitResult, 1),
 		request: contention.Request{Rank: rank, StartBy: now.Add(wait)},
 	}
 }
--- a/machine/entry/retry/return_plan.go
+++ b/machine/entry/retry/return_plan.go
@@ -14,9 +14,9 @@
 
 // RetryAfter returns after how long a caller that is refused now should retry, and counts it as
 // expected. predictedWait is the predicted time until one of its rank finds room, perSecond the rate at
-// which returning callers do. jitter, a random number in [0, 1), spreads the result over the last quarter
+// which returning callers do. limit is the longest time that the caller waits. jitter, a random number in [0, 1), spreads the result over the last quarter
 // of the delay.
-func (p *ReturnPlan) RetryAfter(now time.Time, rank int, predictedWait time.Duration, perSecond float64, jitter float64) time.Duration {
+func (p *ReturnPlan) RetryAfter(now time.Time, rank int, predictedWait time.Duration, perSecond float64, limit time.Duration, jitter float64) time.Duration {
 	delay := max(predictedWait, MinReturnDelay)
 	if n := p.Expected(now, rank); n > 0 {
 		delay = MaxReturnDelay
@@ -24,7 +24,7 @@
 			delay = max(predictedWait+time.Duration(float64(n)/perSecond*float64(time.Second)), MinReturnDelay)
 		}
 	}
-	delay = time.Duration(float64(min(delay, MaxReturnDelay)) * (0.75 + jitter/4))
+	delay = time.Duration(float64(min(delay, limit, MaxReturnDelay)) * (0.75 + jitter/4))
 	p.expected = append(p.expected, plannedReturn{now.Add(delay), rank})
 	return delay
 }
--- a/machine/entry/retry/window_test.go
+++ b/machine/entry/retry/window_test.go
@@ -157,20 +157,23 @@
 	var p ReturnPlan
 	last := time.Duration(0)
 	for range 10 {
-		last = p.RetryAfter(now, 1, 200*time.Millisecond, 10, 0.999)
+		last = p.RetryAfter(now, 1, 200*time.Millisecond, 10, time.Minute, 0.999)
 	}
 	if last < time.Second || last > 1200*time.Millisecond {
 		t.Errorf("RetryAfter() = %v for the tenth at ten a second, want 1 s or a little more", last)
 	}
-	if got := p.RetryAfter(now, 0, 200*time.Millisecond, 10, 0.999); got > 250*time.Millisecond {
+	if got := p.RetryAfter(now, 0, 200*time.Millisecond, 10, time.Minute, 0.999); got > 250*time.Millisecond {
 		t.Errorf("RetryAfter() = %v for a more urgent one, want about 200 ms", got)
 	}
 	for range 100 {
-		last = p.RetryAfter(now, 1, 0, 10, 0.999)
+		last = p.RetryAfter(now, 1, 0, 10, time.Minute, 0.999)
 	}
 	if last > MaxReturnDelay || last < MaxReturnDelay/2 {
 		t.Errorf("RetryAfter() = %v after a hundred, want nearly %v", last, MaxReturnDelay)
 	}
+	if got := p.RetryAfter(now, 1, 0, 10, time.Second, 0.999); got > time.Second {
+		t.Errorf("RetryAfter() = %v for a caller that waits for 1 s, want at most that", got)
+	}
 	if got := p.Expected(now.Add(MaxReturnDelay), 1); got != 0 {
 		t.Errorf("Expected() = %d when all have returned, want 0", got)
 	}
--- a/zone/contention/contention_test.go
+++ b/zone/contention/contention_test.go
@@ -151,3 +151,45 @@
 		t.Errorf("%d requests waited at an engine, want at most %d", most, maxEngineQueue)
 	}
 }
+
+// Guards against entries that refuse callers while others have slots free: a quarter of the entries gets
+// three times as many requests as the others, at half the capacity.
+func TestUnequalDemandUsesSlotsOfOthers(t *testing.T) {
+	const load, least = 0.5, 0.9
+	for _, size := range sizes {
+		f := playLoad(size[0], size[1], load, func(f *fleet) {
+			f.weights = func(i int) float64 {
+				if i%4 == 0 {
+					return 3
+				}
+				return 1
+			}
+		})
+		inTime, callers := 0, 0
+		for _, r := range f.results {
+			inTime, callers = inTime+r.inTime, callers+r.callers
+		}
+		t.Logf("%d entries: %d of %d in time", size[0], inTime, callers)
+		if float64(inTime) < least*float64(callers) {
+			t.Errorf("%d entries: %d of %d in time, want at least %.1f", size[0], inTime, callers, least)
+		}
+	}
+}
+
+// Guards against overfilling the few engines that are in use while the others load weights: two thirds
+// are down, and the others get four times what they can serve.
+func TestFewEnginesInUseAreNotOverfilled(t *testing.T) {
+	const load, least = 4.0 / 3, 0.6
+	for _, size := range sizes {
+		f := playLoad(size[0], size[1], load, func(f *fleet) {
+			for i, e := range f.engines {
+				e.isDown = i%3 != 0
+			}
+		})
+		inTime := 3 * f.inTimeRate()
+		t.Logf("%d entries: in time %.3f of the capacity that is left", size[0], inTime)
+		if inTime < least {
+			t.Errorf("%d entries: %.3f of the capacity that is left in time, want at least %.1f", size[0], inTime, least)
+		}
+	}
+}
--- a/zone/contention/fleet_test.go
+++ b/zone/contention/fleet_test.go
@@ -358,8 +358,8 @@
 func (f *fleet) refuse(e *entry, c *caller) {
 	r := Request{Rank: c.rank, Team: c.team}
 	rate := e.pool.SlotRate(f.now, placement.Requirements{})
-	after := e.returns.RetryAfter(f.now, c.rank, e.queue.PredictWait(f.now, r, rate), e.queue.LateRate(f.now, rate), f.rng.Float64())
-	if c.returns >= maxReturns || after > c.timeLeft(f.now)/3 {
+	after := e.returns.RetryAfter(f.now, c.rank, e.queue.PredictWait(f.now, r, rate), e.queue.LateRate(f.now, rate), c.timeLeft(f.now)/3, f.rng.Float64())
+	if c.returns >= maxReturns {
 		return
 	}
 	c.returns++
--- a/zone/placement/attempts.go
+++ b/zone/placement/attempts.go
@@ -15,9 +15,6 @@
 	l.sentSince++
 	l.sends.add(now)
 	p.inflow.sent(now)
-	if p.sharesSlots() {
-		p.borrowing.sent(now, l.ownInFlight, len(p.slots.of(id)))
-	}
 	l.addPrompts(now, p.prefillTime(), 1)
 	p.ejection.Sent(now, contract.MachineID(id))
 }
--- a/zone/placement/borrow.go
+++ b/zone/placement/borrow.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"mimosastand.example/mimosastand/zone/ratemeter"
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
@@ -16,49 +15,48 @@
 	// borrowPenalty is added to the cost of a target on which the attempt would use a slot of
 	// others: the prediction for it rests on older information.
 	borrowPenalty = 30 * time.Millisecond
+	// drawInterval is how long the draws last that decide which entries borrow slots of a target:
+	// about as long as what they send there is not yet known to others.
+	drawInterval = time.Second
 	// ownersFillTime is how long the owners of the slots of a target that has become usable
 	// are given to fill them. The loads reported until then do not show what they will use.
 	ownersFillTime = 400 * time.Millisecond
 )
 
-// borrowing estimates how many of the slots that their owners do not use the other entries take.
+// borrowing holds what decides whether the entry uses slots of others.
 type borrowing struct {
-	// meanFill is the mean share of the slots in use at the targets with known load, and open
-	// the number of targets with room, both as of the last update.
+	// meanFill is the mean share of the slots in use at the targets with known load as of the last
+	// update.
 	meanFill float64
-	open     int
-	// borrows counts the attempts of this entry on slots of others.
-	borrows ratemeter.Meter
+	// draws holds a random number in [0, 1) for each target, drawn at drawnAt.
+	draws   map[roster.TargetID]float64
+	drawnAt time.Time
 }
 
-// update estimates anew how many slots are free.
-func (b *borrowing) update(now time.Time, p *Pool, req Requirements) {
+// updateBorrowing estimates anew how many slots are in use, and draws which targets this entry may borrow
+// slots of.
+func (p *Pool) updateBorrowing(now time.Time, req Requirements) {
 	fill, known := 0.0, 0
-	b.open = 0
 	for _, m := range p.members {
-		at, ok := p.loadKnownAt(now, m)
-		if !ok || p.exclusionOf(now, m, req) != NotExcluded {
-			continue
-		}
-		slots := float64(NewLatencyModel(p.service, m.Slots).slots)
-		fill += p.knownLoad(now, m) / slots
-		known++
-		if p.loadToBorrow(now, m, at)+1 <= slots {
-			b.open++
+		if _, ok := p.loadKnownAt(now, m); ok && p.exclusionOf(now, m, req) == NotExcluded {
+			fill += p.knownLoad(now, m) / float64(NewLatencyModel(p.service, m.Slots).slots)
+			known++
 		}
 	}
+	b := &p.borrowing
 	b.meanFill = min(fill/float64(max(known, 1)), 1)
-}
-
-// sent counts an attempt if it uses a slot of others.
-func (b *borrowing) sent(now time.Time, ownInFlight, owned int) {
-	if ownInFlight > owned {
-		b.borrows.Add(now, 1)
+	if b.draws == nil || now.Sub(b.drawnAt) >= drawInterval {
+		b.draws, b.drawnAt = map[roster.TargetID]float64{}, now
+		for _, m := range p.members {
+			b.draws[m.ID] = p.rng.Float64()
+		}
 	}
 }
 
-// roomToBorrow returns whether an attempt may use a slot of others at a target. All entries are taken
-// to send as many such attempts as this one to the targets with room, unseen since the load was known.
+// roomToBorrow returns whether an attempt may use a slot of others at a target. Entries know the same
+// loads and want to borrow at the same time, when the load of all rises. Each one therefore uses no more
+// than the room divided by the number of other entries; if that is less than one slot, the draws decide
+// which of them borrow one.
 func (p *Pool) roomToBorrow(now time.Time, m *roster.Member) room {
 	r := room{load: p.knownLoad(now, m), borrows: true}
 	at, isKnown := p.loadKnownAt(now, m)
@@ -70,11 +68,10 @@
 	if usable := m.UsableSince(); !usable.IsZero() && at.Sub(usable) < ownersFillTime {
 		return r
 	}
-	model := NewLatencyModel(p.service, m.Slots)
-	unseen := min(now.Sub(at), model.RequestDuration()).Seconds()
-	rate := p.borrowing.borrows.Level(now) / ratemeter.Window.Seconds() * float64(max(p.entries-1, 0))
-	load := p.loadToBorrow(now, m, at) + rate*unseen/float64(max(p.borrowing.open, 1))
-	r.hasRoom = load+1 <= float64(model.slots)
+	free := float64(NewLatencyModel(p.service, m.Slots).slots) - p.loadToBorrow(now, m, at)
+	draw, isDrawn := p.borrowing.draws[m.ID]
+	borrowed := float64(max(p.loadOf(m.ID).ownInFlight-len(p.slots.of(m.ID)), 0))
+	r.hasRoom = isDrawn && free >= 1 && (borrowed+draw)*float64(max(p.entries-1, 0)) < free
 	return r
 }
 
--- a/zone/placement/inflow.go
+++ b/zone/placement/inflow.go
@@ -58,7 +58,7 @@
 	p.inflow.at = now
 	p.inflow.perOwn = p.othersPerOwn(now)
 	if p.sharesSlots() {
-		p.borrowing.update(now, p, req)
+		p.updateBorrowing(now, req)
 	}
 	// The owners of slots do not send at the same time (openSlots).
 	if p.prefillTime() > 0 && !p.sharesSlots() {
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -158,7 +158,7 @@
 	// slots holds the slots that this entry owns among the running entries, and coldSlots those
 	// among all that were ever known; unused unless ShareSlots was called.
 	slots, coldSlots slotShares
-	// borrowing estimates what the other entries send beyond their slots.
+	// borrowing decides whether this entry uses slots of others.
 	borrowing borrowing
 }
 
