Late requests leave up to two slots free where slots become free rarely

Change: the number of slots that late requests leave free follows from the rate at which they become free.

--- a/zone/contention/queue.go
+++ b/zone/contention/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	// spareInterval is the longest mean time between two own slots becoming free at which a request
 	// that must start within a typical objective hardly ever misses them.
 	spareInterval = 90 * time.Millisecond
+	// maxLateSpare is how many own slots late requests leave free at most.
+	maxLateSpare = 2
 )
 
 // Request describes a request to the queue.
@@ -205,17 +208,20 @@
 }
 
 // spareFor returns how many of the entry's own slots must stay free when a request is placed. A late
-// request, and under overload one of the least urgent rank, leaves one for a more urgent request that
-// arrives soon, if slots become free rarely: otherwise that one would not start in time.
+// request, and under overload one of the least urgent rank, leaves some for more urgent requests that
+// arrive soon, if slots become free rarely: otherwise those would not start in time.
 func (q *Queue[T]) spareFor(now time.Time, w *Waiting[T], slotRate float64) int {
-	isRare := slotRate*spareInterval.Seconds() < 1
-	if w.Resent || !isRare || q.disabled&disableSpare != 0 {
+	perInterval := slotRate * spareInterval.Seconds()
+	switch {
+	case w.Resent || perInterval >= 1 || q.disabled&disableSpare != 0:
 		return 0
-	}
-	if w.Late && !q.shares.isLateTurn() || !w.Late && q.shares.isLeastUrgent(now, w.Rank, slotRate) && !q.isBelowMinimum(now, w.Request) {
+	case w.Late && !q.shares.isLateTurn():
+		return int(min(math.Ceil(1/perInterval), maxLateSpare))
+	case !w.Late && q.shares.isLeastUrgent(now, w.Rank, slotRate) && !q.isBelowMinimum(now, w.Request):
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
 
 // PredictWait predicts how long a request waits for a slot that comes back later as a late one.
