--- a/zone/contention/doc.go
+++ b/zone/contention/doc.go
@@ -8,7 +8,11 @@
 // may have the beginning of an answer. Then come requests of ranks and teams that get less than
 // their minimum share, then those that can be in time: by rank, then by what their teams were served
 // recently, then by arrival. Late requests, those of callers that were refused before, come last,
-// but get one of lateDivisor starts while any wait.
+// but get at least one of lateDivisor starts while any wait. If they came before requests of less
+// urgent ranks that can be in time, these would be late for seconds after a burst.
+//
+// A late request, and under overload one of the least urgent rank, leaves some of the entry's slots
+// free if these become free so rarely that a more urgent one would miss its objective.
 //
 // # Admission
 //
