--- a/zone/contention/contention_test.go
+++ b/zone/contention/contention_test.go
@@ -69,13 +69,13 @@
 			if f.inTimeRate() < minInTime*onset {
 				t.Errorf("%d entries, load %.1f: %.3f of the capacity in time, want at least %.2f of %.3f", size[0], load, f.inTimeRate(), minInTime, onset)
 			}
-			f.checkRanks(t)
+			f.checkRanks(t, load)
 		}
 	}
 }
 
 // checkRanks checks the order of the ranks and that none starves.
-func (f *fleet) checkRanks(t *testing.T) {
+func (f *fleet) checkRanks(t *testing.T, load float64) {
 	t.Helper()
 	callers, served := 0, 0
 	for _, r := range f.results {
@@ -83,11 +83,11 @@
 	}
 	for rank, r := range f.results {
 		if least := requiredShare * float64(served) / float64(callers); r.served() < least {
-			t.Errorf("load %.1f: %.3f of rank %d were served, want at least %.3f", f.load, r.served(), rank, least)
+			t.Errorf("load %.1f: %.3f of rank %d were served, want at least %.3f", load, r.served(), rank, least)
 		}
 		for other := rank + 1; other < rankCount; other++ {
 			if r.served() < f.results[other].served()-maxInversion {
-				t.Errorf("load %.1f: %.3f of rank %d were served and %.3f of rank %d", f.load, r.served(), rank, f.results[other].served(), other)
+				t.Errorf("load %.1f: %.3f of rank %d were served and %.3f of rank %d", load, r.served(), rank, f.results[other].served(), other)
 			}
 		}
 	}
