An entry that knows no others uses engines that have just become usable

Change: that rule holds only for entries that know others. Result: TestSlotRules covers entries that know no others.

--- a/zone/placement/borrow.go
+++ b/zone/placement/borrow.go
@@ -59,13 +59,14 @@
 // which of them borrow one.
 func (p *Pool) roomToBorrow(now time.Time, m *roster.Member) room {
 	r := room{load: p.knownLoad(now, m), borrows: true}
+	isAlone := len(p.slots.entries) < minSharingEntries
 	at, isKnown := p.loadKnownAt(now, m)
 	if !isKnown {
-		// An entry that knows no others has no slots and no loads, and must begin somewhere.
-		r.hasRoom = len(p.slots.entries) < minSharingEntries && p.loadOf(m.ID).ownInFlight == 0
+		// An entry that knows no others owns no slots, and may know no loads yet.
+		r.hasRoom = isAlone && p.loadOf(m.ID).ownInFlight == 0
 		return r
 	}
-	if usable := m.UsableSince(); !usable.IsZero() && at.Sub(usable) < ownersFillTime {
+	if usable := m.UsableSince(); !isAlone && !usable.IsZero() && at.Sub(usable) < ownersFillTime {
 		return r
 	}
 	free := float64(NewLatencyModel(p.service, m.Slots).slots) - p.loadToBorrow(now, m, at)
--- a/zone/placement/slots_test.go
+++ b/zone/placement/slots_test.go
@@ -111,6 +111,15 @@
 	if got := pick(); got != Full {
 		t.Errorf("Pick() = %v for a slot of another entry at an engine of unknown load, want Full", got)
 	}
+	alone := newPool(members...)
+	alone.ShareSlots("entry-00", []contract.MachineID{})
+	for i, want := range []Refusal{Placed, Full} {
+		c, got := alone.Pick(now, Requirements{}, 300*time.Millisecond)
+		if got != want {
+			t.Errorf("attempt %d of an entry that knows no others and no loads: Pick() = %v, want %v", i, got, want)
+		}
+		alone.Sent(now, c.ID)
+	}
 }
 
 // Guards the bound on what a cold target gets from all entries together, one included that the others
