--- a/machine/entry/direct/waiting_test.go
+++ b/machine/entry/direct/waiting_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/contention"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/roster"
@@ -87,3 +89,31 @@
 		t.Error("hasQueue() = true for a service without priorities, want false")
 	}
 }
+
+// Guards against callers that were refused before waiting in front of those that can be in time, and
+// against first calls, and returns that can still be in time, that count as late.
+func TestReturningCallersCountAsLateOnceTheyMissedTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := &catalog.Route{Name: "r", Timeout: 6 * time.Second, Objective: 800 * time.Millisecond}
+		for _, c := range []struct {
+			timeout   time.Duration
+			late      bool
+			startByMS int64
+		}{
+			{0, false, 700}, {6 * time.Second, false, 700}, {5950 * time.Millisecond, false, 700},
+			{5700 * time.Millisecond, false, 400}, {4 * time.Second, true, 1000},
+		} {
+			caller := &call{entry: &Entry{fleet: newRankedState()}, route: route, service: testService, arrived: time.Now(), isRanked: true, rank: 12}
+			caller.info.Timeout = c.timeout
+			caller.deadline = caller.arrived.Add(cmp.Or(c.timeout, route.Timeout))
+			w := caller.newWaiter()
+			startBy := w.request.StartBy.Sub(caller.arrived).Milliseconds()
+			if w.request.Late != c.late || startBy > c.startByMS || startBy < c.startByMS-100 {
+				t.Errorf("time left %v: late = %v, starts within %d ms, want %v and up to 100 ms less than %d", c.timeout, w.request.Late, startBy, c.late, c.startByMS)
+			}
+			if got := caller.targetPriority(); got != 9 {
+				t.Errorf("targetPriority() = %d for rank 12, want the greatest that targets know, 9", got)
+			}
+		}
+	})
+}
