--- a/zone/contention/contention_test.go
+++ b/zone/contention/contention_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// inTimeShare is the share of the callers that were answered in time.
+func (f *fleet) inTimeShare() float64 {
+	inTime, callers := 0, 0
+	for _, r := range f.results {
+		inTime, callers = inTime+r.inTime, callers+r.callers
+	}
+	return float64(inTime) / float64(callers)
+}
+
 // Guards against an overload that keeps itself up by the callers that return: 2 s after a burst,
 // requests are served in time as before it.
 func TestFleetRecoversAfterBurst(t *testing.T) {
@@ -106,11 +115,7 @@
 		f.run(recovery)
 		f.countFrom, f.countUntil = f.now, f.now.Add(counted)
 		f.run(counted + afterwork)
-		inTime, callers := 0, 0
-		for _, r := range f.results {
-			inTime, callers = inTime+r.inTime, callers+r.callers
-		}
-		return float64(inTime) / float64(callers)
+		return f.inTimeShare()
 	}
 	for _, size := range sizes {
 		steady, after := inTime(size, steadyLoad), inTime(size, 4)
@@ -139,57 +144,32 @@
 			}
 		})
 	})
-	t.Logf("in time %.3f of the capacity, %.3f without a dead entry", after.inTimeRate(), before)
 	if after.inTimeRate() < minInTime*before {
 		t.Errorf("%.3f of the capacity in time after an entry died, want at least %.1f of %.3f", after.inTimeRate(), minInTime, before)
 	}
-	most := 0
 	for _, e := range after.engines {
-		most = max(most, e.mostWaiting)
-	}
-	if most > maxEngineQueue {
-		t.Errorf("%d requests waited at an engine, want at most %d", most, maxEngineQueue)
-	}
-}
-
-// Guards against entries that refuse callers while others have slots free: a quarter of the entries gets
-// three times as many requests as the others, at half the capacity.
-func TestUnequalDemandUsesSlotsOfOthers(t *testing.T) {
-	const load, least = 0.5, 0.9
-	for _, size := range sizes {
-		f := playLoad(size[0], size[1], load, func(f *fleet) {
-			f.weights = func(i int) float64 {
-				if i%4 == 0 {
-					return 3
-				}
-				return 1
-			}
-		})
-		inTime, callers := 0, 0
-		for _, r := range f.results {
-			inTime, callers = inTime+r.inTime, callers+r.callers
-		}
-		t.Logf("%d entries: %d of %d in time", size[0], inTime, callers)
-		if float64(inTime) < least*float64(callers) {
-			t.Errorf("%d entries: %d of %d in time, want at least %.1f", size[0], inTime, callers, least)
+		if e.mostWaiting > maxEngineQueue {
+			t.Errorf("%d requests waited at an engine, want at most %d", e.mostWaiting, maxEngineQueue)
 		}
 	}
 }
 
-// Guards against overfilling the few engines that are in use while the others load weights: two thirds
-// are down, and the others get four times what they can serve.
-func TestFewEnginesInUseAreNotOverfilled(t *testing.T) {
-	const load, least = 4.0 / 3, 0.6
+// Guards against entries that refuse callers while others have slots free: a quarter of the entries gets
+// three times as many requests as the others, at half the capacity. Also guards against overfilling the few
+// engines that are in use while the others load weights: two thirds are down, and the others get four
+// times what they can serve.
+func TestUnequalDemandAndFewEngines(t *testing.T) {
+	const leastOfCallers, leastOfCapacity = 0.9, 0.6
 	for _, size := range sizes {
-		f := playLoad(size[0], size[1], load, func(f *fleet) {
+		unequal := playLoad(size[0], size[1], 0.5, func(f *fleet) { f.weights = func(i int) float64 { return max(3-float64(i%4)*2, 1) } })
+		few := playLoad(size[0], size[1], 4.0/3, func(f *fleet) {
 			for i, e := range f.engines {
 				e.isDown = i%3 != 0
 			}
 		})
-		inTime := 3 * f.inTimeRate()
-		t.Logf("%d entries: in time %.3f of the capacity that is left", size[0], inTime)
-		if inTime < least {
-			t.Errorf("%d entries: %.3f of the capacity that is left in time, want at least %.1f", size[0], inTime, least)
+		t.Logf("%d entries: %.3f of the requests in time with unequal demand, %.3f of the capacity with few engines", size[0], unequal.inTimeShare(), 3*few.inTimeRate())
+		if unequal.inTimeShare() < leastOfCallers || 3*few.inTimeRate() < leastOfCapacity {
+			t.Errorf("%d entries: want at least %.1f of the requests and %.1f of the capacity", size[0], leastOfCallers, leastOfCapacity)
 		}
 	}
 }
--- a/zone/contention/fleet_test.go
+++ b/zone/contention/fleet_test.go
@@ -14,8 +14,8 @@
 	"mimosastand.example/mimosastand/zone/roster"
 )
 
-// fleet simulates the decisions of entries that send requests of three ranks to model engines.
-// Callers that are refused return.
+// fleet simulates the decisions of entries that send requests of three ranks to model engines. Callers
+// that are refused return.
 type fleet struct {
 	rng     *rand.Rand
 	now     time.Time
@@ -148,11 +148,9 @@
 
 func (f *fleet) zone(i int) contract.ZoneName { return contract.ZoneName(fmt.Sprint(i % 3)) }
 
-func (f *fleet) model() placement.LatencyModel { return placement.NewLatencyModel(f.service, 0) }
-
 // capacity is the number of requests that the engines serve in a second.
 func (f *fleet) capacity() float64 {
-	return float64(len(f.engines)) / f.model().CompletionInterval().Seconds()
+	return float64(len(f.engines)) / placement.NewLatencyModel(f.service, 0).CompletionInterval().Seconds()
 }
 
 func (f *fleet) at(t time.Time, do func()) { heap.Push(&f.events, event{t, do}) }
@@ -189,9 +187,8 @@
 func (f *fleet) arrive() {
 	f.at(f.now.Add(time.Duration(f.rng.ExpFloat64()/(f.load*f.capacity())*float64(time.Second))), f.arrive)
 	pick, rank := f.rng.Float64()*(rankWeights[0]+rankWeights[1]+rankWeights[2]), 0
-	for rank < rankCount-1 && pick >= rankWeights[rank] {
+	for ; rank < rankCount-1 && pick >= rankWeights[rank]; rank++ {
 		pick -= rankWeights[rank]
-		rank++
 	}
 	c := &caller{rank: rank, arrived: f.now, counted: !f.now.Before(f.countFrom) && f.now.Before(f.countUntil)}
 	c.team = contract.TeamName(fmt.Sprint("t", f.rng.IntN(3)))
@@ -201,22 +198,15 @@
 	f.call(c)
 }
 
-// drawEntry returns the entry that a caller reaches.
+// drawEntry returns the entry that a caller reaches. No weight is greater than maxWeight.
 func (f *fleet) drawEntry() *entry {
-	total := 0.0
-	for i := range f.entries {
-		total += f.weights(i)
-	}
-	pick := f.rng.Float64() * total
-	for i, e := range f.entries {
-		if pick -= f.weights(i); pick < 0 {
-			if e.dead {
-				return f.drawEntry()
-			}
-			return e
+	const maxWeight = 3
+	for {
+		i := f.rng.IntN(len(f.entries))
+		if !f.entries[i].dead && f.rng.Float64()*maxWeight < f.weights(i) {
+			return f.entries[i]
 		}
 	}
-	return f.entries[0]
 }
 
 // call has a caller reach an entry.
@@ -324,14 +314,14 @@
 func (f *fleet) start(a *attempt) {
 	e := a.engine
 	e.running++
-	m := f.model()
-	prefill := m.RequestDuration() / time.Duration(f.service.Engine.Slots) / 3
+	duration := placement.NewLatencyModel(f.service, 0).RequestDuration()
+	prefill := duration / time.Duration(f.service.Engine.Slots) / 3
 	if e.readUntil.Before(f.now) {
 		e.readUntil = f.now
 	}
 	e.readUntil = e.readUntil.Add(prefill)
 	first := e.readUntil.Add(time.Duration(float64(f.service.Engine.StepTime) * 7 * (1 + f.rng.Float64())))
-	end := first.Add(time.Duration(float64(m.RequestDuration()) * (0.35 + f.rng.Float64())))
+	end := first.Add(time.Duration(float64(duration) * (0.35 + f.rng.Float64())))
 	if a.counted {
 		if first.Sub(a.arrived) <= rankObjectives[a.rank] {
 			f.results[a.rank].inTime++
--- a/zone/contention/queue_test.go
+++ b/zone/contention/queue_test.go
@@ -16,12 +16,10 @@
 	started []*arrival
 }
 
-// arrival is a request that arrives; refusedAfter is how long it waited if it was refused.
+// arrival is a request that arrives.
 type arrival struct {
 	Request
-	at           time.Time
-	refusedAfter time.Duration
-	isRefused    bool
+	isRefused bool
 }
 
 const slotTime = 100 * time.Millisecond
@@ -38,14 +36,12 @@
 func (s *single) arrive(r Request, within time.Duration) *arrival {
 	r.StartBy = s.now.Add(within)
 	r.Class = string(r.Team)
-	a := &arrival{Request: r, at: s.now}
+	a := &arrival{Request: r}
 	noRoom := func(*Waiting[*arrival], int) Outcome { return NoRoom }
 	_, verdict, displaced := s.queue.Arrive(s.now, r, a, slotRate, noRoom)
-	if verdict == Refused {
-		a.isRefused = true
-	}
+	a.isRefused = verdict == Refused
 	for _, d := range displaced {
-		d.Value.isRefused, d.Value.refusedAfter = true, s.now.Sub(d.Value.at)
+		d.Value.isRefused = true
 	}
 	return a
 }
@@ -56,7 +52,7 @@
 	for _, w := range s.queue.order(s.now) {
 		if w.StartBy.Before(s.now) {
 			s.queue.Remove(w)
-			w.Value.isRefused, w.Value.refusedAfter = true, s.now.Sub(w.Value.at)
+			w.Value.isRefused = true
 		}
 	}
 	s.queue.RecordEnd(s.now)
@@ -71,28 +67,26 @@
 	})
 }
 
-// count returns how many started requests fulfil a condition.
-func (s *single) count(f func(*arrival) bool) int {
-	n := 0
+// play has the same requests arrive before each of 200 slots, and returns the share of the starts
+// that fulfil a condition.
+func (s *single) play(requests []Request, condition func(*arrival) bool) float64 {
+	for range 200 {
+		for _, r := range requests {
+			s.arrive(r, time.Second)
+		}
+		s.free()
+	}
+	n := 0.0
 	for _, a := range s.started {
-		if f(a) {
+		if condition(a) {
 			n++
 		}
 	}
-	return n
-}
-
-// play has the same requests arrive before each of 200 slots.
-func (s *single) play(arrive func()) {
-	for range 200 {
-		arrive()
-		s.free()
-	}
+	return n / float64(len(s.started))
 }
 
 // Each mechanism of the queue guards against a fault that shows when it is taken out.
 func TestEachMechanismIsNeeded(t *testing.T) {
-	rank := func(n int) func(*arrival) bool { return func(a *arrival) bool { return a.Rank == n } }
 	for _, c := range []struct {
 		fault     string
 		mechanism mechanism
@@ -119,30 +113,14 @@
 			return !low.isRefused
 		}},
 		{"returning callers starve", disableLateShare, func(s *single) bool {
-			s.play(func() {
-				s.arrive(Request{}, time.Second)
-				s.arrive(Request{}, time.Second)
-				s.arrive(Request{Late: true}, time.Second)
-			})
-			return s.count(func(a *arrival) bool { return a.Late }) < len(s.started)/10
+			return s.play([]Request{{}, {}, {Late: true}}, func(a *arrival) bool { return a.Late }) < 0.1
 		}},
 		{"a rank starves", disableMinimumShare, func(s *single) bool {
-			s.play(func() {
-				s.arrive(Request{}, time.Second)
-				s.arrive(Request{}, time.Second)
-				s.arrive(Request{Rank: 1}, time.Second)
-			})
-			return float64(s.count(rank(1)))/200 < requiredShare*float64(len(s.started))/600
+			return s.play([]Request{{}, {}, {Rank: 1}}, func(a *arrival) bool { return a.Rank == 1 }) < requiredShare/3
 		}},
 		{"a team gets less for others that send more", disableTeamShares, func(s *single) bool {
-			s.play(func() {
-				for range 4 {
-					s.arrive(Request{Team: "large"}, time.Second)
-				}
-				s.arrive(Request{Team: "small"}, time.Second)
-			})
-			small := s.count(func(a *arrival) bool { return a.Team == "small" })
-			return small < len(s.started)*4/10
+			large := Request{Team: "large"}
+			return s.play([]Request{large, large, large, large, {Team: "small"}}, func(a *arrival) bool { return a.Team == "small" }) < 0.4
 		}},
 		{"late requests take the last free slot", disableSpare, func(s *single) bool {
 			w := &Waiting[*arrival]{Request: Request{Late: true}}
