--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -78,6 +78,7 @@
 		}
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
+	c.rank, c.isRanked, c.hasQueue = c.route.Rank(c.team), m.IsRanked(c.service), hasQueue(m, c.service)
 	c.setDeadline()
 	c.lastEvent = c.info.LastEvent
 	return true
@@ -85,16 +86,21 @@
 
 // setDeadline determines the deadline from the route and what the caller asks for.
 func (c *call) setDeadline() {
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := routeTimeout(c.route)
 	if c.info.Timeout > 0 {
 		timeout = min(timeout, c.info.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout)
 }
 
+// routeTimeout returns the longest time that a request to a route may take.
+func routeTimeout(r *catalog.Route) time.Duration {
+	if r.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return r.Timeout
+}
+
 // hostName returns the host that the caller named, in lower case and without a port.
 func (c *call) hostName() string {
 	host := c.r.Host
--- a/machine/entry/direct/slowhedge.go
+++ b/machine/entry/direct/slowhedge.go
@@ -154,14 +154,6 @@
 	})
 }
 
-// rank returns the rank of the request, 0 for the most urgent.
-func (c *call) rank() int {
-	if c.team != nil && c.team.HasPriority {
-		return c.team.Priority
-	}
-	return c.route.Priority
-}
-
 // hedgeAttempt describes the attempt for the decision on a hedge. A stream that the caller has the
 // beginning of has its objective anew.
 func (x *exchange) hedgeAttempt() hedging.Attempt {
@@ -251,7 +243,7 @@
 		return placement.Choice{}, hedging.Suspect
 	}
 	a := x.hedgeAttempt()
-	a.LessUrgent = c.entry.fleet.isLessUrgent(c.service, c.rank())
+	a.LessUrgent = c.entry.fleet.isLessUrgent(c.service, c.rank)
 	limit := time.Until(c.deadline)
 	return c.entry.fleet.pickHedge(c.service, a, time.Since(x.start), c.requirements(limit), limit)
 }
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -65,6 +65,8 @@
 	Remaining time.Duration
 	// needsFreeSlot is set if the attempt must not wait for a slot at the target.
 	needsFreeSlot bool
+	// Spare is how many of the entry's own slots must stay free for more urgent requests.
+	Spare int
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
@@ -177,6 +179,11 @@
 	// predictions teach.
 	pace       paceSummary
 	correction correction
+	// slots holds the slots that this entry owns among the running entries, and coldSlots those
+	// among all that were ever known; unused unless ShareSlots was called.
+	slots, coldSlots slotShares
+	// borrowing decides whether this entry uses slots of others.
+	borrowing borrowing
 }
 
 // NewPool returns an empty pool for an entry that runs at home. regions maps each zone
@@ -196,13 +203,17 @@
 }
 
 // SetService replaces the declaration of the service.
-func (p *Pool) SetService(s *catalog.Service) { p.service = s }
+func (p *Pool) SetService(s *catalog.Service) {
+	p.service = s
+	p.updateSlots()
+}
 
 // SetMembers replaces the targets. The records of targets that are no longer listed are
 // dropped, unless this entry has attempts in flight there, has just sent one, or backs off: a target
 // that is listed again must not get more than its share.
 func (p *Pool) SetMembers(now time.Time, members []*roster.Member) {
 	p.members = members
+	p.updateSlots()
 	listed := map[roster.TargetID]bool{}
 	for _, m := range members {
 		listed[m.ID] = true
@@ -255,6 +266,13 @@
 // decide on the same information. Otherwise an engine that returns idle would get the
 // next requests of all entries at once.
 func (p *Pool) estimateLoad(now time.Time, m *roster.Member) float64 {
+	duration := NewLatencyModel(p.service, m.Slots).RequestDuration()
+	recent := p.loadOf(m.ID).sends.countAfter(now.Add(-min(peerLoadLag, duration)))
+	return p.knownLoad(now, m) + float64(recent)*p.inflow.perOwn
+}
+
+// knownLoad returns the number of requests at a target as far as this entry knows.
+func (p *Pool) knownLoad(now time.Time, m *roster.Member) float64 {
 	l := p.loadOf(m.ID)
 	duration := NewLatencyModel(p.service, m.Slots).RequestDuration()
 	n := float64(l.ownInFlight) + l.peerInFlight
@@ -264,8 +282,7 @@
 	if load, at, ok := p.processLoad(now, m, duration); ok {
 		n = max(n, load+float64(l.sends.countAfter(at)))
 	}
-	recent := l.sends.countAfter(now.Add(-min(peerLoadLag, duration)))
-	return n + float64(recent)*p.inflow.perOwn
+	return n
 }
 
 // predictDelay predicts the time to the first event of an attempt that is sent now and finds load
@@ -288,6 +305,7 @@
 // no other target has room or is full.
 func (p *Pool) Pick(now time.Time, req Requirements, limit time.Duration) (Choice, Refusal) {
 	p.updateInflow(now, req, limit)
+	req = p.withoutSpare(now, req)
 	outcome := NoTarget
 	for _, includeEjected := range []bool{false, true} {
 		best, refusal := p.pickAmong(now, req, limit, includeEjected)
@@ -320,6 +338,9 @@
 		}
 		candidates[d]++
 		cost := a.delay + p.penalty(now, m) + time.Duration(p.rng.Int64N(int64(costJitter)))
+		if a.borrows {
+			cost += borrowPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
