Entries of large zones do not read the beginning of a manifest when they start

Cause: after a loss of power of 26 of 44 entries, each of them read the first 64 KiB of the operators' records to learn their size, and the store had sent the rest by then: the links between regions stood still from 28.3 to 31 s and from 33 s on, for manifests and weights alike (calls of the store took over 1 s in both remote zones, none in its own zone). Change: in a zone of more than four entries an entry waits for its turn or its peers before it reads anything of a large topic.

--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -142,6 +142,7 @@
 		PeerGracePeriod: e.operatorsPeerGracePeriod,
 		LargeBytes:      peers.LargeTopicBytes,
 		StartDelay:      e.operatorsStartDelay,
+		MayProbe:        e.mayProbeOperators,
 		OnCopyAvoided:   e.meters.countAvoidedCopy,
 		OnChange:        e.applyOperatorRecords,
 		RewriteTimeout:  operatorsRewriteTimeout,
--- a/machine/entry/direct/operators.go
+++ b/machine/entry/direct/operators.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// mayProbeOperators reports whether this entry may read the beginning of the operators' records before its
+// turn at its start: only in a small zone. When 18 entries of two zones started at the same time, the
+// unread rest of a manifest of 430 KB that the store had sent each of them filled the links between
+// regions for two seconds.
+func (e *Entry) mayProbeOperators() bool {
+	_, size, ok := e.peers.PlaceInZone()
+	return ok && size <= maxUnrankedZone
+}
+
 // startTurn returns the turn of the entry at a place in its zone to read a large manifest at its
 // start. The first turn is that of the entries that wait at the store later.
 func startTurn(place int) int {
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -52,6 +52,10 @@
 	// hold is left to peers. It is called repeatedly, since it may depend on the members.
 	// With a nil function the feed reads at once.
 	StartDelay func() time.Duration
+	// MayProbe reports whether the feed may read the beginning of a topic of unknown size before
+	// StartDelay has passed; nil means that it may. The store sends more of a large topic than the
+	// feed takes, so many processes must not do so at the same time.
+	MayProbe func() bool
 	// OnCopyAvoided is called for each copy of large records that the feed avoids; it may be nil.
 	OnCopyAvoided func(AvoidedCopy)
 	// OnChange is called with the records that have changed, and when the complete topic
--- a/machine/feed/largetopic.go
+++ b/machine/feed/largetopic.go
@@ -76,7 +76,7 @@
 		f.isLeftToPeers = false
 		return f.readTransfer(ctx, 0)
 	}
-	if f.isLeftToPeers {
+	if f.isLeftToPeers || f.opts.MayProbe != nil && !f.opts.MayProbe() {
 		return nil
 	}
 	err := f.readSnapshotUpTo(ctx, f.opts.LargeBytes)
