The test of sound requests held back does not race with the clock

Cause: the case "weights are missing" of TestReportsSoundRequestsHeldBackWithBadOnes dates its requests one millisecond after time.Now(), and the comparison counts weights as missing until its own time.Now(). When the engine was started and had answered twenty requests in less than a millisecond, the requests lay past that time and counted.

Change: the span lies a minute back, so that all requests are past. No case and no expectation changes. The case "older version may run" now has a span of missing weights beside its requests; before, that span was empty because it began in the future.

--- a/internal/soak/crashpart_test.go
+++ b/internal/soak/crashpart_test.go
@@ -111,7 +111,8 @@
 		"too few bad ones":      {0, 30, 19, 0, false},
 		"too few to tell from":  {0, 19, 30, 0, false},
 	} {
-		start, entry := time.Now(), &harness.Machine{Name: "entry"}
+		// The span is past, as in a soak: weights can be missing only until the comparison.
+		start, entry := time.Now().Add(-time.Minute), &harness.Machine{Name: "entry"}
 		span := partSpan{part: "bad", first: "f0", from: start, to: start.Add(time.Minute)}
 		e := &standins.Engine{ID: "engine", Service: standins.ModelService, Model: standins.Model, Slots: 100}
 		store := standins.NewStore()
