A stopping entry answers before it looks at the targets of lost attempts

Cause: at the end of its grace period a stopping entry resets the connections of the attempts under way. It then took each for one that may have ended with a crash, and looked whether the target still listens before it answered. A look lasts 30 ms at a target that runs, as in traces of the stop at a load of 40 (ended at 7.407 s, answered at 7.439 s, also when nothing else was late), and up to 200 ms at one that does not answer the dial. The looks at two attempts follow one another. Callers have 200 ms to take their answers (lastAnswersTimeout), so one such target used it up and its callers could get no answer. The looks also use up the margin of TestStopAnswersRequestsThatLastTooLong.

Change: the looks run in a goroutine of their own, and a request waits for them only as long as its context lasts. A request whose context has ended, by a stop, its deadline or its caller, gets no other attempt, so the looks cannot change its answer; crashes are recorded as before. A panic in a look is logged and counts as a crash; the goroutine of looks after a complete answer had no such recovery.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -79,7 +79,7 @@
 		defer failureResp.release()
 		if outcome == attempts.Completed {
 			if len(c.lostAttempts) > 0 {
-				go c.mayRepeat(ctx)
+				go c.recordCrashes(ctx, c.lostAttempts)
 			}
 			return
 		}
--- a/machine/entry/direct/drain_test.go
+++ b/machine/entry/direct/drain_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -352,3 +354,48 @@
 		})
 	}
 }
+
+// lookTestTimeout bounds how long the look at a target lasts in a test. It is shorter than the
+// timeout of the route.
+const lookTestTimeout = 3 * time.Second
+
+// Guards against callers that get no answer at the end of a planned stop (LOST) since the entry first
+// looks whether their target has crashed. The look ends only after the answer, so this does not depend
+// on how fast the machine is.
+func TestStopAnswersBeforeLookAtTarget(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"streaming", "non_idempotent", "idempotent"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			arrived, answered := make(chan struct{}), make(chan struct{})
+			target := scriptedTarget(t, func(int, *http.Request) string { close(arrived); <-answered; return "" })
+			e := newRoutedEntry(t, kind, target)
+			e.callerConns = newConnTracker(e.log, e.meters)
+			_, callers := startCallerServer(t, e, callerHandler{e}, nil)
+			var dials atomic.Int64
+			e.conns.dialer.Control = func(string, string, syscall.RawConn) error {
+				if dials.Add(1) > 1 {
+					<-answered
+				}
+				return nil
+			}
+			var watchdog atomic.Bool
+			release := sync.OnceFunc(func() { close(answered) })
+			timer := time.AfterFunc(lookTestTimeout, func() { watchdog.Store(true); release() })
+			defer timer.Stop()
+			go func() {
+				<-arrived
+				e.openCalls.endAll()
+			}()
+			status, body, err := postTo(t, callers.Addr().String())
+			release()
+			if err != nil || status != http.StatusBadGateway || !strings.Contains(body, `"shutting_down"`) {
+				t.Errorf("status %d, body %q, error %v, want 502 with reason shutting_down", status, body, err)
+			}
+			if watchdog.Load() {
+				t.Error("the answer waited for a look at the target, want it at once")
+			}
+			waitUntil(t, "the entry looks at the target", func() bool { return dials.Load() > 1 })
+		})
+	}
+}
--- a/machine/entry/direct/panic_test.go
+++ b/machine/entry/direct/panic_test.go
@@ -186,3 +186,14 @@
 		t.Errorf("outcome = %v, want Lost", outcome)
 	}
 }
+
+// Guards against a process that ends because the look at the target of a lost attempt panics, and
+// against a request that is repeated then.
+func TestPanicInLookAtTargetCountsAsCrash(t *testing.T) {
+	e := newQuietEntry()
+	e.conns = nil
+	c := &call{entry: e}
+	if !c.recordCrashes(t.Context(), []lostAttempt{{}}) {
+		t.Error("recordCrashes() = false after a panic, want true")
+	}
+}
--- a/machine/entry/direct/poison.go
+++ b/machine/entry/direct/poison.go
@@ -89,21 +89,50 @@
 }
 
 // mayRepeat reports whether the request may be sent to another target after the last attempts,
-// and records the crashes of their targets. It may if the targets are still there, or if nothing
-// that it has is suspect.
+// and has the crashes of their targets recorded. It may if the targets are still there, or if
+// nothing that it has is suspect. It does not wait for looks at the targets once ctx has ended: the
+// request gets no other attempt then, and at the end of a planned stop its answer has only
+// lastAnswersTimeout, which one look can last.
 func (c *call) mayRepeat(ctx context.Context) bool {
 	lost := c.lostAttempts
 	c.lostAttempts = nil
-	crashed := false
-	for _, l := range lost {
-		crashed = c.entry.recordCrash(ctx, c, l) || crashed
+	if len(lost) == 0 {
+		return c.mayRepeatAfter(false)
+	}
+	crashed := make(chan bool, 1)
+	go func() { crashed <- c.recordCrashes(ctx, lost) }()
+	select {
+	case crashed := <-crashed:
+		return c.mayRepeatAfter(crashed)
+	case <-ctx.Done():
+		return false
 	}
+}
+
+// mayRepeatAfter is mayRepeat once it is known whether a target has crashed.
+func (c *call) mayRepeatAfter(crashed bool) bool {
 	if refused, _ := c.crashesTargets(); refused {
 		return false
 	}
 	return !crashed || c.entry.fleet.mayRepeat(c.suspect)
 }
 
+// recordCrashes records which of some lost attempts ended with the crash of their target, and reports
+// whether one did. It runs in a goroutine of its own, where a panic would end the process: one counts
+// as a crash.
+func (c *call) recordCrashes(ctx context.Context, lost []lostAttempt) (crashed bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.entry.recordPanic(c, cause)
+			crashed = true
+		}
+	}()
+	for _, l := range lost {
+		crashed = c.entry.recordCrash(ctx, c, l) || crashed
+	}
+	return crashed
+}
+
 // recordCrash records the loss of an attempt as the crash of its target if nothing listens at
 // the target's address any more, and reports whether that is so.
 func (e *Entry) recordCrash(ctx context.Context, c *call, l lostAttempt) (crashed bool) {
