Tests of the peer grace period start their feeds in one place

Cause: TestUnsyncedFeedWaitsForPeersBeforeReadingStore built and ran its feed like startFeed, with another grace period, and two tests merged the same records.

Change: startFeedWithGrace takes the grace period; mergeConfig merges the record. The feed still ends before its store, by the order of the cleanups.

Result: the package passes with the race detector. A grace period of 0 still fails the test ("records read from the store = 1, want 0").

--- a/machine/feed/peergrace_test.go
+++ b/machine/feed/peergrace_test.go
@@ -38,16 +38,22 @@
 // startFeed runs a feed that reads at once until it has synced and afterwards has the
 // given peer grace period. It returns the feed and the keys of the records that change.
 func startFeed(t *testing.T, address string, gracePeriod time.Duration) (f *Feed, keys <-chan string) {
+	return startFeedWithGrace(t, address, func(f *Feed) time.Duration {
+		if !f.HasSynced() {
+			return 0
+		}
+		return gracePeriod
+	})
+}
+
+// startFeedWithGrace runs a feed with a peer grace period. It returns the feed and the keys of the
+// records that change.
+func startFeedWithGrace(t *testing.T, address string, gracePeriod func(*Feed) time.Duration) (f *Feed, keys <-chan string) {
 	changedKeys := make(chan string, 1<<10)
 	f = New(platform.NewStore(address), Options{
-		Topic:        platform.TopicOperators,
-		ReadInterval: func() time.Duration { return time.Millisecond },
-		PeerGracePeriod: func() time.Duration {
-			if !f.HasSynced() {
-				return 0
-			}
-			return gracePeriod
-		},
+		Topic:           platform.TopicOperators,
+		ReadInterval:    func() time.Duration { return time.Millisecond },
+		PeerGracePeriod: func() time.Duration { return gracePeriod(f) },
 		OnChange: func(update Update) {
 			for _, r := range update.Records {
 				changedKeys <- r.Key
@@ -85,6 +91,17 @@
 	newestPath = "/-/log-newest"
 )
 
+// mergeConfig has a feed receive the record "config" from a peer that holds all of the store's records.
+func mergeConfig(f *Feed, store *fleet.Store, position int64) {
+	f.Merge(contract.Records{
+		Topic:   platform.TopicOperators,
+		Records: []contract.Record{{Offset: position, Key: "config", Value: []byte("large")}},
+		Synced:  true,
+		Newest:  position,
+		Era:     store.Era(),
+	})
+}
+
 // Guards against reading from the store what a peer sends: all entries of a region read a
 // manifest of 1,933 routes over one link at the same time, and again after a peer had
 // sent it, and the last of them received it 3 s late.
@@ -101,13 +118,7 @@
 	if reads := countReads(paths, newestPath, 4); reads != 0 {
 		t.Errorf("reads within the peer grace period = %d, want 0", reads)
 	}
-	f.Merge(contract.Records{
-		Topic:   platform.TopicOperators,
-		Records: []contract.Record{{Offset: position, Key: "config", Value: []byte("large")}},
-		Synced:  true,
-		Newest:  position,
-		Era:     store.Era(),
-	})
+	mergeConfig(f, store, position)
 	if key := <-keys; key != "config" {
 		t.Fatalf("second changed key = %q, want \"config\"", key)
 	}
@@ -139,29 +150,9 @@
 	store := fleet.NewStore()
 	t.Cleanup(store.Close)
 	position := contract.NewPosition(store.Era(), store.Put(platform.TopicOperators, "config", "large"))
-	changedKeys := make(chan string, 8)
-	f := New(platform.NewStore(store.Address()), Options{
-		Topic:           platform.TopicOperators,
-		ReadInterval:    func() time.Duration { return time.Millisecond },
-		PeerGracePeriod: func() time.Duration { return time.Hour },
-		OnChange: func(update Update) {
-			for _, r := range update.Records {
-				changedKeys <- r.Key
-			}
-		},
-		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { f.Run(ctx) })
-	f.Merge(contract.Records{
-		Topic:   platform.TopicOperators,
-		Records: []contract.Record{{Offset: position, Key: "config", Value: []byte("large")}},
-		Synced:  true,
-		Newest:  position,
-		Era:     store.Era(),
-	})
-	if key := <-changedKeys; key != "config" {
+	f, keys := startFeedWithGrace(t, store.Address(), func(*Feed) time.Duration { return time.Hour })
+	mergeConfig(f, store, position)
+	if key := <-keys; key != "config" {
 		t.Errorf("changed key = %q, want \"config\"", key)
 	}
 	for !f.IsStoreUp() {
@@ -170,6 +161,4 @@
 	if n := store.RecordsServed(); n != 0 {
 		t.Errorf("records read from the store = %d, want 0", n)
 	}
-	cancel()
-	wg.Wait()
 }
