Tests of late writes set their engine up in one place

Cause: TestLateWriteAfterOrderProvesNothing and TestLateWriteServesNoPiecesOfTwoVersions held back one piece of an engine with the same lines.

Change: newEngineWithLateWrite does that for both. The checks stay.

--- a/machine/target/direct/inherited_test.go
+++ b/machine/target/direct/inherited_test.go
@@ -51,15 +51,7 @@
 // order gets no answer either, so that the piece may have been bad for longer than the rule excuses.
 func TestLateWriteAfterOrderProvesNothing(t *testing.T) {
 	const heldPiece = 2
-	e := newLoadingEngine(t)
-	target := newTargetOf(t, e)
-	target.reconciler.reconcile(t.Context())
-	release := make(chan struct{})
-	e.onPut = func(n, _ int) {
-		if n == heldPiece+1 {
-			<-release
-		}
-	}
+	e, target, release := newEngineWithLateWrite(t, heldPiece)
 	e.onOrder = func(n int) {
 		if n == 1 {
 			e.setStaged(heldPiece, []byte("bad"))
--- a/machine/target/direct/whole_test.go
+++ b/machine/target/direct/whole_test.go
@@ -74,15 +74,7 @@
 // is stored after the pieces of the next version have been verified.
 func TestLateWriteServesNoPiecesOfTwoVersions(t *testing.T) {
 	const heldPiece = 2
-	e := newLoadingEngine(t)
-	target := newTargetOf(t, e)
-	target.reconciler.reconcile(t.Context())
-	release := make(chan struct{})
-	e.onPut = func(n, _ int) {
-		if n == heldPiece+1 {
-			<-release
-		}
-	}
+	e, target, release := newEngineWithLateWrite(t, heldPiece)
 	e.onOrder = func(n int) {
 		if n == 1 {
 			close(release)
@@ -116,6 +108,21 @@
 	}
 }
 
+// newEngineWithLateWrite returns an engine that stores one piece of the next version only once release is
+// closed, and a target for it.
+func newEngineWithLateWrite(t *testing.T, heldPiece int) (e *loadingEngine, target *Target, release chan struct{}) {
+	e = newLoadingEngine(t)
+	target = newTargetOf(t, e)
+	target.reconciler.reconcile(t.Context())
+	release = make(chan struct{})
+	e.onPut = func(n, _ int) {
+		if n == heldPiece+1 {
+			<-release
+		}
+	}
+	return e, target, release
+}
+
 // awaitOrders waits until the engine has accepted a number of orders.
 func awaitOrders(t *testing.T, e *loadingEngine, n int64) {
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
