A hedge counts with the size of its request

Cause: pickHedge counted the hedge of a slow attempt with the usual size, although the first attempt counts with its own. The prompt that the second target has to read, and the memory that the request takes there, were missing from the predictions of the requests that follow. Change: the hedge is counted with the sizes of its request, as pickTarget does. Result: TestHedgeCountsWithSizeOfItsRequest fails without the change.

--- a/machine/entry/direct/slowhedge.go
+++ b/machine/entry/direct/slowhedge.go
@@ -122,7 +122,7 @@
 	if !ok {
 		return placement.Choice{}, hedging.NoTarget
 	}
-	pool.Sent(now, choice.ID)
+	pool.SentSized(now, choice.ID, req)
 	t.TryAcquire(now)
 	fs.retryBudget(service).TryAcquire(now)
 	return choice, hedging.Allowed
--- a/machine/entry/direct/slowhedge_test.go
+++ b/machine/entry/direct/slowhedge_test.go
@@ -18,6 +18,7 @@
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/entry/hedging"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -282,3 +283,25 @@
 		time.Sleep(2 * checkInterval)
 	})
 }
+
+// Guards against hedges that count with the usual size: the target counts as free for others although it
+// has a large prompt to read.
+func TestHedgeCountsWithSizeOfItsRequest(t *testing.T) {
+	t.Parallel()
+	s := newSlowCall(t, func(net.Conn) {}, func(net.Conn) {})
+	s.entry.fleet.withPool(testService, func(_ time.Time, p *placement.Pool) {
+		p.SetService(&catalog.Service{Engine: &catalog.Engine{Slots: 8, StepTime: time.Millisecond, Stride: 5, PrefillRate: 20000, PromptTokens: 500, AnswerTokens: 50}})
+	})
+	large := placement.Requirements{PromptTokens: 20000, AnswerTokens: 50, Tried: []roster.TargetID{"target-0"}}
+	attempt := hedging.Attempt{Predicted: 3 * time.Second, Objective: 4 * time.Second}
+	choice, refusal := s.entry.fleet.pickHedge(testService, attempt, 0, large, 4*time.Second)
+	if refusal != hedging.Allowed {
+		t.Fatalf("hedge not allowed: %q", refusal)
+	}
+	s.entry.fleet.withPool(testService, func(now time.Time, p *placement.Pool) {
+		next, _ := p.Pick(now, placement.Requirements{Tried: []roster.TargetID{"target-0"}}, time.Minute)
+		if next.ID != choice.ID || next.FirstEventDelay < 900*time.Millisecond {
+			t.Errorf("a request behind the hedge at %s is predicted to begin after %v at %s, want about 1 s of reading before it", choice.ID, next.FirstEventDelay, next.ID)
+		}
+	})
+}
