The limit of a hedge is not extended for a large prompt

Cause: PickSpare passes the time that the first attempt is expected to need as the limit, and sizedLimit extended it for a prompt larger than the usual one. A hedge could go to a target that was predicted to begin later than the attempt beside which it starts. Change: requirements of a spare attempt keep their limit; the field needsFreeSlot, which said only half of what it is for, is named isSpare.

--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -63,8 +63,9 @@
 	// Remaining is the time until the caller's deadline, which the longer limit of a large prompt does not
 	// exceed; 0 if unknown.
 	Remaining time.Duration
-	// needsFreeSlot is set if the attempt must not wait for a slot at the target.
-	needsFreeSlot bool
+	// isSpare is set for a further attempt beside one that is under way: it must not wait for a slot at the
+	// target, and its limit is not extended for a large prompt.
+	isSpare bool
 }
 
 // Choice is a target for an attempt, with the data that the choice is based on.
--- a/zone/placement/size.go
+++ b/zone/placement/size.go
@@ -52,7 +52,7 @@
 // longer to read than the usual one is extended by the difference at most, if its first event is late even at an
 // idle target, or nearly so: such requests would never be placed otherwise.
 func (p *Pool) sizedLimit(now time.Time, limit time.Duration, req Requirements) time.Duration {
-	if p.engine() == nil || !p.isSizeAware(now) {
+	if p.engine() == nil || !p.isSizeAware(now) || req.isSpare {
 		return limit
 	}
 	model := NewLatencyModel(p.service, 0)
