Reported loads fade to the mean of the usable targets

Cause: the mean to which old reports return counted all listed targets, also those that change their weights, hold an old version, leave, or are ejected. These have little load. When few targets were usable, the others soon counted as nearly idle although they were full, and entries went on sending to them. Change: only targets that requests may go to now and that are not ejected count. With all targets usable nothing changes.

--- a/zone/placement/inflow.go
+++ b/zone/placement/inflow.go
@@ -24,8 +24,8 @@
 	// ownRate is the number of attempts that this entry sends in a second, as of lastSent.
 	ownRate  float64
 	lastSent time.Time
-	// meanLoad is the mean load that the processes beside the targets reported, on paced services; negative
-	// if none did.
+	// meanLoad is the mean load that the processes beside the usable targets reported, on paced services;
+	// negative if none did.
 	meanLoad float64
 	// open holds the targets that had room at at.
 	open map[roster.TargetID]bool
@@ -60,7 +60,7 @@
 	}
 	p.inflow.at = now
 	p.inflow.perOwn = p.othersPerOwn(now)
-	p.inflow.meanLoad = p.meanReportedLoad(now)
+	p.inflow.meanLoad = p.meanReportedLoad(now, req)
 	if p.prefillTime() > 0 {
 		p.addInflow(now, last, p.openTargets(now, req, limit))
 	}
--- a/zone/placement/pace_test.go
+++ b/zone/placement/pace_test.go
@@ -195,6 +195,29 @@
 	}
 }
 
+// Guards against busy targets that count as half idle while few of them are usable: the others, which change their
+// weights or have old ones, are idle.
+func TestReportedLoadFadesToMeanOfUsableTargets(t *testing.T) {
+	r := roster.New(0)
+	for id, s := range map[string]roster.Status{
+		"busy": {Version: 2, Ready: true, Load: 4}, "other": {Version: 2, Ready: true, Load: 4},
+		"changing": {Version: 2, Ready: true, Changing: true}, "old": {Version: 1, Ready: true}, "ejected": {Version: 2, Ready: true},
+	} {
+		m := engineMember(id, "a")
+		r.Update(start, m.Target, time.Time{})
+		s.HasLoad = true
+		r.ApplyRelayed(roster.ReportKeyOf(m.Address, 0), start, s)
+	}
+	p := newPool(r.Members("")...)
+	p.PaceAnswered(start, "busy", usualPace)
+	p.Failed(start, "ejected", true)
+	now := start.Add(500 * time.Millisecond)
+	p.updateInflow(now, Requirements{MinVersion: 2}, time.Second)
+	if load, _, ok := p.processLoad(now, r.Member("busy"), NewLatencyModel(p.service, 0).RequestDuration()); !ok || load != 4 {
+		t.Errorf("load of a busy target after 0.5 s = %v, %v, want 4, as at the other usable target", load, ok)
+	}
+}
+
 // Guards against old reports of loads that all entries follow to the same targets, and against fresh ones that count for
 // nothing.
 func TestReportedLoadFadesOnPacedServices(t *testing.T) {
