Extra work stays counted while hedges are turned off

Cause: a reload that turned hedges off dropped the counts of requests and extra attempts. Turned on again within 30 s, the entry could send up to twice the share of extra attempts in 30 s.

--- a/machine/entry/direct/slowhedge.go
+++ b/machine/entry/direct/slowhedge.go
@@ -37,15 +37,12 @@
 	waiting map[contract.ServiceName]int
 }
 
-// setHedging replaces the settings of hedges beside slow targets.
+// setHedging replaces the settings of hedges beside slow targets. The extra attempts so far stay counted, also
+// while hedges are off: the limit holds in any span of time.
 func (fs *fleetState) setHedging(settings config.Hedging) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	fs.hedging.settings = settings
-	if settings.ExtraWork == 0 {
-		fs.hedging.trackers = nil
-		return
-	}
 	for _, t := range fs.hedging.trackers {
 		t.SetExtraWork(settings.ExtraWork)
 	}
--- a/machine/entry/direct/slowhedge_test.go
+++ b/machine/entry/direct/slowhedge_test.go
@@ -284,6 +284,45 @@
 	})
 }
 
+// Guards against more extra work than the limit allows when hedges are turned off and on again: those sent
+// before must stay counted. 10 requests a second, of which a tenth may be sent twice.
+func TestLimitOfExtraWorkOutlastsReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, share, window = 100 * time.Millisecond, 0.1, 30 * time.Second
+		fs := newStartedState(time.Hour, 1)
+		fs.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: 100})
+		fs.setEntries([]contract.MachineID{"entry-1"})
+		fs.applyTargetRecords(feed.Update{Records: []contract.Record{{Offset: 1, Key: "target-0", Value: []byte(
+			`{"service":"models","address":"127.0.0.1:1","zone":"a","state":"ready","slots":8,"born":1,"seq_no":1,"stage":"both","layers":[{"from":0,"to":4,"version":1}]}`)}}})
+		// hedgesAfter has requests arrive for d, and then returns how many hedges may start at once.
+		hedgesAfter := func(d time.Duration) (hedges int) {
+			for range int(d / interval) {
+				time.Sleep(interval)
+				fs.recordPrompt(testService, 0)
+			}
+			fs.recordPace(testService, "target-0", 100)
+			attempt := hedging.Attempt{Predicted: 3 * time.Second, Objective: 4 * time.Second}
+			for {
+				time.Sleep(2 * time.Millisecond)
+				choice, refusal := fs.pickHedge(testService, attempt, 0, placement.Requirements{}, 4*time.Second)
+				if refusal != hedging.Allowed {
+					return hedges
+				}
+				fs.recordAttemptEnd(testService, choice.ID)
+				hedges++
+			}
+		}
+		fs.setHedging(config.Hedging{ExtraWork: share})
+		before := hedgesAfter(window - 5*time.Second)
+		fs.setHedging(config.Hedging{})
+		fs.setHedging(config.Hedging{ExtraWork: share})
+		after := hedgesAfter(window - 10*time.Second)
+		if most := share * float64(window/interval); before < 20 || float64(before+after) > most {
+			t.Errorf("%d hedges, and %d after a reload, within %v; want at least 20 before it and at most %v in all", before, after, window, most)
+		}
+	})
+}
+
 // Guards against hedges that count with the usual size: the target counts as free for others although it
 // has a large prompt to read.
 func TestHedgeCountsWithSizeOfItsRequest(t *testing.T) {
