A hedge goes on when the version of the first attempt ends

Cause: an attempt whose version ends before its target begins is given up, and its hedge was cancelled with it. Both count as attempts of the route. With two attempts allowed, the request failed with 502 although its hedge ran on a newer version. Change: the hedge takes the place of an outdated attempt, as it does when the attempt fails. A request that became known to crash targets still ends with both. Result: TestHedgeOutlivesVersionOfFirstAttempt fails if the hedge is not kept.

--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -93,8 +93,10 @@
 			}
 		case <-p.checks:
 			if reason := p.giveUpReason(); reason != "" {
-				p.giveUp(reason)
-				return attempts.Lost, nil
+				if done := p.giveUp(reason); done {
+					return attempts.Lost, nil
+				}
+				continue
 			}
 			p.checkSilence()
 			p.checkSlow()
@@ -178,13 +180,21 @@
 	return !x.call.entry.fleet.mayBegin(x.call.service, x.choice.Version)
 }
 
-// giveUp ends the current attempt.
-func (p *attemptPair) giveUp(reason breakage) {
+// giveUp ends the current attempt. It reports false if the hedge takes its place: one that started on newer
+// weights goes on when those of the current attempt end.
+func (p *attemptPair) giveUp(reason breakage) (done bool) {
 	c, x := p.call, p.current
 	x.abandon()
 	x.givenUp = true
 	c.record.attemptEnded(time.Now(), attempts.Lost, reason, nil)
 	c.attemptEnded(x, attempts.Lost)
+	if p.hedge == nil || reason != breakageOutdated {
+		return true
+	}
+	c.entry.logRetry(c, attempts.Lost)
+	p.hedgeEnded(hedgePromoted)
+	p.promoteHedge()
+	return false
 }
 
 // hedgeParts returns the channel of the hedge; nil if there is none.
--- a/machine/entry/direct/slowhedge_test.go
+++ b/machine/entry/direct/slowhedge_test.go
@@ -247,6 +247,32 @@
 	}
 }
 
+// Guards against a request that ends with its first attempt, whose version ends while a hedge runs on a newer
+// one: both together are all the attempts that the route allows. One that crashes targets ends with both.
+func TestHedgeOutlivesVersionOfFirstAttempt(t *testing.T) {
+	t.Parallel()
+	for reason, wantDone := range map[breakage]bool{breakageOutdated: false, breakageCrashesTargets: true} {
+		c, _, _ := newHedgingCall(t, "127.0.0.1:1", "127.0.0.1:2")
+		p := &attemptPair{call: c, ctx: t.Context(), checks: make(chan struct{}, 1)}
+		first, hedge := newExchange(c, placement.Choice{ID: "target-0", Version: 1}), newExchange(c, placement.Choice{ID: "target-1", Version: 2})
+		p.current, p.hedge, hedge.outpaces = first, hedge, true
+		for _, x := range []*exchange{first, hedge} {
+			c.entry.fleet.withPool(testService, func(now time.Time, pool *placement.Pool) { pool.Sent(now, x.choice.ID) })
+		}
+		p.recordStart()
+		if done := p.giveUp(reason); done != wantDone {
+			t.Errorf("%s: giveUp() = %v, want %v", reason, done, wantDone)
+		}
+		if !wantDone && (p.current != hedge || p.hedge != nil || c.lastTarget != "target-1") {
+			t.Errorf("%s: the attempt at %s goes on, want that of the hedge", reason, p.current.choice.ID)
+		}
+		p.endAll()
+		if flights := c.entry.fleet.ownFlights(); !first.ended || len(flights) != 0 {
+			t.Errorf("%s: first attempt ended: %v, %v in flight after the request; want its end and nothing", reason, first.ended, flights)
+		}
+	}
+}
+
 // Guards against a request that crashes every target: the first one crashes while the hedge runs, and the
 // crash is recorded although the hedge answers.
 func TestCrashBesideHedgeIsRecorded(t *testing.T) {
