explain placement counts the size of the answer

Cause: predictions use the caller's estimate of the answer (Length-Hint), but the report of an entry took the given size for the maximum, which they do not use. The option had no effect. Change: the size in the query is the estimate, and the help says so. Result: TestPlacementReportOfPacedService fails without the change. It also guards against a report on a paced service that changes what the pool records; this passed before.

--- a/cli/placement.go
+++ b/cli/placement.go
@@ -28,7 +28,7 @@
 	sub.String(&q.Path, "p", "path", "the request's path")
 	sub.String(&q.Team, "t", "team", "name of the caller's team")
 	sub.Float64(&q.PromptTokens, "", "prompt", "tokens of the prompt")
-	sub.Float64(&q.AnswerTokens, "", "answer", "maximum number of tokens of the answer")
+	sub.Float64(&q.AnswerTokens, "", "answer", "the caller's estimate of the tokens of the answer")
 	sub.Int64(&q.Version, "", "weights", "the only version of the weights that may answer, as for a stream that has begun")
 	sub.String(&s.common.output, "o", "output", "text or json")
 	s.commands = append(s.commands, &command{sub: sub, local: true, run: func(ctx context.Context, e *environment) error {
--- a/machine/entry/direct/placementpage.go
+++ b/machine/entry/direct/placementpage.go
@@ -64,7 +64,7 @@
 func (e *Entry) plannedCall(m *catalog.Manifest, q placementreport.Query) (c *call, status int, detail string) {
 	c = &call{
 		entry: e, arrived: time.Now(), manifest: m.Version, service: contract.ServiceName(q.Service), pinnedVersion: q.Version,
-		info: platform.Call{PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens},
+		info: platform.Call{PromptTokens: q.PromptTokens, AnswerEstimate: q.AnswerTokens},
 	}
 	leadsTo := func(r *catalog.Route) bool {
 		return slices.ContainsFunc(r.Shares, func(s catalog.Share) bool { return s.Service == c.service })
--- a/machine/entry/direct/placementpage_test.go
+++ b/machine/entry/direct/placementpage_test.go
@@ -13,6 +13,7 @@
 	"mimosastand.example/mimosastand/machine/entry/placementreport"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
+	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -136,3 +137,27 @@
 		t.Errorf("status %d of an entry without a list of targets, want 503", status)
 	}
 }
+
+// Guards against a report on a paced service that leaves out the size of the answer, or that changes what
+// the entry records of paces, sizes and prompts to read.
+func TestPlacementReportOfPacedService(t *testing.T) {
+	e := reportingEntry(t)
+	e.fleet.withPool(testService, func(now time.Time, p *placement.Pool) {
+		p.SetService(&catalog.Service{Engine: &catalog.Engine{
+			Slots: 8, StepTime: time.Millisecond, Stride: 5, PrefillRate: 20000, PromptTokens: 500, AnswerTokens: 50, MemoryTokens: 4000,
+		}})
+		p.PaceAnswered(now, "target-0", 250)
+		p.PaceAnswered(now, "target-1", 100)
+		p.SentSized(now, "target-0", placement.Requirements{PromptTokens: 1500, AnswerTokens: 500})
+	})
+	before := recorded(e)
+	for query, want := range map[string]string{"prompt=500&answer=50": "target-1", "prompt=500&answer=3800": ""} {
+		status, r, body := report(t, e, "service=models&team=forms&"+query)
+		if status != http.StatusOK || r.Target != want {
+			t.Errorf("%s: status %d, report %s, want target %q", query, status, body, want)
+		}
+	}
+	if after := recorded(e); after != before {
+		t.Errorf("the reports changed what the entry records:\n%s\n%s", before, after)
+	}
+}
--- a/machine/entry/placementreport/report.go
+++ b/machine/entry/placementreport/report.go
@@ -18,7 +18,8 @@
 	Service, Host, Path string
 	// Team is the name of the caller's team; empty if the route needs none.
 	Team string
-	// PromptTokens and AnswerTokens are sizes in tokens; 0 means that the caller does not say.
+	// PromptTokens is the size of the prompt and AnswerTokens the caller's estimate of the size of the answer,
+	// in tokens; 0 means that the caller does not say.
 	PromptTokens, AnswerTokens float64
 	// Version is the only version of the weights that may answer, as for a stream that has begun; 0 means
 	// any.
