False sizes of requests are bounded in predictions

Cause: the declared sizes of an entry's requests at a target entered the model of its passes without a bound. Change: an answer counts as no larger than what an engine writes until the deadline, and the mean prompt as no larger than what it reads in maxPromptTime. Result: TestFalseSizesAreBounded fails without the change.

--- a/zone/placement/pace_test.go
+++ b/zone/placement/pace_test.go
@@ -125,6 +125,26 @@
 	}
 }
 
+// Guards against a caller that declares a false size and so has its entry avoid a target for as long as the request
+// runs: what counts is the prompt that can be read in maxPromptTime, and the answer that fits before the deadline.
+func TestFalseSizesAreBounded(t *testing.T) {
+	p := newPool(engineMember("x", "a"))
+	p.SetSizeAware(true)
+	s := modelService()
+	s.Engine.PerContext = time.Millisecond / 10
+	p.SetService(s)
+	const limit = 500 * time.Millisecond
+	for _, size := range []Requirements{{AnswerTokens: 1e9, Remaining: 6 * time.Second}, {PromptTokens: 1e9, Remaining: 6 * time.Second}} {
+		p.SentSized(start, "x", size)
+		if c, outcome := p.Pick(start.Add(maxPromptTime+time.Second), Requirements{Remaining: 6 * time.Second}, limit); outcome != Placed {
+			t.Errorf("beside %v prompt and %v answer tokens: refusal %d, want Placed", size.PromptTokens, size.AnswerTokens, outcome)
+		} else if c.FirstEventDelay > limit {
+			t.Errorf("beside %v prompt and %v answer tokens: delay %v, want at most %v", size.PromptTokens, size.AnswerTokens, c.FirstEventDelay, limit)
+		}
+		p.Ended("x")
+	}
+}
+
 // Guards against requests that an engine has no memory for, and against memory that stays taken after their end.
 func TestRequestNeedsMemory(t *testing.T) {
 	p := newPool(engineMember("x", "a"))
--- a/zone/placement/size.go
+++ b/zone/placement/size.go
@@ -19,13 +19,18 @@
 	return p.service.Engine
 }
 
-// sizeOf returns the size of a request: the usual one where the request's own is unknown.
+// sizeOf returns the size of a request: the usual one where the request's own is unknown. An answer is not
+// larger than what an engine writes until the caller's deadline.
 func (p *Pool) sizeOf(req Requirements) requestSize {
 	e := p.engine()
 	if e == nil {
 		return requestSize{}
 	}
-	return requestSize{knownOr(req.PromptTokens, e.PromptTokens), knownOr(req.AnswerTokens, e.AnswerTokens)}
+	size := requestSize{knownOr(req.PromptTokens, e.PromptTokens), knownOr(req.AnswerTokens, e.AnswerTokens)}
+	if req.Remaining > 0 && e.StepTime > 0 {
+		size.answer = min(size.answer, float64(req.Remaining)/float64(e.StepTime))
+	}
+	return size
 }
 
 // knownOr returns a number of tokens, or usual if it is not positive and finite.
@@ -112,7 +117,7 @@
 	if n <= 0 {
 		total, n = requestSize{e.PromptTokens, e.AnswerTokens}, 1
 	}
-	prompt := total.prompt / n
+	prompt := min(total.prompt/n, e.PrefillRate*maxPromptTime.Seconds())
 	return newEngineModel(e, prompt, total.answer/n, readTime(e, prompt))
 }
 
