Paces and delays of attempts during a standstill do not count

Cause: an answer that waited unread while the process stood still was recorded as of the moment at which it was read. Its pace counted as fresh for 0.6 s, however old it was, and the time of the standstill counted as the delay of the target, in the correction and in the delays that hedges are derived from. Change: both are left out if the process stood still for more than 0.2 s during the attempt. The health of the target, and services without paces, are recorded as before. Result: TestPaceAndDelayAfterStandstillDoNotCount fails without the change.

--- a/machine/entry/direct/choice.go
+++ b/machine/entry/direct/choice.go
@@ -146,8 +146,14 @@
 func (fs *fleetState) recordResponse(service contract.ServiceName, choice placement.Choice, delay time.Duration) {
 	fs.withPool(service, func(now time.Time, p *placement.Pool) {
 		p.Answered(now, choice.ID, delay)
-		p.PredictionObserved(now, choice, delay)
 		fs.returnEstimator(service).RecordServed(now)
+	})
+}
+
+// recordDelay records the delay that recordResponse has, for later predictions and hedges.
+func (fs *fleetState) recordDelay(service contract.ServiceName, choice placement.Choice, delay time.Duration) {
+	fs.withPool(service, func(now time.Time, p *placement.Pool) {
+		p.PredictionObserved(now, choice, delay)
 		if t := fs.hedgeTracker(service); t != nil {
 			t.RecordFirstEvent(now, delay)
 		}
--- a/machine/entry/direct/exchange.go
+++ b/machine/entry/direct/exchange.go
@@ -240,9 +240,7 @@
 		x.breakage = breakageOtherAttempt
 		return attempts.Lost, nil
 	}
-	if reply.Pace > 0 {
-		c.entry.fleet.recordPace(c.service, x.choice.ID, reply.Pace)
-	}
+	x.recordPace(reply)
 	x.recordRateLimit(reply)
 	x.recordBackoff(reply)
 	x.recordLeaving(reply)
@@ -258,11 +256,33 @@
 	return x.readBuffered(resp, reply)
 }
 
+// maxStandstill is the longest time for which the process may stand still during an attempt whose pace and
+// delay count: the answer may have waited unread for so long, while paces hold for some hundred milliseconds.
+const maxStandstill = 200 * time.Millisecond
+
+// hasStoodStill reports whether the process has stood still for longer than maxStandstill since the
+// attempt started.
+func (x *exchange) hasStoodStill() bool {
+	ran := x.call.entry.fleet.runTime() - x.startRunTime
+	return time.Since(x.start)-ran > maxStandstill
+}
+
+// recordPace records the pace that the target reported, if the report is not old by now.
+func (x *exchange) recordPace(reply platform.Reply) {
+	if reply.Pace > 0 && !x.hasStoodStill() {
+		x.call.entry.fleet.recordPace(x.call.service, x.choice.ID, reply.Pace)
+	}
+}
+
 // recordResponse records the time to the first event, or to the complete response if it is no stream, and
-// compares it with the prediction.
+// compares it with the prediction. A time in which the process stood still says nothing on predictions.
 func (x *exchange) recordResponse(delay time.Duration) {
 	c := x.call
 	c.entry.fleet.recordResponse(c.service, x.choice, delay)
+	if x.hasStoodStill() {
+		return
+	}
+	c.entry.fleet.recordDelay(c.service, x.choice, delay)
 	c.entry.meters.recordPrediction(c.service, x.choice.FirstEventDelay, delay, c.route.Objective)
 }
 
--- a/machine/entry/direct/pace_test.go
+++ b/machine/entry/direct/pace_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -39,6 +40,28 @@
 	}
 }
 
+// Guards against paces and delays that count as fresh although the answer waited unread while the process stood
+// still.
+func TestPaceAndDelayAfterStandstillDoNotCount(t *testing.T) {
+	for standstill, want := range map[time.Duration]bool{0: true, maxStandstill / 2: true, 5 * time.Second: false} {
+		c, _, _ := newHedgingCall(t, "127.0.0.1:1")
+		c.entry.fleet.setHedging(config.Hedging{ExtraWork: 1})
+		x := newExchange(c, placement.Choice{ID: "target-0"})
+		x.start = x.start.Add(-standstill)
+		x.recordPace(platform.Reply{Pace: 250})
+		if got := c.entry.isPaced(testService); got != want {
+			t.Errorf("standstill of %v: paced = %v, want %v", standstill, got, want)
+		}
+		c.entry.fleet.recordPace(testService, "target-0", 100)
+		x.recordResponse(5 * time.Second)
+		var correction time.Duration
+		c.entry.fleet.withPool(testService, func(now time.Time, p *placement.Pool) { correction = p.Correction(now) })
+		if got := correction > 0; got != want {
+			t.Errorf("standstill of %v: correction %v, want one: %v", standstill, correction, want)
+		}
+	}
+}
+
 // Guards against lines that do not show why a target was predicted to be fast, or what was observed instead.
 func TestLinesCompareDelayWithPrediction(t *testing.T) {
 	c, _, logged := newHedgingCall(t)
