A probe that ends early leaves its target due for another one

Cause: an attempt that was given up, not sent for a stale choice, left by its caller, or ended by a panic, and a hedge whose retry budget was taken meanwhile, had no effect on the health of the target. If the attempt was the probe of an ejected target, the probe counted as under way for good, and this entry never sent to the target again unless another attempt there ended later. Change: such ends are recorded as inconclusive. A silent target has been ejected before, so that its attempt changes nothing.

--- a/machine/entry/direct/fleetstate_test.go
+++ b/machine/entry/direct/fleetstate_test.go
@@ -11,6 +11,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/weights/upgrade"
@@ -279,3 +280,34 @@
 		}
 	})
 }
+
+// Guards against a target that stays ejected for good: a probe that ends without saying anything on its
+// target must leave the target due for another one.
+func TestProbeThatEndsEarlyIsRepeated(t *testing.T) {
+	for name, end := range map[string]func(*attemptPair){
+		"stale choice": func(p *attemptPair) {
+			p.current.breakage = breakageStaleChoice
+			p.call.attemptEnded(p.current, attempts.NotSent)
+		},
+		"outdated":    func(p *attemptPair) { p.giveUp(breakageOutdated) },
+		"caller gone": func(p *attemptPair) { p.current.callerGone = true; p.call.attemptEnded(p.current, attempts.Lost) },
+		"panic":       func(p *attemptPair) { p.endAll() },
+		"outpaced":    func(p *attemptPair) { p.current.outpaced = true; p.call.attemptEnded(p.current, attempts.Lost) },
+	} {
+		c, _, _ := newHedgingCall(t, "127.0.0.1:1")
+		probes := 0
+		c.entry.fleet.withPool(testService, func(now time.Time, p *placement.Pool) {
+			longAgo := now.Add(-time.Hour)
+			p.Failed(longAgo, "target-0", true)
+			p.Sent(now, "target-0")
+			probes = p.EjectedCount(now)
+		})
+		p := &attemptPair{call: c, ctx: t.Context(), current: newExchange(c, placement.Choice{ID: "target-0"}), checks: make(chan struct{}, 1)}
+		end(p)
+		c.entry.fleet.withPool(testService, func(now time.Time, p *placement.Pool) {
+			if n := p.EjectedCount(now); probes != 1 || n != 0 {
+				t.Errorf("%s: %d probes under way, and the target ejected after it: %d; want 1 and 0", name, probes, n)
+			}
+		})
+	}
+}
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -179,6 +179,7 @@
 		return
 	}
 	if !c.entry.fleet.takeRetry(c.service) {
+		c.entry.fleet.recordInconclusive(c.service, choice.ID)
 		c.entry.fleet.recordAttemptEnd(c.service, choice.ID)
 		return
 	}
@@ -268,6 +269,7 @@
 		return
 	}
 	p.current.abandon()
+	p.call.entry.fleet.recordInconclusive(p.call.service, p.current.choice.ID)
 	p.call.entry.fleet.recordAttemptEnd(p.call.service, p.current.choice.ID)
 }
 
@@ -343,7 +345,9 @@
 	c.entry.meters.countAttempt(outcome)
 	if outcome == attempts.NotSent {
 		c.attemptsUnsent++
-		if x.breakage != breakageStaleChoice && x.breakage != breakageCallerGone {
+		if x.breakage == breakageStaleChoice || x.breakage == breakageCallerGone {
+			fleet.recordInconclusive(c.service, x.choice.ID)
+		} else {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
 		return
@@ -361,11 +365,13 @@
 		if x.isLostUnproven() {
 			c.lostAttempts = append(c.lostAttempts, lostAttempt{choice: x.choice, sentAt: x.start, brokenAt: time.Now()})
 		}
-		if x.outpaced {
+		switch {
+		case x.outpaced:
 			fleet.recordReplaced(c.service, x)
-		}
-		if x.isTargetFailure() {
+		case x.isTargetFailure():
 			fleet.recordFailure(c.service, x.choice.ID, false)
+		case !x.silent:
+			fleet.recordInconclusive(c.service, x.choice.ID)
 		}
 	}
 }
