--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -93,8 +93,10 @@
 			}
 		case <-p.checks:
 			if reason := p.giveUpReason(); reason != "" {
-				p.giveUp(reason)
-				return attempts.Lost, nil
+				if done := p.giveUp(reason); done {
+					return attempts.Lost, nil
+				}
+				continue
 			}
 			p.checkSilence()
 			p.checkSlow()
@@ -149,44 +151,6 @@
 	return cmp.Or(x.version, x.reply.Version, x.expectedVersion)
 }
 
-// giveUpReason returns why the current attempt is to be given up before its target has begun to
-// answer, and so perhaps before it has begun to run the request; empty if it is not.
-func (p *attemptPair) giveUpReason() breakage {
-	c, x := p.call, p.current
-	switch {
-	case len(x.parts) > 0 || !x.begunAt.IsZero():
-		return ""
-	case !c.probing && c.entry.fleet.shouldGiveUp(c.suspect):
-		return breakageCrashesTargets
-	case x.isOutdated():
-		return breakageOutdated
-	}
-	return ""
-}
-
-// isOutdated reports whether the attempt may no longer begin on the weights of its target, which
-// are too old by now, and may be sent elsewhere.
-func (x *exchange) isOutdated() bool {
-	return x.call.route.IsRepeatable() && x.isTooOld()
-}
-
-// isTooOld reports whether a request may no longer begin on the weights that the target was known to hold.
-func (x *exchange) isTooOld() bool {
-	if x.pinned != 0 || x.choice.Version == 0 {
-		return false
-	}
-	return !x.call.entry.fleet.mayBegin(x.call.service, x.choice.Version)
-}
-
-// giveUp ends the current attempt.
-func (p *attemptPair) giveUp(reason breakage) {
-	c, x := p.call, p.current
-	x.abandon()
-	x.givenUp = true
-	c.record.attemptEnded(time.Now(), attempts.Lost, reason, nil)
-	c.attemptEnded(x, attempts.Lost)
-}
-
 // hedgeParts returns the channel of the hedge; nil if there is none.
 func (p *attemptPair) hedgeParts() <-chan part {
 	if p.hedge == nil {
@@ -215,6 +179,7 @@
 		return
 	}
 	if !c.entry.fleet.takeRetry(c.service) {
+		c.entry.fleet.recordInconclusive(c.service, choice.ID)
 		c.entry.fleet.recordAttemptEnd(c.service, choice.ID)
 		return
 	}
@@ -304,6 +269,7 @@
 		return
 	}
 	p.current.abandon()
+	p.call.entry.fleet.recordInconclusive(p.call.service, p.current.choice.ID)
 	p.call.entry.fleet.recordAttemptEnd(p.call.service, p.current.choice.ID)
 }
 
@@ -379,7 +345,9 @@
 	c.entry.meters.countAttempt(outcome)
 	if outcome == attempts.NotSent {
 		c.attemptsUnsent++
-		if x.breakage != breakageStaleChoice && x.breakage != breakageCallerGone {
+		if x.breakage == breakageStaleChoice || x.breakage == breakageCallerGone {
+			fleet.recordInconclusive(c.service, x.choice.ID)
+		} else {
 			fleet.recordFailure(c.service, x.choice.ID, false)
 		}
 		return
@@ -397,11 +365,13 @@
 		if x.isLostUnproven() {
 			c.lostAttempts = append(c.lostAttempts, lostAttempt{choice: x.choice, sentAt: x.start, brokenAt: time.Now()})
 		}
-		if x.outpaced {
+		switch {
+		case x.outpaced:
 			fleet.recordReplaced(c.service, x)
-		}
-		if x.isTargetFailure() {
+		case x.isTargetFailure():
 			fleet.recordFailure(c.service, x.choice.ID, false)
+		case !x.silent:
+			fleet.recordInconclusive(c.service, x.choice.ID)
 		}
 	}
 }
--- a/machine/entry/direct/slowhedge.go
+++ b/machine/entry/direct/slowhedge.go
@@ -37,15 +37,12 @@
 	waiting map[contract.ServiceName]int
 }
 
-// setHedging replaces the settings of hedges beside slow targets.
+// setHedging replaces the settings of hedges beside slow targets. The extra attempts so far stay counted, also
+// while hedges are off: the limit holds in any span of time.
 func (fs *fleetState) setHedging(settings config.Hedging) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
 	fs.hedging.settings = settings
-	if settings.ExtraWork == 0 {
-		fs.hedging.trackers = nil
-		return
-	}
 	for _, t := range fs.hedging.trackers {
 		t.SetExtraWork(settings.ExtraWork)
 	}
@@ -122,7 +119,7 @@
 	if !ok {
 		return placement.Choice{}, hedging.NoTarget
 	}
-	pool.Sent(now, choice.ID)
+	pool.SentSized(now, choice.ID, req)
 	t.TryAcquire(now)
 	fs.retryBudget(service).TryAcquire(now)
 	return choice, hedging.Allowed
--- a/machine/entry/direct/slowhedge_test.go
+++ b/machine/entry/direct/slowhedge_test.go
@@ -18,6 +18,7 @@
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/entry/hedging"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -246,6 +247,32 @@
 	}
 }
 
+// Guards against a request that ends with its first attempt, whose version ends while a hedge runs on a newer
+// one: both together are all the attempts that the route allows. One that crashes targets ends with both.
+func TestHedgeOutlivesVersionOfFirstAttempt(t *testing.T) {
+	t.Parallel()
+	for reason, wantDone := range map[breakage]bool{breakageOutdated: false, breakageCrashesTargets: true} {
+		c, _, _ := newHedgingCall(t, "127.0.0.1:1", "127.0.0.1:2")
+		p := &attemptPair{call: c, ctx: t.Context(), checks: make(chan struct{}, 1)}
+		first, hedge := newExchange(c, placement.Choice{ID: "target-0", Version: 1}), newExchange(c, placement.Choice{ID: "target-1", Version: 2})
+		p.current, p.hedge, hedge.outpaces = first, hedge, true
+		for _, x := range []*exchange{first, hedge} {
+			c.entry.fleet.withPool(testService, func(now time.Time, pool *placement.Pool) { pool.Sent(now, x.choice.ID) })
+		}
+		p.recordStart()
+		if done := p.giveUp(reason); done != wantDone {
+			t.Errorf("%s: giveUp() = %v, want %v", reason, done, wantDone)
+		}
+		if !wantDone && (p.current != hedge || p.hedge != nil || c.lastTarget != "target-1") {
+			t.Errorf("%s: the attempt at %s goes on, want that of the hedge", reason, p.current.choice.ID)
+		}
+		p.endAll()
+		if flights := c.entry.fleet.ownFlights(); !first.ended || len(flights) != 0 {
+			t.Errorf("%s: first attempt ended: %v, %v in flight after the request; want its end and nothing", reason, first.ended, flights)
+		}
+	}
+}
+
 // Guards against a request that crashes every target: the first one crashes while the hedge runs, and the
 // crash is recorded although the hedge answers.
 func TestCrashBesideHedgeIsRecorded(t *testing.T) {
@@ -282,3 +309,64 @@
 		time.Sleep(2 * checkInterval)
 	})
 }
+
+// Guards against more extra work than the limit allows when hedges are turned off and on again: those sent
+// before must stay counted. 10 requests a second, of which a tenth may be sent twice.
+func TestLimitOfExtraWorkOutlastsReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, share, window = 100 * time.Millisecond, 0.1, 30 * time.Second
+		fs := newStartedState(time.Hour, 1)
+		fs.setBounds(config.Bounds{OldVersionGrace: time.Hour, RetryWindow: time.Millisecond, RetryBurst: 100})
+		fs.setEntries([]contract.MachineID{"entry-1"})
+		fs.applyTargetRecords(feed.Update{Records: []contract.Record{{Offset: 1, Key: "target-0", Value: []byte(
+			`{"service":"models","address":"127.0.0.1:1","zone":"a","state":"ready","slots":8,"born":1,"seq_no":1,"stage":"both","layers":[{"from":0,"to":4,"version":1}]}`)}}})
+		// hedgesAfter has requests arrive for d, and then returns how many hedges may start at once.
+		hedgesAfter := func(d time.Duration) (hedges int) {
+			for range int(d / interval) {
+				time.Sleep(interval)
+				fs.recordPrompt(testService, 0)
+			}
+			fs.recordPace(testService, "target-0", 100)
+			attempt := hedging.Attempt{Predicted: 3 * time.Second, Objective: 4 * time.Second}
+			for {
+				time.Sleep(2 * time.Millisecond)
+				choice, refusal := fs.pickHedge(testService, attempt, 0, placement.Requirements{}, 4*time.Second)
+				if refusal != hedging.Allowed {
+					return hedges
+				}
+				fs.recordAttemptEnd(testService, choice.ID)
+				hedges++
+			}
+		}
+		fs.setHedging(config.Hedging{ExtraWork: share})
+		before := hedgesAfter(window - 5*time.Second)
+		fs.setHedging(config.Hedging{})
+		fs.setHedging(config.Hedging{ExtraWork: share})
+		after := hedgesAfter(window - 10*time.Second)
+		if most := share * float64(window/interval); before < 20 || float64(before+after) > most {
+			t.Errorf("%d hedges, and %d after a reload, within %v; want at least 20 before it and at most %v in all", before, after, window, most)
+		}
+	})
+}
+
+// Guards against hedges that count with the usual size: the target counts as free for others although it
+// has a large prompt to read.
+func TestHedgeCountsWithSizeOfItsRequest(t *testing.T) {
+	t.Parallel()
+	s := newSlowCall(t, func(net.Conn) {}, func(net.Conn) {})
+	s.entry.fleet.withPool(testService, func(_ time.Time, p *placement.Pool) {
+		p.SetService(&catalog.Service{Engine: &catalog.Engine{Slots: 8, StepTime: time.Millisecond, Stride: 5, PrefillRate: 20000, PromptTokens: 500, AnswerTokens: 50}})
+	})
+	large := placement.Requirements{PromptTokens: 20000, AnswerTokens: 50, Tried: []roster.TargetID{"target-0"}}
+	attempt := hedging.Attempt{Predicted: 3 * time.Second, Objective: 4 * time.Second}
+	choice, refusal := s.entry.fleet.pickHedge(testService, attempt, 0, large, 4*time.Second)
+	if refusal != hedging.Allowed {
+		t.Fatalf("hedge not allowed: %q", refusal)
+	}
+	s.entry.fleet.withPool(testService, func(now time.Time, p *placement.Pool) {
+		next, _ := p.Pick(now, placement.Requirements{Tried: []roster.TargetID{"target-0"}}, time.Minute)
+		if next.ID != choice.ID || next.FirstEventDelay < 900*time.Millisecond {
+			t.Errorf("a request behind the hedge at %s is predicted to begin after %v at %s, want about 1 s of reading before it", choice.ID, next.FirstEventDelay, next.ID)
+		}
+	})
+}
