Entries own slots of the targets in their own zone

Change: the entries of a target's zone own its slots, with those whose zone has no target in service; others reach them with borrowed slots only.

--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -232,7 +232,10 @@
 }
 
 // SetEvacuated replaces the set of evacuated zones, whose targets get no new attempts.
-func (p *Pool) SetEvacuated(zones map[contract.ZoneName]bool) { p.evacuated = zones }
+func (p *Pool) SetEvacuated(zones map[contract.ZoneName]bool) {
+	p.evacuated = zones
+	p.updateSlots()
+}
 
 // SetEntryCount sets the number of entries that send to the targets, this one included.
 func (p *Pool) SetEntryCount(n int) { p.entries = n }
--- a/zone/placement/slots.go
+++ b/zone/placement/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,8 +22,9 @@
 // slotShares holds which slots of the targets an entry owns.
 type slotShares struct {
 	self contract.MachineID
-	// entries lists the running entries, sorted; nil if slots are not shared.
+	// entries lists the running entries, sorted; nil if slots are not shared. zones holds their zones.
 	entries []contract.MachineID
+	zones   map[contract.MachineID]contract.ZoneName
 	// targets lists the targets in the order of their IDs.
 	targets []slottedTarget
 	// owned holds the owned slots of each target by their places in its order of slots; nil
@@ -30,9 +32,10 @@
 	owned map[roster.TargetID][]int
 }
 
-// slottedTarget is a target and its number of slots.
+// slottedTarget is a target, its zone and its number of slots.
 type slottedTarget struct {
 	id    roster.TargetID
+	zone  contract.ZoneName
 	slots int
 }
 
@@ -43,8 +46,8 @@
 		p.slots, p.coldSlots = slotShares{}, slotShares{}
 		return
 	}
-	p.slots.setEntries(self, running)
-	p.coldSlots.setEntries(self, p.coldShares.Entries)
+	p.slots.setEntries(self, running, p.coldShares.Zones)
+	p.coldSlots.setEntries(self, p.coldShares.Entries, p.coldShares.Zones)
 	p.updateSlots()
 }
 
@@ -60,11 +63,11 @@
 
 func (p *Pool) sharesSlots() bool { return p.slots.entries != nil }
 
-func (s *slotShares) setEntries(self contract.MachineID, entries []contract.MachineID) {
-	if s.entries != nil && s.self == self && slices.Equal(s.entries, entries) {
+func (s *slotShares) setEntries(self contract.MachineID, entries []contract.MachineID, zones map[contract.MachineID]contract.ZoneName) {
+	if s.entries != nil && s.self == self && slices.Equal(s.entries, entries) && maps.Equal(s.zones, zones) {
 		return
 	}
-	s.self, s.entries, s.owned = self, slices.Clone(entries), nil
+	s.self, s.entries, s.zones, s.owned = self, slices.Clone(entries), maps.Clone(zones), nil
 	if s.entries == nil {
 		s.entries = []contract.MachineID{}
 	}
@@ -84,29 +87,32 @@
 	return s.owned[id]
 }
 
-// assign divides the slots of all targets among the entries. Each entry owns the same number of
-// slots of a target; those that remain go to the first entries in the order of rendezvous hashing
-// that have not got more than the mean of the targets before. Without that cap, entries with the same load would own
-// between half and one and a half times the mean, and the ones with few would refuse callers while
-// others have slots free.
+// assign divides the slots of each target among the entries of its zone (candidatesOf). Each of these owns the
+// same number of slots of a target; those that remain go to the first entries in the order of rendezvous
+// hashing that have not got more than the mean of the targets before. Without that cap, entries with the same
+// load would own between half and one and a half times the mean, and the ones with few would refuse callers
+// while others have slots free.
 func (s *slotShares) assign() map[roster.TargetID][]int {
 	owned := map[roster.TargetID][]int{}
 	self, isKnown := slices.BinarySearch(s.entries, s.self)
-	count := len(s.entries)
-	if !isKnown || count < minSharingEntries {
+	if !isKnown || len(s.entries) < minSharingEntries {
 		return owned
 	}
-	extras, assigned := make([]int, count), 0
+	candidates := s.candidatesByZone()
+	extras, assigned := make([]int, len(s.entries)), map[contract.ZoneName]int{}
 	for _, t := range s.targets {
-		order := s.orderFor(t.id)
-		place := slices.Index(order, self)
+		order := s.orderFor(t.id, candidates[t.zone])
+		place, count := slices.Index(order, self), len(order)
+		if place < 0 {
+			continue
+		}
 		for i := range t.slots / count {
 			owned[t.id] = append(owned[t.id], i*count+place)
 		}
 		first := t.slots / count * count
-		for i, e := range assignExtras(order, extras, t.slots%count, assigned/count+1) {
+		for i, e := range assignExtras(order, extras, t.slots%count, assigned[t.zone]/count+1) {
 			extras[e]++
-			assigned++
+			assigned[t.zone]++
 			if e == self {
 				owned[t.id] = append(owned[t.id], first+i)
 			}
@@ -115,6 +121,34 @@
 	return owned
 }
 
+// candidatesByZone returns, for each zone with targets, the entries that own the slots of its targets, by their
+// indexes: those of the zone, and those of zones without targets or of an unknown zone. Answers of targets in
+// other regions take up the narrow links between regions, so these are reached with borrowed slots only.
+// In a zone with fewer than minSharingEntries of them, all entries are.
+func (s *slotShares) candidatesByZone() map[contract.ZoneName][]int {
+	byZone := map[contract.ZoneName][]int{}
+	for _, t := range s.targets {
+		byZone[t.zone] = nil
+	}
+	var all []int
+	for i, e := range s.entries {
+		all = append(all, i)
+		if _, ok := byZone[s.zones[e]]; ok && s.zones[e] != "" {
+			byZone[s.zones[e]] = append(byZone[s.zones[e]], i)
+			continue
+		}
+		for zone := range byZone {
+			byZone[zone] = append(byZone[zone], i)
+		}
+	}
+	for zone, entries := range byZone {
+		if len(entries) < minSharingEntries {
+			byZone[zone] = all
+		}
+	}
+	return byZone
+}
+
 // assignExtras returns the entries that own n further slots, one each: the first ones in the order
 // with less than maxExtras, and if these are too few, the first of the others.
 func assignExtras(order, extras []int, n, maxExtras int) []int {
@@ -132,24 +166,25 @@
 	return chosen
 }
 
-// orderFor returns the entries, by their indexes, in the order of rendezvous hashing for a target.
-func (s *slotShares) orderFor(id roster.TargetID) []int {
-	weights := make([]uint64, len(s.entries))
-	order := make([]int, len(s.entries))
-	for i, e := range s.entries {
-		weights[i], order[i] = rendezvousWeight(id, e), i
+// orderFor returns entries, by their indexes, in the order of rendezvous hashing for a target.
+func (s *slotShares) orderFor(id roster.TargetID, entries []int) []int {
+	weights := make(map[int]uint64, len(entries))
+	for _, i := range entries {
+		weights[i] = rendezvousWeight(id, s.entries[i])
 	}
-	slices.SortFunc(order, func(a, b int) int {
+	return slices.SortedFunc(slices.Values(entries), func(a, b int) int {
 		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
 	})
-	return order
 }
 
-// listSlots lists the targets with their slots, in the order of their IDs.
+// listSlots lists the targets with their slots, in the order of their IDs, but those in evacuated zones.
 func (p *Pool) listSlots() []slottedTarget {
 	list := make([]slottedTarget, 0, len(p.members))
 	for _, m := range p.members {
-		list = append(list, slottedTarget{m.ID, NewLatencyModel(p.service, m.Slots).slots})
+		if p.evacuated[m.Zone] {
+			continue
+		}
+		list = append(list, slottedTarget{m.ID, m.Zone, NewLatencyModel(p.service, m.Slots).slots})
 	}
 	slices.SortFunc(list, func(a, b slottedTarget) int { return cmp.Compare(a.id, b.id) })
 	return list
@@ -254,7 +289,8 @@
 	if !p.sharesSlots() || entries < minSharingEntries {
 		return 0, false
 	}
-	largest := (slots + entries - 1) / entries
+	own := len(p.coldSlots.of(m.ID))
+	largest := max((slots+entries-1)/entries, own)
 	parts := slots + largest
 	if p.coldShares.TotalLimit < parts {
 		return 0, false
@@ -262,5 +298,5 @@
 	if now.Sub(p.coldShares.StartedAt) <= coldWindow {
 		return 0, true
 	}
-	return p.coldShares.TotalLimit * len(p.coldSlots.of(m.ID)) / parts, true
+	return p.coldShares.TotalLimit * own / parts, true
 }
