--- a/machine/peers/packing_test.go
+++ b/machine/peers/packing_test.go
@@ -63,16 +63,21 @@
 	t.Cleanup(store.Close)
 	large := bytes.Repeat([]byte("route "), minPackedBytes)
 	packer := NewPacker()
-	startEntry(t, store, "entry-2", func(s *link.Stream) {
+	server := startEntry(t, store, "entry-2", func(s *link.Stream) {
 		records := []contract.Record{{Offset: 5, Key: "config", Value: large}}
 		records = packer.Pack(contract.RecordsPull{AcceptPacked: true}, records)
 		_ = s.Send(contract.Message{Kind: contract.KindRecords, Records: &contract.Records{Records: records, Synced: true, Newest: 5}})
 	})
 	puller := startEntry(t, store, "entry-1", func(*link.Stream) {})
 	waitForLink(puller, "entry-2")
+	// The puller counts as linked before the other side has accepted its certificate.
+	waitForLink(server, "entry-1")
 	records, err := puller.PullFrom(t.Context(), "entry-2", platform.TopicOperators, -1)
-	if err != nil || len(records.Records) != 1 || !bytes.Equal(records.Records[0].Value, large) {
-		t.Errorf("PullFrom() = %d records, %v, want the record as it was before it was packed", len(records.Records), err)
+	if err != nil {
+		t.Fatalf("PullFrom() failed: %s", err.Error())
+	}
+	if len(records.Records) != 1 || !bytes.Equal(records.Records[0].Value, large) {
+		t.Errorf("PullFrom() = %d records, want the record as it was before it was packed", len(records.Records))
 	}
 }
 
