--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -49,8 +49,6 @@
 	// OriginOutage is the newest report of an entry that could not reach the origin of weights;
 	// nil if there is none, or if the sender knows no such reports.
 	OriginOutage *OriginOutage `cbor:"25,keyasint,omitempty"`
-	// PlannedLoads lists when engines are to load another version, as far as the sending entry knows.
-	PlannedLoads []PlannedLoad `cbor:"26,keyasint,omitempty"`
 	// LeavingTargets lists 64-bit hashes of the names and starts of the targets that have said
 	// in an answer that they are about to stop, as far as the sending entry knows.
 	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
@@ -180,20 +178,6 @@
 	// Number orders the reports of the process and of those before it: the milliseconds since the machine
 	// was booted, modulo 2^32, and at least one more than in its report before; 0 if not reported.
 	Number uint32 `cbor:"9,keyasint,omitempty"`
-	// LoadInMS is the time in milliseconds until the engine is to load another version, at least 1; 0 if
-	// that is not planned.
-	LoadInMS uint32 `cbor:"10,keyasint,omitempty"`
-}
-
-// PlannedLoad is the time at which a model engine is to load another version, as an entry passes it on.
-type PlannedLoad struct {
-	_ struct{} `cbor:",toarray"`
-	// Target is a 64-bit hash of the engine's address and start.
-	Target uint64
-	// Number is that of the EngineStatus.
-	Number uint32
-	// InMS is the time in milliseconds from the heartbeat to the load.
-	InMS uint32
 }
 
 // TargetReport is the state of a model engine that an entry passes on to others.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -230,7 +230,6 @@
 		hb.RateLimits = e.fleet.rateLimitReports()
 		hb.PoisonObservations, hb.PoisonVerdicts = e.fleet.poisonReports()
 		hb.LeavingTargets = e.fleet.leavingReports()
-		hb.PlannedLoads = e.fleet.plannedLoadReports()
 		hb.OriginOutage = e.origin.Report()
 		hb.Targets = e.targetsFeed.Progress()
 	}
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -18,7 +18,6 @@
 	"mimosastand.example/mimosastand/zone/ejection"
 	"mimosastand.example/mimosastand/zone/leaving"
 	"mimosastand.example/mimosastand/zone/placement"
-	"mimosastand.example/mimosastand/zone/plannedload"
 	"mimosastand.example/mimosastand/zone/poison"
 	"mimosastand.example/mimosastand/zone/ratelimit"
 	"mimosastand.example/mimosastand/zone/roster"
@@ -61,7 +60,6 @@
 	targetReports     *targetreport.Tracker
 	rateLimits        *ratelimit.Tracker
 	leaving           *leaving.Tracker
-	plannedLoads      *plannedload.Tracker
 	poison            *poison.Tracker
 	hedging           hedgingState
 	peerFlights       map[contract.MachineID]map[uint32]int
@@ -105,7 +103,6 @@
 		targetReports:    targetreport.NewTracker(),
 		rateLimits:       ratelimit.NewTracker(rng),
 		leaving:          leaving.NewTracker(),
-		plannedLoads:     plannedload.NewTracker(),
 		poison:           poison.NewTracker(rng),
 		hedging:          hedgingState{settings: process.Fleet.Hedging},
 		rng:              rng,
@@ -136,7 +133,6 @@
 		p.SetEvacuated(fs.evacuated)
 		p.SetRateLimits(fs.rateLimits)
 		p.SetLeaving(fs.leaving)
-		p.SetPlannedLoads(fs.plannedLoads)
 		p.SetMembers(time.Now(), fs.roster.Members(name))
 		fs.pools[name] = p
 		fs.indexFlightTargets()
--- a/machine/entry/direct/flights.go
+++ b/machine/entry/direct/flights.go
@@ -18,7 +18,6 @@
 	defer fs.mu.Unlock()
 	now := time.Now()
 	fs.applyPeerAges(hb)
-	fs.plannedLoads.ApplyReports(now, hb.PlannedLoads)
 	news := fs.applyPeerLimits(hb) + fs.applyPeerPoison(hb) + fs.applyPeerLeaving(hb)
 	hasNews = fs.applyPeerState(now, hb) || news > 0
 	fs.dispatchReported(now)
--- a/machine/entry/direct/targetreports.go
+++ b/machine/entry/direct/targetreports.go
@@ -21,7 +21,6 @@
 	}
 	fs.roster.Report(now, e.Address, e.Born, status)
 	report := targetreport.Report{Key: roster.ReportKeyOf(e.Address, e.Born), Status: status, At: now}
-	fs.plannedLoads.Observe(now, report.Key, e.Number, time.Duration(e.LoadInMS)*time.Millisecond)
 	hasNews = fs.targetReports.HasNews(report)
 	fs.targetReports.Observe(report)
 	return hasNews
@@ -66,10 +65,3 @@
 		return m != nil && fs.process.Fleet.Zones[m.Zone] == fs.process.Region
 	})
 }
-
-// plannedLoadReports lists when engines are to load another version, for heartbeats to other entries.
-func (fs *fleetState) plannedLoadReports() []contract.PlannedLoad {
-	fs.mu.Lock()
-	defer fs.mu.Unlock()
-	return fs.plannedLoads.Reports(time.Now())
-}
--- a/machine/target/direct/loadorder.go
+++ b/machine/target/direct/loadorder.go
@@ -88,7 +88,6 @@
 		StagedAt:    r.staged.stagedAt(c, r.report.Born),
 	}
 	step := upgrade.Decide(state)
-	r.planLoad(c, state)
 	if step != upgrade.Wait && r.skipsForNewer(c, state) {
 		step = upgrade.Wait
 	}
@@ -104,17 +103,6 @@
 	}
 }
 
-// planLoad records when the engine's turn to load a candidate starts, for the heartbeats to entries. mu must be
-// held.
-func (r *reconciler) planLoad(c *candidate, state upgrade.EngineState) {
-	planned := state.PlannedTurn()
-	if r.plannedLoad.IsZero() && !planned.IsZero() {
-		r.log.WithField("version", c.version.String()).WithField("in_ms", planned.Sub(state.Now).Milliseconds()).Info("load planned")
-		r.target.meters.countSuccession("load_planned")
-	}
-	r.plannedLoad = planned
-}
-
 // zoneRank returns how many targets of the zone come before this one by machine, and how
 // many targets the zone has in total.
 func (r *reconciler) zoneRank() (rank, total int) {
--- a/machine/target/direct/reconciler.go
+++ b/machine/target/direct/reconciler.go
@@ -54,8 +54,6 @@
 	orderedAt      time.Time
 	orderedVersion int64
 	unanswered     unansweredOrder
-	// plannedLoad is when the engine's turn to load starts; zero if that is not known or has passed.
-	plannedLoad time.Time
 	// refusedAt is when the engine last refused an order since its state was another: it may have accepted
 	// one that its report does not show yet.
 	refusedAt time.Time
@@ -189,7 +187,6 @@
 func (r *reconciler) endChange() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.plannedLoad = time.Time{}
 	if r.up && r.orderedAt.IsZero() {
 		r.changePending = false
 	}
--- a/machine/target/direct/status.go
+++ b/machine/target/direct/status.go
@@ -26,9 +26,6 @@
 	if r.up {
 		s.Version = r.loadedVersion()
 	}
-	if left := time.Until(r.plannedLoad); r.up && left > 0 {
-		s.LoadInMS = uint32(max(left.Milliseconds(), 1))
-	}
 	if s.HasLoad = r.up && r.report.Load >= 0; s.HasLoad {
 		s.Load = uint32(r.report.Load)
 	}
--- a/weights/upgrade/upgrade.go
+++ b/weights/upgrade/upgrade.go
@@ -86,16 +86,6 @@
 	}
 }
 
-// PlannedTurn returns when the turn of an engine that serves will start, or the zero time if that is not
-// known yet or has passed. Requests that are sent before should have ended by then: the engine finishes them
-// before it loads, and takes no others meanwhile.
-func (s EngineState) PlannedTurn() time.Time {
-	if Decide(s) != Wait || !s.Up || s.Busy || s.Loaded == 0 || s.Loaded >= s.Desired || s.StagedAt.IsZero() {
-		return time.Time{}
-	}
-	return s.DueAt()
-}
-
 // DueAt returns when the engine's turn starts. The turns of a zone are spread evenly over
 // the time that remains from StagedAt until lastTurnMargin before the end of the bound. If
 // none remains, or the target is alone in its zone, the turn starts at StagedAt.
--- a/weights/upgrade/upgrade_test.go
+++ b/weights/upgrade/upgrade_test.go
@@ -46,24 +46,6 @@
 	}
 }
 
-// Guards against entries that do not know of a load in time, and against plans of engines that load at once.
-func TestTurnOfServingEngineIsPlanned(t *testing.T) {
-	s := newState()
-	s.Rank = 2
-	if got := s.PlannedTurn(); !got.Equal(s.DueAt()) {
-		t.Errorf("PlannedTurn() = %v, want the start of the turn, %v", got, s.DueAt())
-	}
-	s.Now = s.DueAt()
-	if got := s.PlannedTurn(); !got.IsZero() {
-		t.Errorf("PlannedTurn() in the turn = %v, want none", got)
-	}
-	s = newState()
-	s.Rank, s.Loaded = 2, 0
-	if got := s.PlannedTurn(); !got.IsZero() {
-		t.Errorf("PlannedTurn() of an engine without weights = %v, want none", got)
-	}
-}
-
 func TestLateStagingLoadsAtOnce(t *testing.T) {
 	s := newState()
 	s.Rank = 3
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -8,7 +8,6 @@
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/ejection"
 	"mimosastand.example/mimosastand/zone/leaving"
-	"mimosastand.example/mimosastand/zone/plannedload"
 	"mimosastand.example/mimosastand/zone/ratelimit"
 	"mimosastand.example/mimosastand/zone/roster"
 )
@@ -165,8 +164,6 @@
 	rateLimits *ratelimit.Tracker
 	// leaving holds the targets that have said that they leave.
 	leaving *leaving.Tracker
-	// plannedLoads holds when engines are to load another version.
-	plannedLoads *plannedload.Tracker
 	// runTime is for how long the process has been running.
 	runTime time.Duration
 	// entries is the number of entries that send to the targets, this one included.
@@ -194,14 +191,13 @@
 // to its region.
 func NewPool(home Place, regions map[contract.ZoneName]contract.RegionName, rng *rand.Rand) *Pool {
 	return &Pool{
-		home:         home,
-		rng:          rng,
-		regions:      regions,
-		loads:        map[roster.TargetID]*targetLoad{},
-		ejection:     ejection.NewTracker(rng),
-		rateLimits:   ratelimit.NewTracker(rng),
-		leaving:      leaving.NewTracker(),
-		plannedLoads: plannedload.NewTracker(),
+		home:       home,
+		rng:        rng,
+		regions:    regions,
+		loads:      map[roster.TargetID]*targetLoad{},
+		ejection:   ejection.NewTracker(rng),
+		rateLimits: ratelimit.NewTracker(rng),
+		leaving:    leaving.NewTracker(),
 
 		pacedCandidates: pacedCandidatesPerDistance,
 	}
@@ -344,15 +340,11 @@
 			outcome = min(outcome, a.exclusion.refusal())
 			continue
 		}
+		candidates[d]++
 		cost := a.delay + p.penalty(now, m) + time.Duration(p.rng.Int64N(int64(costJitter)))
 		if a.borrows {
 			cost += borrowPenalty
 		}
-		if p.delaysLoad(now, m, a.delay, req) {
-			cost += delayedLoadPenalty
-		} else {
-			candidates[d]++
-		}
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
