--- a/machine/feed/largetopic.go
+++ b/machine/feed/largetopic.go
@@ -76,18 +76,27 @@
 		f.isLeftToPeers = false
 		return f.readTransfer(ctx, 0)
 	}
-	if f.isLeftToPeers || f.opts.MayProbe != nil && !f.opts.MayProbe() {
+	if f.isLeftToPeers {
+		return nil
+	}
+	if f.opts.MayProbe != nil && !f.opts.MayProbe() {
+		f.leaveToPeers()
 		return nil
 	}
 	err := f.readSnapshotUpTo(ctx, f.opts.LargeBytes)
 	if errors.Is(err, platform.ErrTooLarge) {
-		f.isLeftToPeers = true
-		f.reportAvoided(LeftToPeers, 0)
+		f.leaveToPeers()
 		return nil
 	}
 	return err
 }
 
+// leaveToPeers records that the topic is left to peers until StartDelay has passed.
+func (f *Feed) leaveToPeers() {
+	f.isLeftToPeers = true
+	f.reportAvoided(LeftToPeers, 0)
+}
+
 // answeredBefore reports whether the store has told this feed before where the topic ends.
 func (f *Feed) answeredBefore() bool {
 	f.mu.Lock()
--- a/machine/feed/largetopic_test.go
+++ b/machine/feed/largetopic_test.go
@@ -7,6 +7,7 @@
 	"net/http/httputil"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,25 @@
 	}
 }
 
+// Guards against a store that sends a large topic to each of many processes that start and read only its
+// beginning, and against a feed that spends its processor time on waiting for peers.
+func TestFeedThatMayNotProbeWaits(t *testing.T) {
+	store := fleet.NewStore()
+	t.Cleanup(store.Close)
+	store.Put(platform.TopicOperators, "config", largeValue("first"))
+	var looks atomic.Int32
+	mayProbe := func() bool { looks.Add(1); return false }
+	started := time.Now()
+	const delay = 6 * startCheckInterval
+	_, names := runLargeFeed(t, store.Address(), Options{StartDelay: func() time.Duration { looks.Add(1); return delay }, MayProbe: mayProbe})
+	if name := <-names; name != "first" || time.Since(started) < delay {
+		t.Errorf("value %q read %v after the start, want the first one after %v", name, time.Since(started), delay)
+	}
+	if n := looks.Load(); n > 20 {
+		t.Errorf("the feed looked %d times whether it may read within %v, want one look in %v", n, delay, startCheckInterval)
+	}
+}
+
 // Guards against a feed that waits for peers that send nothing, and against a small topic that is
 // left to peers.
 func TestFeedReadsTopicAtStart(t *testing.T) {
