--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -358,40 +358,6 @@
 	return p.service == nil || p.service.MaxConns <= 0 || p.service.MaxConns >= p.coldShares.ShareCount
 }
 
-// distance tells how far a target is from the entry.
-type distance uint8
-
-const (
-	sameZone distance = iota
-	otherZone
-	otherRegion
-
-	distanceCount = iota
-)
-
-// distancePenalty holds what is added to the cost of a target at a distance.
-var distancePenalty = [distanceCount]time.Duration{sameZone: 0, otherZone: otherZonePenalty, otherRegion: otherRegionPenalty}
-
-func (p *Pool) distanceOf(m *roster.Member) distance {
-	switch {
-	case m.Zone == p.home.Zone:
-		return sameZone
-	case p.regions[m.Zone] == p.home.Region:
-		return otherZone
-	default:
-		return otherRegion
-	}
-}
-
-// penalty returns the part of a target's cost that does not depend on its load.
-func (p *Pool) penalty(now time.Time, m *roster.Member) time.Duration {
-	total := distancePenalty[p.distanceOf(m)]
-	if m.IsSilent(now) {
-		total += silentTargetPenalty
-	}
-	return total
-}
-
 // EjectedCount returns the number of targets that are ejected because of failures,
 // slowness or silence. Targets that are due for a probe are not counted.
 func (p *Pool) EjectedCount(now time.Time) int {
