--- a/config/fleet.go
+++ b/config/fleet.go
@@ -35,6 +35,9 @@
 	// of the target list lapses without reports; 0 if it is not known (entry only).
 	TargetReportInterval time.Duration
 	Bounds               Bounds
+	// SharesSlots has entries divide the slots of the targets of ranked services, and hold requests in
+	// a queue by rank while they find no room (entry only).
+	SharesSlots bool
 	// Hedging limits second attempts at requests whose targets are slow (entry only).
 	Hedging Hedging
 }
@@ -102,6 +105,8 @@
 		set: func(c *Process, v value) { c.Fleet.ReadyAddress = v.text }},
 	{section: fleetSection, key: "target_report_interval", kind: kindDuration, def: "0s", min: 0, max: 3600 * second,
 		set: func(c *Process, v value) { c.Fleet.TargetReportInterval = v.duration }},
+	{section: "contention", key: "slot_shares", kind: kindChoice, def: "off", choices: []string{"off", "on"},
+		set: func(c *Process, v value) { c.Fleet.SharesSlots = v.text == "on" }},
 	{section: "hedging", key: "extra_work", kind: kindFloat, def: "0", min: 0, max: 1,
 		set: func(c *Process, v value) { c.Fleet.Hedging.ExtraWork = v.float }},
 }
--- a/machine/entry/direct/fleetstate_test.go
+++ b/machine/entry/direct/fleetstate_test.go
@@ -25,7 +25,7 @@
 
 // newEmptyState returns the state of an entry that has read nothing yet.
 func newEmptyState(bounds config.Bounds) *fleetState {
-	process := &config.Process{Zone: "a", Region: "r", Fleet: &config.Fleet{
+	process := &config.Process{Zone: "a", Region: "r", Fleet: &config.Fleet{SharesSlots: true,
 		Zones:  map[contract.ZoneName]contract.RegionName{"a": "r"},
 		Bounds: bounds,
 	}}
--- a/machine/entry/direct/handler.go
+++ b/machine/entry/direct/handler.go
@@ -78,7 +78,7 @@
 		}
 	}
 	c.service = c.route.Pick(c.entry.fleet.randomFloat())
-	c.rank, c.isRanked, c.hasQueue = c.route.Rank(c.team), m.IsRanked(c.service), hasQueue(m, c.service)
+	c.rank, c.isRanked, c.hasQueue = c.route.Rank(c.team), m.IsRanked(c.service), c.entry.sharesSlots() && hasQueue(m, c.service)
 	c.setDeadline()
 	c.lastEvent = c.info.LastEvent
 	return true
--- a/machine/entry/direct/waiting.go
+++ b/machine/entry/direct/waiting.go
@@ -99,12 +99,17 @@
 	return s
 }
 
+// sharesSlots reports whether the settings turn on slot shares and queues.
+func (e *Entry) sharesSlots() bool {
+	return e.process != nil && e.process.Fleet != nil && e.process.Fleet.SharesSlots
+}
+
 // updateSlotShares has the services with queues share the slots of their targets among the entries
 // that run, and the others not.
 func (fs *fleetState) updateSlotShares() {
 	for i := range fs.manifest.Services {
 		name := fs.manifest.Services[i].Name
-		if hasQueue(fs.manifest, name) {
+		if fs.process.Fleet.SharesSlots && hasQueue(fs.manifest, name) {
 			fs.pool(name).ShareSlots(fs.process.Machine, fs.runningEntries)
 		} else {
 			fs.pool(name).ShareSlots("", nil)
