--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -87,6 +87,15 @@
 	return m
 }
 
+// NewProgram prepares a stand-in that runs as a process of its own. program is its path from the repository's root.
+func (d *Deployment) NewProgram(name, program string, args ...string) *Machine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := &Machine{Name: name, IP: "127.0.0.1", deployment: d, program: append([]string{program}, args...)}
+	d.machines = append(d.machines, m)
+	return m
+}
+
 // Close ends all processes that were started, by their ids, and removes the temporary folder. With KEEP set
 // in the environment the folder stays, for its logs.
 func (d *Deployment) Close() {
--- a/review/harness/machine.go
+++ b/review/harness/machine.go
@@ -19,6 +19,8 @@
 
 	deployment *Deployment
 	role       string
+	// program holds the words that start a stand-in; empty for a process of the system.
+	program []string
 	// fields are the fields of the settings that only this machine has.
 	fields map[string]string
 	cmd    *exec.Cmd
@@ -33,9 +35,12 @@
 // CallerAddress returns the address at which an entry serves clients.
 func (m *Machine) CallerAddress() string { return fmt.Sprintf("%s:%d", m.IP, FrontPort) }
 
-// Start starts the process with the command of the deploy file.
+// Start starts the process, one of the system with the command of the deploy file.
 func (m *Machine) Start() error {
 	d := m.deployment
+	if len(m.program) > 0 {
+		return m.run(m.program, "")
+	}
 	role, err := readRole(d.Root, m.role)
 	if err != nil {
 		return err
