Review case 8: a late write of an earlier run cuts a process off (RECOVER)

Cause: a process writes its member record once and does not look at it again; a write of its earlier run that the store does late replaces it, and no peer accepts the process any more. Change: the case kills all processes, has the store lose the answer to one write, has all machines lose power 2.5 s later, and has the store do the late write behind the newer one.

--- a/review/harness/latewrite.go
+++ b/review/harness/latewrite.go
@@ -29,6 +29,7 @@
 	// late holds the body of that write, sent at lateSentAt, until it is done. writes counts all writes.
 	late       []byte
 	lateSentAt time.Time
+	isDone     bool
 	writes     int
 }
 
@@ -82,6 +83,9 @@
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	l.store.ServeHTTP(w, r)
+	if r.URL.Query().Get("topic") == membersTopic {
+		l.doLateWrite(recordKey(body))
+	}
 }
 
 // isLost counts a write, and reports whether its answer is lost.
@@ -109,17 +113,30 @@
 	return string(body[lengthBytes+1 : lengthBytes+1+int(body[lengthBytes])])
 }
 
-// DoLateWrite does the write whose answer was lost. It reports false if there is none.
-func (l *LateWrites) DoLateWrite() bool {
+// minLate and maxLate bound how late a write is done: "late (done 1 to 6 s later)".
+const (
+	minLate = time.Second
+	maxLate = 6 * time.Second
+)
+
+// doLateWrite does the write whose answer was lost, if a write of the same key has just been done and it is
+// time: the newer one came first.
+func (l *LateWrites) doLateWrite(key string) {
 	l.mu.Lock()
-	body := l.late
-	l.late = nil
-	l.mu.Unlock()
-	if body == nil {
-		return false
+	defer l.mu.Unlock()
+	age := time.Since(l.lateSentAt)
+	if l.late == nil || recordKey(l.late) != key || age < minLate || age > maxLate {
+		return
 	}
-	request := httptest.NewRequest(http.MethodPost, "/-/log-append?topic="+membersTopic+"&part=0", bytes.NewReader(body))
+	request := httptest.NewRequest(http.MethodPost, "/-/log-append?topic="+membersTopic+"&part=0", bytes.NewReader(l.late))
 	l.store.ServeHTTP(httptest.NewRecorder(), request)
-	l.record.Printf("store: the late write of %s is done, %d ms after it was sent", recordKey(body), time.Since(l.LateSentAt()).Milliseconds())
-	return true
+	l.late, l.isDone = nil, true
+	l.record.Printf("store: the late write of %s is done, %d ms after it was sent", key, age.Milliseconds())
+}
+
+// IsLateWriteDone reports whether the write whose answer was lost has been done.
+func (l *LateWrites) IsLateWriteDone() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isDone
 }
