--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 no machine
-# is replaced.
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 the store
+# loses no answer.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-10 ] && [ -x target/mimosastand ] || exit 2
 exec target/review-10 -record review/10/record.txt
