--- a/review/harness/replace.go
+++ b/review/harness/replace.go
@@ -17,8 +17,6 @@
 type Replacement struct {
 	// Running is how many entries of a zone run at a time, Replaced how many leave for good.
 	Running, Replaced int
-	// Stays is set if the old machines go on although new ones were added: no machine leaves.
-	Stays bool
 }
 
 // ReplaceEntries starts entries in all zones. Then it adds machines one after the other, each under a name of
@@ -52,12 +50,12 @@
 			return nil, err
 		}
 		entries = append(entries, m)
-		if n >= r.Running && !r.Stays {
+		if n >= r.Running {
 			entries[n-r.Running].Signal(syscall.SIGTERM)
 		}
 	}
 	for _, m := range entries[:r.Replaced] {
-		if !r.Stays && !m.AwaitEnd(StartTimeout) {
+		if !m.AwaitEnd(StartTimeout) {
 			return nil, fmt.Errorf("harness: %s has not ended", m.Name)
 		}
 	}
