--- a/review/harness/bounds.go
+++ b/review/harness/bounds.go
@@ -8,7 +8,6 @@
 const (
 	StableWindow = 3 * time.Second
 	ConfigApply  = 2 * time.Second
-	DrainTime    = 2 * time.Second
 	RecoverTime  = 12 * time.Second
 )
 
@@ -16,11 +15,5 @@
 var settings = map[string]string{
 	"bounds.grace_s": "8", "bounds.retry_budget_ratio": "0.2", "bounds.retry_budget_burst": "106",
 	"bounds.budget_window_s": "10", "bounds.cold_rate_factor": "1.5", "bounds.cold_slack": "5",
-	"bounds.version_ms": "8000", "beat_interval_ms": "1200", "internal_ports.0": "7700",
+	"bounds.version_ms": "8000", "beat_interval_ms": "1200",
 }
-
-// Ports of a machine. They are the same on all machines of a day.
-const (
-	FrontPort = 8005
-	ReadyPort = 8002
-)
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -78,7 +79,7 @@
 	m := &Machine{Name: name, Zone: zone, IP: d.network.nextIP(), deployment: d, role: role}
 	m.fields = map[string]string{
 		"node": name, "zone": zone, "region": regionOf(zone), "ip": m.IP, "platform.address": d.StoreAddress,
-		"listen.front": m.CallerAddress(), "listen.ready": m.IP + ":8002",
+		"listen.front": m.CallerAddress(), "listen.ready": m.readyAddress(), "internal_ports.0": strconv.Itoa(d.network.ports.link),
 	}
 	for key, value := range fields {
 		m.fields[key] = value
--- a/review/harness/machine.go
+++ b/review/harness/machine.go
@@ -33,7 +33,14 @@
 func (m *Machine) SetField(name, value string) { m.fields[name] = value }
 
 // CallerAddress returns the address at which an entry serves clients.
-func (m *Machine) CallerAddress() string { return fmt.Sprintf("%s:%d", m.IP, FrontPort) }
+func (m *Machine) CallerAddress() string {
+	return fmt.Sprintf("%s:%d", m.IP, m.deployment.network.ports.front)
+}
+
+// readyAddress returns the address at which an entry says whether it is ready.
+func (m *Machine) readyAddress() string {
+	return fmt.Sprintf("%s:%d", m.IP, m.deployment.network.ports.ready)
+}
 
 // Start starts the process, one of the system with the command of the deploy file.
 func (m *Machine) Start() error {
@@ -109,7 +116,7 @@
 
 // AwaitReady waits until an entry reports that it is ready.
 func (m *Machine) AwaitReady(timeout time.Duration) error {
-	address := fmt.Sprintf("http://%s:%d/-/readiness", m.IP, ReadyPort)
+	address := "http://" + m.readyAddress() + "/-/readiness"
 	client := &http.Client{Timeout: time.Second}
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		resp, err := client.Get(address)
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -28,9 +28,6 @@
 	return &Record{start: time.Now(), file: file, out: bufio.NewWriter(file)}, nil
 }
 
-// Since returns the time of the record's clock: how long the case has run.
-func (r *Record) Since(at time.Time) time.Duration { return at.Sub(r.start).Round(time.Millisecond) }
-
 // Printf adds a line with the time.
 func (r *Record) Printf(format string, args ...any) {
 	r.mu.Lock()
