Logs tell which run of a machine a member record belongs to

The logs could not tell whether the store had the record of another run of the target's machine, whether peers held an older record than the store, or whether the target published a wrong one: peer rejected named the machine only, and member published neither the position nor the run.

Now peer rejected has the certificate fingerprint that was refused, member published the position in the store and the own fingerprint, and a process logs a record of another run of its own machine that it reads.

--- a/link/pinned.go
+++ b/link/pinned.go
@@ -24,6 +24,12 @@
 	return Fingerprint(hex.EncodeToString(sum[:]))
 }
 
+// Short returns the beginning of the fingerprint, for logs.
+func (f Fingerprint) Short() string { return string(f[:min(len(f), shortFingerprintDigits)]) }
+
+// shortFingerprintDigits tells the runs of one machine apart.
+const shortFingerprintDigits = 12
+
 // certificateValidity is how long a self-signed certificate is valid before and after
 // its creation. It is long because the local clock may jump; each start of a process
 // creates a new certificate.
@@ -75,8 +81,8 @@
 		if err != nil {
 			return err
 		}
-		if !trusted(peer, FingerprintOf(leaf.Raw)) {
-			return errors.Wrapf(ErrPeerIdentity, "certificate fingerprint of %s is not trusted", peer.Machine)
+		if fingerprint := FingerprintOf(leaf.Raw); !trusted(peer, fingerprint) {
+			return errors.Wrapf(ErrPeerIdentity, "certificate fingerprint %s of %s is not trusted", fingerprint.Short(), peer.Machine)
 		}
 		return nil
 	}
--- a/machine/peers/memberlist.go
+++ b/machine/peers/memberlist.go
@@ -84,6 +84,7 @@
 		p.members[m.Machine] = m
 		if m.Machine == p.opts.Self.Machine && m.Fingerprint != p.opts.Self.Fingerprint {
 			p.hasPreviousRun = true
+			p.opts.Log.WithField("position", r.Offset).WithField("fingerprint", m.Fingerprint.Short()).Info("member record of another run read")
 		}
 	}
 	p.mu.Unlock()
--- a/machine/peers/publication.go
+++ b/machine/peers/publication.go
@@ -34,9 +34,9 @@
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil {
-		_, err := p.opts.Store.Put(ctx, platform.TopicMembers, string(p.opts.Self.Machine), data)
+		position, err := p.opts.Store.Put(ctx, platform.TopicMembers, string(p.opts.Self.Machine), data)
 		if err == nil {
-			p.opts.Log.Info("member published")
+			p.opts.Log.WithField("position", position).WithField("fingerprint", p.opts.Self.Fingerprint.Short()).Info("member published")
 			return
 		}
 		p.opts.Log.WithError(err).Warn("member not published")
