--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -305,6 +305,13 @@
 	return f.replica.Stored(key)
 }
 
+// Newest returns the newest record of a key that this feed holds, which may be a tombstone.
+func (f *Feed) Newest(key string) (contract.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Newest(key)
+}
+
 // applyChange applies a change to the replica and passes the changed records to OnChange.
 // complete means that the change makes the replica hold the complete topic.
 func (f *Feed) applyChange(change func() []contract.Record, complete bool) {
--- a/machine/feed/replica.go
+++ b/machine/feed/replica.go
@@ -63,6 +63,12 @@
 	return record, ok && !isLost && len(record.Value) > 0
 }
 
+// Newest returns the newest record of a key, which may be a tombstone or lost by the store.
+func (r *Replica) Newest(key string) (contract.Record, bool) {
+	record, ok := r.records[key]
+	return record, ok
+}
+
 // Advance records that all records up to a position are held or would change nothing.
 func (r *Replica) Advance(offset int64) {
 	r.newestOffset = max(r.newestOffset, offset)
--- a/machine/feed/schedule.go
+++ b/machine/feed/schedule.go
@@ -77,6 +77,14 @@
 	f.mu.Lock()
 	f.readRequested = true
 	f.mu.Unlock()
+	f.wake()
+}
+
+// CheckTakeover makes the feed consider TakeoverAge anew: what it depends on has changed.
+func (f *Feed) CheckTakeover() { f.wake() }
+
+// wake ends the wait before the next read.
+func (f *Feed) wake() {
 	select {
 	case f.trigger <- struct{}{}:
 	default:
--- a/machine/peers/helpers_test.go
+++ b/machine/peers/helpers_test.go
@@ -46,8 +46,13 @@
 
 // startEntry opens the Peers of an entry and runs them until the test ends.
 func startEntry(t *testing.T, store *fleet.Store, id contract.MachineID, serve func(*link.Stream)) *Peers {
+	return startMember(t, store, id, link.RoleEntry, serve)
+}
+
+// startMember opens the Peers of a process with a role and runs them until the test ends.
+func startMember(t *testing.T, store *fleet.Store, id contract.MachineID, role link.Role, serve func(*link.Stream)) *Peers {
 	p, err := Open(Options{
-		Self:          Member{Machine: id, Role: link.RoleEntry, Zone: "a", Region: "ra", Address: "127.0.0.1:0"},
+		Self:          Member{Machine: id, Role: role, Zone: "a", Region: "ra", Address: "127.0.0.1:0"},
 		Store:         platform.NewStore(store.Address()),
 		Log:           &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
 		FillHeartbeat: func(contract.MachineID, *contract.Heartbeat) {},
--- a/machine/peers/links.go
+++ b/machine/peers/links.go
@@ -71,7 +71,13 @@
 			delete(p.conns, id)
 		}
 		p.mu.Unlock()
-		if current && p.opts.OnLinkDown != nil {
+		if !current {
+			return
+		}
+		if !p.HasLinkedEntry() {
+			p.memberFeed.CheckTakeover()
+		}
+		if p.opts.OnLinkDown != nil {
 			p.opts.OnLinkDown(id)
 		}
 	}()
--- a/machine/peers/memberlist.go
+++ b/machine/peers/memberlist.go
@@ -26,6 +26,9 @@
 	maxMemberAge       = 15 * time.Second
 	maxJoinAge         = 1500 * time.Millisecond
 	memberTriggerDelay = 400 * time.Millisecond
+	// isolatedMemberAge is maxMemberAge of a process without a link to an entry, which hears of no
+	// confirmation: its member record, or its copy of those of the entries, may be outdated.
+	isolatedMemberAge = 1500 * time.Millisecond
 	// memberCatchupDelay is how long the process collects reports of new members before it
 	// requests them from a peer.
 	memberCatchupDelay = 200 * time.Millisecond
@@ -58,6 +61,8 @@
 		return 0
 	case isEntry && time.Since(p.started) < joinPeriod:
 		return maxJoinAge
+	case !p.HasLinkedEntry():
+		return isolatedMemberAge
 	default:
 		return maxMemberAge
 	}
@@ -69,6 +74,9 @@
 	var restarted []contract.MachineID
 	p.mu.Lock()
 	for _, r := range update.Records {
+		if r.Key == string(p.opts.Self.Machine) && !p.isOwn(r) {
+			p.observeOtherRun(r)
+		}
 		if len(r.Value) == 0 {
 			delete(p.members, contract.MachineID(r.Key))
 			continue
@@ -82,16 +90,27 @@
 			restarted = append(restarted, m.Machine)
 		}
 		p.members[m.Machine] = m
-		if m.Machine == p.opts.Self.Machine && m.Fingerprint != p.opts.Self.Fingerprint {
-			p.hasPreviousRun = true
-			p.opts.Log.WithField("position", r.Offset).WithField("fingerprint", m.Fingerprint.Short()).Info("member record of another run read")
-		}
 	}
 	p.mu.Unlock()
 	p.updateLinks(restarted)
 	p.firstReadOnce.Do(p.markMembersRead)
 }
 
+// observeOtherRun notes a record of this machine that is not of this run, or its deletion, and has
+// maintainMember check whether it replaced the member record. p.mu must be held.
+func (p *Peers) observeOtherRun(r contract.Record) {
+	logger := p.opts.Log.WithField("position", r.Offset).WithField("published", p.publishedAt.Load())
+	if m, err := decodeMember(r.Key, r.Value); err == nil {
+		p.hasPreviousRun = true
+		logger = logger.WithField("fingerprint", m.Fingerprint.Short())
+	}
+	logger.Info("member record of another run read")
+	select {
+	case p.ownRecordChanged <- struct{}{}:
+	default:
+	}
+}
+
 // markMembersRead records that the members have been read for the first time.
 func (p *Peers) markMembersRead() {
 	p.mu.Lock()
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -73,6 +74,12 @@
 	// hasPreviousRun means that the store held the record of a previous run of this
 	// machine.
 	hasPreviousRun bool
+	// publishedAt is the position at which the store last acknowledged the member record of this
+	// process, notPublished before that. ownRecordChanged signals a record of this machine that is
+	// not of this run, and rewrittenCount counts those that maintainMember has replaced.
+	publishedAt      atomic.Int64
+	ownRecordChanged chan struct{}
+	rewrittenCount   atomic.Int64
 	// firstRead is closed when the members have been read for the first time, at
 	// firstReadAt.
 	firstRead     chan struct{}
@@ -83,7 +90,11 @@
 // Open returns Peers that listen on the link address; Run finds the members and publishes
 // this process.
 func Open(opts Options) (*Peers, error) {
-	p := &Peers{opts: opts, started: time.Now(), members: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{}, firstRead: make(chan struct{})}
+	p := &Peers{
+		opts: opts, started: time.Now(), members: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{},
+		firstRead: make(chan struct{}), ownRecordChanged: make(chan struct{}, 1),
+	}
+	p.publishedAt.Store(notPublished)
 	p.memberFeed = feed.New(opts.Store, feed.Options{
 		Topic:        platform.TopicMembers,
 		MaxWait:      p.maxReadWait(),
@@ -127,7 +138,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.memberFeed.Run(ctx) })
 	wg.Go(func() { p.memberCatchup.Run(ctx) })
-	wg.Go(func() { p.publish(ctx) })
+	wg.Go(func() { p.maintainMember(ctx) })
 	wg.Wait()
 	p.pool.Close()
 	p.endpoint.Close()
--- a/machine/peers/publication.go
+++ b/machine/peers/publication.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/link/backoff"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -15,11 +17,80 @@
 	// is added at random.
 	previousRunTimeout   = 700 * time.Millisecond
 	minPublishRetryDelay = 400 * time.Millisecond
+	// notPublished is the position of a member record that was not published yet.
+	notPublished = -1
+	// replacementMemory is how long after the last replacement of the member record the next one is
+	// written again at once.
+	replacementMemory = time.Minute
 	// eraPollInterval is the time between two checks whether the members have been read in
 	// a new era of the store.
 	eraPollInterval = 50 * time.Millisecond
 )
 
+// replacementBackoff bounds how often two processes that use the name of one machine replace each other's
+// member records.
+var replacementBackoff = backoff.Policy{Base: minPublishRetryDelay, Max: 10 * time.Second}
+
+// maintainMember publishes this process, and again whenever another record has replaced its member
+// record in the store: a write of an earlier run of this machine that got no answer may be done seconds
+// later. Peers trust only the run in the store, so they would refuse all new links to this one.
+func (p *Peers) maintainMember(ctx context.Context) {
+	var pacing rewritePacing
+	p.publish(ctx)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.ownRecordChanged:
+		}
+		if !p.isReplaced() {
+			continue
+		}
+		sleep(ctx, pacing.nextDelay(time.Now()))
+		p.rewrittenCount.Add(1)
+		p.publish(ctx)
+	}
+}
+
+// rewritePacing delays the member record's being written again. Two processes that use the name of one
+// machine would replace each other's records without end.
+type rewritePacing struct {
+	// count is the number of rewrites in a row, the last of them due at lastAt.
+	count  int
+	lastAt time.Time
+}
+
+// nextDelay returns the delay before the next rewrite: none for the first one in replacementMemory, and an
+// exponential backoff for those that follow.
+func (r *rewritePacing) nextDelay(now time.Time) time.Duration {
+	if now.Sub(r.lastAt) > replacementMemory {
+		r.count = 0
+	}
+	delay := time.Duration(0)
+	if r.count > 0 {
+		delay = replacementBackoff.Delay(r.count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
+	r.count, r.lastAt = r.count+1, now.Add(delay)
+	return delay
+}
+
+// isReplaced reports whether the newest member record of this machine is of another run, or a deletion,
+// and was written after this run was published.
+func (p *Peers) isReplaced() bool {
+	newest, ok := p.memberFeed.Newest(string(p.opts.Self.Machine))
+	return ok && newest.Offset > p.publishedAt.Load() && !p.isOwn(newest)
+}
+
+// isOwn reports whether a record of this machine is the member record of this run.
+func (p *Peers) isOwn(record contract.Record) bool {
+	m, err := decodeMember(record.Key, record.Value)
+	return err == nil && m.Fingerprint == p.opts.Self.Fingerprint
+}
+
+// RewrittenCount returns how often this process has written its member record again because another
+// one had replaced it.
+func (p *Peers) RewrittenCount() int64 { return p.rewrittenCount.Load() }
+
 // publish writes this process's member record to the store, and retries until it
 // succeeds.
 func (p *Peers) publish(ctx context.Context) {
@@ -36,15 +107,12 @@
 	for ctx.Err() == nil {
 		position, err := p.opts.Store.Put(ctx, platform.TopicMembers, string(p.opts.Self.Machine), data)
 		if err == nil {
+			p.publishedAt.Store(position)
 			p.opts.Log.WithField("position", position).WithField("fingerprint", p.opts.Self.Fingerprint.Short()).Info("member published")
 			return
 		}
 		p.opts.Log.WithError(err).Warn("member not published")
-		delay := minPublishRetryDelay + time.Duration(rand.Int64N(int64(minPublishRetryDelay)))
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+		sleep(ctx, minPublishRetryDelay+rand.N(minPublishRetryDelay))
 	}
 }
 
@@ -71,11 +139,7 @@
 // isPublished reports whether the store has the member record of this run of the process.
 func (p *Peers) isPublished() bool {
 	stored, ok := p.memberFeed.Stored(string(p.opts.Self.Machine))
-	if !ok {
-		return false
-	}
-	m, err := decodeMember(stored.Key, stored.Value)
-	return err == nil && m.Fingerprint == p.opts.Self.Fingerprint
+	return ok && p.isOwn(stored)
 }
 
 // Refresh makes the process read the members again at once.
--- a/machine/target/direct/meters.go
+++ b/machine/target/direct/meters.go
@@ -50,6 +50,7 @@
 	metrics.ReportLinks(m.scope, t.peers.Traffic())
 	m.scope.Gauge("log_lines_left_out").Update(float64(logs.DroppedLines()))
 	m.scope.Gauge("linked_peers").Update(float64(t.peers.LinkedCount()))
+	m.scope.Gauge("member_rewrites").Update(float64(t.peers.RewrittenCount()))
 	s := t.reconciler.snapshot()
 	m.scope.Gauge("engine_up").Update(s.up)
 	m.scope.Gauge("engine_busy").Update(s.busy)
