--- a/machine/entry/direct/breakage.go
+++ b/machine/entry/direct/breakage.go
@@ -36,6 +36,8 @@
 	breakageSlowCaller breakage = "slow_caller"
 	// breakageHeadTooLarge responses have a head that exceeds a bound.
 	breakageHeadTooLarge breakage = "head_too_large"
+	// breakageInvalidStatus responses have a status that is neither a final nor an informational one.
+	breakageInvalidStatus breakage = "invalid_status"
 	// breakageUnmarkedRefusal responses have a status that implies that the request has not
 	// run, but lack the target's mark that the attempt has not.
 	breakageUnmarkedRefusal breakage = "unstamped_promise"
@@ -71,7 +73,8 @@
 // itself, the error adds nothing and is left out.
 func (x *exchange) recordBreakage(err error) {
 	x.breakage = x.classifyBreakage(err)
-	if x.breakage == breakageConnection || x.breakage == breakageEndedEarly {
+	switch x.breakage {
+	case breakageConnection, breakageEndedEarly, breakageInvalidStatus:
 		x.err = err
 	}
 }
@@ -86,6 +89,8 @@
 		return breakageDeadline
 	case errors.Is(err, errHeadTooLarge):
 		return breakageHeadTooLarge
+	case errors.Is(err, errInvalidStatus):
+		return breakageInvalidStatus
 	case errors.Is(err, errTooLong):
 		return breakageTooLarge
 	case errors.Is(err, errBuffersFull):
--- a/machine/entry/direct/headlimit.go
+++ b/machine/entry/direct/headlimit.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/contract"
 )
 
 const (
@@ -21,6 +23,10 @@
 // errHeadTooLarge means that the head of a response exceeds one of the bounds on heads.
 var errHeadTooLarge = errors.New("entry: head of a response exceeds its bound")
 
+// errInvalidStatus means that the status of a response is neither a final nor an informational one. What
+// follows its head is not known.
+var errInvalidStatus = errors.New("entry: invalid status of a response")
+
 // headReader is the source of a connection's buffered reader. While it is limited, it fails
 // with errHeadTooLarge once the head exceeds a bound.
 //
@@ -83,9 +89,12 @@
 		if countLines(resp.Header) > maxHeadLines {
 			return nil, errHeadTooLarge
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if contract.IsFinalStatus(resp.StatusCode) {
 			return resp, nil
 		}
+		if !contract.IsInformationalStatus(resp.StatusCode) {
+			return nil, errors.Wrapf(errInvalidStatus, "status %03d", resp.StatusCode)
+		}
 	}
 	return nil, errHeadTooLarge
 }
--- a/machine/entry/direct/untrusted_test.go
+++ b/machine/entry/direct/untrusted_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -88,6 +89,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 2000),
 		"HTTP/1.1 200 " + strings.Repeat("y", 20<<10),
+		"HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n\r\nid: 1\n\n",
 		strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", 20),
 	} {
 		f.Add([]byte(text))
@@ -102,8 +104,8 @@
 		if err != nil {
 			return
 		}
-		if lines := countLines(resp.Header); lines > maxHeadLines || resp.StatusCode < http.StatusOK {
-			t.Fatalf("status %d with %d lines, want 200 or above and at most %d lines", resp.StatusCode, lines, maxHeadLines)
+		if lines := countLines(resp.Header); lines > maxHeadLines || !contract.IsFinalStatus(resp.StatusCode) {
+			t.Fatalf("status %d with %d lines, want 200 to 599 and at most %d lines", resp.StatusCode, lines, maxHeadLines)
 		}
 		budget := &bufferBudget{}
 		readEvents(bufio.NewReader(resp.Body), budget)
