--- a/machine/entry/handler.go
+++ b/machine/entry/handler.go
@@ -176,18 +176,19 @@
 	_ = rw.control.Flush()
 }
 
-// writePlain writes the response of a plain service.
+// writePlain writes the response of a plain service. One without a valid status is none: the service is in
+// trouble, and what it did is not known.
 func (rw *responseWriter) writePlain(p *dispatch.Answer) {
+	if !contract.IsFinalStatus(p.Status) {
+		rw.writeFailure(dispatch.Finish{Request: rw.request.ID, Outcome: contract.OutcomeUnknown, Reason: contract.ReasonBackendError})
+		return
+	}
 	header := rw.w.Header()
 	header.Set(headerRequest, string(rw.request.ID))
 	if p.ContentType != "" {
 		header.Set("Content-Type", p.ContentType)
 	}
 	header.Set("Content-Length", strconv.Itoa(len(p.Body)))
-	status := p.Status
-	if status < http.StatusOK || status > 999 {
-		status = http.StatusOK
-	}
-	rw.w.WriteHeader(status)
+	rw.w.WriteHeader(p.Status)
 	_, _ = rw.w.Write(p.Body)
 }
--- a/machine/target/backend/plain.go
+++ b/machine/target/backend/plain.go
@@ -56,7 +56,7 @@
 
 // Call sends one call. It fails with ErrBadCall and ErrNotSent if the call is malformed,
 // with ErrNotSent if the service cannot have received it, and otherwise with
-// ErrReplyLost.
+// ErrReplyLost, also if the status of the reply is no final one.
 func (p *PlainClient) Call(ctx context.Context, c Call) (Reply, error) {
 	req, err := p.newRequest(ctx, c)
 	if err != nil {
@@ -70,6 +70,10 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if !contract.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return Reply{}, errors.Wrapf(ErrReplyLost, "invalid status %03d", resp.StatusCode)
+	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body}, nil
 }
 
