Entries append the digests of a version that the store has not got (RECOVER)

What callers would see: after a loss of power while the origin is away, no engine gets its weights back and every model request is refused, although the store has all pieces of the version.

Cause: an entry gives the append of a record up after eight refused attempts, some 3 s. Once the version was complete it looked only whether the store had the pieces. The digests are appended first: an outage of the store that ended between the last attempt for them and the end of the download left a version without them.

Change: the first entries in rank read the topic to its end once they have the version, and append the digests if they are missing or differ, as they do with pieces. A topic that does not exist counts as empty; before, they waited for it without end.

--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -92,8 +92,9 @@
 }
 
 // backfillStore appends the records that are missing in the store, once the version is
-// complete: pieces may have come from an entry that cannot write to the store. The first
-// entries in rank do so one after another, each only for what the others have not appended.
+// complete: pieces may have come from an entry that cannot write to the store, and the append of any
+// record may have been given up. The first entries in rank do so one after another, each only for what the
+// others have not appended.
 //
 // It returns the number of pieces that were missing.
 func (cv *cachedVersion) backfillStore(ctx context.Context) (missingCount int) {
@@ -104,29 +105,35 @@
 	cv.backfillMu.Lock()
 	defer cv.backfillMu.Unlock()
 	sleep(ctx, backfillDelay+time.Duration(rank)*backfillDelay)
-	for ctx.Err() == nil && len(cv.missingInStore()) > 0 {
-		n, err := cv.readNext(ctx)
-		if err != nil {
-			sleep(ctx, backfillDelay)
-			continue
-		}
-		if n == 0 {
-			break
-		}
-	}
-	missing := cv.missingInStore()
-	if len(missing) == 0 || ctx.Err() != nil {
+	cv.readToEnd(ctx)
+	if ctx.Err() != nil {
 		return 0
 	}
-	cv.log().WithField("pieces", len(missing)).Info("pieces missing in the store")
 	set := cv.currentSet()
-	cv.enqueueRecord(digestsKey, bytes.Join(set.Digests(), nil))
+	missing := cv.missingInStore()
+	if len(missing) > 0 || !equalDigests(cv.currentStoredDigests(), set.Digests()) {
+		cv.log().WithField("pieces", len(missing)).Info("records of weights missing in the store")
+		cv.enqueueRecord(digestsKey, bytes.Join(set.Digests(), nil))
+	}
 	for _, i := range missing {
 		cv.enqueueRecord(strconv.Itoa(i), set.Get(i))
 	}
 	return len(missing)
 }
 
+// readToEnd reads the topic to its end, or until ctx ends. A topic that does not exist has ended.
+func (cv *cachedVersion) readToEnd(ctx context.Context) {
+	for ctx.Err() == nil {
+		n, err := cv.readNext(ctx)
+		switch {
+		case errors.Is(err, platform.ErrNotFound), err == nil && n == 0:
+			return
+		case err != nil:
+			sleep(ctx, backfillDelay)
+		}
+	}
+}
+
 // rewriteLost appends the records of a complete version that the store lost when it came
 // back from an older copy in an era. It returns the number of pieces.
 func (cv *cachedVersion) rewriteLost(ctx context.Context, era int64) int {
