Entries look again whether the store still has the digests of a version (RECOVER)

Cause: digests that the origin sent wrong twice alike are corrected later. A write of the wrong ones that got no answer, also one of an earlier run, may be done seconds later and replaces the right record. Nobody looked at it again.

Evidence: TestDigestsThatWereReplacedInStoreAreWrittenAgain failed before ("state not reached within 20s: the store holds the version again").

Change: the entries that look what the store lacks look once more 10 s later.

Result: the test passes, and go test -race of machine/weightcache. It costs one call for each of three entries and each version.

--- a/machine/weightcache/cachedversion.go
+++ b/machine/weightcache/cachedversion.go
@@ -151,6 +151,8 @@
 	stopReading()
 	reads.Wait()
 	cv.backfillStore(ctx)
+	sleep(ctx, lateWriteTime)
+	cv.backfillStore(ctx)
 }
 
 // waitForMembers waits until this entry can determine its rank.
--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -30,6 +30,9 @@
 	// before it checks what is missing in the store, and how much longer each further entry
 	// does.
 	backfillDelay = 1500 * time.Millisecond
+	// lateWriteTime is how long after an entry has looked what the store lacks it looks again: a write of
+	// other digests that got no answer, also one of an earlier run, may be done seconds later.
+	lateWriteTime = 10 * time.Second
 	// storeAttempts limits the attempts to append one record, and storeRetryDelay is the
 	// time between them.
 	storeAttempts   = 8
--- a/machine/weightcache/storeddigests_test.go
+++ b/machine/weightcache/storeddigests_test.go
@@ -50,3 +50,22 @@
 		return storedDigestsAre(client, v, cv.currentSet().Digests())
 	})
 }
+
+// Guards against the same after a late write: the record of digests that an earlier run had read wrong, and
+// whose write got no answer, replaces the corrected one after the version is complete.
+func TestDigestsThatWereReplacedInStoreAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	store, origin := fleet.NewStore(), fleet.NewOrigin(chunks)
+	t.Cleanup(store.Close)
+	t.Cleanup(origin.Close)
+	v := Version{Model: fleet.Model, Number: 2}
+	cv := startNode(t, store.Address(), "entry-1", origin.Address()).cache.ensureVersion(v)
+	client := platform.NewStore(store.Address())
+	eventually(t, "the version is complete", cv.isComplete)
+	isStored := func() bool { return storedDigestsAre(client, v, cv.currentSet().Digests()) }
+	eventually(t, "the store holds the version", isStored)
+	// By then the entry has looked at the store once.
+	time.Sleep(2 * backfillDelay)
+	store.Put(platform.WeightsTopic(v.Model, v.Number), digestsKey, string(make([]byte, len(cv.currentSet().Digests())*len(cv.currentSet().Digests()[0]))))
+	eventually(t, "the store holds the version again", isStored)
+}
