A feed hands records on in the order in which it applied them

What callers would see: a process that goes on with an older record than its feed holds, until the record changes again. It refuses a peer that has started again (RECOVER), sends requests to a target that leaves (DRAIN), or routes by an older manifest (CONFIG).

Cause: records of the store and of peers arrive in two goroutines. They were applied under a lock and handed on after it, so that the older of two could be handed on last.

Evidence: TestChangesAreHandedOnInTheirOrder failed before ("records handed on: [newer older], want [older newer]").

Change: one lock is held while records are applied and handed on.

Result: the test passes, and go test -race of machine/feed and machine/peers.

--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -58,8 +58,8 @@
 	MayProbe func() bool
 	// OnCopyAvoided is called for each copy of large records that the feed avoids; it may be nil.
 	OnCopyAvoided func(AvoidedCopy)
-	// OnChange is called with the records that have changed, and when the complete topic
-	// is held for the first time even if it has no records.
+	// OnChange is called with the records that have changed, in their order, and when the complete topic
+	// is held for the first time even if it has no records. It must not call Merge.
 	OnChange func(Update)
 	// RewriteTimeout is how long a record that the store lost, when it came back from an
 	// older copy, is held for its writer to write it again. Then the store's state counts.
@@ -93,6 +93,10 @@
 	store *platform.Store
 	opts  Options
 
+	// handOn is held while records are applied and handed on, so that OnChange gets them in the order in
+	// which they were applied: those of the store and of peers arrive in different goroutines.
+	handOn sync.Mutex
+
 	mu      sync.Mutex
 	replica *Replica
 	// hasSynced is set, and firstSync closed, once the complete topic has been read from
@@ -315,6 +319,8 @@
 // applyChange applies a change to the replica and passes the changed records to OnChange.
 // complete means that the change makes the replica hold the complete topic.
 func (f *Feed) applyChange(change func() []contract.Record, complete bool) {
+	f.handOn.Lock()
+	defer f.handOn.Unlock()
 	f.mu.Lock()
 	update := Update{
 		Records:    change(),
