An end of an answer that is read after a standstill proves nothing by itself (ORDER, MIXED)

The entry had stood still for 2 s, and one of six engines crashed and started again meanwhile.

Cause: only the end of its connection ends such an answer, for a crash as for a whole one. The entry told them apart by a look whether the target listens when it reads the end: after a standstill that is seconds late, and the target listens again.

In the test a target goes on listening after it has ended the connection; TestAnswerThatEndedInStandstillMayBeCutOff failed in 12 of its 21 cases without the change (outcome Completed, want Lost).

Change: the entry notices standstills by the time since boot. After one, an answer that its connection ends counts as complete only if a list of targets that was read since has the target at its address with the same start. Otherwise, or if the store does not answer within 1 s, it may be cut off.

--- a/machine/entry/direct/checkloop.go
+++ b/machine/entry/direct/checkloop.go
@@ -59,6 +59,7 @@
 
 // run looks at the requests every checkInterval, and sooner if a hedge is due, until there are none.
 func (l *checkLoop) run() {
+	l.fleet.standstills.start()
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
 	for {
@@ -83,6 +84,7 @@
 		l.isRunning = false
 		return 0, false
 	}
+	l.fleet.standstills.observe()
 	basis := l.fleet.checkBasis()
 	next = checkInterval
 	for p := range l.pairs {
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -79,7 +79,9 @@
 	entryZones map[contract.MachineID]contract.ZoneName
 	// runClock measures for how long the process has run.
 	runClock ejection.RunClock
-	rng      *rand.Rand
+	// standstills notices when the process stood still.
+	standstills standstills
+	rng         *rand.Rand
 }
 
 func newFleetState(process *config.Process, logger log.Interface) *fleetState {
--- /dev/null
+++ b/machine/entry/direct/standstill_test.go
@@ -0,0 +1,155 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/feed"
+	"mimosastand.example/mimosastand/platform"
+	standins "mimosastand.example/mimosastand/standin/fleet"
+	"mimosastand.example/mimosastand/zone/catalog"
+	"mimosastand.example/mimosastand/zone/placement"
+)
+
+// cuttingTarget starts a target that answers with text and calls beforeEnd before it ends the connection. It goes
+// on listening, as one that has crashed and started again does.
+func cuttingTarget(t *testing.T, text string, beforeEnd func()) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, text)
+				beforeEnd()
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+// followTargets has an entry follow the list of targets of a store until the test ends.
+func followTargets(t *testing.T, e *Entry, store *standins.Store) {
+	t.Helper()
+	e.targetsFeed = feed.New(platform.NewStore(store.Address()), feed.Options{
+		Topic: platform.TopicTargets, OnChange: func(update feed.Update) { e.fleet.applyTargetRecords(update) },
+		// The list is read when it is requested only.
+		ReadInterval: func() time.Duration { return time.Hour },
+		Log:          &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.targetsFeed.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// Guards against the beginning of an answer that is taken for all of it (ORDER, review/8; MIXED): its target
+// crashed and started again while the entry stood still, and listens when the entry reads the end of the connection.
+func TestAnswerThatEndedInStandstillMayBeCutOff(t *testing.T) {
+	const (
+		head         = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a\r\nConnection: close\r\n\r\n"
+		stream       = head + "id: 1\ndata: x\n\n"
+		born, reborn = 1000, 2000
+		standstill   = 2 * time.Second
+	)
+	for name, c := range map[string]struct {
+		stoodStill bool
+		// listed is what the store lists at the end, at the target's address.
+		listedID   string
+		listedBorn int64
+		storeDown  bool
+		want       attempts.Outcome
+	}{
+		"went on":                                {false, "target-1", reborn, false, attempts.Completed},
+		"stood still, same start":                {true, "target-1", born, false, attempts.Completed},
+		"stood still, started again":             {true, "target-1", reborn, false, attempts.Lost},
+		"stood still, started as another":        {true, "target-2", reborn, false, attempts.Lost},
+		"stood still, removed":                   {true, "", 0, false, attempts.Lost},
+		"stood still, the store does not answer": {true, "target-1", born, true, attempts.Lost},
+		"went on, the store does not answer":     {false, "target-1", born, true, attempts.Completed},
+	} {
+		for kind, text := range map[catalog.Kind]string{catalog.Streaming: stream, catalog.Idempotent: head + "half", catalog.NonIdempotent: head + "half"} {
+			store := standins.NewStore()
+			e := newQuietEntry()
+			var address string
+			list := func(id string, at int64) {
+				store.Put(platform.TopicTargets, id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready","seq_no":%d,"born":%d}`,
+					testService, address, at, at))
+			}
+			address = cuttingTarget(t, text, func() {
+				if !c.stoodStill {
+					return
+				}
+				e.fleet.standstills.observeAt(time.Hour, false)
+				e.fleet.standstills.observeAt(time.Hour+standstill, false)
+			})
+			list("target-1", born)
+			followTargets(t, e, store)
+			for !e.targetsFeed.HasSynced() {
+				time.Sleep(time.Millisecond)
+			}
+			if c.listedID != "target-1" {
+				store.Put(platform.TopicTargets, "target-1", "")
+			}
+			if c.listedID != "" && c.listedBorn != born {
+				list(c.listedID, c.listedBorn)
+			}
+			store.SetDown(c.storeDown)
+			call, _ := boundedCall(e, kind)
+			outcome, failure := call.runAttempts(context.Background(), placement.Choice{ID: "target-1", Born: born, Address: address})
+			failure.release()
+			if outcome != c.want {
+				t.Errorf("%s, %v: outcome %v, want %v", name, kind, outcome, c.want)
+			}
+			store.Close()
+		}
+	}
+}
+
+// Guards against a standstill that is not noticed since the monotonic clock does not count a suspension, and
+// against one that is taken from a time without requests.
+func TestStandstillIsNoticed(t *testing.T) {
+	var s standstills
+	const start = time.Hour
+	s.observeAt(start, true)
+	for i := range 20 {
+		if !s.observeAt(start+time.Duration(i)*checkInterval, false).IsZero() {
+			t.Fatal("a standstill is noticed while the process runs")
+		}
+	}
+	if !s.observeAt(2*start, true).IsZero() {
+		t.Error("a time without requests counts as a standstill")
+	}
+	if s.observeAt(2*start+minStandstill, false).IsZero() {
+		t.Error("a standstill is not noticed")
+	}
+}
--- a/machine/entry/direct/stream.go
+++ b/machine/entry/direct/stream.go
@@ -154,10 +154,13 @@
 }
 
 // mayBeCutOff reports whether a response that has ended may have been cut off: only the end of its
-// connection ends it, and nothing listens at the target's address any more. A target that crashes and one
-// that has sent everything end a connection in the same way.
+// connection ends it, and nothing listens at the target's address any more, or may not have listened for a
+// while. A target that crashes and one that has sent everything end a connection in the same way.
 func (x *exchange) mayBeCutOff(resp *http.Response) bool {
-	return endsWithConnection(resp) && x.call.entry.isDown(x.call.r.Context(), x.choice.Address)
+	if !endsWithConnection(resp) {
+		return false
+	}
+	return x.mayHaveRestarted() || x.call.entry.isDown(x.call.r.Context(), x.choice.Address)
 }
 
 // endsWithConnection reports whether only the end of its connection ends a response.
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -111,6 +111,8 @@
 	storeUp      bool
 	storeStateAt time.Time
 	storeAwayAt  time.Time
+	// answeredCallBegan is when the last call began that the store has answered.
+	answeredCallBegan time.Time
 	// cancelRead cancels the read in progress. It is nil before the first read and while
 	// a read must not be canceled. refreshPending means that the next read does not wait
 	// for records.
--- a/machine/feed/schedule.go
+++ b/machine/feed/schedule.go
@@ -29,6 +29,7 @@
 			delay = max(retryDelay(failures)-time.Since(calledAt), 0)
 		} else {
 			failures = 0
+			f.recordAnswered(calledAt)
 			f.onCallSucceeded()
 			delay = f.nextReadDelay()
 		}
--- a/machine/feed/storestate.go
+++ b/machine/feed/storestate.go
@@ -24,6 +24,21 @@
 	f.reportStoreState(StoreState{AwayAt: calledAt})
 }
 
+// recordAnswered records when a call began that the store has answered.
+func (f *Feed) recordAnswered(calledAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answeredCallBegan = calledAt
+}
+
+// AnsweredCallBegan returns when the last call of this process began that the store has answered, zero if there
+// was none. What is held then is no older than that, while the time of an answer says little after a standstill.
+func (f *Feed) AnsweredCallBegan() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeredCallBegan
+}
+
 // onCallSucceeded reports that the store answers unless it answered before.
 func (f *Feed) onCallSucceeded() {
 	f.mu.Lock()
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -323,6 +323,13 @@
 // Member returns the target with the given ID, or nil if there is none.
 func (r *Roster) Member(id TargetID) *Member { return r.members[id] }
 
+// ListsIncarnation reports whether a target is listed as the newest one at an address, with the start born of
+// its incarnation. It is false if the start is not known, or if the entry lapsed during an outage.
+func (r *Roster) ListsIncarnation(address string, id TargetID, born int64) bool {
+	m, ok := r.byAddress[address]
+	return ok && born != 0 && m.ID == id && m.Born == born && m.lapsedAt.IsZero()
+}
+
 // Len returns the number of targets.
 func (r *Roster) Len() int { return len(r.members) }
 
