Announced versions are forgotten only once their bounds have ended (VERSION)

Cause: a process remembered the newest eight announcements, and forgot older ones while their bounds ran. What requests may begin on goes by the oldest bound that is remembered.

TestBoundsEndWhenManyVersionsFollowQuickly failed before ("one each 800ms, at version 12: OldestAllowed() = 0, want 2 or later").

Change: a version is forgotten once the next one has been known for two bounds. 64 versions are remembered at most; beyond that the two oldest count as one, announced with the first.

--- a/weights/upgrade/announced.go
+++ b/weights/upgrade/announced.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// maxRememberedVersions limits the versions that are remembered for a model. The oldest
-	// are dropped first, on the assumption that their bounds have passed.
+	// maxRememberedVersions is how many versions of a model are remembered whatever their age. Older ones
+	// are forgotten once they have no influence on bounds, and are at most maxRunningVersions.
 	maxRememberedVersions = 8
+	// maxRunningVersions limits the versions of a model that are remembered. Beyond it the two oldest are
+	// taken for one that was announced with the first of them.
+	maxRunningVersions = 64
 	// SendMargin is how long before the end of the bound an entry stops sending to older
 	// versions what it cannot give up: a request may wait at the target before it starts.
 	SendMargin = 1800 * time.Millisecond
@@ -140,9 +143,25 @@
 	return &a.versions[i]
 }
 
+// trim limits the versions to maxRunningVersions. It forgets the oldest one beyond maxRememberedVersions if
+// the next one was announced no later, so that its bound does not end before that of the next one.
 func (a *AnnouncedVersions) trim() {
-	if len(a.versions) > maxRememberedVersions {
-		a.versions = slices.Delete(a.versions, 0, len(a.versions)-maxRememberedVersions)
+	for len(a.versions) > maxRememberedVersions {
+		oldest, next := a.versions[0], &a.versions[1]
+		hasNoInfluence := next.witnessed && oldest.witnessed && !next.knownSince.After(oldest.knownSince)
+		if !hasNoInfluence && len(a.versions) <= maxRunningVersions {
+			return
+		}
+		next.knownSince, next.witnessed, next.absentAt = oldest.knownSince, oldest.witnessed, oldest.absentAt
+		a.versions = slices.Delete(a.versions, 0, 1)
+	}
+}
+
+// forget forgets the oldest versions beyond maxRememberedVersions for as long as the next one has been known
+// for limit, after which its bound has ended: then the bound of an older one has no influence.
+func (a *AnnouncedVersions) forget(now time.Time, limit time.Duration) {
+	for len(a.versions) > maxRememberedVersions && now.Sub(a.versions[1].knownSince) >= limit {
+		a.versions = slices.Delete(a.versions, 0, 1)
 	}
 }
 
@@ -172,8 +191,9 @@
 
 // Ages returns how long the versions have been known, in ascending order of versions. It
 // includes versions known for less than limit, and always the newest one, whose age is
-// capped at limit.
+// capped at limit. What is older and has no influence any more is forgotten: limit must not be below the bound.
 func (a *AnnouncedVersions) Ages(now time.Time, limit time.Duration) []VersionAge {
+	a.forget(now, limit)
 	var list []VersionAge
 	for _, v := range a.versions {
 		age := now.Sub(v.knownSince)
--- a/weights/upgrade/announced_test.go
+++ b/weights/upgrade/announced_test.go
@@ -57,6 +57,41 @@
 	}
 }
 
+// Guards against requests that begin on weights that are too old (VERSION, review/7): versions were announced
+// faster than eight within a bound, the oldest were forgotten while their bounds ran, and no bound ever ended.
+// What is remembered stays limited, however many versions are announced.
+func TestBoundsEndWhenManyVersionsFollowQuickly(t *testing.T) {
+	for _, interval := range []time.Duration{800 * time.Millisecond, 600 * time.Millisecond, 20 * time.Millisecond} {
+		a := NewAnnouncedVersions(start)
+		const count = 600
+		for i := range count {
+			now := start.Add(time.Duration(i) * interval)
+			number := int64(i + 2)
+			recordWitnessed(a, now, number)
+			a.Ages(now, reportedBounds*testBound)
+			// The newest version whose bound has ended, by the times of all announcements.
+			want := int64(0)
+			if ended := int64((now.Sub(start) - testBound) / interval); now.Sub(start) >= testBound {
+				want = ended + 2
+			}
+			got := a.OldestAllowed(now, testBound, 0)
+			if got < want || got > number {
+				t.Fatalf("one each %v, at version %d: OldestAllowed() = %d, want %d or later", interval, number, got, want)
+			}
+			if isExact := reportedBounds*testBound/interval < maxRunningVersions; isExact && got != want {
+				t.Fatalf("one each %v, at version %d: OldestAllowed() = %d, want %d", interval, number, got, want)
+			}
+			if len(a.versions) > maxRunningVersions {
+				t.Fatalf("%d versions remembered, want at most %d", len(a.versions), maxRunningVersions)
+			}
+		}
+		a.Ages(start.Add(time.Hour), reportedBounds*testBound)
+		if len(a.versions) > maxRememberedVersions {
+			t.Errorf("%d versions remembered after an hour, want at most %d", len(a.versions), maxRememberedVersions)
+		}
+	}
+}
+
 // An engine that is upgraded from version 1 to 3 takes its turn before the bound of version
 // 2 ends: after that requests may no longer start on it.
 func TestTurnFollowsOldestMissedVersion(t *testing.T) {
