--- a/machine/peers/publication.go
+++ b/machine/peers/publication.go
@@ -19,8 +19,8 @@
 	minPublishRetryDelay = 400 * time.Millisecond
 	// notPublished is the position of a member record that was not published yet.
 	notPublished = -1
-	// replacementMemory is how long after the last replacement of the member record the next one is
-	// written again at once.
+	// replacementMemory is how long after the last rewrite of the member record the next one is not
+	// delayed.
 	replacementMemory = time.Minute
 	// eraPollInterval is the time between two checks whether the members have been read in
 	// a new era of the store.
@@ -52,8 +52,8 @@
 	}
 }
 
-// rewritePacing delays the member record's being written again. Two processes that use the name of one
-// machine would replace each other's records without end.
+// rewritePacing delays rewrites of the member record. Without it two processes that use the name of one machine
+// would replace each other's records without end.
 type rewritePacing struct {
 	// count is the number of rewrites in a row, the last of them due at lastAt.
 	count  int
