Tests of targets share their listener

The tests of invalid statuses and of standstills each brought a listener of their own, and two older ones stood beside them: connTarget and scriptedTarget serve all four now, with 91 lines less. No check changed.

--- a/machine/entry/direct/bounds_test.go
+++ b/machine/entry/direct/bounds_test.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -20,34 +19,14 @@
 // the connection. The attempt's name replaces "{id}" in head.
 func endlessTarget(t *testing.T, head, part string) (address string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
 	repeated := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go sendWithoutEnd(conn, head, repeated)
+	return connTarget(t, func(conn net.Conn, r *http.Request) {
+		defer func() { _ = conn.Close() }()
+		_, err := io.WriteString(conn, strings.ReplaceAll(head, "{id}", r.Header.Get("Attempt-Id")))
+		for err == nil {
+			_, err = conn.Write(repeated)
 		}
-	}()
-	return lis.Addr().String()
-}
-
-func sendWithoutEnd(conn net.Conn, head string, repeated []byte) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	text := strings.ReplaceAll(head, "{id}", r.Header.Get("Attempt-Id"))
-	for _, err = io.WriteString(conn, text); err == nil; {
-		_, err = conn.Write(repeated)
-	}
+	})
 }
 
 // boundedCall is a call of a kind that has 2 s and may be attempted once.
--- a/machine/entry/direct/invalidstatus_test.go
+++ b/machine/entry/direct/invalidstatus_test.go
@@ -1,11 +1,8 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,40 +12,6 @@
 	"mimosastand.example/mimosastand/zone/placement"
 )
 
-// waitingTarget starts a target that answers each request with text and then keeps the connection open.
-func waitingTarget(t *testing.T, text string) (address string) {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go answerAndWait(conn, text)
-		}
-	}()
-	return lis.Addr().String()
-}
-
-// answerAndWait answers one request and waits until the entry closes the connection.
-func answerAndWait(conn net.Conn, text string) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	r, err := http.ReadRequest(reader)
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	if _, err := io.WriteString(conn, text); err == nil {
-		_, _ = io.Copy(io.Discard, reader)
-	}
-}
-
 // Guards against an answer whose status is no final one, such as 000: its head was skipped as that of an
 // informational response, so that what followed it, its own body even, was taken for the answer, and a
 // request whose target sent no more waited until its deadline. Statuses from 600 on reached the caller.
@@ -72,7 +35,8 @@
 			for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Streaming} {
 				e := newQuietEntry()
 				call, w := boundedCall(e, kind)
-				address := waitingTarget(t, text)
+				// The target keeps the connection open after its answer.
+				address := scriptedTarget(t, func(int, *http.Request) string { return text })
 				start := time.Now()
 				outcome, _ := call.runAttempts(context.Background(), placement.Choice{ID: "target-1", Address: address})
 				took := time.Since(start)
--- a/machine/entry/direct/resume_test.go
+++ b/machine/entry/direct/resume_test.go
@@ -26,29 +26,22 @@
 // or resets it.
 func closingTarget(t *testing.T, text string, reset bool) (address string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go answerOnce(conn, text, reset)
-		}
-	}()
-	return lis.Addr().String()
+	return connTarget(t, func(conn net.Conn, r *http.Request) { answerRequest(conn, r, text, reset) })
 }
 
+// answerOnce reads a request and answers it with text.
 func answerOnce(conn net.Conn, text string, reset bool) {
-	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
+		_ = conn.Close()
 		return
 	}
+	answerRequest(conn, r, text, reset)
+}
+
+// answerRequest answers a request that was read with text, and closes or resets the connection.
+func answerRequest(conn net.Conn, r *http.Request, text string, reset bool) {
+	defer func() { _ = conn.Close() }()
 	_, _ = io.Copy(io.Discard, r.Body)
 	if _, err := io.WriteString(conn, text); err != nil || !reset {
 		return
--- a/machine/entry/direct/standstill_test.go
+++ b/machine/entry/direct/standstill_test.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -21,36 +20,6 @@
 	"mimosastand.example/mimosastand/zone/placement"
 )
 
-// cuttingTarget starts a target that answers with text and calls beforeEnd before it ends the connection. It goes
-// on listening, as one that has crashed and started again does.
-func cuttingTarget(t *testing.T, text string, beforeEnd func()) (address string) {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, text)
-				beforeEnd()
-			}()
-		}
-	}()
-	return lis.Addr().String()
-}
-
 // followTargets has an entry follow the list of targets of a store until the test ends.
 func followTargets(t *testing.T, e *Entry, store *standins.Store) {
 	t.Helper()
@@ -105,12 +74,15 @@
 				store.Put(platform.TopicTargets, id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready","seq_no":%d,"born":%d}`,
 					testService, address, at, at))
 			}
-			address = cuttingTarget(t, text, func() {
-				if !c.stoodStill {
-					return
+			// The target goes on listening after it has ended the connection, as one that has started again does.
+			address = connTarget(t, func(conn net.Conn, r *http.Request) {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, text)
+				if c.stoodStill {
+					e.fleet.standstills.observeAt(time.Hour, false)
+					e.fleet.standstills.observeAt(time.Hour+standstill, false)
 				}
-				e.fleet.standstills.observeAt(time.Hour, false)
-				e.fleet.standstills.observeAt(time.Hour+standstill, false)
 			})
 			list("target-1", born)
 			followTargets(t, e, store)
