Processes log when they stood still, and for how long their machine was suspended

A process that dates a version too late may have been suspended with its machine, or may have read an answer late.

The detector that entries had for cut answers is a package now (internal/standstill), so that there is one. No logic has changed.

The check of documented events reads the new package too.

--- a/internal/logs/events_test.go
+++ b/internal/logs/events_test.go
@@ -92,7 +92,7 @@
 	t.Helper()
 	list := []string{"bounded.go"}
 	for _, dir := range []string{
-		"machine/feed", "machine/peers", "machine/storerestore", "machine/weightcache", "machine/entry/direct", "machine/target/direct", "internal/metrics",
+		"machine/feed", "machine/peers", "machine/storerestore", "machine/weightcache", "machine/entry/direct", "machine/target/direct", "internal/metrics", "internal/standstill",
 	} {
 		files, err := filepath.Glob("../../" + dir + "/*.go")
 		if err != nil {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -82,3 +83,11 @@
 
 // Errorf implements log.Interface.
 func (p prefixLogger) Errorf(msg string, v ...interface{}) { p.Interface.Errorf(p.prefix+msg, v...) }
+
+// MillisSince returns, for a field, how many milliseconds ago a time was; 0 for the zero time.
+func MillisSince(since time.Time) int64 {
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since).Milliseconds()
+}
--- /dev/null
+++ b/internal/standstill/standstill.go
@@ -0,0 +1,70 @@
+// Package standstill notices when a process stood still: stopped by a signal, without processor time, or
+// suspended with its machine.
+package standstill
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"mimosastand.example/mimosastand/internal/boottime"
+)
+
+// Standstill is a time in which the process did not run.
+type Standstill struct {
+	// EndedAt is when it was noticed; zero if there was none.
+	EndedAt time.Time
+	// Lasted is the time between the two observations around it, and Suspended the part of it in which the
+	// machine was suspended, so that the monotonic clock stood still as well.
+	Lasted, Suspended time.Duration
+}
+
+// Detector notices standstills from the times between observations. It is safe for concurrent use.
+type Detector struct {
+	// min is the shortest time between two observations that counts as a standstill.
+	min      time.Duration
+	bootTime func() time.Duration
+
+	mu sync.Mutex
+	// observedBoot and observedAt are the boot time and the time of the last observation; zero before there
+	// was one.
+	observedBoot time.Duration
+	observedAt   time.Time
+	last         Standstill
+}
+
+// NewDetector returns a detector for a process that calls Observe at intervals well below min.
+func NewDetector(min time.Duration) *Detector { return NewDetectorWithClock(min, boottime.Now) }
+
+// NewDetectorWithClock is NewDetector with the function that returns the time since boot.
+func NewDetectorWithClock(min time.Duration, bootTime func() time.Duration) *Detector {
+	return &Detector{min: min, bootTime: bootTime}
+}
+
+// Restart begins the observations after a time without any.
+func (d *Detector) Restart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observedBoot, d.observedAt = d.bootTime(), time.Now()
+}
+
+// Observe returns the last standstill. isNew is set in the call that notices it.
+func (d *Detector) Observe() (last Standstill, isNew bool) {
+	boot, now := d.bootTime(), time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if lasted := boot - d.observedBoot; !d.observedAt.IsZero() && lasted >= d.min {
+		suspended := max(lasted-now.Sub(d.observedAt), 0)
+		d.last, isNew = Standstill{EndedAt: now, Lasted: lasted, Suspended: suspended}, true
+	}
+	d.observedBoot, d.observedAt = boot, now
+	return d.last, isNew
+}
+
+// Log observes, and logs a standstill that is new.
+func (d *Detector) Log(logger log.Interface) {
+	if s, isNew := d.Observe(); isNew {
+		logger.WithField("ms", s.Lasted.Milliseconds()).WithField("suspended_ms", s.Suspended.Milliseconds()).Warn("process stood still")
+	}
+}
--- a/machine/entry/direct/checkloop.go
+++ b/machine/entry/direct/checkloop.go
@@ -59,7 +59,7 @@
 
 // run looks at the requests every checkInterval, and sooner if a hedge is due, until there are none.
 func (l *checkLoop) run() {
-	l.fleet.standstills.start()
+	l.fleet.standstills.Restart()
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
 	for {
@@ -84,7 +84,7 @@
 		l.isRunning = false
 		return 0, false
 	}
-	l.fleet.standstills.observe()
+	l.fleet.standstills.Observe()
 	basis := l.fleet.checkBasis()
 	next = checkInterval
 	for p := range l.pairs {
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -11,6 +11,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/machine/entry/retry"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/weights/upgrade"
@@ -79,8 +80,8 @@
 	entryZones map[contract.MachineID]contract.ZoneName
 	// runClock measures for how long the process has run.
 	runClock ejection.RunClock
-	// standstills notices when the process stood still.
-	standstills standstills
+	// standstills notices when the process stood still while requests were under way.
+	standstills *standstill.Detector
 	rng         *rand.Rand
 }
 
@@ -107,6 +108,7 @@
 		leaving:          leaving.NewTracker(),
 		poison:           poison.NewTracker(rng),
 		hedging:          hedgingState{settings: process.Fleet.Hedging},
+		standstills:      standstill.NewDetector(minStandstill),
 		rng:              rng,
 	}
 }
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/roster"
@@ -70,15 +71,7 @@
 		return
 	}
 	fs.log.WithField("model", model).WithField("version", version).WithField("offset", r.Offset).
-		WithField("found", caughtUpAt.IsZero()).WithField("gap_ms", millisSince(caughtUpAt)).Info("announced version read")
-}
-
-// millisSince returns how many milliseconds ago a time was; 0 for the zero time.
-func millisSince(since time.Time) int64 {
-	if since.IsZero() {
-		return 0
-	}
-	return time.Since(since).Milliseconds()
+		WithField("found", caughtUpAt.IsZero()).WithField("gap_ms", logs.MillisSince(caughtUpAt)).Info("announced version read")
 }
 
 // applyPeerAges applies the ages that a peer reports of versions: the time that has passed
@@ -114,8 +107,8 @@
 		if len(r.Value) == 0 {
 			retained := fs.roster.Remove(now, roster.TargetID(r.Key), update.Answers)
 			fs.log.WithField("target", r.Key).WithField("retained", retained).WithField("offset", r.Offset).
-				WithField("answered_ms", millisSince(update.Answers.Last)).
-				WithField("answers_since_ms", millisSince(update.Answers.Since)).Info("target removed from list")
+				WithField("answered_ms", logs.MillisSince(update.Answers.Last)).
+				WithField("answers_since_ms", logs.MillisSince(update.Answers.Since)).Info("target removed from list")
 			hasNews = true
 			continue
 		}
--- a/machine/entry/direct/standstill_test.go
+++ b/machine/entry/direct/standstill_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"mimosastand.example/mimosastand/internal/boottime"
+	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
@@ -48,7 +51,7 @@
 		head         = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a\r\nConnection: close\r\n\r\n"
 		stream       = head + "id: 1\ndata: x\n\n"
 		born, reborn = 1000, 2000
-		standstill   = 2 * time.Second
+		pause        = 2 * time.Second
 	)
 	for name, c := range map[string]struct {
 		stoodStill bool
@@ -69,6 +72,10 @@
 		for kind, text := range map[catalog.Kind]string{catalog.Streaming: stream, catalog.Idempotent: head + "half", catalog.NonIdempotent: head + "half"} {
 			store := standins.NewStore()
 			e := newQuietEntry()
+			var asleep atomic.Int64
+			e.fleet.standstills = standstill.NewDetectorWithClock(minStandstill, func() time.Duration {
+				return boottime.Now() + time.Duration(asleep.Load())
+			})
 			var address string
 			list := func(id string, at int64) {
 				store.Put(platform.TopicTargets, id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready","seq_no":%d,"born":%d}`,
@@ -80,8 +87,7 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(conn, text)
 				if c.stoodStill {
-					e.fleet.standstills.observeAt(time.Hour, false)
-					e.fleet.standstills.observeAt(time.Hour+standstill, false)
+					asleep.Store(int64(pause))
 				}
 			})
 			list("target-1", born)
@@ -106,22 +112,3 @@
 		}
 	}
 }
-
-// Guards against a standstill that is not noticed since the monotonic clock does not count a suspension, and
-// against one that is taken from a time without requests.
-func TestStandstillIsNoticed(t *testing.T) {
-	var s standstills
-	const start = time.Hour
-	s.observeAt(start, true)
-	for i := range 20 {
-		if !s.observeAt(start+time.Duration(i)*checkInterval, false).IsZero() {
-			t.Fatal("a standstill is noticed while the process runs")
-		}
-	}
-	if !s.observeAt(2*start, true).IsZero() {
-		t.Error("a time without requests counts as a standstill")
-	}
-	if s.observeAt(2*start+minStandstill, false).IsZero() {
-		t.Error("a standstill is not noticed")
-	}
-}
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -16,6 +16,7 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/internal/periodic"
+	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/machine/peers"
@@ -35,6 +36,10 @@
 	// operatorsRewriteTimeout is how long records are kept that the store lost when it came
 	// back from an older copy.
 	operatorsRewriteTimeout = 10 * time.Second
+	// pauseCheckInterval is the time between two looks whether the process stood still, and minLoggedPause
+	// the shortest standstill that is logged.
+	pauseCheckInterval = 250 * time.Millisecond
+	minLoggedPause     = pauseCheckInterval + 500*time.Millisecond
 )
 
 // Target is the process beside one model engine.
@@ -141,6 +146,8 @@
 	wg.Go(func() { t.reconciler.run(ctx) })
 	wg.Go(func() { t.catchup.Run(ctx) })
 	wg.Go(func() { t.metrics.Serve(ctx, t.process.Fleet.MetricsAddress, t.log) })
+	pauses := standstill.NewDetector(minLoggedPause)
+	wg.Go(func() { periodic.Run(ctx, pauseCheckInterval, func() { pauses.Log(t.log) }) })
 	wg.Go(func() { periodic.Run(ctx, gaugeInterval, func() { t.meters.updateGauges(t) }) })
 	wg.Wait()
 	t.log.Info("stopped")
@@ -231,7 +238,8 @@
 	if !t.announced.ForModel(model).ApplyRecord(time.Now(), version, caughtUpAt) {
 		return
 	}
-	t.log.WithField("model", model).WithField("version", version).WithField("found", caughtUpAt.IsZero()).Info("announced version read")
+	t.log.WithField("model", model).WithField("version", version).WithField("found", caughtUpAt.IsZero()).
+		WithField("gap_ms", logs.MillisSince(caughtUpAt)).Info("announced version read")
 }
 
 // desiredVersion returns the newest announced version of the engine's model, or
