--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -7,6 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// Time returns the time since the machine was booted as a time that can only be compared with others that
+// Time returned.
+func Time() time.Time { return time.Unix(0, 0).Add(Now()) }
+
 // Now returns the time since the machine was booted. Unlike the differences of time.Time, those of
 // Now include the time for which the machine was suspended, and steps of the time of day do not
 // change them. On a system without such a clock it returns the time of the monotonic one.
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -23,38 +23,38 @@
 // Detector notices standstills from the times between observations. It is safe for concurrent use.
 type Detector struct {
 	// min is the shortest time between two observations that counts as a standstill.
-	min      time.Duration
-	bootTime func() time.Duration
+	min time.Duration
+	// bootClock goes on while the machine is suspended.
+	bootClock func() time.Time
 
 	mu sync.Mutex
-	// observedBoot and observedAt are the boot time and the time of the last observation; zero before there
-	// was one.
-	observedBoot time.Duration
-	observedAt   time.Time
-	last         Standstill
+	// observedBoot and observedAt are the times of the last observation by bootClock and the monotonic clock;
+	// zero before there was one.
+	observedBoot, observedAt time.Time
+	last                     Standstill
 }
 
 // NewDetector returns a detector for a process that calls Observe at intervals well below min.
-func NewDetector(min time.Duration) *Detector { return NewDetectorWithClock(min, boottime.Now) }
+func NewDetector(min time.Duration) *Detector { return NewDetectorWithClock(min, boottime.Time) }
 
-// NewDetectorWithClock is NewDetector with the function that returns the time since boot.
-func NewDetectorWithClock(min time.Duration, bootTime func() time.Duration) *Detector {
-	return &Detector{min: min, bootTime: bootTime}
+// NewDetectorWithClock is NewDetector with a clock that takes the place of boottime.Time.
+func NewDetectorWithClock(min time.Duration, bootClock func() time.Time) *Detector {
+	return &Detector{min: min, bootClock: bootClock}
 }
 
 // Restart begins the observations after a time without any.
 func (d *Detector) Restart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.observedBoot, d.observedAt = d.bootTime(), time.Now()
+	d.observedBoot, d.observedAt = d.bootClock(), time.Now()
 }
 
 // Observe returns the last standstill. isNew is set in the call that notices it.
 func (d *Detector) Observe() (last Standstill, isNew bool) {
-	boot, now := d.bootTime(), time.Now()
+	boot, now := d.bootClock(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if lasted := boot - d.observedBoot; !d.observedAt.IsZero() && lasted >= d.min {
+	if lasted := boot.Sub(d.observedBoot); !d.observedAt.IsZero() && lasted >= d.min {
 		suspended := max(lasted-now.Sub(d.observedAt), 0)
 		d.last, isNew = Standstill{EndedAt: now, Lasted: lasted, Suspended: suspended}, true
 	}
--- a/internal/standstill/standstill_test.go
+++ b/internal/standstill/standstill_test.go
@@ -20,8 +20,8 @@
 		"suspended": {testMin / 2, 3 * time.Second, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			booted, asleep := time.Now(), time.Duration(0)
-			d := NewDetectorWithClock(testMin, func() time.Duration { return time.Since(booted) + asleep })
+			asleep := time.Duration(0)
+			d := NewDetectorWithClock(testMin, func() time.Time { return time.Now().Add(asleep) })
 			if _, isNew := d.Observe(); isNew {
 				t.Errorf("%s: the first observation notices a standstill", name)
 			}
@@ -43,10 +43,10 @@
 }
 
 func TestRestartedObservationsNoticeNothing(t *testing.T) {
-	boot := time.Hour
-	d := NewDetectorWithClock(testMin, func() time.Duration { return boot })
+	boot := time.Unix(0, 0)
+	d := NewDetectorWithClock(testMin, func() time.Time { return boot })
 	d.Observe()
-	boot += time.Hour
+	boot = boot.Add(time.Hour)
 	d.Restart()
 	if s, isNew := d.Observe(); isNew || !s.EndedAt.IsZero() {
 		t.Errorf("Observe() = %+v, %v after Restart(), want no standstill", s, isNew)
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -11,6 +11,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/machine/entry/retry"
 	"mimosastand.example/mimosastand/machine/feed"
@@ -42,6 +43,8 @@
 type fleetState struct {
 	process *config.Process
 	log     log.Interface
+	// bootClock goes on while the machine is suspended.
+	bootClock func() time.Time
 	// startedAt is when this process began to count the requests that it sends.
 	startedAt time.Time
 
@@ -86,11 +89,17 @@
 }
 
 func newFleetState(process *config.Process, logger log.Interface) *fleetState {
+	return newFleetStateWithClock(process, logger, boottime.Time)
+}
+
+// newFleetStateWithClock is newFleetState with a clock that takes the place of boottime.Time.
+func newFleetStateWithClock(process *config.Process, logger log.Interface, bootClock func() time.Time) *fleetState {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &fleetState{
 		process:          process,
 		bounds:           process.Fleet.Bounds,
 		log:              logger,
+		bootClock:        bootClock,
 		startedAt:        time.Now(),
 		roster:           roster.New(process.Fleet.TargetReportInterval),
 		evacuated:        map[contract.ZoneName]bool{},
@@ -108,7 +117,7 @@
 		leaving:          leaving.NewTracker(),
 		poison:           poison.NewTracker(rng),
 		hedging:          hedgingState{settings: process.Fleet.Hedging},
-		standstills:      standstill.NewDetector(minStandstill),
+		standstills:      standstill.NewDetectorWithClock(minStandstill, bootClock),
 		rng:              rng,
 	}
 }
--- a/machine/entry/direct/fleetstate_test.go
+++ b/machine/entry/direct/fleetstate_test.go
@@ -25,11 +25,16 @@
 
 // newEmptyState returns the state of an entry that has read nothing yet.
 func newEmptyState(bounds config.Bounds) *fleetState {
+	return newStateWithClock(bounds, time.Now)
+}
+
+// newStateWithClock is newEmptyState on a machine with a clock that goes on while the machine is suspended.
+func newStateWithClock(bounds config.Bounds, bootClock func() time.Time) *fleetState {
 	process := &config.Process{Zone: "a", Region: "r", Fleet: &config.Fleet{SharesSlots: true,
 		Zones:  map[contract.ZoneName]contract.RegionName{"a": "r"},
 		Bounds: bounds,
 	}}
-	return newFleetState(process, &log.Logger{Handler: discard.Default, Level: log.InfoLevel})
+	return newFleetStateWithClock(process, &log.Logger{Handler: discard.Default, Level: log.InfoLevel}, bootClock)
 }
 
 // newStartedState returns the state of an entry that found a version of the model in the
--- a/machine/entry/direct/standstill_test.go
+++ b/machine/entry/direct/standstill_test.go
@@ -73,8 +73,8 @@
 			store := standins.NewStore()
 			e := newQuietEntry()
 			var asleep atomic.Int64
-			e.fleet.standstills = standstill.NewDetectorWithClock(minStandstill, func() time.Duration {
-				return boottime.Now() + time.Duration(asleep.Load())
+			e.fleet.standstills = standstill.NewDetectorWithClock(minStandstill, func() time.Time {
+				return boottime.Time().Add(time.Duration(asleep.Load()))
 			})
 			var address string
 			list := func(id string, at int64) {
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -13,6 +13,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/internal/periodic"
@@ -44,13 +45,15 @@
 
 // Target is the process beside one model engine.
 type Target struct {
-	process    *config.Process
-	log        log.Interface
-	metrics    *metrics.Registry
-	meters     *meters
-	store      *platform.Store
-	peers      *peers.Peers
-	feed       *feed.Feed
+	process *config.Process
+	log     log.Interface
+	metrics *metrics.Registry
+	meters  *meters
+	store   *platform.Store
+	peers   *peers.Peers
+	feed    *feed.Feed
+	// bootClock goes on while the machine is suspended.
+	bootClock  func() time.Time
 	catchup    *peers.Catchup
 	reconciler *reconciler
 
@@ -69,6 +72,7 @@
 		metrics:   metrics.New(),
 		store:     platform.NewStore(process.Fleet.Store),
 		bound:     process.Fleet.Bounds.OldVersionGrace,
+		bootClock: boottime.Time,
 		announced: upgrade.NewVersionTracker(time.Now()),
 	}
 	t.meters = newMeters(t.metrics.Scope())
@@ -146,7 +150,7 @@
 	wg.Go(func() { t.reconciler.run(ctx) })
 	wg.Go(func() { t.catchup.Run(ctx) })
 	wg.Go(func() { t.metrics.Serve(ctx, t.process.Fleet.MetricsAddress, t.log) })
-	pauses := standstill.NewDetector(minLoggedPause)
+	pauses := standstill.NewDetectorWithClock(minLoggedPause, t.bootClock)
 	wg.Go(func() { periodic.Run(ctx, pauseCheckInterval, func() { pauses.Log(t.log) }) })
 	wg.Go(func() { periodic.Run(ctx, gaugeInterval, func() { t.meters.updateGauges(t) }) })
 	wg.Wait()
@@ -159,9 +163,14 @@
 func (t *Target) fillHeartbeat(_ contract.MachineID, hb *contract.Heartbeat) {
 	hb.Engine = t.reconciler.status()
 	hb.StoreEra = t.store.Era()
+	hb.Announced = t.versionAges()
+}
+
+// versionAges lists how long versions have been known, for heartbeats.
+func (t *Target) versionAges() []contract.AnnouncedVersion {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	hb.Announced = t.announced.Ages(time.Now(), t.bound)
+	return t.announced.Ages(time.Now(), t.bound)
 }
 
 // handleHeartbeat applies what an entry reports. Manifests are large: while an entry of
