Ages of announced versions count the time for which a machine was suspended (VERSION)

Cause: processes measure how old a version is by the monotonic clock, which stands still while a machine is suspended. An entry that starts again takes the age from whoever saw the announcement. If that one was suspended since and no other is linked, the age is short, and a witness's age replaces the careful assumption that what is found at the start is nearly due.

Change: announcements, their ages and what reports of the operators' records date them go by the time since boot, which goes on meanwhile. Turns of engines and the order of transfers, which timers and other times are compared with, get the same times on the monotonic clock.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -11,6 +11,15 @@
 // Time returned.
 func Time() time.Time { return time.Unix(0, 0).Add(Now()) }
 
+// Monotonic returns a time of Time as one of time.Now, so that timers and other times can be compared with it. now
+// is what Time returns at present. It holds as long as the machine is not suspended again.
+func Monotonic(t, now time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return time.Now().Add(t.Sub(now))
+}
+
 // Now returns the time since the machine was booted. Unlike the differences of time.Time, those of
 // Now include the time for which the machine was suspended, and steps of the time of day do not
 // change them. On a system without such a clock it returns the time of the monotonic one.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -85,9 +85,12 @@
 func (p prefixLogger) Errorf(msg string, v ...interface{}) { p.Interface.Errorf(p.prefix+msg, v...) }
 
 // MillisSince returns, for a field, how many milliseconds ago a time was; 0 for the zero time.
-func MillisSince(since time.Time) int64 {
+func MillisSince(since time.Time) int64 { return MillisBetween(since, time.Now()) }
+
+// MillisBetween returns, for a field, how many milliseconds before now a time was; 0 for the zero time.
+func MillisBetween(since, now time.Time) int64 {
 	if since.IsZero() {
 		return 0
 	}
-	return time.Since(since).Milliseconds()
+	return now.Sub(since).Milliseconds()
 }
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -43,7 +43,7 @@
 type fleetState struct {
 	process *config.Process
 	log     log.Interface
-	// bootClock goes on while the machine is suspended.
+	// bootClock goes on while the machine is suspended. The announcements of versions go by it.
 	bootClock func() time.Time
 	// startedAt is when this process began to count the requests that it sends.
 	startedAt time.Time
@@ -103,7 +103,7 @@
 		startedAt:        time.Now(),
 		roster:           roster.New(process.Fleet.TargetReportInterval),
 		evacuated:        map[contract.ZoneName]bool{},
-		announced:        upgrade.NewVersionTracker(time.Now()),
+		announced:        upgrade.NewVersionTracker(bootClock()),
 		pools:            map[contract.ServiceName]*placement.Pool{},
 		retryBudgets:     map[contract.ServiceName]*retry.Window{},
 		returnEstimators: map[contract.ServiceName]*retry.ReturnEstimator{},
@@ -344,7 +344,7 @@
 	}
 	version := int64(0)
 	for _, model := range s.Engine.Models {
-		version = max(version, fs.announced.ForModel(model).OldestAllowed(time.Now(), fs.bounds.OldVersionGrace, margin))
+		version = max(version, fs.announced.ForModel(model).OldestAllowed(fs.bootClock(), fs.bounds.OldVersionGrace, margin))
 	}
 	return version
 }
--- a/machine/entry/direct/fleetstate_test.go
+++ b/machine/entry/direct/fleetstate_test.go
@@ -58,7 +58,7 @@
 // announcementOf returns what an entry that follows the operators' records reads when a
 // version is announced.
 func announcementOf(version int) feed.Update {
-	return feed.Update{CaughtUpAt: time.Now(), Records: []contract.Record{
+	return feed.Update{CaughtUpAt: time.Now(), CaughtUpBootAt: time.Now(), Records: []contract.Record{
 		{Offset: int64(version) + 1, Key: "version/" + testModel, Value: fmt.Appendf(nil, `{"version":%d}`, version)},
 	}}
 }
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
@@ -27,7 +28,7 @@
 				WithField("offset", r.Offset).Info("zone evacuation record applied")
 		}
 		if model, ok := platform.AnnouncedModel(r.Key); ok && len(r.Value) > 0 {
-			fs.applyAnnouncement(model, r, update.CaughtUpAt)
+			fs.applyAnnouncement(model, r, update.CaughtUpBootAt)
 		}
 	}
 	for _, p := range fs.pools {
@@ -58,7 +59,7 @@
 }
 
 // applyAnnouncement applies the record by which operators announced a version of a model.
-// caughtUpAt is when the operators' records had last been read to their end before; zero if
+// caughtUpAt is when the operators' records had last been read to their end before, by bootClock; zero if
 // never. The log field found is set if they never had been, so that the announcement may be
 // old; gap_ms is the time since caughtUpAt, and 0 also if that is zero.
 func (fs *fleetState) applyAnnouncement(model string, r contract.Record, caughtUpAt time.Time) {
@@ -67,17 +68,18 @@
 		fs.log.WithError(err).WithField("offset", r.Offset).Warn("invalid announced version ignored")
 		return
 	}
-	if !fs.announced.ForModel(model).ApplyRecord(time.Now(), version, caughtUpAt) {
+	now := fs.bootClock()
+	if !fs.announced.ForModel(model).ApplyRecord(now, version, caughtUpAt) {
 		return
 	}
 	fs.log.WithField("model", model).WithField("version", version).WithField("offset", r.Offset).
-		WithField("found", caughtUpAt.IsZero()).WithField("gap_ms", logs.MillisSince(caughtUpAt)).Info("announced version read")
+		WithField("found", caughtUpAt.IsZero()).WithField("gap_ms", logs.MillisBetween(caughtUpAt, now)).Info("announced version read")
 }
 
 // applyPeerAges applies the ages that a peer reports of versions: the time that has passed
 // since their announcement, at least.
 func (fs *fleetState) applyPeerAges(hb contract.Heartbeat) {
-	for _, v := range fs.announced.ApplyPeerAges(time.Now(), hb.Announced) {
+	for _, v := range fs.announced.ApplyPeerAges(fs.bootClock(), hb.Announced) {
 		fs.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
@@ -87,14 +89,15 @@
 func (fs *fleetState) versionAges() []contract.AnnouncedVersion {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	return fs.announced.Ages(time.Now(), fs.bounds.OldVersionGrace)
+	return fs.announced.Ages(fs.bootClock(), fs.bounds.OldVersionGrace)
 }
 
-// versionEnd returns when the bound of an announced version ends.
+// versionEnd returns when the bound of an announced version ends, by the monotonic clock.
 func (fs *fleetState) versionEnd(model string, number int64) (end time.Time, ok bool) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	return fs.announced.ForModel(model).End(number, fs.bounds.OldVersionGrace)
+	end, ok = fs.announced.ForModel(model).End(number, fs.bounds.OldVersionGrace)
+	return boottime.Monotonic(end, fs.bootClock()), ok
 }
 
 // applyTargetRecords applies changes of the platform's target list. It reports whether they have news
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -82,8 +83,9 @@
 	Records []contract.Record
 	// CaughtUpAt is when the feed last held the topic up to the end offset reported by the
 	// store: the records were written later. It is zero if the feed has not caught up
-	// with the store before, so the records may have been written at any time.
-	CaughtUpAt time.Time
+	// with the store before, so the records may have been written at any time. CaughtUpBootAt is the same
+	// by boottime.Time, which goes on while the machine is suspended.
+	CaughtUpAt, CaughtUpBootAt time.Time
 	// Answers is the run of answers of the store that lasted until the records changed.
 	Answers contract.StoreAnswers
 }
@@ -104,8 +106,8 @@
 	hasSynced bool
 	firstSync chan struct{}
 	// caughtUpAt is when the feed last held the topic up to the end offset reported by
-	// the store; zero if it never has.
-	caughtUpAt time.Time
+	// the store, and caughtUpBootAt the same by boottime.Time; zero if it never has.
+	caughtUpAt, caughtUpBootAt time.Time
 	// storeUp is the outcome of the last call to the store; storeStateAt is zero until a
 	// first call has ended. storeAwayAt is when the last call began that failed; zero if none did.
 	storeUp      bool
@@ -225,7 +227,7 @@
 func (f *Feed) markCaughtUp() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.caughtUpAt = time.Now()
+	f.caughtUpAt, f.caughtUpBootAt = time.Now(), boottime.Time()
 	f.own.Number++
 	f.confirm(f.caughtUpAt, f.own)
 }
@@ -325,9 +327,10 @@
 	defer f.handOn.Unlock()
 	f.mu.Lock()
 	update := Update{
-		Records:    change(),
-		CaughtUpAt: f.caughtUpAt,
-		Answers:    f.answers(),
+		Records:        change(),
+		CaughtUpAt:     f.caughtUpAt,
+		CaughtUpBootAt: f.caughtUpBootAt,
+		Answers:        f.answers(),
 	}
 	isFirstSync := complete && !f.hasSynced
 	if isFirstSync {
--- a/machine/target/direct/inherited_test.go
+++ b/machine/target/direct/inherited_test.go
@@ -30,7 +30,7 @@
 			loadBad(e)
 			if isFoundUnsound {
 				first.mu.Lock()
-				first.announced.ForModel(testModel).ApplyRecord(time.Now(), 2, time.Now())
+				first.announced.ForModel(testModel).ApplyRecord(first.bootClock(), 2, first.bootClock())
 				first.mu.Unlock()
 				r := first.reconciler
 				r.candidates = []*candidate{newCandidate(t, 2)}
--- a/machine/target/direct/loadingengine_test.go
+++ b/machine/target/direct/loadingengine_test.go
@@ -354,7 +354,7 @@
 func announceVersion(target *Target, version int64) {
 	target.mu.Lock()
 	defer target.mu.Unlock()
-	target.announced.ForModel(testModel).ApplyRecord(time.Now(), version, time.Now())
+	target.announced.ForModel(testModel).ApplyRecord(target.bootClock(), version, target.bootClock())
 }
 
 // wouldBeSentRequests returns, for entries that know nothing of an earlier process, the version that requests expect which entries may send to the engine; 0
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -52,7 +52,7 @@
 	store   *platform.Store
 	peers   *peers.Peers
 	feed    *feed.Feed
-	// bootClock goes on while the machine is suspended.
+	// bootClock goes on while the machine is suspended. The announcements of versions go by it.
 	bootClock  func() time.Time
 	catchup    *peers.Catchup
 	reconciler *reconciler
@@ -73,7 +73,7 @@
 		store:     platform.NewStore(process.Fleet.Store),
 		bound:     process.Fleet.Bounds.OldVersionGrace,
 		bootClock: boottime.Time,
-		announced: upgrade.NewVersionTracker(time.Now()),
+		announced: upgrade.NewVersionTracker(boottime.Time()),
 	}
 	t.meters = newMeters(t.metrics.Scope())
 	t.reconciler = newReconciler(t)
@@ -170,7 +170,7 @@
 func (t *Target) versionAges() []contract.AnnouncedVersion {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.announced.Ages(time.Now(), t.bound)
+	return t.announced.Ages(t.bootClock(), t.bound)
 }
 
 // handleHeartbeat applies what an entry reports. Manifests are large: while an entry of
@@ -190,7 +190,7 @@
 func (t *Target) applyPeerAges(hb contract.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.announced.ApplyPeerAges(time.Now(), hb.Announced) {
+	for _, v := range t.announced.ApplyPeerAges(t.bootClock(), hb.Announced) {
 		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
@@ -213,7 +213,7 @@
 			continue
 		}
 		if model, ok := platform.AnnouncedModel(r.Key); ok && len(r.Value) > 0 {
-			t.applyAnnouncement(model, r.Value, update.CaughtUpAt)
+			t.applyAnnouncement(model, r.Value, update.CaughtUpBootAt)
 		}
 	}
 }
@@ -233,7 +233,7 @@
 }
 
 // applyAnnouncement applies the record by which operators announced a version of a model.
-// caughtUpAt is when the operators' records had last been read to their end before; zero if
+// caughtUpAt is when the operators' records had last been read to their end before, by bootClock; zero if
 // never. The log field found is set if they never had been, so that the announcement may be
 // old.
 func (t *Target) applyAnnouncement(model string, data []byte, caughtUpAt time.Time) {
@@ -244,11 +244,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.announced.ForModel(model).ApplyRecord(time.Now(), version, caughtUpAt) {
+	now := t.bootClock()
+	if !t.announced.ForModel(model).ApplyRecord(now, version, caughtUpAt) {
 		return
 	}
 	t.log.WithField("model", model).WithField("version", version).WithField("found", caughtUpAt.IsZero()).
-		WithField("gap_ms", logs.MillisSince(caughtUpAt)).Info("announced version read")
+		WithField("gap_ms", logs.MillisBetween(caughtUpAt, now)).Info("announced version read")
 }
 
 // desiredVersion returns the newest announced version of the engine's model, or
@@ -301,18 +302,19 @@
 	return engine.Chunks
 }
 
-// behindSince returns the time from which the oldest version of a model above loaded
+// behindSince returns the time, by the monotonic clock, from which the oldest version of a model above loaded
 // counts as announced; zero if there is no such version.
 func (t *Target) behindSince(model string, loaded int64) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.announced.ForModel(model).BehindSince(loaded, t.bound)
+	return boottime.Monotonic(t.announced.ForModel(model).BehindSince(loaded, t.bound), t.bootClock())
 }
 
-// versionEnd returns when the bound of an announced version ends; ok is false if it is not known to be
+// versionEnd returns when the bound of an announced version ends, by the monotonic clock; ok is false if it is not known to be
 // announced.
 func (t *Target) versionEnd(model string, number int64) (end time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.announced.ForModel(model).End(number, t.bound)
+	end, ok = t.announced.ForModel(model).End(number, t.bound)
+	return boottime.Monotonic(end, t.bootClock()), ok
 }
--- a/weights/upgrade/announced.go
+++ b/weights/upgrade/announced.go
@@ -40,6 +40,9 @@
 // were disconnected. Their peers report to them how long the version has been known, and
 // whether a witness dated it. Until a witness's report arrives, the earliest possible time
 // counts as the time of the announcement.
+//
+// All times are of a clock that goes on while the machine is suspended: ages that lacked a suspension would date
+// a version too late.
 type AnnouncedVersions struct {
 	// started is when the process started.
 	started time.Time
--- a/weights/upgrade/versions.go
+++ b/weights/upgrade/versions.go
@@ -11,7 +11,7 @@
 // older versions.
 const reportedBounds = 2
 
-// VersionTracker records the announced versions of all models.
+// VersionTracker records the announced versions of all models. Its times are those of AnnouncedVersions.
 type VersionTracker struct {
 	started time.Time
 	models  map[string]*AnnouncedVersions
