What the store answered is dated by the call, not by when the answer is read (VERSION)

Cause: a feed took the time at which it read an answer for the time up to which it knows all records. If the process stood still or its link held bytes back meanwhile, the version that it read next counted as announced at that moment, and the process as a witness of it.

Change: an answer dates from when its call began and, if it has no record, from the end of the wait that the store was asked for. Confirmations of the topic's end that peers hear of are dated likewise, but for answers with records: their calls last as long as nothing is written, and the others in the zone would ask the store after each record.

--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -81,7 +81,7 @@
 // Update holds records that a feed did not hold before.
 type Update struct {
 	Records []contract.Record
-	// CaughtUpAt is when the feed last held the topic up to the end offset reported by the
+	// CaughtUpAt is a time at which the feed held the topic up to the end offset reported by the
 	// store: the records were written later. It is zero if the feed has not caught up
 	// with the store before, so the records may have been written at any time. CaughtUpBootAt is the same
 	// by boottime.Time, which goes on while the machine is suspended.
@@ -142,6 +142,8 @@
 	// lostAt is when records were last found to be lost by the store.
 	lostAt time.Time
 
+	// lastCall is the last call to the store. Only Run uses it.
+	lastCall storeCall
 	// from is the offset of the next read, in the era fromEra of the store, if fromValid is
 	// set; otherwise the feed reads a snapshot. graceEndsAt is when the feed reads the records
 	// that peers have not sent; zero if no record is missing. Only Run uses these fields.
@@ -198,6 +200,7 @@
 	if batch.EndOffset < f.from {
 		f.fromValid = false
 	}
+	f.lastCall.hasRecords = len(batch.Records) > 0
 	if n := len(batch.Records); n > 0 {
 		f.from = contract.PositionOffset(batch.Records[n-1].Offset) + 1
 	}
@@ -222,13 +225,19 @@
 	return true
 }
 
-// markCaughtUp records that the feed now holds the topic up to the end offset reported by
-// the store.
+// markCaughtUp records that the feed holds the topic up to the end offset in the answer to the last call. An
+// answer without records dates the confirmation, too; the calls that bring records last as long as there are none.
 func (f *Feed) markCaughtUp() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.caughtUpAt, f.caughtUpBootAt = time.Now(), boottime.Time()
+	bootNow := boottime.Time()
+	f.caughtUpBootAt = f.lastCall.answeredAfter(bootNow)
+	f.caughtUpAt = boottime.Monotonic(f.caughtUpBootAt, bootNow)
 	f.own.Number++
+	if f.lastCall.hasRecords {
+		f.confirm(time.Now(), f.own)
+		return
+	}
 	f.confirm(f.caughtUpAt, f.own)
 }
 
@@ -252,6 +261,8 @@
 	f.cancelTransfer, f.transferUntil = cancel, next
 	f.mu.Unlock()
 	defer f.endTransfer()
+	f.lastCall = beginCall()
+	f.lastCall.wait = wait
 	batch, err := f.store.Read(readCtx, f.opts.Topic, contract.PositionOffset(next), wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		return platform.Batch{}, errReadCanceled
@@ -272,6 +283,7 @@
 // readSnapshotUpTo is readSnapshot for a topic of up to maxBytes; 0 for any size. It fails with
 // platform.ErrTooLarge for another one.
 func (f *Feed) readSnapshotUpTo(ctx context.Context, maxBytes int) error {
+	f.lastCall = beginCall()
 	batch, err := f.store.NewestUpTo(ctx, f.opts.Topic, maxBytes)
 	if errors.Is(err, platform.ErrNotFound) {
 		batch, err = platform.Batch{Era: f.store.Era()}, nil
--- a/machine/feed/peergrace.go
+++ b/machine/feed/peergrace.go
@@ -71,6 +71,7 @@
 
 // endOffset requests where the topic ends. A topic that does not exist yet ends at offset 0.
 func (f *Feed) endOffset(ctx context.Context) (*platform.Batch, error) {
+	f.lastCall = beginCall()
 	end, err := f.store.EndOffset(ctx, f.opts.Topic)
 	if errors.Is(err, platform.ErrNotFound) {
 		end, err = platform.Batch{Era: f.store.Era()}, nil
