An age of a version that is read after a standstill is not that of a witness (VERSION)

What callers would see: requests begin on an older version past its bound, at an entry that has started again and hears from no other process that knows the age.

Cause: a heartbeat says for how long a version has been known when it is sent. A process that stood still before it read the heartbeat counted that age from when it read it, as if a witness had dated the version then.

Change: for 3 s after a standstill ages in heartbeats do not count as those of a witness, so that a version that was found at the start stays nearly due. The detector logs each standstill once, whoever looks at it.

--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -20,6 +20,9 @@
 	Lasted, Suspended time.Duration
 }
 
+// LateReadTime is for how long after a standstill what is read may have arrived before its end.
+const LateReadTime = 3 * time.Second
+
 // Detector notices standstills from the times between observations. It is safe for concurrent use.
 type Detector struct {
 	// min is the shortest time between two observations that counts as a standstill.
@@ -32,6 +35,8 @@
 	// zero before there was one.
 	observedBoot, observedAt time.Time
 	last                     Standstill
+	// loggedAt is the end of the last standstill that was logged.
+	loggedAt time.Time
 }
 
 // NewDetector returns a detector for a process that calls Observe at intervals well below min.
@@ -49,22 +54,34 @@
 	d.observedBoot, d.observedAt = d.bootClock(), time.Now()
 }
 
-// Observe returns the last standstill. isNew is set in the call that notices it.
-func (d *Detector) Observe() (last Standstill, isNew bool) {
+// Observe returns the last standstill.
+func (d *Detector) Observe() Standstill {
 	boot, now := d.bootClock(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if lasted := boot.Sub(d.observedBoot); !d.observedAt.IsZero() && lasted >= d.min {
 		suspended := max(lasted-now.Sub(d.observedAt), 0)
-		d.last, isNew = Standstill{EndedAt: now, Lasted: lasted, Suspended: suspended}, true
+		d.last = Standstill{EndedAt: now, Lasted: lasted, Suspended: suspended}
 	}
 	d.observedBoot, d.observedAt = boot, now
-	return d.last, isNew
+	return d.last
+}
+
+// MayReadLate reports whether what is read now may have arrived before the end of a standstill, so that ages
+// in it are too short.
+func (d *Detector) MayReadLate() bool {
+	last := d.Observe()
+	return !last.EndedAt.IsZero() && time.Since(last.EndedAt) < LateReadTime
 }
 
-// Log observes, and logs a standstill that is new.
+// Log observes, and logs a standstill that has not been logged.
 func (d *Detector) Log(logger log.Interface) {
-	if s, isNew := d.Observe(); isNew {
+	s := d.Observe()
+	d.mu.Lock()
+	isNew := s.EndedAt != d.loggedAt
+	d.loggedAt = s.EndedAt
+	d.mu.Unlock()
+	if isNew {
 		logger.WithField("ms", s.Lasted.Milliseconds()).WithField("suspended_ms", s.Suspended.Milliseconds()).Warn("process stood still")
 	}
 }
--- a/internal/standstill/standstill_test.go
+++ b/internal/standstill/standstill_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 )
 
 const testMin = 250 * time.Millisecond
@@ -13,7 +16,7 @@
 func TestStandstillsAreNoticedOnce(t *testing.T) {
 	for name, c := range map[string]struct {
 		stopped, suspended time.Duration
-		isNew              bool
+		isNoticed          bool
 	}{
 		"ran":       {testMin / 2, 0, false},
 		"stopped":   {3 * time.Second, 0, true},
@@ -22,21 +25,35 @@
 		synctest.Test(t, func(t *testing.T) {
 			asleep := time.Duration(0)
 			d := NewDetectorWithClock(testMin, func() time.Time { return time.Now().Add(asleep) })
-			if _, isNew := d.Observe(); isNew {
+			if got := d.Observe(); !got.EndedAt.IsZero() {
 				t.Errorf("%s: the first observation notices a standstill", name)
 			}
 			time.Sleep(c.stopped)
 			asleep += c.suspended
-			got, isNew := d.Observe()
 			want := Standstill{}
-			if c.isNew {
+			if c.isNoticed {
 				want = Standstill{EndedAt: time.Now(), Lasted: c.stopped + c.suspended, Suspended: c.suspended}
 			}
-			if got != want || isNew != c.isNew {
-				t.Errorf("%s: Observe() = %+v, %v, want %+v, %v", name, got, isNew, want, c.isNew)
+			logs := memory.New()
+			logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
+			for range 2 {
+				if got := d.Observe(); got != want {
+					t.Errorf("%s: Observe() = %+v, want %+v", name, got, want)
+				}
+				d.Log(logger)
+			}
+			if logged := len(logs.Entries) == 1; logged != c.isNoticed || len(logs.Entries) > 1 {
+				t.Errorf("%s: %d lines logged, want one for a standstill", name, len(logs.Entries))
+			}
+			if got := d.MayReadLate(); got != c.isNoticed {
+				t.Errorf("%s: MayReadLate() = %v, want %v", name, got, c.isNoticed)
+			}
+			for range int(LateReadTime/testMin) * 2 {
+				time.Sleep(testMin / 2)
+				d.Observe()
 			}
-			if again, isNew := d.Observe(); again != want || isNew {
-				t.Errorf("%s: second Observe() = %+v, %v, want the same, not new", name, again, isNew)
+			if d.MayReadLate() {
+				t.Errorf("%s: MayReadLate() = true %v later", name, LateReadTime)
 			}
 		})
 	}
@@ -48,7 +65,7 @@
 	d.Observe()
 	boot = boot.Add(time.Hour)
 	d.Restart()
-	if s, isNew := d.Observe(); isNew || !s.EndedAt.IsZero() {
-		t.Errorf("Observe() = %+v, %v after Restart(), want no standstill", s, isNew)
+	if s := d.Observe(); !s.EndedAt.IsZero() {
+		t.Errorf("Observe() = %+v after Restart(), want no standstill", s)
 	}
 }
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -22,7 +22,6 @@
 	"mimosastand.example/mimosastand/internal/logs"
 	"mimosastand.example/mimosastand/internal/metrics"
 	"mimosastand.example/mimosastand/internal/periodic"
-	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/link"
 	"mimosastand.example/mimosastand/machine/entry/placementreport"
 	"mimosastand.example/mimosastand/machine/feed"
@@ -64,8 +63,8 @@
 	remoteFlightsInterval = 500 * time.Millisecond
 	// maintenanceInterval is the time between two runs of maintain.
 	maintenanceInterval = 250 * time.Millisecond
-	// minLoggedPause is the shortest standstill of the process that is logged.
-	minLoggedPause = maintenanceInterval + 500*time.Millisecond
+	// minPause is the shortest standstill that is logged, and after which heartbeats may be read late.
+	minPause = 2 * maintenanceInterval
 	// gaugeInterval is the time between two updates of the gauges that show the entry's
 	// view of the fleet.
 	gaugeInterval = 5 * time.Second
@@ -102,8 +101,6 @@
 	callerListener, readyListener    net.Listener
 	// callerConns follows the connections of callers.
 	callerConns *connTracker
-	// pauses notices and logs when the process stood still.
-	pauses *standstill.Detector
 	// remoteFlights paces the reports of attempts in flight to entries of other regions.
 	remoteFlights *pacer
 	// transferSlots holds one element for each transfer of operators' records to a peer.
@@ -129,7 +126,6 @@
 		conns:   newConnPool(),
 		origin:  weightcache.NewOriginWatch(),
 
-		pauses:        standstill.NewDetector(minLoggedPause),
 		remoteFlights: newPacer(remoteFlightsInterval),
 		transferSlots: make(chan struct{}, maxTransfers),
 		packer:        peers.NewPacker(),
@@ -380,7 +376,7 @@
 }
 
 func (e *Entry) maintain() {
-	e.pauses.Log(e.log)
+	e.fleet.pauses.Log(e.log)
 	e.dropLapsedTargets()
 	e.fleet.pruneTargetRecords()
 	e.fleet.forgetUnlinked(e.peers.IsNeighbour)
--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -83,9 +83,10 @@
 	entryZones map[contract.MachineID]contract.ZoneName
 	// runClock measures for how long the process has run.
 	runClock ejection.RunClock
-	// standstills notices when the process stood still while requests were under way.
-	standstills *standstill.Detector
-	rng         *rand.Rand
+	// pauses notices when the process stood still, standstills shorter times while requests were
+	// under way.
+	pauses, standstills *standstill.Detector
+	rng                 *rand.Rand
 }
 
 func newFleetState(process *config.Process, logger log.Interface) *fleetState {
@@ -117,6 +118,7 @@
 		leaving:          leaving.NewTracker(),
 		poison:           poison.NewTracker(rng),
 		hedging:          hedgingState{settings: process.Fleet.Hedging},
+		pauses:           standstill.NewDetectorWithClock(minPause, bootClock),
 		standstills:      standstill.NewDetectorWithClock(minStandstill, bootClock),
 		rng:              rng,
 	}
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -79,7 +79,7 @@
 // applyPeerAges applies the ages that a peer reports of versions: the time that has passed
 // since their announcement, at least.
 func (fs *fleetState) applyPeerAges(hb contract.Heartbeat) {
-	for _, v := range fs.announced.ApplyPeerAges(fs.bootClock(), hb.Announced) {
+	for _, v := range fs.announced.ApplyPeerAges(fs.bootClock(), hb.Announced, fs.pauses.MayReadLate()) {
 		fs.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
--- a/machine/entry/direct/standstill.go
+++ b/machine/entry/direct/standstill.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/zone/placement"
 )
 
@@ -11,8 +12,6 @@
 	// minStandstill is the shortest standstill that is noticed: while requests are under way, the process
 	// looks every checkInterval.
 	minStandstill = checkInterval + maxStandstill
-	// lateReadTime is for how long after a standstill what is read may have arrived before its end.
-	lateReadTime = 3 * time.Second
 	// freshListTimeout limits the wait for a list of targets that was read after a standstill, and
 	// freshListInterval is the time between two looks whether it is there.
 	freshListTimeout  = time.Second
@@ -24,9 +23,8 @@
 // if a list of targets that was read since has it at its address with the start that it had.
 func (x *exchange) mayHaveRestarted() bool {
 	e := x.call.entry
-	last, _ := e.fleet.standstills.Observe()
-	endedAt := last.EndedAt
-	if endedAt.Before(x.start) || time.Since(endedAt) > lateReadTime {
+	endedAt := e.fleet.standstills.Observe().EndedAt
+	if endedAt.Before(x.start) || time.Since(endedAt) > standstill.LateReadTime {
 		return false
 	}
 	return !e.awaitListSince(x.call.r.Context(), endedAt) || !e.fleet.listsIncarnation(x.choice)
--- a/machine/target/direct/succession_test.go
+++ b/machine/target/direct/succession_test.go
@@ -36,9 +36,9 @@
 func TestNewerVersionIsFetchedFirstAndLoadedDirectly(t *testing.T) {
 	r := newTargetOf(t, newLoadingEngine(t)).reconciler
 	now := time.Now()
-	r.target.announced.ApplyPeerAges(now, []contract.AnnouncedVersion{
+	r.target.announced.ApplyPeerAges(r.target.bootClock(), []contract.AnnouncedVersion{
 		{Model: testModel, Version: 2, AgeMS: 2000, Witnessed: true}, {Model: testModel, Version: 3, Witnessed: true},
-	})
+	}, false)
 	r.recordReport(platform.Report{Born: 1, Model: roster.Model{Version: 1, Layers: testLayers}}, true)
 	older, newer := emptyCandidate(t, 2), emptyCandidate(t, 3)
 	r.candidates = []*candidate{older, newer}
@@ -82,9 +82,9 @@
 func TestFetchDoesNotWaitWithoutNeed(t *testing.T) {
 	r := newTargetOf(t, newLoadingEngine(t)).reconciler
 	now := time.Now()
-	r.target.announced.ApplyPeerAges(now, []contract.AnnouncedVersion{
+	r.target.announced.ApplyPeerAges(r.target.bootClock(), []contract.AnnouncedVersion{
 		{Model: testModel, Version: 2, AgeMS: 2000, Witnessed: true}, {Model: testModel, Version: 3, Witnessed: true},
-	})
+	}, false)
 	r.recordReport(platform.Report{Born: 1, Model: roster.Model{Version: 2, Layers: testLayers}}, true)
 	if r.loadedVersion() != 2 {
 		t.Fatalf("loadedVersion() = %d, want 2", r.loadedVersion())
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -37,10 +37,10 @@
 	// operatorsRewriteTimeout is how long records are kept that the store lost when it came
 	// back from an older copy.
 	operatorsRewriteTimeout = 10 * time.Second
-	// pauseCheckInterval is the time between two looks whether the process stood still, and minLoggedPause
-	// the shortest standstill that is logged.
+	// pauseCheckInterval is the time between two looks whether the process stood still, and minPause
+	// the shortest standstill that is logged, and after which heartbeats may be read late.
 	pauseCheckInterval = 250 * time.Millisecond
-	minLoggedPause     = pauseCheckInterval + 500*time.Millisecond
+	minPause           = 2 * pauseCheckInterval
 )
 
 // Target is the process beside one model engine.
@@ -53,7 +53,9 @@
 	peers   *peers.Peers
 	feed    *feed.Feed
 	// bootClock goes on while the machine is suspended. The announcements of versions go by it.
-	bootClock  func() time.Time
+	bootClock func() time.Time
+	// pauses notices when the process stood still.
+	pauses     *standstill.Detector
 	catchup    *peers.Catchup
 	reconciler *reconciler
 
@@ -73,6 +75,7 @@
 		store:     platform.NewStore(process.Fleet.Store),
 		bound:     process.Fleet.Bounds.OldVersionGrace,
 		bootClock: boottime.Time,
+		pauses:    standstill.NewDetector(minPause),
 		announced: upgrade.NewVersionTracker(boottime.Time()),
 	}
 	t.meters = newMeters(t.metrics.Scope())
@@ -150,8 +153,7 @@
 	wg.Go(func() { t.reconciler.run(ctx) })
 	wg.Go(func() { t.catchup.Run(ctx) })
 	wg.Go(func() { t.metrics.Serve(ctx, t.process.Fleet.MetricsAddress, t.log) })
-	pauses := standstill.NewDetectorWithClock(minLoggedPause, t.bootClock)
-	wg.Go(func() { periodic.Run(ctx, pauseCheckInterval, func() { pauses.Log(t.log) }) })
+	wg.Go(func() { periodic.Run(ctx, pauseCheckInterval, func() { t.pauses.Log(t.log) }) })
 	wg.Go(func() { periodic.Run(ctx, gaugeInterval, func() { t.meters.updateGauges(t) }) })
 	wg.Wait()
 	t.log.Info("stopped")
@@ -190,7 +192,7 @@
 func (t *Target) applyPeerAges(hb contract.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.announced.ApplyPeerAges(t.bootClock(), hb.Announced) {
+	for _, v := range t.announced.ApplyPeerAges(t.bootClock(), hb.Announced, t.pauses.MayReadLate()) {
 		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
--- a/machine/target/direct/versionage_test.go
+++ b/machine/target/direct/versionage_test.go
@@ -8,9 +8,20 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/standstill"
 	"mimosastand.example/mimosastand/weights/upgrade"
 )
 
+// newSuspendableTarget returns a process that knows no version, on a machine with a clock that goes on while the
+// machine is suspended.
+func newSuspendableTarget(bootClock func() time.Time) *Target {
+	return &Target{
+		log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}, bound: 8 * time.Second,
+		bootClock: bootClock, announced: upgrade.NewVersionTracker(bootClock()), pauses: standstill.NewDetectorWithClock(minPause, bootClock),
+	}
+}
+
 // Guards against requests that begin on weights that are too old (VERSION, incident inc1): the process beside an engine
 // told entries that had started again an age that lacked the time for which its machine had been suspended, and the
 // engine took its turn to load by that age.
@@ -19,10 +30,7 @@
 		const suspension, passed = 3 * time.Second, 4 * time.Second
 		asleep := time.Duration(0)
 		bootClock := func() time.Time { return time.Now().Add(asleep) }
-		target := &Target{
-			log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}, bound: 8 * time.Second,
-			bootClock: bootClock, announced: upgrade.NewVersionTracker(bootClock()),
-		}
+		target := newSuspendableTarget(bootClock)
 		target.applyAnnouncement(testModel, []byte(`{"version":3}`), time.Now())
 		asleep = suspension
 		time.Sleep(passed)
@@ -39,3 +47,17 @@
 		}
 	})
 }
+
+// Guards against requests that begin on weights that are too old (VERSION): the process beside an engine stood still
+// with a heartbeat unread, and passed the age in it on to entries as that of a witness.
+func TestVersionAgeReadAfterStandstillIsNoWitness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := newSuspendableTarget(time.Now)
+		target.pauses.Observe()
+		time.Sleep(4 * time.Second)
+		target.applyPeerAges(contract.Heartbeat{Announced: []contract.AnnouncedVersion{{Model: testModel, Version: 3, AgeMS: 1000, Witnessed: true}}})
+		if ages := target.versionAges(); len(ages) != 1 || ages[0].Witnessed {
+			t.Errorf("ages in the heartbeat: %+v, want one without a witness", ages)
+		}
+	})
+}
--- a/weights/upgrade/versions.go
+++ b/weights/upgrade/versions.go
@@ -33,11 +33,12 @@
 }
 
 // ApplyPeerAges applies the ages in a peer's heartbeat and returns those that added
-// information. It ignores versions below FirstVersion, which come from malformed heartbeats.
-func (t *VersionTracker) ApplyPeerAges(now time.Time, reported []contract.AnnouncedVersion) []contract.AnnouncedVersion {
+// information. isLate reports whether the heartbeat may have been read long after it arrived: ages in it are too
+// short then, and do not count as those of a witness. It ignores versions below FirstVersion, which come from malformed heartbeats.
+func (t *VersionTracker) ApplyPeerAges(now time.Time, reported []contract.AnnouncedVersion, isLate bool) []contract.AnnouncedVersion {
 	var changed []contract.AnnouncedVersion
 	for _, r := range reported {
-		age := VersionAge{Number: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond, Witnessed: r.Witnessed}
+		age := VersionAge{Number: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond, Witnessed: r.Witnessed && !isLate}
 		if r.Version >= FirstVersion && t.ForModel(r.Model).ApplyPeerAge(now, age) {
 			changed = append(changed, r)
 		}
