Tests that script servers byte by byte share their listener

Four tests of two packages each had the same loop that accepts connections; it is internal/testserver now. One comment is reworded.

--- a/link/pinned.go
+++ b/link/pinned.go
@@ -27,7 +27,7 @@
 // Short returns the beginning of the fingerprint, for logs.
 func (f Fingerprint) Short() string { return string(f[:min(len(f), shortFingerprintDigits)]) }
 
-// shortFingerprintDigits tells the runs of one machine apart.
+// shortFingerprintDigits is enough to distinguish the runs of one machine.
 const shortFingerprintDigits = 12
 
 // certificateValidity is how long a self-signed certificate is valid before and after
--- a/machine/entry/direct/answers_test.go
+++ b/machine/entry/direct/answers_test.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/internal/metrics"
+	"mimosastand.example/mimosastand/internal/testserver"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/platform"
 	"mimosastand.example/mimosastand/zone/catalog"
@@ -27,38 +28,24 @@
 // it; an empty text closes the connection.
 func scriptedTarget(t *testing.T, answer func(request int, r *http.Request) string) (address string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
+	return testserver.ServeConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					text := answer(n, r)
-					if text == "" {
-						return
-					}
-					if _, err := io.WriteString(conn, text); err != nil {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := answer(n, r)
+			if text == "" {
+				return
+			}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
 		}
-	}()
-	return lis.Addr().String()
+	})
 }
 
 // answerText is an answer of a target; an attempt of "" leaves its name out.
--- a/machine/entry/direct/hedge_test.go
+++ b/machine/entry/direct/hedge_test.go
@@ -18,6 +18,7 @@
 
 	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/contract"
+	"mimosastand.example/mimosastand/internal/testserver"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/platform"
@@ -196,25 +197,11 @@
 // connTarget answers the first request on each connection with what answer writes.
 func connTarget(t *testing.T, answer func(conn net.Conn, r *http.Request)) (address string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn, r)
-				}
-			}()
+	return testserver.ServeConns(t, func(conn net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			answer(conn, r)
 		}
-	}()
-	return lis.Addr().String()
+	})
 }
 
 // leavingCaller leaves while the answer is written.
--- a/machine/entry/direct/slowreaders_test.go
+++ b/machine/entry/direct/slowreaders_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"mimosastand.example/mimosastand/internal/testserver"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -33,22 +34,8 @@
 // for unreadTimeout. It returns its address and the number of answers that it has cut.
 func impatientEngine(t *testing.T) (address string, cuts *atomic.Int64) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
 	cuts = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go sendImpatiently(conn.(*net.TCPConn), cuts)
-		}
-	}()
-	return lis.Addr().String(), cuts
+	return testserver.ServeConns(t, func(conn net.Conn) { sendImpatiently(conn.(*net.TCPConn), cuts) }), cuts
 }
 
 // slowAnswer is the answer of an impatientEngine to a request named a.
--- a/machine/target/backend/invalidstatus_test.go
+++ b/machine/target/backend/invalidstatus_test.go
@@ -10,34 +10,22 @@
 	"testing"
 
 	"github.com/cockroachdb/errors"
+
+	"mimosastand.example/mimosastand/internal/testserver"
 )
 
 // startRawServer starts a service that answers each call with text, which need not be a valid response.
 func startRawServer(t *testing.T, text string) (url string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, text)
-			}()
+	return "http://" + testserver.ServeConns(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return "http://" + lis.Addr().String()
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, text)
+	})
 }
 
 // Guards against an answer with the status 000, or another one that is no final status, that counts as the
