A version is dated by when it was last known to be absent, and by the witness that knows that best (VERSION)

Cause: a process that read a version's record within 2.5 s of an answer without it was a witness, and dated the announcement by when it read the record. The margins of entries (0.5 and 1.8 s) do not cover that.

Change: a witness says how long before its date the version may have been announced. The date of the witness with the least uncertainty is kept and passed on, and the version counts as announced as early as it allows, less 0.25 s. A standstill adds its length to the uncertainty of what is heard. Entries spread the ends of their reads of operators' records, and look again soon after a record, so that some entry's uncertainty is short. Heartbeats carry it in a field of its own, which older releases ignore; theirs counts as 2.5 s.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -33,6 +33,8 @@
 	// Announced lists for how long recently announced versions have been known, so that
 	// processes that learn of them late count from the same time.
 	Announced []AnnouncedVersion `cbor:"12,keyasint,omitempty"`
+	// UncertainMS holds AnnouncedVersion.UncertainMS of each element of Announced: the format of lists is fixed.
+	UncertainMS []uint32 `cbor:"26,keyasint,omitempty"`
 	// StoreEra is the newest era of the platform's store that the sender knows; 0 if none.
 	StoreEra int64 `cbor:"14,keyasint,omitempty"`
 	// RateLimits lists the rates to which targets limit all entries, and the limits that
@@ -151,9 +153,33 @@
 	Model   string
 	Version int64
 	// AgeMS is the time in milliseconds from the announcement to the heartbeat, at least;
-	// Witnessed reports that no more time has passed, unless the sender capped AgeMS.
+	// Witnessed reports that no more than AgeMS and UncertainMS have passed, unless the sender capped AgeMS.
 	AgeMS     uint32
 	Witnessed bool
+	// UncertainMS is sent in Heartbeat.UncertainMS.
+	UncertainMS uint32 `cbor:"-"`
+}
+
+// assumedUncertainMS is the UncertainMS of a sender that does not send any: a release that took a process for a
+// witness if it had read the operators' records within this time.
+const assumedUncertainMS = 2500
+
+// PackAnnounced prepares the announced versions for sending.
+func (hb *Heartbeat) PackAnnounced() {
+	hb.UncertainMS = nil
+	for _, v := range hb.Announced {
+		hb.UncertainMS = append(hb.UncertainMS, v.UncertainMS)
+	}
+}
+
+// UnpackAnnounced completes the announced versions after receipt.
+func (hb *Heartbeat) UnpackAnnounced() {
+	for i := range hb.Announced {
+		hb.Announced[i].UncertainMS = assumedUncertainMS
+		if i < len(hb.UncertainMS) {
+			hb.Announced[i].UncertainMS = hb.UncertainMS[i]
+		}
+	}
 }
 
 // EngineStatus is the state of a model engine, which the process beside it reports to
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -31,8 +31,7 @@
 	bootClock func() time.Time
 
 	mu sync.Mutex
-	// observedBoot and observedAt are the times of the last observation by bootClock and the monotonic clock;
-	// zero before there was one.
+	// observedBoot and observedAt are the times of the last observation by bootClock and the monotonic clock.
 	observedBoot, observedAt time.Time
 	last                     Standstill
 	// loggedAt is the end of the last standstill that was logged.
@@ -44,7 +43,7 @@
 
 // NewDetectorWithClock is NewDetector with a clock that takes the place of boottime.Time.
 func NewDetectorWithClock(min time.Duration, bootClock func() time.Time) *Detector {
-	return &Detector{min: min, bootClock: bootClock}
+	return &Detector{min: min, bootClock: bootClock, observedBoot: bootClock(), observedAt: time.Now()}
 }
 
 // Restart begins the observations after a time without any.
@@ -59,7 +58,7 @@
 	boot, now := d.bootClock(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if lasted := boot.Sub(d.observedBoot); !d.observedAt.IsZero() && lasted >= d.min {
+	if lasted := boot.Sub(d.observedBoot); lasted >= d.min {
 		suspended := max(lasted-now.Sub(d.observedAt), 0)
 		d.last = Standstill{EndedAt: now, Lasted: lasted, Suspended: suspended}
 	}
@@ -67,11 +66,14 @@
 	return d.last
 }
 
-// MayReadLate reports whether what is read now may have arrived before the end of a standstill, so that ages
-// in it are too short.
-func (d *Detector) MayReadLate() bool {
+// ReadDelay returns how long before now what is read now may have arrived, because of a standstill; 0 if the
+// process ran all the while.
+func (d *Detector) ReadDelay() time.Duration {
 	last := d.Observe()
-	return !last.EndedAt.IsZero() && time.Since(last.EndedAt) < LateReadTime
+	if last.EndedAt.IsZero() || time.Since(last.EndedAt) >= LateReadTime {
+		return 0
+	}
+	return last.Lasted
 }
 
 // Log observes, and logs a standstill that has not been logged.
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -138,6 +138,7 @@
 	e.operatorsFeed = feed.New(e.store, feed.Options{
 		Topic:           platform.TopicOperators,
 		MaxWait:         operatorsPollTimeout,
+		MinWait:         operatorsPollTimeout / 2,
 		ReadInterval:    e.operatorsReadInterval,
 		TakeoverAge:     e.operatorsTakeoverAge,
 		PeerGracePeriod: e.operatorsPeerGracePeriod,
--- a/machine/entry/direct/records.go
+++ b/machine/entry/direct/records.go
@@ -79,8 +79,8 @@
 // applyPeerAges applies the ages that a peer reports of versions: the time that has passed
 // since their announcement, at least.
 func (fs *fleetState) applyPeerAges(hb contract.Heartbeat) {
-	for _, v := range fs.announced.ApplyPeerAges(fs.bootClock(), hb.Announced, fs.pauses.MayReadLate()) {
-		fs.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
+	for _, v := range fs.announced.ApplyPeerAges(fs.bootClock(), hb.Announced, fs.pauses.ReadDelay()) {
+		fs.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).WithField("uncertain_ms", v.UncertainMS).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
 }
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -22,6 +22,8 @@
 	// defaultTriggerDelay is the shortest delay to which TriggerRead can cut the delay
 	// before the next read, however often it is called.
 	defaultTriggerDelay = 150 * time.Millisecond
+	// recheckWait is how long a read waits after new records if Options.MinWait is set.
+	recheckWait = 150 * time.Millisecond
 )
 
 // Options defines how a Feed follows its topic.
@@ -31,6 +33,10 @@
 	// returns the delay until the next read, which TriggerRead shortens; nil means none.
 	MaxWait      time.Duration
 	ReadInterval func() time.Duration
+	// MinWait, if not 0, makes each read wait for another time between MinWait and MaxWait, and only briefly after
+	// new records: an answer without records dates the records that follow (Update.CaughtUpAt), and reads
+	// that wait end together at many processes when a record is written.
+	MinWait time.Duration
 	// TakeoverAge returns how old the store's last confirmation of the topic's end must be,
 	// whichever process received it, for the feed to call the store itself. With 0 or a nil
 	// function the feed calls it whatever peers report. TriggerRead and Refresh override it.
@@ -251,7 +257,7 @@
 func (f *Feed) read(ctx context.Context) (platform.Batch, error) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wait := f.opts.MaxWait
+	wait := f.nextWait()
 	f.mu.Lock()
 	f.cancelRead = cancel
 	if f.refreshPending {
@@ -270,6 +276,18 @@
 	return batch, err
 }
 
+// nextWait returns how long the next read waits for a record.
+func (f *Feed) nextWait() time.Duration {
+	switch spread := f.opts.MaxWait - f.opts.MinWait; {
+	case f.opts.MinWait <= 0 || spread <= 0:
+		return f.opts.MaxWait
+	case f.lastCall.hasRecords:
+		return min(recheckWait, f.opts.MaxWait)
+	default:
+		return f.opts.MinWait + rand.N(spread)
+	}
+}
+
 // nextPosition returns the position from which the next read continues. Records received from
 // peers are not read again. f.mu must be held.
 func (f *Feed) nextPosition() int64 {
--- a/machine/feed/lateanswer_test.go
+++ b/machine/feed/lateanswer_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -73,3 +74,53 @@
 	reply = binary.BigEndian.AppendUint32(reply, uint32(len(record)))
 	return append(reply, record...)
 }
+
+// Guards against requests that are refused although they may begin on the weights of an engine: of two records that are
+// written within the time for which a read waits, the second one was dated by when the read of the first one began, up to
+// twice that time ago.
+func TestRecordThatFollowsAnotherIsDatedClosely(t *testing.T) {
+	t.Parallel()
+	const maxWait, apart, slack = 600 * time.Millisecond, 500 * time.Millisecond, 150 * time.Millisecond
+	started := time.Now()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "newest") {
+			_, _ = w.Write([]byte(`{"items":[],"has_more":false,"end_offset":0}`))
+			return
+		}
+		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+		waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		if from > 1 {
+			<-r.Context().Done()
+			return
+		}
+		untilRecord := time.Until(started.Add(time.Duration(from+1) * apart))
+		if wait := time.Duration(waitMS) * time.Millisecond; wait < untilRecord {
+			time.Sleep(wait)
+			_, _ = w.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, uint64(from)), 0))
+			return
+		}
+		time.Sleep(untilRecord)
+		_, _ = w.Write(readReply(uint64(from)+1, strconv.Itoa(from), "value"))
+	}))
+	t.Cleanup(server.Close)
+	updates := make(chan Update, 8)
+	f := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Options{
+		Topic: platform.TopicOperators, MaxWait: maxWait, MinWait: maxWait - 10*time.Millisecond, OnChange: func(u Update) { updates <- u },
+		Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	var update Update
+	for len(update.Records) == 0 || update.Records[0].Key != "1" {
+		update = <-updates
+	}
+	if gap := time.Since(update.CaughtUpAt); gap > apart+slack {
+		t.Errorf("the second record is dated by an answer %v before it, want at most %v", gap, apart+slack)
+	}
+	cancel()
+	<-done
+}
--- a/machine/peers/links.go
+++ b/machine/peers/links.go
@@ -143,6 +143,7 @@
 		hb.Members = p.memberFeed.Progress()
 	}
 	p.opts.FillHeartbeat(peer.Machine, &hb)
+	hb.PackAnnounced()
 	return hb
 }
 
@@ -156,6 +157,7 @@
 		p.setLink(hb.Machine, c)
 	}
 	p.memberCatchup.ObservePeer(hb.Machine, hb.Members)
+	hb.UnpackAnnounced()
 	p.opts.OnHeartbeat(hb)
 }
 
--- a/machine/target/direct/target.go
+++ b/machine/target/direct/target.go
@@ -192,8 +192,8 @@
 func (t *Target) applyPeerAges(hb contract.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.announced.ApplyPeerAges(t.bootClock(), hb.Announced, t.pauses.MayReadLate()) {
-		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).
+	for _, v := range t.announced.ApplyPeerAges(t.bootClock(), hb.Announced, t.pauses.ReadDelay()) {
+		t.log.WithField("model", v.Model).WithField("version", v.Version).WithField("age_ms", v.AgeMS).WithField("witnessed", v.Witnessed).WithField("uncertain_ms", v.UncertainMS).
 			WithField("peer", string(hb.Machine)).Info("version age received from peer")
 	}
 }
--- a/weights/upgrade/announced.go
+++ b/weights/upgrade/announced.go
@@ -22,11 +22,9 @@
 	// peerAgeTimeout is how long after its start a process waits for peers to report the
 	// age of a version that it found announced when it started.
 	peerAgeTimeout = 1500 * time.Millisecond
-	// witnessGapLimit is the longest time since the operators' records were last read to
-	// their end for which a version in the next records still counts as announced now.
-	// A read waits up to 1.5 s for a new record (operatorsPollTimeout in
-	// machine/entry/direct), so this time passes also without a gap.
-	witnessGapLimit = 2500 * time.Millisecond
+	// datingTolerance is how much later than announced a version may be dated. It is below BeginMargin, which
+	// allows for it.
+	datingTolerance = 250 * time.Millisecond
 	// propagationDelay is how long a record takes to reach all processes. Smaller
 	// differences between reported times carry no information.
 	propagationDelay = 250 * time.Millisecond
@@ -34,12 +32,10 @@
 
 // AnnouncedVersions records which versions of a model operators have announced, and when.
 //
-// The store does not record when a version was announced. A process that reads the
-// operators' records without a gap sees the announcement as it happens: it is a witness.
-// Other processes learn of it late, because they started afterwards, were suspended or
-// were disconnected. Their peers report to them how long the version has been known, and
-// whether a witness dated it. Until a witness's report arrives, the earliest possible time
-// counts as the time of the announcement.
+// The store does not record when a version was announced. A process that reads the operators' records while it
+// runs is a witness: the announcement was made since it had last read them to their end, and it may have been
+// made as early as that. Peers report to each other the date by the witness with the shortest such time. Until a
+// process knows a date, the earliest possible time counts as the time of the announcement.
 //
 // All times are of a clock that goes on while the machine is suspended: ages that lacked a suspension would date
 // a version too late.
@@ -53,12 +49,14 @@
 type announcedVersion struct {
 	number int64
 	// knownSince is the earliest time at which any process is known to have known the
-	// version. witnessed means that this is when the version was announced.
+	// version.
 	knownSince time.Time
-	witnessed  bool
-	// absentAt is a time at which the version had not been announced yet; zero if none is
-	// known.
-	absentAt time.Time
+	// witnessed reports whether a witness's date is known: the version was announced at witnessedAt, or up to
+	// uncertainty before. That of the witness with the least uncertainty is kept: it is the same at all processes that
+	// pass it on, while the times that they receive are late by their links.
+	witnessed   bool
+	witnessedAt time.Time
+	uncertainty time.Duration
 	// hasRecord reports whether this process has read the record of the version.
 	hasRecord bool
 }
@@ -67,9 +65,10 @@
 type VersionAge struct {
 	Number int64
 	Age    time.Duration
-	// Witnessed reports whether a witness dated the version, so that no more than Age has
-	// passed, unless Ages capped it.
-	Witnessed bool
+	// Witnessed reports whether Age is a witness's: then no more than Age and Uncertainty have passed, unless Ages
+	// capped Age.
+	Witnessed   bool
+	Uncertainty time.Duration
 }
 
 // NewAnnouncedVersions returns the empty state of a process that started at the given time.
@@ -88,8 +87,7 @@
 	}
 	v := announcedVersion{number: number, knownSince: now}
 	if !caughtUpAt.IsZero() {
-		v.witnessed = now.Sub(caughtUpAt) <= witnessGapLimit
-		v.absentAt = caughtUpAt
+		v.setWitness(now, now.Sub(caughtUpAt))
 	}
 	known := a.merge(v)
 	known.hasRecord = true
@@ -101,16 +99,40 @@
 // added information.
 func (a *AnnouncedVersions) ApplyPeerAge(now time.Time, reported VersionAge) bool {
 	knownSince := now.Add(-reported.Age)
+	v := announcedVersion{number: reported.Number, knownSince: knownSince}
+	if reported.Witnessed {
+		v.setWitness(knownSince, reported.Uncertainty)
+	}
 	known := a.find(reported.Number)
-	changed := known == nil || reported.Witnessed && !known.witnessed || known.knownSince.Sub(knownSince) >= propagationDelay
-	a.merge(announcedVersion{number: reported.Number, knownSince: knownSince, witnessed: reported.Witnessed})
+	changed := known == nil || known.knownSince.Sub(knownSince) >= propagationDelay ||
+		v.witnessed && (!known.witnessed || known.uncertainty-v.uncertainty >= propagationDelay)
+	a.merge(v)
 	a.trim()
 	return changed
 }
 
+// setWitness sets the date of a witness that learned of the version at a time. The uncertainty is rounded up to
+// the unit in which peers report it.
+func (v *announcedVersion) setWitness(at time.Time, uncertainty time.Duration) {
+	const unit = time.Millisecond
+	v.witnessed, v.witnessedAt = true, at
+	v.uncertainty = (max(uncertainty, 0) + unit - 1).Truncate(unit)
+}
+
+// isBetterWitness reports whether the date of v is to replace that of known.
+func (v *announcedVersion) isBetterWitness(known *announcedVersion) bool {
+	switch {
+	case !v.witnessed || !known.witnessed:
+		return v.witnessed
+	case v.uncertainty != known.uncertainty:
+		return v.uncertainty < known.uncertainty
+	default:
+		return v.witnessedAt.Before(known.witnessedAt)
+	}
+}
+
 // merge combines v with what is known of the same version and returns the result. The
-// earlier knownSince and the first known absentAt are kept; the version is witnessed if
-// either is. The pointer is valid until the next insert or trim.
+// earlier knownSince and the better witness are kept. The pointer is valid until the next insert or trim.
 func (a *AnnouncedVersions) merge(v announcedVersion) *announcedVersion {
 	known := a.find(v.number)
 	if known == nil {
@@ -119,9 +141,8 @@
 	if v.knownSince.Before(known.knownSince) {
 		known.knownSince = v.knownSince
 	}
-	known.witnessed = known.witnessed || v.witnessed
-	if known.absentAt.IsZero() {
-		known.absentAt = v.absentAt
+	if v.isBetterWitness(known) {
+		known.witnessed, known.witnessedAt, known.uncertainty = true, v.witnessedAt, v.uncertainty
 	}
 	return known
 }
@@ -151,11 +172,13 @@
 func (a *AnnouncedVersions) trim() {
 	for len(a.versions) > maxRememberedVersions {
 		oldest, next := a.versions[0], &a.versions[1]
-		hasNoInfluence := next.witnessed && oldest.witnessed && !next.knownSince.After(oldest.knownSince)
+		hasNoInfluence := next.witnessed && oldest.witnessed && !next.witnessedDate().After(oldest.witnessedDate())
 		if !hasNoInfluence && len(a.versions) <= maxRunningVersions {
 			return
 		}
-		next.knownSince, next.witnessed, next.absentAt = oldest.knownSince, oldest.witnessed, oldest.absentAt
+		number, hasRecord := next.number, next.hasRecord
+		*next = oldest
+		next.number, next.hasRecord = number, hasRecord
 		a.versions = slices.Delete(a.versions, 0, 1)
 	}
 }
@@ -168,21 +191,21 @@
 	}
 }
 
+// witnessedDate returns a time at which v had not been announced for longer than datingTolerance, by its witness.
+func (v *announcedVersion) witnessedDate() time.Time {
+	return earlier(v.knownSince, v.witnessedAt.Add(-max(v.uncertainty-datingTolerance, 0)))
+}
+
 // announcedAt returns the time that counts as the announcement of v; requests may start on
-// an older version until bound after it. If a witness has dated v, it is knownSince.
-// Otherwise it is the earlier of knownSince and absentAt or, if absentAt is not known, of
+// an older version until bound after it. Without a witness it is the earlier of
 // knownSince and the process's start plus peerAgeTimeout, less (bound - margin): then
 // what ends margin before the bound ends peerAgeTimeout after the start of this process at
 // the latest.
 func (a *AnnouncedVersions) announcedAt(v announcedVersion, bound, margin time.Duration) time.Time {
-	switch {
-	case v.witnessed:
-		return v.knownSince
-	case !v.absentAt.IsZero():
-		return earlier(v.knownSince, v.absentAt)
-	default:
-		return earlier(v.knownSince, a.started.Add(peerAgeTimeout+margin-bound))
+	if v.witnessed {
+		return v.witnessedDate()
 	}
+	return earlier(v.knownSince, a.started.Add(peerAgeTimeout+margin-bound))
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -200,9 +223,13 @@
 	var list []VersionAge
 	for _, v := range a.versions {
 		age := now.Sub(v.knownSince)
-		if age < limit || v.number == a.Newest() {
-			list = append(list, VersionAge{Number: v.number, Age: min(age, limit), Witnessed: v.witnessed})
+		if age >= limit && v.number != a.Newest() {
+			continue
+		}
+		if v.witnessed {
+			age = now.Sub(v.witnessedAt)
 		}
+		list = append(list, VersionAge{Number: v.number, Age: min(age, limit), Witnessed: v.witnessed, Uncertainty: v.uncertainty})
 	}
 	return list
 }
--- a/weights/upgrade/versions.go
+++ b/weights/upgrade/versions.go
@@ -1,6 +1,7 @@
 package upgrade
 
 import (
+	"math"
 	"time"
 
 	"mimosastand.example/mimosastand/contract"
@@ -33,12 +34,15 @@
 }
 
 // ApplyPeerAges applies the ages in a peer's heartbeat and returns those that added
-// information. isLate reports whether the heartbeat may have been read long after it arrived: ages in it are too
-// short then, and do not count as those of a witness. It ignores versions below FirstVersion, which come from malformed heartbeats.
-func (t *VersionTracker) ApplyPeerAges(now time.Time, reported []contract.AnnouncedVersion, isLate bool) []contract.AnnouncedVersion {
+// information. delay is how long before now the heartbeat may have arrived: the ages in it may be too short by
+// as much. It ignores versions below FirstVersion, which come from malformed heartbeats.
+func (t *VersionTracker) ApplyPeerAges(now time.Time, reported []contract.AnnouncedVersion, delay time.Duration) []contract.AnnouncedVersion {
 	var changed []contract.AnnouncedVersion
 	for _, r := range reported {
-		age := VersionAge{Number: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond, Witnessed: r.Witnessed && !isLate}
+		age := VersionAge{
+			Number: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond,
+			Witnessed: r.Witnessed, Uncertainty: time.Duration(r.UncertainMS)*time.Millisecond + delay,
+		}
 		if r.Version >= FirstVersion && t.ForModel(r.Model).ApplyPeerAge(now, age) {
 			changed = append(changed, r)
 		}
@@ -53,6 +57,7 @@
 		for _, a := range versions.Ages(now, reportedBounds*bound) {
 			list = append(list, contract.AnnouncedVersion{
 				Model: model, Version: a.Number, AgeMS: uint32(max(a.Age.Milliseconds(), 0)), Witnessed: a.Witnessed,
+				UncertainMS: uint32(min(a.Uncertainty.Milliseconds(), math.MaxUint32)),
 			})
 		}
 	}
