--- a/machine/entry/direct/resume_test.go
+++ b/machine/entry/direct/resume_test.go
@@ -7,11 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"mimosastand.example/mimosastand/contract"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
+	"mimosastand.example/mimosastand/machine/feed"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
 	"mimosastand.example/mimosastand/zone/roster"
@@ -128,3 +132,36 @@
 		}
 	}
 }
+
+// Guards against requests that begin on weights that are too old (VERSION): a stream that broke off was continued at an
+// engine with the version that its caller had, past the bound of that version. When no engine may continue it, its
+// caller must not wait for one.
+func TestStreamIsNotContinuedPastBoundOfItsVersion(t *testing.T) {
+	for passed, wantPlaced := range map[time.Duration]bool{time.Second: true, 8 * time.Second: false} {
+		synctest.Test(t, func(t *testing.T) {
+			fs := newStartedState(8*time.Second, 2)
+			fs.applyTargetRecords(feed.Update{Records: []contract.Record{{Key: "target-1", Offset: 1, Value: []byte(
+				`{"service":"models","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","seq_no":1,"born":1,"stage":"both",` +
+					`"models":[{"name":"daka","version":2,"layers":[{"from":0,"to":4,"version":2}]}]}`)}}})
+			fs.applyOperatorRecords(announcementOf(3))
+			time.Sleep(passed)
+			c := &call{
+				entry: &Entry{fleet: fs}, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), arrived: time.Now(), service: testService,
+				route: &catalog.Route{Kind: catalog.Streaming, Resumable: true}, deadline: time.Now().Add(time.Minute),
+				headSent: true, pinnedVersion: 2, attemptsSent: 1,
+			}
+			asked := time.Now()
+			choice, reason, _ := c.placeAttempt(context.Background())
+			if placed := reason == ""; placed != wantPlaced {
+				t.Errorf("%v after version 3 was announced: placed at %q, reason %q, want placed = %v", passed, choice.ID, reason, wantPlaced)
+			}
+			if took := time.Since(asked); took > 0 {
+				t.Errorf("%v after version 3 was announced: decided after %v, want at once", passed, took)
+			}
+			x := newExchange(c, placement.Choice{ID: "target-1", Version: 2})
+			if got := x.isTooOld(); got == wantPlaced {
+				t.Errorf("%v after version 3 was announced: isTooOld() = %v for an attempt that has not begun, want %v", passed, got, !wantPlaced)
+			}
+		})
+	}
+}
