A stream is not continued on weights whose bound has ended (VERSION)

Change: the bound holds for attempts that continue a stream as for all others, in the choice of a target, in the queue and while an attempt waits. When it has ended the stream ends at once: no engine may continue it later. The case 'goes on with a stream' of TestWaitingAttemptIsGivenUpWhenVersionEnds demanded the exception; it demands the bound now.

--- a/machine/entry/direct/call.go
+++ b/machine/entry/direct/call.go
@@ -201,9 +201,7 @@
 // within limit.
 func (c *call) requirements(limit time.Duration) placement.Requirements {
 	req := c.targetRequirements()
-	if req.Pinned == 0 {
-		req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
-	}
+	req.MinVersion = c.entry.fleet.oldestSendable(c.service, limit, c.route.IsRepeatable())
 	return req
 }
 
@@ -257,7 +255,7 @@
 		if refusal == placement.Placed {
 			return c.confirmAttempt(choice)
 		}
-		if time.Now().After(until) || isFinal(refusal) && !c.headSent {
+		if time.Now().After(until) || isFinal(refusal) && (!c.headSent || req.IsOutdated()) {
 			c.record.setSurvey(c.entry.fleet.surveyTargets(c.service, req, limit))
 			return choice, refusalReason(refusal), c.entry.fleet.retryAfter(c.service, req, limit)
 		}
--- a/machine/entry/direct/checkloop_test.go
+++ b/machine/entry/direct/checkloop_test.go
@@ -81,7 +81,7 @@
 		"waiting":               {func(*attemptPair) {}, breakageOutdated},
 		"begun":                 {func(p *attemptPair) { p.current.begunAt = time.Now() }, ""},
 		"may run once only":     {func(p *attemptPair) { p.call.route = &catalog.Route{Kind: catalog.NonIdempotent} }, ""},
-		"goes on with a stream": {func(p *attemptPair) { p.current.pinned = 2 }, ""},
+		"goes on with a stream": {func(p *attemptPair) { p.current.pinned = 2 }, breakageOutdated},
 		"newest version":        {func(p *attemptPair) { p.current.choice.Version = 3 }, ""},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/machine/entry/direct/giveup.go
+++ b/machine/entry/direct/giveup.go
@@ -29,7 +29,7 @@
 
 // isTooOld reports whether a request may no longer begin on the weights that the target was known to hold.
 func (x *exchange) isTooOld() bool {
-	if x.pinned != 0 || x.choice.Version == 0 {
+	if x.choice.Version == 0 {
 		return false
 	}
 	return !x.call.entry.fleet.mayBegin(x.call.service, x.choice.Version)
--- a/machine/entry/direct/waiting.go
+++ b/machine/entry/direct/waiting.go
@@ -237,15 +237,13 @@
 func (fs *fleetState) tryPlace(now time.Time, w *waiter, spare int) (contention.Outcome, waitResult) {
 	req, limit := w.requirements, w.limit(now)
 	req.Spare = spare
-	if req.Pinned == 0 {
-		req.MinVersion = fs.oldestSendableLocked(w.service, limit, w.repeatable)
-	}
+	req.MinVersion = fs.oldestSendableLocked(w.service, limit, w.repeatable)
 	choice, refusal := fs.pool(w.service).Pick(now, req, limit)
 	switch {
 	case refusal == placement.Placed:
 		fs.pool(w.service).Sent(now, choice.ID)
 		return contention.Started, waitResult{choice: choice}
-	case isFinal(refusal) && !w.begun:
+	case isFinal(refusal) && (!w.begun || req.IsOutdated()):
 		return contention.Ended, waitResult{refusal: refusal, kind: refusedNoTarget}
 	default:
 		return contention.NoRoom, waitResult{refusal: refusal}
--- a/zone/placement/pool.go
+++ b/zone/placement/pool.go
@@ -70,6 +70,10 @@
 	Spare int
 }
 
+// IsOutdated reports whether only a version may continue the stream that is too old by now: no target will ever
+// fulfil the requirements.
+func (r Requirements) IsOutdated() bool { return r.Pinned != 0 && r.Pinned < r.MinVersion }
+
 // Choice is a target for an attempt, with the data that the choice is based on.
 type Choice struct {
 	ID      roster.TargetID
