A hedge that waits past the bound of its version is given up (VERSION)

What callers would see: a request begins on an older version past its bound, if a hedge waits at its target for longer than the margin with which it was sent.

Cause: the look at attempts that have not begun went to the first attempt only.

Change: the loop that has requests look at their attempts knows the hedge too, and one that has not begun and may not begin any more ends as a failed one; the first attempt goes on.

--- a/machine/entry/direct/checkloop.go
+++ b/machine/entry/direct/checkloop.go
@@ -131,5 +131,7 @@
 func (p *attemptPair) mayNeedCheck(basis checkBasis) bool {
 	x := p.watched.Load()
 	silence := basis.runTime - time.Duration(x.lastActivityRunTime.Load())
-	return basis.knowsCrashCauses || silence > x.minSilence() || x.choice.Version < basis.oldestBeginning[p.call.service]
+	oldest := basis.oldestBeginning[p.call.service]
+	hedge := p.watchedHedge.Load()
+	return basis.knowsCrashCauses || silence > x.minSilence() || x.choice.Version < oldest || hedge != nil && hedge.choice.Version < oldest
 }
--- a/machine/entry/direct/checkloop_test.go
+++ b/machine/entry/direct/checkloop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
@@ -20,7 +21,7 @@
 // that holds a version.
 func newWaitingPair(fs *fleetState, version int64) *attemptPair {
 	c := &call{
-		entry: &Entry{fleet: fs, checks: newCheckLoop(fs)}, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
+		entry: &Entry{fleet: fs, checks: newCheckLoop(fs), meters: newMeters(tally.NoopScope)}, r: httptest.NewRequest(http.MethodPost, "/chat/x", nil), service: testService,
 		route: &catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2}, deadline: time.Now().Add(time.Hour),
 	}
 	p := &attemptPair{call: c, current: newExchange(c, placement.Choice{ID: "target-1", Version: version}), checks: make(chan struct{}, 1)}
@@ -126,3 +127,28 @@
 		t.Errorf("the target's read ended with %v, want a reset", err)
 	}
 }
+
+// Guards against a hedge that begins on weights that are too old (VERSION): it waited at its target past the bound of
+// its version while the first attempt, at a target with newer weights, had not begun either.
+func TestWaitingHedgeIsGivenUpWhenVersionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 8 * time.Second
+		fs := newStartedState(bound, 2)
+		time.Sleep(bound)
+		fs.applyOperatorRecords(announcementOf(3))
+		p := newWaitingPair(fs, 3)
+		p.setHedge(newExchange(p.call, placement.Choice{ID: "target-2", Version: 2}))
+		p.giveUpOutdatedHedge()
+		if p.hedge == nil || p.mayNeedCheck(fs.checkBasis()) {
+			t.Error("the hedge is looked at or given up within the bound, want it to go on")
+		}
+		time.Sleep(bound)
+		if !p.mayNeedCheck(fs.checkBasis()) {
+			t.Error("nobody looks at the hedge at the bound")
+		}
+		p.giveUpOutdatedHedge()
+		if p.hedge != nil {
+			t.Error("the hedge goes on at the bound, want it given up")
+		}
+	})
+}
--- a/machine/entry/direct/giveup.go
+++ b/machine/entry/direct/giveup.go
@@ -11,7 +11,7 @@
 func (p *attemptPair) giveUpReason() breakage {
 	c, x := p.call, p.current
 	switch {
-	case len(x.parts) > 0 || !x.begunAt.IsZero():
+	case x.hasBegun():
 		return ""
 	case !c.probing && c.entry.fleet.shouldGiveUp(c.suspect):
 		return breakageCrashesTargets
@@ -21,6 +21,19 @@
 	return ""
 }
 
+// hasBegun reports whether the target has begun to answer.
+func (x *exchange) hasBegun() bool { return len(x.parts) > 0 || !x.begunAt.IsZero() }
+
+// giveUpOutdatedHedge ends the hedge if it has not begun and may no longer begin on the weights of its target.
+func (p *attemptPair) giveUpOutdatedHedge() {
+	if p.hedge == nil || p.hedge.hasBegun() || !p.hedge.isOutdated() {
+		return
+	}
+	p.hedge.abandon()
+	p.hedge.givenUp = true
+	p.hedgeFailed(part{ended: true, outcome: attempts.Lost})
+}
+
 // isOutdated reports whether the attempt may no longer begin on the weights of its target, which
 // are too old by now, and may be sent elsewhere.
 func (x *exchange) isOutdated() bool {
--- a/machine/entry/direct/hedge.go
+++ b/machine/entry/direct/hedge.go
@@ -21,10 +21,10 @@
 	current *exchange
 	// hedge is nil if no second attempt runs.
 	hedge *exchange
-	// checks has an element when the attempts are to be looked at, and watched holds the current
-	// one for the loop that decides so.
-	checks  chan struct{}
-	watched atomic.Pointer[exchange]
+	// checks has an element when the attempts are to be looked at. watched and watchedHedge hold them for
+	// the loop that decides so.
+	checks                chan struct{}
+	watched, watchedHedge atomic.Pointer[exchange]
 	// hedgeAfter is the run time of the process from which on the current attempt counts as slow, and
 	// hedgeDue when the loop is to have the request look at it next, in nanoseconds; 0 for never.
 	hedgeAfter time.Duration
@@ -98,6 +98,7 @@
 				}
 				continue
 			}
+			p.giveUpOutdatedHedge()
 			p.checkSilence()
 			p.checkSlow()
 		}
@@ -184,7 +185,7 @@
 		return
 	}
 	c.entry.meters.countHedge()
-	p.hedge = c.beginAttempt(p.ctx, choice)
+	p.setHedge(c.beginAttempt(p.ctx, choice))
 }
 
 // recordSilence records once that the target of the current attempt is silent.
@@ -239,9 +240,16 @@
 	p.promoteHedge()
 }
 
+// setHedge sets the hedge; nil for none.
+func (p *attemptPair) setHedge(x *exchange) {
+	p.hedge = x
+	p.watchedHedge.Store(x)
+}
+
 // promoteHedge makes the hedge the current attempt.
 func (p *attemptPair) promoteHedge() {
-	p.current, p.hedge = p.hedge, nil
+	p.current = p.hedge
+	p.setHedge(nil)
 	p.recordStart()
 }
 
@@ -258,7 +266,7 @@
 	got.release()
 	p.hedgeEnded(hedgeFailed)
 	p.call.attemptEnded(p.hedge, got.outcome)
-	p.hedge = nil
+	p.setHedge(nil)
 }
 
 // endAll abandons what is still under way: the hedge, and the current attempt if the request
@@ -284,7 +292,7 @@
 	p.call.attemptsSent++
 	p.call.mayHaveRun = true
 	p.call.entry.fleet.recordAttemptEnd(p.call.service, p.hedge.choice.ID)
-	p.hedge = nil
+	p.setHedge(nil)
 }
 
 // sendEvent sends an event of the current attempt to the caller. It reports false, and ends
--- a/machine/entry/direct/slowhedge.go
+++ b/machine/entry/direct/slowhedge.go
@@ -223,7 +223,7 @@
 		return
 	}
 	p.stopHedging()
-	p.hedge = c.beginAttempt(p.ctx, choice)
+	p.setHedge(c.beginAttempt(p.ctx, choice))
 	p.hedge.outpaces = true
 	c.entry.logHedge(x, p.hedge, hedgeStarted)
 }
