--- a/machine/entry/direct/checkloop.go
+++ b/machine/entry/direct/checkloop.go
@@ -40,6 +40,8 @@
 	l.pairs[p] = true
 	if !l.isRunning {
 		l.isRunning = true
+		// A standstill before the loop runs counts, too.
+		l.fleet.standstills.Restart()
 		go l.run()
 	}
 	if p.hedgeDue.Load() == 0 {
@@ -59,7 +61,6 @@
 
 // run looks at the requests every checkInterval, and sooner if a hedge is due, until there are none.
 func (l *checkLoop) run() {
-	l.fleet.standstills.Restart()
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
 	for {
--- a/machine/entry/direct/checkloop_test.go
+++ b/machine/entry/direct/checkloop_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"mimosastand.example/mimosastand/config"
 	"mimosastand.example/mimosastand/machine/entry/attempts"
 	"mimosastand.example/mimosastand/zone/catalog"
 	"mimosastand.example/mimosastand/zone/placement"
@@ -152,3 +153,23 @@
 		}
 	})
 }
+
+// Guards against a cut answer that is taken for a whole one (ORDER, MIXED): the process stood still just after a request had
+// begun, before the loop that notices standstills ran for the first time.
+func TestStandstillBeforeLoopRunsIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asleep := time.Duration(0)
+		fs := newStateWithClock(config.Bounds{}, func() time.Time { return time.Now().Add(asleep) })
+		p := newWaitingPair(fs, 0)
+		time.Sleep(time.Hour)
+		began := time.Now()
+		p.call.entry.checks.watch(p)
+		asleep = 3 * time.Second
+		synctest.Wait()
+		if got := fs.standstills.Observe().EndedAt; got.Before(began) {
+			t.Errorf("last standstill at %v, want one since the request began", got)
+		}
+		p.call.entry.checks.unwatch(p)
+		time.Sleep(2 * checkInterval)
+	})
+}
--- a/machine/entry/direct/standstill_test.go
+++ b/machine/entry/direct/standstill_test.go
@@ -87,7 +87,9 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(conn, text)
 				if c.stoodStill {
+					e.fleet.standstills.Observe()
 					asleep.Store(int64(pause))
+					e.fleet.standstills.Observe()
 				}
 			})
 			list("target-1", born)
