--- a/machine/entry/direct/fleetstate.go
+++ b/machine/entry/direct/fleetstate.go
@@ -43,10 +43,11 @@
 type fleetState struct {
 	process *config.Process
 	log     log.Interface
-	// bootClock goes on while the machine is suspended. The announcements of versions go by it.
+	// bootClock goes on while the machine is suspended. The announcements of versions and the reports on engines go
+	// by it.
 	bootClock func() time.Time
-	// startedAt is when this process began to count the requests that it sends.
-	startedAt time.Time
+	// startedAt is when this process began to count the requests that it sends, and startedBoot the same by bootClock.
+	startedAt, startedBoot time.Time
 
 	mu sync.Mutex
 	// bounds are the fleet's bounds, which may change while the process runs.
@@ -102,6 +103,7 @@
 		log:              logger,
 		bootClock:        bootClock,
 		startedAt:        time.Now(),
+		startedBoot:      bootClock(),
 		roster:           roster.New(process.Fleet.TargetReportInterval),
 		evacuated:        map[contract.ZoneName]bool{},
 		announced:        upgrade.NewVersionTracker(bootClock()),
@@ -124,6 +126,12 @@
 	}
 }
 
+// bootNow returns a time that goes on while the machine is suspended. It is time.Now in a process whose machine was not
+// suspended.
+func (fs *fleetState) bootNow() time.Time {
+	return fs.startedAt.Add(fs.bootClock().Sub(fs.startedBoot))
+}
+
 // ready reports whether the entry has a manifest and a target list, so that it can serve
 // requests.
 func (fs *fleetState) ready() bool {
--- a/machine/entry/direct/targetreports.go
+++ b/machine/entry/direct/targetreports.go
@@ -20,7 +20,7 @@
 		Number:   e.Number,
 	}
 	fs.roster.Report(now, e.Address, e.Born, status)
-	report := targetreport.Report{Key: roster.ReportKeyOf(e.Address, e.Born), Status: status, At: now}
+	report := targetreport.Report{Key: roster.ReportKeyOf(e.Address, e.Born), Status: status, At: fs.bootNow()}
 	hasNews = fs.targetReports.HasNews(report)
 	fs.targetReports.Observe(report)
 	return hasNews
@@ -47,8 +47,9 @@
 // applyTargetReports applies the reports on engines that another entry passes on. They are passed on
 // with regular heartbeats only.
 func (fs *fleetState) applyTargetReports(now time.Time, reports []contract.TargetReport) {
-	for _, r := range fs.targetReports.ApplyReports(now, reports) {
-		fs.roster.ApplyRelayed(r.Key, r.At, r.Status)
+	bootNow := fs.bootNow()
+	for _, r := range fs.targetReports.ApplyReports(bootNow, reports) {
+		fs.roster.ApplyRelayed(r.Key, now.Add(r.At.Sub(bootNow)), r.Status)
 	}
 }
 
@@ -56,7 +57,7 @@
 func (fs *fleetState) reportsFor(region contract.RegionName) []contract.TargetReport {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	now := time.Now()
+	now := fs.bootNow()
 	if region == fs.process.Region {
 		return fs.targetReports.Reports(now)
 	}
