Entries count others without a link as running only if they report themselves (CONFIG)

Cause: an entry counted every listed entry to which it has no link by design as running while any neighbour of that zone was linked. Member records of machines that left stay, and in a zone with more than about eight listed entries not all are neighbours. So machines that had left took the first ranks, and no entry of the zone waited at the store.

Change: heartbeats between entries carry sightings. Each entry reports itself once a second with a rising number, and entries pass new reports on, each once over each link, with their ages. An entry without a link counts as running for 5 s after its last report, or after its record was listed. Only a higher number renews a sighting, so entries can't keep each other's old news alive; ages go by the clock that counts suspensions, and what was heard before a standstill is old after it. No record is removed and no link changes, so a machine that was partitioned, frozen or restarting counts again with its first heartbeat.

Cost: about 12 bytes for each entry, link and second; nothing is written to the store.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -52,6 +52,21 @@
 	// LeavingTargets lists 64-bit hashes of the names and starts of the targets that have said
 	// in an answer that they are about to stop, as far as the sending entry knows.
 	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
+	// EntrySightings lists reports of entries of the sender's zone that they run, those that the sender
+	// has learned of since its last heartbeat to the same peer. Only entries of one zone exchange them.
+	EntrySightings []EntrySighting `cbor:"26,keyasint,omitempty"`
+}
+
+// EntrySighting tells that an entry was running a short time ago.
+type EntrySighting struct {
+	_ struct{} `cbor:",toarray"`
+	// Entry is a 32-bit hash of the entry's name and certificate: a later run has another one.
+	Entry uint32
+	// Number is the number of seconds for which the entry had been running when it reported itself. Only
+	// a higher one is news: the same report reaches a process over several others.
+	Number uint32
+	// AgeMS is the time in milliseconds from that report to the heartbeat.
+	AgeMS uint32
 }
 
 // OriginOutage reports that an entry tried to download weights and could not reach their origin.
--- a/machine/peers/entries.go
+++ b/machine/peers/entries.go
@@ -39,8 +39,10 @@
 	return place, len(entries), !p.firstReadAt.IsZero()
 }
 
-// MayBeRunning reports whether an entry may be running and connected: a neighbour if it is linked,
-// another entry if any neighbour of its zone is, or if there is none.
+// MayBeRunning reports whether an entry may be running: a neighbour if it is linked, another entry of this
+// process's zone if it has recently reported itself to others of the zone, and one of another zone if any
+// neighbour of that zone is linked, or if there is none. In the own zone, whose ranks decide who reads the store,
+// being listed is no evidence: the record of a machine that has left stays for a time.
 func (p *Peers) MayBeRunning(id contract.MachineID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -53,17 +55,30 @@
 	if _, ok := p.neighbours[m.Machine]; ok || p.isLinked(m.Machine) {
 		return p.isLinked(m.Machine)
 	}
-	isZoneNear := false
+	if !p.isZoneEntry(m) {
+		return p.isZoneInReach(m.Zone)
+	}
+	return p.sightings.isRecent(m, p.listedAt[m.Machine])
+}
+
+// isZoneEntry reports whether a member is an entry of the same zone as this entry.
+func (p *Peers) isZoneEntry(m Member) bool {
+	return p.opts.Self.Role == link.RoleEntry && m.Role == link.RoleEntry && m.Zone == p.opts.Self.Zone
+}
+
+// isZoneInReach reports whether an entry of a zone is linked, or none is a neighbour. p.mu must be held.
+func (p *Peers) isZoneInReach(zone contract.ZoneName) bool {
+	hasNeighbour := false
 	for id, neighbour := range p.neighbours {
-		if neighbour.Zone != m.Zone || neighbour.Role != link.RoleEntry {
+		if neighbour.Zone != zone || neighbour.Role != link.RoleEntry {
 			continue
 		}
 		if p.isLinked(id) {
 			return true
 		}
-		isZoneNear = true
+		hasNeighbour = true
 	}
-	return !isZoneNear
+	return !hasNeighbour
 }
 
 // PropagationDelay returns about how long it takes until heartbeats have told all entries of this
--- a/machine/peers/links.go
+++ b/machine/peers/links.go
@@ -63,6 +63,7 @@
 	if old == c {
 		return
 	}
+	p.sightings.forgetPeer(id)
 	go func() {
 		<-c.Done()
 		p.mu.Lock()
@@ -141,6 +142,9 @@
 	hb := contract.Heartbeat{Machine: p.opts.Self.Machine, Zone: p.opts.Self.Zone}
 	if p.opts.Self.Role == link.RoleEntry {
 		hb.Members = p.memberFeed.Progress()
+		if m, ok := p.Member(peer.Machine); ok && p.isZoneEntry(m) {
+			hb.EntrySightings = p.sightings.reportTo(peer.Machine, p.opts.Self)
+		}
 	}
 	p.opts.FillHeartbeat(peer.Machine, &hb)
 	return hb
@@ -155,6 +159,9 @@
 	if _, ok := p.liveConn(hb.Machine); !ok {
 		p.setLink(hb.Machine, c)
 	}
+	if m, ok := p.Member(hb.Machine); ok && p.isZoneEntry(m) {
+		p.sightings.observe(hb.Machine, hb.EntrySightings)
+	}
 	p.memberCatchup.ObservePeer(hb.Machine, hb.Members)
 	p.opts.OnHeartbeat(hb)
 }
--- a/machine/peers/memberlist.go
+++ b/machine/peers/memberlist.go
@@ -79,6 +79,7 @@
 		}
 		if len(r.Value) == 0 {
 			delete(p.members, contract.MachineID(r.Key))
+			delete(p.listedAt, contract.MachineID(r.Key))
 			continue
 		}
 		m, err := decodeMember(r.Key, r.Value)
@@ -86,9 +87,13 @@
 			p.opts.Log.WithError(err).Warn("malformed member record ignored")
 			continue
 		}
-		if old, ok := p.members[m.Machine]; ok && old.Fingerprint != m.Fingerprint {
+		old, ok := p.members[m.Machine]
+		if ok && old.Fingerprint != m.Fingerprint {
 			restarted = append(restarted, m.Machine)
 		}
+		if old.Fingerprint != m.Fingerprint {
+			p.listedAt[m.Machine] = p.sightings.bootClock()
+		}
 		p.members[m.Machine] = m
 	}
 	p.mu.Unlock()
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -58,8 +58,13 @@
 
 	started time.Time
 
+	// sightings tells which entries without a link to this process run.
+	sightings *sightings
+
 	mu      sync.Mutex
 	members map[contract.MachineID]Member
+	// listedAt is when the record of the present run of each member was applied, by the boot clock.
+	listedAt map[contract.MachineID]time.Time
 	// conns holds a link to each linked peer: the newest that this process dialed, or one
 	// that the peer dialed while no live link was known.
 	conns map[contract.MachineID]*link.Conn
@@ -92,6 +97,7 @@
 func Open(opts Options) (*Peers, error) {
 	p := &Peers{
 		opts: opts, started: time.Now(), members: map[contract.MachineID]Member{}, conns: map[contract.MachineID]*link.Conn{},
+		sightings: newSightings(), listedAt: map[contract.MachineID]time.Time{},
 		firstRead: make(chan struct{}), ownRecordChanged: make(chan struct{}, 1),
 	}
 	p.publishedAt.Store(notPublished)
