--- a/machine/entry/direct/meters.go
+++ b/machine/entry/direct/meters.go
@@ -191,6 +191,7 @@
 	metrics.ReportLinks(m.scope, e.peers.Traffic())
 	m.scope.Gauge("linked_peers").Update(float64(e.peers.LinkedCount()))
 	m.scope.Gauge("member_rewrites").Update(float64(e.peers.RewrittenCount()))
+	m.scope.Gauge("members_removed").Update(float64(e.peers.RemovedCount()))
 	m.scope.Gauge("log_lines_left_out").Update(float64(logs.DroppedLines()))
 	m.scope.Gauge("open_requests").Update(float64(e.openRequests.Load()))
 	m.updateTargetGauges(s.targetStates)
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -85,6 +85,8 @@
 	publishedAt      atomic.Int64
 	ownRecordChanged chan struct{}
 	rewrittenCount   atomic.Int64
+	// removedCount counts the member records of other entries that this process has removed.
+	removedCount atomic.Int64
 	// firstRead is closed when the members have been read for the first time, at
 	// firstReadAt.
 	firstRead     chan struct{}
@@ -145,6 +147,7 @@
 	wg.Go(func() { p.memberFeed.Run(ctx) })
 	wg.Go(func() { p.memberCatchup.Run(ctx) })
 	wg.Go(func() { p.maintainMember(ctx) })
+	wg.Go(func() { p.removeLeft(ctx) })
 	wg.Wait()
 	p.pool.Close()
 	p.endpoint.Close()
