An entry does not crash when a record is queued as the last one is appended

What was seen: one run of e2e/fleet ended with 'panic: runtime error: slice bounds out of range [1:0]' in storePending. At callers all requests of the entry would be cut off.

Cause: the goroutine that appends records of weights removed the last one from the queue and looked at the queue once more afterwards. A record that was queued in between found the queue empty and started a second goroutine. Both appended it, and removed two records: the next one was lost, or the process crashed.

Evidence: TestRecordQueuedAsLastOneIsAppendedIsAppendedOnce failed before with the same panic, within 0.04 s.

Change: whether more records follow is decided as the last one is removed. Whoever empties the queue looks at it no more.

Result: the test passes 3 of 3 with the race detector.

--- a/machine/weightcache/store.go
+++ b/machine/weightcache/store.go
@@ -306,19 +306,24 @@
 func (cv *cachedVersion) storePending(ctx context.Context) {
 	for ctx.Err() == nil {
 		cv.pendingMu.Lock()
-		if len(cv.pending) == 0 {
-			cv.pendingMu.Unlock()
-			return
-		}
 		next := cv.pending[0]
 		cv.pendingMu.Unlock()
 		cv.storeRecord(ctx, next)
-		cv.pendingMu.Lock()
-		cv.pending = cv.pending[1:]
-		cv.pendingMu.Unlock()
+		if !cv.removePending() {
+			return
+		}
 	}
 }
 
+// removePending removes the first pending record and reports whether there are more. If there are none, enqueueRecord
+// starts storePending again: the one that got this answer must look at the queue no more.
+func (cv *cachedVersion) removePending() (hasMore bool) {
+	cv.pendingMu.Lock()
+	defer cv.pendingMu.Unlock()
+	cv.pending = cv.pending[1:]
+	return len(cv.pending) > 0
+}
+
 // storeRecord appends one record, with a limited number of attempts. After a failure other
 // zones have to get the piece another way.
 func (cv *cachedVersion) storeRecord(ctx context.Context, r contract.Record) {
