Sightings of entries have a key of their own in heartbeats

Two changes that were made side by side had taken the same key of the heartbeat (26): the uncertainty of the ages of versions and the sightings of entries. Keys must differ; sightings have 27.

--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -56,7 +56,7 @@
 	LeavingTargets []uint64 `cbor:"17,keyasint,omitempty"`
 	// EntrySightings lists reports of entries of the sender's zone that they run, those that the sender
 	// has learned of since its last heartbeat to the same peer. Only entries of one zone exchange them.
-	EntrySightings []EntrySighting `cbor:"26,keyasint,omitempty"`
+	EntrySightings []EntrySighting `cbor:"27,keyasint,omitempty"`
 }
 
 // EntrySighting tells that an entry was running a short time ago.
