--- a/contract/heartbeat.go
+++ b/contract/heartbeat.go
@@ -59,13 +59,13 @@
 	EntrySightings []EntrySighting `cbor:"27,keyasint,omitempty"`
 }
 
-// EntrySighting tells that an entry was running a short time ago.
+// EntrySighting reports that an entry was running a short time ago.
 type EntrySighting struct {
 	_ struct{} `cbor:",toarray"`
 	// Entry is a 32-bit hash of the entry's name and certificate: a later run has another one.
 	Entry uint32
 	// Number is the number of seconds for which the entry had been running when it reported itself. Only
-	// a higher one is news: the same report reaches a process over several others.
+	// a higher one is new: the same report reaches a process over several others.
 	Number uint32
 	// AgeMS is the time in milliseconds from that report to the heartbeat.
 	AgeMS uint32
--- a/machine/entry/direct/entry.go
+++ b/machine/entry/direct/entry.go
@@ -219,28 +219,6 @@
 	return err
 }
 
-// fillHeartbeat adds the state of this entry to a heartbeat to a peer. Targets need only what
-// operators have written and the ages of versions. Entries of other regions send requests here only when their own region is
-// full; they get flights at a lower rate, since these use the links between regions.
-func (e *Entry) fillHeartbeat(peer contract.MachineID, hb *contract.Heartbeat) {
-	member, _ := e.peers.Member(peer)
-	if member.Role == link.RoleEntry {
-		hb.SameInFlight = member.Region != e.process.Region && !e.remoteFlights.due(peer, time.Now())
-		if !hb.SameInFlight {
-			hb.InFlight = e.fleet.ownFlights()
-		}
-		hb.TargetReports = e.fleet.reportsFor(member.Region)
-		hb.RateLimits = e.fleet.rateLimitReports()
-		hb.PoisonObservations, hb.PoisonVerdicts = e.fleet.poisonReports()
-		hb.LeavingTargets = e.fleet.leavingReports()
-		hb.OriginOutage = e.origin.Report()
-		hb.Targets = e.targetsFeed.Progress()
-	}
-	hb.Announced = e.fleet.versionAges()
-	hb.StoreEra = e.store.Era()
-	hb.Operators = e.operatorsFeed.Progress()
-}
-
 // targetsReadInterval returns the time until the target list is read again.
 func (e *Entry) targetsReadInterval() time.Duration {
 	if e.peers.RankInZone() == 0 {
@@ -283,19 +261,6 @@
 
 func (e *Entry) dropLapsedTargets() { e.fleet.dropLapsedTargets(e.targetsFeed.Answers()) }
 
-// handleHeartbeat applies a peer's heartbeat.
-func (e *Entry) handleHeartbeat(hb contract.Heartbeat) {
-	e.store.LearnEra(hb.StoreEra)
-	e.observeOperators(hb)
-	e.origin.Apply(hb.OriginOutage)
-	if hb.Zone == e.process.Zone {
-		e.targetsCatchup.ObservePeer(hb.Machine, hb.Targets)
-	}
-	if e.fleet.applyHeartbeat(hb) {
-		e.peers.SendNews()
-	}
-}
-
 // CallerAddress returns the TCP address at which callers are served.
 func (e *Entry) CallerAddress() string { return e.callerListener.Addr().String() }
 
--- a/machine/feed/feed.go
+++ b/machine/feed/feed.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"mimosastand.example/mimosastand/contract"
-	"mimosastand.example/mimosastand/internal/boottime"
 	"mimosastand.example/mimosastand/platform"
 )
 
@@ -231,22 +230,6 @@
 	return true
 }
 
-// markCaughtUp records that the feed holds the topic up to the end offset in the answer to the last call. An
-// answer without records dates the confirmation, too; the calls that bring records last as long as there are none.
-func (f *Feed) markCaughtUp() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	bootNow := boottime.Time()
-	f.caughtUpBootAt = f.lastCall.answeredAfter(bootNow)
-	f.caughtUpAt = boottime.Monotonic(f.caughtUpBootAt, bootNow)
-	f.own.Number++
-	if f.lastCall.hasRecords {
-		f.confirm(time.Now(), f.own)
-		return
-	}
-	f.confirm(f.caughtUpAt, f.own)
-}
-
 // errReadCanceled means that Refresh has canceled a read, or Merge one whose records a peer has
 // sent: the store neither answered nor failed.
 var errReadCanceled = errors.New("feed: read canceled by a refresh or by records of a peer")
@@ -276,18 +259,6 @@
 	return batch, err
 }
 
-// nextWait returns how long the next read waits for a record.
-func (f *Feed) nextWait() time.Duration {
-	switch spread := f.opts.MaxWait - f.opts.MinWait; {
-	case f.opts.MinWait <= 0 || spread <= 0:
-		return f.opts.MaxWait
-	case f.lastCall.hasRecords:
-		return min(recheckWait, f.opts.MaxWait)
-	default:
-		return f.opts.MinWait + rand.N(spread)
-	}
-}
-
 // nextPosition returns the position from which the next read continues. Records received from
 // peers are not read again. f.mu must be held.
 func (f *Feed) nextPosition() int64 {
--- a/machine/feed/storecall.go
+++ b/machine/feed/storecall.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"mimosastand.example/mimosastand/internal/boottime"
@@ -28,3 +29,31 @@
 	}
 	return c.began
 }
+
+// markCaughtUp records that the feed holds the topic up to the end offset in the answer to the last call. An
+// answer without records dates the confirmation, too; the calls that bring records last as long as there are none.
+func (f *Feed) markCaughtUp() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bootNow := boottime.Time()
+	f.caughtUpBootAt = f.lastCall.answeredAfter(bootNow)
+	f.caughtUpAt = boottime.Monotonic(f.caughtUpBootAt, bootNow)
+	f.own.Number++
+	if f.lastCall.hasRecords {
+		f.confirm(time.Now(), f.own)
+		return
+	}
+	f.confirm(f.caughtUpAt, f.own)
+}
+
+// nextWait returns how long the next read waits for a record.
+func (f *Feed) nextWait() time.Duration {
+	switch spread := f.opts.MaxWait - f.opts.MinWait; {
+	case f.opts.MinWait <= 0 || spread <= 0:
+		return f.opts.MaxWait
+	case f.lastCall.hasRecords:
+		return min(recheckWait, f.opts.MaxWait)
+	default:
+		return f.opts.MinWait + rand.N(spread)
+	}
+}
--- a/machine/peers/peers.go
+++ b/machine/peers/peers.go
@@ -58,7 +58,7 @@
 
 	started time.Time
 
-	// sightings tells which entries without a link to this process run.
+	// sightings holds which entries without a link to this process run.
 	sightings *sightings
 
 	mu      sync.Mutex
--- a/machine/peers/sightings_test.go
+++ b/machine/peers/sightings_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// Guards against entries that keep each other's old news of a machine that has left alive, and against ones
+// Guards against entries that keep each other's old reports of a machine that has left alive, and against ones
 // that lose sight of a running entry over several links with rare heartbeats.
 func TestSightingsArePassedOnUntilTheyAreOld(t *testing.T) {
 	const rareHeartbeats = 750 * time.Millisecond
--- a/machine/target/direct/versionage_test.go
+++ b/machine/target/direct/versionage_test.go
@@ -23,7 +23,7 @@
 }
 
 // Guards against requests that begin on weights that are too old (VERSION, incident inc1): the process beside an engine
-// told entries that had started again an age that lacked the time for which its machine had been suspended, and the
+// reported to entries that had started again an age that lacked the time for which its machine had been suspended, and the
 // engine took its turn to load by that age.
 func TestVersionAgeCountsSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
