A test of removed member records allows for a store that does not answer once

TestRecordsOfEntriesThatLeftAreRemoved failed once in a run of four packages with the race detector at a load of about 20 ('the first entry of the zone removed 0 records, want 30'), and passed alone (2 of 2, and in the whole package). It looks again now, within the bound that it had for the list, and demands as much; the second entry must remove nothing before and after.

--- a/machine/peers/removal_test.go
+++ b/machine/peers/removal_test.go
@@ -107,7 +107,7 @@
 	first, second := startEntry(t, store, "b1", nil), startEntry(t, store, "b2", nil)
 	awaitRank(t, first, 0)
 	awaitRank(t, second, 1)
-	for _, p := range []*Peers{second, first} {
+	pass := func(p *Peers) {
 		var r removal
 		now := time.Now()
 		for range removalAge/removalInterval + 2 {
@@ -115,6 +115,12 @@
 			p.removeDue(context.Background(), &r, now)
 		}
 	}
+	pass(second)
+	// An entry whose store has not answered a call does not judge others: it removes nothing in that pass.
+	for until := time.Now().Add(recoveryBound); first.RemovedCount() != left && time.Now().Before(until); {
+		pass(first)
+	}
+	pass(second)
 	if n := second.RemovedCount(); n != 0 {
 		t.Errorf("the second entry of the zone removed %d records, want none", n)
 	}
